--- /dev/null
+++ b/Makefile
@@ -0,0 +1,6 @@
+.PHONY: demo test
+demo:
+	./scripts/demo.sh
+
+test:
+	./scripts/test.sh
--- /dev/null
+++ b/backend/client.go
@@ -0,0 +1,211 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	dialTimeout    = 250 * time.Millisecond
+	cancelTimeout  = time.Second
+	maxCallBytes   = 4 << 20
+	maxFrameBytes  = 64 << 10
+	readBufferSize = 16 << 10
+)
+
+// Conn is one connection that carries one exchange. Every call and stream has a connection
+// of its own, so that a connection that has gone silent can't be handed to another request,
+// and nothing is ever sent a second time.
+type Conn struct {
+	server string
+	conn   net.Conn
+	in     *bufio.Reader
+	resp   fasthttp.Response
+	lines  *bufio.Reader
+}
+
+// dial opens a connection whose reads and writes end with ctx.
+func dial(ctx context.Context, server, address string) (*Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "backend: dial %s", server)
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		// SetDeadline fails only on a closed connection, which the next write reports.
+		_ = c.SetDeadline(deadline)
+	}
+	return &Conn{server: server, conn: c, in: bufio.NewReaderSize(c, readBufferSize)}, nil
+}
+
+// Close ends the exchange.
+func (c *Conn) Close() { _ = c.conn.Close() }
+
+// send writes a whole request.
+func (c *Conn) send(req *fasthttp.Request) error {
+	out := bufio.NewWriter(c.conn)
+	if err := req.Write(out); err != nil {
+		return eris.Wrapf(err, "backend: write request to %s", c.server)
+	}
+	if err := out.Flush(); err != nil {
+		return eris.Wrapf(err, "backend: write request to %s", c.server)
+	}
+	return nil
+}
+
+// OpenStage starts a stage and returns once the server has said that it is ready.
+func OpenStage(ctx context.Context, open StageOpen) (*Conn, error) {
+	ref := open.Chain[open.Stage]
+	c, err := dial(ctx, ref.Server, ref.Address)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.openStage(ref, open); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Conn) openStage(ref StageRef, open StageOpen) error {
+	if err := c.post(ref.Address, PathStage, open); err != nil {
+		return err
+	}
+	c.resp.StreamBody = true
+	if err := c.resp.Read(c.in); err != nil {
+		return eris.Wrapf(err, "backend: read answer of %s", c.server)
+	}
+	if code := c.resp.StatusCode(); code != fasthttp.StatusOK {
+		return eris.Errorf("backend: open stage on %s: status %d", c.server, code)
+	}
+	c.lines = bufio.NewReaderSize(c.resp.BodyStream(), maxFrameBytes)
+	f, err := c.Next()
+	if err != nil {
+		return err
+	}
+	if f.Kind != FrameOpened {
+		return eris.Errorf("backend: open stage on %s: %s", c.server, f.Message)
+	}
+	return nil
+}
+
+func (c *Conn) post(address, path string, body any) error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + address + path)
+	req.Header.SetContentType("application/json")
+	data, err := json.Marshal(body)
+	if err != nil {
+		return eris.Wrap(err, "backend: encode request")
+	}
+	req.SetBody(data)
+	return c.send(req)
+}
+
+// Next returns the next frame of a stage's stream.
+func (c *Conn) Next() (Frame, error) {
+	var f Frame
+	line, err := c.lines.ReadSlice('\n')
+	if err != nil {
+		return f, eris.Wrapf(err, "backend: read frame from %s", c.server)
+	}
+	if err := json.Unmarshal(line, &f); err != nil {
+		return f, eris.Wrapf(err, "backend: decode frame from %s", c.server)
+	}
+	return f, nil
+}
+
+// CallRequest is one call to a plain service.
+type CallRequest struct {
+	Server      string
+	Address     string
+	Service     string
+	Request     string
+	Workspace   string
+	Key         string
+	ContentType string
+	Body        []byte
+}
+
+// CallAnswer is a backend server's answer.
+type CallAnswer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// CallError says whether the server may have run the call.
+type CallError struct {
+	Err error
+	// Sent means that the call may have reached the server.
+	Sent bool
+}
+
+func (e *CallError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error { return e.Err }
+
+// Call sends the call once.
+func Call(ctx context.Context, cr CallRequest) (CallAnswer, error) {
+	c, err := dial(ctx, cr.Server, cr.Address)
+	if err != nil {
+		return CallAnswer{}, &CallError{Err: err}
+	}
+	defer c.Close()
+	stop := context.AfterFunc(ctx, c.Close)
+	defer stop()
+	if err := c.sendCall(cr); err != nil {
+		return CallAnswer{}, &CallError{Err: err, Sent: true}
+	}
+	if err := c.resp.ReadLimitBody(c.in, maxCallBytes); err != nil {
+		return CallAnswer{}, &CallError{Err: eris.Wrapf(err, "backend: read answer of %s", cr.Server), Sent: true}
+	}
+	return CallAnswer{
+		Status:      c.resp.StatusCode(),
+		ContentType: string(c.resp.Header.ContentType()),
+		Body:        append([]byte(nil), c.resp.Body()...),
+	}, nil
+}
+
+func (c *Conn) sendCall(cr CallRequest) error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + cr.Address + PathCall + cr.Service)
+	req.Header.SetContentType(cr.ContentType)
+	req.Header.Set(HeaderRequest, cr.Request)
+	req.Header.Set(HeaderWorkspace, cr.Workspace)
+	if cr.Key != "" {
+		req.Header.Set(HeaderKey, cr.Key)
+	}
+	req.SetBody(cr.Body)
+	return c.send(req)
+}
+
+// CancelRequest asks a server to stop working on a request. It is best effort: the server
+// also stops when the stage's connection closes.
+func CancelRequest(ctx context.Context, server, address, request string) error {
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	c, err := dial(ctx, server, address)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	if err := c.post(address, PathCancel, Cancel{Request: request}); err != nil {
+		return err
+	}
+	if err := c.resp.Read(c.in); err != nil && err != io.EOF {
+		return eris.Wrapf(err, "backend: read answer of %s", server)
+	}
+	return nil
+}
--- /dev/null
+++ b/caller/server.go
@@ -0,0 +1,250 @@
+// Package caller serves the callers over HTTP: drafts as server-sent events, plain services,
+// and non-idempotent calls under an idempotency key.
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/balsamlb/balsamlb/backend"
+	"github.com/balsamlb/balsamlb/dispatch"
+	"github.com/balsamlb/balsamlb/internal/ring"
+	"github.com/balsamlb/balsamlb/outcome"
+	"github.com/balsamlb/balsamlb/settings"
+	"github.com/go-logr/logr"
+	"github.com/valyala/fasthttp"
+)
+
+// Paths of the callers' interface.
+const (
+	PathCompletions = "/v1/completions"
+	PathServices    = "/v1/services/"
+)
+
+// Headers of the callers' interface.
+const (
+	HeaderWorkspace = "X-Workspace"
+	// HeaderDeadline is the time that the caller will wait, in milliseconds.
+	HeaderDeadline = "X-Deadline-Ms"
+	HeaderKey      = "Idempotency-Key"
+	// HeaderRequest carries the request's id in answers.
+	HeaderRequest = "X-Request-Id"
+	// HeaderOutcome carries the outcome in answers.
+	HeaderOutcome = "X-Outcome"
+)
+
+const (
+	maxHeaderBytes = 16 << 10
+	maxKeyLength   = 256
+	maxDeadline    = time.Hour
+	// hardBodyLimit bounds a body before the configured limit is known to apply.
+	hardBodyLimit = 16 << 20
+)
+
+// Dispatcher carries requests out.
+type Dispatcher interface {
+	Draft(ctx context.Context, r dispatch.Draft) *ring.Ring[dispatch.DraftEvent]
+	Call(ctx context.Context, r dispatch.Call) (backend.CallAnswer, *outcome.Error)
+}
+
+// Admitter takes requests in and counts them until they end.
+type Admitter interface {
+	// Admit returns a release function, or the refusal.
+	Admit(w settings.Workspace) (release func(), refusal *outcome.Error)
+}
+
+// Options are the parts that a server is built from.
+type Options struct {
+	Dispatcher Dispatcher
+	Admitter   Admitter
+	// Intent returns the configuration in force.
+	Intent func() settings.Intent
+	// NewID returns an id that was never used before.
+	NewID func() string
+	Log   logr.Logger
+}
+
+// handler answers one instance's callers.
+type handler struct {
+	Options
+	ctx context.Context
+}
+
+// NewServer returns the HTTP server for callers. Requests end when ctx ends.
+func NewServer(ctx context.Context, o Options) *fasthttp.Server {
+	h := &handler{Options: o, ctx: ctx}
+	return &fasthttp.Server{
+		Handler:            h.handle,
+		ReadBufferSize:     maxHeaderBytes,
+		MaxRequestBodySize: hardBodyLimit,
+		CloseOnShutdown:    true,
+		Name:               "balsamlb",
+	}
+}
+
+func (h *handler) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch {
+	case path == PathCompletions:
+		h.completions(ctx)
+	case len(path) > len(PathServices) && path[:len(PathServices)] == PathServices:
+		h.call(ctx, path[len(PathServices):])
+	default:
+		writeError(ctx, "", &outcome.Error{Outcome: outcome.NotRun, Code: outcome.CodeNotFound, Field: "path", Message: "no such path"})
+	}
+}
+
+// request checks what all kinds of request have in common.
+func (h *handler) request(ctx *fasthttp.RequestCtx, in settings.Intent, service string) (dispatch.Request, *outcome.Error) {
+	r := dispatch.Request{ID: h.NewID()}
+	if !ctx.IsPost() {
+		return r, outcome.BadField("method", "must be POST")
+	}
+	if len(ctx.PostBody()) > in.Limits.MaxBodyBytes {
+		return r, outcome.BadField("body", "is longer than "+strconv.Itoa(in.Limits.MaxBodyBytes)+" bytes")
+	}
+	name := string(ctx.Request.Header.Peek(HeaderWorkspace))
+	w, ok := in.Workspaces[name]
+	if !ok {
+		return r, outcome.BadField(HeaderWorkspace, "unknown workspace "+strconv.Quote(name))
+	}
+	s, ok := in.Services[service]
+	if !ok || !s.Enabled {
+		return r, outcome.BadField("service", "unknown service "+strconv.Quote(service))
+	}
+	deadline, refusal := parseDeadline(string(ctx.Request.Header.Peek(HeaderDeadline)), in.Limits.DefaultDeadline)
+	if refusal != nil {
+		return r, refusal
+	}
+	r.Workspace = w
+	r.Service = s
+	r.Deadline = deadline
+	return r, nil
+}
+
+func parseDeadline(header string, fallback time.Duration) (time.Time, *outcome.Error) {
+	if header == "" {
+		return time.Now().Add(fallback), nil
+	}
+	ms, err := strconv.ParseInt(header, 10, 64)
+	if err != nil || ms > maxDeadline.Milliseconds() {
+		return time.Time{}, outcome.BadField(HeaderDeadline, "must be a whole number of milliseconds up to an hour")
+	}
+	if ms <= 0 {
+		return time.Time{}, outcome.BadField(HeaderDeadline, "the deadline has passed")
+	}
+	return time.Now().Add(time.Duration(ms) * time.Millisecond), nil
+}
+
+// call answers a request to a plain service.
+func (h *handler) call(ctx *fasthttp.RequestCtx, service string) {
+	in := h.Intent()
+	r, refusal := h.request(ctx, in, service)
+	if refusal != nil {
+		writeError(ctx, r.ID, refusal)
+		return
+	}
+	key := string(ctx.Request.Header.Peek(HeaderKey))
+	if refusal := checkKey(r.Service, key); refusal != nil {
+		writeError(ctx, r.ID, refusal)
+		return
+	}
+	release, refusal := h.Admitter.Admit(r.Workspace)
+	if refusal != nil {
+		writeError(ctx, r.ID, refusal)
+		return
+	}
+	defer release()
+	answer, failure := h.Dispatcher.Call(h.ctx, dispatch.Call{
+		Request:     r,
+		Key:         key,
+		ContentType: string(ctx.Request.Header.ContentType()),
+		Body:        append([]byte(nil), ctx.PostBody()...),
+	})
+	if failure != nil {
+		writeError(ctx, r.ID, failure)
+		return
+	}
+	ctx.Response.Header.Set(HeaderRequest, r.ID)
+	ctx.Response.Header.Set(HeaderOutcome, string(outcome.Answered))
+	ctx.SetStatusCode(answer.Status)
+	ctx.SetContentType(answer.ContentType)
+	ctx.SetBody(answer.Body)
+}
+
+func checkKey(s settings.Service, key string) *outcome.Error {
+	if s.Kind != settings.ServicePlain {
+		return outcome.BadField("service", s.Name+" is a draft service; use "+PathCompletions)
+	}
+	if !s.Idempotent && key == "" {
+		return outcome.BadField(HeaderKey, "is required, since calls to "+s.Name+" may not be repeated")
+	}
+	if len(key) > maxKeyLength {
+		return outcome.BadField(HeaderKey, "is longer than "+strconv.Itoa(maxKeyLength)+" bytes")
+	}
+	return nil
+}
+
+// errorBody is the JSON form of an outcome.Error.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Outcome      outcome.Outcome `json:"outcome"`
+	Code         outcome.Code    `json:"code"`
+	Message      string          `json:"message"`
+	Field        string          `json:"field,omitempty"`
+	RetryAfterMs int64           `json:"retry_after_ms,omitempty"`
+}
+
+func newErrorBody(e *outcome.Error) errorBody {
+	return errorBody{Error: errorDetail{
+		Outcome:      e.Outcome,
+		Code:         e.Code,
+		Message:      e.Message,
+		Field:        e.Field,
+		RetryAfterMs: e.RetryAfter.Milliseconds(),
+	}}
+}
+
+func writeError(ctx *fasthttp.RequestCtx, id string, e *outcome.Error) {
+	ctx.Response.Reset()
+	ctx.SetStatusCode(statusOf(e))
+	ctx.Response.Header.Set(HeaderRequest, id)
+	ctx.Response.Header.Set(HeaderOutcome, string(e.Outcome))
+	if e.RetryAfter > 0 {
+		seconds := int64((e.RetryAfter + time.Second - 1) / time.Second)
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(seconds, 10))
+	}
+	ctx.SetContentType("application/json")
+	// errorBody holds only strings and numbers, which always encode.
+	body, _ := json.Marshal(newErrorBody(e))
+	ctx.SetBody(append(body, '\n'))
+}
+
+func statusOf(e *outcome.Error) int {
+	switch e.Code {
+	case outcome.CodeBadField:
+		if e.Field == "body" {
+			return fasthttp.StatusRequestEntityTooLarge
+		}
+		return fasthttp.StatusBadRequest
+	case outcome.CodeNotFound:
+		return fasthttp.StatusNotFound
+	case outcome.CodeKeyReused:
+		return fasthttp.StatusUnprocessableEntity
+	case outcome.CodeInProgress:
+		return fasthttp.StatusConflict
+	case outcome.CodeOverloaded:
+		return fasthttp.StatusTooManyRequests
+	case outcome.CodeDeadline:
+		return fasthttp.StatusGatewayTimeout
+	case outcome.CodeServerFailed, outcome.CodeInterrupted:
+		return fasthttp.StatusBadGateway
+	default:
+		return fasthttp.StatusServiceUnavailable
+	}
+}
--- /dev/null
+++ b/cmd/balsamctl/bench.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/balsamlb/balsamlb/internal/emulate"
+	"github.com/balsamlb/balsamlb/internal/load"
+	"github.com/balsamlb/balsamlb/settings"
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+var errBroken = errors.New("a promise was broken")
+
+func newEmulate() *ffcli.Command {
+	fs := newFlagSet("emulate")
+	path := fs.String("fleet", "fleet.ini", "file of the emulated backend servers")
+	return &ffcli.Command{
+		Name: "emulate", ShortUsage: "balsamctl emulate [flags]", ShortHelp: "stand in for backend servers",
+		FlagSet: fs, Options: envOptions(),
+		Exec: func(ctx context.Context, _ []string) error {
+			data, err := os.ReadFile(*path)
+			if err != nil {
+				return err
+			}
+			f, err := settings.ParseFleet(*path, data)
+			if err != nil {
+				return err
+			}
+			return emulate.NewFleet(f.Servers, f.Announce).Run(ctx)
+		},
+	}
+}
+
+func newLoad() *ffcli.Command {
+	fs := newFlagSet("load")
+	instances := fs.String("instances", "127.0.1.1:8080", "callers' addresses of instances, separated by commas")
+	workspace := fs.String("workspace", "kandy", "workspace to send as")
+	drafts := fs.Int("drafts", 20, "drafts to send")
+	bookings := fs.Int("bookings", 20, "bookings to send, each twice")
+	tokens := fs.Int("tokens", 16, "tokens a draft")
+	concurrent := fs.Int("concurrent", 8, "requests at a time")
+	seed := fs.Uint64("seed", 1, "seed of prompts and keys")
+	deadline := fs.Duration("deadline", 10*time.Second, "deadline of each request")
+	return &ffcli.Command{
+		Name: "load", ShortUsage: "balsamctl load [flags]", ShortHelp: "send drafts and bookings and check the answers",
+		FlagSet: fs, Options: envOptions(),
+		Exec: func(ctx context.Context, _ []string) error {
+			r := load.Run(ctx, load.Options{
+				Instances: strings.Split(*instances, ","), Workspace: *workspace,
+				Drafts: *drafts, Bookings: *bookings, MaxTokens: *tokens,
+				Concurrent: *concurrent, Seed: *seed, Deadline: *deadline,
+			})
+			if err := printJSON(r); err != nil {
+				return err
+			}
+			if len(r.Broken) > 0 {
+				return errBroken
+			}
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/cmd/balsamctl/main.go
@@ -0,0 +1,78 @@
+// Command balsamctl is the operators' client. It also emulates backend servers and sends load.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+// Exit codes of balsamctl.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	os.Exit(run(ctx, os.Args[1:]))
+}
+
+func run(ctx context.Context, args []string) int {
+	root := newRoot()
+	if err := root.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return exitOK
+		}
+		fmt.Fprintln(os.Stderr, "balsamctl:", err)
+		return exitUsage
+	}
+	err := root.Run(ctx)
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.Is(err, flag.ErrHelp):
+		return exitUsage
+	default:
+		fmt.Fprintln(os.Stderr, "balsamctl:", err)
+		return exitFailure
+	}
+}
+
+func newRoot() *ffcli.Command {
+	fs := newFlagSet("balsamctl")
+	return &ffcli.Command{
+		Name:       "balsamctl",
+		ShortUsage: "balsamctl <command> [flags]",
+		ShortHelp:  "operate balsamlb",
+		FlagSet:    fs,
+		Subcommands: []*ffcli.Command{
+			newStatus(),
+			newConfig(),
+			newDrain(),
+			newCredits(),
+			newEmulate(),
+			newLoad(),
+		},
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+	}
+}
+
+func newFlagSet(name string) *flag.FlagSet { return flag.NewFlagSet(name, flag.ContinueOnError) }
+
+// instanceFlag adds the address of the instance to talk to.
+func instanceFlag(fs *flag.FlagSet) *string {
+	return fs.String("instance", "127.0.1.1:8082", "operators' address of an instance")
+}
+
+// envOptions lets BALSAMCTL_* variables set flags.
+func envOptions() []ff.Option { return []ff.Option{ff.WithEnvVarPrefix("BALSAMCTL")} }
--- /dev/null
+++ b/cmd/balsamd/main.go
@@ -0,0 +1,47 @@
+// Command balsamd runs one instance of balsamlb.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/balsamlb/balsamlb/daemon"
+	"github.com/balsamlb/balsamlb/internal/logs"
+	"github.com/balsamlb/balsamlb/settings"
+	"github.com/peterbourgon/ff/v3"
+)
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "balsamd:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args []string) error {
+	fs := flag.NewFlagSet("balsamd", flag.ContinueOnError)
+	path := fs.String("settings", "balsamd.ini", "settings file of this instance")
+	check := fs.Bool("check", false, "check the settings file and exit")
+	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("BALSAMD")); err != nil {
+		return err
+	}
+	p, err := settings.ReadProcess(*path)
+	if err != nil {
+		return err
+	}
+	if *check {
+		fmt.Println(*path, "is valid")
+		return nil
+	}
+	d, err := daemon.New(p, logs.New(os.Stderr, p.LogLevel))
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return d.Run(ctx)
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,241 @@
+// Package daemon wires the duties of one instance together and ends them in order.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"time"
+
+	"github.com/balsamlb/balsamlb/backend"
+	"github.com/balsamlb/balsamlb/caller"
+	"github.com/balsamlb/balsamlb/control"
+	"github.com/balsamlb/balsamlb/dispatch"
+	"github.com/balsamlb/balsamlb/instance"
+	"github.com/balsamlb/balsamlb/operator"
+	"github.com/balsamlb/balsamlb/platform"
+	"github.com/balsamlb/balsamlb/settings"
+	"github.com/balsamlb/balsamlb/storage"
+	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// balancerNotice is how long the instance still takes callers after it has said that
+	// it is not ready, so that the balancer notices first.
+	balancerNotice = time.Second
+	// shutdownGrace bounds the wait for requests in flight.
+	shutdownGrace = 10 * time.Minute
+)
+
+// Daemon is one instance.
+type Daemon struct {
+	process    settings.Process
+	log        logr.Logger
+	shared     *shared
+	host       *control.Host
+	store      *storage.Log
+	sender     *instance.ConsensusSender
+	proposer   *instance.Proposer
+	credits    *creditDuty
+	admitter   *admitter
+	dispatcher *dispatch.Dispatcher
+}
+
+// New opens the data folder, if there is one, and builds the instance.
+func New(p settings.Process, log logr.Logger) (*Daemon, error) {
+	d := &Daemon{process: p, log: log}
+	d.shared = newShared(p, uint64(time.Now().UnixNano()), log.WithName("config"))
+	d.proposer = instance.NewProposer(voterAddresses(p))
+	d.credits = newCreditDuty(d.proposer, log.WithName("credit"))
+	d.admitter = newAdmitter()
+	d.dispatcher = dispatch.New(p.Name, p.DataCentre, d.shared, d.proposer, d.credits, log)
+	if p.IsControl() {
+		if err := d.openReplica(); err != nil {
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+func voterAddresses(p settings.Process) []string {
+	var out []string
+	for _, v := range p.Voters {
+		out = append(out, v.Address)
+	}
+	return out
+}
+
+func (d *Daemon) openReplica() error {
+	store, hard, entries, err := storage.Open(d.process.DataFolder)
+	if err != nil {
+		return err
+	}
+	d.store = store
+	var ids []string
+	peers := make(map[string]string)
+	for _, v := range d.process.Voters {
+		ids = append(ids, v.Name)
+		if v.Name != d.process.Name {
+			peers[v.Name] = v.Address
+		}
+	}
+	d.sender = instance.NewConsensusSender(peers)
+	d.host = control.NewHost(control.Options{
+		ID:      d.process.Name,
+		Voters:  ids,
+		Seed:    d.process.Seed,
+		Storage: store,
+		Sender:  d.sender,
+		OnView:  d.shared.offerView,
+		Log:     d.log.WithName("control"),
+	}, hard, entries)
+	d.log.Info("opened the data folder", "folder", d.process.DataFolder, "entries", len(entries), "term", hard.Term)
+	return nil
+}
+
+// Run serves until ctx ends, then drains and stops.
+func (d *Daemon) Run(ctx context.Context) error {
+	// Duties outlive ctx until the requests in flight have ended.
+	dutyCtx, stopDuties := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopDuties()
+	g, dutyCtx := errgroup.WithContext(dutyCtx)
+	servers, err := d.serve(dutyCtx, g)
+	if err != nil {
+		stopDuties()
+		_ = g.Wait()
+		return err
+	}
+	exchange := &exchangeDuty{shared: d.shared, exchanger: instance.NewExchanger()}
+	g.Go(func() error { return exchange.run(dutyCtx) })
+	g.Go(func() error { return d.credits.run(dutyCtx) })
+	if d.host != nil {
+		g.Go(func() error { return d.host.Run(dutyCtx) })
+		g.Go(func() error { return d.sender.Run(dutyCtx) })
+	}
+	d.log.Info("started", "instance", d.process.Name, "data_centre", d.process.DataCentre)
+	select {
+	case <-ctx.Done():
+		d.drain(dutyCtx)
+	case <-dutyCtx.Done():
+	}
+	stopDuties()
+	for _, s := range servers {
+		_ = s.Shutdown()
+	}
+	err = g.Wait()
+	if d.store != nil {
+		_ = d.store.Close()
+	}
+	d.log.Info("stopped", "instance", d.process.Name)
+	return err
+}
+
+// drain turns readiness off, waits until the balancer has noticed, and then until the
+// requests in flight have ended.
+func (d *Daemon) drain(ctx context.Context) {
+	d.shared.setLeaving()
+	d.log.Info("leaving", "in_flight", d.admitter.InFlight())
+	sleep(ctx, balancerNotice)
+	select {
+	case <-d.admitter.leave():
+	case <-time.After(shutdownGrace):
+		d.log.Info("cut off requests after the grace time", "in_flight", d.admitter.InFlight())
+	case <-ctx.Done():
+	}
+}
+
+// serve starts the listeners.
+func (d *Daemon) serve(ctx context.Context, g *errgroup.Group) ([]*fasthttp.Server, error) {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	callers := caller.NewServer(ctx, caller.Options{
+		Dispatcher: d.dispatcher,
+		Admitter:   d.admitter,
+		Intent:     d.shared.Intent,
+		NewID:      d.newID,
+		Log:        d.log.WithName("caller"),
+	})
+	operators := operator.NewServer(&operatorBackend{
+		shared:     d.shared,
+		host:       d.host,
+		proposer:   d.proposer,
+		dispatcher: d.dispatcher,
+		admitter:   d.admitter,
+	})
+	plan := []struct {
+		address string
+		server  *fasthttp.Server
+	}{
+		{d.process.Callers, callers},
+		{d.process.Backends, backend.NewServer(d.shared)},
+		{d.process.Operators, operators},
+		{d.process.Platform, platform.NewServer(d.shared.notReady, registry)},
+	}
+	var servers []*fasthttp.Server
+	for _, p := range plan {
+		l, err := net.Listen("tcp", p.address)
+		if err != nil {
+			return servers, eris.Wrapf(err, "daemon: listen on %s", p.address)
+		}
+		g.Go(func() error { return eris.Wrapf(p.server.Serve(l), "daemon: serve %s", p.address) })
+		servers = append(servers, p.server)
+	}
+	l, err := net.Listen("tcp", d.process.Instances)
+	if err != nil {
+		return servers, eris.Wrapf(err, "daemon: listen on %s", d.process.Instances)
+	}
+	peers := instance.NewServer(d.replica(), d.shared)
+	g.Go(func() error { return peers.Serve(ctx, l) })
+	return servers, nil
+}
+
+// replica returns this instance's replica, or a nil interface when it has none.
+func (d *Daemon) replica() instance.Replica {
+	if d.host == nil {
+		return nil
+	}
+	return &hostReplica{Host: d.host, voters: d.process.Voters}
+}
+
+// hostReplica adds the leader's address to a host.
+type hostReplica struct {
+	*control.Host
+	voters []settings.Voter
+}
+
+// Leader returns the address of the leader, or "".
+func (r *hostReplica) Leader(ctx context.Context) string {
+	s, err := r.Status(ctx)
+	if err != nil {
+		return ""
+	}
+	for _, v := range r.voters {
+		if v.Name == s.Leader {
+			return v.Address
+		}
+	}
+	return ""
+}
+
+const idBytes = 12
+
+// newID returns a request id that no instance has used. It must not repeat after a restart,
+// so it does not come from the seed.
+func (d *Daemon) newID() string {
+	var b [idBytes]byte
+	_, _ = rand.Read(b[:])
+	return d.process.Name + "-" + hex.EncodeToString(b[:])
+}
+
+func sleep(ctx context.Context, t time.Duration) {
+	select {
+	case <-time.After(t):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/daemon/operator.go
@@ -0,0 +1,126 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/balsamlb/balsamlb/config"
+	"github.com/balsamlb/balsamlb/consensus"
+	"github.com/balsamlb/balsamlb/control"
+	"github.com/balsamlb/balsamlb/dispatch"
+	"github.com/balsamlb/balsamlb/instance"
+	"github.com/balsamlb/balsamlb/membership"
+	"github.com/balsamlb/balsamlb/operator"
+	"github.com/balsamlb/balsamlb/replica"
+)
+
+// errNotControl is returned for calls that only a control instance answers.
+var errNotControl = errors.New("daemon: the instance is not a control instance; ask one that is")
+
+// operatorBackend answers balsamctl.
+type operatorBackend struct {
+	shared     *shared
+	host       *control.Host // nil on an instance without a replica
+	proposer   *instance.Proposer
+	dispatcher *dispatch.Dispatcher
+	admitter   *admitter
+}
+
+// Config returns the configuration in force.
+func (b *operatorBackend) Config() config.Document { return b.shared.View().Config }
+
+// Propose runs a command through the replicated state.
+func (b *operatorBackend) Propose(ctx context.Context, c replica.Command) (replica.Result, error) {
+	return b.proposer.Propose(ctx, c)
+}
+
+// Credits returns the counts of this instance's replica.
+func (b *operatorBackend) Credits(ctx context.Context) ([]operator.CreditCount, error) {
+	if b.host == nil {
+		return nil, errNotControl
+	}
+	var counts []operator.CreditCount
+	err := b.host.Query(ctx, func(s *replica.State, _ *consensus.Node) {
+		for a, n := range s.Credits.Counts() {
+			counts = append(counts, operator.CreditCount{Member: a.Member, Kind: a.Kind, Count: n})
+		}
+	})
+	slices.SortFunc(counts, func(x, y operator.CreditCount) int {
+		return cmp.Or(cmp.Compare(x.Member, y.Member), cmp.Compare(x.Kind, y.Kind))
+	})
+	return counts, err
+}
+
+// Status returns what this instance knows.
+func (b *operatorBackend) Status(ctx context.Context) operator.Status {
+	s := b.shared.status()
+	s.InFlight = b.admitter.InFlight()
+	for i := range s.Servers {
+		s.Servers[i].InFlight = b.dispatcher.InFlight(s.Servers[i].Name)
+	}
+	if b.host == nil {
+		return s
+	}
+	cs, err := b.host.Status(ctx)
+	if err != nil {
+		return s
+	}
+	s.Control = &operator.ControlStatus{Role: roleName(cs.Role), Term: cs.Term, Leader: cs.Leader, Commit: cs.Commit}
+	return s
+}
+
+func roleName(r consensus.Role) string {
+	switch r {
+	case consensus.RoleLeader:
+		return "leader"
+	case consensus.RoleCandidate, consensus.RolePreCandidate:
+		return "candidate"
+	default:
+		return "follower"
+	}
+}
+
+func (s *shared) status() operator.Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	st := operator.Status{
+		Instance:      s.process.Name,
+		DataCentre:    s.process.DataCentre,
+		ConfigVersion: s.view.Config.Version,
+		ConfigAgeMs:   now.Sub(s.viewAt).Milliseconds(),
+	}
+	self := operator.InstanceStatus{Name: s.process.Name, DataCentre: s.process.DataCentre, Alive: true, ConfigVersion: s.view.Config.Version}
+	st.Instances = append(st.Instances, self)
+	for _, m := range s.table.Members() {
+		st.Instances = append(st.Instances, operator.InstanceStatus{
+			Name:          m.Name,
+			DataCentre:    m.DataCentre,
+			Alive:         membership.IsAlive(m, now),
+			ConfigVersion: m.ConfigVersion,
+			HeardMs:       now.Sub(m.Heard).Milliseconds(),
+		})
+	}
+	for _, l := range s.registry.Leases(now) {
+		b := l.Server
+		_, draining := s.view.Drains[b.Name]
+		st.Servers = append(st.Servers, operator.ServerStatus{
+			Name:       b.Name,
+			DataCentre: b.DataCentre,
+			Address:    b.Address,
+			Model:      b.Model,
+			From:       b.Layers.From,
+			To:         b.Layers.To,
+			Leaving:    b.Leaving || draining,
+			LeaseMs:    l.Expires.Sub(now).Milliseconds(),
+		})
+	}
+	for name := range s.view.Drains {
+		st.Drains = append(st.Drains, name)
+	}
+	slices.Sort(st.Drains)
+	return st
+}
--- /dev/null
+++ b/dispatch/deps.go
@@ -0,0 +1,129 @@
+// Package dispatch carries requests out: it asks the decision packages what to do and does
+// it on the backend servers.
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/balsamlb/balsamlb/backend"
+	"github.com/balsamlb/balsamlb/credit"
+	"github.com/balsamlb/balsamlb/fleet"
+	"github.com/balsamlb/balsamlb/outcome"
+	"github.com/balsamlb/balsamlb/pipeline"
+	"github.com/balsamlb/balsamlb/replica"
+	"github.com/balsamlb/balsamlb/route"
+	"github.com/balsamlb/balsamlb/settings"
+	"github.com/go-logr/logr"
+)
+
+// Fleet tells which backend servers may be given new work.
+type Fleet interface {
+	Available() []fleet.BackendServer
+}
+
+// Proposer runs commands through the replicated state.
+type Proposer interface {
+	Propose(ctx context.Context, c replica.Command) (replica.Result, error)
+}
+
+// Credits takes the credit for an answered request.
+type Credits interface {
+	Credit(e credit.Entry)
+}
+
+// Dispatcher carries requests out for one instance.
+type Dispatcher struct {
+	instance string
+	fleet    Fleet
+	proposer Proposer
+	credits  Credits
+	log      logr.Logger
+
+	mu     sync.Mutex
+	router *route.Router
+}
+
+// New returns a dispatcher for the named instance.
+func New(instance, dataCentre string, f Fleet, p Proposer, c Credits, log logr.Logger) *Dispatcher {
+	return &Dispatcher{
+		instance: instance,
+		fleet:    f,
+		proposer: p,
+		credits:  c,
+		log:      log.WithName("route"),
+		router:   route.New(dataCentre),
+	}
+}
+
+// Request is what all kinds of request have in common.
+type Request struct {
+	ID        string
+	Service   settings.Service
+	Workspace settings.Workspace
+	Deadline  time.Time
+}
+
+func (d *Dispatcher) chooseServer(r Request, exclude []string) (fleet.BackendServer, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c, err := d.router.Call(r.Service.Name, d.fleet.Available(), exclude)
+	if err != nil {
+		d.log.Info("found no server", "request", r.ID, "service", r.Service.Name)
+		return fleet.BackendServer{}, err
+	}
+	d.router.Started(c.Chosen.Name)
+	d.log.Info("chose a server", "request", r.ID, "service", r.Service.Name, "server", c.Chosen.Name,
+		"cost_us", c.Cost.Microseconds(), "runner_up", c.RunnerUp, "runner_up_cost_us", c.RunnerUpCost.Microseconds())
+	return c.Chosen, nil
+}
+
+func (d *Dispatcher) chooseChain(r Request, promptTokens int) (pipeline.Chain, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	chain, err := d.router.Chain(r.Service.Model, r.Service.Layers, d.fleet.Available(), promptTokens)
+	if err != nil {
+		d.log.Info("found no chain", "request", r.ID, "model", r.Service.Model)
+		return nil, err
+	}
+	names := make([]string, len(chain))
+	for i, st := range chain {
+		d.router.Started(st.Server.Name)
+		names[i] = st.Server.Name
+	}
+	d.log.Info("chose a chain", "request", r.ID, "model", r.Service.Model, "servers", names)
+	return chain, nil
+}
+
+func (d *Dispatcher) ended(servers ...string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range servers {
+		d.router.Ended(s)
+	}
+}
+
+func (d *Dispatcher) credit(r Request, id string) {
+	d.credits.Credit(credit.Entry{Request: id, Member: r.Workspace.Member, Kind: r.Service.Name})
+}
+
+// stageRefs returns the chain as the backend servers are told it.
+func stageRefs(chain pipeline.Chain) []backend.StageRef {
+	refs := make([]backend.StageRef, len(chain))
+	for i, st := range chain {
+		refs[i] = backend.StageRef{Server: st.Server.Name, Address: st.Server.Address, Layers: st.Layers}
+	}
+	return refs
+}
+
+func errDeadline(o outcome.Outcome) *outcome.Error {
+	return &outcome.Error{Outcome: o, Code: outcome.CodeDeadline, Message: "the deadline has passed"}
+}
+
+// InFlight returns the work that this instance has given the server.
+func (d *Dispatcher) InFlight(server string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.router.InFlight(server)
+}
--- /dev/null
+++ b/fleet/server.go
@@ -0,0 +1,77 @@
+// Package fleet knows the backend servers that have announced themselves.
+package fleet
+
+import "time"
+
+// Range is a half-open range of layers.
+type Range struct {
+	From int `json:"from"`
+	To   int `json:"to"`
+}
+
+// Len returns the number of layers in the range.
+func (r Range) Len() int { return r.To - r.From }
+
+// Load is a backend server's report of its own load, which arrives with a lag.
+type Load struct {
+	Running int `json:"running"`
+	Queued  int `json:"queued"`
+}
+
+// BackendServer is what a backend server says of itself.
+type BackendServer struct {
+	Name string `json:"name"`
+	// Incarnation grows with every start of the server.
+	Incarnation uint64 `json:"incarnation"`
+	// Sequence grows with every announcement of an incarnation.
+	Sequence   uint64 `json:"sequence"`
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+	// Accelerator is the kind of accelerator.
+	Accelerator string `json:"accelerator,omitempty"`
+	// Services are the plain services that the server runs.
+	Services []string `json:"services,omitempty"`
+	Model    string   `json:"model,omitempty"`
+	Layers   Range    `json:"layers,omitzero"`
+	// PartialRange means that the server can run a part of its layers.
+	PartialRange bool `json:"partial_range,omitempty"`
+	// Slots is the number of requests that the server batches.
+	Slots int `json:"slots"`
+	// StepMicros is the time of one decoding step with one request, in microseconds.
+	StepMicros int `json:"step_micros,omitempty"`
+	// PrefillMicros is the time to prefill one token, in microseconds.
+	PrefillMicros int `json:"prefill_micros,omitempty"`
+	// ChecksFences means that the server refuses orders with an old fencing number.
+	ChecksFences bool `json:"checks_fences,omitempty"`
+	// ResolvesRequests means that the server can tell what became of a request.
+	ResolvesRequests bool `json:"resolves_requests,omitempty"`
+	// Leaving means that the server takes no new work.
+	Leaving bool `json:"leaving,omitempty"`
+	Load    Load `json:"load"`
+}
+
+// isNewer reports whether b was announced after a.
+func (b BackendServer) isNewer(a BackendServer) bool {
+	if b.Incarnation != a.Incarnation {
+		return b.Incarnation > a.Incarnation
+	}
+	return b.Sequence > a.Sequence
+}
+
+// Runs reports whether the server runs the plain service.
+func (b BackendServer) Runs(service string) bool {
+	for _, s := range b.Services {
+		if s == service {
+			return true
+		}
+	}
+	return false
+}
+
+// Lease is the time for which a backend server may be given new work.
+type Lease struct {
+	Server  BackendServer
+	Expires time.Time
+	// Direct means that the server announced itself to this instance.
+	Direct bool
+}
--- /dev/null
+++ b/instance/proposer.go
@@ -0,0 +1,135 @@
+package instance
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/balsamlb/balsamlb/instance/wire"
+	"github.com/balsamlb/balsamlb/replica"
+	"github.com/rotisserie/eris"
+)
+
+// ErrNoQuorum means that no control instance could commit the command in time. It may
+// still be committed later.
+var ErrNoQuorum = errors.New("instance: no control instance could commit the command in time")
+
+const (
+	// proposeTimeout bounds one try; the leader may have been frozen or cut off.
+	proposeTimeout = 400 * time.Millisecond
+	proposePause   = 25 * time.Millisecond
+)
+
+// Proposer runs commands through the control instances. Commands are sent again until one
+// is known to be applied, so they must be idempotent.
+type Proposer struct {
+	voters []string
+	mu     sync.Mutex
+	leader string
+	idle   map[string][]*link
+}
+
+// NewProposer returns a proposer that knows the addresses of the control instances.
+func NewProposer(voters []string) *Proposer {
+	return &Proposer{voters: voters, idle: make(map[string][]*link)}
+}
+
+// Propose returns the command's result, or ErrNoQuorum when ctx ends first.
+func (p *Proposer) Propose(ctx context.Context, c replica.Command) (replica.Result, error) {
+	data, err := c.Encode()
+	if err != nil {
+		return replica.Result{}, eris.Wrap(err, "instance: encode command")
+	}
+	for try := 0; ctx.Err() == nil; try++ {
+		address := p.target(try)
+		resp, err := p.try(ctx, address, data)
+		if err == nil && resp.Status == wire.ProposeResponse_STATUS_APPLIED {
+			p.setLeader(address)
+			return decodeResult(resp.Result)
+		}
+		p.setLeader("")
+		if err == nil && resp.Leader != "" && resp.Leader != address {
+			p.setLeader(resp.Leader)
+			continue
+		}
+		pause(ctx, proposePause)
+	}
+	return replica.Result{}, ErrNoQuorum
+}
+
+func (p *Proposer) try(ctx context.Context, address string, data []byte) (*wire.ProposeResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	l := p.take(address)
+	var resp *wire.ProposeResponse
+	err := l.call(ctx, func(ctx context.Context, c wire.DRPCInstanceClient) error {
+		var err error
+		req := &wire.ProposeRequest{Command: data, TimeoutMs: uint64(proposeTimeout.Milliseconds())}
+		resp, err = c.Propose(ctx, req)
+		return err
+	})
+	if err == nil {
+		p.release(l)
+	}
+	return resp, err
+}
+
+// target returns the leader when it is known, else each control instance in turn.
+func (p *Proposer) target(try int) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.leader != "" {
+		return p.leader
+	}
+	return p.voters[try%len(p.voters)]
+}
+
+func (p *Proposer) setLeader(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leader = address
+}
+
+// maxIdleLinks bounds the open connections to one control instance that are not in use.
+const maxIdleLinks = 64
+
+func (p *Proposer) take(address string) *link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.idle[address]
+	if len(idle) == 0 {
+		return &link{address: address}
+	}
+	l := idle[len(idle)-1]
+	p.idle[address] = idle[:len(idle)-1]
+	return l
+}
+
+func (p *Proposer) release(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[l.address]) >= maxIdleLinks {
+		l.close()
+		return
+	}
+	p.idle[l.address] = append(p.idle[l.address], l)
+}
+
+func decodeResult(data []byte) (replica.Result, error) {
+	var r replica.Result
+	if err := json.Unmarshal(data, &r); err != nil {
+		return r, eris.Wrap(err, "instance: decode result")
+	}
+	return r, nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/instance/server.go
@@ -0,0 +1,112 @@
+package instance
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/balsamlb/balsamlb/consensus"
+	"github.com/balsamlb/balsamlb/instance/wire"
+	"github.com/balsamlb/balsamlb/replica"
+	"github.com/rotisserie/eris"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+)
+
+// Replica is the replica of a control instance.
+type Replica interface {
+	Receive(m consensus.Message)
+	Propose(ctx context.Context, data []byte) (replica.Result, error)
+	// Leader returns the address of the leader, or "".
+	Leader(ctx context.Context) string
+}
+
+// Peers is what the exchange with other instances reads and updates.
+type Peers interface {
+	// Exchanged takes what a peer sent.
+	Exchanged(req *wire.ExchangeRequest)
+	// Self describes this instance.
+	Self() *wire.Member
+	// Members returns the instances that this instance knows.
+	Members() []*wire.Member
+	// View returns the view in force.
+	View() replica.View
+}
+
+// Server serves the other instances.
+type Server struct {
+	replica Replica // nil on an instance that is not a control instance
+	peers   Peers
+}
+
+// NewServer returns a server; r is nil on an instance without a replica.
+func NewServer(r Replica, p Peers) *Server {
+	return &Server{replica: r, peers: p}
+}
+
+// Serve answers on the listener until ctx ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterInstance(mux, s); err != nil {
+		return eris.Wrap(err, "instance: register")
+	}
+	err := drpcserver.New(mux).Serve(ctx, l)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return eris.Wrap(err, "instance: serve")
+}
+
+// Step passes consensus messages to the replica.
+func (s *Server) Step(_ context.Context, req *wire.StepRequest) (*wire.StepResponse, error) {
+	if s.replica == nil {
+		return &wire.StepResponse{}, nil
+	}
+	for _, m := range req.Messages {
+		s.replica.Receive(fromWire(m))
+	}
+	return &wire.StepResponse{}, nil
+}
+
+// Propose runs a command.
+func (s *Server) Propose(ctx context.Context, req *wire.ProposeRequest) (*wire.ProposeResponse, error) {
+	if s.replica == nil {
+		return &wire.ProposeResponse{Status: wire.ProposeResponse_STATUS_NOT_CONTROL}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.TimeoutMs)*time.Millisecond)
+	defer cancel()
+	result, err := s.replica.Propose(ctx, req.Command)
+	if errors.Is(err, consensus.ErrNotLeader) {
+		leader := s.replica.Leader(ctx)
+		return &wire.ProposeResponse{Status: wire.ProposeResponse_STATUS_NOT_LEADER, Leader: leader}, nil
+	}
+	if err != nil {
+		return &wire.ProposeResponse{Status: wire.ProposeResponse_STATUS_TIMEOUT}, nil
+	}
+	data, err := json.Marshal(result)
+	if err != nil {
+		return nil, eris.Wrap(err, "instance: encode result")
+	}
+	return &wire.ProposeResponse{Status: wire.ProposeResponse_STATUS_APPLIED, Result: data}, nil
+}
+
+// Exchange swaps members, leases and versions.
+func (s *Server) Exchange(_ context.Context, req *wire.ExchangeRequest) (*wire.ExchangeResponse, error) {
+	s.peers.Exchanged(req)
+	return &wire.ExchangeResponse{Responder: s.peers.Self(), Members: s.peers.Members()}, nil
+}
+
+// Fetch returns the view in force when it is newer than the caller's.
+func (s *Server) Fetch(_ context.Context, req *wire.FetchRequest) (*wire.FetchResponse, error) {
+	v := s.peers.View()
+	if v.Index <= req.HaveIndex {
+		return &wire.FetchResponse{Index: v.Index}, nil
+	}
+	data, err := json.Marshal(v)
+	if err != nil {
+		return nil, eris.Wrap(err, "instance: encode view")
+	}
+	return &wire.FetchResponse{Index: v.Index, View: data}, nil
+}
--- /dev/null
+++ b/internal/archtest/arch_test.go
@@ -0,0 +1,92 @@
+// Package archtest checks that the decision packages are pure.
+package archtest
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// decisionPackages take time and events in and give actions out.
+var decisionPackages = []string{
+	"config", "consensus", "credit", "fleet", "ledger", "membership", "outcome", "pipeline", "replica", "route",
+}
+
+// forbiddenImports do I/O, log, or talk to other processes.
+var forbiddenImports = []string{
+	"net", "os", "io/fs", "log", "syscall", "github.com/valyala", "github.com/go-logr", "storj.io/drpc",
+	"github.com/prometheus", "crypto/rand",
+}
+
+// forbiddenCalls read a clock, wait, or use a global random source.
+var forbiddenCalls = []string{
+	"time.Now", "time.Since", "time.Until", "time.Sleep", "time.After", "time.AfterFunc", "time.Tick",
+	"time.NewTimer", "time.NewTicker", "rand.Int", "rand.IntN", "rand.Float64", "rand.Uint64", "rand.N",
+	"rand.Perm", "rand.Shuffle",
+}
+
+func TestDecisionPackagesArePure(t *testing.T) {
+	is := is.New(t)
+	for _, pkg := range decisionPackages {
+		faults := 0
+		err := filepath.WalkDir(filepath.Join("..", "..", pkg), func(path string, d fs.DirEntry, err error) error {
+			if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			for _, fault := range checkFile(t, path) {
+				t.Errorf("%s: %s", path, fault)
+				faults++
+			}
+			return nil
+		})
+		is.NoErr(err)
+		is.Equal(faults, 0)
+	}
+}
+
+func TestImpureCodeIsFound(t *testing.T) {
+	is := is.New(t)
+	faults := checkFile(t, filepath.Join("testdata", "impure.go.txt"))
+	is.Equal(faults, []string{"imports os", "calls time.Now", "calls rand.IntN", "starts a goroutine"})
+}
+
+func checkFile(t *testing.T, path string) []string {
+	t.Helper()
+	file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var faults []string
+	for _, imp := range file.Imports {
+		name, _ := strconv.Unquote(imp.Path.Value)
+		if isForbidden(name) {
+			faults = append(faults, "imports "+name)
+		}
+	}
+	ast.Inspect(file, func(n ast.Node) bool {
+		switch n := n.(type) {
+		case *ast.GoStmt:
+			faults = append(faults, "starts a goroutine")
+		case *ast.SelectorExpr:
+			if x, ok := n.X.(*ast.Ident); ok && slices.Contains(forbiddenCalls, x.Name+"."+n.Sel.Name) {
+				faults = append(faults, "calls "+x.Name+"."+n.Sel.Name)
+			}
+		}
+		return true
+	})
+	return faults
+}
+
+func isForbidden(name string) bool {
+	return slices.ContainsFunc(forbiddenImports, func(f string) bool {
+		return name == f || strings.HasPrefix(name, f+"/")
+	})
+}
--- /dev/null
+++ b/internal/session/session_test.go
@@ -0,0 +1,140 @@
+// Package session plays a whole session through the decision packages and compares what
+// they decide with a golden file.
+package session
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/balsamlb/balsamlb/config"
+	"github.com/balsamlb/balsamlb/fleet"
+	"github.com/balsamlb/balsamlb/ledger"
+	"github.com/balsamlb/balsamlb/pipeline"
+	"github.com/balsamlb/balsamlb/replica"
+	"github.com/balsamlb/balsamlb/route"
+	"github.com/matryer/is"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+// script records what the decision packages decide.
+type script struct {
+	out      strings.Builder
+	now      time.Time
+	registry *fleet.Registry
+	router   *route.Router
+	state    *replica.State
+	index    uint64
+}
+
+func (s *script) line(format string, args ...any) {
+	fmt.Fprintf(&s.out, "%6s  ", s.now.Sub(time.Unix(0, 0)))
+	fmt.Fprintf(&s.out, format+"\n", args...)
+}
+
+func (s *script) announce(name string, layers fleet.Range, services ...string) {
+	b := fleet.BackendServer{
+		Name: name, Incarnation: 1, Sequence: 1, Address: "127.0.2.100:9000", DataCentre: "kandy",
+		Services: services, Slots: 8, StepMicros: 4000, PrefillMicros: 50, Layers: layers,
+	}
+	if layers.Len() > 0 {
+		b.Model = "icing-7b"
+	}
+	s.registry.Announce(s.now, b, 2*time.Second)
+	s.line("announced %s layers %d-%d services %v", name, layers.From, layers.To, services)
+}
+
+func (s *script) available() []fleet.BackendServer {
+	var out []fleet.BackendServer
+	for _, b := range s.registry.Available(s.now) {
+		if _, draining := s.state.View().Drains[b.Name]; !draining {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
+func (s *script) apply(c replica.Command) replica.Result {
+	s.index++
+	return s.state.Apply(s.index, c)
+}
+
+func (s *script) draft(id string, tokens int) {
+	chain, err := s.router.Chain("icing-7b", 32, s.available(), 10)
+	if err != nil {
+		s.line("draft %s: %v", id, err)
+		return
+	}
+	var passed []pipeline.Pass
+	for _, st := range chain {
+		passed = append(passed, pipeline.Pass{Server: st.Server.Name, Layers: st.Layers})
+		s.line("draft %s: stage %s layers %d-%d", id, st.Server.Name, st.Layers.From, st.Layers.To)
+	}
+	stream := pipeline.NewStream(id, 32)
+	for i := tokens - 1; i >= 0; i-- {
+		out, err := stream.Token(pipeline.Token{Request: id, Attempt: 1, Index: i, Passed: passed})
+		s.line("draft %s: token %d arrived, %d emitted, err %v", id, i, len(out), err)
+	}
+	s.line("draft %s: complete %t", id, stream.IsComplete(tokens))
+}
+
+func (s *script) book(attempt, idempotency string, digest uint64) {
+	key := ledger.Key{Workspace: "kandy", Service: "booking", Idempotency: idempotency}
+	r := s.apply(replica.Command{Begin: &ledger.Begin{Key: key, Digest: digest, Attempt: attempt, Instance: "kandy-1", At: s.now}})
+	s.line("booking %s key %s: verdict %d", attempt, idempotency, r.Ledger.Verdict)
+	if r.Ledger.Verdict != ledger.VerdictGranted {
+		return
+	}
+	c, err := s.router.Call("booking", s.available(), nil)
+	s.line("booking %s: dispatched to %s, err %v", attempt, c.Chosen.Name, err)
+	r = s.apply(replica.Command{Finish: &ledger.Finish{
+		Key: key, Attempt: attempt, Phase: ledger.PhaseFinished, At: s.now, Answer: ledger.Answer{Status: 200},
+	}})
+	s.line("booking %s: recorded, verdict %d", attempt, r.Ledger.Verdict)
+}
+
+func (s *script) change(id string, expect uint64) {
+	r := s.apply(replica.Command{Change: &config.Change{ID: id, Expect: expect, Base: "[service draft]\n"}})
+	s.line("change %s against version %d: accepted %t, version %d", id, expect, r.Config.Accepted, r.Config.Version)
+}
+
+func TestWholeSession(t *testing.T) {
+	is := is.New(t)
+	s := &script{
+		now:      time.Unix(0, 0),
+		registry: fleet.NewRegistry(),
+		router:   route.New("kandy"),
+		state:    replica.NewState(),
+	}
+	s.announce("kandy-advice-0", fleet.Range{From: 0, To: 16})
+	s.announce("kandy-advice-1", fleet.Range{From: 16, To: 32})
+	s.announce("kandy-advice-2", fleet.Range{From: 0, To: 16})
+	s.announce("kandy-ordering", fleet.Range{}, "booking")
+	s.change("c1", 0)
+	s.draft("d1", 3)
+	s.book("b1", "key-1", 7)
+	s.book("b2", "key-1", 7)
+	s.book("b3", "key-1", 8)
+	s.change("c2", 0)
+	s.change("c2", 1)
+	s.change("c2", 1)
+	s.apply(replica.Command{Drain: &replica.Drain{Server: "kandy-advice-0", On: true, At: s.now}})
+	s.line("drain kandy-advice-0")
+	s.draft("d2", 1)
+	s.now = s.now.Add(3 * time.Second)
+	s.line("all leases have run out")
+	s.draft("d3", 1)
+
+	path := filepath.Join("testdata", "session.golden")
+	if *update {
+		is.NoErr(os.WriteFile(path, []byte(s.out.String()), 0o644))
+	}
+	want, err := os.ReadFile(path)
+	is.NoErr(err)
+	is.Equal(s.out.String(), string(want))
+}
--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,92 @@
+package operator
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/balsamlb/balsamlb/config"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+)
+
+// clientTimeout bounds one call of balsamctl.
+const clientTimeout = 15 * time.Second
+
+// Client calls the operators' interface of one instance.
+type Client struct {
+	address string
+	http    *fasthttp.Client
+}
+
+// NewClient returns a client for the address.
+func NewClient(address string) *Client {
+	return &Client{address: address, http: &fasthttp.Client{
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		ReadTimeout:               clientTimeout,
+		WriteTimeout:              clientTimeout,
+	}}
+}
+
+// Status returns the instance's status.
+func (c *Client) Status() (Status, error) {
+	var s Status
+	_, err := c.call(fasthttp.MethodGet, PathStatus, nil, &s)
+	return s, err
+}
+
+// Config returns the configuration in force at the instance.
+func (c *Client) Config() (config.Document, error) {
+	var d config.Document
+	_, err := c.call(fasthttp.MethodGet, PathConfig, nil, &d)
+	return d, err
+}
+
+// Change asks for a configuration change.
+func (c *Client) Change(change config.Change) (ChangeReply, error) {
+	var r ChangeReply
+	_, err := c.call(fasthttp.MethodPost, PathConfig, change, &r)
+	return r, err
+}
+
+// Drain starts or ends a drain.
+func (c *Client) Drain(d DrainRequest) error {
+	_, err := c.call(fasthttp.MethodPost, PathDrain, d, &d)
+	return err
+}
+
+// Credits returns the credit counts.
+func (c *Client) Credits() ([]CreditCount, error) {
+	var counts []CreditCount
+	_, err := c.call(fasthttp.MethodGet, PathCredits, nil, &counts)
+	return counts, err
+}
+
+func (c *Client) call(method, path string, in, out any) (int, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + c.address + path)
+	if in != nil {
+		body, err := json.Marshal(in)
+		if err != nil {
+			return 0, eris.Wrap(err, "operator: encode request")
+		}
+		req.SetBody(body)
+	}
+	if err := c.http.Do(req, resp); err != nil {
+		return 0, eris.Wrapf(err, "operator: call %s%s", c.address, path)
+	}
+	status := resp.StatusCode()
+	if status >= fasthttp.StatusBadRequest && status != fasthttp.StatusConflict && status != fasthttp.StatusUnprocessableEntity {
+		var e errorReply
+		_ = json.Unmarshal(resp.Body(), &e)
+		return status, eris.Errorf("operator: call %s%s: status %d: %s", c.address, path, status, e.Error)
+	}
+	if err := json.Unmarshal(resp.Body(), out); err != nil {
+		return status, eris.Wrapf(err, "operator: decode answer of %s%s", c.address, path)
+	}
+	return status, nil
+}
--- /dev/null
+++ b/operator/protocol.go
@@ -0,0 +1,87 @@
+// Package operator serves balsamctl over HTTP and holds the client for it.
+package operator
+
+import (
+	"time"
+
+	"github.com/balsamlb/balsamlb/config"
+)
+
+// Paths of the operators' interface.
+const (
+	PathStatus  = "/v1/status"
+	PathConfig  = "/v1/config"
+	PathDrain   = "/v1/drain"
+	PathCredits = "/v1/credits"
+)
+
+// Status is what one instance knows.
+type Status struct {
+	Instance      string           `json:"instance"`
+	DataCentre    string           `json:"data_centre"`
+	ConfigVersion uint64           `json:"config_version"`
+	ConfigAgeMs   int64            `json:"config_age_ms"`
+	InFlight      int              `json:"in_flight"`
+	Control       *ControlStatus   `json:"control,omitempty"`
+	Instances     []InstanceStatus `json:"instances"`
+	Servers       []ServerStatus   `json:"servers"`
+	Drains        []string         `json:"drains"`
+}
+
+// ControlStatus is what a control instance knows of its group.
+type ControlStatus struct {
+	Role   string `json:"role"`
+	Term   uint64 `json:"term"`
+	Leader string `json:"leader"`
+	Commit uint64 `json:"commit"`
+}
+
+// InstanceStatus is one instance of the system.
+type InstanceStatus struct {
+	Name          string `json:"name"`
+	DataCentre    string `json:"data_centre"`
+	Alive         bool   `json:"alive"`
+	ConfigVersion uint64 `json:"config_version"`
+	HeardMs       int64  `json:"heard_ms"`
+}
+
+// ServerStatus is one backend server.
+type ServerStatus struct {
+	Name       string `json:"name"`
+	DataCentre string `json:"data_centre"`
+	Address    string `json:"address"`
+	Model      string `json:"model,omitempty"`
+	From       int    `json:"from,omitempty"`
+	To         int    `json:"to,omitempty"`
+	InFlight   int    `json:"in_flight"`
+	Leaving    bool   `json:"leaving"`
+	LeaseMs    int64  `json:"lease_ms"`
+}
+
+// DrainRequest starts or ends a drain.
+type DrainRequest struct {
+	Server string `json:"server"`
+	On     bool   `json:"on"`
+}
+
+// CreditCount is the credit of one member for one kind of request.
+type CreditCount struct {
+	Member string `json:"member"`
+	Kind   string `json:"kind"`
+	Count  uint64 `json:"count"`
+}
+
+// ChangeReply is the answer to a configuration change.
+type ChangeReply struct {
+	config.Result
+	// Faults lists the errors of a configuration that was not valid.
+	Faults []string `json:"faults,omitempty"`
+}
+
+// errorReply is the answer to a call that failed.
+type errorReply struct {
+	Error string `json:"error"`
+}
+
+// commitTimeout bounds the wait for a quorum on an operator's call.
+const commitTimeout = 10 * time.Second
--- /dev/null
+++ b/operator/server.go
@@ -0,0 +1,151 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/balsamlb/balsamlb/config"
+	"github.com/balsamlb/balsamlb/replica"
+	"github.com/balsamlb/balsamlb/settings"
+	"github.com/valyala/fasthttp"
+)
+
+// Backend is what the operators' interface reads and changes.
+type Backend interface {
+	Status(ctx context.Context) Status
+	Config() config.Document
+	Propose(ctx context.Context, c replica.Command) (replica.Result, error)
+	// Credits returns the counts of a control instance.
+	Credits(ctx context.Context) ([]CreditCount, error)
+}
+
+const maxConfigBytes = 8 << 20
+
+// NewServer returns the HTTP server for operators.
+func NewServer(b Backend) *fasthttp.Server {
+	h := &handler{backend: b}
+	return &fasthttp.Server{Handler: h.handle, MaxRequestBodySize: maxConfigBytes, Name: "balsamlb"}
+}
+
+type handler struct {
+	backend Backend
+}
+
+func (h *handler) handle(ctx *fasthttp.RequestCtx) {
+	callCtx, cancel := context.WithTimeout(context.Background(), commitTimeout)
+	defer cancel()
+	switch path := string(ctx.Path()); {
+	case path == PathStatus && ctx.IsGet():
+		writeJSON(ctx, fasthttp.StatusOK, h.backend.Status(callCtx))
+	case path == PathConfig && ctx.IsGet():
+		writeJSON(ctx, fasthttp.StatusOK, h.backend.Config())
+	case path == PathConfig && ctx.IsPost():
+		h.change(callCtx, ctx)
+	case path == PathDrain && ctx.IsPost():
+		h.drain(callCtx, ctx)
+	case path == PathCredits && ctx.IsGet():
+		h.credits(callCtx, ctx)
+	default:
+		writeFailure(ctx, fasthttp.StatusNotFound, "no such call")
+	}
+}
+
+func (h *handler) change(callCtx context.Context, ctx *fasthttp.RequestCtx) {
+	var c config.Change
+	if err := json.Unmarshal(ctx.PostBody(), &c); err != nil {
+		writeFailure(ctx, fasthttp.StatusBadRequest, err.Error())
+		return
+	}
+	if c.ID == "" {
+		writeFailure(ctx, fasthttp.StatusBadRequest, "id is required")
+		return
+	}
+	if faults := CheckConfig(c.Base, c.Overlays); len(faults) > 0 {
+		writeJSON(ctx, fasthttp.StatusUnprocessableEntity, ChangeReply{Faults: faults})
+		return
+	}
+	c.At = time.Now()
+	result, err := h.backend.Propose(callCtx, replica.Command{Change: &c})
+	if err != nil {
+		writeFailure(ctx, fasthttp.StatusServiceUnavailable, err.Error())
+		return
+	}
+	status := fasthttp.StatusOK
+	if !result.Config.Accepted {
+		status = fasthttp.StatusConflict
+	}
+	writeJSON(ctx, status, ChangeReply{Result: *result.Config})
+}
+
+// CheckConfig returns the errors of a base file and its overlays, each checked on top of the
+// base.
+func CheckConfig(base string, overlays map[string]string) []string {
+	baseFile := settings.File{Name: "base.ini", Text: base}
+	if _, err := settings.ParseIntent(baseFile, settings.File{}); err != nil {
+		return faultLines(err)
+	}
+	var faults []string
+	for name, text := range overlays {
+		_, err := settings.ParseIntent(baseFile, settings.File{Name: name + ".ini", Text: text})
+		if err != nil {
+			faults = append(faults, faultLines(err)...)
+		}
+	}
+	return faults
+}
+
+func faultLines(err error) []string {
+	var fs settings.Faults
+	if !errors.As(err, &fs) {
+		return []string{err.Error()}
+	}
+	lines := make([]string, len(fs))
+	for i, f := range fs {
+		lines[i] = f.Error()
+	}
+	return lines
+}
+
+func (h *handler) drain(callCtx context.Context, ctx *fasthttp.RequestCtx) {
+	var d DrainRequest
+	if err := json.Unmarshal(ctx.PostBody(), &d); err != nil {
+		writeFailure(ctx, fasthttp.StatusBadRequest, err.Error())
+		return
+	}
+	if d.Server == "" {
+		writeFailure(ctx, fasthttp.StatusBadRequest, "server is required")
+		return
+	}
+	c := replica.Command{Drain: &replica.Drain{Server: d.Server, On: d.On, At: time.Now()}}
+	if _, err := h.backend.Propose(callCtx, c); err != nil {
+		writeFailure(ctx, fasthttp.StatusServiceUnavailable, err.Error())
+		return
+	}
+	writeJSON(ctx, fasthttp.StatusOK, d)
+}
+
+func (h *handler) credits(callCtx context.Context, ctx *fasthttp.RequestCtx) {
+	counts, err := h.backend.Credits(callCtx)
+	if err != nil {
+		writeFailure(ctx, fasthttp.StatusServiceUnavailable, err.Error())
+		return
+	}
+	writeJSON(ctx, fasthttp.StatusOK, counts)
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(body, '\n'))
+}
+
+func writeFailure(ctx *fasthttp.RequestCtx, status int, message string) {
+	writeJSON(ctx, status, errorReply{Error: message})
+}
--- /dev/null
+++ b/replica/state.go
@@ -0,0 +1,121 @@
+// Package replica is the state that the control instances replicate: the ledger of
+// non-idempotent requests, the configuration, the drains and the credits.
+package replica
+
+import (
+	"encoding/json"
+	"maps"
+	"time"
+
+	"github.com/balsamlb/balsamlb/config"
+	"github.com/balsamlb/balsamlb/credit"
+	"github.com/balsamlb/balsamlb/ledger"
+)
+
+// Command is one entry of the replicated log. Exactly one field is set.
+type Command struct {
+	Begin   *ledger.Begin   `json:"begin,omitempty"`
+	Finish  *ledger.Finish  `json:"finish,omitempty"`
+	Abandon *ledger.Abandon `json:"abandon,omitempty"`
+	Change  *config.Change  `json:"change,omitempty"`
+	Drain   *Drain          `json:"drain,omitempty"`
+	Credits []credit.Entry  `json:"credits,omitempty"`
+	Read    bool            `json:"read,omitempty"`
+}
+
+// Drain starts or ends the drain of a backend server by an operator.
+type Drain struct {
+	Server string    `json:"server"`
+	On     bool      `json:"on"`
+	At     time.Time `json:"at"`
+}
+
+// Result is the answer to a command.
+type Result struct {
+	Ledger *ledger.Result `json:"ledger,omitempty"`
+	Config *config.Result `json:"config,omitempty"`
+}
+
+// View is the part of the state that every instance holds. Views are ordered by Index, and
+// an instance never replaces its view by an older one.
+type View struct {
+	// Index is the log index of the last command that changed the view.
+	Index  uint64           `json:"index"`
+	Config config.Document  `json:"config"`
+	Drains map[string]Drain `json:"drains,omitempty"`
+}
+
+// State is the replicated state. It is not safe for concurrent use.
+type State struct {
+	Ledger  *ledger.Ledger
+	Config  *config.History
+	Credits *credit.Book
+	Drains  map[string]Drain
+	// viewIndex is the index of the last command that changed the view.
+	viewIndex uint64
+}
+
+// NewState returns the state before the first command.
+func NewState() *State {
+	return &State{
+		Ledger:  ledger.New(),
+		Config:  config.NewHistory(),
+		Credits: credit.NewBook(),
+		Drains:  make(map[string]Drain),
+	}
+}
+
+// ViewIndex returns the index of the view.
+func (s *State) ViewIndex() uint64 { return s.viewIndex }
+
+// View returns a copy of the part that every instance holds.
+func (s *State) View() View {
+	return View{Index: s.viewIndex, Config: s.Config.Current(), Drains: maps.Clone(s.Drains)}
+}
+
+// Apply executes the command at the given log index. It is deterministic.
+func (s *State) Apply(index uint64, c Command) Result {
+	switch {
+	case c.Begin != nil:
+		r := s.Ledger.Begin(*c.Begin)
+		return Result{Ledger: &r}
+	case c.Finish != nil:
+		r := s.Ledger.Finish(*c.Finish)
+		return Result{Ledger: &r}
+	case c.Abandon != nil:
+		r := s.Ledger.Abandon(*c.Abandon)
+		return Result{Ledger: &r}
+	case c.Change != nil:
+		r := s.Config.Apply(*c.Change)
+		if r.Accepted {
+			s.viewIndex = index
+		}
+		return Result{Config: &r}
+	case c.Drain != nil:
+		s.applyDrain(*c.Drain)
+		s.viewIndex = index
+	case len(c.Credits) > 0:
+		for _, e := range c.Credits {
+			s.Credits.Add(e)
+		}
+	}
+	return Result{}
+}
+
+func (s *State) applyDrain(d Drain) {
+	if d.On {
+		s.Drains[d.Server] = d
+		return
+	}
+	delete(s.Drains, d.Server)
+}
+
+// Encode returns the command's form in the log.
+func (c Command) Encode() ([]byte, error) { return json.Marshal(c) }
+
+// Decode reads a command from the log.
+func Decode(data []byte) (Command, error) {
+	var c Command
+	err := json.Unmarshal(data, &c)
+	return c, err
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,29 @@
+#!/usr/bin/env bash
+# Runs the formatter, the linter, vet, the check of generated code and all tests.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+echo "gofmt"
+unformatted=$(gofmt -l $(git ls-files --cached --others --exclude-standard '*.go'))
+[ -z "$unformatted" ] || { echo "not formatted: $unformatted"; exit 1; }
+
+echo "generated code"
+sha256sum --check --quiet instance/wire/instance.proto.sha256
+
+echo "go vet"
+go vet ./...
+
+echo "staticcheck"
+go tool staticcheck ./...
+
+# Tests in KNOWN-RED.txt are passed over and printed; their names are the first word of a line.
+skip=()
+if [ -s KNOWN-RED.txt ]; then
+  echo "known to fail, passed over:"
+  cat KNOWN-RED.txt
+  names=$(grep -oE '^Test[A-Za-z0-9_]+' KNOWN-RED.txt | paste -sd'|' || true)
+  [ -z "$names" ] || skip=(-skip "^($names)\$")
+fi
+
+echo "go test"
+go test -race -shuffle=off -timeout 20m "${skip[@]}" ./...
--- /dev/null
+++ b/settings/document.go
@@ -0,0 +1,39 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Markdown returns the page that describes every key, as docs/SETTINGS.md holds it.
+func Markdown() string {
+	var b strings.Builder
+	b.WriteString("# Settings\n\nAll files are INI. A file is checked as a whole, and every fault is reported with file, section, key, value and reason.\n")
+	writeTable(&b, "Settings of one instance (`balsamd -settings FILE`)", processSchema)
+	writeTable(&b, "Shared configuration (`base.ini`, and a file for each data centre with what differs there)", intentSchema)
+	writeTable(&b, "Emulated backend servers (`balsamctl emulate -fleet FILE`)", fleetSchema)
+	return b.String()
+}
+
+func writeTable(b *strings.Builder, title string, schema []Key) {
+	fmt.Fprintf(b, "\n## %s\n\n| section | key | default | unit | meaning |\n|---|---|---|---|---|\n", title)
+	for _, k := range schema {
+		fmt.Fprintf(b, "| `[%s]` | `%s` | %s | %s | %s |\n", sectionForm(k.Section), k.Name, codeOrNone(k.Default), k.Unit, k.Doc)
+	}
+}
+
+// sectionForm shows that sections of some kinds carry a name.
+func sectionForm(section string) string {
+	switch section {
+	case "service", "workspace", "server", "data_centre":
+		return section + " NAME"
+	}
+	return section
+}
+
+func codeOrNone(value string) string {
+	if value == "" {
+		return ""
+	}
+	return "`" + value + "`"
+}
--- /dev/null
+++ b/settings/fleet.go
@@ -0,0 +1,102 @@
+package settings
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/balsamlb/balsamlb/fleet"
+	"github.com/rotisserie/eris"
+)
+
+// fleetSchema lists the keys of a file of emulated backend servers.
+var fleetSchema = []Key{
+	{"data_centre", "announce", "", "IP:port, ...", "Instances that the data centre's servers announce themselves to.", addressPorts},
+	{"server", "address", "", "IP:port", "Address of the server.", addressPort},
+	{"server", "data_centre", "", "", "Data centre of the server.", anyText},
+	{"server", "accelerator", "", "", "Kind of accelerator.", anyText},
+	{"server", "model", "", "", "Model that the server holds. Empty: none.", anyText},
+	{"server", "layers", "0-0", "layers", "First layer and the one after the last.", layerRange},
+	{"server", "partial_range", "false", "", "true: the server can run a part of its layers.", oneOf("true", "false")},
+	{"server", "slots", "16", "requests", "Requests that the server batches.", wholeNumber(1, 4096)},
+	{"server", "step", "4000", "µs", "Time of one decoding step with one request.", wholeNumber(0, 10_000_000)},
+	{"server", "prefill", "50", "µs", "Time to prefill one token.", wholeNumber(0, 1_000_000)},
+	{"server", "services", "", "name, ...", "Plain services that the server runs.", anyText},
+	{"server", "checks_fences", "true", "", "false: the server ignores fencing numbers.", oneOf("true", "false")},
+}
+
+// EmulatedFleet is a set of emulated backend servers.
+type EmulatedFleet struct {
+	Servers []fleet.BackendServer
+	// Announce lists the instances of each data centre.
+	Announce map[string][]string
+}
+
+// ParseFleet checks a file of emulated backend servers; name is used in errors.
+func ParseFleet(name string, data []byte) (EmulatedFleet, error) {
+	r := &reader{schema: fleetSchema}
+	out := EmulatedFleet{Announce: make(map[string][]string)}
+	src, ok := r.load(name, data)
+	if !ok || len(r.faults) > 0 {
+		return out, r.err()
+	}
+	sources := []source{src}
+	for _, dc := range r.names(sources, "data_centre") {
+		out.Announce[dc] = splitList(r.value(sources, "data_centre "+dc, "announce"))
+	}
+	for _, server := range r.names(sources, "server") {
+		out.Servers = append(out.Servers, r.emulated(sources, server, name))
+	}
+	return out, r.err()
+}
+
+func (r *reader) emulated(sources []source, name, file string) fleet.BackendServer {
+	section := "server " + name
+	for _, key := range []string{"address", "data_centre"} {
+		if r.value(sources, section, key) == "" {
+			r.fault(file, section, key, "", "is required")
+		}
+	}
+	layers, _ := parseLayers(r.value(sources, section, "layers"))
+	return fleet.BackendServer{
+		Name:          name,
+		Incarnation:   uint64(time.Now().UnixNano()),
+		Address:       r.value(sources, section, "address"),
+		DataCentre:    r.value(sources, section, "data_centre"),
+		Accelerator:   r.value(sources, section, "accelerator"),
+		Services:      splitList(r.value(sources, section, "services")),
+		Model:         r.value(sources, section, "model"),
+		Layers:        layers,
+		PartialRange:  r.value(sources, section, "partial_range") == "true",
+		Slots:         r.number(sources, section, "slots"),
+		StepMicros:    r.number(sources, section, "step"),
+		PrefillMicros: r.number(sources, section, "prefill"),
+		ChecksFences:  r.value(sources, section, "checks_fences") == "true",
+	}
+}
+
+func layerRange(v string) string {
+	if _, err := parseLayers(v); err != nil {
+		return "must be a range such as 0-16"
+	}
+	return ""
+}
+
+func parseLayers(v string) (fleet.Range, error) {
+	from, to, ok := strings.Cut(v, "-")
+	if !ok {
+		return fleet.Range{}, eris.New("settings: a range needs a dash")
+	}
+	low, err := strconv.Atoi(strings.TrimSpace(from))
+	if err != nil {
+		return fleet.Range{}, err
+	}
+	high, err := strconv.Atoi(strings.TrimSpace(to))
+	if err != nil {
+		return fleet.Range{}, err
+	}
+	if low < 0 || high < low {
+		return fleet.Range{}, eris.New("settings: a range must not run backwards")
+	}
+	return fleet.Range{From: low, To: high}, nil
+}
--- /dev/null
+++ b/settings/intent.go
@@ -0,0 +1,150 @@
+package settings
+
+import (
+	"strconv"
+	"time"
+)
+
+// ServiceKind tells how a service is served.
+type ServiceKind string
+
+// The kinds of service.
+const (
+	// ServiceDraft streams text from a chain of backend servers.
+	ServiceDraft ServiceKind = "draft"
+	// ServicePlain is one call to one backend server.
+	ServicePlain ServiceKind = "plain"
+)
+
+// intentSchema lists the keys of the shared configuration.
+var intentSchema = []Key{
+	{"limits", "max_body", "65536", "bytes", "Largest body of a caller's request.", wholeNumber(1024, 16<<20)},
+	{"limits", "max_tokens", "4096", "tokens", "Most tokens that one draft may ask for.", wholeNumber(1, 1<<20)},
+	{"limits", "default_deadline", "30s", "duration", "Deadline of a request that names none.", duration(100*time.Millisecond, time.Hour)},
+	{"limits", "server_lease", "2s", "duration", "Time after which a backend server that was not heard gets no new work.", duration(200*time.Millisecond, 3*time.Second)},
+	{"service", "kind", "plain", "", "draft: text streamed from a chain; plain: one call to one server.", oneOf(string(ServiceDraft), string(ServicePlain))},
+	{"service", "model", "", "", "Model that a draft service runs.", anyText},
+	{"service", "layers", "0", "layers", "Number of layers of the model.", wholeNumber(0, 4096)},
+	{"service", "idempotent", "true", "", "false: the service's calls are recorded and run at most once.", oneOf("true", "false")},
+	{"service", "enabled", "true", "", "false: the service takes no requests in the data centre.", oneOf("true", "false")},
+	{"workspace", "member", "", "", "Member that answered requests are credited to. Empty: the workspace's name.", anyText},
+	{"workspace", "share", "1", "", "Weight of the workspace under load.", wholeNumber(1, 1_000_000)},
+	{"workspace", "max_in_flight", "256", "requests", "Most requests in flight at one instance.", wholeNumber(1, 1_000_000)},
+}
+
+// Limits bound what callers may ask for.
+type Limits struct {
+	MaxBodyBytes    int
+	MaxTokens       int
+	DefaultDeadline time.Duration
+	ServerLease     time.Duration
+}
+
+// Service is one service that callers may use.
+type Service struct {
+	Name       string
+	Kind       ServiceKind
+	Model      string
+	Layers     int
+	Idempotent bool
+	Enabled    bool
+}
+
+// Workspace is one customer of the system.
+type Workspace struct {
+	Name        string
+	Member      string
+	Share       int
+	MaxInFlight int
+}
+
+// Intent is the shared configuration as one data centre sees it.
+type Intent struct {
+	Limits     Limits
+	Services   map[string]Service
+	Workspaces map[string]Workspace
+}
+
+// File is a named text, for errors.
+type File struct {
+	Name string
+	Text string
+}
+
+// ParseIntent checks the base file with one overlay on top; an overlay without text is left out.
+func ParseIntent(base, overlay File) (Intent, error) {
+	r := &reader{schema: intentSchema}
+	var sources []source
+	for _, f := range []File{base, overlay} {
+		if f.Text == "" {
+			continue
+		}
+		if src, ok := r.load(f.Name, []byte(f.Text)); ok {
+			sources = append(sources, src)
+		}
+	}
+	in := Intent{Services: make(map[string]Service), Workspaces: make(map[string]Workspace)}
+	if len(r.faults) > 0 {
+		return in, r.err()
+	}
+	in.Limits = r.limits(sources)
+	for _, name := range r.names(sources, "service") {
+		in.Services[name] = r.service(sources, name, base.Name)
+	}
+	for _, name := range r.names(sources, "workspace") {
+		in.Workspaces[name] = r.workspace(sources, name)
+	}
+	return in, r.err()
+}
+
+func (r *reader) limits(sources []source) Limits {
+	return Limits{
+		MaxBodyBytes:    r.number(sources, "limits", "max_body"),
+		MaxTokens:       r.number(sources, "limits", "max_tokens"),
+		DefaultDeadline: r.duration(sources, "limits", "default_deadline"),
+		ServerLease:     r.duration(sources, "limits", "server_lease"),
+	}
+}
+
+func (r *reader) service(sources []source, name, file string) Service {
+	section := "service " + name
+	s := Service{
+		Name:       name,
+		Kind:       ServiceKind(r.value(sources, section, "kind")),
+		Model:      r.value(sources, section, "model"),
+		Layers:     r.number(sources, section, "layers"),
+		Idempotent: r.value(sources, section, "idempotent") == "true",
+		Enabled:    r.value(sources, section, "enabled") == "true",
+	}
+	if s.Kind == ServiceDraft && s.Model == "" {
+		r.fault(file, section, "model", "", "is required for a draft service")
+	}
+	if s.Kind == ServiceDraft && s.Layers == 0 {
+		r.fault(file, section, "layers", "0", "must be at least 1 for a draft service")
+	}
+	return s
+}
+
+func (r *reader) workspace(sources []source, name string) Workspace {
+	section := "workspace " + name
+	w := Workspace{
+		Name:        name,
+		Member:      r.value(sources, section, "member"),
+		Share:       r.number(sources, section, "share"),
+		MaxInFlight: r.number(sources, section, "max_in_flight"),
+	}
+	if w.Member == "" {
+		w.Member = name
+	}
+	return w
+}
+
+func (r *reader) number(sources []source, section, key string) int {
+	n, _ := strconv.Atoi(r.value(sources, section, key))
+	return n
+}
+
+func (r *reader) duration(sources []source, section, key string) time.Duration {
+	d, _ := time.ParseDuration(r.value(sources, section, key))
+	return d
+}
--- /dev/null
+++ b/settings/process.go
@@ -0,0 +1,105 @@
+package settings
+
+import (
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// processSchema lists the keys of the settings of one process.
+var processSchema = []Key{
+	{"instance", "name", "", "", "Name of the instance, unique over all data centres.", anyText},
+	{"instance", "data_centre", "", "", "Data centre that the instance stands in.", anyText},
+	{"instance", "seed", "1", "", "Seed of the random choices, so that a run can be repeated.", wholeNumber(0, 1<<31-1)},
+	{"listen", "callers", "", "IP:port", "Address for callers.", addressPort},
+	{"listen", "backends", "", "IP:port", "Address for the announcements of backend servers.", addressPort},
+	{"listen", "operators", "", "IP:port", "Address for balsamctl.", addressPort},
+	{"listen", "platform", "", "IP:port", "Address for the platform's balancer: liveness, readiness and metrics.", addressPort},
+	{"listen", "instances", "", "IP:port", "Address for other instances.", addressPort},
+	{"control", "data_folder", "", "path", "Folder of the replicated state. Empty: the instance is not a control instance.", anyText},
+	{"control", "voters", "", "name=IP:port, ...", "The control instances and their addresses for instances.", namedAddresses},
+	{"join", "seeds", "", "IP:port, ...", "Instances to ask for the others. Empty: the control instances.", addressPorts},
+	{"log", "level", "info", "", "Least severe level that is logged.", oneOf("debug", "info", "error")},
+}
+
+// Voter is a control instance.
+type Voter struct {
+	Name    string
+	Address string
+}
+
+// Process is the settings of one process.
+type Process struct {
+	Name       string
+	DataCentre string
+	Seed       uint64
+	Callers    string
+	Backends   string
+	Operators  string
+	Platform   string
+	Instances  string
+	DataFolder string
+	Voters     []Voter
+	Seeds      []string
+	LogLevel   string
+}
+
+// IsControl reports whether the process keeps a replica of the shared state.
+func (p Process) IsControl() bool { return p.DataFolder != "" }
+
+// ReadProcess reads and checks the settings file of a process.
+func ReadProcess(path string) (Process, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Process{}, eris.Wrapf(err, "settings: read %s", path)
+	}
+	return ParseProcess(path, data)
+}
+
+// ParseProcess checks the settings of a process; name is used in errors.
+func ParseProcess(name string, data []byte) (Process, error) {
+	r := &reader{schema: processSchema}
+	src, ok := r.load(name, data)
+	if !ok {
+		return Process{}, r.err()
+	}
+	get := func(section, key string) string { return r.value([]source{src}, section, key) }
+	for _, k := range processSchema {
+		required := k.Section == "listen" || k.Section == "instance" || k.Name == "voters"
+		if required && get(k.Section, k.Name) == "" {
+			r.fault(name, k.Section, k.Name, "", "is required")
+		}
+	}
+	seed, _ := strconv.ParseUint(get("instance", "seed"), 10, 64)
+	p := Process{
+		Name:       get("instance", "name"),
+		DataCentre: get("instance", "data_centre"),
+		Seed:       seed,
+		Callers:    get("listen", "callers"),
+		Backends:   get("listen", "backends"),
+		Operators:  get("listen", "operators"),
+		Platform:   get("listen", "platform"),
+		Instances:  get("listen", "instances"),
+		DataFolder: get("control", "data_folder"),
+		Voters:     parseVoters(get("control", "voters")),
+		Seeds:      splitList(get("join", "seeds")),
+		LogLevel:   get("log", "level"),
+	}
+	if len(p.Seeds) == 0 {
+		for _, v := range p.Voters {
+			p.Seeds = append(p.Seeds, v.Address)
+		}
+	}
+	return p, r.err()
+}
+
+func parseVoters(v string) []Voter {
+	var voters []Voter
+	for _, part := range splitList(v) {
+		name, address, _ := strings.Cut(part, "=")
+		voters = append(voters, Voter{Name: name, Address: address})
+	}
+	return voters
+}
--- /dev/null
+++ b/settings/schema.go
@@ -0,0 +1,238 @@
+// Package settings reads and checks INI files: the settings of one process, and the shared
+// configuration of a base file with an overlay per data centre.
+//
+// Files are checked as a whole, and every fault is reported at once.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"gopkg.in/ini.v1"
+)
+
+// Fault is one error in a file.
+type Fault struct {
+	File    string
+	Section string
+	Key     string
+	Value   string
+	Reason  string
+}
+
+// Error names the file, section, key, value and reason.
+func (f Fault) Error() string {
+	where := f.File + ": [" + f.Section + "]"
+	if f.Key == "" {
+		return where + ": " + f.Reason
+	}
+	return fmt.Sprintf("%s %s = %q: %s", where, f.Key, f.Value, f.Reason)
+}
+
+// Faults are all the errors of one check.
+type Faults []Fault
+
+// Error lists the faults, one a line.
+func (fs Faults) Error() string {
+	lines := make([]string, len(fs))
+	for i, f := range fs {
+		lines[i] = f.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Key describes one key of a section.
+type Key struct {
+	Section string // the section's name, or its prefix when the section is named ("service")
+	Name    string
+	Default string
+	Unit    string
+	Doc     string
+	check   func(value string) string
+}
+
+// reader collects values and faults from one or more layered files.
+type reader struct {
+	schema []Key
+	faults Faults
+}
+
+// source is one parsed file.
+type source struct {
+	name string
+	file *ini.File
+}
+
+func (r *reader) load(name string, data []byte) (source, bool) {
+	opts := ini.LoadOptions{AllowShadows: false, KeyValueDelimiters: "="}
+	file, err := ini.LoadSources(opts, data)
+	if err != nil {
+		r.faults = append(r.faults, Fault{File: name, Section: "", Reason: err.Error()})
+		return source{}, false
+	}
+	src := source{name: name, file: file}
+	r.checkNames(src)
+	return src, true
+}
+
+// checkNames reports unknown sections and keys, and values that don't fit.
+func (r *reader) checkNames(src source) {
+	for _, sec := range src.file.Sections() {
+		if sec.Name() == ini.DefaultSection && len(sec.Keys()) == 0 {
+			continue
+		}
+		kind, _ := splitSection(sec.Name())
+		if !r.knowsSection(kind) {
+			r.faults = append(r.faults, Fault{File: src.name, Section: sec.Name(), Reason: "unknown section"})
+			continue
+		}
+		for _, k := range sec.Keys() {
+			r.checkKey(src, sec.Name(), kind, k)
+		}
+	}
+}
+
+func (r *reader) checkKey(src source, section, kind string, k *ini.Key) {
+	desc, ok := r.find(kind, k.Name())
+	fault := Fault{File: src.name, Section: section, Key: k.Name(), Value: k.String()}
+	if !ok {
+		fault.Reason = "unknown key"
+		r.faults = append(r.faults, fault)
+		return
+	}
+	if reason := desc.check(k.String()); reason != "" {
+		fault.Reason = reason
+		r.faults = append(r.faults, fault)
+	}
+}
+
+func (r *reader) knowsSection(kind string) bool {
+	return slices.ContainsFunc(r.schema, func(k Key) bool { return k.Section == kind })
+}
+
+func (r *reader) find(kind, name string) (Key, bool) {
+	i := slices.IndexFunc(r.schema, func(k Key) bool { return k.Section == kind && k.Name == name })
+	if i < 0 {
+		return Key{}, false
+	}
+	return r.schema[i], true
+}
+
+// value returns the value in the last source that has the key, else the default.
+func (r *reader) value(sources []source, section, name string) string {
+	for _, src := range slices.Backward(sources) {
+		if src.file.HasSection(section) && src.file.Section(section).HasKey(name) {
+			return strings.TrimSpace(src.file.Section(section).Key(name).String())
+		}
+	}
+	kind, _ := splitSection(section)
+	k, _ := r.find(kind, name)
+	return k.Default
+}
+
+// names returns the names of the sections of a kind, such as the services.
+func (r *reader) names(sources []source, kind string) []string {
+	var names []string
+	for _, src := range sources {
+		for _, sec := range src.file.Sections() {
+			k, name := splitSection(sec.Name())
+			if k == kind && name != "" && !slices.Contains(names, name) {
+				names = append(names, name)
+			}
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (r *reader) fault(file, section, key, value, reason string) {
+	r.faults = append(r.faults, Fault{File: file, Section: section, Key: key, Value: value, Reason: reason})
+}
+
+// err returns the faults in the order of the files, or nil.
+func (r *reader) err() error {
+	if len(r.faults) == 0 {
+		return nil
+	}
+	return eris.Wrap(r.faults, "settings: check")
+}
+
+func splitSection(section string) (kind, name string) {
+	kind, name, _ = strings.Cut(section, " ")
+	return kind, strings.TrimSpace(name)
+}
+
+func anyText(string) string { return "" }
+
+func oneOf(values ...string) func(string) string {
+	return func(v string) string {
+		if slices.Contains(values, v) {
+			return ""
+		}
+		return "must be one of " + strings.Join(values, ", ")
+	}
+}
+
+func wholeNumber(low, high int) func(string) string {
+	return func(v string) string {
+		n, err := strconv.Atoi(v)
+		if err != nil || n < low || n > high {
+			return fmt.Sprintf("must be a whole number from %d to %d", low, high)
+		}
+		return ""
+	}
+}
+
+func duration(low, high time.Duration) func(string) string {
+	return func(v string) string {
+		d, err := time.ParseDuration(v)
+		if err != nil || d < low || d > high {
+			return fmt.Sprintf("must be a duration from %s to %s", low, high)
+		}
+		return ""
+	}
+}
+
+func addressPort(v string) string {
+	if v == "" {
+		return ""
+	}
+	if _, err := netip.ParseAddrPort(v); err != nil {
+		return "must be an IP address and port, such as 127.0.1.1:8080"
+	}
+	return ""
+}
+
+func addressPorts(v string) string {
+	for _, part := range splitList(v) {
+		if reason := addressPort(part); reason != "" {
+			return reason
+		}
+	}
+	return ""
+}
+
+func namedAddresses(v string) string {
+	for _, part := range splitList(v) {
+		name, address, ok := strings.Cut(part, "=")
+		if !ok || name == "" || addressPort(address) != "" || address == "" {
+			return "must be a list of name=address, such as colombo-1=127.0.1.1:8084"
+		}
+	}
+	return ""
+}
+
+func splitList(v string) []string {
+	var parts []string
+	for part := range strings.SplitSeq(v, ",") {
+		if part = strings.TrimSpace(part); part != "" {
+			parts = append(parts, part)
+		}
+	}
+	return parts
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,47 @@
+package settings
+
+import (
+	"errors"
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+var update = flag.Bool("update", false, "write docs/SETTINGS.md")
+
+func TestSettingsPageIsUpToDate(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join("..", "docs", "SETTINGS.md")
+	if *update {
+		is.NoErr(os.WriteFile(path, []byte(Markdown()), 0o644))
+	}
+	page, err := os.ReadFile(path)
+	is.NoErr(err)
+	is.Equal(string(page), Markdown())
+}
+
+func TestEveryFaultIsListed(t *testing.T) {
+	is := is.New(t)
+	text := "[limits]\nmax_tokens = many\ncolour = red\n[service draft]\nkind = sketch\n[sevice x]\n"
+	_, err := ParseIntent(File{Name: "base.ini", Text: text}, File{})
+	var faults Faults
+	is.True(errors.As(err, &faults))
+	is.Equal(faults.Error(), `base.ini: [limits] max_tokens = "many": must be a whole number from 1 to 1048576
+base.ini: [limits] colour = "red": unknown key
+base.ini: [service draft] kind = "sketch": must be one of draft, plain
+base.ini: [sevice x]: unknown section`)
+}
+
+func TestOverlayChangesOnlyWhatItStates(t *testing.T) {
+	is := is.New(t)
+	base := File{Name: "base.ini", Text: "[limits]\nmax_tokens = 100\nmax_body = 2048\n[service stock]\n"}
+	overlay := File{Name: "kandy.ini", Text: "[limits]\nmax_tokens = 50\n[service stock]\nenabled = false\n"}
+	in, err := ParseIntent(base, overlay)
+	is.NoErr(err)
+	is.Equal(in.Limits.MaxTokens, 50)
+	is.Equal(in.Limits.MaxBodyBytes, 2048)
+	is.Equal(in.Services["stock"].Enabled, false)
+}
