Demo stops its emulator

Cause: 'ctl emulate &' ran in a subshell, so its pid was the subshell's and the emulator outlived the demo; a second run then met the old counts and reported 60 bookings as broken. Ruled out: a doubled booking, since the first run counted each once. Change: the script starts the binary itself and checks that every process has started.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -85,8 +85,12 @@
   bin/balsamd -settings "$f" 2> "$run/$(basename "$f" .ini).log" &
   pids+=($!)
 done
-ctl emulate -fleet "$run/fleet.ini" 2> "$run/emulate.log" &
+bin/balsamctl emulate -fleet "$run/fleet.ini" 2> "$run/emulate.log" &
 pids+=($!)
+sleep 0.2
+for pid in "${pids[@]}"; do
+  kill -0 "$pid" 2>/dev/null || { echo "a process did not start; see the logs in $run"; exit 1; }
+done
 
 wait_for() { # description command...
   local what=$1; shift
@@ -122,7 +126,7 @@
 if ctl config apply -folder "$run/config" -expect 1; then echo "BROKEN: a change against an old version was accepted"; exit 1; fi
 
 say "draining colombo-advice-0 while drafts run"
-ctl load -instances "$callers" -drafts 80 -bookings 0 -tokens 24 -concurrent 16 -seed 2 > "$run/load-2.json" &
+bin/balsamctl load -instances "$callers" -drafts 80 -bookings 0 -tokens 24 -concurrent 16 -seed 2 > "$run/load-2.json" &
 load=$!
 sleep 0.3
 ctl drain colombo-advice-0
@@ -136,7 +140,7 @@
 say "the 80 drafts were answered whole, and colombo-advice-0 has no work left"
 
 say "stopping colombo-2 while it streams"
-ctl load -instances 127.0.1.2:8080 -drafts 8 -bookings 0 -tokens 100 -concurrent 8 -seed 3 > "$run/load-3.json" &
+bin/balsamctl load -instances 127.0.1.2:8080 -drafts 8 -bookings 0 -tokens 100 -concurrent 8 -seed 3 > "$run/load-3.json" &
 load=$!
 sleep 0.3
 kill -TERM "${pids[1]}"
