--- a/cmd/balsamctl/bench.go
+++ b/cmd/balsamctl/bench.go
@@ -4,16 +4,21 @@
 	"context"
 	"errors"
 	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
+	"github.com/balsamlb/balsamlb/internal/bench"
 	"github.com/balsamlb/balsamlb/internal/emulate"
 	"github.com/balsamlb/balsamlb/internal/load"
 	"github.com/balsamlb/balsamlb/settings"
 	"github.com/peterbourgon/ff/v3/ffcli"
 )
 
-var errBroken = errors.New("a promise was broken")
+var (
+	errNoBench = errors.New("name a benchmark; see balsamctl bench -help")
+	errBroken  = errors.New("a promise was broken")
+)
 
 func newEmulate() *ffcli.Command {
 	fs := newFlagSet("emulate")
@@ -35,6 +40,48 @@
 	}
 }
 
+func newBench() *ffcli.Command {
+	fs := newFlagSet("bench")
+	short := fs.Bool("short", false, "keep the run under 50 s")
+	seed := fs.Uint64("seed", 1, "seed of the load and the faults")
+	network := fs.String("net", "127.50", "first two numbers of the loopback addresses to use")
+	folder := fs.String("folder", "", "folder for settings, logs and data (empty: a temporary one)")
+	var names []string
+	for _, b := range bench.All() {
+		names = append(names, b.Name+": "+b.Help)
+	}
+	return &ffcli.Command{
+		Name: "bench", ShortUsage: "balsamctl bench [flags] NAME", ShortHelp: "measure the system on loopback",
+		LongHelp: "Starts its own processes. The last line is one JSON object.\n\n" + strings.Join(names, "\n"),
+		FlagSet:  fs, Options: envOptions(),
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) == 0 {
+				return errNoBench
+			}
+			// Flags may also follow the name.
+			if err := fs.Parse(args[1:]); err != nil {
+				return err
+			}
+			return runBench(ctx, args[0], bench.Options{Short: *short, Seed: *seed, Net: *network, Folder: *folder, Out: os.Stdout})
+		},
+	}
+}
+
+func runBench(ctx context.Context, name string, o bench.Options) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	o.Bin = filepath.Dir(self)
+	if o.Folder == "" {
+		if o.Folder, err = os.MkdirTemp("", "balsamlb-bench-"); err != nil {
+			return err
+		}
+		defer os.RemoveAll(o.Folder)
+	}
+	return bench.Run(ctx, name, o)
+}
+
 func newLoad() *ffcli.Command {
 	fs := newFlagSet("load")
 	instances := fs.String("instances", "127.0.1.1:8080", "callers' addresses of instances, separated by commas")
--- a/cmd/balsamctl/main.go
+++ b/cmd/balsamctl/main.go
@@ -62,6 +62,7 @@
 			newCredits(),
 			newEmulate(),
 			newLoad(),
+			newBench(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -37,6 +37,7 @@
 type Daemon struct {
 	process    settings.Process
 	log        logr.Logger
+	dialer     instance.Dialer
 	shared     *shared
 	host       *control.Host
 	store      *storage.Log
@@ -49,9 +50,13 @@
 
 // New opens the data folder, if there is one, and builds the instance.
 func New(p settings.Process, log logr.Logger) (*Daemon, error) {
-	d := &Daemon{process: p, log: log}
+	dialer, err := instance.NewDialer(p.Instances)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{process: p, log: log, dialer: dialer}
 	d.shared = newShared(p, uint64(time.Now().UnixNano()), log.WithName("config"))
-	d.proposer = instance.NewProposer(voterAddresses(p))
+	d.proposer = instance.NewProposer(dialer, voterAddresses(p))
 	d.credits = newCreditDuty(d.proposer, log.WithName("credit"))
 	d.admitter = newAdmitter()
 	d.dispatcher = dispatch.New(p.Name, p.DataCentre, d.shared, d.proposer, d.credits, log)
@@ -85,7 +90,7 @@
 			peers[v.Name] = v.Address
 		}
 	}
-	d.sender = instance.NewConsensusSender(peers)
+	d.sender = instance.NewConsensusSender(d.dialer, peers)
 	d.host = control.NewHost(control.Options{
 		ID:      d.process.Name,
 		Voters:  ids,
@@ -111,7 +116,7 @@
 		_ = g.Wait()
 		return err
 	}
-	exchange := &exchangeDuty{shared: d.shared, exchanger: instance.NewExchanger()}
+	exchange := &exchangeDuty{shared: d.shared, exchanger: instance.NewExchanger(d.dialer)}
 	g.Go(func() error { return exchange.run(dutyCtx) })
 	g.Go(func() error { return d.credits.run(dutyCtx) })
 	if d.host != nil {
--- a/daemon/state.go
+++ b/daemon/state.go
@@ -121,7 +121,7 @@
 func (s *shared) self() *wire.Member {
 	return &wire.Member{
 		Name:          s.process.Name,
-		Address:       s.process.Instances,
+		Address:       s.process.Advertise,
 		DataCentre:    s.process.DataCentre,
 		Incarnation:   s.incarnation,
 		ConfigVersion: s.view.Config.Version,
@@ -205,7 +205,7 @@
 func (s *shared) addresses() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	seen := map[string]bool{s.process.Instances: true}
+	seen := map[string]bool{s.process.Advertise: true}
 	var out []string
 	add := func(a string) {
 		if a != "" && !seen[a] {
--- a/instance/conn.go
+++ b/instance/conn.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -19,9 +20,31 @@
 	callTimeout = 500 * time.Millisecond
 )
 
+// Dialer opens connections to other instances from one local address, by which they can
+// tell who calls.
+type Dialer struct {
+	local net.IP
+}
+
+// NewDialer returns a dialer for an instance that listens on the address (IP:port).
+func NewDialer(address string) (Dialer, error) {
+	ap, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return Dialer{}, eris.Wrap(err, "instance: local address")
+	}
+	return Dialer{local: ap.Addr().AsSlice()}, nil
+}
+
+func (d Dialer) dial(ctx context.Context, address string) (net.Conn, error) {
+	nd := net.Dialer{Timeout: dialTimeout, LocalAddr: &net.TCPAddr{IP: d.local}}
+	c, err := nd.DialContext(ctx, "tcp", address)
+	return c, eris.Wrapf(err, "instance: dial %s", address)
+}
+
 // link is one connection to a peer with at most one call at a time. It is redialled after
 // any failure, since a connection that missed an answer may have gone silent for good.
 type link struct {
+	dialer  Dialer
 	address string
 	mu      sync.Mutex
 	conn    *drpcconn.Conn
@@ -32,10 +55,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conn == nil {
-		d := net.Dialer{Timeout: dialTimeout}
-		c, err := d.DialContext(ctx, "tcp", l.address)
+		c, err := l.dialer.dial(ctx, l.address)
 		if err != nil {
-			return eris.Wrapf(err, "instance: dial %s", l.address)
+			return err
 		}
 		l.conn = drpcconn.New(c)
 	}
@@ -56,12 +78,13 @@
 // links holds one link for each address and purpose, so that a slow call of one purpose
 // never holds up another.
 type links struct {
-	mu   sync.Mutex
-	open map[string]*link
+	dialer Dialer
+	mu     sync.Mutex
+	open   map[string]*link
 }
 
-func newLinks() *links {
-	return &links{open: make(map[string]*link)}
+func newLinks(d Dialer) *links {
+	return &links{dialer: d, open: make(map[string]*link)}
 }
 
 func (ls *links) get(address string) *link {
@@ -69,7 +92,7 @@
 	defer ls.mu.Unlock()
 	l, ok := ls.open[address]
 	if !ok {
-		l = &link{address: address}
+		l = &link{dialer: ls.dialer, address: address}
 		ls.open[address] = l
 	}
 	return l
--- a/instance/consensus.go
+++ b/instance/consensus.go
@@ -21,13 +21,14 @@
 
 // ConsensusSender sends consensus messages, with a duty and a connection for each peer.
 type ConsensusSender struct {
+	dialer    Dialer
 	addresses map[string]string
 	outboxes  map[string]*ring.Ring[consensus.Message]
 }
 
 // NewConsensusSender returns a sender to the peers, given by name and address.
-func NewConsensusSender(addresses map[string]string) *ConsensusSender {
-	s := &ConsensusSender{addresses: addresses, outboxes: make(map[string]*ring.Ring[consensus.Message])}
+func NewConsensusSender(d Dialer, addresses map[string]string) *ConsensusSender {
+	s := &ConsensusSender{dialer: d, addresses: addresses, outboxes: make(map[string]*ring.Ring[consensus.Message])}
 	for name := range addresses {
 		s.outboxes[name] = ring.New[consensus.Message](outboxSize)
 	}
@@ -46,7 +47,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	for name, box := range s.outboxes {
 		g.Go(func() error {
-			sendAll(ctx, &link{address: s.addresses[name]}, box)
+			sendAll(ctx, &link{dialer: s.dialer, address: s.addresses[name]}, box)
 			return nil
 		})
 	}
--- a/instance/exchange.go
+++ b/instance/exchange.go
@@ -15,8 +15,8 @@
 }
 
 // NewExchanger returns an exchanger without connections.
-func NewExchanger() *Exchanger {
-	return &Exchanger{links: newLinks()}
+func NewExchanger(d Dialer) *Exchanger {
+	return &Exchanger{links: newLinks(d)}
 }
 
 // Exchange sends req to the instance at the address.
--- a/instance/proposer.go
+++ b/instance/proposer.go
@@ -25,6 +25,7 @@
 // Proposer runs commands through the control instances. Commands are sent again until one
 // is known to be applied, so they must be idempotent.
 type Proposer struct {
+	dialer Dialer
 	voters []string
 	mu     sync.Mutex
 	leader string
@@ -32,8 +33,8 @@
 }
 
 // NewProposer returns a proposer that knows the addresses of the control instances.
-func NewProposer(voters []string) *Proposer {
-	return &Proposer{voters: voters, idle: make(map[string][]*link)}
+func NewProposer(d Dialer, voters []string) *Proposer {
+	return &Proposer{dialer: d, voters: voters, idle: make(map[string][]*link)}
 }
 
 // Propose returns the command's result, or ErrNoQuorum when ctx ends first.
@@ -100,7 +101,7 @@
 	defer p.mu.Unlock()
 	idle := p.idle[address]
 	if len(idle) == 0 {
-		return &link{address: address}
+		return &link{dialer: p.dialer, address: address}
 	}
 	l := idle[len(idle)-1]
 	p.idle[address] = idle[:len(idle)-1]
--- /dev/null
+++ b/internal/lab/process.go
@@ -0,0 +1,112 @@
+package lab
+
+import (
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Process is one process that the lab started.
+type Process struct {
+	Name string
+	// LogPath is where its log goes.
+	LogPath string
+
+	path string
+	args []string
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+func newProcess(name, logPath, path string, args ...string) *Process {
+	return &Process{Name: name, LogPath: logPath, path: path, args: args}
+}
+
+// Start starts the process; its log is appended to.
+func (p *Process) Start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	log, err := os.OpenFile(p.LogPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return eris.Wrapf(err, "lab: open %s", p.LogPath)
+	}
+	defer log.Close()
+	cmd := exec.Command(p.path, p.args...)
+	cmd.Stderr = log
+	// The process must not outlive a test that is killed.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return eris.Wrapf(err, "lab: start %s", p.Name)
+	}
+	done := make(chan struct{})
+	go func() {
+		_ = cmd.Wait()
+		close(done)
+	}()
+	p.cmd = cmd
+	p.done = done
+	return nil
+}
+
+// PID returns the process id.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Pid
+}
+
+// Kill ends the process without notice and waits for its end.
+func (p *Process) Kill() { p.end(syscall.SIGKILL) }
+
+// Stop asks the process to end and waits for its end.
+func (p *Process) Stop() { p.end(syscall.SIGTERM) }
+
+// Freeze stops the process from running.
+func (p *Process) Freeze() { p.signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process run again.
+func (p *Process) Thaw() { p.signal(syscall.SIGCONT) }
+
+func (p *Process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// stopTimeout is after how long a process that was asked to end is killed.
+const stopTimeout = 15 * time.Second
+
+func (p *Process) end(s syscall.Signal) {
+	p.mu.Lock()
+	cmd, done := p.cmd, p.done
+	p.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	_ = cmd.Process.Signal(s)
+	select {
+	case <-done:
+	case <-time.After(stopTimeout):
+		_ = cmd.Process.Kill()
+		<-done
+	}
+}
+
+// HasEnded reports whether the process has ended.
+func (p *Process) HasEnded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -3,7 +3,8 @@
 # backend servers. Exits non-zero if a promise was broken.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-run=run/demo
+run=${RUN:-run/demo}
+net=${NET:-127.0} # first two numbers of the loopback addresses
 rm -rf "$run" && mkdir -p "$run"
 pids=()
 stop_all() {
@@ -17,7 +18,7 @@
 
 go build -o bin/ ./cmd/balsamd ./cmd/balsamctl
 
-voters="colombo-1=127.0.1.1:8084, kandy-1=127.0.2.1:8084, galle-1=127.0.3.1:8084"
+voters="colombo-1=$net.1.1:8084, kandy-1=$net.2.1:8084, galle-1=$net.3.1:8084"
 write_instance() { # name data-centre address data-folder
   cat > "$run/$1.ini" <<INI
 [instance]
@@ -34,23 +35,23 @@
 voters = $voters
 INI
 }
-write_instance colombo-1 colombo 127.0.1.1 "$run/data/colombo-1"
-write_instance colombo-2 colombo 127.0.1.2 ""
-write_instance colombo-3 colombo 127.0.1.3 ""
-write_instance kandy-1 kandy 127.0.2.1 "$run/data/kandy-1"
-write_instance kandy-2 kandy 127.0.2.2 ""
-write_instance galle-1 galle 127.0.3.1 "$run/data/galle-1"
-write_instance galle-2 galle 127.0.3.2 ""
+write_instance colombo-1 colombo $net.1.1 "$run/data/colombo-1"
+write_instance colombo-2 colombo $net.1.2 ""
+write_instance colombo-3 colombo $net.1.3 ""
+write_instance kandy-1 kandy $net.2.1 "$run/data/kandy-1"
+write_instance kandy-2 kandy $net.2.2 ""
+write_instance galle-1 galle $net.3.1 "$run/data/galle-1"
+write_instance galle-2 galle $net.3.2 ""
 
 write_fleet() {
   local dc=1 name
   cat <<INI
 [data_centre colombo]
-announce = 127.0.1.1:8081, 127.0.1.2:8081, 127.0.1.3:8081
+announce = $net.1.1:8081, $net.1.2:8081, $net.1.3:8081
 [data_centre kandy]
-announce = 127.0.2.1:8081, 127.0.2.2:8081
+announce = $net.2.1:8081, $net.2.2:8081
 [data_centre galle]
-announce = 127.0.3.1:8081, 127.0.3.2:8081
+announce = $net.3.1:8081, $net.3.2:8081
 INI
   for name in colombo kandy galle; do
     for i in $(seq 0 12); do
@@ -58,7 +59,7 @@
       [ $((i % 2)) -eq 1 ] && layers=16-32
       cat <<INI
 [server $name-advice-$i]
-address = 127.0.$dc.$((100 + i)):9000
+address = $net.$dc.$((100 + i)):9000
 data_centre = $name
 accelerator = kind-$((i % 3))
 model = icing-7b
@@ -68,7 +69,7 @@
     done
     cat <<INI
 [server $name-ordering]
-address = 127.0.$dc.200:9000
+address = $net.$dc.200:9000
 data_centre = $name
 services = booking, stock
 INI
@@ -77,7 +78,7 @@
 }
 write_fleet > "$run/fleet.ini"
 
-instances="127.0.1.1 127.0.1.2 127.0.1.3 127.0.2.1 127.0.2.2 127.0.3.1 127.0.3.2"
+instances="$net.1.1 $net.1.2 $net.1.3 $net.2.1 $net.2.2 $net.3.1 $net.3.2"
 callers=$(printf '%s:8080,' $instances); callers=${callers%,}
 
 say "starting 7 instances in 3 data centres, 3 of them with a data folder, and 42 emulated backend servers"
@@ -120,7 +121,7 @@
 say "changing the configuration"
 cp -r examples/config "$run/config"
 printf '\n[workspace matara]\nmember = matara-moulds\n' >> "$run/config/base.ini"
-ctl config apply -folder "$run/config" -instance 127.0.3.2:8082
+ctl config apply -folder "$run/config" -instance $net.3.2:8082
 wait_for "configuration version 2 at all instances" in_force 2
 say "configuration version 2 is in force at all 7 instances"
 if ctl config apply -folder "$run/config" -expect 1; then echo "BROKEN: a change against an old version was accepted"; exit 1; fi
@@ -140,7 +141,7 @@
 say "the 80 drafts were answered whole, and colombo-advice-0 has no work left"
 
 say "stopping colombo-2 while it streams"
-bin/balsamctl load -instances 127.0.1.2:8080 -drafts 8 -bookings 0 -tokens 100 -concurrent 8 -seed 3 > "$run/load-3.json" &
+bin/balsamctl load -instances $net.1.2:8080 -drafts 8 -bookings 0 -tokens 100 -concurrent 8 -seed 3 > "$run/load-3.json" &
 load=$!
 sleep 0.3
 kill -TERM "${pids[1]}"
@@ -149,13 +150,13 @@
 say "its 8 drafts were answered whole before it stopped"
 
 say "what the backend servers counted"
-counts=$(curl -sf http://127.0.1.200:9000/v1/counts)
+counts=$(curl -sf http://$net.1.200:9000/v1/counts)
 twice=$(grep -o '"ran":[0-9]*' <<<"$counts" | grep -vc '"ran":1$' || true)
 violations=$(grep -o '"violations":\[[^]]*\]' <<<"$counts")
 echo "drafts: $(grep -o '"requests":[0-9]*' <<<"$counts"), layers out of order or run twice: $violations, bookings not run exactly once: $twice"
 [ "$violations" = '"violations":[]' ] && [ "$twice" = 0 ] || { echo "BROKEN: see above"; exit 1; }
 sleep 0.5
-ctl credits -instance 127.0.1.1:8082
+ctl credits -instance $net.1.1:8082
 say "every promise held"
 if [ "${KEEP:-}" = 1 ]; then
   read -rp "the system runs until Enter is pressed " _
--- a/settings/process.go
+++ b/settings/process.go
@@ -18,6 +18,7 @@
 	{"listen", "operators", "", "IP:port", "Address for balsamctl.", addressPort},
 	{"listen", "platform", "", "IP:port", "Address for the platform's balancer: liveness, readiness and metrics.", addressPort},
 	{"listen", "instances", "", "IP:port", "Address for other instances.", addressPort},
+	{"listen", "advertise", "", "IP:port", "Address that other instances reach this one at. Empty: the address for other instances.", addressPort},
 	{"control", "data_folder", "", "path", "Folder of the replicated state. Empty: the instance is not a control instance.", anyText},
 	{"control", "voters", "", "name=IP:port, ...", "The control instances and their addresses for instances.", namedAddresses},
 	{"join", "seeds", "", "IP:port, ...", "Instances to ask for the others. Empty: the control instances.", addressPorts},
@@ -40,6 +41,8 @@
 	Operators  string
 	Platform   string
 	Instances  string
+	// Advertise is where the other instances reach this one.
+	Advertise  string
 	DataFolder string
 	Voters     []Voter
 	Seeds      []string
@@ -68,6 +71,9 @@
 	get := func(section, key string) string { return r.value([]source{src}, section, key) }
 	for _, k := range processSchema {
 		required := k.Section == "listen" || k.Section == "instance" || k.Name == "voters"
+		if k.Name == "advertise" {
+			required = false
+		}
 		if required && get(k.Section, k.Name) == "" {
 			r.fault(name, k.Section, k.Name, "", "is required")
 		}
@@ -82,11 +88,15 @@
 		Operators:  get("listen", "operators"),
 		Platform:   get("listen", "platform"),
 		Instances:  get("listen", "instances"),
+		Advertise:  get("listen", "advertise"),
 		DataFolder: get("control", "data_folder"),
 		Voters:     parseVoters(get("control", "voters")),
 		Seeds:      splitList(get("join", "seeds")),
 		LogLevel:   get("log", "level"),
 	}
+	if p.Advertise == "" {
+		p.Advertise = p.Instances
+	}
 	if len(p.Seeds) == 0 {
 		for _, v := range p.Voters {
 			p.Seeds = append(p.Seeds, v.Address)
