--- a/cmd/balsamctl/bench.go
+++ b/cmd/balsamctl/bench.go
@@ -44,7 +44,7 @@
 	fs := newFlagSet("bench")
 	short := fs.Bool("short", false, "keep the run under 50 s")
 	seed := fs.Uint64("seed", 1, "seed of the load and the faults")
-	network := fs.String("net", "127.50", "first two numbers of the loopback addresses to use")
+	network := fs.String("net", "", "first two numbers of the loopback addresses to use (empty: free ones)")
 	folder := fs.String("folder", "", "folder for settings, logs and data (empty: a temporary one)")
 	var names []string
 	for _, b := range bench.All() {
--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -2,15 +2,10 @@
 
 import (
 	"context"
-	"errors"
-	"time"
 
 	"github.com/balsamlb/balsamlb/backend"
 	"github.com/balsamlb/balsamlb/fleet"
-	"github.com/balsamlb/balsamlb/ledger"
 	"github.com/balsamlb/balsamlb/outcome"
-	"github.com/balsamlb/balsamlb/replica"
-	"github.com/cespare/xxhash/v2"
 )
 
 // Call is a request to a plain service.
@@ -21,16 +16,6 @@
 	Body        []byte
 }
 
-const (
-	// maxCallTries bounds the servers that an idempotent call is sent to.
-	maxCallTries = 3
-	// finishTimeout bounds the recording of an outcome after the answer is known.
-	finishTimeout = 5 * time.Second
-	// duplicatePoll is how often a duplicate looks for the first one's outcome.
-	duplicatePoll      = 50 * time.Millisecond
-	retryAfterNoQuorum = time.Second
-)
-
 // Call runs the request and returns the server's answer.
 func (d *Dispatcher) Call(ctx context.Context, r Call) (backend.CallAnswer, *outcome.Error) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
@@ -41,122 +26,6 @@
 	return d.callOnce(ctx, r)
 }
 
-func (d *Dispatcher) callIdempotent(ctx context.Context, r Call) (backend.CallAnswer, *outcome.Error) {
-	var tried []string
-	for range maxCallTries {
-		server, err := d.chooseServer(r.Request, tried)
-		if err != nil {
-			return backend.CallAnswer{}, asOutcome(err)
-		}
-		answer, err := d.send(ctx, r, server)
-		if err == nil {
-			d.credit(r.Request, r.ID)
-			return answer, nil
-		}
-		tried = append(tried, server.Name)
-		if ctx.Err() != nil {
-			return backend.CallAnswer{}, errStopped(ctx)
-		}
-	}
-	return backend.CallAnswer{}, errServerFailed(outcome.Failed, "every backend server that was tried has failed")
-}
-
-// callOnce dispatches only after a quorum has recorded the request, and answers only after
-// a quorum has recorded the outcome.
-func (d *Dispatcher) callOnce(ctx context.Context, r Call) (backend.CallAnswer, *outcome.Error) {
-	server, err := d.chooseServer(r.Request, nil)
-	if err != nil {
-		return backend.CallAnswer{}, asOutcome(err)
-	}
-	release := func() { d.ended(server.Name) }
-	key := ledger.Key{Workspace: r.Workspace.Name, Service: r.Service.Name, Idempotency: r.Key}
-	for {
-		begin, err := d.begin(ctx, r, key)
-		if err != nil {
-			release()
-			d.abandon(ctx, key, r.ID)
-			return backend.CallAnswer{}, errNoQuorum()
-		}
-		if begin.Verdict == ledger.VerdictGranted {
-			return d.dispatchOnce(ctx, r, key, server)
-		}
-		answer, oe := settled(begin)
-		if oe == nil || oe.Code != outcome.CodeInProgress {
-			release()
-			return answer, oe
-		}
-		if !sleep(ctx, duplicatePoll) {
-			release()
-			return backend.CallAnswer{}, oe
-		}
-	}
-}
-
-func (d *Dispatcher) begin(ctx context.Context, r Call, key ledger.Key) (ledger.Result, error) {
-	result, err := d.proposer.Propose(ctx, replica.Command{Begin: &ledger.Begin{
-		Key:      key,
-		Digest:   xxhash.Sum64(r.Body),
-		Attempt:  r.ID,
-		Instance: d.instance,
-		At:       time.Now(),
-	}})
-	if err != nil {
-		return ledger.Result{}, err
-	}
-	return *result.Ledger, nil
-}
-
-// abandon withdraws an attempt that was not dispatched, so that its Begin does not hold the
-// key if it is committed later.
-func (d *Dispatcher) abandon(ctx context.Context, key ledger.Key, attempt string) {
-	go func() {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
-		defer cancel()
-		c := replica.Command{Abandon: &ledger.Abandon{Key: key, Attempt: attempt, At: time.Now()}}
-		if _, err := d.proposer.Propose(ctx, c); err != nil {
-			d.log.Error(err, "could not withdraw an attempt", "request", attempt)
-		}
-	}()
-}
-
-func (d *Dispatcher) dispatchOnce(ctx context.Context, r Call, key ledger.Key, server fleet.BackendServer) (backend.CallAnswer, *outcome.Error) {
-	answer, err := d.send(ctx, r, server)
-	finish := ledger.Finish{Key: key, Attempt: r.ID, Phase: ledger.PhaseFinished, At: time.Now()}
-	if err != nil {
-		return backend.CallAnswer{}, d.failOnce(ctx, r, finish, err)
-	}
-	finish.Answer = ledger.Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body}
-	if !d.finish(ctx, finish) {
-		return backend.CallAnswer{}, errUnknown("the outcome could not be recorded")
-	}
-	d.credit(r.Request, key.Workspace+"/"+key.Service+"/"+key.Idempotency)
-	return answer, nil
-}
-
-// failOnce settles a dispatch that brought no answer. The request did not run only if it
-// never left this instance.
-func (d *Dispatcher) failOnce(ctx context.Context, r Call, finish ledger.Finish, err error) *outcome.Error {
-	d.log.Info("a call has failed", "request", r.ID, "err", err.Error())
-	var ce *backend.CallError
-	if errors.As(err, &ce) && !ce.Sent {
-		d.abandon(ctx, finish.Key, r.ID)
-		return errServerFailed(outcome.NotRun, "the backend server could not be reached")
-	}
-	finish.Phase = ledger.PhaseUnknown
-	d.finish(ctx, finish)
-	return errUnknown("the backend server did not answer")
-}
-
-func (d *Dispatcher) finish(ctx context.Context, f ledger.Finish) bool {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
-	defer cancel()
-	_, err := d.proposer.Propose(ctx, replica.Command{Finish: &f})
-	if err != nil {
-		d.log.Error(err, "could not record an outcome", "request", f.Attempt)
-	}
-	return err == nil
-}
-
 // send dispatches the call once and releases the server.
 func (d *Dispatcher) send(ctx context.Context, r Call, server fleet.BackendServer) (backend.CallAnswer, error) {
 	defer d.ended(server.Name)
@@ -171,54 +40,3 @@
 		Body:        r.Body,
 	})
 }
-
-// settled turns the verdict on a duplicate into its answer.
-func settled(r ledger.Result) (backend.CallAnswer, *outcome.Error) {
-	switch r.Verdict {
-	case ledger.VerdictFinished:
-		a := r.Record.Answer
-		return backend.CallAnswer{Status: a.Status, ContentType: a.ContentType, Body: a.Body}, nil
-	case ledger.VerdictUnknown:
-		return backend.CallAnswer{}, errUnknown("an earlier attempt ended without a known outcome")
-	case ledger.VerdictMismatch:
-		return backend.CallAnswer{}, &outcome.Error{
-			Outcome: outcome.NotRun,
-			Code:    outcome.CodeKeyReused,
-			Field:   backend.HeaderKey,
-			Message: "the key was used with another body",
-		}
-	case ledger.VerdictAbandoned:
-		return backend.CallAnswer{}, errNoQuorum()
-	default:
-		return backend.CallAnswer{}, &outcome.Error{
-			Outcome:    outcome.Unknown,
-			Code:       outcome.CodeInProgress,
-			Message:    "an earlier attempt with the same key is running",
-			RetryAfter: time.Second,
-		}
-	}
-}
-
-func errUnknown(message string) *outcome.Error {
-	return &outcome.Error{Outcome: outcome.Unknown, Code: outcome.CodeInterrupted, Message: message}
-}
-
-func errNoQuorum() *outcome.Error {
-	return &outcome.Error{
-		Outcome:    outcome.NotRun,
-		Code:       outcome.CodeNoQuorum,
-		Message:    "the request could not be recorded",
-		RetryAfter: retryAfterNoQuorum,
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -34,9 +35,8 @@
 
 // Layout describes a lab.
 type Layout struct {
-	// Net is the first two numbers of the lab's addresses, such as 127.10. Labs that run at
-	// the same time need different ones. Instance i of data centre d is at NET.d.i, both
-	// from 1.
+	// Net is the first two numbers of the lab's addresses, such as 127.10. Empty: two that no
+	// other lab uses. Instance i of data centre d is at NET.d.i, both from 1.
 	Net string
 	// Folder holds settings, logs and data.
 	Folder string
@@ -77,6 +77,7 @@
 	Instances []*Instance
 	Emulators map[string]*Process
 	relays    *relays
+	claim     net.Listener // holds Layout.Net, nil when it was given
 	cancel    context.CancelFunc
 }
 
@@ -84,6 +85,15 @@
 func Start(ctx context.Context, layout Layout) (*Lab, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	l := &Lab{Layout: layout, Emulators: make(map[string]*Process), relays: newRelays(), cancel: cancel}
+	if layout.Net == "" {
+		network, claim, err := claimNetwork()
+		if err != nil {
+			cancel()
+			return nil, err
+		}
+		l.Layout.Net = network
+		l.claim = claim
+	}
 	l.plan()
 	if err := l.startAll(ctx); err != nil {
 		l.Close()
@@ -109,6 +119,9 @@
 		e.Kill()
 	}
 	l.cancel()
+	if l.claim != nil {
+		_ = l.claim.Close()
+	}
 }
 
 // Instance returns the instance by name, such as kandy-1.
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -50,10 +50,9 @@
 services = booking
 `
 
-func start(t *testing.T, net string) *Lab {
+func start(t *testing.T) *Lab {
 	t.Helper()
 	l, err := Start(t.Context(), Layout{
-		Net:    net,
 		Folder: t.TempDir(),
 		Bin:    bin,
 		DataCentres: []DataCentre{
@@ -87,7 +86,7 @@
 
 func TestBookingsGoOnWithoutTheLeader(t *testing.T) {
 	is := is.New(t)
-	l := start(t, "127.61")
+	l := start(t)
 	is.NoErr(l.Wait(t.Context(), "a leader", func() bool { return l.Leader() != nil }))
 	l.Leader().Kill()
 	r := bookings(l, 1, "colombo-2")
@@ -97,7 +96,7 @@
 
 func TestBookingsGoOnAfterConnectionsFallSilent(t *testing.T) {
 	is := is.New(t)
-	l := start(t, "127.62")
+	l := start(t)
 	for _, a := range l.Instances {
 		for _, b := range l.Instances {
 			l.Silence(a.Name, b.Name)
@@ -110,7 +109,7 @@
 
 func TestBookingsGoOnAfterADataCentreIsCutOff(t *testing.T) {
 	is := is.New(t)
-	l := start(t, "127.63")
+	l := start(t)
 	l.CutDataCentre("galle")
 	r := bookings(l, 1, "colombo-2", "kandy-1")
 	is.Equal(r.Broken, nil)
--- /dev/null
+++ b/internal/lab/network.go
@@ -0,0 +1,29 @@
+package lab
+
+import (
+	"errors"
+	"fmt"
+	"net"
+)
+
+// errNoNetwork means that every network of loopback addresses is in use.
+var errNoNetwork = errors.New("lab: no network of loopback addresses is free")
+
+const (
+	firstNetwork = 16
+	lastNetwork  = 254
+	claimPort    = 7999
+)
+
+// claimNetwork finds the first two numbers of loopback addresses that no other lab on the
+// machine uses. The listener holds the claim until it is closed.
+func claimNetwork() (string, net.Listener, error) {
+	for n := firstNetwork; n <= lastNetwork; n++ {
+		network := fmt.Sprintf("127.%d", n)
+		l, err := net.Listen("tcp", fmt.Sprintf("%s.255.254:%d", network, claimPort))
+		if err == nil {
+			return network, l, nil
+		}
+	}
+	return "", nil, errNoNetwork
+}
