Route by predicted cost, damped against lagged reports

Cause: the router took the server of least cost by reports that all instances share, looked at every server for every layer, and knew nothing of prefixes, links or servers that slow down.

Change: own work since the report, prefix hints that decay, links, and a moving average of observed over promised time enter the cost; two of the nearly equal servers are drawn and the cheaper is taken. A stage's replacement can be chosen. The log line gives choice, runner-up and reason.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -1,39 +1,77 @@
 package dispatch
 
 import (
+	"hash/maphash"
+	"slices"
+	"time"
+
 	"github.com/balsamlb/balsamlb/fleet"
 	"github.com/balsamlb/balsamlb/pipeline"
+	"github.com/balsamlb/balsamlb/route"
 )
 
+// chooseServer chooses and reserves a server for a plain call; ended releases it.
 func (d *Dispatcher) chooseServer(r Request, exclude []string) (fleet.BackendServer, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	c, err := d.router.Call(r.Service.Name, d.fleet.Available(), exclude)
+	now := time.Now()
+	c, err := d.router.Call(now, r.Service.Name, d.fleet.Available(), exclude)
 	if err != nil {
 		d.log.Info("found no server", "request", r.ID, "service", r.Service.Name)
 		return fleet.BackendServer{}, err
 	}
-	d.router.Started(c.Chosen.Name)
-	d.log.Info("chose a server", "request", r.ID, "service", r.Service.Name, "server", c.Chosen.Name,
-		"cost_us", c.Cost.Microseconds(), "runner_up", c.RunnerUp, "runner_up_cost_us", c.RunnerUpCost.Microseconds())
+	d.router.Started(now, c.Chosen.Name)
+	d.logChoice("chose a server", r, c)
 	return c.Chosen, nil
 }
 
-func (d *Dispatcher) chooseChain(r Request, promptTokens int) (pipeline.Chain, error) {
+func (d *Dispatcher) logChoice(message string, r Request, c route.Choice) {
+	d.log.Info(message, "request", r.ID, "service", r.Service.Name, "server", c.Chosen.Name,
+		"cost_us", c.Cost.Microseconds(), "runner_up", c.RunnerUp, "runner_up_cost_us", c.RunnerUpCost.Microseconds(), "why", c.Why)
+}
+
+// chooseChain chooses and reserves a chain; ended releases each of its servers.
+func (d *Dispatcher) chooseChain(r Draft, exclude []string) (route.ChainChoice, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	chain, err := d.router.Chain(r.Service.Model, r.Service.Layers, d.fleet.Available(), promptTokens)
+	now := time.Now()
+	need := r.need(exclude)
+	c, err := d.router.Chain(now, need, d.fleet.Available())
 	if err != nil {
 		d.log.Info("found no chain", "request", r.ID, "model", r.Service.Model)
-		return nil, err
+		return c, err
 	}
-	names := make([]string, len(chain))
-	for i, st := range chain {
-		d.router.Started(st.Server.Name)
+	names := make([]string, len(c.Chain))
+	for i, st := range c.Chain {
+		d.router.Started(now, st.Server.Name)
+		d.router.Cached(now, st.Server.Name, need.Prefix, r.PromptTokens)
 		names[i] = st.Server.Name
 	}
-	d.log.Info("chose a chain", "request", r.ID, "model", r.Service.Model, "servers", names)
-	return chain, nil
+	d.log.Info("chose a chain", "request", r.ID, "model", r.Service.Model, "servers", names,
+		"first_token_us", c.FirstToken.Microseconds(), "gap_us", c.Gap.Microseconds(),
+		"runner_up", c.RunnerUp, "runner_up_cost_us", c.RunnerUpCost.Microseconds(), "why", c.Why)
+	return c, nil
+}
+
+// chooseReplacement chooses and reserves a server for one stage of a running draft.
+func (d *Dispatcher) chooseReplacement(r Draft, chain pipeline.Chain, stage int, exclude []string) (fleet.BackendServer, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	c, err := d.router.Replacement(now, r.need(exclude), chain, stage, d.fleet.Available())
+	if err != nil {
+		d.log.Info("found no replacement", "request", r.ID, "stage", stage)
+		return fleet.BackendServer{}, err
+	}
+	d.router.Started(now, c.Chosen.Name)
+	d.logChoice("chose a replacement", r.Request, c)
+	return c.Chosen, nil
+}
+
+// isAvailable reports whether a server that was chosen may still be given new work. A drain
+// or the end of its lease may have come between choice and dispatch.
+func (d *Dispatcher) isAvailable(server string) bool {
+	return slices.ContainsFunc(d.fleet.Available(), func(s fleet.BackendServer) bool { return s.Name == server })
 }
 
 func (d *Dispatcher) ended(servers ...string) {
@@ -44,9 +82,40 @@
 	}
 }
 
+// observe tells the router how long a server took.
+func (d *Dispatcher) observe(s fleet.BackendServer, predicted, took time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.router.Observe(time.Now(), s, predicted, took)
+}
+
 // InFlight returns the work that this instance has given the server.
 func (d *Dispatcher) InFlight(server string) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.router.InFlight(server)
 }
+
+// prefixBytes is the length of a prompt's beginning that identifies it.
+const prefixBytes = 256
+
+var prefixSeed = maphash.MakeSeed()
+
+func (r Draft) need(exclude []string) route.Draft {
+	return route.Draft{
+		Model:        r.Service.Model,
+		Layers:       r.Service.Layers,
+		PromptTokens: r.PromptTokens,
+		MaxTokens:    r.MaxTokens,
+		Prefix:       r.prefix(),
+		Exclude:      exclude,
+	}
+}
+
+// prefix identifies the beginning of a prompt that is long enough to be worth a cache.
+func (r Draft) prefix() route.PrefixKey {
+	if len(r.Prompt) < prefixBytes {
+		return 0
+	}
+	return route.PrefixKey(maphash.String(prefixSeed, r.Prompt[:prefixBytes]))
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"github.com/balsamlb/balsamlb/replica"
 	"github.com/balsamlb/balsamlb/route"
 	"github.com/balsamlb/balsamlb/settings"
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 )
 
@@ -53,7 +54,7 @@
 		proposer: p,
 		credits:  c,
 		log:      log.WithName("route"),
-		router:   route.New(dataCentre),
+		router:   route.New(route.Options{DataCentre: dataCentre, Seed: xxhash.Sum64String(instance)}),
 	}
 }
 
--- a/dispatch/draft.go
+++ b/dispatch/draft.go
@@ -65,10 +65,11 @@
 
 // runDraft runs one chain and returns the last event.
 func (d *Dispatcher) runDraft(ctx context.Context, r Draft, events *ring.Ring[DraftEvent]) DraftEvent {
-	chain, err := d.chooseChain(r.Request, r.PromptTokens)
+	choice, err := d.chooseChain(r, nil)
 	if err != nil {
 		return DraftEvent{Err: asOutcome(err)}
 	}
+	chain := choice.Chain
 	for _, st := range chain {
 		defer d.ended(st.Server.Name)
 	}
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -65,13 +65,13 @@
 }
 
 func (s *script) draft(id string, tokens int) {
-	chain, err := s.router.Chain("icing-7b", 32, s.available(), 10)
+	choice, err := s.router.Chain(s.now, route.Draft{Model: "icing-7b", Layers: 32, PromptTokens: 10, MaxTokens: tokens}, s.available())
 	if err != nil {
 		s.line("draft %s: %v", id, err)
 		return
 	}
 	var passed []pipeline.Pass
-	for _, st := range chain {
+	for _, st := range choice.Chain {
 		passed = append(passed, pipeline.Pass{Server: st.Server.Name, Layers: st.Layers})
 		s.line("draft %s: stage %s layers %d-%d", id, st.Server.Name, st.Layers.From, st.Layers.To)
 	}
@@ -90,7 +90,7 @@
 	if r.Ledger.Verdict != ledger.VerdictGranted {
 		return
 	}
-	c, err := s.router.Call("booking", s.available(), nil)
+	c, err := s.router.Call(s.now, "booking", s.available(), nil)
 	s.line("booking %s: dispatched to %s, err %v", attempt, c.Chosen.Name, err)
 	r = s.apply(replica.Command{Finish: &ledger.Finish{
 		Key: key, Attempt: attempt, Phase: ledger.PhaseFinished, At: s.now, Answer: ledger.Answer{Status: 200},
@@ -108,7 +108,7 @@
 	s := &script{
 		now:      time.Unix(0, 0),
 		registry: fleet.NewRegistry(),
-		router:   route.New("kandy"),
+		router:   route.New(route.Options{DataCentre: "kandy", Seed: 1}),
 		state:    replica.NewState(),
 	}
 	s.announce("kandy-advice-0", fleet.Range{From: 0, To: 16})
--- /dev/null
+++ b/route/cost.go
@@ -0,0 +1,110 @@
+package route
+
+import (
+	"time"
+
+	"github.com/balsamlb/balsamlb/fleet"
+)
+
+// cost is a predicted time by its parts.
+type cost struct {
+	queue time.Duration
+	speed time.Duration
+	link  time.Duration
+	// pace is the time that the server takes beyond what it promises.
+	pace time.Duration
+	// prefix is the time that a cached prefix saves.
+	prefix time.Duration
+}
+
+func (c cost) total() time.Duration { return c.queue + c.speed + c.link + c.pace - c.prefix }
+
+// add returns the sum of two costs.
+func (c cost) add(d cost) cost {
+	return cost{
+		queue:  c.queue + d.queue,
+		speed:  c.speed + d.speed,
+		link:   c.link + d.link,
+		pace:   c.pace + d.pace,
+		prefix: c.prefix + d.prefix,
+	}
+}
+
+// why returns the part in which the chosen cost is the furthest below the other.
+func (c cost) why(other cost) Reason {
+	parts := []struct {
+		saved  time.Duration
+		reason Reason
+	}{
+		{other.queue - c.queue, ReasonQueue},
+		{other.speed - c.speed, ReasonSpeed},
+		{other.link - c.link, ReasonLink},
+		{other.pace - c.pace, ReasonPace},
+		{c.prefix - other.prefix, ReasonPrefix},
+	}
+	best := ReasonRandom
+	var most time.Duration
+	for _, p := range parts {
+		if p.saved > most {
+			best = p.reason
+			most = p.saved
+		}
+	}
+	return best
+}
+
+type candidate struct {
+	server *fleet.BackendServer
+	cost   cost
+}
+
+const (
+	// nearlyEqual is the factor over the least cost up to which servers count as equal.
+	nearlyEqual = 1.1
+	// nearlyEqualTime is the difference up to which servers always count as equal.
+	nearlyEqualTime = 200 * time.Microsecond
+)
+
+// pick draws two of the nearly equal candidates at random and takes the cheaper one. There
+// must be at least one candidate.
+func (r *Router) pick(all []candidate) Choice {
+	least := all[0].cost.total()
+	for _, c := range all[1:] {
+		least = min(least, c.cost.total())
+	}
+	limit := max(time.Duration(float64(least)*nearlyEqual), least+nearlyEqualTime)
+	var near []int
+	for i, c := range all {
+		if c.cost.total() <= limit {
+			near = append(near, i)
+		}
+	}
+	chosen := near[r.random.IntN(len(near))]
+	other := near[r.random.IntN(len(near))]
+	if all[other].cost.total() < all[chosen].cost.total() {
+		chosen = other
+	}
+	c := Choice{Chosen: *all[chosen].server, Cost: all[chosen].cost.total(), Why: ReasonOnly}
+	second := runnerUp(all, chosen)
+	if second < 0 {
+		return c
+	}
+	c.RunnerUp = all[second].server.Name
+	c.RunnerUpCost = all[second].cost.total()
+	c.Why = all[chosen].cost.why(all[second].cost)
+	return c
+}
+
+// runnerUp returns the cheapest candidate beside the chosen one, or -1.
+func runnerUp(all []candidate, chosen int) int {
+	second := -1
+	for i := range all {
+		if i == chosen {
+			continue
+		}
+		if second < 0 || all[i].cost.total() < all[second].cost.total() {
+			second = i
+		}
+	}
+	return second
+}
--- /dev/null
+++ b/route/pace.go
@@ -0,0 +1,98 @@
+package route
+
+import (
+	"math"
+	"time"
+
+	"github.com/balsamlb/balsamlb/fleet"
+)
+
+const (
+	// paceWeight is the weight of a new observation in the moving average.
+	paceWeight = 0.2
+	// paceHalfLife is the time in which an old observation loses half of its effect, so that
+	// a server that was left is tried again.
+	paceHalfLife = 10 * time.Second
+	// minPace and maxPace bound an observation.
+	minPace = 0.25
+	maxPace = 50
+)
+
+// pace is a moving average of observed over promised time.
+type pace struct {
+	ratio float64
+	at    time.Time
+}
+
+// at a later time the pace has decayed towards 1.
+func (p pace) decayed(now time.Time) float64 {
+	age := max(0, now.Sub(p.at))
+	return 1 + (p.ratio-1)*math.Exp2(-age.Seconds()/paceHalfLife.Seconds())
+}
+
+func (p *pace) observe(now time.Time, ratio float64) {
+	ratio = min(maxPace, max(minPace, ratio))
+	p.ratio = (1-paceWeight)*p.decayed(now) + paceWeight*ratio
+	p.at = now
+}
+
+// paces holds the pace of each server, and of each kind of accelerator for servers that were
+// not yet observed.
+type paces struct {
+	servers map[string]*pace
+	kinds   map[string]*pace
+}
+
+// maxKinds bounds the kinds of accelerators that are remembered.
+const maxKinds = 64
+
+func newPaces() *paces {
+	return &paces{servers: make(map[string]*pace), kinds: make(map[string]*pace)}
+}
+
+func (p *paces) ratio(now time.Time, s *fleet.BackendServer) float64 {
+	if own, ok := p.servers[s.Name]; ok {
+		return own.decayed(now)
+	}
+	if kind, ok := p.kinds[s.Accelerator]; ok && s.Accelerator != "" {
+		return kind.decayed(now)
+	}
+	return 1
+}
+
+func (p *paces) observe(now time.Time, s fleet.BackendServer, ratio float64) {
+	observe(p.servers, s.Name, now, ratio)
+	_, known := p.kinds[s.Accelerator]
+	if s.Accelerator != "" && (known || len(p.kinds) < maxKinds) {
+		observe(p.kinds, s.Accelerator, now, ratio)
+	}
+}
+
+func observe(m map[string]*pace, key string, now time.Time, ratio float64) {
+	p, ok := m[key]
+	if !ok {
+		p = &pace{ratio: 1, at: now}
+		m[key] = p
+	}
+	p.observe(now, ratio)
+}
+
+func (p *paces) retain(known map[string]bool) {
+	for name := range p.servers {
+		if !known[name] {
+			delete(p.servers, name)
+		}
+	}
+}
+
+// Observe notes how long a server took for work, against what the choice had predicted. A
+// server or link that degrades costs more with each observation, so it is left before it
+// fails.
+func (r *Router) Observe(now time.Time, s fleet.BackendServer, predicted, took time.Duration) {
+	if predicted <= 0 {
+		return
+	}
+	// The prediction holds the pace that was known, which is taken out again.
+	known := r.paces.ratio(now, &s)
+	r.paces.observe(now, s, known*float64(took)/float64(predicted))
+}
--- /dev/null
+++ b/route/prefix.go
@@ -0,0 +1,89 @@
+package route
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// prefixHalfLife is the time in which a cache event loses half of its effect. Events are
+	// late and have gaps, so what a server holds is a hint that grows old.
+	prefixHalfLife = 30 * time.Second
+	// prefixTrust is the share of a fresh hint that is believed.
+	prefixTrust = 0.8
+	// maxPrefixes bounds the prefixes that are remembered for one server.
+	maxPrefixes = 512
+)
+
+// PrefixKey identifies the beginning of a prompt. 0 means none.
+type PrefixKey uint64
+
+type hint struct {
+	tokens int
+	at     time.Time
+}
+
+// prefixes are hints of which server has cached which beginning of a prompt.
+type prefixes struct {
+	servers map[string]map[PrefixKey]hint
+}
+
+func newPrefixes() *prefixes {
+	return &prefixes{servers: make(map[string]map[PrefixKey]hint)}
+}
+
+// Cached notes that the server has probably cached the first tokens of a prompt: it said so,
+// or it was given the prompt.
+func (r *Router) Cached(now time.Time, server string, key PrefixKey, tokens int) {
+	if key == 0 {
+		return
+	}
+	m, ok := r.prefixes.servers[server]
+	if !ok {
+		m = make(map[PrefixKey]hint)
+		r.prefixes.servers[server] = m
+	}
+	if _, known := m[key]; !known && len(m) >= maxPrefixes {
+		dropOldest(m)
+	}
+	m[key] = hint{tokens: tokens, at: now}
+}
+
+// Evicted notes that the server has said that it dropped a prefix.
+func (r *Router) Evicted(server string, key PrefixKey) {
+	delete(r.prefixes.servers[server], key)
+}
+
+// CacheUnknown forgets all hints of a server, after a restart or a gap in its events.
+func (r *Router) CacheUnknown(server string) {
+	delete(r.prefixes.servers, server)
+}
+
+// expected returns the tokens of the prompt that the server need not prefill.
+func (p *prefixes) expected(now time.Time, server string, key PrefixKey, prompt int) float64 {
+	h, ok := p.servers[server][key]
+	if !ok || key == 0 {
+		return 0
+	}
+	age := max(0, now.Sub(h.at))
+	trust := prefixTrust * math.Exp2(-age.Seconds()/prefixHalfLife.Seconds())
+	return trust * float64(min(h.tokens, prompt))
+}
+
+func dropOldest(m map[PrefixKey]hint) {
+	var oldest PrefixKey
+	for key, h := range m {
+		if oldest == 0 || h.at.Before(m[oldest].at) {
+			oldest = key
+		}
+	}
+	delete(m, oldest)
+}
+
+func (p *prefixes) retain(known map[string]bool) {
+	for name := range p.servers {
+		if !known[name] {
+			delete(p.servers, name)
+		}
+	}
+}
--- a/route/route.go
+++ b/route/route.go
@@ -1,117 +1,106 @@
-// Package route chooses the backend server for a call and the chain for a draft.
+// Package route chooses the backend server for a call and the chain for a draft by predicted
+// cost.
+//
+// Reports of load arrive with a lag and every instance sees the same ones. A router
+// therefore adds its own work since the report, and picks at random among servers whose
+// costs are nearly equal, so that many routers don't all choose the same server.
 package route
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/balsamlb/balsamlb/fleet"
 	"github.com/balsamlb/balsamlb/outcome"
-	"github.com/balsamlb/balsamlb/pipeline"
 )
 
-// callMicros is the assumed time of one plain call, in microseconds.
-const callMicros = 1000
+// callTime is the assumed time of one plain call on an idle server.
+const callTime = time.Millisecond
+
+// Options describe a router.
+type Options struct {
+	// DataCentre is the router's own.
+	DataCentre string
+	// Seed makes the choices among nearly equal servers repeatable.
+	Seed uint64
+	// Links gives the delay between data centres. Nil: DefaultLink for each other one.
+	Links Links
+}
 
 // Router chooses servers by predicted cost. It is not safe for concurrent use.
 type Router struct {
-	// dataCentre is the router's own; its servers are preferred.
 	dataCentre string
-	inFlight   map[string]int
+	links      Links
+	random     *rand.Rand
+	accounts   map[string]*account
+	paces      *paces
+	prefixes   *prefixes
 }
 
-// New returns a router for an instance of the data centre.
-func New(dataCentre string) *Router {
-	return &Router{dataCentre: dataCentre, inFlight: make(map[string]int)}
+// New returns a router for an instance.
+func New(o Options) *Router {
+	return &Router{
+		dataCentre: o.DataCentre,
+		links:      o.Links,
+		random:     rand.New(rand.NewPCG(o.Seed, o.Seed)),
+		accounts:   make(map[string]*account),
+		paces:      newPaces(),
+		prefixes:   newPrefixes(),
+	}
 }
 
+// Reason names the part of the cost that decided a choice.
+type Reason string
+
+// The reasons of a choice.
+const (
+	// ReasonOnly means that there was no other server.
+	ReasonOnly   Reason = "only choice"
+	ReasonQueue  Reason = "shorter queue"
+	ReasonSpeed  Reason = "faster accelerator"
+	ReasonLink   Reason = "nearer link"
+	ReasonPrefix Reason = "cached prefix"
+	// ReasonPace means that the runner-up has been slower than it promises.
+	ReasonPace Reason = "runner-up is slow"
+	// ReasonRandom means that the costs were nearly equal.
+	ReasonRandom Reason = "random among equals"
+)
+
 // Choice is a decision, with the runner-up for the log.
 type Choice struct {
 	Chosen       fleet.BackendServer
 	Cost         time.Duration
 	RunnerUp     string
 	RunnerUpCost time.Duration
+	Why          Reason
 }
 
 // Call chooses the server for a plain call. exclude names servers that must not be chosen.
-func (r *Router) Call(service string, servers []fleet.BackendServer, exclude []string) (Choice, error) {
-	var c Choice
-	found := false
-	for _, s := range servers {
-		if !s.Runs(service) || contains(exclude, s.Name) {
-			continue
-		}
-		cost := r.callCost(s)
-		if !found || cost < c.Cost {
-			c = Choice{Chosen: s, Cost: cost, RunnerUp: c.Chosen.Name, RunnerUpCost: c.Cost}
-			found = true
-			continue
-		}
-		if c.RunnerUp == "" || cost < c.RunnerUpCost {
-			c.RunnerUp = s.Name
-			c.RunnerUpCost = cost
-		}
-	}
-	if !found {
-		return c, errNoServer("no backend server runs " + service)
-	}
-	return c, nil
-}
-
-// Chain chooses the chain for a draft.
-func (r *Router) Chain(model string, layers int, servers []fleet.BackendServer, prompt int) (pipeline.Chain, error) {
-	var able []fleet.BackendServer
-	for _, s := range servers {
-		if s.Model == model {
-			able = append(able, s)
+func (r *Router) Call(now time.Time, service string, servers []fleet.BackendServer, exclude []string) (Choice, error) {
+	r.forget(servers)
+	var able []candidate
+	for i := range servers {
+		s := &servers[i]
+		if s.Runs(service) && !contains(exclude, s.Name) {
+			able = append(able, candidate{server: s, cost: r.callCost(now, s)})
 		}
 	}
-	chain, err := pipeline.Plan(able, layers, func(st pipeline.Stage) time.Duration {
-		return r.stageCost(st, prompt)
-	})
-	if err != nil {
-		return nil, errNoServer(err.Error())
+	if len(able) == 0 {
+		return Choice{}, errNoServer("no backend server runs " + service)
 	}
-	return chain, nil
+	return r.pick(able), nil
 }
 
-// Started notes that this instance has given the server work.
-func (r *Router) Started(server string) { r.inFlight[server]++ }
-
-// Ended notes that the work has ended.
-func (r *Router) Ended(server string) {
-	r.inFlight[server]--
-	if r.inFlight[server] <= 0 {
-		delete(r.inFlight, server)
-	}
-}
-
-// InFlight returns the work that this instance has given the server.
-func (r *Router) InFlight(server string) int { return r.inFlight[server] }
-
-func (r *Router) callCost(s fleet.BackendServer) time.Duration {
-	work := 1 + r.inFlight[s.Name] + s.Load.Running + s.Load.Queued
-	return r.linkDelay(s) + time.Duration(work)*callMicros*time.Microsecond
-}
-
-// stageCost is the queue before the stage, its prefill and one decoding step.
-func (r *Router) stageCost(st pipeline.Stage, prompt int) time.Duration {
-	s := st.Server
-	waiting := r.inFlight[s.Name] + s.Load.Running + s.Load.Queued
-	part := float64(st.Layers.Len()) / float64(s.Layers.Len())
-	step := time.Duration(float64(s.StepMicros) * part)
-	prefill := time.Duration(float64(s.PrefillMicros*prompt) * part)
-	queue := step * time.Duration(waiting) / time.Duration(max(1, s.Slots))
-	return r.linkDelay(s) + (step+prefill+queue)*time.Microsecond
-}
-
-// remoteDelay is the assumed delay to a server in another data centre.
-const remoteDelay = time.Millisecond
-
-func (r *Router) linkDelay(s fleet.BackendServer) time.Duration {
-	if s.DataCentre == r.dataCentre {
-		return 0
+func (r *Router) callCost(now time.Time, s *fleet.BackendServer) cost {
+	queue := time.Duration(r.work(now, s)) * callTime / time.Duration(max(1, s.Slots))
+	pace := r.paces.ratio(now, s)
+	total := time.Duration(float64(callTime+queue) * pace)
+	return cost{
+		queue: queue,
+		speed: callTime,
+		link:  2 * r.links.between(r.dataCentre, s.DataCentre).Delay,
+		pace:  total - callTime - queue,
 	}
-	return remoteDelay
 }
 
 // retryAfterNoServer is when a caller should come back after a server was missing.
