Route: a server that can run parts is used once in a chain

Cause found by the new TestChainUsesAServerOnce: when a server would have had two stages, it was left out, and a chain that needs it was not found. Change: such a server is held to parts that start at its first layer, then to those that end at its last.

--- a/route/chain.go
+++ b/route/chain.go
@@ -50,6 +50,7 @@
 type group struct {
 	layers  fleet.Range
 	partial bool
+	anchor  anchor
 	dc      string
 	all     []candidate
 	choice  Choice
@@ -60,6 +61,7 @@
 type groupKey struct {
 	layers  fleet.Range
 	partial bool
+	anchor  anchor
 	dc      string
 }
 
@@ -68,28 +70,52 @@
 // number of different ranges and not with that of servers.
 func (r *Router) Chain(now time.Time, d Draft, servers []fleet.BackendServer) (ChainChoice, error) {
 	r.forget(servers)
-	exclude := d.Exclude
+	anchors := make(map[string]anchor)
 	for range maxSearches {
-		d.Exclude = exclude
-		groups := r.groups(now, d, servers)
-		path := r.search(d, groups)
-		if path == nil {
+		path := r.search(d, r.groups(now, d, servers, anchors))
+		if path == nil && !turnAnchors(anchors) {
 			break
 		}
 		chain := joined(path)
 		repeated, ok := repeatedServer(chain)
-		if !ok {
+		if ok {
+			anchors[repeated] = anchorStart
+		}
+		if path != nil && !ok {
 			return r.describe(now, d, path, chain), nil
 		}
-		exclude = append(slices.Clone(exclude), repeated)
 	}
 	return ChainChoice{}, errNoServer(pipeline.ErrNoChain.Error())
 }
 
 // maxSearches bounds the searches that are made to find a chain without a repeated server.
-const maxSearches = 4
+const maxSearches = 6
+
+// anchor limits the parts of its range that a server may run, so that no two of them can be
+// in one chain.
+type anchor int
+
+const (
+	anchorNone anchor = iota
+	// anchorStart allows only parts that start with the server's first layer.
+	anchorStart
+	// anchorEnd allows only parts that end with the server's last layer.
+	anchorEnd
+)
+
+// turnAnchors tries the other end of each anchored server, and reports whether there was one.
+func turnAnchors(anchors map[string]anchor) bool {
+	turned := false
+	for name, a := range anchors {
+		if a == anchorStart {
+			anchors[name] = anchorEnd
+			turned = true
+		}
+	}
+	return turned
+}
 
-func (r *Router) groups(now time.Time, d Draft, servers []fleet.BackendServer) []group {
+func (r *Router) groups(now time.Time, d Draft, servers []fleet.BackendServer, anchors map[string]anchor) []group {
 	index := make(map[groupKey]int)
 	var groups []group
 	for i := range servers {
@@ -97,12 +123,12 @@
 		if s.Model != d.Model || s.Layers.To > d.Layers || contains(d.Exclude, s.Name) {
 			continue
 		}
-		key := groupKey{layers: s.Layers, partial: s.PartialRange, dc: s.DataCentre}
+		key := groupKey{layers: s.Layers, partial: s.PartialRange, anchor: anchors[s.Name], dc: s.DataCentre}
 		g, ok := index[key]
 		if !ok {
 			g = len(groups)
 			index[key] = g
-			groups = append(groups, group{layers: s.Layers, partial: s.PartialRange, dc: s.DataCentre})
+			groups = append(groups, group{layers: key.layers, partial: key.partial, anchor: key.anchor, dc: key.dc})
 		}
 		groups[g].all = append(groups[g].all, candidate{server: s, cost: r.stageCost(now, d, s)})
 	}
@@ -252,6 +278,12 @@
 	if p < g.layers.From || p >= g.layers.To {
 		return nil
 	}
+	if g.anchor == anchorStart && p != g.layers.From {
+		return nil
+	}
+	if g.anchor == anchorEnd {
+		return []int{g.layers.To}
+	}
 	low, _ := slices.BinarySearch(ends, p+1)
 	high, _ := slices.BinarySearch(ends, g.layers.To+1)
 	return ends[low:high]
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -157,10 +157,12 @@
 		r.Started(epoch, "a")
 	}
 	is.Equal(r.work(epoch, &s), 5)
-	// The next report was made before the starts could show in it.
+	// The next report, of two requests of other instances, was made before the starts could
+	// show in it.
 	s.Sequence = 2
-	is.Equal(r.work(epoch.Add(100*time.Millisecond), &s), 5)
-	// A later one holds them, with two requests of other instances.
+	s.Load.Running = 2
+	is.Equal(r.work(epoch.Add(100*time.Millisecond), &s), 7)
+	// A later one holds them.
 	s.Sequence = 3
 	s.Load.Running = 7
 	is.Equal(r.work(epoch.Add(time.Second), &s), 7)
@@ -231,6 +233,20 @@
 	is.True(err != nil)
 }
 
+func TestChainUsesAServerOnce(t *testing.T) {
+	is := is.New(t)
+	r := New(Options{DataCentre: "kandy", Seed: 1})
+	servers := []fleet.BackendServer{server("a", 0, 32), server("b", 8, 16), server("c", 16, 32)}
+	servers[0].PartialRange = true
+	servers[0].StepMicros = 32_000
+	servers[1].StepMicros = 100
+	servers[2].StepMicros = 100_000
+	c, err := r.Chain(epoch, draft(), servers)
+	is.NoErr(err)
+	_, repeated := repeatedServer(c.Chain)
+	is.True(!repeated)
+}
+
 func BenchmarkChain(b *testing.B) {
 	for _, n := range []int{40, 667, 4000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
