Admission: deadlines, weighted shares over all instances, bounded queues

Cause: an instance counted requests and refused above a number; overload was told by missed deadlines.

--- /dev/null
+++ b/admission/admission.go
@@ -0,0 +1,251 @@
+// Package admission decides which requests start, wait or are refused.
+//
+// Each service's backend servers form a pool with room for a number of requests. The room is
+// divided among workspaces in proportion to their shares and up to their demand, and each
+// workspace's part among the instances in proportion to the demand that they see. Instances
+// report their demand to each other, so no request needs a call to another instance.
+//
+// A request that can't end before its deadline is refused at once.
+package admission
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Request is what a decision is about.
+type Request struct {
+	ID        string
+	Pool      string
+	Workspace string
+	// Share is the workspace's weight, at least 1.
+	Share int
+	// MaxInFlight bounds the workspace's requests at this instance, waiting ones included.
+	MaxInFlight  int
+	Deadline     time.Time
+	PromptTokens int
+	// Tokens is the length of the answer; 0 for a plain call.
+	Tokens int
+}
+
+// Verdict is what becomes of a request.
+type Verdict int
+
+// The verdicts.
+const (
+	// Start means that the request may be dispatched now.
+	Start Verdict = iota
+	// Wait means that a later Action starts or refuses the request.
+	Wait
+	// Refuse means that the request must not be dispatched.
+	Refuse
+)
+
+// Reason tells why a request was refused.
+type Reason string
+
+// The reasons of a refusal.
+const (
+	ReasonDeadline  Reason = "it can't end before its deadline"
+	ReasonQueueFull Reason = "the queue is full"
+	ReasonLimit     Reason = "the workspace has its most requests in flight"
+)
+
+// Action starts or refuses a request that waited, or answers an arrival.
+type Action struct {
+	ID      string
+	Verdict Verdict
+	// Reason and RetryAfter belong to a refusal.
+	Reason     Reason
+	RetryAfter time.Duration
+	// Predicted is the expected time until the answer is whole.
+	Predicted time.Duration
+}
+
+// Options bound a controller.
+type Options struct {
+	// MaxQueued bounds the requests that wait in one pool.
+	MaxQueued int
+	// Seed spreads the times at which refused callers come back.
+	Seed uint64
+}
+
+// Controller decides for one instance. It is not safe for concurrent use.
+type Controller struct {
+	options Options
+	random  *rand.Rand
+	pools   map[string]*pool
+	peers   map[string]peer
+	// started finds the pool of a request that runs or waits.
+	requests map[string]*entry
+}
+
+// entry is a request that runs or waits.
+type entry struct {
+	Request
+	pool      *pool
+	running   bool
+	started   time.Time
+	predicted time.Duration
+}
+
+// New returns a controller without pools.
+func New(o Options) *Controller {
+	return &Controller{
+		options:  o,
+		random:   rand.New(rand.NewPCG(o.Seed, o.Seed)),
+		pools:    make(map[string]*pool),
+		peers:    make(map[string]peer),
+		requests: make(map[string]*entry),
+	}
+}
+
+// SetForecast notes the room and speed of a pool; it creates the pool.
+func (c *Controller) SetForecast(name string, f Forecast) {
+	c.pool(name).forecast = f
+}
+
+func (c *Controller) pool(name string) *pool {
+	p, ok := c.pools[name]
+	if !ok {
+		p = newPool(name)
+		c.pools[name] = p
+	}
+	return p
+}
+
+// Arrive decides about a new request. The first action is about the request itself; others
+// are about requests that waited.
+func (c *Controller) Arrive(now time.Time, r Request) []Action {
+	p := c.pool(r.Pool)
+	e := &entry{Request: r, pool: p}
+	w := p.workspace(r.Workspace, r.Share)
+	if len(w.waiting)+w.running >= r.MaxInFlight {
+		p.forgetIdle()
+		return []Action{c.refuse(p, e, ReasonLimit, p.serviceTime(r))}
+	}
+	w.add(e)
+	c.requests[r.ID] = e
+	others := c.dispatch(now, p)
+	if i := slices.IndexFunc(others, func(a Action) bool { return a.ID == r.ID }); i >= 0 {
+		own := others[i]
+		return slices.Insert(slices.Delete(others, i, i+1), 0, own)
+	}
+	predicted := p.waitOf(w, e) + p.serviceTime(r)
+	if now.Add(predicted).After(r.Deadline) {
+		c.drop(e)
+		p.forgetIdle()
+		return append([]Action{c.refuse(p, e, ReasonDeadline, predicted)}, others...)
+	}
+	own := Action{ID: r.ID, Verdict: Wait, Predicted: predicted}
+	if p.queued() <= c.options.MaxQueued {
+		return append([]Action{own}, others...)
+	}
+	out := p.displaced()
+	c.drop(out)
+	refusal := c.refuse(p, out, ReasonQueueFull, p.serviceTime(out.Request))
+	if out == e {
+		return append([]Action{refusal}, others...)
+	}
+	return append([]Action{own, refusal}, others...)
+}
+
+// Ended notes that a request has ended, and starts others in its place. answered tells
+// whether it got its whole answer, so that its time can be learned from.
+func (c *Controller) Ended(now time.Time, id string, answered bool) []Action {
+	e, ok := c.requests[id]
+	if !ok {
+		return nil
+	}
+	if !e.running {
+		c.drop(e)
+		return c.dispatch(now, e.pool)
+	}
+	delete(c.requests, id)
+	w := e.pool.workspaces[e.Workspace]
+	w.running--
+	e.pool.running--
+	if answered {
+		e.pool.observe(e.predicted, now.Sub(e.started))
+	}
+	return c.dispatch(now, e.pool)
+}
+
+// Tick starts what can start by now and refuses what can no longer end in time.
+func (c *Controller) Tick(now time.Time) []Action {
+	c.expirePeers(now)
+	var actions []Action
+	for _, name := range sortedKeys(c.pools) {
+		p := c.pools[name]
+		actions = append(actions, c.expire(now, p)...)
+		actions = append(actions, c.dispatch(now, p)...)
+	}
+	return actions
+}
+
+// expire refuses the waiting requests that would miss their deadlines even if they started now.
+func (c *Controller) expire(now time.Time, p *pool) []Action {
+	var actions []Action
+	for _, e := range p.late(now) {
+		c.drop(e)
+		actions = append(actions, c.refuse(p, e, ReasonDeadline, p.serviceTime(e.Request)))
+	}
+	return actions
+}
+
+// dispatch starts waiting requests while there is room.
+func (c *Controller) dispatch(now time.Time, p *pool) []Action {
+	c.allocate(p)
+	actions := c.expire(now, p)
+	for {
+		w := p.next()
+		if w == nil {
+			break
+		}
+		e := w.waiting[0]
+		w.remove(e)
+		c.start(now, p, w, e)
+		actions = append(actions, Action{ID: e.ID, Verdict: Start, Predicted: e.predicted})
+	}
+	p.forgetIdle()
+	return actions
+}
+
+func (c *Controller) start(now time.Time, p *pool, w *workspace, e *entry) {
+	e.running = true
+	e.started = now
+	e.predicted = p.serviceTime(e.Request)
+	w.running++
+	p.running++
+	p.charge(w, e)
+	c.requests[e.ID] = e
+}
+
+func (c *Controller) drop(e *entry) {
+	e.pool.workspaces[e.Workspace].remove(e)
+	delete(c.requests, e.ID)
+}
+
+const (
+	// minRetryAfter and maxRetryAfter bound when a refused caller is asked to come back.
+	minRetryAfter = 250 * time.Millisecond
+	maxRetryAfter = 10 * time.Second
+	// retrySpread is the factor over the earliest time up to which callers are spread.
+	retrySpread = 3
+)
+
+// refuse answers a request. The caller is asked to come back when the queue that it met will
+// have been worked off, spread so that not all come at once.
+func (c *Controller) refuse(p *pool, e *entry, reason Reason, predicted time.Duration) Action {
+	base := min(maxRetryAfter/retrySpread, max(minRetryAfter, p.backlogTime()))
+	spread := 1 + (retrySpread-1)*c.random.Float64()
+	return Action{
+		ID:         e.ID,
+		Verdict:    Refuse,
+		Reason:     reason,
+		RetryAfter: time.Duration(math.Round(float64(base) * spread)),
+		Predicted:  predicted,
+	}
+}
--- /dev/null
+++ b/admission/admission_test.go
@@ -0,0 +1,293 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	_ "github.com/balsamlb/balsamlb/internal/seeded"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+const pooled = "draft"
+
+func newController(slots int) *Controller {
+	c := New(Options{MaxQueued: 64, Seed: 1})
+	c.SetForecast(pooled, Forecast{Slots: slots, FirstToken: 10 * time.Millisecond, Gap: 10 * time.Millisecond})
+	return c
+}
+
+func request(id, workspace string, share int, within time.Duration) Request {
+	return Request{ID: id, Pool: pooled, Workspace: workspace, Share: share, MaxInFlight: 1000, Deadline: epoch.Add(within), Tokens: 10}
+}
+
+func TestRefusesAtOnceWhatCantEndInTime(t *testing.T) {
+	is := is.New(t)
+	c := newController(1)
+	is.Equal(c.Arrive(epoch, request("a", "w", 1, time.Second))[0].Verdict, Start)
+	is.Equal(c.Arrive(epoch, request("b", "w", 1, time.Second))[0].Verdict, Wait)
+	// The answer takes 100 ms, and others have to end first.
+	a := c.Arrive(epoch, request("c", "w", 1, 180*time.Millisecond))
+	is.Equal(a[0].Verdict, Refuse)
+	is.Equal(a[0].Reason, ReasonDeadline)
+	is.True(a[0].RetryAfter >= minRetryAfter)
+	is.Equal(len(c.requests), 2)
+}
+
+func TestDropsAWaitingRequestOnceItsDeadlineCantBeMet(t *testing.T) {
+	is := is.New(t)
+	c := newController(1)
+	c.Arrive(epoch, request("a", "w", 1, time.Second))
+	is.Equal(c.Arrive(epoch, request("b", "w", 1, 400*time.Millisecond))[0].Verdict, Wait)
+	is.Equal(len(c.Tick(epoch.Add(250*time.Millisecond))), 0)
+	actions := c.Tick(epoch.Add(301 * time.Millisecond))
+	is.Equal(len(actions), 1)
+	is.Equal(actions[0].ID, "b")
+	is.Equal(actions[0].Verdict, Refuse)
+}
+
+func TestEarlierDeadlineOfAWorkspaceStartsFirst(t *testing.T) {
+	is := is.New(t)
+	c := newController(1)
+	c.Arrive(epoch, request("a", "w", 1, time.Minute))
+	c.Arrive(epoch, request("late", "w", 1, time.Minute))
+	c.Arrive(epoch, request("soon", "w", 1, 20*time.Second))
+	actions := c.Ended(epoch, "a", true)
+	is.Equal(len(actions), 1)
+	is.Equal(actions[0].ID, "soon")
+}
+
+func TestFullQueueDisplacesTheWorkspaceAboveItsShare(t *testing.T) {
+	is := is.New(t)
+	c := newController(1)
+	for i := range 65 {
+		c.Arrive(epoch, request(fmt.Sprint("big", i), "big", 1, time.Hour))
+	}
+	actions := c.Arrive(epoch, request("small", "small", 1, time.Hour))
+	is.Equal(len(actions), 2)
+	is.Equal(actions[0].Verdict, Wait)
+	is.Equal(actions[1].Verdict, Refuse)
+	is.Equal(actions[1].ID[:3], "big")
+}
+
+func TestRefusedCallersAreSpread(t *testing.T) {
+	is := is.New(t)
+	c := newController(1)
+	c.Arrive(epoch, request("a", "w", 1, time.Second))
+	seen := map[time.Duration]bool{}
+	for i := range 100 {
+		a := c.Arrive(epoch, request(fmt.Sprint(i), "w", 1, time.Millisecond))
+		is.Equal(a[0].Verdict, Refuse)
+		is.True(a[0].RetryAfter <= maxRetryAfter)
+		seen[a[0].RetryAfter.Round(10*time.Millisecond)] = true
+	}
+	is.True(len(seen) > 20)
+}
+
+// region is several instances with one pool, whose reports arrive at each tick.
+type region struct {
+	instances []*Controller
+	slots     int
+	now       time.Time
+	next      int
+	running   []map[string]string // request to workspace, by instance
+	served    map[string]int
+	waiting   map[string]int
+}
+
+func newRegion(instances, slots int) *region {
+	r := &region{slots: slots, now: epoch, served: map[string]int{}, waiting: map[string]int{}}
+	for range instances {
+		r.instances = append(r.instances, newController(slots))
+		r.running = append(r.running, map[string]string{})
+	}
+	return r
+}
+
+func (r *region) apply(i int, actions []Action, names map[string]string) {
+	for _, a := range actions {
+		if a.Verdict == Start {
+			r.running[i][a.ID] = names[a.ID]
+			r.served[names[a.ID]]++
+		}
+	}
+}
+
+func (r *region) report() {
+	for i, from := range r.instances {
+		for j, to := range r.instances {
+			if i != j {
+				to.MergeUsage(r.now, fmt.Sprint(i), from.Usage())
+			}
+		}
+	}
+}
+
+func (r *region) total() int {
+	n := 0
+	for _, m := range r.running {
+		n += len(m)
+	}
+	return n
+}
+
+// warmUp is the number of rounds in which what the first workspace took while all was idle
+// is worked off.
+const warmUp = 10
+
+// Requests wait only while the room is taken, and each workspace that always has demand gets
+// at least its weighted part, at whatever instances the demand arrives.
+func TestSharesHoldAcrossInstances(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		count := rapid.IntRange(1, 4).Draw(t, "instances")
+		r := newRegion(count, rapid.IntRange(5*count, 40).Draw(t, "slots"))
+		shares := []int{1, rapid.IntRange(1, 4).Draw(t, "share"), 2}
+		// The last workspace arrives at one instance only.
+		places := []int{count, count, 1}
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		names := map[string]string{}
+		const rounds = 60
+		for round := range rounds {
+			if round == warmUp {
+				clear(r.served)
+			}
+			r.report()
+			for w, share := range shares {
+				name := fmt.Sprint("w", w)
+				for i := range places[w] {
+					for r.instances[i].Usage().waiting(name) < 20 {
+						r.next++
+						q := request(fmt.Sprint(r.next), name, share, time.Hour)
+						names[q.ID] = name
+						r.apply(i, r.instances[i].Arrive(r.now, q), names)
+					}
+				}
+			}
+			r.report()
+			for i, c := range r.instances {
+				r.apply(i, c.Tick(r.now), names)
+			}
+			// Work conserving: there is always demand, so the room is taken.
+			is.True(r.total() >= r.slots)
+			r.endSome(random, names)
+			r.now = r.now.Add(10 * time.Millisecond)
+		}
+		all := 0
+		weights := 0
+		for w, share := range shares {
+			all += r.served[fmt.Sprint("w", w)]
+			weights += share
+		}
+		for w, share := range shares {
+			part := float64(r.served[fmt.Sprint("w", w)]) / float64(all)
+			due := float64(share) / float64(weights)
+			is.True(part > 0.8*due) // the workspace got its share
+		}
+	})
+}
+
+func (u Usage) waiting(workspace string) int {
+	n := 0
+	for _, w := range u {
+		if w.Workspace == workspace {
+			n += w.Waiting
+		}
+	}
+	return n
+}
+
+// endSome ends about half of what runs.
+func (r *region) endSome(random *rand.Rand, names map[string]string) {
+	for i, c := range r.instances {
+		for _, id := range sortedKeys(r.running[i]) {
+			if random.IntN(2) == 0 {
+				delete(r.running[i], id)
+				r.apply(i, c.Ended(r.now, id, true), names)
+			}
+		}
+	}
+}
+
+func TestALargeWorkspaceTakesIdleRoom(t *testing.T) {
+	is := is.New(t)
+	c := newController(10)
+	started := 0
+	for i := range 30 {
+		if c.Arrive(epoch, request(fmt.Sprint(i), "large", 1, time.Hour))[0].Verdict == Start {
+			started++
+		}
+	}
+	is.Equal(started, 10)
+}
+
+func TestRoomThatAWorkspaceLeavesGoesToOthers(t *testing.T) {
+	is := is.New(t)
+	c := newController(10)
+	c.MergeUsage(epoch, "other", Usage{{Pool: pooled, Workspace: "small", Share: 1, Running: 1}})
+	for i := range 30 {
+		c.Arrive(epoch, request(fmt.Sprint(i), "large", 1, time.Hour))
+	}
+	is.Equal(c.pools[pooled].running, 9)
+}
+
+func TestAPeerThatFallsSilentNoLongerCounts(t *testing.T) {
+	is := is.New(t)
+	c := newController(10)
+	c.MergeUsage(epoch, "other", Usage{{Pool: pooled, Workspace: "w", Share: 1, Running: 30}})
+	for i := range 20 {
+		c.Arrive(epoch, request(fmt.Sprint(i), "w", 1, time.Hour))
+	}
+	is.Equal(c.pools[pooled].running, 4) // 20 of 50 of 10
+	c.Tick(epoch.Add(usageLifetime + time.Millisecond))
+	is.Equal(c.pools[pooled].running, 10)
+}
+
+func TestForecastIsCorrectedByWhatWasSeen(t *testing.T) {
+	is := is.New(t)
+	c := newController(1)
+	p := c.pools[pooled]
+	now := epoch
+	for i := range 200 {
+		c.Arrive(now, request(fmt.Sprint(i), "w", 1, time.Hour))
+		now = now.Add(200 * time.Millisecond) // twice the forecast
+		c.Ended(now, fmt.Sprint(i), true)
+	}
+	got := p.serviceTime(request("x", "w", 1, 0))
+	is.True(got > 190*time.Millisecond && got < 230*time.Millisecond)
+	is.True(p.ratio > 1.9)
+}
+
+func TestNothingIsKeptOfWhatEnded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		c := newController(rapid.IntRange(1, 8).Draw(t, "slots"))
+		n := rapid.IntRange(1, 100).Draw(t, "requests")
+		for i := range n {
+			within := time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond
+			c.Arrive(epoch, request(fmt.Sprint(i), fmt.Sprint("w", i%7), 1+i%3, within))
+		}
+		for i := range n {
+			c.Ended(epoch, fmt.Sprint(i), false)
+		}
+		c.Tick(epoch.Add(time.Hour))
+		is.Equal(len(c.requests), 0)
+		is.Equal(c.pools[pooled].running, 0)
+		is.Equal(c.pools[pooled].queued(), 0)
+	})
+}
+
+func BenchmarkArrive(b *testing.B) {
+	c := newController(64)
+	for i := range 256 {
+		c.Arrive(epoch, request(fmt.Sprint("r", i), fmt.Sprint("w", i%10), 1, time.Hour))
+	}
+	for i := 0; b.Loop(); i++ {
+		c.Arrive(epoch, request(fmt.Sprint(i), fmt.Sprint("w", i%10), 1, time.Hour))
+		c.Ended(epoch, fmt.Sprint(i), false)
+	}
+}
--- /dev/null
+++ b/admission/pool.go
@@ -0,0 +1,235 @@
+package admission
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// Forecast is the room and speed of a pool's backend servers, as the router predicts them.
+type Forecast struct {
+	// Slots is the number of requests that the servers run together; 0 means that there is no
+	// server, and then nothing is held back, so that the router refuses it.
+	Slots int
+	// FirstToken is the time to the first token without the prompt, or of a plain call.
+	FirstToken time.Duration
+	// Prefill is the time for one token of the prompt.
+	Prefill time.Duration
+	// Gap is the time between tokens.
+	Gap time.Duration
+}
+
+const (
+	// ratioWeight is the weight of a new observation of a request's time.
+	ratioWeight = 0.05
+	// minRatio and maxRatio bound an observation against the forecast.
+	minRatio = 0.1
+	maxRatio = 20
+)
+
+// pool is the state of one pool at this instance.
+type pool struct {
+	name       string
+	forecast   Forecast
+	workspaces map[string]*workspace
+	running    int
+	// allowed is this instance's part of the room, in requests.
+	allowed float64
+	// virtual is the virtual time of the fair order.
+	virtual float64
+	// ratio is a moving average of observed over forecast times, and spread that of its
+	// absolute deviation.
+	ratio  float64
+	spread float64
+	// mean is a moving average of the time of one request.
+	mean time.Duration
+}
+
+// workspace is one workspace's state in a pool.
+type workspace struct {
+	name    string
+	share   int
+	running int
+	// waiting is ordered by deadline.
+	waiting []*entry
+	// limit is this instance's part of what the workspace may run, in requests.
+	limit float64
+	// virtual is the virtual time at which the workspace may start its next request.
+	virtual float64
+}
+
+func newPool(name string) *pool {
+	return &pool{name: name, workspaces: make(map[string]*workspace), ratio: 1}
+}
+
+func (p *pool) workspace(name string, share int) *workspace {
+	w, ok := p.workspaces[name]
+	if !ok {
+		w = &workspace{name: name, virtual: p.virtual}
+		p.workspaces[name] = w
+	}
+	w.share = max(1, share)
+	return w
+}
+
+// forgetIdle drops the workspaces without demand, so that their number is bounded by that of
+// requests.
+func (p *pool) forgetIdle() {
+	for name, w := range p.workspaces {
+		if w.running == 0 && len(w.waiting) == 0 && w.virtual <= p.virtual {
+			delete(p.workspaces, name)
+		}
+	}
+}
+
+func (w *workspace) demand() int { return w.running + len(w.waiting) }
+
+func (w *workspace) add(e *entry) {
+	i, _ := slices.BinarySearchFunc(w.waiting, e, func(a, b *entry) int {
+		return cmp.Or(a.Deadline.Compare(b.Deadline), -1)
+	})
+	w.waiting = slices.Insert(w.waiting, i, e)
+}
+
+func (w *workspace) remove(e *entry) {
+	if i := slices.Index(w.waiting, e); i >= 0 {
+		w.waiting = slices.Delete(w.waiting, i, i+1)
+	}
+}
+
+// hasRoom reports whether the pool may run one more request.
+func (p *pool) hasRoom() bool {
+	return p.forecast.Slots == 0 || float64(p.running) < math.Ceil(p.allowed-roundingError)
+}
+
+// roundingError is what the sum of granted parts may be off by.
+const roundingError = 1e-6
+
+// next returns the workspace whose request starts next, or nil. It is the one that has had
+// the least for what it is granted.
+func (p *pool) next() *workspace {
+	if !p.hasRoom() {
+		return nil
+	}
+	var best *workspace
+	for _, w := range p.workspaces {
+		if len(w.waiting) == 0 {
+			continue
+		}
+		if best == nil || w.goesBefore(best) {
+			best = w
+		}
+	}
+	return best
+}
+
+func (w *workspace) goesBefore(o *workspace) bool {
+	if w.virtual != o.virtual {
+		return w.virtual < o.virtual
+	}
+	if d := w.waiting[0].Deadline.Compare(o.waiting[0].Deadline); d != 0 {
+		return d < 0
+	}
+	return w.name < o.name
+}
+
+// charge moves the workspace's virtual time on by the request's size over what it is granted
+// at this instance, so that over all instances it gets what it is granted in all.
+func (p *pool) charge(w *workspace, e *entry) {
+	p.virtual = max(p.virtual, min(w.virtual, p.leastVirtual(w.virtual)))
+	w.virtual = max(w.virtual, p.virtual) + float64(1+e.Tokens)/max(w.limit, minLimit)
+}
+
+// leastVirtual returns the least virtual time of the workspaces that wait.
+func (p *pool) leastVirtual(own float64) float64 {
+	least := own
+	for _, w := range p.workspaces {
+		if len(w.waiting) > 0 {
+			least = min(least, w.virtual)
+		}
+	}
+	return least
+}
+
+// serviceTime predicts the time of a request once it has started. It adds the usual deviation,
+// since a request that ends too late was run for nothing.
+func (p *pool) serviceTime(r Request) time.Duration {
+	f := p.forecast
+	t := f.FirstToken + f.Prefill*time.Duration(r.PromptTokens) + f.Gap*time.Duration(max(0, r.Tokens-1))
+	return time.Duration(float64(t) * (p.ratio + p.spread))
+}
+
+// observe learns from a request that has ended.
+func (p *pool) observe(predicted, took time.Duration) {
+	p.mean += time.Duration(ratioWeight * float64(took-p.mean))
+	if predicted <= 0 {
+		return
+	}
+	seen := float64(took) / float64(predicted) * (p.ratio + p.spread)
+	seen = min(maxRatio, max(minRatio, seen))
+	p.spread += ratioWeight * (math.Abs(seen-p.ratio) - p.spread)
+	p.ratio += ratioWeight * (seen - p.ratio)
+}
+
+// meanTime returns the usual time of a request.
+func (p *pool) meanTime(r Request) time.Duration { return max(p.mean, p.serviceTime(r)/2) }
+
+// waitOf predicts how long a queued request waits for its start.
+func (p *pool) waitOf(w *workspace, e *entry) time.Duration {
+	ahead := slices.Index(w.waiting, e) + 1
+	rate := max(w.limit, minLimit)
+	if p.hasRoom() {
+		ahead--
+	}
+	return time.Duration(float64(p.meanTime(e.Request)) * float64(ahead) / rate)
+}
+
+// minLimit keeps a predicted wait finite.
+const minLimit = 0.01
+
+func (p *pool) queued() int {
+	n := 0
+	for _, w := range p.workspaces {
+		n += len(w.waiting)
+	}
+	return n
+}
+
+// backlogTime predicts how long the queue takes to be worked off.
+func (p *pool) backlogTime() time.Duration {
+	room := max(p.allowed, 1)
+	return time.Duration(float64(p.mean) * float64(p.queued()+1) / room)
+}
+
+// displaced returns the request that leaves a full queue: the one with the latest deadline of
+// the workspace that has the most waiting for its share.
+func (p *pool) displaced() *entry {
+	var most *workspace
+	for _, name := range sortedKeys(p.workspaces) {
+		w := p.workspaces[name]
+		if len(w.waiting) == 0 {
+			continue
+		}
+		if most == nil || len(w.waiting)*most.share > len(most.waiting)*w.share {
+			most = w
+		}
+	}
+	return most.waiting[len(most.waiting)-1]
+}
+
+// late returns the waiting requests that can't end in time any more.
+func (p *pool) late(now time.Time) []*entry {
+	var late []*entry
+	for _, name := range sortedKeys(p.workspaces) {
+		for _, e := range p.workspaces[name].waiting {
+			if now.Add(p.serviceTime(e.Request)).After(e.Deadline) {
+				late = append(late, e)
+			}
+		}
+	}
+	return late
+}
+
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- /dev/null
+++ b/admission/share.go
@@ -0,0 +1,134 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// WorkspaceUsage is the demand of one workspace in one pool at one instance.
+type WorkspaceUsage struct {
+	Pool      string `json:"pool"`
+	Workspace string `json:"workspace"`
+	Share     int    `json:"share"`
+	Running   int    `json:"running"`
+	Waiting   int    `json:"waiting"`
+}
+
+// Usage is what one instance reports to the others.
+type Usage []WorkspaceUsage
+
+// usageLifetime is the age at which a peer's report no longer counts.
+const usageLifetime = 2 * time.Second
+
+// peer is the last report of another instance.
+type peer struct {
+	usage Usage
+	at    time.Time
+}
+
+// maxPeers bounds the instances whose reports are kept.
+const maxPeers = 1024
+
+// MergeUsage replaces what another instance reported.
+func (c *Controller) MergeUsage(now time.Time, instance string, u Usage) {
+	if _, known := c.peers[instance]; !known && len(c.peers) >= maxPeers {
+		return
+	}
+	c.peers[instance] = peer{usage: u, at: now}
+}
+
+func (c *Controller) expirePeers(now time.Time) {
+	for name, p := range c.peers {
+		if now.Sub(p.at) > usageLifetime {
+			delete(c.peers, name)
+		}
+	}
+}
+
+// Usage returns this instance's report, by pool and workspace.
+func (c *Controller) Usage() Usage {
+	var u Usage
+	for _, name := range sortedKeys(c.pools) {
+		p := c.pools[name]
+		for _, ws := range sortedKeys(p.workspaces) {
+			w := p.workspaces[ws]
+			if w.demand() == 0 {
+				continue
+			}
+			u = append(u, WorkspaceUsage{Pool: name, Workspace: ws, Share: w.share, Running: w.running, Waiting: len(w.waiting)})
+		}
+	}
+	return u
+}
+
+// claim is the demand of one workspace over all instances.
+type claim struct {
+	workspace string
+	share     float64
+	demand    float64
+	granted   float64
+}
+
+// allocate divides the pool's room: first among workspaces, then each workspace's part among
+// the instances, in proportion to their demand.
+func (c *Controller) allocate(p *pool) {
+	claims := c.claims(p)
+	divide(float64(p.forecast.Slots), claims)
+	p.allowed = 0
+	for _, cl := range claims {
+		w, ok := p.workspaces[cl.workspace]
+		if !ok || cl.demand == 0 {
+			continue
+		}
+		w.limit = cl.granted * float64(w.demand()) / cl.demand
+		p.allowed += w.limit
+	}
+}
+
+// claims adds up the demand of this instance and the others, by workspace.
+func (c *Controller) claims(p *pool) []claim {
+	byName := make(map[string]*claim, len(p.workspaces))
+	add := func(name string, share, demand int) {
+		cl, ok := byName[name]
+		if !ok {
+			cl = &claim{workspace: name}
+			byName[name] = cl
+		}
+		cl.share = max(cl.share, float64(max(1, share)))
+		cl.demand += float64(demand)
+	}
+	for name, w := range p.workspaces {
+		add(name, w.share, w.demand())
+	}
+	for _, o := range c.peers {
+		for _, u := range o.usage {
+			if u.Pool == p.name {
+				add(u.Workspace, u.Share, u.Running+u.Waiting)
+			}
+		}
+	}
+	claims := make([]claim, 0, len(byName))
+	for _, name := range sortedKeys(byName) {
+		claims = append(claims, *byName[name])
+	}
+	return claims
+}
+
+// divide grants each claim its demand or its weighted part of the room, whichever is less, and
+// what is left over to the others (max-min fairness).
+func divide(room float64, claims []claim) {
+	slices.SortStableFunc(claims, func(a, b claim) int {
+		return cmp.Compare(a.demand/a.share, b.demand/b.share)
+	})
+	shares := 0.0
+	for _, cl := range claims {
+		shares += cl.share
+	}
+	for i := range claims {
+		cl := &claims[i]
+		cl.granted = min(cl.demand, room*cl.share/shares)
+		room -= cl.granted
+		shares -= cl.share
+	}
+}
