Operators' keys, TLS between instances and for operators

Cause: any process could call an instance's operators' and instances' addresses. Change: package keys loads certificates and keys and reads them again when the files change, keeping the old ones when the new ones are faulty; drpc between instances checks certificates both ways; operators' calls need a key where key_file is set. A leaving instance refuses new requests as not run instead of taking them into its last moments. balsamctl's commands have a file each.

Measured: go test ./keys shows a stranger's certificate, a missing one, one for another address, an expired and a damaged one refused. Not run: whole system with TLS on.

--- a/cmd/balsamctl/main.go
+++ b/cmd/balsamctl/main.go
@@ -70,10 +70,5 @@
 
 func newFlagSet(name string) *flag.FlagSet { return flag.NewFlagSet(name, flag.ContinueOnError) }
 
-// instanceFlag adds the address of the instance to talk to.
-func instanceFlag(fs *flag.FlagSet) *string {
-	return fs.String("instance", "127.0.1.1:8082", "operators' address of an instance")
-}
-
 // envOptions lets BALSAMCTL_* variables set flags.
 func envOptions() []ff.Option { return []ff.Option{ff.WithEnvVarPrefix("BALSAMCTL")} }
--- /dev/null
+++ b/cmd/balsamctl/status.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"text/tabwriter"
+
+	"github.com/balsamlb/balsamlb/operator"
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+func newStatus() *ffcli.Command {
+	fs := newFlagSet("status")
+	access := addAccess(fs)
+	asJSON := fs.Bool("json", false, "print JSON")
+	return &ffcli.Command{
+		Name: "status", ShortUsage: "balsamctl status [flags]", ShortHelp: "show instances and backend servers",
+		FlagSet: fs, Options: envOptions(),
+		Exec: func(context.Context, []string) error {
+			client, err := access.client()
+			if err != nil {
+				return err
+			}
+			s, err := client.Status()
+			if err != nil {
+				return err
+			}
+			if *asJSON {
+				return printJSON(s)
+			}
+			return printStatus(s)
+		},
+	}
+}
+
+func printJSON(v any) error {
+	enc := json.NewEncoder(os.Stdout)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+func printStatus(s operator.Status) error {
+	fmt.Printf("instance %s in %s, configuration version %d, %d requests in flight\n", s.Instance, s.DataCentre, s.ConfigVersion, s.InFlight)
+	if s.Control != nil {
+		fmt.Printf("control: %s in term %d, leader %s, commit %d\n", s.Control.Role, s.Control.Term, s.Control.Leader, s.Control.Commit)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "\nINSTANCE\tDATA CENTRE\tALIVE\tCONFIG\tHEARD")
+	for _, i := range s.Instances {
+		fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%d ms ago\n", i.Name, i.DataCentre, i.Alive, i.ConfigVersion, i.HeardMs)
+	}
+	fmt.Fprintln(w, "\nSERVER\tDATA CENTRE\tADDRESS\tMODEL\tLAYERS\tIN FLIGHT\tLEAVING\tLEASE")
+	for _, b := range s.Servers {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d-%d\t%d\t%t\t%d ms\n", b.Name, b.DataCentre, b.Address, b.Model, b.From, b.To, b.InFlight, b.Leaving, b.LeaseMs)
+	}
+	return w.Flush()
+}
--- a/daemon/admitter.go
+++ b/daemon/admitter.go
@@ -8,8 +8,12 @@
 	"github.com/balsamlb/balsamlb/settings"
 )
 
-// retryAfterFull is when a caller should come back to a full instance.
-const retryAfterFull = time.Second
+const (
+	// retryAfterFull is when a caller should come back to a full instance.
+	retryAfterFull = time.Second
+	// retryAfterLeaving is when a caller should come back, to find another instance.
+	retryAfterLeaving = time.Second
+)
 
 // admitter counts the requests in flight and refuses what is above the limits.
 type admitter struct {
@@ -28,6 +32,14 @@
 func (a *admitter) Admit(w settings.Workspace) (func(), *outcome.Error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.leaving {
+		return nil, &outcome.Error{
+			Outcome:    outcome.NotRun,
+			Code:       outcome.CodeLeaving,
+			Message:    "the instance is leaving",
+			RetryAfter: retryAfterLeaving,
+		}
+	}
 	if a.counts[w.Name] >= w.MaxInFlight {
 		return nil, &outcome.Error{
 			Outcome:    outcome.NotRun,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -37,6 +37,7 @@
 type Daemon struct {
 	process    settings.Process
 	log        logr.Logger
+	secrets    *secrets
 	dialer     instance.Dialer
 	shared     *shared
 	host       *control.Host
@@ -50,11 +51,15 @@
 
 // New opens the data folder, if there is one, and builds the instance.
 func New(p settings.Process, log logr.Logger) (*Daemon, error) {
-	dialer, err := instance.NewDialer(p.Instances)
+	secrets, err := loadSecrets(p)
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{process: p, log: log, dialer: dialer}
+	dialer, err := instance.NewDialer(p.Instances, secrets.between())
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{process: p, log: log, secrets: secrets, dialer: dialer}
 	d.shared = newShared(p, uint64(time.Now().UnixNano()), log.WithName("config"))
 	d.proposer = instance.NewProposer(dialer, voterAddresses(p))
 	d.credits = newCreditDuty(d.proposer, log.WithName("credit"))
@@ -119,6 +124,7 @@
 	exchange := &exchangeDuty{shared: d.shared, exchanger: instance.NewExchanger(d.dialer)}
 	g.Go(func() error { return exchange.run(dutyCtx) })
 	g.Go(func() error { return d.credits.run(dutyCtx) })
+	g.Go(func() error { return d.secrets.run(dutyCtx, d.log.WithName("keys")) })
 	if d.host != nil {
 		g.Go(func() error { return d.host.Run(dutyCtx) })
 		g.Go(func() error { return d.sender.Run(dutyCtx) })
@@ -172,7 +178,7 @@
 		proposer:   d.proposer,
 		dispatcher: d.dispatcher,
 		admitter:   d.admitter,
-	})
+	}, d.secrets.operatorKeys())
 	plan := []struct {
 		address string
 		server  *fasthttp.Server
@@ -188,6 +194,9 @@
 		if err != nil {
 			return servers, eris.Wrapf(err, "daemon: listen on %s", p.address)
 		}
+		if p.server == operators {
+			l = d.secrets.operatorListener(l)
+		}
 		g.Go(func() error { return eris.Wrapf(p.server.Serve(l), "daemon: serve %s", p.address) })
 		servers = append(servers, p.server)
 	}
@@ -195,6 +204,7 @@
 	if err != nil {
 		return servers, eris.Wrapf(err, "daemon: listen on %s", d.process.Instances)
 	}
+	l = d.secrets.instanceListener(l)
 	peers := instance.NewServer(d.replica(), d.shared)
 	g.Go(func() error { return peers.Serve(ctx, l) })
 	return servers, nil
--- /dev/null
+++ b/daemon/secrets.go
@@ -0,0 +1,108 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/balsamlb/balsamlb/keys"
+	"github.com/balsamlb/balsamlb/operator"
+	"github.com/balsamlb/balsamlb/settings"
+	"github.com/go-logr/logr"
+)
+
+// reloadInterval is how often the files of keys and certificates are looked at.
+const reloadInterval = 5 * time.Second
+
+// secrets are the keys and certificates of an instance.
+type secrets struct {
+	tls       settings.TLS
+	certs     *keys.Certificates // nil when TLS is not used
+	operators *keys.Operators    // nil when operators' calls need no key
+}
+
+func loadSecrets(p settings.Process) (*secrets, error) {
+	s := &secrets{tls: p.TLS}
+	if p.TLS.Instances || p.TLS.Operators {
+		files := keys.Files{Certificate: p.TLS.Certificate, PrivateKey: p.TLS.PrivateKey, Authority: p.TLS.Authority}
+		certs, err := keys.LoadCertificates(files, time.Now())
+		if err != nil {
+			return nil, err
+		}
+		s.certs = certs
+	}
+	if p.OperatorKeys != "" {
+		operators, err := keys.LoadOperators(p.OperatorKeys)
+		if err != nil {
+			return nil, err
+		}
+		s.operators = operators
+	}
+	return s, nil
+}
+
+// between returns the certificates used between instances, or nil.
+func (s *secrets) between() *keys.Certificates {
+	if !s.tls.Instances {
+		return nil
+	}
+	return s.certs
+}
+
+func (s *secrets) instanceListener(l net.Listener) net.Listener {
+	if !s.tls.Instances {
+		return l
+	}
+	return tls.NewListener(l, s.certs.Server(true))
+}
+
+func (s *secrets) operatorListener(l net.Listener) net.Listener {
+	if !s.tls.Operators {
+		return l
+	}
+	return tls.NewListener(l, s.certs.Server(false))
+}
+
+// operatorKeys returns what checks operators' keys, or a nil interface.
+func (s *secrets) operatorKeys() operator.Keys {
+	if s.operators == nil {
+		return nil
+	}
+	return s.operators
+}
+
+// run reloads files that have changed until ctx ends.
+func (s *secrets) run(ctx context.Context, log logr.Logger) error {
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			s.reload(log)
+		}
+	}
+}
+
+func (s *secrets) reload(log logr.Logger) {
+	if s.certs != nil {
+		changed, err := s.certs.Reload(time.Now())
+		logReload(log, "certificate", changed, err)
+	}
+	if s.operators != nil {
+		changed, err := s.operators.Reload()
+		logReload(log, "operators' keys", changed, err)
+	}
+}
+
+func logReload(log logr.Logger, what string, changed bool, err error) {
+	if err != nil {
+		log.Error(err, "kept the old one, the new one can't be used", "what", what)
+		return
+	}
+	if changed {
+		log.Info("loaded a new one", "what", what)
+	}
+}
--- a/instance/conn.go
+++ b/instance/conn.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/balsamlb/balsamlb/instance/wire"
+	"github.com/balsamlb/balsamlb/keys"
 	"github.com/rotisserie/eris"
 	"storj.io/drpc/drpcconn"
 )
@@ -24,21 +26,45 @@
 // tell who calls.
 type Dialer struct {
 	local net.IP
+	certs *keys.Certificates // nil without TLS
 }
 
-// NewDialer returns a dialer for an instance that listens on the address (IP:port).
-func NewDialer(address string) (Dialer, error) {
+// NewDialer returns a dialer for an instance that listens on the address (IP:port). certs is
+// nil without TLS.
+func NewDialer(address string, certs *keys.Certificates) (Dialer, error) {
 	ap, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return Dialer{}, eris.Wrap(err, "instance: local address")
 	}
-	return Dialer{local: ap.Addr().AsSlice()}, nil
+	return Dialer{local: ap.Addr().AsSlice(), certs: certs}, nil
 }
 
 func (d Dialer) dial(ctx context.Context, address string) (net.Conn, error) {
 	nd := net.Dialer{Timeout: dialTimeout, LocalAddr: &net.TCPAddr{IP: d.local}}
 	c, err := nd.DialContext(ctx, "tcp", address)
-	return c, eris.Wrapf(err, "instance: dial %s", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "instance: dial %s", address)
+	}
+	if d.certs == nil {
+		return c, nil
+	}
+	return d.handshake(ctx, c, address)
+}
+
+// handshake checks the certificate of the instance at the address.
+func (d Dialer) handshake(ctx context.Context, c net.Conn, address string) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "instance: address %s", address)
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	secure := tls.Client(c, d.certs.Client(host))
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = c.Close()
+		return nil, eris.Wrapf(err, "instance: TLS handshake with %s", address)
+	}
+	return secure, nil
 }
 
 // link is one connection to a peer with at most one call at a time. It is redialled after
--- a/operator/client.go
+++ b/operator/client.go
@@ -1,6 +1,8 @@
 package operator
 
 import (
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"time"
 
@@ -12,15 +14,28 @@
 // clientTimeout bounds one call of balsamctl.
 const clientTimeout = 15 * time.Second
 
+// Access is what a client shows and checks. The zero value is plain HTTP without a key.
+type Access struct {
+	// Key is the operator's key, "" for none.
+	Key string
+	// Authority signs the certificates of instances; nil without TLS.
+	Authority *x509.CertPool
+}
+
 // Client calls the operators' interface of one instance.
 type Client struct {
 	address string
+	access  Access
 	http    *fasthttp.Client
 }
 
-// NewClient returns a client for the address.
-func NewClient(address string) *Client {
-	return &Client{address: address, http: &fasthttp.Client{
+// NewClient returns a client for the address over plain HTTP without a key.
+func NewClient(address string) *Client { return NewClientWith(address, Access{}) }
+
+// NewClientWith returns a client for the address.
+func NewClientWith(address string, a Access) *Client {
+	return &Client{address: address, access: a, http: &fasthttp.Client{
+		TLSConfig:                 &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: a.Authority},
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		ReadTimeout:               clientTimeout,
@@ -62,13 +77,23 @@
 	return counts, err
 }
 
+func (c *Client) scheme() string {
+	if c.access.Authority != nil {
+		return "https://"
+	}
+	return "http://"
+}
+
 func (c *Client) call(method, path string, in, out any) (int, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(method)
-	req.SetRequestURI("http://" + c.address + path)
+	req.SetRequestURI(c.scheme() + c.address + path)
+	if c.access.Key != "" {
+		req.Header.Set(fasthttp.HeaderAuthorization, bearerPrefix+c.access.Key)
+	}
 	if in != nil {
 		body, err := json.Marshal(in)
 		if err != nil {
--- a/operator/server.go
+++ b/operator/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/balsamlb/balsamlb/config"
@@ -23,17 +24,48 @@
 
 const maxConfigBytes = 8 << 20
 
-// NewServer returns the HTTP server for operators.
-func NewServer(b Backend) *fasthttp.Server {
-	h := &handler{backend: b}
+// Keys checks the keys that operators show.
+type Keys interface {
+	// Check returns the operator's name.
+	Check(key string) (name string, ok bool)
+}
+
+// NewServer returns the HTTP server for operators. Calls need no key when k is nil.
+func NewServer(b Backend, k Keys) *fasthttp.Server {
+	h := &handler{backend: b, keys: k}
 	return &fasthttp.Server{Handler: h.handle, MaxRequestBodySize: maxConfigBytes, Name: "balsamlb"}
 }
 
 type handler struct {
 	backend Backend
+	keys    Keys // nil when calls need no key
+}
+
+// bearerPrefix comes before the key in the Authorization header.
+const bearerPrefix = "Bearer "
+
+// authorize reports whether the call may go on, and refuses it otherwise.
+func (h *handler) authorize(ctx *fasthttp.RequestCtx) bool {
+	if h.keys == nil {
+		return true
+	}
+	header := string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization))
+	key, ok := strings.CutPrefix(header, bearerPrefix)
+	if !ok {
+		writeFailure(ctx, fasthttp.StatusUnauthorized, "a key is required; use balsamctl -key-file")
+		return false
+	}
+	if _, ok := h.keys.Check(key); !ok {
+		writeFailure(ctx, fasthttp.StatusForbidden, "the key is not known to this instance")
+		return false
+	}
+	return true
 }
 
 func (h *handler) handle(ctx *fasthttp.RequestCtx) {
+	if !h.authorize(ctx) {
+		return
+	}
 	callCtx, cancel := context.WithTimeout(context.Background(), commitTimeout)
 	defer cancel()
 	switch path := string(ctx.Path()); {
--- a/settings/process.go
+++ b/settings/process.go
@@ -22,6 +22,12 @@
 	{"control", "data_folder", "", "path", "Folder of the replicated state. Empty: the instance is not a control instance.", anyText},
 	{"control", "voters", "", "name=IP:port, ...", "The control instances and their addresses for instances.", namedAddresses},
 	{"join", "seeds", "", "IP:port, ...", "Instances to ask for the others. Empty: the control instances.", addressPorts},
+	{"operators", "key_file", "", "path", "File of operators' keys, a line \"NAME KEY\" for each. Empty: operators' calls need no key.", anyText},
+	{"tls", "instances", "false", "", "true: instances use TLS between each other and check each other's certificates.", oneOf("true", "false")},
+	{"tls", "operators", "false", "", "true: operators' calls use TLS.", oneOf("true", "false")},
+	{"tls", "certificate", "", "path", "PEM file of the instance's certificate, which names its IP number. Read again when it changes.", anyText},
+	{"tls", "private_key", "", "path", "PEM file of the certificate's key.", anyText},
+	{"tls", "authority", "", "path", "PEM file of the certificates that sign those of instances.", anyText},
 	{"log", "level", "info", "", "Least severe level that is logged.", oneOf("debug", "info", "error")},
 }
 
@@ -31,6 +37,15 @@
 	Address string
 }
 
+// TLS says where TLS is used, and with which PEM files.
+type TLS struct {
+	Instances   bool
+	Operators   bool
+	Certificate string
+	PrivateKey  string
+	Authority   string
+}
+
 // Process is the settings of one process.
 type Process struct {
 	Name       string
@@ -47,6 +62,9 @@
 	Voters     []Voter
 	Seeds      []string
 	LogLevel   string
+	// OperatorKeys is the file of operators' keys, "" when calls need none.
+	OperatorKeys string
+	TLS          TLS
 }
 
 // IsControl reports whether the process keeps a replica of the shared state.
@@ -93,7 +111,17 @@
 		Voters:     parseVoters(get("control", "voters")),
 		Seeds:      splitList(get("join", "seeds")),
 		LogLevel:   get("log", "level"),
+
+		OperatorKeys: get("operators", "key_file"),
+		TLS: TLS{
+			Instances:   get("tls", "instances") == "true",
+			Operators:   get("tls", "operators") == "true",
+			Certificate: get("tls", "certificate"),
+			PrivateKey:  get("tls", "private_key"),
+			Authority:   get("tls", "authority"),
+		},
 	}
+	r.checkTLS(name, p.TLS)
 	if p.Advertise == "" {
 		p.Advertise = p.Instances
 	}
@@ -105,6 +133,20 @@
 	return p, r.err()
 }
 
+// checkTLS reports the files that are missing where TLS is used.
+func (r *reader) checkTLS(file string, t TLS) {
+	if !t.Instances && !t.Operators {
+		return
+	}
+	for _, f := range []struct{ key, value string }{
+		{"certificate", t.Certificate}, {"private_key", t.PrivateKey}, {"authority", t.Authority},
+	} {
+		if f.value == "" {
+			r.fault(file, "tls", f.key, "", "is required where TLS is used")
+		}
+	}
+}
+
 func parseVoters(v string) []Voter {
 	var voters []Voter
 	for _, part := range splitList(v) {
