--- a/caller/server.go
+++ b/caller/server.go
@@ -5,12 +5,14 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"strconv"
 	"time"
 
 	"github.com/balsamlb/balsamlb/backend"
 	"github.com/balsamlb/balsamlb/dispatch"
 	"github.com/balsamlb/balsamlb/internal/ring"
+	"github.com/balsamlb/balsamlb/metrics"
 	"github.com/balsamlb/balsamlb/outcome"
 	"github.com/balsamlb/balsamlb/settings"
 	"github.com/go-logr/logr"
@@ -62,8 +64,9 @@
 	// Intent returns the configuration in force.
 	Intent func() settings.Intent
 	// NewID returns an id that was never used before.
-	NewID func() string
-	Log   logr.Logger
+	NewID   func() string
+	Metrics *metrics.Set
+	Log     logr.Logger
 }
 
 // handler answers one instance's callers.
@@ -79,6 +82,7 @@
 		Handler:            h.handle,
 		ReadBufferSize:     maxHeaderBytes,
 		MaxRequestBodySize: hardBodyLimit,
+		ErrorHandler:       writeProtocolError,
 		CloseOnShutdown:    true,
 		Name:               "balsamlb",
 	}
@@ -99,11 +103,8 @@
 // request checks what all kinds of request have in common.
 func (h *handler) request(ctx *fasthttp.RequestCtx, in settings.Intent, service string) (dispatch.Request, *outcome.Error) {
 	r := dispatch.Request{ID: h.NewID()}
-	if !ctx.IsPost() {
-		return r, outcome.BadField("method", "must be POST")
-	}
-	if len(ctx.PostBody()) > in.Limits.MaxBodyBytes {
-		return r, outcome.BadField("body", "is longer than "+strconv.Itoa(in.Limits.MaxBodyBytes)+" bytes")
+	if refusal := checkRequestLine(ctx, in.Limits); refusal != nil {
+		return r, refusal
 	}
 	name := string(ctx.Request.Header.Peek(HeaderWorkspace))
 	w, ok := in.Workspaces[name]
@@ -124,6 +125,16 @@
 	return r, nil
 }
 
+func checkRequestLine(ctx *fasthttp.RequestCtx, limits settings.Limits) *outcome.Error {
+	if !ctx.IsPost() {
+		return outcome.BadField("method", "must be POST")
+	}
+	if len(ctx.PostBody()) > limits.MaxBodyBytes {
+		return outcome.BadField("body", "is longer than "+strconv.Itoa(limits.MaxBodyBytes)+" bytes")
+	}
+	return nil
+}
+
 func parseDeadline(header string, fallback time.Duration) (time.Time, *outcome.Error) {
 	if header == "" {
 		return time.Now().Add(fallback), nil
@@ -140,20 +151,21 @@
 
 // call answers a request to a plain service.
 func (h *handler) call(ctx *fasthttp.RequestCtx, service string) {
+	start := time.Now()
 	in := h.Intent()
 	r, refusal := h.request(ctx, in, service)
 	if refusal != nil {
-		writeError(ctx, r.ID, refusal)
+		h.refuse(ctx, r, refusal)
 		return
 	}
 	key := string(ctx.Request.Header.Peek(HeaderKey))
 	if refusal := checkKey(r.Service, key); refusal != nil {
-		writeError(ctx, r.ID, refusal)
+		h.refuse(ctx, r, refusal)
 		return
 	}
 	release, refusal := h.Admitter.Admit(r.Workspace)
 	if refusal != nil {
-		writeError(ctx, r.ID, refusal)
+		h.refuse(ctx, r, refusal)
 		return
 	}
 	defer release()
@@ -164,9 +176,11 @@
 		Body:        append([]byte(nil), ctx.PostBody()...),
 	})
 	if failure != nil {
-		writeError(ctx, r.ID, failure)
+		h.refuse(ctx, r, failure)
 		return
 	}
+	h.answered(r)
+	h.Metrics.CallSeconds.WithLabelValues(r.Service.Name).Observe(time.Since(start).Seconds())
 	ctx.Response.Header.Set(HeaderRequest, r.ID)
 	ctx.Response.Header.Set(HeaderOutcome, string(outcome.Answered))
 	ctx.SetStatusCode(answer.Status)
@@ -187,6 +201,33 @@
 	return nil
 }
 
+// refuse tells the caller how a request without an answer ended, and counts it.
+func (h *handler) refuse(ctx *fasthttp.RequestCtx, r dispatch.Request, e *outcome.Error) {
+	h.failed(r, e)
+	writeError(ctx, r.ID, e)
+}
+
+func (h *handler) failed(r dispatch.Request, e *outcome.Error) {
+	h.Metrics.Requests.WithLabelValues(r.Service.Name, string(e.Outcome), string(e.Code)).Inc()
+}
+
+func (h *handler) answered(r dispatch.Request) {
+	h.Metrics.Requests.WithLabelValues(r.Service.Name, string(outcome.Answered), "").Inc()
+}
+
+// writeProtocolError answers what can't be read as a request.
+func writeProtocolError(ctx *fasthttp.RequestCtx, err error) {
+	var tooLong *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		writeError(ctx, "", outcome.BadField("body", "is longer than "+strconv.Itoa(hardBodyLimit)+" bytes"))
+	case errors.As(err, &tooLong):
+		writeError(ctx, "", outcome.BadField("header", "is longer than "+strconv.Itoa(maxHeaderBytes)+" bytes"))
+	default:
+		writeError(ctx, "", outcome.BadField("http", "the request can't be read: "+err.Error()))
+	}
+}
+
 // errorBody is the JSON form of an outcome.Error.
 type errorBody struct {
 	Error errorDetail `json:"error"`
@@ -228,10 +269,7 @@
 func statusOf(e *outcome.Error) int {
 	switch e.Code {
 	case outcome.CodeBadField:
-		if e.Field == "body" {
-			return fasthttp.StatusRequestEntityTooLarge
-		}
-		return fasthttp.StatusBadRequest
+		return statusOfField(e.Field)
 	case outcome.CodeNotFound:
 		return fasthttp.StatusNotFound
 	case outcome.CodeKeyReused:
@@ -248,3 +286,14 @@
 		return fasthttp.StatusServiceUnavailable
 	}
 }
+
+func statusOfField(field string) int {
+	switch field {
+	case "body":
+		return fasthttp.StatusRequestEntityTooLarge
+	case "header":
+		return fasthttp.StatusRequestHeaderFieldsTooLarge
+	default:
+		return fasthttp.StatusBadRequest
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/balsamlb/balsamlb/control"
 	"github.com/balsamlb/balsamlb/dispatch"
 	"github.com/balsamlb/balsamlb/instance"
+	"github.com/balsamlb/balsamlb/metrics"
 	"github.com/balsamlb/balsamlb/operator"
 	"github.com/balsamlb/balsamlb/platform"
 	"github.com/balsamlb/balsamlb/settings"
@@ -165,7 +166,9 @@
 func (d *Daemon) serve(ctx context.Context, g *errgroup.Group) ([]*fasthttp.Server, error) {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	set := metrics.New(registry, d.metricsState)
 	callers := caller.NewServer(ctx, caller.Options{
+		Metrics:    set,
 		Dispatcher: d.dispatcher,
 		Admitter:   d.admitter,
 		Intent:     d.shared.Intent,
@@ -238,6 +241,27 @@
 	return ""
 }
 
+// metricsState returns what the gauges show.
+func (d *Daemon) metricsState() metrics.State {
+	s := d.shared.status()
+	state := metrics.State{
+		InFlight:         d.admitter.InFlight(),
+		ConfigVersion:    s.ConfigVersion,
+		ConfigAgeSeconds: float64(s.ConfigAgeMs) / 1000,
+	}
+	for _, b := range s.Servers {
+		if !b.Leaving {
+			state.BackendServers++
+		}
+	}
+	for _, i := range s.Instances {
+		if i.Alive {
+			state.InstancesAlive++
+		}
+	}
+	return state
+}
+
 const idBytes = 12
 
 // newID returns a request id that no instance has used. It must not repeat after a restart,
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -47,6 +47,10 @@
 	// Base and Overlays are the first configuration.
 	Base     string
 	Overlays map[string]string
+	// Extra returns further settings of an instance; nil for none.
+	Extra func(i *Instance) string
+	// Access is what the lab shows to the operators' interface.
+	Access operator.Access
 	// Relayed sends the traffic between instances through relays that can be cut.
 	Relayed bool
 }
@@ -203,6 +207,10 @@
 			voters = append(voters, v.Name+"="+l.advertised(v))
 		}
 	}
+	extra := ""
+	if l.Layout.Extra != nil {
+		extra = l.Layout.Extra(i)
+	}
 	return fmt.Sprintf(`[instance]
 name = %s
 data_centre = %s
@@ -217,7 +225,12 @@
 data_folder = %s
 voters = %s
 `, i.Name, i.DataCentre, i.Callers(), i.Backends(), i.Operators(), i.Platform(), i.IP, instancePort,
-		l.advertised(i), i.DataFolder, strings.Join(voters, ", "))
+		l.advertised(i), i.DataFolder, strings.Join(voters, ", ")) + extra
+}
+
+// Operator returns a client for the instance's operators' interface.
+func (l *Lab) Operator(i *Instance) *operator.Client {
+	return operator.NewClientWith(i.Operators(), l.Layout.Access)
 }
 
 func (l *Lab) fleetFile(text string) string {
@@ -287,7 +300,7 @@
 	var reply operator.ChangeReply
 	err := l.Wait(ctx, "the change to be accepted", func() bool {
 		var err error
-		client := operator.NewClient(l.Instances[0].Operators())
+		client := l.Operator(l.Instances[0])
 		reply, err = client.Change(config.Change{ID: id, Expect: expect, Base: base, Overlays: overlays, Author: "lab"})
 		return err == nil
 	})
@@ -307,7 +320,7 @@
 			if i.HasEnded() {
 				continue
 			}
-			s, err := operator.NewClient(i.Operators()).Status()
+			s, err := l.Operator(i).Status()
 			if err != nil || s.ConfigVersion < version {
 				return false
 			}
@@ -323,7 +336,7 @@
 			if i.HasEnded() {
 				continue
 			}
-			s, err := operator.NewClient(i.Operators()).Status()
+			s, err := l.Operator(i).Status()
 			if err != nil || len(s.Servers) != count {
 				return false
 			}
@@ -338,7 +351,7 @@
 		if i.DataFolder == "" || i.HasEnded() {
 			continue
 		}
-		s, err := operator.NewClient(i.Operators()).Status()
+		s, err := l.Operator(i).Status()
 		if err == nil && s.Control != nil && s.Control.Role == "leader" {
 			return i
 		}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -50,9 +50,8 @@
 services = booking
 `
 
-func start(t *testing.T) *Lab {
-	t.Helper()
-	l, err := Start(t.Context(), Layout{
+func testLayout(t *testing.T) Layout {
+	return Layout{
 		Folder: t.TempDir(),
 		Bin:    bin,
 		DataCentres: []DataCentre{
@@ -63,7 +62,17 @@
 		Emulators: []Emulator{{Name: "emulator", Fleet: fleetFile}},
 		Base:      base,
 		Relayed:   true,
-	})
+	}
+}
+
+func start(t *testing.T) *Lab {
+	t.Helper()
+	return startLayout(t, testLayout(t))
+}
+
+func startLayout(t *testing.T, layout Layout) *Lab {
+	t.Helper()
+	l, err := Start(t.Context(), layout)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/metrics/metrics.go
@@ -0,0 +1,133 @@
+// Package metrics names and describes what an instance exports to the platform's monitoring.
+//
+// Labels hold only configured names and fixed words, so their number is bounded.
+package metrics
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Labels of the metrics.
+const (
+	LabelService = "service"
+	LabelOutcome = "outcome"
+	LabelCode    = "code"
+)
+
+// kind is how a metric behaves.
+type kind string
+
+const (
+	counter   kind = "counter"
+	gauge     kind = "gauge"
+	histogram kind = "histogram"
+)
+
+// description is one metric as docs/METRICS.md shows it.
+type description struct {
+	name   string
+	kind   kind
+	labels []string
+	help   string
+}
+
+var (
+	requestsTotal = description{"balsamlb_requests_total", counter, []string{LabelService, LabelOutcome, LabelCode},
+		"Requests that have ended, by outcome and reason."}
+	tokensTotal = description{"balsamlb_tokens_total", counter, []string{LabelService},
+		"Tokens sent to callers."}
+	firstTokenSeconds = description{"balsamlb_first_token_seconds", histogram, []string{LabelService},
+		"Time from a draft's arrival to its first token."}
+	tokenGapSeconds = description{"balsamlb_token_gap_seconds", histogram, []string{LabelService},
+		"Time between two tokens of a draft."}
+	callSeconds = description{"balsamlb_call_seconds", histogram, []string{LabelService},
+		"Time from a plain call's arrival to its answer."}
+	inFlight = description{"balsamlb_in_flight_requests", gauge, nil,
+		"Requests that the instance is working on."}
+	configVersion = description{"balsamlb_config_version", gauge, nil,
+		"Version of the configuration in force."}
+	configAgeSeconds = description{"balsamlb_config_age_seconds", gauge, nil,
+		"Time since the instance last knew that its configuration was the newest."}
+	backendServers = description{"balsamlb_backend_servers", gauge, nil,
+		"Backend servers that may be given new work."}
+	instancesAlive = description{"balsamlb_instances_alive", gauge, nil,
+		"Instances that were heard lately, with this one."}
+)
+
+// descriptions lists every metric in the order of the page.
+var descriptions = []description{
+	requestsTotal, tokensTotal, firstTokenSeconds, tokenGapSeconds, callSeconds,
+	inFlight, configVersion, configAgeSeconds, backendServers, instancesAlive,
+}
+
+// Buckets of the histograms, in seconds.
+var (
+	firstTokenBuckets = []float64{0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.65, 0.8, 1, 2, 5, 10}
+	tokenGapBuckets   = []float64{0.002, 0.005, 0.01, 0.015, 0.02, 0.027, 0.04, 0.07, 0.15, 0.5, 1.5, 5}
+	callBuckets       = []float64{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 10}
+)
+
+// Set holds the metrics that requests update.
+type Set struct {
+	Requests          *prometheus.CounterVec
+	Tokens            *prometheus.CounterVec
+	FirstTokenSeconds *prometheus.HistogramVec
+	TokenGapSeconds   *prometheus.HistogramVec
+	CallSeconds       *prometheus.HistogramVec
+}
+
+// State is what the gauges show, read at each scrape.
+type State struct {
+	InFlight         int
+	ConfigVersion    uint64
+	ConfigAgeSeconds float64
+	BackendServers   int
+	InstancesAlive   int
+}
+
+// New registers all metrics; state is called at each scrape.
+func New(r prometheus.Registerer, state func() State) *Set {
+	s := &Set{
+		Requests:          newCounter(requestsTotal),
+		Tokens:            newCounter(tokensTotal),
+		FirstTokenSeconds: newHistogram(firstTokenSeconds, firstTokenBuckets),
+		TokenGapSeconds:   newHistogram(tokenGapSeconds, tokenGapBuckets),
+		CallSeconds:       newHistogram(callSeconds, callBuckets),
+	}
+	r.MustRegister(s.Requests, s.Tokens, s.FirstTokenSeconds, s.TokenGapSeconds, s.CallSeconds)
+	r.MustRegister(
+		newGauge(inFlight, func() float64 { return float64(state().InFlight) }),
+		newGauge(configVersion, func() float64 { return float64(state().ConfigVersion) }),
+		newGauge(configAgeSeconds, func() float64 { return state().ConfigAgeSeconds }),
+		newGauge(backendServers, func() float64 { return float64(state().BackendServers) }),
+		newGauge(instancesAlive, func() float64 { return float64(state().InstancesAlive) }),
+	)
+	return s
+}
+
+func newCounter(d description) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: d.name, Help: d.help}, d.labels)
+}
+
+func newHistogram(d description, buckets []float64) *prometheus.HistogramVec {
+	opts := prometheus.HistogramOpts{Name: d.name, Help: d.help, Buckets: buckets}
+	return prometheus.NewHistogramVec(opts, d.labels)
+}
+
+func newGauge(d description, value func() float64) prometheus.GaugeFunc {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: d.name, Help: d.help}, value)
+}
+
+// Markdown returns the page that describes every metric, as docs/METRICS.md holds it.
+func Markdown() string {
+	var b strings.Builder
+	b.WriteString("# Metrics\n\nServed at `/metrics` of the platform's address, beside those of the Go runtime and the process.\n\n")
+	b.WriteString("| metric | kind | labels | meaning |\n|---|---|---|---|\n")
+	for _, d := range descriptions {
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", d.name, d.kind, strings.Join(d.labels, ", "), d.help)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/metrics/metrics_test.go
@@ -0,0 +1,45 @@
+package metrics
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+var update = flag.Bool("update", false, "write docs/METRICS.md")
+
+func TestMetricsPageIsUpToDate(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join("..", "docs", "METRICS.md")
+	if *update {
+		is.NoErr(os.WriteFile(path, []byte(Markdown()), 0o644))
+	}
+	page, err := os.ReadFile(path)
+	is.NoErr(err)
+	is.Equal(string(page), Markdown())
+}
+
+func TestEveryRegisteredMetricIsDescribed(t *testing.T) {
+	is := is.New(t)
+	r := prometheus.NewRegistry()
+	s := New(r, func() State { return State{InFlight: 3} })
+	s.Requests.WithLabelValues("draft", "answered", "").Inc()
+	s.Tokens.WithLabelValues("draft").Inc()
+	s.FirstTokenSeconds.WithLabelValues("draft").Observe(1)
+	s.TokenGapSeconds.WithLabelValues("draft").Observe(1)
+	s.CallSeconds.WithLabelValues("stock").Observe(1)
+	families, err := r.Gather()
+	is.NoErr(err)
+	described := make(map[string]bool)
+	for _, d := range descriptions {
+		described[d.name] = true
+	}
+	is.Equal(len(families), len(descriptions))
+	for _, f := range families {
+		is.True(described[f.GetName()])
+	}
+}
