--- a/replica/snapshot_test.go
+++ b/replica/snapshot_test.go
@@ -77,7 +77,8 @@
 		is := is.NewRelaxed(t)
 		whole := NewState()
 		restored := NewState()
-		for index := uint64(1); index <= uint64(rapid.IntRange(1, 60).Draw(t, "commands")); index++ {
+		commands := rapid.Uint64Range(1, 80).Draw(t, "commands")
+		for index := uint64(1); index <= commands; index++ {
 			data, err := drawCommand(t).Encode()
 			is.NoErr(err)
 			c, err := Decode(data)
