Notices and usage between instances

Cause: crash requests and fair shares need small facts that all instances of a data centre know within a second; the exchange carried only members and leases. A published notice starts a round of the exchange at once. Ruled out: a separate protocol for notices, which would need its own repair.

--- a/daemon/exchange.go
+++ b/daemon/exchange.go
@@ -43,6 +43,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+		case <-d.shared.facts.published:
 		}
 	}
 }
--- a/daemon/state.go
+++ b/daemon/state.go
@@ -20,6 +20,7 @@
 	process     settings.Process
 	incarnation uint64
 	log         logr.Logger
+	facts       *facts
 
 	mu       sync.Mutex
 	registry *fleet.Registry
@@ -35,6 +36,7 @@
 		process:     p,
 		incarnation: incarnation,
 		log:         log,
+		facts:       newFacts(p.Name, p.DataCentre, incarnation),
 		registry:    fleet.NewRegistry(),
 		table:       membership.NewTable(p.Name),
 	}
@@ -148,6 +150,10 @@
 
 // Exchanged takes what another instance sent.
 func (s *shared) Exchanged(req *wire.ExchangeRequest) {
+	if req.Sender.GetDataCentre() == s.process.DataCentre {
+		s.facts.received(time.Now(), req.Notices)
+	}
+	s.facts.receivedUsage(time.Now(), req.Sender.GetName(), req.Usage)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -182,10 +188,12 @@
 // exchangeRequest returns what this instance tells the others: itself, the members it knows
 // and the leases that it granted itself.
 func (s *shared) exchangeRequest() *wire.ExchangeRequest {
+	now := time.Now()
+	notices := s.facts.outgoing(now)
+	usage := s.facts.outgoingUsage(now, membership.MaxUsage)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	req := &wire.ExchangeRequest{Sender: s.self(), Members: s.members()}
+	req := &wire.ExchangeRequest{Sender: s.self(), Members: s.members(), Notices: notices, Usage: usage}
 	for _, l := range s.registry.Leases(now) {
 		if !l.Direct {
 			continue
