Trace, tail, completion, status page, command page

Cause: an operator could not follow a request through its decisions. Change: an instance keeps its latest 20,000 log lines in a ring; balsamctl trace shows those of one request, tail those that come; balsamctl completion writes scripts for bash, zsh and fish; the operators' address shows a page for browsers. docs/CLI.md is held to the commands by a test.

--- /dev/null
+++ b/cmd/balsamctl/completion.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+var errNoShell = errors.New("name the shell: bash, zsh or fish")
+
+func newCompletion() *ffcli.Command {
+	return &ffcli.Command{
+		Name: "completion", ShortUsage: "balsamctl completion <bash|zsh|fish>", ShortHelp: "print a completion script for a shell",
+		FlagSet: newFlagSet("completion"),
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) != 1 {
+				return errNoShell
+			}
+			script, err := completion(args[0], newRoot())
+			if err != nil {
+				return err
+			}
+			fmt.Print(script)
+			return nil
+		},
+	}
+}
+
+// words are what may follow a command.
+type words struct {
+	path  string // the commands before, such as "config apply"
+	words []string
+}
+
+func completion(shell string, root *ffcli.Command) (string, error) {
+	table := collectWords("", root, nil)
+	switch shell {
+	case "bash":
+		return bashScript(table), nil
+	case "zsh":
+		return "autoload -U +X bashcompinit && bashcompinit\n" + bashScript(table), nil
+	case "fish":
+		return fishScript(table), nil
+	default:
+		return "", errNoShell
+	}
+}
+
+func collectWords(path string, c *ffcli.Command, table []words) []words {
+	w := words{path: path}
+	for _, sub := range c.Subcommands {
+		w.words = append(w.words, sub.Name)
+	}
+	c.FlagSet.VisitAll(func(f *flag.Flag) { w.words = append(w.words, "-"+f.Name) })
+	table = append(table, w)
+	for _, sub := range c.Subcommands {
+		table = collectWords(strings.TrimSpace(path+" "+sub.Name), sub, table)
+	}
+	return table
+}
+
+func bashScript(table []words) string {
+	var b strings.Builder
+	b.WriteString("_balsamctl() {\n  local path=\"\" word\n  for word in \"${COMP_WORDS[@]:1:COMP_CWORD-1}\"; do\n")
+	b.WriteString("    [[ $word == -* ]] || path=\"${path:+$path }$word\"\n  done\n  case \"$path\" in\n")
+	for _, w := range table {
+		fmt.Fprintf(&b, "    %q) COMPREPLY=($(compgen -W %q -- \"${COMP_WORDS[COMP_CWORD]}\")) ;;\n", w.path, strings.Join(w.words, " "))
+	}
+	b.WriteString("  esac\n}\ncomplete -o default -F _balsamctl balsamctl\n")
+	return b.String()
+}
+
+func fishScript(table []words) string {
+	var b strings.Builder
+	for _, w := range table {
+		condition := "__fish_use_subcommand"
+		if w.path != "" {
+			condition = "__fish_seen_subcommand_from " + w.path[strings.LastIndex(w.path, " ")+1:]
+		}
+		fmt.Fprintf(&b, "complete -c balsamctl -f -n %q -a %q\n", condition, strings.Join(w.words, " "))
+	}
+	return b.String()
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/balsamlb/balsamlb/platform"
 	"github.com/balsamlb/balsamlb/settings"
 	"github.com/balsamlb/balsamlb/storage"
+	"github.com/balsamlb/balsamlb/trace"
 	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -32,12 +33,15 @@
 	balancerNotice = time.Second
 	// shutdownGrace bounds the wait for requests in flight.
 	shutdownGrace = 10 * time.Minute
+	// traceLines is how many log lines are kept for operators.
+	traceLines = 20_000
 )
 
 // Daemon is one instance.
 type Daemon struct {
 	process    settings.Process
 	log        logr.Logger
+	lines      *trace.Recorder
 	secrets    *secrets
 	dialer     instance.Dialer
 	shared     *shared
@@ -51,7 +55,9 @@
 }
 
 // New opens the data folder, if there is one, and builds the instance.
-func New(p settings.Process, log logr.Logger) (*Daemon, error) {
+func New(p settings.Process, base logr.Logger) (*Daemon, error) {
+	lines := trace.NewRecorder(traceLines, time.Now)
+	log := lines.Logger(base)
 	secrets, err := loadSecrets(p)
 	if err != nil {
 		return nil, err
@@ -60,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{process: p, log: log, secrets: secrets, dialer: dialer}
+	d := &Daemon{process: p, log: log, lines: lines, secrets: secrets, dialer: dialer}
 	d.shared = newShared(p, uint64(time.Now().UnixNano()), log.WithName("config"))
 	d.proposer = instance.NewProposer(dialer, voterAddresses(p))
 	d.credits = newCreditDuty(d.proposer, log.WithName("credit"))
@@ -181,6 +187,7 @@
 		proposer:   d.proposer,
 		dispatcher: d.dispatcher,
 		admitter:   d.admitter,
+		lines:      d.lines,
 	}, d.secrets.operatorKeys())
 	plan := []struct {
 		address string
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -15,6 +15,7 @@
 	"github.com/balsamlb/balsamlb/membership"
 	"github.com/balsamlb/balsamlb/operator"
 	"github.com/balsamlb/balsamlb/replica"
+	"github.com/balsamlb/balsamlb/trace"
 )
 
 // errNotControl is returned for calls that only a control instance answers.
@@ -27,8 +28,12 @@
 	proposer   *instance.Proposer
 	dispatcher *dispatch.Dispatcher
 	admitter   *admitter
+	lines      *trace.Recorder
 }
 
+// Lines returns the latest log lines.
+func (b *operatorBackend) Lines() *trace.Recorder { return b.lines }
+
 // Config returns the configuration in force.
 func (b *operatorBackend) Config() config.Document { return b.shared.View().Config }
 
--- a/operator/protocol.go
+++ b/operator/protocol.go
@@ -9,10 +9,16 @@
 
 // Paths of the operators' interface.
 const (
+	// PathPage is the status page for browsers.
+	PathPage    = "/"
 	PathStatus  = "/v1/status"
 	PathConfig  = "/v1/config"
 	PathDrain   = "/v1/drain"
 	PathCredits = "/v1/credits"
+	// PathTrace takes the parameter request.
+	PathTrace = "/v1/trace"
+	// PathDecisions takes the parameter after, the sequence of the last line that was seen.
+	PathDecisions = "/v1/decisions"
 )
 
 // Status is what one instance knows.
--- a/operator/server.go
+++ b/operator/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"strings"
@@ -10,6 +11,7 @@
 	"github.com/balsamlb/balsamlb/config"
 	"github.com/balsamlb/balsamlb/replica"
 	"github.com/balsamlb/balsamlb/settings"
+	"github.com/balsamlb/balsamlb/trace"
 	"github.com/valyala/fasthttp"
 )
 
@@ -20,6 +22,8 @@
 	Propose(ctx context.Context, c replica.Command) (replica.Result, error)
 	// Credits returns the counts of a control instance.
 	Credits(ctx context.Context) ([]CreditCount, error)
+	// Lines returns the latest log lines.
+	Lines() *trace.Recorder
 }
 
 const maxConfigBytes = 8 << 20
@@ -41,17 +45,20 @@
 	keys    Keys // nil when calls need no key
 }
 
-// bearerPrefix comes before the key in the Authorization header.
-const bearerPrefix = "Bearer "
+// The ways to show a key in the Authorization header.
+const (
+	bearerPrefix = "Bearer "
+	basicPrefix  = "Basic "
+)
 
 // authorize reports whether the call may go on, and refuses it otherwise.
 func (h *handler) authorize(ctx *fasthttp.RequestCtx) bool {
 	if h.keys == nil {
 		return true
 	}
-	header := string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization))
-	key, ok := strings.CutPrefix(header, bearerPrefix)
+	key, ok := shownKey(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)))
 	if !ok {
+		ctx.Response.Header.Set(fasthttp.HeaderWWWAuthenticate, `Basic realm="balsamlb"`)
 		writeFailure(ctx, fasthttp.StatusUnauthorized, "a key is required; use balsamctl -key-file")
 		return false
 	}
@@ -62,6 +69,24 @@
 	return true
 }
 
+// shownKey returns the key of an Authorization header: a bearer token, or the password that a
+// browser sends.
+func shownKey(header string) (string, bool) {
+	if key, ok := strings.CutPrefix(header, bearerPrefix); ok {
+		return key, true
+	}
+	encoded, ok := strings.CutPrefix(header, basicPrefix)
+	if !ok {
+		return "", false
+	}
+	pair, err := base64.StdEncoding.DecodeString(encoded)
+	if err != nil {
+		return "", false
+	}
+	_, key, ok := strings.Cut(string(pair), ":")
+	return key, ok
+}
+
 func (h *handler) handle(ctx *fasthttp.RequestCtx) {
 	if !h.authorize(ctx) {
 		return
@@ -69,6 +94,8 @@
 	callCtx, cancel := context.WithTimeout(context.Background(), commitTimeout)
 	defer cancel()
 	switch path := string(ctx.Path()); {
+	case path == PathPage && ctx.IsGet():
+		writePage(ctx, h.backend.Status(callCtx))
 	case path == PathStatus && ctx.IsGet():
 		writeJSON(ctx, fasthttp.StatusOK, h.backend.Status(callCtx))
 	case path == PathConfig && ctx.IsGet():
@@ -79,6 +106,10 @@
 		h.drain(callCtx, ctx)
 	case path == PathCredits && ctx.IsGet():
 		h.credits(callCtx, ctx)
+	case path == PathTrace && ctx.IsGet():
+		h.trace(ctx)
+	case path == PathDecisions && ctx.IsGet():
+		h.decisions(ctx)
 	default:
 		writeFailure(ctx, fasthttp.StatusNotFound, "no such call")
 	}
--- /dev/null
+++ b/operator/trace.go
@@ -0,0 +1,74 @@
+package operator
+
+import (
+	"net/url"
+	"strconv"
+
+	"github.com/balsamlb/balsamlb/trace"
+	"github.com/valyala/fasthttp"
+)
+
+// maxDecisions bounds the lines of one answer.
+const maxDecisions = 500
+
+// Names of the parameters of trace and decisions.
+const (
+	paramRequest = "request"
+	paramAfter   = "after"
+)
+
+// Decisions are log lines with the sequence to continue after.
+type Decisions struct {
+	Lines []trace.Line `json:"lines"`
+	Last  uint64       `json:"last"`
+}
+
+func (h *handler) trace(ctx *fasthttp.RequestCtx) {
+	id := string(ctx.QueryArgs().Peek(paramRequest))
+	if id == "" {
+		writeFailure(ctx, fasthttp.StatusBadRequest, "request is required")
+		return
+	}
+	writeJSON(ctx, fasthttp.StatusOK, h.backend.Lines().Request(id))
+}
+
+func (h *handler) decisions(ctx *fasthttp.RequestCtx) {
+	lines := h.backend.Lines()
+	value := string(ctx.QueryArgs().Peek(paramAfter))
+	if value == "" {
+		writeJSON(ctx, fasthttp.StatusOK, Decisions{Last: lines.Last()})
+		return
+	}
+	after, err := strconv.ParseUint(value, 10, 64)
+	if err != nil {
+		writeFailure(ctx, fasthttp.StatusBadRequest, "after must be a whole number")
+		return
+	}
+	d := Decisions{Lines: lines.After(after, maxDecisions), Last: after}
+	if n := len(d.Lines); n > 0 {
+		d.Last = d.Lines[n-1].Sequence
+	}
+	writeJSON(ctx, fasthttp.StatusOK, d)
+}
+
+// Trace returns the lines about a request that passed through the instance.
+func (c *Client) Trace(request string) ([]trace.Line, error) {
+	var lines []trace.Line
+	_, err := c.call(fasthttp.MethodGet, PathTrace+"?"+paramRequest+"="+url.QueryEscape(request), nil, &lines)
+	return lines, err
+}
+
+// LastDecision returns the sequence of the instance's latest line.
+func (c *Client) LastDecision() (uint64, error) {
+	var d Decisions
+	_, err := c.call(fasthttp.MethodGet, PathDecisions, nil, &d)
+	return d.Last, err
+}
+
+// DecisionsAfter returns the lines after a sequence.
+func (c *Client) DecisionsAfter(after uint64) (Decisions, error) {
+	var d Decisions
+	path := PathDecisions + "?" + paramAfter + "=" + strconv.FormatUint(after, 10)
+	_, err := c.call(fasthttp.MethodGet, path, nil, &d)
+	return d, err
+}
