Wrong use of a command exits with 2

Cause: a missing argument exited with 1 like a failure, against docs/CLI.md. Change: such errors have a type of their own.

--- a/cmd/balsamctl/bench.go
+++ b/cmd/balsamctl/bench.go
@@ -16,7 +16,7 @@
 )
 
 var (
-	errNoBench = errors.New("name a benchmark; see balsamctl bench -help")
+	errNoBench = usageError("name a benchmark; see balsamctl bench -help")
 	errBroken  = errors.New("a promise was broken")
 )
 
--- a/cmd/balsamctl/completion.go
+++ b/cmd/balsamctl/completion.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"strings"
@@ -10,7 +9,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 )
 
-var errNoShell = errors.New("name the shell: bash, zsh or fish")
+var errNoShell = usageError("name the shell: bash, zsh or fish")
 
 func newCompletion() *ffcli.Command {
 	return &ffcli.Command{
--- a/cmd/balsamctl/drain.go
+++ b/cmd/balsamctl/drain.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 
 	"github.com/balsamlb/balsamlb/operator"
 	"github.com/peterbourgon/ff/v3/ffcli"
 )
 
-var errNoServerName = errors.New("name the backend server to drain")
+var errNoServerName = usageError("name the backend server to drain")
 
 func newDrain() *ffcli.Command {
 	fs := newFlagSet("drain")
--- a/cmd/balsamctl/main.go
+++ b/cmd/balsamctl/main.go
@@ -42,6 +42,9 @@
 		return exitOK
 	case errors.Is(err, flag.ErrHelp):
 		return exitUsage
+	case errors.As(err, new(usageError)):
+		fmt.Fprintln(os.Stderr, "balsamctl:", err)
+		return exitUsage
 	default:
 		fmt.Fprintln(os.Stderr, "balsamctl:", err)
 		return exitFailure
@@ -71,6 +74,11 @@
 	}
 }
 
+// usageError means that the command was called in a wrong way.
+type usageError string
+
+func (e usageError) Error() string { return string(e) }
+
 func newFlagSet(name string) *flag.FlagSet { return flag.NewFlagSet(name, flag.ContinueOnError) }
 
 // envOptions lets BALSAMCTL_* variables set flags.
--- a/cmd/balsamctl/trace.go
+++ b/cmd/balsamctl/trace.go
@@ -12,7 +12,7 @@
 )
 
 var (
-	errNoRequest = errors.New("name the request, by the X-Request-Id of its answer")
+	errNoRequest = usageError("name the request, by the X-Request-Id of its answer")
 	errNoTrace   = errors.New("the instance has no line about the request; ask the one that its id begins with")
 )
 
