--- a/backend/client.go
+++ b/backend/client.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"time"
 
@@ -14,9 +13,7 @@
 
 const (
 	dialTimeout    = 250 * time.Millisecond
-	cancelTimeout  = time.Second
 	maxCallBytes   = 4 << 20
-	maxFrameBytes  = 64 << 10
 	readBufferSize = 16 << 10
 )
 
@@ -60,42 +57,6 @@
 	return nil
 }
 
-// OpenStage starts a stage and returns once the server has said that it is ready.
-func OpenStage(ctx context.Context, open StageOpen) (*Conn, error) {
-	ref := open.Chain[open.Stage]
-	c, err := dial(ctx, ref.Server, ref.Address)
-	if err != nil {
-		return nil, err
-	}
-	if err := c.openStage(ref, open); err != nil {
-		c.Close()
-		return nil, err
-	}
-	return c, nil
-}
-
-func (c *Conn) openStage(ref StageRef, open StageOpen) error {
-	if err := c.post(ref.Address, PathStage, open); err != nil {
-		return err
-	}
-	c.resp.StreamBody = true
-	if err := c.resp.Read(c.in); err != nil {
-		return eris.Wrapf(err, "backend: read answer of %s", c.server)
-	}
-	if code := c.resp.StatusCode(); code != fasthttp.StatusOK {
-		return eris.Errorf("backend: open stage on %s: status %d", c.server, code)
-	}
-	c.lines = bufio.NewReaderSize(c.resp.BodyStream(), maxFrameBytes)
-	f, err := c.Next()
-	if err != nil {
-		return err
-	}
-	if f.Kind != FrameOpened {
-		return eris.Errorf("backend: open stage on %s: %s", c.server, f.Message)
-	}
-	return nil
-}
-
 func (c *Conn) post(address, path string, body any) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
@@ -110,19 +71,6 @@
 	return c.send(req)
 }
 
-// Next returns the next frame of a stage's stream.
-func (c *Conn) Next() (Frame, error) {
-	var f Frame
-	line, err := c.lines.ReadSlice('\n')
-	if err != nil {
-		return f, eris.Wrapf(err, "backend: read frame from %s", c.server)
-	}
-	if err := json.Unmarshal(line, &f); err != nil {
-		return f, eris.Wrapf(err, "backend: decode frame from %s", c.server)
-	}
-	return f, nil
-}
-
 // CallRequest is one call to a plain service.
 type CallRequest struct {
 	Server      string
@@ -190,22 +138,3 @@
 	req.SetBody(cr.Body)
 	return c.send(req)
 }
-
-// CancelRequest asks a server to stop working on a request. It is best effort: the server
-// also stops when the stage's connection closes.
-func CancelRequest(ctx context.Context, server, address, request string) error {
-	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
-	defer cancel()
-	c, err := dial(ctx, server, address)
-	if err != nil {
-		return err
-	}
-	defer c.Close()
-	if err := c.post(address, PathCancel, Cancel{Request: request}); err != nil {
-		return err
-	}
-	if err := c.resp.Read(c.in); err != nil && err != io.EOF {
-		return eris.Wrapf(err, "backend: read answer of %s", server)
-	}
-	return nil
-}
--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -12,16 +12,19 @@
 	// PathAnnounce is served by instances; the others by backend servers.
 	PathAnnounce = "/v1/announce"
 	PathStage    = "/v1/stage"
+	PathStart    = "/v1/start"
 	PathCancel   = "/v1/cancel"
 	PathCall     = "/v1/call/"
 	PathOrder    = "/v1/order"
 )
 
-// Headers of calls to plain services.
+// Headers of calls to plain services and of refusals.
 const (
 	HeaderRequest   = "X-Request-Id"
 	HeaderWorkspace = "X-Workspace"
 	HeaderKey       = "Idempotency-Key"
+	// HeaderOutcome is "not_run" in an answer that refuses a request before running it.
+	HeaderOutcome = "X-Outcome"
 )
 
 // StageRef names one stage of a chain and where it runs.
@@ -31,13 +34,17 @@
 	Layers  fleet.Range `json:"layers"`
 }
 
-// StageOpen asks a server to run one stage of a request. The stages pass activations to
-// each other; the last one sends the tokens. The answer is a stream of Frames, one JSON
-// object a line.
+// StageOpen asks a server to run one stage of a request, or connects again to a stage that
+// it runs already. The stages pass activations to each other; the last one sends the tokens.
+// The answer is a stream of Frames, one JSON object a line.
+//
+// A server that has a session of the request keeps its KV cache and what it has run. A
+// higher attempt puts the new chain in force; the same attempt only replaces the connection.
 type StageOpen struct {
 	Request   string     `json:"request"`
 	Attempt   int        `json:"attempt"`
 	Workspace string     `json:"workspace"`
+	Priority  int        `json:"priority,omitempty"`
 	Chain     []StageRef `json:"chain"`
 	// Stage is the receiver's place in Chain.
 	Stage  int    `json:"stage"`
@@ -47,6 +54,22 @@
 	MaxTokens    int `json:"max_tokens"`
 	// From is the index of the first token that is wanted.
 	From int `json:"from"`
+	// Ready is the number of tokens that a stage without a session must hold in its KV cache
+	// before it says that it is opened. 0 means that it starts with the prompt.
+	Ready int `json:"ready,omitempty"`
+	// Text holds the tokens that the caller was sent, to rebuild the KV cache from.
+	Text []string `json:"text,omitempty"`
+	// Import names the server that can export the KV cache, nil when the cache must be rebuilt.
+	Import *StageRef `json:"import,omitempty"`
+}
+
+// Start tells the first stage to begin the token at Index under the attempt.
+type Start struct {
+	Request string `json:"request"`
+	Attempt int    `json:"attempt"`
+	Index   int    `json:"index"`
+	// Previous is the text of the token before, "" for the first.
+	Previous string `json:"previous,omitempty"`
 }
 
 // FrameKind tells what a frame carries.
@@ -54,10 +77,11 @@
 
 // The kinds of frame.
 const (
-	// FrameOpened says that the stage is ready.
+	// FrameOpened says that the stage is ready, and how far it has got.
 	FrameOpened FrameKind = "opened"
 	FrameToken  FrameKind = "token"
-	// FrameAlive is sent when there was nothing else to send for a while.
+	// FrameAlive is sent when there was nothing else to send for a while, and says how far
+	// the stage has got.
 	FrameAlive FrameKind = "alive"
 	// FrameEnd is the explicit end of the stream.
 	FrameEnd   FrameKind = "end"
@@ -69,9 +93,13 @@
 	Kind    FrameKind       `json:"kind"`
 	Request string          `json:"request"`
 	Attempt int             `json:"attempt"`
-	Index   int             `json:"index"`
+	Index   int             `json:"index,omitempty"`
 	Text    string          `json:"text,omitempty"`
 	Passed  []pipeline.Pass `json:"passed,omitempty"`
+	// Received is the number of tokens whose input the stage holds or has run.
+	Received int `json:"received,omitempty"`
+	// Ran is the number of tokens that the stage has run.
+	Ran int `json:"ran,omitempty"`
 	// Tokens is the length of the whole answer in an end frame.
 	Tokens  int    `json:"tokens,omitempty"`
 	Message string `json:"message,omitempty"`
--- a/cmd/balsamctl/bench.go
+++ b/cmd/balsamctl/bench.go
@@ -35,7 +35,7 @@
 			if err != nil {
 				return err
 			}
-			return emulate.NewFleet(f.Servers, f.Announce).Run(ctx)
+			return emulate.NewFleet(emulate.FromSettings(f)).Run(ctx)
 		},
 	}
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,11 +7,9 @@
 	"sync"
 	"time"
 
-	"github.com/balsamlb/balsamlb/backend"
 	"github.com/balsamlb/balsamlb/credit"
 	"github.com/balsamlb/balsamlb/fleet"
 	"github.com/balsamlb/balsamlb/outcome"
-	"github.com/balsamlb/balsamlb/pipeline"
 	"github.com/balsamlb/balsamlb/replica"
 	"github.com/balsamlb/balsamlb/route"
 	"github.com/balsamlb/balsamlb/settings"
@@ -69,15 +67,6 @@
 	d.credits.Credit(credit.Entry{Request: id, Member: r.Workspace.Member, Kind: r.Service.Name})
 }
 
-// stageRefs returns the chain as the backend servers are told it.
-func stageRefs(chain pipeline.Chain) []backend.StageRef {
-	refs := make([]backend.StageRef, len(chain))
-	for i, st := range chain {
-		refs[i] = backend.StageRef{Server: st.Server.Name, Address: st.Server.Address, Layers: st.Layers}
-	}
-	return refs
-}
-
 func errDeadline(o outcome.Outcome) *outcome.Error {
 	return &outcome.Error{Outcome: o, Code: outcome.CodeDeadline, Message: "the deadline has passed"}
 }
--- /dev/null
+++ b/internal/emulate/conn.go
@@ -0,0 +1,84 @@
+package emulate
+
+import (
+	"net"
+	"sync"
+)
+
+// faultyListener accepts connections that its engine's faults act on.
+type faultyListener struct {
+	net.Listener
+	faults *faults
+
+	mu    sync.Mutex
+	conns map[*faultyConn]bool
+}
+
+func newFaultyListener(l net.Listener, f *faults) *faultyListener {
+	return &faultyListener{Listener: l, faults: f, conns: make(map[*faultyConn]bool)}
+}
+
+// Accept waits for a connection.
+func (l *faultyListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	fc := &faultyConn{Conn: c, listener: l, epoch: l.faults.connEpoch(), closed: make(chan struct{})}
+	l.mu.Lock()
+	l.conns[fc] = true
+	l.mu.Unlock()
+	return fc, nil
+}
+
+// crash closes the listener and all connections.
+func (l *faultyListener) crash() {
+	_ = l.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		_ = c.Conn.Close()
+	}
+}
+
+// faultyConn is one accepted connection.
+type faultyConn struct {
+	net.Conn
+	listener *faultyListener
+	epoch    int
+	once     sync.Once
+	closed   chan struct{}
+}
+
+func (c *faultyConn) isSilent() bool { return c.epoch != c.listener.faults.connEpoch() }
+
+// Read delivers nothing once the connection is silent.
+func (c *faultyConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.listener.faults.waitFrozen()
+	if c.isSilent() {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// Write pretends to send once the connection is silent.
+func (c *faultyConn) Write(p []byte) (int, error) {
+	c.listener.faults.waitFrozen()
+	if c.isSilent() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Close closes the connection.
+func (c *faultyConn) Close() error {
+	c.once.Do(func() {
+		close(c.closed)
+		c.listener.mu.Lock()
+		defer c.listener.mu.Unlock()
+		delete(c.listener.conns, c)
+	})
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/emulate/cost.go
@@ -0,0 +1,109 @@
+package emulate
+
+import (
+	"time"
+
+	"github.com/balsamlb/balsamlb/backend"
+	"github.com/balsamlb/balsamlb/fleet"
+)
+
+// The time of one step of a batch of b tokens is
+//
+//	factor * (prefill + decode * (1 + batchSlowdown*(b-1)))
+//
+// where prefill is the sum over the tokens at index 0 of
+//
+//	PrefillMicros * part * (prompt tokens that are not in the prefix cache),
+//
+// decode is the longest StepMicros * part in the batch, part is the share of the server's
+// layers that the stage runs, and factor is 1 without a fault. A server with S slots thus
+// runs at most
+//
+//	S / (StepMicros * (1 + batchSlowdown*(S-1)))
+//
+// tokens a microsecond, less what its prefills take. To rebuild a KV cache takes
+// PrefillMicros * part for each token of the prompt and of the answer, beside the batches.
+// To import one takes the link's time for kvBytes * layers * tokens.
+//
+// A hop takes the delay of the link between the two data centres, the delays of both kinds
+// of accelerator, and its bytes over the lowest of their bandwidths.
+
+// batchSlowdown is the share by which each further request slows a step.
+const batchSlowdown = 0.03
+
+// tokenBytes is the size of a sampled token on its way to the first stage.
+const tokenBytes = 16
+
+// part is the share of the server's layers that a stage runs.
+func (e *engine) part(r fleet.Range) float64 {
+	return float64(r.Len()) / float64(max(1, e.self.Layers.Len()))
+}
+
+// batchCost returns the time of one step.
+func (e *engine) batchCost(batch []*work) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var decode, prefill float64
+	for _, w := range batch {
+		part := e.part(w.session.open.Chain[w.session.open.Stage].Layers)
+		decode = max(decode, float64(e.self.StepMicros)*part)
+		if w.hop.Index == 0 {
+			missing := w.session.open.PromptTokens - e.prefix.hit(w.session.open.Prompt)
+			prefill += float64(e.self.PrefillMicros*max(0, missing)) * part
+		}
+	}
+	micros := prefill + decode*(1+batchSlowdown*float64(len(batch)-1))
+	return time.Duration(micros * e.faults.stepFactor() * float64(time.Microsecond))
+}
+
+// rebuildCost returns the time to rebuild a KV cache over count tokens, and over the prompt
+// too when nothing of the cache was imported.
+func (e *engine) rebuildCost(open backend.StageOpen, count int, withPrompt bool) time.Duration {
+	if withPrompt {
+		count += open.PromptTokens
+	}
+	micros := float64(e.self.PrefillMicros*count) * e.part(open.Chain[open.Stage].Layers)
+	return time.Duration(micros * e.faults.stepFactor() * float64(time.Microsecond))
+}
+
+// hopBytes is the size of the activations of a token; the first one carries the prompt's.
+func (s *session) hopBytes(o Options, index int) int {
+	if index == 0 {
+		return o.ActivationBytes * max(1, s.open.PromptTokens)
+	}
+	return o.ActivationBytes
+}
+
+// transferTime returns what the link between two servers takes for a number of bytes.
+func (o Options) transferTime(from, to fleet.BackendServer, bytes int) time.Duration {
+	var delay time.Duration
+	bandwidth := 0
+	for _, l := range o.path(from, to) {
+		delay += l.Delay
+		if l.BytesPerSecond > 0 && (bandwidth == 0 || l.BytesPerSecond < bandwidth) {
+			bandwidth = l.BytesPerSecond
+		}
+	}
+	if bandwidth > 0 {
+		delay += time.Duration(float64(bytes) / float64(bandwidth) * float64(time.Second))
+	}
+	return delay
+}
+
+// path returns the links between two servers: those of both kinds of accelerator, and the
+// one between the data centres.
+func (o Options) path(from, to fleet.BackendServer) []Link {
+	if from.Name == to.Name {
+		return nil
+	}
+	links := []Link{o.Accelerators[from.Accelerator], o.Accelerators[to.Accelerator]}
+	if from.DataCentre == to.DataCentre {
+		return links
+	}
+	for _, p := range []Pair{{from.DataCentre, to.DataCentre}, {to.DataCentre, from.DataCentre}} {
+		if l, ok := o.Links[p]; ok {
+			return append(links, l)
+		}
+	}
+	return append(links, Link{Delay: defaultRemoteDelay})
+}
--- a/internal/emulate/counts.go
+++ b/internal/emulate/counts.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 
 	"github.com/balsamlb/balsamlb/fleet"
@@ -16,28 +17,50 @@
 	Key     string
 }
 
+// Span is a half-open range of token indexes.
+type Span struct {
+	From int `json:"from"`
+	To   int `json:"to"`
+}
+
+// LayerRun says that a range of layers ran for the tokens of the spans. A token that ran
+// twice is in two spans.
+type LayerRun struct {
+	Layers fleet.Range `json:"layers"`
+	Spans  []Span      `json:"spans"`
+}
+
+// RequestRun is what the engines of a process ran of one request.
+type RequestRun struct {
+	Request string     `json:"request"`
+	Runs    []LayerRun `json:"runs"`
+	// Rebuilt and Imported count the tokens times layers of KV caches that were filled.
+	Rebuilt  int `json:"rebuilt,omitempty"`
+	Imported int `json:"imported,omitempty"`
+}
+
 // Counts is what the engines of one process have run, by their own count.
 type Counts struct {
-	mu         sync.Mutex
-	tokens     map[string]map[int][]fleet.Range
-	order      []string
-	calls      map[CallKey]int
-	violations []string
-	layerRuns  uint64
+	mu        sync.Mutex
+	requests  map[string]*RequestRun
+	order     []string
+	calls     map[CallKey]int
+	layerRuns uint64
 }
 
 // NewCounts returns empty counts.
 func NewCounts() *Counts {
-	return &Counts{tokens: make(map[string]map[int][]fleet.Range), calls: make(map[CallKey]int)}
+	return &Counts{requests: make(map[string]*RequestRun), calls: make(map[CallKey]int)}
 }
 
 // Summary is the form in which counts are served.
 type Summary struct {
 	Requests  int    `json:"requests"`
 	LayerRuns uint64 `json:"layer_runs"`
-	// Violations lists the tokens whose layers ran twice or out of order.
-	Violations []string    `json:"violations"`
-	Calls      []CallCount `json:"calls"`
+	// Violations lists the tokens whose layers ran twice.
+	Violations []string     `json:"violations"`
+	Calls      []CallCount  `json:"calls"`
+	Runs       []RequestRun `json:"runs"`
 }
 
 // CallCount is how often one keyed call ran.
@@ -52,28 +75,45 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.layerRuns += uint64(r.Len())
-	tokens, ok := c.tokens[request]
-	if !ok {
-		tokens = make(map[int][]fleet.Range)
-		c.tokens[request] = tokens
-		c.order = append(c.order, request)
-		c.forgetOldest()
-	}
-	at := 0
-	if k := len(tokens[index]); k > 0 {
-		at = tokens[index][k-1].To
+	rr := c.request(request)
+	i := slices.IndexFunc(rr.Runs, func(l LayerRun) bool { return l.Layers == r })
+	if i < 0 {
+		rr.Runs = append(rr.Runs, LayerRun{Layers: r})
+		i = len(rr.Runs) - 1
 	}
-	if r.From != at {
-		c.violations = append(c.violations, fmt.Sprintf("%s token %d: layers %d-%d ran after layer %d", request, index, r.From, r.To, at))
+	run := &rr.Runs[i]
+	if k := len(run.Spans); k > 0 && run.Spans[k-1].To == index {
+		run.Spans[k-1].To++
+		return
 	}
-	tokens[index] = append(tokens[index], r)
+	run.Spans = append(run.Spans, Span{From: index, To: index + 1})
+}
+
+func (c *Counts) rebuilt(request string, r fleet.Range, tokens int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.request(request).Rebuilt += r.Len() * tokens
+}
+
+func (c *Counts) imported(request string, r fleet.Range, tokens int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.request(request).Imported += r.Len() * tokens
 }
 
-func (c *Counts) forgetOldest() {
+func (c *Counts) request(name string) *RequestRun {
+	rr, ok := c.requests[name]
+	if ok {
+		return rr
+	}
+	rr = &RequestRun{Request: name}
+	c.requests[name] = rr
+	c.order = append(c.order, name)
 	if len(c.order) > maxCountedRequests {
-		delete(c.tokens, c.order[0])
+		delete(c.requests, c.order[0])
 		c.order = c.order[1:]
 	}
+	return rr
 }
 
 // called notes that a plain call ran and returns how often it has.
@@ -88,9 +128,53 @@
 func (c *Counts) Summary() Summary {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := Summary{Requests: len(c.tokens), LayerRuns: c.layerRuns, Violations: append([]string{}, c.violations...)}
+	s := Summary{Requests: len(c.requests), LayerRuns: c.layerRuns, Violations: []string{}, Runs: []RequestRun{}}
+	for _, name := range c.order {
+		rr := c.requests[name].clone()
+		s.Violations = append(s.Violations, rr.twice()...)
+		s.Runs = append(s.Runs, rr)
+	}
 	for k, n := range c.calls {
 		s.Calls = append(s.Calls, CallCount{Service: k.Service, Key: k.Key, Ran: n})
 	}
 	return s
 }
+
+func (rr *RequestRun) clone() RequestRun {
+	out := *rr
+	out.Runs = slices.Clone(rr.Runs)
+	for i := range out.Runs {
+		out.Runs[i].Spans = slices.Clone(out.Runs[i].Spans)
+	}
+	return out
+}
+
+// twice lists the tokens of which a layer ran more than once.
+func (rr RequestRun) twice() []string {
+	var out []string
+	for i, a := range rr.Runs {
+		for _, b := range rr.Runs[i:] {
+			if max(a.Layers.From, b.Layers.From) < min(a.Layers.To, b.Layers.To) {
+				out = append(out, rr.overlaps(a, b)...)
+			}
+		}
+	}
+	return out
+}
+
+// overlaps lists the tokens that are in spans of both, or in two spans of one.
+func (rr RequestRun) overlaps(a, b LayerRun) []string {
+	var out []string
+	for i, x := range a.Spans {
+		for j, y := range b.Spans {
+			if a.Layers == b.Layers && j <= i {
+				continue
+			}
+			if from, to := max(x.From, y.From), min(x.To, y.To); from < to {
+				out = append(out, fmt.Sprintf("%s tokens %d-%d: layers %d-%d and %d-%d ran",
+					rr.Request, from, to, a.Layers.From, a.Layers.To, b.Layers.From, b.Layers.To))
+			}
+		}
+	}
+	return out
+}
--- a/internal/emulate/engine.go
+++ b/internal/emulate/engine.go
@@ -1,9 +1,13 @@
 // Package emulate stands in for model engines and plain services, so that the system can be
 // run and measured without accelerators.
 //
-// An engine batches continuously: it takes what is waiting, up to its slots, spends the time
-// of one step, and passes each token to the next stage. The last stage sends the token to
-// the instance and starts the next one at the first stage. Engines count what they run.
+// An engine batches continuously: it takes what is waiting, up to its slots and in order of
+// priority, spends the time of one step, and passes each token to the next stage. The last
+// stage sends the token to the instance and starts the next one at the first stage. Engines
+// in different processes pass tokens over HTTP. Engines count what they run.
+//
+// docs/BACKEND-PROTOCOL.md describes what an engine promises; cost.go gives the time that
+// work takes, from which the bound of the hardware follows.
 package emulate
 
 import (
@@ -14,23 +18,10 @@
 
 	"github.com/balsamlb/balsamlb/backend"
 	"github.com/balsamlb/balsamlb/fleet"
-	"github.com/balsamlb/balsamlb/internal/ring"
 	"github.com/balsamlb/balsamlb/pipeline"
 	"github.com/cespare/xxhash/v2"
 )
 
-const (
-	// queueSize bounds the work that waits at an engine; more is dropped and the request
-	// fails.
-	queueSize = 4096
-	// frameBuffer bounds the frames that wait for the instance.
-	frameBuffer = 8192
-	// batchSlowdown is the share by which each further request slows a step.
-	batchSlowdown = 0.03
-	// resumeWindow is how long a session outlives its connection.
-	resumeWindow = 3 * time.Second
-)
-
 // hop passes a token from one stage to the next.
 type hop struct {
 	Request string          `json:"request"`
@@ -38,15 +29,11 @@
 	Index   int             `json:"index"`
 	Stage   int             `json:"stage"`
 	Passed  []pipeline.Pass `json:"passed"`
-}
-
-// session is one request at one stage.
-type session struct {
-	open backend.StageOpen
-	// next is the index of the first token that this stage has not run.
-	next   int
-	frames chan backend.Frame
-	closed time.Time // when the connection ended, zero while it is open
+	// Previous is the token before this one, for the first stage.
+	Previous *backend.Frame `json:"previous,omitempty"`
+	// DelayMicros is what the link between the two servers takes. The receiver waits for it,
+	// so that what was sent arrives also when the sender dies.
+	DelayMicros int64 `json:"delay_micros,omitempty"`
 }
 
 // engine emulates one backend server.
@@ -54,11 +41,14 @@
 	self   fleet.BackendServer
 	fleet  *Fleet
 	counts *Counts
-	queue  *ring.Ring[hop]
+	queue  *queue
+	faults *faults
+	prefix *prefixCache
 
 	mu       sync.Mutex
-	sessions map[string]*session
+	sessions map[string][]*session // by request; a server may run several stages of one
 	running  int
+	reported fleet.Load // what the next announcement says, one announcement old
 	sequence uint64
 	leaving  bool
 }
@@ -68,44 +58,47 @@
 		self:     self,
 		fleet:    f,
 		counts:   f.counts,
-		queue:    ring.New[hop](queueSize),
-		sessions: make(map[string]*session),
+		queue:    newQueue(),
+		faults:   newFaults(),
+		prefix:   newPrefixCache(f.options.PrefixTokens),
+		sessions: make(map[string][]*session),
 	}
 }
 
 // run batches the waiting work until ctx ends.
 func (e *engine) run(ctx context.Context) error {
 	for {
+		if !e.faults.wait(ctx) {
+			return nil
+		}
+		batch := e.queue.take(e.self.Slots)
+		if len(batch) > 0 {
+			e.step(ctx, batch)
+			continue
+		}
 		select {
 		case <-ctx.Done():
 			return nil
-		case h := <-e.queue.Items():
-			batch := append([]hop{h}, e.queue.Drain(e.self.Slots-1)...)
-			e.step(ctx, batch)
+		case <-e.queue.ready():
 		}
 	}
 }
 
-// step runs a batch, which takes as long as its prefills and one decoding step together.
-func (e *engine) step(ctx context.Context, batch []hop) {
-	var cost time.Duration
-	var decode time.Duration
+// step runs a batch.
+func (e *engine) step(ctx context.Context, batch []*work) {
 	e.setRunning(len(batch))
-	for _, h := range batch {
-		d, prefill := e.cost(h)
-		decode = max(decode, d)
-		cost += prefill
-	}
-	slowdown := 1 + batchSlowdown*float64(len(batch)-1)
-	cost += time.Duration(float64(decode) * slowdown)
+	cost := e.batchCost(batch)
 	select {
 	case <-time.After(cost):
 	case <-ctx.Done():
 		return
 	}
+	if !e.faults.wait(ctx) {
+		return
+	}
 	e.setRunning(0)
-	for _, h := range batch {
-		e.finish(h)
+	for _, w := range batch {
+		e.finish(w)
 	}
 }
 
@@ -115,146 +108,18 @@
 	e.running = n
 }
 
-// cost returns the time of one decoding step for the hop, and of its prefill.
-func (e *engine) cost(h hop) (decode, prefill time.Duration) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	s, ok := e.sessions[h.Request]
-	if !ok {
-		return 0, 0
-	}
-	layers := s.open.Chain[s.open.Stage].Layers.Len()
-	part := float64(layers) / float64(e.self.Layers.Len())
-	decode = time.Duration(float64(e.self.StepMicros)*part) * time.Microsecond
-	if h.Index == 0 {
-		prefill = time.Duration(float64(e.self.PrefillMicros*s.open.PromptTokens)*part) * time.Microsecond
-	}
-	return decode, prefill
-}
-
-// accept queues a hop, or passes it on at once when this stage has run the token before.
-func (e *engine) accept(h hop) {
-	e.mu.Lock()
-	s, ok := e.sessions[h.Request]
-	current := ok && s.open.Attempt == h.Attempt
-	done := current && h.Index < s.next
-	e.mu.Unlock()
-	switch {
-	case !current:
-		return
-	case done:
-		e.forward(h)
-	case !e.queue.Offer(h):
-		e.fail(h.Request, "the queue is full")
-	}
-}
-
-// finish counts the layers and passes the token on.
-func (e *engine) finish(h hop) {
-	e.mu.Lock()
-	s, ok := e.sessions[h.Request]
-	if !ok || s.open.Attempt != h.Attempt || h.Index != s.next {
-		e.mu.Unlock()
-		return
-	}
-	s.next++
-	layers := s.open.Chain[s.open.Stage].Layers
-	e.mu.Unlock()
-	e.counts.ran(h.Request, h.Index, layers)
-	e.forward(h)
-}
-
-// forward passes the token to the next stage, or to the instance from the last one.
-func (e *engine) forward(h hop) {
-	e.mu.Lock()
-	s, ok := e.sessions[h.Request]
-	if !ok || s.open.Attempt != h.Attempt {
-		e.mu.Unlock()
-		return
-	}
-	open := s.open
-	e.mu.Unlock()
-	pass := pipeline.Pass{Server: e.self.Name, Layers: open.Chain[open.Stage].Layers}
-	h.Passed = append(append([]pipeline.Pass(nil), h.Passed...), pass)
-	h.Stage = open.Stage + 1
-	if h.Stage < len(open.Chain) {
-		e.fleet.deliver(e.self, open.Chain[h.Stage].Address, h)
-		return
-	}
-	e.emit(s, backend.Frame{
-		Kind:    backend.FrameToken,
-		Request: h.Request,
-		Attempt: h.Attempt,
-		Index:   h.Index,
-		Text:    Word(open.Prompt, h.Index),
-		Passed:  h.Passed,
-	})
-	if h.Index+1 == open.MaxTokens {
-		e.emit(s, backend.Frame{Kind: backend.FrameEnd, Request: h.Request, Attempt: h.Attempt, Tokens: open.MaxTokens})
-		return
-	}
-	e.fleet.deliver(e.self, open.Chain[0].Address, hop{Request: h.Request, Attempt: h.Attempt, Index: h.Index + 1})
-}
-
-func (e *engine) emit(s *session, f backend.Frame) {
-	select {
-	case s.frames <- f:
-	default:
-		// The instance is too far behind; it will see the missing index.
-	}
-}
-
-func (e *engine) fail(request, message string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if s, ok := e.sessions[request]; ok {
-		e.emit(s, backend.Frame{Kind: backend.FrameError, Request: request, Attempt: s.open.Attempt, Message: message})
-	}
-}
-
-// openSession starts a session, or moves an existing one to a new attempt.
-func (e *engine) openSession(open backend.StageOpen) *session {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	s := &session{open: open, next: open.From, frames: make(chan backend.Frame, frameBuffer)}
-	if old, ok := e.sessions[open.Request]; ok {
-		s.next = old.next
-	}
-	e.sessions[open.Request] = s
-	e.dropClosed(time.Now())
-	return s
-}
-
-// closeSession notes that the connection of a session has ended.
-func (e *engine) closeSession(s *session) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	s.closed = time.Now()
-}
-
-func (e *engine) dropClosed(now time.Time) {
-	for request, s := range e.sessions {
-		if !s.closed.IsZero() && now.Sub(s.closed) > resumeWindow {
-			delete(e.sessions, request)
-		}
-	}
-}
-
-func (e *engine) cancel(request string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	delete(e.sessions, request)
-}
-
-// announcement returns what the server says of itself now.
+// announcement returns what the server says of itself now. Its load is as old as the
+// announcement before.
 func (e *engine) announcement() fleet.BackendServer {
+	waiting := e.queue.len()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sequence++
 	a := e.self
 	a.Sequence = e.sequence
 	a.Leaving = e.leaving
-	a.Load = fleet.Load{Running: e.running, Queued: len(e.queue.Items())}
+	a.Load = e.reported
+	e.reported = fleet.Load{Running: e.running, Queued: waiting}
 	return a
 }
 
--- a/internal/emulate/fleet.go
+++ b/internal/emulate/fleet.go
@@ -1,15 +1,14 @@
 package emulate
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"net"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/balsamlb/balsamlb/backend"
-	"github.com/balsamlb/balsamlb/fleet"
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
@@ -21,34 +20,38 @@
 	PathCounts = "/v1/counts"
 	// PathLeave makes the server announce that it is leaving.
 	PathLeave = "/v1/leave"
+	// PathFault puts a Fault in force at the server.
+	PathFault = "/v1/fault"
+	// PathHops takes the tokens that engines of other processes pass on.
+	PathHops = "/v1/hops"
+	// PathExport, followed by a request, serves its KV cache to another engine.
+	PathExport = "/v1/kv/"
 )
 
-const (
-	announceInterval = 400 * time.Millisecond
-	announceTimeout  = 300 * time.Millisecond
-	aliveInterval    = 200 * time.Millisecond
-	// callTime is how long a plain call takes.
-	callTime = 2 * time.Millisecond
-)
+// callTime is how long a plain call takes.
+const callTime = 2 * time.Millisecond
 
 // Fleet is the emulated backend servers of one process.
 type Fleet struct {
-	engines  map[string]*engine // by address
-	announce map[string][]string
-	counts   *Counts
-	// RemoteDelay is the one-way delay between servers in different data centres.
-	remoteDelay time.Duration
+	options Options
+	engines map[string]*engine // by address
+	counts  *Counts
+	ctx     context.Context
+	group   *errgroup.Group
+
+	mu    sync.Mutex
+	links map[string]*link
 }
 
-// NewFleet returns a fleet; announce lists the instances of each data centre.
-func NewFleet(servers []fleet.BackendServer, announce map[string][]string) *Fleet {
+// NewFleet returns a fleet.
+func NewFleet(o Options) *Fleet {
 	f := &Fleet{
-		engines:     make(map[string]*engine),
-		announce:    announce,
-		counts:      NewCounts(),
-		remoteDelay: 500 * time.Microsecond,
+		options: o.withDefaults(),
+		engines: make(map[string]*engine),
+		counts:  NewCounts(),
+		links:   make(map[string]*link),
 	}
-	for _, s := range servers {
+	for _, s := range o.Servers {
 		f.engines[s.Address] = newEngine(s, f)
 	}
 	return f
@@ -57,74 +60,43 @@
 // Run serves until ctx ends.
 func (f *Fleet) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	for address, e := range f.engines {
+	f.ctx = ctx
+	f.group = g
+	listeners := make(map[string]net.Listener)
+	for address := range f.engines {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			return eris.Wrapf(err, "emulate: listen on %s", address)
 		}
-		server := &fasthttp.Server{Handler: e.handle, Name: "emulated"}
-		g.Go(func() error { return server.Serve(l) })
+		listeners[address] = l
+	}
+	for address, e := range f.engines {
+		g.Go(func() error { return e.serve(ctx, listeners[address]) })
 		g.Go(func() error { return e.run(ctx) })
-		g.Go(func() error { return e.announceAll(ctx, f.announce[e.self.DataCentre]) })
-		context.AfterFunc(ctx, func() { _ = server.Shutdown() })
+		g.Go(func() error { return e.announceAll(ctx, f.options.Announce[e.self.DataCentre]) })
 	}
 	return g.Wait()
 }
 
-// deliver passes a hop to the engine at the address, after the delay of the link.
-func (f *Fleet) deliver(from fleet.BackendServer, address string, h hop) {
-	to, ok := f.engines[address]
-	if !ok {
-		return
-	}
-	if to.self.DataCentre == from.DataCentre {
-		to.accept(h)
-		return
-	}
-	time.AfterFunc(f.remoteDelay, func() { to.accept(h) })
-}
-
-// announceAll announces the server to one instance at a time, moving on when one fails.
-func (e *engine) announceAll(ctx context.Context, instances []string) error {
-	if len(instances) == 0 {
-		return nil
-	}
-	client := &fasthttp.Client{
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-	}
-	ticker := time.NewTicker(announceInterval)
-	defer ticker.Stop()
-	at := int(e.self.Incarnation) % len(instances)
-	for {
-		if err := e.announceTo(client, instances[at]); err != nil {
-			at = (at + 1) % len(instances)
-		}
+// serve answers on the listener until ctx ends or the server crashes.
+func (e *engine) serve(ctx context.Context, l net.Listener) error {
+	listener := newFaultyListener(l, e.faults)
+	server := &fasthttp.Server{Handler: e.handle, Name: "emulated"}
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
 		select {
 		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
+		case <-e.faults.crashed:
+		case <-done:
 		}
+		listener.crash()
+	}()
+	err := server.Serve(listener)
+	if ctx.Err() != nil || e.faults.isCrashed() {
+		return nil
 	}
-}
-
-func (e *engine) announceTo(client *fasthttp.Client, address string) error {
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	// The announcement holds only plain values, which always encode.
-	body, _ := json.Marshal(e.announcement())
-	req.Header.SetMethod(fasthttp.MethodPost)
-	req.SetRequestURI("http://" + address + backend.PathAnnounce)
-	req.SetBody(body)
-	if err := client.DoTimeout(req, resp, announceTimeout); err != nil {
-		return err
-	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return eris.Errorf("emulate: announce to %s: %s", address, resp.Body())
-	}
-	return nil
+	return eris.Wrapf(err, "emulate: serve %s", e.self.Name)
 }
 
 func (e *engine) handle(ctx *fasthttp.RequestCtx) {
@@ -132,15 +104,26 @@
 	switch {
 	case path == backend.PathStage:
 		e.handleStage(ctx)
+	case path == backend.PathStart:
+		var s backend.Start
+		if json.Unmarshal(ctx.PostBody(), &s) == nil {
+			e.start(s)
+		}
 	case path == backend.PathCancel:
 		var c backend.Cancel
 		if json.Unmarshal(ctx.PostBody(), &c) == nil {
 			e.cancel(c.Request)
 		}
+	case path == PathHops:
+		e.handleHops(ctx)
+	case strings.HasPrefix(path, PathExport):
+		e.handleExport(ctx, strings.TrimPrefix(path, PathExport))
 	case strings.HasPrefix(path, backend.PathCall):
 		e.handleCall(ctx, strings.TrimPrefix(path, backend.PathCall))
 	case path == PathCounts:
 		writeJSON(ctx, e.counts.Summary())
+	case path == PathFault:
+		e.handleFault(ctx)
 	case path == PathLeave:
 		e.mu.Lock()
 		e.leaving = true
@@ -150,52 +133,29 @@
 	}
 }
 
-func (e *engine) handleStage(ctx *fasthttp.RequestCtx) {
-	var open backend.StageOpen
-	if err := json.Unmarshal(ctx.PostBody(), &open); err != nil {
+func (e *engine) handleHops(ctx *fasthttp.RequestCtx) {
+	var batch []hop
+	if err := json.Unmarshal(ctx.PostBody(), &batch); err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
-	if open.Stage < 0 || open.Stage >= len(open.Chain) {
-		ctx.Error("stage is not in the chain", fasthttp.StatusBadRequest)
-		return
+	for _, h := range batch {
+		e.arrive(h)
 	}
-	s := e.openSession(open)
-	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		defer e.closeSession(s)
-		if writeFrame(w, backend.Frame{Kind: backend.FrameOpened, Request: open.Request, Attempt: open.Attempt}) != nil {
-			return
-		}
-		if open.Stage == 0 {
-			e.accept(hop{Request: open.Request, Attempt: open.Attempt, Index: open.From})
-		}
-		writeFrames(w, s)
-	})
 }
 
-// writeFrames sends the session's frames until the end, and a sign of life when there are
-// none.
-func writeFrames(w *bufio.Writer, s *session) {
-	alive := time.NewTicker(aliveInterval)
-	defer alive.Stop()
-	for {
-		f := backend.Frame{Kind: backend.FrameAlive, Request: s.open.Request, Attempt: s.open.Attempt}
-		select {
-		case f = <-s.frames:
-		case <-alive.C:
-		}
-		if writeFrame(w, f) != nil || f.Kind == backend.FrameEnd || f.Kind == backend.FrameError {
-			return
-		}
+func (e *engine) handleFault(ctx *fasthttp.RequestCtx) {
+	var f Fault
+	if err := json.Unmarshal(ctx.PostBody(), &f); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
 	}
+	// The answer goes out before the fault can stop it.
+	time.AfterFunc(faultDelay, func() { e.faults.set(f) })
 }
 
-func writeFrame(w *bufio.Writer, f backend.Frame) error {
-	// A frame holds only plain values, which always encode.
-	line, _ := json.Marshal(f)
-	_, _ = w.Write(append(line, '\n'))
-	return w.Flush()
-}
+// faultDelay lets the answer to a fault go out first.
+const faultDelay = 5 * time.Millisecond
 
 // callReply is the answer of an emulated plain service.
 type callReply struct {
@@ -210,6 +170,10 @@
 		ctx.Error("the server does not run "+service, fasthttp.StatusNotFound)
 		return
 	}
+	if e.faults.has(FaultRefuse) {
+		refuse(ctx)
+		return
+	}
 	key := string(ctx.Request.Header.Peek(backend.HeaderKey))
 	time.Sleep(callTime)
 	n := e.counts.called(CallKey{Service: service, Key: key})
--- /dev/null
+++ b/internal/emulate/link.go
@@ -0,0 +1,118 @@
+package emulate
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/balsamlb/balsamlb/backend"
+	"github.com/balsamlb/balsamlb/internal/ring"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// linkRingSize bounds the hops that wait for one engine of another process; more are
+	// dropped.
+	linkRingSize = 4096
+	maxHopBatch  = 256
+	// linkTimeout is the silence after which a link uses a new connection.
+	linkTimeout  = 250 * time.Millisecond
+	linkAttempts = 4
+)
+
+// link carries hops to one engine of another process over a connection that is kept open.
+// Hops may be sent again, since an engine runs each token once.
+type link struct {
+	address string
+	hops    *ring.Ring[hop]
+	client  *fasthttp.HostClient
+}
+
+func newLink(address string) *link {
+	return &link{address: address, hops: ring.New[hop](linkRingSize), client: newHostClient(address)}
+}
+
+func newHostClient(address string) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr:                      address,
+		MaxConns:                  2,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}
+}
+
+// run sends batches until ctx ends.
+func (l *link) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case h := <-l.hops.Items():
+			l.sendBatch(append([]hop{h}, l.hops.Drain(maxHopBatch-1)...))
+		}
+	}
+}
+
+// sendBatch tries again on a new connection while the engine is there.
+func (l *link) sendBatch(batch []hop) {
+	for range linkAttempts {
+		if err := l.send(batch); err == nil {
+			return
+		}
+		l.client.CloseIdleConnections()
+	}
+}
+
+func (l *link) send(batch []hop) error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	// A hop holds only plain values, which always encode.
+	body, _ := json.Marshal(batch)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + l.address + PathHops)
+	req.SetBody(body)
+	if err := l.client.DoTimeout(req, resp, linkTimeout); err != nil {
+		return eris.Wrapf(err, "emulate: send to %s", l.address)
+	}
+	return nil
+}
+
+// deliver passes a hop of the given size to the engine of a stage, after the delay of the
+// link between the two.
+func (f *Fleet) deliver(from *engine, to backend.StageRef, h hop, bytes int) {
+	target, isLocal := f.engines[to.Address]
+	if !isLocal {
+		h.DelayMicros = from.faults.linkDelay(f.options.transferTime(from.self, f.options.server(to), bytes)).Microseconds()
+		f.link(to.Address).hops.Offer(h)
+		return
+	}
+	h.DelayMicros = from.faults.linkDelay(f.options.transferTime(from.self, target.self, bytes)).Microseconds()
+	target.arrive(h)
+}
+
+// link returns the link to an engine of another process.
+func (f *Fleet) link(address string) *link {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l, ok := f.links[address]
+	if !ok {
+		l = newLink(address)
+		f.links[address] = l
+		f.group.Go(func() error { l.run(f.ctx); return nil })
+	}
+	return l
+}
+
+// arrive takes a hop once its link's delay is over. The hops of a frozen or crashed engine
+// are lost with it.
+func (e *engine) arrive(h hop) {
+	time.AfterFunc(time.Duration(h.DelayMicros)*time.Microsecond, func() {
+		e.faults.waitFrozen()
+		if !e.faults.isCrashed() {
+			e.receive(h)
+		}
+	})
+}
--- /dev/null
+++ b/internal/emulate/prefix.go
@@ -0,0 +1,75 @@
+package emulate
+
+import (
+	"container/list"
+	"strings"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// prefixBlock is the number of prompt tokens that are cached together.
+const prefixBlock = 16
+
+// prefixCache remembers the prefixes of prompts, up to a number of tokens; the one used
+// least recently goes first.
+type prefixCache struct {
+	mu       sync.Mutex
+	capacity int // blocks
+	blocks   map[uint64]*list.Element
+	recent   *list.List
+}
+
+func newPrefixCache(tokens int) *prefixCache {
+	return &prefixCache{capacity: tokens / prefixBlock, blocks: make(map[uint64]*list.Element), recent: list.New()}
+}
+
+// prefixes returns a hash of each prefix of whole blocks.
+func prefixes(prompt string) []uint64 {
+	words := strings.Fields(prompt)
+	d := xxhash.New()
+	var out []uint64
+	for i, w := range words {
+		// A hash never fails to write.
+		_, _ = d.WriteString(w)
+		_, _ = d.WriteString(" ")
+		if (i+1)%prefixBlock == 0 {
+			out = append(out, d.Sum64())
+		}
+	}
+	return out
+}
+
+// hit returns the number of tokens of the prompt that are cached.
+func (c *prefixCache) hit(prompt string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	tokens := 0
+	for _, h := range prefixes(prompt) {
+		el, ok := c.blocks[h]
+		if !ok {
+			break
+		}
+		c.recent.MoveToFront(el)
+		tokens += prefixBlock
+	}
+	return tokens
+}
+
+// add remembers the prompt's prefixes.
+func (c *prefixCache) add(prompt string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range prefixes(prompt) {
+		if el, ok := c.blocks[h]; ok {
+			c.recent.MoveToFront(el)
+			continue
+		}
+		c.blocks[h] = c.recent.PushFront(h)
+	}
+	for c.recent.Len() > c.capacity {
+		oldest := c.recent.Back()
+		c.recent.Remove(oldest)
+		delete(c.blocks, oldest.Value.(uint64))
+	}
+}
--- /dev/null
+++ b/internal/emulate/queue.go
@@ -0,0 +1,76 @@
+package emulate
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+)
+
+// queueSize bounds the work that waits at an engine; more is refused.
+const queueSize = 4096
+
+// work is one token that waits for a stage.
+type work struct {
+	session *session
+	hop     hop
+	order   uint64
+}
+
+// queue holds the work of one engine, in order of priority and arrival.
+type queue struct {
+	mu    sync.Mutex
+	items []*work
+	order uint64
+	wake  chan struct{}
+}
+
+func newQueue() *queue { return &queue{wake: make(chan struct{}, 1)} }
+
+// add reports false when the queue is full.
+func (q *queue) add(w *work) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.items) >= queueSize {
+		return false
+	}
+	q.order++
+	w.order = q.order
+	q.items = append(q.items, w)
+	q.signal()
+	return true
+}
+
+// signal wakes the engine; one signal waiting is enough.
+func (q *queue) signal() {
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (q *queue) ready() <-chan struct{} { return q.wake }
+
+// take returns up to max items, the highest priority first.
+func (q *queue) take(max int) []*work {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	slices.SortFunc(q.items, func(a, b *work) int {
+		return cmp.Or(cmp.Compare(b.session.open.Priority, a.session.open.Priority), cmp.Compare(a.order, b.order))
+	})
+	n := min(max, len(q.items))
+	batch := slices.Clone(q.items[:n])
+	q.items = slices.Delete(q.items, 0, n)
+	return batch
+}
+
+func (q *queue) drop(s *session) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.items = slices.DeleteFunc(q.items, func(w *work) bool { return w.session == s })
+}
+
+func (q *queue) len() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.items)
+}
--- /dev/null
+++ b/internal/emulate/session.go
@@ -0,0 +1,261 @@
+package emulate
+
+import (
+	"slices"
+	"time"
+
+	"github.com/balsamlb/balsamlb/backend"
+	"github.com/balsamlb/balsamlb/fleet"
+	"github.com/balsamlb/balsamlb/pipeline"
+)
+
+// resumeWindow is how long a session outlives its connection.
+const resumeWindow = 5 * time.Second
+
+// session is one request at one stage. The engine's mutex guards it.
+type session struct {
+	open backend.StageOpen
+	// received is the number of tokens whose input has arrived; ran, of those that were run.
+	// They differ by one at most, since a token starts when the one before has ended.
+	received int
+	ran      int
+	pending  *work
+	// passed holds the layers that each token has passed, this stage included. It stands for
+	// the activations that a stage keeps so that it can send them again.
+	passed map[int][]pipeline.Pass
+	// forwarded is the highest index that was passed on under the present attempt, or -1.
+	forwarded int
+	// tokens holds the texts that the stage knows: all at the last stage, and at the first one
+	// those that it was given as input.
+	tokens map[int]backend.Frame
+	// firstToken is the lowest index that the stage can know.
+	firstToken int
+	// drained is the attempt before, whose inputs are still taken while the link is drained.
+	drained      int
+	drainedStage int
+	// filled is closed when the KV cache is ready.
+	filled chan struct{}
+	// exported means that another server has taken the KV cache over.
+	exported bool
+	conns    int // open connections
+	closed   time.Time
+	changed  chan struct{} // closed and replaced when there is something to send
+	ended    bool          // the session is cancelled or failed
+	failure  string
+}
+
+func newSession(open backend.StageOpen) *session {
+	return &session{
+		open:       open,
+		received:   open.Ready,
+		ran:        open.Ready,
+		firstToken: open.Ready,
+		passed:     make(map[int][]pipeline.Pass),
+		forwarded:  -1,
+		tokens:     make(map[int]backend.Frame),
+		changed:    make(chan struct{}),
+		filled:     make(chan struct{}),
+	}
+}
+
+func (s *session) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *session) layers() fleet.Range { return s.open.Chain[s.open.Stage].Layers }
+
+func (s *session) isLast() bool { return s.open.Stage == len(s.open.Chain)-1 }
+
+// find returns the session that runs the layers of the request, or nil.
+func (e *engine) find(request string, layers fleet.Range) *session {
+	for _, s := range e.sessions[request] {
+		if s.layers() == layers {
+			return s
+		}
+	}
+	return nil
+}
+
+// receiver returns the session that a hop is for, or nil.
+func (e *engine) receiver(h hop) *session {
+	for _, s := range e.sessions[h.Request] {
+		if h.Attempt == s.open.Attempt && h.Stage == s.open.Stage {
+			return s
+		}
+		if h.Attempt == s.drained && h.Stage == s.drainedStage {
+			return s
+		}
+	}
+	return nil
+}
+
+// openSession starts a session, or moves an existing one to the attempt. It reports whether
+// the session is new, and whether the stage before it has changed.
+func (e *engine) openSession(open backend.StageOpen) (s *session, isNew, drain bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dropClosed(time.Now())
+	old := e.find(open.Request, open.Chain[open.Stage].Layers)
+	if old == nil {
+		s = newSession(open)
+		s.conns = 1
+		e.sessions[open.Request] = append(e.sessions[open.Request], s)
+		return s, true, false
+	}
+	old.conns++
+	if open.Attempt > old.open.Attempt {
+		drain = previous(open).Server != previous(old.open).Server && old.received == old.ran
+		old.drained = old.open.Attempt
+		old.drainedStage = old.open.Stage
+		old.open = open
+		old.forwarded = -1
+		old.notify()
+	}
+	return old, false, drain
+}
+
+// previous returns the stage that sends this one its input.
+func previous(o backend.StageOpen) backend.StageRef {
+	n := len(o.Chain)
+	return o.Chain[(o.Stage+n-1)%n]
+}
+
+// endDrain stops taking inputs of the attempt before.
+func (e *engine) endDrain(s *session) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.drained = 0
+}
+
+func (e *engine) closeConn(s *session) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.conns--
+	s.closed = time.Now()
+}
+
+func (e *engine) dropClosed(now time.Time) {
+	for _, sessions := range e.sessions {
+		for _, s := range slices.Clone(sessions) {
+			if s.conns <= 0 && now.Sub(s.closed) > resumeWindow {
+				e.end(s)
+			}
+		}
+	}
+}
+
+// cancel ends the sessions of a request and drops its waiting work.
+func (e *engine) cancel(request string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range slices.Clone(e.sessions[request]) {
+		e.end(s)
+	}
+}
+
+func (e *engine) end(s *session) {
+	request := s.open.Request
+	s.ended = true
+	s.notify()
+	left := slices.DeleteFunc(e.sessions[request], func(o *session) bool { return o == s })
+	e.sessions[request] = left
+	if len(left) == 0 {
+		delete(e.sessions, request)
+	}
+	e.queue.drop(s)
+}
+
+// start begins the token at the index, or passes on what was run of it before.
+func (e *engine) start(st backend.Start) {
+	e.receive(hop{Request: st.Request, Attempt: st.Attempt, Index: st.Index})
+}
+
+// receive takes the input of a token. Every token is run once: an input that arrives again
+// is passed on as it was, or dropped while the token waits.
+func (e *engine) receive(h hop) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.receiver(h)
+	if s == nil || s.ended || s.exported {
+		return
+	}
+	if h.Previous != nil {
+		s.tokens[h.Previous.Index] = *h.Previous
+	}
+	switch {
+	case h.Index < s.ran:
+		e.forward(s, h)
+	case h.Index != s.ran:
+		return
+	case s.pending != nil:
+		s.pending.hop.Attempt = max(s.pending.hop.Attempt, h.Attempt)
+	default:
+		e.enqueue(s, h)
+	}
+}
+
+func (e *engine) enqueue(s *session, h hop) {
+	w := &work{session: s, hop: h}
+	if !e.queue.add(w) {
+		s.failure = "the queue is full"
+		s.notify()
+		return
+	}
+	s.pending = w
+	s.received = h.Index + 1
+}
+
+// finish counts the layers and passes the token on. Both happen under one lock, so that a
+// crash comes before or after them.
+func (e *engine) finish(w *work) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := w.session
+	if s.ended || s.pending != w || e.faults.isCrashed() {
+		return
+	}
+	s.pending = nil
+	s.ran = w.hop.Index + 1
+	s.notify()
+	e.counts.ran(s.open.Request, w.hop.Index, s.layers())
+	if w.hop.Index == 0 {
+		e.prefix.add(s.open.Prompt)
+	}
+	e.forward(s, w.hop)
+}
+
+// forward passes a token to the next stage, or to the instance from the last one, once under
+// each attempt.
+func (e *engine) forward(s *session, h hop) {
+	passed, ok := s.passed[h.Index]
+	if !ok {
+		pass := pipeline.Pass{Server: e.self.Name, Layers: e.faults.reportedLayers(s.layers())}
+		passed = append(append([]pipeline.Pass(nil), h.Passed...), pass)
+		s.passed[h.Index] = passed
+	}
+	if h.Attempt != s.open.Attempt || h.Index <= s.forwarded {
+		return
+	}
+	s.forwarded = h.Index
+	next := hop{Request: h.Request, Attempt: h.Attempt, Index: h.Index, Stage: s.open.Stage + 1, Passed: passed}
+	if !s.isLast() {
+		e.fleet.deliver(e, s.open.Chain[next.Stage], next, s.hopBytes(e.fleet.options, h.Index))
+		return
+	}
+	e.sample(s, next)
+}
+
+// sample makes the text of a token that has passed all layers, and starts the next one.
+func (e *engine) sample(s *session, h hop) {
+	f, ok := s.tokens[h.Index]
+	if !ok {
+		f = backend.Frame{Kind: backend.FrameToken, Request: h.Request, Index: h.Index, Text: Word(s.open.Prompt, h.Index), Passed: h.Passed}
+		s.tokens[h.Index] = f
+	}
+	s.notify()
+	if h.Index+1 < s.open.MaxTokens {
+		next := hop{Request: h.Request, Attempt: h.Attempt, Index: h.Index + 1, Previous: &f}
+		e.fleet.deliver(e, s.open.Chain[0], next, tokenBytes)
+	}
+}
--- /dev/null
+++ b/internal/emulate/stage.go
@@ -0,0 +1,259 @@
+package emulate
+
+import (
+	"bufio"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/balsamlb/balsamlb/backend"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	aliveInterval = 200 * time.Millisecond
+	// drainTime is added to a link's delay when a stage waits for what the stage before it
+	// has sent.
+	drainTime = 2 * time.Millisecond
+	// reorderDelay is how far a reordered frame falls behind.
+	reorderDelay = 2 * time.Millisecond
+)
+
+func (e *engine) handleStage(ctx *fasthttp.RequestCtx) {
+	var open backend.StageOpen
+	if err := json.Unmarshal(ctx.PostBody(), &open); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	if open.Stage < 0 || open.Stage >= len(open.Chain) {
+		ctx.Error("stage is not in the chain", fasthttp.StatusBadRequest)
+		return
+	}
+	if e.faults.has(FaultRefuse) {
+		refuse(ctx)
+		return
+	}
+	e.faults.crashOn(open.Prompt)
+	s, isNew, drain := e.openSession(open)
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		defer e.closeConn(s)
+		sw := &stageWriter{engine: e, session: s, open: open, out: w}
+		if isNew {
+			e.fill(sw)
+			close(s.filled)
+		}
+		if !sw.waitFilled() {
+			return
+		}
+		if drain {
+			e.drainLink(open)
+		}
+		e.endDrain(s)
+		sw.run()
+	})
+}
+
+// refuse says that nothing of the request was run.
+func refuse(ctx *fasthttp.RequestCtx) {
+	ctx.Error("refused", fasthttp.StatusServiceUnavailable)
+	ctx.Response.Header.Set(backend.HeaderOutcome, "not_run")
+}
+
+// drainLink waits until what the stage before has sent must have arrived.
+func (e *engine) drainLink(open backend.StageOpen) {
+	from := e.fleet.options.server(previous(open))
+	time.Sleep(e.fleet.options.transferTime(from, e.self, e.fleet.options.ActivationBytes) + drainTime)
+}
+
+// stageWriter sends the frames of one connection of a stage.
+type stageWriter struct {
+	engine  *engine
+	session *session
+	open    backend.StageOpen
+	out     *bufio.Writer
+	next    int // index of the next token to send
+	held    *backend.Frame
+}
+
+// waitFilled waits until another connection has filled the KV cache; false means that this
+// connection has ended.
+func (w *stageWriter) waitFilled() bool {
+	alive := time.NewTicker(aliveInterval)
+	defer alive.Stop()
+	for {
+		select {
+		case <-w.session.filled:
+			return true
+		case <-w.engine.faults.crashed:
+			return false
+		case <-alive.C:
+			if w.send(backend.Frame{Kind: backend.FrameAlive}) != nil {
+				return false
+			}
+		}
+	}
+}
+
+// run sends frames until the end of the stream or of the connection.
+func (w *stageWriter) run() {
+	w.engine.mu.Lock()
+	w.next = max(w.open.From, w.session.firstToken)
+	w.engine.mu.Unlock()
+	if w.send(w.progress(backend.FrameOpened)) != nil {
+		return
+	}
+	if w.open.Stage == 0 && len(w.open.Chain) > 1 {
+		if w.sendKnown() != nil {
+			return
+		}
+	}
+	alive := time.NewTicker(aliveInterval)
+	defer alive.Stop()
+	for {
+		frames, changed, done := w.due()
+		for _, f := range frames {
+			if w.sendToken(f) != nil {
+				return
+			}
+		}
+		if done {
+			return
+		}
+		select {
+		case <-changed:
+		case <-w.engine.faults.crashed:
+			return
+		case <-alive.C:
+			if w.send(w.progress(backend.FrameAlive)) != nil {
+				return
+			}
+		}
+	}
+}
+
+func (w *stageWriter) progress(kind backend.FrameKind) backend.Frame {
+	w.engine.mu.Lock()
+	defer w.engine.mu.Unlock()
+	return backend.Frame{
+		Kind: kind, Request: w.open.Request, Attempt: w.open.Attempt,
+		Received: w.session.received, Ran: w.session.ran,
+	}
+}
+
+// sendKnown sends the tokens that the first stage was given as input, which the instance may
+// have missed when the last stage died.
+func (w *stageWriter) sendKnown() error {
+	w.engine.mu.Lock()
+	var known []backend.Frame
+	for i := w.open.From; i < w.session.received; i++ {
+		if f, ok := w.session.tokens[i]; ok {
+			known = append(known, f)
+		}
+	}
+	w.engine.mu.Unlock()
+	for _, f := range known {
+		if err := w.send(f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// due returns the frames that can be sent now, a channel that is closed when there are more,
+// and whether the stream has ended.
+func (w *stageWriter) due() ([]backend.Frame, <-chan struct{}, bool) {
+	w.engine.mu.Lock()
+	defer w.engine.mu.Unlock()
+	s := w.session
+	changed := s.changed
+	if s.failure != "" {
+		return []backend.Frame{{Kind: backend.FrameError, Message: s.failure}}, changed, true
+	}
+	if s.ended || s.open.Attempt != w.open.Attempt {
+		return nil, changed, true
+	}
+	if !s.isLast() {
+		return nil, changed, false
+	}
+	var frames []backend.Frame
+	for f, ok := s.tokens[w.next]; ok; f, ok = s.tokens[w.next] {
+		frames = append(frames, f)
+		w.next++
+	}
+	if w.next < w.open.MaxTokens {
+		return frames, changed, false
+	}
+	return append(frames, backend.Frame{Kind: backend.FrameEnd, Tokens: w.open.MaxTokens}), changed, true
+}
+
+// sendToken sends a frame, with the faults that act on frames.
+func (w *stageWriter) sendToken(f backend.Frame) error {
+	faults := w.engine.faults
+	if f.Kind != backend.FrameToken {
+		return w.send(f)
+	}
+	if err := w.sendBad(f); err != nil {
+		return err
+	}
+	if faults.has(FaultReorder) && w.held == nil && f.Index+1 < w.open.MaxTokens {
+		w.held = &f
+		return nil
+	}
+	if err := w.send(f); err != nil {
+		return err
+	}
+	if w.held != nil {
+		time.Sleep(reorderDelay)
+		late := *w.held
+		w.held = nil
+		return w.send(late)
+	}
+	if faults.has(FaultDuplicate) {
+		return w.send(f)
+	}
+	return nil
+}
+
+// sendBad sends the lines that a faulty server sends before a token.
+func (w *stageWriter) sendBad(f backend.Frame) error {
+	faults := w.engine.faults
+	if faults.has(FaultMalformed) {
+		return w.sendLine([]byte("{\"kind\": 7"))
+	}
+	if faults.has(FaultHuge) {
+		return w.sendLine([]byte(strings.Repeat("x", 1<<20)))
+	}
+	if faults.has(FaultForeign) {
+		f.Request = "foreign-" + f.Request
+		f.Text = "foreign "
+		return w.sendFrame(f)
+	}
+	if faults.has(FaultOldAttempt) {
+		f.Attempt = w.open.Attempt - 1
+		f.Request = w.open.Request
+		f.Text = "stale "
+		return w.sendFrame(f)
+	}
+	return nil
+}
+
+// send sends a frame of this request and attempt.
+func (w *stageWriter) send(f backend.Frame) error {
+	if x, ok := w.engine.faults.get(FaultLate); ok {
+		time.Sleep(time.Duration(x.Millis) * time.Millisecond)
+	}
+	f.Request = w.open.Request
+	f.Attempt = w.open.Attempt
+	return w.sendFrame(f)
+}
+
+func (w *stageWriter) sendFrame(f backend.Frame) error {
+	// A frame holds only plain values, which always encode.
+	line, _ := json.Marshal(f)
+	return w.sendLine(line)
+}
+
+func (w *stageWriter) sendLine(line []byte) error {
+	_, _ = w.out.Write(append(line, '\n'))
+	return w.out.Flush()
+}
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -75,7 +75,7 @@
 		passed = append(passed, pipeline.Pass{Server: st.Server.Name, Layers: st.Layers})
 		s.line("draft %s: stage %s layers %d-%d", id, st.Server.Name, st.Layers.From, st.Layers.To)
 	}
-	stream := pipeline.NewStream(id, 32)
+	stream := pipeline.NewReassembler(id, 32)
 	for i := tokens - 1; i >= 0; i-- {
 		out, err := stream.Token(pipeline.Token{Request: id, Attempt: 1, Index: i, Passed: passed})
 		s.line("draft %s: token %d arrived, %d emitted, err %v", id, i, len(out), err)
--- /dev/null
+++ b/pipeline/action.go
@@ -0,0 +1,117 @@
+package pipeline
+
+import "github.com/balsamlb/balsamlb/fleet"
+
+// Action is what a Stream asks for.
+type Action interface{ isAction() }
+
+// Open connects to a stage. The connection's events carry Conn.
+type Open struct {
+	Conn    int
+	Stage   int
+	Attempt int
+	Chain   Chain
+	// From is the index of the first token that is wanted.
+	From int
+	// Ready is the number of tokens that the KV cache of a stage without a session must hold.
+	Ready int
+	// Text holds the tokens that were emitted.
+	Text []string
+	// Import is the stage that may export the KV cache, or nil.
+	Import *Stage
+}
+
+// Close closes a connection.
+type Close struct{ Conn int }
+
+// Replace asks for servers that together take over the layers of a stage. The answer is
+// Replaced or NoReplacement, at once.
+type Replace struct {
+	Stage  int
+	Layers fleet.Range
+	// Exclude names servers that must not be chosen.
+	Exclude []string
+	Reason  Reason
+	// Server is the one that is replaced.
+	Server string
+}
+
+// Start tells the first stage to begin a token. Conn is the first stage's connection.
+type Start struct {
+	Conn    int
+	Stage   Stage
+	Attempt int
+	Index   int
+	// Previous is the text of the token before, or "".
+	Previous string
+}
+
+// Cancel tells a server to stop working on the request.
+type Cancel struct{ Stage Stage }
+
+// Release ends the use of a server that is no longer part of the chain.
+type Release struct{ Server string }
+
+// Emit passes a token to the caller.
+type Emit struct{ Token Token }
+
+// Resume says that a connection is given up and a new one opened to the same server.
+type Resume struct {
+	Stage  int
+	Server string
+	Reason Reason
+}
+
+// Finish ends the stream. A nil error means that the answer is whole.
+type Finish struct{ Err error }
+
+func (Open) isAction()    {}
+func (Close) isAction()   {}
+func (Replace) isAction() {}
+func (Start) isAction()   {}
+func (Cancel) isAction()  {}
+func (Release) isAction() {}
+func (Emit) isAction()    {}
+func (Resume) isAction()  {}
+func (Finish) isAction()  {}
+
+// Reason names why a stage or its connection is given up.
+type Reason string
+
+// The reasons to give a stage or its connection up.
+const (
+	ReasonClosed   Reason = "connection closed"
+	ReasonSilent   Reason = "connection silent"
+	ReasonDial     Reason = "can't connect"
+	ReasonRefused  Reason = "refused before running"
+	ReasonBadFrame Reason = "bad frame"
+	ReasonTold     Reason = "failure told by the server"
+	ReasonLost     Reason = "the server has lost the session"
+	ReasonStalled  Reason = "no progress"
+	ReasonLeaving  Reason = "the server is leaving"
+	ReasonSlow     Reason = "the stage has become slow"
+)
+
+// StageError ends a stream whose stage failed and could not be replaced.
+type StageError struct {
+	Server string
+	Reason Reason
+	// Ran means that a part of the request may have run.
+	Ran bool
+}
+
+// Error names the server and the reason.
+func (e *StageError) Error() string {
+	return "pipeline: " + e.Server + " could not be replaced: " + string(e.Reason)
+}
+
+// EndError ends a stream that has reached its deadline or whose caller has gone.
+type EndError struct{ Deadline bool }
+
+// Error says what ended the stream.
+func (e *EndError) Error() string {
+	if e.Deadline {
+		return "pipeline: the deadline has passed"
+	}
+	return "pipeline: the caller has gone"
+}
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -56,7 +56,7 @@
 
 func TestStreamPutsTokensInOrder(t *testing.T) {
 	is := is.New(t)
-	s := NewStream("r", 4)
+	s := NewReassembler("r", 4)
 	out, err := s.Token(token(1, whole()...))
 	is.NoErr(err)
 	is.Equal(len(out), 0)
@@ -77,7 +77,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			_, err := NewStream("r", 4).Token(token(0, passed...))
+			_, err := NewReassembler("r", 4).Token(token(0, passed...))
 			var ce *CoverageError
 			is.True(errors.As(err, &ce))
 		})
--- /dev/null
+++ b/pipeline/reassembler.go
@@ -0,0 +1,113 @@
+package pipeline
+
+import (
+	"fmt"
+
+	"github.com/balsamlb/balsamlb/fleet"
+)
+
+// Pass says that a server ran a range of layers for a token.
+type Pass struct {
+	Server string      `json:"server"`
+	Layers fleet.Range `json:"layers"`
+}
+
+// Token is one token as the last stage sends it.
+type Token struct {
+	Request string
+	Attempt int
+	Index   int
+	Text    string
+	Passed  []Pass
+}
+
+// maxReorder bounds the tokens that are held until the ones before them arrive.
+const maxReorder = 64
+
+// CoverageError means that a token did not pass every layer exactly once, in order.
+type CoverageError struct {
+	Request string
+	Index   int
+	Layer   int
+}
+
+func (e *CoverageError) Error() string {
+	return fmt.Sprintf("pipeline: token %d of %s did not pass layer %d exactly once, in order", e.Index, e.Request, e.Layer)
+}
+
+// OrderError means that more tokens arrived out of order than may be held.
+type OrderError struct {
+	Request string
+	Missing int
+}
+
+func (e *OrderError) Error() string {
+	return fmt.Sprintf("pipeline: token %d of %s is missing", e.Missing, e.Request)
+}
+
+// Reassembler puts the tokens of one request in order and checks each one.
+type Reassembler struct {
+	request string
+	attempt int
+	layers  int
+	next    int
+	held    map[int]Token
+}
+
+// NewReassembler returns the reassembler of a request over a model with the given layers. It
+// takes the tokens of attempt 1.
+func NewReassembler(request string, layers int) *Reassembler {
+	return &Reassembler{request: request, attempt: 1, layers: layers, held: make(map[int]Token)}
+}
+
+// SetAttempt drops the tokens of other attempts from now on, and what is held out of order.
+func (r *Reassembler) SetAttempt(attempt int) {
+	r.attempt = attempt
+	clear(r.held)
+}
+
+// Next returns the index of the next token to emit.
+func (r *Reassembler) Next() int { return r.next }
+
+// Token takes a token and returns those that can be emitted now. Tokens of another request,
+// of an older attempt or with an index that was emitted already are dropped.
+func (r *Reassembler) Token(t Token) ([]Token, error) {
+	if t.Request != r.request || t.Attempt != r.attempt || t.Index < r.next {
+		return nil, nil
+	}
+	if err := r.checkCoverage(t); err != nil {
+		return nil, err
+	}
+	if t.Index > r.next+maxReorder {
+		return nil, &OrderError{Request: r.request, Missing: r.next}
+	}
+	r.held[t.Index] = t
+	var out []Token
+	for {
+		t, ok := r.held[r.next]
+		if !ok {
+			break
+		}
+		delete(r.held, r.next)
+		r.next++
+		out = append(out, t)
+	}
+	return out, nil
+}
+
+// IsComplete reports whether all tokens up to count were emitted.
+func (r *Reassembler) IsComplete(count int) bool { return r.next == count }
+
+func (r *Reassembler) checkCoverage(t Token) error {
+	at := 0
+	for _, p := range t.Passed {
+		if p.Layers.From != at || p.Layers.To <= at {
+			return &CoverageError{Request: r.request, Index: t.Index, Layer: at}
+		}
+		at = p.Layers.To
+	}
+	if at != r.layers {
+		return &CoverageError{Request: r.request, Index: t.Index, Layer: at}
+	}
+	return nil
+}
--- /dev/null
+++ b/pipeline/repair.go
@@ -0,0 +1,203 @@
+package pipeline
+
+import (
+	"slices"
+	"time"
+)
+
+// Failed takes the end of a connection. A connection that has closed or gone silent may be
+// the fault of what lies between, so the server gets a new one; if that fails too, the server
+// is replaced.
+func (s *Stream) Failed(now time.Time, conn int, reason Reason) []Action {
+	i := s.find(conn)
+	if i < 0 {
+		return nil
+	}
+	switch reason {
+	case ReasonClosed, ReasonSilent:
+		return s.resume(now, i, reason)
+	default:
+		return s.repair(now, i, reason)
+	}
+}
+
+// resume opens a new connection to the same server, from the next index on.
+func (s *Stream) resume(now time.Time, i int, reason Reason) []Action {
+	l := s.links[i]
+	if l.isFresh || l.resumes >= s.limits.Resumes || (!l.opened && l.resumes > 0) {
+		return s.repair(now, i, reason)
+	}
+	out := []Action{Close{Conn: l.conn}, Resume{Stage: i, Server: s.chain[i].Server.Name, Reason: reason}}
+	l.resumes++
+	l.opened = false
+	return append(out, s.open(now, i, 0))
+}
+
+// repair replaces a stage under a new attempt. The other stages keep their sessions.
+func (s *Stream) repair(now time.Time, i int, reason Reason) []Action {
+	if reason != ReasonLeaving && reason != ReasonSlow {
+		s.exclude = append(s.exclude, s.chain[i].Server.Name)
+	}
+	s.reasons[i] = reason
+	out := s.newAttempt(now)
+	if s.done {
+		return out
+	}
+	return append(out, s.askReplacement(i))
+}
+
+func (s *Stream) askReplacement(i int) Replace {
+	exclude := append(slices.Clone(s.exclude), s.chain[i].Server.Name)
+	return Replace{
+		Stage:   i,
+		Layers:  s.layersOf(i),
+		Exclude: exclude,
+		Reason:  s.reasons[i],
+		Server:  s.chain[i].Server.Name,
+	}
+}
+
+// newAttempt closes all connections and counts against the limit.
+func (s *Stream) newAttempt(now time.Time) []Action {
+	if s.repairs >= s.limits.Repairs {
+		return s.finish(s.stageError())
+	}
+	s.repairs++
+	s.attempt++
+	s.tokens.SetAttempt(s.attempt)
+	s.started = false
+	s.progressed(now)
+	var out []Action
+	for _, l := range s.links {
+		if l.conn != 0 {
+			out = append(out, Close{Conn: l.conn})
+		}
+		l.conn = 0
+		l.opened = false
+		l.resumes = 0
+	}
+	return out
+}
+
+func (s *Stream) stageError() error {
+	for i, reason := range s.reasons {
+		return &StageError{Server: s.chain[i].Server.Name, Reason: reason, Ran: s.ran}
+	}
+	return &StageError{Reason: ReasonStalled, Ran: s.ran}
+}
+
+// Replaced takes the stages that take over the layers of stage i.
+func (s *Stream) Replaced(now time.Time, i int, stages Chain) []Action {
+	if s.done {
+		return nil
+	}
+	reason := s.reasons[i]
+	delete(s.reasons, i)
+	old := s.chain[i]
+	source := s.links[i].source
+	out := []Action{Release{Server: old.Server.Name}}
+	if isAlive(reason) {
+		s.retired = append(s.retired, old)
+		source = &old
+	} else {
+		// It may only be slow or cut off, and must not go on with the token that it holds.
+		out = append(out, Cancel{Stage: old})
+	}
+	var links []*link
+	for range stages {
+		l := &link{isFresh: true}
+		if len(stages) == 1 {
+			l.source = source
+		}
+		links = append(links, l)
+	}
+	s.chain = slices.Concat(s.chain[:i], stages, s.chain[i+1:])
+	s.links = slices.Concat(s.links[:i], links, s.links[i+1:])
+	return append(out, s.advance(now)...)
+}
+
+// isAlive reports whether a stage that was given up for the reason can still export its KV
+// cache.
+func isAlive(r Reason) bool { return r == ReasonLeaving || r == ReasonSlow }
+
+// NoReplacement says that no server can take over the layers of stage i. A server that
+// merely leaves or is slow keeps its stage.
+func (s *Stream) NoReplacement(now time.Time, i int) []Action {
+	if s.done {
+		return nil
+	}
+	if isAlive(s.reasons[i]) {
+		delete(s.reasons, i)
+		return s.advance(now)
+	}
+	return s.finish(s.stageError())
+}
+
+// Leaving moves the server's stage to another server, by way of its KV cache.
+func (s *Stream) Leaving(now time.Time, server string) []Action {
+	return s.move(now, server, ReasonLeaving)
+}
+
+// Slow moves a stage away from a server that has become slow, or whose links have.
+func (s *Stream) Slow(now time.Time, server string) []Action {
+	return s.move(now, server, ReasonSlow)
+}
+
+func (s *Stream) move(now time.Time, server string, reason Reason) []Action {
+	i := slices.IndexFunc(s.chain, func(st Stage) bool { return st.Server.Name == server })
+	if s.done || !s.started || i < 0 {
+		return nil
+	}
+	return s.repair(now, i, reason)
+}
+
+// Tick judges the connections by their own progress, and the chain by its tokens.
+func (s *Stream) Tick(now time.Time) []Action {
+	if s.done {
+		return nil
+	}
+	if !now.Before(s.end) {
+		return s.finish(&EndError{Deadline: true})
+	}
+	for i, l := range s.links {
+		if l.conn != 0 && now.Sub(l.heard) >= s.limits.Silence {
+			return s.resume(now, i, ReasonSilent)
+		}
+	}
+	if now.Sub(s.progressAt) >= s.stallTime() {
+		return s.stalled(now)
+	}
+	return nil
+}
+
+// stallTime is the time without progress that makes a stall. A KV cache that is rebuilt and
+// a first token that waits in a queue take longer than a token.
+func (s *Stream) stallTime() time.Duration {
+	isFilling := !s.started && s.survivorsOpened() && s.tokens.Next() >= s.due()
+	if s.tokens.Next() == 0 || isFilling {
+		return s.limits.FirstStall
+	}
+	return max(s.limits.Stall, stallGaps*s.gap)
+}
+
+// stalled replaces the stage that holds a token and has not run it. When there is none, a
+// token was lost on its way, and the chain is started again, and after that the first stage
+// that has not run the token that is due is replaced.
+func (s *Stream) stalled(now time.Time) []Action {
+	for i, l := range s.links {
+		if l.opened && l.progress.Received > l.progress.Ran {
+			return s.repair(now, i, ReasonStalled)
+		}
+	}
+	s.stalls++
+	if s.stalls == 1 {
+		return append(s.newAttempt(now), s.advance(now)...)
+	}
+	n := s.due()
+	for i, l := range s.links {
+		if l.progress.Ran <= n {
+			return s.repair(now, i, ReasonStalled)
+		}
+	}
+	return s.repair(now, 0, ReasonStalled)
+}
--- a/pipeline/stream.go
+++ b/pipeline/stream.go
@@ -1,109 +1,359 @@
 package pipeline
 
 import (
-	"fmt"
+	"slices"
+	"time"
 
 	"github.com/balsamlb/balsamlb/fleet"
 )
 
-// Pass says that a server ran a range of layers for a token.
-type Pass struct {
-	Server string      `json:"server"`
-	Layers fleet.Range `json:"layers"`
+// Limits bound how long a Stream waits and how often it repairs.
+type Limits struct {
+	// Silence is the time without any frame after which a connection is given up.
+	Silence time.Duration
+	// Stall is the least time without progress, while all connections are alive, after which
+	// the chain is started again.
+	Stall time.Duration
+	// FirstStall is the same before the first token, which may wait in queues.
+	FirstStall time.Duration
+	// Repairs bounds the attempts after the first.
+	Repairs int
+	// Resumes bounds the new connections to one server in one attempt.
+	Resumes int
 }
 
-// Token is one token as the last stage sends it.
-type Token struct {
-	Request string
-	Attempt int
-	Index   int
-	Text    string
-	Passed  []Pass
+// DefaultLimits are the limits in use.
+func DefaultLimits() Limits {
+	return Limits{
+		Silence:    700 * time.Millisecond,
+		Stall:      time.Second,
+		FirstStall: 10 * time.Second,
+		Repairs:    12,
+		Resumes:    4,
+	}
 }
 
-// maxReorder bounds the tokens that are held until the ones before them arrive.
-const maxReorder = 64
+// stallGaps is how many usual gaps between tokens make a stall.
+const stallGaps = 12
 
-// CoverageError means that a token did not pass every layer exactly once, in order.
-type CoverageError struct {
-	Request string
-	Index   int
-	Layer   int
+// Progress is how far a stage has got.
+type Progress struct {
+	// Received is the number of tokens whose input the stage holds or has run.
+	Received int
+	// Ran is the number of tokens that the stage has run.
+	Ran int
 }
 
-func (e *CoverageError) Error() string {
-	return fmt.Sprintf("pipeline: token %d of %s did not pass layer %d exactly once, in order", e.Index, e.Request, e.Layer)
+// link is the connection to one stage.
+type link struct {
+	conn   int // 0 when there is none
+	opened bool
+	heard  time.Time
+	// resumes counts the new connections since the last token.
+	resumes  int
+	progress Progress
+	// isFresh means that the server has no session yet.
+	isFresh bool
+	// source is the stage that may export the KV cache of a fresh one, or nil.
+	source *Stage
+	closed bool // the server has ended the stream of tokens
 }
 
-// OrderError means that more tokens arrived out of order than may be held.
-type OrderError struct {
-	Request string
-	Missing int
+// Stream is the life of one draft over a chain of stages.
+//
+// It is a state machine: methods take the time and an event, and return the actions to carry
+// out. Each change of the chain is a new attempt, under which all stages are connected anew:
+// first those that keep their session, which say how far they have got, then the replaced
+// ones, and then the first stage is told to begin the token that is due. Every token that a
+// stage holds or has run is counted by that stage as received, so a replaced stage knows
+// which tokens its range has run already: those that a later stage has received.
+type Stream struct {
+	request string
+	limits  Limits
+	end     time.Time // deadline
+
+	chain   Chain
+	links   []*link
+	attempt int
+	conns   int
+	tokens  *Reassembler
+	text    []string
+	total   int // -1 until the end mark
+	started bool
+	ran     bool // a start was sent at any time
+	repairs int
+	stalls  int
+	exclude []string
+	reasons map[int]Reason // stages that wait for a replacement
+	retired []Stage        // servers that have left the chain
+	done    bool
+
+	progressAt time.Time
+	tokenAt    time.Time
+	gap        time.Duration // usual gap between tokens
 }
 
-func (e *OrderError) Error() string {
-	return fmt.Sprintf("pipeline: token %d of %s is missing", e.Missing, e.Request)
+// StreamSpec describes a draft.
+type StreamSpec struct {
+	Request  string
+	Layers   int
+	Deadline time.Time
+	Chain    Chain
+	Limits   Limits
 }
 
-// Stream puts the tokens of one request in order and checks each one.
-type Stream struct {
-	request string
-	attempt int
-	layers  int
-	next    int
-	held    map[int]Token
+// NewStream returns a stream that has not begun.
+func NewStream(spec StreamSpec) *Stream {
+	s := &Stream{
+		request: spec.Request,
+		limits:  spec.Limits,
+		end:     spec.Deadline,
+		chain:   slices.Clone(spec.Chain),
+		tokens:  NewReassembler(spec.Request, spec.Layers),
+		total:   -1,
+		attempt: 1,
+		reasons: make(map[int]Reason),
+	}
+	for range spec.Chain {
+		s.links = append(s.links, &link{isFresh: true})
+	}
+	return s
 }
 
-// NewStream returns the stream of a request over a model with the given layers.
-func NewStream(request string, layers int) *Stream {
-	return &Stream{request: request, attempt: 1, layers: layers, held: make(map[int]Token)}
+// Begin opens the stages.
+func (s *Stream) Begin(now time.Time) []Action {
+	s.progressAt = now
+	s.tokenAt = now
+	return s.advance(now)
 }
 
-// Attempt returns the attempt whose tokens are taken.
+// Attempt returns the present attempt.
 func (s *Stream) Attempt() int { return s.attempt }
 
 // Next returns the index of the next token to emit.
-func (s *Stream) Next() int { return s.next }
-
-// Token takes a token and returns those that can be emitted now. Tokens of another request,
-// of an older attempt or with an index that was emitted already are dropped.
-func (s *Stream) Token(t Token) ([]Token, error) {
-	if t.Request != s.request || t.Attempt != s.attempt || t.Index < s.next {
-		return nil, nil
-	}
-	if err := s.checkCoverage(t); err != nil {
-		return nil, err
-	}
-	s.held[t.Index] = t
-	var out []Token
-	for {
-		t, ok := s.held[s.next]
-		if !ok {
-			break
+func (s *Stream) Next() int { return s.tokens.Next() }
+
+// Uses reports whether the server is part of the chain.
+func (s *Stream) Uses(server string) bool {
+	return slices.ContainsFunc(s.chain, func(st Stage) bool { return st.Server.Name == server })
+}
+
+// Opened takes a stage's word that it is ready.
+func (s *Stream) Opened(now time.Time, conn int, p Progress) []Action {
+	i := s.find(conn)
+	if i < 0 {
+		return nil
+	}
+	l := s.links[i]
+	l.heard = now
+	// Every emitted token has passed every stage.
+	if p.Ran < max(l.progress.Ran, s.tokens.Next()) {
+		return s.repair(now, i, ReasonLost)
+	}
+	l.opened = true
+	l.isFresh = false
+	l.progress = p
+	return s.advance(now)
+}
+
+// Alive takes a sign of life of a connection.
+func (s *Stream) Alive(now time.Time, conn int, p Progress) []Action {
+	i := s.find(conn)
+	if i < 0 {
+		return nil
+	}
+	l := s.links[i]
+	l.heard = now
+	if l.opened && p.Ran > l.progress.Ran {
+		s.progressed(now)
+	}
+	if l.opened && p.Ran >= l.progress.Ran {
+		l.progress = p
+	}
+	return nil
+}
+
+// Token takes a token.
+func (s *Stream) Token(now time.Time, conn int, t Token) []Action {
+	i := s.find(conn)
+	if i < 0 {
+		return nil
+	}
+	s.links[i].heard = now
+	tokens, err := s.tokens.Token(t)
+	var out []Action
+	for _, t := range tokens {
+		s.text = append(s.text, t.Text)
+		out = append(out, Emit{Token: t})
+	}
+	if len(tokens) > 0 {
+		s.emitted(now)
+	}
+	if err != nil {
+		return append(out, s.finish(err)...)
+	}
+	return append(out, s.advance(now)...)
+}
+
+func (s *Stream) emitted(now time.Time) {
+	gap := now.Sub(s.tokenAt)
+	if s.tokens.Next() > 1 {
+		s.gap += (gap - s.gap) / 8
+	}
+	s.tokenAt = now
+	s.stalls = 0
+	for _, l := range s.links {
+		l.resumes = 0
+	}
+	s.progressed(now)
+}
+
+func (s *Stream) progressed(now time.Time) { s.progressAt = now }
+
+// End takes the explicit end of the answer, which has count tokens.
+func (s *Stream) End(now time.Time, conn, count int) []Action {
+	i := s.find(conn)
+	if i < 0 {
+		return nil
+	}
+	s.links[i].heard = now
+	s.links[i].closed = true
+	if count < s.tokens.Next() {
+		return s.repair(now, i, ReasonBadFrame)
+	}
+	s.total = count
+	return s.advance(now)
+}
+
+// CallerGone ends the stream and the work at every stage.
+func (s *Stream) CallerGone() []Action { return s.finish(&EndError{}) }
+
+// advance does what can be done next: finish, open stages, or start.
+func (s *Stream) advance(now time.Time) []Action {
+	if s.done {
+		return nil
+	}
+	if s.total >= 0 && s.tokens.IsComplete(s.total) {
+		return s.finish(nil)
+	}
+	if s.started {
+		return nil
+	}
+	out := s.openSurvivors(now)
+	if !s.survivorsOpened() {
+		return out
+	}
+	n := s.due()
+	if s.tokens.Next() < n {
+		return out // a survivor sends the tokens that are missing
+	}
+	out = append(out, s.openFresh(now, n)...)
+	if !s.allOpened() {
+		return out
+	}
+	s.started = true
+	s.ran = true
+	s.progressed(now)
+	start := Start{Conn: s.links[0].conn, Stage: s.chain[0], Attempt: s.attempt, Index: n}
+	if n > 0 {
+		start.Previous = s.text[n-1]
+	}
+	return append(out, start)
+}
+
+func (s *Stream) openSurvivors(now time.Time) []Action {
+	var out []Action
+	for i, l := range s.links {
+		if !l.isFresh && l.conn == 0 {
+			out = append(out, s.open(now, i, 0))
 		}
-		delete(s.held, s.next)
-		s.next++
-		out = append(out, t)
 	}
-	if len(s.held) > maxReorder {
-		return out, &OrderError{Request: s.request, Missing: s.next}
+	return out
+}
+
+func (s *Stream) survivorsOpened() bool {
+	return !slices.ContainsFunc(s.links, func(l *link) bool { return !l.isFresh && !l.opened })
+}
+
+func (s *Stream) allOpened() bool {
+	return !slices.ContainsFunc(s.links, func(l *link) bool { return !l.opened })
+}
+
+func (s *Stream) openFresh(now time.Time, n int) []Action {
+	var out []Action
+	ready := n
+	for i, l := range slices.Backward(s.links) {
+		if l.isFresh && l.conn == 0 {
+			out = append(out, s.open(now, i, ready))
+		}
+		if l.opened {
+			ready = max(ready, l.progress.Received)
+		}
 	}
-	return out, nil
+	return out
 }
 
-// IsComplete reports whether all tokens up to count were emitted.
-func (s *Stream) IsComplete(count int) bool { return s.next == count }
+// due returns the index of the token that the chain runs next. Its predecessors are known to
+// the caller, to the last stage, or to the first stage as its input.
+func (s *Stream) due() int {
+	n := s.tokens.Next()
+	last := s.links[len(s.links)-1]
+	if last.opened {
+		n = max(n, last.progress.Ran)
+	}
+	if first := s.links[0]; first.opened && len(s.links) > 1 {
+		n = max(n, first.progress.Received-1)
+	}
+	return n
+}
+
+func (s *Stream) open(now time.Time, i, ready int) Open {
+	s.conns++
+	l := s.links[i]
+	l.conn = s.conns
+	l.heard = now
+	l.closed = false
+	return Open{
+		Conn:    s.conns,
+		Stage:   i,
+		Attempt: s.attempt,
+		Chain:   slices.Clone(s.chain),
+		From:    s.tokens.Next(),
+		Ready:   ready,
+		Text:    slices.Clone(s.text),
+		Import:  l.source,
+	}
+}
 
-func (s *Stream) checkCoverage(t Token) error {
-	at := 0
-	for _, p := range t.Passed {
-		if p.Layers.From != at || p.Layers.To <= at {
-			return &CoverageError{Request: s.request, Index: t.Index, Layer: at}
+func (s *Stream) find(conn int) int {
+	if s.done || conn == 0 {
+		return -1
+	}
+	return slices.IndexFunc(s.links, func(l *link) bool { return l.conn == conn })
+}
+
+// finish ends the stream; unless the answer is whole, the work ends at every stage.
+func (s *Stream) finish(err error) []Action {
+	if s.done {
+		return nil
+	}
+	s.done = true
+	var out []Action
+	for i, l := range s.links {
+		if l.conn != 0 {
+			out = append(out, Close{Conn: l.conn})
+		}
+		if err != nil {
+			out = append(out, Cancel{Stage: s.chain[i]})
 		}
-		at = p.Layers.To
 	}
-	if at != s.layers {
-		return &CoverageError{Request: s.request, Index: t.Index, Layer: at}
+	for _, st := range s.retired {
+		out = append(out, Cancel{Stage: st})
 	}
-	return nil
+	return append(out, Finish{Err: err})
 }
+
+// IsDone reports whether the stream has ended.
+func (s *Stream) IsDone() bool { return s.done }
+
+func (s *Stream) layersOf(i int) fleet.Range { return s.chain[i].Layers }
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -22,14 +22,39 @@
 	{"server", "step", "4000", "µs", "Time of one decoding step with one request.", wholeNumber(0, 10_000_000)},
 	{"server", "prefill", "50", "µs", "Time to prefill one token.", wholeNumber(0, 1_000_000)},
 	{"server", "services", "", "name, ...", "Plain services that the server runs.", anyText},
+	{"link", "delay", "500", "µs", "One-way delay between two data centres: [link A B].", wholeNumber(0, 10_000_000)},
+	{"link", "bandwidth", "0", "Mbit/s", "Bandwidth between two data centres; 0: unlimited.", wholeNumber(0, 10_000_000)},
+	{"accelerator", "delay", "0", "µs", "What a kind of accelerator adds to the delay of a hop.", wholeNumber(0, 10_000_000)},
+	{"accelerator", "bandwidth", "0", "Mbit/s", "Bandwidth of a kind of accelerator; 0: unlimited.", wholeNumber(0, 10_000_000)},
+	{"engine", "activation_bytes", "8192", "bytes", "Activations of a token between two stages.", wholeNumber(1, 1<<30)},
+	{"engine", "kv_bytes", "4096", "bytes", "KV cache of a token in one layer.", wholeNumber(1, 1<<30)},
+	{"engine", "prefix_tokens", "16384", "tokens", "Size of each server's prefix cache.", wholeNumber(1, 1<<30)},
+	{"server", "peer", "false", "", "true: another process emulates the server.", oneOf("true", "false")},
 	{"server", "checks_fences", "true", "", "false: the server ignores fencing numbers.", oneOf("true", "false")},
 }
 
 // EmulatedFleet is a set of emulated backend servers.
 type EmulatedFleet struct {
 	Servers []fleet.BackendServer
+	// Peers are servers that another process emulates.
+	Peers []fleet.BackendServer
 	// Announce lists the instances of each data centre.
 	Announce map[string][]string
+	// Links are between data centres, Accelerators what a kind adds to each hop.
+	Links        []EmulatedLink
+	Accelerators []EmulatedLink
+	// ActivationBytes, KVBytes and PrefixTokens describe all engines.
+	ActivationBytes int
+	KVBytes         int
+	PrefixTokens    int
+}
+
+// EmulatedLink is a link by the name of its section.
+type EmulatedLink struct {
+	Name        string
+	DelayMicros int
+	// Megabits is the bandwidth in Mbit/s; 0 means unlimited.
+	Megabits int
 }
 
 // ParseFleet checks a file of emulated backend servers; name is used in errors.
@@ -45,11 +70,32 @@
 		out.Announce[dc] = splitList(r.value(sources, "data_centre "+dc, "announce"))
 	}
 	for _, server := range r.names(sources, "server") {
+		if r.value(sources, "server "+server, "peer") == "true" {
+			out.Peers = append(out.Peers, r.emulated(sources, server, name))
+			continue
+		}
 		out.Servers = append(out.Servers, r.emulated(sources, server, name))
 	}
+	out.Links = r.emulatedLinks(sources, "link")
+	out.Accelerators = r.emulatedLinks(sources, "accelerator")
+	out.ActivationBytes = r.number(sources, "engine", "activation_bytes")
+	out.KVBytes = r.number(sources, "engine", "kv_bytes")
+	out.PrefixTokens = r.number(sources, "engine", "prefix_tokens")
 	return out, r.err()
 }
 
+func (r *reader) emulatedLinks(sources []source, kind string) []EmulatedLink {
+	var out []EmulatedLink
+	for _, name := range r.names(sources, kind) {
+		out = append(out, EmulatedLink{
+			Name:        name,
+			DelayMicros: r.number(sources, kind+" "+name, "delay"),
+			Megabits:    r.number(sources, kind+" "+name, "bandwidth"),
+		})
+	}
+	return out
+}
+
 func (r *reader) emulated(sources []source, name, file string) fleet.BackendServer {
 	section := "server " + name
 	for _, key := range []string{"address", "data_centre"} {
