--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/balsamlb/balsamlb/control"
 	"github.com/balsamlb/balsamlb/dispatch"
 	"github.com/balsamlb/balsamlb/instance"
+	"github.com/balsamlb/balsamlb/metrics"
 	"github.com/balsamlb/balsamlb/operator"
 	"github.com/balsamlb/balsamlb/platform"
 	"github.com/balsamlb/balsamlb/settings"
@@ -37,6 +38,7 @@
 type Daemon struct {
 	process    settings.Process
 	log        logr.Logger
+	secrets    *secrets
 	dialer     instance.Dialer
 	shared     *shared
 	host       *control.Host
@@ -50,11 +52,15 @@
 
 // New opens the data folder, if there is one, and builds the instance.
 func New(p settings.Process, log logr.Logger) (*Daemon, error) {
-	dialer, err := instance.NewDialer(p.Instances)
+	secrets, err := loadSecrets(p)
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{process: p, log: log, dialer: dialer}
+	dialer, err := instance.NewDialer(p.Instances, secrets.between())
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{process: p, log: log, secrets: secrets, dialer: dialer}
 	d.shared = newShared(p, uint64(time.Now().UnixNano()), log.WithName("config"))
 	d.proposer = instance.NewProposer(dialer, voterAddresses(p))
 	d.credits = newCreditDuty(d.proposer, log.WithName("credit"))
@@ -119,6 +125,7 @@
 	exchange := &exchangeDuty{shared: d.shared, exchanger: instance.NewExchanger(d.dialer)}
 	g.Go(func() error { return exchange.run(dutyCtx) })
 	g.Go(func() error { return d.credits.run(dutyCtx) })
+	g.Go(func() error { return d.secrets.run(dutyCtx, d.log.WithName("keys")) })
 	if d.host != nil {
 		g.Go(func() error { return d.host.Run(dutyCtx) })
 		g.Go(func() error { return d.sender.Run(dutyCtx) })
@@ -159,7 +166,9 @@
 func (d *Daemon) serve(ctx context.Context, g *errgroup.Group) ([]*fasthttp.Server, error) {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	set := metrics.New(registry, d.metricsState)
 	callers := caller.NewServer(ctx, caller.Options{
+		Metrics:    set,
 		Dispatcher: d.dispatcher,
 		Admitter:   d.admitter,
 		Intent:     d.shared.Intent,
@@ -172,7 +181,7 @@
 		proposer:   d.proposer,
 		dispatcher: d.dispatcher,
 		admitter:   d.admitter,
-	})
+	}, d.secrets.operatorKeys())
 	plan := []struct {
 		address string
 		server  *fasthttp.Server
@@ -188,6 +197,9 @@
 		if err != nil {
 			return servers, eris.Wrapf(err, "daemon: listen on %s", p.address)
 		}
+		if p.server == operators {
+			l = d.secrets.operatorListener(l)
+		}
 		g.Go(func() error { return eris.Wrapf(p.server.Serve(l), "daemon: serve %s", p.address) })
 		servers = append(servers, p.server)
 	}
@@ -195,6 +207,7 @@
 	if err != nil {
 		return servers, eris.Wrapf(err, "daemon: listen on %s", d.process.Instances)
 	}
+	l = d.secrets.instanceListener(l)
 	peers := instance.NewServer(d.replica(), d.shared)
 	g.Go(func() error { return peers.Serve(ctx, l) })
 	return servers, nil
@@ -228,6 +241,27 @@
 	return ""
 }
 
+// metricsState returns what the gauges show.
+func (d *Daemon) metricsState() metrics.State {
+	s := d.shared.status()
+	state := metrics.State{
+		InFlight:         d.admitter.InFlight(),
+		ConfigVersion:    s.ConfigVersion,
+		ConfigAgeSeconds: float64(s.ConfigAgeMs) / 1000,
+	}
+	for _, b := range s.Servers {
+		if !b.Leaving {
+			state.BackendServers++
+		}
+	}
+	for _, i := range s.Instances {
+		if i.Alive {
+			state.InstancesAlive++
+		}
+	}
+	return state
+}
+
 const idBytes = 12
 
 // newID returns a request id that no instance has used. It must not repeat after a restart,
--- a/dispatch/draft.go
+++ b/dispatch/draft.go
@@ -52,11 +52,11 @@
 // runDraft runs the request over a chain and returns the last event, and a function that
 // waits for what is left to tell the backend servers.
 func (d *Dispatcher) runDraft(ctx context.Context, r Draft, events *ring.Ring[DraftEvent]) (DraftEvent, func()) {
-	chain, err := d.chooseChain(r.Request, r.PromptTokens)
+	choice, err := d.chooseChain(r, nil)
 	if err != nil {
 		return DraftEvent{Err: asOutcome(err)}, func() {}
 	}
-	run := newDraftRun(ctx, d, r, chain, events)
+	run := newDraftRun(ctx, d, r, choice.Chain, events)
 	return run.follow(), run.wait
 }
 
--- a/dispatch/draft_choose.go
+++ b/dispatch/draft_choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/balsamlb/balsamlb/fleet"
 	"github.com/balsamlb/balsamlb/pipeline"
@@ -21,30 +22,47 @@
 	return l.Leaving()
 }
 
-// chooseStages chooses the servers that take over a range of layers. The router plans it as
-// the chain of a model that has only those layers.
-func (d *Dispatcher) chooseStages(r Draft, layers fleet.Range, exclude []string) (pipeline.Chain, error) {
+// chooseStages chooses what takes over a stage: one server that can run its layers, or else
+// several that together can.
+func (d *Dispatcher) chooseStages(r Draft, a pipeline.Replace) (pipeline.Chain, error) {
+	server, err := d.chooseReplacement(r, a.Chain, a.Stage, a.Exclude)
+	if err == nil {
+		return pipeline.Chain{{Server: server, Layers: a.Layers}}, nil
+	}
+	return d.chooseSplit(r, a)
+}
+
+// chooseSplit plans the layers of a stage as the chain of a model that has only those.
+func (d *Dispatcher) chooseSplit(r Draft, a pipeline.Replace) (pipeline.Chain, error) {
+	exclude := slices.Clone(a.Exclude)
+	for _, st := range a.Chain {
+		exclude = append(exclude, st.Server.Name)
+	}
 	able := make(map[string]fleet.BackendServer)
 	var clipped []fleet.BackendServer
 	for _, s := range d.fleet.Available() {
-		if s.Model != r.Service.Model || slices.Contains(exclude, s.Name) {
+		if s.Model != r.Service.Model {
 			continue
 		}
-		if c, ok := clip(s, layers); ok {
+		if c, ok := clip(s, a.Layers); ok {
 			able[s.Name] = s
 			clipped = append(clipped, c)
 		}
 	}
+	need := r.need(exclude)
+	need.Layers = a.Layers.Len()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	chain, err := d.router.Chain(r.Service.Model, layers.Len(), clipped, r.PromptTokens)
+	now := time.Now()
+	c, err := d.router.Chain(now, need, clipped)
 	if err != nil {
 		return nil, err
 	}
+	chain := slices.Clone(c.Chain)
 	for i, st := range chain {
 		chain[i].Server = able[st.Server.Name]
-		chain[i].Layers = fleet.Range{From: st.Layers.From + layers.From, To: st.Layers.To + layers.From}
-		d.router.Started(st.Server.Name)
+		chain[i].Layers = fleet.Range{From: st.Layers.From + a.Layers.From, To: st.Layers.To + a.Layers.From}
+		d.router.Started(now, st.Server.Name)
 	}
 	return chain, nil
 }
--- a/dispatch/draft_run.go
+++ b/dispatch/draft_run.go
@@ -196,7 +196,7 @@
 
 // replace chooses servers for the layers of a stage.
 func (run *draftRun) replace(a pipeline.Replace) []pipeline.Action {
-	stages, err := run.d.chooseStages(run.r, a.Layers, a.Exclude)
+	stages, err := run.d.chooseStages(run.r, a)
 	if err != nil {
 		run.log.Info("found no replacement", "server", a.Server, "reason", string(a.Reason), "err", err.Error())
 		return run.stream.NoReplacement(time.Now(), a.Stage)
--- a/pipeline/action.go
+++ b/pipeline/action.go
@@ -27,6 +27,7 @@
 // Replace asks for servers that together take over the layers of a stage. The answer is
 // Replaced or NoReplacement, at once.
 type Replace struct {
+	Chain  Chain
 	Stage  int
 	Layers fleet.Range
 	// Exclude names servers that must not be chosen.
--- a/pipeline/repair.go
+++ b/pipeline/repair.go
@@ -49,6 +49,7 @@
 func (s *Stream) askReplacement(i int) Replace {
 	exclude := append(slices.Clone(s.exclude), s.chain[i].Server.Name)
 	return Replace{
+		Chain:   slices.Clone(s.chain),
 		Stage:   i,
 		Layers:  s.layersOf(i),
 		Exclude: exclude,
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,11 +4,11 @@
 cd "$(dirname "$0")/.."
 
 echo "gofmt"
-unformatted=$(gofmt -l $(git ls-files --cached --others --exclude-standard '*.go'))
+unformatted=$(gofmt -l .)
 [ -z "$unformatted" ] || { echo "not formatted: $unformatted"; exit 1; }
 
 echo "generated code"
-sha256sum --check --quiet instance/wire/instance.proto.sha256
+sha256sum --check --quiet instance/wire/instance.proto.sha256 replica/wire/replica.proto.sha256
 
 echo "go vet"
 go vet ./...
