--- a/cmd/balsamctl/main_test.go
+++ b/cmd/balsamctl/main_test.go
@@ -21,7 +21,9 @@
 	}
 	text, err := os.ReadFile(path)
 	is.NoErr(err)
-	is.Equal(string(text), page())
+	if string(text) != page() {
+		t.Fatal("docs/CLI.md is out of date; run go test ./cmd/balsamctl -update")
+	}
 }
 
 func TestExitCodes(t *testing.T) {
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -20,7 +20,9 @@
 	}
 	page, err := os.ReadFile(path)
 	is.NoErr(err)
-	is.Equal(string(page), Markdown())
+	if string(page) != Markdown() {
+		t.Fatal("docs/METRICS.md is out of date; run go test ./metrics -update")
+	}
 }
 
 func TestEveryRegisteredMetricIsDescribed(t *testing.T) {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -20,7 +20,9 @@
 	}
 	page, err := os.ReadFile(path)
 	is.NoErr(err)
-	is.Equal(string(page), Markdown())
+	if string(page) != Markdown() {
+		t.Fatal("docs/SETTINGS.md is out of date; run go test ./settings -update")
+	}
 }
 
 func TestEveryFaultIsListed(t *testing.T) {
