Drafts that are handed on by a drain can hang: test and known-red entry

Cause: not found yet. The demo with NET=127.9 failed once on a draft whose first stage was handed on at its last token: every replacement of that stage was blamed for no progress until the deadline.

--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/internal/load"
+	"github.com/balsamlb/balsamlb/operator"
 	"github.com/matryer/is"
 )
 
@@ -71,13 +72,18 @@
 }
 
 func startLayout(t *testing.T, layout Layout) *Lab {
+	t.Helper()
+	return startLayoutWith(t, layout, 2)
+}
+
+func startLayoutWith(t *testing.T, layout Layout, servers int) *Lab {
 	t.Helper()
 	l, err := Start(t.Context(), layout)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(l.Close)
-	if err := l.WaitServers(t.Context(), 2); err != nil {
+	if err := l.WaitServers(t.Context(), servers); err != nil {
 		t.Fatal(err)
 	}
 	return l
@@ -124,3 +130,91 @@
 	is.Equal(r.Broken, nil)
 	is.Equal(r.Booked, 20)
 }
+
+func TestDraftsWithoutFaultsAreAllAnswered(t *testing.T) {
+	is := is.New(t)
+	layout := testLayout(t)
+	layout.Emulators = []Emulator{{Name: "emulator", Fleet: twoStageFleet}}
+	l := startLayoutWith(t, layout, 5)
+	var addresses []string
+	for _, i := range l.Instances {
+		addresses = append(addresses, i.Callers())
+	}
+	r := load.Run(context.Background(), load.Options{
+		Instances: addresses, Workspace: "kandy", Drafts: 400, MaxTokens: 24, Concurrent: 32, Seed: 1, Deadline: 20 * time.Second,
+	})
+	is.Equal(r.Broken, nil)
+	is.Equal(r.Answered, 400)
+}
+
+func TestDraftsAreAnsweredWholeWhileServersAreDrained(t *testing.T) {
+	is := is.New(t)
+	layout := testLayout(t)
+	layout.Emulators = []Emulator{{Name: "emulator", Fleet: twoStageFleet}}
+	l := startLayoutWith(t, layout, 5)
+	var addresses []string
+	for _, i := range l.Instances {
+		addresses = append(addresses, i.Callers())
+	}
+	stop := make(chan struct{})
+	drained := make(chan error, 1)
+	go func() { drained <- drainInTurn(l, stop, "advice-0", "advice-1") }()
+	r := load.Run(context.Background(), load.Options{
+		Instances: addresses, Workspace: "kandy", Drafts: 400, MaxTokens: 24, Concurrent: 32, Seed: 1, Deadline: 20 * time.Second,
+	})
+	close(stop)
+	is.NoErr(<-drained)
+	is.Equal(r.Broken, nil)
+	is.Equal(r.Answered, 400)
+}
+
+// drainInTurn drains one server after the other, and ends each drain, until stop is closed.
+func drainInTurn(l *Lab, stop chan struct{}, servers ...string) error {
+	client := l.Operator(l.Instances[0])
+	for n := 0; ; n++ {
+		server := servers[n/2%len(servers)]
+		if err := client.Drain(operator.DrainRequest{Server: server, On: n%2 == 0}); err != nil {
+			return err
+		}
+		select {
+		case <-stop:
+			return nil
+		case <-time.After(drainPause):
+		}
+	}
+}
+
+const drainPause = 150 * time.Millisecond
+
+const twoStageFleet = `
+[data_centre colombo]
+announce = $ANNOUNCE(colombo)
+[server advice-0]
+address = $NET.1.100:9000
+data_centre = colombo
+model = icing-7b
+layers = 0-16
+step = 2000
+[server advice-1]
+address = $NET.1.101:9000
+data_centre = colombo
+model = icing-7b
+layers = 16-32
+step = 2000
+[server advice-2]
+address = $NET.1.102:9000
+data_centre = colombo
+model = icing-7b
+layers = 0-16
+step = 3000
+[server advice-3]
+address = $NET.1.103:9000
+data_centre = colombo
+model = icing-7b
+layers = 16-32
+step = 3000
+[server ordering-0]
+address = $NET.1.200:9000
+data_centre = colombo
+services = booking
+`
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -13,6 +13,7 @@
 }
 trap stop_all EXIT
 
+export BALSAMCTL_INSTANCE="$net.1.1:8082"
 say() { printf '== %s\n' "$*"; }
 ctl() { bin/balsamctl "$@"; }
 
