--- a/backend/announce.go
+++ b/backend/announce.go
@@ -2,17 +2,56 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/netip"
-	"time"
 
 	"github.com/balsamlb/balsamlb/fleet"
 	"github.com/valyala/fasthttp"
 )
 
-// Announcements receives what backend servers say of themselves.
+// Grant names the answer to an announcement. A server sends the last one back with its age,
+// so that an instance can tell how old an announcement is that was held up on its way.
+type Grant struct {
+	Instance uint64 `json:"instance"`
+	Clock    uint64 `json:"clock"`
+}
+
+// Announcement is what a backend server says of itself.
+type Announcement struct {
+	fleet.BackendServer
+	// Last is the grant of this instance's last answer, and LastAgeMillis the time since it
+	// came. Both may be left out.
+	Last          Grant  `json:"last,omitzero"`
+	LastAgeMillis uint64 `json:"last_age_ms,omitempty"`
+}
+
+// Renewal renews the lease of a server that has nothing new to say but its load.
+type Renewal struct {
+	Name          string `json:"name"`
+	Incarnation   uint64 `json:"incarnation"`
+	Sequence      uint64 `json:"sequence"`
+	Running       int    `json:"running,omitempty"`
+	Queued        int    `json:"queued,omitempty"`
+	Last          Grant  `json:"last,omitzero"`
+	LastAgeMillis uint64 `json:"last_age_ms,omitempty"`
+}
+
+// AnnounceReply is the answer to an announcement or a renewal.
+type AnnounceReply struct {
+	LeaseMillis int64 `json:"lease_ms"`
+	// NextMillis is when the server should announce itself again.
+	NextMillis int64 `json:"next_ms"`
+	Grant      Grant `json:"grant"`
+}
+
+// Announcements receives what backend servers say of themselves. Its errors are those of
+// fleet.Registry.
 type Announcements interface {
-	// Announced renews the server's lease and returns its duration.
-	Announced(s fleet.BackendServer) time.Duration
+	// Announced renews the server's lease.
+	Announced(a Announcement) (AnnounceReply, error)
+	// Renewed renews a lease that this instance granted. It returns false when there is
+	// none; the server then announces itself in full.
+	Renewed(r Renewal) (AnnounceReply, bool, error)
 }
 
 const maxAnnounceBytes = 64 << 10
@@ -20,33 +59,65 @@
 // NewServer returns the HTTP server for backend servers.
 func NewServer(a Announcements) *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler:            func(ctx *fasthttp.RequestCtx) { handle(ctx, a) },
-		MaxRequestBodySize: maxAnnounceBytes,
-		Name:               "balsamlb",
+		Handler:               func(ctx *fasthttp.RequestCtx) { handle(ctx, a) },
+		MaxRequestBodySize:    maxAnnounceBytes,
+		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
+		NoDefaultContentType:  true,
 	}
 }
 
 func handle(ctx *fasthttp.RequestCtx, a Announcements) {
-	if string(ctx.Path()) != PathAnnounce || !ctx.IsPost() {
+	path := string(ctx.Path())
+	switch {
+	case path == PathAnnounce && ctx.IsPost():
+		handleAnnouncement(ctx, a)
+	case path == PathRenew && ctx.IsPost():
+		handleRenewal(ctx, a)
+	default:
 		ctx.Error("not found", fasthttp.StatusNotFound)
-		return
 	}
-	var s fleet.BackendServer
+}
+
+func handleAnnouncement(ctx *fasthttp.RequestCtx, a Announcements) {
+	var s Announcement
 	if err := json.Unmarshal(ctx.PostBody(), &s); err != nil {
 		ctx.Error("announcement: "+err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
-	if reason := checkAnnouncement(s); reason != "" {
+	if reason := checkAnnouncement(s.BackendServer); reason != "" {
 		ctx.Error("announcement: "+reason, fasthttp.StatusBadRequest)
 		return
 	}
-	ttl := a.Announced(s)
-	body, err := json.Marshal(AnnounceReply{LeaseMillis: ttl.Milliseconds()})
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+	reply, err := a.Announced(s)
+	answer(ctx, reply, err)
+}
+
+func handleRenewal(ctx *fasthttp.RequestCtx, a Announcements) {
+	var r Renewal
+	if err := json.Unmarshal(ctx.PostBody(), &r); err != nil {
+		ctx.Error("renewal: "+err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	reply, ok, err := a.Renewed(r)
+	if !ok {
+		ctx.Error("renewal: no lease here; announce in full", fasthttp.StatusNotFound)
+		return
+	}
+	answer(ctx, reply, err)
+}
+
+func answer(ctx *fasthttp.RequestCtx, reply AnnounceReply, err error) {
+	switch {
+	case errors.Is(err, fleet.ErrFull):
+		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
+		return
+	case err != nil:
+		ctx.Error(err.Error(), fasthttp.StatusConflict)
 		return
 	}
-	ctx.SetContentType("application/json")
+	// AnnounceReply holds only plain values, which always encode.
+	body, _ := json.Marshal(reply)
 	ctx.SetBody(body)
 }
 
--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -9,8 +9,9 @@
 
 // Paths of the HTTP protocol with backend servers.
 const (
-	// PathAnnounce is served by instances; the others by backend servers.
+	// PathAnnounce and PathRenew are served by instances; the others by backend servers.
 	PathAnnounce = "/v1/announce"
+	PathRenew    = "/v1/renew"
 	PathStage    = "/v1/stage"
 	PathCancel   = "/v1/cancel"
 	PathCall     = "/v1/call/"
@@ -81,8 +82,3 @@
 type Cancel struct {
 	Request string `json:"request"`
 }
-
-// AnnounceReply is the answer to an announcement.
-type AnnounceReply struct {
-	LeaseMillis int64 `json:"lease_ms"`
-}
--- /dev/null
+++ b/daemon/announced.go
@@ -0,0 +1,72 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/balsamlb/balsamlb/backend"
+	"github.com/balsamlb/balsamlb/fleet"
+)
+
+// defaultServerLease applies until a configuration is in force.
+const defaultServerLease = 2 * time.Second
+
+// announcesPerLease is how often a server should announce itself while its lease runs, so
+// that one lost announcement costs nothing.
+const announcesPerLease = 3
+
+func (s *shared) serverLease() time.Duration {
+	if s.intent.Limits.ServerLease > 0 {
+		return s.intent.Limits.ServerLease
+	}
+	return defaultServerLease
+}
+
+// Announced renews the lease of a backend server.
+func (s *shared) Announced(a backend.Announcement) (backend.AnnounceReply, error) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ttl := s.serverLease()
+	reply := backend.AnnounceReply{
+		LeaseMillis: ttl.Milliseconds(),
+		NextMillis:  (ttl / announcesPerLease).Milliseconds(),
+		Grant:       backend.Grant{Instance: s.incarnation, Clock: uint64(s.clock.read(now))},
+	}
+	urgent, err := s.registry.AnnounceUntil(now, a.BackendServer, s.sentAt(now, a).Add(ttl))
+	if err != nil {
+		return reply, err
+	}
+	if urgent {
+		s.log.Info("granted a lease", "server", a.Name, "incarnation", a.Incarnation, "leaving", a.Leaving)
+		s.bell.ring()
+	}
+	return reply, nil
+}
+
+// Renewed renews the lease of a server that says nothing new but its load. It reports false
+// when this instance has no lease of the server to renew.
+func (s *shared) Renewed(r backend.Renewal) (backend.AnnounceReply, bool, error) {
+	s.mu.Lock()
+	b, ok := s.registry.DirectServer(time.Now(), r.Name)
+	s.mu.Unlock()
+	if !ok || b.Incarnation != r.Incarnation {
+		return backend.AnnounceReply{}, false, nil
+	}
+	b.Sequence = r.Sequence
+	b.Load = fleet.Load{Running: r.Running, Queued: r.Queued}
+	reply, err := s.Announced(backend.Announcement{BackendServer: b, Last: r.Last, LastAgeMillis: r.LastAgeMillis})
+	return reply, true, err
+}
+
+// sentAt returns the earliest time at which the announcement can have been sent. Without an
+// earlier grant of this instance to go by, an announcement that is read just after a pause
+// may be of any age.
+func (s *shared) sentAt(now time.Time, a backend.Announcement) time.Time {
+	if a.Last.Instance == s.incarnation && a.Last.Clock > 0 {
+		return s.clock.at(a.Last.Clock+a.LastAgeMillis, now)
+	}
+	if s.clock.isThawing(now) {
+		return s.clock.started
+	}
+	return now
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -31,6 +31,8 @@
 	balancerNotice = time.Second
 	// shutdownGrace bounds the wait for requests in flight.
 	shutdownGrace = 10 * time.Minute
+	// farewellTime is how long the others have to learn that the instance has left.
+	farewellTime = 100 * time.Millisecond
 )
 
 // Daemon is one instance.
@@ -121,7 +123,7 @@
 		_ = g.Wait()
 		return err
 	}
-	exchange := &exchangeDuty{shared: d.shared, exchanger: instance.NewExchanger(d.dialer)}
+	exchange := newExchangeDuty(d.shared, d.host, d.dialer)
 	g.Go(func() error { return exchange.run(dutyCtx) })
 	g.Go(func() error { return d.credits.run(dutyCtx) })
 	g.Go(func() error { return d.secrets.run(dutyCtx, d.log.WithName("keys")) })
@@ -133,6 +135,8 @@
 	select {
 	case <-ctx.Done():
 		d.drain(dutyCtx)
+		d.shared.setLeft()
+		sleep(dutyCtx, farewellTime)
 	case <-dutyCtx.Done():
 	}
 	stopDuties()
--- a/daemon/facts.go
+++ b/daemon/facts.go
@@ -8,25 +8,25 @@
 	"github.com/balsamlb/balsamlb/membership"
 )
 
-// facts carries notices and usage between the decision packages and the other instances.
-// Handlers are called without a lock held.
+// facts carries notices and usage between the decision packages and the other instances of
+// the data centre. Handlers are called without a lock held.
 type facts struct {
-	dataCentre string
-	// published wakes the duty that sends notices at once. It holds one signal, since one
-	// pass sends all that wait.
-	published chan struct{}
+	// onPublish is called after a notice was published.
+	onPublish func()
 
 	mu       sync.Mutex
 	notices  *membership.Notices
 	handlers []membership.NoticeHandler
 	usage    membership.UsageExchange // nil when nothing reports usage
+	// digests holds the digest of the notices that each peer holds.
+	digests map[string]uint64
 }
 
-func newFacts(self, dataCentre string, incarnation uint64) *facts {
+func newFacts(self string, incarnation uint64, onPublish func()) *facts {
 	return &facts{
-		dataCentre: dataCentre,
-		published:  make(chan struct{}, 1),
-		notices:    membership.NewNotices(self, incarnation),
+		onPublish: onPublish,
+		notices:   membership.NewNotices(self, incarnation),
+		digests:   make(map[string]uint64),
 	}
 }
 
@@ -49,29 +49,19 @@
 	f.mu.Lock()
 	f.notices.Publish(time.Now(), n)
 	f.mu.Unlock()
-	select {
-	case f.published <- struct{}{}:
-	default:
-	}
+	f.onPublish()
 }
 
-// outgoing returns the notices that have not expired.
-func (f *facts) outgoing(now time.Time) []*wire.Notice {
+// received takes the notices that came in a beat, and the digest of those that the peer
+// holds. It passes on what is new.
+func (f *facts) received(sent, now time.Time, peer string, notices []*wire.Notice, digest uint64) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	var out []*wire.Notice
-	for _, n := range f.notices.All(now) {
-		out = append(out, noticeToWire(n, now))
+	if digest != 0 {
+		f.digests[peer] = digest
 	}
-	return out
-}
-
-// received takes the notices of an instance and passes on what is new.
-func (f *facts) received(now time.Time, notices []*wire.Notice) {
-	f.mu.Lock()
 	var fresh []membership.Notice
 	for _, w := range notices {
-		n := noticeFromWire(w, now)
+		n := noticeFromWire(w, sent)
 		if f.notices.Receive(now, n) {
 			fresh = append(fresh, n)
 		}
@@ -85,8 +75,19 @@
 	}
 }
 
-// outgoingUsage returns this instance's usage, or nil when nothing reports it.
-func (f *facts) outgoingUsage(now time.Time, limit int) *wire.Usage {
+// ended takes that nothing more comes from a peer until it is heard anew.
+func (f *facts) ended(now time.Time, peer string) {
+	f.mu.Lock()
+	delete(f.digests, peer)
+	u := f.usage
+	f.mu.Unlock()
+	if u != nil {
+		u.HandleUsage(now, peer, nil)
+	}
+}
+
+// localUsage returns this instance's usage, or nil when nothing reports it.
+func (f *facts) localUsage(now time.Time, limit int) *wire.Usage {
 	f.mu.Lock()
 	u := f.usage
 	f.mu.Unlock()
@@ -100,7 +101,7 @@
 	return out
 }
 
-// receivedUsage takes the usage of an instance; a nil report says nothing.
+// receivedUsage takes the usage of a peer; a nil report says nothing.
 func (f *facts) receivedUsage(now time.Time, peer string, report *wire.Usage) {
 	f.mu.Lock()
 	u := f.usage
@@ -131,7 +132,8 @@
 // maxNoticeLife bounds how long a notice of another instance is held.
 const maxNoticeLife = 24 * time.Hour
 
-func noticeFromWire(w *wire.Notice, now time.Time) membership.Notice {
+// noticeFromWire returns a notice that was sent at the time given or later.
+func noticeFromWire(w *wire.Notice, sent time.Time) membership.Notice {
 	remaining := min(w.RemainingMs, uint64(maxNoticeLife.Milliseconds()))
 	return membership.Notice{
 		ID:          membership.NoticeID{Origin: w.Origin, Incarnation: w.Incarnation, Sequence: w.Sequence},
@@ -139,6 +141,6 @@
 		Fingerprint: w.Fingerprint,
 		Servers:     w.Servers[:min(len(w.Servers), membership.MaxNoticeServers)],
 		Count:       w.Count,
-		Expires:     now.Add(time.Duration(remaining) * time.Millisecond),
+		Expires:     sent.Add(time.Duration(remaining) * time.Millisecond),
 	}
 }
--- /dev/null
+++ b/daemon/members.go
@@ -0,0 +1,141 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/balsamlb/balsamlb/instance/wire"
+	"github.com/balsamlb/balsamlb/membership"
+)
+
+// Members returns the instances that this instance knows.
+func (s *shared) Members() []*wire.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	var out []*wire.Member
+	for _, m := range s.table.Members() {
+		out = append(out, toWire(m, now))
+	}
+	return out
+}
+
+// Asked takes the instance that asks for members.
+func (s *shared) Asked(req *wire.MembersRequest) {
+	s.learn([]*wire.Member{req.Sender})
+}
+
+// learn takes over what another instance knows of others.
+func (s *shared) learn(members []*wire.Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for _, w := range members {
+		if w == nil {
+			continue
+		}
+		heard := now.Add(-time.Duration(min(w.HeardMs, maxHeardMillis)) * time.Millisecond)
+		if s.table.Learn(now, fromWire(w), heard) {
+			s.log.Info("learned of an instance", "instance", w.Name, "data_centre", w.DataCentre, "address", w.Address)
+		}
+	}
+}
+
+// maxHeardMillis is an age at which a member is forgotten for certain.
+const maxHeardMillis = 24 * 60 * 60 * 1000
+
+// hear takes a sign of life of a peer and reports false when its sender is not a member.
+func (s *shared) hear(m membership.Member, sent time.Time, alive time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	old, known := s.table.Get(m.Name)
+	wasAlive := known && old.Incarnation == m.Incarnation && membership.IsAlive(old, now)
+	if !s.table.Hear(m, sent, alive) {
+		return false
+	}
+	if m.Left {
+		s.log.Info("an instance has left", "instance", m.Name)
+	} else if !wasAlive {
+		s.log.Info("an instance is alive", "instance", m.Name, "data_centre", m.DataCentre, "incarnation", m.Incarnation)
+	}
+	s.gate.Heard(m.SharedIndex)
+	return true
+}
+
+// failed takes that the peer at the address gave no answer to a connection tried since then.
+func (s *shared) failed(address string, since time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for _, m := range s.table.Members() {
+		if m.Address != address || !membership.IsAlive(m, now) {
+			continue
+		}
+		s.table.Fail(now, m.Name, since)
+		if after, _ := s.table.Get(m.Name); !membership.IsAlive(after, now) {
+			s.log.Info("an instance has failed", "instance", m.Name, "data_centre", m.DataCentre)
+		}
+	}
+}
+
+// tick lets time pass for members and leases.
+func (s *shared) tick() {
+	now := time.Now()
+	s.clock.tick(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Tick(now)
+	for _, b := range s.registry.Expire(now) {
+		s.log.Info("a lease has run out", "server", b.Name, "data_centre", b.DataCentre)
+	}
+}
+
+// plan returns the addresses to subscribe to.
+func (s *shared) plan() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return membership.Plan(s.self(), s.table.Members(), s.process.Seeds, time.Now())
+}
+
+// peersOfRegion returns the number of members of the own region that have not failed.
+func (s *shared) peersOfRegion() int {
+	now := time.Now()
+	n := 0
+	for _, m := range s.table.Members() {
+		if m.Region == s.process.Region && membership.IsAlive(m, now) {
+			n++
+		}
+	}
+	return n
+}
+
+func toWire(m membership.Member, now time.Time) *wire.Member {
+	return &wire.Member{
+		Name:          m.Name,
+		Address:       m.Address,
+		DataCentre:    m.DataCentre,
+		Region:        m.Region,
+		Incarnation:   m.Incarnation,
+		Control:       m.Control,
+		ConfigVersion: m.ConfigVersion,
+		SharedIndex:   m.SharedIndex,
+		Leaving:       m.Leaving,
+		Left:          m.Left,
+		HeardMs:       uint64(max(0, now.Sub(m.Heard).Milliseconds())),
+	}
+}
+
+func fromWire(m *wire.Member) membership.Member {
+	return membership.Member{
+		Name:          m.Name,
+		Address:       m.Address,
+		DataCentre:    m.DataCentre,
+		Region:        m.Region,
+		Incarnation:   m.Incarnation,
+		Control:       m.Control,
+		ConfigVersion: m.ConfigVersion,
+		SharedIndex:   m.SharedIndex,
+		Leaving:       m.Leaving,
+		Left:          m.Left,
+	}
+}
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -91,7 +91,7 @@
 		Instance:      s.process.Name,
 		DataCentre:    s.process.DataCentre,
 		ConfigVersion: s.view.Config.Version,
-		ConfigAgeMs:   now.Sub(s.viewAt).Milliseconds(),
+		ConfigAgeMs:   s.viewAge(now).Milliseconds(),
 	}
 	self := operator.InstanceStatus{Name: s.process.Name, DataCentre: s.process.DataCentre, Alive: true, ConfigVersion: s.view.Config.Version}
 	st.Instances = append(st.Instances, self)
--- /dev/null
+++ b/fleet/feed.go
@@ -0,0 +1,125 @@
+package fleet
+
+import "time"
+
+// RemainingUnit is the unit of the remaining leases in an Update.
+const RemainingUnit = 16 * time.Millisecond
+
+const maxRemainingUnits = 255
+
+// Description says which server a slot of a feed stands for, until the next description of
+// the slot.
+type Description struct {
+	Slot   int
+	Server BackendServer
+}
+
+// LoadChange gives the load of a slot's server.
+type LoadChange struct {
+	Slot int
+	Load Load
+}
+
+// Update is what a feed sends: the leases that one instance has granted, with what has
+// changed since the update before.
+type Update struct {
+	Described []Description
+	// Remaining holds for each slot what is left of the lease, in RemainingUnit, rounded
+	// down. 0 means that the slot has no lease.
+	Remaining []byte
+	Loads     []LoadChange
+}
+
+// Feed makes the updates for one subscriber, who must receive all of them in order. A new
+// subscription starts a new feed.
+type Feed struct {
+	slots map[string]*feedSlot
+	// used marks the slots that stand for a server with a lease.
+	used []bool
+}
+
+// feedSlot is what the subscriber knows of a server.
+type feedSlot struct {
+	index int
+	run   uint64
+	sent  BackendServer
+}
+
+// NewFeed returns a feed that has sent nothing.
+func NewFeed() *Feed { return &Feed{slots: make(map[string]*feedSlot)} }
+
+// Next returns the update for the direct leases of a registry.
+func (f *Feed) Next(now time.Time, leases []Lease) Update {
+	f.release(leases)
+	var u Update
+	for _, l := range leases {
+		s, ok := f.slots[l.Server.Name]
+		if !ok {
+			s = &feedSlot{index: f.allocate()}
+			f.slots[l.Server.Name] = s
+		}
+		if !ok || s.run != l.Run || !s.sent.sameDescription(l.Server) {
+			u.Described = append(u.Described, Description{Slot: s.index, Server: l.Server})
+			s.run = l.Run
+			s.sent = l.Server
+		}
+		if isLoadChange(s.sent.Load, l.Server.Load) {
+			u.Loads = append(u.Loads, LoadChange{Slot: s.index, Load: l.Server.Load})
+			s.sent.Load = l.Server.Load
+		}
+	}
+	u.Remaining = make([]byte, len(f.used))
+	for _, l := range leases {
+		u.Remaining[f.slots[l.Server.Name].index] = remainingUnits(l.Expires.Sub(now))
+	}
+	return u
+}
+
+// release frees the slots of servers whose lease has run out.
+func (f *Feed) release(leases []Lease) {
+	held := make(map[string]bool, len(leases))
+	for _, l := range leases {
+		held[l.Server.Name] = true
+	}
+	for name, s := range f.slots {
+		if !held[name] {
+			f.used[s.index] = false
+			delete(f.slots, name)
+		}
+	}
+	for len(f.used) > 0 && !f.used[len(f.used)-1] {
+		f.used = f.used[:len(f.used)-1]
+	}
+}
+
+func (f *Feed) allocate() int {
+	for i, used := range f.used {
+		if !used {
+			f.used[i] = true
+			return i
+		}
+	}
+	f.used = append(f.used, true)
+	return len(f.used) - 1
+}
+
+func remainingUnits(d time.Duration) byte {
+	return byte(min(max(0, d/RemainingUnit), maxRemainingUnits))
+}
+
+// loadStep is the share by which a load must differ to be sent again.
+const loadStep = 8
+
+// isLoadChange reports whether a load differs enough to be sent: routers use it as a hint
+// that lags anyway. Becoming idle or busy always counts.
+func isLoadChange(sent, load Load) bool {
+	return isCountChange(sent.Running, load.Running) || isCountChange(sent.Queued, load.Queued)
+}
+
+func isCountChange(sent, count int) bool {
+	if sent == count {
+		return false
+	}
+	difference := max(sent-count, count-sent)
+	return sent == 0 || count == 0 || difference*loadStep >= sent
+}
--- /dev/null
+++ b/fleet/follower.go
@@ -0,0 +1,59 @@
+package fleet
+
+import (
+	"errors"
+	"time"
+)
+
+// ErrBadUpdate means that an update refers to a slot that was not described.
+var ErrBadUpdate = errors.New("fleet: update for a slot without description")
+
+// maxSlots bounds the servers of one feed.
+const maxSlots = 4096
+
+// Follower applies the updates of one subscription to a registry.
+type Follower struct {
+	slots []BackendServer
+}
+
+// NewFollower returns a follower of a new feed.
+func NewFollower() *Follower { return &Follower{} }
+
+// Apply takes an update over. sent is the earliest time, by this instance's clock, at which
+// the update can have been made; leases are counted from there, so an update that was held
+// up on its way prolongs nothing.
+func (f *Follower) Apply(now, sent time.Time, u Update, r *Registry) error {
+	for _, d := range u.Described {
+		if err := f.describe(d); err != nil {
+			return err
+		}
+	}
+	for _, c := range u.Loads {
+		if c.Slot < 0 || c.Slot >= len(f.slots) {
+			return ErrBadUpdate
+		}
+		f.slots[c.Slot].Load = c.Load
+	}
+	if len(u.Remaining) > len(f.slots) {
+		return ErrBadUpdate
+	}
+	for i, units := range u.Remaining {
+		if units == 0 || f.slots[i].Name == "" {
+			continue
+		}
+		// A server that is refused stays unavailable here; its other instance learns the same.
+		_ = r.Merge(now, f.slots[i], sent.Add(time.Duration(units)*RemainingUnit))
+	}
+	return nil
+}
+
+func (f *Follower) describe(d Description) error {
+	if d.Slot < 0 || d.Slot >= maxSlots || d.Server.Name == "" {
+		return ErrBadUpdate
+	}
+	for len(f.slots) <= d.Slot {
+		f.slots = append(f.slots, BackendServer{})
+	}
+	f.slots[d.Slot] = d.Server
+	return nil
+}
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -2,78 +2,240 @@
 
 import (
 	"cmp"
+	"errors"
 	"slices"
 	"time"
 )
 
+var (
+	// ErrNameTaken means that another backend server of the same name is in use.
+	ErrNameTaken = errors.New("fleet: another backend server has this name")
+	// ErrOld means that the announcement was overtaken by a newer one.
+	ErrOld = errors.New("fleet: a newer announcement is known")
+	// ErrFull means that the registry holds its most backend servers.
+	ErrFull = errors.New("fleet: the registry is full")
+)
+
+const (
+	// maxServers bounds the backend servers that an instance knows; more are refused.
+	maxServers = 8192
+	// forgetAfter is how long a server is remembered after its lease, so that an announcement
+	// that was held up on its way is known to be old.
+	forgetAfter = time.Minute
+)
+
 // Registry holds the leases of backend servers. Availability ends by itself when a lease
 // runs out, so an instance that hears nothing stops using a server without being told.
+//
+// A server may announce itself to several instances. It is available while any of their
+// leases runs; what it says of itself is taken from its newest announcement.
 type Registry struct {
-	leases map[string]Lease
+	entries map[string]*entry
+	// direct holds the entries with an announcement to this instance.
+	direct map[string]*entry
+}
+
+// entry is one server, also for a while after its lease.
+type entry struct {
+	server BackendServer
+	// expires is the latest end of the leases that instances have granted this incarnation.
+	expires time.Time
+	// direct is the last announcement to this instance, nil when there is none.
+	direct *Lease
+	// isReported says that Expire has returned the server since its lease ran out.
+	isReported bool
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{leases: make(map[string]Lease)}
+	return &Registry{entries: make(map[string]*entry), direct: make(map[string]*entry)}
+}
+
+// Announce renews the lease of a server that announced itself to this instance. It reports
+// whether the other instances should learn of the announcement at once. The error is
+// ErrNameTaken, ErrOld or ErrFull; the announcement then has no effect.
+func (r *Registry) Announce(now time.Time, s BackendServer, ttl time.Duration) (urgent bool, err error) {
+	return r.AnnounceUntil(now, s, now.Add(ttl))
+}
+
+// AnnounceUntil is Announce with the end of the lease.
+func (r *Registry) AnnounceUntil(now time.Time, s BackendServer, expires time.Time) (urgent bool, err error) {
+	if !now.Before(expires) {
+		return false, ErrOld
+	}
+	if old := r.entries[s.Name]; old != nil && old.isOvertaken(s) {
+		return false, ErrOld
+	}
+	e, err := r.accept(now, s, expires)
+	if err != nil {
+		return false, err
+	}
+	l := &Lease{Server: s, Expires: expires, Direct: true, Run: s.Sequence}
+	urgent = true
+	if d := e.direct; d != nil && s.Sequence == d.Server.Sequence+1 && now.Before(d.Expires) {
+		l.Run = d.Run
+		urgent = !d.Server.sameDescription(s)
+	}
+	e.direct = l
+	r.direct[s.Name] = e
+	return urgent, nil
+}
+
+// Merge takes over a lease that another instance granted. expires must not be later than
+// the end of the lease at the instance that granted it, so that passing a lease on never
+// prolongs it.
+func (r *Registry) Merge(now time.Time, s BackendServer, expires time.Time) error {
+	if !now.Before(expires) {
+		return nil
+	}
+	_, err := r.accept(now, s, expires)
+	return err
+}
+
+// accept returns the entry for an announcement, which becomes the entry's description when
+// it is the newest.
+func (r *Registry) accept(now time.Time, s BackendServer, expires time.Time) (*entry, error) {
+	e := r.entries[s.Name]
+	if e == nil {
+		return r.add(now, s, expires)
+	}
+	isRunning := now.Before(e.expires)
+	if isSameServer(e.server, s) {
+		if !isRunning && s.Sequence < e.server.Sequence {
+			return nil, ErrOld
+		}
+		e.renew(s, expires)
+		return e, nil
+	}
+	if isRunning && !takesOver(s, e.server) {
+		return nil, ErrNameTaken
+	}
+	return r.add(now, s, expires)
+}
+
+// isOvertaken reports whether an announcement to this instance is older than what is known.
+func (e *entry) isOvertaken(s BackendServer) bool {
+	if !isSameServer(e.server, s) {
+		return false
+	}
+	return s.Sequence < e.server.Sequence || e.direct != nil && s.Sequence <= e.direct.Server.Sequence
+}
+
+func (e *entry) renew(s BackendServer, expires time.Time) {
+	if s.Sequence >= e.server.Sequence {
+		e.server = s
+	}
+	if expires.After(e.expires) {
+		e.expires = expires
+	}
+	e.isReported = false
 }
 
-// Announce renews the lease of a server that announced itself to this instance.
-func (r *Registry) Announce(now time.Time, s BackendServer, ttl time.Duration) {
-	r.put(Lease{Server: s, Expires: now.Add(ttl), Direct: true})
+func isSameServer(a, b BackendServer) bool {
+	return a.Incarnation == b.Incarnation && a.Address == b.Address
 }
 
-// Merge takes over a lease that another instance granted. A lease for the same announcement
-// is never prolonged, or instances could keep a dead server available by echoing it.
-func (r *Registry) Merge(now time.Time, s BackendServer, remaining time.Duration) {
-	if remaining > 0 {
-		r.put(Lease{Server: s, Expires: now.Add(remaining)})
+// takesOver reports whether s gets the name of a server that is in use: the newer
+// incarnation does. Of two with one incarnation every instance prefers the same.
+func takesOver(s, old BackendServer) bool {
+	if s.Incarnation != old.Incarnation {
+		return s.Incarnation > old.Incarnation
 	}
+	return s.Address < old.Address
 }
 
-func (r *Registry) put(l Lease) {
-	old, ok := r.leases[l.Server.Name]
-	if ok && !l.Server.isNewer(old.Server) {
-		return
+func (r *Registry) add(now time.Time, s BackendServer, expires time.Time) (*entry, error) {
+	if _, ok := r.entries[s.Name]; !ok && len(r.entries) >= maxServers {
+		r.forgetExpired(now)
+		if len(r.entries) >= maxServers {
+			return nil, ErrFull
+		}
+	}
+	e := &entry{server: s, expires: expires}
+	r.entries[s.Name] = e
+	return e, nil
+}
+
+func (r *Registry) forgetExpired(now time.Time) {
+	for name, e := range r.entries {
+		if !now.Before(e.expires) {
+			delete(r.entries, name)
+		}
 	}
-	r.leases[l.Server.Name] = l
 }
 
-// Expire forgets the leases that have run out and returns their servers.
+// Expire returns the servers whose last lease has run out since the call before, by name.
 func (r *Registry) Expire(now time.Time) []BackendServer {
 	var gone []BackendServer
-	for name, l := range r.leases {
-		if !now.Before(l.Expires) {
-			gone = append(gone, l.Server)
-			delete(r.leases, name)
+	for name, e := range r.entries {
+		if now.Before(e.expires) {
+			continue
+		}
+		if !e.isReported {
+			e.isReported = true
+			gone = append(gone, e.server)
+		}
+		if now.Sub(e.expires) >= forgetAfter {
+			delete(r.entries, name)
 		}
 	}
+	slices.SortFunc(gone, compareNames)
 	return gone
 }
 
 // Available returns the servers that may be given new work, by name.
 func (r *Registry) Available(now time.Time) []BackendServer {
 	var servers []BackendServer
-	for _, l := range r.leases {
-		if now.Before(l.Expires) && !l.Server.Leaving {
-			servers = append(servers, l.Server)
+	for _, e := range r.entries {
+		if now.Before(e.expires) && !e.server.Leaving {
+			servers = append(servers, e.server)
 		}
 	}
-	sortServers(servers)
+	slices.SortFunc(servers, compareNames)
 	return servers
 }
 
 // Leases returns all leases that have not run out, by name.
 func (r *Registry) Leases(now time.Time) []Lease {
 	var leases []Lease
-	for _, l := range r.leases {
-		if now.Before(l.Expires) {
-			leases = append(leases, l)
+	for _, e := range r.entries {
+		if now.Before(e.expires) {
+			leases = append(leases, Lease{Server: e.server, Expires: e.expires, Direct: e.isDirect(now)})
+		}
+	}
+	slices.SortFunc(leases, compareLeases)
+	return leases
+}
+
+func (e *entry) isDirect(now time.Time) bool {
+	return e.direct != nil && now.Before(e.direct.Expires)
+}
+
+// Direct returns the leases that this instance granted, with what the servers said of
+// themselves to this instance, by name.
+func (r *Registry) Direct(now time.Time) []Lease {
+	var leases []Lease
+	for name, e := range r.direct {
+		if r.entries[name] != e || !e.isDirect(now) {
+			delete(r.direct, name)
+			continue
 		}
+		leases = append(leases, *e.direct)
 	}
-	slices.SortFunc(leases, func(a, b Lease) int { return cmp.Compare(a.Server.Name, b.Server.Name) })
+	slices.SortFunc(leases, compareLeases)
 	return leases
 }
 
-func sortServers(servers []BackendServer) {
-	slices.SortFunc(servers, func(a, b BackendServer) int { return cmp.Compare(a.Name, b.Name) })
+// DirectServer returns the server as it last announced itself to this instance, or false
+// when this instance's lease has run out.
+func (r *Registry) DirectServer(now time.Time, name string) (BackendServer, bool) {
+	e, ok := r.entries[name]
+	if !ok || !e.isDirect(now) {
+		return BackendServer{}, false
+	}
+	return e.direct.Server, true
 }
+
+func compareNames(a, b BackendServer) int { return cmp.Compare(a.Name, b.Name) }
+
+func compareLeases(a, b Lease) int { return compareNames(a.Server, b.Server) }
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -1,7 +1,10 @@
 // Package fleet knows the backend servers that have announced themselves.
 package fleet
 
-import "time"
+import (
+	"reflect"
+	"time"
+)
 
 // Range is a half-open range of layers.
 type Range struct {
@@ -50,12 +53,11 @@
 	Load    Load `json:"load"`
 }
 
-// isNewer reports whether b was announced after a.
-func (b BackendServer) isNewer(a BackendServer) bool {
-	if b.Incarnation != a.Incarnation {
-		return b.Incarnation > a.Incarnation
-	}
-	return b.Sequence > a.Sequence
+// sameDescription reports whether both say the same but for sequence and load.
+func (b BackendServer) sameDescription(a BackendServer) bool {
+	a.Sequence, b.Sequence = 0, 0
+	a.Load, b.Load = Load{}, Load{}
+	return reflect.DeepEqual(a, b)
 }
 
 // Runs reports whether the server runs the plain service.
@@ -74,4 +76,7 @@
 	Expires time.Time
 	// Direct means that the server announced itself to this instance.
 	Direct bool
+	// Run is, for a direct lease, the sequence of the first announcement since the server
+	// last announced itself elsewhere or missed its turn.
+	Run uint64
 }
--- a/instance/conn.go
+++ b/instance/conn.go
@@ -100,26 +100,3 @@
 		l.conn = nil
 	}
 }
-
-// links holds one link for each address and purpose, so that a slow call of one purpose
-// never holds up another.
-type links struct {
-	dialer Dialer
-	mu     sync.Mutex
-	open   map[string]*link
-}
-
-func newLinks(d Dialer) *links {
-	return &links{dialer: d, open: make(map[string]*link)}
-}
-
-func (ls *links) get(address string) *link {
-	ls.mu.Lock()
-	defer ls.mu.Unlock()
-	l, ok := ls.open[address]
-	if !ok {
-		l = &link{dialer: ls.dialer, address: address}
-		ls.open[address] = l
-	}
-	return l
-}
--- a/instance/exchange.go
+++ b/instance/exchange.go
@@ -2,52 +2,44 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"github.com/balsamlb/balsamlb/instance/wire"
-	"github.com/balsamlb/balsamlb/replica"
-	"github.com/rotisserie/eris"
 )
 
-// Exchanger calls Exchange and Fetch on other instances.
+// Exchanger calls Members and Fetch on other instances, each over a connection of its own.
 type Exchanger struct {
-	links *links
+	dialer Dialer
 }
 
-// NewExchanger returns an exchanger without connections.
-func NewExchanger(d Dialer) *Exchanger {
-	return &Exchanger{links: newLinks(d)}
-}
+// NewExchanger returns an exchanger.
+func NewExchanger(d Dialer) *Exchanger { return &Exchanger{dialer: d} }
 
-// Exchange sends req to the instance at the address.
-func (e *Exchanger) Exchange(ctx context.Context, address string, req *wire.ExchangeRequest) (*wire.ExchangeResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var resp *wire.ExchangeResponse
-	err := e.links.get(address).call(ctx, func(ctx context.Context, c wire.DRPCInstanceClient) error {
+// Members asks the instance at the address whom it knows.
+func (e *Exchanger) Members(ctx context.Context, address string, req *wire.MembersRequest) (*wire.MembersResponse, error) {
+	var resp *wire.MembersResponse
+	err := e.call(ctx, address, func(ctx context.Context, c wire.DRPCInstanceClient) error {
 		var err error
-		resp, err = c.Exchange(ctx, req)
+		resp, err = c.Members(ctx, req)
 		return err
 	})
 	return resp, err
 }
 
-// Fetch returns the view in force at the address, or false when it is not newer than have.
-func (e *Exchanger) Fetch(ctx context.Context, address string, have uint64) (replica.View, bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var view replica.View
+// Fetch returns the view in force at the address, when it is newer than the request's.
+func (e *Exchanger) Fetch(ctx context.Context, address string, req *wire.FetchRequest) (*wire.FetchResponse, error) {
 	var resp *wire.FetchResponse
-	err := e.links.get(address).call(ctx, func(ctx context.Context, c wire.DRPCInstanceClient) error {
+	err := e.call(ctx, address, func(ctx context.Context, c wire.DRPCInstanceClient) error {
 		var err error
-		resp, err = c.Fetch(ctx, &wire.FetchRequest{HaveIndex: have})
+		resp, err = c.Fetch(ctx, req)
 		return err
 	})
-	if err != nil || len(resp.View) == 0 {
-		return view, false, err
-	}
-	if err := json.Unmarshal(resp.View, &view); err != nil {
-		return view, false, eris.Wrapf(err, "instance: decode view of %s", address)
-	}
-	return view, true, nil
+	return resp, err
+}
+
+func (e *Exchanger) call(ctx context.Context, address string, f func(context.Context, wire.DRPCInstanceClient) error) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	l := &link{dialer: e.dialer, address: address}
+	defer l.close()
+	return l.call(ctx, f)
 }
--- a/instance/server.go
+++ b/instance/server.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/balsamlb/balsamlb/consensus"
@@ -23,27 +24,31 @@
 	Leader(ctx context.Context) string
 }
 
-// Peers is what the exchange with other instances reads and updates.
+// Peers is what the other instances read and update.
 type Peers interface {
-	// Exchanged takes what a peer sent.
-	Exchanged(req *wire.ExchangeRequest)
+	// Subscribed returns the feed for a new subscriber.
+	Subscribed(req *wire.SubscribeRequest) Feed
+	// Asked takes the instance that asks for members.
+	Asked(req *wire.MembersRequest)
 	// Self describes this instance.
 	Self() *wire.Member
 	// Members returns the instances that this instance knows.
 	Members() []*wire.Member
-	// View returns the view in force.
-	View() replica.View
+	// FetchView returns the view in force when it is newer than the caller's.
+	FetchView(req *wire.FetchRequest) (*wire.FetchResponse, error)
 }
 
 // Server serves the other instances.
 type Server struct {
-	replica Replica // nil on an instance that is not a control instance
-	peers   Peers
+	replica     Replica // nil on an instance that is not a control instance
+	peers       Peers
+	started     time.Time
+	subscribers atomic.Int64
 }
 
 // NewServer returns a server; r is nil on an instance without a replica.
 func NewServer(r Replica, p Peers) *Server {
-	return &Server{replica: r, peers: p}
+	return &Server{replica: r, peers: p, started: time.Now()}
 }
 
 // Serve answers on the listener until ctx ends.
@@ -92,21 +97,7 @@
 	return &wire.ProposeResponse{Status: wire.ProposeResponse_STATUS_APPLIED, Result: data}, nil
 }
 
-// Exchange swaps members, leases and versions.
-func (s *Server) Exchange(_ context.Context, req *wire.ExchangeRequest) (*wire.ExchangeResponse, error) {
-	s.peers.Exchanged(req)
-	return &wire.ExchangeResponse{Responder: s.peers.Self(), Members: s.peers.Members()}, nil
-}
-
 // Fetch returns the view in force when it is newer than the caller's.
 func (s *Server) Fetch(_ context.Context, req *wire.FetchRequest) (*wire.FetchResponse, error) {
-	v := s.peers.View()
-	if v.Index <= req.HaveIndex {
-		return &wire.FetchResponse{Index: v.Index}, nil
-	}
-	data, err := json.Marshal(v)
-	if err != nil {
-		return nil, eris.Wrap(err, "instance: encode view")
-	}
-	return &wire.FetchResponse{Index: v.Index, View: data}, nil
+	return s.peers.FetchView(req)
 }
--- /dev/null
+++ b/instance/subscribe.go
@@ -0,0 +1,87 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/balsamlb/balsamlb/instance/wire"
+	"github.com/balsamlb/balsamlb/membership"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcconn"
+)
+
+// ErrSilent means that a connection was given up because nothing came over it in time. Its
+// peer may be alive and reachable over a new one.
+var ErrSilent = errors.New("instance: the connection has gone silent")
+
+// Receiver takes what one subscription brings.
+type Receiver interface {
+	// Request returns the first message, with the subscriber.
+	Request() *wire.SubscribeRequest
+	// Clock returns a later message, with the clock alone.
+	Clock() *wire.SubscribeRequest
+	// Received takes a beat and returns the time to the next one. An error ends the
+	// subscription.
+	Received(b *wire.Beat) (time.Duration, error)
+}
+
+// Subscribe opens a new connection to the instance at the address and passes what it sends
+// to r, until ctx ends or the connection fails or goes silent.
+func (d Dialer) Subscribe(ctx context.Context, address string, r Receiver) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	c, err := d.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	conn := drpcconn.New(c)
+	defer conn.Close()
+	stream, err := wire.NewDRPCInstanceClient(conn).Subscribe(ctx)
+	if err != nil {
+		return eris.Wrapf(err, "instance: subscribe to %s", address)
+	}
+	if err := stream.Send(r.Request()); err != nil {
+		return eris.Wrapf(err, "instance: subscribe to %s", address)
+	}
+	silence := time.AfterFunc(membership.AnswerTime(), func() { cancel(ErrSilent) })
+	defer silence.Stop()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return sendClocks(ctx, stream, r) })
+	g.Go(func() error { return receiveBeats(stream, r, silence) })
+	err = g.Wait()
+	if cause := context.Cause(ctx); errors.Is(cause, ErrSilent) {
+		err = cause
+	}
+	return eris.Wrapf(err, "instance: subscription to %s", address)
+}
+
+func receiveBeats(stream wire.DRPCInstance_SubscribeClient, r Receiver, silence *time.Timer) error {
+	for {
+		b, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		interval, err := r.Received(b)
+		if err != nil {
+			return err
+		}
+		silence.Reset(membership.SilentAfter(interval))
+	}
+}
+
+func sendClocks(ctx context.Context, stream wire.DRPCInstance_SubscribeClient, r Receiver) error {
+	ticker := time.NewTicker(membership.ClockInterval(0))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		if err := stream.Send(r.Clock()); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/emulate/announce.go
@@ -0,0 +1,124 @@
+package emulate
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/balsamlb/balsamlb/backend"
+	"github.com/balsamlb/balsamlb/fleet"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// announceInterval applies until an instance has said when to announce next.
+	announceInterval = 400 * time.Millisecond
+	announceTimeout  = 300 * time.Millisecond
+	// announceRetry is the pause before another instance is tried.
+	announceRetry = 50 * time.Millisecond
+)
+
+// announcer announces one server to one instance at a time, and moves on when one fails.
+type announcer struct {
+	engine    *engine
+	client    *fasthttp.Client
+	instances []string
+	at        int
+	// granted is the last announcement in full that the current instance has answered.
+	granted *fleet.BackendServer
+	reply   backend.AnnounceReply
+	// replied is when reply came, which is after the instance read the clock in it.
+	replied time.Time
+}
+
+func newAnnouncer(e *engine, instances []string) *announcer {
+	return &announcer{
+		engine: e,
+		client: &fasthttp.Client{
+			MaxIdemponentCallAttempts: 1,
+			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+			NoDefaultUserAgentHeader:  true,
+		},
+		instances: instances,
+		at:        int(e.self.Incarnation) % len(instances),
+	}
+}
+
+// announceAll announces the server until ctx ends.
+func (e *engine) announceAll(ctx context.Context, instances []string) error {
+	if len(instances) == 0 {
+		return nil
+	}
+	a := newAnnouncer(e, instances)
+	for {
+		wait := announceInterval
+		if err := a.announce(); err != nil {
+			a.granted = nil
+			a.at = (a.at + 1) % len(a.instances)
+			wait = announceRetry
+		} else if a.reply.NextMillis > 0 {
+			wait = time.Duration(a.reply.NextMillis) * time.Millisecond
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-e.changed:
+		case <-time.After(wait):
+		}
+	}
+}
+
+// announce announces the server in full when there is something new, and else renews.
+func (a *announcer) announce() error {
+	s := a.engine.announcement()
+	if a.granted != nil && a.granted.Leaving == s.Leaving {
+		return a.renew(s)
+	}
+	body := backend.Announcement{BackendServer: s, Last: a.reply.Grant, LastAgeMillis: a.age()}
+	if err := a.post(backend.PathAnnounce, body); err != nil {
+		return err
+	}
+	a.granted = &s
+	return nil
+}
+
+func (a *announcer) renew(s fleet.BackendServer) error {
+	return a.post(backend.PathRenew, backend.Renewal{
+		Name:          s.Name,
+		Incarnation:   s.Incarnation,
+		Sequence:      s.Sequence,
+		Running:       s.Load.Running,
+		Queued:        s.Load.Queued,
+		Last:          a.reply.Grant,
+		LastAgeMillis: a.age(),
+	})
+}
+
+func (a *announcer) age() uint64 { return uint64(time.Since(a.replied).Milliseconds()) }
+
+func (a *announcer) post(path string, content any) error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	// What is announced holds only plain values, which always encode.
+	body, _ := json.Marshal(content)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetNoDefaultContentType(true)
+	req.SetRequestURI("http://" + a.instances[a.at] + path)
+	req.SetBody(body)
+	if err := a.client.DoTimeout(req, resp, announceTimeout); err != nil {
+		return err
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return eris.Errorf("emulate: announce to %s: %s", a.instances[a.at], resp.Body())
+	}
+	var reply backend.AnnounceReply
+	if err := json.Unmarshal(resp.Body(), &reply); err != nil {
+		return eris.Wrap(err, "emulate: decode the answer to an announcement")
+	}
+	a.reply = reply
+	a.replied = time.Now()
+	return nil
+}
--- a/internal/emulate/engine.go
+++ b/internal/emulate/engine.go
@@ -61,6 +61,8 @@
 	running  int
 	sequence uint64
 	leaving  bool
+	// changed makes the server announce itself at once. It holds one signal.
+	changed chan struct{}
 }
 
 func newEngine(self fleet.BackendServer, f *Fleet) *engine {
@@ -70,6 +72,7 @@
 		counts:   f.counts,
 		queue:    ring.New[hop](queueSize),
 		sessions: make(map[string]*session),
+		changed:  make(chan struct{}, 1),
 	}
 }
 
--- a/internal/emulate/fleet.go
+++ b/internal/emulate/fleet.go
@@ -24,9 +24,7 @@
 )
 
 const (
-	announceInterval = 400 * time.Millisecond
-	announceTimeout  = 300 * time.Millisecond
-	aliveInterval    = 200 * time.Millisecond
+	aliveInterval = 200 * time.Millisecond
 	// callTime is how long a plain call takes.
 	callTime = 2 * time.Millisecond
 )
@@ -84,49 +82,6 @@
 	time.AfterFunc(f.remoteDelay, func() { to.accept(h) })
 }
 
-// announceAll announces the server to one instance at a time, moving on when one fails.
-func (e *engine) announceAll(ctx context.Context, instances []string) error {
-	if len(instances) == 0 {
-		return nil
-	}
-	client := &fasthttp.Client{
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-	}
-	ticker := time.NewTicker(announceInterval)
-	defer ticker.Stop()
-	at := int(e.self.Incarnation) % len(instances)
-	for {
-		if err := e.announceTo(client, instances[at]); err != nil {
-			at = (at + 1) % len(instances)
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
-}
-
-func (e *engine) announceTo(client *fasthttp.Client, address string) error {
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	// The announcement holds only plain values, which always encode.
-	body, _ := json.Marshal(e.announcement())
-	req.Header.SetMethod(fasthttp.MethodPost)
-	req.SetRequestURI("http://" + address + backend.PathAnnounce)
-	req.SetBody(body)
-	if err := client.DoTimeout(req, resp, announceTimeout); err != nil {
-		return err
-	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return eris.Errorf("emulate: announce to %s: %s", address, resp.Body())
-	}
-	return nil
-}
-
 func (e *engine) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	switch {
@@ -145,6 +100,10 @@
 		e.mu.Lock()
 		e.leaving = true
 		e.mu.Unlock()
+		select {
+		case e.changed <- struct{}{}:
+		default:
+		}
 	default:
 		ctx.Error("not found", fasthttp.StatusNotFound)
 	}
--- a/membership/notice.go
+++ b/membership/notice.go
@@ -85,7 +85,7 @@
 
 // Receive adds a notice of another instance and reports whether it was new.
 func (s *Notices) Receive(now time.Time, n Notice) bool {
-	if n.ID.Origin == s.self && n.ID.Incarnation == s.incarnation {
+	if s.IsOwn(n.ID) {
 		return false
 	}
 	if _, ok := s.held[n.ID]; ok || !now.Before(n.Expires) {
@@ -164,3 +164,11 @@
 	_, _ = h.Write(b[:])
 	return h.Sum64()
 }
+
+// IsOwn reports whether this incarnation of this instance published the notice.
+func (s *Notices) IsOwn(id NoticeID) bool {
+	return id.Origin == s.self && id.Incarnation == s.incarnation
+}
+
+// Sequence returns the sequence of the last notice that was published here.
+func (s *Notices) Sequence() uint64 { return s.sequence }
--- /dev/null
+++ b/membership/pace.go
@@ -0,0 +1,48 @@
+package membership
+
+import "time"
+
+const (
+	minBeatInterval = 250 * time.Millisecond
+	maxBeatInterval = time.Second
+	// beatPerMember keeps the beats that an instance sends near 80 a second.
+	beatPerMember = 12 * time.Millisecond
+	// beatSlack is how much later than its time a beat may come on a busy machine.
+	beatSlack = 150 * time.Millisecond
+	// answerTime bounds the time from dialling to the first beat.
+	answerTime = 500 * time.Millisecond
+
+	minClockInterval = time.Second
+	maxClockInterval = 3 * time.Second
+
+	membersPerMember   = 200 * time.Millisecond
+	minMembersInterval = 2 * time.Second
+)
+
+// BeatInterval returns how often an instance sends to each of its subscribers.
+func BeatInterval(subscribers int) time.Duration {
+	return min(max(time.Duration(subscribers)*beatPerMember, minBeatInterval), maxBeatInterval)
+}
+
+// SilentAfter returns the silence after which a connection is given up, though the peer may
+// be alive.
+func SilentAfter(beat time.Duration) time.Duration { return 2*beat + beatSlack }
+
+// FailAfter returns the silence after which a peer counts as failed. It leaves time to give
+// up a silent connection and to hear the peer over a new one.
+func FailAfter(beat time.Duration) time.Duration {
+	return SilentAfter(beat) + answerTime + beatSlack
+}
+
+// AnswerTime returns how long a peer may take to send the first beat over a new connection.
+func AnswerTime() time.Duration { return answerTime }
+
+// ClockInterval returns how often a subscriber sends its clock.
+func ClockInterval(beat time.Duration) time.Duration {
+	return min(max(4*beat, minClockInterval), maxClockInterval)
+}
+
+// MembersInterval returns how often an instance asks another one whom it knows.
+func MembersInterval(members int) time.Duration {
+	return max(time.Duration(members)*membersPerMember, minMembersInterval)
+}
--- a/settings/process.go
+++ b/settings/process.go
@@ -12,6 +12,7 @@
 var processSchema = []Key{
 	{"instance", "name", "", "", "Name of the instance, unique over all data centres.", anyText},
 	{"instance", "data_centre", "", "", "Data centre that the instance stands in.", anyText},
+	{"instance", "region", "", "", "Region of the data centre: its backend servers are used together with those of the region's other data centres. Empty: one region for all.", anyText},
 	{"instance", "seed", "1", "", "Seed of the random choices, so that a run can be repeated.", wholeNumber(0, 1<<31-1)},
 	{"listen", "callers", "", "IP:port", "Address for callers.", addressPort},
 	{"listen", "backends", "", "IP:port", "Address for the announcements of backend servers.", addressPort},
@@ -50,6 +51,8 @@
 type Process struct {
 	Name       string
 	DataCentre string
+	// Region is empty when all data centres are in one region.
+	Region string
 	Seed       uint64
 	Callers    string
 	Backends   string
@@ -89,7 +92,7 @@
 	get := func(section, key string) string { return r.value([]source{src}, section, key) }
 	for _, k := range processSchema {
 		required := k.Section == "listen" || k.Section == "instance" || k.Name == "voters"
-		if k.Name == "advertise" {
+		if k.Name == "advertise" || k.Name == "region" {
 			required = false
 		}
 		if required && get(k.Section, k.Name) == "" {
@@ -100,6 +103,7 @@
 	p := Process{
 		Name:       get("instance", "name"),
 		DataCentre: get("instance", "data_centre"),
+		Region:     get("instance", "region"),
 		Seed:       seed,
 		Callers:    get("listen", "callers"),
 		Backends:   get("listen", "backends"),
