--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,10 +13,12 @@
 	"github.com/balsamlb/balsamlb/control"
 	"github.com/balsamlb/balsamlb/dispatch"
 	"github.com/balsamlb/balsamlb/instance"
+	"github.com/balsamlb/balsamlb/metrics"
 	"github.com/balsamlb/balsamlb/operator"
 	"github.com/balsamlb/balsamlb/platform"
 	"github.com/balsamlb/balsamlb/settings"
 	"github.com/balsamlb/balsamlb/storage"
+	"github.com/balsamlb/balsamlb/trace"
 	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -33,12 +35,15 @@
 	shutdownGrace = 10 * time.Minute
 	// farewellTime is how long the others have to learn that the instance has left.
 	farewellTime = 100 * time.Millisecond
+	// traceLines is how many log lines are kept for operators.
+	traceLines = 20_000
 )
 
 // Daemon is one instance.
 type Daemon struct {
 	process    settings.Process
 	log        logr.Logger
+	lines      *trace.Recorder
 	secrets    *secrets
 	dialer     instance.Dialer
 	shared     *shared
@@ -52,7 +57,9 @@
 }
 
 // New opens the data folder, if there is one, and builds the instance.
-func New(p settings.Process, log logr.Logger) (*Daemon, error) {
+func New(p settings.Process, base logr.Logger) (*Daemon, error) {
+	lines := trace.NewRecorder(traceLines, time.Now)
+	log := lines.Logger(base)
 	secrets, err := loadSecrets(p)
 	if err != nil {
 		return nil, err
@@ -61,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{process: p, log: log, secrets: secrets, dialer: dialer}
+	d := &Daemon{process: p, log: log, lines: lines, secrets: secrets, dialer: dialer}
 	d.shared = newShared(p, uint64(time.Now().UnixNano()), log.WithName("config"))
 	d.proposer = instance.NewProposer(dialer, voterAddresses(p))
 	d.credits = newCreditDuty(d.proposer, log.WithName("credit"))
@@ -169,7 +176,9 @@
 func (d *Daemon) serve(ctx context.Context, g *errgroup.Group) ([]*fasthttp.Server, error) {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	set := metrics.New(registry, d.metricsState)
 	callers := caller.NewServer(ctx, caller.Options{
+		Metrics:    set,
 		Dispatcher: d.dispatcher,
 		Admitter:   d.admitter,
 		Intent:     d.shared.Intent,
@@ -182,6 +191,7 @@
 		proposer:   d.proposer,
 		dispatcher: d.dispatcher,
 		admitter:   d.admitter,
+		lines:      d.lines,
 	}, d.secrets.operatorKeys())
 	plan := []struct {
 		address string
@@ -242,6 +252,27 @@
 	return ""
 }
 
+// metricsState returns what the gauges show.
+func (d *Daemon) metricsState() metrics.State {
+	s := d.shared.status()
+	state := metrics.State{
+		InFlight:         d.admitter.InFlight(),
+		ConfigVersion:    s.ConfigVersion,
+		ConfigAgeSeconds: float64(s.ConfigAgeMs) / 1000,
+	}
+	for _, b := range s.Servers {
+		if !b.Leaving {
+			state.BackendServers++
+		}
+	}
+	for _, i := range s.Instances {
+		if i.Alive {
+			state.InstancesAlive++
+		}
+	}
+	return state
+}
+
 const idBytes = 12
 
 // newID returns a request id that no instance has used. It must not repeat after a restart,
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -58,7 +58,7 @@
 			s = &feedSlot{index: f.allocate()}
 			f.slots[l.Server.Name] = s
 		}
-		if !ok || s.run != l.Run || !s.sent.sameDescription(l.Server) {
+		if !ok || s.run != l.Run || !s.sent.SameDescription(l.Server) {
 			u.Described = append(u.Described, Description{Slot: s.index, Server: l.Server})
 			s.run = l.Run
 			s.sent = l.Server
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -74,7 +74,7 @@
 	urgent = true
 	if d := e.direct; d != nil && s.Sequence == d.Server.Sequence+1 && now.Before(d.Expires) {
 		l.Run = d.Run
-		urgent = !d.Server.sameDescription(s)
+		urgent = !d.Server.SameDescription(s)
 	}
 	e.direct = l
 	r.direct[s.Name] = e
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -53,8 +53,8 @@
 	Load    Load `json:"load"`
 }
 
-// sameDescription reports whether both say the same but for sequence and load.
-func (b BackendServer) sameDescription(a BackendServer) bool {
+// SameDescription reports whether both say the same but for sequence and load.
+func (b BackendServer) SameDescription(a BackendServer) bool {
 	a.Sequence, b.Sequence = 0, 0
 	a.Load, b.Load = Load{}, Load{}
 	return reflect.DeepEqual(a, b)
--- a/instance/publish.go
+++ b/instance/publish.go
@@ -110,4 +110,3 @@
 	s.peers.Asked(req)
 	return &wire.MembersResponse{Responder: s.peers.Self(), Members: s.peers.Members()}, nil
 }
-
--- a/internal/emulate/announce.go
+++ b/internal/emulate/announce.go
@@ -53,26 +53,39 @@
 	a := newAnnouncer(e, instances)
 	for {
 		wait := announceInterval
-		if err := a.announce(); err != nil {
-			a.granted = nil
-			a.at = (a.at + 1) % len(a.instances)
-			wait = announceRetry
-		} else if a.reply.NextMillis > 0 {
-			wait = time.Duration(a.reply.NextMillis) * time.Millisecond
+		if !e.isMute() {
+			wait = a.next()
 		}
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-e.faults.crashed:
+			return nil
 		case <-e.changed:
 		case <-time.After(wait):
 		}
 	}
 }
 
+func (e *engine) isMute() bool { return e.faults.has(FaultMute) || e.faults.has(FaultFreeze) }
+
+// next announces the server and returns the time to the next announcement.
+func (a *announcer) next() time.Duration {
+	if err := a.announce(); err != nil {
+		a.granted = nil
+		a.at = (a.at + 1) % len(a.instances)
+		return announceRetry
+	}
+	if a.reply.NextMillis > 0 {
+		return time.Duration(a.reply.NextMillis) * time.Millisecond
+	}
+	return announceInterval
+}
+
 // announce announces the server in full when there is something new, and else renews.
 func (a *announcer) announce() error {
 	s := a.engine.announcement()
-	if a.granted != nil && a.granted.Leaving == s.Leaving {
+	if a.granted != nil && s.SameDescription(*a.granted) {
 		return a.renew(s)
 	}
 	body := backend.Announcement{BackendServer: s, Last: a.reply.Grant, LastAgeMillis: a.age()}
--- a/settings/process.go
+++ b/settings/process.go
@@ -52,13 +52,13 @@
 	Name       string
 	DataCentre string
 	// Region is empty when all data centres are in one region.
-	Region string
-	Seed       uint64
-	Callers    string
-	Backends   string
-	Operators  string
-	Platform   string
-	Instances  string
+	Region    string
+	Seed      uint64
+	Callers   string
+	Backends  string
+	Operators string
+	Platform  string
+	Instances string
 	// Advertise is where the other instances reach this one.
 	Advertise  string
 	DataFolder string
