--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -14,6 +14,7 @@
 trap stop_all EXIT
 
 say() { printf '== %s\n' "$*"; }
+export BALSAMCTL_INSTANCE=$net.1.1:8082
 ctl() { bin/balsamctl "$@"; }
 
 go build -o bin/ ./cmd/balsamd ./cmd/balsamctl
