--- a/internal/emulate/engine.go
+++ b/internal/emulate/engine.go
@@ -51,6 +51,8 @@
 	reported fleet.Load // what the next announcement says, one announcement old
 	sequence uint64
 	leaving  bool
+	// changed makes the server announce itself at once. It holds one signal.
+	changed chan struct{}
 }
 
 func newEngine(self fleet.BackendServer, f *Fleet) *engine {
@@ -62,6 +64,7 @@
 		faults:   newFaults(),
 		prefix:   newPrefixCache(f.options.PrefixTokens),
 		sessions: make(map[string][]*session),
+		changed:  make(chan struct{}, 1),
 	}
 }
 
--- a/internal/emulate/fleet.go
+++ b/internal/emulate/fleet.go
@@ -128,6 +128,10 @@
 		e.mu.Lock()
 		e.leaving = true
 		e.mu.Unlock()
+		select {
+		case e.changed <- struct{}{}:
+		default:
+		}
 	default:
 		ctx.Error("not found", fasthttp.StatusNotFound)
 	}
