--- a/cmd/balsamctl/main.go
+++ b/cmd/balsamctl/main.go
@@ -42,6 +42,9 @@
 		return exitOK
 	case errors.Is(err, flag.ErrHelp):
 		return exitUsage
+	case errors.As(err, new(usageError)):
+		fmt.Fprintln(os.Stderr, "balsamctl:", err)
+		return exitUsage
 	default:
 		fmt.Fprintln(os.Stderr, "balsamctl:", err)
 		return exitFailure
@@ -60,6 +63,9 @@
 			newConfig(),
 			newDrain(),
 			newCredits(),
+			newTrace(),
+			newTail(),
+			newCompletion(),
 			newEmulate(),
 			newLoad(),
 			newBench(),
@@ -68,12 +74,12 @@
 	}
 }
 
-func newFlagSet(name string) *flag.FlagSet { return flag.NewFlagSet(name, flag.ContinueOnError) }
+// usageError means that the command was called in a wrong way.
+type usageError string
 
-// instanceFlag adds the address of the instance to talk to.
-func instanceFlag(fs *flag.FlagSet) *string {
-	return fs.String("instance", "127.0.1.1:8082", "operators' address of an instance")
-}
+func (e usageError) Error() string { return string(e) }
+
+func newFlagSet(name string) *flag.FlagSet { return flag.NewFlagSet(name, flag.ContinueOnError) }
 
 // envOptions lets BALSAMCTL_* variables set flags.
 func envOptions() []ff.Option { return []ff.Option{ff.WithEnvVarPrefix("BALSAMCTL")} }
--- /dev/null
+++ b/dispatch/draft_choose.go
@@ -0,0 +1,68 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/balsamlb/balsamlb/fleet"
+	"github.com/balsamlb/balsamlb/pipeline"
+)
+
+// Leavers tells which backend servers are leaving.
+type Leavers interface {
+	Leaving() []string
+}
+
+// leaving returns the backend servers that are leaving.
+func (d *Dispatcher) leaving() []string {
+	l, ok := d.fleet.(Leavers)
+	if !ok {
+		return nil
+	}
+	return l.Leaving()
+}
+
+// chooseStages chooses what takes over a stage: one server that can run its layers, or else
+// several that together can.
+func (d *Dispatcher) chooseStages(r Draft, a pipeline.Replace) (pipeline.Chain, error) {
+	server, err := d.chooseReplacement(r, a.Chain, a.Stage, a.Exclude)
+	if err == nil {
+		return pipeline.Chain{{Server: server, Layers: a.Layers}}, nil
+	}
+	return d.chooseSplit(r, a)
+}
+
+// chooseSplit plans the layers of a stage as the chain of a model that has only those.
+func (d *Dispatcher) chooseSplit(r Draft, a pipeline.Replace) (pipeline.Chain, error) {
+	exclude := slices.Clone(a.Exclude)
+	for _, st := range a.Chain {
+		exclude = append(exclude, st.Server.Name)
+	}
+	able := make(map[string]fleet.BackendServer)
+	var clipped []fleet.BackendServer
+	for _, s := range d.fleet.Available() {
+		if s.Model != r.Service.Model {
+			continue
+		}
+		if c, ok := clip(s, a.Layers); ok {
+			able[s.Name] = s
+			clipped = append(clipped, c)
+		}
+	}
+	need := r.need(exclude)
+	need.Layers = a.Layers.Len()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	c, err := d.router.Chain(now, need, clipped)
+	if err != nil {
+		return nil, err
+	}
+	chain := slices.Clone(c.Chain)
+	for i, st := range chain {
+		chain[i].Server = able[st.Server.Name]
+		chain[i].Layers = fleet.Range{From: st.Layers.From + a.Layers.From, To: st.Layers.To + a.Layers.From}
+		d.router.Started(now, st.Server.Name)
+	}
+	return chain, nil
+}
--- a/operator/server.go
+++ b/operator/server.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/balsamlb/balsamlb/config"
 	"github.com/balsamlb/balsamlb/replica"
 	"github.com/balsamlb/balsamlb/settings"
+	"github.com/balsamlb/balsamlb/trace"
 	"github.com/valyala/fasthttp"
 )
 
@@ -19,24 +22,80 @@
 	Propose(ctx context.Context, c replica.Command) (replica.Result, error)
 	// Credits returns the counts of a control instance.
 	Credits(ctx context.Context) ([]CreditCount, error)
+	// Lines returns the latest log lines.
+	Lines() *trace.Recorder
 }
 
 const maxConfigBytes = 8 << 20
 
-// NewServer returns the HTTP server for operators.
-func NewServer(b Backend) *fasthttp.Server {
-	h := &handler{backend: b}
+// Keys checks the keys that operators show.
+type Keys interface {
+	// Check returns the operator's name.
+	Check(key string) (name string, ok bool)
+}
+
+// NewServer returns the HTTP server for operators. Calls need no key when k is nil.
+func NewServer(b Backend, k Keys) *fasthttp.Server {
+	h := &handler{backend: b, keys: k}
 	return &fasthttp.Server{Handler: h.handle, MaxRequestBodySize: maxConfigBytes, Name: "balsamlb"}
 }
 
 type handler struct {
 	backend Backend
+	keys    Keys // nil when calls need no key
+}
+
+// The ways to show a key in the Authorization header.
+const (
+	bearerPrefix = "Bearer "
+	basicPrefix  = "Basic "
+)
+
+// authorize reports whether the call may go on, and refuses it otherwise.
+func (h *handler) authorize(ctx *fasthttp.RequestCtx) bool {
+	if h.keys == nil {
+		return true
+	}
+	key, ok := shownKey(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)))
+	if !ok {
+		ctx.Response.Header.Set(fasthttp.HeaderWWWAuthenticate, `Basic realm="balsamlb"`)
+		writeFailure(ctx, fasthttp.StatusUnauthorized, "a key is required; use balsamctl -key-file")
+		return false
+	}
+	if _, ok := h.keys.Check(key); !ok {
+		writeFailure(ctx, fasthttp.StatusForbidden, "the key is not known to this instance")
+		return false
+	}
+	return true
+}
+
+// shownKey returns the key of an Authorization header: a bearer token, or the password that a
+// browser sends.
+func shownKey(header string) (string, bool) {
+	if key, ok := strings.CutPrefix(header, bearerPrefix); ok {
+		return key, true
+	}
+	encoded, ok := strings.CutPrefix(header, basicPrefix)
+	if !ok {
+		return "", false
+	}
+	pair, err := base64.StdEncoding.DecodeString(encoded)
+	if err != nil {
+		return "", false
+	}
+	_, key, ok := strings.Cut(string(pair), ":")
+	return key, ok
 }
 
 func (h *handler) handle(ctx *fasthttp.RequestCtx) {
+	if !h.authorize(ctx) {
+		return
+	}
 	callCtx, cancel := context.WithTimeout(context.Background(), commitTimeout)
 	defer cancel()
 	switch path := string(ctx.Path()); {
+	case path == PathPage && ctx.IsGet():
+		writePage(ctx, h.backend.Status(callCtx))
 	case path == PathStatus && ctx.IsGet():
 		writeJSON(ctx, fasthttp.StatusOK, h.backend.Status(callCtx))
 	case path == PathConfig && ctx.IsGet():
@@ -47,6 +106,10 @@
 		h.drain(callCtx, ctx)
 	case path == PathCredits && ctx.IsGet():
 		h.credits(callCtx, ctx)
+	case path == PathTrace && ctx.IsGet():
+		h.trace(ctx)
+	case path == PathDecisions && ctx.IsGet():
+		h.decisions(ctx)
 	default:
 		writeFailure(ctx, fasthttp.StatusNotFound, "no such call")
 	}
