--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -31,7 +31,7 @@
 	is.Equal(c.Arrive(epoch, request("a", "w", 1, time.Second))[0].Verdict, Start)
 	is.Equal(c.Arrive(epoch, request("b", "w", 1, time.Second))[0].Verdict, Wait)
 	// The answer takes 100 ms, and others have to end first.
-	a := c.Arrive(epoch, request("c", "w", 1, 180*time.Millisecond))
+	a := c.Arrive(epoch, request("c", "w", 1, 140*time.Millisecond))
 	is.Equal(a[0].Verdict, Refuse)
 	is.Equal(a[0].Reason, ReasonDeadline)
 	is.True(a[0].RetryAfter >= minRetryAfter)
