--- a/admission/admission.go
+++ b/admission/admission.go
@@ -23,8 +23,13 @@
 	// Share is the workspace's weight, at least 1.
 	Share int
 	// MaxInFlight bounds the workspace's requests at this instance, waiting ones included.
-	MaxInFlight  int
-	Deadline     time.Time
+	MaxInFlight int
+	Deadline    time.Time
+	Size
+}
+
+// Size is what the time of a request depends on.
+type Size struct {
 	PromptTokens int
 	// Tokens is the length of the answer; 0 for a plain call.
 	Tokens int
@@ -77,8 +82,8 @@
 	options Options
 	random  *rand.Rand
 	pools   map[string]*pool
-	peers   map[string]peer
-	// started finds the pool of a request that runs or waits.
+	peers   map[string]Usage
+	// requests holds those that run or wait, by id.
 	requests map[string]*entry
 }
 
@@ -97,7 +102,7 @@
 		options:  o,
 		random:   rand.New(rand.NewPCG(o.Seed, o.Seed)),
 		pools:    make(map[string]*pool),
-		peers:    make(map[string]peer),
+		peers:    make(map[string]Usage),
 		requests: make(map[string]*entry),
 	}
 }
@@ -175,7 +180,6 @@
 
 // Tick starts what can start by now and refuses what can no longer end in time.
 func (c *Controller) Tick(now time.Time) []Action {
-	c.expirePeers(now)
 	var actions []Action
 	for _, name := range sortedKeys(c.pools) {
 		p := c.pools[name]
--- a/admission/share.go
+++ b/admission/share.go
@@ -3,51 +3,39 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 )
 
 // WorkspaceUsage is the demand of one workspace in one pool at one instance.
 type WorkspaceUsage struct {
-	Pool      string `json:"pool"`
-	Workspace string `json:"workspace"`
-	Share     int    `json:"share"`
-	Running   int    `json:"running"`
-	Waiting   int    `json:"waiting"`
+	Pool      string
+	Workspace string
+	// Share is the weight that the receiver gives the workspace.
+	Share   int
+	Running int
+	Waiting int
 }
 
 // Usage is what one instance reports to the others.
 type Usage []WorkspaceUsage
 
-// usageLifetime is the age at which a peer's report no longer counts.
-const usageLifetime = 2 * time.Second
-
-// peer is the last report of another instance.
-type peer struct {
-	usage Usage
-	at    time.Time
-}
-
 // maxPeers bounds the instances whose reports are kept.
 const maxPeers = 1024
 
-// MergeUsage replaces what another instance reported.
-func (c *Controller) MergeUsage(now time.Time, instance string, u Usage) {
-	if _, known := c.peers[instance]; !known && len(c.peers) >= maxPeers {
+// MergeUsage replaces what another instance reported. An empty report forgets the instance:
+// it has no demand, or is no longer heard.
+func (c *Controller) MergeUsage(instance string, u Usage) {
+	if len(u) == 0 {
+		delete(c.peers, instance)
 		return
 	}
-	c.peers[instance] = peer{usage: u, at: now}
-}
-
-func (c *Controller) expirePeers(now time.Time) {
-	for name, p := range c.peers {
-		if now.Sub(p.at) > usageLifetime {
-			delete(c.peers, name)
-		}
+	if _, known := c.peers[instance]; !known && len(c.peers) >= maxPeers {
+		return
 	}
+	c.peers[instance] = u
 }
 
-// Usage returns this instance's report, by pool and workspace.
-func (c *Controller) Usage() Usage {
+// Usage returns this instance's report of at most limit entries, the largest demand first.
+func (c *Controller) Usage(limit int) Usage {
 	var u Usage
 	for _, name := range sortedKeys(c.pools) {
 		p := c.pools[name]
@@ -59,7 +47,10 @@
 			u = append(u, WorkspaceUsage{Pool: name, Workspace: ws, Share: w.share, Running: w.running, Waiting: len(w.waiting)})
 		}
 	}
-	return u
+	slices.SortStableFunc(u, func(a, b WorkspaceUsage) int {
+		return cmp.Compare(b.Running+b.Waiting, a.Running+a.Waiting)
+	})
+	return u[:min(len(u), limit)]
 }
 
 // claim is the demand of one workspace over all instances.
@@ -102,7 +93,7 @@
 		add(name, w.share, w.demand())
 	}
 	for _, o := range c.peers {
-		for _, u := range o.usage {
+		for _, u := range o {
 			if u.Pool == p.name {
 				add(u.Workspace, u.Share, u.Running+u.Waiting)
 			}
--- a/caller/completions.go
+++ b/caller/completions.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/balsamlb/balsamlb/admission"
 	"github.com/balsamlb/balsamlb/dispatch"
 	"github.com/balsamlb/balsamlb/internal/ring"
 	"github.com/balsamlb/balsamlb/outcome"
@@ -38,6 +39,8 @@
 	start   time.Time
 	// last is when the last token was sent, zero before the first.
 	last time.Time
+	// isWhole is set once the last token has come.
+	isWhole bool
 }
 
 // completions answers a request for text.
@@ -48,17 +51,17 @@
 		h.refuse(ctx, r.Request, refusal)
 		return
 	}
-	release, refusal := h.Admitter.Admit(r.Workspace)
+	release, refusal := h.Admitter.Admit(h.ctx, r.Request, admission.Size{PromptTokens: r.PromptTokens, Tokens: r.MaxTokens})
 	if refusal != nil {
 		h.refuse(ctx, r.Request, refusal)
 		return
 	}
 	runCtx, cancel := context.WithCancel(h.ctx)
+	a := &answer{handler: h, request: r, events: h.Dispatcher.Draft(runCtx, r), start: start}
 	end := func() {
 		cancel()
-		release()
+		release(a.isWhole)
 	}
-	a := &answer{handler: h, request: r, events: h.Dispatcher.Draft(runCtx, r), start: start}
 	if !body.Stream {
 		defer end()
 		a.writeWhole(ctx)
@@ -99,6 +102,7 @@
 	case e.Err != nil:
 		h.failed(a.request.Request, e.Err)
 	case e.Done:
+		a.isWhole = true
 		h.answered(a.request.Request)
 	default:
 		now := time.Now()
--- a/caller/server.go
+++ b/caller/server.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/balsamlb/balsamlb/admission"
 	"github.com/balsamlb/balsamlb/backend"
 	"github.com/balsamlb/balsamlb/dispatch"
 	"github.com/balsamlb/balsamlb/internal/ring"
@@ -53,8 +54,9 @@
 
 // Admitter takes requests in and counts them until they end.
 type Admitter interface {
-	// Admit returns a release function, or the refusal.
-	Admit(w settings.Workspace) (release func(), refusal *outcome.Error)
+	// Admit waits until the request may start and returns the function that ends it, or the
+	// refusal.
+	Admit(ctx context.Context, r dispatch.Request, s admission.Size) (release func(answered bool), refusal *outcome.Error)
 }
 
 // Options are the parts that a server is built from.
@@ -163,18 +165,18 @@
 		h.refuse(ctx, r, refusal)
 		return
 	}
-	release, refusal := h.Admitter.Admit(r.Workspace)
+	release, refusal := h.Admitter.Admit(h.ctx, r, admission.Size{})
 	if refusal != nil {
 		h.refuse(ctx, r, refusal)
 		return
 	}
-	defer release()
 	answer, failure := h.Dispatcher.Call(h.ctx, dispatch.Call{
 		Request:     r,
 		Key:         key,
 		ContentType: string(ctx.Request.Header.ContentType()),
 		Body:        append([]byte(nil), ctx.PostBody()...),
 	})
+	release(failure == nil)
 	if failure != nil {
 		h.refuse(ctx, r, failure)
 		return
--- a/daemon/admitter.go
+++ b/daemon/admitter.go
@@ -1,35 +1,77 @@
 package daemon
 
 import (
+	"context"
 	"sync"
 	"time"
 
+	"github.com/balsamlb/balsamlb/admission"
+	"github.com/balsamlb/balsamlb/dispatch"
+	"github.com/balsamlb/balsamlb/membership"
 	"github.com/balsamlb/balsamlb/outcome"
 	"github.com/balsamlb/balsamlb/settings"
+	"github.com/go-logr/logr"
 )
 
 const (
-	// retryAfterFull is when a caller should come back to a full instance.
-	retryAfterFull = time.Second
 	// retryAfterLeaving is when a caller should come back, to find another instance.
 	retryAfterLeaving = time.Second
+	// maxQueued bounds the requests that wait at this instance for one pool.
+	maxQueued = 512
+	// admissionTick is how often waiting requests are looked at.
+	admissionTick = 20 * time.Millisecond
 )
 
-// admitter counts the requests in flight and refuses what is above the limits.
+// admitter takes requests in as the admission controller decides, and counts them until they
+// end.
 type admitter struct {
-	mu      sync.Mutex
-	counts  map[string]int
-	total   int
-	leaving bool
-	idle    chan struct{}
+	log    logr.Logger
+	intent func() settings.Intent
+	// open takes every request in at once, as the naive version of a benchmark does.
+	open bool
+
+	mu         sync.Mutex
+	controller *admission.Controller
+	waiting    map[string]chan admission.Action
+	total      int
+	leaving    bool
+	idle       chan struct{}
 }
 
-func newAdmitter() *admitter {
-	return &admitter{counts: make(map[string]int), idle: make(chan struct{})}
+func newAdmitter(seed uint64, open bool, intent func() settings.Intent, log logr.Logger) *admitter {
+	return &admitter{
+		log:        log,
+		intent:     intent,
+		open:       open,
+		controller: admission.New(admission.Options{MaxQueued: maxQueued, Seed: seed}),
+		waiting:    make(map[string]chan admission.Action),
+		idle:       make(chan struct{}),
+	}
+}
+
+// Admit returns once the request may start, with the function that ends it, or refuses it.
+func (a *admitter) Admit(ctx context.Context, r dispatch.Request, s admission.Size) (func(answered bool), *outcome.Error) {
+	decision, refusal := a.arrive(r, s)
+	if refusal != nil {
+		return nil, refusal
+	}
+	var once sync.Once
+	release := func(answered bool) { once.Do(func() { a.release(r.ID, answered) }) }
+	select {
+	case <-ctx.Done():
+		release(false)
+		return nil, &outcome.Error{Outcome: outcome.NotRun, Code: outcome.CodeCancelled, Message: "the caller has gone"}
+	case d := <-decision:
+		if d.Verdict == admission.Start {
+			return release, nil
+		}
+		release(false)
+		return nil, a.refusal(r, d)
+	}
 }
 
-// Admit takes a request in, or refuses it at once.
-func (a *admitter) Admit(w settings.Workspace) (func(), *outcome.Error) {
+// arrive counts the request and returns the channel on which its decision comes.
+func (a *admitter) arrive(r dispatch.Request, s admission.Size) (<-chan admission.Action, *outcome.Error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.leaving {
@@ -40,31 +82,114 @@
 			RetryAfter: retryAfterLeaving,
 		}
 	}
-	if a.counts[w.Name] >= w.MaxInFlight {
-		return nil, &outcome.Error{
-			Outcome:    outcome.NotRun,
-			Code:       outcome.CodeOverloaded,
-			Message:    "the workspace has its most requests in flight",
-			RetryAfter: retryAfterFull,
+	a.total++
+	decision := make(chan admission.Action, 1)
+	if a.open {
+		decision <- admission.Action{ID: r.ID, Verdict: admission.Start}
+		return decision, nil
+	}
+	a.waiting[r.ID] = decision
+	a.tell(a.controller.Arrive(time.Now(), admission.Request{
+		ID:          r.ID,
+		Pool:        r.Service.Pool(),
+		Workspace:   r.Workspace.Name,
+		Share:       r.Workspace.Share,
+		MaxInFlight: r.Workspace.MaxInFlight,
+		Deadline:    r.Deadline,
+		Size:        s,
+	}))
+	return decision, nil
+}
+
+// tell passes decisions to the requests that wait for them.
+func (a *admitter) tell(actions []admission.Action) {
+	for _, action := range actions {
+		decision, ok := a.waiting[action.ID]
+		if !ok || action.Verdict == admission.Wait {
+			continue
 		}
+		delete(a.waiting, action.ID)
+		decision <- action
+	}
+}
+
+func (a *admitter) refusal(r dispatch.Request, d admission.Action) *outcome.Error {
+	a.log.Info("refused a request", "request", r.ID, "service", r.Service.Name, "workspace", r.Workspace.Name,
+		"why", d.Reason, "predicted_ms", d.Predicted.Milliseconds(), "retry_after_ms", d.RetryAfter.Milliseconds())
+	return &outcome.Error{
+		Outcome:    outcome.NotRun,
+		Code:       outcome.CodeOverloaded,
+		Message:    string(d.Reason),
+		RetryAfter: d.RetryAfter,
 	}
-	a.counts[w.Name]++
-	a.total++
-	var once sync.Once
-	return func() { once.Do(func() { a.release(w.Name) }) }, nil
 }
 
-func (a *admitter) release(workspace string) {
+func (a *admitter) release(id string, answered bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.counts[workspace]--
-	if a.counts[workspace] == 0 {
-		delete(a.counts, workspace)
-	}
+	delete(a.waiting, id)
+	a.tell(a.controller.Ended(time.Now(), id, answered))
 	a.total--
 	a.signalIdle()
 }
 
+// setForecast notes the room and speed of a pool.
+func (a *admitter) setForecast(pool string, f admission.Forecast) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.controller.SetForecast(pool, f)
+}
+
+// runTicks starts and refuses waiting requests as time passes, until ctx ends.
+func (a *admitter) runTicks(ctx context.Context) error {
+	ticker := time.NewTicker(admissionTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			a.mu.Lock()
+			a.tell(a.controller.Tick(now))
+			a.mu.Unlock()
+		}
+	}
+}
+
+// LocalUsage reports this instance's demand, the largest first.
+func (a *admitter) LocalUsage(_ time.Time, limit int) []membership.WorkspaceUsage {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out []membership.WorkspaceUsage
+	for _, u := range a.controller.Usage(limit) {
+		out = append(out, membership.WorkspaceUsage{
+			Workspace: u.Workspace,
+			Pool:      u.Pool,
+			Demand:    uint32(u.Running + u.Waiting),
+			InFlight:  uint32(u.Running),
+		})
+	}
+	return out
+}
+
+// HandleUsage takes the demand at another instance of the data centre.
+func (a *admitter) HandleUsage(_ time.Time, peer string, usage []membership.WorkspaceUsage) {
+	shares := a.intent().Workspaces
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var u admission.Usage
+	for _, w := range usage {
+		u = append(u, admission.WorkspaceUsage{
+			Pool:      w.Pool,
+			Workspace: w.Workspace,
+			Share:     shares[w.Workspace].Share,
+			Running:   int(w.InFlight),
+			Waiting:   max(0, int(w.Demand)-int(w.InFlight)),
+		})
+	}
+	a.controller.MergeUsage(peer, u)
+}
+
 // InFlight returns the number of requests in flight.
 func (a *admitter) InFlight() int {
 	a.mu.Lock()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/balsamlb/balsamlb/settings"
 	"github.com/balsamlb/balsamlb/storage"
 	"github.com/balsamlb/balsamlb/trace"
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -72,8 +73,17 @@
 	d.shared = newShared(p, uint64(time.Now().UnixNano()), log.WithName("config"))
 	d.proposer = instance.NewProposer(dialer, voterAddresses(p))
 	d.credits = newCreditDuty(d.proposer, log.WithName("credit"))
-	d.admitter = newAdmitter()
-	d.dispatcher = dispatch.New(p.Name, p.DataCentre, d.shared, d.proposer, d.credits, log)
+	d.admitter = newAdmitter(xxhash.Sum64String(p.Name), p.Naive, d.shared.Intent, log.WithName("admission"))
+	d.shared.facts.exchangeUsage(d.admitter)
+	d.dispatcher = dispatch.New(dispatch.Options{
+		Instance:   p.Name,
+		DataCentre: p.DataCentre,
+		Naive:      p.Naive,
+		Fleet:      d.shared,
+		Proposer:   d.proposer,
+		Credits:    d.credits,
+		Log:        log,
+	})
 	if p.IsControl() {
 		if err := d.openReplica(); err != nil {
 			return nil, err
@@ -133,6 +143,8 @@
 	exchange := newExchangeDuty(d.shared, d.host, d.dialer)
 	g.Go(func() error { return exchange.run(dutyCtx) })
 	g.Go(func() error { return d.credits.run(dutyCtx) })
+	g.Go(func() error { return d.admitter.runTicks(dutyCtx) })
+	g.Go(func() error { return d.runForecasts(dutyCtx) })
 	g.Go(func() error { return d.secrets.run(dutyCtx, d.log.WithName("keys")) })
 	if d.host != nil {
 		g.Go(func() error { return d.host.Run(dutyCtx) })
--- a/daemon/facts.go
+++ b/daemon/facts.go
@@ -96,7 +96,7 @@
 	}
 	out := &wire.Usage{}
 	for _, w := range u.LocalUsage(now, min(limit, membership.MaxUsage)) {
-		out.Workspaces = append(out.Workspaces, &wire.WorkspaceUsage{Workspace: w.Workspace, Demand: w.Demand, InFlight: w.InFlight})
+		out.Workspaces = append(out.Workspaces, &wire.WorkspaceUsage{Workspace: w.Workspace, Pool: w.Pool, Demand: w.Demand, InFlight: w.InFlight})
 	}
 	return out
 }
@@ -111,7 +111,7 @@
 	}
 	var usage []membership.WorkspaceUsage
 	for _, w := range report.Workspaces[:min(len(report.Workspaces), membership.MaxUsage)] {
-		usage = append(usage, membership.WorkspaceUsage{Workspace: w.Workspace, Demand: w.Demand, InFlight: w.InFlight})
+		usage = append(usage, membership.WorkspaceUsage{Workspace: w.Workspace, Pool: w.Pool, Demand: w.Demand, InFlight: w.InFlight})
 	}
 	u.HandleUsage(now, peer, usage)
 }
--- /dev/null
+++ b/daemon/forecast.go
@@ -0,0 +1,60 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/balsamlb/balsamlb/admission"
+	"github.com/balsamlb/balsamlb/membership"
+)
+
+// forecastInterval is how often the room and speed of the backend servers are worked out.
+const forecastInterval = 500 * time.Millisecond
+
+// runForecasts keeps the admitter informed about the backend servers until ctx ends.
+func (d *Daemon) runForecasts(ctx context.Context) error {
+	ticker := time.NewTicker(forecastInterval)
+	defer ticker.Stop()
+	for {
+		part := d.shared.dataCentrePart(time.Now())
+		for _, s := range d.shared.Intent().Services {
+			f := d.dispatcher.Forecast(s)
+			d.admitter.setForecast(s.Pool(), scaled(f, part))
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// scaled returns the forecast with the data centre's part of the room. Room that is left over
+// stays at least one request.
+func scaled(f admission.Forecast, part float64) admission.Forecast {
+	if f.Slots > 0 {
+		f.Slots = max(1, int(float64(f.Slots)*part))
+	}
+	return f
+}
+
+// dataCentrePart is this data centre's part of the instances that are heard. Usage is
+// exchanged within a data centre, and the balancer spreads callers evenly over instances, so
+// each data centre takes the part of the backend servers that its instances stand for.
+func (s *shared) dataCentrePart(now time.Time) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	here, all := 1, 1
+	for _, m := range s.table.Members() {
+		if m.Leaving || m.Region != s.process.Region || !membership.IsAlive(m, now) {
+			continue
+		}
+		all++
+		if m.DataCentre == s.process.DataCentre {
+			here++
+		}
+	}
+	return float64(here) / float64(all)
+}
+
+var _ membership.UsageExchange = (*admitter)(nil)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -44,15 +44,28 @@
 	router *route.Router
 }
 
-// New returns a dispatcher for the named instance.
-func New(instance, dataCentre string, f Fleet, p Proposer, c Credits, log logr.Logger) *Dispatcher {
+// Options are the parts that a dispatcher is built from.
+type Options struct {
+	Instance   string
+	DataCentre string
+	// Naive is for benchmarks: servers are chosen in turn.
+	Naive    bool
+	Fleet    Fleet
+	Proposer Proposer
+	Credits  Credits
+	Log      logr.Logger
+}
+
+// New returns a dispatcher for an instance.
+func New(o Options) *Dispatcher {
+	seed := xxhash.Sum64String(o.Instance)
 	return &Dispatcher{
-		instance: instance,
-		fleet:    f,
-		proposer: p,
-		credits:  c,
-		log:      log.WithName("route"),
-		router:   route.New(route.Options{DataCentre: dataCentre, Seed: xxhash.Sum64String(instance)}),
+		instance: o.Instance,
+		fleet:    o.Fleet,
+		proposer: o.Proposer,
+		credits:  o.Credits,
+		log:      o.Log.WithName("route"),
+		router:   route.New(route.Options{DataCentre: o.DataCentre, Seed: seed, InTurn: o.Naive}),
 	}
 }
 
--- a/membership/usage.go
+++ b/membership/usage.go
@@ -5,6 +5,8 @@
 // WorkspaceUsage is what one workspace uses at one instance.
 type WorkspaceUsage struct {
 	Workspace string
+	// Pool names the backend servers that the requests are for: a model or a plain service.
+	Pool string
 	// Demand is the number of requests in flight and waiting, without the workspace's weight.
 	Demand   uint32
 	InFlight uint32
--- a/route/chain.go
+++ b/route/chain.go
@@ -92,13 +92,12 @@
 const maxSearches = 6
 
 // anchor limits the parts of its range that a server may run, so that no two of them can be
-// in one chain.
+// in one chain. 0 means no limit.
 type anchor int
 
 const (
-	anchorNone anchor = iota
 	// anchorStart allows only parts that start with the server's first layer.
-	anchorStart
+	anchorStart anchor = iota + 1
 	// anchorEnd allows only parts that end with the server's last layer.
 	anchorEnd
 )
@@ -140,6 +139,9 @@
 				g.cost = c.cost
 			}
 		}
+		if r.inTurn {
+			g.cost = cost{speed: time.Duration(r.random.Int64N(int64(time.Second)))}
+		}
 	}
 	return groups
 }
--- a/route/cost.go
+++ b/route/cost.go
@@ -19,17 +19,6 @@
 
 func (c cost) total() time.Duration { return c.queue + c.speed + c.link + c.pace - c.prefix }
 
-// add returns the sum of two costs.
-func (c cost) add(d cost) cost {
-	return cost{
-		queue:  c.queue + d.queue,
-		speed:  c.speed + d.speed,
-		link:   c.link + d.link,
-		pace:   c.pace + d.pace,
-		prefix: c.prefix + d.prefix,
-	}
-}
-
 // why returns the part in which the chosen cost is the furthest below the other.
 func (c cost) why(other cost) Reason {
 	parts := []struct {
@@ -72,6 +61,9 @@
 	for _, c := range all[1:] {
 		least = min(least, c.cost.total())
 	}
+	if r.inTurn {
+		return r.pickInTurn(all)
+	}
 	limit := max(time.Duration(float64(least)*nearlyEqual), least+nearlyEqualTime)
 	var near []int
 	for i, c := range all {
@@ -95,6 +87,14 @@
 	return c
 }
 
+// pickInTurn takes the candidates one after the other.
+func (r *Router) pickInTurn(all []candidate) Choice {
+	first := all[0].server.Name
+	r.turns[first]++
+	c := all[r.turns[first]%len(all)]
+	return Choice{Chosen: *c.server, Cost: c.cost.total(), Why: ReasonOnly}
+}
+
 // runnerUp returns the cheapest candidate beside the chosen one, or -1.
 func runnerUp(all []candidate, chosen int) int {
 	second := -1
--- a/route/route.go
+++ b/route/route.go
@@ -25,6 +25,8 @@
 	Seed uint64
 	// Links gives the delay between data centres. Nil: DefaultLink for each other one.
 	Links Links
+	// InTurn chooses servers in turn whatever they cost, as the naive version of a benchmark.
+	InTurn bool
 }
 
 // Router chooses servers by predicted cost. It is not safe for concurrent use.
@@ -35,6 +37,8 @@
 	accounts   map[string]*account
 	paces      *paces
 	prefixes   *prefixes
+	inTurn     bool
+	turns      map[string]int // by the first candidate
 }
 
 // New returns a router for an instance.
@@ -46,6 +50,8 @@
 		accounts:   make(map[string]*account),
 		paces:      newPaces(),
 		prefixes:   newPrefixes(),
+		inTurn:     o.InTurn,
+		turns:      make(map[string]int),
 	}
 }
 
--- a/settings/intent.go
+++ b/settings/intent.go
@@ -50,6 +50,14 @@
 	Enabled    bool
 }
 
+// Pool names the backend servers that run the service: its model, or the plain service itself.
+func (s Service) Pool() string {
+	if s.Kind == ServiceDraft {
+		return s.Model
+	}
+	return s.Name
+}
+
 // Workspace is one customer of the system.
 type Workspace struct {
 	Name        string
--- a/settings/process.go
+++ b/settings/process.go
@@ -29,6 +29,7 @@
 	{"tls", "certificate", "", "path", "PEM file of the instance's certificate, which names its IP number. Read again when it changes.", anyText},
 	{"tls", "private_key", "", "path", "PEM file of the certificate's key.", anyText},
 	{"tls", "authority", "", "path", "PEM file of the certificates that sign those of instances.", anyText},
+	{"bench", "naive", "false", "", "For benchmarks only. true: round robin, no admission control, no retry budgets.", oneOf("true", "false")},
 	{"log", "level", "info", "", "Least severe level that is logged.", oneOf("debug", "info", "error")},
 }
 
@@ -65,6 +66,8 @@
 	Voters     []Voter
 	Seeds      []string
 	LogLevel   string
+	// Naive is for benchmarks: round robin, no admission control, no retry budgets.
+	Naive bool
 	// OperatorKeys is the file of operators' keys, "" when calls need none.
 	OperatorKeys string
 	TLS          TLS
@@ -115,6 +118,7 @@
 		Voters:     parseVoters(get("control", "voters")),
 		Seeds:      splitList(get("join", "seeds")),
 		LogLevel:   get("log", "level"),
+		Naive:      get("bench", "naive") == "true",
 
 		OperatorKeys: get("operators", "key_file"),
 		TLS: TLS{
