Bookings: settled refusals, resolution by the server, refusal at once

Cause: call_once told 'not run' without asking the ledger, polled it every 50 ms for each duplicate, waited for a quorum until the deadline, and left a key held for ever when its dispatcher died.

Ruled out: letting any instance declare an attempt not run after a silence (a frozen dispatcher wakes and dispatches); a waiting call at the leader (needs state in it for each waiter).

Change: one of the equal requests at an instance runs, the others wait for it; looks at the ledger back off to 1 s. 'Not run' is told only when the ledger said that the attempt held its key until it was freed, or the caller stated a first send; else 'unknown' with Retry-After. A gate refuses at once while no quorum answers, and a probe opens it. A dispatcher that is gone is resolved by asking the server, which bars a request that it has not seen; without its word the outcome is unknown, at once. Outcomes that can't be recorded wait in a bounded ring. Leaders stamp commands and check configurations.

--- a/backend/client.go
+++ b/backend/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -133,6 +134,8 @@
 	Key         string
 	ContentType string
 	Body        []byte
+	// Incarnation is that of the server when it was chosen.
+	Incarnation uint64
 }
 
 // CallAnswer is a backend server's answer.
@@ -140,6 +143,8 @@
 	Status      int
 	ContentType string
 	Body        []byte
+	// NotRun means that the server refused the call before running it.
+	NotRun bool
 }
 
 // CallError says whether the server may have run the call.
@@ -173,9 +178,15 @@
 		Status:      c.resp.StatusCode(),
 		ContentType: string(c.resp.Header.ContentType()),
 		Body:        append([]byte(nil), c.resp.Body()...),
+		NotRun:      isRefusal(&c.resp),
 	}, nil
 }
 
+// isRefusal reports whether the server said that it did not run the call.
+func isRefusal(resp *fasthttp.Response) bool {
+	return resp.StatusCode() >= fasthttp.StatusBadRequest && string(resp.Header.Peek(HeaderOutcome)) == OutcomeNotRun
+}
+
 func (c *Conn) sendCall(cr CallRequest) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
@@ -184,6 +195,7 @@
 	req.Header.SetContentType(cr.ContentType)
 	req.Header.Set(HeaderRequest, cr.Request)
 	req.Header.Set(HeaderWorkspace, cr.Workspace)
+	req.Header.Set(HeaderIncarnation, strconv.FormatUint(cr.Incarnation, 10))
 	if cr.Key != "" {
 		req.Header.Set(HeaderKey, cr.Key)
 	}
--- /dev/null
+++ b/backend/resolve.go
@@ -0,0 +1,88 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+)
+
+// PathResolve is served by backend servers that announce resolves_requests.
+const PathResolve = "/v1/resolve"
+
+const (
+	// HeaderOutcome with OutcomeNotRun in an answer says that the server refused the call
+	// before it ran any part of it, and will not run it later.
+	HeaderOutcome = "X-Outcome"
+	OutcomeNotRun = "not_run"
+	// HeaderIncarnation is the incarnation that a call is meant for. A server that resolves
+	// requests refuses a call that is meant for another one.
+	HeaderIncarnation = "X-Server-Incarnation"
+)
+
+// ResolveRequest asks what became of a request. A server that has not seen the request
+// must refuse it from then on.
+type ResolveRequest struct {
+	// Request is the X-Request-Id of the call.
+	Request string `json:"request"`
+	// Incarnation is that of the server when the call was meant for it. Another incarnation
+	// can't know.
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// RequestState is what a server knows of a request.
+type RequestState string
+
+// The states of a request.
+const (
+	RequestRunning  RequestState = "running"
+	RequestFinished RequestState = "finished"
+	// RequestBarred means that the request has not run and never will.
+	RequestBarred RequestState = "barred"
+)
+
+// Resolution is the answer to a ResolveRequest.
+type Resolution struct {
+	State       RequestState `json:"state"`
+	Incarnation uint64       `json:"incarnation"`
+	// Status, ContentType and Body are the answer of a finished request.
+	Status      int    `json:"status,omitempty"`
+	ContentType string `json:"content_type,omitempty"`
+	Body        []byte `json:"body,omitempty"`
+}
+
+// Answer returns the answer of a finished request.
+func (r Resolution) Answer() CallAnswer {
+	return CallAnswer{Status: r.Status, ContentType: r.ContentType, Body: r.Body}
+}
+
+// Resolve asks the server at the address what became of a request.
+func Resolve(ctx context.Context, server, address string, rr ResolveRequest) (Resolution, error) {
+	var res Resolution
+	c, err := dial(ctx, server, address)
+	if err != nil {
+		return res, err
+	}
+	defer c.Close()
+	if err := c.post(address, PathResolve, rr); err != nil {
+		return res, err
+	}
+	if err := c.resp.ReadLimitBody(c.in, 2*maxCallBytes); err != nil {
+		return res, eris.Wrapf(err, "backend: read answer of %s", server)
+	}
+	if code := c.resp.StatusCode(); code != fasthttp.StatusOK {
+		return res, eris.Errorf("backend: resolve on %s: status %d", server, code)
+	}
+	if err := json.Unmarshal(c.resp.Body(), &res); err != nil {
+		return res, eris.Wrapf(err, "backend: decode answer of %s", server)
+	}
+	if res.Incarnation != rr.Incarnation {
+		return res, eris.Errorf("backend: resolve on %s: it has been restarted since", server)
+	}
+	switch res.State {
+	case RequestRunning, RequestFinished, RequestBarred:
+		return res, nil
+	}
+	return res, eris.Errorf("backend: resolve on %s: unknown state %q", server, res.State)
+}
--- a/caller/server.go
+++ b/caller/server.go
@@ -29,6 +29,8 @@
 	// HeaderDeadline is the time that the caller will wait, in milliseconds.
 	HeaderDeadline = "X-Deadline-Ms"
 	HeaderKey      = "Idempotency-Key"
+	// HeaderFirstSend with the value true states that the caller never sent the key before.
+	HeaderFirstSend = "Idempotency-First-Send"
 	// HeaderRequest carries the request's id in answers.
 	HeaderRequest = "X-Request-Id"
 	// HeaderOutcome carries the outcome in answers.
@@ -142,24 +144,24 @@
 func (h *handler) call(ctx *fasthttp.RequestCtx, service string) {
 	in := h.Intent()
 	r, refusal := h.request(ctx, in, service)
-	if refusal != nil {
-		writeError(ctx, r.ID, refusal)
-		return
-	}
 	key := string(ctx.Request.Header.Peek(HeaderKey))
-	if refusal := checkKey(r.Service, key); refusal != nil {
-		writeError(ctx, r.ID, refusal)
+	if refusal == nil {
+		refusal = checkKey(r.Service, key)
+	}
+	if refusal != nil {
+		writeError(ctx, r.ID, keyedRefusal(ctx, in, service, refusal))
 		return
 	}
 	release, refusal := h.Admitter.Admit(r.Workspace)
 	if refusal != nil {
-		writeError(ctx, r.ID, refusal)
+		writeError(ctx, r.ID, keyedRefusal(ctx, in, service, refusal))
 		return
 	}
 	defer release()
 	answer, failure := h.Dispatcher.Call(h.ctx, dispatch.Call{
 		Request:     r,
 		Key:         key,
+		FirstSend:   isFirstSend(ctx),
 		ContentType: string(ctx.Request.Header.ContentType()),
 		Body:        append([]byte(nil), ctx.PostBody()...),
 	})
@@ -174,6 +176,21 @@
 	ctx.SetBody(answer.Body)
 }
 
+func isFirstSend(ctx *fasthttp.RequestCtx) bool {
+	return string(ctx.Request.Header.Peek(HeaderFirstSend)) == "true"
+}
+
+// keyedRefusal returns a refusal that was made without asking the ledger. An earlier send of
+// the same key may have run.
+func keyedRefusal(ctx *fasthttp.RequestCtx, in settings.Intent, service string, e *outcome.Error) *outcome.Error {
+	key := ctx.Request.Header.Peek(HeaderKey)
+	s, known := in.Services[service]
+	if len(key) == 0 || len(key) > maxKeyLength || known && s.Idempotent {
+		return e
+	}
+	return dispatch.ForCaller(e, isFirstSend(ctx))
+}
+
 func checkKey(s settings.Service, key string) *outcome.Error {
 	if s.Kind != settings.ServicePlain {
 		return outcome.BadField("service", s.Name+" is a draft service; use "+PathCompletions)
@@ -238,6 +255,8 @@
 		return fasthttp.StatusUnprocessableEntity
 	case outcome.CodeInProgress:
 		return fasthttp.StatusConflict
+	case outcome.CodeKeyExpired, outcome.CodeAnswerDropped:
+		return fasthttp.StatusGone
 	case outcome.CodeOverloaded:
 		return fasthttp.StatusTooManyRequests
 	case outcome.CodeDeadline:
--- a/cmd/balsamctl/bench.go
+++ b/cmd/balsamctl/bench.go
@@ -35,7 +35,9 @@
 			if err != nil {
 				return err
 			}
-			return emulate.NewFleet(f.Servers, f.Announce).Run(ctx)
+			stand := emulate.NewFleet(f.Servers, f.Announce)
+			stand.SetCallFaults(f.CallFaults)
+			return stand.Run(ctx)
 		},
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -10,11 +10,14 @@
 
 	"github.com/balsamlb/balsamlb/backend"
 	"github.com/balsamlb/balsamlb/caller"
+	"github.com/balsamlb/balsamlb/config"
+	"github.com/balsamlb/balsamlb/consensus"
 	"github.com/balsamlb/balsamlb/control"
 	"github.com/balsamlb/balsamlb/dispatch"
 	"github.com/balsamlb/balsamlb/instance"
 	"github.com/balsamlb/balsamlb/operator"
 	"github.com/balsamlb/balsamlb/platform"
+	"github.com/balsamlb/balsamlb/replica"
 	"github.com/balsamlb/balsamlb/settings"
 	"github.com/balsamlb/balsamlb/storage"
 	"github.com/go-logr/logr"
@@ -65,6 +68,7 @@
 	d.credits = newCreditDuty(d.proposer, log.WithName("credit"))
 	d.admitter = newAdmitter()
 	d.dispatcher = dispatch.New(p.Name, p.DataCentre, d.shared, d.proposer, d.credits, log)
+	d.dispatcher.UsePeers(d.shared.incarnation, d.shared)
 	if p.IsControl() {
 		if err := d.openReplica(); err != nil {
 			return nil, err
@@ -124,6 +128,7 @@
 	exchange := &exchangeDuty{shared: d.shared, exchanger: instance.NewExchanger(d.dialer)}
 	g.Go(func() error { return exchange.run(dutyCtx) })
 	g.Go(func() error { return d.credits.run(dutyCtx) })
+	g.Go(func() error { return d.dispatcher.Run(dutyCtx) })
 	g.Go(func() error { return d.secrets.run(dutyCtx, d.log.WithName("keys")) })
 	if d.host != nil {
 		g.Go(func() error { return d.host.Run(dutyCtx) })
@@ -215,13 +220,38 @@
 	if d.host == nil {
 		return nil
 	}
-	return &hostReplica{Host: d.host, voters: d.process.Voters}
+	return &hostReplica{Host: d.host, voters: d.process.Voters, stamps: newStamper(d.process.Name)}
 }
 
 // hostReplica adds the leader's address to a host.
 type hostReplica struct {
 	*control.Host
 	voters []settings.Voter
+	stamps *stamper
+}
+
+// Propose checks and stamps the command before it enters the log.
+func (r *hostReplica) Propose(ctx context.Context, data []byte) (replica.Result, error) {
+	data, refusal, err := r.stamps.admit(data)
+	if err != nil {
+		return replica.Result{}, err
+	}
+	if refusal != nil {
+		return r.refuse(ctx, refusal)
+	}
+	return r.Host.Propose(ctx, data)
+}
+
+// refuse answers a change that this instance can't read, if it is the leader.
+func (r *hostReplica) refuse(ctx context.Context, refusal *config.Result) (replica.Result, error) {
+	s, err := r.Status(ctx)
+	if err != nil {
+		return replica.Result{}, err
+	}
+	if s.Role != consensus.RoleLeader {
+		return replica.Result{}, consensus.ErrNotLeader
+	}
+	return replica.Result{Config: refusal}, nil
 }
 
 // Leader returns the address of the leader, or "".
--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -11,7 +11,9 @@
 // Call is a request to a plain service.
 type Call struct {
 	Request
-	Key         string
+	Key string
+	// FirstSend means that the caller has stated that it never sent the request before.
+	FirstSend   bool
 	ContentType string
 	Body        []byte
 }
@@ -32,6 +34,7 @@
 	return backend.Call(ctx, backend.CallRequest{
 		Server:      server.Name,
 		Address:     server.Address,
+		Incarnation: server.Incarnation,
 		Service:     r.Service.Name,
 		Request:     r.ID,
 		Workspace:   r.Workspace.Name,
--- a/dispatch/call_once.go
+++ b/dispatch/call_once.go
@@ -4,10 +4,10 @@
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
-	"errors"
 	"time"
 
 	"github.com/balsamlb/balsamlb/backend"
+	"github.com/balsamlb/balsamlb/credit"
 	"github.com/balsamlb/balsamlb/fleet"
 	"github.com/balsamlb/balsamlb/ledger"
 	"github.com/balsamlb/balsamlb/outcome"
@@ -15,157 +15,257 @@
 )
 
 const (
+	// beginTimeout bounds the wait for a quorum before a request is refused. It is longer
+	// than a change of leader.
+	beginTimeout = 2 * time.Second
 	// finishTimeout bounds the recording of an outcome after the answer is known.
 	finishTimeout = 5 * time.Second
-	// duplicatePoll is how often a duplicate looks for the first one's outcome.
-	duplicatePoll      = 50 * time.Millisecond
-	retryAfterNoQuorum = time.Second
+	// A duplicate looks for the first one's outcome after duplicatePause, and then after
+	// pauses that double up to maxDuplicatePause. One duplicate of a key looks at a time.
+	duplicatePause    = 20 * time.Millisecond
+	maxDuplicatePause = time.Second
+	// maxServerChoices bounds the servers that are chosen anew because they began to leave.
+	maxServerChoices = 3
 )
 
+// Peers knows the instances of the system.
+type Peers interface {
+	// IsGone reports whether that start of the instance has ended or fallen silent.
+	IsGone(d ledger.Dispatcher) bool
+}
+
+// noPeers knows nobody, so no dispatcher counts as gone.
+type noPeers struct{}
+
+func (noPeers) IsGone(ledger.Dispatcher) bool { return false }
+
+// UsePeers tells the dispatcher which start of its instance it belongs to, and who knows the
+// others. It must be called before the first call.
+func (d *Dispatcher) UsePeers(incarnation uint64, p Peers) {
+	d.once.self.Incarnation = incarnation
+	d.once.peers = p
+}
+
+// onceCaller is what non-idempotent calls share.
+type onceCaller struct {
+	self    ledger.Dispatcher
+	peers   Peers
+	flights *flights
+	settler *settler
+	quorum  *quorumGate
+}
+
+// attempt is one non-idempotent call at this instance.
+type attempt struct {
+	Call
+	key    ledger.Key
+	digest ledger.Digest
+}
+
+// reply is how an attempt ended.
+type reply struct {
+	answer backend.CallAnswer
+	err    *outcome.Error
+}
+
 // callOnce dispatches only after a quorum has recorded the request, and answers only after
 // a quorum has recorded the outcome.
 func (d *Dispatcher) callOnce(ctx context.Context, r Call) (backend.CallAnswer, *outcome.Error) {
-	server, err := d.chooseServer(r.Request, nil)
-	if err != nil {
-		return backend.CallAnswer{}, asOutcome(err)
+	a := attempt{
+		Call:   r,
+		key:    ledger.Key{Workspace: r.Workspace.Name, Service: r.Service.Name, Idempotency: r.Key},
+		digest: digestOf(r),
 	}
-	release := func() { d.ended(server.Name) }
-	key := ledger.Key{Workspace: r.Workspace.Name, Service: r.Service.Name, Idempotency: r.Key}
-	for {
-		begin, err := d.begin(ctx, r, key)
-		if err != nil {
-			release()
-			d.abandon(ctx, key, r.ID)
-			return backend.CallAnswer{}, errNoQuorum()
+	rep := d.once.flights.do(ctx, a, d.runOnce)
+	if rep.err != nil {
+		rep.err = ForCaller(rep.err, r.FirstSend)
+	}
+	return rep.answer, rep.err
+}
+
+// runOnce runs the attempt, or waits for the one that holds the key.
+func (d *Dispatcher) runOnce(ctx context.Context, a attempt) reply {
+	if !d.once.quorum.isOpen() {
+		return reply{err: errNoQuorum()}
+	}
+	for pause := duplicatePause; ; pause = min(2*pause, maxDuplicatePause) {
+		server, chooseErr := d.chooseServer(a.Request, nil)
+		begin, err := d.begin(ctx, a, server, chooseErr != nil)
+		if err == nil && begin.Verdict == ledger.VerdictGranted {
+			return d.dispatchOnce(ctx, a, server)
+		}
+		if chooseErr == nil {
+			d.ended(server.Name)
 		}
-		if begin.Verdict == ledger.VerdictGranted {
-			return d.dispatchOnce(ctx, r, key, server)
+		if err != nil {
+			d.withdraw(a)
+			return reply{err: errNoQuorum()}
 		}
-		answer, oe := settled(begin)
-		if oe == nil || oe.Code != outcome.CodeInProgress {
-			release()
-			return answer, oe
+		switch begin.Verdict {
+		case ledger.VerdictNew:
+			return reply{err: granted(asOutcome(chooseErr))}
+		case ledger.VerdictAbandoned:
+			return settled(begin) // another instance took this one for gone
 		}
-		if !sleep(ctx, duplicatePoll) {
-			release()
-			return backend.CallAnswer{}, oe
+		begin = d.resolveGone(ctx, a, begin)
+		switch begin.Verdict {
+		case ledger.VerdictAbandoned:
+			continue // the key is free again
+		case ledger.VerdictRunning, ledger.VerdictStale:
+			if !sleep(ctx, pause) {
+				return reply{err: errInProgress()}
+			}
+		default:
+			return settled(begin)
 		}
 	}
 }
 
-func (d *Dispatcher) begin(ctx context.Context, r Call, key ledger.Key) (ledger.Result, error) {
-	result, err := d.proposer.Propose(ctx, replica.Command{Begin: &ledger.Begin{
-		Key:        key,
-		Digest:     digestOf(r),
-		Attempt:    r.ID,
-		Dispatcher: ledger.Dispatcher{Instance: d.instance},
+// begin asks for the right to dispatch; look only asks what is known of the key.
+func (d *Dispatcher) begin(ctx context.Context, a attempt, server fleet.BackendServer, look bool) (ledger.Result, error) {
+	callCtx, cancel := context.WithTimeout(ctx, beginTimeout)
+	defer cancel()
+	result, err := d.proposer.Propose(callCtx, replica.Command{Begin: &ledger.Begin{
+		Key:        a.key,
+		Digest:     a.digest,
+		Attempt:    a.ID,
+		Dispatcher: d.once.self,
+		Server: ledger.Server{
+			Name:        server.Name,
+			Incarnation: server.Incarnation,
+			Address:     server.Address,
+			Resolves:    server.ResolvesRequests,
+		},
+		Look: look,
 	}})
 	if err != nil {
+		// A caller's short deadline says nothing about the quorum.
+		if ctx.Err() == nil {
+			d.once.quorum.lose()
+		}
 		return ledger.Result{}, err
 	}
+	if result.Ledger == nil {
+		return ledger.Result{}, errBadResult
+	}
 	return *result.Ledger, nil
 }
 
-// abandon withdraws an attempt that was not dispatched, so that its Begin does not hold the
-// key if it is committed later.
-func (d *Dispatcher) abandon(ctx context.Context, key ledger.Key, attempt string) {
-	go func() {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
-		defer cancel()
-		c := replica.Command{Abandon: &ledger.Abandon{Key: key, Attempt: attempt}}
-		if _, err := d.proposer.Propose(ctx, c); err != nil {
-			d.log.Error(err, "could not withdraw an attempt", "request", attempt)
+// dispatchOnce sends the granted attempt. From here on only this instance may say that it was
+// not run, unless the server has barred it.
+func (d *Dispatcher) dispatchOnce(ctx context.Context, a attempt, server fleet.BackendServer) reply {
+	server, refusal := d.confirmServer(ctx, a, server)
+	if refusal != nil {
+		return d.refuseOnce(ctx, a, refusal)
+	}
+	if ctx.Err() != nil {
+		d.ended(server.Name)
+		return d.refuseOnce(ctx, a, errDeadline(outcome.NotRun))
+	}
+	answer, err := d.send(ctx, a.Call, server)
+	switch {
+	case err != nil && !wasSent(err):
+		d.log.Info("a call was not sent", "request", a.ID, "server", server.Name, "err", err.Error())
+		return d.refuseOnce(ctx, a, errServerFailed(outcome.NotRun, "the backend server could not be reached"))
+	case err != nil:
+		d.log.Info("a call has no answer", "request", a.ID, "server", server.Name, "err", err.Error())
+		return d.loseAnswer(ctx, a, server)
+	case answer.NotRun:
+		d.log.Info("the backend server refused a call", "request", a.ID, "server", server.Name, "status", answer.Status)
+		return d.refuseOnce(ctx, a, errServerFailed(outcome.NotRun, "the backend server refused the request"))
+	}
+	return d.finishOnce(ctx, a, answer)
+}
+
+// confirmServer returns the server if it may still be given work, else another one, which is
+// recorded first.
+func (d *Dispatcher) confirmServer(ctx context.Context, a attempt, server fleet.BackendServer) (fleet.BackendServer, *outcome.Error) {
+	for range maxServerChoices {
+		if d.isAvailable(server) {
+			return server, nil
+		}
+		d.ended(server.Name)
+		d.log.Info("the chosen server is leaving", "request", a.ID, "server", server.Name)
+		next, err := d.chooseServer(a.Request, []string{server.Name})
+		if err != nil {
+			return server, asOutcome(err)
+		}
+		begin, err := d.begin(ctx, a, next, false)
+		if err != nil || begin.Verdict != ledger.VerdictGranted {
+			d.ended(next.Name)
+			return server, errNoQuorum()
 		}
-	}()
+		server = next
+	}
+	d.ended(server.Name)
+	return server, errServerFailed(outcome.NotRun, "every backend server that was chosen is leaving")
 }
 
-func (d *Dispatcher) dispatchOnce(ctx context.Context, r Call, key ledger.Key, server fleet.BackendServer) (backend.CallAnswer, *outcome.Error) {
-	answer, err := d.send(ctx, r, server)
-	finish := ledger.Finish{Key: key, Attempt: r.ID, Phase: ledger.PhaseFinished}
-	if err != nil {
-		return backend.CallAnswer{}, d.failOnce(ctx, r, finish, err)
+func (d *Dispatcher) isAvailable(server fleet.BackendServer) bool {
+	for _, s := range d.fleet.Available() {
+		if s.Name == server.Name {
+			return s.Incarnation == server.Incarnation
+		}
 	}
-	finish.Answer = ledger.Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body}
-	if !d.finish(ctx, finish) {
-		return backend.CallAnswer{}, errUnknown("the outcome could not be recorded")
+	return false
+}
+
+// finishOnce records the answer before the caller gets it.
+func (d *Dispatcher) finishOnce(ctx context.Context, a attempt, answer backend.CallAnswer) reply {
+	c := replica.Command{Finish: d.finishOf(a, a.ID, answer)}
+	if _, err := d.propose(ctx, c); err != nil {
+		d.once.settler.add(c)
+		return reply{err: errUnknown("the outcome could not be recorded yet")}
 	}
-	d.credit(r.Request, key.Workspace+"/"+key.Service+"/"+key.Idempotency)
-	return answer, nil
+	return reply{answer: answer}
 }
 
-// failOnce settles a dispatch that brought no answer. The request did not run only if it
-// never left this instance.
-func (d *Dispatcher) failOnce(ctx context.Context, r Call, finish ledger.Finish, err error) *outcome.Error {
-	d.log.Info("a call has failed", "request", r.ID, "err", err.Error())
-	var ce *backend.CallError
-	if errors.As(err, &ce) && !ce.Sent {
-		d.abandon(ctx, finish.Key, r.ID)
-		return errServerFailed(outcome.NotRun, "the backend server could not be reached")
+func (d *Dispatcher) finishOf(a attempt, id string, answer backend.CallAnswer) *replica.Finish {
+	return &replica.Finish{
+		Finish: ledger.Finish{
+			Key:     a.key,
+			Attempt: id,
+			Phase:   ledger.PhaseFinished,
+			Answer:  ledger.Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body},
+		},
+		Credit: credit.Entry{Member: a.Workspace.Member, Kind: a.Service.Name},
 	}
-	finish.Phase = ledger.PhaseUnknown
-	d.finish(ctx, finish)
-	return errUnknown("the backend server did not answer")
 }
 
-func (d *Dispatcher) finish(ctx context.Context, f ledger.Finish) bool {
+// propose runs a command that settles an attempt, also after the caller's deadline.
+func (d *Dispatcher) propose(ctx context.Context, c replica.Command) (ledger.Result, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
 	defer cancel()
-	_, err := d.proposer.Propose(ctx, replica.Command{Finish: &replica.Finish{Finish: f}})
+	result, err := d.proposer.Propose(ctx, c)
 	if err != nil {
-		d.log.Error(err, "could not record an outcome", "request", f.Attempt)
-	}
-	return err == nil
-}
-
-// settled turns the verdict on a duplicate into its answer.
-func settled(r ledger.Result) (backend.CallAnswer, *outcome.Error) {
-	switch r.Verdict {
-	case ledger.VerdictFinished:
-		a := r.Record.Answer
-		return backend.CallAnswer{Status: a.Status, ContentType: a.ContentType, Body: a.Body}, nil
-	case ledger.VerdictUnknown:
-		return backend.CallAnswer{}, errUnknown("an earlier attempt ended without a known outcome")
-	case ledger.VerdictMismatch:
-		return backend.CallAnswer{}, &outcome.Error{
-			Outcome: outcome.NotRun,
-			Code:    outcome.CodeKeyReused,
-			Field:   backend.HeaderKey,
-			Message: "the key was used with another body",
-		}
-	case ledger.VerdictAbandoned:
-		return backend.CallAnswer{}, errNoQuorum()
-	default:
-		return backend.CallAnswer{}, &outcome.Error{
-			Outcome:    outcome.Unknown,
-			Code:       outcome.CodeInProgress,
-			Message:    "an earlier attempt with the same key is running",
-			RetryAfter: time.Second,
-		}
+		return ledger.Result{}, err
 	}
+	if result.Ledger == nil {
+		return ledger.Result{}, errBadResult
+	}
+	return *result.Ledger, nil
 }
 
-func errUnknown(message string) *outcome.Error {
-	return &outcome.Error{Outcome: outcome.Unknown, Code: outcome.CodeInterrupted, Message: message}
-}
-
-func errNoQuorum() *outcome.Error {
-	return &outcome.Error{
-		Outcome:    outcome.NotRun,
-		Code:       outcome.CodeNoQuorum,
-		Message:    "the request could not be recorded",
-		RetryAfter: retryAfterNoQuorum,
+// refuseOnce frees the key of an attempt that was not run, and tells its caller so. The
+// instance may have been frozen meanwhile, and another one may have freed the key and run the
+// request, so only the ledger can say that the attempt still held it.
+func (d *Dispatcher) refuseOnce(ctx context.Context, a attempt, e *outcome.Error) reply {
+	c := replica.Command{Abandon: &ledger.Abandon{Key: a.key, Attempt: a.ID}}
+	result, err := d.propose(ctx, c)
+	if err != nil {
+		d.once.settler.add(c)
+		return reply{err: e}
+	}
+	if result.Verdict == ledger.VerdictAbandoned {
+		e = granted(e)
 	}
+	return reply{err: e}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+// withdraw frees the key of an attempt that was not dispatched and never will be. Until that
+// is recorded, duplicates take the attempt for one that is running.
+func (d *Dispatcher) withdraw(a attempt) {
+	d.once.settler.add(replica.Command{Abandon: &ledger.Abandon{Key: a.key, Attempt: a.ID}})
 }
 
 // digestOf identifies all that makes the request what it is, beside its key.
@@ -179,3 +279,14 @@
 	}
 	return ledger.Digest(h.Sum(nil)[:len(ledger.Digest{})])
 }
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 	"github.com/balsamlb/balsamlb/backend"
 	"github.com/balsamlb/balsamlb/credit"
 	"github.com/balsamlb/balsamlb/fleet"
+	"github.com/balsamlb/balsamlb/ledger"
 	"github.com/balsamlb/balsamlb/outcome"
 	"github.com/balsamlb/balsamlb/pipeline"
 	"github.com/balsamlb/balsamlb/replica"
@@ -40,6 +41,7 @@
 	proposer Proposer
 	credits  Credits
 	log      logr.Logger
+	once     onceCaller
 
 	mu     sync.Mutex
 	router *route.Router
@@ -54,6 +56,13 @@
 		credits:  c,
 		log:      log.WithName("route"),
 		router:   route.New(dataCentre),
+		once: onceCaller{
+			self:    ledger.Dispatcher{Instance: instance},
+			peers:   noPeers{},
+			flights: newFlights(),
+			settler: newSettler(p, log.WithName("ledger")),
+			quorum:  &quorumGate{},
+		},
 	}
 }
 
--- a/internal/emulate/engine.go
+++ b/internal/emulate/engine.go
@@ -55,6 +55,9 @@
 	fleet  *Fleet
 	counts *Counts
 	queue  *ring.Ring[hop]
+	// requests and faults concern plain calls.
+	requests *requestLog
+	faults   callFaults
 
 	mu       sync.Mutex
 	sessions map[string]*session
@@ -69,6 +72,7 @@
 		fleet:    f,
 		counts:   f.counts,
 		queue:    ring.New[hop](queueSize),
+		requests: newRequestLog(),
 		sessions: make(map[string]*session),
 	}
 }
--- a/internal/emulate/fleet.go
+++ b/internal/emulate/fleet.go
@@ -139,6 +139,8 @@
 		}
 	case strings.HasPrefix(path, backend.PathCall):
 		e.handleCall(ctx, strings.TrimPrefix(path, backend.PathCall))
+	case path == backend.PathResolve:
+		e.handleResolve(ctx)
 	case path == PathCounts:
 		writeJSON(ctx, e.counts.Summary())
 	case path == PathLeave:
@@ -197,25 +199,6 @@
 	return w.Flush()
 }
 
-// callReply is the answer of an emulated plain service.
-type callReply struct {
-	Service string `json:"service"`
-	Server  string `json:"server"`
-	Key     string `json:"key,omitempty"`
-	Ran     int    `json:"ran"`
-}
-
-func (e *engine) handleCall(ctx *fasthttp.RequestCtx, service string) {
-	if !e.self.Runs(service) {
-		ctx.Error("the server does not run "+service, fasthttp.StatusNotFound)
-		return
-	}
-	key := string(ctx.Request.Header.Peek(backend.HeaderKey))
-	time.Sleep(callTime)
-	n := e.counts.called(CallKey{Service: service, Key: key})
-	writeJSON(ctx, callReply{Service: service, Server: e.self.Name, Key: key, Ran: n})
-}
-
 func writeJSON(ctx *fasthttp.RequestCtx, v any) {
 	body, err := json.Marshal(v)
 	if err != nil {
--- /dev/null
+++ b/internal/emulate/requests.go
@@ -0,0 +1,164 @@
+package emulate
+
+import (
+	"encoding/json"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/balsamlb/balsamlb/backend"
+	"github.com/balsamlb/balsamlb/settings"
+	"github.com/valyala/fasthttp"
+)
+
+// maxKnownRequests bounds the requests that a server can tell about; the oldest are forgotten.
+const maxKnownRequests = 100_000
+
+// requestLog is what a server that resolves requests knows of them.
+type requestLog struct {
+	mu    sync.Mutex
+	known map[string]backend.Resolution
+	order []string
+}
+
+func newRequestLog() *requestLog {
+	return &requestLog{known: make(map[string]backend.Resolution)}
+}
+
+// start notes that the request runs, unless it was seen or barred before.
+func (l *requestLog) start(request string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.known[request]; ok {
+		return false
+	}
+	l.put(request, backend.Resolution{State: backend.RequestRunning})
+	return true
+}
+
+func (l *requestLog) finish(request string, body []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.known[request] = backend.Resolution{
+		State:       backend.RequestFinished,
+		Status:      fasthttp.StatusOK,
+		ContentType: "application/json",
+		Body:        body,
+	}
+}
+
+// resolve returns what is known of the request, and bars it when nothing is.
+func (l *requestLog) resolve(request string) backend.Resolution {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	res, ok := l.known[request]
+	if !ok {
+		res = backend.Resolution{State: backend.RequestBarred}
+		l.put(request, res)
+	}
+	return res
+}
+
+func (l *requestLog) put(request string, res backend.Resolution) {
+	l.known[request] = res
+	l.order = append(l.order, request)
+	if len(l.order) > maxKnownRequests {
+		delete(l.known, l.order[0])
+		l.order = l.order[1:]
+	}
+}
+
+// callFaults makes every nth call of a server go wrong.
+type callFaults struct {
+	settings.CallFaults
+	calls atomic.Uint64
+}
+
+// next returns what happens to the next call.
+func (f *callFaults) next() (refuse, loseAnswer bool) {
+	n := f.calls.Add(1)
+	refuse = f.RefuseEvery > 0 && n%uint64(f.RefuseEvery) == 0
+	loseAnswer = f.LoseEvery > 0 && n%uint64(f.LoseEvery) == 0
+	return refuse, loseAnswer
+}
+
+// SetCallFaults makes calls to the named servers go wrong.
+func (f *Fleet) SetCallFaults(faults map[string]settings.CallFaults) {
+	for _, e := range f.engines {
+		e.faults.CallFaults = faults[e.self.Name]
+	}
+}
+
+// callReply is the answer of an emulated plain service.
+type callReply struct {
+	Service string `json:"service"`
+	Server  string `json:"server"`
+	Key     string `json:"key,omitempty"`
+	Ran     int    `json:"ran"`
+}
+
+func (e *engine) handleCall(ctx *fasthttp.RequestCtx, service string) {
+	if !e.self.Runs(service) {
+		refuseCall(ctx, fasthttp.StatusNotFound, "the server does not run "+service)
+		return
+	}
+	refuse, loseAnswer := e.faults.next()
+	if refuse {
+		refuseCall(ctx, fasthttp.StatusServiceUnavailable, "the server is busy")
+		return
+	}
+	request := string(ctx.Request.Header.Peek(backend.HeaderRequest))
+	if e.self.ResolvesRequests && !e.admits(ctx, request) {
+		refuseCall(ctx, fasthttp.StatusConflict, "the request is not for this start of the server, or was barred")
+		return
+	}
+	key := string(ctx.Request.Header.Peek(backend.HeaderKey))
+	time.Sleep(callTime + e.faults.CallTime)
+	reply := callReply{Service: service, Server: e.self.Name, Key: key}
+	reply.Ran = e.counts.called(CallKey{Service: service, Key: key})
+	// callReply holds only plain values, which always encode.
+	body, _ := json.Marshal(reply)
+	if e.self.ResolvesRequests {
+		e.requests.finish(request, body)
+	}
+	if loseAnswer {
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(hangUp)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
+
+// hangUp closes a connection without an answer.
+func hangUp(net.Conn) {}
+
+// admits reports whether the call is meant for this start of the server and is new to it.
+func (e *engine) admits(ctx *fasthttp.RequestCtx, request string) bool {
+	want := strconv.FormatUint(e.self.Incarnation, 10)
+	if string(ctx.Request.Header.Peek(backend.HeaderIncarnation)) != want {
+		return false
+	}
+	return e.requests.start(request)
+}
+
+func refuseCall(ctx *fasthttp.RequestCtx, status int, message string) {
+	ctx.Error(message, status)
+	ctx.Response.Header.Set(backend.HeaderOutcome, backend.OutcomeNotRun)
+}
+
+func (e *engine) handleResolve(ctx *fasthttp.RequestCtx) {
+	var rr backend.ResolveRequest
+	if !e.self.ResolvesRequests || json.Unmarshal(ctx.PostBody(), &rr) != nil {
+		ctx.Error("not found", fasthttp.StatusNotFound)
+		return
+	}
+	res := backend.Resolution{}
+	if rr.Incarnation == e.self.Incarnation {
+		res = e.requests.resolve(rr.Request)
+	}
+	res.Incarnation = e.self.Incarnation
+	writeJSON(ctx, res)
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -235,7 +235,8 @@
 }
 
 // Abandon frees the key if the attempt holds it and has not finished, and bars a Begin of
-// the attempt that arrives later.
+// the attempt that arrives later. The verdict is VerdictAbandoned when the attempt held the
+// key: then no send of the key had run. It is VerdictStale otherwise.
 func (l *Ledger) Abandon(now Now, a Abandon) Result {
 	l.expire(now.Replicated)
 	r, ok := l.records[a.Key]
@@ -247,8 +248,11 @@
 		delete(l.records, a.Key)
 		l.compact()
 	}
-	l.withdrawn.add(a.Attempt, now.Replicated)
-	return Result{Verdict: VerdictAbandoned}
+	// A proposal that was sent twice must not turn its answer around.
+	if l.withdrawn.add(a.Attempt, held, now.Replicated) {
+		return Result{Verdict: VerdictAbandoned}
+	}
+	return Result{Verdict: VerdictStale}
 }
 
 // Lookup returns the record of a key.
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -38,6 +38,10 @@
 	CodeInProgress   Code = "in_progress"
 	CodeCancelled    Code = "cancelled"
 	CodeLeaving      Code = "instance_leaving"
+	// CodeKeyExpired means that the key was used before and its outcome is forgotten.
+	CodeKeyExpired Code = "idempotency_key_expired"
+	// CodeAnswerDropped means that the request ran and its answer is no longer kept.
+	CodeAnswerDropped Code = "answer_not_kept"
 )
 
 // Error is the final answer to a request that was not answered.
@@ -49,6 +53,8 @@
 	Field string
 	// RetryAfter is when to come back; 0 means that a retry would not help.
 	RetryAfter time.Duration
+	// Settled means that the outcome holds for every send of the request's idempotency key.
+	Settled bool
 }
 
 // Error returns the outcome, code and message.
--- a/settings/document.go
+++ b/settings/document.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"hash/fnv"
+	"strconv"
 	"strings"
 )
 
@@ -37,3 +39,12 @@
 	}
 	return "`" + value + "`"
 }
+
+// SchemaID identifies the rules by which the shared configuration is checked.
+func SchemaID() string {
+	h := fnv.New64a()
+	for _, k := range intentSchema {
+		fmt.Fprintf(h, "%s\x00%s\x00%s\x00", k.Section, k.Name, k.Default)
+	}
+	return strconv.FormatUint(h.Sum64(), 36)
+}
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -22,6 +22,10 @@
 	{"server", "step", "4000", "µs", "Time of one decoding step with one request.", wholeNumber(0, 10_000_000)},
 	{"server", "prefill", "50", "µs", "Time to prefill one token.", wholeNumber(0, 1_000_000)},
 	{"server", "services", "", "name, ...", "Plain services that the server runs.", anyText},
+	{"server", "resolves_requests", "false", "", "true: the server can tell what became of a request.", oneOf("true", "false")},
+	{"server", "call_time", "0s", "duration", "Time that a plain call takes beside the usual.", duration(0, time.Minute)},
+	{"server", "refuse_every", "0", "calls", "Every nth plain call is refused before it runs. 0: none.", wholeNumber(0, 1_000_000)},
+	{"server", "lose_every", "0", "calls", "Every nth plain call runs and gets no answer. 0: none.", wholeNumber(0, 1_000_000)},
 	{"server", "checks_fences", "true", "", "false: the server ignores fencing numbers.", oneOf("true", "false")},
 }
 
@@ -30,12 +34,22 @@
 	Servers []fleet.BackendServer
 	// Announce lists the instances of each data centre.
 	Announce map[string][]string
+	// CallFaults are what goes wrong at each server, by name.
+	CallFaults map[string]CallFaults
+}
+
+// CallFaults make plain calls of an emulated server go wrong. Zero values change nothing.
+type CallFaults struct {
+	CallTime time.Duration
+	// RefuseEvery and LoseEvery are counts of calls.
+	RefuseEvery int
+	LoseEvery   int
 }
 
 // ParseFleet checks a file of emulated backend servers; name is used in errors.
 func ParseFleet(name string, data []byte) (EmulatedFleet, error) {
 	r := &reader{schema: fleetSchema}
-	out := EmulatedFleet{Announce: make(map[string][]string)}
+	out := EmulatedFleet{Announce: make(map[string][]string), CallFaults: make(map[string]CallFaults)}
 	src, ok := r.load(name, data)
 	if !ok || len(r.faults) > 0 {
 		return out, r.err()
@@ -46,6 +60,12 @@
 	}
 	for _, server := range r.names(sources, "server") {
 		out.Servers = append(out.Servers, r.emulated(sources, server, name))
+		section := "server " + server
+		out.CallFaults[server] = CallFaults{
+			CallTime:    r.duration(sources, section, "call_time"),
+			RefuseEvery: r.number(sources, section, "refuse_every"),
+			LoseEvery:   r.number(sources, section, "lose_every"),
+		}
 	}
 	return out, r.err()
 }
@@ -72,6 +92,8 @@
 		StepMicros:    r.number(sources, section, "step"),
 		PrefillMicros: r.number(sources, section, "prefill"),
 		ChecksFences:  r.value(sources, section, "checks_fences") == "true",
+
+		ResolvesRequests: r.value(sources, section, "resolves_requests") == "true",
 	}
 }
 
