--- a/dispatch/call_once.go
+++ b/dispatch/call_once.go
@@ -181,7 +181,7 @@
 // recorded first.
 func (d *Dispatcher) confirmServer(ctx context.Context, a attempt, server fleet.BackendServer) (fleet.BackendServer, *outcome.Error) {
 	for range maxServerChoices {
-		if d.isAvailable(server) {
+		if d.isSameServer(server) {
 			return server, nil
 		}
 		d.ended(server.Name)
@@ -201,7 +201,8 @@
 	return server, errServerFailed(outcome.NotRun, "every backend server that was chosen is leaving")
 }
 
-func (d *Dispatcher) isAvailable(server fleet.BackendServer) bool {
+// isSameServer reports whether the server may be given new work and has not been restarted.
+func (d *Dispatcher) isSameServer(server fleet.BackendServer) bool {
 	for _, s := range d.fleet.Available() {
 		if s.Name == server.Name {
 			return s.Incarnation == server.Incarnation
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"github.com/balsamlb/balsamlb/replica"
 	"github.com/balsamlb/balsamlb/route"
 	"github.com/balsamlb/balsamlb/settings"
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 )
 
@@ -55,7 +56,7 @@
 		proposer: p,
 		credits:  c,
 		log:      log.WithName("route"),
-		router:   route.New(dataCentre),
+		router:   route.New(route.Options{DataCentre: dataCentre, Seed: xxhash.Sum64String(instance)}),
 		once: onceCaller{
 			self:    ledger.Dispatcher{Instance: instance},
 			peers:   noPeers{},
