--- a/ledger/image.go
+++ b/ledger/image.go
@@ -24,8 +24,6 @@
 type Withdrawal struct {
 	Attempt string
 	At      time.Duration
-	// Held means that the attempt held its key until then.
-	Held bool
 }
 
 // Filter is one layer of the filter of forgotten keys.
@@ -49,8 +47,7 @@
 		}
 	}
 	for _, a := range l.withdrawn.order {
-		w := l.withdrawn.attempts[a]
-		im.Withdrawn = append(im.Withdrawn, Withdrawal{Attempt: a, At: w.at, Held: w.held})
+		im.Withdrawn = append(im.Withdrawn, Withdrawal{Attempt: a, At: l.withdrawn.at[a]})
 	}
 	for _, f := range l.forgotten.layers {
 		im.Filters = append(im.Filters, Filter{Count: f.count, Bits: bytes.Clone(f.bits)})
@@ -74,7 +71,7 @@
 		l.answerBytes += len(r.Answer.Body)
 	}
 	for _, w := range im.Withdrawn {
-		l.withdrawn.add(w.Attempt, w.Held, w.At)
+		l.withdrawn.add(w.Attempt, w.At)
 	}
 	for i, f := range im.Filters {
 		if i >= maxLayers || len(f.Bits) != firstLayerKeys<<i*bitsPerKey/8 {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -133,7 +133,7 @@
 	VerdictUnknown
 	// VerdictMismatch means that the key was used with another request.
 	VerdictMismatch
-	// VerdictAbandoned means that the attempt was withdrawn.
+	// VerdictAbandoned means that the attempt was withdrawn and its key is free.
 	VerdictAbandoned
 	// VerdictNew answers a look: nothing is known of the key.
 	VerdictNew
@@ -235,24 +235,25 @@
 }
 
 // Abandon frees the key if the attempt holds it and has not finished, and bars a Begin of
-// the attempt that arrives later. The verdict is VerdictAbandoned when the attempt held the
-// key: then no send of the key had run. It is VerdictStale otherwise.
+// the attempt that arrives later. The verdict is VerdictAbandoned when the key is
+// free: then no send of it has run so far. It is VerdictStale when another attempt has come
+// between, which may have run.
 func (l *Ledger) Abandon(now Now, a Abandon) Result {
 	l.expire(now.Replicated)
 	r, ok := l.records[a.Key]
-	held := ok && r.Attempt == a.Attempt
-	if held && r.Phase == PhaseFinished {
-		return Result{Verdict: VerdictFinished, Record: r}
-	}
-	if held {
+	if ok && r.Attempt == a.Attempt {
+		if r.Phase == PhaseFinished {
+			return Result{Verdict: VerdictFinished, Record: r}
+		}
 		delete(l.records, a.Key)
 		l.compact()
+		ok = false
 	}
-	// A proposal that was sent twice must not turn its answer around.
-	if l.withdrawn.add(a.Attempt, held, now.Replicated) {
-		return Result{Verdict: VerdictAbandoned}
+	l.withdrawn.add(a.Attempt, now.Replicated)
+	if ok || l.forgotten.has(a.Key) {
+		return Result{Verdict: VerdictStale}
 	}
-	return Result{Verdict: VerdictStale}
+	return Result{Verdict: VerdictAbandoned}
 }
 
 // Lookup returns the record of a key.
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -1,7 +1,9 @@
 package ledger
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -33,6 +35,15 @@
 	is.Equal(l.Begin(Now{}, begin("b", 1)).Verdict, VerdictGranted)
 }
 
+func TestAFinishedAttemptIsNotAbandoned(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	l.Begin(Now{}, begin("a", 1))
+	l.Finish(Now{}, Finish{Key: key, Attempt: "a", Phase: PhaseFinished})
+	is.Equal(l.Abandon(Now{}, Abandon{Key: key, Attempt: "a"}).Verdict, VerdictFinished)
+	is.Equal(l.Begin(Now{}, begin("b", 1)).Verdict, VerdictFinished)
+}
+
 func TestOnlyTheGrantedAttemptFinishes(t *testing.T) {
 	is := is.New(t)
 	l := New()
@@ -40,3 +51,77 @@
 	is.Equal(l.Finish(Now{}, Finish{Key: key, Attempt: "b", Phase: PhaseFinished}).Verdict, VerdictStale)
 	is.Equal(l.Begin(Now{}, begin("c", 1)).Verdict, VerdictRunning)
 }
+
+func TestAForgottenKeyIsRefusedAndANewOneIsNot(t *testing.T) {
+	is := is.New(t)
+	wall := time.UnixMilli(0x019ae5c80000).Add(time.Minute)
+	timed := Key{Workspace: "kandy", Service: "booking", Idempotency: "019ae5c8-0000-7000-8000-000000000001"}
+	later := Key{Workspace: "kandy", Service: "booking", Idempotency: "019ae5c8-0001-7000-8000-000000000001"}
+	l := New()
+	for i, k := range []Key{key, timed} {
+		b := Begin{Key: k, Attempt: fmt.Sprint(i)}
+		is.Equal(l.Begin(Now{Wall: wall}, b).Verdict, VerdictGranted)
+	}
+	after := Now{Replicated: Retention, Wall: wall.Add(Retention)}
+	is.Equal(l.Begin(after, Begin{Key: key, Attempt: "x"}).Verdict, VerdictExpired)
+	is.Equal(l.Begin(after, Begin{Key: timed, Attempt: "y"}).Verdict, VerdictExpired)
+	is.Equal(l.Len(), 0)
+	is.Equal(len(l.forgotten.layers), 1) // the key with a time takes no room in a filter
+	is.Equal(l.forgotten.layers[0].count, uint64(1))
+	is.Equal(l.Begin(after, Begin{Key: later, Attempt: "z"}).Verdict, VerdictGranted)
+	is.Equal(l.Begin(after, Begin{Key: Key{Idempotency: "new"}, Attempt: "n"}).Verdict, VerdictGranted)
+}
+
+// TestTheFilterMissesNoKey also counts the new keys that it takes for used ones.
+func TestTheFilterMissesNoKey(t *testing.T) {
+	is := is.New(t)
+	f := newForgotten()
+	const used, fresh = 20_000, 100_000
+	for i := range used {
+		f.add(Record{Key: Key{Idempotency: fmt.Sprint("used", i)}})
+	}
+	for i := range used {
+		is.True(f.has(Key{Idempotency: fmt.Sprint("used", i)}))
+	}
+	mistaken := 0
+	for i := range fresh {
+		if f.has(Key{Idempotency: fmt.Sprint("fresh", i)}) {
+			mistaken++
+		}
+	}
+	is.True(mistaken <= 10) // 3 layers, each below 1 in 100,000 as stated, with room for chance
+}
+
+func TestAnswersAreBounded(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	body := make([]byte, MaxAnswerBytes)
+	const count = MaxAnswersBytes/MaxAnswerBytes + 5
+	for i := range count {
+		k := Key{Idempotency: fmt.Sprint(i)}
+		l.Begin(Now{}, Begin{Key: k, Attempt: fmt.Sprint(i)})
+		l.Finish(Now{}, Finish{Key: k, Attempt: fmt.Sprint(i), Phase: PhaseFinished, Answer: Answer{Status: 200, Body: body}})
+	}
+	is.Equal(l.answerBytes, MaxAnswersBytes)
+	oldest, _ := l.Lookup(Key{Idempotency: "4"})
+	is.True(oldest.Answer.Dropped)
+	kept, _ := l.Lookup(Key{Idempotency: "5"})
+	is.True(!kept.Answer.Dropped)
+	l.Begin(Now{}, begin("big", 1))
+	r := l.Finish(Now{}, Finish{Key: key, Attempt: "big", Phase: PhaseFinished, Answer: Answer{Body: append(body, 0)}})
+	is.True(r.Record.Answer.Dropped)
+}
+
+// TestALateRefusalSaysNothingOfTheKey plays an instance that freezes after its grant, is
+// barred by the server, and wakes after another attempt has run.
+func TestALateRefusalSaysNothingOfTheKey(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	l.Begin(Now{}, begin("frozen", 1))
+	is.Equal(l.Abandon(Now{}, Abandon{Key: key, Attempt: "frozen"}).Verdict, VerdictAbandoned) // by the resolver
+	l.Begin(Now{}, begin("second", 1))
+	l.Finish(Now{}, Finish{Key: key, Attempt: "second", Phase: PhaseFinished})
+	is.Equal(l.Abandon(Now{}, Abandon{Key: key, Attempt: "frozen"}).Verdict, VerdictStale)
+	forgotten := Now{Replicated: Retention}
+	is.Equal(l.Abandon(forgotten, Abandon{Key: key, Attempt: "frozen"}).Verdict, VerdictStale)
+}
--- a/ledger/retention.go
+++ b/ledger/retention.go
@@ -91,45 +91,37 @@
 	}
 }
 
-// withdrawal says when an attempt was abandoned, and whether it held its key.
-type withdrawal struct {
-	at   time.Duration
-	held bool
-}
-
 // withdrawals are the attempts that were abandoned, oldest first.
 type withdrawals struct {
-	attempts map[string]withdrawal
-	order    []string
+	at    map[string]time.Duration
+	order []string
 }
 
 func newWithdrawals() withdrawals {
-	return withdrawals{attempts: make(map[string]withdrawal)}
+	return withdrawals{at: make(map[string]time.Duration)}
 }
 
 func (w *withdrawals) has(attempt string) bool {
-	_, ok := w.attempts[attempt]
+	_, ok := w.at[attempt]
 	return ok
 }
 
-// add returns whether the attempt held its key when it was first withdrawn.
-func (w *withdrawals) add(attempt string, held bool, now time.Duration) bool {
-	if old, ok := w.attempts[attempt]; ok {
-		return old.held
+func (w *withdrawals) add(attempt string, now time.Duration) {
+	if w.has(attempt) {
+		return
 	}
-	w.attempts[attempt] = withdrawal{at: now, held: held}
+	w.at[attempt] = now
 	w.order = append(w.order, attempt)
-	return held
 }
 
 // expire forgets withdrawals after Retention, and the oldest above MaxWithdrawn. A Begin that
 // arrives even later holds its key without dispatching, which loses nothing but the key.
 func (w *withdrawals) expire(now time.Duration) {
 	for len(w.order) > 0 {
-		if now-w.attempts[w.order[0]].at < Retention && len(w.order) <= MaxWithdrawn {
+		if now-w.at[w.order[0]] < Retention && len(w.order) <= MaxWithdrawn {
 			return
 		}
-		delete(w.attempts, w.order[0])
+		delete(w.at, w.order[0])
 		w.order = w.order[1:]
 	}
 }
--- a/replica/snapshot.go
+++ b/replica/snapshot.go
@@ -70,7 +70,7 @@
 		w.Records = append(w.Records, recordToWire(r))
 	}
 	for _, a := range im.Withdrawn {
-		w.Withdrawn = append(w.Withdrawn, &wire.Withdrawn{Attempt: a.Attempt, AtNanos: uint64(a.At), Held: a.Held})
+		w.Withdrawn = append(w.Withdrawn, &wire.Withdrawn{Attempt: a.Attempt, AtNanos: uint64(a.At)})
 	}
 	for _, f := range im.Filters {
 		w.Filters = append(w.Filters, &wire.Filter{Count: f.Count, Bits: f.Bits})
@@ -87,7 +87,7 @@
 		im.Records = append(im.Records, recordFromWire(r))
 	}
 	for _, a := range w.GetWithdrawn() {
-		im.Withdrawn = append(im.Withdrawn, ledger.Withdrawal{Attempt: a.Attempt, At: time.Duration(a.AtNanos), Held: a.Held})
+		im.Withdrawn = append(im.Withdrawn, ledger.Withdrawal{Attempt: a.Attempt, At: time.Duration(a.AtNanos)})
 	}
 	for _, f := range w.GetFilters() {
 		im.Filters = append(im.Filters, ledger.Filter{Count: f.Count, Bits: f.Bits})
