--- a/backend/resolve.go
+++ b/backend/resolve.go
@@ -12,9 +12,8 @@
 const PathResolve = "/v1/resolve"
 
 const (
-	// HeaderOutcome with OutcomeNotRun in an answer says that the server refused the call
-	// before it ran any part of it, and will not run it later.
-	HeaderOutcome = "X-Outcome"
+	// OutcomeNotRun is the value of HeaderOutcome in a refusal. The server has run no part of
+	// the request and will not run it later.
 	OutcomeNotRun = "not_run"
 	// HeaderIncarnation is the incarnation that a call is meant for. A server that resolves
 	// requests refuses a call that is meant for another one.
--- a/cmd/balsamctl/bench.go
+++ b/cmd/balsamctl/bench.go
@@ -16,7 +16,7 @@
 )
 
 var (
-	errNoBench = errors.New("name a benchmark; see balsamctl bench -help")
+	errNoBench = usageError("name a benchmark; see balsamctl bench -help")
 	errBroken  = errors.New("a promise was broken")
 )
 
@@ -35,9 +35,7 @@
 			if err != nil {
 				return err
 			}
-			stand := emulate.NewFleet(f.Servers, f.Announce)
-			stand.SetCallFaults(f.CallFaults)
-			return stand.Run(ctx)
+			return emulate.NewFleet(emulate.FromSettings(f)).Run(ctx)
 		},
 	}
 }
--- a/dispatch/call_once.go
+++ b/dispatch/call_once.go
@@ -53,6 +53,7 @@
 	flights *flights
 	settler *settler
 	quorum  *quorumGate
+	stall   *stallWatch
 }
 
 // attempt is one non-idempotent call at this instance.
@@ -76,6 +77,9 @@
 		key:    ledger.Key{Workspace: r.Workspace.Name, Service: r.Service.Name, Idempotency: r.Key},
 		digest: digestOf(r),
 	}
+	if d.once.stall.stalled() {
+		return backend.CallAnswer{}, errStalled()
+	}
 	rep := d.once.flights.do(ctx, a, d.runOnce)
 	if rep.err != nil {
 		rep.err = ForCaller(rep.err, r.FirstSend)
--- a/dispatch/once_errors.go
+++ b/dispatch/once_errors.go
@@ -80,6 +80,17 @@
 	return &outcome.Error{Outcome: outcome.Unknown, Code: outcome.CodeInterrupted, Message: message}
 }
 
+// errStalled refuses a request that may be older than it looks. An earlier or later send may
+// have run.
+func errStalled() *outcome.Error {
+	return &outcome.Error{
+		Outcome:    outcome.Unknown,
+		Code:       outcome.CodeInterrupted,
+		Message:    "the instance was stopped for a while and can't tell how old the request is",
+		RetryAfter: retryAfterInProgress,
+	}
+}
+
 func errInProgress() *outcome.Error {
 	return &outcome.Error{
 		Outcome:    outcome.Unknown,
--- a/dispatch/once_settle.go
+++ b/dispatch/once_settle.go
@@ -114,5 +114,6 @@
 		g.Go(func() error { return d.once.settler.run(ctx) })
 	}
 	g.Go(func() error { return d.probe(ctx) })
+	g.Go(func() error { return d.once.stall.run(ctx) })
 	return g.Wait()
 }
--- a/dispatch/once_test.go
+++ b/dispatch/once_test.go
@@ -102,8 +102,10 @@
 		Name: name, Incarnation: 7, Address: freeAddress(t), DataCentre: "kandy", Slots: 4,
 		Services: []string{"booking"}, ResolvesRequests: resolves,
 	}
-	f := emulate.NewFleet([]fleet.BackendServer{s}, nil)
-	f.SetCallFaults(map[string]settings.CallFaults{name: faults})
+	f := emulate.NewFleet(emulate.Options{
+		Servers:    []fleet.BackendServer{s},
+		CallFaults: map[string]settings.CallFaults{name: faults},
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
--- a/internal/emulate/requests.go
+++ b/internal/emulate/requests.go
@@ -84,13 +84,6 @@
 	return refuse, loseAnswer
 }
 
-// SetCallFaults makes calls to the named servers go wrong.
-func (f *Fleet) SetCallFaults(faults map[string]settings.CallFaults) {
-	for _, e := range f.engines {
-		e.faults.CallFaults = faults[e.self.Name]
-	}
-}
-
 // callReply is the answer of an emulated plain service.
 type callReply struct {
 	Service string `json:"service"`
@@ -104,8 +97,8 @@
 		refuseCall(ctx, fasthttp.StatusNotFound, "the server does not run "+service)
 		return
 	}
-	refuse, loseAnswer := e.faults.next()
-	if refuse {
+	refuse, loseAnswer := e.calls.next()
+	if refuse || e.faults.has(FaultRefuse) {
 		refuseCall(ctx, fasthttp.StatusServiceUnavailable, "the server is busy")
 		return
 	}
@@ -115,7 +108,7 @@
 		return
 	}
 	key := string(ctx.Request.Header.Peek(backend.HeaderKey))
-	time.Sleep(callTime + e.faults.CallTime)
+	time.Sleep(callTime + e.calls.CallTime)
 	reply := callReply{Service: service, Server: e.self.Name, Key: key}
 	reply.Ran = e.counts.called(CallKey{Service: service, Key: key})
 	// callReply holds only plain values, which always encode.
