--- /dev/null
+++ b/internal/bench/atmostonce.go
@@ -0,0 +1,147 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/balsamlb/balsamlb/internal/emulate"
+	"github.com/balsamlb/balsamlb/internal/lab"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+)
+
+var atMostOnceBench = Bench{
+	Name: "atmostonce",
+	Help: "bookings doubled, lost or falsely told not run, under kills, freezes, cuts and lost answers",
+	Run:  runAtMostOnce,
+}
+
+const (
+	atMostOnceShort         = 1500
+	atMostOnceLong          = 10_000
+	atMostOnceShortDuration = 22 * time.Second
+	atMostOnceLongDuration  = 4 * time.Minute
+	atMostOnceWorkers       = 32
+	// settleLimit bounds the wait for outcomes after the last fault.
+	settleLimit = 15 * time.Second
+)
+
+// onceTally compares what callers were told with what the servers counted.
+type onceTally struct {
+	doubled, lost, falselyNotRun       int
+	answered, notRun, unknown, differs int
+	unknownNotRun                      int
+}
+
+func runAtMostOnce(ctx context.Context, o Options) (Figure, error) {
+	l, err := lab.Start(ctx, onceLayout(o))
+	if err != nil {
+		return Figure{}, err
+	}
+	defer l.Close()
+	if err := l.WaitServers(ctx, len(onceServers)); err != nil {
+		return Figure{}, err
+	}
+	count, duration := atMostOnceLong, atMostOnceLongDuration
+	if o.Short {
+		count, duration = atMostOnceShort, atMostOnceShortDuration
+	}
+	d := &disturber{lab: l, rng: rand.New(rand.NewPCG(o.Seed, 1)), out: o.Out}
+	bookings := newOnceClients(l, "booking", o.Seed, count)
+	naive := newOnceClients(l, "stock", o.Seed, count)
+	if err := underFaults(ctx, d, duration, bookings, naive); err != nil {
+		return Figure{}, err
+	}
+	settleCtx, cancel := context.WithTimeout(ctx, settleLimit)
+	defer cancel()
+	bookings.settle(settleCtx)
+	ran, err := countRuns(l)
+	if err != nil {
+		return Figure{}, err
+	}
+	return onceFigure(o, d.count, bookings.tally(ran, o), naive.tally(ran, o)), nil
+}
+
+// underFaults sends both loads while the disturber works.
+func underFaults(ctx context.Context, d *disturber, duration time.Duration, loads ...*onceClients) error {
+	faultCtx, cancel := context.WithTimeout(ctx, duration)
+	defer cancel()
+	var g errgroup.Group
+	g.Go(func() error { return d.run(faultCtx) })
+	for _, c := range loads {
+		g.Go(func() error {
+			c.run(ctx, duration)
+			return nil
+		})
+	}
+	return g.Wait()
+}
+
+func onceFigure(o Options, faults int, b, naive onceTally) Figure {
+	broken := b.doubled + b.lost + b.falselyNotRun
+	baseline := float64(naive.doubled + naive.lost + naive.falselyNotRun)
+	fmt.Fprintf(o.Out, "bookings: %d doubled, %d lost, %d falsely not run, %d answers that differ; %d answered, %d not run, %d unknown\n",
+		b.doubled, b.lost, b.falselyNotRun, b.differs, b.answered, b.notRun, b.unknown)
+	return Figure{
+		Value:    float64(broken + b.differs),
+		Unit:     "bookings doubled, lost or falsely not run",
+		Baseline: &baseline,
+		Details: map[string]float64{
+			"doubled_bookings":         float64(b.doubled),
+			"lost_bookings":            float64(b.lost),
+			"falsely_not_run_bookings": float64(b.falselyNotRun),
+			"differing_answers":        float64(b.differs),
+			"answered_bookings":        float64(b.answered),
+			"not_run_bookings":         float64(b.notRun),
+			"unknown_bookings":         float64(b.unknown),
+			"unknown_not_run_bookings": float64(b.unknownNotRun),
+			"naive_doubled_calls":      float64(naive.doubled),
+			"faults":                   float64(faults),
+		},
+	}
+}
+
+// onceServers run bookings under the ledger, and stock calls that are retried without it.
+var onceServers = []string{
+	"[server colombo-ordering]\naddress = $NET.1.200:9000\ndata_centre = colombo\nresolves_requests = true\nlose_every = 47\n",
+	"[server kandy-ordering]\naddress = $NET.2.200:9000\ndata_centre = kandy\nlose_every = 61\ncall_time = 20ms\n",
+	"[server galle-ordering]\naddress = $NET.3.200:9000\ndata_centre = galle\nresolves_requests = true\nrefuse_every = 53\n",
+}
+
+func onceLayout(o Options) lab.Layout {
+	layout := standardLayout(o)
+	layout.Emulators = nil
+	for i, dc := range []string{"colombo", "kandy", "galle"} {
+		layout.Emulators = append(layout.Emulators, lab.Emulator{
+			Name:  "emulator-" + dc,
+			Fleet: fmt.Sprintf("[data_centre %s]\nannounce = $ANNOUNCE(%s)\n%sservices = booking, stock\n", dc, dc, onceServers[i]),
+		})
+	}
+	return layout
+}
+
+// runCount is how often each key ran, by service.
+type runCount map[emulate.CallKey]int
+
+func countRuns(l *lab.Lab) (runCount, error) {
+	ran := make(runCount)
+	for d := range onceServers {
+		address := fmt.Sprintf("%s.%d.200:9000", l.Layout.Net, d+1)
+		_, body, err := fasthttp.Get(nil, "http://"+address+emulate.PathCounts)
+		if err != nil {
+			return nil, eris.Wrapf(err, "bench: read counts of %s", address)
+		}
+		var sum emulate.Summary
+		if err := json.Unmarshal(body, &sum); err != nil {
+			return nil, eris.Wrapf(err, "bench: decode counts of %s", address)
+		}
+		for _, c := range sum.Calls {
+			ran[emulate.CallKey{Service: c.Service, Key: c.Key}] += c.Ran
+		}
+	}
+	return ran, nil
+}
