--- a/cmd/balsamctl/bench.go
+++ b/cmd/balsamctl/bench.go
@@ -3,55 +3,55 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
 	"time"
 
 	"github.com/balsamlb/balsamlb/internal/bench"
-	"github.com/balsamlb/balsamlb/internal/emulate"
-	"github.com/balsamlb/balsamlb/internal/load"
-	"github.com/balsamlb/balsamlb/settings"
+	"github.com/balsamlb/balsamlb/internal/report"
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
 )
 
-var (
-	errNoBench = usageError("name a benchmark; see balsamctl bench -help")
-	errBroken  = errors.New("a promise was broken")
-)
+const errNoBench = usageError("name a benchmark, or all; see balsamctl bench -help")
 
-func newEmulate() *ffcli.Command {
-	fs := newFlagSet("emulate")
-	path := fs.String("fleet", "fleet.ini", "file of the emulated backend servers")
-	return &ffcli.Command{
-		Name: "emulate", ShortUsage: "balsamctl emulate [flags]", ShortHelp: "stand in for backend servers",
-		FlagSet: fs, Options: envOptions(),
-		Exec: func(ctx context.Context, _ []string) error {
-			data, err := os.ReadFile(*path)
-			if err != nil {
-				return err
-			}
-			f, err := settings.ParseFleet(*path, data)
-			if err != nil {
-				return err
-			}
-			return emulate.NewFleet(emulate.FromSettings(f)).Run(ctx)
-		},
-	}
+var errNoFigure = errors.New("a benchmark gave no figure")
+
+// allBenches runs every benchmark.
+const allBenches = "all"
+
+// benchFlags are the flags of bench.
+type benchFlags struct {
+	short   *bool
+	seed    *uint64
+	network *string
+	folder  *string
+	report  *string
+	save    *string
+	compare *string
+	version *string
 }
 
 func newBench() *ffcli.Command {
 	fs := newFlagSet("bench")
-	short := fs.Bool("short", false, "keep the run under 50 s")
-	seed := fs.Uint64("seed", 1, "seed of the load and the faults")
-	network := fs.String("net", "", "first two numbers of the loopback addresses to use (empty: free ones)")
-	folder := fs.String("folder", "", "folder for settings, logs and data (empty: a temporary one)")
+	f := benchFlags{
+		short:   fs.Bool("short", false, "keep each run under 50 s"),
+		seed:    fs.Uint64("seed", 1, "seed of the load and the faults"),
+		network: fs.String("net", "", "first two numbers of the loopback addresses to use (empty: free ones)"),
+		folder:  fs.String("folder", "", "folder for settings, logs and data (empty: a temporary one)"),
+		report:  fs.String("report", "", "file for a page with the figures and plots (empty: none)"),
+		save:    fs.String("save", "", "file for the figures, to compare later ones with (empty: none)"),
+		compare: fs.String("compare", "", "file of earlier figures to show beside these (empty: none)"),
+		version: fs.String("version", "this version", "name of the version that is measured, for the page"),
+	}
 	var names []string
 	for _, b := range bench.All() {
 		names = append(names, b.Name+": "+b.Help)
 	}
 	return &ffcli.Command{
-		Name: "bench", ShortUsage: "balsamctl bench [flags] NAME", ShortHelp: "measure the system on loopback",
+		Name: "bench", ShortUsage: "balsamctl bench [flags] NAME|all", ShortHelp: "measure the system on loopback",
 		LongHelp: "Starts its own processes. The last line is one JSON object.\n\n" + strings.Join(names, "\n"),
 		FlagSet:  fs, Options: envOptions(),
 		Exec: func(ctx context.Context, args []string) error {
@@ -62,52 +62,96 @@
 			if err := fs.Parse(args[1:]); err != nil {
 				return err
 			}
-			return runBench(ctx, args[0], bench.Options{Short: *short, Seed: *seed, Net: *network, Folder: *folder, Out: os.Stdout})
+			return runBenches(ctx, args[0], f)
 		},
 	}
 }
 
-func runBench(ctx context.Context, name string, o bench.Options) error {
+func runBenches(ctx context.Context, name string, f benchFlags) error {
+	names := []string{name}
+	if name == allBenches {
+		names = names[:0]
+		for _, b := range bench.All() {
+			names = append(names, b.Name)
+		}
+	}
+	run := report.Run{Version: *f.version, At: time.Now().UTC()}
+	for _, n := range names {
+		figure, err := runBench(ctx, n, f)
+		if err != nil && len(names) == 1 {
+			return err
+		}
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "balsamctl:", n+":", err)
+			run.Failures = append(run.Failures, report.Failure{Bench: n, Reason: err.Error()})
+			continue
+		}
+		run.Figures = append(run.Figures, figure)
+	}
+	if err := writeReport(run, f); err != nil {
+		return err
+	}
+	if len(run.Failures) > 0 {
+		return errNoFigure
+	}
+	return nil
+}
+
+func runBench(ctx context.Context, name string, f benchFlags) (bench.Figure, error) {
 	self, err := os.Executable()
 	if err != nil {
-		return err
+		return bench.Figure{}, eris.Wrap(err, "find the program")
+	}
+	o := bench.Options{
+		Short: *f.short, Seed: *f.seed, Net: *f.network, Folder: *f.folder, Bin: filepath.Dir(self), Out: os.Stdout,
 	}
-	o.Bin = filepath.Dir(self)
 	if o.Folder == "" {
 		if o.Folder, err = os.MkdirTemp("", "balsamlb-bench-"); err != nil {
-			return err
+			return bench.Figure{}, eris.Wrap(err, "create a folder")
 		}
 		defer os.RemoveAll(o.Folder)
 	}
 	return bench.Run(ctx, name, o)
 }
 
-func newLoad() *ffcli.Command {
-	fs := newFlagSet("load")
-	instances := fs.String("instances", "127.0.1.1:8080", "callers' addresses of instances, separated by commas")
-	workspace := fs.String("workspace", "kandy", "workspace to send as")
-	drafts := fs.Int("drafts", 20, "drafts to send")
-	bookings := fs.Int("bookings", 20, "bookings to send, each twice")
-	tokens := fs.Int("tokens", 16, "tokens a draft")
-	concurrent := fs.Int("concurrent", 8, "requests at a time")
-	seed := fs.Uint64("seed", 1, "seed of prompts and keys")
-	deadline := fs.Duration("deadline", 10*time.Second, "deadline of each request")
-	return &ffcli.Command{
-		Name: "load", ShortUsage: "balsamctl load [flags]", ShortHelp: "send drafts and bookings and check the answers",
-		FlagSet: fs, Options: envOptions(),
-		Exec: func(ctx context.Context, _ []string) error {
-			r := load.Run(ctx, load.Options{
-				Instances: strings.Split(*instances, ","), Workspace: *workspace,
-				Drafts: *drafts, Bookings: *bookings, MaxTokens: *tokens,
-				Concurrent: *concurrent, Seed: *seed, Deadline: *deadline,
-			})
-			if err := printJSON(r); err != nil {
-				return err
-			}
-			if len(r.Broken) > 0 {
-				return errBroken
-			}
-			return nil
-		},
+// writeReport writes the files that the flags ask for.
+func writeReport(run report.Run, f benchFlags) error {
+	earlier, err := readEarlier(*f.compare)
+	if err != nil {
+		return err
+	}
+	if *f.save != "" {
+		if err := writeFile(*f.save, func(out *os.File) error { return report.Save(out, run) }); err != nil {
+			return err
+		}
+	}
+	if *f.report == "" {
+		return nil
+	}
+	return writeFile(*f.report, func(out *os.File) error { return report.Write(out, run, earlier) })
+}
+
+func readEarlier(path string) (*report.Run, error) {
+	if path == "" {
+		return nil, nil
+	}
+	in, err := os.Open(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "read earlier figures")
+	}
+	defer in.Close()
+	run, err := report.Read(in)
+	return &run, err
+}
+
+func writeFile(path string, write func(*os.File) error) error {
+	out, err := os.Create(path)
+	if err != nil {
+		return eris.Wrap(err, "write")
+	}
+	if err := write(out); err != nil {
+		_ = out.Close()
+		return err
 	}
+	return eris.Wrap(out.Close(), "write")
 }
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -60,15 +60,15 @@
 }
 
 // Run runs the named benchmark and writes its figure as one line of JSON.
-func Run(ctx context.Context, name string, o Options) error {
+func Run(ctx context.Context, name string, o Options) (Figure, error) {
 	all := All()
 	i := slices.IndexFunc(all, func(b Bench) bool { return b.Name == name })
 	if i < 0 {
-		return fmt.Errorf("%w: %s", ErrUnknown, name)
+		return Figure{}, fmt.Errorf("%w: %s", ErrUnknown, name)
 	}
 	f, err := all[i].Run(ctx, o)
 	if err != nil {
-		return err
+		return Figure{}, err
 	}
 	f.Bench = name
 	f.Seed = o.Seed
@@ -77,8 +77,8 @@
 	}
 	line, err := json.Marshal(f)
 	if err != nil {
-		return err
+		return Figure{}, err
 	}
 	_, err = fmt.Fprintf(o.Out, "%s\n", line)
-	return err
+	return f, err
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -15,7 +15,6 @@
 
 export BALSAMCTL_INSTANCE="$net.1.1:8082"
 say() { printf '== %s\n' "$*"; }
-export BALSAMCTL_INSTANCE=$net.1.1:8082
 ctl() { bin/balsamctl "$@"; }
 
 go build -o bin/ ./cmd/balsamd ./cmd/balsamctl
