--- a/backend/stage.go
+++ b/backend/stage.go
@@ -13,7 +13,7 @@
 
 const (
 	// controlTimeout bounds a start and a cancel.
-	controlTimeout = time.Second
+	controlTimeout = 400 * time.Millisecond
 	// maxControlBytes bounds the answer to a start or a cancel.
 	maxControlBytes = 4 << 10
 	// openHeaderTimeout bounds the wait for the header of a stage's answer. A server sends
--- a/dispatch/draft_conn.go
+++ b/dispatch/draft_conn.go
@@ -52,7 +52,7 @@
 			run.report(connEvent{conn: conn, reason: failureReason(err, pipeline.ReasonClosed), err: err})
 			return
 		}
-		if run.inbox.Push(run.ctx, connEvent{conn: conn, frame: f}) != nil {
+		if run.inbox.Push(run.ctx, connEvent{conn: conn, frame: f}) != nil || f.Kind == backend.FrameEnd {
 			return
 		}
 	}
--- a/dispatch/draft_run.go
+++ b/dispatch/draft_run.go
@@ -27,6 +27,8 @@
 	frame  backend.Frame
 	reason pipeline.Reason // "" for a frame
 	err    error
+	// cancelled says that a server has confirmed a cancel or can't be reached.
+	cancelled bool
 }
 
 // draftRun carries out what the stream of one draft decides.
@@ -116,6 +118,9 @@
 // take passes an event to the stream.
 func (run *draftRun) take(e connEvent) []pipeline.Action {
 	now := time.Now()
+	if e.cancelled {
+		return run.stream.Cancelled(now)
+	}
 	if e.reason != "" {
 		return run.stream.Failed(now, e.conn, e.reason)
 	}
@@ -165,7 +170,7 @@
 	case pipeline.Start:
 		run.start(a)
 	case pipeline.Cancel:
-		run.group.Go(func() error { run.cancelStage(a.Stage); return nil })
+		run.group.Go(func() error { run.cancelStage(a); return nil })
 	case pipeline.Release:
 		run.release(a.Server)
 	case pipeline.Resume:
@@ -220,9 +225,14 @@
 	}
 }
 
-func (run *draftRun) cancelStage(st pipeline.Stage) {
-	if err := backend.CancelStage(context.WithoutCancel(run.caller), stageRef(st), run.r.ID); err != nil {
-		run.log.V(1).Info("could not cancel", "server", st.Server.Name, "err", err.Error())
+func (run *draftRun) cancelStage(a pipeline.Cancel) {
+	ctx := context.WithoutCancel(run.caller)
+	if err := backend.CancelStage(ctx, stageRef(a.Stage), run.r.ID); err != nil {
+		run.log.V(1).Info("could not cancel", "server", a.Stage.Server.Name, "err", err.Error())
+	}
+	if a.Confirm {
+		// The push fails only when the run has ended.
+		_ = run.inbox.Push(run.ctx, connEvent{cancelled: true})
 	}
 }
 
--- a/internal/emulate/counts.go
+++ b/internal/emulate/counts.go
@@ -37,6 +37,22 @@
 	// Rebuilt and Imported count the tokens times layers of KV caches that were filled.
 	Rebuilt  int `json:"rebuilt,omitempty"`
 	Imported int `json:"imported,omitempty"`
+	disorder []string
+}
+
+// hasRun reports whether a layer ran for a token.
+func (rr *RequestRun) hasRun(layer, index int) bool {
+	for _, run := range rr.Runs {
+		if layer < run.Layers.From || layer >= run.Layers.To {
+			continue
+		}
+		for _, sp := range run.Spans {
+			if index >= sp.From && index < sp.To {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // Counts is what the engines of one process have run, by their own count.
@@ -57,7 +73,7 @@
 type Summary struct {
 	Requests  int    `json:"requests"`
 	LayerRuns uint64 `json:"layer_runs"`
-	// Violations lists the tokens whose layers ran twice.
+	// Violations lists the tokens whose layers ran twice or out of order.
 	Violations []string     `json:"violations"`
 	Calls      []CallCount  `json:"calls"`
 	Runs       []RequestRun `json:"runs"`
@@ -70,12 +86,16 @@
 	Ran     int    `json:"ran"`
 }
 
-// ran notes that a range of layers ran for a token.
-func (c *Counts) ran(request string, index int, r fleet.Range) {
+// ran notes that a range of layers ran for a token. followsLocal says that this process
+// emulates the stage before, so that its layers must have run already.
+func (c *Counts) ran(request string, index int, r fleet.Range, followsLocal bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.layerRuns += uint64(r.Len())
 	rr := c.request(request)
+	if followsLocal && r.From > 0 && !rr.hasRun(r.From-1, index) {
+		rr.disorder = append(rr.disorder, fmt.Sprintf("%s token %d: layers %d-%d ran before layer %d", request, index, r.From, r.To, r.From-1))
+	}
 	i := slices.IndexFunc(rr.Runs, func(l LayerRun) bool { return l.Layers == r })
 	if i < 0 {
 		rr.Runs = append(rr.Runs, LayerRun{Layers: r})
@@ -131,6 +151,7 @@
 	s := Summary{Requests: len(c.requests), LayerRuns: c.layerRuns, Violations: []string{}, Runs: []RequestRun{}}
 	for _, name := range c.order {
 		rr := c.requests[name].clone()
+		s.Violations = append(s.Violations, rr.disorder...)
 		s.Violations = append(s.Violations, rr.twice()...)
 		s.Runs = append(s.Runs, rr)
 	}
--- a/internal/emulate/session.go
+++ b/internal/emulate/session.go
@@ -218,7 +218,8 @@
 	s.pending = nil
 	s.ran = w.hop.Index + 1
 	s.notify()
-	e.counts.ran(s.open.Request, w.hop.Index, s.layers())
+	_, followsLocal := e.fleet.engines[previous(s.open).Address]
+	e.counts.ran(s.open.Request, w.hop.Index, s.layers(), followsLocal)
 	if w.hop.Index == 0 {
 		e.prefix.add(s.open.Prompt)
 	}
--- a/internal/emulate/sum.go
+++ b/internal/emulate/sum.go
@@ -16,6 +16,13 @@
 			calls[CallKey{Service: c.Service, Key: c.Key}] += c.Ran
 		}
 	}
+	for _, p := range parts {
+		for _, v := range p.Violations {
+			if !slices.Contains(total.Violations, v) {
+				total.Violations = append(total.Violations, v)
+			}
+		}
+	}
 	for _, rr := range merged {
 		total.Violations = append(total.Violations, rr.twice()...)
 		total.Runs = append(total.Runs, *rr)
--- a/pipeline/action.go
+++ b/pipeline/action.go
@@ -48,7 +48,11 @@
 }
 
 // Cancel tells a server to stop working on the request.
-type Cancel struct{ Stage Stage }
+type Cancel struct {
+	Stage Stage
+	// Confirm asks for Cancelled once the server has confirmed or can't be reached.
+	Confirm bool
+}
 
 // Release ends the use of a server that is no longer part of the chain.
 type Release struct{ Server string }
--- a/pipeline/repair.go
+++ b/pipeline/repair.go
@@ -97,11 +97,15 @@
 	old := s.chain[i]
 	source := s.links[i].source
 	out := []Action{Release{Server: old.Server.Name}}
-	if isAlive(reason) {
+	switch {
+	case canExport(reason):
 		s.retired = append(s.retired, old)
 		source = &old
-	} else {
-		// It may only be slow or cut off, and must not go on with the token that it holds.
+	case isAtWork(reason):
+		// It must not run the token that it holds while its replacement does.
+		s.cancelling++
+		out = append(out, Cancel{Stage: old, Confirm: true})
+	default:
 		out = append(out, Cancel{Stage: old})
 	}
 	var links []*link
@@ -117,9 +121,19 @@
 	return append(out, s.advance(now)...)
 }
 
-// isAlive reports whether a stage that was given up for the reason can still export its KV
-// cache.
-func isAlive(r Reason) bool { return r == ReasonLeaving || r == ReasonSlow }
+// Cancelled says that a server has confirmed the end of its work, or can't be reached.
+func (s *Stream) Cancelled(now time.Time) []Action {
+	s.cancelling = max(0, s.cancelling-1)
+	return s.advance(now)
+}
+
+// isAtWork reports whether a server that was given up for the reason may go on with its work.
+func isAtWork(r Reason) bool {
+	return r == ReasonBadFrame || r == ReasonTold || r == ReasonStalled
+}
+
+// canExport reports whether a server that was given up for the reason can export its KV cache.
+func canExport(r Reason) bool { return r == ReasonLeaving || r == ReasonSlow }
 
 // NoReplacement says that no server can take over the layers of stage i. A server that
 // merely leaves or is slow keeps its stage.
@@ -127,7 +141,7 @@
 	if s.done {
 		return nil
 	}
-	if isAlive(s.reasons[i]) {
+	if canExport(s.reasons[i]) {
 		delete(s.reasons, i)
 		return s.advance(now)
 	}
--- a/pipeline/stream.go
+++ b/pipeline/stream.go
@@ -85,8 +85,10 @@
 	stalls  int
 	exclude []string
 	reasons map[int]Reason // stages that wait for a replacement
-	retired []Stage        // servers that have left the chain
-	done    bool
+	retired []Stage        // servers that may still export a KV cache
+	// cancelling counts the servers whose confirmation must come before stages are opened.
+	cancelling int
+	done       bool
 
 	progressAt time.Time
 	tokenAt    time.Time
@@ -236,7 +238,7 @@
 	if s.total >= 0 && s.tokens.IsComplete(s.total) {
 		return s.finish(nil)
 	}
-	if s.started {
+	if s.started || s.cancelling > 0 {
 		return nil
 	}
 	out := s.openSurvivors(now)
