--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -46,6 +46,7 @@
 	lines      *trace.Recorder
 	secrets    *secrets
 	dialer     instance.Dialer
+	traffic    *traffic
 	shared     *shared
 	host       *control.Host
 	store      *storage.Log
@@ -64,11 +65,12 @@
 	if err != nil {
 		return nil, err
 	}
-	dialer, err := instance.NewDialer(p.Instances, secrets.between())
+	traffic := &traffic{}
+	dialer, err := instance.NewDialer(p.Instances, secrets.between(), &traffic.instances)
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{process: p, log: log, lines: lines, secrets: secrets, dialer: dialer}
+	d := &Daemon{process: p, log: log, lines: lines, secrets: secrets, dialer: dialer, traffic: traffic}
 	d.shared = newShared(p, uint64(time.Now().UnixNano()), log.WithName("config"))
 	d.proposer = instance.NewProposer(dialer, voterAddresses(p))
 	d.credits = newCreditDuty(d.proposer, log.WithName("credit"))
@@ -208,6 +210,9 @@
 		if err != nil {
 			return servers, eris.Wrapf(err, "daemon: listen on %s", p.address)
 		}
+		if p.address == d.process.Backends {
+			l = d.traffic.backends.Listener(l)
+		}
 		if p.server == operators {
 			l = d.secrets.operatorListener(l)
 		}
@@ -218,7 +223,7 @@
 	if err != nil {
 		return servers, eris.Wrapf(err, "daemon: listen on %s", d.process.Instances)
 	}
-	l = d.secrets.instanceListener(l)
+	l = d.secrets.instanceListener(d.traffic.instances.Listener(l))
 	peers := instance.NewServer(d.replica(), d.shared)
 	g.Go(func() error { return peers.Serve(ctx, l) })
 	return servers, nil
@@ -259,6 +264,8 @@
 		InFlight:         d.admitter.InFlight(),
 		ConfigVersion:    s.ConfigVersion,
 		ConfigAgeSeconds: float64(s.ConfigAgeMs) / 1000,
+		InstanceTraffic:  trafficState(&d.traffic.instances),
+		BackendTraffic:   trafficState(&d.traffic.backends),
 	}
 	for _, b := range s.Servers {
 		if !b.Leaving {
--- /dev/null
+++ b/daemon/traffic.go
@@ -0,0 +1,17 @@
+package daemon
+
+import (
+	"github.com/balsamlb/balsamlb/internal/meter"
+	"github.com/balsamlb/balsamlb/metrics"
+)
+
+// traffic counts the control traffic of one instance at its sockets.
+type traffic struct {
+	// instances is the traffic with the other instances, backends that of announcements.
+	instances meter.Traffic
+	backends  meter.Traffic
+}
+
+func trafficState(t *meter.Traffic) metrics.Traffic {
+	return metrics.Traffic{ReceivedBytes: t.Received(), SentBytes: t.Sent(), Connections: t.Opened()}
+}
--- a/instance/conn.go
+++ b/instance/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/instance/wire"
+	"github.com/balsamlb/balsamlb/internal/meter"
 	"github.com/balsamlb/balsamlb/keys"
 	"github.com/rotisserie/eris"
 	"storj.io/drpc/drpcconn"
@@ -27,16 +28,18 @@
 type Dialer struct {
 	local net.IP
 	certs *keys.Certificates // nil without TLS
+	// traffic counts the bytes of all connections.
+	traffic *meter.Traffic
 }
 
 // NewDialer returns a dialer for an instance that listens on the address (IP:port). certs is
-// nil without TLS.
-func NewDialer(address string, certs *keys.Certificates) (Dialer, error) {
+// nil without TLS. traffic counts the bytes of the connections.
+func NewDialer(address string, certs *keys.Certificates, traffic *meter.Traffic) (Dialer, error) {
 	ap, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return Dialer{}, eris.Wrap(err, "instance: local address")
 	}
-	return Dialer{local: ap.Addr().AsSlice(), certs: certs}, nil
+	return Dialer{local: ap.Addr().AsSlice(), certs: certs, traffic: traffic}, nil
 }
 
 func (d Dialer) dial(ctx context.Context, address string) (net.Conn, error) {
@@ -45,6 +48,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "instance: dial %s", address)
 	}
+	c = d.traffic.Conn(c)
 	if d.certs == nil {
 		return c, nil
 	}
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -56,6 +56,7 @@
 func All() []Bench {
 	return []Bench{
 		bookingsBench,
+		controlBench,
 	}
 }
 
--- /dev/null
+++ b/internal/bench/control.go
@@ -0,0 +1,128 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/balsamlb/balsamlb/internal/lab"
+)
+
+var controlBench = Bench{
+	Name: "control",
+	Help: "processor time, memory and bytes of one instance for control traffic, idle of callers",
+	Run:  runControl,
+}
+
+// controlTarget is what an instance may spend on control.
+const (
+	targetPercentOfCore = 2.2
+	targetMegabytes     = 256
+	targetKilobytes     = 18
+)
+
+// controlSize is one measured system: one region of three data centres.
+type controlSize struct {
+	instances int
+	servers   int
+	measure   time.Duration
+}
+
+// shortControlSizes and longControlSizes vary instances and servers apart, so that both
+// slopes can be told. The last long one has the size of a region of the design.
+var (
+	shortControlSizes = []controlSize{
+		{instances: 7, servers: 42, measure: 5 * time.Second},
+		{instances: 24, servers: 90, measure: 5 * time.Second},
+		{instances: 24, servers: 270, measure: 5 * time.Second},
+	}
+	longControlSizes = []controlSize{
+		{instances: 7, servers: 42, measure: 15 * time.Second},
+		{instances: 24, servers: 90, measure: 15 * time.Second},
+		{instances: 24, servers: 267, measure: 15 * time.Second},
+		{instances: 42, servers: 267, measure: 15 * time.Second},
+		{instances: 42, servers: 467, measure: 15 * time.Second},
+		{instances: 57, servers: 267, measure: 15 * time.Second},
+		{instances: 57, servers: 667, measure: 20 * time.Second},
+	}
+)
+
+// Sizes of the design: one data centre, one region, the whole system.
+const (
+	designRegionInstances = 60
+	designRegionServers   = 667
+)
+
+func runControl(ctx context.Context, o Options) (Figure, error) {
+	sizes := longControlSizes
+	if o.Short {
+		sizes = shortControlSizes
+	}
+	f := Figure{Unit: "KB/s an instance", Bound: targetKilobytes, Details: make(map[string]float64)}
+	var samples []controlSample
+	for n, size := range sizes {
+		s, err := measureControl(ctx, o, n, size)
+		if err != nil {
+			return f, err
+		}
+		samples = append(samples, s)
+		fmt.Fprintf(o.Out, "%d instances, %d servers: %.2f%% of a core, %.1f MB, %.2f KB/s (%.2f of it announcements)\n",
+			size.instances, size.servers, s.percentOfCore, s.megabytes, s.kilobytes(), s.announceKilobytes)
+		key := fmt.Sprintf("%d_instances_%d_servers", size.instances, size.servers)
+		f.Details["percent_of_core_"+key] = s.percentOfCore
+		f.Details["megabytes_"+key] = s.megabytes
+		f.Details["kilobytes_per_s_"+key] = s.kilobytes()
+		f.Details["announce_kilobytes_per_s_"+key] = s.announceKilobytes
+	}
+	last := samples[len(samples)-1]
+	f.Value = last.kilobytes()
+	f.Details["percent_of_core"] = last.percentOfCore
+	f.Details["megabytes"] = last.megabytes
+	addSlopes(&f, samples)
+	return f, nil
+}
+
+// addSlopes adds the least-squares plane over instances and servers, and its value at the
+// size of a region of the design.
+func addSlopes(f *Figure, samples []controlSample) {
+	figures := []struct {
+		name string
+		of   func(controlSample) float64
+	}{
+		{"percent_of_core", func(s controlSample) float64 { return s.percentOfCore }},
+		{"megabytes", func(s controlSample) float64 { return s.megabytes }},
+		{"kilobytes_per_s", controlSample.kilobytes},
+	}
+	for _, g := range figures {
+		var x [][]float64
+		var y []float64
+		for _, s := range samples {
+			x = append(x, []float64{1, float64(s.size.instances), float64(s.size.servers)})
+			y = append(y, g.of(s))
+		}
+		c, err := leastSquares(x, y)
+		if err != nil {
+			continue
+		}
+		f.Details[g.name+"_base"] = c[0]
+		f.Details[g.name+"_per_instance"] = c[1]
+		f.Details[g.name+"_per_server"] = c[2]
+		f.Details[g.name+"_at_region_of_design"] = c[0] + c[1]*designRegionInstances + c[2]*designRegionServers
+	}
+}
+
+func measureControl(ctx context.Context, o Options, n int, size controlSize) (controlSample, error) {
+	l, err := lab.Start(ctx, controlLayout(o, n, size))
+	if err != nil {
+		return controlSample{}, err
+	}
+	defer l.Close()
+	if err := l.WaitServers(ctx, size.servers); err != nil {
+		return controlSample{}, err
+	}
+	// The set-up of connections is over, and the members have been swapped.
+	time.Sleep(settleTime)
+	return sampleControl(l, size)
+}
+
+const settleTime = 3 * time.Second
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -23,6 +23,8 @@
 	Instances int
 	// Control says that the first instance has a data folder.
 	Control bool
+	// Region is empty when all data centres are in one region.
+	Region string
 }
 
 // Emulator is one process of emulated backend servers.
@@ -59,6 +61,7 @@
 type Instance struct {
 	*Process
 	DataCentre string
+	Region     string
 	IP         string
 	DataFolder string // "" when it is not a control instance
 }
@@ -171,7 +174,7 @@
 	for d, dc := range l.Layout.DataCentres {
 		for n := range dc.Instances {
 			name := fmt.Sprintf("%s-%d", dc.Name, n+1)
-			i := &Instance{DataCentre: dc.Name, IP: fmt.Sprintf("%s.%d.%d", l.Layout.Net, d+1, n+1)}
+			i := &Instance{DataCentre: dc.Name, Region: dc.Region, IP: fmt.Sprintf("%s.%d.%d", l.Layout.Net, d+1, n+1)}
 			if dc.Control && n == 0 {
 				i.DataFolder = filepath.Join(l.Layout.Folder, "data", name)
 			}
@@ -214,6 +217,7 @@
 	return fmt.Sprintf(`[instance]
 name = %s
 data_centre = %s
+region = %s
 [listen]
 callers = %s
 backends = %s
@@ -224,7 +228,7 @@
 [control]
 data_folder = %s
 voters = %s
-`, i.Name, i.DataCentre, i.Callers(), i.Backends(), i.Operators(), i.Platform(), i.IP, instancePort,
+`, i.Name, i.DataCentre, i.Region, i.Callers(), i.Backends(), i.Operators(), i.Platform(), i.IP, instancePort,
 		l.advertised(i), i.DataFolder, strings.Join(voters, ", ")) + extra
 }
 
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -61,6 +61,7 @@
 var descriptions = []description{
 	requestsTotal, tokensTotal, firstTokenSeconds, tokenGapSeconds, callSeconds,
 	inFlight, configVersion, configAgeSeconds, backendServers, instancesAlive,
+	controlBytesTotal, controlConnectionsTotal,
 }
 
 // Buckets of the histograms, in seconds.
@@ -86,6 +87,9 @@
 	ConfigAgeSeconds float64
 	BackendServers   int
 	InstancesAlive   int
+	// InstanceTraffic is with the other instances, BackendTraffic that of announcements.
+	InstanceTraffic Traffic
+	BackendTraffic  Traffic
 }
 
 // New registers all metrics; state is called at each scrape.
@@ -105,6 +109,8 @@
 		newGauge(backendServers, func() float64 { return float64(state().BackendServers) }),
 		newGauge(instancesAlive, func() float64 { return float64(state().InstancesAlive) }),
 	)
+	registerTraffic(r, "instances", func() Traffic { return state().InstanceTraffic })
+	registerTraffic(r, "backends", func() Traffic { return state().BackendTraffic })
 	return s
 }
 
