Stages move by KV export, slow stages are left, drains lose no token

(2) a last stage that finished a token between two attempts neither sampled nor sent it, while it counted as run, so the instance waited for it for ever: it is now sampled under whatever attempt. Seen: 'no progress' for every replacement of the stage.

Change: Leaving moves a stage only when the draft outlives the grace; a stage goes on until its replacement is known; step and link times per token move a stage that has become slow.

--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -55,9 +55,10 @@
 	MaxTokens    int `json:"max_tokens"`
 	// From is the index of the first token that is wanted.
 	From int `json:"from"`
-	// Ready is the number of tokens that a stage without a session must hold in its KV cache
-	// before it says that it is opened. 0 means that it starts with the prompt.
-	Ready int `json:"ready,omitempty"`
+	// Fresh asks for a new session in place of any that the server has. Its KV cache must hold
+	// the prompt and Ready tokens before the stage is opened; with 0 it starts with the prompt.
+	Fresh bool `json:"fresh,omitempty"`
+	Ready int  `json:"ready,omitempty"`
 	// Text holds the tokens that the caller was sent, to rebuild the KV cache from.
 	Text []string `json:"text,omitempty"`
 	// Import names the server that can export the KV cache, nil when the cache must be rebuilt.
--- a/dispatch/draft_choose.go
+++ b/dispatch/draft_choose.go
@@ -22,6 +22,15 @@
 	return l.Leaving()
 }
 
+// observeStep tells the router how long a stage took, against what its server promises.
+func (d *Dispatcher) observeStep(st pipeline.Stage, took time.Duration) {
+	share := float64(st.Layers.Len()) / float64(st.Server.Layers.Len())
+	promised := time.Duration(float64(st.Server.StepMicros) * share * float64(time.Microsecond))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.router.ObserveStep(time.Now(), st.Server, promised, took)
+}
+
 // chooseStages chooses what takes over a stage: one server that can run its layers, or else
 // several that together can.
 func (d *Dispatcher) chooseStages(r Draft, a pipeline.Replace) (pipeline.Chain, error) {
--- a/dispatch/draft_conn.go
+++ b/dispatch/draft_conn.go
@@ -18,6 +18,7 @@
 		PromptTokens: run.r.PromptTokens,
 		MaxTokens:    run.r.MaxTokens,
 		From:         a.From,
+		Fresh:        a.IsFresh,
 		Ready:        a.Ready,
 	}
 	if a.Ready > 0 {
--- a/dispatch/draft_run.go
+++ b/dispatch/draft_run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,11 +67,12 @@
 		cancel: cancel,
 		conns:  make(map[int]*backend.Conn),
 		stream: pipeline.NewStream(pipeline.StreamSpec{
-			Request:  r.ID,
-			Layers:   r.Service.Layers,
-			Deadline: r.Deadline,
-			Chain:    chain,
-			Limits:   pipeline.DefaultLimits(),
+			Request:   r.ID,
+			Layers:    r.Service.Layers,
+			Deadline:  r.Deadline,
+			MaxTokens: r.MaxTokens,
+			Chain:     chain,
+			Limits:    pipeline.DefaultLimits(),
 		}),
 	}
 	for _, st := range chain {
@@ -108,10 +110,13 @@
 		return
 	}
 	run.carryOut(run.stream.Tick(now))
-	for _, server := range run.d.leaving() {
-		if run.last == nil && run.stream.Uses(server) {
-			run.carryOut(run.stream.Leaving(now, server))
+	leaving := run.d.leaving()
+	for _, server := range run.stream.Servers() {
+		if !slices.Contains(leaving, server) {
+			run.stream.Stays(server)
+			continue
 		}
+		run.carryOut(run.stream.Leaving(now, server))
 	}
 }
 
@@ -175,6 +180,8 @@
 		run.release(a.Server)
 	case pipeline.Resume:
 		run.log.Info("resumes over a new connection", "server", a.Server, "stage", a.Stage, "reason", string(a.Reason))
+	case pipeline.Observe:
+		run.d.observeStep(a.Stage, a.Took)
 	case pipeline.Emit:
 		run.emit(a.Token)
 	case pipeline.Finish:
--- a/internal/emulate/engine.go
+++ b/internal/emulate/engine.go
@@ -101,7 +101,7 @@
 	}
 	e.setRunning(0)
 	for _, w := range batch {
-		e.finish(w)
+		e.finish(w, cost)
 	}
 }
 
--- a/internal/emulate/session.go
+++ b/internal/emulate/session.go
@@ -20,6 +20,8 @@
 	received int
 	ran      int
 	pending  *work
+	// stepMicros is the time of the step in which the newest token ran.
+	stepMicros int64
 	// passed holds the layers that each token has passed, this stage included. It stands for
 	// the activations that a stage keeps so that it can send them again.
 	passed map[int][]pipeline.Pass
@@ -33,8 +35,6 @@
 	// drained is the attempt before, whose inputs are still taken while the link is drained.
 	drained      int
 	drainedStage int
-	// filled is closed when the KV cache is ready.
-	filled chan struct{}
 	// exported means that another server has taken the KV cache over.
 	exported bool
 	conns    int // open connections
@@ -54,7 +54,6 @@
 		forwarded:  -1,
 		tokens:     make(map[int]backend.Frame),
 		changed:    make(chan struct{}),
-		filled:     make(chan struct{}),
 	}
 }
 
@@ -97,6 +96,10 @@
 	defer e.mu.Unlock()
 	e.dropClosed(time.Now())
 	old := e.find(open.Request, open.Chain[open.Stage].Layers)
+	if old != nil && open.Fresh {
+		e.end(old)
+		old = nil
+	}
 	if old == nil {
 		s = newSession(open)
 		s.conns = 1
@@ -208,7 +211,7 @@
 
 // finish counts the layers and passes the token on. Both happen under one lock, so that a
 // crash comes before or after them.
-func (e *engine) finish(w *work) {
+func (e *engine) finish(w *work, step time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := w.session
@@ -216,6 +219,7 @@
 		return
 	}
 	s.pending = nil
+	s.stepMicros = step.Microseconds()
 	s.ran = w.hop.Index + 1
 	s.notify()
 	_, followsLocal := e.fleet.engines[previous(s.open).Address]
@@ -231,32 +235,39 @@
 func (e *engine) forward(s *session, h hop) {
 	passed, ok := s.passed[h.Index]
 	if !ok {
-		pass := pipeline.Pass{Server: e.self.Name, Layers: e.faults.reportedLayers(s.layers())}
+		pass := pipeline.Pass{
+			Server: e.self.Name, Layers: e.faults.reportedLayers(s.layers()),
+			StepMicros: s.stepMicros, LinkMicros: h.DelayMicros,
+		}
 		passed = append(append([]pipeline.Pass(nil), h.Passed...), pass)
 		s.passed[h.Index] = passed
 	}
+	if s.isLast() {
+		s.sample(h.Index, passed)
+	}
 	if h.Attempt != s.open.Attempt || h.Index <= s.forwarded {
 		return
 	}
 	s.forwarded = h.Index
-	next := hop{Request: h.Request, Attempt: h.Attempt, Index: h.Index, Stage: s.open.Stage + 1, Passed: passed}
 	if !s.isLast() {
+		next := hop{Request: h.Request, Attempt: h.Attempt, Index: h.Index, Stage: s.open.Stage + 1, Passed: passed}
 		e.fleet.deliver(e, s.open.Chain[next.Stage], next, s.hopBytes(e.fleet.options, h.Index))
 		return
 	}
-	e.sample(s, next)
-}
-
-// sample makes the text of a token that has passed all layers, and starts the next one.
-func (e *engine) sample(s *session, h hop) {
-	f, ok := s.tokens[h.Index]
-	if !ok {
-		f = backend.Frame{Kind: backend.FrameToken, Request: h.Request, Index: h.Index, Text: Word(s.open.Prompt, h.Index), Passed: h.Passed}
-		s.tokens[h.Index] = f
-	}
-	s.notify()
 	if h.Index+1 < s.open.MaxTokens {
+		f := s.tokens[h.Index]
 		next := hop{Request: h.Request, Attempt: h.Attempt, Index: h.Index + 1, Previous: &f}
 		e.fleet.deliver(e, s.open.Chain[0], next, tokenBytes)
 	}
 }
+
+// sample makes the text of a token that has passed all layers, under whatever attempt.
+func (s *session) sample(index int, passed []pipeline.Pass) {
+	if _, ok := s.tokens[index]; !ok {
+		s.tokens[index] = backend.Frame{
+			Kind: backend.FrameToken, Request: s.open.Request, Index: index,
+			Text: Word(s.open.Prompt, index), Passed: passed,
+		}
+	}
+	s.notify()
+}
--- a/internal/emulate/stage.go
+++ b/internal/emulate/stage.go
@@ -40,10 +40,6 @@
 		sw := &stageWriter{engine: e, session: s, open: open, out: w}
 		if isNew {
 			e.fill(sw)
-			close(s.filled)
-		}
-		if !sw.waitFilled() {
-			return
 		}
 		if drain {
 			e.drainLink(open)
@@ -75,25 +71,6 @@
 	held    *backend.Frame
 }
 
-// waitFilled waits until another connection has filled the KV cache; false means that this
-// connection has ended.
-func (w *stageWriter) waitFilled() bool {
-	alive := time.NewTicker(aliveInterval)
-	defer alive.Stop()
-	for {
-		select {
-		case <-w.session.filled:
-			return true
-		case <-w.engine.faults.crashed:
-			return false
-		case <-alive.C:
-			if w.send(backend.Frame{Kind: backend.FrameAlive}) != nil {
-				return false
-			}
-		}
-	}
-}
-
 // run sends frames until the end of the stream or of the connection.
 func (w *stageWriter) run() {
 	w.engine.mu.Lock()
--- a/internal/lab/drafts_test.go
+++ b/internal/lab/drafts_test.go
@@ -16,6 +16,8 @@
 const (
 	draftLayers = 30
 	draftTokens = 120
+	// longTokens make a draft that takes longer than a leaving server is expected to stay.
+	longTokens = 600
 )
 
 // draftServers are three ranges of layers with two servers each, named by their first layer.
@@ -73,12 +75,17 @@
 // drafts sends drafts, calls fault once their servers are at work, and returns what the
 // caller saw.
 func drafts(t *testing.T, l *Lab, count int, fault func()) load.Result {
+	t.Helper()
+	return draftsOf(t, l, count, draftTokens, fault)
+}
+
+func draftsOf(t *testing.T, l *Lab, count, tokens int, fault func()) load.Result {
 	t.Helper()
 	done := make(chan load.Result, 1)
 	go func() {
 		done <- load.Run(context.Background(), load.Options{
 			Instances: []string{l.Instances[0].Callers()}, Workspace: "kandy", Drafts: count, Concurrent: count,
-			MaxTokens: draftTokens, Seed: 1, Deadline: 25 * time.Second,
+			MaxTokens: tokens, Seed: 1, Deadline: 25 * time.Second,
 		})
 	}()
 	before := countsOf(l).LayerRuns
@@ -129,14 +136,14 @@
 }
 
 // checkWhole checks by the engines' counts that every token passed every layer once.
-func checkWhole(t *testing.T, l *Lab, drafts int) emulate.Summary {
+func checkWhole(t *testing.T, l *Lab, drafts, tokens int) emulate.Summary {
 	t.Helper()
 	is := is.New(t)
 	c := countsOf(l)
 	is.Equal(c.Violations, []string{})
 	is.Equal(len(c.Runs), drafts)
 	for _, rr := range c.Runs {
-		is.True(c.IsWhole(rr.Request, draftLayers, draftTokens)) // every token passed every layer once
+		is.True(c.IsWhole(rr.Request, draftLayers, tokens)) // every token passed every layer once
 	}
 	return c
 }
@@ -151,7 +158,7 @@
 			})
 			is.Equal(r.Broken, nil)
 			is.Equal(r.Answered, 4)
-			checkWhole(t, l, 4)
+			checkWhole(t, l, 4, draftTokens)
 		})
 	}
 }
@@ -181,7 +188,7 @@
 		})
 		is.Equal(r.Broken, nil)
 		is.Equal(r.Answered, 2)
-		for _, rr := range checkWhole(t, l, 2*(i+1)).Runs {
+		for _, rr := range checkWhole(t, l, 2*(i+1), draftTokens).Runs {
 			is.Equal(rr.Rebuilt, 0) // the server kept its stage
 		}
 	}
@@ -191,12 +198,12 @@
 	is := is.New(t)
 	l := startDrafts(t, false)
 	imported := 0
-	r := drafts(t, l, 4, func() {
+	r := draftsOf(t, l, 4, longTokens, func() {
 		is.NoErr(emulate.Leave(draftAddress(l, inUse(t, l, "b"))))
 	})
 	is.Equal(r.Broken, nil)
 	is.Equal(r.Answered, 4)
-	for _, rr := range checkWhole(t, l, 4).Runs {
+	for _, rr := range checkWhole(t, l, 4, longTokens).Runs {
 		imported += rr.Imported
 		is.Equal(rr.Rebuilt, 0)
 	}
@@ -218,7 +225,7 @@
 		t.Log(kind, r)
 		is.Equal(r.Broken, nil)
 		is.Equal(r.Answered, 2)
-		checkWhole(t, l, 2*(i+1))
+		checkWhole(t, l, 2*(i+1), draftTokens)
 		is.NoErr(emulate.SetFault(address, emulate.Fault{Kind: emulate.FaultNone}))
 	}
 }
@@ -282,7 +289,7 @@
 	})
 	is.Equal(r.Broken, nil)
 	is.Equal(r.Answered, 2)
-	checkWhole(t, l, 2)
+	checkWhole(t, l, 2, draftTokens)
 }
 
 func TestACallerThatLeavesEndsTheWorkAtEveryStage(t *testing.T) {
--- a/pipeline/action.go
+++ b/pipeline/action.go
@@ -1,6 +1,10 @@
 package pipeline
 
-import "github.com/balsamlb/balsamlb/fleet"
+import (
+	"time"
+
+	"github.com/balsamlb/balsamlb/fleet"
+)
 
 // Action is what a Stream asks for.
 type Action interface{ isAction() }
@@ -13,8 +17,9 @@
 	Chain   Chain
 	// From is the index of the first token that is wanted.
 	From int
-	// Ready is the number of tokens that the KV cache of a stage without a session must hold.
-	Ready int
+	// IsFresh means that the server must begin a new session, whose KV cache holds Ready tokens.
+	IsFresh bool
+	Ready   int
 	// Text holds the tokens that were emitted.
 	Text []string
 	// Import is the stage that may export the KV cache, or nil.
@@ -67,6 +72,12 @@
 	Reason Reason
 }
 
+// Observe says how long a stage took for a step, averaged over some tokens.
+type Observe struct {
+	Stage Stage
+	Took  time.Duration
+}
+
 // Finish ends the stream. A nil error means that the answer is whole.
 type Finish struct{ Err error }
 
@@ -78,6 +89,7 @@
 func (Release) isAction() {}
 func (Emit) isAction()    {}
 func (Resume) isAction()  {}
+func (Observe) isAction() {}
 func (Finish) isAction()  {}
 
 // Reason names why a stage or its connection is given up.
--- /dev/null
+++ b/pipeline/pace.go
@@ -0,0 +1,64 @@
+package pipeline
+
+import "time"
+
+const (
+	// paceBaseline is the number of tokens that set what is usual for a stage.
+	paceBaseline = 8
+	// paceWeight is the share of a new token in the moving average, as a divisor.
+	paceWeight = 4
+	// paceFactor and paceMargin are what makes a stage slow against what is usual for it.
+	paceFactor = 3
+	paceMargin = 4 * time.Millisecond
+	// paceReport is the number of tokens between two observations of a stage.
+	paceReport = 16
+)
+
+// pace follows how long a stage, or the link to it, takes for a token.
+type pace struct {
+	count    int
+	baseline time.Duration
+	average  time.Duration
+}
+
+// add takes the time of one token.
+func (p *pace) add(d time.Duration) {
+	p.count++
+	if p.count <= paceBaseline {
+		p.baseline += (d - p.baseline) / time.Duration(p.count)
+		p.average = p.baseline
+		return
+	}
+	p.average += (d - p.average) / paceWeight
+}
+
+// isSlow reports whether the stage has become much slower than it was.
+func (p *pace) isSlow() bool {
+	return p.count > paceBaseline && p.average > paceFactor*p.baseline+paceMargin
+}
+
+// follow takes the times in a token, tells what was observed, and moves a stage that has
+// become slow, or the link to it, before it fails.
+func (s *Stream) follow(now time.Time, t Token) []Action {
+	if t.Index == 0 || len(t.Passed) != len(s.links) {
+		return nil
+	}
+	var out []Action
+	for i, p := range t.Passed {
+		l := s.links[i]
+		if p.Server != s.chain[i].Server.Name || p.StepMicros == 0 {
+			continue
+		}
+		l.step.add(time.Duration(p.StepMicros) * time.Microsecond)
+		l.transit.add(time.Duration(p.LinkMicros) * time.Microsecond)
+		if l.step.count%paceReport == 0 {
+			out = append(out, Observe{Stage: s.chain[i], Took: l.step.average})
+		}
+	}
+	for i, l := range s.links {
+		if l.step.isSlow() || l.transit.isSlow() {
+			return append(out, s.move(now, s.chain[i].Server.Name, ReasonSlow)...)
+		}
+	}
+	return out
+}
--- a/pipeline/reassembler.go
+++ b/pipeline/reassembler.go
@@ -10,6 +10,10 @@
 type Pass struct {
 	Server string      `json:"server"`
 	Layers fleet.Range `json:"layers"`
+	// StepMicros is the time of the step in which the token ran, and LinkMicros that of the
+	// link on which its input came, in microseconds; 0 when the server doesn't say.
+	StepMicros int64 `json:"step_micros,omitempty"`
+	LinkMicros int64 `json:"link_micros,omitempty"`
 }
 
 // Token is one token as the last stage sends it.
--- a/pipeline/repair.go
+++ b/pipeline/repair.go
@@ -35,9 +35,7 @@
 
 // repair replaces a stage under a new attempt. The other stages keep their sessions.
 func (s *Stream) repair(now time.Time, i int, reason Reason) []Action {
-	if reason != ReasonLeaving && reason != ReasonSlow {
-		s.exclude = append(s.exclude, s.chain[i].Server.Name)
-	}
+	s.exclude = append(s.exclude, s.chain[i].Server.Name)
 	s.reasons[i] = reason
 	out := s.newAttempt(now)
 	if s.done {
@@ -96,7 +94,15 @@
 	delete(s.reasons, i)
 	old := s.chain[i]
 	source := s.links[i].source
-	out := []Action{Release{Server: old.Server.Name}}
+	var out []Action
+	if canExport(reason) {
+		// Until now the stage has gone on.
+		out = s.newAttempt(now)
+		if s.done {
+			return out
+		}
+	}
+	out = append(out, Release{Server: old.Server.Name})
 	switch {
 	case canExport(reason):
 		s.retired = append(s.retired, old)
@@ -143,27 +149,50 @@
 	}
 	if canExport(s.reasons[i]) {
 		delete(s.reasons, i)
-		return s.advance(now)
+		s.moves--
+		s.moveAt = now.Add(moveRetry)
+		return nil
 	}
 	return s.finish(s.stageError())
 }
 
-// Leaving moves the server's stage to another server, by way of its KV cache.
+const (
+	// maxMoves bounds the stages of one draft that are moved without a failure.
+	maxMoves = 4
+	// moveRetry is the time between two tries to find a server to move to.
+	moveRetry = time.Second
+	// leaveGrace is how long a server that leaves is expected to finish what it has.
+	leaveGrace = 2 * time.Second
+)
+
+// Leaving says that a server is about to leave. Its stage is moved to another server, by way
+// of its KV cache, unless the draft will have ended soon.
 func (s *Stream) Leaving(now time.Time, server string) []Action {
+	since, ok := s.leaving[server]
+	if !ok {
+		since = now
+		s.leaving[server] = now
+	}
+	left := time.Duration(s.length-s.tokens.Next()) * s.gap
+	if s.tokens.Next() > 1 && now.Add(left).Before(since.Add(leaveGrace)) {
+		return nil
+	}
 	return s.move(now, server, ReasonLeaving)
 }
 
-// Slow moves a stage away from a server that has become slow, or whose links have.
-func (s *Stream) Slow(now time.Time, server string) []Action {
-	return s.move(now, server, ReasonSlow)
-}
+// Stays says that a server does not leave any more.
+func (s *Stream) Stays(server string) { delete(s.leaving, server) }
 
+// move asks for a server that takes a stage over from one that is still at work. The stage
+// goes on until there is one.
 func (s *Stream) move(now time.Time, server string, reason Reason) []Action {
 	i := slices.IndexFunc(s.chain, func(st Stage) bool { return st.Server.Name == server })
-	if s.done || !s.started || i < 0 {
+	if s.done || !s.started || i < 0 || len(s.reasons) > 0 || s.moves >= maxMoves || now.Before(s.moveAt) {
 		return nil
 	}
-	return s.repair(now, i, reason)
+	s.moves++
+	s.reasons[i] = reason
+	return []Action{s.askReplacement(i)}
 }
 
 // Tick judges the connections by their own progress, and the chain by its tokens.
--- a/pipeline/stream.go
+++ b/pipeline/stream.go
@@ -57,6 +57,9 @@
 	// source is the stage that may export the KV cache of a fresh one, or nil.
 	source *Stage
 	closed bool // the server has ended the stream of tokens
+	// step and transit are the times of the stage and of the link to it.
+	step    pace
+	transit pace
 }
 
 // Stream is the life of one draft over a chain of stages.
@@ -77,6 +80,7 @@
 	attempt int
 	conns   int
 	tokens  *Reassembler
+	length  int // most tokens of the answer
 	text    []string
 	total   int // -1 until the end mark
 	started bool
@@ -89,6 +93,12 @@
 	// cancelling counts the servers whose confirmation must come before stages are opened.
 	cancelling int
 	done       bool
+	// moves counts the stages that were moved without a failure, and moveAt is when the next
+	// may be.
+	moves  int
+	moveAt time.Time
+	// leaving says since when each server is known to leave.
+	leaving map[string]time.Time
 
 	progressAt time.Time
 	tokenAt    time.Time
@@ -97,11 +107,13 @@
 
 // StreamSpec describes a draft.
 type StreamSpec struct {
-	Request  string
-	Layers   int
-	Deadline time.Time
-	Chain    Chain
-	Limits   Limits
+	Request string
+	Layers  int
+	// MaxTokens is the most tokens that the answer can have.
+	MaxTokens int
+	Deadline  time.Time
+	Chain     Chain
+	Limits    Limits
 }
 
 // NewStream returns a stream that has not begun.
@@ -115,6 +127,8 @@
 		total:   -1,
 		attempt: 1,
 		reasons: make(map[int]Reason),
+		leaving: make(map[string]time.Time),
+		length:  spec.MaxTokens,
 	}
 	for range spec.Chain {
 		s.links = append(s.links, &link{isFresh: true})
@@ -135,9 +149,13 @@
 // Next returns the index of the next token to emit.
 func (s *Stream) Next() int { return s.tokens.Next() }
 
-// Uses reports whether the server is part of the chain.
-func (s *Stream) Uses(server string) bool {
-	return slices.ContainsFunc(s.chain, func(st Stage) bool { return st.Server.Name == server })
+// Servers returns the servers of the chain.
+func (s *Stream) Servers() []string {
+	names := make([]string, len(s.chain))
+	for i, st := range s.chain {
+		names[i] = st.Server.Name
+	}
+	return names
 }
 
 // Opened takes a stage's word that it is ready.
@@ -187,6 +205,7 @@
 	for _, t := range tokens {
 		s.text = append(s.text, t.Text)
 		out = append(out, Emit{Token: t})
+		out = append(out, s.follow(now, t)...)
 	}
 	if len(tokens) > 0 {
 		s.emitted(now)
@@ -321,6 +340,7 @@
 		Attempt: s.attempt,
 		Chain:   slices.Clone(s.chain),
 		From:    s.tokens.Next(),
+		IsFresh: l.isFresh,
 		Ready:   ready,
 		Text:    slices.Clone(s.text),
 		Import:  l.source,
--- a/route/pace.go
+++ b/route/pace.go
@@ -96,3 +96,11 @@
 	known := r.paces.ratio(now, &s)
 	r.paces.observe(now, s, known*float64(took)/float64(predicted))
 }
+
+// ObserveStep notes how long a server took for a step, against what it promises.
+func (r *Router) ObserveStep(now time.Time, s fleet.BackendServer, promised, took time.Duration) {
+	if promised <= 0 {
+		return
+	}
+	r.paces.observe(now, s, float64(took)/float64(promised))
+}
