--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 
 	"github.com/balsamlb/balsamlb/credit"
 	"github.com/balsamlb/balsamlb/fleet"
+	"github.com/balsamlb/balsamlb/ledger"
 	"github.com/balsamlb/balsamlb/outcome"
 	"github.com/balsamlb/balsamlb/replica"
 	"github.com/balsamlb/balsamlb/route"
@@ -39,6 +40,7 @@
 	proposer Proposer
 	credits  Credits
 	log      logr.Logger
+	once     onceCaller
 
 	mu     sync.Mutex
 	router *route.Router
@@ -53,6 +55,14 @@
 		credits:  c,
 		log:      log.WithName("route"),
 		router:   route.New(route.Options{DataCentre: dataCentre, Seed: xxhash.Sum64String(instance)}),
+		once: onceCaller{
+			self:    ledger.Dispatcher{Instance: instance},
+			peers:   noPeers{},
+			flights: newFlights(),
+			settler: newSettler(p, log.WithName("ledger")),
+			quorum:  &quorumGate{},
+			stall:   newStallWatch(),
+		},
 	}
 }
 
--- a/internal/emulate/engine.go
+++ b/internal/emulate/engine.go
@@ -44,6 +44,9 @@
 	queue  *queue
 	faults *faults
 	prefix *prefixCache
+	// requests and calls concern plain calls.
+	requests *requestLog
+	calls    callFaults
 
 	mu       sync.Mutex
 	sessions map[string][]*session // by request; a server may run several stages of one
@@ -60,6 +63,8 @@
 		self:     self,
 		fleet:    f,
 		counts:   f.counts,
+		requests: newRequestLog(),
+		calls:    callFaults{CallFaults: f.options.CallFaults[self.Name]},
 		queue:    newQueue(),
 		faults:   newFaults(),
 		prefix:   newPrefixCache(f.options.PrefixTokens),
--- a/internal/emulate/fleet.go
+++ b/internal/emulate/fleet.go
@@ -120,6 +120,8 @@
 		e.handleExport(ctx, strings.TrimPrefix(path, PathExport))
 	case strings.HasPrefix(path, backend.PathCall):
 		e.handleCall(ctx, strings.TrimPrefix(path, backend.PathCall))
+	case path == backend.PathResolve:
+		e.handleResolve(ctx)
 	case path == PathCounts:
 		writeJSON(ctx, e.counts.Summary())
 	case path == PathFault:
@@ -161,29 +163,6 @@
 // faultDelay lets the answer to a fault go out first.
 const faultDelay = 5 * time.Millisecond
 
-// callReply is the answer of an emulated plain service.
-type callReply struct {
-	Service string `json:"service"`
-	Server  string `json:"server"`
-	Key     string `json:"key,omitempty"`
-	Ran     int    `json:"ran"`
-}
-
-func (e *engine) handleCall(ctx *fasthttp.RequestCtx, service string) {
-	if !e.self.Runs(service) {
-		ctx.Error("the server does not run "+service, fasthttp.StatusNotFound)
-		return
-	}
-	if e.faults.has(FaultRefuse) {
-		refuse(ctx)
-		return
-	}
-	key := string(ctx.Request.Header.Peek(backend.HeaderKey))
-	time.Sleep(callTime)
-	n := e.counts.called(CallKey{Service: service, Key: key})
-	writeJSON(ctx, callReply{Service: service, Server: e.self.Name, Key: key, Ran: n})
-}
-
 func writeJSON(ctx *fasthttp.RequestCtx, v any) {
 	body, err := json.Marshal(v)
 	if err != nil {
