Configuration: conflicts show the difference; history, status, diff and rollback

Cause: a conflict named only the author in force; versions could not be listed or brought back, and text was checked by the operator's instance alone. Change: 409 answers carry the unified difference to the version in force and what changed since the version expected; balsamctl config diff, history, status and rollback (an older text as a new version). The leader checks every change by its own rules and records them as the schema of the version. History is bounded by 100 versions and 16 MB.

Seen failing: without the deduplication, with a change against any older version accepted, or without the accepted changes after a restart, TestRacingOperatorsAgainstANaiveCopy says what was accepted as which version.

--- a/cmd/balsamctl/config.go
+++ b/cmd/balsamctl/config.go
@@ -23,10 +23,18 @@
 
 func newConfig() *ffcli.Command {
 	return &ffcli.Command{
-		Name: "config", ShortUsage: "balsamctl config <check|apply|show>", ShortHelp: "check, change and show the configuration",
-		FlagSet:     newFlagSet("config"),
-		Subcommands: []*ffcli.Command{newConfigCheck(), newConfigApply(), newConfigShow()},
-		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+		Name: "config", ShortUsage: "balsamctl config <check|diff|apply|history|status|rollback|show>", ShortHelp: "check, change and show the configuration",
+		FlagSet: newFlagSet("config"),
+		Subcommands: []*ffcli.Command{
+			newConfigCheck(),
+			newConfigDiff(),
+			newConfigApply(),
+			newConfigHistory(),
+			newConfigStatus(),
+			newConfigRollback(),
+			newConfigShow(),
+		},
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
 }
 
@@ -96,6 +104,8 @@
 	}
 	if !r.Accepted {
 		fmt.Printf("version %d by %q is in force\n", r.Version, r.Current.Author)
+		printPart("changed since the version that you expected:", r.Since)
+		printPart("from the version in force to your change:", r.Difference)
 		return errConflict
 	}
 	fmt.Printf("accepted as version %d\n", r.Version)
@@ -122,6 +132,12 @@
 	}
 }
 
+func printPart(title, text string) {
+	if text != "" {
+		fmt.Printf("%s\n%s", title, text)
+	}
+}
+
 func printFaults(faults []string) error {
 	if len(faults) == 0 {
 		return nil
--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,124 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+
+	_ "github.com/balsamlb/balsamlb/internal/seeded"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// naive is one copy of the configuration that never forgets.
+type naive struct {
+	version  uint64
+	base     string
+	accepted map[string]uint64
+}
+
+func (n *naive) apply(c Change) (bool, uint64) {
+	if v, ok := n.accepted[c.ID]; ok {
+		return true, v
+	}
+	if c.Expect != n.version {
+		return false, n.version
+	}
+	n.version++
+	n.base = c.Base
+	n.accepted[c.ID] = n.version
+	return true, n.version
+}
+
+// TestRacingOperatorsAgainstANaiveCopy sends changes with equal and old versions, again and
+// again, over restarts, and compares every answer with a copy that never forgets.
+func TestRacingOperatorsAgainstANaiveCopy(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := NewHistory()
+		n := &naive{accepted: make(map[string]uint64)}
+		var sent []Change
+		t.Repeat(map[string]func(*rapid.T){
+			"change": func(t *rapid.T) {
+				behind := rapid.Uint64Range(0, min(2, n.version)).Draw(t, "behind")
+				c := Change{ID: fmt.Sprint("c", len(sent)), Expect: n.version - behind, Base: fmt.Sprint("text ", len(sent))}
+				sent = append(sent, c)
+				compare(t, h, n, c)
+			},
+			"send again": func(t *rapid.T) {
+				if len(sent) == 0 {
+					t.Skip("nothing was sent")
+				}
+				compare(t, h, n, rapid.SampledFrom(sent).Draw(t, "change"))
+			},
+			"restart": func(t *rapid.T) {
+				restored, err := FromImage(h.Image())
+				if err != nil {
+					t.Fatal(err)
+				}
+				h = restored
+			},
+		})
+	})
+}
+
+func compare(t *rapid.T, h *History, n *naive, c Change) {
+	before := h.Current().Version
+	r := h.Apply(c)
+	accepted, version := n.apply(c)
+	if r.Accepted != accepted || r.Version != version {
+		t.Fatalf("%s against %d: accepted %t as %d, the naive copy says %t, %d", c.ID, c.Expect, r.Accepted, r.Version, accepted, version)
+	}
+	if h.Current().Version < before || h.Current().Base != n.base {
+		t.Fatalf("version %d with %q is in force, the naive copy has %d with %q", h.Current().Version, h.Current().Base, n.version, n.base)
+	}
+	if !accepted && (r.Current.Version != n.version || r.Current.Base != n.base) {
+		t.Fatalf("the conflict shows version %d, in force is %d", r.Current.Version, n.version)
+	}
+}
+
+func TestHistoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	h := NewHistory()
+	big := string(make([]byte, 1<<20))
+	for i := range uint64(2 * maxRetainedVersions) {
+		is.True(h.Apply(Change{ID: fmt.Sprint(i), Expect: i, Base: big}).Accepted)
+	}
+	is.Equal(len(h.Documents()), maxRetainedBytes/len(big))
+	is.Equal(h.Current().Version, uint64(2*maxRetainedVersions))
+	is.Equal(h.bytes, maxRetainedBytes)
+}
+
+func TestAChangeThatIsNoLongerKnownIsRefusedByItsVersion(t *testing.T) {
+	is := is.New(t)
+	h := NewHistory()
+	first := Change{ID: "first", Base: "first"}
+	is.True(h.Apply(first).Accepted)
+	for i := range uint64(maxRetainedChanges) {
+		is.True(h.Apply(Change{ID: fmt.Sprint(i), Expect: i + 1}).Accepted)
+	}
+	is.True(!h.Apply(first).Accepted)
+	is.Equal(len(h.versions), maxRetainedChanges)
+}
+
+func TestDiffShowsEachFile(t *testing.T) {
+	is := is.New(t)
+	a := Document{Version: 3, Base: "[limits]\nmax_tokens = 100\n", Overlays: map[string]string{"kandy": "[limits]\nmax_tokens = 50\n"}}
+	b := Document{Base: "[limits]\nmax_tokens = 200\n", Overlays: map[string]string{"galle": "[limits]\nmax_tokens = 9"}}
+	is.Equal(Diff(a, b), `--- base.ini (version 3)
++++ base.ini (not applied)
+@@ -1,2 +1,2 @@
+ [limits]
+-max_tokens = 100
++max_tokens = 200
+--- galle.ini (version 3)
++++ galle.ini (not applied)
+@@ -0,0 +1,2 @@
++[limits]
++max_tokens = 9
+--- kandy.ini (version 3)
++++ kandy.ini (not applied)
+@@ -1,2 +0,0 @@
+-[limits]
+-max_tokens = 50
+`)
+	is.Equal(Diff(a, a), "")
+}
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -37,6 +37,18 @@
 // Config returns the configuration in force.
 func (b *operatorBackend) Config() config.Document { return b.shared.View().Config }
 
+// History returns the versions that this instance's replica keeps.
+func (b *operatorBackend) History(ctx context.Context) ([]config.Document, error) {
+	if b.host == nil {
+		return nil, errNotControl
+	}
+	var documents []config.Document
+	err := b.host.Query(ctx, func(s *replica.State, _ *consensus.Node) {
+		documents = slices.Clone(s.Config.Documents())
+	})
+	return documents, err
+}
+
 // Propose runs a command through the replicated state.
 func (b *operatorBackend) Propose(ctx context.Context, c replica.Command) (replica.Result, error) {
 	return b.proposer.Propose(ctx, c)
--- a/operator/protocol.go
+++ b/operator/protocol.go
@@ -3,8 +3,6 @@
 
 import (
 	"time"
-
-	"github.com/balsamlb/balsamlb/config"
 )
 
 // Paths of the operators' interface.
@@ -77,13 +75,6 @@
 	Count  uint64 `json:"count"`
 }
 
-// ChangeReply is the answer to a configuration change.
-type ChangeReply struct {
-	config.Result
-	// Faults lists the errors of a configuration that was not valid.
-	Faults []string `json:"faults,omitempty"`
-}
-
 // errorReply is the answer to a call that failed.
 type errorReply struct {
 	Error string `json:"error"`
--- a/operator/server.go
+++ b/operator/server.go
@@ -4,13 +4,11 @@
 	"context"
 	"encoding/base64"
 	"encoding/json"
-	"errors"
 	"strings"
 	"time"
 
 	"github.com/balsamlb/balsamlb/config"
 	"github.com/balsamlb/balsamlb/replica"
-	"github.com/balsamlb/balsamlb/settings"
 	"github.com/balsamlb/balsamlb/trace"
 	"github.com/valyala/fasthttp"
 )
@@ -19,6 +17,8 @@
 type Backend interface {
 	Status(ctx context.Context) Status
 	Config() config.Document
+	// History returns the versions that a control instance keeps, oldest first.
+	History(ctx context.Context) ([]config.Document, error)
 	Propose(ctx context.Context, c replica.Command) (replica.Result, error)
 	// Credits returns the counts of a control instance.
 	Credits(ctx context.Context) ([]CreditCount, error)
@@ -102,6 +102,8 @@
 		writeJSON(ctx, fasthttp.StatusOK, h.backend.Config())
 	case path == PathConfig && ctx.IsPost():
 		h.change(callCtx, ctx)
+	case path == PathHistory && ctx.IsGet():
+		h.history(callCtx, ctx)
 	case path == PathDrain && ctx.IsPost():
 		h.drain(callCtx, ctx)
 	case path == PathCredits && ctx.IsGet():
@@ -115,62 +117,6 @@
 	}
 }
 
-func (h *handler) change(callCtx context.Context, ctx *fasthttp.RequestCtx) {
-	var c config.Change
-	if err := json.Unmarshal(ctx.PostBody(), &c); err != nil {
-		writeFailure(ctx, fasthttp.StatusBadRequest, err.Error())
-		return
-	}
-	if c.ID == "" {
-		writeFailure(ctx, fasthttp.StatusBadRequest, "id is required")
-		return
-	}
-	if faults := CheckConfig(c.Base, c.Overlays); len(faults) > 0 {
-		writeJSON(ctx, fasthttp.StatusUnprocessableEntity, ChangeReply{Faults: faults})
-		return
-	}
-	c.At = time.Now()
-	result, err := h.backend.Propose(callCtx, replica.Command{Change: &c})
-	if err != nil {
-		writeFailure(ctx, fasthttp.StatusServiceUnavailable, err.Error())
-		return
-	}
-	status := fasthttp.StatusOK
-	if !result.Config.Accepted {
-		status = fasthttp.StatusConflict
-	}
-	writeJSON(ctx, status, ChangeReply{Result: *result.Config})
-}
-
-// CheckConfig returns the errors of a base file and its overlays, each checked on top of the
-// base.
-func CheckConfig(base string, overlays map[string]string) []string {
-	baseFile := settings.File{Name: "base.ini", Text: base}
-	if _, err := settings.ParseIntent(baseFile, settings.File{}); err != nil {
-		return faultLines(err)
-	}
-	var faults []string
-	for name, text := range overlays {
-		_, err := settings.ParseIntent(baseFile, settings.File{Name: name + ".ini", Text: text})
-		if err != nil {
-			faults = append(faults, faultLines(err)...)
-		}
-	}
-	return faults
-}
-
-func faultLines(err error) []string {
-	var fs settings.Faults
-	if !errors.As(err, &fs) {
-		return []string{err.Error()}
-	}
-	lines := make([]string, len(fs))
-	for i, f := range fs {
-		lines[i] = f.Error()
-	}
-	return lines
-}
-
 func (h *handler) drain(callCtx context.Context, ctx *fasthttp.RequestCtx) {
 	var d DrainRequest
 	if err := json.Unmarshal(ctx.PostBody(), &d); err != nil {
