--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -57,6 +57,7 @@
 	return []Bench{
 		bookingsBench,
 		atMostOnceBench,
+		configBench,
 	}
 }
 
