--- a/backend/stage.go
+++ b/backend/stage.go
@@ -13,7 +13,7 @@
 
 const (
 	// controlTimeout bounds a start and a cancel.
-	controlTimeout = time.Second
+	controlTimeout = 400 * time.Millisecond
 	// maxControlBytes bounds the answer to a start or a cancel.
 	maxControlBytes = 4 << 10
 	// openHeaderTimeout bounds the wait for the header of a stage's answer. A server sends
@@ -24,9 +24,6 @@
 // ErrRefused means that the server refused a request before it ran any of it.
 var ErrRefused = errors.New("backend: the server refused the request before running it")
 
-// outcomeNotRun is the value of HeaderOutcome in a refusal.
-const outcomeNotRun = "not_run"
-
 // OpenStage connects to a stage. It returns once the server has taken the request; the
 // frame that says that the stage is opened comes from Next.
 func OpenStage(ctx context.Context, open StageOpen) (*Conn, error) {
@@ -69,7 +66,7 @@
 	if code == fasthttp.StatusOK {
 		return nil
 	}
-	if string(c.resp.Header.Peek(HeaderOutcome)) == outcomeNotRun {
+	if string(c.resp.Header.Peek(HeaderOutcome)) == OutcomeNotRun {
 		return eris.Wrapf(ErrRefused, "backend: %s on %s", step, c.server)
 	}
 	return eris.Errorf("backend: %s on %s: status %d", step, c.server, code)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -10,12 +10,15 @@
 
 	"github.com/balsamlb/balsamlb/backend"
 	"github.com/balsamlb/balsamlb/caller"
+	"github.com/balsamlb/balsamlb/config"
+	"github.com/balsamlb/balsamlb/consensus"
 	"github.com/balsamlb/balsamlb/control"
 	"github.com/balsamlb/balsamlb/dispatch"
 	"github.com/balsamlb/balsamlb/instance"
 	"github.com/balsamlb/balsamlb/metrics"
 	"github.com/balsamlb/balsamlb/operator"
 	"github.com/balsamlb/balsamlb/platform"
+	"github.com/balsamlb/balsamlb/replica"
 	"github.com/balsamlb/balsamlb/settings"
 	"github.com/balsamlb/balsamlb/storage"
 	"github.com/balsamlb/balsamlb/trace"
@@ -47,6 +50,7 @@
 	lines      *trace.Recorder
 	secrets    *secrets
 	dialer     instance.Dialer
+	traffic    *traffic
 	shared     *shared
 	host       *control.Host
 	store      *storage.Log
@@ -65,25 +69,24 @@
 	if err != nil {
 		return nil, err
 	}
-	dialer, err := instance.NewDialer(p.Instances, secrets.between())
+	traffic := &traffic{}
+	dialer, err := instance.NewDialer(p.Instances, secrets.between(), &traffic.instances)
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{process: p, log: log, lines: lines, secrets: secrets, dialer: dialer}
+	d := &Daemon{process: p, log: log, lines: lines, secrets: secrets, dialer: dialer, traffic: traffic}
 	d.shared = newShared(p, uint64(time.Now().UnixNano()), log.WithName("config"))
 	d.proposer = instance.NewProposer(dialer, voterAddresses(p))
 	d.credits = newCreditDuty(d.proposer, log.WithName("credit"))
 	d.admitter = newAdmitter(xxhash.Sum64String(p.Name), p.Naive, d.shared.Intent, log.WithName("admission"))
 	d.shared.facts.exchangeUsage(d.admitter)
-	d.dispatcher = dispatch.New(dispatch.Options{
-		Instance:   p.Name,
-		DataCentre: p.DataCentre,
-		Naive:      p.Naive,
-		Fleet:      d.shared,
-		Proposer:   d.proposer,
-		Credits:    d.credits,
-		Log:        log,
-	})
+	d.dispatcher = dispatch.New(p.Name, p.DataCentre, d.shared, d.proposer, d.credits, log)
+	d.dispatcher.UsePeers(d.shared.incarnation, d.shared)
+	d.dispatcher.UseNotices(d.shared.facts)
+	d.shared.facts.handleNotices(d.dispatcher)
+	if p.Naive {
+		d.dispatcher.UseNaivePolicy()
+	}
 	if p.IsControl() {
 		if err := d.openReplica(); err != nil {
 			return nil, err
@@ -145,6 +148,7 @@
 	g.Go(func() error { return d.credits.run(dutyCtx) })
 	g.Go(func() error { return d.admitter.runTicks(dutyCtx) })
 	g.Go(func() error { return d.runForecasts(dutyCtx) })
+	g.Go(func() error { return d.dispatcher.Run(dutyCtx) })
 	g.Go(func() error { return d.secrets.run(dutyCtx, d.log.WithName("keys")) })
 	if d.host != nil {
 		g.Go(func() error { return d.host.Run(dutyCtx) })
@@ -220,6 +224,9 @@
 		if err != nil {
 			return servers, eris.Wrapf(err, "daemon: listen on %s", p.address)
 		}
+		if p.address == d.process.Backends {
+			l = d.traffic.backends.Listener(l)
+		}
 		if p.server == operators {
 			l = d.secrets.operatorListener(l)
 		}
@@ -230,7 +237,7 @@
 	if err != nil {
 		return servers, eris.Wrapf(err, "daemon: listen on %s", d.process.Instances)
 	}
-	l = d.secrets.instanceListener(l)
+	l = d.secrets.instanceListener(d.traffic.instances.Listener(l))
 	peers := instance.NewServer(d.replica(), d.shared)
 	g.Go(func() error { return peers.Serve(ctx, l) })
 	return servers, nil
@@ -241,13 +248,38 @@
 	if d.host == nil {
 		return nil
 	}
-	return &hostReplica{Host: d.host, voters: d.process.Voters}
+	return &hostReplica{Host: d.host, voters: d.process.Voters, stamps: newStamper(d.process.Name)}
 }
 
 // hostReplica adds the leader's address to a host.
 type hostReplica struct {
 	*control.Host
 	voters []settings.Voter
+	stamps *stamper
+}
+
+// Propose checks and stamps the command before it enters the log.
+func (r *hostReplica) Propose(ctx context.Context, data []byte) (replica.Result, error) {
+	data, refusal, err := r.stamps.admit(data)
+	if err != nil {
+		return replica.Result{}, err
+	}
+	if refusal != nil {
+		return r.refuse(ctx, refusal)
+	}
+	return r.Host.Propose(ctx, data)
+}
+
+// refuse answers a change that this instance can't read, if it is the leader.
+func (r *hostReplica) refuse(ctx context.Context, refusal *config.Result) (replica.Result, error) {
+	s, err := r.Status(ctx)
+	if err != nil {
+		return replica.Result{}, err
+	}
+	if s.Role != consensus.RoleLeader {
+		return replica.Result{}, consensus.ErrNotLeader
+	}
+	return replica.Result{Config: refusal}, nil
 }
 
 // Leader returns the address of the leader, or "".
@@ -271,6 +303,8 @@
 		InFlight:         d.admitter.InFlight(),
 		ConfigVersion:    s.ConfigVersion,
 		ConfigAgeSeconds: float64(s.ConfigAgeMs) / 1000,
+		InstanceTraffic:  trafficState(&d.traffic.instances),
+		BackendTraffic:   trafficState(&d.traffic.backends),
 	}
 	for _, b := range s.Servers {
 		if !b.Leaving {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 
 	"github.com/balsamlb/balsamlb/credit"
 	"github.com/balsamlb/balsamlb/fleet"
+	"github.com/balsamlb/balsamlb/ledger"
 	"github.com/balsamlb/balsamlb/outcome"
 	"github.com/balsamlb/balsamlb/replica"
 	"github.com/balsamlb/balsamlb/route"
@@ -39,36 +40,42 @@
 	proposer Proposer
 	credits  Credits
 	log      logr.Logger
+	once     onceCaller
+	guard    *guard
 
 	mu     sync.Mutex
 	router *route.Router
 }
 
-// Options are the parts that a dispatcher is built from.
-type Options struct {
-	Instance   string
-	DataCentre string
-	// Naive is for benchmarks: servers are chosen in turn.
-	Naive    bool
-	Fleet    Fleet
-	Proposer Proposer
-	Credits  Credits
-	Log      logr.Logger
-}
-
-// New returns a dispatcher for an instance.
-func New(o Options) *Dispatcher {
-	seed := xxhash.Sum64String(o.Instance)
+// New returns a dispatcher for the named instance.
+func New(instance, dataCentre string, f Fleet, p Proposer, c Credits, log logr.Logger) *Dispatcher {
+	seed := xxhash.Sum64String(instance)
 	return &Dispatcher{
-		instance: o.Instance,
-		fleet:    o.Fleet,
-		proposer: o.Proposer,
-		credits:  o.Credits,
-		log:      o.Log.WithName("route"),
-		router:   route.New(route.Options{DataCentre: o.DataCentre, Seed: seed, InTurn: o.Naive}),
+		instance: instance,
+		fleet:    f,
+		proposer: p,
+		credits:  c,
+		log:      log.WithName("route"),
+		router:   route.New(route.Options{DataCentre: dataCentre, Seed: seed}),
+		guard:    newGuard(seed, log.WithName("retry")),
+		once: onceCaller{
+			self:    ledger.Dispatcher{Instance: instance},
+			peers:   noPeers{},
+			flights: newFlights(),
+			settler: newSettler(p, log.WithName("ledger")),
+			quorum:  &quorumGate{},
+			stall:   newStallWatch(),
+		},
 	}
 }
 
+// UseNaivePolicy is for benchmarks: servers are chosen in turn, and retries have no budget. It
+// must be called before the first request.
+func (d *Dispatcher) UseNaivePolicy() {
+	d.router.ChooseInTurn()
+	d.guard.naive = true
+}
+
 // Request is what all kinds of request have in common.
 type Request struct {
 	ID        string
--- a/dispatch/draft_choose.go
+++ b/dispatch/draft_choose.go
@@ -22,10 +22,23 @@
 	return l.Leaving()
 }
 
+// observeStep tells the router how long a stage took, against what its server promises.
+func (d *Dispatcher) observeStep(st pipeline.Stage, took time.Duration) {
+	share := float64(st.Layers.Len()) / float64(st.Server.Layers.Len())
+	promised := time.Duration(float64(st.Server.StepMicros) * share * float64(time.Microsecond))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.router.ObserveStep(time.Now(), st.Server, promised, took)
+}
+
 // chooseStages chooses what takes over a stage: one server that can run its layers, or else
 // several that together can.
 func (d *Dispatcher) chooseStages(r Draft, a pipeline.Replace) (pipeline.Chain, error) {
-	server, err := d.chooseReplacement(r, a.Chain, a.Stage, a.Exclude)
+	guarded := append(slices.Clone(a.Exclude), d.guard.excluded(r.fingerprint())...)
+	server, err := d.chooseReplacement(r, a.Chain, a.Stage, guarded)
+	if err != nil {
+		server, err = d.chooseReplacement(r, a.Chain, a.Stage, a.Exclude)
+	}
 	if err == nil {
 		return pipeline.Chain{{Server: server, Layers: a.Layers}}, nil
 	}
--- a/dispatch/draft_conn.go
+++ b/dispatch/draft_conn.go
@@ -18,6 +18,7 @@
 		PromptTokens: run.r.PromptTokens,
 		MaxTokens:    run.r.MaxTokens,
 		From:         a.From,
+		Fresh:        a.IsFresh,
 		Ready:        a.Ready,
 	}
 	if a.Ready > 0 {
@@ -43,7 +44,7 @@
 		return
 	}
 	defer c.Close()
-	if !run.keep(conn, c) {
+	if !run.keep(conn, open.Chain[open.Stage].Server, c) {
 		return
 	}
 	for {
@@ -52,7 +53,7 @@
 			run.report(connEvent{conn: conn, reason: failureReason(err, pipeline.ReasonClosed), err: err})
 			return
 		}
-		if run.inbox.Push(run.ctx, connEvent{conn: conn, frame: f}) != nil {
+		if run.inbox.Push(run.ctx, connEvent{conn: conn, frame: f}) != nil || f.Kind == backend.FrameEnd {
 			return
 		}
 	}
@@ -74,16 +75,24 @@
 }
 
 // keep notes an open connection, unless it was closed meanwhile.
-func (run *draftRun) keep(conn int, c *backend.Conn) bool {
+func (run *draftRun) keep(conn int, server string, c *backend.Conn) bool {
 	run.mu.Lock()
 	defer run.mu.Unlock()
 	if _, ok := run.conns[conn]; !ok {
 		return false
 	}
 	run.conns[conn] = c
+	run.connected[server] = true
 	return true
 }
 
+// wasConnected reports whether the server has had the request.
+func (run *draftRun) wasConnected(server string) bool {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	return run.connected[server]
+}
+
 func (run *draftRun) close(conn int) {
 	run.mu.Lock()
 	defer run.mu.Unlock()
--- a/dispatch/draft_run.go
+++ b/dispatch/draft_run.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/balsamlb/balsamlb/backend"
 	"github.com/balsamlb/balsamlb/internal/ring"
+	"github.com/balsamlb/balsamlb/outcome"
 	"github.com/balsamlb/balsamlb/pipeline"
+	"github.com/balsamlb/balsamlb/quarantine"
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
 )
@@ -27,6 +30,8 @@
 	frame  backend.Frame
 	reason pipeline.Reason // "" for a frame
 	err    error
+	// cancelled says that a server has confirmed a cancel or can't be reached.
+	cancelled bool
 }
 
 // draftRun carries out what the stream of one draft decides.
@@ -49,26 +54,30 @@
 
 	mu    sync.Mutex
 	conns map[int]*backend.Conn // nil while it is being opened
+	// connected are the servers that have had the request.
+	connected map[string]bool
 }
 
 func newDraftRun(caller context.Context, d *Dispatcher, r Draft, chain pipeline.Chain, events *ring.Ring[DraftEvent]) *draftRun {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(caller))
 	run := &draftRun{
-		d:      d,
-		r:      r,
-		log:    d.log.WithValues("request", r.ID),
-		events: events,
-		inbox:  ring.New[connEvent](inboxSize),
-		caller: caller,
-		ctx:    ctx,
-		cancel: cancel,
-		conns:  make(map[int]*backend.Conn),
+		d:         d,
+		r:         r,
+		log:       d.log.WithValues("request", r.ID),
+		events:    events,
+		inbox:     ring.New[connEvent](inboxSize),
+		caller:    caller,
+		ctx:       ctx,
+		cancel:    cancel,
+		conns:     make(map[int]*backend.Conn),
+		connected: make(map[string]bool),
 		stream: pipeline.NewStream(pipeline.StreamSpec{
-			Request:  r.ID,
-			Layers:   r.Service.Layers,
-			Deadline: r.Deadline,
-			Chain:    chain,
-			Limits:   pipeline.DefaultLimits(),
+			Request:   r.ID,
+			Layers:    r.Service.Layers,
+			Deadline:  r.Deadline,
+			MaxTokens: r.MaxTokens,
+			Chain:     chain,
+			Limits:    pipeline.DefaultLimits(),
 		}),
 	}
 	for _, st := range chain {
@@ -106,16 +115,22 @@
 		return
 	}
 	run.carryOut(run.stream.Tick(now))
-	for _, server := range run.d.leaving() {
-		if run.last == nil && run.stream.Uses(server) {
-			run.carryOut(run.stream.Leaving(now, server))
+	leaving := run.d.leaving()
+	for _, server := range run.stream.Servers() {
+		if !slices.Contains(leaving, server) {
+			run.stream.Stays(server)
+			continue
 		}
+		run.carryOut(run.stream.Leaving(now, server))
 	}
 }
 
 // take passes an event to the stream.
 func (run *draftRun) take(e connEvent) []pipeline.Action {
 	now := time.Now()
+	if e.cancelled {
+		return run.stream.Cancelled(now)
+	}
 	if e.reason != "" {
 		return run.stream.Failed(now, e.conn, e.reason)
 	}
@@ -165,11 +180,13 @@
 	case pipeline.Start:
 		run.start(a)
 	case pipeline.Cancel:
-		run.group.Go(func() error { run.cancelStage(a.Stage); return nil })
+		run.group.Go(func() error { run.cancelStage(a); return nil })
 	case pipeline.Release:
 		run.release(a.Server)
 	case pipeline.Resume:
 		run.log.Info("resumes over a new connection", "server", a.Server, "stage", a.Stage, "reason", string(a.Reason))
+	case pipeline.Observe:
+		run.d.observeStep(a.Stage, a.Took)
 	case pipeline.Emit:
 		run.emit(a.Token)
 	case pipeline.Finish:
@@ -196,6 +213,10 @@
 
 // replace chooses servers for the layers of a stage.
 func (run *draftRun) replace(a pipeline.Replace) []pipeline.Action {
+	if run.d.noteStageFailure(run, a) == quarantine.Quarantined {
+		run.last = &DraftEvent{Err: errQuarantined(outcome.Failed)}
+		return nil
+	}
 	stages, err := run.d.chooseStages(run.r, a)
 	if err != nil {
 		run.log.Info("found no replacement", "server", a.Server, "reason", string(a.Reason), "err", err.Error())
@@ -206,6 +227,7 @@
 		names[i] = st.Server.Name
 	}
 	run.inUse = append(run.inUse, names...)
+	run.d.guard.started(run.r.ID, run.r.fingerprint(), serversOf(stages)...)
 	run.log.Info("replaces a stage", "server", a.Server, "reason", string(a.Reason), "by", names, "next", run.stream.Next())
 	return run.stream.Replaced(time.Now(), a.Stage, stages)
 }
@@ -214,15 +236,21 @@
 	for i, s := range run.inUse {
 		if s == server {
 			run.inUse = append(run.inUse[:i], run.inUse[i+1:]...)
+			run.d.guard.stopped(run.r.ID, server)
 			run.d.ended(server)
 			return
 		}
 	}
 }
 
-func (run *draftRun) cancelStage(st pipeline.Stage) {
-	if err := backend.CancelStage(context.WithoutCancel(run.caller), stageRef(st), run.r.ID); err != nil {
-		run.log.V(1).Info("could not cancel", "server", st.Server.Name, "err", err.Error())
+func (run *draftRun) cancelStage(a pipeline.Cancel) {
+	ctx := context.WithoutCancel(run.caller)
+	if err := backend.CancelStage(ctx, stageRef(a.Stage), run.r.ID); err != nil {
+		run.log.V(1).Info("could not cancel", "server", a.Stage.Server.Name, "err", err.Error())
+	}
+	if a.Confirm {
+		// The push fails only when the run has ended.
+		_ = run.inbox.Push(run.ctx, connEvent{cancelled: true})
 	}
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -10,6 +10,7 @@
 	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
+	"fmt"
 	"slices"
 	"time"
 )
@@ -104,6 +105,22 @@
 	}
 }
 
+// String returns the fingerprint as operators write it.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
+// Pending returns the runs that ended with a reset and may be blamed for a death that is told
+// later.
+func (t *Tracker) Pending(now time.Time) []Run {
+	t.forgetRuns(now)
+	var out []Run
+	for _, r := range t.runs {
+		if !r.resetAt.IsZero() && !r.explained {
+			out = append(out, r.Run)
+		}
+	}
+	return out
+}
+
 // Check returns how the request may run.
 func (t *Tracker) Check(now time.Time, f Fingerprint) Verdict {
 	r, ok := t.records[f]
--- a/route/route.go
+++ b/route/route.go
@@ -25,8 +25,6 @@
 	Seed uint64
 	// Links gives the delay between data centres. Nil: DefaultLink for each other one.
 	Links Links
-	// InTurn chooses servers in turn whatever they cost, as the naive version of a benchmark.
-	InTurn bool
 }
 
 // Router chooses servers by predicted cost. It is not safe for concurrent use.
@@ -50,11 +48,13 @@
 		accounts:   make(map[string]*account),
 		paces:      newPaces(),
 		prefixes:   newPrefixes(),
-		inTurn:     o.InTurn,
 		turns:      make(map[string]int),
 	}
 }
 
+// ChooseInTurn chooses servers in turn whatever they cost, as the naive version of a benchmark.
+func (r *Router) ChooseInTurn() { r.inTurn = true }
+
 // Reason names the part of the cost that decided a choice.
 type Reason string
 
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -22,6 +22,10 @@
 	{"server", "step", "4000", "µs", "Time of one decoding step with one request.", wholeNumber(0, 10_000_000)},
 	{"server", "prefill", "50", "µs", "Time to prefill one token.", wholeNumber(0, 1_000_000)},
 	{"server", "services", "", "name, ...", "Plain services that the server runs.", anyText},
+	{"server", "resolves_requests", "false", "", "true: the server can tell what became of a request.", oneOf("true", "false")},
+	{"server", "call_time", "0s", "duration", "Time that a plain call takes beside the usual.", duration(0, time.Minute)},
+	{"server", "refuse_every", "0", "calls", "Every nth plain call is refused before it runs. 0: none.", wholeNumber(0, 1_000_000)},
+	{"server", "lose_every", "0", "calls", "Every nth plain call runs and gets no answer. 0: none.", wholeNumber(0, 1_000_000)},
 	{"link", "delay", "500", "µs", "One-way delay between two data centres: [link A B].", wholeNumber(0, 10_000_000)},
 	{"link", "bandwidth", "0", "Mbit/s", "Bandwidth between two data centres; 0: unlimited.", wholeNumber(0, 10_000_000)},
 	{"accelerator", "delay", "0", "µs", "What a kind of accelerator adds to the delay of a hop.", wholeNumber(0, 10_000_000)},
@@ -40,6 +44,8 @@
 	Peers []fleet.BackendServer
 	// Announce lists the instances of each data centre.
 	Announce map[string][]string
+	// CallFaults are what goes wrong at each server, by name.
+	CallFaults map[string]CallFaults
 	// Links are between data centres, Accelerators what a kind adds to each hop.
 	Links        []EmulatedLink
 	Accelerators []EmulatedLink
@@ -49,6 +55,14 @@
 	PrefixTokens    int
 }
 
+// CallFaults make plain calls of an emulated server go wrong. Zero values change nothing.
+type CallFaults struct {
+	CallTime time.Duration
+	// RefuseEvery and LoseEvery are counts of calls.
+	RefuseEvery int
+	LoseEvery   int
+}
+
 // EmulatedLink is a link by the name of its section.
 type EmulatedLink struct {
 	Name        string
@@ -60,7 +74,7 @@
 // ParseFleet checks a file of emulated backend servers; name is used in errors.
 func ParseFleet(name string, data []byte) (EmulatedFleet, error) {
 	r := &reader{schema: fleetSchema}
-	out := EmulatedFleet{Announce: make(map[string][]string)}
+	out := EmulatedFleet{Announce: make(map[string][]string), CallFaults: make(map[string]CallFaults)}
 	src, ok := r.load(name, data)
 	if !ok || len(r.faults) > 0 {
 		return out, r.err()
@@ -75,6 +89,12 @@
 			continue
 		}
 		out.Servers = append(out.Servers, r.emulated(sources, server, name))
+		section := "server " + server
+		out.CallFaults[server] = CallFaults{
+			CallTime:    r.duration(sources, section, "call_time"),
+			RefuseEvery: r.number(sources, section, "refuse_every"),
+			LoseEvery:   r.number(sources, section, "lose_every"),
+		}
 	}
 	out.Links = r.emulatedLinks(sources, "link")
 	out.Accelerators = r.emulatedLinks(sources, "accelerator")
@@ -118,6 +138,8 @@
 		StepMicros:    r.number(sources, section, "step"),
 		PrefillMicros: r.number(sources, section, "prefill"),
 		ChecksFences:  r.value(sources, section, "checks_fences") == "true",
+
+		ResolvesRequests: r.value(sources, section, "resolves_requests") == "true",
 	}
 }
 
