--- a/cmd/balsamctl/main.go
+++ b/cmd/balsamctl/main.go
@@ -63,6 +63,8 @@
 			newConfig(),
 			newDrain(),
 			newCredits(),
+			newQuarantine(),
+			newMove(),
 			newTrace(),
 			newTail(),
 			newCompletion(),
--- /dev/null
+++ b/cmd/balsamctl/policy.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/balsamlb/balsamlb/operator"
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+var errNoFingerprint = usageError("name the fingerprint to release; see balsamctl quarantine list")
+
+func newQuarantine() *ffcli.Command {
+	return &ffcli.Command{
+		Name: "quarantine", ShortUsage: "balsamctl quarantine <list|release>", ShortHelp: "show and release requests that crash backend servers",
+		FlagSet:     newFlagSet("quarantine"),
+		Subcommands: []*ffcli.Command{newQuarantineList(), newQuarantineRelease()},
+		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+	}
+}
+
+func newQuarantineList() *ffcli.Command {
+	fs := newFlagSet("list")
+	access := addAccess(fs)
+	return &ffcli.Command{
+		Name: "list", ShortUsage: "balsamctl quarantine list [flags]", ShortHelp: "show suspects and requests in quarantine",
+		FlagSet: fs, Options: envOptions(),
+		Exec: func(context.Context, []string) error {
+			client, err := access.client()
+			if err != nil {
+				return err
+			}
+			entries, err := client.Quarantine()
+			if err != nil {
+				return err
+			}
+			return printQuarantine(entries)
+		},
+	}
+}
+
+func printQuarantine(entries []operator.QuarantineEntry) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "FINGERPRINT\tSTATE\tDIED\tEXPIRES IN")
+	for _, e := range entries {
+		state := "suspect"
+		if e.Quarantined {
+			state = "quarantined"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", e.Fingerprint, state, strings.Join(e.Servers, " "), time.Until(e.Expires).Round(time.Second))
+	}
+	return w.Flush()
+}
+
+func newQuarantineRelease() *ffcli.Command {
+	fs := newFlagSet("release")
+	access := addAccess(fs)
+	return &ffcli.Command{
+		Name: "release", ShortUsage: "balsamctl quarantine release [flags] FINGERPRINT", ShortHelp: "let a request run again",
+		FlagSet: fs, Options: envOptions(),
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) != 1 {
+				return errNoFingerprint
+			}
+			client, err := access.client()
+			if err != nil {
+				return err
+			}
+			if err := client.Release(args[0]); err != nil {
+				return err
+			}
+			fmt.Println("released", args[0])
+			return nil
+		},
+	}
+}
+
+func newMove() *ffcli.Command {
+	return &ffcli.Command{
+		Name: "move", ShortUsage: "balsamctl move status", ShortHelp: "show how services move by their dates",
+		FlagSet:     newFlagSet("move"),
+		Subcommands: []*ffcli.Command{newMoveStatus()},
+		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+	}
+}
+
+func newMoveStatus() *ffcli.Command {
+	fs := newFlagSet("status")
+	access := addAccess(fs)
+	return &ffcli.Command{
+		Name: "status", ShortUsage: "balsamctl move status [flags]", ShortHelp: "show progress, forecast and risk of each move",
+		FlagSet: fs, Options: envOptions(),
+		Exec: func(context.Context, []string) error {
+			client, err := access.client()
+			if err != nil {
+				return err
+			}
+			moves, err := client.Moves()
+			if err != nil {
+				return err
+			}
+			return printMoves(moves)
+		},
+	}
+}
+
+func printMoves(moves []operator.MoveStatus) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "MOVE\tSERVICE\tDONE\tDRAINED\tTOTAL\tDATE\tFORECAST\tWARNING")
+	for _, m := range moves {
+		forecast := "unknown"
+		if !m.Forecast.IsZero() {
+			forecast = m.Forecast.Format(time.RFC3339)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%s\t%s\t%s\n",
+			m.Name, m.Service, m.Done, m.Drained, m.Total, m.Date.Format(time.RFC3339), forecast, m.Risk)
+	}
+	return w.Flush()
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -153,6 +153,7 @@
 	if d.host != nil {
 		g.Go(func() error { return d.host.Run(dutyCtx) })
 		g.Go(func() error { return d.sender.Run(dutyCtx) })
+		g.Go(func() error { return d.runMoves(dutyCtx) })
 	}
 	d.log.Info("started", "instance", d.process.Name, "data_centre", d.process.DataCentre)
 	select {
--- a/daemon/forecast.go
+++ b/daemon/forecast.go
@@ -57,4 +57,18 @@
 	return float64(here) / float64(all)
 }
 
+// Neighbours returns the instances of the data centre that are heard, this one included.
+func (s *shared) Neighbours() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	out := []string{s.process.Name}
+	for _, m := range s.table.Members() {
+		if m.DataCentre == s.process.DataCentre && membership.IsAlive(m, now) {
+			out = append(out, m.Name)
+		}
+	}
+	return out
+}
+
 var _ membership.UsageExchange = (*admitter)(nil)
--- a/dispatch/call_idempotent.go
+++ b/dispatch/call_idempotent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/balsamlb/balsamlb/backend"
@@ -158,19 +159,18 @@
 		if verdict == quarantine.Quarantined {
 			return fleet.BackendServer{}, errQuarantined(outcome.NotRun)
 		}
-		server, err := d.chooseServer(r, append(d.guard.excluded(f), tried...))
-		if err == nil {
-			return server, nil
+		var err error
+		for _, exclude := range d.exclusions(f) {
+			var server fleet.BackendServer
+			if server, err = d.chooseServer(r, slices.Concat(exclude, tried)); err == nil {
+				return server, nil
+			}
 		}
 		if verdict == quarantine.Clear {
-			server, err = d.chooseServer(r, tried)
-			if err != nil {
-				return server, asOutcome(err)
-			}
-			return server, nil
+			return fleet.BackendServer{}, asOutcome(err)
 		}
 		if !sleep(ctx, suspectPause) {
-			return server, errDeadline(outcome.NotRun)
+			return fleet.BackendServer{}, errDeadline(outcome.NotRun)
 		}
 	}
 }
--- a/dispatch/draft_choose.go
+++ b/dispatch/draft_choose.go
@@ -34,14 +34,14 @@
 // chooseStages chooses what takes over a stage: one server that can run its layers, or else
 // several that together can.
 func (d *Dispatcher) chooseStages(r Draft, a pipeline.Replace) (pipeline.Chain, error) {
-	guarded := append(slices.Clone(a.Exclude), d.guard.excluded(r.fingerprint())...)
-	server, err := d.chooseReplacement(r, a.Chain, a.Stage, guarded)
-	if err != nil {
-		server, err = d.chooseReplacement(r, a.Chain, a.Stage, a.Exclude)
-	}
-	if err == nil {
-		return pipeline.Chain{{Server: server, Layers: a.Layers}}, nil
+	exclusions := d.exclusions(r.fingerprint())
+	for _, exclude := range exclusions {
+		server, err := d.chooseReplacement(r, a.Chain, a.Stage, slices.Concat(a.Exclude, exclude))
+		if err == nil {
+			return pipeline.Chain{{Server: server, Layers: a.Layers}}, nil
+		}
 	}
+	a.Exclude = slices.Concat(a.Exclude, exclusions[len(exclusions)-1])
 	return d.chooseSplit(r, a)
 }
 
--- a/dispatch/draft_conn.go
+++ b/dispatch/draft_conn.go
@@ -40,6 +40,9 @@
 func (run *draftRun) read(conn int, open backend.StageOpen) {
 	c, err := backend.OpenStage(run.ctx, open)
 	if err != nil {
+		if backend.WasClosed(err) {
+			run.noteConnected(open.Chain[open.Stage].Server)
+		}
 		run.report(connEvent{conn: conn, reason: failureReason(err, pipeline.ReasonDial), err: err})
 		return
 	}
@@ -86,6 +89,13 @@
 	return true
 }
 
+// noteConnected notes that the server has had the request.
+func (run *draftRun) noteConnected(server string) {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	run.connected[server] = true
+}
+
 // wasConnected reports whether the server has had the request.
 func (run *draftRun) wasConnected(server string) bool {
 	run.mu.Lock()
--- a/dispatch/draft_guard.go
+++ b/dispatch/draft_guard.go
@@ -26,19 +26,19 @@
 		if verdict == quarantine.Quarantined {
 			return route.ChainChoice{}, errQuarantined(outcome.NotRun)
 		}
-		c, err := d.chooseChain(r, d.guard.excluded(f))
-		if err != nil && verdict == quarantine.Clear {
-			c, err = d.chooseChain(r, nil)
-		}
-		if err == nil {
-			d.guard.started(r.ID, f, serversOf(c.Chain)...)
-			return c, nil
+		var err error
+		for _, exclude := range d.exclusions(f) {
+			var c route.ChainChoice
+			if c, err = d.chooseChain(r, exclude); err == nil {
+				d.guard.started(r.ID, f, serversOf(c.Chain)...)
+				return c, nil
+			}
 		}
 		if verdict == quarantine.Clear {
-			return c, asOutcome(err)
+			return route.ChainChoice{}, asOutcome(err)
 		}
 		if !sleep(ctx, suspectPause) {
-			return c, errDeadline(outcome.NotRun)
+			return route.ChainChoice{}, errDeadline(outcome.NotRun)
 		}
 	}
 }
--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -92,15 +93,29 @@
 	return g.tracker.Check(time.Now(), f)
 }
 
-// excluded returns the servers that the request should not be given.
-func (g *guard) excluded(f quarantine.Fingerprint) []string {
+// exclusions returns the servers that the request should not be given, as lists to be tried in
+// turn until one leaves a server. A suspect never runs where another one does.
+func (d *Dispatcher) exclusions(f quarantine.Fingerprint) [][]string {
+	var notOwn []string
+	if d.guard.check(f) == quarantine.Suspect {
+		notOwn = d.notOwn()
+	}
+	return d.guard.exclusions(f, notOwn)
+}
+
+func (g *guard) exclusions(f quarantine.Fingerprint, notOwn []string) [][]string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.naive {
-		return nil
+		return [][]string{nil}
 	}
 	now := time.Now()
-	return append(g.tracker.Reserved(now, f), g.health.Excluded(now)...)
+	failed := g.health.Excluded(now)
+	apart := slices.Concat(failed, g.tracker.Reserved(now, f))
+	if g.tracker.Check(now, f) != quarantine.Clear {
+		return [][]string{slices.Concat(apart, notOwn), apart}
+	}
+	return [][]string{apart, failed, nil}
 }
 
 // started notes that servers are given the request.
--- /dev/null
+++ b/drain/drain_test.go
@@ -0,0 +1,119 @@
+package drain
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/balsamlb/balsamlb/fleet"
+	_ "github.com/balsamlb/balsamlb/internal/seeded"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func server(name, dc string, from, to int) Server {
+	return Server{BackendServer: fleet.BackendServer{
+		Name: name, DataCentre: dc, Model: "icing-7b", Layers: fleet.Range{From: from, To: to}, Slots: 8,
+	}}
+}
+
+func move(dc string) Move {
+	return Move{Name: "m", Service: "draft", Model: "icing-7b", Layers: 32, DataCentre: dc, Start: epoch, Date: epoch.Add(100 * time.Hour)}
+}
+
+// A move played to its end never leaves a layer without a server, keeps the capacity for the
+// work of the moment, drains one server at a time, and ends before its date.
+func TestMoveKeepsCapacityAndEndsInTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		var f Fleet
+		for i := range rapid.IntRange(1, 6).Draw(t, "old") {
+			f.Servers = append(f.Servers, server(fmt.Sprint("old-a", i), "kandy", 0, 16), server(fmt.Sprint("old-b", i), "kandy", 16, 32))
+		}
+		news := rapid.IntRange(1, 4).Draw(t, "new")
+		for i := range news {
+			f.Servers = append(f.Servers, server(fmt.Sprint("new", i), "galle", 0, 32))
+		}
+		// The work fits on the servers that stay.
+		work := rapid.IntRange(0, news*8*4/5).Draw(t, "work")
+		m := move("kandy")
+		for now := epoch; ; now = now.Add(time.Hour) {
+			is.True(now.Before(m.Date)) // ends in time
+			p := Look(now, m, f)
+			if p.IsDone() {
+				return
+			}
+			is.True(p.Risk == RiskNone || p.Risk == RiskLate)
+			draining := 0
+			for i := range f.Servers {
+				s := &f.Servers[i]
+				s.Load.Running = work / len(f.Servers)
+				if s.Name == p.Next {
+					s.DrainedAt = now
+					s.InFlight = 1
+				} else if s.isDrained() {
+					s.InFlight = 0
+				}
+				if s.isDrained() && s.InFlight > 0 {
+					draining++
+				}
+			}
+			is.True(draining <= 1)
+			left := m.capacity("", f)
+			is.True(left > 0 && left >= work)
+		}
+	})
+}
+
+func TestMoveThatWouldUncoverALayerIsBlockedAndWarns(t *testing.T) {
+	is := is.New(t)
+	f := Fleet{Servers: []Server{server("a", "kandy", 0, 16), server("b", "galle", 16, 32)}}
+	p := Look(epoch.Add(time.Hour), move("kandy"), f)
+	is.Equal(p.Next, "")
+	is.Equal(p.Risk, RiskLayers)
+}
+
+func TestMoveWaitsForCapacity(t *testing.T) {
+	is := is.New(t)
+	f := Fleet{Servers: []Server{server("a", "kandy", 0, 32), server("b", "galle", 0, 32)}}
+	f.Servers[1].Load.Running = 7
+	p := Look(epoch.Add(time.Hour), move("kandy"), f)
+	is.Equal(p.Next, "")
+	is.Equal(p.Risk, RiskCapacity)
+}
+
+func TestMoveIsSpreadOverTheTimeToItsDate(t *testing.T) {
+	is := is.New(t)
+	f := Fleet{Servers: []Server{server("a", "kandy", 0, 32), server("b", "kandy", 0, 32), server("c", "galle", 0, 32)}}
+	is.Equal(Look(epoch.Add(-time.Hour), move("kandy"), f).Next, "")
+	is.Equal(Look(epoch, move("kandy"), f).Next, "a")
+	f.Servers[0].DrainedAt = epoch
+	is.Equal(Look(epoch.Add(time.Hour), move("kandy"), f).Next, "")
+	is.Equal(Look(epoch.Add(50*time.Hour), move("kandy"), f).Next, "b")
+}
+
+func TestDateAtRiskIsWarnedOf(t *testing.T) {
+	is := is.New(t)
+	f := Fleet{Servers: []Server{server("c", "galle", 0, 32)}}
+	for i := range 10 {
+		f.Servers = append(f.Servers, server(fmt.Sprint("s", i), "kandy", 0, 32))
+	}
+	f.Servers[1].DrainedAt = epoch
+	p := Look(epoch.Add(20*time.Hour), move("kandy"), f)
+	is.Equal(p.Done, 1)
+	is.Equal(p.Forecast, epoch.Add(200*time.Hour))
+	is.Equal(p.Risk, RiskLate)
+	is.Equal(Look(epoch.Add(101*time.Hour), move("kandy"), f).Risk, RiskOverdue)
+}
+
+func TestServersThatHaveGoneCountAsDone(t *testing.T) {
+	is := is.New(t)
+	m := move("")
+	m.Servers = []string{"a", "b"}
+	f := Fleet{Servers: []Server{server("b", "kandy", 0, 32), server("c", "galle", 0, 32)}, Gone: map[string]time.Time{"a": epoch, "z": epoch}}
+	p := Look(epoch.Add(time.Hour), m, f)
+	is.Equal(p.Total, 2)
+	is.Equal(p.Done, 1)
+}
--- /dev/null
+++ b/internal/lab/policy_test.go
@@ -0,0 +1,114 @@
+package lab
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/balsamlb/balsamlb/internal/emulate"
+	"github.com/balsamlb/balsamlb/internal/load"
+	"github.com/balsamlb/balsamlb/operator"
+	"github.com/balsamlb/balsamlb/outcome"
+	"github.com/matryer/is"
+)
+
+const wholeServers = 6
+
+// wholeFleet has servers that each hold the whole model.
+func wholeFleet() string {
+	var b strings.Builder
+	b.WriteString("[data_centre colombo]\nannounce = $ANNOUNCE(colombo)\n")
+	for i := range wholeServers {
+		fmt.Fprintf(&b, "[server whole-%d]\naddress = $NET.1.%d:9000\ndata_centre = colombo\nmodel = icing-7b\nlayers = 0-32\nstep = 2000\nslots = 4\nservices = stock\n", i, 100+i)
+	}
+	return b.String()
+}
+
+func startWhole(t *testing.T) *Lab {
+	t.Helper()
+	l, err := Start(t.Context(), Layout{
+		Folder:      t.TempDir(),
+		Bin:         bin,
+		DataCentres: []DataCentre{{Name: "colombo", Instances: 2, Control: true}},
+		Emulators:   []Emulator{{Name: "emulator", Fleet: wholeFleet()}},
+		Base:        base + "[service stock]\n",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	if err := l.WaitServers(t.Context(), wholeServers); err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// A draft crashes each server that runs it, while others run beside it. It stops after two
+// servers, also when its caller sends it again to another instance, and the others finish.
+func TestCrashRequestStopsAfterTwoServersAndOthersFinish(t *testing.T) {
+	is := is.New(t)
+	l := startWhole(t)
+	for i := range wholeServers {
+		address := fmt.Sprintf("%s.1.%d:9000", l.Layout.Net, 100+i)
+		is.NoErr(emulate.SetFault(address, emulate.Fault{Kind: emulate.FaultCrashOn, Content: "poison"}))
+	}
+	callers := []string{l.Instances[0].Callers(), l.Instances[1].Callers()}
+	var innocents load.Result
+	var group sync.WaitGroup
+	group.Go(func() {
+		innocents = load.Run(t.Context(), load.Options{
+			Instances: callers, Workspace: "kandy", Drafts: 24, Concurrent: 12, MaxTokens: 60, Seed: 1, Deadline: 25 * time.Second,
+		})
+	})
+	poison := func(try int) load.Reply {
+		return load.Do(t.Context(), load.Send{
+			Instance: callers[try%2], Workspace: "kandy", Service: "draft", Prompt: "poison", MaxTokens: 20, Deadline: 20 * time.Second,
+		})
+	}
+	// The faults come into force a moment after they were set.
+	is.NoErr(l.Wait(t.Context(), "the faults to be in force", func() bool {
+		return poison(0).Code == outcome.CodeQuarantined
+	}))
+	// The other instance learns within a second; that is not judged here.
+	is.NoErr(l.Wait(t.Context(), "the quarantine at both instances", func() bool { return quarantinedAt(l) == 2 }))
+	for try := range 6 {
+		reply := poison(try)
+		is.Equal(reply.Outcome, outcome.NotRun)
+		is.Equal(reply.Code, outcome.CodeQuarantined)
+	}
+	group.Wait()
+	is.Equal(innocents.Broken, nil)
+	is.Equal(innocents.Answered, 24)
+	is.NoErr(l.Wait(t.Context(), "the leases of two servers to end", func() bool {
+		s, err := operator.NewClient(l.Instances[0].Operators()).Status()
+		return err == nil && len(s.Servers) == wholeServers-2
+	}))
+	entries, err := operator.NewClient(l.Instances[1].Operators()).Quarantine()
+	is.NoErr(err)
+	for _, e := range entries {
+		if e.Quarantined {
+			is.NoErr(operator.NewClient(l.Instances[1].Operators()).Release(e.Fingerprint))
+		}
+	}
+	is.NoErr(l.Wait(t.Context(), "the release at both instances", func() bool { return quarantinedAt(l) == 0 }))
+}
+
+// quarantinedAt returns the number of instances that hold a request in quarantine.
+func quarantinedAt(l *Lab) int {
+	n := 0
+	for _, i := range l.Instances {
+		entries, err := operator.NewClient(i.Operators()).Quarantine()
+		if err != nil {
+			continue
+		}
+		for _, e := range entries {
+			if e.Quarantined {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
--- a/operator/server.go
+++ b/operator/server.go
@@ -24,6 +24,7 @@
 	Credits(ctx context.Context) ([]CreditCount, error)
 	// Lines returns the latest log lines.
 	Lines() *trace.Recorder
+	PolicyBackend
 }
 
 const maxConfigBytes = 8 << 20
@@ -108,6 +109,12 @@
 		h.drain(callCtx, ctx)
 	case path == PathCredits && ctx.IsGet():
 		h.credits(callCtx, ctx)
+	case path == PathQuarantine && ctx.IsGet():
+		writeJSON(ctx, fasthttp.StatusOK, h.backend.Quarantine())
+	case path == PathQuarantine && ctx.IsPost():
+		h.release(ctx)
+	case path == PathMoves && ctx.IsGet():
+		writeJSON(ctx, fasthttp.StatusOK, h.backend.Moves())
 	case path == PathTrace && ctx.IsGet():
 		h.trace(ctx)
 	case path == PathDecisions && ctx.IsGet():
--- a/settings/intent.go
+++ b/settings/intent.go
@@ -27,6 +27,11 @@
 	{"service", "layers", "0", "layers", "Number of layers of the model.", wholeNumber(0, 4096)},
 	{"service", "idempotent", "true", "", "false: the service's calls are recorded and run at most once.", oneOf("true", "false")},
 	{"service", "enabled", "true", "", "false: the service takes no requests in the data centre.", oneOf("true", "false")},
+	{"move", "service", "", "", "Service whose backend servers are retired.", anyText},
+	{"move", "data_centre", "", "", "Data centre whose servers of the service are retired. Empty: those that servers names.", anyText},
+	{"move", "servers", "", "name, ...", "Servers that are retired. Empty: those of data_centre.", anyText},
+	{"move", "start", "", "date", "When the first server is drained. Empty: at once.", dateTime},
+	{"move", "date", "", "date", "When the last server must be idle, such as 2027-03-31T18:00:00Z.", dateTime},
 	{"workspace", "member", "", "", "Member that answered requests are credited to. Empty: the workspace's name.", anyText},
 	{"workspace", "share", "1", "", "Weight of the workspace under load.", wholeNumber(1, 1_000_000)},
 	{"workspace", "max_in_flight", "256", "requests", "Most requests in flight at one instance.", wholeNumber(1, 1_000_000)},
@@ -71,6 +76,7 @@
 	Limits     Limits
 	Services   map[string]Service
 	Workspaces map[string]Workspace
+	Moves      map[string]Move
 }
 
 // File is a named text, for errors.
@@ -102,6 +108,10 @@
 	for _, name := range r.names(sources, "workspace") {
 		in.Workspaces[name] = r.workspace(sources, name)
 	}
+	in.Moves = make(map[string]Move)
+	for _, name := range r.names(sources, "move") {
+		in.Moves[name] = r.move(sources, name, base.Name, in.Services)
+	}
 	return in, r.err()
 }
 
--- /dev/null
+++ b/settings/move.go
@@ -0,0 +1,53 @@
+package settings
+
+import (
+	"slices"
+	"time"
+)
+
+// Move is the retirement of backend servers by a date.
+type Move struct {
+	Name    string
+	Service string
+	// DataCentre or Servers says which servers of the service are retired.
+	DataCentre string
+	Servers    []string
+	Start      time.Time
+	Date       time.Time
+}
+
+func (r *reader) move(sources []source, name, file string, services map[string]Service) Move {
+	section := "move " + name
+	m := Move{
+		Name:       name,
+		Service:    r.value(sources, section, "service"),
+		DataCentre: r.value(sources, section, "data_centre"),
+		Servers:    splitList(r.value(sources, section, "servers")),
+	}
+	m.Start, _ = time.Parse(time.RFC3339, r.value(sources, section, "start"))
+	m.Date, _ = time.Parse(time.RFC3339, r.value(sources, section, "date"))
+	slices.Sort(m.Servers)
+	if _, ok := services[m.Service]; !ok {
+		r.fault(file, section, "service", m.Service, "must name a service")
+	}
+	if (m.DataCentre == "") == (len(m.Servers) == 0) {
+		r.fault(file, section, "data_centre", m.DataCentre, "either data_centre or servers is required")
+	}
+	if m.Date.IsZero() {
+		r.fault(file, section, "date", "", "is required")
+	}
+	if !m.Start.IsZero() && !m.Start.Before(m.Date) {
+		r.fault(file, section, "start", m.Start.Format(time.RFC3339), "must be before the date")
+	}
+	return m
+}
+
+func dateTime(v string) string {
+	if v == "" {
+		return ""
+	}
+	if _, err := time.Parse(time.RFC3339, v); err != nil {
+		return "must be a date and time such as 2027-03-31T18:00:00Z"
+	}
+	return ""
+}
