A restarted instance is not ready before it knows the backend servers

Ruled out: drafts cut off by the stopping instance; none was broken. Change: readiness waits for one server lease after the start, within which every available server renews its lease. The lab gains a stand-in for the platform's balancer.

--- a/daemon/state.go
+++ b/daemon/state.go
@@ -26,6 +26,7 @@
 	views *viewCache
 
 	mu       sync.Mutex
+	started  time.Time
 	registry *fleet.Registry
 	table    *membership.Table
 	gate     *membership.ViewGate
@@ -49,6 +50,7 @@
 		clock:       newClock(now),
 		bell:        b,
 		views:       newViewCache(),
+		started:     now,
 		registry:    fleet.NewRegistry(),
 		table:       membership.NewTable(p.Name),
 		gate:        membership.NewViewGate(now),
@@ -125,6 +127,10 @@
 		return "no configuration is in force yet"
 	case !s.gate.IsOpen(time.Now(), s.view.Index, !s.confirmedAt.IsZero()):
 		return "the configuration may be older than that of the other instances"
+	case time.Since(s.started) < s.serverLease():
+		// Every backend server that is available renews its lease within this time, so a new
+		// instance has heard of all of them after it.
+		return "the leases of backend servers are being collected"
 	}
 	return ""
 }
--- /dev/null
+++ b/internal/lab/balancer.go
@@ -0,0 +1,122 @@
+package lab
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// probeInterval is how often the balancer asks the instances whether they are ready.
+	probeInterval = 100 * time.Millisecond
+	probeTimeout  = 300 * time.Millisecond
+)
+
+// Balancer stands in for the platform's balancer: it passes each connection of a caller to
+// the next instance that says it is ready.
+type Balancer struct {
+	lab *Lab
+	ln  net.Listener
+
+	mu    sync.Mutex
+	ready []*Instance
+	next  int
+}
+
+// StartBalancer starts a balancer on the address before all instances of the lab.
+func (l *Lab) StartBalancer(ctx context.Context, address string) (*Balancer, error) {
+	ln, err := listen(address)
+	if err != nil {
+		return nil, err
+	}
+	b := &Balancer{lab: l, ln: ln}
+	context.AfterFunc(ctx, func() { _ = ln.Close() })
+	b.probe()
+	go b.probeAll(ctx)
+	go b.accept()
+	return b, nil
+}
+
+// Address returns where callers connect.
+func (b *Balancer) Address() string { return b.ln.Addr().String() }
+
+// IsReady reports whether the instance says that it is ready.
+func IsReady(i *Instance) bool {
+	status, _, err := fasthttp.GetTimeout(nil, "http://"+i.Platform()+"/readyz", probeTimeout)
+	return err == nil && status == fasthttp.StatusOK
+}
+
+func (b *Balancer) probeAll(ctx context.Context) {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			b.probe()
+		}
+	}
+}
+
+func (b *Balancer) probe() {
+	var ready []*Instance
+	for _, i := range b.lab.Instances {
+		if IsReady(i) {
+			ready = append(ready, i)
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ready = ready
+}
+
+func (b *Balancer) accept() {
+	for {
+		c, err := b.ln.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			_ = b.carry(c)
+		}()
+	}
+}
+
+var errNoneReady = eris.New("lab: no instance is ready")
+
+func (b *Balancer) pick() (*Instance, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.ready) == 0 {
+		return nil, errNoneReady
+	}
+	b.next++
+	return b.ready[b.next%len(b.ready)], nil
+}
+
+// carry passes bytes both ways until the instance has ended its side.
+func (b *Balancer) carry(caller net.Conn) error {
+	i, err := b.pick()
+	if err != nil {
+		return err
+	}
+	server, err := net.Dial("tcp", i.Callers())
+	if err != nil {
+		return eris.Wrapf(err, "lab: dial %s", i.Name)
+	}
+	defer server.Close()
+	go func() {
+		_, _ = io.Copy(server, caller)
+		// The caller has gone; the instance learns it from the closed connection.
+		_ = server.Close()
+	}()
+	_, err = io.Copy(caller, server)
+	return eris.Wrapf(err, "lab: carry from %s", i.Name)
+}
