--- a/cmd/balsamctl/status.go
+++ b/cmd/balsamctl/status.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/balsamlb/balsamlb/operator"
@@ -35,6 +36,15 @@
 	}
 }
 
+func printControl(c operator.ControlStatus) {
+	fmt.Printf("control: %s in term %d, leader %s, lease %t, voting %t\n", c.Role, c.Term, c.Leader, c.Lease, c.Voting)
+	fmt.Printf("control: commit %d, applied %d, snapshot at %d\n", c.Commit, c.Applied, c.Snapshot)
+	fmt.Printf("control: %d of %d voters: %s\n", len(c.Voters), c.Size, strings.Join(c.Voters, ", "))
+	for _, l := range c.Learners {
+		fmt.Printf("control: learner %s at %d, caught up %t\n", l.Name, l.Match, l.CaughtUp)
+	}
+}
+
 func printJSON(v any) error {
 	enc := json.NewEncoder(os.Stdout)
 	enc.SetIndent("", "  ")
@@ -44,7 +54,7 @@
 func printStatus(s operator.Status) error {
 	fmt.Printf("instance %s in %s, configuration version %d, %d requests in flight\n", s.Instance, s.DataCentre, s.ConfigVersion, s.InFlight)
 	if s.Control != nil {
-		fmt.Printf("control: %s in term %d, leader %s, commit %d\n", s.Control.Role, s.Control.Term, s.Control.Leader, s.Control.Commit)
+		printControl(*s.Control)
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "\nINSTANCE\tDATA CENTRE\tALIVE\tCONFIG\tHEARD")
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -8,9 +8,13 @@
 	n.role = RoleFollower
 	n.leader = leader
 	n.peers = nil
+	n.transferee = ""
 	n.resetTimer()
 }
 
+// mayCampaign reports whether the node is a voter whose memory the group has confirmed.
+func (n *Node) mayCampaign() bool { return n.isVoting() && n.verification.done }
+
 // becomePreCandidate asks whether an election could be won, without raising the term.
 func (n *Node) becomePreCandidate() {
 	n.role = RolePreCandidate
@@ -18,22 +22,25 @@
 	n.resetTimer()
 	n.votes = map[string]bool{n.opts.ID: true}
 	if n.hasQuorumOfVotes() {
-		n.becomeCandidate()
+		n.becomeCandidate(false)
 		return
 	}
-	n.requestVotes(KindPreVote, n.hard.Term+1)
+	n.requestVotes(Message{Kind: KindPreVote, Term: n.hard.Term + 1})
 }
 
-func (n *Node) becomeCandidate() {
+// becomeCandidate asks for votes; force says that the leader itself has asked for it.
+func (n *Node) becomeCandidate(force bool) {
 	n.role = RoleCandidate
+	n.leader = ""
 	n.hard = HardState{Term: n.hard.Term + 1, Vote: n.opts.ID}
 	n.resetTimer()
+	n.lease.campaign = n.now
 	n.votes = map[string]bool{n.opts.ID: true}
 	if n.hasQuorumOfVotes() {
 		n.becomeLeader()
 		return
 	}
-	n.requestVotes(KindVote, n.hard.Term)
+	n.requestVotes(Message{Kind: KindVote, Term: n.hard.Term, Force: force})
 }
 
 // becomeLeader appends an empty entry, since only entries of the leader's own term may be
@@ -42,37 +49,43 @@
 	n.role = RoleLeader
 	n.leader = n.opts.ID
 	n.elapsed = 0
-	n.quiet = 0
+	n.transferee = ""
+	n.uncommitted = 0
+	n.lease.begin()
 	n.peers = make(map[string]*progress)
-	for _, id := range n.opts.Voters {
-		if id != n.opts.ID {
-			n.peers[id] = &progress{next: n.lastIndex() + 1, active: true}
+	for _, v := range n.membership().Voters {
+		if v.ID != n.opts.ID {
+			n.peers[v.ID] = &progress{next: n.log.last() + 1, disk: v.Disk, heard: n.now}
 		}
 	}
-	n.entries = append(n.entries, Entry{Term: n.hard.Term, Index: n.lastIndex() + 1})
-	n.broadcastAppend()
+	n.propose(EntryCommand, nil)
+	n.heartbeat()
 }
 
-func (n *Node) requestVotes(kind Kind, term uint64) {
-	last := n.lastIndex()
-	for _, id := range n.opts.Voters {
-		if id == n.opts.ID {
+func (n *Node) requestVotes(m Message) {
+	last := n.log.lastPosition()
+	m.PrevIndex = last.Index
+	m.PrevTerm = last.Term
+	for _, v := range n.membership().Voters {
+		if v.ID == n.opts.ID {
 			continue
 		}
-		n.send(Message{Kind: kind, To: id, Term: term, PrevIndex: last, PrevTerm: n.termAt(last)})
+		m.To = v.ID
+		n.send(m)
 	}
 }
 
-// hearsLeader reports whether a leader was heard within the shortest election timeout.
+// hearsLeader reports whether a leader may hold a lease that this node has granted. After a
+// start the node can't know, and waits as long as any lease may last.
 func (n *Node) hearsLeader() bool {
-	if n.role == RoleLeader {
+	if n.role == RoleLeader || n.now < uint64(n.opts.ElectionTicks) {
 		return true
 	}
 	return n.leader != "" && n.elapsed < n.opts.ElectionTicks
 }
 
 func (n *Node) handlePreVote(m Message) {
-	grant := m.Term > n.hard.Term && !n.hearsLeader() && n.isUpToDate(m)
+	grant := n.verification.done && m.Term > n.hard.Term && !n.hearsLeader() && n.isUpToDate(m)
 	reply := Message{Kind: KindPreVoteReply, To: m.From, Term: m.Term, Reject: !grant}
 	if !grant {
 		reply.Term = n.hard.Term
@@ -80,9 +93,11 @@
 	n.send(reply)
 }
 
+// handleVote grants a vote once a term. A replica whose memory is in doubt grants none: it
+// may have voted, or stored entries, that it has forgotten.
 func (n *Node) handleVote(m Message) {
 	free := n.hard.Vote == "" || n.hard.Vote == m.From
-	grant := free && n.role == RoleFollower && n.isUpToDate(m)
+	grant := n.verification.done && free && n.role == RoleFollower && n.isUpToDate(m)
 	if grant {
 		n.hard.Vote = m.From
 		n.resetTimer()
@@ -93,16 +108,11 @@
 // isUpToDate reports whether the candidate's log holds everything this node's log may have
 // committed.
 func (n *Node) isUpToDate(m Message) bool {
-	last := n.lastIndex()
-	lastTerm := n.termAt(last)
-	if m.PrevTerm != lastTerm {
-		return m.PrevTerm > lastTerm
-	}
-	return m.PrevIndex >= last
+	return !Position{Term: m.PrevTerm, Index: m.PrevIndex}.less(n.log.lastPosition())
 }
 
 func (n *Node) handleVoteReply(m Message, role Role) {
-	if n.role != role {
+	if n.role != role || !n.isVoter(m) || m.Unverified {
 		return
 	}
 	if role == RolePreCandidate && !m.Reject && m.Term != n.hard.Term+1 {
@@ -113,7 +123,7 @@
 		return
 	}
 	if role == RolePreCandidate {
-		n.becomeCandidate()
+		n.becomeCandidate(false)
 		return
 	}
 	n.becomeLeader()
@@ -126,5 +136,5 @@
 			granted++
 		}
 	}
-	return granted >= n.quorum()
+	return granted >= n.membership().Quorum()
 }
--- /dev/null
+++ b/consensus/log.go
@@ -0,0 +1,120 @@
+package consensus
+
+import "slices"
+
+// entryLog is the part of the log that is kept in memory.
+type entryLog struct {
+	// offset is the place before the first entry.
+	offset   Position
+	entries  []Entry
+	snapshot Snapshot
+	// memberships are those of the snapshot and of the entries, oldest first.
+	memberships []placedMembership
+	stable      uint64
+	commit      uint64
+	applied     uint64
+}
+
+type placedMembership struct {
+	index      uint64
+	membership Membership
+}
+
+// restore puts a snapshot in the place of everything.
+func (l *entryLog) restore(s Snapshot) {
+	*l = entryLog{
+		offset:      Position{Term: s.Term, Index: s.Index},
+		snapshot:    s,
+		memberships: []placedMembership{{index: s.Index, membership: s.Membership}},
+		stable:      s.Index,
+		commit:      s.Index,
+		applied:     s.Index,
+	}
+}
+
+func (l *entryLog) last() uint64 { return l.offset.Index + uint64(len(l.entries)) }
+
+func (l *entryLog) lastPosition() Position {
+	last := l.last()
+	term, _ := l.termAt(last)
+	return Position{Term: term, Index: last}
+}
+
+// termAt returns the term of the entry; false means that the entry is not known any more,
+// or not yet.
+func (l *entryLog) termAt(index uint64) (uint64, bool) {
+	switch {
+	case index == l.offset.Index:
+		return l.offset.Term, true
+	case index < l.offset.Index || index > l.last():
+		return 0, false
+	}
+	return l.entries[index-l.offset.Index-1].Term, true
+}
+
+// between returns the entries after the index from up to the index to.
+func (l *entryLog) between(from, to uint64) []Entry {
+	return slices.Clone(l.entries[from-l.offset.Index : to-l.offset.Index])
+}
+
+func (l *entryLog) append(entries ...Entry) {
+	for _, e := range entries {
+		l.entries = append(l.entries, e)
+		if e.Kind != EntryMembership {
+			continue
+		}
+		if m, err := DecodeMembership(e.Data); err == nil {
+			l.memberships = append(l.memberships, placedMembership{index: e.Index, membership: m})
+		}
+	}
+}
+
+// truncate removes the entries from the index on, and the memberships in them.
+func (l *entryLog) truncate(index uint64) {
+	l.entries = l.entries[:index-l.offset.Index-1]
+	l.stable = min(l.stable, index-1)
+	for len(l.memberships) > 1 && l.memberships[len(l.memberships)-1].index >= index {
+		l.memberships = l.memberships[:len(l.memberships)-1]
+	}
+}
+
+// store appends what is missing and cuts the log only where an entry conflicts, so that a
+// delayed append can't remove entries that were acknowledged later.
+func (l *entryLog) store(entries []Entry) {
+	for i, e := range entries {
+		if e.Index <= l.offset.Index {
+			continue
+		}
+		if term, ok := l.termAt(e.Index); ok && term == e.Term {
+			continue
+		}
+		if e.Index <= l.last() {
+			l.truncate(e.Index)
+		}
+		l.append(entries[i:]...)
+		return
+	}
+}
+
+// membership returns the newest one.
+func (l *entryLog) membership() Membership {
+	return l.memberships[len(l.memberships)-1].membership
+}
+
+// compact lets the state at the applied index stand for the log up to it, and keeps some
+// entries for followers that are a little behind.
+func (l *entryLog) compact(data []byte, keep uint64) Snapshot {
+	term, _ := l.termAt(l.applied)
+	for len(l.memberships) > 1 && l.memberships[1].index <= l.applied {
+		l.memberships = l.memberships[1:]
+	}
+	l.snapshot = Snapshot{Index: l.applied, Term: term, Membership: l.memberships[0].membership, Data: data}
+	if l.applied <= l.offset.Index+keep {
+		return l.snapshot
+	}
+	cut := l.applied - keep
+	term, _ = l.termAt(cut)
+	l.entries = slices.Clone(l.entries[cut-l.offset.Index:])
+	l.offset = Position{Term: term, Index: cut}
+	return l.snapshot
+}
--- /dev/null
+++ b/consensus/membership.go
@@ -0,0 +1,131 @@
+package consensus
+
+import (
+	"encoding/binary"
+	"errors"
+	"slices"
+)
+
+// ErrMembership means that an encoded membership can't be read.
+var ErrMembership = errors.New("consensus: damaged membership")
+
+// maxVoters bounds the voters of one group.
+const maxVoters = 31
+
+// Voter is one voter of the group.
+type Voter struct {
+	ID      string
+	Address string
+	// Disk is the random number of the data folder that votes. A replica with another
+	// folder is not this voter.
+	Disk uint64
+	// Epoch is the start of the voter that the group knows; see Options.Epoch.
+	Epoch uint64
+}
+
+// Membership is who votes. It is a value of the log: the last one in a replica's log is in
+// force there, committed or not.
+type Membership struct {
+	// Group tells one group from another; 0 means that no group has been founded.
+	Group uint64
+	// Size is the number of voters that the group was founded with and is repaired to.
+	Size   int
+	Voters []Voter
+}
+
+// Voter returns the voter of the name.
+func (m Membership) Voter(id string) (Voter, bool) {
+	i := slices.IndexFunc(m.Voters, func(v Voter) bool { return v.ID == id })
+	if i < 0 {
+		return Voter{}, false
+	}
+	return m.Voters[i], true
+}
+
+// Quorum returns the number of voters that decide.
+func (m Membership) Quorum() int { return len(m.Voters)/2 + 1 }
+
+// without returns the membership after a voter was removed.
+func (m Membership) without(id string) Membership {
+	m.Voters = slices.DeleteFunc(slices.Clone(m.Voters), func(v Voter) bool { return v.ID == id })
+	return m
+}
+
+// with returns the membership after a voter was added, or its address or epoch changed.
+func (m Membership) with(v Voter) Membership {
+	m = m.without(v.ID)
+	m.Voters = append(m.Voters, v)
+	return m
+}
+
+// Encode returns the membership's form in the log.
+func (m Membership) Encode() []byte {
+	b := binary.LittleEndian.AppendUint64(nil, m.Group)
+	b = binary.AppendUvarint(b, uint64(m.Size))
+	b = binary.AppendUvarint(b, uint64(len(m.Voters)))
+	for _, v := range m.Voters {
+		b = appendText(b, v.ID)
+		b = appendText(b, v.Address)
+		b = binary.LittleEndian.AppendUint64(b, v.Disk)
+		b = binary.LittleEndian.AppendUint64(b, v.Epoch)
+	}
+	return b
+}
+
+// DecodeMembership reads an encoded membership.
+func DecodeMembership(b []byte) (Membership, error) {
+	r := reader{rest: b}
+	m := Membership{Group: r.fixed(), Size: int(r.varint(maxVoters))}
+	count := r.varint(maxVoters)
+	for range count {
+		m.Voters = append(m.Voters, Voter{ID: r.text(), Address: r.text(), Disk: r.fixed(), Epoch: r.fixed()})
+	}
+	if r.bad || len(r.rest) > 0 {
+		return Membership{}, ErrMembership
+	}
+	return m, nil
+}
+
+func appendText(b []byte, s string) []byte {
+	b = binary.AppendUvarint(b, uint64(len(s)))
+	return append(b, s...)
+}
+
+// reader takes values off the front of a slice and remembers any fault.
+type reader struct {
+	rest []byte
+	bad  bool
+}
+
+const fixedBytes = 8
+
+func (r *reader) fixed() uint64 {
+	if len(r.rest) < fixedBytes {
+		r.bad = true
+		return 0
+	}
+	v := binary.LittleEndian.Uint64(r.rest)
+	r.rest = r.rest[fixedBytes:]
+	return v
+}
+
+func (r *reader) varint(limit uint64) uint64 {
+	v, n := binary.Uvarint(r.rest)
+	if n <= 0 || v > limit {
+		r.bad = true
+		return 0
+	}
+	r.rest = r.rest[n:]
+	return v
+}
+
+func (r *reader) text() string {
+	size := r.varint(uint64(len(r.rest)))
+	if r.bad || size > uint64(len(r.rest)) {
+		r.bad = true
+		return ""
+	}
+	s := string(r.rest[:size])
+	r.rest = r.rest[size:]
+	return s
+}
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -1,8 +1,8 @@
 package consensus
 
 import (
+	"cmp"
 	"math/rand/v2"
-	"slices"
 )
 
 // Role is what a node does in its term.
@@ -16,117 +16,165 @@
 	RoleLeader
 )
 
-// maxAppendEntries bounds the entries of one append message.
-const maxAppendEntries = 256
+const (
+	// maxUncommittedBytes and maxUncommittedEntries bound what waits for its commit.
+	maxUncommittedBytes   = 16 << 20
+	maxUncommittedEntries = 16 << 10
+	// keptEntries stay in memory before a snapshot, for followers that are a little behind.
+	keptEntries = 1024
+)
 
 // Options describe a node.
 type Options struct {
-	ID     string
-	Voters []string
+	ID string
+	// Address is where other nodes reach this one.
+	Address string
+	// Disk is the random number of the node's data folder.
+	Disk uint64
+	// Epoch counts the starts of the data folder in its upper 40 bits. The lower 24 bits are
+	// random, so that two starts of copies of one folder are told apart.
+	Epoch uint64
+	// Founders are the names of the first voters, the same at every node. The first of them
+	// founds the group.
+	Founders []string
 	// ElectionTicks is the shortest election timeout; the longest is twice that.
 	ElectionTicks int
 	// HeartbeatTicks is the interval between a leader's appends.
 	HeartbeatTicks int
+	// ReplaceTicks is after how long a silent voter may be replaced; 0: never.
+	ReplaceTicks int
 	// Seed makes the election timeouts repeatable.
 	Seed uint64
 }
 
-// progress is what a leader knows of one follower.
-type progress struct {
-	match  uint64
-	next   uint64
-	active bool
-}
-
 // Node is one replica of the log.
 type Node struct {
-	opts     Options
-	role     Role
-	hard     HardState
-	saved    HardState
-	leader   string
-	entries  []Entry // entries[i].Index == i+1
-	stable   uint64
-	commit   uint64
-	applied  uint64
+	opts Options
+	role Role
+	hard HardState
+	// saved is the hard state that is durable.
+	saved  HardState
+	leader string
+	log    entryLog
+	// now counts the ticks since the start.
+	now      uint64
 	elapsed  int
 	timeout  int
-	quiet    int
 	votes    map[string]bool
 	peers    map[string]*progress
 	messages []Message
 	rng      *rand.Rand
+
+	// heardAt is the tick at which a leader was last heard.
+	heardAt uint64
+	// joining is the group whose snapshot is being received; 0: none.
+	joining  uint64
+	incoming incomingSnapshot
+	// installed is a snapshot that the caller has not saved yet.
+	installed *Snapshot
+	founding  map[string]helloed
+	// introduced are the voters that another replica named in answer to a hello.
+	introduced   []Voter
+	lease        lease
+	transferee   string
+	transferTick uint64
+	verification verification
+	memories     map[string]*memory
+	// uncommitted is the size of the leader's entries that wait for their commit.
+	uncommitted int
 }
 
 // New returns a follower with the state that was saved before.
-func New(opts Options, hard HardState, entries []Entry) *Node {
+func New(opts Options, hard HardState, snapshot Snapshot, entries []Entry) *Node {
 	n := &Node{
-		opts:    opts,
-		hard:    hard,
-		saved:   hard,
-		entries: entries,
-		stable:  uint64(len(entries)),
-		rng:     rand.New(rand.NewPCG(opts.Seed, 0)),
+		opts:     opts,
+		hard:     hard,
+		saved:    hard,
+		founding: make(map[string]helloed),
+		memories: make(map[string]*memory),
+		rng:      rand.New(rand.NewPCG(opts.Seed, opts.Epoch)),
 	}
+	n.log.restore(snapshot)
+	n.log.append(entries...)
+	n.log.stable = n.log.last()
+	n.verification = newVerification(!n.isFounded())
 	n.resetTimer()
 	return n
 }
 
-// Role returns the node's role.
-func (n *Node) Role() Role { return n.role }
-
-// Term returns the node's term.
-func (n *Node) Term() uint64 { return n.hard.Term }
-
-// Leader returns the leader of the term, or "" when it is not known.
-func (n *Node) Leader() string { return n.leader }
-
-// Commit returns the index of the last committed entry.
-func (n *Node) Commit() uint64 { return n.commit }
-
 // Tick advances the node's logical clock by one.
 func (n *Node) Tick() {
+	n.now++
 	n.elapsed++
+	if n.IsRolledBack() {
+		return
+	}
+	n.tickHello()
+	n.tickVerification()
 	if n.role == RoleLeader {
 		n.tickLeader()
 		return
 	}
-	if n.elapsed >= n.timeout {
+	if n.elapsed >= n.timeout && n.mayCampaign() {
 		n.becomePreCandidate()
 	}
 }
 
+// Lapse tells the node that its clock stood still for a number of ticks. A leader has no
+// lease until a quorum has answered anew, and is none after an election timeout; a follower
+// waits for the leader before it campaigns.
+func (n *Node) Lapse(ticks int) {
+	n.now += uint64(ticks)
+	n.lease.floor = n.now
+	n.elapsed = max(n.elapsed, min(n.elapsed+ticks, n.timeout-n.opts.ElectionTicks/2))
+	switch {
+	case n.role != RoleLeader:
+	case ticks >= n.opts.ElectionTicks:
+		n.becomeFollower(n.hard.Term, "")
+	default:
+		n.heartbeat()
+	}
+}
+
 // tickLeader sends heartbeats and steps down when no quorum was heard for an election timeout.
 func (n *Node) tickLeader() {
-	n.quiet++
-	if n.quiet >= n.opts.ElectionTicks {
-		n.quiet = 0
-		if !n.quorumActive() {
-			n.becomeFollower(n.hard.Term, "")
-			return
-		}
+	if n.now-max(n.heardQuorum(), n.lease.campaign) >= uint64(n.opts.ElectionTicks) {
+		n.becomeFollower(n.hard.Term, "")
+		return
 	}
+	n.tickTransfer()
 	if n.elapsed >= n.opts.HeartbeatTicks {
 		n.elapsed = 0
-		n.broadcastAppend()
+		n.heartbeat()
 	}
+	n.repair()
 }
 
 // Propose appends data to the leader's log and returns the entry's index and term.
 func (n *Node) Propose(data []byte) (index, term uint64, err error) {
-	if n.role != RoleLeader {
+	if !n.HasLease() {
 		return 0, 0, ErrNotLeader
 	}
-	e := Entry{Term: n.hard.Term, Index: n.lastIndex() + 1, Data: data}
-	n.entries = append(n.entries, e)
-	n.broadcastAppend()
-	n.maybeCommit()
+	if n.uncommitted+len(data) > maxUncommittedBytes || n.log.last()-n.log.commit >= maxUncommittedEntries {
+		return 0, 0, ErrBusy
+	}
+	n.uncommitted += len(data)
+	e := n.propose(EntryCommand, data)
 	return e.Index, e.Term, nil
 }
 
+func (n *Node) propose(kind EntryKind, data []byte) Entry {
+	e := Entry{Term: n.hard.Term, Index: n.log.last() + 1, Kind: kind, Data: data}
+	n.log.append(e)
+	return e
+}
+
 // Step handles a message from another node.
 func (n *Node) Step(m Message) {
-	if !slices.Contains(n.opts.Voters, m.From) {
+	if m.To != n.opts.ID || n.IsRolledBack() || n.stepFounding(m) {
+		return
+	}
+	if m.Group != n.Group() || !n.remember(m) || n.stepVerification(m) {
 		return
 	}
 	if m.Term > n.hard.Term && !n.admitTerm(m) {
@@ -149,6 +197,12 @@
 		n.handleAppend(m)
 	case KindAppendReply:
 		n.handleAppendReply(m)
+	case KindSnapshot:
+		n.handleSnapshot(m)
+	case KindSnapshotReply:
+		n.handleSnapshotReply(m)
+	case KindTimeoutNow:
+		n.handleTimeoutNow()
 	}
 }
 
@@ -168,11 +222,11 @@
 		n.handleVoteReply(m, RolePreCandidate)
 		return false
 	case KindVote:
-		if n.hearsLeader() {
+		if n.hearsLeader() && !m.Force {
 			return false
 		}
 		n.becomeFollower(m.Term, "")
-	case KindAppend:
+	case KindAppend, KindSnapshot:
 		n.becomeFollower(m.Term, m.From)
 	default:
 		n.becomeFollower(m.Term, "")
@@ -183,8 +237,8 @@
 // rejectOldTerm tells a sender with an older term about the newer one.
 func (n *Node) rejectOldTerm(m Message) {
 	switch m.Kind {
-	case KindAppend:
-		n.send(Message{Kind: KindAppendReply, To: m.From, Reject: true, Hint: n.lastIndex()})
+	case KindAppend, KindSnapshot:
+		n.send(Message{Kind: KindAppendReply, To: m.From, Reject: true, Hint: n.log.last()})
 	case KindPreVote:
 		n.send(Message{Kind: KindPreVoteReply, To: m.From, Reject: true})
 	case KindVote:
@@ -194,35 +248,38 @@
 
 // Ready returns the work that has accumulated since the last Advance.
 func (n *Node) Ready() Ready {
-	var r Ready
+	n.flush()
+	r := Ready{Snapshot: n.installed, Messages: n.messages}
 	if n.hard != n.saved {
 		hs := n.hard
 		r.HardState = &hs
 	}
-	if n.stable < n.lastIndex() {
-		r.Entries = slices.Clone(n.entries[n.stable:])
+	if n.log.stable < n.log.last() {
+		r.Entries = n.log.between(n.log.stable, n.log.last())
 	}
-	r.Messages = n.messages
-	if durable := min(n.commit, n.lastIndex()); durable > n.applied {
-		r.Committed = slices.Clone(n.entries[n.applied:durable])
+	if durable := min(n.log.commit, n.log.stable); durable > n.log.applied {
+		r.Committed = n.log.between(n.log.applied, durable)
 	}
 	return r
 }
 
 // Advance tells the node that the work of r is done.
 func (n *Node) Advance(r Ready) {
+	if r.Snapshot != nil {
+		n.installed = nil
+	}
 	if r.HardState != nil {
 		n.saved = *r.HardState
 	}
 	if k := len(r.Entries); k > 0 {
-		n.stable = r.Entries[k-1].Index
+		n.log.stable = r.Entries[k-1].Index
 	}
 	n.messages = n.messages[len(r.Messages):]
 	if len(n.messages) == 0 {
 		n.messages = nil
 	}
 	if k := len(r.Committed); k > 0 {
-		n.applied = r.Committed[k-1].Index
+		n.log.applied = r.Committed[k-1].Index
 	}
 	// The leader counts its own entries only once they are durable.
 	if n.role == RoleLeader {
@@ -230,13 +287,13 @@
 	}
 }
 
-func (n *Node) lastIndex() uint64 { return uint64(len(n.entries)) }
-
-func (n *Node) termAt(index uint64) uint64 {
-	if index == 0 || index > n.lastIndex() {
-		return 0
-	}
-	return n.entries[index-1].Term
+// Compact returns a snapshot of the state, encoded in data, at the last applied entry, and
+// the entries after it. It must be called right after Advance, with no Ready in between, and
+// the snapshot saved before the next Ready.
+func (n *Node) Compact(data []byte) (Snapshot, []Entry) {
+	s := n.log.compact(data, keptEntries)
+	n.forget()
+	return s, n.log.between(n.log.applied, n.log.stable)
 }
 
 func (n *Node) resetTimer() {
@@ -246,10 +303,26 @@
 
 func (n *Node) send(m Message) {
 	m.From = n.opts.ID
+	m.Group = cmp.Or(n.Group(), n.joining)
+	m.Disk = n.opts.Disk
+	m.Epoch = n.opts.Epoch
+	m.Unverified = !n.verification.done
 	if m.Term == 0 {
 		m.Term = n.hard.Term
 	}
 	n.messages = append(n.messages, m)
 }
 
-func (n *Node) quorum() int { return len(n.opts.Voters)/2 + 1 }
+func (n *Node) membership() Membership { return n.log.membership() }
+
+// isVoter reports whether the message was sent by a voter, from the folder that votes.
+func (n *Node) isVoter(m Message) bool {
+	v, ok := n.membership().Voter(m.From)
+	return ok && v.Disk == m.Disk
+}
+
+// isVoting reports whether this node, with its folder, is a voter.
+func (n *Node) isVoting() bool {
+	v, ok := n.membership().Voter(n.opts.ID)
+	return ok && v.Disk == n.opts.Disk
+}
--- /dev/null
+++ b/consensus/repair.go
@@ -0,0 +1,149 @@
+package consensus
+
+import (
+	"cmp"
+	"slices"
+)
+
+// catchUpEntries is how far behind the log's end a learner may be to become a voter.
+const catchUpEntries = 256
+
+// repair keeps the group at its size. It changes one voter at a time, and only once the
+// change before it is committed.
+//
+// A standby is added before the dead voter is removed, so that the group never stands on
+// fewer folders than it has. A voter that comes with another folder is removed first: two
+// folders of one name in two memberships could form two quorums.
+func (n *Node) repair() {
+	if !n.mayChange() {
+		return
+	}
+	m := n.membership()
+	if len(m.Voters) > m.Size {
+		n.removeSurplus(m)
+		return
+	}
+	if id := n.bestLearner(); id != "" && n.admit(m, id) {
+		return
+	}
+	n.recordStart(m)
+}
+
+// admit takes the next step towards a learner's place among the voters, if it may have one.
+func (n *Node) admit(m Membership, id string) bool {
+	p := n.peers[id]
+	if _, ok := m.Voter(id); ok {
+		without := m.without(id)
+		if n.answering(without) < without.Quorum() {
+			return false
+		}
+		n.change(without)
+		return true
+	}
+	with := m.with(Voter{ID: id, Address: p.address, Disk: p.disk, Epoch: p.epoch})
+	if len(m.Voters) == m.Size && (n.silentVoter(m) == "" || n.answering(m)+1 < with.Quorum()) {
+		return false
+	}
+	n.change(with)
+	return true
+}
+
+// removeSurplus removes the voter that a standby has replaced, or the standby when the voter
+// has come back meanwhile.
+func (n *Node) removeSurplus(m Membership) {
+	id := n.silentVoter(m)
+	for i := len(m.Voters) - 1; i >= 0 && id == ""; i-- {
+		v := m.Voters[i].ID
+		if v != n.opts.ID && !slices.Contains(n.opts.Founders, v) {
+			id = v
+		}
+	}
+	if id != "" {
+		n.change(m.without(id))
+	}
+}
+
+// silentVoter returns a voter that has been silent long enough to be replaced, or "".
+func (n *Node) silentVoter(m Membership) string {
+	for _, v := range m.Voters {
+		p := n.peers[v.ID]
+		if v.ID != n.opts.ID && p != nil && n.opts.ReplaceTicks > 0 && n.now-p.heard > uint64(n.opts.ReplaceTicks) {
+			return v.ID
+		}
+	}
+	return ""
+}
+
+// answering returns how many of the voters answer, with this node.
+func (n *Node) answering(m Membership) int {
+	count := 1
+	for _, v := range m.Voters {
+		p := n.peers[v.ID]
+		if v.ID != n.opts.ID && p != nil && n.counts(v.ID, p) && n.now-p.heard < uint64(n.opts.ElectionTicks) {
+			count++
+		}
+	}
+	return count
+}
+
+// mayChange reports whether the membership in the log is committed and the leader has
+// committed an entry of its own term.
+func (n *Node) mayChange() bool {
+	newest := n.log.memberships[len(n.log.memberships)-1]
+	term, _ := n.log.termAt(n.log.commit)
+	return newest.index <= n.log.commit && term == n.hard.Term && n.HasLease()
+}
+
+func (n *Node) change(m Membership) {
+	n.propose(EntryMembership, m.Encode())
+}
+
+// isCaughtUp reports whether a replica has nearly the whole log and answers.
+func (n *Node) isCaughtUp(p *progress) bool {
+	return p.snapshot == nil && p.match >= n.log.commit && p.match+catchUpEntries >= n.log.last() &&
+		n.now-p.heard < uint64(n.opts.ElectionTicks)
+}
+
+// bestLearner returns a learner that has caught up, or "". A replica that was a voter with
+// another folder goes before a standby, so that the group goes back to its first voters.
+func (n *Node) bestLearner() string {
+	m := n.membership()
+	var ids []string
+	for id, p := range n.peers {
+		if !n.counts(id, p) && !p.unverified && p.address != "" && n.isCaughtUp(p) {
+			ids = append(ids, id)
+		}
+	}
+	rank := func(id string) int {
+		if _, ok := m.Voter(id); ok {
+			return 0
+		}
+		if slices.Contains(n.opts.Founders, id) {
+			return 1
+		}
+		return 2
+	}
+	slices.SortFunc(ids, func(a, b string) int { return cmp.Or(rank(a)-rank(b), cmp.Compare(a, b)) })
+	if len(ids) == 0 {
+		return ""
+	}
+	return ids[0]
+}
+
+// recordStart writes the newest start of a voter into the log, so that the group remembers
+// it over restarts of all others.
+func (n *Node) recordStart(m Membership) {
+	for _, id := range n.peerIDs() {
+		p := n.peers[id]
+		v, ok := m.Voter(id)
+		if ok && n.counts(id, p) && p.epoch != 0 && p.epoch != v.Epoch {
+			v.Epoch = p.epoch
+			n.change(m.with(v))
+			return
+		}
+	}
+	if v, ok := m.Voter(n.opts.ID); ok && v.Epoch != n.opts.Epoch {
+		v.Epoch = n.opts.Epoch
+		n.change(m.with(v))
+	}
+}
--- a/consensus/replication.go
+++ b/consensus/replication.go
@@ -1,102 +1,182 @@
 package consensus
 
-import "slices"
+import (
+	"slices"
+)
 
-func (n *Node) broadcastAppend() {
-	for _, id := range n.opts.Voters {
-		if id != n.opts.ID {
-			n.sendAppend(id)
+const (
+	// maxAppendEntries and maxAppendBytes bound one append message.
+	maxAppendEntries = 1024
+	maxAppendBytes   = 512 << 10
+)
+
+// heartbeat begins a round: it tells every replica that the leader lives and how far the
+// voters' logs are known to reach.
+func (n *Node) heartbeat() {
+	n.lease.next(n.now)
+	var stored []Stored
+	for _, v := range n.membership().Voters {
+		if p := n.peers[v.ID]; p != nil && n.counts(v.ID, p) {
+			term, _ := n.log.termAt(p.match)
+			stored = append(stored, Stored{ID: v.ID, Position: Position{Term: term, Index: p.match}})
 		}
 	}
+	for _, id := range n.peerIDs() {
+		p := n.peers[id]
+		if p.snapshot != nil {
+			n.sendChunk(id, p)
+			continue
+		}
+		n.sendAppend(id, p, stored)
+	}
+}
+
+// flush sends new entries to all replicas that can take them.
+func (n *Node) flush() {
+	for _, id := range n.peerIDs() {
+		for n.canSend(n.peers[id]) {
+			n.sendAppend(id, n.peers[id], nil)
+		}
+	}
+}
+
+func (n *Node) canSend(p *progress) bool {
+	return p.snapshot == nil && !p.probing && p.inFlight < maxInFlight && p.next <= n.log.last()
 }
 
-// sendAppend sends the entries from the peer's next index on, and advances that index at
+// sendAppend sends the entries from the replica's next index on, and advances that index at
 // once; a rejected or lost append sets it back.
-func (n *Node) sendAppend(id string) {
-	p := n.peers[id]
+func (n *Node) sendAppend(id string, p *progress, stored []Stored) {
 	prev := p.next - 1
-	end := min(n.lastIndex(), prev+maxAppendEntries)
-	m := Message{Kind: KindAppend, To: id, PrevIndex: prev, PrevTerm: n.termAt(prev), Commit: n.commit}
-	if end > prev {
-		m.Entries = slices.Clone(n.entries[prev:end])
-		p.next = end + 1
+	term, ok := n.log.termAt(prev)
+	if !ok {
+		n.beginSnapshot(id, p)
+		return
+	}
+	m := Message{Kind: KindAppend, To: id, PrevIndex: prev, PrevTerm: term, Commit: n.log.commit, Round: n.lease.round, Stored: stored}
+	if p.inFlight < maxInFlight {
+		m.Entries = n.batch(prev)
+	}
+	if len(m.Entries) > 0 && !p.probing {
+		p.next += uint64(len(m.Entries))
+		p.inFlight++
 	}
 	n.send(m)
 }
 
+// batch returns entries after the index, at least one if there is any.
+func (n *Node) batch(prev uint64) []Entry {
+	end := min(n.log.last(), prev+maxAppendEntries)
+	entries := n.log.between(prev, end)
+	size := 0
+	for i, e := range entries {
+		size += len(e.Data)
+		if size > maxAppendBytes && i > 0 {
+			return entries[:i]
+		}
+	}
+	return entries
+}
+
 func (n *Node) handleAppend(m Message) {
 	n.becomeFollower(m.Term, m.From)
-	if m.PrevIndex > n.lastIndex() || n.termAt(m.PrevIndex) != m.PrevTerm {
-		hint := min(m.PrevIndex-1, n.lastIndex())
-		n.send(Message{Kind: KindAppendReply, To: m.From, Reject: true, Hint: hint})
+	n.heardAt = n.now
+	n.rememberStored(append(m.Stored, Stored{ID: m.From, Position: lastOf(m)}))
+	reply := Message{Kind: KindAppendReply, To: m.From, Round: m.Round}
+	if m.PrevIndex < n.log.commit && m.PrevIndex+uint64(len(m.Entries)) <= n.log.commit {
+		reply.Hint = n.log.commit
+		n.send(reply)
 		return
 	}
-	n.storeEntries(m.Entries)
-	match := m.PrevIndex + uint64(len(m.Entries))
-	if c := min(m.Commit, match); c > n.commit {
-		n.commit = c
+	if !n.agrees(m) {
+		reply.Reject = true
+		reply.Hint = min(m.PrevIndex-1, n.log.last())
+		n.send(reply)
+		return
 	}
-	n.send(Message{Kind: KindAppendReply, To: m.From, Hint: match})
+	n.log.store(m.Entries)
+	reply.Hint = m.PrevIndex + uint64(len(m.Entries))
+	n.log.commit = max(n.log.commit, min(m.Commit, reply.Hint))
+	n.send(reply)
 }
 
-// storeEntries appends what is missing and cuts the log only where an entry conflicts, so
-// that a delayed append can't remove entries that were acknowledged later.
-func (n *Node) storeEntries(entries []Entry) {
-	for i, e := range entries {
-		if n.termAt(e.Index) == e.Term {
-			continue
-		}
-		n.entries = append(n.entries[:e.Index-1], entries[i:]...)
-		n.stable = min(n.stable, e.Index-1)
-		return
+// lastOf returns the last place that an append shows to be in the leader's log.
+func lastOf(m Message) Position {
+	if k := len(m.Entries); k > 0 {
+		return Position{Term: m.Entries[k-1].Term, Index: m.Entries[k-1].Index}
 	}
+	return Position{Term: m.PrevTerm, Index: m.PrevIndex}
+}
+
+// agrees reports whether the log holds the entry before the append. What this node has
+// committed agrees with every leader.
+func (n *Node) agrees(m Message) bool {
+	if m.PrevIndex <= n.log.commit {
+		return true
+	}
+	term, ok := n.log.termAt(m.PrevIndex)
+	return ok && term == m.PrevTerm
 }
 
 func (n *Node) handleAppendReply(m Message) {
-	if n.role != RoleLeader {
+	p := n.answered(m)
+	if p == nil {
 		return
 	}
-	p := n.peers[m.From]
-	p.active = true
 	if m.Reject {
-		p.next = max(p.match, m.Hint) + 1
-		n.sendAppend(m.From)
+		n.handleReject(p, m)
 		return
 	}
-	if m.Hint > p.match {
-		p.match = m.Hint
-		n.maybeCommit()
+	p.probing = false
+	p.inFlight = max(0, p.inFlight-1)
+	if p.snapshot != nil && m.Hint >= p.snapshot.snapshot.Index {
+		p.snapshot = nil
+	}
+	p.match = max(p.match, min(m.Hint, n.log.last()))
+	if term, ok := n.log.termAt(p.match); ok {
+		n.rememberStored([]Stored{{ID: m.From, Position: Position{Term: term, Index: p.match}}})
 	}
-	if p.next <= p.match {
+	if p.next <= p.match+1 {
 		p.next = p.match + 1
+		p.inFlight = 0
 	}
-	if p.next <= n.lastIndex() {
-		n.sendAppend(m.From)
+	n.maybeCommit()
+	n.tickTransfer()
+}
+
+// handleReject goes back to where the logs may agree. Further rejections of appends that
+// were under way are not answered.
+func (n *Node) handleReject(p *progress, m Message) {
+	next := max(p.match, min(m.Hint, n.log.last())) + 1
+	p.inFlight = 0
+	if p.snapshot != nil || (p.probing && p.next <= next) {
+		return
 	}
+	p.probing = true
+	p.next = next
+	n.sendAppend(m.From, p, nil)
 }
 
 // maybeCommit commits the highest entry of the leader's own term that a quorum has stored.
 func (n *Node) maybeCommit() {
-	matches := []uint64{n.stable}
-	for _, p := range n.peers {
-		matches = append(matches, p.match)
+	var matches []uint64
+	for _, v := range n.membership().Voters {
+		switch p := n.peers[v.ID]; {
+		case v.ID == n.opts.ID:
+			matches = append(matches, n.log.stable)
+		case p != nil && n.counts(v.ID, p):
+			matches = append(matches, p.match)
+		default:
+			matches = append(matches, 0)
+		}
 	}
 	slices.Sort(matches)
-	candidate := matches[len(matches)-n.quorum()]
-	if candidate > n.commit && n.termAt(candidate) == n.hard.Term {
-		n.commit = candidate
-		n.broadcastAppend()
+	candidate := matches[len(matches)-n.membership().Quorum()]
+	if term, ok := n.log.termAt(candidate); candidate <= n.log.commit || !ok || term != n.hard.Term {
+		return
 	}
-}
-
-// quorumActive reports whether a quorum answered since the last call.
-func (n *Node) quorumActive() bool {
-	active := 1
-	for _, p := range n.peers {
-		if p.active {
-			active++
-		}
-		p.active = false
+	for _, e := range n.log.between(n.log.commit, candidate) {
+		n.uncommitted = max(0, n.uncommitted-len(e.Data))
 	}
-	return active >= n.quorum()
+	n.log.commit = candidate
 }
--- a/control/host.go
+++ b/control/host.go
@@ -3,12 +3,15 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/binary"
 	"errors"
 	"time"
 
 	"github.com/balsamlb/balsamlb/consensus"
 	"github.com/balsamlb/balsamlb/internal/ring"
 	"github.com/balsamlb/balsamlb/replica"
+	"github.com/balsamlb/balsamlb/storage"
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 )
@@ -17,37 +20,35 @@
 // applied at that place.
 var ErrLost = errors.New("control: the proposal was overtaken by another leader")
 
-// Storage keeps the hard state and the log. Save returns after both are synced.
+// Storage keeps the hard state, the log and one snapshot. Its calls return after all is
+// synced. After an error nothing more may be saved, and the process has to end.
 type Storage interface {
 	Save(hard *consensus.HardState, entries []consensus.Entry) error
+	SaveSnapshot(s consensus.Snapshot, hard consensus.HardState, rest []consensus.Entry) error
+	// Reset begins an empty folder with another disk number.
+	Reset() error
+	Identity() storage.Identity
 }
 
 // Sender passes messages to other replicas. It never blocks; messages may be lost.
 type Sender interface {
 	Send(m consensus.Message)
+	// Reach tells where a replica is reached.
+	Reach(name, address string)
 }
 
 const (
 	tickInterval   = 20 * time.Millisecond
 	electionTicks  = 12
 	heartbeatTicks = 2
+	// replaceTicks is 10 s: after that a standby may take the place of a silent voter.
+	replaceTicks = 500
 	// inputSize bounds the waiting work; a full ring makes proposers wait and drops messages.
 	inputSize = 4096
 	// batchSize bounds the work that is saved with one sync.
 	batchSize = 512
 )
 
-// proposal is a command that waits for its result.
-type proposal struct {
-	data   []byte
-	result chan proposalResult
-}
-
-type proposalResult struct {
-	result replica.Result
-	err    error
-}
-
 // input is one item of work for the host. Exactly one field is set.
 type input struct {
 	message  *consensus.Message
@@ -57,25 +58,29 @@
 
 // Host owns a consensus node and the replicated state. One goroutine runs it.
 type Host struct {
+	options Options
 	node    *consensus.Node
 	storage Storage
 	sender  Sender
 	state   *replica.State
 	inputs  *ring.Ring[input]
 	waiting map[uint64]waiter
-	onView  func(replica.View)
+	clock   clock
 	log     logr.Logger
-	view    uint64
-}
-
-type waiter struct {
-	term     uint64
-	proposal *proposal
+	// view is the index of the last view that was published.
+	view uint64
+	// role and membership are what was last logged; membership is a place in the log.
+	role       consensus.Role
+	membership consensus.Position
+	snapshots  snapshotPolicy
 }
 
 // Options are the parts that a host is built from.
 type Options struct {
-	ID      string
+	ID string
+	// Address is where other replicas reach this one.
+	Address string
+	// Voters are the names of the first voters, the same at every replica.
 	Voters  []string
 	Seed    uint64
 	Storage Storage
@@ -86,38 +91,74 @@
 }
 
 // NewHost returns a host with the state that was saved before.
-func NewHost(o Options, hard consensus.HardState, entries []consensus.Entry) *Host {
-	node := consensus.New(consensus.Options{
-		ID:             o.ID,
-		Voters:         o.Voters,
-		ElectionTicks:  electionTicks,
-		HeartbeatTicks: heartbeatTicks,
-		Seed:           o.Seed,
-	}, hard, entries)
-	return &Host{
-		node:    node,
+func NewHost(o Options, stored storage.Stored) (*Host, error) {
+	h := &Host{
+		options: o,
 		storage: o.Storage,
 		sender:  o.Sender,
-		state:   replica.NewState(),
 		inputs:  ring.New[input](inputSize),
 		waiting: make(map[uint64]waiter),
-		onView:  o.OnView,
 		log:     o.Log,
 	}
+	return h, h.begin(stored)
+}
+
+// begin makes the node and the state from what a folder holds.
+func (h *Host) begin(stored storage.Stored) error {
+	state, err := restore(stored.Snapshot)
+	if err != nil {
+		return err
+	}
+	h.state = state
+	h.snapshots = snapshotPolicy{last: len(stored.Snapshot.Data)}
+	identity := h.storage.Identity()
+	h.node = consensus.New(consensus.Options{
+		ID:             h.options.ID,
+		Address:        h.options.Address,
+		Disk:           identity.Disk,
+		Epoch:          identity.Starts<<consensus.EpochNonceBits | nonce(),
+		Founders:       h.options.Voters,
+		ElectionTicks:  electionTicks,
+		HeartbeatTicks: heartbeatTicks,
+		ReplaceTicks:   replaceTicks,
+		Seed:           h.options.Seed,
+	}, stored.HardState, stored.Snapshot, stored.Entries)
+	return nil
+}
+
+// nonce tells two starts of copies of one folder apart.
+func nonce() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return binary.LittleEndian.Uint64(b[:]) & (1<<consensus.EpochNonceBits - 1)
+}
+
+func restore(s consensus.Snapshot) (*replica.State, error) {
+	if len(s.Data) == 0 {
+		return replica.NewState(), nil
+	}
+	state, err := replica.Restore(s.Data)
+	return state, eris.Wrapf(err, "control: restore the snapshot at %d", s.Index)
 }
 
 // Run owns the node until ctx ends or the storage fails.
 func (h *Host) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	h.clock.start()
 	for {
+		var first *input
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			h.node.Tick()
 		case in := <-h.inputs.Items():
-			h.take(in)
+			first = &in
+		}
+		// The clock goes first: after a freeze no input may be handled as if no time had passed.
+		h.clock.advance(h.node)
+		if first != nil {
+			h.take(*first)
 		}
 		for _, in := range h.inputs.Drain(batchSize) {
 			h.take(in)
@@ -133,38 +174,6 @@
 	h.inputs.Offer(input{message: &m})
 }
 
-// Propose runs a command through the log and returns its result.
-func (h *Host) Propose(ctx context.Context, data []byte) (replica.Result, error) {
-	p := &proposal{data: data, result: make(chan proposalResult, 1)}
-	if err := h.inputs.Push(ctx, input{proposal: p}); err != nil {
-		return replica.Result{}, eris.Wrap(err, "control: queue proposal")
-	}
-	select {
-	case r := <-p.result:
-		return r.result, r.err
-	case <-ctx.Done():
-		return replica.Result{}, eris.Wrap(ctx.Err(), "control: wait for commit")
-	}
-}
-
-// Status is what a host knows of its group.
-type Status struct {
-	Role    consensus.Role
-	Term    uint64
-	Leader  string
-	Commit  uint64
-	Records int
-}
-
-// Status returns the host's view of its group.
-func (h *Host) Status(ctx context.Context) (Status, error) {
-	var s Status
-	err := h.Query(ctx, func(state *replica.State, n *consensus.Node) {
-		s = Status{Role: n.Role(), Term: n.Term(), Leader: n.Leader(), Commit: n.Commit(), Records: state.Ledger.Len()}
-	})
-	return s, err
-}
-
 // Query runs f between two commands. f must not keep what it is given.
 func (h *Host) Query(ctx context.Context, f func(*replica.State, *consensus.Node)) error {
 	done := make(chan struct{})
@@ -186,7 +195,7 @@
 func (h *Host) take(in input) {
 	switch {
 	case in.message != nil:
-		h.node.Step(*in.message)
+		h.receive(*in.message)
 	case in.query != nil:
 		in.query(h.state, h.node)
 	case in.proposal != nil:
@@ -194,30 +203,43 @@
 	}
 }
 
-func (h *Host) propose(p *proposal) {
-	index, term, err := h.node.Propose(p.data)
-	if err != nil {
-		p.result <- proposalResult{err: err}
-		return
+// receive learns where the sender and the voters that it names are reached.
+func (h *Host) receive(m consensus.Message) {
+	if m.Address != "" {
+		h.sender.Reach(m.From, m.Address)
+	}
+	if m.Membership != nil {
+		h.reach(*m.Membership)
+	}
+	h.node.Step(m)
+}
+
+func (h *Host) reach(m consensus.Membership) {
+	for _, v := range m.Voters {
+		if v.ID != h.options.ID {
+			h.sender.Reach(v.ID, v.Address)
+		}
 	}
-	h.waiting[index] = waiter{term: term, proposal: p}
 }
 
 // process saves, sends and applies until the node has no more work.
 func (h *Host) process() error {
 	for {
+		if h.node.IsRolledBack() {
+			return h.startOver()
+		}
 		r := h.node.Ready()
-		if r.HardState == nil && len(r.Entries) == 0 && len(r.Messages) == 0 && len(r.Committed) == 0 {
+		if r.IsEmpty() {
 			break
 		}
-		if err := h.storage.Save(r.HardState, r.Entries); err != nil {
+		if err := h.save(r); err != nil {
 			return eris.Wrap(err, "control: save")
 		}
 		for _, m := range r.Messages {
 			h.sender.Send(m)
 		}
-		for _, e := range r.Committed {
-			h.apply(e)
+		if err := h.applyAll(r); err != nil {
+			return err
 		}
 		h.node.Advance(r)
 	}
@@ -225,44 +247,33 @@
 		h.failWaiting()
 	}
 	h.publishView()
-	return nil
+	h.report()
+	return h.compact()
 }
 
-func (h *Host) apply(e consensus.Entry) {
-	var result replica.Result
-	if len(e.Data) > 0 {
-		c, err := replica.Decode(e.Data)
-		if err != nil {
-			h.log.Error(err, "command can't be decoded", "index", e.Index)
-		} else {
-			result = h.state.Apply(e.Index, c)
-		}
-	}
-	w, ok := h.waiting[e.Index]
-	if !ok {
-		return
-	}
-	delete(h.waiting, e.Index)
-	if w.term != e.Term {
-		w.proposal.result <- proposalResult{err: ErrLost}
-		return
+func (h *Host) save(r consensus.Ready) error {
+	if r.Snapshot != nil {
+		return h.storage.SaveSnapshot(*r.Snapshot, h.node.HardState(), r.Entries)
 	}
-	w.proposal.result <- proposalResult{result: result}
+	return h.storage.Save(r.HardState, r.Entries)
 }
 
-// failWaiting tells the proposers that this replica can't say what becomes of their
-// proposals. They may still commit.
-func (h *Host) failWaiting() {
-	for index, w := range h.waiting {
-		delete(h.waiting, index)
-		w.proposal.result <- proposalResult{err: consensus.ErrNotLeader}
+// startOver empties a folder that other replicas remember more of than it holds. The replica
+// is then admitted like one with a new disk.
+func (h *Host) startOver() error {
+	err := errors.New("the folder was rolled back or has lost writes")
+	h.log.Error(err, "set the folder aside and began an empty one", "disk", h.storage.Identity().Disk)
+	h.failWaiting()
+	if err := h.storage.Reset(); err != nil {
+		return eris.Wrap(err, "control: reset the folder")
 	}
+	return h.begin(storage.Stored{})
 }
 
 func (h *Host) publishView() {
-	if h.state.ViewIndex() == h.view {
+	if h.state.ViewIndex() <= h.view {
 		return
 	}
 	h.view = h.state.ViewIndex()
-	h.onView(h.state.View())
+	h.options.OnView(h.state.View())
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -38,6 +38,8 @@
 	shutdownGrace = 10 * time.Minute
 	// farewellTime is how long the others have to learn that the instance has left.
 	farewellTime = 100 * time.Millisecond
+	// handOverTime bounds the wait for another leader.
+	handOverTime = time.Second
 	// traceLines is how many log lines are kept for operators.
 	traceLines = 20_000
 )
@@ -95,30 +97,36 @@
 }
 
 func (d *Daemon) openReplica() error {
-	store, hard, entries, err := storage.Open(d.process.DataFolder)
+	store, stored, err := storage.Open(storage.Options{Folder: d.process.DataFolder, Instance: d.process.Name})
 	if err != nil {
 		return err
 	}
 	d.store = store
+	d.sender = instance.NewConsensusSender(d.dialer)
 	var ids []string
-	peers := make(map[string]string)
 	for _, v := range d.process.Voters {
 		ids = append(ids, v.Name)
 		if v.Name != d.process.Name {
-			peers[v.Name] = v.Address
+			d.sender.Reach(v.Name, v.Address)
 		}
 	}
-	d.sender = instance.NewConsensusSender(d.dialer, peers)
-	d.host = control.NewHost(control.Options{
+	d.host, err = control.NewHost(control.Options{
 		ID:      d.process.Name,
+		Address: d.process.Advertise,
 		Voters:  ids,
 		Seed:    d.process.Seed,
 		Storage: store,
 		Sender:  d.sender,
 		OnView:  d.shared.offerView,
 		Log:     d.log.WithName("control"),
-	}, hard, entries)
-	d.log.Info("opened the data folder", "folder", d.process.DataFolder, "entries", len(entries), "term", hard.Term)
+	}, stored)
+	if err != nil {
+		_ = store.Close()
+		return err
+	}
+	identity := store.Identity()
+	d.log.Info("opened the data folder", "folder", d.process.DataFolder, "disk", identity.Disk, "start", identity.Starts,
+		"snapshot", stored.Snapshot.Index, "entries", len(stored.Entries), "cut_bytes", store.Cut)
 	return nil
 }
 
@@ -147,6 +155,7 @@
 	select {
 	case <-ctx.Done():
 		d.drain(dutyCtx)
+		d.handOver(dutyCtx)
 		d.shared.setLeft()
 		sleep(dutyCtx, farewellTime)
 	case <-dutyCtx.Done():
@@ -177,6 +186,16 @@
 	}
 }
 
+// handOver passes the control duties on to another instance.
+func (d *Daemon) handOver(ctx context.Context) {
+	if d.host == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOverTime)
+	defer cancel()
+	d.host.HandOver(ctx)
+}
+
 // serve starts the listeners.
 func (d *Daemon) serve(ctx context.Context, g *errgroup.Group) ([]*fasthttp.Server, error) {
 	registry := prometheus.NewRegistry()
@@ -234,13 +253,12 @@
 	if d.host == nil {
 		return nil
 	}
-	return &hostReplica{Host: d.host, voters: d.process.Voters, stamps: newStamper(d.process.Name)}
+	return &hostReplica{Host: d.host, stamps: newStamper(d.process.Name)}
 }
 
 // hostReplica adds the leader's address to a host.
 type hostReplica struct {
 	*control.Host
-	voters []settings.Voter
 	stamps *stamper
 }
 
@@ -274,12 +292,7 @@
 	if err != nil {
 		return ""
 	}
-	for _, v := range r.voters {
-		if v.Name == s.Leader {
-			return v.Address
-		}
-	}
-	return ""
+	return s.LeaderAddress
 }
 
 // metricsState returns what the gauges show.
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -73,19 +73,29 @@
 	if err != nil {
 		return s
 	}
-	s.Control = &operator.ControlStatus{Role: roleName(cs.Role), Term: cs.Term, Leader: cs.Leader, Commit: cs.Commit}
+	s.Control = controlStatus(cs)
 	return s
 }
 
-func roleName(r consensus.Role) string {
-	switch r {
-	case consensus.RoleLeader:
-		return "leader"
-	case consensus.RoleCandidate, consensus.RolePreCandidate:
-		return "candidate"
-	default:
-		return "follower"
+func controlStatus(cs control.Status) *operator.ControlStatus {
+	s := &operator.ControlStatus{
+		Role:     cs.Role.String(),
+		Term:     cs.Term,
+		Leader:   cs.Leader,
+		Commit:   cs.Commit,
+		Applied:  cs.Applied,
+		Snapshot: cs.Snapshot,
+		Lease:    cs.Lease,
+		Voting:   cs.Voting,
+		Size:     cs.Membership.Size,
 	}
+	for _, v := range cs.Membership.Voters {
+		s.Voters = append(s.Voters, v.ID)
+	}
+	for _, l := range cs.Learners {
+		s.Learners = append(s.Learners, operator.LearnerStatus{Name: l.ID, Match: l.Match, CaughtUp: l.CaughtUp})
+	}
+	return s
 }
 
 func (s *shared) status() operator.Status {
--- a/instance/consensus.go
+++ b/instance/consensus.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/balsamlb/balsamlb/consensus"
@@ -19,39 +20,78 @@
 	stepTimeout = 300 * time.Millisecond
 )
 
+// maxPeers bounds the replicas that one instance talks to.
+const maxPeers = 64
+
 // ConsensusSender sends consensus messages, with a duty and a connection for each peer.
 type ConsensusSender struct {
-	dialer    Dialer
-	addresses map[string]string
-	outboxes  map[string]*ring.Ring[consensus.Message]
+	dialer Dialer
+	mu     sync.Mutex
+	peers  map[string]*outbox
+	// added are the peers whose duty has not started yet.
+	added chan *outbox
+}
+
+// outbox holds the messages that wait for one peer.
+type outbox struct {
+	link     *link
+	messages *ring.Ring[consensus.Message]
+}
+
+// NewConsensusSender returns a sender without peers.
+func NewConsensusSender(d Dialer) *ConsensusSender {
+	return &ConsensusSender{dialer: d, peers: make(map[string]*outbox), added: make(chan *outbox, maxPeers)}
+}
+
+// Reach tells where a peer is reached. A peer keeps its first address.
+func (s *ConsensusSender) Reach(name, address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.peers[name]; ok || address == "" || len(s.peers) >= maxPeers {
+		return
+	}
+	box := &outbox{
+		link:     &link{dialer: s.dialer, address: address},
+		messages: ring.New[consensus.Message](outboxSize),
+	}
+	s.peers[name] = box
+	s.added <- box
 }
 
-// NewConsensusSender returns a sender to the peers, given by name and address.
-func NewConsensusSender(d Dialer, addresses map[string]string) *ConsensusSender {
-	s := &ConsensusSender{dialer: d, addresses: addresses, outboxes: make(map[string]*ring.Ring[consensus.Message])}
-	for name := range addresses {
-		s.outboxes[name] = ring.New[consensus.Message](outboxSize)
+// Address returns where a peer is reached, or "".
+func (s *ConsensusSender) Address(name string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if box, ok := s.peers[name]; ok {
+		return box.link.address
 	}
-	return s
+	return ""
 }
 
-// Send queues a message.
+// Send queues a message. It is dropped when too many wait for the peer, or when it is not known.
 func (s *ConsensusSender) Send(m consensus.Message) {
-	if box, ok := s.outboxes[m.To]; ok {
-		box.Offer(m)
+	s.mu.Lock()
+	box, ok := s.peers[m.To]
+	s.mu.Unlock()
+	if ok {
+		box.messages.Offer(m)
 	}
 }
 
 // Run sends until ctx ends.
 func (s *ConsensusSender) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	for name, box := range s.outboxes {
-		g.Go(func() error {
-			sendAll(ctx, &link{dialer: s.dialer, address: s.addresses[name]}, box)
-			return nil
-		})
+	for {
+		select {
+		case <-ctx.Done():
+			return g.Wait()
+		case box := <-s.added:
+			g.Go(func() error {
+				sendAll(ctx, box.link, box.messages)
+				return nil
+			})
+		}
 	}
-	return g.Wait()
 }
 
 func sendAll(ctx context.Context, l *link, box *ring.Ring[consensus.Message]) {
@@ -83,36 +123,73 @@
 
 func toWire(m consensus.Message) *wire.ConsensusMessage {
 	w := &wire.ConsensusMessage{
-		Kind:      uint32(m.Kind),
-		From:      m.From,
-		To:        m.To,
-		Term:      m.Term,
-		PrevIndex: m.PrevIndex,
-		PrevTerm:  m.PrevTerm,
-		Commit:    m.Commit,
-		Reject:    m.Reject,
-		Hint:      m.Hint,
+		Kind:       uint32(m.Kind),
+		From:       m.From,
+		To:         m.To,
+		Term:       m.Term,
+		PrevIndex:  m.PrevIndex,
+		PrevTerm:   m.PrevTerm,
+		Commit:     m.Commit,
+		Reject:     m.Reject,
+		Hint:       m.Hint,
+		Group:      m.Group,
+		Disk:       m.Disk,
+		Epoch:      m.Epoch,
+		Round:      m.Round,
+		Force:      m.Force,
+		Unverified: m.Unverified,
+		Address:    m.Address,
+		Chunk:      m.Chunk,
+		Offset:     m.Offset,
+		Size:       m.Size,
+	}
+	if m.Membership != nil {
+		w.Membership = m.Membership.Encode()
 	}
 	for _, e := range m.Entries {
-		w.Entries = append(w.Entries, &wire.Entry{Term: e.Term, Index: e.Index, Data: e.Data})
+		w.Entries = append(w.Entries, &wire.Entry{Term: e.Term, Index: e.Index, Kind: uint32(e.Kind), Data: e.Data})
+	}
+	for _, s := range m.Stored {
+		w.Stored = append(w.Stored, &wire.Stored{Id: s.ID, Term: s.Position.Term, Index: s.Position.Index})
 	}
 	return w
 }
 
-func fromWire(w *wire.ConsensusMessage) consensus.Message {
+// fromWire reads a message; false means that it is damaged.
+func fromWire(w *wire.ConsensusMessage) (consensus.Message, bool) {
 	m := consensus.Message{
-		Kind:      consensus.Kind(w.Kind),
-		From:      w.From,
-		To:        w.To,
-		Term:      w.Term,
-		PrevIndex: w.PrevIndex,
-		PrevTerm:  w.PrevTerm,
-		Commit:    w.Commit,
-		Reject:    w.Reject,
-		Hint:      w.Hint,
+		Kind:       consensus.Kind(w.Kind),
+		From:       w.From,
+		To:         w.To,
+		Term:       w.Term,
+		PrevIndex:  w.PrevIndex,
+		PrevTerm:   w.PrevTerm,
+		Commit:     w.Commit,
+		Reject:     w.Reject,
+		Hint:       w.Hint,
+		Group:      w.Group,
+		Disk:       w.Disk,
+		Epoch:      w.Epoch,
+		Round:      w.Round,
+		Force:      w.Force,
+		Unverified: w.Unverified,
+		Address:    w.Address,
+		Chunk:      w.Chunk,
+		Offset:     w.Offset,
+		Size:       w.Size,
+	}
+	if len(w.Membership) > 0 {
+		membership, err := consensus.DecodeMembership(w.Membership)
+		if err != nil {
+			return m, false
+		}
+		m.Membership = &membership
 	}
 	for _, e := range w.Entries {
-		m.Entries = append(m.Entries, consensus.Entry{Term: e.Term, Index: e.Index, Data: e.Data})
+		m.Entries = append(m.Entries, consensus.Entry{Term: e.Term, Index: e.Index, Kind: consensus.EntryKind(e.Kind), Data: e.Data})
+	}
+	for _, s := range w.Stored {
+		m.Stored = append(m.Stored, consensus.Stored{ID: s.Id, Position: consensus.Position{Term: s.Term, Index: s.Index}})
 	}
-	return m
+	return m, true
 }
--- a/instance/server.go
+++ b/instance/server.go
@@ -69,7 +69,9 @@
 		return &wire.StepResponse{}, nil
 	}
 	for _, m := range req.Messages {
-		s.replica.Receive(fromWire(m))
+		if decoded, ok := fromWire(m); ok {
+			s.replica.Receive(decoded)
+		}
 	}
 	return &wire.StepResponse{}, nil
 }
--- a/operator/protocol.go
+++ b/operator/protocol.go
@@ -40,6 +40,25 @@
 	Term   uint64 `json:"term"`
 	Leader string `json:"leader"`
 	Commit uint64 `json:"commit"`
+	// Applied and Snapshot are log indexes: of the state and of the last snapshot.
+	Applied  uint64 `json:"applied"`
+	Snapshot uint64 `json:"snapshot"`
+	// Lease says that the instance leads and no other can.
+	Lease bool `json:"lease"`
+	// Voting says that the instance votes; a standby, or one whose disk was lost, does not.
+	Voting bool `json:"voting"`
+	// Size is the number of voters that the group is repaired to.
+	Size   int      `json:"size"`
+	Voters []string `json:"voters"`
+	// Learners are the replicas that get the log and don't vote, as the leader knows them.
+	Learners []LearnerStatus `json:"learners,omitempty"`
+}
+
+// LearnerStatus is one replica that does not vote.
+type LearnerStatus struct {
+	Name     string `json:"name"`
+	Match    uint64 `json:"match"`
+	CaughtUp bool   `json:"caught_up"`
 }
 
 // InstanceStatus is one instance of the system.
--- a/settings/process.go
+++ b/settings/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -22,6 +23,7 @@
 	{"listen", "advertise", "", "IP:port", "Address that other instances reach this one at. Empty: the address for other instances.", addressPort},
 	{"control", "data_folder", "", "path", "Folder of the replicated state. Empty: the instance is not a control instance.", anyText},
 	{"control", "voters", "", "name=IP:port, ...", "The control instances and their addresses for instances.", namedAddresses},
+	{"control", "standby", "false", "", "true: the instance has a data folder, is not one of the first voters, and takes the place of a voter that is lost.", oneOf("true", "false")},
 	{"join", "seeds", "", "IP:port, ...", "Instances to ask for the others. Empty: the control instances.", addressPorts},
 	{"operators", "key_file", "", "path", "File of operators' keys, a line \"NAME KEY\" for each. Empty: operators' calls need no key.", anyText},
 	{"tls", "instances", "false", "", "true: instances use TLS between each other and check each other's certificates.", oneOf("true", "false")},
@@ -62,9 +64,11 @@
 	// Advertise is where the other instances reach this one.
 	Advertise  string
 	DataFolder string
-	Voters     []Voter
-	Seeds      []string
-	LogLevel   string
+	// Standby says that the instance keeps a replica without being one of the first voters.
+	Standby  bool
+	Voters   []Voter
+	Seeds    []string
+	LogLevel string
 	// OperatorKeys is the file of operators' keys, "" when calls need none.
 	OperatorKeys string
 	TLS          TLS
@@ -112,6 +116,7 @@
 		Instances:  get("listen", "instances"),
 		Advertise:  get("listen", "advertise"),
 		DataFolder: get("control", "data_folder"),
+		Standby:    get("control", "standby") == "true",
 		Voters:     parseVoters(get("control", "voters")),
 		Seeds:      splitList(get("join", "seeds")),
 		LogLevel:   get("log", "level"),
@@ -126,6 +131,7 @@
 		},
 	}
 	r.checkTLS(name, p.TLS)
+	r.checkStandby(name, p)
 	if p.Advertise == "" {
 		p.Advertise = p.Instances
 	}
@@ -137,6 +143,19 @@
 	return p, r.err()
 }
 
+// checkStandby reports a replica that is neither a voter nor a standby, or both.
+func (r *reader) checkStandby(file string, p Process) {
+	isVoter := slices.ContainsFunc(p.Voters, func(v Voter) bool { return v.Name == p.Name })
+	switch {
+	case p.Standby && !p.IsControl():
+		r.fault(file, "control", "standby", "true", "needs a data_folder")
+	case p.Standby && isVoter:
+		r.fault(file, "control", "standby", "true", "the instance is one of the voters")
+	case p.IsControl() && !p.Standby && !isVoter:
+		r.fault(file, "control", "data_folder", p.DataFolder, "the instance is not one of the voters; a standby needs standby = true")
+	}
+}
+
 // checkTLS reports the files that are missing where TLS is used.
 func (r *reader) checkTLS(file string, t TLS) {
 	if !t.Instances && !t.Operators {
--- /dev/null
+++ b/storage/errors.go
@@ -0,0 +1,34 @@
+package storage
+
+import (
+	"errors"
+	"path/filepath"
+
+	"github.com/rotisserie/eris"
+)
+
+var (
+	// ErrLocked means that another process uses the data folder.
+	ErrLocked = errors.New("storage: the data folder is in use by another process")
+	// ErrDamaged means that a file holds something else than was written.
+	ErrDamaged = errors.New("storage: damaged file")
+	// ErrMissing means that a file that must be there is not.
+	ErrMissing = errors.New("storage: missing file")
+	// ErrForeign means that the folder belongs to another instance.
+	ErrForeign = errors.New("storage: the data folder belongs to another instance")
+	// ErrFailed means that an earlier write or sync failed. What is on the disk is then not
+	// known, so nothing more is written.
+	ErrFailed = errors.New("storage: an earlier write or sync failed")
+)
+
+const temporarySuffix = ".tmp"
+
+func join(folder, name string) string { return filepath.Join(folder, name) }
+
+func fail(step, path string, err error) error {
+	return eris.Wrapf(err, "storage: %s %s", step, path)
+}
+
+func damaged(path string, offset int, reason string) error {
+	return eris.Wrapf(ErrDamaged, "storage: read %s: %s at offset %d", path, reason, offset)
+}
--- a/storage/log.go
+++ b/storage/log.go
@@ -1,202 +1,317 @@
 // Package storage keeps a control instance's state in files under one data folder.
 //
-// The log is a sequence of records, each framed by its length and CRC-32C. A record counts
-// as stored only after Save has returned, which is after the file was synced.
+// The folder holds an identity, one snapshot, and the segments of a log that continues the
+// snapshot. Each Save appends one frame, with a CRC-32C, and syncs it. A file that was
+// changed, is missing or belongs to another instance makes Open fail with its path and the
+// reason; only a torn frame at the very end of the log, which no Save has confirmed, is cut.
 package storage
 
 import (
-	"bufio"
+	"crypto/rand"
 	"encoding/binary"
-	"encoding/json"
 	"errors"
-	"hash/crc32"
 	"io"
-	"os"
-	"path/filepath"
+	"io/fs"
+	"slices"
+	"strings"
 
 	"github.com/balsamlb/balsamlb/consensus"
 	"github.com/rotisserie/eris"
-	"golang.org/x/sys/unix"
 )
 
-// ErrLocked means that another process uses the data folder.
-var ErrLocked = errors.New("storage: the data folder is in use by another process")
-
 const (
-	logName         = "log"
-	lockName        = "lock"
-	headerBytes     = 8
-	maxRecordBytes  = 64 << 20
-	folderMode      = 0o700
-	fileMode        = 0o600
-	writeBufferSize = 64 << 10
+	lockName = "lock"
+	// segmentBytes is the size after which a new segment is begun.
+	segmentBytes = 8 << 20
 )
 
-var castagnoli = crc32.MakeTable(crc32.Castagnoli)
-
-// record is one line of the log: a hard state or an entry.
-type record struct {
-	HardState *consensus.HardState `json:"h,omitempty"`
-	Entry     *consensus.Entry     `json:"e,omitempty"`
+// Options describe a folder.
+type Options struct {
+	Folder string
+	// Instance is the name of the instance that the folder must belong to.
+	Instance string
+	// FS is the file system; nil: the operating system's.
+	FS FS
 }
 
-// Log is an append-only file of hard states and entries.
+// Log is the open data folder of one replica.
 type Log struct {
-	file *os.File
-	lock *os.File
-	buf  *bufio.Writer
+	fs       FS
+	folder   string
+	lock     io.Closer
+	identity Identity
+	hard     consensus.HardState
+	file     File
+	framer   framer
+	written  int64
+	buf      []byte
+	failed   error
+	// Cut is the number of bytes of a torn frame that Open has cut off.
+	Cut int
 }
 
-// Open locks the folder, reads what is stored and cuts a torn tail.
-func Open(folder string) (*Log, consensus.HardState, []consensus.Entry, error) {
-	var hard consensus.HardState
-	if err := os.MkdirAll(folder, folderMode); err != nil {
-		return nil, hard, nil, eris.Wrapf(err, "storage: create %s", folder)
+// Open locks the folder, checks all that is in it and counts the start.
+func Open(o Options) (*Log, Stored, error) {
+	if o.FS == nil {
+		o.FS = OS{}
+	}
+	l := &Log{fs: o.FS, folder: o.Folder}
+	if err := l.fs.MkdirAll(l.folder); err != nil {
+		return nil, Stored{}, fail("create", l.folder, err)
 	}
-	lock, err := lockFolder(folder)
+	lock, err := l.fs.Lock(join(l.folder, lockName))
 	if err != nil {
-		return nil, hard, nil, err
+		return nil, Stored{}, fail("lock", join(l.folder, lockName), err)
 	}
-	path := filepath.Join(folder, logName)
-	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, fileMode)
+	l.lock = lock
+	stored, err := l.open(o.Instance)
 	if err != nil {
-		lock.Close()
-		return nil, hard, nil, eris.Wrapf(err, "storage: open %s", path)
+		_ = l.Close()
+		return nil, Stored{}, err
 	}
-	hard, entries, good, err := replay(file)
-	if err == nil {
-		err = cutTail(file, good)
+	return l, stored, nil
+}
+
+// Identity returns whose folder it is.
+func (l *Log) Identity() Identity { return l.identity }
+
+func (l *Log) open(instance string) (Stored, error) {
+	if err := l.readIdentity(instance); err != nil {
+		return Stored{}, err
 	}
+	if l.identity.Disk == 0 {
+		return Stored{}, l.create(instance)
+	}
+	if l.identity.Segment == 0 {
+		return Stored{}, l.fill()
+	}
+	if err := l.removeLeftovers(); err != nil {
+		return Stored{}, err
+	}
+	snapshot, err := l.readSnapshot()
 	if err != nil {
-		file.Close()
-		lock.Close()
-		return nil, hard, nil, eris.Wrapf(err, "storage: read %s", path)
+		return Stored{}, err
 	}
-	l := &Log{file: file, lock: lock, buf: bufio.NewWriterSize(file, writeBufferSize)}
-	return l, hard, entries, nil
+	stored := Stored{Snapshot: snapshot}
+	if err := l.readSegments(&stored); err != nil {
+		return Stored{}, err
+	}
+	l.hard = stored.HardState
+	l.identity.Starts++
+	return stored, l.writeIdentity()
 }
 
-// Save appends and syncs the hard state and entries.
-func (l *Log) Save(hard *consensus.HardState, entries []consensus.Entry) error {
-	if hard == nil && len(entries) == 0 {
-		return nil
+// create begins a new folder. Without an identity there must be no other file either.
+func (l *Log) create(instance string) error {
+	names, err := l.fs.ReadDir(l.folder)
+	if err != nil {
+		return fail("list", l.folder, err)
 	}
-	if hard != nil {
-		if err := l.append(record{HardState: hard}); err != nil {
-			return err
+	for _, name := range names {
+		if isOurs(name) && !strings.HasSuffix(name, temporarySuffix) {
+			return eris.Wrapf(ErrMissing, "storage: read %s: the folder holds %s", join(l.folder, identityName), name)
 		}
 	}
-	for i := range entries {
-		if err := l.append(record{Entry: &entries[i]}); err != nil {
-			return err
-		}
+	l.identity = Identity{Instance: instance, Disk: randomNumber(), Starts: 1}
+	if err := l.writeIdentity(); err != nil {
+		return err
 	}
-	if err := l.buf.Flush(); err != nil {
-		return eris.Wrapf(err, "storage: write %s", l.file.Name())
+	return l.fill()
+}
+
+// fill makes the first segment of a folder that has only an identity.
+func (l *Log) fill() error {
+	if err := l.removeLeftovers(); err != nil {
+		return err
 	}
-	if err := l.file.Sync(); err != nil {
-		return eris.Wrapf(err, "storage: sync %s", l.file.Name())
+	if err := l.beginSegment(nil); err != nil {
+		return err
 	}
-	return nil
+	l.identity.First = l.identity.Segment
+	return l.writeIdentity()
 }
 
-// Close releases the folder.
-func (l *Log) Close() error {
-	err := l.file.Close()
-	return errors.Join(err, l.lock.Close())
+func randomNumber() uint64 {
+	var b [fixedBytes]byte
+	_, _ = rand.Read(b[:])
+	return binary.LittleEndian.Uint64(b[:]) | 1
 }
 
-func (l *Log) append(r record) error {
-	body, err := json.Marshal(r)
+func (l *Log) readIdentity(instance string) error {
+	path := join(l.folder, identityName)
+	data, err := l.fs.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
 	if err != nil {
-		return eris.Wrap(err, "storage: encode record")
+		return fail("read", path, err)
 	}
-	var header [headerBytes]byte
-	binary.LittleEndian.PutUint32(header[:4], uint32(len(body)))
-	binary.LittleEndian.PutUint32(header[4:], crc32.Checksum(body, castagnoli))
-	if _, err := l.buf.Write(header[:]); err != nil {
-		return eris.Wrapf(err, "storage: write %s", l.file.Name())
+	id, ok := decodeIdentity(data)
+	if !ok {
+		return damaged(path, 0, "the identity was changed")
 	}
-	if _, err := l.buf.Write(body); err != nil {
-		return eris.Wrapf(err, "storage: write %s", l.file.Name())
+	if id.Instance != instance {
+		return eris.Wrapf(ErrForeign, "storage: read %s: it belongs to %q, not to %q", path, id.Instance, instance)
 	}
+	l.identity = id
 	return nil
 }
 
-func lockFolder(folder string) (*os.File, error) {
-	path := filepath.Join(folder, lockName)
-	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, fileMode)
-	if err != nil {
-		return nil, eris.Wrapf(err, "storage: open %s", path)
-	}
-	if err := unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
-		f.Close()
-		return nil, eris.Wrapf(ErrLocked, "storage: lock %s", path)
-	}
-	return f, nil
-}
-
-// replay reads records up to the first damaged one and returns the offset after the last
-// good one.
-func replay(file *os.File) (consensus.HardState, []consensus.Entry, int64, error) {
-	var hard consensus.HardState
-	var entries []consensus.Entry
-	var good int64
-	in := bufio.NewReader(file)
-	for {
-		body, err := readRecord(in)
-		if errors.Is(err, io.EOF) || errors.Is(err, errDamaged) {
-			return hard, entries, good, nil
-		}
+func (l *Log) writeIdentity() error {
+	return replaceFile(l.fs, l.folder, identityName, l.identity.encode())
+}
+
+// readSegments reads the log and opens its newest segment for appending.
+func (l *Log) readSegments(s *Stored) error {
+	good := 0
+	for n := l.identity.First; n <= l.identity.Segment; n++ {
+		size, err := l.readSegment(s, n, n == l.identity.Segment)
 		if err != nil {
-			return hard, nil, 0, err
-		}
-		var r record
-		if err := json.Unmarshal(body, &r); err != nil {
-			return hard, nil, 0, eris.Wrapf(err, "record at offset %d", good)
-		}
-		if r.HardState != nil {
-			hard = *r.HardState
+			return err
 		}
-		if r.Entry != nil {
-			entries = append(entries[:r.Entry.Index-1], *r.Entry)
+		good = size
+	}
+	path := join(l.folder, segmentName(l.identity.Segment))
+	if l.Cut > 0 {
+		if err := l.fs.Truncate(path, int64(good)); err != nil {
+			return fail("cut", path, err)
 		}
-		good += headerBytes + int64(len(body))
 	}
+	file, err := l.fs.Append(path)
+	if err != nil {
+		return fail("open", path, err)
+	}
+	l.file = file
+	l.framer = newFramer(l.identity.Disk, l.identity.Segment)
+	l.written = int64(good)
+	return nil
 }
 
-var errDamaged = errors.New("damaged record")
+// Save appends the hard state and the entries and syncs them.
+func (l *Log) Save(hard *consensus.HardState, entries []consensus.Entry) error {
+	if hard == nil && len(entries) == 0 {
+		return nil
+	}
+	if l.failed != nil {
+		return eris.Wrapf(ErrFailed, "%v", l.failed)
+	}
+	if hard != nil {
+		l.hard = *hard
+	}
+	if l.written >= segmentBytes {
+		if err := l.rotate(); err != nil {
+			return l.broken(err)
+		}
+	}
+	return l.broken(l.write(batch{hard: hard, entries: entries}))
+}
 
-func readRecord(in *bufio.Reader) ([]byte, error) {
-	var header [headerBytes]byte
-	if _, err := io.ReadFull(in, header[:]); err != nil {
-		return nil, endOrDamage(err)
+// SaveSnapshot puts a snapshot and the entries after it in the place of all that was saved.
+func (l *Log) SaveSnapshot(s consensus.Snapshot, hard consensus.HardState, rest []consensus.Entry) error {
+	if l.failed != nil {
+		return eris.Wrapf(ErrFailed, "%v", l.failed)
 	}
-	size := binary.LittleEndian.Uint32(header[:4])
-	if size > maxRecordBytes {
-		return nil, errDamaged
+	return l.broken(l.saveSnapshot(s, hard, rest))
+}
+
+func (l *Log) saveSnapshot(s consensus.Snapshot, hard consensus.HardState, rest []consensus.Entry) error {
+	data := encodeSnapshot(l.identity.Disk, s)
+	if err := replaceFile(l.fs, l.folder, snapshotName(s.Index), data); err != nil {
+		return err
 	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(in, body); err != nil {
-		return nil, endOrDamage(err)
+	l.hard = hard
+	if err := l.beginSegment(rest); err != nil {
+		return err
 	}
-	if crc32.Checksum(body, castagnoli) != binary.LittleEndian.Uint32(header[4:]) {
-		return nil, errDamaged
+	l.identity.Group = s.Membership.Group
+	l.identity.Snapshot = s.Index
+	l.identity.First = l.identity.Segment
+	if err := l.writeIdentity(); err != nil {
+		return err
 	}
-	return body, nil
+	return l.removeLeftovers()
 }
 
-func endOrDamage(err error) error {
-	if errors.Is(err, io.ErrUnexpectedEOF) {
-		return errDamaged
+func (l *Log) rotate() error {
+	if err := l.beginSegment(nil); err != nil {
+		return err
 	}
-	return err
+	return l.writeIdentity()
 }
 
-func cutTail(file *os.File, good int64) error {
-	if err := file.Truncate(good); err != nil {
+// beginSegment starts a segment with the hard state and the entries. It counts only once
+// the identity names it.
+func (l *Log) beginSegment(entries []consensus.Entry) error {
+	l.identity.Segment++
+	path := join(l.folder, segmentName(l.identity.Segment))
+	file, err := l.fs.Create(path)
+	if err != nil {
+		return fail("create", path, err)
+	}
+	if l.file != nil {
+		_ = l.file.Close()
+	}
+	l.file = file
+	l.framer = newFramer(l.identity.Disk, l.identity.Segment)
+	l.written = 0
+	if err := l.write(batch{hard: &l.hard, entries: entries}); err != nil {
 		return err
 	}
-	_, err := file.Seek(good, io.SeekStart)
+	if err := l.fs.SyncDir(l.folder); err != nil {
+		return fail("sync", l.folder, err)
+	}
+	return nil
+}
+
+func (l *Log) write(x batch) error {
+	path := join(l.folder, segmentName(l.identity.Segment))
+	l.buf = l.framer.append(l.buf[:0], appendBatch(nil, x))
+	if _, err := l.file.Write(l.buf); err != nil {
+		return fail("write", path, err)
+	}
+	if err := l.file.Sync(); err != nil {
+		return fail("sync", path, err)
+	}
+	l.written += int64(len(l.buf))
+	return nil
+}
+
+// broken remembers a failure. After a failed sync the kernel may report the next one as
+// done although the data is lost, so nothing is ever tried again.
+func (l *Log) broken(err error) error {
+	if err != nil {
+		l.failed = err
+	}
 	return err
 }
+
+// Close releases the folder.
+func (l *Log) Close() error {
+	var err error
+	if l.file != nil {
+		err = l.file.Close()
+	}
+	return errors.Join(err, l.lock.Close())
+}
+
+// removeLeftovers removes what the identity doesn't name: older files, and newer ones that
+// a crash left half made.
+func (l *Log) removeLeftovers() error {
+	names, err := l.fs.ReadDir(l.folder)
+	if err != nil {
+		return fail("list", l.folder, err)
+	}
+	keep := []string{snapshotName(l.identity.Snapshot)}
+	for n := l.identity.First; n <= l.identity.Segment; n++ {
+		keep = append(keep, segmentName(n))
+	}
+	for _, name := range names {
+		if !isOurs(name) || name == identityName || slices.Contains(keep, name) {
+			continue
+		}
+		if err := l.fs.Remove(join(l.folder, name)); err != nil {
+			return fail("remove", join(l.folder, name), err)
+		}
+	}
+	return nil
+}
