--- /dev/null
+++ b/consensus/vote_test.go
@@ -0,0 +1,68 @@
+package consensus
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// A restarted voter may have forgotten a vote or an entry; until the others have confirmed
+// what it remembers, it takes part in no election.
+func TestRestartedVoterGrantsNoVoteUntilConfirmed(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, 0, 1)
+	leader := c.awaitLeader()
+	voter, candidate := c.others(leader)[0], c.others(leader)[1]
+	c.cutOff(voter, true)
+	c.stop(voter)
+	c.start(voter)
+	c.tick(60)
+	from := c.replicas[candidate].node
+	n := c.replicas[voter].node
+	is.True(n.Role() == RoleFollower)
+	last := n.log.lastPosition()
+	vote := Message{
+		Kind: KindVote, From: candidate, To: voter, Group: n.Group(), Disk: from.opts.Disk, Epoch: from.opts.Epoch,
+		Term: n.Term() + 1, PrevIndex: last.Index, PrevTerm: last.Term,
+	}
+	n.Step(vote)
+	is.True(lastMessage(n, KindVoteReply).Reject)
+	n.verification.done = true
+	vote.Term++
+	n.Step(vote)
+	is.True(!lastMessage(n, KindVoteReply).Reject)
+}
+
+func lastMessage(n *Node, kind Kind) Message {
+	for i := len(n.messages) - 1; i >= 0; i-- {
+		if n.messages[i].Kind == kind {
+			return n.messages[i]
+		}
+	}
+	return Message{}
+}
+
+// An entry of an older term on a quorum may still be replaced, so it is committed only
+// together with one of the leader's own term.
+func TestOlderTermsAreNotCommittedByCounting(t *testing.T) {
+	is := is.New(t)
+	m := Membership{Group: 1, Size: 3}
+	for i, id := range []string{"n0", "n1", "n2"} {
+		m.Voters = append(m.Voters, Voter{ID: id, Disk: uint64(i) + 1})
+	}
+	s := Snapshot{Index: 1, Term: 1, Membership: m}
+	n := New(Options{ID: "n0", Disk: 1, Founders: []string{"n0"}, ElectionTicks: 10, HeartbeatTicks: 2}, HardState{Term: 3}, s, []Entry{{Term: 2, Index: 2}})
+	n.verification.done = true
+	n.becomeCandidate(false)
+	reply := Message{From: "n1", To: "n0", Group: 1, Disk: 2, Term: n.Term(), Kind: KindVoteReply}
+	n.Step(reply)
+	is.Equal(n.Role(), RoleLeader)
+	n.Advance(n.Ready())
+	reply.Kind = KindAppendReply
+	reply.Hint = 2
+	n.Step(reply)
+	is.Equal(n.Commit(), uint64(1))
+	reply.Hint = 3
+	n.Step(reply)
+	is.Equal(n.Commit(), uint64(3))
+}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -23,6 +23,8 @@
 	Instances int
 	// Control says that the first instance has a data folder.
 	Control bool
+	// Standby says that the last instance has a data folder and is no voter at first.
+	Standby bool
 	// Region is empty when all data centres are in one region.
 	Region string
 }
@@ -64,6 +66,7 @@
 	Region     string
 	IP         string
 	DataFolder string // "" when it is not a control instance
+	Standby    bool
 }
 
 // Callers returns the address for callers.
@@ -178,6 +181,10 @@
 			if dc.Control && n == 0 {
 				i.DataFolder = filepath.Join(l.Layout.Folder, "data", name)
 			}
+			if dc.Standby && n == dc.Instances-1 {
+				i.DataFolder = filepath.Join(l.Layout.Folder, "data", name)
+				i.Standby = true
+			}
 			log := filepath.Join(l.Layout.Folder, name+".log")
 			i.Process = newProcess(name, log, filepath.Join(l.Layout.Bin, "balsamd"), "-settings", l.settingsPath(name))
 			l.Instances = append(l.Instances, i)
@@ -206,7 +213,7 @@
 func (l *Lab) settings(i *Instance) string {
 	var voters []string
 	for _, v := range l.Instances {
-		if v.DataFolder != "" {
+		if v.DataFolder != "" && !v.Standby {
 			voters = append(voters, v.Name+"="+l.advertised(v))
 		}
 	}
@@ -227,9 +234,10 @@
 advertise = %s
 [control]
 data_folder = %s
+standby = %t
 voters = %s
 `, i.Name, i.DataCentre, i.Region, i.Callers(), i.Backends(), i.Operators(), i.Platform(), i.IP, instancePort,
-		l.advertised(i), i.DataFolder, strings.Join(voters, ", ")) + extra
+		l.advertised(i), i.DataFolder, i.Standby, strings.Join(voters, ", ")) + extra
 }
 
 // Operator returns a client for the instance's operators' interface.
