--- a/backend/frame.go
+++ b/backend/frame.go
@@ -33,7 +33,7 @@
 }
 
 func (f Frame) isSane() bool {
-	for _, n := range []int{f.Attempt, f.Index, f.Received, f.Ran, f.Tokens} {
+	for _, n := range []int{f.Attempt, f.Index, f.Received, f.Ran, f.Known, f.Tokens} {
 		if n < 0 || n > maxFrameCount {
 			return false
 		}
--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -102,6 +102,9 @@
 	Received int `json:"received,omitempty"`
 	// Ran is the number of tokens that the stage has run.
 	Ran int `json:"ran,omitempty"`
+	// Known is one more than the highest index whose text the stage knows: what it has sampled
+	// as the last stage, or was given as input as the first one.
+	Known int `json:"known,omitempty"`
 	// Tokens is the length of the whole answer in an end frame.
 	Tokens  int    `json:"tokens,omitempty"`
 	Message string `json:"message,omitempty"`
--- a/dispatch/draft_run.go
+++ b/dispatch/draft_run.go
@@ -137,7 +137,7 @@
 	if f.Attempt != run.stream.Attempt() {
 		return nil
 	}
-	progress := pipeline.Progress{Received: f.Received, Ran: f.Ran}
+	progress := pipeline.Progress{Received: f.Received, Ran: f.Ran, Known: f.Known}
 	switch f.Kind {
 	case backend.FrameOpened:
 		return run.stream.Opened(now, e.conn, progress)
--- a/internal/emulate/kv.go
+++ b/internal/emulate/kv.go
@@ -65,6 +65,8 @@
 		select {
 		case <-changed:
 		case <-limit:
+			// Another server rebuilds the cache, so the token must not run here.
+			e.cancel(request)
 			return kvExport{}, false
 		}
 	}
@@ -101,7 +103,7 @@
 	}
 	for _, f := range x.Tokens {
 		s.firstToken = min(s.firstToken, f.Index)
-		s.tokens[f.Index] = f
+		s.learn(f)
 	}
 }
 
--- a/internal/emulate/session.go
+++ b/internal/emulate/session.go
@@ -30,6 +30,8 @@
 	// tokens holds the texts that the stage knows: all at the last stage, and at the first one
 	// those that it was given as input.
 	tokens map[int]backend.Frame
+	// known is one more than the highest index in tokens.
+	known int
 	// firstToken is the lowest index that the stage can know.
 	firstToken int
 	// drained is the attempt before, whose inputs are still taken while the link is drained.
@@ -184,12 +186,12 @@
 		return
 	}
 	if h.Previous != nil {
-		s.tokens[h.Previous.Index] = *h.Previous
+		s.learn(*h.Previous)
 	}
 	switch {
 	case h.Index < s.ran:
 		e.forward(s, h)
-	case h.Index != s.ran:
+	case h.Index != s.ran || h.Index >= s.open.MaxTokens:
 		return
 	case s.pending != nil:
 		s.pending.hop.Attempt = max(s.pending.hop.Attempt, h.Attempt)
@@ -254,20 +256,25 @@
 		e.fleet.deliver(e, s.open.Chain[next.Stage], next, s.hopBytes(e.fleet.options, h.Index))
 		return
 	}
-	if h.Index+1 < s.open.MaxTokens {
-		f := s.tokens[h.Index]
-		next := hop{Request: h.Request, Attempt: h.Attempt, Index: h.Index + 1, Previous: &f}
-		e.fleet.deliver(e, s.open.Chain[0], next, tokenBytes)
-	}
+	// The first stage is told of the last token too, so that its text outlives this stage.
+	f := s.tokens[h.Index]
+	next := hop{Request: h.Request, Attempt: h.Attempt, Index: h.Index + 1, Previous: &f}
+	e.fleet.deliver(e, s.open.Chain[0], next, tokenBytes)
 }
 
 // sample makes the text of a token that has passed all layers, under whatever attempt.
 func (s *session) sample(index int, passed []pipeline.Pass) {
 	if _, ok := s.tokens[index]; !ok {
-		s.tokens[index] = backend.Frame{
+		s.learn(backend.Frame{
 			Kind: backend.FrameToken, Request: s.open.Request, Index: index,
 			Text: Word(s.open.Prompt, index), Passed: passed,
-		}
+		})
 	}
 	s.notify()
 }
+
+// learn keeps a token whose text the stage knows.
+func (s *session) learn(f backend.Frame) {
+	s.tokens[f.Index] = f
+	s.known = max(s.known, f.Index+1)
+}
--- a/internal/emulate/stage.go
+++ b/internal/emulate/stage.go
@@ -113,7 +113,7 @@
 	defer w.engine.mu.Unlock()
 	return backend.Frame{
 		Kind: kind, Request: w.open.Request, Attempt: w.open.Attempt,
-		Received: w.session.received, Ran: w.session.ran,
+		Received: w.session.received, Ran: w.session.ran, Known: w.session.known,
 	}
 }
 
@@ -122,7 +122,7 @@
 func (w *stageWriter) sendKnown() error {
 	w.engine.mu.Lock()
 	var known []backend.Frame
-	for i := w.open.From; i < w.session.received; i++ {
+	for i := w.open.From; i < w.session.known; i++ {
 		if f, ok := w.session.tokens[i]; ok {
 			known = append(known, f)
 		}
--- a/pipeline/repair.go
+++ b/pipeline/repair.go
@@ -24,13 +24,13 @@
 // resume opens a new connection to the same server, from the next index on.
 func (s *Stream) resume(now time.Time, i int, reason Reason) []Action {
 	l := s.links[i]
-	if l.isFresh || l.resumes >= s.limits.Resumes || (!l.opened && l.resumes > 0) {
+	if l.resumes >= s.limits.Resumes || (!l.opened && l.resumes > 0) {
 		return s.repair(now, i, reason)
 	}
 	out := []Action{Close{Conn: l.conn}, Resume{Stage: i, Server: s.chain[i].Server.Name, Reason: reason}}
 	l.resumes++
 	l.opened = false
-	return append(out, s.open(now, i, 0))
+	return append(out, s.open(now, i, l.ready))
 }
 
 // repair replaces a stage under a new attempt. The other stages keep their sessions.
--- a/pipeline/stream.go
+++ b/pipeline/stream.go
@@ -42,6 +42,8 @@
 	Received int
 	// Ran is the number of tokens that the stage has run.
 	Ran int
+	// Known is one more than the highest index whose text the stage can send.
+	Known int
 }
 
 // link is the connection to one stage.
@@ -54,6 +56,8 @@
 	progress Progress
 	// isFresh means that the server has no session yet.
 	isFresh bool
+	// ready is what the KV cache of a fresh one must hold.
+	ready int
 	// source is the stage that may export the KV cache of a fresh one, or nil.
 	source *Stage
 	closed bool // the server has ended the stream of tokens
@@ -254,7 +258,7 @@
 	if s.done {
 		return nil
 	}
-	if s.total >= 0 && s.tokens.IsComplete(s.total) {
+	if s.isWhole() {
 		return s.finish(nil)
 	}
 	if s.started || s.cancelling > 0 {
@@ -282,6 +286,12 @@
 	return append(out, start)
 }
 
+// isWhole reports whether all tokens up to the end mark were emitted, or as many as the
+// answer may have, whose end mark may be lost with the last stage.
+func (s *Stream) isWhole() bool {
+	return s.tokens.Next() == s.length || (s.total >= 0 && s.tokens.IsComplete(s.total))
+}
+
 func (s *Stream) openSurvivors(now time.Time) []Action {
 	var out []Action
 	for i, l := range s.links {
@@ -318,12 +328,10 @@
 // the caller, to the last stage, or to the first stage as its input.
 func (s *Stream) due() int {
 	n := s.tokens.Next()
-	last := s.links[len(s.links)-1]
-	if last.opened {
-		n = max(n, last.progress.Ran)
-	}
-	if first := s.links[0]; first.opened && len(s.links) > 1 {
-		n = max(n, first.progress.Received-1)
+	for _, l := range s.links {
+		if l.opened {
+			n = max(n, l.progress.Known)
+		}
 	}
 	return n
 }
@@ -332,6 +340,7 @@
 	s.conns++
 	l := s.links[i]
 	l.conn = s.conns
+	l.ready = ready
 	l.heard = now
 	l.closed = false
 	return Open{
