--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -57,6 +57,8 @@
 	return []Bench{
 		bookingsBench,
 		atMostOnceBench,
+		controlBench,
+		configBench,
 	}
 }
 
