Credits: numbered batches recorded before the last byte

Cause: credits waited 250 ms in memory after the answer, so an instance that died lost them, and the state kept the ids of 100,000 requests. Ruled out: a record a request (its id costs more than its credit), and a plain counter on each instance (loses what a crash takes). Change: an instance sends its credits in numbered batches, one under way at a time; the end of an answer waits for its batch, at most 300 ms, and goes on without a quorum.

--- a/credit/credit.go
+++ b/credit/credit.go
@@ -1,4 +1,8 @@
 // Package credit counts answered requests by kind and member, each once.
+//
+// An instance sends its credits in batches that it numbers, one after the other, so that a
+// batch which is sent again counts once, and the book remembers one number an instance
+// instead of every request.
 package credit
 
 import (
@@ -9,7 +13,7 @@
 
 // Entry is the credit for one answered request.
 type Entry struct {
-	// Request identifies the answered request over its re-sends.
+	// Request identifies the answered request.
 	Request string
 	Member  string
 	Kind    string
@@ -21,29 +25,68 @@
 	Kind   string
 }
 
-// maxRetainedRequests bounds the deduplication. A proposer sends a batch again only for
-// seconds, which is less than this many requests take.
-const maxRetainedRequests = 100_000
+// Count is the credit of one account.
+type Count struct {
+	Account Account
+	Count   uint64
+}
+
+// Batch is what one instance has to credit since its last batch.
+type Batch struct {
+	// Source is the instance's name; Incarnation grows with each of its starts.
+	Source      string
+	Incarnation uint64
+	// Sequence grows by one with each batch of an incarnation, from 1.
+	Sequence uint64
+	Counts   []Count
+}
+
+// Collect adds up entries, by account.
+func Collect(entries []Entry) []Count {
+	counts := make(map[Account]uint64)
+	for _, e := range entries {
+		counts[Account{Member: e.Member, Kind: e.Kind}]++
+	}
+	return sorted(counts)
+}
+
+// maxSources bounds the instances whose last batch is remembered; the one that has been
+// quiet for longest is forgotten.
+const maxSources = 4096
+
+// Mark is the last batch of one source.
+type Mark struct {
+	Source      string
+	Incarnation uint64
+	Sequence    uint64
+	// Turn grows with every batch of any source.
+	Turn uint64
+}
 
 // Book holds the counts. It is replicated by the control instances.
 type Book struct {
 	counts map[Account]uint64
-	seen   map[string]struct{}
-	order  []string
+	marks  map[string]Mark
+	turn   uint64
 }
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{counts: make(map[Account]uint64), seen: make(map[string]struct{})}
+	return &Book{counts: make(map[Account]uint64), marks: make(map[string]Mark)}
 }
 
-// Add credits an entry unless its request was credited before.
-func (b *Book) Add(e Entry) {
-	if _, ok := b.seen[e.Request]; ok {
+// Add credits a batch unless it, or a later one of its source, was credited before.
+func (b *Book) Add(batch Batch) {
+	m, ok := b.marks[batch.Source]
+	if ok && cmp.Or(cmp.Compare(batch.Incarnation, m.Incarnation), cmp.Compare(batch.Sequence, m.Sequence)) <= 0 {
 		return
 	}
-	b.remember(e.Request)
-	b.counts[Account{Member: e.Member, Kind: e.Kind}]++
+	b.turn++
+	b.marks[batch.Source] = Mark{Source: batch.Source, Incarnation: batch.Incarnation, Sequence: batch.Sequence, Turn: b.turn}
+	b.forgetQuietest()
+	for _, c := range batch.Counts {
+		b.counts[c.Account] += c.Count
+	}
 }
 
 // Count credits an entry whose request the caller knows to be credited once.
@@ -51,13 +94,12 @@
 	b.counts[Account{Member: e.Member, Kind: e.Kind}]++
 }
 
-func (b *Book) remember(request string) {
-	b.seen[request] = struct{}{}
-	b.order = append(b.order, request)
-	if len(b.order) > maxRetainedRequests {
-		delete(b.seen, b.order[0])
-		b.order = b.order[1:]
+func (b *Book) forgetQuietest() {
+	if len(b.marks) <= maxSources {
+		return
 	}
+	quietest := slices.MinFunc(slices.Collect(maps.Values(b.marks)), func(x, y Mark) int { return cmp.Compare(x.Turn, y.Turn) })
+	delete(b.marks, quietest.Source)
 }
 
 // Counts returns the count of each account.
@@ -66,26 +108,15 @@
 // Image is all that a book holds, for snapshots. Equal books have equal images.
 type Image struct {
 	Counts []Count
-	// Requests are those that are deduplicated, oldest first.
-	Requests []string
-}
-
-// Count is the credit of one account.
-type Count struct {
-	Account Account
-	Count   uint64
+	// Marks are ordered by their turns.
+	Marks []Mark
 }
 
 // Image returns a copy of what the book holds.
 func (b *Book) Image() Image {
-	im := Image{Requests: slices.Clone(b.order)}
-	accounts := slices.SortedFunc(maps.Keys(b.counts), func(x, y Account) int {
-		return cmp.Or(cmp.Compare(x.Member, y.Member), cmp.Compare(x.Kind, y.Kind))
-	})
-	for _, a := range accounts {
-		im.Counts = append(im.Counts, Count{Account: a, Count: b.counts[a]})
-	}
-	return im
+	marks := slices.Collect(maps.Values(b.marks))
+	slices.SortFunc(marks, func(x, y Mark) int { return cmp.Compare(x.Turn, y.Turn) })
+	return Image{Counts: sorted(b.counts), Marks: marks}
 }
 
 // FromImage returns a book that holds what the image does.
@@ -94,8 +125,20 @@
 	for _, c := range im.Counts {
 		b.counts[c.Account] = c.Count
 	}
-	for _, r := range im.Requests {
-		b.remember(r)
+	for _, m := range im.Marks {
+		b.marks[m.Source] = m
+		b.turn = max(b.turn, m.Turn)
 	}
 	return b
 }
+
+func sorted(counts map[Account]uint64) []Count {
+	out := make([]Count, 0, len(counts))
+	for a, n := range counts {
+		out = append(out, Count{Account: a, Count: n})
+	}
+	slices.SortFunc(out, func(x, y Count) int {
+		return cmp.Or(cmp.Compare(x.Account.Member, y.Account.Member), cmp.Compare(x.Account.Kind, y.Account.Kind))
+	})
+	return out
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -74,7 +74,7 @@
 	d := &Daemon{process: p, log: log, lines: lines, secrets: secrets, dialer: dialer}
 	d.shared = newShared(p, uint64(time.Now().UnixNano()), log.WithName("config"))
 	d.proposer = instance.NewProposer(dialer, voterAddresses(p))
-	d.credits = newCreditDuty(d.proposer, log.WithName("credit"))
+	d.credits = newCreditDuty(p.Name, d.shared.incarnation, d.proposer, log.WithName("credit"))
 	d.admitter = newAdmitter()
 	d.dispatcher = dispatch.New(p.Name, p.DataCentre, d.shared, d.proposer, d.credits, log)
 	d.dispatcher.UsePeers(d.shared.incarnation, d.shared)
--- a/replica/command.go
+++ b/replica/command.go
@@ -25,11 +25,8 @@
 		w.Change = changeToWire(*c.Change)
 	case c.Drain != nil:
 		w.Drain = drainToWire(*c.Drain)
-	case len(c.Credits) > 0:
-		w.Credits = &wire.Credits{}
-		for _, e := range c.Credits {
-			w.Credits.Entries = append(w.Credits.Entries, creditToWire(e))
-		}
+	case c.Credits != nil:
+		w.Credits = batchToWire(*c.Credits)
 	}
 	data, err := deterministic.Marshal(w)
 	return data, eris.Wrap(err, "replica: encode command")
@@ -55,9 +52,7 @@
 		d := drainFromWire(w.Drain)
 		c.Drain = &d
 	case w.Credits != nil:
-		for _, e := range w.Credits.Entries {
-			c.Credits = append(c.Credits, creditFromWire(e))
-		}
+		c.Credits = batchFromWire(w.Credits)
 	}
 	return c, nil
 }
@@ -139,6 +134,24 @@
 	}
 }
 
+func batchToWire(b credit.Batch) *wire.Credits {
+	return &wire.Credits{
+		Source:      b.Source,
+		Incarnation: b.Incarnation,
+		Sequence:    b.Sequence,
+		Accounts:    accountsToWire(b.Counts),
+	}
+}
+
+func batchFromWire(w *wire.Credits) *credit.Batch {
+	return &credit.Batch{
+		Source:      w.Source,
+		Incarnation: w.Incarnation,
+		Sequence:    w.Sequence,
+		Counts:      accountsFromWire(w.Accounts),
+	}
+}
+
 func creditToWire(e credit.Entry) *wire.Credit {
 	if e == (credit.Entry{}) {
 		return nil
--- a/replica/snapshot.go
+++ b/replica/snapshot.go
@@ -121,17 +121,37 @@
 }
 
 func creditsToWire(im credit.Image) *wire.CreditBook {
-	w := &wire.CreditBook{Requests: im.Requests}
-	for _, c := range im.Counts {
-		w.Accounts = append(w.Accounts, &wire.Account{Member: c.Account.Member, Kind: c.Account.Kind, Count: c.Count})
+	w := &wire.CreditBook{Accounts: accountsToWire(im.Counts)}
+	for _, m := range im.Marks {
+		w.Marks = append(w.Marks, &wire.CreditMark{
+			Source: m.Source, Incarnation: m.Incarnation, Sequence: m.Sequence, Turn: m.Turn,
+		})
 	}
 	return w
 }
 
 func creditsFromWire(w *wire.CreditBook) credit.Image {
-	im := credit.Image{Requests: w.GetRequests()}
-	for _, a := range w.GetAccounts() {
-		im.Counts = append(im.Counts, credit.Count{Account: credit.Account{Member: a.Member, Kind: a.Kind}, Count: a.Count})
+	im := credit.Image{Counts: accountsFromWire(w.GetAccounts())}
+	for _, m := range w.GetMarks() {
+		im.Marks = append(im.Marks, credit.Mark{
+			Source: m.Source, Incarnation: m.Incarnation, Sequence: m.Sequence, Turn: m.Turn,
+		})
 	}
 	return im
 }
+
+func accountsToWire(counts []credit.Count) []*wire.Account {
+	var ws []*wire.Account
+	for _, c := range counts {
+		ws = append(ws, &wire.Account{Member: c.Account.Member, Kind: c.Account.Kind, Count: c.Count})
+	}
+	return ws
+}
+
+func accountsFromWire(ws []*wire.Account) []credit.Count {
+	var counts []credit.Count
+	for _, a := range ws {
+		counts = append(counts, credit.Count{Account: credit.Account{Member: a.Member, Kind: a.Kind}, Count: a.Count})
+	}
+	return counts
+}
--- a/replica/snapshot_test.go
+++ b/replica/snapshot_test.go
@@ -65,7 +65,12 @@
 	case 5:
 		c.Drain = &Drain{Server: attempt, On: rapid.Bool().Draw(t, "on")}
 	case 6:
-		c.Credits = []credit.Entry{{Request: attempt, Member: "m", Kind: "draft"}, {Request: "r", Member: "n", Kind: "draft"}}
+		c.Credits = &credit.Batch{
+			Source:      rapid.SampledFrom([]string{"kandy-1", "galle-1"}).Draw(t, "credit source"),
+			Incarnation: rapid.Uint64Range(1, 2).Draw(t, "incarnation"),
+			Sequence:    rapid.Uint64Range(1, 3).Draw(t, "sequence"),
+			Counts:      []credit.Count{{Account: credit.Account{Member: "m", Kind: "draft"}, Count: 2}},
+		}
 	}
 	return c
 }
--- a/replica/state.go
+++ b/replica/state.go
@@ -19,7 +19,7 @@
 	Abandon *ledger.Abandon
 	Change  *config.Change
 	Drain   *Drain
-	Credits []credit.Entry
+	Credits *credit.Batch
 	// Stamp is set by the leader.
 	Stamp Stamp
 }
@@ -105,10 +105,8 @@
 	case c.Drain != nil:
 		s.applyDrain(*c.Drain)
 		s.viewIndex = index
-	case len(c.Credits) > 0:
-		for _, e := range c.Credits {
-			s.Credits.Add(e)
-		}
+	case c.Credits != nil:
+		s.Credits.Add(*c.Credits)
 	}
 	return Result{}
 }
