Placement: orders to engines under fencing numbers

Cause: engines take orders to load models and change role, and nothing gave them. Ruled out: desired state in the replicated log for each order (the configuration states it already, and reports tell what is done). Change: [server NAME] in the configuration states what an engine is to hold; the leader compares it with the reports and keeps one order open a server, numbered by term and order. Servers that ignore numbers are left for the old lease and the order timeout; loads share the weight store, least served layers first. Status shows which servers check numbers. Stand-in engines carry orders out and list them. Seen failing: without the wait for servers that ignore numbers, the open order, the share of the store, the order by need, the running order of an earlier leader, or the end of a lost order, a test of the planner names it.

--- /dev/null
+++ b/backend/order.go
@@ -0,0 +1,46 @@
+package backend
+
+import (
+	"context"
+	"time"
+
+	"github.com/balsamlb/balsamlb/fleet"
+	"github.com/balsamlb/balsamlb/placement"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+)
+
+// orderTimeout bounds the sending of an order; the server carries it out later.
+const orderTimeout = time.Second
+
+// OrderRequest is the body of an order. A server that checks fencing numbers refuses an order
+// whose fence is older than the newest that it has taken, and takes the same fence once.
+type OrderRequest struct {
+	Fence       fleet.Fence      `json:"fence"`
+	Incarnation uint64           `json:"incarnation"`
+	Engine      placement.Engine `json:"engine"`
+}
+
+// SendOrder sends the order once.
+func SendOrder(ctx context.Context, o placement.Order) (placement.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	c, err := dial(ctx, o.Server, o.Address)
+	if err != nil {
+		return placement.AnswerRefused, err
+	}
+	defer c.Close()
+	if err := c.post(o.Address, PathOrder, OrderRequest{Fence: o.Fence, Incarnation: o.Incarnation, Engine: o.Engine}); err != nil {
+		return placement.AnswerLost, err
+	}
+	if err := c.resp.ReadLimitBody(c.in, maxControlBytes); err != nil {
+		return placement.AnswerLost, eris.Wrapf(err, "backend: read answer of %s", o.Server)
+	}
+	switch {
+	case c.resp.StatusCode() == fasthttp.StatusOK:
+		return placement.AnswerTaken, nil
+	case isRefusal(&c.resp):
+		return placement.AnswerRefused, eris.Wrapf(ErrRefused, "backend: order to %s", o.Server)
+	}
+	return placement.AnswerLost, eris.Errorf("backend: order to %s: status %d", o.Server, c.resp.StatusCode())
+}
--- a/cmd/balsamctl/status.go
+++ b/cmd/balsamctl/status.go
@@ -7,6 +7,7 @@
 	"os"
 	"text/tabwriter"
 
+	"github.com/balsamlb/balsamlb/fleet"
 	"github.com/balsamlb/balsamlb/operator"
 	"github.com/peterbourgon/ff/v3/ffcli"
 )
@@ -41,6 +42,14 @@
 	return enc.Encode(v)
 }
 
+// orderText shows the last order of a server, such as 3/12 done.
+func orderText(o fleet.OrderReport) string {
+	if o.State == "" {
+		return "none"
+	}
+	return fmt.Sprintf("%d/%d %s", o.Fence.Term, o.Fence.Number, o.State)
+}
+
 func printStatus(s operator.Status) error {
 	fmt.Printf("instance %s in %s, configuration version %d, %d requests in flight\n", s.Instance, s.DataCentre, s.ConfigVersion, s.InFlight)
 	if s.Control != nil {
@@ -51,9 +60,10 @@
 	for _, i := range s.Instances {
 		fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%d ms ago\n", i.Name, i.DataCentre, i.Alive, i.ConfigVersion, i.HeardMs)
 	}
-	fmt.Fprintln(w, "\nSERVER\tDATA CENTRE\tADDRESS\tMODEL\tLAYERS\tIN FLIGHT\tLEAVING\tLEASE")
+	fmt.Fprintln(w, "\nSERVER\tDATA CENTRE\tADDRESS\tMODEL\tLAYERS\tIN FLIGHT\tLEAVING\tLEASE\tCHECKS FENCES\tTELLS OUTCOMES\tORDER")
 	for _, b := range s.Servers {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d-%d\t%d\t%t\t%d ms\n", b.Name, b.DataCentre, b.Address, b.Model, b.From, b.To, b.InFlight, b.Leaving, b.LeaseMs)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d-%d\t%d\t%t\t%d ms\t%t\t%t\t%s\n", b.Name, b.DataCentre, b.Address, b.Model, b.From, b.To, b.InFlight, b.Leaving, b.LeaseMs,
+			b.ChecksFences, b.ResolvesRequests, orderText(b.Order))
 	}
 	return w.Flush()
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -143,6 +143,8 @@
 	g.Go(func() error { return d.secrets.run(dutyCtx, d.log.WithName("keys")) })
 	if d.host != nil {
 		g.Go(func() error { return d.host.Run(dutyCtx) })
+		orders := newPlacementDuty(d.shared, d.host, d.log.WithName("placement"))
+		g.Go(func() error { return orders.run(dutyCtx) })
 		g.Go(func() error { return d.sender.Run(dutyCtx) })
 	}
 	d.log.Info("started", "instance", d.process.Name, "data_centre", d.process.DataCentre)
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -133,6 +133,13 @@
 			To:         b.Layers.To,
 			Leaving:    b.Leaving || draining,
 			LeaseMs:    l.Expires.Sub(now).Milliseconds(),
+
+			ChecksFences:     b.ChecksFences,
+			ResolvesRequests: b.ResolvesRequests,
+			Version:          b.Version,
+			Adapters:         b.Adapters,
+			Role:             b.Role,
+			Order:            b.Order,
 		})
 	}
 	for name := range s.view.Drains {
--- /dev/null
+++ b/fleet/order.go
@@ -0,0 +1,32 @@
+package fleet
+
+import "cmp"
+
+// Fence is a fencing number: it grows with the leader's term, and within a term with each
+// order.
+type Fence struct {
+	Term   uint64 `json:"term"`
+	Number uint64 `json:"number"`
+}
+
+// Compare orders fences by age, older first.
+func (f Fence) Compare(g Fence) int {
+	return cmp.Or(cmp.Compare(f.Term, g.Term), cmp.Compare(f.Number, g.Number))
+}
+
+// OrderState is how far a server has come with an order.
+type OrderState string
+
+// The states of an order.
+const (
+	OrderRunning OrderState = "running"
+	OrderDone    OrderState = "done"
+	OrderFailed  OrderState = "failed"
+)
+
+// OrderReport is what a server says of the last order that it took.
+type OrderReport struct {
+	Fence  Fence      `json:"fence"`
+	State  OrderState `json:"state"`
+	Reason string     `json:"reason,omitempty"`
+}
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -36,6 +36,13 @@
 	Services []string `json:"services,omitempty"`
 	Model    string   `json:"model,omitempty"`
 	Layers   Range    `json:"layers,omitzero"`
+	// Version is the version of the model, Adapters are those that are loaded.
+	Version  string   `json:"version,omitempty"`
+	Adapters []string `json:"adapters,omitempty"`
+	// Role is the part of the work that the engine does, "" for all.
+	Role string `json:"role,omitempty"`
+	// Order is the last order that the server has taken.
+	Order OrderReport `json:"order,omitzero"`
 	// PartialRange means that the server can run a part of its layers.
 	PartialRange bool `json:"partial_range,omitempty"`
 	// Slots is the number of requests that the server batches.
--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -17,7 +17,7 @@
 
 // decisionPackages take time and events in and give actions out.
 var decisionPackages = []string{
-	"admission", "config", "consensus", "credit", "fleet", "ledger", "membership", "outcome", "pipeline", "replica", "route",
+	"admission", "config", "consensus", "credit", "fleet", "ledger", "membership", "outcome", "pipeline", "placement", "replica", "route",
 }
 
 // forbiddenImports do I/O, log, or talk to other processes.
--- a/internal/emulate/engine.go
+++ b/internal/emulate/engine.go
@@ -47,6 +47,7 @@
 	// requests and calls concern plain calls.
 	requests *requestLog
 	calls    callFaults
+	orders   orderBook
 
 	mu       sync.Mutex
 	sessions map[string][]*session // by request; a server may run several stages of one
@@ -125,6 +126,7 @@
 	e.sequence++
 	a := e.self
 	a.Sequence = e.sequence
+	e.orders.describe(&a)
 	a.Leaving = e.leaving
 	a.Load = e.reported
 	e.reported = fleet.Load{Running: e.running, Queued: waiting}
--- a/internal/emulate/fleet.go
+++ b/internal/emulate/fleet.go
@@ -36,6 +36,7 @@
 	options Options
 	engines map[string]*engine // by address
 	counts  *Counts
+	weights weightStore
 	ctx     context.Context
 	group   *errgroup.Group
 
@@ -50,6 +51,7 @@
 		engines: make(map[string]*engine),
 		counts:  NewCounts(),
 		links:   make(map[string]*link),
+		weights: weightStore{layerTime: o.LayerLoad},
 	}
 	for _, s := range o.Servers {
 		f.engines[s.Address] = newEngine(s, f)
@@ -120,6 +122,10 @@
 		e.handleExport(ctx, strings.TrimPrefix(path, PathExport))
 	case strings.HasPrefix(path, backend.PathCall):
 		e.handleCall(ctx, strings.TrimPrefix(path, backend.PathCall))
+	case path == backend.PathOrder:
+		e.handleOrder(ctx)
+	case path == PathOrders:
+		e.handleOrders(ctx)
 	case path == backend.PathResolve:
 		e.handleResolve(ctx)
 	case path == PathCounts:
--- a/internal/emulate/options.go
+++ b/internal/emulate/options.go
@@ -46,6 +46,8 @@
 	KVBytes int
 	// PrefixTokens is the size of each server's prefix cache; 0 means 16,384 tokens.
 	PrefixTokens int
+	// LayerLoad is the time to load one layer from the weight store; 0 loads at once.
+	LayerLoad time.Duration
 	// CallFaults are what goes wrong with plain calls, by server.
 	CallFaults map[string]settings.CallFaults
 }
@@ -89,6 +91,7 @@
 		KVBytes:         f.KVBytes,
 		PrefixTokens:    f.PrefixTokens,
 		CallFaults:      f.CallFaults,
+		LayerLoad:       f.LayerLoad,
 	}
 	for _, l := range f.Links {
 		a, b, _ := strings.Cut(l.Name, " ")
--- /dev/null
+++ b/internal/emulate/order.go
@@ -0,0 +1,117 @@
+package emulate
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/balsamlb/balsamlb/backend"
+	"github.com/balsamlb/balsamlb/fleet"
+	"github.com/balsamlb/balsamlb/placement"
+	"github.com/valyala/fasthttp"
+)
+
+// PathOrders returns the orders that a server has carried out, oldest first.
+const PathOrders = "/v1/orders"
+
+// maxAppliedOrders bounds the orders that are kept; the oldest are forgotten.
+const maxAppliedOrders = 1000
+
+// weightStore is read by one load at a time, which is how its rate is shared here.
+type weightStore struct {
+	mu sync.Mutex
+	// layerTime is the time to load one layer.
+	layerTime time.Duration
+}
+
+func (w *weightStore) load(layers int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	time.Sleep(time.Duration(layers) * w.layerTime)
+}
+
+// orderBook is what a server knows of its orders. It changes what the server announces, not
+// what it can run.
+type orderBook struct {
+	mu      sync.Mutex
+	engine  *placement.Engine // nil before the first order
+	report  fleet.OrderReport
+	applied []backend.OrderRequest
+}
+
+// take accepts an order, or reports false for one that is too old.
+func (b *orderBook) take(o backend.OrderRequest, checksFences bool) (fresh, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	age := o.Fence.Compare(b.report.Fence)
+	if checksFences && age < 0 {
+		return false, false
+	}
+	if checksFences && age == 0 {
+		return false, true
+	}
+	b.report = fleet.OrderReport{Fence: o.Fence, State: fleet.OrderRunning}
+	return true, true
+}
+
+func (b *orderBook) finish(o backend.OrderRequest) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.applied = append(b.applied, o)
+	b.applied = b.applied[max(0, len(b.applied)-maxAppliedOrders):]
+	b.engine = &o.Engine
+	if b.report.Fence == o.Fence {
+		b.report.State = fleet.OrderDone
+	}
+}
+
+// describe adds what the orders have changed to an announcement.
+func (b *orderBook) describe(a *fleet.BackendServer) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a.Order = b.report
+	if b.engine == nil {
+		return
+	}
+	a.Model = b.engine.Model
+	a.Layers = b.engine.Layers
+	a.Version = b.engine.Version
+	a.Adapters = b.engine.Adapters
+	a.Role = b.engine.Role
+}
+
+func (e *engine) handleOrder(ctx *fasthttp.RequestCtx) {
+	var o backend.OrderRequest
+	if err := json.Unmarshal(ctx.PostBody(), &o); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	if e.self.ChecksFences && o.Incarnation != e.self.Incarnation {
+		refuseCall(ctx, fasthttp.StatusConflict, "the order is for another start of the server")
+		return
+	}
+	fresh, ok := e.orders.take(o, e.self.ChecksFences)
+	if !ok {
+		refuseCall(ctx, fasthttp.StatusConflict, "the order has an old fencing number")
+		return
+	}
+	if fresh {
+		go e.carryOut(o)
+	}
+}
+
+// carryOut loads what the order names and announces the result.
+func (e *engine) carryOut(o backend.OrderRequest) {
+	e.fleet.weights.load(o.Engine.Layers.Len())
+	e.orders.finish(o)
+	select {
+	case e.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (e *engine) handleOrders(ctx *fasthttp.RequestCtx) {
+	e.orders.mu.Lock()
+	defer e.orders.mu.Unlock()
+	writeJSON(ctx, append([]backend.OrderRequest{}, e.orders.applied...))
+}
--- a/operator/protocol.go
+++ b/operator/protocol.go
@@ -3,6 +3,8 @@
 
 import (
 	"time"
+
+	"github.com/balsamlb/balsamlb/fleet"
 )
 
 // Paths of the operators' interface.
@@ -60,6 +62,15 @@
 	InFlight   int    `json:"in_flight"`
 	Leaving    bool   `json:"leaving"`
 	LeaseMs    int64  `json:"lease_ms"`
+	// ChecksFences means that the server refuses orders with an old fencing number.
+	ChecksFences bool `json:"checks_fences"`
+	// ResolvesRequests means that the server can tell what became of a request.
+	ResolvesRequests bool `json:"resolves_requests"`
+	// Version, Adapters, Role and Order are what the server reports of its engine.
+	Version  string            `json:"version,omitempty"`
+	Adapters []string          `json:"adapters,omitempty"`
+	Role     string            `json:"role,omitempty"`
+	Order    fleet.OrderReport `json:"order,omitzero"`
 }
 
 // DrainRequest starts or ends a drain.
--- /dev/null
+++ b/placement/planner.go
@@ -0,0 +1,207 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/balsamlb/balsamlb/fleet"
+)
+
+// Options bound the orders.
+type Options struct {
+	// LeaseTimeout is for how long an earlier leader may still take itself for the leader.
+	LeaseTimeout time.Duration
+	// OrderTimeout is for how long an order may be on its way or be carried out unseen.
+	OrderTimeout time.Duration
+	// MaxLoads is the number of orders that may load weights at a time, since they share the
+	// rate of the weight store.
+	MaxLoads int
+}
+
+// openOrder is an order whose end is not known.
+type openOrder struct {
+	order Order
+	sent  time.Time
+	// failed means that the server said so; it is tried again after OrderTimeout.
+	failed bool
+}
+
+// Planner plans the orders of one leader. It is not safe for concurrent use.
+type Planner struct {
+	opts   Options
+	term   uint64
+	since  time.Time // when this term began here
+	number uint64
+	open   map[string]openOrder // by server
+}
+
+// New returns a planner that does not lead.
+func New(o Options) *Planner {
+	return &Planner{opts: o, open: make(map[string]openOrder)}
+}
+
+// Lead tells the planner that its instance leads in the term. Term 0 means that it does not
+// lead.
+func (p *Planner) Lead(now time.Time, term uint64) {
+	if term == p.term {
+		return
+	}
+	p.term = term
+	p.since = now
+	p.number = 0
+	p.open = make(map[string]openOrder)
+}
+
+// ShareStore sets the number of orders that may load weights at a time.
+func (p *Planner) ShareStore(maxLoads int) { p.opts.MaxLoads = maxLoads }
+
+// Open returns the number of open orders.
+func (p *Planner) Open() int { return len(p.open) }
+
+// Plan returns the orders to send now: none to a server with an open order, loads by need
+// and within the share of the weight store.
+func (p *Planner) Plan(now time.Time, desired []Desired, servers []fleet.BackendServer) []Order {
+	if p.term == 0 {
+		return nil
+	}
+	known := make(map[string]fleet.BackendServer, len(servers))
+	for _, s := range servers {
+		known[s.Name] = s
+	}
+	p.close(now, known)
+	var orders []Order
+	var loads []need
+	for _, d := range desired {
+		s, ok := known[d.Server]
+		if !ok || equal(engineOf(s), d.Engine) || !p.mayOrder(now, s) {
+			continue
+		}
+		o := Order{Server: s.Name, Address: s.Address, Incarnation: s.Incarnation, Engine: d.Engine}
+		if o.LoadsWeights = needsWeights(engineOf(s), d.Engine); o.LoadsWeights {
+			loads = append(loads, need{order: o})
+			continue
+		}
+		orders = append(orders, o)
+	}
+	orders = append(orders, p.chooseLoads(loads, servers)...)
+	for i := range orders {
+		orders[i] = p.issue(now, orders[i])
+	}
+	return orders
+}
+
+// mayOrder reports whether the server may be given an order now. A server that ignores
+// fencing numbers may still carry out the order of an earlier leader, so that one must have
+// stopped leading, and its last order have run out, first.
+func (p *Planner) mayOrder(now time.Time, s fleet.BackendServer) bool {
+	if _, busy := p.open[s.Name]; busy || s.Leaving {
+		return false
+	}
+	// An order of an earlier leader that is being carried out is open, too.
+	if s.Order.State == fleet.OrderRunning {
+		return false
+	}
+	return s.ChecksFences || now.Sub(p.since) >= p.opts.LeaseTimeout+p.opts.OrderTimeout
+}
+
+func (p *Planner) issue(now time.Time, o Order) Order {
+	p.number++
+	o.Fence = fleet.Fence{Term: p.term, Number: p.number}
+	p.open[o.Server] = openOrder{order: o, sent: now}
+	return o
+}
+
+// close ends the orders that the servers report as done, and those that have run out.
+func (p *Planner) close(now time.Time, known map[string]fleet.BackendServer) {
+	for name, o := range p.open {
+		s, ok := known[name]
+		runsOut := now.Sub(o.sent) >= p.opts.OrderTimeout
+		switch {
+		case ok && s.Incarnation == o.order.Incarnation && s.Order.Fence == o.order.Fence:
+			p.report(name, o, s.Order.State, runsOut)
+		case runsOut:
+			delete(p.open, name)
+		}
+	}
+}
+
+// report takes what the server says of the open order. While it is being carried out, the
+// order stays open however long it takes.
+func (p *Planner) report(name string, o openOrder, state fleet.OrderState, runsOut bool) {
+	switch {
+	case state == fleet.OrderDone:
+		delete(p.open, name)
+	case state == fleet.OrderFailed && runsOut:
+		delete(p.open, name)
+	case state == fleet.OrderFailed:
+		o.failed = true
+		p.open[name] = o
+	}
+}
+
+// Answered takes what became of sending an order. Only a refusal ends it at once: an order
+// without an answer may still arrive.
+func (p *Planner) Answered(o Order, a Answer) {
+	open, ok := p.open[o.Server]
+	if ok && open.order.Fence == o.Fence && a == AnswerRefused {
+		delete(p.open, o.Server)
+	}
+}
+
+// chooseLoads returns the most needed loads that the weight store has room for.
+func (p *Planner) chooseLoads(loads []need, servers []fleet.BackendServer) []Order {
+	room := p.opts.MaxLoads
+	copies := newCoverage(servers)
+	for _, o := range p.open {
+		if o.order.LoadsWeights && !o.failed {
+			room--
+			copies.add(o.order.Engine)
+		}
+	}
+	var out []Order
+	for ; room > 0 && len(loads) > 0; room-- {
+		for i := range loads {
+			loads[i].copies = copies.least(loads[i].order.Engine)
+		}
+		slices.SortFunc(loads, byNeed)
+		out = append(out, loads[0].order)
+		copies.add(loads[0].order.Engine)
+		loads = loads[1:]
+	}
+	return out
+}
+
+// coverage counts the servers that hold each layer of a model, or will.
+type coverage map[string]map[int]int
+
+func newCoverage(servers []fleet.BackendServer) coverage {
+	c := make(coverage)
+	for _, s := range servers {
+		if s.Model != "" && !s.Leaving {
+			c.add(engineOf(s))
+		}
+	}
+	return c
+}
+
+func (c coverage) add(e Engine) {
+	layers, ok := c[e.Model]
+	if !ok {
+		layers = make(map[int]int)
+		c[e.Model] = layers
+	}
+	for l := e.Layers.From; l < e.Layers.To; l++ {
+		layers[l]++
+	}
+}
+
+// least returns the copies of the engine's least served layer.
+func (c coverage) least(e Engine) int {
+	least := -1
+	for l := e.Layers.From; l < e.Layers.To; l++ {
+		if n := c[e.Model][l]; least < 0 || n < least {
+			least = n
+		}
+	}
+	return max(0, least)
+}
--- /dev/null
+++ b/placement/planner_test.go
@@ -0,0 +1,227 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/balsamlb/balsamlb/fleet"
+	_ "github.com/balsamlb/balsamlb/internal/seeded"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var options = Options{LeaseTimeout: 2 * time.Second, OrderTimeout: 3 * time.Second, MaxLoads: 2}
+
+var start = time.Unix(1_800_000_000, 0)
+
+func layers(from, to int) fleet.Range { return fleet.Range{From: from, To: to} }
+
+func holds(name string, from, to int) fleet.BackendServer {
+	return fleet.BackendServer{Name: name, Incarnation: 1, Model: "icing", Layers: layers(from, to), ChecksFences: true}
+}
+
+func wants(name string, from, to int) Desired {
+	return Desired{Server: name, Engine: Engine{Model: "icing", Layers: layers(from, to)}}
+}
+
+func TestTheMostNeededRangeIsLoadedFirst(t *testing.T) {
+	is := is.New(t)
+	p := New(options)
+	p.Lead(start, 1)
+	servers := []fleet.BackendServer{
+		holds("a", 0, 16), holds("b", 0, 16), holds("c", 16, 24),
+		{Name: "d", Incarnation: 1, ChecksFences: true},
+		{Name: "e", Incarnation: 1, ChecksFences: true},
+		{Name: "f", Incarnation: 1, ChecksFences: true},
+		{Name: "g", Incarnation: 1, ChecksFences: true},
+	}
+	desired := []Desired{wants("d", 0, 16), wants("e", 16, 24), wants("f", 24, 32), wants("g", 24, 32)}
+	orders := p.Plan(start, desired, servers)
+	is.Equal(len(orders), 2) // the share of the weight store
+	is.Equal(orders[0].Server, "f")
+	is.Equal(orders[1].Server, "e") // f's load counts for the second copy of 24-32
+	is.Equal(orders[0].Fence, fleet.Fence{Term: 1, Number: 1})
+	is.Equal(len(p.Plan(start.Add(time.Second), desired, servers)), 0)
+}
+
+func TestARoleChangeDoesNotWaitForTheWeightStore(t *testing.T) {
+	is := is.New(t)
+	p := New(Options{MaxLoads: 0})
+	p.Lead(start, 1)
+	d := wants("a", 0, 16)
+	d.Engine.Role = "prefill"
+	orders := p.Plan(start, []Desired{d}, []fleet.BackendServer{holds("a", 0, 16)})
+	is.Equal(len(orders), 1)
+	is.True(!orders[0].LoadsWeights)
+}
+
+func TestAServerThatIgnoresNumbersIsLeftUntilTheEarlierLeaderIsOver(t *testing.T) {
+	is := is.New(t)
+	p := New(options)
+	p.Lead(start, 7)
+	ignores := fleet.BackendServer{Name: "a", Incarnation: 1}
+	checks := fleet.BackendServer{Name: "b", Incarnation: 1, ChecksFences: true}
+	desired := []Desired{wants("a", 0, 16), wants("b", 0, 16)}
+	orders := p.Plan(start, desired, []fleet.BackendServer{ignores, checks})
+	is.Equal(len(orders), 1)
+	is.Equal(orders[0].Server, "b")
+	wait := options.LeaseTimeout + options.OrderTimeout
+	is.Equal(len(p.Plan(start.Add(wait-time.Millisecond), desired[:1], []fleet.BackendServer{ignores})), 0)
+	is.Equal(len(p.Plan(start.Add(wait), desired[:1], []fleet.BackendServer{ignores})), 1)
+}
+
+func TestAnOrderOfTheEarlierLeaderIsLeftToEnd(t *testing.T) {
+	is := is.New(t)
+	p := New(options)
+	p.Lead(start, 2)
+	s := holds("a", 0, 16)
+	s.Order = fleet.OrderReport{Fence: fleet.Fence{Term: 1, Number: 9}, State: fleet.OrderRunning}
+	desired := []Desired{wants("a", 16, 32)}
+	is.Equal(len(p.Plan(start, desired, []fleet.BackendServer{s})), 0)
+	s.Order.State = fleet.OrderFailed
+	is.Equal(len(p.Plan(start, desired, []fleet.BackendServer{s})), 1)
+}
+
+// message is an order on its way, which may arrive late.
+type message struct {
+	order Order
+	sent  time.Time
+}
+
+// engines are servers that carry out what arrives, and the leaders that follow each other.
+type engines struct {
+	now      time.Time
+	term     uint64
+	leader   *Planner
+	servers  map[string]*fleet.BackendServer
+	messages []message
+	desired  []Desired
+	newest   map[string]fleet.Fence // carried out, by server
+	// lastSent is when any leader last sent an order to a server.
+	lastSent map[string]message
+}
+
+func newEngines(t *rapid.T) *engines {
+	e := &engines{
+		now: start, servers: make(map[string]*fleet.BackendServer),
+		newest: make(map[string]fleet.Fence), lastSent: make(map[string]message),
+	}
+	for i := range 4 {
+		name := fmt.Sprint("s", i)
+		e.servers[name] = &fleet.BackendServer{Name: name, Incarnation: 1, ChecksFences: i%2 == 0}
+		e.desired = append(e.desired, wants(name, 16*(i%2), 16*(i%2)+16))
+	}
+	e.elect(t)
+	return e
+}
+
+// elect replaces the leader; orders of the old one may still be on their way.
+func (e *engines) elect(*rapid.T) {
+	e.term++
+	p := New(options)
+	p.Lead(e.now, e.term)
+	e.leader = p
+}
+
+func (e *engines) list() []fleet.BackendServer {
+	var out []fleet.BackendServer
+	for i := range 4 {
+		out = append(out, *e.servers[fmt.Sprint("s", i)])
+	}
+	return out
+}
+
+func (e *engines) plan(t *rapid.T) {
+	p := e.leader
+	for _, o := range p.Plan(e.now, e.desired, e.list()) {
+		last, ok := e.lastSent[o.Server]
+		if ok && last.order.Fence.Term < o.Fence.Term && !e.servers[o.Server].ChecksFences &&
+			e.now.Sub(last.sent) < options.OrderTimeout {
+			t.Fatalf("%s ignores numbers and got an order of term %d, %s after one of term %d", o.Server, o.Fence.Term,
+				e.now.Sub(last.sent), last.order.Fence.Term)
+		}
+		if ok && last.order.Fence.Term == o.Fence.Term && e.now.Sub(last.sent) < options.OrderTimeout &&
+			e.servers[o.Server].Order.Fence != last.order.Fence {
+			t.Fatalf("%s got a second order while the first was open", o.Server)
+		}
+		e.lastSent[o.Server] = message{order: o, sent: e.now}
+		e.messages = append(e.messages, message{order: o, sent: e.now})
+	}
+	loads := 0
+	for _, o := range p.open {
+		if o.order.LoadsWeights {
+			loads++
+		}
+	}
+	if loads > options.MaxLoads {
+		t.Fatalf("%d loads share the weight store", loads)
+	}
+}
+
+// arrive lets any order arrive, also one of a deposed leader.
+func (e *engines) arrive(t *rapid.T) {
+	if len(e.messages) == 0 {
+		t.Skip("nothing on its way")
+	}
+	i := rapid.IntRange(0, len(e.messages)-1).Draw(t, "message")
+	o := e.messages[i].order
+	e.messages = append(e.messages[:i], e.messages[i+1:]...)
+	s := e.servers[o.Server]
+	if s.ChecksFences && o.Fence.Compare(s.Order.Fence) <= 0 {
+		return
+	}
+	s.Model, s.Layers, s.Version = o.Engine.Model, o.Engine.Layers, o.Engine.Version
+	s.Order = fleet.OrderReport{Fence: o.Fence, State: fleet.OrderDone}
+	if s.ChecksFences && o.Fence.Compare(e.newest[o.Server]) < 0 {
+		t.Fatalf("%s went back to an older order", o.Server)
+	}
+	e.newest[o.Server] = o.Fence
+}
+
+// TestOneOrderAtATimeOverLeadersAndLateOrders changes leaders, desired states and the order
+// of arrival, and finally lets everything settle.
+func TestOneOrderAtATimeOverLeadersAndLateOrders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := newEngines(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"plan": e.plan, "plan again": e.plan, "arrive": e.arrive, "arrive again": e.arrive, "elect": e.elect,
+			"lose": func(t *rapid.T) {
+				if len(e.messages) == 0 {
+					t.Skip("nothing on its way")
+				}
+				e.messages = e.messages[1:]
+			},
+			"pass": func(t *rapid.T) {
+				e.now = e.now.Add(rapid.SampledFrom([]time.Duration{100 * time.Millisecond, time.Second, 3 * time.Second}).Draw(t, "time"))
+			},
+			"want": func(t *rapid.T) {
+				i := rapid.IntRange(0, len(e.desired)-1).Draw(t, "server")
+				e.desired[i].Engine.Version = fmt.Sprint(rapid.IntRange(1, 3).Draw(t, "version"))
+			},
+		})
+		e.settle(t)
+	})
+}
+
+// settle delivers everything in turn until all servers hold what is desired.
+func (e *engines) settle(t *rapid.T) {
+	for range 20 {
+		for len(e.messages) > 0 {
+			o := e.messages[0].order
+			e.messages = e.messages[1:]
+			s := e.servers[o.Server]
+			if !s.ChecksFences || o.Fence.Compare(s.Order.Fence) > 0 {
+				s.Model, s.Layers, s.Version = o.Engine.Model, o.Engine.Layers, o.Engine.Version
+				s.Order = fleet.OrderReport{Fence: o.Fence, State: fleet.OrderDone}
+			}
+		}
+		e.now = e.now.Add(options.LeaseTimeout + options.OrderTimeout)
+		e.plan(t)
+	}
+	for _, d := range e.desired {
+		if got := engineOf(*e.servers[d.Server]); !equal(got, d.Engine) {
+			t.Fatalf("%s holds %+v, should hold %+v", d.Server, got, d.Engine)
+		}
+	}
+}
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -22,6 +22,7 @@
 	{"server", "step", "4000", "µs", "Time of one decoding step with one request.", wholeNumber(0, 10_000_000)},
 	{"server", "prefill", "50", "µs", "Time to prefill one token.", wholeNumber(0, 1_000_000)},
 	{"server", "services", "", "name, ...", "Plain services that the server runs.", anyText},
+	{"engine", "layer_load", "0s", "duration", "Time to load one layer from the weight store, which all servers share.", duration(0, time.Minute)},
 	{"server", "resolves_requests", "false", "", "true: the server can tell what became of a request.", oneOf("true", "false")},
 	{"server", "call_time", "0s", "duration", "Time that a plain call takes beside the usual.", duration(0, time.Minute)},
 	{"server", "refuse_every", "0", "calls", "Every nth plain call is refused before it runs. 0: none.", wholeNumber(0, 1_000_000)},
@@ -53,6 +54,7 @@
 	ActivationBytes int
 	KVBytes         int
 	PrefixTokens    int
+	LayerLoad       time.Duration
 }
 
 // CallFaults make plain calls of an emulated server go wrong. Zero values change nothing.
@@ -100,6 +102,7 @@
 	out.Accelerators = r.emulatedLinks(sources, "accelerator")
 	out.ActivationBytes = r.number(sources, "engine", "activation_bytes")
 	out.KVBytes = r.number(sources, "engine", "kv_bytes")
+	out.LayerLoad = r.duration(sources, "engine", "layer_load")
 	out.PrefixTokens = r.number(sources, "engine", "prefix_tokens")
 	return out, r.err()
 }
--- a/settings/intent.go
+++ b/settings/intent.go
@@ -22,6 +22,7 @@
 	{"limits", "max_tokens", "4096", "tokens", "Most tokens that one draft may ask for.", wholeNumber(1, 1<<20)},
 	{"limits", "default_deadline", "30s", "duration", "Deadline of a request that names none.", duration(100*time.Millisecond, time.Hour)},
 	{"limits", "server_lease", "2s", "duration", "Time after which a backend server that was not heard gets no new work.", duration(200*time.Millisecond, 3*time.Second)},
+	{"limits", "weight_loads", "2", "servers", "Servers that may load weights at a time, since they share the rate of the weight store.", wholeNumber(1, 1000)},
 	{"service", "kind", "plain", "", "draft: text streamed from a chain; plain: one call to one server.", oneOf(string(ServiceDraft), string(ServicePlain))},
 	{"service", "model", "", "", "Model that a draft service runs.", anyText},
 	{"service", "layers", "0", "layers", "Number of layers of the model.", wholeNumber(0, 4096)},
@@ -30,6 +31,11 @@
 	{"workspace", "member", "", "", "Member that answered requests are credited to. Empty: the workspace's name.", anyText},
 	{"workspace", "share", "1", "", "Weight of the workspace under load.", wholeNumber(1, 1_000_000)},
 	{"workspace", "max_in_flight", "256", "requests", "Most requests in flight at one instance.", wholeNumber(1, 1_000_000)},
+	{"server", "model", "", "", "Model that the backend server is to hold. A server without a section is left as it is.", anyText},
+	{"server", "layers", "0-0", "layers", "First layer that it is to hold and the one after the last.", layerRange},
+	{"server", "version", "", "", "Version of the model that it is to hold.", anyText},
+	{"server", "adapters", "", "name, ...", "Adapters that it is to hold.", anyText},
+	{"server", "role", "", "", "Part of the work that it is to do. Empty: all.", oneOf("", "prefill", "decode")},
 }
 
 // Limits bound what callers may ask for.
@@ -38,6 +44,7 @@
 	MaxTokens       int
 	DefaultDeadline time.Duration
 	ServerLease     time.Duration
+	WeightLoads     int
 }
 
 // Service is one service that callers may use.
@@ -63,6 +70,8 @@
 	Limits     Limits
 	Services   map[string]Service
 	Workspaces map[string]Workspace
+	// Engines are the backend servers whose engines are given orders, by name.
+	Engines map[string]Engine
 }
 
 // File is a named text, for errors.
@@ -83,7 +92,7 @@
 			sources = append(sources, src)
 		}
 	}
-	in := Intent{Services: make(map[string]Service), Workspaces: make(map[string]Workspace)}
+	in := Intent{Services: make(map[string]Service), Workspaces: make(map[string]Workspace), Engines: make(map[string]Engine)}
 	if len(r.faults) > 0 {
 		return in, r.err()
 	}
@@ -94,6 +103,9 @@
 	for _, name := range r.names(sources, "workspace") {
 		in.Workspaces[name] = r.workspace(sources, name)
 	}
+	for _, name := range r.names(sources, "server") {
+		in.Engines[name] = r.engine(sources, name, base.Name)
+	}
 	return in, r.err()
 }
 
@@ -103,6 +115,7 @@
 		MaxTokens:       r.number(sources, "limits", "max_tokens"),
 		DefaultDeadline: r.duration(sources, "limits", "default_deadline"),
 		ServerLease:     r.duration(sources, "limits", "server_lease"),
+		WeightLoads:     r.number(sources, "limits", "weight_loads"),
 	}
 }
 
