--- a/cmd/balsamctl/config_versions.go
+++ b/cmd/balsamctl/config_versions.go
@@ -98,6 +98,9 @@
 			w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 			fmt.Fprintln(w, "VERSION\tACCEPTED\tAUTHOR\tCHANGE\tCHECKED BY")
 			for _, d := range documents {
+				if d.Version == 0 {
+					continue // before the first change
+				}
 				fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\n", d.Version, d.At.Format(time.RFC3339), d.Author, d.ChangeID, d.Schema)
 			}
 			return w.Flush()
