Ledger in less memory and fewer bytes; images that encode elsewhere

Change: records are held once, by pointer; State.Image copies the state, and Image.Encode may run in another goroutine; at most 200,000 records and 32 MB of answers; answers are bounded before they are proposed; a grant returns no record.

--- a/dispatch/call_once.go
+++ b/dispatch/call_once.go
@@ -231,7 +231,8 @@
 			Key:     a.key,
 			Attempt: id,
 			Phase:   ledger.PhaseFinished,
-			Answer:  ledger.Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body},
+			// A long body must not go through the log only to be dropped.
+			Answer: ledger.BoundAnswer(ledger.Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body}),
 		},
 		Credit: credit.Entry{Member: a.Workspace.Member, Kind: a.Service.Name},
 	}
--- a/ledger/image.go
+++ b/ledger/image.go
@@ -40,10 +40,10 @@
 
 // Image returns a copy of what the ledger holds.
 func (l *Ledger) Image() Image {
-	var im Image
-	for seq := l.order.first; seq < l.order.end(); seq++ {
-		if r, ok := l.at(seq); ok {
-			im.Records = append(im.Records, r)
+	im := Image{Records: make([]Record, 0, len(l.records))}
+	for _, r := range l.order.records {
+		if !r.freed {
+			im.Records = append(im.Records, *r)
 		}
 	}
 	for _, a := range l.withdrawn.order {
@@ -62,11 +62,12 @@
 // FromImage returns a ledger that holds what the image does.
 func FromImage(im Image) (*Ledger, error) {
 	l := New()
-	for _, r := range im.Records {
+	for _, held := range im.Records {
+		r := &held
 		if _, ok := l.records[r.Key]; ok {
 			return nil, ErrImage
 		}
-		r.seq = l.order.push(r.Key)
+		l.order.push(r)
 		l.records[r.Key] = r
 		l.answerBytes += len(r.Answer.Body)
 	}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -16,11 +16,11 @@
 	// Retention is the time from a Begin after which its record is forgotten.
 	Retention = 24 * time.Hour
 	// MaxRecords bounds the records; the oldest are forgotten before their time.
-	MaxRecords = 500_000
+	MaxRecords = 200_000
 	// MaxAnswerBytes bounds one answer that is kept for duplicates.
 	MaxAnswerBytes = 64 << 10
 	// MaxAnswersBytes bounds all answers that are kept; the oldest are dropped first.
-	MaxAnswersBytes = 64 << 20
+	MaxAnswersBytes = 32 << 20
 	// MaxWithdrawn bounds the attempts that are barred after an Abandon.
 	MaxWithdrawn = 100_000
 	// maxContentTypeBytes bounds a recorded content type; a longer one is cut.
@@ -91,6 +91,8 @@
 	Answer  Answer
 
 	seq uint64 // place in Ledger.order
+	// freed means that the ledger holds the record no more.
+	freed bool
 }
 
 // Begin asks for the right to dispatch.
@@ -146,7 +148,8 @@
 // Result is the answer to a command.
 type Result struct {
 	Verdict Verdict
-	Record  Record
+	// Record is what the ledger knows of the key; empty when the attempt was granted.
+	Record Record
 }
 
 // Now is the time at which a command is applied.
@@ -159,7 +162,7 @@
 
 // Ledger maps keys to records.
 type Ledger struct {
-	records     map[Key]Record
+	records     map[Key]*Record
 	order       queue
 	answerBytes int
 	answerFrom  uint64 // no record before this place holds an answer's body
@@ -170,7 +173,7 @@
 // New returns an empty ledger.
 func New() *Ledger {
 	return &Ledger{
-		records:   make(map[Key]Record),
+		records:   make(map[Key]*Record),
 		withdrawn: newWithdrawals(),
 		forgotten: newForgotten(),
 	}
@@ -189,20 +192,20 @@
 	case !ok && b.Look:
 		return Result{Verdict: VerdictNew}
 	case !ok:
-		return Result{Verdict: VerdictGranted, Record: l.grant(now, b)}
+		l.grant(now, b)
+		return Result{Verdict: VerdictGranted}
 	case r.Digest != b.Digest:
 		return Result{Verdict: VerdictMismatch}
 	// A proposal that was sent twice must not turn a grant into a refusal.
 	case r.Phase == PhaseBegun && r.Attempt == b.Attempt && !b.Look:
 		r.Server = b.Server
-		l.records[b.Key] = r
-		return Result{Verdict: VerdictGranted, Record: r}
+		return Result{Verdict: VerdictGranted}
 	}
-	return Result{Verdict: verdictOf(r.Phase), Record: r}
+	return Result{Verdict: verdictOf(r.Phase), Record: *r}
 }
 
-func (l *Ledger) grant(now Now, b Begin) Record {
-	r := Record{
+func (l *Ledger) grant(now Now, b Begin) {
+	r := &Record{
 		Key:        b.Key,
 		Phase:      PhaseBegun,
 		Digest:     b.Digest,
@@ -212,9 +215,8 @@
 		At:         now.Replicated,
 		KeyTime:    trustedKeyTime(b.Key.Idempotency, now.Wall),
 	}
-	r.seq = l.order.push(b.Key)
+	l.order.push(r)
 	l.records[b.Key] = r
-	return r
 }
 
 // Finish records the outcome. It is idempotent, and ignored from any but the granted attempt.
@@ -227,11 +229,10 @@
 	}
 	if r.Phase != PhaseFinished && f.Phase > 0 {
 		r.Phase = f.Phase
-		r.Answer = boundAnswer(f.Answer)
-		l.records[f.Key] = r
+		r.Answer = BoundAnswer(f.Answer)
 		l.keepAnswer(r)
 	}
-	return Result{Verdict: verdictOf(r.Phase), Record: l.records[f.Key]}
+	return Result{Verdict: verdictOf(r.Phase), Record: *r}
 }
 
 // Abandon frees the key if the attempt holds it and has not finished, and bars a Begin of
@@ -243,8 +244,9 @@
 	r, ok := l.records[a.Key]
 	if ok && r.Attempt == a.Attempt {
 		if r.Phase == PhaseFinished {
-			return Result{Verdict: VerdictFinished, Record: r}
+			return Result{Verdict: VerdictFinished, Record: *r}
 		}
+		r.freed = true
 		delete(l.records, a.Key)
 		l.compact()
 		ok = false
@@ -259,7 +261,10 @@
 // Lookup returns the record of a key.
 func (l *Ledger) Lookup(k Key) (Record, bool) {
 	r, ok := l.records[k]
-	return r, ok
+	if !ok {
+		return Record{}, false
+	}
+	return *r, true
 }
 
 // Len returns the number of records.
@@ -276,7 +281,8 @@
 	}
 }
 
-func boundAnswer(a Answer) Answer {
+// BoundAnswer returns the answer as it is recorded: a body above MaxAnswerBytes is dropped.
+func BoundAnswer(a Answer) Answer {
 	if len(a.ContentType) > maxContentTypeBytes {
 		a.ContentType = a.ContentType[:maxContentTypeBytes]
 	}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -125,3 +125,29 @@
 	forgotten := Now{Replicated: Retention}
 	is.Equal(l.Abandon(forgotten, Abandon{Key: key, Attempt: "frozen"}).Verdict, VerdictStale)
 }
+
+// TestFreedKeysTakeNoMemory abandons many attempts while an old record holds its place.
+func TestFreedKeysTakeNoMemory(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	l.Begin(Now{}, begin("old", 1))
+	for i := range 10 * minCompact {
+		k := Key{Idempotency: fmt.Sprint(i)}
+		l.Begin(Now{}, Begin{Key: k, Attempt: fmt.Sprint(i)})
+		l.Abandon(Now{}, Abandon{Key: k, Attempt: fmt.Sprint(i)})
+	}
+	is.Equal(l.Len(), 1)
+	is.True(len(l.order.records) <= minCompact)
+	is.Equal(l.Begin(Now{}, begin("new", 1)).Verdict, VerdictRunning)
+}
+
+func TestTooManyRecordsForgetTheOldest(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	for i := range MaxRecords + 10 {
+		l.Begin(Now{}, Begin{Key: Key{Idempotency: fmt.Sprint(i)}, Attempt: fmt.Sprint(i)})
+	}
+	is.Equal(l.Len(), MaxRecords+1) // what is above goes with the next command
+	is.Equal(l.Begin(Now{}, Begin{Key: Key{Idempotency: "0"}, Attempt: "again"}).Verdict, VerdictExpired)
+	is.Equal(l.Len(), MaxRecords)
+}
--- a/ledger/retention.go
+++ b/ledger/retention.go
@@ -5,89 +5,82 @@
 // maxExpiredPerCommand bounds the records that one command forgets.
 const maxExpiredPerCommand = 64
 
-// queue holds keys in the order of their Begins. A place may be empty when its key was freed
-// or begun anew.
+// queue holds records in the order of their Begins, those that were freed among them.
 type queue struct {
-	first uint64
-	keys  []Key
+	first   uint64
+	records []*Record
 }
 
-func (q *queue) push(k Key) uint64 {
-	q.keys = append(q.keys, k)
-	return q.first + uint64(len(q.keys)) - 1
+func (q *queue) push(r *Record) {
+	r.seq = q.end()
+	q.records = append(q.records, r)
 }
 
 func (q *queue) pop() {
-	q.keys[0] = Key{}
-	q.keys = q.keys[1:]
+	q.records[0] = nil
+	q.records = q.records[1:]
 	q.first++
 }
 
-func (q *queue) end() uint64 { return q.first + uint64(len(q.keys)) }
+func (q *queue) end() uint64 { return q.first + uint64(len(q.records)) }
 
-// minCompactKeys keeps short queues from being compacted.
-const minCompactKeys = 1024
+func (q *queue) at(seq uint64) *Record { return q.records[seq-q.first] }
 
-// compact removes the empty places once they are the most. Places are numbered anew, which
+// minCompact keeps short queues from being compacted.
+const minCompact = 1024
+
+// compact removes the freed records once they are the most. Places are numbered anew, which
 // shows nowhere, since only their order matters.
 func (l *Ledger) compact() {
-	if len(l.order.keys) < minCompactKeys || len(l.order.keys) < 2*len(l.records) {
+	if len(l.order.records) < minCompact || len(l.order.records) < 2*len(l.records) {
 		return
 	}
 	var fresh queue
-	for seq := l.order.first; seq < l.order.end(); seq++ {
-		if r, ok := l.at(seq); ok {
-			r.seq = fresh.push(r.Key)
-			l.records[r.Key] = r
+	for _, r := range l.order.records {
+		if !r.freed {
+			fresh.push(r)
 		}
 	}
 	l.order = fresh
 	l.answerFrom = 0
 }
 
-// at returns the record at a place of the queue, or false when the place is empty.
-func (l *Ledger) at(seq uint64) (Record, bool) {
-	r, ok := l.records[l.order.keys[seq-l.order.first]]
-	return r, ok && r.seq == seq
-}
-
 // expire forgets the records whose time is over, and the oldest above MaxRecords.
 func (l *Ledger) expire(now time.Duration) {
 	l.withdrawn.expire(now)
-	for done := 0; done < maxExpiredPerCommand && len(l.order.keys) > 0; {
-		r, ok := l.at(l.order.first)
-		if ok && now-r.At < Retention && len(l.records) <= MaxRecords {
+	for done := 0; done < maxExpiredPerCommand && len(l.order.records) > 0; {
+		r := l.order.at(l.order.first)
+		if !r.freed && now-r.At < Retention && len(l.records) <= MaxRecords {
 			return
 		}
 		l.order.pop()
-		if ok {
+		if !r.freed {
 			l.forget(r)
 			done++
 		}
 	}
 }
 
-func (l *Ledger) forget(r Record) {
+func (l *Ledger) forget(r *Record) {
 	delete(l.records, r.Key)
 	l.answerBytes -= len(r.Answer.Body)
-	l.forgotten.add(r)
+	l.forgotten.add(*r)
 }
 
 // keepAnswer counts the answer of a record that has just finished and drops the bodies of
 // the oldest records while there are too many bytes of them.
-func (l *Ledger) keepAnswer(r Record) {
+func (l *Ledger) keepAnswer(r *Record) {
 	l.answerBytes += len(r.Answer.Body)
 	l.answerFrom = max(min(l.answerFrom, r.seq), l.order.first)
 	for l.answerBytes > MaxAnswersBytes && l.answerFrom < l.order.end() {
-		old, ok := l.at(l.answerFrom)
+		old := l.order.at(l.answerFrom)
 		l.answerFrom++
-		if !ok || len(old.Answer.Body) == 0 {
+		if old.freed || len(old.Answer.Body) == 0 {
 			continue
 		}
 		l.answerBytes -= len(old.Answer.Body)
 		old.Answer.Body = nil
 		old.Answer.Dropped = true
-		l.records[old.Key] = old
 	}
 }
 
--- a/replica/snapshot.go
+++ b/replica/snapshot.go
@@ -20,19 +20,45 @@
 // ErrSnapshotVersion means that the snapshot was written by a version that this one can't read.
 var ErrSnapshotVersion = errors.New("replica: the snapshot has another version")
 
+// Image is a copy of the whole state that later commands don't change. Taking it costs a
+// fraction of encoding it, which another goroutine can do.
+type Image struct {
+	viewIndex uint64
+	ledger    ledger.Image
+	config    config.Image
+	credits   credit.Image
+	drains    map[string]Drain
+	clock     Clock
+}
+
+// Image returns a copy of the state.
+func (s *State) Image() Image {
+	return Image{
+		viewIndex: s.viewIndex,
+		ledger:    s.Ledger.Image(),
+		config:    s.Config.Image(),
+		credits:   s.Credits.Image(),
+		drains:    maps.Clone(s.Drains),
+		clock:     s.clock,
+	}
+}
+
 // Snapshot returns the whole state. Equal states have equal snapshots.
-func (s *State) Snapshot() ([]byte, error) {
+func (s *State) Snapshot() ([]byte, error) { return s.Image().Encode() }
+
+// Encode returns the image as a snapshot.
+func (im Image) Encode() ([]byte, error) {
 	w := &wire.Snapshot{
 		Version:    snapshotVersion,
-		ViewIndex:  s.viewIndex,
-		Ledger:     ledgerToWire(s.Ledger.Image()),
-		Config:     configToWire(s.Config.Image()),
-		Credits:    creditsToWire(s.Credits.Image()),
-		ClockNanos: uint64(s.clock.now),
-		LastStamp:  stampToWire(s.clock.last),
-	}
-	for _, name := range slices.Sorted(maps.Keys(s.Drains)) {
-		w.Drains = append(w.Drains, drainToWire(s.Drains[name]))
+		ViewIndex:  im.viewIndex,
+		Ledger:     ledgerToWire(im.ledger),
+		Config:     configToWire(im.config),
+		Credits:    creditsToWire(im.credits),
+		ClockNanos: uint64(im.clock.now),
+		LastStamp:  stampToWire(im.clock.last),
+	}
+	for _, name := range slices.Sorted(maps.Keys(im.drains)) {
+		w.Drains = append(w.Drains, drainToWire(im.drains[name]))
 	}
 	data, err := deterministic.Marshal(w)
 	return data, eris.Wrap(err, "replica: encode snapshot")
