--- a/internal/bench/atmostonce.go
+++ b/internal/bench/atmostonce.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/anishathalye/porcupine"
 	"github.com/balsamlb/balsamlb/internal/emulate"
 	"github.com/balsamlb/balsamlb/internal/lab"
 	"github.com/rotisserie/eris"
@@ -63,7 +64,8 @@
 	if err != nil {
 		return Figure{}, err
 	}
-	return onceFigure(o, d.count, bookings.tally(ran, o), naive.tally(ran, o)), nil
+	f := onceFigure(o, d.count, bookings.tally(ran, o), naive.tally(ran, o))
+	return withHistory(f, o, bookings, naive), nil
 }
 
 // underFaults sends both loads while the disturber works.
@@ -105,6 +107,22 @@
 	}
 }
 
+// withHistory adds whether one copy of a ledger could have given every answer. A check that
+// ran out of time counts as neither.
+func withHistory(f Figure, o Options, bookings, naive *onceClients) Figure {
+	result := bookings.history.isLinearizable()
+	f.Details["linearizable"] = 0
+	switch result {
+	case porcupine.Ok:
+		f.Details["linearizable"] = 1
+	case porcupine.Illegal:
+		f.Value++
+	}
+	f.Details["sends"] = float64(len(bookings.history.ops))
+	fmt.Fprintf(o.Out, "histories: bookings %s, naive %s\n", result, naive.history.isLinearizable())
+	return f
+}
+
 // onceServers run bookings under the ledger, and stock calls that are retried without it.
 var onceServers = []string{
 	"[server colombo-ordering]\naddress = $NET.1.200:9000\ndata_centre = colombo\nresolves_requests = true\nlose_every = 47\n",
--- /dev/null
+++ b/internal/bench/history_test.go
@@ -0,0 +1,44 @@
+package bench
+
+import (
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/balsamlb/balsamlb/outcome"
+	"github.com/matryer/is"
+)
+
+// told is a send that began and ended at these milliseconds.
+type told struct {
+	call, end int
+	outcome   outcome.Outcome
+	answer    string
+}
+
+func TestHistoriesOfOneKey(t *testing.T) {
+	for name, c := range map[string]struct {
+		sends []told
+		want  porcupine.CheckResult
+	}{
+		"a duplicate gets the answer":        {[]told{{0, 1, outcome.Answered, "x"}, {2, 3, outcome.Answered, "x"}}, porcupine.Ok},
+		"two answers":                        {[]told{{0, 1, outcome.Answered, "x"}, {2, 3, outcome.Answered, "y"}}, porcupine.Illegal},
+		"refused, then run":                  {[]told{{0, 1, outcome.NotRun, ""}, {2, 3, outcome.Answered, "x"}}, porcupine.Ok},
+		"run, then told not run":             {[]told{{0, 1, outcome.Answered, "x"}, {2, 3, outcome.NotRun, ""}}, porcupine.Illegal},
+		"told not run while the first runs":  {[]told{{0, 5, outcome.Answered, "x"}, {2, 3, outcome.NotRun, ""}}, porcupine.Ok},
+		"an unknown send runs later":         {[]told{{0, 1, outcome.Unknown, ""}, {2, 3, outcome.NotRun, ""}, {4, 5, outcome.Answered, "x"}}, porcupine.Ok},
+		"a duplicate is told not run by age": {[]told{{0, 1, outcome.Answered, "x"}, {0, 1, outcome.NotRun, ""}}, porcupine.Ok},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHistory()
+			for i, s := range c.sends {
+				h.note(i, "k", h.start.Add(time.Duration(s.call)*time.Millisecond), onceOutput{outcome: s.outcome, answer: s.answer})
+				if h.ops[i].Return = int64(s.end) * int64(time.Millisecond); s.outcome == outcome.Unknown {
+					h.ops[i].Return = int64(time.Hour)
+				}
+			}
+			is.Equal(h.isLinearizable(), c.want)
+		})
+	}
+}
--- a/internal/bench/once_client.go
+++ b/internal/bench/once_client.go
@@ -1,11 +1,12 @@
 package bench
 
 import (
-	"bytes"
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/balsamlb/balsamlb/caller"
@@ -22,6 +23,9 @@
 	// bookingLimit is for how long a caller sends a booking again.
 	bookingLimit = 8 * time.Second
 	resendPause  = 100 * time.Millisecond
+	// raceEvery is the number of bookings of which one is sent by two callers at a time. It
+	// is even, so that those callers go on after "not run".
+	raceEvery = 4
 )
 
 // onceBooking is one booking as its caller sees it.
@@ -29,10 +33,12 @@
 	key string
 	// keepsTrying says that the caller sends again after "not run".
 	keepsTrying bool
-	sends       int
-	last        outcome.Outcome // "" when the last send had no answer
-	answer      []byte
-	differs     bool
+	// raced says that a second caller sends the booking at the same time.
+	raced   bool
+	sends   int
+	last    outcome.Outcome // "" when the last send had no answer
+	answer  string
+	differs bool
 }
 
 // onceClients are callers that send each booking until they know its outcome.
@@ -44,10 +50,11 @@
 	bookings  []*onceBooking
 	seed      uint64
 	http      *fasthttp.Client
+	history   *history
 }
 
 func newOnceClients(l *lab.Lab, service string, seed uint64, count int) *onceClients {
-	c := &onceClients{service: service, repeats: service == "booking", seed: seed, http: &fasthttp.Client{
+	c := &onceClients{service: service, repeats: service == "booking", seed: seed, history: newHistory(), http: &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		MaxConnsPerHost:           4096,
@@ -56,7 +63,7 @@
 		c.instances = append(c.instances, i.Callers())
 	}
 	for i := range count {
-		c.bookings = append(c.bookings, &onceBooking{key: fmt.Sprintf("seed-%d-%d", seed, i), keepsTrying: i%2 == 1})
+		c.bookings = append(c.bookings, &onceBooking{key: fmt.Sprintf("seed-%d-%d", seed, i), keepsTrying: i%2 == 1, raced: i%raceEvery == 1})
 	}
 	return c
 }
@@ -80,6 +87,13 @@
 // book sends the booking until its outcome is known, and then once more elsewhere.
 func (c *onceClients) book(ctx context.Context, b *onceBooking, rng *rand.Rand) {
 	limit := time.Now().Add(bookingLimit)
+	if b.raced && b.sends == 0 {
+		second := &onceBooking{key: b.key, raced: true}
+		seed := rng.Uint64()
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		wg.Go(func() { c.send(second, rand.New(rand.NewPCG(seed, 1))) })
+	}
 	for time.Now().Before(limit) && ctx.Err() == nil {
 		c.send(b, rng)
 		if b.last == outcome.Answered && c.repeats {
@@ -124,25 +138,31 @@
 	req.Header.Set(caller.HeaderWorkspace, "kandy")
 	req.Header.Set(caller.HeaderKey, b.key)
 	req.Header.Set(caller.HeaderDeadline, strconv.FormatInt(sendTimeout.Milliseconds(), 10))
-	if b.sends == 0 {
+	if b.sends == 0 && !b.raced {
 		req.Header.Set(caller.HeaderFirstSend, "true")
 	}
 	req.SetBodyString(b.key)
 	b.sends++
-	if err := c.http.DoTimeout(req, resp, sendTimeout); err != nil {
+	call := time.Now()
+	err := c.http.DoTimeout(req, resp, sendTimeout)
+	told := onceOutput{}
+	if err == nil {
+		told = onceOutput{outcome: outcome.Outcome(resp.Header.Peek(caller.HeaderOutcome)), answer: string(resp.Body())}
+	}
+	c.history.note(rng.IntN(math.MaxInt32), b.key, call, told)
+	if err != nil {
 		if b.last != outcome.Answered {
 			b.last = ""
 		}
 		return
 	}
-	told := outcome.Outcome(resp.Header.Peek(caller.HeaderOutcome))
 	if b.last == outcome.Answered {
 		// A duplicate of an answered booking may be refused, but never told not run.
-		b.differs = told == outcome.NotRun || told == outcome.Answered && !bytes.Equal(b.answer, resp.Body())
+		b.differs = told.outcome == outcome.NotRun || told.outcome == outcome.Answered && told.answer != b.answer
 		return
 	}
-	b.last = told
-	b.answer = bytes.Clone(resp.Body())
+	b.last = told.outcome
+	b.answer = told.answer
 }
 
 // tally compares what the callers were told with the servers' counts.
