--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -78,7 +78,7 @@
 	d := &Daemon{process: p, log: log, lines: lines, secrets: secrets, dialer: dialer, traffic: traffic}
 	d.shared = newShared(p, uint64(time.Now().UnixNano()), log.WithName("config"))
 	d.proposer = instance.NewProposer(dialer, voterAddresses(p))
-	d.credits = newCreditDuty(d.proposer, log.WithName("credit"))
+	d.credits = newCreditDuty(p.Name, d.shared.incarnation, d.proposer, log.WithName("credit"))
 	d.admitter = newAdmitter()
 	d.dispatcher = dispatch.New(p.Name, p.DataCentre, d.shared, d.proposer, d.credits, log)
 	d.dispatcher.UsePeers(d.shared.incarnation, d.shared)
@@ -151,6 +151,8 @@
 	g.Go(func() error { return d.secrets.run(dutyCtx, d.log.WithName("keys")) })
 	if d.host != nil {
 		g.Go(func() error { return d.host.Run(dutyCtx) })
+		orders := newPlacementDuty(d.shared, d.host, d.log.WithName("placement"))
+		g.Go(func() error { return orders.run(dutyCtx) })
 		g.Go(func() error { return d.sender.Run(dutyCtx) })
 	}
 	d.log.Info("started", "instance", d.process.Name, "data_centre", d.process.DataCentre)
