Leases of 2.5 s, beats of all subscribers at one time, compact grants

Change: one pulse wakes all feeds; a description is compared once, when it is announced; the clock of a subscriber is sent every 3 s. The lease is 2.5 s instead of 2 s, so that one lost announcement costs nothing at the longest beat interval; the bound of 3 s stands, since passing a lease on never prolongs it.

--- a/backend/announce.go
+++ b/backend/announce.go
@@ -9,19 +9,13 @@
 	"github.com/valyala/fasthttp"
 )
 
-// Grant names the answer to an announcement. A server sends the last one back with its age,
-// so that an instance can tell how old an announcement is that was held up on its way.
-type Grant struct {
-	Instance uint64 `json:"instance"`
-	Clock    uint64 `json:"clock"`
-}
-
 // Announcement is what a backend server says of itself.
 type Announcement struct {
 	fleet.BackendServer
-	// Last is the grant of this instance's last answer, and LastAgeMillis the time since it
-	// came. Both may be left out.
-	Last          Grant  `json:"last,omitzero"`
+	// Last is the grant of the instance's last answer, and LastAgeMillis the time since it
+	// came, by which the instance can tell the age of an announcement that was held up on its
+	// way. Both may be left out.
+	Last          string `json:"last,omitempty"`
 	LastAgeMillis uint64 `json:"last_age_ms,omitempty"`
 }
 
@@ -32,7 +26,7 @@
 	Sequence      uint64 `json:"sequence"`
 	Running       int    `json:"running,omitempty"`
 	Queued        int    `json:"queued,omitempty"`
-	Last          Grant  `json:"last,omitzero"`
+	Last          string `json:"last,omitempty"`
 	LastAgeMillis uint64 `json:"last_age_ms,omitempty"`
 }
 
@@ -41,7 +35,8 @@
 	LeaseMillis int64 `json:"lease_ms"`
 	// NextMillis is when the server should announce itself again.
 	NextMillis int64 `json:"next_ms"`
-	Grant      Grant `json:"grant"`
+	// Grant names the answer. The server sends it back with its next announcement.
+	Grant string `json:"grant"`
 }
 
 // Announcements receives what backend servers say of themselves. Its errors are those of
--- a/daemon/announced.go
+++ b/daemon/announced.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/balsamlb/balsamlb/backend"
@@ -8,7 +10,7 @@
 )
 
 // defaultServerLease applies until a configuration is in force.
-const defaultServerLease = 2 * time.Second
+const defaultServerLease = 2500 * time.Millisecond
 
 // announcesPerLease is how often a server should announce itself while its lease runs, so
 // that one lost announcement costs nothing.
@@ -30,7 +32,7 @@
 	reply := backend.AnnounceReply{
 		LeaseMillis: ttl.Milliseconds(),
 		NextMillis:  (ttl / announcesPerLease).Milliseconds(),
-		Grant:       backend.Grant{Instance: s.incarnation, Clock: uint64(s.clock.read(now))},
+		Grant:       formatGrant(s.incarnation, uint64(s.clock.read(now))),
 	}
 	urgent, err := s.registry.AnnounceUntil(now, a.BackendServer, s.sentAt(now, a).Add(ttl))
 	if err != nil {
@@ -38,7 +40,7 @@
 	}
 	if urgent {
 		s.log.Info("granted a lease", "server", a.Name, "incarnation", a.Incarnation, "leaving", a.Leaving)
-		s.bell.ring()
+		s.pulse.ring()
 	}
 	return reply, nil
 }
@@ -62,11 +64,28 @@
 // earlier grant of this instance to go by, an announcement that is read just after a pause
 // may be of any age.
 func (s *shared) sentAt(now time.Time, a backend.Announcement) time.Time {
-	if a.Last.Instance == s.incarnation && a.Last.Clock > 0 {
-		return s.clock.at(a.Last.Clock+a.LastAgeMillis, now)
+	if reading, ok := parseGrant(s.incarnation, a.Last); ok {
+		return s.clock.at(reading+a.LastAgeMillis, now)
 	}
 	if s.clock.isThawing(now) {
 		return s.clock.started
 	}
 	return now
 }
+
+const grantBase = 36
+
+// formatGrant names an answer by the incarnation of this instance and its clock.
+func formatGrant(incarnation, reading uint64) string {
+	return strconv.FormatUint(incarnation, grantBase) + "." + strconv.FormatUint(reading, grantBase)
+}
+
+// parseGrant returns the clock in a grant of this incarnation.
+func parseGrant(incarnation uint64, grant string) (reading uint64, ok bool) {
+	prefix, clock, _ := strings.Cut(grant, ".")
+	if prefix != strconv.FormatUint(incarnation, grantBase) {
+		return 0, false
+	}
+	reading, err := strconv.ParseUint(clock, grantBase, 48)
+	return reading, err == nil && reading > 0
+}
--- a/daemon/clock.go
+++ b/daemon/clock.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -25,6 +24,9 @@
 
 // at returns the time of a reading, which is never after now.
 func (c *clock) at(reading uint64, now time.Time) time.Time {
+	if reading == 0 {
+		return c.started
+	}
 	if reading > uint64(c.read(now)) {
 		return now
 	}
@@ -55,26 +57,3 @@
 	thawed := c.thawed.Load()
 	return thawed > 0 && r-thawed < thawTime.Milliseconds()
 }
-
-// bell wakes all who wait for it.
-type bell struct {
-	mu sync.Mutex
-	ch chan struct{}
-}
-
-func newBell() *bell { return &bell{ch: make(chan struct{})} }
-
-// ring wakes those who wait.
-func (b *bell) ring() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	close(b.ch)
-	b.ch = make(chan struct{})
-}
-
-// wait returns a channel that is closed by the next ring.
-func (b *bell) wait() <-chan struct{} {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.ch
-}
--- a/daemon/exchange.go
+++ b/daemon/exchange.go
@@ -75,6 +75,7 @@
 	if d.host != nil {
 		g.Go(func() error { return d.runConfirms(ctx) })
 	}
+	g.Go(func() error { return d.shared.pulse.run(ctx, d.shared.currentInterval) })
 	g.Go(func() error { return d.runPlan(ctx, g) })
 	return g.Wait()
 }
--- a/daemon/feed.go
+++ b/daemon/feed.go
@@ -33,6 +33,7 @@
 	m := membership.Member{}
 	if req.Subscriber != nil {
 		m = fromWire(req.Subscriber)
+		s.learn([]*wire.Member{req.Subscriber})
 	}
 	f := &feed{
 		s:          s,
@@ -45,19 +46,21 @@
 	return f
 }
 
-// Clock takes the subscriber's clock, which is a sign of life too.
+// Clock takes the subscriber's clock.
 func (f *feed) Clock(req *wire.SubscribeRequest) {
-	now := time.Now()
 	f.mu.Lock()
-	f.clock, f.clockAt = req.ClockMs, now
-	f.mu.Unlock()
-	if f.subscriber.Name != "" {
-		f.s.hear(f.subscriber, now, 2*membership.ClockInterval(0))
-	}
+	defer f.mu.Unlock()
+	f.clock, f.clockAt = req.ClockMs, time.Now()
 }
 
-// Wake returns a channel that is closed when a beat should be sent at once.
-func (f *feed) Wake() <-chan struct{} { return f.s.bell.wait() }
+// Wake returns a channel that is closed when the next beat should be sent. All subscribers of
+// the region are sent to at the same time, so that the processor is woken less often.
+func (f *feed) Wake() <-chan struct{} {
+	if f.isRegion {
+		return f.s.pulse.beat.wait()
+	}
+	return f.s.pulse.urgent.wait()
+}
 
 // Next returns the next beat and the time to the one after.
 func (f *feed) Next() (*wire.Beat, time.Duration) {
@@ -69,7 +72,7 @@
 	if f.isLocal {
 		f.facts.add(now, f.s.facts, f.subscriber.Name, b)
 	}
-	return b, f.interval
+	return b, f.interval + pulseSlack
 }
 
 // addShared adds what is guarded by the mutex of shared.
@@ -104,7 +107,7 @@
 func (f *feed) addInterval(b *wire.Beat) {
 	interval := remoteInterval
 	if f.isRegion {
-		interval = membership.BeatInterval(f.s.peersOfRegion())
+		interval = f.s.beatInterval()
 	}
 	if interval != f.interval {
 		f.interval = interval
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -85,6 +85,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.table.Tick(now)
+	s.peersOfRegion = s.countPeers(now)
 	for _, b := range s.registry.Expire(now) {
 		s.log.Info("a lease has run out", "server", b.Name, "data_centre", b.DataCentre)
 	}
@@ -97,9 +98,19 @@
 	return membership.Plan(s.self(), s.table.Members(), s.process.Seeds, time.Now())
 }
 
-// peersOfRegion returns the number of members of the own region that have not failed.
-func (s *shared) peersOfRegion() int {
-	now := time.Now()
+// beatInterval returns how often this instance sends to its subscribers in the region. The
+// mutex is held.
+func (s *shared) beatInterval() time.Duration { return membership.BeatInterval(s.peersOfRegion) }
+
+// currentInterval is beatInterval for callers without the mutex.
+func (s *shared) currentInterval() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.beatInterval()
+}
+
+// countPeers returns the number of members of the own region that have not failed.
+func (s *shared) countPeers(now time.Time) int {
 	n := 0
 	for _, m := range s.table.Members() {
 		if m.Region == s.process.Region && membership.IsAlive(m, now) {
--- a/daemon/state.go
+++ b/daemon/state.go
@@ -20,8 +20,7 @@
 	log         logr.Logger
 	facts       *facts
 	clock       *clock
-	// bell wakes the feeds to all subscribers.
-	bell *bell
+	pulse       *pulse
 	// views holds views in the form in which they are sent.
 	views *viewCache
 
@@ -36,18 +35,20 @@
 	confirmedAt time.Time
 	leaving     bool
 	left        bool
+	// peersOfRegion is the number of live members of the region at the last tick.
+	peersOfRegion int
 }
 
 func newShared(p settings.Process, incarnation uint64, log logr.Logger) *shared {
 	now := time.Now()
-	b := newBell()
+	beats := newPulse()
 	return &shared{
 		process:     p,
 		incarnation: incarnation,
 		log:         log,
-		facts:       newFacts(p.Name, incarnation, b.ring),
+		facts:       newFacts(p.Name, incarnation, beats.ring),
 		clock:       newClock(now),
-		bell:        b,
+		pulse:       beats,
 		views:       newViewCache(),
 		registry:    fleet.NewRegistry(),
 		table:       membership.NewTable(p.Name),
@@ -103,7 +104,7 @@
 	s.mu.Lock()
 	s.leaving = true
 	s.mu.Unlock()
-	s.bell.ring()
+	s.pulse.ring()
 }
 
 // setLeft says that the instance has ended.
@@ -111,7 +112,7 @@
 	s.mu.Lock()
 	s.left = true
 	s.mu.Unlock()
-	s.bell.ring()
+	s.pulse.ring()
 }
 
 // notReady reports why the instance should get no new callers, or "".
--- a/daemon/views.go
+++ b/daemon/views.go
@@ -28,7 +28,7 @@
 		return
 	}
 	if s.putView(v, data) {
-		s.bell.ring()
+		s.pulse.ring()
 	}
 }
 
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -42,7 +42,7 @@
 type feedSlot struct {
 	index int
 	run   uint64
-	sent  BackendServer
+	sent  Load
 }
 
 // NewFeed returns a feed that has sent nothing.
@@ -58,14 +58,14 @@
 			s = &feedSlot{index: f.allocate()}
 			f.slots[l.Server.Name] = s
 		}
-		if !ok || s.run != l.Run || !s.sent.SameDescription(l.Server) {
+		if !ok || s.run != l.Run {
 			u.Described = append(u.Described, Description{Slot: s.index, Server: l.Server})
 			s.run = l.Run
-			s.sent = l.Server
+			s.sent = l.Server.Load
 		}
-		if isLoadChange(s.sent.Load, l.Server.Load) {
+		if isLoadChange(s.sent, l.Server.Load) {
 			u.Loads = append(u.Loads, LoadChange{Slot: s.index, Load: l.Server.Load})
-			s.sent.Load = l.Server.Load
+			s.sent = l.Server.Load
 		}
 	}
 	u.Remaining = make([]byte, len(f.used))
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -72,9 +72,11 @@
 	}
 	l := &Lease{Server: s, Expires: expires, Direct: true, Run: s.Sequence}
 	urgent = true
-	if d := e.direct; d != nil && s.Sequence == d.Server.Sequence+1 && now.Before(d.Expires) {
-		l.Run = d.Run
-		urgent = !d.Server.SameDescription(s)
+	if d := e.direct; d != nil && now.Before(d.Expires) && d.Server.SameDescription(s) {
+		urgent = false
+		if s.Sequence == d.Server.Sequence+1 {
+			l.Run = d.Run
+		}
 	}
 	e.direct = l
 	r.direct[s.Name] = e
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -77,6 +77,6 @@
 	// Direct means that the server announced itself to this instance.
 	Direct bool
 	// Run is, for a direct lease, the sequence of the first announcement since the server
-	// last announced itself elsewhere or missed its turn.
+	// last changed its description, announced itself elsewhere or missed its turn.
 	Run uint64
 }
--- a/instance/publish.go
+++ b/instance/publish.go
@@ -25,9 +25,9 @@
 type Feed interface {
 	// Clock takes the subscriber's clock.
 	Clock(req *wire.SubscribeRequest)
-	// Next returns the next beat and the time to the one after.
+	// Next returns the next beat and the longest time to the one after.
 	Next() (*wire.Beat, time.Duration)
-	// Wake returns a channel that is closed when a beat should be sent at once.
+	// Wake returns a channel that is closed when the next beat should be sent.
 	Wake() <-chan struct{}
 }
 
@@ -68,10 +68,6 @@
 // goneAfter is the silence of a subscriber after which its subscription ends.
 const goneAfter = 10 * time.Second
 
-// urgentGap is the least time between two beats to one subscriber, so that many changes at
-// once go into few beats.
-const urgentGap = 20 * time.Millisecond
-
 func (s *Server) sendBeats(ctx context.Context, stream wire.DRPCInstance_SubscribeStream, f Feed, heard *atomic.Int64) error {
 	for {
 		if s.now()-heard.Load() > goneAfter.Milliseconds() {
@@ -82,8 +78,7 @@
 		if err := stream.Send(beat); err != nil {
 			return err
 		}
-		pause(ctx, urgentGap)
-		if !waitBeat(ctx, wake, interval-urgentGap) {
+		if !waitBeat(ctx, wake, interval) {
 			return ctx.Err()
 		}
 	}
--- a/instance/subscribe.go
+++ b/instance/subscribe.go
@@ -72,7 +72,7 @@
 }
 
 func sendClocks(ctx context.Context, stream wire.DRPCInstance_SubscribeClient, r Receiver) error {
-	ticker := time.NewTicker(membership.ClockInterval(0))
+	ticker := time.NewTicker(membership.ClockInterval)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -66,10 +66,11 @@
 			return f, err
 		}
 		samples = append(samples, s)
-		fmt.Fprintf(o.Out, "%d instances, %d servers: %.2f%% of a core, %.1f MB, %.2f KB/s (%.2f of it announcements)\n",
-			size.instances, size.servers, s.percentOfCore, s.megabytes, s.kilobytes(), s.announceKilobytes)
+		fmt.Fprintf(o.Out, "%d instances, %d servers: %.2f%% of a core (%.2f%% without control instances), %.1f MB, %.2f KB/s (%.2f of it announcements)\n",
+			size.instances, size.servers, s.percentOfCore, s.entryPercentOfCore, s.megabytes, s.kilobytes(), s.announceKilobytes)
 		key := fmt.Sprintf("%d_instances_%d_servers", size.instances, size.servers)
 		f.Details["percent_of_core_"+key] = s.percentOfCore
+		f.Details["entry_percent_of_core_"+key] = s.entryPercentOfCore
 		f.Details["megabytes_"+key] = s.megabytes
 		f.Details["kilobytes_per_s_"+key] = s.kilobytes()
 		f.Details["announce_kilobytes_per_s_"+key] = s.announceKilobytes
@@ -90,6 +91,7 @@
 		of   func(controlSample) float64
 	}{
 		{"percent_of_core", func(s controlSample) float64 { return s.percentOfCore }},
+		{"entry_percent_of_core", func(s controlSample) float64 { return s.entryPercentOfCore }},
 		{"megabytes", func(s controlSample) float64 { return s.megabytes }},
 		{"kilobytes_per_s", controlSample.kilobytes},
 	}
--- a/internal/bench/control_sample.go
+++ b/internal/bench/control_sample.go
@@ -16,11 +16,13 @@
 
 // controlSample is what one instance spends on control, as the mean over the instances.
 type controlSample struct {
-	size              controlSize
-	percentOfCore     float64
-	megabytes         float64
-	instanceKilobytes float64 // a second, both directions
-	announceKilobytes float64 // a second, both directions
+	size          controlSize
+	percentOfCore float64
+	// entryPercentOfCore is the mean over the instances that are not control instances.
+	entryPercentOfCore float64
+	megabytes          float64
+	instanceKilobytes  float64 // a second, both directions
+	announceKilobytes  float64 // a second, both directions
 }
 
 func (s controlSample) kilobytes() float64 { return s.instanceKilobytes + s.announceKilobytes }
@@ -46,11 +48,21 @@
 		return controlSample{}, err
 	}
 	s := controlSample{size: size}
+	entries := 0
+	for _, i := range l.Instances {
+		if i.DataFolder == "" {
+			entries++
+		}
+	}
 	for i := range before {
 		a, b := before[i], after[i]
 		seconds := b.at.Sub(a.at).Seconds()
 		share := 1 / float64(len(before))
-		s.percentOfCore += share * 100 * (b.processor - a.processor).Seconds() / seconds
+		percent := 100 * (b.processor - a.processor).Seconds() / seconds
+		s.percentOfCore += share * percent
+		if l.Instances[i].DataFolder == "" {
+			s.entryPercentOfCore += percent / float64(entries)
+		}
 		s.megabytes += share * b.residentBytes / (1 << 20)
 		s.instanceKilobytes += share * (b.instanceBytes - a.instanceBytes) / 1000 / seconds
 		s.announceKilobytes += share * (b.announceBytes - a.announceBytes) / 1000 / seconds
--- a/membership/pace.go
+++ b/membership/pace.go
@@ -5,16 +5,13 @@
 const (
 	minBeatInterval = 250 * time.Millisecond
 	maxBeatInterval = time.Second
-	// beatPerMember keeps the beats that an instance sends near 80 a second.
-	beatPerMember = 12 * time.Millisecond
+	// beatPerMember keeps the beats that an instance sends near 60 a second.
+	beatPerMember = 16 * time.Millisecond
 	// beatSlack is how much later than its time a beat may come on a busy machine.
 	beatSlack = 150 * time.Millisecond
 	// answerTime bounds the time from dialling to the first beat.
 	answerTime = 500 * time.Millisecond
 
-	minClockInterval = time.Second
-	maxClockInterval = 3 * time.Second
-
 	membersPerMember   = 200 * time.Millisecond
 	minMembersInterval = 2 * time.Second
 )
@@ -37,10 +34,8 @@
 // AnswerTime returns how long a peer may take to send the first beat over a new connection.
 func AnswerTime() time.Duration { return answerTime }
 
-// ClockInterval returns how often a subscriber sends its clock.
-func ClockInterval(beat time.Duration) time.Duration {
-	return min(max(4*beat, minClockInterval), maxClockInterval)
-}
+// ClockInterval is how often a subscriber sends its clock.
+const ClockInterval = 3 * time.Second
 
 // MembersInterval returns how often an instance asks another one whom it knows.
 func MembersInterval(members int) time.Duration {
--- a/settings/intent.go
+++ b/settings/intent.go
@@ -21,7 +21,7 @@
 	{"limits", "max_body", "65536", "bytes", "Largest body of a caller's request.", wholeNumber(1024, 16<<20)},
 	{"limits", "max_tokens", "4096", "tokens", "Most tokens that one draft may ask for.", wholeNumber(1, 1<<20)},
 	{"limits", "default_deadline", "30s", "duration", "Deadline of a request that names none.", duration(100*time.Millisecond, time.Hour)},
-	{"limits", "server_lease", "2s", "duration", "Time after which a backend server that was not heard gets no new work.", duration(200*time.Millisecond, 3*time.Second)},
+	{"limits", "server_lease", "2500ms", "duration", "Time after which a backend server that was not heard gets no new work.", duration(200*time.Millisecond, 3*time.Second)},
 	{"service", "kind", "plain", "", "draft: text streamed from a chain; plain: one call to one server.", oneOf(string(ServiceDraft), string(ServicePlain))},
 	{"service", "model", "", "", "Model that a draft service runs.", anyText},
 	{"service", "layers", "0", "layers", "Number of layers of the model.", wholeNumber(0, 4096)},
