--- a/dispatch/draft_conn.go
+++ b/dispatch/draft_conn.go
@@ -18,6 +18,7 @@
 		PromptTokens: run.r.PromptTokens,
 		MaxTokens:    run.r.MaxTokens,
 		From:         a.From,
+		Fresh:        a.IsFresh,
 		Ready:        a.Ready,
 	}
 	if a.Ready > 0 {
@@ -52,7 +53,7 @@
 			run.report(connEvent{conn: conn, reason: failureReason(err, pipeline.ReasonClosed), err: err})
 			return
 		}
-		if run.inbox.Push(run.ctx, connEvent{conn: conn, frame: f}) != nil {
+		if run.inbox.Push(run.ctx, connEvent{conn: conn, frame: f}) != nil || f.Kind == backend.FrameEnd {
 			return
 		}
 	}
--- a/dispatch/draft_run.go
+++ b/dispatch/draft_run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +28,8 @@
 	frame  backend.Frame
 	reason pipeline.Reason // "" for a frame
 	err    error
+	// cancelled says that a server has confirmed a cancel or can't be reached.
+	cancelled bool
 }
 
 // draftRun carries out what the stream of one draft decides.
@@ -64,11 +67,12 @@
 		cancel: cancel,
 		conns:  make(map[int]*backend.Conn),
 		stream: pipeline.NewStream(pipeline.StreamSpec{
-			Request:  r.ID,
-			Layers:   r.Service.Layers,
-			Deadline: r.Deadline,
-			Chain:    chain,
-			Limits:   pipeline.DefaultLimits(),
+			Request:   r.ID,
+			Layers:    r.Service.Layers,
+			Deadline:  r.Deadline,
+			MaxTokens: r.MaxTokens,
+			Chain:     chain,
+			Limits:    pipeline.DefaultLimits(),
 		}),
 	}
 	for _, st := range chain {
@@ -106,16 +110,22 @@
 		return
 	}
 	run.carryOut(run.stream.Tick(now))
-	for _, server := range run.d.leaving() {
-		if run.last == nil && run.stream.Uses(server) {
-			run.carryOut(run.stream.Leaving(now, server))
+	leaving := run.d.leaving()
+	for _, server := range run.stream.Servers() {
+		if !slices.Contains(leaving, server) {
+			run.stream.Stays(server)
+			continue
 		}
+		run.carryOut(run.stream.Leaving(now, server))
 	}
 }
 
 // take passes an event to the stream.
 func (run *draftRun) take(e connEvent) []pipeline.Action {
 	now := time.Now()
+	if e.cancelled {
+		return run.stream.Cancelled(now)
+	}
 	if e.reason != "" {
 		return run.stream.Failed(now, e.conn, e.reason)
 	}
@@ -165,11 +175,13 @@
 	case pipeline.Start:
 		run.start(a)
 	case pipeline.Cancel:
-		run.group.Go(func() error { run.cancelStage(a.Stage); return nil })
+		run.group.Go(func() error { run.cancelStage(a); return nil })
 	case pipeline.Release:
 		run.release(a.Server)
 	case pipeline.Resume:
 		run.log.Info("resumes over a new connection", "server", a.Server, "stage", a.Stage, "reason", string(a.Reason))
+	case pipeline.Observe:
+		run.d.observeStep(a.Stage, a.Took)
 	case pipeline.Emit:
 		run.emit(a.Token)
 	case pipeline.Finish:
@@ -220,9 +232,14 @@
 	}
 }
 
-func (run *draftRun) cancelStage(st pipeline.Stage) {
-	if err := backend.CancelStage(context.WithoutCancel(run.caller), stageRef(st), run.r.ID); err != nil {
-		run.log.V(1).Info("could not cancel", "server", st.Server.Name, "err", err.Error())
+func (run *draftRun) cancelStage(a pipeline.Cancel) {
+	ctx := context.WithoutCancel(run.caller)
+	if err := backend.CancelStage(ctx, stageRef(a.Stage), run.r.ID); err != nil {
+		run.log.V(1).Info("could not cancel", "server", a.Stage.Server.Name, "err", err.Error())
+	}
+	if a.Confirm {
+		// The push fails only when the run has ended.
+		_ = run.inbox.Push(run.ctx, connEvent{cancelled: true})
 	}
 }
 
--- a/internal/emulate/options.go
+++ b/internal/emulate/options.go
@@ -46,6 +46,8 @@
 	KVBytes int
 	// PrefixTokens is the size of each server's prefix cache; 0 means 16,384 tokens.
 	PrefixTokens int
+	// CallFaults are what goes wrong with plain calls, by server.
+	CallFaults map[string]settings.CallFaults
 }
 
 func (o Options) withDefaults() Options {
@@ -86,6 +88,7 @@
 		ActivationBytes: f.ActivationBytes,
 		KVBytes:         f.KVBytes,
 		PrefixTokens:    f.PrefixTokens,
+		CallFaults:      f.CallFaults,
 	}
 	for _, l := range f.Links {
 		a, b, _ := strings.Cut(l.Name, " ")
