Leases are tested against all that was ever announced

The feed now compares the incarnation too. TestAnnouncedServersAreAvailableEverywhere with restarts failed before ("instance 1: available false, leaving false").

--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -40,9 +40,10 @@
 
 // feedSlot is what the subscriber knows of a server.
 type feedSlot struct {
-	index int
-	run   uint64
-	sent  Load
+	index       int
+	incarnation uint64
+	run         uint64
+	sent        Load
 }
 
 // NewFeed returns a feed that has sent nothing.
@@ -58,8 +59,9 @@
 			s = &feedSlot{index: f.allocate()}
 			f.slots[l.Server.Name] = s
 		}
-		if !ok || s.run != l.Run {
+		if !ok || s.incarnation != l.Server.Incarnation || s.run != l.Run {
 			u.Described = append(u.Described, Description{Slot: s.index, Server: l.Server})
+			s.incarnation = l.Server.Incarnation
 			s.run = l.Run
 			s.sent = l.Server.Load
 		}
--- /dev/null
+++ b/fleet/registry_test.go
@@ -0,0 +1,261 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	_ "github.com/balsamlb/balsamlb/internal/seeded"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+const lease = 2500 * time.Millisecond
+
+// said is one announcement that a server really made.
+type said struct {
+	at     time.Time
+	server BackendServer
+}
+
+// flight is an update on its way from one instance to another.
+type flight struct {
+	sent   time.Time
+	update Update
+}
+
+// link carries updates from one instance to another in order, with any delay.
+type link struct {
+	feed     *Feed
+	follower *Follower
+	queue    []flight
+}
+
+// world is three instances and two servers, and all that was ever said.
+type world struct {
+	now        time.Time
+	registries []*Registry
+	links      map[[2]int]*link
+	servers    []BackendServer
+	said       []said
+	// known is the newest that has reached each instance of each server.
+	known []map[string]BackendServer
+	// late holds announcements that wait in the buffer of a frozen instance.
+	late [][]said
+}
+
+func newWorld() *world {
+	w := &world{now: time.Unix(1000, 0), links: make(map[[2]int]*link)}
+	for i := range 3 {
+		w.registries = append(w.registries, NewRegistry())
+		w.known = append(w.known, make(map[string]BackendServer))
+		w.late = append(w.late, nil)
+		for j := range 3 {
+			if i != j {
+				w.links[[2]int{i, j}] = &link{feed: NewFeed(), follower: NewFollower()}
+			}
+		}
+	}
+	for _, name := range []string{"s0", "s1"} {
+		w.servers = append(w.servers, BackendServer{Name: name, Incarnation: 1, Address: "127.0.0.1:1"})
+	}
+	return w
+}
+
+// say makes the server announce itself; the announcement reaches the instance with take.
+func (w *world) say(server int) said {
+	s := &w.servers[server]
+	s.Sequence++
+	a := said{at: w.now, server: *s}
+	w.said = append(w.said, a)
+	return a
+}
+
+func (w *world) take(instance int, a said) {
+	if _, err := w.registries[instance].AnnounceUntil(w.now, a.server, a.at.Add(lease)); err == nil {
+		w.learn(instance, a.server)
+	}
+}
+
+func (w *world) learn(instance int, s BackendServer) {
+	old := w.known[instance][s.Name]
+	if s.Incarnation > old.Incarnation || s.Incarnation == old.Incarnation && s.Sequence >= old.Sequence {
+		w.known[instance][s.Name] = s
+	}
+}
+
+func (w *world) deliver(t *rapid.T, from, to int, early time.Duration) {
+	l := w.links[[2]int{from, to}]
+	if len(l.queue) == 0 {
+		return
+	}
+	f := l.queue[0]
+	l.queue = l.queue[1:]
+	if err := l.follower.Apply(w.now, f.sent.Add(-early), f.update, w.registries[to]); err != nil {
+		t.Fatal(err)
+	}
+	for _, d := range f.update.Described {
+		w.learn(to, d.Server)
+	}
+}
+
+// check compares the registries with all that was ever said.
+func (w *world) check(t *rapid.T) {
+	for i, r := range w.registries {
+		for _, s := range r.Available(w.now) {
+			if !w.hasLease(s) {
+				t.Fatalf("instance %d uses %s incarnation %d, which has not announced itself for %v", i, s.Name, s.Incarnation, lease)
+			}
+			if k := w.known[i][s.Name]; k.Incarnation == s.Incarnation && k.Leaving {
+				t.Fatalf("instance %d uses %s, of which it knows that it leaves", i, s.Name)
+			}
+		}
+	}
+}
+
+// hasLease is the naive registry: it looks through all that was ever said.
+func (w *world) hasLease(s BackendServer) bool {
+	for _, a := range w.said {
+		if a.server.Name == s.Name && a.server.Incarnation == s.Incarnation && w.now.Before(a.at.Add(lease)) {
+			return true
+		}
+	}
+	return false
+}
+
+func TestNoInstanceUsesAServerWithoutALease(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		server := rapid.IntRange(0, 1)
+		instance := rapid.IntRange(0, 2)
+		pair := func(t *rapid.T) (int, int) {
+			from := instance.Draw(t, "from")
+			return from, (from + rapid.IntRange(1, 2).Draw(t, "to")) % 3
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"": w.check,
+			"time": func(t *rapid.T) {
+				w.now = w.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+			},
+			"announce": func(t *rapid.T) { w.take(instance.Draw(t, "instance"), w.say(server.Draw(t, "server"))) },
+			"announce late": func(t *rapid.T) {
+				i := instance.Draw(t, "instance")
+				w.late[i] = append(w.late[i], w.say(server.Draw(t, "server")))
+			},
+			"thaw": func(t *rapid.T) {
+				i := instance.Draw(t, "instance")
+				for _, a := range w.late[i] {
+					w.take(i, a)
+				}
+				w.late[i] = nil
+			},
+			"leave":   func(t *rapid.T) { w.servers[server.Draw(t, "server")].Leaving = true },
+			"stay":    func(t *rapid.T) { w.servers[server.Draw(t, "server")].Leaving = false },
+			"restart": func(t *rapid.T) { s := &w.servers[server.Draw(t, "server")]; s.Incarnation++; s.Sequence = 0 },
+			"beat": func(t *rapid.T) {
+				from, to := pair(t)
+				l := w.links[[2]int{from, to}]
+				l.queue = append(l.queue, flight{sent: w.now, update: l.feed.Next(w.now, w.registries[from].Direct(w.now))})
+			},
+			"deliver": func(t *rapid.T) {
+				from, to := pair(t)
+				w.deliver(t, from, to, time.Duration(rapid.IntRange(0, 300).Draw(t, "early"))*time.Millisecond)
+			},
+			"reconnect": func(t *rapid.T) {
+				from, to := pair(t)
+				w.links[[2]int{from, to}] = &link{feed: NewFeed(), follower: NewFollower()}
+			},
+		})
+	})
+}
+
+// A server that announces itself and whose beats arrive is available everywhere.
+func TestAnnouncedServersAreAvailableEverywhere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		at := 0
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			if rapid.IntRange(0, 3).Draw(t, "move") == 0 {
+				at = rapid.IntRange(0, 2).Draw(t, "at")
+			}
+			if rapid.IntRange(0, 5).Draw(t, "turn") == 0 {
+				w.servers[0].Leaving = !w.servers[0].Leaving
+			}
+			if rapid.IntRange(0, 5).Draw(t, "restart") == 0 {
+				w.servers[0].Incarnation++
+				w.servers[0].Sequence = 0
+			}
+			w.take(at, w.say(0))
+			for pair, l := range w.links {
+				l.queue = append(l.queue, flight{sent: w.now, update: l.feed.Next(w.now, w.registries[pair[0]].Direct(w.now))})
+				w.deliver(t, pair[0], pair[1], 0)
+			}
+			for i, r := range w.registries {
+				available := r.Available(w.now)
+				if got := len(available) == 1; got == w.servers[0].Leaving {
+					t.Fatalf("instance %d: available %t, leaving %t", i, got, w.servers[0].Leaving)
+				}
+				if len(available) == 1 && available[0].Incarnation != w.servers[0].Incarnation {
+					t.Fatalf("instance %d uses incarnation %d of %d", i, available[0].Incarnation, w.servers[0].Incarnation)
+				}
+			}
+			w.now = w.now.Add(time.Duration(rapid.IntRange(100, 2000).Draw(t, "ms")) * time.Millisecond)
+		}
+	})
+}
+
+func TestTwoServersWithOneName(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	first := BackendServer{Name: "s", Incarnation: 5, Sequence: 1, Address: "127.0.0.1:1"}
+	newer := BackendServer{Name: "s", Incarnation: 6, Sequence: 1, Address: "127.0.0.2:1"}
+	twin := BackendServer{Name: "s", Incarnation: 5, Sequence: 9, Address: "127.0.0.3:1"}
+	r := NewRegistry()
+	_, err := r.Announce(now, first, lease)
+	is.NoErr(err)
+	_, err = r.Announce(now, twin, lease)
+	is.Equal(err, ErrNameTaken)
+	is.Equal(r.Available(now)[0].Address, first.Address)
+	_, err = r.Announce(now, newer, lease)
+	is.NoErr(err)
+	is.Equal(r.Available(now)[0].Address, newer.Address)
+	first.Sequence++
+	_, err = r.Announce(now, first, lease)
+	is.Equal(err, ErrNameTaken)
+	// An instance that hears the twin first comes to the same choice.
+	other := NewRegistry()
+	is.NoErr(other.Merge(now, twin, now.Add(lease)))
+	is.NoErr(other.Merge(now, first, now.Add(lease)))
+	is.Equal(other.Available(now)[0].Address, first.Address)
+	// The name is free again once the lease has run out.
+	later := now.Add(lease)
+	_, err = r.Announce(later, first, lease)
+	is.NoErr(err)
+}
+
+func TestLeavingIsNotOvertakenByAnOlderAnnouncement(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	s := BackendServer{Name: "s", Incarnation: 1, Sequence: 9, Address: "127.0.0.1:1"}
+	leaving := s
+	leaving.Sequence = 10
+	leaving.Leaving = true
+	r := NewRegistry()
+	is.NoErr(r.Merge(now, leaving, now.Add(lease)))
+	is.NoErr(r.Merge(now, s, now.Add(lease)))
+	is.Equal(len(r.Available(now)), 0)
+	_, err := r.Announce(now, s, lease)
+	is.Equal(err, ErrOld)
+	// Also after the lease of the newer announcement has run out.
+	_, err = r.Announce(now.Add(lease), s, lease)
+	is.Equal(err, ErrOld)
+}
+
+func TestAnAnnouncementThatWaitedTooLongGrantsNothing(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	s := BackendServer{Name: "s", Incarnation: 1, Sequence: 1, Address: "127.0.0.1:1"}
+	r := NewRegistry()
+	_, err := r.AnnounceUntil(now, s, now)
+	is.Equal(err, ErrOld)
+	is.Equal(len(r.Available(now)), 0)
+}
