Members are tested against all that was ever heard

Seen failing with the mechanism off: incarnations ignored ("incarnation 1, want 2"), a freeze not noticed, an instance that left revived ("alive true, want false"), hearsay taken for life, a failed connection believed against a later sign of life ("alive false, want true"), the gate without the peers' indices, silent members told on for ever.

--- /dev/null
+++ b/membership/table_test.go
@@ -0,0 +1,211 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	_ "github.com/balsamlb/balsamlb/internal/seeded"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// evidence is one thing that the table was told. The model keeps all of it.
+type evidence struct {
+	incarnation uint64
+	sent        time.Time
+	until       time.Time // zero for a failure
+	left        bool
+}
+
+// model judges a member by looking through everything.
+type model struct{ told []evidence }
+
+func (m *model) newest() uint64 {
+	var n uint64
+	for _, e := range m.told {
+		n = max(n, e.incarnation)
+	}
+	return n
+}
+
+func (m *model) isAlive(now time.Time) bool {
+	newest := m.newest()
+	alive := false
+	for _, e := range m.told {
+		switch {
+		case e.incarnation != newest:
+		case e.left:
+			return false
+		case e.until.IsZero():
+			alive = false
+		case now.Before(e.until):
+			alive = true
+		}
+	}
+	return alive
+}
+
+func TestAliveMeansHeardLately(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		table := NewTable("self")
+		table.Tick(now)
+		m := &model{}
+		heardAt := time.Time{}
+		incarnation := rapid.Uint64Range(1, 3)
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				got, _ := table.Get("kandy-1")
+				if IsAlive(got, now) != m.isAlive(now) {
+					t.Fatalf("alive %t, want %t", IsAlive(got, now), m.isAlive(now))
+				}
+				if got.Incarnation != m.newest() {
+					t.Fatalf("incarnation %d, want %d", got.Incarnation, m.newest())
+				}
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 600).Draw(t, "ms")) * time.Millisecond)
+				table.Tick(now)
+			},
+			"hear": func(t *rapid.T) {
+				n := incarnation.Draw(t, "incarnation")
+				sent := now.Add(-time.Duration(rapid.IntRange(0, 400).Draw(t, "age")) * time.Millisecond)
+				left := rapid.IntRange(0, 30).Draw(t, "left") == 0
+				if !table.Hear(Member{Name: "kandy-1", Incarnation: n, Left: left}, sent, time.Second) {
+					return
+				}
+				m.told = append(m.told, evidence{incarnation: n, sent: sent, until: sent.Add(time.Second), left: left})
+				if sent.After(heardAt) || n == m.newest() {
+					heardAt = sent
+				}
+			},
+			"learn": func(t *rapid.T) {
+				n := incarnation.Draw(t, "incarnation")
+				if table.Learn(now, Member{Name: "kandy-1", Incarnation: n}, now) {
+					m.told = append(m.told, evidence{incarnation: n, sent: now})
+				}
+			},
+			"fail": func(t *rapid.T) {
+				before, _ := table.Get("kandy-1")
+				since := now.Add(-time.Duration(rapid.IntRange(0, 300).Draw(t, "since")) * time.Millisecond)
+				table.Fail(now, "kandy-1", since)
+				if !before.Heard.After(since) {
+					m.told = append(m.told, evidence{incarnation: m.newest()})
+				}
+			},
+		})
+	})
+}
+
+func TestFrozenInstanceDoesNotCallTheOthersFailed(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	table := NewTable("self")
+	table.Tick(now)
+	table.Hear(Member{Name: "kandy-1", Incarnation: 1}, now, time.Second)
+	now = now.Add(10 * time.Second)
+	table.Tick(now)
+	m, _ := table.Get("kandy-1")
+	is.True(IsAlive(m, now))
+	// It fails when it stays silent.
+	for range 12 {
+		now = now.Add(100 * time.Millisecond)
+		table.Tick(now)
+	}
+	m, _ = table.Get("kandy-1")
+	is.True(!IsAlive(m, now))
+}
+
+func TestOldSignsChangeNothing(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	table := NewTable("self")
+	is.True(table.Hear(Member{Name: "a", Incarnation: 2, Address: "new", SharedIndex: 9}, now, time.Second))
+	is.True(!table.Hear(Member{Name: "a", Incarnation: 1, Address: "old"}, now, time.Second))
+	is.True(!table.Learn(now, Member{Name: "a", Incarnation: 1, Address: "old"}, now))
+	is.True(!table.Hear(Member{Name: "self", Incarnation: 9}, now, time.Second))
+	is.True(table.Hear(Member{Name: "a", Incarnation: 2, Address: "new", SharedIndex: 3}, now, time.Second))
+	m, _ := table.Get("a")
+	is.Equal(m.Address, "new")
+	is.Equal(m.SharedIndex, uint64(9))
+	is.True(table.Hear(Member{Name: "a", Incarnation: 2, Left: true}, now, time.Second))
+	is.True(!table.Hear(Member{Name: "a", Incarnation: 2}, now, time.Second))
+	is.True(table.Hear(Member{Name: "a", Incarnation: 3}, now, time.Second))
+}
+
+func TestSilentMembersAreForgottenEverywhere(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	a, b := NewTable("a"), NewTable("b")
+	is.True(a.Hear(Member{Name: "c", Incarnation: 1}, now, time.Second))
+	is.True(b.Learn(now, Member{Name: "c", Incarnation: 1}, now))
+	for n := range 2400 {
+		at := now.Add(time.Duration(n) * 500 * time.Millisecond)
+		// They go on telling each other.
+		a.Tick(at)
+		for _, m := range b.Members() {
+			a.Learn(at, m, m.Heard)
+		}
+		b.Tick(at)
+		for _, m := range a.Members() {
+			b.Learn(at, m, m.Heard)
+		}
+	}
+	is.Equal(len(a.Members()), 0)
+	is.Equal(len(b.Members()), 0)
+}
+
+func TestPlan(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	self := Member{Name: "r1-1", Address: "r1-1", Region: "r1"}
+	var members []Member
+	for region := range 3 {
+		for n := range 4 {
+			name := fmt.Sprintf("r%d-%d", region+1, n+1)
+			if name != self.Name {
+				members = append(members, Member{Name: name, Address: name, Region: fmt.Sprintf("r%d", region+1), Control: n == 2})
+			}
+		}
+	}
+	// Its own region, and one control instance of each other region.
+	is.Equal(Plan(self, members, []string{"seed", "r1-2"}, now), []string{"r1-2", "r1-3", "r1-4", "r2-3", "r3-3", "seed"})
+	for i := range members {
+		if members[i].Name == "r2-3" {
+			members[i].AliveUntil = now
+		}
+		if members[i].Name == "r1-4" {
+			members[i].Left = true
+		}
+	}
+	got := Plan(self, members, nil, now)
+	is.Equal(len(got), 4)
+	is.True(got[2] != "r2-3")
+}
+
+func TestViewGate(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	g := NewViewGate(now)
+	is.True(!g.IsOpen(now, 0, false))
+	g.Heard(7)
+	is.True(!g.IsOpen(now, 6, true)) // a peer has a newer one
+	is.True(!g.IsOpen(now, 7, false))
+	is.True(!g.IsOpen(now.Add(joinPatience), 6, false))
+	is.True(g.IsOpen(now.Add(joinPatience), 7, false))
+	g.Heard(8)
+	is.True(g.IsOpen(now, 7, false))
+	is.True(NewViewGate(now).IsOpen(now, 7, true))
+	is.True(!NewViewGate(now).IsOpen(now.Add(joinPatience), 0, true)) // never with defaults
+}
+
+// A peer that is alive but behind a silent connection is heard over a new one in time.
+func TestSilentConnectionIsGivenUpBeforeThePeerFails(t *testing.T) {
+	is := is.New(t)
+	for n := range 400 {
+		beat := BeatInterval(n)
+		is.True(SilentAfter(beat) > 2*beat)
+		is.True(FailAfter(beat) > SilentAfter(beat)+AnswerTime())
+	}
+}
