--- a/daemon/members.go
+++ b/daemon/members.go
@@ -47,18 +47,11 @@
 func (s *shared) hear(m membership.Member, sent time.Time, alive time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	old, known := s.table.Get(m.Name)
-	wasAlive := known && old.Incarnation == m.Incarnation && membership.IsAlive(old, now)
 	if !s.table.Hear(m, sent, alive) {
 		return false
 	}
-	if m.Left {
-		s.log.Info("an instance has left", "instance", m.Name)
-	} else if !wasAlive {
-		s.log.Info("an instance is alive", "instance", m.Name, "data_centre", m.DataCentre, "incarnation", m.Incarnation)
-	}
 	s.gate.Heard(m.SharedIndex)
+	s.logChange(m.Name, time.Now())
 	return true
 }
 
@@ -68,16 +61,31 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	for _, m := range s.table.Members() {
-		if m.Address != address || !membership.IsAlive(m, now) {
-			continue
-		}
-		s.table.Fail(now, m.Name, since)
-		if after, _ := s.table.Get(m.Name); !membership.IsAlive(after, now) {
-			s.log.Info("an instance has failed", "instance", m.Name, "data_centre", m.DataCentre)
+		if m.Address == address {
+			s.table.Fail(now, m.Name, since)
+			s.logChange(m.Name, now)
 		}
 	}
 }
 
+// logChange logs when a member has become alive, failed or left.
+func (s *shared) logChange(name string, now time.Time) {
+	m, _ := s.table.Get(name)
+	incarnation, wasAlive := s.alive[name]
+	isAlive := membership.IsAlive(m, now)
+	switch {
+	case isAlive && (!wasAlive || incarnation != m.Incarnation):
+		s.alive[name] = m.Incarnation
+		s.log.Info("an instance is alive", "instance", name, "data_centre", m.DataCentre, "incarnation", m.Incarnation)
+	case !isAlive && wasAlive && m.Left:
+		delete(s.alive, name)
+		s.log.Info("an instance has left", "instance", name, "data_centre", m.DataCentre)
+	case !isAlive && wasAlive:
+		delete(s.alive, name)
+		s.log.Info("an instance has failed", "instance", name, "data_centre", m.DataCentre)
+	}
+}
+
 // tick lets time pass for members and leases.
 func (s *shared) tick() {
 	now := time.Now()
@@ -86,6 +94,9 @@
 	defer s.mu.Unlock()
 	s.table.Tick(now)
 	s.peersOfRegion = s.countPeers(now)
+	for name := range s.alive {
+		s.logChange(name, now)
+	}
 	for _, b := range s.registry.Expire(now) {
 		s.log.Info("a lease has run out", "server", b.Name, "data_centre", b.DataCentre)
 	}
--- a/daemon/state.go
+++ b/daemon/state.go
@@ -35,6 +35,8 @@
 	confirmedAt time.Time
 	leaving     bool
 	left        bool
+	// alive holds the incarnations of the members that were alive at the last look.
+	alive map[string]uint64
 	// peersOfRegion is the number of live members of the region at the last tick.
 	peersOfRegion int
 }
@@ -53,6 +55,7 @@
 		registry:    fleet.NewRegistry(),
 		table:       membership.NewTable(p.Name),
 		gate:        membership.NewViewGate(now),
+		alive:       make(map[string]uint64),
 	}
 }
 
--- /dev/null
+++ b/internal/lab/join.go
@@ -0,0 +1,40 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+
+	"github.com/rotisserie/eris"
+)
+
+// errNoDataCentre means that the lab has no data centre of the name.
+var errNoDataCentre = eris.New("lab: no such data centre")
+
+// Join starts one more instance in a data centre.
+func (l *Lab) Join(ctx context.Context, dataCentre string) (*Instance, error) {
+	for d, dc := range l.Layout.DataCentres {
+		if dc.Name != dataCentre {
+			continue
+		}
+		l.Layout.DataCentres[d].Instances++
+		i := l.addInstance(d, dc.Instances)
+		return i, l.startInstance(ctx, i)
+	}
+	return nil, errNoDataCentre
+}
+
+// addInstance plans instance n of data centre d, both from 0.
+func (l *Lab) addInstance(d, n int) *Instance {
+	dc := l.Layout.DataCentres[d]
+	name := fmt.Sprintf("%s-%d", dc.Name, n+1)
+	i := &Instance{DataCentre: dc.Name, Region: dc.Region, IP: fmt.Sprintf("%s.%d.%d", l.Layout.Net, d+1, n+1)}
+	if dc.Control && n == 0 {
+		i.DataFolder = filepath.Join(l.Layout.Folder, "data", name)
+	}
+	log := filepath.Join(l.Layout.Folder, name+".log")
+	i.Process = newProcess(name, log, filepath.Join(l.Layout.Bin, "balsamd"), "-settings", l.settingsPath(name))
+	l.Instances = append(l.Instances, i)
+	l.relays.change(func() { l.relays.names[i.IP] = name })
+	return i
+}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -173,15 +173,7 @@
 func (l *Lab) plan() {
 	for d, dc := range l.Layout.DataCentres {
 		for n := range dc.Instances {
-			name := fmt.Sprintf("%s-%d", dc.Name, n+1)
-			i := &Instance{DataCentre: dc.Name, Region: dc.Region, IP: fmt.Sprintf("%s.%d.%d", l.Layout.Net, d+1, n+1)}
-			if dc.Control && n == 0 {
-				i.DataFolder = filepath.Join(l.Layout.Folder, "data", name)
-			}
-			log := filepath.Join(l.Layout.Folder, name+".log")
-			i.Process = newProcess(name, log, filepath.Join(l.Layout.Bin, "balsamd"), "-settings", l.settingsPath(name))
-			l.Instances = append(l.Instances, i)
-			l.relays.names[i.IP] = name
+			l.addInstance(d, n)
 		}
 	}
 }
