--- a/daemon/state.go
+++ b/daemon/state.go
@@ -20,8 +20,7 @@
 	log         logr.Logger
 	facts       *facts
 	clock       *clock
-	// bell wakes the feeds to all subscribers.
-	bell *bell
+	pulse       *pulse
 	// views holds views in the form in which they are sent.
 	views *viewCache
 
@@ -37,23 +36,28 @@
 	confirmedAt time.Time
 	leaving     bool
 	left        bool
+	// alive holds the incarnations of the members that were alive at the last look.
+	alive map[string]uint64
+	// peersOfRegion is the number of live members of the region at the last tick.
+	peersOfRegion int
 }
 
 func newShared(p settings.Process, incarnation uint64, log logr.Logger) *shared {
 	now := time.Now()
-	b := newBell()
+	beats := newPulse()
 	return &shared{
 		process:     p,
 		incarnation: incarnation,
 		log:         log,
-		facts:       newFacts(p.Name, incarnation, b.ring),
+		facts:       newFacts(p.Name, incarnation, beats.ring),
 		clock:       newClock(now),
-		bell:        b,
+		pulse:       beats,
 		views:       newViewCache(),
 		started:     now,
 		registry:    fleet.NewRegistry(),
 		table:       membership.NewTable(p.Name),
 		gate:        membership.NewViewGate(now),
+		alive:       make(map[string]uint64),
 	}
 }
 
@@ -105,7 +109,7 @@
 	s.mu.Lock()
 	s.leaving = true
 	s.mu.Unlock()
-	s.bell.ring()
+	s.pulse.ring()
 }
 
 // setLeft says that the instance has ended.
@@ -113,7 +117,7 @@
 	s.mu.Lock()
 	s.left = true
 	s.mu.Unlock()
-	s.bell.ring()
+	s.pulse.ring()
 }
 
 // notReady reports why the instance should get no new callers, or "".
