--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -23,6 +23,8 @@
 	Instances int
 	// Control says that the first instance has a data folder.
 	Control bool
+	// Standby says that the last instance has a data folder and is no voter at first.
+	Standby bool
 	// Region is empty when all data centres are in one region.
 	Region string
 }
@@ -64,6 +66,7 @@
 	Region     string
 	IP         string
 	DataFolder string // "" when it is not a control instance
+	Standby    bool
 }
 
 // Callers returns the address for callers.
@@ -173,15 +176,7 @@
 func (l *Lab) plan() {
 	for d, dc := range l.Layout.DataCentres {
 		for n := range dc.Instances {
-			name := fmt.Sprintf("%s-%d", dc.Name, n+1)
-			i := &Instance{DataCentre: dc.Name, Region: dc.Region, IP: fmt.Sprintf("%s.%d.%d", l.Layout.Net, d+1, n+1)}
-			if dc.Control && n == 0 {
-				i.DataFolder = filepath.Join(l.Layout.Folder, "data", name)
-			}
-			log := filepath.Join(l.Layout.Folder, name+".log")
-			i.Process = newProcess(name, log, filepath.Join(l.Layout.Bin, "balsamd"), "-settings", l.settingsPath(name))
-			l.Instances = append(l.Instances, i)
-			l.relays.names[i.IP] = name
+			l.addInstance(d, n)
 		}
 	}
 }
@@ -206,7 +201,7 @@
 func (l *Lab) settings(i *Instance) string {
 	var voters []string
 	for _, v := range l.Instances {
-		if v.DataFolder != "" {
+		if v.DataFolder != "" && !v.Standby {
 			voters = append(voters, v.Name+"="+l.advertised(v))
 		}
 	}
@@ -227,9 +222,10 @@
 advertise = %s
 [control]
 data_folder = %s
+standby = %t
 voters = %s
 `, i.Name, i.DataCentre, i.Region, i.Callers(), i.Backends(), i.Operators(), i.Platform(), i.IP, instancePort,
-		l.advertised(i), i.DataFolder, strings.Join(voters, ", ")) + extra
+		l.advertised(i), i.DataFolder, i.Standby, strings.Join(voters, ", ")) + extra
 }
 
 // Operator returns a client for the instance's operators' interface.
--- a/operator/protocol.go
+++ b/operator/protocol.go
@@ -3,6 +3,8 @@
 
 import (
 	"time"
+
+	"github.com/balsamlb/balsamlb/fleet"
 )
 
 // Paths of the operators' interface.
@@ -38,6 +40,25 @@
 	Term   uint64 `json:"term"`
 	Leader string `json:"leader"`
 	Commit uint64 `json:"commit"`
+	// Applied and Snapshot are log indexes: of the state and of the last snapshot.
+	Applied  uint64 `json:"applied"`
+	Snapshot uint64 `json:"snapshot"`
+	// Lease says that the instance leads and no other can.
+	Lease bool `json:"lease"`
+	// Voting says that the instance votes; a standby, or one whose disk was lost, does not.
+	Voting bool `json:"voting"`
+	// Size is the number of voters that the group is repaired to.
+	Size   int      `json:"size"`
+	Voters []string `json:"voters"`
+	// Learners are the replicas that get the log and don't vote, as the leader knows them.
+	Learners []LearnerStatus `json:"learners,omitempty"`
+}
+
+// LearnerStatus is one replica that does not vote.
+type LearnerStatus struct {
+	Name     string `json:"name"`
+	Match    uint64 `json:"match"`
+	CaughtUp bool   `json:"caught_up"`
 }
 
 // InstanceStatus is one instance of the system.
@@ -60,6 +81,15 @@
 	InFlight   int    `json:"in_flight"`
 	Leaving    bool   `json:"leaving"`
 	LeaseMs    int64  `json:"lease_ms"`
+	// ChecksFences means that the server refuses orders with an old fencing number.
+	ChecksFences bool `json:"checks_fences"`
+	// ResolvesRequests means that the server can tell what became of a request.
+	ResolvesRequests bool `json:"resolves_requests"`
+	// Version, Adapters, Role and Order are what the server reports of its engine.
+	Version  string            `json:"version,omitempty"`
+	Adapters []string          `json:"adapters,omitempty"`
+	Role     string            `json:"role,omitempty"`
+	Order    fleet.OrderReport `json:"order,omitzero"`
 }
 
 // DrainRequest starts or ends a drain.
