Throughput and overload benchmarks; causes of idle stages found and mended

Causes and changes, in this order: - The forecast held the router's learned pace and was multiplied by what admission learned from the same times; refusals then starved the learning and nothing was admitted. Admission now learns against what servers promise, and what it learned fades without new observations. - One request a slot leaves a server of a two-stage chain idle half of the time. A server now counts as slow only at 1.5 times the median of all, and reports of load are averaged.

The router's test of own work and the prefix test take several reports now, since one report no longer counts in full; each asserts what it did before.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -94,6 +94,8 @@
 	running   bool
 	started   time.Time
 	predicted time.Duration
+	// factor is that of the prediction over the forecast.
+	factor float64
 }
 
 // New returns a controller without pools.
@@ -129,7 +131,7 @@
 	w := p.workspace(r.Workspace, r.Share)
 	if len(w.waiting)+w.running >= r.MaxInFlight {
 		p.forgetIdle()
-		return []Action{c.refuse(p, e, ReasonLimit, p.serviceTime(r))}
+		return []Action{c.refuse(p, e, ReasonLimit, p.serviceTime(now, r))}
 	}
 	w.add(e)
 	c.requests[r.ID] = e
@@ -138,7 +140,7 @@
 		own := others[i]
 		return slices.Insert(slices.Delete(others, i, i+1), 0, own)
 	}
-	predicted := p.waitOf(w, e) + p.serviceTime(r)
+	predicted := p.waitOf(now, w, e) + p.serviceTime(now, r)
 	if now.Add(predicted).After(r.Deadline) {
 		c.drop(e)
 		p.forgetIdle()
@@ -150,7 +152,7 @@
 	}
 	out := p.displaced()
 	c.drop(out)
-	refusal := c.refuse(p, out, ReasonQueueFull, p.serviceTime(out.Request))
+	refusal := c.refuse(p, out, ReasonQueueFull, p.serviceTime(now, out.Request))
 	if out == e {
 		return append([]Action{refusal}, others...)
 	}
@@ -173,7 +175,7 @@
 	w.running--
 	e.pool.running--
 	if answered {
-		e.pool.observe(e.predicted, now.Sub(e.started))
+		e.pool.observe(now, e.predicted, now.Sub(e.started), e.factor)
 	}
 	return c.dispatch(now, e.pool)
 }
@@ -194,7 +196,7 @@
 	var actions []Action
 	for _, e := range p.late(now) {
 		c.drop(e)
-		actions = append(actions, c.refuse(p, e, ReasonDeadline, p.serviceTime(e.Request)))
+		actions = append(actions, c.refuse(p, e, ReasonDeadline, p.serviceTime(now, e.Request)))
 	}
 	return actions
 }
@@ -220,7 +222,8 @@
 func (c *Controller) start(now time.Time, p *pool, w *workspace, e *entry) {
 	e.running = true
 	e.started = now
-	e.predicted = p.serviceTime(e.Request)
+	e.predicted = p.serviceTime(now, e.Request)
+	e.factor = p.factor(now)
 	w.running++
 	p.running++
 	p.charge(w, e)
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -258,11 +258,28 @@
 		now = now.Add(200 * time.Millisecond) // twice the forecast
 		c.Ended(now, fmt.Sprint(i), true)
 	}
-	got := p.serviceTime(request("x", "w", 1, 0))
+	got := p.serviceTime(now, request("x", "w", 1, 0))
 	is.True(got > 190*time.Millisecond && got < 230*time.Millisecond)
 	is.True(p.ratio > 1.9)
 }
 
+func TestAPoolThatLookedTooSlowIsTriedAgain(t *testing.T) {
+	is := is.New(t)
+	c := newController(1)
+	now := epoch
+	for i := range 50 {
+		c.Arrive(now, request(fmt.Sprint(i), "w", 1, time.Hour))
+		now = now.Add(10 * time.Second) // a hundred times the forecast
+		c.Ended(now, fmt.Sprint(i), true)
+	}
+	r := request("x", "w", 1, 0)
+	r.Deadline = now.Add(time.Second)
+	is.Equal(c.Arrive(now, r)[0].Verdict, Refuse)
+	now = now.Add(10 * ratioHalfLife)
+	r.Deadline = now.Add(time.Second)
+	is.Equal(c.Arrive(now, r)[0].Verdict, Start)
+}
+
 func TestNothingIsKeptOfWhatEnded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		is := is.New(t)
--- a/admission/pool.go
+++ b/admission/pool.go
@@ -19,11 +19,16 @@
 	Prefill time.Duration
 	// Gap is the time between tokens.
 	Gap time.Duration
+	// Full is the factor by which the times grow when all room is taken; 0 means 1.
+	Full float64
 }
 
 const (
 	// ratioWeight is the weight of a new observation of a request's time.
-	ratioWeight = 0.05
+	ratioWeight = 0.1
+	// ratioHalfLife is the time without an observation in which what was learned loses half of
+	// its effect, so that a pool that looked too slow to use is tried again.
+	ratioHalfLife = 3 * time.Second
 	// minRatio and maxRatio bound an observation against the forecast.
 	minRatio = 0.1
 	maxRatio = 20
@@ -43,6 +48,8 @@
 	// absolute deviation.
 	ratio  float64
 	spread float64
+	// learnedAt is when ratio was last updated, zero before the first time.
+	learnedAt time.Time
 	// mean is a moving average of the time of one request.
 	mean time.Duration
 }
@@ -155,35 +162,53 @@
 
 // serviceTime predicts the time of a request once it has started. It adds the usual deviation,
 // since a request that ends too late was run for nothing.
-func (p *pool) serviceTime(r Request) time.Duration {
+func (p *pool) serviceTime(now time.Time, r Request) time.Duration {
 	f := p.forecast
 	t := f.FirstToken + f.Prefill*time.Duration(r.PromptTokens) + f.Gap*time.Duration(max(0, r.Tokens-1))
-	return time.Duration(float64(t) * (p.ratio + p.spread))
+	return time.Duration(float64(t) * p.growth() * p.factor(now))
 }
 
-// observe learns from a request that has ended.
-func (p *pool) observe(predicted, took time.Duration) {
+// growth is the factor by which times grow with the room that is taken.
+func (p *pool) growth() float64 {
+	if p.forecast.Full <= 1 || p.allowed == 0 {
+		return 1
+	}
+	return 1 + (p.forecast.Full-1)*min(1, float64(p.running+p.queued()+1)/p.allowed)
+}
+
+// factor is the usual time of a request over its forecast, with the usual deviation.
+func (p *pool) factor(now time.Time) float64 {
+	age := max(0, now.Sub(p.learnedAt))
+	fading := math.Exp2(-age.Seconds() / ratioHalfLife.Seconds())
+	return 1 + (p.ratio+p.spread-1)*fading
+}
+
+// observe learns from a request that has ended; factor is that of its prediction.
+func (p *pool) observe(now time.Time, predicted, took time.Duration, factor float64) {
 	p.mean += time.Duration(ratioWeight * float64(took-p.mean))
 	if predicted <= 0 {
 		return
 	}
-	seen := float64(took) / float64(predicted) * (p.ratio + p.spread)
+	p.learnedAt = now
+	seen := float64(took) / float64(predicted) * factor
 	seen = min(maxRatio, max(minRatio, seen))
 	p.spread += ratioWeight * (math.Abs(seen-p.ratio) - p.spread)
 	p.ratio += ratioWeight * (seen - p.ratio)
 }
 
 // meanTime returns the usual time of a request.
-func (p *pool) meanTime(r Request) time.Duration { return max(p.mean, p.serviceTime(r)/2) }
+func (p *pool) meanTime(now time.Time, r Request) time.Duration {
+	return max(p.mean, p.serviceTime(now, r)/2)
+}
 
 // waitOf predicts how long a queued request waits for its start.
-func (p *pool) waitOf(w *workspace, e *entry) time.Duration {
+func (p *pool) waitOf(now time.Time, w *workspace, e *entry) time.Duration {
 	ahead := slices.Index(w.waiting, e) + 1
 	rate := max(w.limit, minLimit)
 	if p.hasRoom() {
 		ahead--
 	}
-	return time.Duration(float64(p.meanTime(e.Request)) * float64(ahead) / rate)
+	return time.Duration(float64(p.meanTime(now, e.Request)) * float64(ahead) / rate)
 }
 
 // minLimit keeps a predicted wait finite.
@@ -224,7 +249,7 @@
 	var late []*entry
 	for _, name := range sortedKeys(p.workspaces) {
 		for _, e := range p.workspaces[name].waiting {
-			if now.Add(p.serviceTime(e.Request)).After(e.Deadline) {
+			if now.Add(p.serviceTime(now, e.Request)).After(e.Deadline) {
 				late = append(late, e)
 			}
 		}
--- a/dispatch/call_idempotent.go
+++ b/dispatch/call_idempotent.go
@@ -187,7 +187,7 @@
 	switch {
 	case err == nil:
 		d.guard.answered(r.ID, server.Name)
-		d.observe(server, callPrediction, time.Since(start))
+		d.observeCall(server, time.Since(start))
 	case ctx.Err() != nil:
 		d.guard.stopped(r.ID, server.Name)
 	default:
@@ -196,8 +196,5 @@
 	return answer, err
 }
 
-// callPrediction is the time that the router assumes for a call on an idle server.
-const callPrediction = time.Millisecond
-
 // errLeaving means that a server began to leave between choice and dispatch.
 var errLeaving = errors.New("dispatch: the chosen backend server is leaving")
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -75,11 +75,11 @@
 	}
 }
 
-// observe tells the router how long a server took.
-func (d *Dispatcher) observe(s fleet.BackendServer, predicted, took time.Duration) {
+// observeCall tells the router how long a plain call took.
+func (d *Dispatcher) observeCall(s fleet.BackendServer, took time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.router.Observe(time.Now(), s, predicted, took)
+	d.router.ObserveCall(time.Now(), s, took)
 }
 
 // InFlight returns the work that this instance has given the server.
--- a/dispatch/draft.go
+++ b/dispatch/draft.go
@@ -57,9 +57,8 @@
 		return DraftEvent{Err: refusal}, func() {}
 	}
 	run := newDraftRun(ctx, d, r, choice.Chain, events)
-	start := time.Now()
 	last := run.follow()
-	d.noteDraft(run, choice, last, time.Since(start))
+	d.noteDraft(run, last)
 	return last, run.wait
 }
 
--- a/dispatch/draft_guard.go
+++ b/dispatch/draft_guard.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/balsamlb/balsamlb/fleet"
 	"github.com/balsamlb/balsamlb/outcome"
@@ -63,15 +62,11 @@
 	return d.guard.check(f)
 }
 
-// noteDraft tells the router and the guard how a draft went.
-func (d *Dispatcher) noteDraft(run *draftRun, c route.ChainChoice, last DraftEvent, took time.Duration) {
+// noteDraft tells the guard how a draft went.
+func (d *Dispatcher) noteDraft(run *draftRun, last DraftEvent) {
 	if !last.Done {
 		d.guard.stopped(run.r.ID, run.inUse...)
 		return
 	}
 	d.guard.answered(run.r.ID, run.inUse...)
-	predicted := c.FirstToken + c.Gap*time.Duration(run.r.MaxTokens-1)
-	for _, st := range c.Chain {
-		d.observe(st.Server, predicted, took)
-	}
 }
--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -8,6 +8,15 @@
 	"github.com/balsamlb/balsamlb/settings"
 )
 
+const (
+	// pipelineRoom is the number of requests for each slot of a chain with several stages. With
+	// one, a server waits about half of the time for what the other stages still run.
+	pipelineRoom = 2.25
+	// batchGrowth is the usual time of a step with a full batch over that with one request. The
+	// controller learns how far it is off.
+	batchGrowth = 1.2
+)
+
 // forecastTokens is the length of the draft whose times are forecast.
 const forecastTokens = 64
 
@@ -34,11 +43,17 @@
 		// Nothing is held back for a model without a chain, so that it is refused at once.
 		return admission.Forecast{}
 	}
-	f.FirstToken = c.FirstToken
-	f.Gap = c.Gap
+	// What the servers promise; the controller learns how far the times are from that.
 	for _, st := range c.Chain {
 		part := float64(st.Layers.Len()) / float64(st.Server.Layers.Len())
+		f.Gap += time.Duration(float64(st.Server.StepMicros)*part) * time.Microsecond
 		f.Prefill += time.Duration(float64(st.Server.PrefillMicros)*part) * time.Microsecond
 	}
+	f.FirstToken = f.Gap
+	f.Full = batchGrowth
+	if len(c.Chain) > 1 {
+		f.Slots = int(float64(f.Slots) * pipelineRoom)
+		f.Full = batchGrowth * pipelineRoom
+	}
 	return f
 }
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -56,6 +56,8 @@
 func All() []Bench {
 	return []Bench{
 		bookingsBench,
+		throughputBench,
+		overloadBench,
 		atMostOnceBench,
 		controlBench,
 		membershipBench,
--- /dev/null
+++ b/internal/bench/policy.go
@@ -0,0 +1,214 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/balsamlb/balsamlb/internal/lab"
+	"github.com/balsamlb/balsamlb/internal/load"
+	"github.com/balsamlb/balsamlb/outcome"
+)
+
+// policyCase is one run of a benchmark of policy.
+type policyCase struct {
+	name  string
+	fleet string
+	naive bool
+	// load is the rate of new tokens over the bound.
+	load     float64
+	deadline time.Duration
+	maxSends int
+	warmup   time.Duration
+	duration time.Duration
+}
+
+// The drafts of the benchmarks.
+const (
+	draftMinTokens = 8
+	draftMaxTokens = 16
+	draftWords     = 20
+	meanTokens     = float64(draftMinTokens+draftMaxTokens) / 2
+)
+
+// bigCallers are workspaces of which one asks for half of all.
+var bigCallers = []struct {
+	name string
+	part float64
+}{{"colombo", 0.5}, {"kandy", 0.2}, {"galle", 0.2}, {"matara", 0.1}}
+
+const policyBase = `
+[service draft]
+kind = draft
+model = icing-7b
+layers = 32
+[service stock]
+[workspace colombo]
+max_in_flight = 100000
+[workspace kandy]
+max_in_flight = 100000
+[workspace galle]
+max_in_flight = 100000
+[workspace matara]
+max_in_flight = 100000
+`
+
+// policyResult is what one run gave.
+type policyResult struct {
+	bound   float64
+	figures load.Figures
+	seconds float64
+}
+
+// tokens returns the tokens a second of whole answers, and of those in time.
+func (r policyResult) tokens() (whole, inTime float64) {
+	return float64(r.figures.WindowTokens) / r.seconds, float64(r.figures.WindowTokensInTime) / r.seconds
+}
+
+// runPolicy starts the system before the fleet, and sends it drafts.
+func runPolicy(ctx context.Context, o Options, c policyCase) (policyResult, error) {
+	servers, err := parsed(c.fleet)
+	if err != nil {
+		return policyResult{}, err
+	}
+	layout := lab.Layout{
+		Net:    o.Net,
+		Folder: filepath.Join(o.Folder, strings.ReplaceAll(c.name, " ", "-")),
+		Bin:    o.Bin,
+		DataCentres: []lab.DataCentre{
+			{Name: "colombo", Instances: 3, Control: true},
+			{Name: "kandy", Instances: 2, Control: true},
+			{Name: "galle", Instances: 2, Control: true},
+		},
+		Emulators: []lab.Emulator{{Name: "emulator", Fleet: c.fleet}},
+		Base:      policyBase,
+	}
+	if c.naive {
+		layout.Extra = func(*lab.Instance) string { return "[bench]\nnaive = true\n" }
+	}
+	l, err := lab.Start(ctx, layout)
+	if err != nil {
+		return policyResult{}, err
+	}
+	defer l.Close()
+	if err := l.WaitServers(ctx, len(servers)); err != nil {
+		return policyResult{}, err
+	}
+	r := policyResult{bound: bound(servers, benchLayers, draftWords, meanTokens), seconds: c.duration.Seconds()}
+	r.figures = load.RunOpen(ctx, c.open(l, r.bound, o.Seed))
+	if len(r.figures.Broken) > 0 {
+		return r, fmt.Errorf("bench: %d answers broke a promise: %s", len(r.figures.Broken), r.figures.Broken[0])
+	}
+	c.print(o, r)
+	return r, nil
+}
+
+func (c policyCase) open(l *lab.Lab, bound float64, seed uint64) load.Open {
+	open := load.Open{
+		Kinds: []load.Kind{{
+			Service: "draft", Weight: 1, MinTokens: draftMinTokens, MaxTokens: draftMaxTokens, PromptWords: draftWords, Deadline: c.deadline,
+		}},
+		Warmup:   c.warmup,
+		Duration: c.duration,
+		Cooldown: time.Second,
+		Seed:     seed,
+		MaxSends: c.maxSends,
+	}
+	for _, i := range l.Instances {
+		open.Instances = append(open.Instances, i.Callers())
+	}
+	rate := c.load * bound / meanTokens
+	for _, b := range bigCallers {
+		open.Callers = append(open.Callers, load.Caller{Workspace: b.name, Rate: rate * b.part})
+	}
+	return open
+}
+
+func (c policyCase) print(o Options, r policyResult) {
+	f := r.figures
+	whole, inTime := r.tokens()
+	fmt.Fprintf(o.Out, "%s: bound %.0f tokens/s, whole %.3f, in time %.3f; arrived %d, sends %d, answered %d, late %d, not run %d, failed %d, unknown %d; first token p95 %.2f s, gap p95 %.0f ms, refusal p99 %.1f ms\n",
+		c.name, r.bound, whole/r.bound, inTime/r.bound, f.Arrived, f.Sends,
+		f.Outcomes[outcome.Answered], f.Late, f.Outcomes[outcome.NotRun], f.Outcomes[outcome.Failed], f.Outcomes[outcome.Unknown],
+		float64(f.FirstToken.ValueAtQuantile(95))/1e6, float64(f.Gap.ValueAtQuantile(95))/1e3, float64(f.Refusal.ValueAtQuantile(99))/1e3)
+}
+
+var throughputBench = Bench{
+	Name: "throughput",
+	Help: "answered tokens/s at full load over what the accelerators allow, beside a naive router",
+	Run: func(ctx context.Context, o Options) (Figure, error) {
+		return runCases(ctx, o, 1.2, 6*time.Second, func(r policyResult) float64 {
+			whole, _ := r.tokens()
+			return whole
+		})
+	},
+}
+
+var overloadBench = Bench{
+	Name: "overload",
+	Help: "tokens/s of requests answered in time at twice the load, over what the accelerators allow",
+	Run: func(ctx context.Context, o Options) (Figure, error) {
+		return runCases(ctx, o, 2, 6*time.Second, func(r policyResult) float64 {
+			_, inTime := r.tokens()
+			return inTime
+		})
+	},
+}
+
+// runCases runs the system and the naive version on the same fleet and load. A long run adds
+// a fleet that nothing was tuned on.
+func runCases(ctx context.Context, o Options, overBound float64, deadline time.Duration, value func(policyResult) float64) (Figure, error) {
+	c := policyCase{
+		name: "tuned fleet", fleet: tunedFleet(o.Seed), load: overBound, deadline: deadline,
+		maxSends: 5, warmup: 4 * time.Second, duration: 7 * time.Second,
+	}
+	if !o.Short {
+		c.warmup, c.duration = 6*time.Second, 30*time.Second
+	}
+	ours, err := runPolicy(ctx, o, c)
+	if err != nil {
+		return Figure{}, err
+	}
+	naive := c
+	naive.name, naive.naive = "tuned fleet naive", true
+	theirs, err := runPolicy(ctx, o, naive)
+	if err != nil {
+		return Figure{}, err
+	}
+	baseline := value(theirs)
+	f := Figure{Value: value(ours), Unit: "tokens/s", Bound: ours.bound, Baseline: &baseline}
+	f.Details = map[string]float64{
+		"baseline_ratio":       baseline / theirs.bound,
+		"first_token_p95_s":    float64(ours.figures.FirstToken.ValueAtQuantile(95)) / 1e6,
+		"gap_p95_ms":           float64(ours.figures.Gap.ValueAtQuantile(95)) / 1e3,
+		"refusal_p99_ms":       float64(ours.figures.Refusal.ValueAtQuantile(99)) / 1e3,
+		"answered_in_time":     float64(ours.figures.InTime),
+		"answered_late":        float64(ours.figures.Late),
+		"baseline_in_time":     float64(theirs.figures.InTime),
+		"baseline_late":        float64(theirs.figures.Late),
+		"requests":             float64(ours.figures.Arrived),
+		"sends":                float64(ours.figures.Sends),
+		"refused_for_good":     float64(ours.figures.Outcomes[outcome.NotRun]),
+		"failed":               float64(ours.figures.Outcomes[outcome.Failed]),
+		"unknown":              float64(ours.figures.Outcomes[outcome.Unknown]),
+		"load_over_bound":      overBound,
+		"baseline_first_p95_s": float64(theirs.figures.FirstToken.ValueAtQuantile(95)) / 1e6,
+	}
+	return f, addUnseen(ctx, o, c, value, &f)
+}
+
+// addUnseen runs the system on a fleet that nothing was tuned on, in a long run.
+func addUnseen(ctx context.Context, o Options, c policyCase, value func(policyResult) float64, f *Figure) error {
+	if o.Short {
+		return nil
+	}
+	c.name, c.fleet = "unseen fleet", unseenFleet(o.Seed)
+	r, err := runPolicy(ctx, o, c)
+	if err != nil {
+		return err
+	}
+	f.Details["unseen_ratio"] = value(r) / r.bound
+	return nil
+}
--- a/internal/load/open.go
+++ b/internal/load/open.go
@@ -40,9 +40,11 @@
 	Instances []string
 	Callers   []Caller
 	Kinds     []Kind
-	// Warmup is left out of the figures; Duration follows it.
+	// Warmup is left out of the figures; Duration follows it, and then Cooldown, in which
+	// requests go on arriving.
 	Warmup   time.Duration
 	Duration time.Duration
+	Cooldown time.Duration
 	Seed     uint64
 	// MaxSends bounds how often a request is sent when it is told not run; 1 sends it once.
 	MaxSends int
@@ -61,8 +63,12 @@
 	// all tokens that came.
 	TokensInTime int
 	Tokens       int
-	ByWorkspace  map[string]int
-	Broken       []string
+	// WindowTokens counts the tokens that came within Duration and belong to whole answers,
+	// whenever those arrived; WindowTokensInTime those of answers in time.
+	WindowTokens       int
+	WindowTokensInTime int
+	ByWorkspace        map[string]int
+	Broken             []string
 	// FirstToken, Gap and Refusal are in microseconds.
 	FirstToken, Gap, Refusal *hdrhistogram.Histogram
 }
@@ -105,7 +111,7 @@
 // arrivals starts a workspace's requests at the times of a Poisson process.
 func (r *openRun) arrivals(ctx context.Context, g *errgroup.Group, index int, c Caller) {
 	random := rand.New(rand.NewPCG(r.o.Seed, uint64(index)))
-	end := r.o.Warmup + r.o.Duration
+	end := r.o.Warmup + r.o.Duration + r.o.Cooldown
 	at := time.Duration(0)
 	for n := 0; ; n++ {
 		at += time.Duration(random.ExpFloat64() / c.Rate * float64(time.Second))
@@ -183,7 +189,7 @@
 func (r *openRun) sent(at time.Duration, reply Reply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if at >= r.o.Warmup && reply.Outcome == outcome.NotRun {
+	if r.isMeasured(at) && reply.Outcome == outcome.NotRun {
 		_ = r.f.Refusal.RecordValue(reply.Took.Microseconds())
 	}
 }
@@ -194,10 +200,13 @@
 	if last.Broken != "" {
 		r.f.Broken = append(r.f.Broken, s.Service+": "+last.Broken)
 	}
-	if at < r.o.Warmup {
+	f := &r.f
+	if last.Outcome == outcome.Answered {
+		r.countWindow(at, last, inTime)
+	}
+	if !r.isMeasured(at) {
 		return
 	}
-	f := &r.f
 	f.Arrived++
 	f.Sends += sends
 	f.Outcomes[last.Outcome]++
@@ -222,6 +231,24 @@
 	}
 }
 
+// isMeasured reports whether a request that arrived at the time counts.
+func (r *openRun) isMeasured(at time.Duration) bool {
+	return at >= r.o.Warmup && at < r.o.Warmup+r.o.Duration
+}
+
+// countWindow counts the tokens of an answer that came within the measured time.
+func (r *openRun) countWindow(at time.Duration, last Reply, inTime bool) {
+	for _, t := range last.Tokens {
+		if !r.isMeasured(at + t) {
+			continue
+		}
+		r.f.WindowTokens++
+		if inTime {
+			r.f.WindowTokensInTime++
+		}
+	}
+}
+
 func (r *openRun) broken(what string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/route/account.go
+++ b/route/account.go
@@ -24,9 +24,9 @@
 
 	incarnation uint64
 	sequence    uint64
-	reported    int
-	// ownReported is the part of reported that this instance had given.
-	ownReported int
+	// others is a moving average of the reported work that this instance has not given. One
+	// report is a sample of a queue that changes with every step.
+	others float64
 }
 
 func (r *Router) account(server string) *account {
@@ -67,12 +67,24 @@
 func (r *Router) work(now time.Time, s *fleet.BackendServer) int {
 	a := r.account(s.Name)
 	if a.incarnation != s.Incarnation || a.sequence != s.Sequence {
-		a.incarnation = s.Incarnation
-		a.sequence = s.Sequence
-		a.reported = s.Load.Running + s.Load.Queued
-		a.ownReported = max(0, a.own-a.startedSince(now.Add(-reportLag)))
+		a.report(now, s)
 	}
-	return max(a.own, a.reported+a.own-a.ownReported)
+	return a.own + int(a.others+0.5)
+}
+
+// reportWeight is the weight of a new report in the moving average.
+const reportWeight = 0.3
+
+func (a *account) report(now time.Time, s *fleet.BackendServer) {
+	own := max(0, a.own-a.startedSince(now.Add(-reportLag)))
+	others := float64(max(0, s.Load.Running+s.Load.Queued-own))
+	if a.incarnation != s.Incarnation {
+		a.others = others
+	} else {
+		a.others += reportWeight * (others - a.others)
+	}
+	a.incarnation = s.Incarnation
+	a.sequence = s.Sequence
 }
 
 func (a *account) startedSince(t time.Time) int {
@@ -98,5 +110,6 @@
 		}
 	}
 	r.paces.retain(known)
+	r.callPaces.retain(known)
 	r.prefixes.retain(known)
 }
--- a/route/chain.go
+++ b/route/chain.go
@@ -356,7 +356,7 @@
 // stageGap predicts the time of one token at a stage.
 func (r *Router) stageGap(now time.Time, st pipeline.Stage) time.Duration {
 	load := float64(r.work(now, &st.Server)) / float64(max(1, st.Server.Slots))
-	micros := float64(st.Server.StepMicros) * part(st) * (1 + load) * r.paces.ratio(now, &st.Server)
+	micros := float64(st.Server.StepMicros) * part(st) * max(1, load) * r.paces.ratio(now, &st.Server)
 	return time.Duration(micros) * time.Microsecond
 }
 
--- a/route/pace.go
+++ b/route/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/balsamlb/balsamlb/fleet"
@@ -41,8 +42,19 @@
 type paces struct {
 	servers map[string]*pace
 	kinds   map[string]*pace
+	// usual is the median pace of the servers, worked out at usualAt.
+	usual   float64
+	usualAt time.Time
 }
 
+const (
+	// usualInterval is how often the usual pace is worked out.
+	usualInterval = 500 * time.Millisecond
+	// slowPace is the factor over the usual pace from which on a server counts as slow. What
+	// slows all servers alike, as a high load does, is no reason to leave one of them.
+	slowPace = 1.5
+)
+
 // maxKinds bounds the kinds of accelerators that are remembered.
 const maxKinds = 64
 
@@ -50,7 +62,34 @@
 	return &paces{servers: make(map[string]*pace), kinds: make(map[string]*pace)}
 }
 
+// ratio returns how much slower than usual the server is, or 1.
 func (p *paces) ratio(now time.Time, s *fleet.BackendServer) float64 {
+	r := p.own(now, s) / p.median(now)
+	if r < slowPace {
+		return 1
+	}
+	return r
+}
+
+// median returns the usual pace.
+func (p *paces) median(now time.Time) float64 {
+	if age := now.Sub(p.usualAt); p.usual > 0 && age >= 0 && age < usualInterval {
+		return p.usual
+	}
+	all := make([]float64, 0, len(p.servers))
+	for _, s := range p.servers {
+		all = append(all, s.decayed(now))
+	}
+	slices.Sort(all)
+	p.usual = 1
+	if len(all) > 0 {
+		p.usual = all[(len(all)-1)/2]
+	}
+	p.usualAt = now
+	return p.usual
+}
+
+func (p *paces) own(now time.Time, s *fleet.BackendServer) float64 {
 	if own, ok := p.servers[s.Name]; ok {
 		return own.decayed(now)
 	}
@@ -85,19 +124,13 @@
 	}
 }
 
-// Observe notes how long a server took for work, against what the choice had predicted. A
-// server or link that degrades costs more with each observation, so it is left before it
-// fails.
-func (r *Router) Observe(now time.Time, s fleet.BackendServer, predicted, took time.Duration) {
-	if predicted <= 0 {
-		return
-	}
-	// The prediction holds the pace that was known, which is taken out again.
-	known := r.paces.ratio(now, &s)
-	r.paces.observe(now, s, known*float64(took)/float64(predicted))
+// ObserveCall notes how long a plain call took.
+func (r *Router) ObserveCall(now time.Time, s fleet.BackendServer, took time.Duration) {
+	r.callPaces.observe(now, s, float64(took)/float64(callTime))
 }
 
-// ObserveStep notes how long a server took for a step, against what it promises.
+// ObserveStep notes how long a server took for a step, against what it promises. A server or
+// link that degrades costs more with each observation, so it is left before it fails.
 func (r *Router) ObserveStep(now time.Time, s fleet.BackendServer, promised, took time.Duration) {
 	if promised <= 0 {
 		return
--- a/route/route.go
+++ b/route/route.go
@@ -33,7 +33,8 @@
 	links      Links
 	random     *rand.Rand
 	accounts   map[string]*account
-	paces      *paces
+	paces      *paces // of steps
+	callPaces  *paces
 	prefixes   *prefixes
 	inTurn     bool
 	turns      map[string]int // by the first candidate
@@ -47,6 +48,7 @@
 		random:     rand.New(rand.NewPCG(o.Seed, o.Seed)),
 		accounts:   make(map[string]*account),
 		paces:      newPaces(),
+		callPaces:  newPaces(),
 		prefixes:   newPrefixes(),
 		turns:      make(map[string]int),
 	}
@@ -99,7 +101,7 @@
 
 func (r *Router) callCost(now time.Time, s *fleet.BackendServer) cost {
 	queue := time.Duration(r.work(now, s)) * callTime / time.Duration(max(1, s.Slots))
-	pace := r.paces.ratio(now, s)
+	pace := r.callPaces.ratio(now, s)
 	total := time.Duration(float64(callTime+queue) * pace)
 	return cost{
 		queue: queue,
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -152,15 +152,15 @@
 	is := is.New(t)
 	r := New(Options{DataCentre: "kandy", Seed: 1})
 	s := server("a", 0, 32)
-	is.Equal(r.work(epoch, &s), 0)
+	s.Load.Running = 2
+	is.Equal(r.work(epoch, &s), 2)
 	for range 5 {
 		r.Started(epoch, "a")
 	}
-	is.Equal(r.work(epoch, &s), 5)
+	is.Equal(r.work(epoch, &s), 7)
 	// The next report, of two requests of other instances, was made before the starts could
 	// show in it.
 	s.Sequence = 2
-	s.Load.Running = 2
 	is.Equal(r.work(epoch.Add(100*time.Millisecond), &s), 7)
 	// A later one holds them.
 	s.Sequence = 3
@@ -175,7 +175,8 @@
 	r := New(Options{DataCentre: "kandy", Seed: 1})
 	servers := []fleet.BackendServer{server("a", 0, 32), server("b", 0, 32)}
 	for range 5 {
-		r.Observe(epoch, servers[0], time.Millisecond, 4*time.Millisecond)
+		r.ObserveStep(epoch, servers[0], time.Millisecond, 4*time.Millisecond)
+		r.ObserveStep(epoch, servers[1], time.Millisecond, time.Millisecond)
 	}
 	for range 50 {
 		c, err := r.Chain(epoch, draft(), servers)
@@ -192,6 +193,18 @@
 	is.True(tried)
 }
 
+func TestASlowdownOfAllServersIsNoReasonToLeaveOne(t *testing.T) {
+	is := is.New(t)
+	r := New(Options{DataCentre: "kandy", Seed: 1})
+	servers := []fleet.BackendServer{server("a", 0, 32), server("b", 0, 32), server("c", 0, 32)}
+	for i := range 60 {
+		r.ObserveStep(epoch, servers[i%3], time.Millisecond, time.Duration(3+i%2)*time.Millisecond)
+	}
+	for i := range servers {
+		is.Equal(r.paces.ratio(epoch.Add(usualInterval), &servers[i]), 1.0)
+	}
+}
+
 func TestCachedPrefixIsAHintThatGrowsOld(t *testing.T) {
 	is := is.New(t)
 	r := New(Options{DataCentre: "kandy", Seed: 1})
@@ -205,9 +218,12 @@
 	is.NoErr(err)
 	is.Equal(c.Chain[0].Server.Name, "b")
 	is.Equal(c.Why, ReasonPrefix)
-	// A queue outweighs the hint.
-	servers[1].Sequence = 2
+	// A queue that several reports show outweighs the hint.
 	servers[1].Load.Running = 16
+	for range 10 {
+		servers[1].Sequence++
+		r.work(epoch, &servers[1])
+	}
 	c, err = r.Chain(epoch, d, servers)
 	is.NoErr(err)
 	is.Equal(c.Chain[0].Server.Name, "a")
