Route by own work times the routers, corrected slowly by reports

Seen failing: TestManyRoutersWithLateReportsKeepServersLevel with one router assumed (21 of 21 between two servers) and with reports of weight 0.9 (13 of 21); 0 of 21 as it is.

--- a/daemon/forecast.go
+++ b/daemon/forecast.go
@@ -16,7 +16,9 @@
 	ticker := time.NewTicker(forecastInterval)
 	defer ticker.Stop()
 	for {
-		part := d.shared.dataCentrePart(time.Now())
+		here, all := d.shared.instanceCounts(time.Now())
+		part := float64(here) / float64(all)
+		d.dispatcher.SetRouters(all)
 		for _, s := range d.shared.Intent().Services {
 			f := d.dispatcher.Forecast(s)
 			d.admitter.setForecast(s.Pool(), scaled(f, part))
@@ -38,13 +40,13 @@
 	return f
 }
 
-// dataCentrePart is this data centre's part of the instances that are heard. Usage is
+// instanceCounts returns the instances of the data centre and of the region that are heard. Usage is
 // exchanged within a data centre, and the balancer spreads callers evenly over instances, so
 // each data centre takes the part of the backend servers that its instances stand for.
-func (s *shared) dataCentrePart(now time.Time) float64 {
+func (s *shared) instanceCounts(now time.Time) (here, all int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	here, all := 1, 1
+	here, all = 1, 1
 	for _, m := range s.table.Members() {
 		if m.Leaving || m.Region != s.process.Region || !membership.IsAlive(m, now) {
 			continue
@@ -54,7 +56,7 @@
 			here++
 		}
 	}
-	return float64(here) / float64(all)
+	return here, all
 }
 
 // Neighbours returns the instances of the data centre that are heard, this one included.
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -82,6 +82,13 @@
 	d.router.ObserveCall(time.Now(), s, took)
 }
 
+// SetRouters sets the number of instances that choose among the same servers.
+func (d *Dispatcher) SetRouters(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.router.SetRouters(n)
+}
+
 // InFlight returns the work that this instance has given the server.
 func (d *Dispatcher) InFlight(server string) int {
 	d.mu.Lock()
--- a/route/account.go
+++ b/route/account.go
@@ -24,9 +24,10 @@
 
 	incarnation uint64
 	sequence    uint64
-	// others is a moving average of the reported work that this instance has not given. One
-	// report is a sample of a queue that changes with every step.
-	others float64
+	load        fleet.Load
+	// correction is a moving average of the reported work beyond what the routers would have
+	// given if each had given as much as this one.
+	correction float64
 }
 
 func (r *Router) account(server string) *account {
@@ -62,29 +63,36 @@
 	return 0
 }
 
-// work estimates the requests at the server: those reported, and the change of this
-// instance's own since the report was made.
-func (r *Router) work(now time.Time, s *fleet.BackendServer) int {
+// work estimates the requests at the server. What this instance has given is known at once, and
+// the other routers are assumed to give as much; reports correct that slowly. All routers see
+// the same late reports, so quick answers to them would send all to one server and then to the
+// next.
+//
+// A report counts what is at the server at one moment, and a request visits the stages of its
+// chain in turn: stages is the usual number of them, 1 for a plain call.
+func (r *Router) work(now time.Time, s *fleet.BackendServer, stages float64) float64 {
 	a := r.account(s.Name)
-	if a.incarnation != s.Incarnation || a.sequence != s.Sequence {
-		a.report(now, s)
+	// A lease that another instance passed on changes its load without a new sequence.
+	if a.incarnation != s.Incarnation || a.sequence != s.Sequence || a.load != s.Load {
+		a.report(now, s, stages, r.routers)
 	}
-	return a.own + int(a.others+0.5)
+	return max(float64(a.own), float64(r.routers*a.own)+a.correction)
 }
 
 // reportWeight is the weight of a new report in the moving average.
-const reportWeight = 0.3
+const reportWeight = 0.1
 
-func (a *account) report(now time.Time, s *fleet.BackendServer) {
+func (a *account) report(now time.Time, s *fleet.BackendServer, stages float64, routers int) {
 	own := max(0, a.own-a.startedSince(now.Add(-reportLag)))
-	others := float64(max(0, s.Load.Running+s.Load.Queued-own))
+	correction := stages*float64(s.Load.Running+s.Load.Queued) - float64(routers*own)
 	if a.incarnation != s.Incarnation {
-		a.others = others
+		a.correction = correction
 	} else {
-		a.others += reportWeight * (others - a.others)
+		a.correction += reportWeight * (correction - a.correction)
 	}
 	a.incarnation = s.Incarnation
 	a.sequence = s.Sequence
+	a.load = s.Load
 }
 
 func (a *account) startedSince(t time.Time) int {
--- a/route/chain.go
+++ b/route/chain.go
@@ -153,17 +153,27 @@
 	return d.MaxTokens
 }
 
+// stages is the usual number of stages of a chain with the server.
+func (d Draft) stages(s *fleet.BackendServer) float64 {
+	return float64(d.Layers) / float64(max(1, s.Layers.Len()))
+}
+
+// queueScale sets the weight of the queue. Batches make work beside other work cheap, and a
+// full batch makes it dear, so the cost grows with the square of the requests a slot. A
+// cost in proportion leaves slow servers with batches that are not full.
+const queueScale = 2
+
 // stageCost predicts what a server's whole range adds to a draft.
 func (r *Router) stageCost(now time.Time, d Draft, s *fleet.BackendServer) cost {
 	step := time.Duration(s.StepMicros) * time.Microsecond
 	prefill := time.Duration(s.PrefillMicros) * time.Microsecond
 	tokens := d.tokens()
 	speed := step*time.Duration(tokens) + prefill*time.Duration(d.PromptTokens)
-	load := float64(r.work(now, s)) / float64(max(1, s.Slots))
+	load := r.work(now, s, d.stages(s)) / float64(max(1, s.Slots))
 	if d.Urgent {
 		load = min(load, 1)
 	}
-	queue := time.Duration(float64(speed) * load)
+	queue := time.Duration(float64(speed) * load * load / queueScale)
 	saved := time.Duration(float64(prefill) * r.prefixes.expected(now, s.Name, d.Prefix, d.PromptTokens))
 	pace := time.Duration(float64(speed+queue) * (r.paces.ratio(now, s) - 1))
 	return cost{queue: queue, speed: speed, pace: pace, prefix: saved}
@@ -321,7 +331,7 @@
 func (r *Router) describe(now time.Time, d Draft, path []step, chain pipeline.Chain) ChainChoice {
 	c := ChainChoice{Chain: chain, Why: ReasonOnly}
 	for _, st := range chain {
-		gap := r.stageGap(now, st)
+		gap := r.stageGap(now, st, d.stages(&st.Server))
 		c.Gap += gap
 		prefill := float64(st.Server.PrefillMicros*d.PromptTokens) * part(st)
 		prefill -= float64(st.Server.PrefillMicros) * part(st) * r.prefixes.expected(now, st.Server.Name, d.Prefix, d.PromptTokens)
@@ -354,8 +364,8 @@
 }
 
 // stageGap predicts the time of one token at a stage.
-func (r *Router) stageGap(now time.Time, st pipeline.Stage) time.Duration {
-	load := float64(r.work(now, &st.Server)) / float64(max(1, st.Server.Slots))
+func (r *Router) stageGap(now time.Time, st pipeline.Stage, stages float64) time.Duration {
+	load := r.work(now, &st.Server, stages) / float64(max(1, st.Server.Slots))
 	micros := float64(st.Server.StepMicros) * part(st) * max(1, load) * r.paces.ratio(now, &st.Server)
 	return time.Duration(micros) * time.Microsecond
 }
--- a/route/route.go
+++ b/route/route.go
@@ -37,6 +37,7 @@
 	callPaces  *paces
 	prefixes   *prefixes
 	inTurn     bool
+	routers    int
 	turns      map[string]int // by the first candidate
 }
 
@@ -51,12 +52,16 @@
 		callPaces:  newPaces(),
 		prefixes:   newPrefixes(),
 		turns:      make(map[string]int),
+		routers:    1,
 	}
 }
 
 // ChooseInTurn chooses servers in turn whatever they cost, as the naive version of a benchmark.
 func (r *Router) ChooseInTurn() { r.inTurn = true }
 
+// SetRouters sets the number of instances that choose among the same servers; 0 counts as 1.
+func (r *Router) SetRouters(n int) { r.routers = max(1, n) }
+
 // Reason names the part of the cost that decided a choice.
 type Reason string
 
@@ -100,7 +105,7 @@
 }
 
 func (r *Router) callCost(now time.Time, s *fleet.BackendServer) cost {
-	queue := time.Duration(r.work(now, s)) * callTime / time.Duration(max(1, s.Slots))
+	queue := time.Duration(r.work(now, s, 1) * float64(callTime) / float64(max(1, s.Slots)))
 	pace := r.callPaces.ratio(now, s)
 	total := time.Duration(float64(callTime+queue) * pace)
 	return cost{
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -148,26 +148,91 @@
 	}
 }
 
+// Seven routers give servers work that lasts 3 s, by reports that are 400 to 800 ms old. The
+// servers' work must stay level instead of swinging with the reports.
+func TestManyRoutersWithLateReportsKeepServersLevel(t *testing.T) {
+	is := is.New(t)
+	const (
+		routers = 7
+		count   = 10
+		tick    = 100 * time.Millisecond
+		life    = 30
+		every   = 4
+		ticks   = 300
+	)
+	var all []*Router
+	for i := range routers {
+		r := New(Options{DataCentre: "kandy", Seed: uint64(i)})
+		r.SetRouters(routers)
+		all = append(all, r)
+	}
+	var servers []fleet.BackendServer
+	for i := range count {
+		servers = append(servers, server(fmt.Sprint("s", i), 0, 32))
+	}
+	type work struct{ router, server, ends int }
+	var running []work
+	counts := make([]int, count)
+	older := make([]int, count)
+	swing := 0
+	for n := range ticks {
+		now := epoch.Add(time.Duration(n) * tick)
+		running = slices.DeleteFunc(running, func(w work) bool {
+			if w.ends != n {
+				return false
+			}
+			all[w.router].Ended(servers[w.server].Name)
+			counts[w.server]--
+			return true
+		})
+		if n%every == 0 {
+			for i := range servers {
+				servers[i].Load.Running = older[i]
+				older[i] = counts[i]
+			}
+		}
+		for i, r := range all {
+			c, err := r.Chain(now, draft(), servers)
+			is.NoErr(err)
+			at := slices.IndexFunc(servers, func(s fleet.BackendServer) bool { return s.Name == c.Chain[0].Server.Name })
+			r.Started(now, servers[at].Name)
+			counts[at]++
+			running = append(running, work{i, at, n + life})
+		}
+		if n > 2*life {
+			swing = max(swing, slices.Max(counts)-slices.Min(counts))
+		}
+	}
+	mean := routers * life / count
+	t.Log("most between two servers", swing, "of", mean)
+	is.True(swing < mean/2)
+}
+
 func TestOwnWorkSinceTheReportCounts(t *testing.T) {
 	is := is.New(t)
 	r := New(Options{DataCentre: "kandy", Seed: 1})
 	s := server("a", 0, 32)
 	s.Load.Running = 2
-	is.Equal(r.work(epoch, &s), 2)
+	is.Equal(r.work(epoch, &s, 1), 2.0)
 	for range 5 {
 		r.Started(epoch, "a")
 	}
-	is.Equal(r.work(epoch, &s), 7)
+	is.Equal(r.work(epoch, &s, 1), 7.0)
 	// The next report, of two requests of other instances, was made before the starts could
 	// show in it.
 	s.Sequence = 2
-	is.Equal(r.work(epoch.Add(100*time.Millisecond), &s), 7)
+	is.Equal(r.work(epoch.Add(100*time.Millisecond), &s, 1), 7.0)
 	// A later one holds them.
 	s.Sequence = 3
 	s.Load.Running = 7
-	is.Equal(r.work(epoch.Add(time.Second), &s), 7)
+	is.Equal(r.work(epoch.Add(time.Second), &s, 1), 7.0)
+	// A report without a new sequence counts as well.
+	s.Load.Running = 17
+	is.Equal(r.work(epoch.Add(time.Second), &s, 1), 8.0)
+	s.Load.Running = 7
+	is.Equal(r.work(epoch.Add(time.Second), &s, 1), 7.9)
 	r.Ended("a")
-	is.Equal(r.work(epoch.Add(time.Second), &s), 6)
+	is.Equal(r.work(epoch.Add(time.Second), &s, 1), 6.9)
 }
 
 func TestDegradingServerIsLeftAndTriedAgain(t *testing.T) {
@@ -222,7 +287,7 @@
 	servers[1].Load.Running = 16
 	for range 10 {
 		servers[1].Sequence++
-		r.work(epoch, &servers[1])
+		r.work(epoch, &servers[1], 1)
 	}
 	c, err = r.Chain(epoch, d, servers)
 	is.NoErr(err)
