--- a/dispatch/call_once.go
+++ b/dispatch/call_once.go
@@ -166,7 +166,7 @@
 		d.ended(server.Name)
 		return d.refuseOnce(ctx, a, errDeadline(outcome.NotRun))
 	}
-	answer, err := d.send(ctx, a.Call, server)
+	answer, err := d.sendGuarded(ctx, a.Call, server, a.fingerprint())
 	switch {
 	case err != nil && !wasSent(err):
 		d.log.Info("a call was not sent", "request", a.ID, "server", server.Name, "err", err.Error())
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -41,6 +41,7 @@
 	credits  Credits
 	log      logr.Logger
 	once     onceCaller
+	guard    *guard
 
 	mu     sync.Mutex
 	router *route.Router
@@ -48,13 +49,15 @@
 
 // New returns a dispatcher for the named instance.
 func New(instance, dataCentre string, f Fleet, p Proposer, c Credits, log logr.Logger) *Dispatcher {
+	seed := xxhash.Sum64String(instance)
 	return &Dispatcher{
 		instance: instance,
 		fleet:    f,
 		proposer: p,
 		credits:  c,
 		log:      log.WithName("route"),
-		router:   route.New(route.Options{DataCentre: dataCentre, Seed: xxhash.Sum64String(instance)}),
+		router:   route.New(route.Options{DataCentre: dataCentre, Seed: seed}),
+		guard:    newGuard(seed, log.WithName("retry")),
 		once: onceCaller{
 			self:    ledger.Dispatcher{Instance: instance},
 			peers:   noPeers{},
@@ -66,6 +69,13 @@
 	}
 }
 
+// UseNaivePolicy is for benchmarks: servers are chosen in turn, and retries have no budget. It
+// must be called before the first request.
+func (d *Dispatcher) UseNaivePolicy() {
+	d.router.ChooseInTurn()
+	d.guard.naive = true
+}
+
 // Request is what all kinds of request have in common.
 type Request struct {
 	ID        string
