--- a/control/host.go
+++ b/control/host.go
@@ -20,6 +20,9 @@
 // applied at that place.
 var ErrLost = errors.New("control: the proposal was overtaken by another leader")
 
+// ErrEnded means that the host runs no more. A proposal that waited may still commit.
+var ErrEnded = errors.New("control: the replica has ended")
+
 // Storage keeps the hard state, the log and one snapshot. Its calls return after all is
 // synced. After an error nothing more may be saved, and the process has to end.
 type Storage interface {
@@ -66,7 +69,9 @@
 	inputs  *ring.Ring[input]
 	waiting map[uint64]waiter
 	clock   clock
-	log     logr.Logger
+	// ended is closed when Run returns.
+	ended chan struct{}
+	log   logr.Logger
 	// view is the index of the last view that was published.
 	view uint64
 	// role and membership are what was last logged; membership is a place in the log.
@@ -98,6 +103,7 @@
 		sender:  o.Sender,
 		inputs:  ring.New[input](inputSize),
 		waiting: make(map[uint64]waiter),
+		ended:   make(chan struct{}),
 		log:     o.Log,
 	}
 	return h, h.begin(stored)
@@ -141,8 +147,9 @@
 	return state, eris.Wrapf(err, "control: restore the snapshot at %d", s.Index)
 }
 
-// Run owns the node until ctx ends or the storage fails.
+// Run owns the node until ctx ends or the storage fails. It is called once.
 func (h *Host) Run(ctx context.Context) error {
+	defer close(h.ended)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	h.clock.start()
@@ -187,6 +194,8 @@
 	select {
 	case <-done:
 		return nil
+	case <-h.ended:
+		return ErrEnded
 	case <-ctx.Done():
 		return eris.Wrap(ctx.Err(), "control: wait for query")
 	}
--- a/control/propose.go
+++ b/control/propose.go
@@ -36,6 +36,8 @@
 	select {
 	case r := <-p.result:
 		return r.result, r.err
+	case <-h.ended:
+		return replica.Result{}, ErrEnded
 	case <-ctx.Done():
 		return replica.Result{}, eris.Wrap(ctx.Err(), "control: wait for commit")
 	}
--- a/instance/proposer.go
+++ b/instance/proposer.go
@@ -28,12 +28,15 @@
 	voters []string
 	mu     sync.Mutex
 	leader string
-	idle   map[string][]*link
+	// avoided are the control instances that have not answered, and until when others are
+	// asked first. A follower may name a leader that was frozen as long as it hasn't noticed.
+	avoided map[string]time.Time
+	idle    map[string][]*link
 }
 
 // NewProposer returns a proposer that knows the addresses of the control instances.
 func NewProposer(d Dialer, voters []string) *Proposer {
-	return &Proposer{dialer: d, voters: voters, idle: make(map[string][]*link)}
+	return &Proposer{dialer: d, voters: voters, avoided: make(map[string]time.Time), idle: make(map[string][]*link)}
 }
 
 // Propose returns the command's result, or ErrNoQuorum when ctx ends first.
@@ -44,14 +47,17 @@
 	}
 	for try := 0; ctx.Err() == nil; try++ {
 		address := p.target(try)
+		started := time.Now()
 		resp, err := p.try(ctx, address, data)
 		if err == nil && resp.Status == wire.ProposeResponse_STATUS_APPLIED {
 			p.setLeader(address)
 			return replica.DecodeResult(resp.Result)
 		}
 		p.setLeader("")
-		if err == nil && resp.Leader != "" && resp.Leader != address {
-			p.setLeader(resp.Leader)
+		if err != nil {
+			p.failed(address, started)
+		}
+		if err == nil && resp.Leader != address && p.follow(resp.Leader) {
 			continue
 		}
 		pause(ctx, proposePause)
@@ -76,13 +82,56 @@
 	return resp, err
 }
 
-// target returns the leader when it is known, else each control instance in turn.
+// avoidTime is for how long a control instance that did not answer is asked last.
+const avoidTime = time.Second
+
+// failed notes a try that brought no answer. A connection that broke says that the process
+// behind it has ended, and so the idle ones are of no use either; it may run again already.
+func (p *Proposer) failed(address string, started time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.idle[address] {
+		l.close()
+	}
+	delete(p.idle, address)
+	if time.Since(started) >= proposeTimeout {
+		p.avoided[address] = time.Now().Add(avoidTime)
+	}
+}
+
+// follow takes the leader that a control instance has named, unless it did not answer lately.
+func (p *Proposer) follow(leader string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if leader == "" || p.isAvoided(leader) {
+		return false
+	}
+	p.leader = leader
+	return true
+}
+
+func (p *Proposer) isAvoided(address string) bool {
+	until, ok := p.avoided[address]
+	if ok && time.Now().After(until) {
+		delete(p.avoided, address)
+		return false
+	}
+	return ok
+}
+
+// target returns the leader when it is known, else each control instance in turn, those that
+// did not answer lately only when there is no other.
 func (p *Proposer) target(try int) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.leader != "" {
 		return p.leader
 	}
+	for i := range p.voters {
+		if address := p.voters[(try+i)%len(p.voters)]; !p.isAvoided(address) {
+			return address
+		}
+	}
 	return p.voters[try%len(p.voters)]
 }
 
