--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"hash/maphash"
-	"slices"
 	"time"
 
 	"github.com/balsamlb/balsamlb/fleet"
@@ -68,12 +67,6 @@
 	return c.Chosen, nil
 }
 
-// isAvailable reports whether a server that was chosen may still be given new work. A drain
-// or the end of its lease may have come between choice and dispatch.
-func (d *Dispatcher) isAvailable(server string) bool {
-	return slices.ContainsFunc(d.fleet.Available(), func(s fleet.BackendServer) bool { return s.Name == server })
-}
-
 func (d *Dispatcher) ended(servers ...string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/dispatch/draft_conn.go
+++ b/dispatch/draft_conn.go
@@ -44,7 +44,7 @@
 		return
 	}
 	defer c.Close()
-	if !run.keep(conn, c) {
+	if !run.keep(conn, open.Chain[open.Stage].Server, c) {
 		return
 	}
 	for {
@@ -75,16 +75,24 @@
 }
 
 // keep notes an open connection, unless it was closed meanwhile.
-func (run *draftRun) keep(conn int, c *backend.Conn) bool {
+func (run *draftRun) keep(conn int, server string, c *backend.Conn) bool {
 	run.mu.Lock()
 	defer run.mu.Unlock()
 	if _, ok := run.conns[conn]; !ok {
 		return false
 	}
 	run.conns[conn] = c
+	run.connected[server] = true
 	return true
 }
 
+// wasConnected reports whether the server has had the request.
+func (run *draftRun) wasConnected(server string) bool {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	return run.connected[server]
+}
+
 func (run *draftRun) close(conn int) {
 	run.mu.Lock()
 	defer run.mu.Unlock()
--- /dev/null
+++ b/dispatch/draft_guard.go
@@ -0,0 +1,77 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/balsamlb/balsamlb/fleet"
+	"github.com/balsamlb/balsamlb/outcome"
+	"github.com/balsamlb/balsamlb/pipeline"
+	"github.com/balsamlb/balsamlb/quarantine"
+	"github.com/balsamlb/balsamlb/route"
+)
+
+func (r Draft) fingerprint() quarantine.Fingerprint {
+	return quarantine.Of(r.Workspace.Name, r.Service.Name, []byte(r.Prompt))
+}
+
+// chooseForDraft chooses a chain, leaving out servers that failed lately and those that run a
+// suspect. A suspect waits for a chain that it can have apart.
+func (d *Dispatcher) chooseForDraft(ctx context.Context, r Draft) (route.ChainChoice, *outcome.Error) {
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	f := r.fingerprint()
+	for {
+		verdict := d.guard.check(f)
+		if verdict == quarantine.Quarantined {
+			return route.ChainChoice{}, errQuarantined(outcome.NotRun)
+		}
+		c, err := d.chooseChain(r, d.guard.excluded(f))
+		if err != nil && verdict == quarantine.Clear {
+			c, err = d.chooseChain(r, nil)
+		}
+		if err == nil {
+			d.guard.started(r.ID, f, serversOf(c.Chain)...)
+			return c, nil
+		}
+		if verdict == quarantine.Clear {
+			return c, asOutcome(err)
+		}
+		if !sleep(ctx, suspectPause) {
+			return c, errDeadline(outcome.NotRun)
+		}
+	}
+}
+
+func serversOf(chain pipeline.Chain) []fleet.BackendServer {
+	out := make([]fleet.BackendServer, len(chain))
+	for i, st := range chain {
+		out[i] = st.Server
+	}
+	return out
+}
+
+// noteStageFailure notes why a stage is replaced, and returns how the draft may go on.
+func (d *Dispatcher) noteStageFailure(run *draftRun, a pipeline.Replace) quarantine.Verdict {
+	f := run.r.fingerprint()
+	switch a.Reason {
+	case pipeline.ReasonClosed, pipeline.ReasonDial:
+		d.guard.failed(run.ctx, run.r.ID, a.Chain[a.Stage].Server, run.wasConnected(a.Server))
+	default:
+		d.guard.stopped(run.r.ID, a.Server)
+	}
+	return d.guard.check(f)
+}
+
+// noteDraft tells the router and the guard how a draft went.
+func (d *Dispatcher) noteDraft(run *draftRun, c route.ChainChoice, last DraftEvent, took time.Duration) {
+	if !last.Done {
+		d.guard.stopped(run.r.ID, run.inUse...)
+		return
+	}
+	d.guard.answered(run.r.ID, run.inUse...)
+	predicted := c.FirstToken + c.Gap*time.Duration(run.r.MaxTokens-1)
+	for _, st := range c.Chain {
+		d.observe(st.Server, predicted, took)
+	}
+}
