--- a/internal/lab/booking_test.go
+++ b/internal/lab/booking_test.go
@@ -106,3 +106,36 @@
 	is.NoErr(err)
 	is.Equal(d.Version, uint64(changes+1))
 }
+
+// TestACutOffDataCentreKeepsItsVersionAndTellsItsAge changes the configuration elsewhere.
+func TestACutOffDataCentreKeepsItsVersionAndTellsItsAge(t *testing.T) {
+	is := is.New(t)
+	l := start(t)
+	l.CutDataCentre("galle")
+	text := base + "[limits]\nmax_tokens = 77\n"
+	var reply operator.ChangeReply
+	is.NoErr(l.Wait(t.Context(), "an accepted change", func() bool {
+		var err error
+		reply, err = operator.NewClient(l.Instance("kandy-1").Operators()).Change(config.Change{ID: "cut", Expect: 1, Base: text})
+		return err == nil && reply.Accepted
+	}))
+	galle := operator.NewClient(l.Instance("galle-1").Operators())
+	is.NoErr(l.Wait(t.Context(), "an age above a second", func() bool {
+		s, err := galle.Status()
+		return err == nil && s.ConfigAgeMs > 1000
+	}))
+	s, err := galle.Status()
+	is.NoErr(err)
+	is.Equal(s.ConfigVersion, uint64(1))
+	_, err = galle.Change(config.Change{ID: "inside", Expect: 1, Base: base})
+	is.True(err != nil) // no quorum there
+	l.Heal()
+	is.NoErr(l.WaitVersion(t.Context(), reply.Version))
+	is.NoErr(l.Wait(t.Context(), "a fresh confirmation", func() bool {
+		s, err := galle.Status()
+		return err == nil && s.ConfigAgeMs < 1000
+	}))
+	d, err := galle.Config()
+	is.NoErr(err)
+	is.Equal(d.Base, text) // the change made inside was never accepted
+}
