--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/balsamlb/balsamlb/settings"
 	"github.com/balsamlb/balsamlb/storage"
 	"github.com/balsamlb/balsamlb/trace"
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -38,6 +39,8 @@
 	shutdownGrace = 10 * time.Minute
 	// farewellTime is how long the others have to learn that the instance has left.
 	farewellTime = 100 * time.Millisecond
+	// handOverTime bounds the wait for another leader.
+	handOverTime = time.Second
 	// traceLines is how many log lines are kept for operators.
 	traceLines = 20_000
 )
@@ -77,9 +80,15 @@
 	d.shared = newShared(p, uint64(time.Now().UnixNano()), log.WithName("config"))
 	d.proposer = instance.NewProposer(dialer, voterAddresses(p))
 	d.credits = newCreditDuty(p.Name, d.shared.incarnation, d.proposer, log.WithName("credit"))
-	d.admitter = newAdmitter()
+	d.admitter = newAdmitter(xxhash.Sum64String(p.Name), p.Naive, d.shared.Intent, log.WithName("admission"))
+	d.shared.facts.exchangeUsage(d.admitter)
 	d.dispatcher = dispatch.New(p.Name, p.DataCentre, d.shared, d.proposer, d.credits, log)
 	d.dispatcher.UsePeers(d.shared.incarnation, d.shared)
+	d.dispatcher.UseNotices(d.shared.facts)
+	d.shared.facts.handleNotices(d.dispatcher)
+	if p.Naive {
+		d.dispatcher.UseNaivePolicy()
+	}
 	if p.IsControl() {
 		if err := d.openReplica(); err != nil {
 			return nil, err
@@ -97,30 +106,36 @@
 }
 
 func (d *Daemon) openReplica() error {
-	store, hard, entries, err := storage.Open(d.process.DataFolder)
+	store, stored, err := storage.Open(storage.Options{Folder: d.process.DataFolder, Instance: d.process.Name})
 	if err != nil {
 		return err
 	}
 	d.store = store
+	d.sender = instance.NewConsensusSender(d.dialer)
 	var ids []string
-	peers := make(map[string]string)
 	for _, v := range d.process.Voters {
 		ids = append(ids, v.Name)
 		if v.Name != d.process.Name {
-			peers[v.Name] = v.Address
+			d.sender.Reach(v.Name, v.Address)
 		}
 	}
-	d.sender = instance.NewConsensusSender(d.dialer, peers)
-	d.host = control.NewHost(control.Options{
+	d.host, err = control.NewHost(control.Options{
 		ID:      d.process.Name,
+		Address: d.process.Advertise,
 		Voters:  ids,
 		Seed:    d.process.Seed,
 		Storage: store,
 		Sender:  d.sender,
 		OnView:  d.shared.offerView,
 		Log:     d.log.WithName("control"),
-	}, hard, entries)
-	d.log.Info("opened the data folder", "folder", d.process.DataFolder, "entries", len(entries), "term", hard.Term)
+	}, stored)
+	if err != nil {
+		_ = store.Close()
+		return err
+	}
+	identity := store.Identity()
+	d.log.Info("opened the data folder", "folder", d.process.DataFolder, "disk", identity.Disk, "start", identity.Starts,
+		"snapshot", stored.Snapshot.Index, "entries", len(stored.Entries), "cut_bytes", store.Cut)
 	return nil
 }
 
@@ -139,6 +154,8 @@
 	exchange := newExchangeDuty(d.shared, d.host, d.dialer)
 	g.Go(func() error { return exchange.run(dutyCtx) })
 	g.Go(func() error { return d.credits.run(dutyCtx) })
+	g.Go(func() error { return d.admitter.runTicks(dutyCtx) })
+	g.Go(func() error { return d.runForecasts(dutyCtx) })
 	g.Go(func() error { return d.dispatcher.Run(dutyCtx) })
 	g.Go(func() error { return d.secrets.run(dutyCtx, d.log.WithName("keys")) })
 	if d.host != nil {
@@ -151,6 +168,7 @@
 	select {
 	case <-ctx.Done():
 		d.drain(dutyCtx)
+		d.handOver(dutyCtx)
 		d.shared.setLeft()
 		sleep(dutyCtx, farewellTime)
 	case <-dutyCtx.Done():
@@ -181,6 +199,16 @@
 	}
 }
 
+// handOver passes the control duties on to another instance.
+func (d *Daemon) handOver(ctx context.Context) {
+	if d.host == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOverTime)
+	defer cancel()
+	d.host.HandOver(ctx)
+}
+
 // serve starts the listeners.
 func (d *Daemon) serve(ctx context.Context, g *errgroup.Group) ([]*fasthttp.Server, error) {
 	registry := prometheus.NewRegistry()
@@ -241,13 +269,12 @@
 	if d.host == nil {
 		return nil
 	}
-	return &hostReplica{Host: d.host, voters: d.process.Voters, stamps: newStamper(d.process.Name)}
+	return &hostReplica{Host: d.host, stamps: newStamper(d.process.Name)}
 }
 
 // hostReplica adds the leader's address to a host.
 type hostReplica struct {
 	*control.Host
-	voters []settings.Voter
 	stamps *stamper
 }
 
@@ -281,12 +308,7 @@
 	if err != nil {
 		return ""
 	}
-	for _, v := range r.voters {
-		if v.Name == s.Leader {
-			return v.Address
-		}
-	}
-	return ""
+	return s.LeaderAddress
 }
 
 // metricsState returns what the gauges show.
--- a/daemon/state.go
+++ b/daemon/state.go
@@ -20,12 +20,12 @@
 	log         logr.Logger
 	facts       *facts
 	clock       *clock
-	// bell wakes the feeds to all subscribers.
-	bell *bell
+	pulse       *pulse
 	// views holds views in the form in which they are sent.
 	views *viewCache
 
 	mu       sync.Mutex
+	started  time.Time
 	registry *fleet.Registry
 	table    *membership.Table
 	gate     *membership.ViewGate
@@ -36,22 +36,28 @@
 	confirmedAt time.Time
 	leaving     bool
 	left        bool
+	// alive holds the incarnations of the members that were alive at the last look.
+	alive map[string]uint64
+	// peersOfRegion is the number of live members of the region at the last tick.
+	peersOfRegion int
 }
 
 func newShared(p settings.Process, incarnation uint64, log logr.Logger) *shared {
 	now := time.Now()
-	b := newBell()
+	beats := newPulse()
 	return &shared{
 		process:     p,
 		incarnation: incarnation,
 		log:         log,
-		facts:       newFacts(p.Name, incarnation, b.ring),
+		facts:       newFacts(p.Name, incarnation, beats.ring),
 		clock:       newClock(now),
-		bell:        b,
+		pulse:       beats,
 		views:       newViewCache(),
+		started:     now,
 		registry:    fleet.NewRegistry(),
 		table:       membership.NewTable(p.Name),
 		gate:        membership.NewViewGate(now),
+		alive:       make(map[string]uint64),
 	}
 }
 
@@ -103,7 +109,7 @@
 	s.mu.Lock()
 	s.leaving = true
 	s.mu.Unlock()
-	s.bell.ring()
+	s.pulse.ring()
 }
 
 // setLeft says that the instance has ended.
@@ -111,7 +117,7 @@
 	s.mu.Lock()
 	s.left = true
 	s.mu.Unlock()
-	s.bell.ring()
+	s.pulse.ring()
 }
 
 // notReady reports why the instance should get no new callers, or "".
@@ -125,6 +131,10 @@
 		return "no configuration is in force yet"
 	case !s.gate.IsOpen(time.Now(), s.view.Index, !s.confirmedAt.IsZero()):
 		return "the configuration may be older than that of the other instances"
+	case time.Since(s.started) < s.serverLease():
+		// Every backend server that is available renews its lease within this time, so a new
+		// instance has heard of all of them after it.
+		return "the leases of backend servers are being collected"
 	}
 	return ""
 }
--- a/dispatch/draft_run.go
+++ b/dispatch/draft_run.go
@@ -9,7 +9,9 @@
 
 	"github.com/balsamlb/balsamlb/backend"
 	"github.com/balsamlb/balsamlb/internal/ring"
+	"github.com/balsamlb/balsamlb/outcome"
 	"github.com/balsamlb/balsamlb/pipeline"
+	"github.com/balsamlb/balsamlb/quarantine"
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
 )
@@ -52,20 +54,23 @@
 
 	mu    sync.Mutex
 	conns map[int]*backend.Conn // nil while it is being opened
+	// connected are the servers that have had the request.
+	connected map[string]bool
 }
 
 func newDraftRun(caller context.Context, d *Dispatcher, r Draft, chain pipeline.Chain, events *ring.Ring[DraftEvent]) *draftRun {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(caller))
 	run := &draftRun{
-		d:      d,
-		r:      r,
-		log:    d.log.WithValues("request", r.ID),
-		events: events,
-		inbox:  ring.New[connEvent](inboxSize),
-		caller: caller,
-		ctx:    ctx,
-		cancel: cancel,
-		conns:  make(map[int]*backend.Conn),
+		d:         d,
+		r:         r,
+		log:       d.log.WithValues("request", r.ID),
+		events:    events,
+		inbox:     ring.New[connEvent](inboxSize),
+		caller:    caller,
+		ctx:       ctx,
+		cancel:    cancel,
+		conns:     make(map[int]*backend.Conn),
+		connected: make(map[string]bool),
 		stream: pipeline.NewStream(pipeline.StreamSpec{
 			Request:   r.ID,
 			Layers:    r.Service.Layers,
@@ -137,7 +142,7 @@
 	if f.Attempt != run.stream.Attempt() {
 		return nil
 	}
-	progress := pipeline.Progress{Received: f.Received, Ran: f.Ran}
+	progress := pipeline.Progress{Received: f.Received, Ran: f.Ran, Known: f.Known}
 	switch f.Kind {
 	case backend.FrameOpened:
 		return run.stream.Opened(now, e.conn, progress)
@@ -208,6 +213,10 @@
 
 // replace chooses servers for the layers of a stage.
 func (run *draftRun) replace(a pipeline.Replace) []pipeline.Action {
+	if run.d.noteStageFailure(run, a) == quarantine.Quarantined {
+		run.last = &DraftEvent{Err: errQuarantined(outcome.Failed)}
+		return nil
+	}
 	stages, err := run.d.chooseStages(run.r, a)
 	if err != nil {
 		run.log.Info("found no replacement", "server", a.Server, "reason", string(a.Reason), "err", err.Error())
@@ -218,6 +227,7 @@
 		names[i] = st.Server.Name
 	}
 	run.inUse = append(run.inUse, names...)
+	run.d.guard.started(run.r.ID, run.r.fingerprint(), serversOf(stages)...)
 	run.log.Info("replaces a stage", "server", a.Server, "reason", string(a.Reason), "by", names, "next", run.stream.Next())
 	return run.stream.Replaced(time.Now(), a.Stage, stages)
 }
@@ -226,6 +236,7 @@
 	for i, s := range run.inUse {
 		if s == server {
 			run.inUse = append(run.inUse[:i], run.inUse[i+1:]...)
+			run.d.guard.stopped(run.r.ID, server)
 			run.d.ended(server)
 			return
 		}
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -38,6 +38,8 @@
 	CodeInProgress   Code = "in_progress"
 	CodeCancelled    Code = "cancelled"
 	CodeLeaving      Code = "instance_leaving"
+	// CodeQuarantined means that the request crashes backend servers.
+	CodeQuarantined Code = "quarantined"
 	// CodeKeyExpired means that the key was used before and its outcome is forgotten.
 	CodeKeyExpired Code = "idempotency_key_expired"
 	// CodeAnswerDropped means that the request ran and its answer is no longer kept.
