Benchmarks recovery and latency, each beside a naive client in the same run

Cause of two hangs found on the way: links between emulators kept a silent connection in use after its timeout and ran out of connections (they now have read and write timeouts); the naive client waited for a reader whose connection it no longer closed.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -59,6 +59,8 @@
 		atMostOnceBench,
 		controlBench,
 		configBench,
+		recoveryBench,
+		latencyBench,
 	}
 }
 
--- a/internal/emulate/client.go
+++ b/internal/emulate/client.go
@@ -44,9 +44,9 @@
 	req.Header.SetMethod(method)
 	req.SetRequestURI("http://" + address + path)
 	req.SetBody(body)
-	client := newHostClient(address)
+	client := newHostClient(address, clientTimeout)
 	defer client.CloseIdleConnections()
-	if err := client.DoTimeout(req, resp, clientTimeout); err != nil {
+	if err := client.Do(req, resp); err != nil {
 		return nil, eris.Wrapf(err, "emulate: %s %s%s", method, address, path)
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
--- a/internal/emulate/kv.go
+++ b/internal/emulate/kv.go
@@ -141,9 +141,9 @@
 	defer fasthttp.ReleaseResponse(resp)
 	layers := open.Chain[open.Stage].Layers
 	req.SetRequestURI(fmt.Sprintf("http://%s%s%s?from=%d&to=%d", open.Import.Address, PathExport, open.Request, layers.From, layers.To))
-	client := newHostClient(open.Import.Address)
+	client := newHostClient(open.Import.Address, exportTimeout)
 	defer client.CloseIdleConnections()
-	if err := client.DoTimeout(req, resp, exportTimeout); err != nil || resp.StatusCode() != fasthttp.StatusOK {
+	if err := client.Do(req, resp); err != nil || resp.StatusCode() != fasthttp.StatusOK {
 		return x, false
 	}
 	return x, json.Unmarshal(resp.Body(), &x) == nil
--- a/internal/emulate/link.go
+++ b/internal/emulate/link.go
@@ -30,13 +30,17 @@
 }
 
 func newLink(address string) *link {
-	return &link{address: address, hops: ring.New[hop](linkRingSize), client: newHostClient(address)}
+	return &link{address: address, hops: ring.New[hop](linkRingSize), client: newHostClient(address, linkTimeout)}
 }
 
-func newHostClient(address string) *fasthttp.HostClient {
+// newHostClient returns a client that sends nothing twice and closes a connection that is
+// silent for the timeout.
+func newHostClient(address string, timeout time.Duration) *fasthttp.HostClient {
 	return &fasthttp.HostClient{
 		Addr:                      address,
 		MaxConns:                  2,
+		ReadTimeout:               timeout,
+		WriteTimeout:              timeout,
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}
@@ -74,7 +78,7 @@
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI("http://" + l.address + PathHops)
 	req.SetBody(body)
-	if err := l.client.DoTimeout(req, resp, linkTimeout); err != nil {
+	if err := l.client.Do(req, resp); err != nil {
 		return eris.Wrapf(err, "emulate: send to %s", l.address)
 	}
 	return nil
