--- a/dispatch/call_once.go
+++ b/dispatch/call_once.go
@@ -166,7 +166,7 @@
 		d.ended(server.Name)
 		return d.refuseOnce(ctx, a, errDeadline(outcome.NotRun))
 	}
-	answer, err := d.send(ctx, a.Call, server)
+	answer, err := d.sendGuarded(ctx, a.Call, server, a.fingerprint())
 	switch {
 	case err != nil && !wasSent(err):
 		d.log.Info("a call was not sent", "request", a.ID, "server", server.Name, "err", err.Error())
@@ -231,7 +231,8 @@
 			Key:     a.key,
 			Attempt: id,
 			Phase:   ledger.PhaseFinished,
-			Answer:  ledger.Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body},
+			// A long body must not go through the log only to be dropped.
+			Answer: ledger.BoundAnswer(ledger.Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body}),
 		},
 		Credit: credit.Entry{Member: a.Workspace.Member, Kind: a.Service.Name},
 	}
--- a/dispatch/draft.go
+++ b/dispatch/draft.go
@@ -52,12 +52,15 @@
 // runDraft runs the request over a chain and returns the last event, and a function that
 // waits for what is left to tell the backend servers.
 func (d *Dispatcher) runDraft(ctx context.Context, r Draft, events *ring.Ring[DraftEvent]) (DraftEvent, func()) {
-	choice, err := d.chooseChain(r, nil)
-	if err != nil {
-		return DraftEvent{Err: asOutcome(err)}, func() {}
+	choice, refusal := d.chooseForDraft(ctx, r)
+	if refusal != nil {
+		return DraftEvent{Err: refusal}, func() {}
 	}
 	run := newDraftRun(ctx, d, r, choice.Chain, events)
-	return run.follow(), run.wait
+	start := time.Now()
+	last := run.follow()
+	d.noteDraft(run, choice, last, time.Since(start))
+	return last, run.wait
 }
 
 // draftOutcome returns what the caller is told of the end of a stream.
--- a/replica/snapshot.go
+++ b/replica/snapshot.go
@@ -20,19 +20,45 @@
 // ErrSnapshotVersion means that the snapshot was written by a version that this one can't read.
 var ErrSnapshotVersion = errors.New("replica: the snapshot has another version")
 
+// Image is a copy of the whole state that later commands don't change. Taking it costs a
+// fraction of encoding it, which another goroutine can do.
+type Image struct {
+	viewIndex uint64
+	ledger    ledger.Image
+	config    config.Image
+	credits   credit.Image
+	drains    map[string]Drain
+	clock     Clock
+}
+
+// Image returns a copy of the state.
+func (s *State) Image() Image {
+	return Image{
+		viewIndex: s.viewIndex,
+		ledger:    s.Ledger.Image(),
+		config:    s.Config.Image(),
+		credits:   s.Credits.Image(),
+		drains:    maps.Clone(s.Drains),
+		clock:     s.clock,
+	}
+}
+
 // Snapshot returns the whole state. Equal states have equal snapshots.
-func (s *State) Snapshot() ([]byte, error) {
+func (s *State) Snapshot() ([]byte, error) { return s.Image().Encode() }
+
+// Encode returns the image as a snapshot.
+func (im Image) Encode() ([]byte, error) {
 	w := &wire.Snapshot{
 		Version:    snapshotVersion,
-		ViewIndex:  s.viewIndex,
-		Ledger:     ledgerToWire(s.Ledger.Image()),
-		Config:     configToWire(s.Config.Image()),
-		Credits:    creditsToWire(s.Credits.Image()),
-		ClockNanos: uint64(s.clock.now),
-		LastStamp:  stampToWire(s.clock.last),
+		ViewIndex:  im.viewIndex,
+		Ledger:     ledgerToWire(im.ledger),
+		Config:     configToWire(im.config),
+		Credits:    creditsToWire(im.credits),
+		ClockNanos: uint64(im.clock.now),
+		LastStamp:  stampToWire(im.clock.last),
 	}
-	for _, name := range slices.Sorted(maps.Keys(s.Drains)) {
-		w.Drains = append(w.Drains, drainToWire(s.Drains[name]))
+	for _, name := range slices.Sorted(maps.Keys(im.drains)) {
+		w.Drains = append(w.Drains, drainToWire(im.drains[name]))
 	}
 	data, err := deterministic.Marshal(w)
 	return data, eris.Wrap(err, "replica: encode snapshot")
@@ -121,17 +147,37 @@
 }
 
 func creditsToWire(im credit.Image) *wire.CreditBook {
-	w := &wire.CreditBook{Requests: im.Requests}
-	for _, c := range im.Counts {
-		w.Accounts = append(w.Accounts, &wire.Account{Member: c.Account.Member, Kind: c.Account.Kind, Count: c.Count})
+	w := &wire.CreditBook{Accounts: accountsToWire(im.Counts)}
+	for _, m := range im.Marks {
+		w.Marks = append(w.Marks, &wire.CreditMark{
+			Source: m.Source, Incarnation: m.Incarnation, Sequence: m.Sequence, Turn: m.Turn,
+		})
 	}
 	return w
 }
 
 func creditsFromWire(w *wire.CreditBook) credit.Image {
-	im := credit.Image{Requests: w.GetRequests()}
-	for _, a := range w.GetAccounts() {
-		im.Counts = append(im.Counts, credit.Count{Account: credit.Account{Member: a.Member, Kind: a.Kind}, Count: a.Count})
+	im := credit.Image{Counts: accountsFromWire(w.GetAccounts())}
+	for _, m := range w.GetMarks() {
+		im.Marks = append(im.Marks, credit.Mark{
+			Source: m.Source, Incarnation: m.Incarnation, Sequence: m.Sequence, Turn: m.Turn,
+		})
 	}
 	return im
 }
+
+func accountsToWire(counts []credit.Count) []*wire.Account {
+	var ws []*wire.Account
+	for _, c := range counts {
+		ws = append(ws, &wire.Account{Member: c.Account.Member, Kind: c.Account.Kind, Count: c.Count})
+	}
+	return ws
+}
+
+func accountsFromWire(ws []*wire.Account) []credit.Count {
+	var counts []credit.Count
+	for _, a := range ws {
+		counts = append(counts, credit.Count{Account: credit.Account{Member: a.Member, Kind: a.Kind}, Count: a.Count})
+	}
+	return counts
+}
