--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -62,6 +62,8 @@
 		configBench,
 		failoverBench,
 		restartBench,
+		recoveryBench,
+		latencyBench,
 	}
 }
 
