--- a/pipeline/model_test.go
+++ b/pipeline/model_test.go
@@ -181,7 +181,6 @@
 
 type fakeHop struct {
 	attempt, stage, index int
-	passed                []Pass
 }
 
 // fakeSession is one stage at a fake engine, as docs/BACKEND-PROTOCOL.md describes it.
