--- /dev/null
+++ b/cmd/balsamctl/backup.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/balsamlb/balsamlb/storage"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	errNoFolder  = usageError("name the data folder with -data-folder")
+	errNoArchive = usageError("name the archive")
+)
+
+func newBackup() *ffcli.Command {
+	fs := newFlagSet("backup")
+	folder := fs.String("data-folder", "", "data folder of an instance that does not run")
+	return &ffcli.Command{
+		Name: "backup", ShortUsage: "balsamctl backup [flags] ARCHIVE", ShortHelp: "write a data folder to an archive",
+		FlagSet: fs, Options: envOptions(),
+		Exec: func(_ context.Context, args []string) error {
+			if *folder == "" {
+				return errNoFolder
+			}
+			if len(args) != 1 {
+				return errNoArchive
+			}
+			err := writeFile(args[0], func(out *os.File) error {
+				if err := storage.Archive(*folder, out); err != nil {
+					return err
+				}
+				return eris.Wrap(out.Sync(), "sync the archive")
+			})
+			if err != nil {
+				_ = os.Remove(args[0])
+				return err
+			}
+			fmt.Printf("wrote %s to %s\n", *folder, args[0])
+			return nil
+		},
+	}
+}
+
+func newRestore() *ffcli.Command {
+	fs := newFlagSet("restore")
+	folder := fs.String("data-folder", "", "data folder to fill, which must be empty or missing")
+	return &ffcli.Command{
+		Name: "restore", ShortUsage: "balsamctl restore [flags] ARCHIVE", ShortHelp: "fill a data folder from an archive",
+		FlagSet: fs, Options: envOptions(),
+		Exec: func(_ context.Context, args []string) error {
+			if *folder == "" {
+				return errNoFolder
+			}
+			if len(args) != 1 {
+				return errNoArchive
+			}
+			in, err := os.Open(args[0])
+			if err != nil {
+				return eris.Wrap(err, "open the archive")
+			}
+			defer in.Close()
+			if err := storage.Restore(in, *folder); err != nil {
+				return err
+			}
+			fmt.Printf("filled %s from %s\n", *folder, args[0])
+			return nil
+		},
+	}
+}
--- a/cmd/balsamctl/main.go
+++ b/cmd/balsamctl/main.go
@@ -67,6 +67,8 @@
 			newMove(),
 			newTrace(),
 			newTail(),
+			newBackup(),
+			newRestore(),
 			newCompletion(),
 			newEmulate(),
 			newLoad(),
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -47,3 +47,18 @@
 	is.Equal(in.Limits.MaxBodyBytes, 2048)
 	is.Equal(in.Services["stock"].Enabled, false)
 }
+
+func TestExamplesAreValid(t *testing.T) {
+	is := is.New(t)
+	for _, name := range []string{"instance.ini", "control-instance.ini"} {
+		_, err := ReadProcess(filepath.Join("..", "examples", name))
+		is.NoErr(err)
+	}
+	base, err := os.ReadFile(filepath.Join("..", "examples", "config", "base.ini"))
+	is.NoErr(err)
+	overlay, err := os.ReadFile(filepath.Join("..", "examples", "config", "galle.ini"))
+	is.NoErr(err)
+	in, err := ParseIntent(File{Name: "base.ini", Text: string(base)}, File{Name: "galle.ini", Text: string(overlay)})
+	is.NoErr(err)
+	is.Equal(in.Limits.MaxTokens, 1024)
+}
