--- a/dispatch/draft_conn.go
+++ b/dispatch/draft_conn.go
@@ -40,11 +40,14 @@
 func (run *draftRun) read(conn int, open backend.StageOpen) {
 	c, err := backend.OpenStage(run.ctx, open)
 	if err != nil {
+		if backend.WasClosed(err) {
+			run.noteConnected(open.Chain[open.Stage].Server)
+		}
 		run.report(connEvent{conn: conn, reason: failureReason(err, pipeline.ReasonDial), err: err})
 		return
 	}
 	defer c.Close()
-	if !run.keep(conn, c) {
+	if !run.keep(conn, open.Chain[open.Stage].Server, c) {
 		return
 	}
 	for {
@@ -75,16 +78,31 @@
 }
 
 // keep notes an open connection, unless it was closed meanwhile.
-func (run *draftRun) keep(conn int, c *backend.Conn) bool {
+func (run *draftRun) keep(conn int, server string, c *backend.Conn) bool {
 	run.mu.Lock()
 	defer run.mu.Unlock()
 	if _, ok := run.conns[conn]; !ok {
 		return false
 	}
 	run.conns[conn] = c
+	run.connected[server] = true
 	return true
 }
 
+// noteConnected notes that the server has had the request.
+func (run *draftRun) noteConnected(server string) {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	run.connected[server] = true
+}
+
+// wasConnected reports whether the server has had the request.
+func (run *draftRun) wasConnected(server string) bool {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	return run.connected[server]
+}
+
 func (run *draftRun) close(conn int) {
 	run.mu.Lock()
 	defer run.mu.Unlock()
--- a/dispatch/once_settle.go
+++ b/dispatch/once_settle.go
@@ -115,5 +115,6 @@
 	}
 	g.Go(func() error { return d.probe(ctx) })
 	g.Go(func() error { return d.once.stall.run(ctx) })
+	g.Go(func() error { return d.runDeaths(ctx) })
 	return g.Wait()
 }
--- a/route/route.go
+++ b/route/route.go
@@ -35,6 +35,8 @@
 	accounts   map[string]*account
 	paces      *paces
 	prefixes   *prefixes
+	inTurn     bool
+	turns      map[string]int // by the first candidate
 }
 
 // New returns a router for an instance.
@@ -46,9 +48,13 @@
 		accounts:   make(map[string]*account),
 		paces:      newPaces(),
 		prefixes:   newPrefixes(),
+		turns:      make(map[string]int),
 	}
 }
 
+// ChooseInTurn chooses servers in turn whatever they cost, as the naive version of a benchmark.
+func (r *Router) ChooseInTurn() { r.inTurn = true }
+
 // Reason names the part of the cost that decided a choice.
 type Reason string
 
