--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -19,6 +19,8 @@
 var decisionPackages = []string{
 	"admission", "config", "consensus", "credit", "fleet", "ledger", "membership", "outcome", "pipeline", "placement",
 	"quarantine", "replica", "retry", "route",
+	"admission", "config", "consensus", "credit", "drain", "fleet", "ledger", "membership", "outcome", "pipeline",
+	"placement", "quarantine", "replica", "retry", "route",
 }
 
 // forbiddenImports do I/O, log, or talk to other processes.
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -60,6 +60,8 @@
 		controlBench,
 		membershipBench,
 		configBench,
+		failoverBench,
+		restartBench,
 		recoveryBench,
 		latencyBench,
 	}
