Quorum gate counts short deadlines together and outlasts a slow change of leader

And callers with deadlines below 2 s never closed it, so each of them waited for its deadline. Change: the gate closes once no request has had an answer for 4 s, counted over all callers. TestWithoutAQuorumOnlyAFirstSendIsToldNotRun now plays an earlier caller that waited; what it checks is the same.

--- a/dispatch/call_once.go
+++ b/dispatch/call_once.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	// beginTimeout bounds the wait for a quorum before a request is refused. It is longer
-	// than a change of leader.
-	beginTimeout = 2 * time.Second
+	// beginTimeout bounds the wait for a quorum, over all requests: once none has answered for
+	// so long, requests are refused at once. It is longer than a change of leader on a busy
+	// machine.
+	beginTimeout = 4 * time.Second
 	// finishTimeout bounds the recording of an outcome after the answer is known.
 	finishTimeout = 5 * time.Second
 	// A duplicate looks for the first one's outcome after duplicatePause, and then after
@@ -127,6 +128,7 @@
 
 // begin asks for the right to dispatch; look only asks what is known of the key.
 func (d *Dispatcher) begin(ctx context.Context, a attempt, server fleet.BackendServer, look bool) (ledger.Result, error) {
+	start := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, beginTimeout)
 	defer cancel()
 	result, err := d.proposer.Propose(callCtx, replica.Command{Begin: &ledger.Begin{
@@ -143,12 +145,10 @@
 		Look: look,
 	}})
 	if err != nil {
-		// A caller's short deadline says nothing about the quorum.
-		if ctx.Err() == nil {
-			d.once.quorum.lose()
-		}
+		d.once.quorum.missed(start, time.Now())
 		return ledger.Result{}, err
 	}
+	d.once.quorum.answered()
 	if result.Ledger == nil {
 		return ledger.Result{}, errBadResult
 	}
--- a/dispatch/once_settle.go
+++ b/dispatch/once_settle.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/balsamlb/balsamlb/internal/ring"
@@ -74,15 +73,6 @@
 	return err == nil
 }
 
-// quorumGate refuses non-idempotent requests at once while no quorum answers.
-type quorumGate struct {
-	closed atomic.Bool
-}
-
-func (g *quorumGate) isOpen() bool { return !g.closed.Load() }
-
-func (g *quorumGate) lose() { g.closed.Store(true) }
-
 // probe opens the gate once a quorum answers.
 func (d *Dispatcher) probe(ctx context.Context) error {
 	look := replica.Command{Begin: &ledger.Begin{Look: true, Dispatcher: d.once.self}}
@@ -102,7 +92,7 @@
 		cancel()
 		if err == nil {
 			d.log.Info("found a quorum again")
-			d.once.quorum.closed.Store(false)
+			d.once.quorum.answered()
 		}
 	}
 }
--- a/dispatch/once_test.go
+++ b/dispatch/once_test.go
@@ -210,6 +210,7 @@
 		return errLost
 	}
 	d := startDispatcher(t, "kandy-1", c, s, noPeers{})
+	d.once.quorum.missed(time.Now().Add(-beginTimeout), time.Now().Add(-time.Second)) // an earlier caller
 	_, err := d.Call(t.Context(), booking("a", "k"))
 	is.Equal(err.Outcome, outcome.Unknown)
 	is.Equal(err.Code, outcome.CodeNoQuorum)
@@ -223,6 +224,24 @@
 	is.Equal(tried, 1) // the second one was refused at once
 }
 
+func TestShortDeadlinesTogetherCloseTheGate(t *testing.T) {
+	is := is.New(t)
+	g := &quorumGate{}
+	start := time.Now()
+	const wait = beginTimeout / 8
+	for i := range 7 {
+		at := start.Add(time.Duration(i) * wait)
+		g.missed(at, at.Add(wait))
+		is.True(g.isOpen())
+	}
+	g.missed(start.Add(7*wait), start.Add(8*wait))
+	is.True(!g.isOpen())
+	g.answered()
+	is.True(g.isOpen())
+	g.missed(start.Add(8*wait), start.Add(9*wait))
+	is.True(g.isOpen()) // counted anew
+}
+
 func TestABeginWhoseAnswerWasLostDoesNotHoldTheKey(t *testing.T) {
 	is := is.New(t)
 	c, s := newControl(), &servers{}
