--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -163,6 +163,7 @@
 		orders := newPlacementDuty(d.shared, d.host, d.log.WithName("placement"))
 		g.Go(func() error { return orders.run(dutyCtx) })
 		g.Go(func() error { return d.sender.Run(dutyCtx) })
+		g.Go(func() error { return d.runMoves(dutyCtx) })
 	}
 	d.log.Info("started", "instance", d.process.Name, "data_centre", d.process.DataCentre)
 	select {
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -60,6 +60,10 @@
 		controlBench,
 		membershipBench,
 		configBench,
+		failoverBench,
+		restartBench,
+		recoveryBench,
+		latencyBench,
 	}
 }
 
