--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -62,6 +62,10 @@
 		controlBench,
 		membershipBench,
 		configBench,
+		failoverBench,
+		restartBench,
+		recoveryBench,
+		latencyBench,
 	}
 }
 
