Real processes: refusals have not run, moves cut nothing; forecasts before the first request

Cause found by TestWhatIsRefusedUnderOverloadHasNotRun (0 of 400 refused): until the first forecast, up to 500 ms after a start, everything was taken in.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -114,6 +114,12 @@
 	c.pool(name).forecast = f
 }
 
+// NeedsForecast reports whether nothing is known of the pool's servers.
+func (c *Controller) NeedsForecast(name string) bool {
+	p, ok := c.pools[name]
+	return !ok || p.forecast.Slots == 0
+}
+
 func (c *Controller) pool(name string) *pool {
 	p, ok := c.pools[name]
 	if !ok {
--- a/admission/pool.go
+++ b/admission/pool.go
@@ -198,6 +198,9 @@
 
 // meanTime returns the usual time of a request.
 func (p *pool) meanTime(now time.Time, r Request) time.Duration {
+	if p.mean == 0 {
+		return p.serviceTime(now, r)
+	}
 	return max(p.mean, p.serviceTime(now, r)/2)
 }
 
--- a/daemon/admitter.go
+++ b/daemon/admitter.go
@@ -27,6 +27,8 @@
 type admitter struct {
 	log    logr.Logger
 	intent func() settings.Intent
+	// forecast is set before the first request.
+	forecast func(settings.Service) admission.Forecast
 	// open takes every request in at once, as the naive version of a benchmark does.
 	open bool
 
@@ -51,6 +53,7 @@
 
 // Admit returns once the request may start, with the function that ends it, or refuses it.
 func (a *admitter) Admit(ctx context.Context, r dispatch.Request, s admission.Size) (func(answered bool), *outcome.Error) {
+	a.prepare(r.Service)
 	decision, refusal := a.arrive(r, s)
 	if refusal != nil {
 		return nil, refusal
@@ -70,6 +73,17 @@
 	}
 }
 
+// prepare asks for a forecast when there is none yet, so that the first requests after a start
+// are not all taken in.
+func (a *admitter) prepare(s settings.Service) {
+	a.mu.Lock()
+	needed := !a.open && a.controller.NeedsForecast(s.Pool())
+	a.mu.Unlock()
+	if needed {
+		a.setForecast(s.Pool(), a.forecast(s))
+	}
+}
+
 // arrive counts the request and returns the channel on which its decision comes.
 func (a *admitter) arrive(r dispatch.Request, s admission.Size) (<-chan admission.Action, *outcome.Error) {
 	a.mu.Lock()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -84,6 +84,7 @@
 	d.shared.facts.exchangeUsage(d.admitter)
 	d.dispatcher = dispatch.New(p.Name, p.DataCentre, d.shared, d.proposer, d.credits, log)
 	d.dispatcher.UsePeers(d.shared.incarnation, d.shared)
+	d.admitter.forecast = d.forecast
 	d.dispatcher.UseNotices(d.shared.facts)
 	d.shared.facts.handleNotices(d.dispatcher)
 	if p.Naive {
--- a/daemon/forecast.go
+++ b/daemon/forecast.go
@@ -6,6 +6,7 @@
 
 	"github.com/balsamlb/balsamlb/admission"
 	"github.com/balsamlb/balsamlb/membership"
+	"github.com/balsamlb/balsamlb/settings"
 )
 
 // forecastInterval is how often the room and speed of the backend servers are worked out.
@@ -16,12 +17,10 @@
 	ticker := time.NewTicker(forecastInterval)
 	defer ticker.Stop()
 	for {
-		here, all := d.shared.instanceCounts(time.Now())
-		part := float64(here) / float64(all)
+		_, all := d.shared.instanceCounts(time.Now())
 		d.dispatcher.SetRouters(all)
 		for _, s := range d.shared.Intent().Services {
-			f := d.dispatcher.Forecast(s)
-			d.admitter.setForecast(s.Pool(), scaled(f, part))
+			d.admitter.setForecast(s.Pool(), d.forecast(s))
 		}
 		select {
 		case <-ctx.Done():
@@ -31,6 +30,12 @@
 	}
 }
 
+// forecast returns the room and speed of the servers of a service that this data centre counts on.
+func (d *Daemon) forecast(s settings.Service) admission.Forecast {
+	here, all := d.shared.instanceCounts(time.Now())
+	return scaled(d.dispatcher.Forecast(s), float64(here)/float64(all))
+}
+
 // scaled returns the forecast with the data centre's part of the room. Room that is left over
 // stays at least one request.
 func scaled(f admission.Forecast, part float64) admission.Forecast {
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -117,3 +117,13 @@
 	is.Equal(p.Total, 2)
 	is.Equal(p.Done, 1)
 }
+
+func TestTheServerThatIsMissedLeastIsDrainedFirst(t *testing.T) {
+	is := is.New(t)
+	f := Fleet{Servers: []Server{
+		server("a", "kandy", 16, 32), server("b", "kandy", 0, 16), server("c", "kandy", 0, 16), server("stays", "galle", 0, 32),
+	}}
+	is.Equal(Look(epoch, move("kandy"), f).Next, "b")
+	f.Servers[1].InFlight = 3
+	is.Equal(Look(epoch, move("kandy"), f).Next, "c")
+}
--- a/internal/lab/policy_test.go
+++ b/internal/lab/policy_test.go
@@ -112,3 +112,61 @@
 	}
 	return n
 }
+
+// Many more drafts arrive than can end in time. Those that are told not run have reached no
+// server, by the servers' own counts, and are told when to come back.
+func TestWhatIsRefusedUnderOverloadHasNotRun(t *testing.T) {
+	is := is.New(t)
+	l := startWhole(t)
+	const count = 400
+	replies := make([]load.Reply, count)
+	var group sync.WaitGroup
+	for i := range count {
+		group.Go(func() {
+			replies[i] = load.Do(t.Context(), load.Send{
+				Instance: l.Instances[i%2].Callers(), Workspace: "kandy", Service: "draft",
+				Prompt: fmt.Sprint("cake ", i), MaxTokens: 60, Deadline: time.Second,
+			})
+		})
+	}
+	group.Wait()
+	refused := 0
+	for _, r := range replies {
+		is.Equal(r.Broken, "")
+		if r.Outcome == outcome.NotRun {
+			refused++
+			is.True(r.RetryAfter > 0)
+		}
+	}
+	counts, err := emulate.FetchCounts(fmt.Sprintf("%s.1.100:9000", l.Layout.Net))
+	is.NoErr(err)
+	t.Logf("%d of %d refused, %d reached a server", refused, count, counts.Requests)
+	is.True(refused > 0)
+	is.True(counts.Requests <= count-refused)
+}
+
+// A move drains its two servers one after the other while drafts run, and no draft is cut.
+func TestMoveDrainsItsServersAndCutsNoDraft(t *testing.T) {
+	is := is.New(t)
+	l := startWhole(t)
+	move := fmt.Sprintf("[move old]\nservice = draft\nservers = whole-0, whole-1\ndate = %s\n", time.Now().Add(time.Hour).UTC().Format(time.RFC3339))
+	var result load.Result
+	var group sync.WaitGroup
+	group.Go(func() {
+		result = load.Run(t.Context(), load.Options{
+			Instances: []string{l.Instances[0].Callers(), l.Instances[1].Callers()},
+			Workspace: "kandy", Drafts: 60, Concurrent: 6, MaxTokens: 100, Seed: 1, Deadline: 25 * time.Second,
+		})
+	})
+	is.NoErr(l.Apply(t.Context(), 1, "move", base+"[service stock]\n"+move, nil))
+	is.NoErr(l.Wait(t.Context(), "the move to be done", func() bool {
+		moves, err := operator.NewClient(l.Instances[0].Operators()).Moves()
+		return err == nil && len(moves) == 1 && moves[0].Total == 2 && moves[0].Done == 2
+	}))
+	group.Wait()
+	is.Equal(result.Broken, nil)
+	is.Equal(result.Answered, 60)
+	s, err := operator.NewClient(l.Instances[1].Operators()).Status()
+	is.NoErr(err)
+	is.Equal(s.Drains, []string{"whole-0", "whole-1"})
+}
