--- a/caller/server.go
+++ b/caller/server.go
@@ -291,7 +291,7 @@
 		return statusOfField(e.Field)
 	case outcome.CodeNotFound:
 		return fasthttp.StatusNotFound
-	case outcome.CodeKeyReused:
+	case outcome.CodeKeyReused, outcome.CodeQuarantined:
 		return fasthttp.StatusUnprocessableEntity
 	case outcome.CodeInProgress:
 		return fasthttp.StatusConflict
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -91,6 +91,9 @@
 	is.Equal(Look(epoch, move("kandy"), f).Next, "a")
 	f.Servers[0].DrainedAt = epoch
 	is.Equal(Look(epoch.Add(time.Hour), move("kandy"), f).Next, "")
+	f.Servers[0].InFlight = 1
+	is.Equal(Look(epoch.Add(50*time.Hour), move("kandy"), f).Next, "") // one at a time
+	f.Servers[0].InFlight = 0
 	is.Equal(Look(epoch.Add(50*time.Hour), move("kandy"), f).Next, "b")
 }
 
