--- a/admission/pool.go
+++ b/admission/pool.go
@@ -247,12 +247,18 @@
 	return most.waiting[len(most.waiting)-1]
 }
 
-// late returns the waiting requests that can't end in time any more.
+// hopeless is the part of the predicted wait that must fit before the deadline of a request
+// that waits. Below 1 it keeps those that a little luck would still let end in time.
+const hopeless = 0.8
+
+// late returns the waiting requests that are not expected to end in time any more.
 func (p *pool) late(now time.Time) []*entry {
 	var late []*entry
 	for _, name := range sortedKeys(p.workspaces) {
-		for _, e := range p.workspaces[name].waiting {
-			if now.Add(p.serviceTime(now, e.Request)).After(e.Deadline) {
+		w := p.workspaces[name]
+		for i, e := range w.waiting {
+			wait := time.Duration(hopeless * float64(p.meanTime(now, e.Request)) * float64(i) / max(w.limit, minLimit))
+			if now.Add(wait + p.serviceTime(now, e.Request)).After(e.Deadline) {
 				late = append(late, e)
 			}
 		}
--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/admission"
+	"github.com/balsamlb/balsamlb/fleet"
 	"github.com/balsamlb/balsamlb/route"
 	"github.com/balsamlb/balsamlb/settings"
 )
@@ -26,9 +27,11 @@
 	defer d.mu.Unlock()
 	servers := d.fleet.Available()
 	var f admission.Forecast
+	room := 0.0
 	for i := range servers {
 		if s.Kind == settings.ServiceDraft && servers[i].Model == s.Model || s.Kind != settings.ServiceDraft && servers[i].Runs(s.Name) {
 			f.Slots += servers[i].Slots
+			room += requestsPerSlot(s, &servers[i]) * float64(servers[i].Slots)
 		}
 	}
 	now := time.Now()
@@ -50,10 +53,15 @@
 		f.Prefill += time.Duration(float64(st.Server.PrefillMicros)*part) * time.Microsecond
 	}
 	f.FirstToken = f.Gap
-	f.Full = batchGrowth
-	if len(c.Chain) > 1 {
-		f.Slots = int(float64(f.Slots) * pipelineRoom)
-		f.Full = batchGrowth * pipelineRoom
-	}
+	f.Full = batchGrowth * room / float64(max(1, f.Slots))
+	f.Slots = int(room)
 	return f
 }
+
+// requestsPerSlot is the number of requests that keep a slot of the server busy.
+func requestsPerSlot(s settings.Service, b *fleet.BackendServer) float64 {
+	if s.Kind == settings.ServiceDraft && b.Layers.Len() < s.Layers {
+		return pipelineRoom
+	}
+	return 1
+}
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -58,6 +58,8 @@
 		bookingsBench,
 		throughputBench,
 		overloadBench,
+		throughputUnseenBench,
+		overloadUnseenBench,
 		atMostOnceBench,
 		controlBench,
 		membershipBench,
