Suspects wait for a server of their own

Cause: two drafts ran on a server that died; both became suspects, which run apart, one at a time on one server. The second found the only other server taken and was failed at once ('found no replacement', traced), though nothing was wrong with it. Ruled out: dials that failed on a loaded machine, and health that left the survivor out. A test of readiness sets its own start time.

--- a/daemon/subscription_test.go
+++ b/daemon/subscription_test.go
@@ -149,6 +149,7 @@
 	b.confirmView(8, time.Now())
 	is.True(b.notReady() != "") // a has a newer one
 	b.offerView(viewOf(9, 3))
+	b.started = time.Now()
 	is.True(b.notReady() != "") // b has not heard of all backend servers yet
 	b.started = b.started.Add(-b.serverLease())
 	is.Equal(b.notReady(), "")
--- a/dispatch/draft_guard.go
+++ b/dispatch/draft_guard.go
@@ -50,16 +50,14 @@
 	return out
 }
 
-// noteStageFailure notes why a stage is replaced, and returns how the draft may go on.
-func (d *Dispatcher) noteStageFailure(run *draftRun, a pipeline.Replace) quarantine.Verdict {
-	f := run.r.fingerprint()
+// noteStageFailure notes why a stage is replaced.
+func (d *Dispatcher) noteStageFailure(run *draftRun, a pipeline.Replace) {
 	switch a.Reason {
 	case pipeline.ReasonClosed, pipeline.ReasonDial:
 		d.guard.failed(run.ctx, run.r.ID, a.Chain[a.Stage].Server, run.wasConnected(a.Server))
 	default:
 		d.guard.stopped(run.r.ID, a.Server)
 	}
-	return d.guard.check(f)
 }
 
 // noteDraft tells the guard how a draft went.
--- a/dispatch/draft_run.go
+++ b/dispatch/draft_run.go
@@ -48,7 +48,9 @@
 	cancel context.CancelFunc
 	group  errgroup.Group
 	last   *DraftEvent
-	ran    bool
+	// held are the stages that wait for a server of their own.
+	held []heldReplace
+	ran  bool
 	// inUse are the servers that count this run as work of theirs.
 	inUse []string
 
@@ -114,6 +116,7 @@
 	if len(run.inbox.Items()) > 0 {
 		return
 	}
+	run.retryHeld(now)
 	run.carryOut(run.stream.Tick(now))
 	leaving := run.d.leaving()
 	for _, server := range run.stream.Servers() {
@@ -213,11 +216,23 @@
 
 // replace chooses servers for the layers of a stage.
 func (run *draftRun) replace(a pipeline.Replace) []pipeline.Action {
-	if run.d.noteStageFailure(run, a) == quarantine.Quarantined {
+	run.d.noteStageFailure(run, a)
+	return run.tryReplace(heldReplace{replace: a, until: time.Now().Add(suspectWait)})
+}
+
+func (run *draftRun) tryReplace(h heldReplace) []pipeline.Action {
+	verdict := run.d.guard.check(run.r.fingerprint())
+	if verdict == quarantine.Quarantined {
 		run.last = &DraftEvent{Err: errQuarantined(outcome.Failed)}
 		return nil
 	}
+	a := h.replace
 	stages, err := run.d.chooseStages(run.r, a)
+	if now := time.Now(); err != nil && verdict == quarantine.Suspect && now.Before(h.until) {
+		h.at = now.Add(suspectPause)
+		run.held = append(run.held, h)
+		return nil
+	}
 	if err != nil {
 		run.log.Info("found no replacement", "server", a.Server, "reason", string(a.Reason), "err", err.Error())
 		return run.stream.NoReplacement(time.Now(), a.Stage)
@@ -232,6 +247,31 @@
 	return run.stream.Replaced(time.Now(), a.Stage, stages)
 }
 
+// suspectWait bounds the wait of a suspect for a server of its own. Two suspects that each hold
+// the server that the other one waits for would otherwise wait until their deadlines.
+const suspectWait = 2 * time.Second
+
+// heldReplace is a stage of a suspect that waits for a server on which no other suspect runs.
+type heldReplace struct {
+	replace pipeline.Replace
+	// at is the time of the next look, until that of the last.
+	at    time.Time
+	until time.Time
+}
+
+// retryHeld looks again for servers for the stages that wait.
+func (run *draftRun) retryHeld(now time.Time) {
+	held := run.held
+	run.held = nil
+	for _, h := range held {
+		if now.Before(h.at) {
+			run.held = append(run.held, h)
+			continue
+		}
+		run.carryOut(run.tryReplace(h))
+	}
+}
+
 func (run *draftRun) release(server string) {
 	for i, s := range run.inUse {
 		if s == server {
--- a/pipeline/repair.go
+++ b/pipeline/repair.go
@@ -208,12 +208,27 @@
 			return s.resume(now, i, ReasonSilent)
 		}
 	}
+	if s.awaitsReplacement() {
+		// The answer to a Replace may take a while; a chain with a gap can't make progress.
+		s.progressed(now)
+		return nil
+	}
 	if now.Sub(s.progressAt) >= s.stallTime() {
 		return s.stalled(now)
 	}
 	return nil
 }
 
+// awaitsReplacement reports whether a stage that has failed has no server yet.
+func (s *Stream) awaitsReplacement() bool {
+	for _, reason := range s.reasons {
+		if !canExport(reason) {
+			return true
+		}
+	}
+	return false
+}
+
 // stallTime is the time without progress that makes a stall. A KV cache that is rebuilt and
 // a first token that waits in a queue take longer than a token.
 func (s *Stream) stallTime() time.Duration {
