--- a/pipeline/repair.go
+++ b/pipeline/repair.go
@@ -141,12 +141,19 @@
 // canExport reports whether a server that was given up for the reason can export its KV cache.
 func canExport(r Reason) bool { return r == ReasonLeaving || r == ReasonSlow }
 
-// NoReplacement says that no server can take over the layers of stage i. A server that
-// merely leaves or is slow keeps its stage.
+// NoReplacement says that no server can take over the layers of stage i. A server that still
+// answers keeps its stage.
 func (s *Stream) NoReplacement(now time.Time, i int) []Action {
 	if s.done {
 		return nil
 	}
+	if s.reasons[i] == ReasonStalled {
+		// It answers, so it may only be short of time; the deadline bounds the wait.
+		delete(s.reasons, i)
+		server := s.chain[i].Server.Name
+		s.exclude = slices.DeleteFunc(s.exclude, func(name string) bool { return name == server })
+		return s.advance(now)
+	}
 	if canExport(s.reasons[i]) {
 		delete(s.reasons, i)
 		s.moves--
@@ -221,19 +228,19 @@
 	if s.tokens.Next() == 0 || isFilling {
 		return s.limits.FirstStall
 	}
-	return max(s.limits.Stall, stallGaps*s.gap)
+	return max(s.limits.Stall, stallGaps*s.gap) << min(s.stalls, maxStallDoublings)
 }
 
 // stalled replaces the stage that holds a token and has not run it. When there is none, a
 // token was lost on its way, and the chain is started again, and after that the first stage
 // that has not run the token that is due is replaced.
 func (s *Stream) stalled(now time.Time) []Action {
+	s.stalls++
 	for i, l := range s.links {
 		if l.opened && l.progress.Received > l.progress.Ran {
 			return s.repair(now, i, ReasonStalled)
 		}
 	}
-	s.stalls++
 	if s.stalls == 1 {
 		return append(s.newAttempt(now), s.advance(now)...)
 	}
--- a/pipeline/stream.go
+++ b/pipeline/stream.go
@@ -33,8 +33,12 @@
 	}
 }
 
-// stallGaps is how many usual gaps between tokens make a stall.
-const stallGaps = 12
+const (
+	// stallGaps is how many usual gaps between tokens make a stall.
+	stallGaps = 12
+	// maxStallDoublings bounds how often the time of a stall doubles without a token.
+	maxStallDoublings = 4
+)
 
 // Progress is how far a stage has got.
 type Progress struct {
