--- a/internal/emulate/order.go
+++ b/internal/emulate/order.go
@@ -86,11 +86,11 @@
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
-	if e.self.ChecksFences && o.Incarnation != e.self.Incarnation {
+	if e.checksFences() && o.Incarnation != e.self.Incarnation {
 		refuseCall(ctx, fasthttp.StatusConflict, "the order is for another start of the server")
 		return
 	}
-	fresh, ok := e.orders.take(o, e.self.ChecksFences)
+	fresh, ok := e.orders.take(o, e.checksFences())
 	if !ok {
 		refuseCall(ctx, fasthttp.StatusConflict, "the order has an old fencing number")
 		return
@@ -115,3 +115,8 @@
 	defer e.orders.mu.Unlock()
 	writeJSON(ctx, append([]backend.OrderRequest{}, e.orders.applied...))
 }
+
+// checksFences reports whether the server heeds fencing numbers, whatever it announces.
+func (e *engine) checksFences() bool {
+	return e.self.ChecksFences && !e.faults.has(FaultIgnoreFences)
+}
--- a/pipeline/model_test.go
+++ b/pipeline/model_test.go
@@ -92,12 +92,29 @@
 	}
 }
 
+// note logs an action; runs of tokens are one line.
 func (w *world) note(a Action) {
-	if e, ok := a.(Emit); ok {
-		w.log = append(w.log, fmt.Sprintf("emit %d", e.Token.Index))
-		return
+	line := ""
+	switch a := a.(type) {
+	case Open:
+		line = fmt.Sprintf("open %s attempt %d from %d fresh %t ready %d import %t",
+			a.Chain[a.Stage].Server.Name, a.Attempt, a.From, a.IsFresh, a.Ready, a.Import != nil)
+	case Start:
+		line = fmt.Sprintf("start attempt %d at %d", a.Attempt, a.Index)
+	case Replace:
+		line = fmt.Sprintf("replace %s: %s", a.Server, a.Reason)
+	case Resume:
+		line = fmt.Sprintf("resume %s: %s", a.Server, a.Reason)
+	case Cancel:
+		line = fmt.Sprintf("cancel %s confirm %t", a.Stage.Server.Name, a.Confirm)
+	case Emit:
+		line = fmt.Sprintf("emit %d", a.Token.Index)
+	case Finish:
+		line = fmt.Sprintf("finish: %v", a.Err)
+	default:
+		line = fmt.Sprintf("%T %+v", a, a)
 	}
-	w.log = append(w.log, fmt.Sprintf("%T", a))
+	w.log = append(w.log, fmt.Sprintf("%9s  %s", w.now.Sub(time.Unix(0, 0)).Round(time.Millisecond), line))
 }
 
 func (w *world) act(a Action) []Action {
