--- a/internal/emulate/link.go
+++ b/internal/emulate/link.go
@@ -113,6 +113,7 @@
 // arrive takes a hop once its link's delay is over. The hops of a frozen or crashed engine
 // are lost with it.
 func (e *engine) arrive(h hop) {
+	h.DelayMicros = e.faults.linkDelay(time.Duration(h.DelayMicros) * time.Microsecond).Microseconds()
 	time.AfterFunc(time.Duration(h.DelayMicros)*time.Microsecond, func() {
 		e.faults.waitFrozen()
 		if !e.faults.isCrashed() {
--- a/internal/lab/drafts_test.go
+++ b/internal/lab/drafts_test.go
@@ -19,6 +19,8 @@
 	draftTokens = 120
 	// longTokens make a draft that takes longer than a leaving server is expected to stay.
 	longTokens = 600
+	// slowTokens make one that is long enough to judge a stage by.
+	slowTokens = 250
 )
 
 // draftServers are three ranges of layers with two servers each, named by their first layer.
@@ -37,10 +39,10 @@
 // others are its peers.
 func draftFleet(own func(server string) bool) string {
 	var b strings.Builder
-	b.WriteString("[data_centre colombo]\nannounce = $ANNOUNCE(colombo)\n")
+	b.WriteString("[data_centre colombo]\nannounce = $ANNOUNCE(colombo)\n[accelerator small]\ndelay = 150\n")
 	for i, s := range draftServers {
 		from := 10 * (i / 2)
-		fmt.Fprintf(&b, "[server %s]\naddress = $NET.1.%d:9000\ndata_centre = colombo\nmodel = icing-7b\nlayers = %d-%d\nstep = 2000\npeer = %t\n",
+		fmt.Fprintf(&b, "[server %s]\naddress = $NET.1.%d:9000\ndata_centre = colombo\nmodel = icing-7b\nlayers = %d-%d\nstep = 2000\naccelerator = small\npeer = %t\n",
 			s, 100+i, from, from+10, !own(s))
 	}
 	return b.String()
@@ -280,7 +282,7 @@
 	is.Equal(r.Answered, 2)
 }
 
-func TestASlowLinkBreaksNothing(t *testing.T) {
+func TestASlowFleetBreaksNothing(t *testing.T) {
 	is := is.New(t)
 	l := startDrafts(t, false)
 	r := drafts(t, l, 2, func() {
@@ -293,6 +295,44 @@
 	checkWhole(t, l, 2, draftTokens)
 }
 
+func TestAStageThatBecomesSlowIsLeft(t *testing.T) {
+	for _, f := range []emulate.Fault{
+		{Kind: emulate.FaultSlowStep, Factor: 20},
+		{Kind: emulate.FaultSlowLink, Factor: 100},
+	} {
+		t.Run(string(f.Kind), func(t *testing.T) {
+			is := is.New(t)
+			l := startDrafts(t, false)
+			slow := ""
+			r := draftsOf(t, l, 1, slowTokens, func() {
+				slow = inUse(t, l, "b")
+				is.NoErr(emulate.SetFault(draftAddress(l, slow), f))
+				is.NoErr(l.Wait(t.Context(), "the slow server to be left", func() bool { return !isInUse(t, l, slow) }))
+			})
+			is.Equal(r.Broken, nil)
+			is.Equal(r.Answered, 1)
+			for _, rr := range checkWhole(t, l, 1, slowTokens).Runs {
+				is.True(rr.Imported > 0) // by way of the KV cache
+				is.Equal(rr.Rebuilt, 0)
+			}
+		})
+	}
+}
+
+func isInUse(t *testing.T, l *Lab, server string) bool {
+	t.Helper()
+	s, err := operator.NewClient(l.Instances[0].Operators()).Status()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range s.Servers {
+		if b.Name == server {
+			return b.InFlight > 0
+		}
+	}
+	return false
+}
+
 func TestACallerThatLeavesEndsTheWorkAtEveryStage(t *testing.T) {
 	is := is.New(t)
 	l := startDrafts(t, false)
--- a/pipeline/pace.go
+++ b/pipeline/pace.go
@@ -10,6 +10,8 @@
 	// paceFactor and paceMargin are what makes a stage slow against what is usual for it.
 	paceFactor = 3
 	paceMargin = 4 * time.Millisecond
+	// paceTokens is how many tokens in a row must be slow.
+	paceTokens = 3
 	// paceReport is the number of tokens between two observations of a stage.
 	paceReport = 16
 )
@@ -17,10 +19,16 @@
 // pace follows how long a stage, or the link to it, takes for a token.
 type pace struct {
 	count    int
+	slow     int // tokens in a row
 	baseline time.Duration
 	average  time.Duration
 }
 
+// inherit returns a pace that judges by what was usual before.
+func (p pace) inherit() pace {
+	return pace{count: p.count, baseline: p.baseline, average: p.baseline}
+}
+
 // add takes the time of one token.
 func (p *pace) add(d time.Duration) {
 	p.count++
@@ -30,11 +38,16 @@
 		return
 	}
 	p.average += (d - p.average) / paceWeight
+	if p.average > paceFactor*p.baseline+paceMargin {
+		p.slow++
+		return
+	}
+	p.slow = 0
 }
 
 // isSlow reports whether the stage has become much slower than it was.
 func (p *pace) isSlow() bool {
-	return p.count > paceBaseline && p.average > paceFactor*p.baseline+paceMargin
+	return p.slow >= paceTokens
 }
 
 // follow takes the times in a token, tells what was observed, and moves a stage that has
@@ -55,10 +68,30 @@
 			out = append(out, Observe{Stage: s.chain[i], Took: l.step.average})
 		}
 	}
+	if i := s.slowest(); i >= 0 {
+		out = append(out, s.move(now, s.chain[i].Server.Name, ReasonSlow)...)
+	}
+	return out
+}
+
+// slowest returns the stage to move, or -1. A server whose links on both sides are slow is at
+// fault itself. Of a single slow link the receiver is moved first, and if that hasn't helped,
+// the sender.
+func (s *Stream) slowest() int {
+	n := len(s.links)
+	for i, l := range s.links {
+		if l.step.isSlow() || (l.transit.isSlow() && s.links[(i+1)%n].transit.isSlow()) {
+			return i
+		}
+	}
 	for i, l := range s.links {
-		if l.step.isSlow() || l.transit.isSlow() {
-			return append(out, s.move(now, s.chain[i].Server.Name, ReasonSlow)...)
+		if !l.transit.isSlow() {
+			continue
+		}
+		if l.wasMoved {
+			return (i + n - 1) % n
 		}
+		return i
 	}
-	return out
+	return -1
 }
--- a/pipeline/repair.go
+++ b/pipeline/repair.go
@@ -120,6 +120,10 @@
 		if len(stages) == 1 {
 			l.source = source
 		}
+		if len(stages) == 1 && reason == ReasonSlow {
+			l.wasMoved = true
+			l.transit = s.links[i].transit.inherit()
+		}
 		links = append(links, l)
 	}
 	s.chain = slices.Concat(s.chain[:i], stages, s.chain[i+1:])
--- a/pipeline/stream.go
+++ b/pipeline/stream.go
@@ -68,6 +68,8 @@
 	// step and transit are the times of the stage and of the link to it.
 	step    pace
 	transit pace
+	// wasMoved means that the stage was moved because it, or a link of it, had become slow.
+	wasMoved bool
 }
 
 // Stream is the life of one draft over a chain of stages.
