--- /dev/null
+++ b/pipeline/opening.go
@@ -0,0 +1,116 @@
+package pipeline
+
+import (
+	"slices"
+	"time"
+)
+
+// advance does what can be done next: finish, open stages, or start.
+func (s *Stream) advance(now time.Time) []Action {
+	if s.done {
+		return nil
+	}
+	if s.isWhole() {
+		return s.finish(nil)
+	}
+	if s.started || s.cancelling > 0 {
+		return nil
+	}
+	out := s.openSurvivors(now)
+	if !s.survivorsOpened() {
+		return out
+	}
+	n := s.due()
+	if s.tokens.Next() < n {
+		return out // a survivor sends the tokens that are missing
+	}
+	out = append(out, s.openFresh(now, n)...)
+	if !s.allOpened() {
+		return out
+	}
+	s.started = true
+	s.ran = true
+	s.progressed(now)
+	start := Start{Conn: s.links[0].conn, Stage: s.chain[0], Attempt: s.attempt, Index: n}
+	if n > 0 {
+		start.Previous = s.text[n-1]
+	}
+	return append(out, start)
+}
+
+// isWhole reports whether all tokens up to the end mark were emitted, or as many as the
+// answer may have, whose end mark may be lost with the last stage.
+func (s *Stream) isWhole() bool {
+	return s.tokens.Next() == s.length || (s.total >= 0 && s.tokens.IsComplete(s.total))
+}
+
+func (s *Stream) openSurvivors(now time.Time) []Action {
+	var out []Action
+	for i, l := range s.links {
+		if !l.isFresh && l.conn == 0 {
+			out = append(out, s.open(now, i, 0))
+		}
+	}
+	return out
+}
+
+func (s *Stream) survivorsOpened() bool {
+	return !slices.ContainsFunc(s.links, func(l *link) bool { return !l.isFresh && !l.opened })
+}
+
+func (s *Stream) allOpened() bool {
+	return !slices.ContainsFunc(s.links, func(l *link) bool { return !l.opened })
+}
+
+func (s *Stream) openFresh(now time.Time, n int) []Action {
+	var out []Action
+	ready := n
+	for i, l := range slices.Backward(s.links) {
+		if l.isFresh && l.conn == 0 {
+			out = append(out, s.open(now, i, ready))
+		}
+		if l.opened {
+			ready = max(ready, l.progress.Received)
+		}
+	}
+	return out
+}
+
+// due returns the index of the token that the chain runs next. Its predecessors are known to
+// the caller, to the last stage, or to the first stage as its input.
+func (s *Stream) due() int {
+	n := s.tokens.Next()
+	for _, l := range s.links {
+		if l.opened {
+			n = max(n, l.progress.Known)
+		}
+	}
+	return n
+}
+
+func (s *Stream) open(now time.Time, i, ready int) Open {
+	s.conns++
+	l := s.links[i]
+	l.conn = s.conns
+	l.ready = ready
+	l.heard = now
+	l.closed = false
+	return Open{
+		Conn:    s.conns,
+		Stage:   i,
+		Attempt: s.attempt,
+		Chain:   slices.Clone(s.chain),
+		From:    s.tokens.Next(),
+		IsFresh: l.isFresh,
+		Ready:   ready,
+		Text:    slices.Clone(s.text),
+		Import:  l.source,
+	}
+}
+
+func (s *Stream) find(conn int) int {
+	if s.done || conn == 0 {
+		return -1
+	}
+	return slices.IndexFunc(s.links, func(l *link) bool { return l.conn == conn })
+}
