--- a/pipeline/stream.go
+++ b/pipeline/stream.go
@@ -7,35 +7,6 @@
 	"github.com/balsamlb/balsamlb/fleet"
 )
 
-// Limits bound how long a Stream waits and how often it repairs.
-type Limits struct {
-	// Silence is the time without any frame after which a connection is given up.
-	Silence time.Duration
-	// Stall is the least time without progress, while all connections are alive, after which
-	// the chain is started again.
-	Stall time.Duration
-	// FirstStall is the same before the first token, which may wait in queues.
-	FirstStall time.Duration
-	// Repairs bounds the attempts after the first.
-	Repairs int
-	// Resumes bounds the new connections to one server in one attempt.
-	Resumes int
-}
-
-// DefaultLimits are the limits in use.
-func DefaultLimits() Limits {
-	return Limits{
-		Silence:    700 * time.Millisecond,
-		Stall:      time.Second,
-		FirstStall: 10 * time.Second,
-		Repairs:    12,
-		Resumes:    4,
-	}
-}
-
-// stallGaps is how many usual gaps between tokens make a stall.
-const stallGaps = 12
-
 // Progress is how far a stage has got.
 type Progress struct {
 	// Received is the number of tokens whose input the stage holds or has run.
@@ -64,6 +35,8 @@
 	// step and transit are the times of the stage and of the link to it.
 	step    pace
 	transit pace
+	// wasMoved means that the stage was moved because it, or a link of it, had become slow.
+	wasMoved bool
 }
 
 // Stream is the life of one draft over a chain of stages.
@@ -253,116 +226,6 @@
 // CallerGone ends the stream and the work at every stage.
 func (s *Stream) CallerGone() []Action { return s.finish(&EndError{}) }
 
-// advance does what can be done next: finish, open stages, or start.
-func (s *Stream) advance(now time.Time) []Action {
-	if s.done {
-		return nil
-	}
-	if s.isWhole() {
-		return s.finish(nil)
-	}
-	if s.started || s.cancelling > 0 {
-		return nil
-	}
-	out := s.openSurvivors(now)
-	if !s.survivorsOpened() {
-		return out
-	}
-	n := s.due()
-	if s.tokens.Next() < n {
-		return out // a survivor sends the tokens that are missing
-	}
-	out = append(out, s.openFresh(now, n)...)
-	if !s.allOpened() {
-		return out
-	}
-	s.started = true
-	s.ran = true
-	s.progressed(now)
-	start := Start{Conn: s.links[0].conn, Stage: s.chain[0], Attempt: s.attempt, Index: n}
-	if n > 0 {
-		start.Previous = s.text[n-1]
-	}
-	return append(out, start)
-}
-
-// isWhole reports whether all tokens up to the end mark were emitted, or as many as the
-// answer may have, whose end mark may be lost with the last stage.
-func (s *Stream) isWhole() bool {
-	return s.tokens.Next() == s.length || (s.total >= 0 && s.tokens.IsComplete(s.total))
-}
-
-func (s *Stream) openSurvivors(now time.Time) []Action {
-	var out []Action
-	for i, l := range s.links {
-		if !l.isFresh && l.conn == 0 {
-			out = append(out, s.open(now, i, 0))
-		}
-	}
-	return out
-}
-
-func (s *Stream) survivorsOpened() bool {
-	return !slices.ContainsFunc(s.links, func(l *link) bool { return !l.isFresh && !l.opened })
-}
-
-func (s *Stream) allOpened() bool {
-	return !slices.ContainsFunc(s.links, func(l *link) bool { return !l.opened })
-}
-
-func (s *Stream) openFresh(now time.Time, n int) []Action {
-	var out []Action
-	ready := n
-	for i, l := range slices.Backward(s.links) {
-		if l.isFresh && l.conn == 0 {
-			out = append(out, s.open(now, i, ready))
-		}
-		if l.opened {
-			ready = max(ready, l.progress.Received)
-		}
-	}
-	return out
-}
-
-// due returns the index of the token that the chain runs next. Its predecessors are known to
-// the caller, to the last stage, or to the first stage as its input.
-func (s *Stream) due() int {
-	n := s.tokens.Next()
-	for _, l := range s.links {
-		if l.opened {
-			n = max(n, l.progress.Known)
-		}
-	}
-	return n
-}
-
-func (s *Stream) open(now time.Time, i, ready int) Open {
-	s.conns++
-	l := s.links[i]
-	l.conn = s.conns
-	l.ready = ready
-	l.heard = now
-	l.closed = false
-	return Open{
-		Conn:    s.conns,
-		Stage:   i,
-		Attempt: s.attempt,
-		Chain:   slices.Clone(s.chain),
-		From:    s.tokens.Next(),
-		IsFresh: l.isFresh,
-		Ready:   ready,
-		Text:    slices.Clone(s.text),
-		Import:  l.source,
-	}
-}
-
-func (s *Stream) find(conn int) int {
-	if s.done || conn == 0 {
-		return -1
-	}
-	return slices.IndexFunc(s.links, func(l *link) bool { return l.conn == conn })
-}
-
 // finish ends the stream; unless the answer is whole, the work ends at every stage.
 func (s *Stream) finish(err error) []Action {
 	if s.done {
