--- a/consensus/founding.go
+++ b/consensus/founding.go
@@ -117,6 +117,7 @@
 	if p.disk != m.Disk || p.epoch != m.Epoch {
 		p.restart(m, n.log.last())
 	}
+	p.heard = n.now
 	p.address = m.Address
 	// A replica without a group takes nothing but a snapshot.
 	if m.Group == 0 && p.snapshot == nil {
@@ -124,6 +125,16 @@
 	}
 }
 
+// dropSilentLearners makes room for others; a learner that comes back says hello again.
+func (n *Node) dropSilentLearners() {
+	for id, p := range n.peers {
+		_, isVoter := n.membership().Voter(id)
+		if !isVoter && n.now-p.heard > uint64(lostContactTimeouts*n.opts.ElectionTicks) {
+			delete(n.peers, id)
+		}
+	}
+}
+
 // handleHelloReply founds the group once every founder has answered with an empty folder.
 // A founder whose folder was emptied later finds the others in a group, and waits to be
 // admitted anew; it can't found a second group on its own.
--- a/consensus/history_test.go
+++ b/consensus/history_test.go
@@ -31,7 +31,7 @@
 	}
 	s := h.replicas[id].node.Status()
 	log := &h.replicas[id].node.log
-	if len(s.Membership.Voters) != s.Membership.Size || log.memberships[len(log.memberships)-1].index > s.Commit {
+	if len(s.Membership.Voters) != s.Membership.Size || log.memberships[len(log.memberships)-1].place.Index > s.Commit {
 		return false
 	}
 	for _, v := range s.Membership.Voters {
--- a/consensus/log.go
+++ b/consensus/log.go
@@ -16,7 +16,7 @@
 }
 
 type placedMembership struct {
-	index      uint64
+	place      Position
 	membership Membership
 }
 
@@ -25,7 +25,7 @@
 	*l = entryLog{
 		offset:      Position{Term: s.Term, Index: s.Index},
 		snapshot:    s,
-		memberships: []placedMembership{{index: s.Index, membership: s.Membership}},
+		memberships: []placedMembership{{place: Position{Term: s.Term, Index: s.Index}, membership: s.Membership}},
 		stable:      s.Index,
 		commit:      s.Index,
 		applied:     s.Index,
@@ -64,7 +64,7 @@
 			continue
 		}
 		if m, err := DecodeMembership(e.Data); err == nil {
-			l.memberships = append(l.memberships, placedMembership{index: e.Index, membership: m})
+			l.memberships = append(l.memberships, placedMembership{place: Position{Term: e.Term, Index: e.Index}, membership: m})
 		}
 	}
 }
@@ -73,7 +73,7 @@
 func (l *entryLog) truncate(index uint64) {
 	l.entries = l.entries[:index-l.offset.Index-1]
 	l.stable = min(l.stable, index-1)
-	for len(l.memberships) > 1 && l.memberships[len(l.memberships)-1].index >= index {
+	for len(l.memberships) > 1 && l.memberships[len(l.memberships)-1].place.Index >= index {
 		l.memberships = l.memberships[:len(l.memberships)-1]
 	}
 }
@@ -105,7 +105,7 @@
 // entries for followers that are a little behind.
 func (l *entryLog) compact(data []byte, keep uint64) Snapshot {
 	term, _ := l.termAt(l.applied)
-	for len(l.memberships) > 1 && l.memberships[1].index <= l.applied {
+	for len(l.memberships) > 1 && l.memberships[1].place.Index <= l.applied {
 		l.memberships = l.memberships[1:]
 	}
 	l.snapshot = Snapshot{Index: l.applied, Term: term, Membership: l.memberships[0].membership, Data: data}
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -143,6 +143,7 @@
 		return
 	}
 	n.tickTransfer()
+	n.dropSilentLearners()
 	if n.elapsed >= n.opts.HeartbeatTicks {
 		n.elapsed = 0
 		n.heartbeat()
--- a/consensus/node_test.go
+++ b/consensus/node_test.go
@@ -178,6 +178,7 @@
 	c.stop(c.others(leader, dead, "n3")[0])
 	c.propose(t, "c")
 	is.Equal(c.replicas["n3"].state, []string{"a", "b", "c"})
+	is.Equal(len(c.replicas[c.awaitLeader()].node.Status().Learners), 0)
 	// The voter that was replaced comes back as a standby.
 	c.start(dead)
 	c.tick(100)
--- a/consensus/repair.go
+++ b/consensus/repair.go
@@ -91,7 +91,7 @@
 func (n *Node) mayChange() bool {
 	newest := n.log.memberships[len(n.log.memberships)-1]
 	term, _ := n.log.termAt(n.log.commit)
-	return newest.index <= n.log.commit && term == n.hard.Term && n.HasLease()
+	return newest.place.Index <= n.log.commit && term == n.hard.Term && n.HasLease()
 }
 
 func (n *Node) change(m Membership) {
--- a/consensus/status.go
+++ b/consensus/status.go
@@ -55,9 +55,7 @@
 
 // MembershipPosition returns the place of the newest membership in the log.
 func (n *Node) MembershipPosition() Position {
-	index := n.log.memberships[len(n.log.memberships)-1].index
-	term, _ := n.log.termAt(index)
-	return Position{Term: term, Index: index}
+	return n.log.memberships[len(n.log.memberships)-1].place
 }
 
 // HardState returns what must be durable, as in the last Ready.
--- a/control/clock.go
+++ b/control/clock.go
@@ -19,17 +19,19 @@
 
 func (c *clock) start() { c.last = sinceBoot() }
 
-// advance ticks the node for the time since the last call.
-func (c *clock) advance(n *consensus.Node) {
+// advance ticks the node for the time since the last call. It returns that time if the clock
+// has stood still.
+func (c *clock) advance(n *consensus.Node) time.Duration {
 	ticks := int((sinceBoot() - c.last) / tickInterval)
 	c.last += time.Duration(ticks) * tickInterval
 	if ticks >= gapTicks {
 		n.Lapse(ticks)
-		return
+		return time.Duration(ticks) * tickInterval
 	}
 	for range ticks {
 		n.Tick()
 	}
+	return 0
 }
 
 func sinceBoot() time.Duration {
--- a/control/host.go
+++ b/control/host.go
@@ -163,7 +163,9 @@
 			first = &in
 		}
 		// The clock goes first: after a freeze no input may be handled as if no time had passed.
-		h.clock.advance(h.node)
+		if gap := h.clock.advance(h.node); gap > 0 {
+			h.log.Info("the clock stood still", "ms", gap.Milliseconds())
+		}
 		if first != nil {
 			h.take(*first)
 		}
--- a/instance/proposer.go
+++ b/instance/proposer.go
@@ -31,12 +31,14 @@
 	// avoided are the control instances that have not answered, and until when others are
 	// asked first. A follower may name a leader that was frozen as long as it hasn't noticed.
 	avoided map[string]time.Time
-	idle    map[string][]*link
+	// answered is when each control instance last answered.
+	answered map[string]time.Time
+	idle     map[string][]*link
 }
 
 // NewProposer returns a proposer that knows the addresses of the control instances.
 func NewProposer(d Dialer, voters []string) *Proposer {
-	return &Proposer{dialer: d, voters: voters, avoided: make(map[string]time.Time), idle: make(map[string][]*link)}
+	return &Proposer{dialer: d, voters: voters, avoided: make(map[string]time.Time), answered: make(map[string]time.Time), idle: make(map[string][]*link)}
 }
 
 // Propose returns the command's result, or ErrNoQuorum when ctx ends first.
@@ -78,6 +80,7 @@
 	})
 	if err == nil {
 		p.release(l)
+		p.heard(address)
 	}
 	return resp, err
 }
@@ -85,6 +88,14 @@
 // avoidTime is for how long a control instance that did not answer is asked last.
 const avoidTime = time.Second
 
+// heard notes that a control instance answers.
+func (p *Proposer) heard(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answered[address] = time.Now()
+	delete(p.avoided, address)
+}
+
 // failed notes a try that brought no answer. A connection that broke says that the process
 // behind it has ended, and so the idle ones are of no use either; it may run again already.
 func (p *Proposer) failed(address string, started time.Time) {
@@ -94,7 +105,7 @@
 		l.close()
 	}
 	delete(p.idle, address)
-	if time.Since(started) >= proposeTimeout {
+	if time.Since(started) >= proposeTimeout && p.answered[address].Before(started) {
 		p.avoided[address] = time.Now().Add(avoidTime)
 	}
 }
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -62,6 +62,7 @@
 		configBench,
 		failoverBench,
 		restartBench,
+		votersBench,
 	}
 }
 
--- /dev/null
+++ b/internal/bench/voters.go
@@ -0,0 +1,163 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/balsamlb/balsamlb/internal/lab"
+	"github.com/balsamlb/balsamlb/internal/load"
+	"github.com/rotisserie/eris"
+)
+
+var votersBench = Bench{
+	Name: "voters",
+	Help: "bookings a second with 3 voters; bookings a second and bytes a booking with 3, 5 and 7, and the slope of a voter; beside one voter",
+	Run:  runVoters,
+}
+
+const (
+	votersBookingsShort = 2000
+	votersBookingsLong  = 20_000
+	votersConcurrent    = 64
+	// idleTime is how long the bytes without bookings are counted.
+	idleTime = time.Second
+)
+
+// votersSample is what bookings cost with one number of voters. Each booking is sent twice.
+type votersSample struct {
+	voters       int
+	perSecond    float64
+	networkBytes float64 // a booking, between instances
+	diskBytes    float64 // a booking, written by all voters
+}
+
+func runVoters(ctx context.Context, o Options) (Figure, error) {
+	details := make(map[string]float64)
+	var baseline float64
+	var samples []votersSample
+	for _, voters := range []int{1, 3, 5, 7} {
+		s, err := sampleVoters(ctx, o, voters)
+		if err != nil {
+			return Figure{}, err
+		}
+		fmt.Fprintf(o.Out, "%d voters: %.0f bookings/s, %.0f bytes on the network and %.0f on disks a booking\n",
+			voters, s.perSecond, s.networkBytes, s.diskBytes)
+		details[fmt.Sprintf("voters_%d_bookings_per_second", voters)] = s.perSecond
+		details[fmt.Sprintf("voters_%d_network_bytes", voters)] = s.networkBytes
+		details[fmt.Sprintf("voters_%d_disk_bytes", voters)] = s.diskBytes
+		if voters == 1 {
+			baseline = s.perSecond
+			continue
+		}
+		samples = append(samples, s)
+	}
+	details["slope_bookings_per_second"] = votersSlope(samples, func(s votersSample) float64 { return s.perSecond })
+	details["slope_network_bytes"] = votersSlope(samples, func(s votersSample) float64 { return s.networkBytes })
+	details["slope_disk_bytes"] = votersSlope(samples, func(s votersSample) float64 { return s.diskBytes })
+	return Figure{Value: samples[0].perSecond, Unit: "bookings/s", Baseline: &baseline, Details: details}, nil
+}
+
+// votersSlope returns the change of a figure for one voter more, by least squares.
+func votersSlope(samples []votersSample, of func(votersSample) float64) float64 {
+	var x [][]float64
+	var y []float64
+	for _, s := range samples {
+		x = append(x, []float64{1, float64(s.voters)})
+		y = append(y, of(s))
+	}
+	c, err := leastSquares(x, y)
+	if err != nil {
+		return 0
+	}
+	return c[1]
+}
+
+// votersReading is one look at the counters of all instances.
+type votersReading struct {
+	network, disk float64
+}
+
+func sampleVoters(ctx context.Context, o Options, voters int) (votersSample, error) {
+	l, err := startFailoverLab(ctx, failoverLayout(o, fmt.Sprintf("voters%d", voters), voters))
+	if err != nil {
+		return votersSample{}, err
+	}
+	defer l.Close()
+	if _, err := waitWhole(ctx, l); err != nil {
+		return votersSample{}, err
+	}
+	idle, err := readVoters(l)
+	if err != nil {
+		return votersSample{}, err
+	}
+	wait(ctx, idleTime)
+	before, err := readVoters(l)
+	if err != nil {
+		return votersSample{}, err
+	}
+	count := votersBookingsLong
+	if o.Short {
+		count = votersBookingsShort
+	}
+	start := time.Now()
+	r := load.Run(ctx, load.Options{
+		Instances: []string{l.Instances[0].Callers(), l.Instances[1].Callers()}, Workspace: "kandy",
+		Bookings: count, Concurrent: votersConcurrent, Seed: o.Seed, Deadline: 30 * time.Second,
+	})
+	seconds := time.Since(start).Seconds()
+	if len(r.Broken) > 0 {
+		return votersSample{}, eris.Errorf("bench: %d bookings broke: %s", len(r.Broken), r.Broken[0])
+	}
+	after, err := readVoters(l)
+	if err != nil {
+		return votersSample{}, err
+	}
+	perBooking := func(idle, before, after float64) float64 {
+		background := (before - idle) / idleTime.Seconds() * seconds
+		return (after - before - background) / float64(count)
+	}
+	return votersSample{
+		voters:       voters,
+		perSecond:    float64(r.Booked) / seconds,
+		networkBytes: perBooking(idle.network, before.network, after.network),
+		diskBytes:    perBooking(idle.disk, before.disk, after.disk),
+	}, nil
+}
+
+func readVoters(l *lab.Lab) (votersReading, error) {
+	var r votersReading
+	for _, i := range l.Instances {
+		one, err := readInstance(i)
+		if err != nil {
+			return r, err
+		}
+		// Each byte is counted where it is sent and where it is received.
+		r.network += one.instanceBytes / 2
+		written, err := writtenBytes(i.PID())
+		if err != nil {
+			return r, err
+		}
+		if i.DataFolder != "" {
+			r.disk += written
+		}
+	}
+	return r, nil
+}
+
+// writtenBytes returns what the process has had written to disks.
+func writtenBytes(pid int) (float64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/io", pid))
+	if err != nil {
+		return 0, eris.Wrap(err, "bench: read the process's counters")
+	}
+	for line := range strings.SplitSeq(string(data), "\n") {
+		if value, ok := strings.CutPrefix(line, "write_bytes: "); ok {
+			return strconv.ParseFloat(strings.TrimSpace(value), 64)
+		}
+	}
+	return 0, eris.New("bench: the process has no counter of written bytes")
+}
