--- a/dispatch/call_idempotent.go
+++ b/dispatch/call_idempotent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/balsamlb/balsamlb/backend"
@@ -158,19 +159,18 @@
 		if verdict == quarantine.Quarantined {
 			return fleet.BackendServer{}, errQuarantined(outcome.NotRun)
 		}
-		server, err := d.chooseServer(r, append(d.guard.excluded(f), tried...))
-		if err == nil {
-			return server, nil
+		var err error
+		for _, exclude := range d.exclusions(f) {
+			var server fleet.BackendServer
+			if server, err = d.chooseServer(r, slices.Concat(exclude, tried)); err == nil {
+				return server, nil
+			}
 		}
 		if verdict == quarantine.Clear {
-			server, err = d.chooseServer(r, tried)
-			if err != nil {
-				return server, asOutcome(err)
-			}
-			return server, nil
+			return fleet.BackendServer{}, asOutcome(err)
 		}
 		if !sleep(ctx, suspectPause) {
-			return server, errDeadline(outcome.NotRun)
+			return fleet.BackendServer{}, errDeadline(outcome.NotRun)
 		}
 	}
 }
@@ -187,7 +187,7 @@
 	switch {
 	case err == nil:
 		d.guard.answered(r.ID, server.Name)
-		d.observe(server, callPrediction, time.Since(start))
+		d.observeCall(server, time.Since(start))
 	case ctx.Err() != nil:
 		d.guard.stopped(r.ID, server.Name)
 	default:
@@ -196,8 +196,5 @@
 	return answer, err
 }
 
-// callPrediction is the time that the router assumes for a call on an idle server.
-const callPrediction = time.Millisecond
-
 // errLeaving means that a server began to leave between choice and dispatch.
 var errLeaving = errors.New("dispatch: the chosen backend server is leaving")
--- a/dispatch/draft_guard.go
+++ b/dispatch/draft_guard.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/balsamlb/balsamlb/fleet"
 	"github.com/balsamlb/balsamlb/outcome"
@@ -26,19 +25,19 @@
 		if verdict == quarantine.Quarantined {
 			return route.ChainChoice{}, errQuarantined(outcome.NotRun)
 		}
-		c, err := d.chooseChain(r, d.guard.excluded(f))
-		if err != nil && verdict == quarantine.Clear {
-			c, err = d.chooseChain(r, nil)
-		}
-		if err == nil {
-			d.guard.started(r.ID, f, serversOf(c.Chain)...)
-			return c, nil
+		var err error
+		for _, exclude := range d.exclusions(f) {
+			var c route.ChainChoice
+			if c, err = d.chooseChain(r, exclude); err == nil {
+				d.guard.started(r.ID, f, serversOf(c.Chain)...)
+				return c, nil
+			}
 		}
 		if verdict == quarantine.Clear {
-			return c, asOutcome(err)
+			return route.ChainChoice{}, asOutcome(err)
 		}
 		if !sleep(ctx, suspectPause) {
-			return c, errDeadline(outcome.NotRun)
+			return route.ChainChoice{}, errDeadline(outcome.NotRun)
 		}
 	}
 }
@@ -63,15 +62,11 @@
 	return d.guard.check(f)
 }
 
-// noteDraft tells the router and the guard how a draft went.
-func (d *Dispatcher) noteDraft(run *draftRun, c route.ChainChoice, last DraftEvent, took time.Duration) {
+// noteDraft tells the guard how a draft went.
+func (d *Dispatcher) noteDraft(run *draftRun, last DraftEvent) {
 	if !last.Done {
 		d.guard.stopped(run.r.ID, run.inUse...)
 		return
 	}
 	d.guard.answered(run.r.ID, run.inUse...)
-	predicted := c.FirstToken + c.Gap*time.Duration(run.r.MaxTokens-1)
-	for _, st := range c.Chain {
-		d.observe(st.Server, predicted, took)
-	}
 }
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -56,6 +56,8 @@
 func All() []Bench {
 	return []Bench{
 		bookingsBench,
+		throughputBench,
+		overloadBench,
 		atMostOnceBench,
 		controlBench,
 		membershipBench,
@@ -63,6 +65,8 @@
 		failoverBench,
 		restartBench,
 		votersBench,
+		recoveryBench,
+		latencyBench,
 	}
 }
 
