--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -64,6 +64,7 @@
 		configBench,
 		failoverBench,
 		restartBench,
+		votersBench,
 		recoveryBench,
 		latencyBench,
 	}
