--- a/control/host.go
+++ b/control/host.go
@@ -74,6 +74,9 @@
 	log   logr.Logger
 	// view is the index of the last view that was published.
 	view uint64
+	// quietUntil is the end of the log that was stored at the start. The state of an older
+	// snapshot is not published: this instance may have had a newer view in force before.
+	quietUntil uint64
 	// role and membership are what was last logged; membership is a place in the log.
 	role       consensus.Role
 	membership consensus.Position
@@ -117,6 +120,10 @@
 	}
 	h.state = state
 	h.snapshots = snapshotPolicy{last: len(stored.Snapshot.Data)}
+	h.quietUntil = stored.Snapshot.Index
+	if n := len(stored.Entries); n > 0 {
+		h.quietUntil = stored.Entries[n-1].Index
+	}
 	identity := h.storage.Identity()
 	h.node = consensus.New(consensus.Options{
 		ID:             h.options.ID,
@@ -280,7 +287,7 @@
 }
 
 func (h *Host) publishView() {
-	if h.state.ViewIndex() <= h.view {
+	if h.state.ViewIndex() <= h.view || h.node.Commit() < h.quietUntil {
 		return
 	}
 	h.view = h.state.ViewIndex()
--- a/internal/bench/config.go
+++ b/internal/bench/config.go
@@ -69,7 +69,8 @@
 	}
 	err = run.changes(ctx, uint64(count))
 	cancel()
-	if watchErr := g.Wait(); err == nil {
+	// An instance that went back to an older version is no longer watched, so this comes first.
+	if watchErr := g.Wait(); watchErr != nil {
 		err = watchErr
 	}
 	if err != nil {
