--- a/pipeline/model_test.go
+++ b/pipeline/model_test.go
@@ -92,12 +92,29 @@
 	}
 }
 
+// note logs an action; runs of tokens are one line.
 func (w *world) note(a Action) {
-	if e, ok := a.(Emit); ok {
-		w.log = append(w.log, fmt.Sprintf("emit %d", e.Token.Index))
-		return
+	line := ""
+	switch a := a.(type) {
+	case Open:
+		line = fmt.Sprintf("open %s attempt %d from %d fresh %t ready %d import %t",
+			a.Chain[a.Stage].Server.Name, a.Attempt, a.From, a.IsFresh, a.Ready, a.Import != nil)
+	case Start:
+		line = fmt.Sprintf("start attempt %d at %d", a.Attempt, a.Index)
+	case Replace:
+		line = fmt.Sprintf("replace %s: %s", a.Server, a.Reason)
+	case Resume:
+		line = fmt.Sprintf("resume %s: %s", a.Server, a.Reason)
+	case Cancel:
+		line = fmt.Sprintf("cancel %s confirm %t", a.Stage.Server.Name, a.Confirm)
+	case Emit:
+		line = fmt.Sprintf("emit %d", a.Token.Index)
+	case Finish:
+		line = fmt.Sprintf("finish: %v", a.Err)
+	default:
+		line = fmt.Sprintf("%T %+v", a, a)
 	}
-	w.log = append(w.log, fmt.Sprintf("%T", a))
+	w.log = append(w.log, fmt.Sprintf("%9s  %s", w.now.Sub(time.Unix(0, 0)).Round(time.Millisecond), line))
 }
 
 func (w *world) act(a Action) []Action {
@@ -116,7 +133,8 @@
 		return w.replace(a)
 	case Cancel:
 		s := w.server(a.Stage.Server.Name)
-		w.after(w.delay(), func() {
+		// A cancel may be slower than all that its server does meanwhile.
+		w.after(w.delay()+w.delay()+w.delay(), func() {
 			if !s.crashed {
 				s.sessions = nil
 			}
@@ -203,6 +221,7 @@
 	name     string
 	layers   fleet.Range
 	crashed  bool
+	pause    time.Duration  // added to each step
 	sessions []*fakeSession // at most one
 }
 
@@ -379,7 +398,7 @@
 	default:
 		x.pending = &h
 		x.received = h.index + 1
-		s.world.after(modelStep, func() { s.finish(x, &h) })
+		s.world.after(modelStep+s.pause, func() { s.finish(x, &h) })
 	}
 }
 
