Admission ticks only while a request waits

Change: ticks start with the first request that waits and end with the last. Seen failing with the signal off: TestWaitingRequestIsRefusedInTime timed out.

--- a/daemon/admitter.go
+++ b/daemon/admitter.go
@@ -36,6 +36,8 @@
 	total      int
 	leaving    bool
 	idle       chan struct{}
+	// queued holds one signal that a request waits, so that an idle instance needs no ticks.
+	queued chan struct{}
 }
 
 func newAdmitter(seed uint64, open bool, intent func() settings.Intent, log logr.Logger) *admitter {
@@ -46,6 +48,7 @@
 		controller: admission.New(admission.Options{MaxQueued: maxQueued, Seed: seed}),
 		waiting:    make(map[string]chan admission.Action),
 		idle:       make(chan struct{}),
+		queued:     make(chan struct{}, 1),
 	}
 }
 
@@ -98,6 +101,7 @@
 		Deadline:    r.Deadline,
 		Size:        s,
 	}))
+	a.signalQueued()
 	return decision, nil
 }
 
@@ -140,19 +144,31 @@
 	a.controller.SetForecast(pool, f)
 }
 
-// runTicks starts and refuses waiting requests as time passes, until ctx ends.
+// signalQueued wakes the ticks when a request waits.
+func (a *admitter) signalQueued() {
+	if len(a.waiting) == 0 {
+		return
+	}
+	select {
+	case a.queued <- struct{}{}:
+	default:
+	}
+}
+
+// runTicks starts and refuses waiting requests as time passes, until ctx ends. There are no
+// ticks while nothing waits.
 func (a *admitter) runTicks(ctx context.Context) error {
-	ticker := time.NewTicker(admissionTick)
-	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case now := <-ticker.C:
-			a.mu.Lock()
-			a.tell(a.controller.Tick(now))
-			a.mu.Unlock()
+		case <-a.queued:
 		}
+		sleep(ctx, admissionTick)
+		a.mu.Lock()
+		a.tell(a.controller.Tick(time.Now()))
+		a.signalQueued()
+		a.mu.Unlock()
 	}
 }
 
--- /dev/null
+++ b/daemon/admitter_test.go
@@ -0,0 +1,42 @@
+package daemon
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/balsamlb/balsamlb/admission"
+	"github.com/balsamlb/balsamlb/dispatch"
+	"github.com/balsamlb/balsamlb/outcome"
+	"github.com/balsamlb/balsamlb/settings"
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+)
+
+// A request that waits is refused when its time is up, though nothing else happens.
+func TestWaitingRequestIsRefusedInTime(t *testing.T) {
+	is := is.New(t)
+	a := newAdmitter(1, false, func() settings.Intent { return settings.Intent{} }, logr.Discard())
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- a.runTicks(ctx) }()
+	a.setForecast("stock", admission.Forecast{Slots: 1, FirstToken: time.Millisecond})
+	request := func(id string, limit time.Duration) dispatch.Request {
+		return dispatch.Request{
+			ID:        id,
+			Service:   settings.Service{Name: "stock", Kind: settings.ServicePlain},
+			Workspace: settings.Workspace{Name: "kandy", Share: 1, MaxInFlight: 9},
+			Deadline:  time.Now().Add(limit),
+		}
+	}
+	release, refusal := a.Admit(ctx, request("first", time.Hour), admission.Size{})
+	is.Equal(refusal, nil)
+	for range 3 {
+		_, refusal = a.Admit(ctx, request("second", 200*time.Millisecond), admission.Size{})
+		is.True(refusal != nil)
+		is.Equal(refusal.Outcome, outcome.NotRun)
+	}
+	release(true)
+	cancel()
+	is.NoErr(<-done)
+}
