--- a/daemon/announced.go
+++ b/daemon/announced.go
@@ -39,7 +39,7 @@
 		return reply, err
 	}
 	if urgent {
-		s.log.Info("granted a lease", "server", a.Name, "incarnation", a.Incarnation, "leaving", a.Leaving)
+		s.leaseLog.Info("granted a lease", "server", a.Name, "incarnation", a.Incarnation, "leaving", a.Leaving)
 		s.pulse.ring()
 	}
 	return reply, nil
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -77,7 +77,7 @@
 		return nil, err
 	}
 	d := &Daemon{process: p, log: log, lines: lines, secrets: secrets, dialer: dialer, traffic: traffic}
-	d.shared = newShared(p, uint64(time.Now().UnixNano()), log.WithName("config"))
+	d.shared = newShared(p, uint64(time.Now().UnixNano()), log)
 	d.proposer = instance.NewProposer(dialer, voterAddresses(p))
 	d.credits = newCreditDuty(p.Name, d.shared.incarnation, d.proposer, log.WithName("credit"))
 	d.admitter = newAdmitter(xxhash.Sum64String(p.Name), p.Naive, d.shared.Intent, log.WithName("admission"))
--- a/daemon/exchange.go
+++ b/daemon/exchange.go
@@ -133,7 +133,7 @@
 			d.shared.facts.ended(time.Now(), r.peer.Name)
 		}
 		if r.beats > 0 {
-			d.shared.log.V(1).Info("a subscription ended", "instance", r.peer.Name, "reason", err.Error())
+			d.shared.memberLog.V(1).Info("a subscription ended", "instance", r.peer.Name, "reason", err.Error())
 			retry = minRetry
 			continue
 		}
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -35,7 +35,7 @@
 		}
 		heard := now.Add(-time.Duration(min(w.HeardMs, maxHeardMillis)) * time.Millisecond)
 		if s.table.Learn(now, fromWire(w), heard) {
-			s.log.Info("learned of an instance", "instance", w.Name, "data_centre", w.DataCentre, "address", w.Address)
+			s.memberLog.Info("learned of an instance", "instance", w.Name, "data_centre", w.DataCentre, "address", w.Address)
 		}
 	}
 }
@@ -84,13 +84,13 @@
 	switch {
 	case isAlive && (!wasAlive || incarnation != m.Incarnation):
 		s.alive[name] = m.Incarnation
-		s.log.Info("an instance is alive", "instance", name, "data_centre", m.DataCentre, "incarnation", m.Incarnation)
+		s.memberLog.Info("an instance is alive", "instance", name, "data_centre", m.DataCentre, "incarnation", m.Incarnation)
 	case !isAlive && wasAlive && m.Left:
 		delete(s.alive, name)
-		s.log.Info("an instance has left", "instance", name, "data_centre", m.DataCentre)
+		s.memberLog.Info("an instance has left", "instance", name, "data_centre", m.DataCentre)
 	case !isAlive && wasAlive:
 		delete(s.alive, name)
-		s.log.Info("an instance has failed", "instance", name, "data_centre", m.DataCentre)
+		s.memberLog.Info("an instance has failed", "instance", name, "data_centre", m.DataCentre)
 	}
 }
 
@@ -106,7 +106,7 @@
 		s.logChange(name, now)
 	}
 	for _, b := range s.registry.Expire(now) {
-		s.log.Info("a lease has run out", "server", b.Name, "data_centre", b.DataCentre)
+		s.leaseLog.Info("a lease has run out", "server", b.Name, "data_centre", b.DataCentre)
 	}
 }
 
--- a/daemon/state.go
+++ b/daemon/state.go
@@ -17,7 +17,9 @@
 type shared struct {
 	process     settings.Process
 	incarnation uint64
-	log         logr.Logger
+	log         logr.Logger // of views
+	memberLog   logr.Logger
+	leaseLog    logr.Logger
 	facts       *facts
 	clock       *clock
 	pulse       *pulse
@@ -48,7 +50,9 @@
 	return &shared{
 		process:     p,
 		incarnation: incarnation,
-		log:         log,
+		log:         log.WithName("config"),
+		memberLog:   log.WithName("membership"),
+		leaseLog:    log.WithName("fleet"),
 		facts:       newFacts(p.Name, incarnation, beats.ring),
 		clock:       newClock(now),
 		pulse:       beats,
