--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -60,6 +60,7 @@
 		overloadBench,
 		atMostOnceBench,
 		controlBench,
+		leasesBench,
 		membershipBench,
 		configBench,
 		failoverBench,
