--- a/daemon/forecast.go
+++ b/daemon/forecast.go
@@ -6,6 +6,7 @@
 
 	"github.com/balsamlb/balsamlb/admission"
 	"github.com/balsamlb/balsamlb/membership"
+	"github.com/balsamlb/balsamlb/settings"
 )
 
 // forecastInterval is how often the room and speed of the backend servers are worked out.
@@ -16,10 +17,10 @@
 	ticker := time.NewTicker(forecastInterval)
 	defer ticker.Stop()
 	for {
-		part := d.shared.dataCentrePart(time.Now())
+		_, all := d.shared.instanceCounts(time.Now())
+		d.dispatcher.SetRouters(all)
 		for _, s := range d.shared.Intent().Services {
-			f := d.dispatcher.Forecast(s)
-			d.admitter.setForecast(s.Pool(), scaled(f, part))
+			d.admitter.setForecast(s.Pool(), d.forecast(s))
 		}
 		select {
 		case <-ctx.Done():
@@ -29,6 +30,12 @@
 	}
 }
 
+// forecast returns the room and speed of the servers of a service that this data centre counts on.
+func (d *Daemon) forecast(s settings.Service) admission.Forecast {
+	here, all := d.shared.instanceCounts(time.Now())
+	return scaled(d.dispatcher.Forecast(s), float64(here)/float64(all))
+}
+
 // scaled returns the forecast with the data centre's part of the room. Room that is left over
 // stays at least one request.
 func scaled(f admission.Forecast, part float64) admission.Forecast {
@@ -38,13 +45,13 @@
 	return f
 }
 
-// dataCentrePart is this data centre's part of the instances that are heard. Usage is
+// instanceCounts returns the instances of the data centre and of the region that are heard. Usage is
 // exchanged within a data centre, and the balancer spreads callers evenly over instances, so
 // each data centre takes the part of the backend servers that its instances stand for.
-func (s *shared) dataCentrePart(now time.Time) float64 {
+func (s *shared) instanceCounts(now time.Time) (here, all int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	here, all := 1, 1
+	here, all = 1, 1
 	for _, m := range s.table.Members() {
 		if m.Leaving || m.Region != s.process.Region || !membership.IsAlive(m, now) {
 			continue
@@ -54,7 +61,7 @@
 			here++
 		}
 	}
-	return float64(here) / float64(all)
+	return here, all
 }
 
 // Neighbours returns the instances of the data centre that are heard, this one included.
