--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -62,10 +62,12 @@
 		overloadUnseenBench,
 		atMostOnceBench,
 		controlBench,
+		leasesBench,
 		membershipBench,
 		configBench,
 		failoverBench,
 		restartBench,
+		votersBench,
 		recoveryBench,
 		latencyBench,
 	}
--- a/pipeline/repair.go
+++ b/pipeline/repair.go
@@ -120,6 +120,10 @@
 		if len(stages) == 1 {
 			l.source = source
 		}
+		if len(stages) == 1 && reason == ReasonSlow {
+			l.wasMoved = true
+			l.transit = s.links[i].transit.inherit()
+		}
 		links = append(links, l)
 	}
 	s.chain = slices.Concat(s.chain[:i], stages, s.chain[i+1:])
@@ -141,12 +145,19 @@
 // canExport reports whether a server that was given up for the reason can export its KV cache.
 func canExport(r Reason) bool { return r == ReasonLeaving || r == ReasonSlow }
 
-// NoReplacement says that no server can take over the layers of stage i. A server that
-// merely leaves or is slow keeps its stage.
+// NoReplacement says that no server can take over the layers of stage i. A server that still
+// answers keeps its stage.
 func (s *Stream) NoReplacement(now time.Time, i int) []Action {
 	if s.done {
 		return nil
 	}
+	if s.reasons[i] == ReasonStalled {
+		// It answers, so it may only be short of time; the deadline bounds the wait.
+		delete(s.reasons, i)
+		server := s.chain[i].Server.Name
+		s.exclude = slices.DeleteFunc(s.exclude, func(name string) bool { return name == server })
+		return s.advance(now)
+	}
 	if canExport(s.reasons[i]) {
 		delete(s.reasons, i)
 		s.moves--
@@ -208,12 +219,27 @@
 			return s.resume(now, i, ReasonSilent)
 		}
 	}
+	if s.awaitsReplacement() {
+		// The answer to a Replace may take a while; a chain with a gap can't make progress.
+		s.progressed(now)
+		return nil
+	}
 	if now.Sub(s.progressAt) >= s.stallTime() {
 		return s.stalled(now)
 	}
 	return nil
 }
 
+// awaitsReplacement reports whether a stage that has failed has no server yet.
+func (s *Stream) awaitsReplacement() bool {
+	for _, reason := range s.reasons {
+		if !canExport(reason) {
+			return true
+		}
+	}
+	return false
+}
+
 // stallTime is the time without progress that makes a stall. A KV cache that is rebuilt and
 // a first token that waits in a queue take longer than a token.
 func (s *Stream) stallTime() time.Duration {
@@ -221,19 +247,19 @@
 	if s.tokens.Next() == 0 || isFilling {
 		return s.limits.FirstStall
 	}
-	return max(s.limits.Stall, stallGaps*s.gap)
+	return max(s.limits.Stall, stallGaps*s.gap) << min(s.stalls, maxStallDoublings)
 }
 
 // stalled replaces the stage that holds a token and has not run it. When there is none, a
 // token was lost on its way, and the chain is started again, and after that the first stage
 // that has not run the token that is due is replaced.
 func (s *Stream) stalled(now time.Time) []Action {
+	s.stalls++
 	for i, l := range s.links {
 		if l.opened && l.progress.Received > l.progress.Ran {
 			return s.repair(now, i, ReasonStalled)
 		}
 	}
-	s.stalls++
 	if s.stalls == 1 {
 		return append(s.newAttempt(now), s.advance(now)...)
 	}
