A suspect that waits for a server reserves none

Change: while a suspect waits, nothing of it is at work, so its servers are not reserved; it goes on only when no other suspect runs on any server of its chain. The draft's deadline bounds the wait.

--- a/dispatch/draft_run.go
+++ b/dispatch/draft_run.go
@@ -217,21 +217,23 @@
 // replace chooses servers for the layers of a stage.
 func (run *draftRun) replace(a pipeline.Replace) []pipeline.Action {
 	run.d.noteStageFailure(run, a)
-	return run.tryReplace(heldReplace{replace: a, until: time.Now().Add(suspectWait)})
+	return run.tryReplace(a)
 }
 
-func (run *draftRun) tryReplace(h heldReplace) []pipeline.Action {
+// tryReplace chooses servers, or holds the stage of a suspect until it can run apart. The
+// draft's deadline bounds the wait.
+func (run *draftRun) tryReplace(a pipeline.Replace) []pipeline.Action {
 	verdict := run.d.guard.check(run.r.fingerprint())
 	if verdict == quarantine.Quarantined {
 		run.last = &DraftEvent{Err: errQuarantined(outcome.Failed)}
 		return nil
 	}
-	a := h.replace
+	if len(run.held) > 0 && run.d.guard.isShared(run.r.fingerprint(), a.Chain) {
+		return run.hold(a)
+	}
 	stages, err := run.d.chooseStages(run.r, a)
-	if now := time.Now(); err != nil && verdict == quarantine.Suspect && now.Before(h.until) {
-		h.at = now.Add(suspectPause)
-		run.held = append(run.held, h)
-		return nil
+	if err != nil && verdict == quarantine.Suspect {
+		return run.hold(a)
 	}
 	if err != nil {
 		run.log.Info("found no replacement", "server", a.Server, "reason", string(a.Reason), "err", err.Error())
@@ -247,28 +249,31 @@
 	return run.stream.Replaced(time.Now(), a.Stage, stages)
 }
 
-// suspectWait bounds the wait of a suspect for a server of its own. Two suspects that each hold
-// the server that the other one waits for would otherwise wait until their deadlines.
-const suspectWait = 2 * time.Second
-
 // heldReplace is a stage of a suspect that waits for a server on which no other suspect runs.
 type heldReplace struct {
 	replace pipeline.Replace
-	// at is the time of the next look, until that of the last.
-	at    time.Time
-	until time.Time
+	// at is the time of the next look.
+	at time.Time
+}
+
+func (run *draftRun) hold(a pipeline.Replace) []pipeline.Action {
+	run.held = append(run.held, heldReplace{replace: a, at: time.Now().Add(suspectPause)})
+	run.d.guard.hold(run.r.ID, true)
+	return nil
 }
 
 // retryHeld looks again for servers for the stages that wait.
 func (run *draftRun) retryHeld(now time.Time) {
+	if len(run.held) == 0 || now.Before(run.held[0].at) {
+		return
+	}
 	held := run.held
-	run.held = nil
 	for _, h := range held {
-		if now.Before(h.at) {
-			run.held = append(run.held, h)
-			continue
-		}
-		run.carryOut(run.tryReplace(h))
+		run.carryOut(run.tryReplace(h.replace))
+	}
+	run.held = run.held[len(held):]
+	if len(run.held) == 0 {
+		run.d.guard.hold(run.r.ID, false)
 	}
 }
 
--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -11,6 +11,7 @@
 	"github.com/balsamlb/balsamlb/fleet"
 	"github.com/balsamlb/balsamlb/membership"
 	"github.com/balsamlb/balsamlb/outcome"
+	"github.com/balsamlb/balsamlb/pipeline"
 	"github.com/balsamlb/balsamlb/quarantine"
 	"github.com/balsamlb/balsamlb/retry"
 	"github.com/go-logr/logr"
@@ -138,6 +139,21 @@
 	}
 }
 
+// hold notes that a suspect waits for a server, or that it goes on.
+func (g *guard) hold(request string, held bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tracker.Hold(request, held)
+}
+
+// isShared reports whether another suspect runs on a server of the chain.
+func (g *guard) isShared(f quarantine.Fingerprint, chain pipeline.Chain) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	reserved := g.tracker.Reserved(time.Now(), f)
+	return slices.ContainsFunc(chain, func(st pipeline.Stage) bool { return slices.Contains(reserved, st.Server.Name) })
+}
+
 // answered notes that servers have done their work on the request.
 func (g *guard) answered(request string, servers ...string) {
 	g.mu.Lock()
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -69,6 +69,7 @@
 	started   time.Time
 	suspect   bool
 	resetAt   time.Time // zero while it runs
+	held      bool      // the request waits, so nothing of it is at work
 	explained bool
 }
 
@@ -279,12 +280,22 @@
 	}
 }
 
+// Hold notes that a request waits for a server, or that it goes on. While it waits it is at
+// work nowhere and reserves no server, so that two suspects can't wait for each other.
+func (t *Tracker) Hold(request string, held bool) {
+	for _, r := range t.runs {
+		if r.Request == request {
+			r.held = held
+		}
+	}
+}
+
 // Reserved returns the servers on which other suspects than the request run, by name. They
 // are given neither suspects nor, as long as there are others, any new work.
 func (t *Tracker) Reserved(now time.Time, f Fingerprint) []string {
 	var out []string
 	for _, r := range t.runs {
-		if r.suspect && r.resetAt.IsZero() && r.Fingerprint != f {
+		if r.suspect && !r.held && r.resetAt.IsZero() && r.Fingerprint != f {
 			out = append(out, r.Server)
 		}
 	}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -196,3 +196,18 @@
 	}
 	return out
 }
+
+func TestAWaitingSuspectReservesNoServer(t *testing.T) {
+	is := is.New(t)
+	tr := NewTracker()
+	a, b := Of("kandy", "draft", []byte("a")), Of("kandy", "draft", []byte("b"))
+	tr.Started(at(0), run("a", a, "s-1"))
+	tr.Started(at(0), run("b", b, "s-1"))
+	crash(tr, at(1), "s-1", "a", "b")
+	tr.Started(at(2), run("a", a, "s-2"))
+	is.Equal(tr.Reserved(at(2), b), []string{"s-2"})
+	tr.Hold("a", true)
+	is.Equal(len(tr.Reserved(at(2), b)), 0)
+	tr.Hold("a", false)
+	is.Equal(tr.Reserved(at(2), b), []string{"s-2"})
+}
