--- a/daemon/state.go
+++ b/daemon/state.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -69,13 +70,14 @@
 func (s *shared) Available() []fleet.BackendServer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []fleet.BackendServer
-	for _, b := range s.registry.Available(time.Now()) {
-		if _, draining := s.view.Drains[b.Name]; !draining {
-			out = append(out, b)
-		}
+	servers := s.registry.Available(time.Now())
+	if len(s.view.Drains) == 0 {
+		return servers
 	}
-	return out
+	return slices.DeleteFunc(servers, func(b fleet.BackendServer) bool {
+		_, draining := s.view.Drains[b.Name]
+		return draining
+	})
 }
 
 // Intent returns the configuration in force.
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -33,6 +33,8 @@
 	entries map[string]*entry
 	// direct holds the entries with an announcement to this instance.
 	direct map[string]*entry
+	// sorted holds the entries by name, nil when it must be made anew.
+	sorted []*entry
 }
 
 // entry is one server, also for a while after its lease.
@@ -155,13 +157,33 @@
 	}
 	e := &entry{server: s, expires: expires}
 	r.entries[s.Name] = e
+	r.sorted = nil
 	return e, nil
 }
 
+// byName returns the entries by name.
+func (r *Registry) byName() []*entry {
+	if r.sorted != nil {
+		return r.sorted
+	}
+	r.sorted = make([]*entry, 0, len(r.entries))
+	for _, e := range r.entries {
+		r.sorted = append(r.sorted, e)
+	}
+	slices.SortFunc(r.sorted, func(a, b *entry) int { return cmp.Compare(a.server.Name, b.server.Name) })
+	return r.sorted
+}
+
+// forget removes an entry.
+func (r *Registry) forget(name string) {
+	delete(r.entries, name)
+	r.sorted = nil
+}
+
 func (r *Registry) forgetExpired(now time.Time) {
 	for name, e := range r.entries {
 		if !now.Before(e.expires) {
-			delete(r.entries, name)
+			r.forget(name)
 		}
 	}
 }
@@ -178,7 +200,7 @@
 			gone = append(gone, e.server)
 		}
 		if now.Sub(e.expires) >= forgetAfter {
-			delete(r.entries, name)
+			r.forget(name)
 		}
 	}
 	slices.SortFunc(gone, compareNames)
@@ -187,25 +209,24 @@
 
 // Available returns the servers that may be given new work, by name.
 func (r *Registry) Available(now time.Time) []BackendServer {
-	var servers []BackendServer
-	for _, e := range r.entries {
+	entries := r.byName()
+	servers := make([]BackendServer, 0, len(entries))
+	for _, e := range entries {
 		if now.Before(e.expires) && !e.server.Leaving {
 			servers = append(servers, e.server)
 		}
 	}
-	slices.SortFunc(servers, compareNames)
 	return servers
 }
 
 // Leases returns all leases that have not run out, by name.
 func (r *Registry) Leases(now time.Time) []Lease {
 	var leases []Lease
-	for _, e := range r.entries {
+	for _, e := range r.byName() {
 		if now.Before(e.expires) {
 			leases = append(leases, Lease{Server: e.server, Expires: e.expires, Direct: e.isDirect(now)})
 		}
 	}
-	slices.SortFunc(leases, compareLeases)
 	return leases
 }
 
