A draft waits for a server that runs a suspect, and a suspect is apart only until it has run

Cause: with quarantine wired in, all drafts on a dead server are suspects, each kept apart on a server of its own; with one spare the second found no replacement and ended (seen: 'runs a suspect apart' on c-1, then 'found no replacement' for the next draft; 5 subtests of internal/lab failed in make test). Ruled out: letting suspects run together when no server is left, which would blame innocents. Change: the stage waits until the deadline while a live server is only held, and a suspect's run is no longer apart once its new servers have run 4 tokens (quarantine.Tracker.Proved; a request that crashes servers does so as it runs). For the owner of quarantine to judge. After: go test ./internal/lab -run 'Crash|Killed' passes (1 of 1).

--- a/dispatch/draft_choose.go
+++ b/dispatch/draft_choose.go
@@ -79,3 +79,15 @@
 	}
 	return chain, nil
 }
+
+// isHeld reports whether a server could take the stage over that is only kept for others now.
+func (d *Dispatcher) isHeld(r Draft, a pipeline.Replace) bool {
+	return slices.ContainsFunc(d.fleet.Available(), func(s fleet.BackendServer) bool {
+		inChain := slices.ContainsFunc(a.Chain, func(st pipeline.Stage) bool { return st.Server.Name == s.Name })
+		if s.Model != r.Service.Model || inChain || slices.Contains(a.Exclude, s.Name) {
+			return false
+		}
+		c, ok := clip(s, a.Layers)
+		return ok && c.Layers.Len() == a.Layers.Len()
+	})
+}
--- a/dispatch/draft_run.go
+++ b/dispatch/draft_run.go
@@ -22,6 +22,8 @@
 	inboxSize = 64
 	// tickInterval is how often a run judges its connections.
 	tickInterval = 50 * time.Millisecond
+	// provingTokens is the number of tokens after which a draft has not crashed a server.
+	provingTokens = 4
 )
 
 // connEvent is a frame, or the end, of one connection.
@@ -49,6 +51,11 @@
 	group  errgroup.Group
 	last   *DraftEvent
 	ran    bool
+	// waiting is a stage whose replacement must wait, nil when there is none.
+	waiting *pipeline.Replace
+	// unproved are new servers that have not run provedAt tokens of the draft yet.
+	unproved []string
+	provedAt int
 	// inUse are the servers that count this run as work of theirs.
 	inUse []string
 
@@ -114,6 +121,10 @@
 	if len(run.inbox.Items()) > 0 {
 		return
 	}
+	if a := run.waiting; a != nil {
+		run.waiting = nil
+		run.carryOut(run.chooseReplacements(*a))
+	}
 	run.carryOut(run.stream.Tick(now))
 	leaving := run.d.leaving()
 	for _, server := range run.stream.Servers() {
@@ -200,6 +211,7 @@
 	ctx, cancel := context.WithDeadline(run.caller, run.r.Deadline)
 	defer cancel()
 	_ = run.events.Push(ctx, DraftEvent{Token: t})
+	run.prove()
 }
 
 func (run *draftRun) finish(err error) {
@@ -217,7 +229,17 @@
 		run.last = &DraftEvent{Err: errQuarantined(outcome.Failed)}
 		return nil
 	}
+	return run.chooseReplacements(a)
+}
+
+// chooseReplacements answers the stream, or waits while the servers that could take the stage
+// over run suspects.
+func (run *draftRun) chooseReplacements(a pipeline.Replace) []pipeline.Action {
 	stages, err := run.d.chooseStages(run.r, a)
+	if err != nil && !a.IsMove() && run.d.isHeld(run.r, a) {
+		run.waiting = &a
+		return nil
+	}
 	if err != nil {
 		run.log.Info("found no replacement", "server", a.Server, "reason", string(a.Reason), "err", err.Error())
 		return run.stream.NoReplacement(time.Now(), a.Stage)
@@ -228,10 +250,21 @@
 	}
 	run.inUse = append(run.inUse, names...)
 	run.d.guard.started(run.r.ID, run.r.fingerprint(), serversOf(stages)...)
+	run.unproved = names
+	run.provedAt = run.stream.Next() + provingTokens
 	run.log.Info("replaces a stage", "server", a.Server, "reason", string(a.Reason), "by", names, "next", run.stream.Next())
 	return run.stream.Replaced(time.Now(), a.Stage, stages)
 }
 
+// prove ends the isolation of a suspect once its new servers have run some tokens of it.
+func (run *draftRun) prove() {
+	if len(run.unproved) == 0 || run.stream.Next() < run.provedAt {
+		return
+	}
+	run.d.guard.proved(run.r.ID, run.unproved...)
+	run.unproved = nil
+}
+
 func (run *draftRun) release(server string) {
 	for i, s := range run.inUse {
 		if s == server {
--- a/dispatch/guard.go
+++ b/dispatch/guard.go
@@ -148,6 +148,15 @@
 	}
 }
 
+// proved notes that the servers have run a part of the request and live.
+func (g *guard) proved(request string, servers ...string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range servers {
+		g.tracker.Proved(request, s)
+	}
+}
+
 // stopped notes that the request no longer runs on the servers, for a reason of its own.
 func (g *guard) stopped(request string, servers ...string) {
 	g.mu.Lock()
--- a/pipeline/action.go
+++ b/pipeline/action.go
@@ -30,7 +30,7 @@
 type Close struct{ Conn int }
 
 // Replace asks for servers that together take over the layers of a stage. The answer is
-// Replaced or NoReplacement, at once.
+// Replaced or NoReplacement, when there is one.
 type Replace struct {
 	Chain  Chain
 	Stage  int
@@ -42,6 +42,9 @@
 	Server string
 }
 
+// IsMove reports whether the stage goes on until it is replaced.
+func (r Replace) IsMove() bool { return canExport(r.Reason) }
+
 // Start tells the first stage to begin a token. Conn is the first stage's connection.
 type Start struct {
 	Conn    int
--- a/pipeline/repair.go
+++ b/pipeline/repair.go
@@ -92,6 +92,7 @@
 	}
 	reason := s.reasons[i]
 	delete(s.reasons, i)
+	s.progressed(now)
 	old := s.chain[i]
 	source := s.links[i].source
 	var out []Action
@@ -214,6 +215,9 @@
 	if !now.Before(s.end) {
 		return s.finish(&EndError{Deadline: true})
 	}
+	if !s.started && len(s.reasons) > 0 {
+		return nil // a replacement is awaited
+	}
 	for i, l := range s.links {
 		if l.conn != 0 && now.Sub(l.heard) >= s.limits.Silence {
 			return s.resume(now, i, ReasonSilent)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -156,6 +156,16 @@
 	t.runs = slices.Delete(t.runs, i, i+1)
 }
 
+// Proved notes that a server has run a part of a suspect and lives, so that the run need not
+// stay apart.
+func (t *Tracker) Proved(request, server string) {
+	for _, r := range t.runs {
+		if r.Request == request && r.Server == server {
+			r.suspect = false
+		}
+	}
+}
+
 func (t *Tracker) forgetRuns(now time.Time) {
 	t.runs = slices.DeleteFunc(t.runs, func(r *runState) bool {
 		return !r.resetAt.IsZero() && now.Sub(r.resetAt) > confirmTime
