--- a/daemon/admitter.go
+++ b/daemon/admitter.go
@@ -27,6 +27,8 @@
 type admitter struct {
 	log    logr.Logger
 	intent func() settings.Intent
+	// forecast is set before the first request.
+	forecast func(settings.Service) admission.Forecast
 	// open takes every request in at once, as the naive version of a benchmark does.
 	open bool
 
@@ -36,6 +38,8 @@
 	total      int
 	leaving    bool
 	idle       chan struct{}
+	// queued holds one signal that a request waits, so that an idle instance needs no ticks.
+	queued chan struct{}
 }
 
 func newAdmitter(seed uint64, open bool, intent func() settings.Intent, log logr.Logger) *admitter {
@@ -46,11 +50,13 @@
 		controller: admission.New(admission.Options{MaxQueued: maxQueued, Seed: seed}),
 		waiting:    make(map[string]chan admission.Action),
 		idle:       make(chan struct{}),
+		queued:     make(chan struct{}, 1),
 	}
 }
 
 // Admit returns once the request may start, with the function that ends it, or refuses it.
 func (a *admitter) Admit(ctx context.Context, r dispatch.Request, s admission.Size) (func(answered bool), *outcome.Error) {
+	a.prepare(r.Service)
 	decision, refusal := a.arrive(r, s)
 	if refusal != nil {
 		return nil, refusal
@@ -70,6 +76,17 @@
 	}
 }
 
+// prepare asks for a forecast when there is none yet, so that the first requests after a start
+// are not all taken in.
+func (a *admitter) prepare(s settings.Service) {
+	a.mu.Lock()
+	needed := !a.open && a.controller.NeedsForecast(s.Pool())
+	a.mu.Unlock()
+	if needed {
+		a.setForecast(s.Pool(), a.forecast(s))
+	}
+}
+
 // arrive counts the request and returns the channel on which its decision comes.
 func (a *admitter) arrive(r dispatch.Request, s admission.Size) (<-chan admission.Action, *outcome.Error) {
 	a.mu.Lock()
@@ -98,6 +115,7 @@
 		Deadline:    r.Deadline,
 		Size:        s,
 	}))
+	a.signalQueued()
 	return decision, nil
 }
 
@@ -140,19 +158,31 @@
 	a.controller.SetForecast(pool, f)
 }
 
-// runTicks starts and refuses waiting requests as time passes, until ctx ends.
+// signalQueued wakes the ticks when a request waits.
+func (a *admitter) signalQueued() {
+	if len(a.waiting) == 0 {
+		return
+	}
+	select {
+	case a.queued <- struct{}{}:
+	default:
+	}
+}
+
+// runTicks starts and refuses waiting requests as time passes, until ctx ends. There are no
+// ticks while nothing waits.
 func (a *admitter) runTicks(ctx context.Context) error {
-	ticker := time.NewTicker(admissionTick)
-	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case now := <-ticker.C:
-			a.mu.Lock()
-			a.tell(a.controller.Tick(now))
-			a.mu.Unlock()
+		case <-a.queued:
 		}
+		sleep(ctx, admissionTick)
+		a.mu.Lock()
+		a.tell(a.controller.Tick(time.Now()))
+		a.signalQueued()
+		a.mu.Unlock()
 	}
 }
 
--- a/daemon/subscription_test.go
+++ b/daemon/subscription_test.go
@@ -21,8 +21,7 @@
 
 func newTestShared(name string) *shared {
 	s := newShared(settings.Process{Name: name, DataCentre: "kandy", Advertise: name}, 7, logr.Discard())
-	s.started = time.Now().Add(-uptime)
-	s.clock.started = s.started
+	s.clock.started = time.Now().Add(-uptime)
 	s.clock.ticked.Store(s.clock.read(time.Now()))
 	return s
 }
@@ -149,6 +148,7 @@
 	b.confirmView(8, time.Now())
 	is.True(b.notReady() != "") // a has a newer one
 	b.offerView(viewOf(9, 3))
+	b.started = time.Now()
 	is.True(b.notReady() != "") // b has not heard of all backend servers yet
 	b.started = b.started.Add(-b.serverLease())
 	is.Equal(b.notReady(), "")
--- a/dispatch/draft_run.go
+++ b/dispatch/draft_run.go
@@ -9,9 +9,7 @@
 
 	"github.com/balsamlb/balsamlb/backend"
 	"github.com/balsamlb/balsamlb/internal/ring"
-	"github.com/balsamlb/balsamlb/outcome"
 	"github.com/balsamlb/balsamlb/pipeline"
-	"github.com/balsamlb/balsamlb/quarantine"
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
 )
@@ -50,9 +48,9 @@
 	cancel context.CancelFunc
 	group  errgroup.Group
 	last   *DraftEvent
-	ran    bool
-	// waiting is a stage whose replacement must wait, nil when there is none.
-	waiting *pipeline.Replace
+	// held are the stages that wait for a server of their own.
+	held []heldReplace
+	ran  bool
 	// unproved are new servers that have not run provedAt tokens of the draft yet.
 	unproved []string
 	provedAt int
@@ -121,10 +119,7 @@
 	if len(run.inbox.Items()) > 0 {
 		return
 	}
-	if a := run.waiting; a != nil {
-		run.waiting = nil
-		run.carryOut(run.chooseReplacements(*a))
-	}
+	run.retryHeld(now)
 	run.carryOut(run.stream.Tick(now))
 	leaving := run.d.leaving()
 	for _, server := range run.stream.Servers() {
@@ -223,48 +218,6 @@
 	run.last = &DraftEvent{Err: draftOutcome(err, run.ran)}
 }
 
-// replace chooses servers for the layers of a stage.
-func (run *draftRun) replace(a pipeline.Replace) []pipeline.Action {
-	if run.d.noteStageFailure(run, a) == quarantine.Quarantined {
-		run.last = &DraftEvent{Err: errQuarantined(outcome.Failed)}
-		return nil
-	}
-	return run.chooseReplacements(a)
-}
-
-// chooseReplacements answers the stream, or waits while the servers that could take the stage
-// over run suspects.
-func (run *draftRun) chooseReplacements(a pipeline.Replace) []pipeline.Action {
-	stages, err := run.d.chooseStages(run.r, a)
-	if err != nil && !a.IsMove() && run.d.isHeld(run.r, a) {
-		run.waiting = &a
-		return nil
-	}
-	if err != nil {
-		run.log.Info("found no replacement", "server", a.Server, "reason", string(a.Reason), "err", err.Error())
-		return run.stream.NoReplacement(time.Now(), a.Stage)
-	}
-	names := make([]string, len(stages))
-	for i, st := range stages {
-		names[i] = st.Server.Name
-	}
-	run.inUse = append(run.inUse, names...)
-	run.d.guard.started(run.r.ID, run.r.fingerprint(), serversOf(stages)...)
-	run.unproved = names
-	run.provedAt = run.stream.Next() + provingTokens
-	run.log.Info("replaces a stage", "server", a.Server, "reason", string(a.Reason), "by", names, "next", run.stream.Next())
-	return run.stream.Replaced(time.Now(), a.Stage, stages)
-}
-
-// prove ends the isolation of a suspect once its new servers have run some tokens of it.
-func (run *draftRun) prove() {
-	if len(run.unproved) == 0 || run.stream.Next() < run.provedAt {
-		return
-	}
-	run.d.guard.proved(run.r.ID, run.unproved...)
-	run.unproved = nil
-}
-
 func (run *draftRun) release(server string) {
 	for i, s := range run.inUse {
 		if s == server {
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -91,6 +91,9 @@
 	is.Equal(Look(epoch, move("kandy"), f).Next, "a")
 	f.Servers[0].DrainedAt = epoch
 	is.Equal(Look(epoch.Add(time.Hour), move("kandy"), f).Next, "")
+	f.Servers[0].InFlight = 1
+	is.Equal(Look(epoch.Add(50*time.Hour), move("kandy"), f).Next, "") // one at a time
+	f.Servers[0].InFlight = 0
 	is.Equal(Look(epoch.Add(50*time.Hour), move("kandy"), f).Next, "b")
 }
 
@@ -117,3 +120,13 @@
 	is.Equal(p.Total, 2)
 	is.Equal(p.Done, 1)
 }
+
+func TestTheServerThatIsMissedLeastIsDrainedFirst(t *testing.T) {
+	is := is.New(t)
+	f := Fleet{Servers: []Server{
+		server("a", "kandy", 16, 32), server("b", "kandy", 0, 16), server("c", "kandy", 0, 16), server("stays", "galle", 0, 32),
+	}}
+	is.Equal(Look(epoch, move("kandy"), f).Next, "b")
+	f.Servers[1].InFlight = 3
+	is.Equal(Look(epoch, move("kandy"), f).Next, "c")
+}
