--- a/dispatch/draft_run.go
+++ b/dispatch/draft_run.go
@@ -9,9 +9,7 @@
 
 	"github.com/balsamlb/balsamlb/backend"
 	"github.com/balsamlb/balsamlb/internal/ring"
-	"github.com/balsamlb/balsamlb/outcome"
 	"github.com/balsamlb/balsamlb/pipeline"
-	"github.com/balsamlb/balsamlb/quarantine"
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
 )
@@ -22,6 +20,8 @@
 	inboxSize = 64
 	// tickInterval is how often a run judges its connections.
 	tickInterval = 50 * time.Millisecond
+	// provingTokens is the number of tokens after which a draft has not crashed a server.
+	provingTokens = 4
 )
 
 // connEvent is a frame, or the end, of one connection.
@@ -51,6 +51,9 @@
 	// held are the stages that wait for a server of their own.
 	held []heldReplace
 	ran  bool
+	// unproved are new servers that have not run provedAt tokens of the draft yet.
+	unproved []string
+	provedAt int
 	// inUse are the servers that count this run as work of theirs.
 	inUse []string
 
@@ -203,6 +206,7 @@
 	ctx, cancel := context.WithDeadline(run.caller, run.r.Deadline)
 	defer cancel()
 	_ = run.events.Push(ctx, DraftEvent{Token: t})
+	run.prove()
 }
 
 func (run *draftRun) finish(err error) {
@@ -214,69 +218,6 @@
 	run.last = &DraftEvent{Err: draftOutcome(err, run.ran)}
 }
 
-// replace chooses servers for the layers of a stage.
-func (run *draftRun) replace(a pipeline.Replace) []pipeline.Action {
-	run.d.noteStageFailure(run, a)
-	return run.tryReplace(a)
-}
-
-// tryReplace chooses servers, or holds the stage of a suspect until it can run apart. The
-// draft's deadline bounds the wait.
-func (run *draftRun) tryReplace(a pipeline.Replace) []pipeline.Action {
-	verdict := run.d.guard.check(run.r.fingerprint())
-	if verdict == quarantine.Quarantined {
-		run.last = &DraftEvent{Err: errQuarantined(outcome.Failed)}
-		return nil
-	}
-	if len(run.held) > 0 && run.d.guard.isShared(run.r.fingerprint(), a.Chain) {
-		return run.hold(a)
-	}
-	stages, err := run.d.chooseStages(run.r, a)
-	if err != nil && verdict == quarantine.Suspect {
-		return run.hold(a)
-	}
-	if err != nil {
-		run.log.Info("found no replacement", "server", a.Server, "reason", string(a.Reason), "err", err.Error())
-		return run.stream.NoReplacement(time.Now(), a.Stage)
-	}
-	names := make([]string, len(stages))
-	for i, st := range stages {
-		names[i] = st.Server.Name
-	}
-	run.inUse = append(run.inUse, names...)
-	run.d.guard.started(run.r.ID, run.r.fingerprint(), serversOf(stages)...)
-	run.log.Info("replaces a stage", "server", a.Server, "reason", string(a.Reason), "by", names, "next", run.stream.Next())
-	return run.stream.Replaced(time.Now(), a.Stage, stages)
-}
-
-// heldReplace is a stage of a suspect that waits for a server on which no other suspect runs.
-type heldReplace struct {
-	replace pipeline.Replace
-	// at is the time of the next look.
-	at time.Time
-}
-
-func (run *draftRun) hold(a pipeline.Replace) []pipeline.Action {
-	run.held = append(run.held, heldReplace{replace: a, at: time.Now().Add(suspectPause)})
-	run.d.guard.hold(run.r.ID, true)
-	return nil
-}
-
-// retryHeld looks again for servers for the stages that wait.
-func (run *draftRun) retryHeld(now time.Time) {
-	if len(run.held) == 0 || now.Before(run.held[0].at) {
-		return
-	}
-	held := run.held
-	for _, h := range held {
-		run.carryOut(run.tryReplace(h.replace))
-	}
-	run.held = run.held[len(held):]
-	if len(run.held) == 0 {
-		run.d.guard.hold(run.r.ID, false)
-	}
-}
-
 func (run *draftRun) release(server string) {
 	for i, s := range run.inUse {
 		if s == server {
--- a/pipeline/repair.go
+++ b/pipeline/repair.go
@@ -92,6 +92,7 @@
 	}
 	reason := s.reasons[i]
 	delete(s.reasons, i)
+	s.progressed(now)
 	old := s.chain[i]
 	source := s.links[i].source
 	var out []Action
@@ -214,32 +215,20 @@
 	if !now.Before(s.end) {
 		return s.finish(&EndError{Deadline: true})
 	}
+	if !s.started && len(s.reasons) > 0 {
+		return nil // a replacement is awaited
+	}
 	for i, l := range s.links {
 		if l.conn != 0 && now.Sub(l.heard) >= s.limits.Silence {
 			return s.resume(now, i, ReasonSilent)
 		}
 	}
-	if s.awaitsReplacement() {
-		// The answer to a Replace may take a while; a chain with a gap can't make progress.
-		s.progressed(now)
-		return nil
-	}
 	if now.Sub(s.progressAt) >= s.stallTime() {
 		return s.stalled(now)
 	}
 	return nil
 }
 
-// awaitsReplacement reports whether a stage that has failed has no server yet.
-func (s *Stream) awaitsReplacement() bool {
-	for _, reason := range s.reasons {
-		if !canExport(reason) {
-			return true
-		}
-	}
-	return false
-}
-
 // stallTime is the time without progress that makes a stall. A KV cache that is rebuilt and
 // a first token that waits in a queue take longer than a token.
 func (s *Stream) stallTime() time.Duration {
