--- a/cmd/balsamctl/config_versions.go
+++ b/cmd/balsamctl/config_versions.go
@@ -5,8 +5,8 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"io"
 	"os"
-	"text/tabwriter"
 	"time"
 
 	"github.com/balsamlb/balsamlb/config"
@@ -77,69 +77,41 @@
 }
 
 func newConfigHistory() *ffcli.Command {
-	fs := newFlagSet("history")
-	access := addAccess(fs)
-	asJSON := fs.Bool("json", false, "print JSON, with the texts")
-	return &ffcli.Command{
-		Name: "history", ShortUsage: "balsamctl config history [flags]", ShortHelp: "list the versions that a control instance keeps",
-		FlagSet: fs, Options: envOptions(),
-		Exec: func(context.Context, []string) error {
-			client, err := access.client()
-			if err != nil {
-				return err
-			}
-			documents, err := client.History()
-			if err != nil {
-				return err
-			}
-			if *asJSON {
-				return printJSON(documents)
-			}
-			w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
-			fmt.Fprintln(w, "VERSION\tACCEPTED\tAUTHOR\tCHANGE\tCHECKED BY")
-			for _, d := range documents {
-				if d.Version == 0 {
-					continue // before the first change
-				}
-				fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\n", d.Version, d.At.Format(time.RFC3339), d.Author, d.ChangeID, d.Schema)
-			}
-			return w.Flush()
-		},
+	return query[[]config.Document]{
+		name: "history", usage: "config history [flags]", help: "list the versions that a control instance keeps",
+		get:   (*operator.Client).History,
+		print: printHistory,
+	}.command()
+}
+
+func printHistory(w io.Writer, documents []config.Document) {
+	fmt.Fprintln(w, "VERSION\tACCEPTED\tAUTHOR\tCHANGE\tCHECKED BY")
+	for _, d := range documents {
+		if d.Version == 0 {
+			continue // before the first change
+		}
+		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\n", d.Version, d.At.Format(time.RFC3339), d.Author, d.ChangeID, d.Schema)
 	}
 }
 
 func newConfigStatus() *ffcli.Command {
-	fs := newFlagSet("status")
-	access := addAccess(fs)
-	return &ffcli.Command{
-		Name: "status", ShortUsage: "balsamctl config status [flags]", ShortHelp: "show the version in force at each instance",
-		FlagSet: fs, Options: envOptions(),
-		Exec: func(context.Context, []string) error {
-			client, err := access.client()
-			if err != nil {
-				return err
-			}
-			s, err := client.Status()
-			if err != nil {
-				return err
-			}
-			return printConfigStatus(s)
-		},
-	}
+	return query[operator.Status]{
+		name: "status", usage: "config status [flags]", help: "show the version in force at each instance",
+		get:   (*operator.Client).Status,
+		print: printConfigStatus,
+	}.command()
 }
 
-func printConfigStatus(s operator.Status) error {
-	fmt.Printf("version %d is in force at %s; it was known to be the newest %d ms ago\n", s.ConfigVersion, s.Instance, s.ConfigAgeMs)
+func printConfigStatus(w io.Writer, s operator.Status) {
+	fmt.Fprintf(w, "version %d is in force at %s; it was known to be the newest %d ms ago\n", s.ConfigVersion, s.Instance, s.ConfigAgeMs)
 	newest := uint64(0)
 	for _, i := range s.Instances {
 		newest = max(newest, i.ConfigVersion)
 	}
-	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "INSTANCE\tDATA CENTRE\tALIVE\tVERSION\tBEHIND\tHEARD")
 	for _, i := range s.Instances {
 		fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%d\t%d ms ago\n", i.Name, i.DataCentre, i.Alive, i.ConfigVersion, newest-i.ConfigVersion, i.HeardMs)
 	}
-	return w.Flush()
 }
 
 func newConfigRollback() *ffcli.Command {
--- a/cmd/balsamctl/policy.go
+++ b/cmd/balsamctl/policy.go
@@ -4,9 +4,8 @@
 	"context"
 	"flag"
 	"fmt"
-	"os"
+	"io"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"github.com/balsamlb/balsamlb/operator"
@@ -25,27 +24,14 @@
 }
 
 func newQuarantineList() *ffcli.Command {
-	fs := newFlagSet("list")
-	access := addAccess(fs)
-	return &ffcli.Command{
-		Name: "list", ShortUsage: "balsamctl quarantine list [flags]", ShortHelp: "show suspects and requests in quarantine",
-		FlagSet: fs, Options: envOptions(),
-		Exec: func(context.Context, []string) error {
-			client, err := access.client()
-			if err != nil {
-				return err
-			}
-			entries, err := client.Quarantine()
-			if err != nil {
-				return err
-			}
-			return printQuarantine(entries)
-		},
-	}
+	return query[[]operator.QuarantineEntry]{
+		name: "list", usage: "quarantine list [flags]", help: "show suspects and requests in quarantine",
+		get:   (*operator.Client).Quarantine,
+		print: printQuarantine,
+	}.command()
 }
 
-func printQuarantine(entries []operator.QuarantineEntry) error {
-	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+func printQuarantine(w io.Writer, entries []operator.QuarantineEntry) {
 	fmt.Fprintln(w, "FINGERPRINT\tSTATE\tDIED\tEXPIRES IN")
 	for _, e := range entries {
 		state := "suspect"
@@ -54,7 +40,6 @@
 		}
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", e.Fingerprint, state, strings.Join(e.Servers, " "), time.Until(e.Expires).Round(time.Second))
 	}
-	return w.Flush()
 }
 
 func newQuarantineRelease() *ffcli.Command {
@@ -90,27 +75,14 @@
 }
 
 func newMoveStatus() *ffcli.Command {
-	fs := newFlagSet("status")
-	access := addAccess(fs)
-	return &ffcli.Command{
-		Name: "status", ShortUsage: "balsamctl move status [flags]", ShortHelp: "show progress, forecast and risk of each move",
-		FlagSet: fs, Options: envOptions(),
-		Exec: func(context.Context, []string) error {
-			client, err := access.client()
-			if err != nil {
-				return err
-			}
-			moves, err := client.Moves()
-			if err != nil {
-				return err
-			}
-			return printMoves(moves)
-		},
-	}
+	return query[[]operator.MoveStatus]{
+		name: "status", usage: "move status [flags]", help: "show progress, forecast and risk of each move",
+		get:   (*operator.Client).Moves,
+		print: printMoves,
+	}.command()
 }
 
-func printMoves(moves []operator.MoveStatus) error {
-	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+func printMoves(w io.Writer, moves []operator.MoveStatus) {
 	fmt.Fprintln(w, "MOVE\tSERVICE\tDONE\tDRAINED\tTOTAL\tDATE\tFORECAST\tWARNING")
 	for _, m := range moves {
 		forecast := "unknown"
@@ -120,5 +92,4 @@
 		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%s\t%s\t%s\n",
 			m.Name, m.Service, m.Done, m.Drained, m.Total, m.Date.Format(time.RFC3339), forecast, m.Risk)
 	}
-	return w.Flush()
 }
--- a/cmd/balsamctl/status.go
+++ b/cmd/balsamctl/status.go
@@ -1,12 +1,9 @@
 package main
 
 import (
-	"context"
-	"encoding/json"
 	"fmt"
-	"os"
+	"io"
 	"strings"
-	"text/tabwriter"
 
 	"github.com/balsamlb/balsamlb/fleet"
 	"github.com/balsamlb/balsamlb/operator"
@@ -14,58 +11,21 @@
 )
 
 func newStatus() *ffcli.Command {
-	fs := newFlagSet("status")
-	access := addAccess(fs)
-	asJSON := fs.Bool("json", false, "print JSON")
-	return &ffcli.Command{
-		Name: "status", ShortUsage: "balsamctl status [flags]", ShortHelp: "show instances and backend servers",
-		FlagSet: fs, Options: envOptions(),
-		Exec: func(context.Context, []string) error {
-			client, err := access.client()
-			if err != nil {
-				return err
-			}
-			s, err := client.Status()
-			if err != nil {
-				return err
-			}
-			if *asJSON {
-				return printJSON(s)
-			}
-			return printStatus(s)
-		},
-	}
-}
-
-func printControl(c operator.ControlStatus) {
-	fmt.Printf("control: %s in term %d, leader %s, lease %t, voting %t\n", c.Role, c.Term, c.Leader, c.Lease, c.Voting)
-	fmt.Printf("control: commit %d, applied %d, snapshot at %d\n", c.Commit, c.Applied, c.Snapshot)
-	fmt.Printf("control: %d of %d voters: %s\n", len(c.Voters), c.Size, strings.Join(c.Voters, ", "))
-	for _, l := range c.Learners {
-		fmt.Printf("control: learner %s at %d, caught up %t\n", l.Name, l.Match, l.CaughtUp)
-	}
-}
-
-func printJSON(v any) error {
-	enc := json.NewEncoder(os.Stdout)
-	enc.SetIndent("", "  ")
-	return enc.Encode(v)
-}
-
-// orderText shows the last order of a server, such as 3/12 done.
-func orderText(o fleet.OrderReport) string {
-	if o.State == "" {
-		return "none"
-	}
-	return fmt.Sprintf("%d/%d %s", o.Fence.Term, o.Fence.Number, o.State)
+	return query[operator.Status]{
+		name: "status", usage: "status [flags]", help: "show instances and backend servers",
+		get:   (*operator.Client).Status,
+		print: printStatus,
+	}.command()
 }
 
-func printStatus(s operator.Status) error {
-	fmt.Printf("instance %s in %s, configuration version %d, %d requests in flight\n", s.Instance, s.DataCentre, s.ConfigVersion, s.InFlight)
+func printStatus(w io.Writer, s operator.Status) {
+	fmt.Fprintf(w, "instance %s in %s, configuration version %d, %d requests in flight\n", s.Instance, s.DataCentre, s.ConfigVersion, s.InFlight)
 	if s.Control != nil {
-		printControl(*s.Control)
+		printControl(w, *s.Control)
+	}
+	if len(s.Drains) > 0 {
+		fmt.Fprintf(w, "drained by operators: %s\n", strings.Join(s.Drains, ", "))
 	}
-	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "\nINSTANCE\tDATA CENTRE\tALIVE\tCONFIG\tHEARD")
 	for _, i := range s.Instances {
 		fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%d ms ago\n", i.Name, i.DataCentre, i.Alive, i.ConfigVersion, i.HeardMs)
@@ -75,5 +35,21 @@
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d-%d\t%d\t%t\t%d ms\t%t\t%t\t%s\n", b.Name, b.DataCentre, b.Address, b.Model, b.From, b.To, b.InFlight, b.Leaving, b.LeaseMs,
 			b.ChecksFences, b.ResolvesRequests, orderText(b.Order))
 	}
-	return w.Flush()
+}
+
+func printControl(w io.Writer, c operator.ControlStatus) {
+	fmt.Fprintf(w, "control: %s in term %d, leader %s, lease %t, voting %t\n", c.Role, c.Term, c.Leader, c.Lease, c.Voting)
+	fmt.Fprintf(w, "control: commit %d, applied %d, snapshot at %d\n", c.Commit, c.Applied, c.Snapshot)
+	fmt.Fprintf(w, "control: %d of %d voters: %s\n", len(c.Voters), c.Size, strings.Join(c.Voters, ", "))
+	for _, l := range c.Learners {
+		fmt.Fprintf(w, "control: learner %s at %d, caught up %t\n", l.Name, l.Match, l.CaughtUp)
+	}
+}
+
+// orderText shows the last order of a server, such as 3/12 done.
+func orderText(o fleet.OrderReport) string {
+	if o.State == "" {
+		return "none"
+	}
+	return fmt.Sprintf("%d/%d %s", o.Fence.Term, o.Fence.Number, o.State)
 }
