--- a/operator/page.go
+++ b/operator/page.go
@@ -13,10 +13,17 @@
 
 var page = template.Must(template.New("page").Parse(pageText))
 
-// writePage shows the status as a page that loads nothing else.
-func writePage(ctx *fasthttp.RequestCtx, s Status) {
+// pageView is what the page shows.
+type pageView struct {
+	Status
+	Moves      []MoveStatus
+	Quarantine []QuarantineEntry
+}
+
+// writePage shows the state as a page that loads nothing else.
+func writePage(ctx *fasthttp.RequestCtx, v pageView) {
 	var out bytes.Buffer
-	if err := page.Execute(&out, s); err != nil {
+	if err := page.Execute(&out, v); err != nil {
 		writeFailure(ctx, fasthttp.StatusInternalServerError, err.Error())
 		return
 	}
--- a/operator/page_test.go
+++ b/operator/page_test.go
@@ -11,13 +11,19 @@
 func TestPageShowsWhatIsWrong(t *testing.T) {
 	is := is.New(t)
 	var out bytes.Buffer
-	is.NoErr(page.Execute(&out, Status{
-		Instance:  "kandy-1",
-		Control:   &ControlStatus{Role: "follower"},
-		Instances: []InstanceStatus{{Name: "<galle>", Alive: false}},
+	is.NoErr(page.Execute(&out, pageView{
+		Status: Status{
+			Instance:  "kandy-1",
+			Control:   &ControlStatus{Role: "follower"},
+			Instances: []InstanceStatus{{Name: "<galle>", Alive: false}},
+		},
+		Moves:      []MoveStatus{{Name: "ledger", Total: 4, Risk: "two days late"}},
+		Quarantine: []QuarantineEntry{{Fingerprint: "00ff", Quarantined: true, Servers: []string{"advice-0"}}},
 	}))
 	text := out.String()
 	is.True(strings.Contains(text, "no leader"))
+	is.True(strings.Contains(text, "two days late"))
+	is.True(strings.Contains(text, "quarantined"))
 	is.True(strings.Contains(text, "no backend server has announced itself"))
 	is.True(strings.Contains(text, "&lt;galle&gt;")) // names can't inject markup
 }
--- a/operator/server.go
+++ b/operator/server.go
@@ -96,7 +96,11 @@
 	defer cancel()
 	switch path := string(ctx.Path()); {
 	case path == PathPage && ctx.IsGet():
-		writePage(ctx, h.backend.Status(callCtx))
+		writePage(ctx, pageView{
+			Status:     h.backend.Status(callCtx),
+			Moves:      h.backend.Moves(),
+			Quarantine: h.backend.Quarantine(),
+		})
 	case path == PathStatus && ctx.IsGet():
 		writeJSON(ctx, fasthttp.StatusOK, h.backend.Status(callCtx))
 	case path == PathConfig && ctx.IsGet():
