Reading a configuration takes time in proportion to its workspaces

Cause: each new section name was looked up in the list of those before, so time grew with the square of the number of workspaces. Ruled out: the INI library, 190 of 600 ms in the profile after the change. Change: names are sorted and compacted once.

Measured (go test ./settings -bench ParseIntent -benchtime 3x, busy machine): 37,000 workspaces 3.46 s before, 0.24 s after; 10,000: 0.28 s and 0.056 s; memory unchanged at 79 MB a reading.

--- a/settings/schema.go
+++ b/settings/schema.go
@@ -140,14 +140,13 @@
 	var names []string
 	for _, src := range sources {
 		for _, sec := range src.file.Sections() {
-			k, name := splitSection(sec.Name())
-			if k == kind && name != "" && !slices.Contains(names, name) {
+			if k, name := splitSection(sec.Name()); k == kind && name != "" {
 				names = append(names, name)
 			}
 		}
 	}
 	slices.Sort(names)
-	return names
+	return slices.Compact(names)
 }
 
 func (r *reader) fault(file, section, key, value, reason string) {
