--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -36,6 +36,7 @@
 
 // replicaUnderTest is a node with its disk and a naive state: the commands that it applied.
 type replicaUnderTest struct {
+	image image
 	node  *Node
 	disk  disk
 	state []string
@@ -206,8 +207,20 @@
 	if r.down || r.frozen || !r.node.isFounded() || !r.node.Ready().IsEmpty() {
 		return
 	}
-	s, rest := r.node.Compact(encodeState(r.state))
-	r.disk.snapshot, r.disk.entries = s, rest
+	// As in a host, the state of a snapshot may be older than what is applied by then.
+	if r.image.node == r.node {
+		if s, rest, ok := r.node.Compact(r.image.index, r.image.data); ok {
+			r.disk.snapshot, r.disk.entries = s, rest
+		}
+	}
+	r.image = image{node: r.node, index: r.node.Applied(), data: encodeState(r.state)}
+}
+
+// image is a state that is being encoded.
+type image struct {
+	node  *Node
+	index uint64
+	data  []byte
 }
 
 func encodeState(state []string) []byte {
--- a/consensus/log.go
+++ b/consensus/log.go
@@ -101,18 +101,18 @@
 	return l.memberships[len(l.memberships)-1].membership
 }
 
-// compact lets the state at the applied index stand for the log up to it, and keeps some
-// entries for followers that are a little behind.
-func (l *entryLog) compact(data []byte, keep uint64) Snapshot {
-	term, _ := l.termAt(l.applied)
-	for len(l.memberships) > 1 && l.memberships[1].place.Index <= l.applied {
+// compact lets the state at the index, which was applied, stand for the log up to it, and
+// keeps some entries for followers that are a little behind.
+func (l *entryLog) compact(index uint64, data []byte, keep uint64) Snapshot {
+	term, _ := l.termAt(index)
+	for len(l.memberships) > 1 && l.memberships[1].place.Index <= index {
 		l.memberships = l.memberships[1:]
 	}
-	l.snapshot = Snapshot{Index: l.applied, Term: term, Membership: l.memberships[0].membership, Data: data}
-	if l.applied <= l.offset.Index+keep {
+	l.snapshot = Snapshot{Index: index, Term: term, Membership: l.memberships[0].membership, Data: data}
+	if index <= l.offset.Index+keep {
 		return l.snapshot
 	}
-	cut := l.applied - keep
+	cut := index - keep
 	term, _ = l.termAt(cut)
 	l.entries = slices.Clone(l.entries[cut-l.offset.Index:])
 	l.offset = Position{Term: term, Index: cut}
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -288,13 +288,17 @@
 	}
 }
 
-// Compact returns a snapshot of the state, encoded in data, at the last applied entry, and
-// the entries after it. It must be called right after Advance, with no Ready in between, and
-// the snapshot saved before the next Ready.
-func (n *Node) Compact(data []byte) (Snapshot, []Entry) {
-	s := n.log.compact(data, keptEntries)
+// Compact returns a snapshot of the state as it was when the entry at index had been applied,
+// encoded in data, and the entries after it. It reports false when a newer snapshot has come
+// meanwhile. It must be called right after Advance, with no Ready in between, and the snapshot
+// saved before the next Ready.
+func (n *Node) Compact(index uint64, data []byte) (s Snapshot, rest []Entry, ok bool) {
+	if index <= n.log.snapshot.Index || index > n.log.applied {
+		return s, nil, false
+	}
+	s = n.log.compact(index, data, keptEntries)
 	n.forget()
-	return s, n.log.between(n.log.applied, n.log.stable)
+	return s, n.log.between(index, n.log.stable), true
 }
 
 func (n *Node) resetTimer() {
--- a/consensus/node_test.go
+++ b/consensus/node_test.go
@@ -202,6 +202,7 @@
 	}
 	c.tick(5)
 	c.compact(leader)
+	c.compact(leader) // the first call took the state
 	c.cutOff(away, false)
 	c.tick(60)
 	is.Equal(len(c.replicas[away].state), 12+keptEntries+10)
--- a/consensus/status.go
+++ b/consensus/status.go
@@ -85,5 +85,8 @@
 // Commit returns the index of the last committed entry.
 func (n *Node) Commit() uint64 { return n.log.commit }
 
+// Applied returns the index of the last entry that was given to the caller.
+func (n *Node) Applied() uint64 { return n.log.applied }
+
 // Group returns the group that the node belongs to; 0 before it knows one.
 func (n *Node) Group() uint64 { return n.membership().Group }
--- a/control/compact.go
+++ b/control/compact.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/balsamlb/balsamlb/consensus"
+	"github.com/balsamlb/balsamlb/replica"
 	"github.com/rotisserie/eris"
 )
 
@@ -32,20 +33,53 @@
 	return p.bytes >= max(minSnapshotBytes, p.last) || p.entries >= maxSnapshotEntries
 }
 
-// compact lets a snapshot stand for the applied part of the log.
+// encodedState is the state at an index, encoded for a snapshot.
+type encodedState struct {
+	node  *consensus.Node
+	index uint64
+	data  []byte
+	err   error
+}
+
+// compact lets a snapshot stand for the applied part of the log. The state is encoded aside,
+// or a large one would hold up heartbeats for longer than an election timeout.
 func (h *Host) compact() error {
-	if !h.snapshots.isDue() {
+	select {
+	case e := <-h.encoded:
+		h.isEncoding = false
+		return h.saveSnapshot(e)
+	default:
+	}
+	if h.isEncoding || !h.snapshots.isDue() {
 		return nil
 	}
-	data, err := h.state.Snapshot()
-	if err != nil {
-		return eris.Wrap(err, "control: encode the state")
+	h.isEncoding = true
+	h.snapshots = snapshotPolicy{last: h.snapshots.last}
+	go encode(h.node, h.node.Applied(), h.state.Image(), h.encoded)
+	return nil
+}
+
+// encode sends the encoded image to out, which has room for it.
+func encode(node *consensus.Node, index uint64, image replica.Image, out chan<- encodedState) {
+	data, err := image.Encode()
+	out <- encodedState{node: node, index: index, data: data, err: err}
+}
+
+func (h *Host) saveSnapshot(e encodedState) error {
+	if e.err != nil {
+		return eris.Wrap(e.err, "control: encode the state")
+	}
+	if e.node != h.node {
+		return nil // the folder was begun anew meanwhile
+	}
+	s, rest, ok := h.node.Compact(e.index, e.data)
+	if !ok {
+		return nil
 	}
-	s, rest := h.node.Compact(data)
 	if err := h.storage.SaveSnapshot(s, h.node.HardState(), rest); err != nil {
 		return eris.Wrap(err, "control: save a snapshot")
 	}
-	h.snapshots = snapshotPolicy{last: len(data)}
-	h.log.V(1).Info("saved a snapshot", "index", s.Index, "bytes", len(data))
+	h.snapshots.last = len(e.data)
+	h.log.V(1).Info("saved a snapshot", "index", s.Index, "bytes", len(e.data))
 	return nil
 }
--- a/control/host.go
+++ b/control/host.go
@@ -81,6 +81,9 @@
 	role       consensus.Role
 	membership consensus.Position
 	snapshots  snapshotPolicy
+	// encoded receives the state that is being encoded while isEncoding.
+	encoded    chan encodedState
+	isEncoding bool
 }
 
 // Options are the parts that a host is built from.
@@ -107,6 +110,7 @@
 		inputs:  ring.New[input](inputSize),
 		waiting: make(map[uint64]waiter),
 		ended:   make(chan struct{}),
+		encoded: make(chan encodedState, 1),
 		log:     o.Log,
 	}
 	return h, h.begin(stored)
