Tests of retries and hedges of plain calls

Cause: a test of these hung for ten minutes and had been set aside. Found: its server never read the request's body, and net/http tells a closed connection only after that; one request id held a control character, which net/http refused. Ruled out: a fault of the dispatcher.

--- /dev/null
+++ b/dispatch/idempotent_test.go
@@ -0,0 +1,113 @@
+package dispatch
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/balsamlb/balsamlb/fleet"
+	"github.com/balsamlb/balsamlb/outcome"
+	"github.com/balsamlb/balsamlb/settings"
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+)
+
+// fixedFleet has the same backend servers at all times.
+type fixedFleet []fleet.BackendServer
+
+func (f fixedFleet) Available() []fleet.BackendServer { return f }
+
+// plainServer starts a backend server of the service stock.
+func plainServer(t *testing.T, name string, h http.HandlerFunc) fleet.BackendServer {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return fleet.BackendServer{
+		Name: name, Incarnation: 1, Sequence: 1, Address: s.Listener.Addr().String(), DataCentre: "kandy",
+		Services: []string{"stock"}, Slots: 8,
+	}
+}
+
+func stockCall(body string) Call {
+	return Call{
+		Request: Request{
+			ID:        "r-" + body,
+			Service:   settings.Service{Name: "stock", Kind: settings.ServicePlain, Idempotent: true},
+			Workspace: settings.Workspace{Name: "kandy", Member: "kandy"},
+			Deadline:  time.Now().Add(20 * time.Second),
+		},
+		Body: []byte(body),
+	}
+}
+
+func newPlain(servers ...fleet.BackendServer) *Dispatcher {
+	return New("kandy-1", "kandy", fixedFleet(servers), nil, noCredits{}, logr.Discard())
+}
+
+// The first server of a call never answers; a second one does, and the first is told to stop.
+func TestSlowCallIsHedgedAndTheLoserCancelled(t *testing.T) {
+	is := is.New(t)
+	var first atomic.Bool
+	cancelled := make(chan struct{})
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // net/http sees a closed connection only after the body
+		if first.CompareAndSwap(false, true) {
+			<-r.Context().Done()
+			close(cancelled)
+			return
+		}
+		_, _ = w.Write([]byte("answer"))
+	}
+	d := newPlain(plainServer(t, "a", handler), plainServer(t, "b", handler))
+	for range 50 {
+		d.guard.took("stock", time.Millisecond)
+	}
+	answer, refusal := d.Call(t.Context(), stockCall("x"))
+	is.True(refusal == nil)
+	is.Equal(string(answer.Body), "answer")
+	<-cancelled
+	for d.InFlight("a")+d.InFlight("b") > 0 {
+		time.Sleep(time.Millisecond) // the loser notes its end after the answer
+	}
+}
+
+// Every server closes its connections without an answer. The sends stay near the calls, where
+// three tries for each would make 300.
+func TestRetriesOfCallsStayWithinTheBudget(t *testing.T) {
+	is := is.New(t)
+	var sends atomic.Int64
+	handler := func(w http.ResponseWriter, _ *http.Request) {
+		sends.Add(1)
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_ = c.Close()
+		}
+	}
+	d := newPlain(plainServer(t, "a", handler), plainServer(t, "b", handler), plainServer(t, "c", handler))
+	const calls = 100
+	for i := range calls {
+		_, refusal := d.Call(t.Context(), stockCall(strconv.Itoa(i)))
+		is.True(refusal != nil)
+		is.Equal(refusal.Outcome, outcome.Failed)
+	}
+	is.True(sends.Load() <= calls+10+calls/10+2)
+}
+
+// A server that refuses connections has run nothing, so the call goes to another one.
+func TestCallGoesToAnotherServerWhenOneRefusesConnections(t *testing.T) {
+	is := is.New(t)
+	up := plainServer(t, "up", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) })
+	down := up
+	down.Name = "down"
+	down.Address = "127.0.0.1:1"
+	d := newPlain(up, down)
+	for i := range 20 {
+		answer, refusal := d.Call(t.Context(), stockCall(strconv.Itoa(i)))
+		is.True(refusal == nil)
+		is.Equal(string(answer.Body), "ok")
+	}
+}
