A test of credits waits as long as it takes

Cause: the end of an answer waits 300 ms for its credit, and on a machine with 60 processes ready to run the batch had not been recorded by then; the test failed in three runs. Change: the wait is a field, a minute in this test.

--- a/daemon/credits.go
+++ b/daemon/credits.go
@@ -44,7 +44,9 @@
 	sequence    uint64 // of the last batch; only run uses it
 	waiting     *ring.Ring[pendingCredit]
 	proposer    proposer
-	log         logr.Logger
+	// wait bounds how long the end of an answer waits for its credit.
+	wait time.Duration
+	log  logr.Logger
 }
 
 func newCreditDuty(source string, incarnation uint64, p proposer, log logr.Logger) *creditDuty {
@@ -53,6 +55,7 @@
 		incarnation: incarnation,
 		waiting:     ring.New[pendingCredit](creditRingSize),
 		proposer:    p,
+		wait:        creditWait,
 		log:         log,
 	}
 }
@@ -65,7 +68,7 @@
 		d.log.Info("lost a credit, too many are waiting", "request", e.Request)
 		return
 	}
-	timer := time.NewTimer(creditWait)
+	timer := time.NewTimer(d.wait)
 	defer timer.Stop()
 	select {
 	case <-p.recorded:
--- a/daemon/credits_test.go
+++ b/daemon/credits_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/balsamlb/balsamlb/credit"
 	"github.com/balsamlb/balsamlb/replica"
@@ -44,6 +45,7 @@
 	is := is.New(t)
 	b := &bookkeeper{book: credit.NewBook(), lose: 1}
 	d := newCreditDuty("kandy-1", 1, b, logr.Discard())
+	d.wait = time.Minute // a busy machine must not end the wait
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() {
