Room is freed once the servers have answered

Cause: a request held its room among the backend servers' slots until its credit, or the outcome of a booking, had been recorded. Ruled out: processor time (load 3). Change: the dispatcher tells the admitter that the servers have answered before it records; the request still counts as in flight, so a shutdown waits for it.

TestRoomIsFreedBeforeTheAnswerIsRecorded timed out without the call.

--- a/daemon/admitter.go
+++ b/daemon/admitter.go
@@ -142,6 +142,14 @@
 	}
 }
 
+// served gives the room of an answered request to others, while its answer and its credit are
+// still being recorded.
+func (a *admitter) served(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.tell(a.controller.Ended(time.Now(), id, true))
+}
+
 func (a *admitter) release(id string, answered bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/daemon/admitter_test.go
+++ b/daemon/admitter_test.go
@@ -13,6 +13,15 @@
 	"github.com/matryer/is"
 )
 
+func request(id string, limit time.Duration) dispatch.Request {
+	return dispatch.Request{
+		ID:        id,
+		Service:   settings.Service{Name: "stock", Kind: settings.ServicePlain},
+		Workspace: settings.Workspace{Name: "kandy", Share: 1, MaxInFlight: 9},
+		Deadline:  time.Now().Add(limit),
+	}
+}
+
 // A request that waits is refused when its time is up, though nothing else happens.
 func TestWaitingRequestIsRefusedInTime(t *testing.T) {
 	is := is.New(t)
@@ -21,14 +30,6 @@
 	done := make(chan error, 1)
 	go func() { done <- a.runTicks(ctx) }()
 	a.setForecast("stock", admission.Forecast{Slots: 1, FirstToken: time.Millisecond})
-	request := func(id string, limit time.Duration) dispatch.Request {
-		return dispatch.Request{
-			ID:        id,
-			Service:   settings.Service{Name: "stock", Kind: settings.ServicePlain},
-			Workspace: settings.Workspace{Name: "kandy", Share: 1, MaxInFlight: 9},
-			Deadline:  time.Now().Add(limit),
-		}
-	}
 	release, refusal := a.Admit(ctx, request("first", time.Hour), admission.Size{})
 	is.Equal(refusal, nil)
 	for range 3 {
@@ -40,3 +41,21 @@
 	cancel()
 	is.NoErr(<-done)
 }
+
+func TestRoomIsFreedBeforeTheAnswerIsRecorded(t *testing.T) {
+	is := is.New(t)
+	a := newAdmitter(1, false, func() settings.Intent { return settings.Intent{} }, logr.Discard())
+	a.setForecast("stock", admission.Forecast{Slots: 1, FirstToken: time.Millisecond})
+	release, refusal := a.Admit(t.Context(), request("first", time.Hour), admission.Size{})
+	is.True(refusal == nil)
+	second := make(chan *outcome.Error, 1)
+	go func() {
+		_, refusal := a.Admit(t.Context(), request("second", time.Hour), admission.Size{})
+		second <- refusal
+	}()
+	a.served("first")
+	is.True(<-second == nil)
+	is.Equal(a.InFlight(), 2) // the first one is still in flight, so a shutdown waits for it
+	release(true)
+	is.Equal(a.InFlight(), 1)
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -85,6 +85,7 @@
 	d.dispatcher = dispatch.New(p.Name, p.DataCentre, d.shared, d.proposer, d.credits, log)
 	d.dispatcher.UsePeers(d.shared.incarnation, d.shared)
 	d.admitter.forecast = d.forecast
+	d.dispatcher.OnServed(d.admitter.served)
 	d.dispatcher.UseNotices(d.shared.facts)
 	d.shared.facts.handleNotices(d.dispatcher)
 	if p.Naive {
--- a/dispatch/call_idempotent.go
+++ b/dispatch/call_idempotent.go
@@ -60,6 +60,7 @@
 			c.running--
 			if end.err == nil {
 				d.guard.took(r.Service.Name, end.took)
+				d.served(r.ID)
 				d.credit(r.Request, r.ID)
 				return end.answer, nil
 			}
--- a/dispatch/call_once.go
+++ b/dispatch/call_once.go
@@ -178,6 +178,7 @@
 		d.log.Info("the backend server refused a call", "request", a.ID, "server", server.Name, "status", answer.Status)
 		return d.refuseOnce(ctx, a, errServerFailed(outcome.NotRun, "the backend server refused the request"))
 	}
+	d.served(a.ID)
 	return d.finishOnce(ctx, a, answer)
 }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -42,6 +42,7 @@
 	log      logr.Logger
 	once     onceCaller
 	guard    *guard
+	served   func(request string)
 
 	mu     sync.Mutex
 	router *route.Router
@@ -58,6 +59,7 @@
 		log:      log.WithName("route"),
 		router:   route.New(route.Options{DataCentre: dataCentre, Seed: seed}),
 		guard:    newGuard(seed, log.WithName("retry")),
+		served:   func(string) {},
 		once: onceCaller{
 			self:    ledger.Dispatcher{Instance: instance},
 			peers:   noPeers{},
@@ -76,6 +78,10 @@
 	d.guard.naive = true
 }
 
+// OnServed sets what is told that the backend servers have answered a request, before the
+// answer and its credit are recorded. It must be set before the first request.
+func (d *Dispatcher) OnServed(f func(request string)) { d.served = f }
+
 // Request is what all kinds of request have in common.
 type Request struct {
 	ID        string
--- a/dispatch/draft.go
+++ b/dispatch/draft.go
@@ -40,6 +40,7 @@
 	go func() {
 		last, wait := d.runDraft(ctx, r, events)
 		if last.Done {
+			d.served(r.ID)
 			d.credit(r.Request, r.ID)
 		}
 		// The deadline doesn't end this wait, or a slow caller would never see the last event.
--- a/internal/bench/scaling.go
+++ b/internal/bench/scaling.go
@@ -27,7 +27,7 @@
 	scalingShort      = 4 * time.Second
 	scalingLong       = 15 * time.Second
 	scalingWarmUp     = time.Second
-	scalingConcurrent = 48 // callers an instance
+	scalingConcurrent = 192 // callers an instance
 	scalingServers    = 4
 	scalingTimeout    = 5 * time.Second
 )
@@ -35,7 +35,7 @@
 const scalingBase = `
 [service stock]
 [workspace kandy]
-max_in_flight = 1000
+max_in_flight = 10000
 `
 
 func runScaling(ctx context.Context, o Options) (Figure, error) {
@@ -82,7 +82,7 @@
 	var fleet strings.Builder
 	fmt.Fprintln(&fleet, "[data_centre colombo]\nannounce = $ANNOUNCE(colombo)")
 	for n := range scalingServers {
-		fmt.Fprintf(&fleet, "[server stock-%d]\naddress = $NET.1.%d:9000\ndata_centre = colombo\nservices = stock\n", n, 100+n)
+		fmt.Fprintf(&fleet, "[server stock-%d]\naddress = $NET.1.%d:9000\ndata_centre = colombo\nservices = stock\nslots = 512\n", n, 100+n)
 	}
 	return lab.Layout{
 		Net: o.Net, Folder: o.Folder, Bin: o.Bin,
