A streamed answer names its outcome; the demo ends without a terminal

Cause: the header of a stream is sent before its outcome is known, so a whole streamed answer named none; make demo KEEP=1 exited 1 where nobody can press Enter (seen in a fresh clone). Change: the last event carries outcome; the demo goes on.

--- a/caller/stream.go
+++ b/caller/stream.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/dispatch"
+	"github.com/balsamlb/balsamlb/outcome"
 	"github.com/balsamlb/balsamlb/pipeline"
 )
 
@@ -15,6 +16,8 @@
 	Object  string             `json:"object"`
 	Model   string             `json:"model"`
 	Choices []completionChoice `json:"choices"`
+	// Outcome is set in the last event of a whole answer.
+	Outcome outcome.Outcome `json:"outcome,omitempty"`
 }
 
 type completionChoice struct {
@@ -66,7 +69,9 @@
 	case e.Err != nil:
 		writeData(w, newErrorBody(e.Err))
 	case e.Done:
-		writeData(w, newChunk(a.request, completionChoice{FinishReason: finishLength}))
+		last := newChunk(a.request, completionChoice{FinishReason: finishLength})
+		last.Outcome = outcome.Answered
+		writeData(w, last)
 		// A failed write is seen by the Flush that follows.
 		_, _ = w.WriteString(endMark)
 	default:
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -160,5 +160,6 @@
 ctl credits -instance $net.1.1:8082
 say "every promise held"
 if [ "${KEEP:-}" = 1 ]; then
-  read -rp "the system runs until Enter is pressed " _
+  # Without a terminal there is nobody to wait for.
+  read -rp "the system runs until Enter is pressed " _ || true
 fi
