--- a/platform/platform.go
+++ b/balancer/platform.go
@@ -1,6 +1,6 @@
-// Package platform serves the platform's balancer and monitoring: liveness, readiness and
+// Package balancer serves the platform's balancer and monitoring: liveness, readiness and
 // metrics.
-package platform
+package balancer
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
--- a/cmd/balsamd/main.go
+++ b/cmd/balsamd/main.go
@@ -23,6 +23,12 @@
 }
 
 func run(args []string) error {
+	if len(args) > 0 {
+		switch role := settings.Role(args[0]); role {
+		case settings.RoleGateway, settings.RoleController:
+			return runMember(role, args[1:])
+		}
+	}
 	fs := flag.NewFlagSet("balsamd", flag.ContinueOnError)
 	path := fs.String("settings", "balsamd.ini", "settings file of this instance")
 	check := fs.Bool("check", false, "check the settings file and exit")
@@ -45,3 +51,28 @@
 	defer stop()
 	return d.Run(ctx)
 }
+
+// runMember runs a gateway or a controller.
+func runMember(role settings.Role, args []string) error {
+	fs := flag.NewFlagSet("balsamd "+string(role), flag.ContinueOnError)
+	path := fs.String("settings", "balsamd.ini", "settings file of this instance")
+	check := fs.Bool("check", false, "check the settings file and exit")
+	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("BALSAMD")); err != nil {
+		return err
+	}
+	s, err := settings.ReadMember(*path, role)
+	if err != nil {
+		return err
+	}
+	if *check {
+		fmt.Println(*path, "is valid")
+		return nil
+	}
+	log := logs.New(os.Stdout, s.LogLevel)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if role == settings.RoleGateway {
+		return daemon.RunGateway(ctx, *path, s, log)
+	}
+	return daemon.RunController(ctx, *path, s, log)
+}
--- a/consensus/founding.go
+++ b/consensus/founding.go
@@ -157,11 +157,11 @@
 }
 
 func (n *Node) found() {
-	if n.isFounded() || n.joining != 0 || n.opts.Founders[0] != n.opts.ID {
+	if n.isFounded() || n.joining != 0 || n.opts.JoinsOnly || n.opts.Founders[0] != n.opts.ID {
 		return
 	}
 	self := Voter{ID: n.opts.ID, Address: n.opts.Address, Disk: n.opts.Disk, Epoch: n.opts.Epoch}
-	membership := Membership{Group: n.opts.Disk, Size: len(n.opts.Founders), Voters: []Voter{self}}
+	membership := Membership{Group: n.opts.Disk, Size: max(n.opts.Size, len(n.opts.Founders)), Voters: []Voter{self}}
 	for _, id := range n.opts.Founders[1:] {
 		h, ok := n.founding[id]
 		if !ok || n.now-h.at > uint64(n.opts.ElectionTicks) {
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -37,6 +37,10 @@
 	// Founders are the names of the first voters, the same at every node. The first of them
 	// founds the group.
 	Founders []string
+	// Size is the number of voters that the group grows to; less than the founders: as many.
+	Size int
+	// JoinsOnly keeps the node from founding a group: it waits to be admitted to one.
+	JoinsOnly bool
 	// ElectionTicks is the shortest election timeout; the longest is twice that.
 	ElectionTicks int
 	// HeartbeatTicks is the interval between a leader's appends.
--- a/consensus/status.go
+++ b/consensus/status.go
@@ -22,6 +22,9 @@
 	Learners []Learner
 	// Lease says that the node leads and no other node can.
 	Lease bool
+	// HearsQuorum says that the node leads with a lease, or follows a leader that it heard
+	// within an election timeout.
+	HearsQuorum bool
 	// Voting says that the node is a voter and the group has not denied its memory.
 	Voting bool
 }
@@ -37,7 +40,9 @@
 		Snapshot:   n.log.snapshot.Index,
 		Membership: n.membership(),
 		Lease:      n.HasLease(),
-		Voting:     n.isVoting() && n.verification.done,
+		HearsQuorum: n.HasLease() ||
+			n.role == RoleFollower && n.leader != "" && n.now-n.heardAt < uint64(n.opts.ElectionTicks),
+		Voting: n.isVoting() && n.verification.done,
 	}
 	for id, p := range n.peers {
 		if !n.counts(id, p) && p.disk != 0 {
--- a/control/host.go
+++ b/control/host.go
@@ -11,6 +11,7 @@
 	"github.com/balsamlb/balsamlb/consensus"
 	"github.com/balsamlb/balsamlb/internal/ring"
 	"github.com/balsamlb/balsamlb/replica"
+	"github.com/balsamlb/balsamlb/routing"
 	"github.com/balsamlb/balsamlb/storage"
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
@@ -74,6 +75,8 @@
 	log   logr.Logger
 	// view is the index of the last view that was published.
 	view uint64
+	// routing is the version of the last routing document that was published.
+	routing uint64
 	// quietUntil is the end of the log that was stored at the start. The state of an older
 	// snapshot is not published: this instance may have had a newer view in force before.
 	quietUntil uint64
@@ -92,13 +95,21 @@
 	// Address is where other replicas reach this one.
 	Address string
 	// Voters are the names of the first voters, the same at every replica.
-	Voters  []string
-	Seed    uint64
-	Storage Storage
-	Sender  Sender
+	Voters []string
+	// Size is the number of voters that the group grows to; 0: as many as the first ones.
+	Size int
+	// JoinsOnly keeps an instance with an empty folder from founding a group.
+	JoinsOnly bool
+	// ReplaceAfter is after how long a silent voter may be replaced; 0: replaceTicks.
+	ReplaceAfter time.Duration
+	Seed         uint64
+	Storage      Storage
+	Sender       Sender
 	// OnView is called with each new view, in order.
 	OnView func(replica.View)
-	Log    logr.Logger
+	// OnRouting is called with each new routing document, in order; nil: nobody wants them.
+	OnRouting func(routing.Publication)
+	Log       logr.Logger
 }
 
 // NewHost returns a host with the state that was saved before.
@@ -137,12 +148,21 @@
 		Founders:       h.options.Voters,
 		ElectionTicks:  electionTicks,
 		HeartbeatTicks: heartbeatTicks,
-		ReplaceTicks:   replaceTicks,
+		Size:           h.options.Size,
+		JoinsOnly:      h.options.JoinsOnly,
+		ReplaceTicks:   h.options.replaceTicks(),
 		Seed:           h.options.Seed,
 	}, stored.HardState, stored.Snapshot, stored.Entries)
 	return nil
 }
 
+func (o Options) replaceTicks() int {
+	if o.ReplaceAfter > 0 {
+		return int(o.ReplaceAfter / tickInterval)
+	}
+	return replaceTicks
+}
+
 // nonce tells two starts of copies of one folder apart.
 func nonce() uint64 {
 	var b [8]byte
@@ -293,9 +313,19 @@
 }
 
 func (h *Host) publishView() {
+	h.publishRouting()
 	if h.state.ViewIndex() <= h.view || h.node.Commit() < h.quietUntil {
 		return
 	}
 	h.view = h.state.ViewIndex()
 	h.options.OnView(h.state.View())
 }
+
+// publishRouting passes on a routing document that is newer than the last one.
+func (h *Host) publishRouting() {
+	if h.options.OnRouting == nil || h.state.Routing.Version <= h.routing {
+		return
+	}
+	h.routing = h.state.Routing.Version
+	h.options.OnRouting(h.state.Routing)
+}
--- /dev/null
+++ b/controller/placement.go
@@ -0,0 +1,192 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/balsamlb/balsamlb/discovery"
+	"github.com/balsamlb/balsamlb/layers"
+	"github.com/balsamlb/balsamlb/routing"
+	"github.com/go-logr/logr"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// planInterval is the time between two looks at the fleet.
+	planInterval = 100 * time.Millisecond
+	// settleBeats is how many announcement intervals without a new server pass before the
+	// first copies are placed, so that the plan knows all servers.
+	settleBeats = 1.5
+	// orderTimeout bounds one order or report.
+	orderTimeout = time.Second
+	// reportInterval is the time between two reports of a server that carries out an order.
+	reportInterval = 300 * time.Millisecond
+	// orderLost is after how long an order that is not carried out is given up and planned anew,
+	// beyond the time that the load takes.
+	orderLost = 4 * time.Second
+)
+
+// Report is what a backend server says of what it holds and does.
+type Report struct {
+	IsBusy bool
+	// Orders is the number of orders that the server has accepted since its start.
+	Orders uint64
+	// From and To are the layers that it holds, To exclusive.
+	From, To int
+	// Slowness is over 1 while the server is slower than its accelerator.
+	Slowness float64
+}
+
+// Engines asks and orders backend servers that hold layers.
+type Engines interface {
+	Report(ctx context.Context, address string) (Report, error)
+	// Place orders a server to hold a range. orders is the number of orders that it must
+	// have accepted before, fence the order's fencing token.
+	Place(ctx context.Context, address string, p layers.Placement, fence, orders uint64) error
+}
+
+// planner remembers what was ordered.
+type planner struct {
+	engines Engines
+	log     logr.Logger
+	// settle is how long no new server must have come before the first plan.
+	settle  time.Duration
+	ordered map[string]*order
+	known   map[string]int64
+	newest  time.Time
+}
+
+// order is a placement that a server was given.
+type order struct {
+	layers.Placement
+	incarnation int64
+	at          time.Time
+	asked       time.Time
+	lostAfter   time.Duration
+}
+
+func newPlanner(o Options) *planner {
+	return &planner{
+		engines: o.Engines,
+		log:     o.Log,
+		settle:  time.Duration(settleBeats * float64(o.AnnounceInterval)),
+		ordered: make(map[string]*order),
+		known:   make(map[string]int64),
+	}
+}
+
+// runPlacement places layers while this instance leads.
+func (c *Controller) runPlacement(ctx context.Context) error {
+	ticker := time.NewTicker(planInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		s := c.status.Load()
+		if s == nil || !s.Lease {
+			clear(c.planner.ordered)
+			continue
+		}
+		snapshot := c.options.Mesh.Snapshot()
+		if snapshot.Table == nil {
+			continue
+		}
+		snapshot.Table.Services(func(svc *routing.Service) {
+			if svc.Engine != nil {
+				c.planner.plan(ctx, svc, snapshot.Servers, s.Term)
+			}
+		})
+	}
+}
+
+// plan orders what the plan for one service asks for.
+func (p *planner) plan(ctx context.Context, svc *routing.Service, all []discovery.Announcement, fence uint64) {
+	now := time.Now()
+	byID := make(map[string]*discovery.Announcement)
+	var servers []layers.Server
+	for i := range all {
+		a := &all[i]
+		if a.Service != svc.Name {
+			continue
+		}
+		if a.State != discovery.StateReady {
+			delete(p.ordered, a.ID)
+			continue
+		}
+		if p.known[a.ID] != a.Incarnation {
+			p.known[a.ID] = a.Incarnation
+			p.newest = now
+		}
+		byID[a.ID] = a
+		servers = append(servers, p.state(a, now))
+	}
+	if now.Sub(p.newest) < p.settle && !anyHolds(servers) {
+		return
+	}
+	p.askBusy(ctx, byID, now)
+	g := errgroup.Group{}
+	for _, place := range layers.Plan(svc.Engine, servers) {
+		a := byID[place.Server]
+		if o := p.ordered[a.ID]; o != nil {
+			continue
+		}
+		share := float64(place.To-place.From) / float64(svc.Engine.Layers)
+		p.ordered[a.ID] = &order{
+			Placement: place, incarnation: a.Incarnation, at: now, asked: now,
+			lostAfter: orderLost + time.Duration(2*share*float64(svc.Engine.LoadTime)),
+		}
+		g.Go(func() error {
+			p.send(ctx, a, place, fence)
+			return nil
+		})
+	}
+	_ = g.Wait() // the orders report their failures themselves
+}
+
+func anyHolds(servers []layers.Server) bool {
+	for i := range servers {
+		if servers[i].To > servers[i].From {
+			return true
+		}
+	}
+	return false
+}
+
+// state is what a server holds, or will hold under an order.
+func (p *planner) state(a *discovery.Announcement, now time.Time) layers.Server {
+	s := layers.Server{ID: a.ID, DataCentre: a.DataCentre, Accelerator: a.Accelerator}
+	if a.HasLayers {
+		s.From, s.To = a.LayersFrom, a.LayersTo
+	}
+	o := p.ordered[a.ID]
+	switch {
+	case o == nil:
+	case o.incarnation != a.Incarnation, o.From == s.From && o.To == s.To, now.Sub(o.at) > o.lostAfter:
+		delete(p.ordered, a.ID)
+	default:
+		s.From, s.To, s.IsBusy = o.From, o.To, true
+	}
+	return s
+}
+
+// send gives an order to a server, once its count of orders is known.
+func (p *planner) send(ctx context.Context, a *discovery.Announcement, place layers.Placement, fence uint64) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	r, err := p.engines.Report(ctx, a.Address)
+	if err == nil {
+		err = p.engines.Place(ctx, a.Address, place, fence, r.Orders)
+	}
+	reason := ""
+	if err != nil {
+		reason = err.Error()
+	}
+	p.log.Info("ordered layers", "server", a.ID, "data_centre", a.DataCentre, "accelerator", a.Accelerator, "from", place.From, "to", place.To,
+		"fence", fence, "orders", r.Orders, "reason", reason)
+}
+
+// askBusy will ask servers under order whether they are done.
+func (p *planner) askBusy(context.Context, map[string]*discovery.Announcement, time.Time) {}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/backend"
+	"github.com/balsamlb/balsamlb/balancer"
 	"github.com/balsamlb/balsamlb/caller"
 	"github.com/balsamlb/balsamlb/config"
 	"github.com/balsamlb/balsamlb/consensus"
@@ -17,7 +18,6 @@
 	"github.com/balsamlb/balsamlb/instance"
 	"github.com/balsamlb/balsamlb/metrics"
 	"github.com/balsamlb/balsamlb/operator"
-	"github.com/balsamlb/balsamlb/platform"
 	"github.com/balsamlb/balsamlb/replica"
 	"github.com/balsamlb/balsamlb/settings"
 	"github.com/balsamlb/balsamlb/storage"
@@ -240,7 +240,7 @@
 		{d.process.Callers, callers},
 		{d.process.Backends, backend.NewServer(d.shared)},
 		{d.process.Operators, operators},
-		{d.process.Platform, platform.NewServer(d.shared.notReady, registry)},
+		{d.process.Platform, balancer.NewServer(d.shared.notReady, registry)},
 	}
 	var servers []*fasthttp.Server
 	for _, p := range plan {
--- /dev/null
+++ b/discovery/directory.go
@@ -0,0 +1,175 @@
+package discovery
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// maxServers bounds the servers that are remembered, gone ones included.
+	maxServers = 16384
+	// goneFor is for how long a server that has gone is remembered, so that late
+	// announcements don't bring it back.
+	goneFor = 60 * time.Second
+)
+
+type entry struct {
+	announcement Announcement
+	// heard is when the server itself was last heard here; zero if others told of it.
+	heard time.Time
+	// changed is when the entry last changed, revision the number of that change.
+	changed  time.Time
+	revision uint64
+}
+
+// Directory holds the newest announcement of each server. It is not safe for concurrent use.
+type Directory struct {
+	entries  map[string]*entry
+	revision uint64
+}
+
+// NewDirectory returns an empty directory.
+func NewDirectory() *Directory { return &Directory{entries: make(map[string]*entry)} }
+
+// Heard takes what a server says here. It reports whether others have to learn of it.
+func (d *Directory) Heard(now time.Time, a Announcement) bool {
+	e, isNews := d.apply(now, a)
+	if e == nil {
+		return false
+	}
+	if e.heard.IsZero() && !isNews {
+		// The server has changed to this instance; whoever heard it before must not expire it.
+		d.touch(now, e)
+		isNews = true
+	}
+	e.heard = now
+	return isNews
+}
+
+// Told takes what another instance says of a server. It reports whether that is news.
+func (d *Directory) Told(now time.Time, a Announcement) bool {
+	e, isNews := d.apply(now, a)
+	if e != nil {
+		e.heard = time.Time{}
+	}
+	return isNews
+}
+
+// apply returns the entry if the announcement is newer than what it held, and whether
+// anything but the sequence is new.
+func (d *Directory) apply(now time.Time, a Announcement) (*entry, bool) {
+	e, ok := d.entries[a.ID]
+	if !ok {
+		if len(d.entries) >= maxServers || d.isOutdated(&a) {
+			return nil, false
+		}
+		e = &entry{announcement: a}
+		d.entries[a.ID] = e
+		d.touch(now, e)
+		d.supersede(now, &a)
+		return e, true
+	}
+	if !a.IsNewerThan(&e.announcement) {
+		return nil, false
+	}
+	if e.announcement.State == StateGone && a.Incarnation == e.announcement.Incarnation {
+		return nil, false
+	}
+	isNews := a.says(&e.announcement)
+	e.announcement = a
+	if isNews {
+		d.touch(now, e)
+		d.supersede(now, &a)
+	}
+	return e, isNews
+}
+
+// isOutdated reports whether a later start of another server has the address.
+func (d *Directory) isOutdated(a *Announcement) bool {
+	for _, e := range d.entries {
+		b := &e.announcement
+		if b.Address == a.Address && b.ID != a.ID && b.State != StateGone && b.Incarnation > a.Incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// supersede marks servers as gone whose address a later start has.
+func (d *Directory) supersede(now time.Time, a *Announcement) {
+	if a.State == StateGone {
+		return
+	}
+	for _, e := range d.entries {
+		b := &e.announcement
+		if b.ID != a.ID && b.Address == a.Address && b.State != StateGone && b.Incarnation <= a.Incarnation {
+			b.State = StateGone
+			d.touch(now, e)
+		}
+	}
+}
+
+func (d *Directory) touch(now time.Time, e *entry) {
+	d.revision++
+	e.revision = d.revision
+	e.changed = now
+}
+
+// Leave marks a server as gone that says so. It reports whether that is new.
+func (d *Directory) Leave(now time.Time, id string) bool {
+	e, ok := d.entries[id]
+	if !ok || e.announcement.State == StateGone {
+		return false
+	}
+	e.announcement.State = StateGone
+	e.announcement.Sequence++
+	d.touch(now, e)
+	return true
+}
+
+// Expire marks servers as silent that were heard here last, before the time.
+func (d *Directory) Expire(now, since time.Time) []string {
+	var expired []string
+	for id, e := range d.entries {
+		if e.announcement.State == StateGone {
+			if now.Sub(e.changed) > goneFor {
+				delete(d.entries, id)
+			}
+			continue
+		}
+		if e.announcement.State != StateSilent && !e.heard.IsZero() && e.heard.Before(since) {
+			e.announcement.State = StateSilent
+			d.touch(now, e)
+			expired = append(expired, id)
+		}
+	}
+	slices.Sort(expired)
+	return expired
+}
+
+// Revision rises with each change.
+func (d *Directory) Revision() uint64 { return d.revision }
+
+// Since returns the announcements that have changed after the revision.
+func (d *Directory) Since(revision uint64) []Announcement {
+	var out []Announcement
+	for _, id := range slices.Sorted(maps.Keys(d.entries)) {
+		if e := d.entries[id]; e.revision > revision {
+			out = append(out, e.announcement)
+		}
+	}
+	return out
+}
+
+// Get returns the newest announcement of a server.
+func (d *Directory) Get(id string) (Announcement, bool) {
+	e, ok := d.entries[id]
+	if !ok {
+		return Announcement{}, false
+	}
+	return e.announcement, true
+}
+
+// All returns the newest announcements, ordered by ID.
+func (d *Directory) All() []Announcement { return d.Since(0) }
--- /dev/null
+++ b/gateway/answer.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/balsamlb/balsamlb/layers"
+	"github.com/balsamlb/balsamlb/upstream"
+)
+
+// connectionHeaders concern one connection only and are not passed on.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// passedOn returns the headers that go to the next peer.
+func passedOn(h http.Header) http.Header {
+	out := make(http.Header, len(h)+4)
+	for name, values := range h {
+		out[name] = values
+	}
+	for _, named := range h["Connection"] {
+		for _, name := range strings.Split(named, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		delete(out, name)
+	}
+	return out
+}
+
+// send sends the request to a server. What the answer says is read from its head.
+func (g *Gateway) send(ctx context.Context, j *job, id, address string, path layers.Path, lastEvent string) (*upstream.Response, Answer, error) {
+	header := passedOn(j.request.Header)
+	g.options.Dialect.WriteDispatch(header, Dispatch{
+		TimeLeft:  time.Until(j.deadline),
+		Server:    id,
+		Workspace: j.workspace,
+		Path:      path,
+		LastEvent: lastEvent,
+		Urgency:   j.urgency,
+	})
+	j.sends++
+	resp, err := g.client.Do(ctx, &upstream.Request{
+		Server:  id,
+		Address: address,
+		Method:  j.request.Method,
+		Target:  j.request.RequestURI,
+		Host:    j.request.Host,
+		Header:  header,
+		Body:    j.body,
+		HasBody: j.hasBody,
+		IsAnswer: func(status int, h http.Header) bool {
+			a := g.options.Dialect.ReadAnswer(status, h)
+			return a.ID == j.call.ID || a.ID == "" && status >= http.StatusMultipleChoices
+		},
+	})
+	if err != nil {
+		if !errors.Is(err, upstream.ErrNotSent) {
+			j.attempts++
+		}
+		return nil, Answer{}, err
+	}
+	a := g.options.Dialect.ReadAnswer(resp.Status, resp.Header)
+	if !a.NotRun {
+		j.attempts++
+	}
+	return resp, a, nil
+}
+
+// maxHeldAnswer bounds an answer that is held until it is whole, so that a failure on the way
+// can be told by its status.
+const maxHeldAnswer = 256 << 10
+
+// pass writes an answer to the caller. It returns an error if nothing was written and another
+// answer can be given.
+func (g *Gateway) pass(w http.ResponseWriter, j *job, resp *upstream.Response) error {
+	held, err := io.ReadAll(io.LimitReader(resp, maxHeldAnswer))
+	if err != nil {
+		return err
+	}
+	h := w.Header()
+	for name, values := range passedOn(resp.Header) {
+		h[name] = values
+	}
+	switch {
+	case len(held) < maxHeldAnswer && bodyAllowed(resp.Status):
+		if j.request.Method != http.MethodHead || resp.Length < 0 {
+			h.Set("Content-Length", strconv.Itoa(len(held)))
+		} else {
+			h.Set("Content-Length", strconv.FormatInt(resp.Length, 10))
+		}
+	case resp.Length >= 0 && bodyAllowed(resp.Status):
+		h.Set("Content-Length", strconv.FormatInt(resp.Length, 10))
+	}
+	w.WriteHeader(resp.Status)
+	if _, err := w.Write(held); err != nil {
+		return nil
+	}
+	if len(held) == maxHeldAnswer {
+		if _, err := io.Copy(w, resp); err != nil {
+			// The caller must not take the part for the whole.
+			panic(http.ErrAbortHandler)
+		}
+	}
+	return nil
+}
+
+func bodyAllowed(status int) bool {
+	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,325 @@
+// Package gateway serves callers by the routing document: it checks their keys, chooses backend
+// servers, and passes on whole answers.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/balsamlb/balsamlb/mesh"
+	"github.com/balsamlb/balsamlb/retry"
+	"github.com/balsamlb/balsamlb/routing"
+	"github.com/balsamlb/balsamlb/upstream"
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// defaultBodyBytes bounds a body until a routing document states a limit.
+	defaultBodyBytes = 4 << 20
+	// maxHeaderBytes is above the header limit of every known deployment (16 KiB).
+	maxHeaderBytes = 64 << 10
+	// headerTimeout and idleTimeout are above the limits of every known deployment (3 s, 15 s).
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 30 * time.Second
+	// noRouteRetry is when a caller may come back to an instance that knows no routes yet.
+	noRouteRetry = 500 * time.Millisecond
+	// housekeeping is the time between two sweeps of idle connections and reports of usage.
+	housekeeping = 100 * time.Millisecond
+)
+
+// Options describe a gateway.
+type Options struct {
+	Name       string
+	DataCentre string
+	// Callers is the address to listen on.
+	Callers string
+	// Grace is the time between the signal to stop and the end of the process.
+	Grace   time.Duration
+	Mesh    *mesh.Mesh
+	Dialect Dialect
+	// Orders changes the paths of running drafts.
+	Orders Orders
+	Seed   uint64
+	Log    logr.Logger
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	options  Options
+	client   *upstream.Client
+	view     atomic.Pointer[view]
+	use      *use
+	inFlight atomic.Int64
+	leaving  atomic.Bool
+	stats    *Stats
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	health  *retry.Health
+	budgets *retry.Budgets
+}
+
+// New returns a gateway that serves nobody yet.
+func New(o Options) *Gateway {
+	g := &Gateway{
+		options: o,
+		client:  upstream.NewClient(),
+		use:     newUse(),
+		stats:   newStats(),
+		rng:     rand.New(rand.NewPCG(o.Seed, 1)),
+		health:  retry.NewHealth(),
+		budgets: retry.NewBudgets(),
+	}
+	g.client.OnDial = g.stats.dialled
+	g.view.Store(newView(o.Mesh.Snapshot()))
+	return g
+}
+
+// Stats returns what is exported to monitoring.
+func (g *Gateway) Stats() *Stats { return g.stats }
+
+// NotReady returns why the instance should get no new callers, or "".
+func (g *Gateway) NotReady() string {
+	switch {
+	case g.leaving.Load():
+		return "leaving"
+	case g.view.Load().table == nil:
+		return "no routing document is known"
+	default:
+		return ""
+	}
+}
+
+// Run serves callers until ctx ends, and then those that are there until the grace time ends.
+func (g *Gateway) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", g.options.Callers)
+	if err != nil {
+		return eris.Wrapf(err, "gateway: listen on %s", g.options.Callers)
+	}
+	server := &http.Server{
+		Handler:           g,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          nil,
+	}
+	dutyCtx, stopDuties := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopDuties()
+	eg, dutyCtx := errgroup.WithContext(dutyCtx)
+	eg.Go(func() error { return g.followMesh(dutyCtx) })
+	eg.Go(func() error { return g.keepHouse(dutyCtx) })
+	eg.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return eris.Wrap(err, "gateway: serve callers")
+		}
+		return nil
+	})
+	select {
+	case <-ctx.Done():
+		g.leave(server)
+	case <-dutyCtx.Done():
+	}
+	stopDuties()
+	_ = server.Close()
+	return eg.Wait()
+}
+
+const (
+	// balancerNotice is how long the balancer takes to send no new callers: two misses at one
+	// question a second, and the time on the way.
+	balancerNotice = 2500 * time.Millisecond
+	// graceMargin is left of the grace time for the end of the process.
+	graceMargin = 400 * time.Millisecond
+)
+
+// leave turns readiness off, takes callers until the balancer has noticed, and waits for the
+// requests in flight.
+func (g *Gateway) leave(server *http.Server) {
+	started := time.Now()
+	g.leaving.Store(true)
+	g.options.Log.Info("leaving", "in_flight", g.inFlight.Load())
+	time.Sleep(balancerNotice)
+	left := max(0, g.options.Grace-graceMargin-time.Since(started))
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		g.options.Log.Info("cut off requests after the grace time", "in_flight", g.inFlight.Load())
+	}
+}
+
+// followMesh replaces the view at each change of the mesh.
+func (g *Gateway) followMesh(ctx context.Context) error {
+	for {
+		changed := g.options.Mesh.Changed()
+		g.view.Store(newView(g.options.Mesh.Snapshot()))
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// keepHouse swaps usage with the others and closes idle connections.
+func (g *Gateway) keepHouse(ctx context.Context) error {
+	ticker := time.NewTicker(housekeeping)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			g.options.Mesh.SetRunning(g.use.list(), g.excluded(now))
+			g.use.setOthers(g.options.Mesh.Others())
+			g.client.Sweep(now)
+		}
+	}
+}
+
+func (g *Gateway) excluded(now time.Time) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.health.Excluded(now)
+}
+
+// job is one request on its way.
+type job struct {
+	call      Call
+	request   *http.Request
+	body      []byte
+	hasBody   bool
+	route     *routing.Route
+	service   *routing.Service
+	workspace string
+	urgency   int
+	arrived   time.Time
+	deadline  time.Time
+	// attempts counts the sends after which the request may have run.
+	attempts int
+	// sends counts all sends.
+	sends int
+}
+
+// ServeHTTP answers one request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	if g.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	j, refusal := g.admit(w, r)
+	if refusal != nil {
+		g.refuse(w, j, refusal)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
+	defer cancel()
+	if j.service.Engine != nil && j.route.Kind == routing.KindStream {
+		g.serveDraft(ctx, w, j)
+		return
+	}
+	g.servePlain(ctx, w, j)
+}
+
+// refusal is an answer of the gateway's own.
+type refusal struct {
+	status int
+	reason string
+	// retryAfter is when the caller may come back; 0: not stated.
+	retryAfter time.Duration
+}
+
+// admit finds the route, the workspace and the service, and reads the body.
+func (g *Gateway) admit(w http.ResponseWriter, r *http.Request) (*job, *refusal) {
+	j := &job{call: g.options.Dialect.ReadCall(r.Header), request: r, arrived: time.Now()}
+	v := g.view.Load()
+	if v.table == nil {
+		return j, &refusal{http.StatusServiceUnavailable, "no routing document is known yet", noRouteRetry}
+	}
+	j.route = v.table.Route(r.Host, r.URL.EscapedPath())
+	if j.route == nil {
+		return j, &refusal{http.StatusNotFound, "no route for this host and path", 0}
+	}
+	j.urgency = j.route.Priority
+	if v.table.NeedsKey(j.route) {
+		ws, ok := v.table.Workspace(j.call.Key)
+		if !ok {
+			return j, &refusal{http.StatusUnauthorized, "unknown key", 0}
+		}
+		j.workspace = ws.Name
+		if ws.HasPriority {
+			j.urgency = ws.Priority
+		}
+	} else if ws, ok := v.table.Workspace(j.call.Key); ok {
+		j.workspace = ws.Name
+	}
+	j.service = v.table.Service(j.route.Pick(g.draw()))
+	j.deadline = j.arrived.Add(j.route.TimeLimit)
+	if j.call.TimeLeft > 0 && j.call.TimeLeft < j.route.TimeLimit {
+		j.deadline = j.arrived.Add(j.call.TimeLeft)
+	}
+	return j, g.readBody(w, j, v.table.Limits.BodyBytes)
+}
+
+func (g *Gateway) readBody(w http.ResponseWriter, j *job, limit int) *refusal {
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	r := j.request
+	j.hasBody = r.ContentLength != 0 || len(r.TransferEncoding) > 0 || r.Header.Get("Content-Length") != ""
+	if r.ContentLength > int64(limit) {
+		return &refusal{http.StatusRequestEntityTooLarge, "the body is larger than the limit", 0}
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return &refusal{http.StatusRequestEntityTooLarge, "the body is larger than the limit", 0}
+	case err != nil:
+		return &refusal{http.StatusBadRequest, "the body could not be read", 0}
+	}
+	j.body = body
+	return nil
+}
+
+func (g *Gateway) draw() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.rng.Float64()
+}
+
+// refuse writes an answer of the gateway's own.
+func (g *Gateway) refuse(w http.ResponseWriter, j *job, f *refusal) {
+	h := w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	if f.retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 3, 64))
+	}
+	w.WriteHeader(f.status)
+	_, _ = io.WriteString(w, f.reason+"\n")
+	g.ended(j, f.status, f.reason)
+}
+
+// ended logs and counts the end of a request.
+func (g *Gateway) ended(j *job, status int, reason string) {
+	route := ""
+	if j.route != nil {
+		route = j.route.Name
+	}
+	took := time.Since(j.arrived)
+	g.stats.ended(status, took)
+	if status >= 400 || reason != "" {
+		g.options.Log.Info("ended", "request", j.call.ID, "route", route, "status", status, "reason", reason,
+			"ms", took.Milliseconds(), "sends", j.sends)
+	}
+}
--- /dev/null
+++ b/gateway/plain.go
@@ -0,0 +1,194 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/balsamlb/balsamlb/discovery"
+	"github.com/balsamlb/balsamlb/retry"
+	"github.com/balsamlb/balsamlb/upstream"
+)
+
+const (
+	// maxSends bounds the sends of one request, those included that were not run.
+	maxSends = 4
+	// busyRetry is when a caller may come back to servers that are all full: several times
+	// the usual work of a plain request.
+	busyRetry = 250 * time.Millisecond
+	// foreignPenalty is how much busier a server of another data centre counts.
+	foreignPenalty = 0.35
+)
+
+// servePlain answers a request of a plain service.
+func (g *Gateway) servePlain(ctx context.Context, w http.ResponseWriter, j *job) {
+	g.noteRequest(j)
+	var tried []string
+	for {
+		server := g.pickPlain(j, tried)
+		if server == nil {
+			g.refuse(w, j, g.whenNoServer(ctx, j))
+			return
+		}
+		tried = append(tried, server.ID)
+		done := g.use.begin(server.ID)
+		outcome := g.tryPlain(ctx, w, j, server)
+		done()
+		if outcome == nil {
+			return
+		}
+		if !g.maySendAgain(ctx, j, outcome) {
+			g.refuse(w, j, g.giveUp(ctx, j, outcome))
+			return
+		}
+	}
+}
+
+// failure is a send that brought no answer for the caller.
+type failure struct {
+	reason string
+	// ran says that the request may have run.
+	ran bool
+	err error
+}
+
+// tryPlain sends the request to one server. It returns nil once the caller has an answer.
+func (g *Gateway) tryPlain(ctx context.Context, w http.ResponseWriter, j *job, server *discovery.Announcement) *failure {
+	resp, a, err := g.send(ctx, j, server.ID, server.Address, nil, "")
+	if err != nil {
+		ran := !errors.Is(err, upstream.ErrNotSent)
+		if ctx.Err() == nil {
+			g.noteHealth(server.ID, false)
+		}
+		return &failure{reason: "no answer of " + server.ID, ran: ran, err: err}
+	}
+	defer resp.Close()
+	g.use.told(server.ID, a, time.Now())
+	if a.NotRun {
+		return &failure{reason: server.ID + " did not take it"}
+	}
+	if f := g.judge(j, server.ID, resp, a); f != nil {
+		return f
+	}
+	if err := g.pass(w, j, resp); err != nil {
+		if ctx.Err() == nil {
+			g.noteHealth(server.ID, false)
+		}
+		return &failure{reason: "the answer of " + server.ID + " broke off", ran: true, err: err}
+	}
+	g.noteHealth(server.ID, resp.Status < http.StatusInternalServerError)
+	g.ended(j, resp.Status, "")
+	return nil
+}
+
+// judge returns a failure for an answer that the caller must not get, or for one that another
+// server may better.
+func (g *Gateway) judge(j *job, server string, resp *upstream.Response, a Answer) *failure {
+	isSuccess := resp.Status < http.StatusMultipleChoices
+	if isSuccess && !a.IsGenuine {
+		g.noteHealth(server, false)
+		return &failure{reason: "the answer of " + server + " bears no mark", ran: true}
+	}
+	canBetter := j.route.MayRepeat() && j.attempts < j.route.MaxAttempts && j.sends < maxSends
+	if resp.Status >= http.StatusInternalServerError && canBetter && g.allowRetry(j) {
+		g.noteHealth(server, false)
+		return &failure{reason: server + " failed", ran: true, err: errAllowed}
+	}
+	return nil
+}
+
+// errAllowed marks a failure whose retry the budget has paid for already.
+var errAllowed = errors.New("gateway: the retry is paid for")
+
+// maySendAgain reports whether a request may go to another server after a failure.
+func (g *Gateway) maySendAgain(ctx context.Context, j *job, f *failure) bool {
+	if ctx.Err() != nil || j.sends >= maxSends {
+		return false
+	}
+	if f.ran && (!j.route.MayRepeat() || j.attempts >= max(1, j.route.MaxAttempts)) {
+		return false
+	}
+	return errors.Is(f.err, errAllowed) || g.allowRetry(j)
+}
+
+// giveUp is the last answer after a failure.
+func (g *Gateway) giveUp(ctx context.Context, j *job, f *failure) *refusal {
+	if j.attempts == 0 {
+		return &refusal{http.StatusServiceUnavailable, f.reason, busyRetry}
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return &refusal{http.StatusGatewayTimeout, "no answer in time: " + f.reason, 0}
+	}
+	return &refusal{http.StatusBadGateway, f.reason, 0}
+}
+
+func (g *Gateway) whenNoServer(ctx context.Context, j *job) *refusal {
+	return g.giveUp(ctx, j, &failure{reason: "no backend server is ready"})
+}
+
+// pickPlain returns the least busy server that was not tried, or nil.
+func (g *Gateway) pickPlain(j *job, tried []string) *discovery.Announcement {
+	now := time.Now()
+	candidates := g.view.Load().plain[j.service.Name]
+	excluded := g.excluded(now)
+	g.use.mu.Lock()
+	defer g.use.mu.Unlock()
+	var best *discovery.Announcement
+	bestScore := 0.0
+	for _, a := range candidates {
+		if slices.Contains(tried, a.ID) {
+			continue
+		}
+		score := g.use.busy(a, now)
+		if a.DataCentre != g.options.DataCentre {
+			score += foreignPenalty
+		}
+		if slices.Contains(excluded, a.ID) {
+			score += excludedPenalty
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = a, score
+		}
+	}
+	if best != nil {
+		g.noteChosen(best.ID)
+	}
+	return best
+}
+
+// excludedPenalty puts servers that have failed behind all others.
+const excludedPenalty = 100
+
+func (g *Gateway) noteChosen(server string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.health.Chosen(time.Now(), server)
+}
+
+func (g *Gateway) noteHealth(server string, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if ok {
+		g.health.Succeeded(server)
+		return
+	}
+	g.health.Failed(time.Now(), server)
+}
+
+func (g *Gateway) budgetKey(j *job) retry.Key {
+	return retry.Key{Workspace: j.workspace, Service: j.service.Name}
+}
+
+func (g *Gateway) noteRequest(j *job) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budgets.Requested(time.Now(), g.budgetKey(j))
+}
+
+func (g *Gateway) allowRetry(j *job) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budgets.Allow(time.Now(), g.budgetKey(j))
+}
--- a/instance/proposer.go
+++ b/instance/proposer.go
@@ -41,6 +41,15 @@
 	return &Proposer{dialer: d, voters: voters, avoided: make(map[string]time.Time), answered: make(map[string]time.Time), idle: make(map[string][]*link)}
 }
 
+// Know replaces the addresses of the control instances; an empty list changes nothing.
+func (p *Proposer) Know(addresses []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(addresses) > 0 {
+		p.voters = addresses
+	}
+}
+
 // Propose returns the command's result, or ErrNoQuorum when ctx ends first.
 func (p *Proposer) Propose(ctx context.Context, c replica.Command) (replica.Result, error) {
 	data, err := c.Encode()
--- a/instance/publish.go
+++ b/instance/publish.go
@@ -12,6 +12,8 @@
 )
 
 var (
+	// errNoPeers means that the instance takes part in watches only.
+	errNoPeers = errors.New("instance: subscriptions are not served")
 	// errTooMany means that the instance has its most subscribers.
 	errTooMany = errors.New("instance: too many subscribers")
 	// errGone means that a subscriber has sent no clock for too long.
@@ -33,6 +35,9 @@
 
 // Subscribe sends beats until the subscriber goes.
 func (s *Server) Subscribe(stream wire.DRPCInstance_SubscribeStream) error {
+	if s.peers == nil {
+		return errNoPeers
+	}
 	if s.subscribers.Add(1) > maxSubscribers {
 		s.subscribers.Add(-1)
 		return errTooMany
@@ -102,6 +107,9 @@
 
 // Members takes over the members that the caller knows and returns those known here.
 func (s *Server) Members(_ context.Context, req *wire.MembersRequest) (*wire.MembersResponse, error) {
+	if s.peers == nil {
+		return nil, errNoPeers
+	}
 	s.peers.Asked(req)
 	return &wire.MembersResponse{Responder: s.peers.Self(), Members: s.peers.Members()}, nil
 }
--- a/instance/server.go
+++ b/instance/server.go
@@ -41,6 +41,7 @@
 type Server struct {
 	replica     Replica // nil on an instance that is not a control instance
 	peers       Peers
+	watched     Watched // nil unless watches are served
 	started     time.Time
 	subscribers atomic.Int64
 }
@@ -100,5 +101,8 @@
 
 // Fetch returns the view in force when it is newer than the caller's.
 func (s *Server) Fetch(_ context.Context, req *wire.FetchRequest) (*wire.FetchResponse, error) {
+	if s.peers == nil {
+		return nil, errNoPeers
+	}
 	return s.peers.FetchView(req)
 }
--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -19,8 +19,8 @@
 var decisionPackages = []string{
 	"admission", "config", "consensus", "credit", "fleet", "ledger", "membership", "outcome", "pipeline", "placement",
 	"quarantine", "replica", "retry", "route",
-	"admission", "config", "consensus", "credit", "drain", "fleet", "ledger", "membership", "outcome", "pipeline",
-	"placement", "quarantine", "replica", "retry", "route",
+	"admission", "config", "consensus", "credit", "discovery", "drain", "fleet", "layers", "ledger", "membership", "outcome", "pipeline",
+	"placement", "quarantine", "replica", "retry", "route", "routing",
 }
 
 // forbiddenImports do I/O, log, or talk to other processes.
--- /dev/null
+++ b/layers/path.go
@@ -0,0 +1,245 @@
+// Package layers decides which backend servers hold which layers of a model, and which of them
+// a draft passes through.
+package layers
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/balsamlb/balsamlb/routing"
+)
+
+// maxParts is the most servers that one path may name.
+const maxParts = 32
+
+// Holder is a backend server that holds a range of layers.
+type Holder struct {
+	ID          string
+	Address     string
+	DataCentre  string
+	Accelerator string
+	// From and To bound the layers that it holds; To is exclusive.
+	From, To int
+	// Used is the predicted memory of the drafts that pass through it, in tokens times layers.
+	Used float64
+	// Heads is the number of drafts whose path it begins.
+	Heads int
+	// Slowness multiplies the times of its accelerator; 1 is as described.
+	Slowness float64
+}
+
+// Part is the part of a path that runs on one server: layers From to To, exclusive.
+type Part struct {
+	ID      string
+	Address string
+	From    int
+	To      int
+}
+
+// Path is a way through all layers, each once and in order.
+type Path []Part
+
+// Contains reports whether the path passes through the server.
+func (p Path) Contains(id string) bool {
+	return slices.ContainsFunc(p, func(part Part) bool { return part.ID == id })
+}
+
+// Draft is what is known of a request before it runs.
+type Draft struct {
+	PromptTokens float64
+	AnswerTokens float64
+}
+
+// tokens is the memory of the draft in tokens, when it has been written.
+func (d Draft) tokens() float64 { return d.PromptTokens + d.AnswerTokens }
+
+// Capacity returns how many tokens times layers a holder has room for.
+func Capacity(e *routing.Engine, h *Holder) float64 {
+	a, ok := e.Accelerators[h.Accelerator]
+	if !ok || e.TokenBytes <= 0 {
+		return 0
+	}
+	free := a.MemoryMB - float64(h.To-h.From)*e.LayerMB
+	return free * bytesPerMB / (e.TokenBytes / float64(e.Layers))
+}
+
+const (
+	bytesPerMB = 1e6
+	bitsPerMB  = 8e6
+	// crossWeight makes a transfer between data centres as dear as this many times its time,
+	// since all share the pipe and it is cut when a data centre is.
+	crossWeight = 4.0
+	// hopMS is the time that one more server adds to a token, besides its layers.
+	hopMS = 0.05
+	// fullBelow is the share of a holder's room that stays free for answers that are longer
+	// than predicted.
+	fullBelow = 0.97
+)
+
+// Search finds paths over one set of holders.
+type Search struct {
+	engine  *routing.Engine
+	holders []Holder
+	bounds  []int
+	centres []string
+}
+
+// NewSearch returns a search over holders, which it may reorder.
+func NewSearch(e *routing.Engine, holders []Holder) *Search {
+	s := &Search{engine: e, holders: holders}
+	slices.SortFunc(s.holders, func(a, b Holder) int { return cmp.Compare(a.ID, b.ID) })
+	for i := range s.holders {
+		h := &s.holders[i]
+		s.bounds = append(s.bounds, h.From, h.To)
+		s.centres = append(s.centres, h.DataCentre)
+	}
+	slices.Sort(s.bounds)
+	s.bounds = slices.Compact(s.bounds)
+	slices.Sort(s.centres)
+	s.centres = slices.Compact(s.centres)
+	return s
+}
+
+// step is the cheapest way to a bound, in one data centre.
+type step struct {
+	cost   float64
+	holder int
+	// from is the state before, as an index.
+	from int
+}
+
+// Find returns the cheapest path for a draft of a caller in the data centre home. Servers for
+// which avoid is true are left out. head, if not empty, must be the first server.
+func (s *Search) Find(d Draft, home, head string, avoid func(id string) bool) (Path, float64, bool) {
+	n := len(s.bounds)
+	if n == 0 || s.bounds[0] != 0 || s.bounds[n-1] < s.engine.Layers {
+		return nil, 0, false
+	}
+	width := len(s.centres)
+	best := make([]step, n*width)
+	for i := range best {
+		best[i].cost = math.Inf(1)
+	}
+	for at := range n - 1 {
+		for i := range s.holders {
+			h := &s.holders[i]
+			if h.From > s.bounds[at] || h.To <= s.bounds[at] || avoid(h.ID) || at == 0 && head != "" && h.ID != head {
+				continue
+			}
+			s.extend(best, at, i, d, home)
+		}
+	}
+	return s.trace(best, home)
+}
+
+// extend tries a holder from a bound on, up to each later bound that it holds.
+func (s *Search) extend(best []step, at, holder int, d Draft, home string) {
+	h := &s.holders[holder]
+	width := len(s.centres)
+	centre, _ := slices.BinarySearch(s.centres, h.DataCentre)
+	before, from := math.Inf(1), -1
+	if at == 0 {
+		if h.Heads >= s.engine.Slots && s.engine.Slots > 0 {
+			return
+		}
+		before = s.transfer(d, home == h.DataCentre) / 2
+	}
+	for c := range s.centres {
+		if i := at*width + c; at > 0 && best[i].cost < math.Inf(1) {
+			if cost := best[i].cost + s.transfer(d, c == centre); cost < before {
+				before, from = cost, i
+			}
+		}
+	}
+	if math.IsInf(before, 1) {
+		return
+	}
+	for end := at + 1; end < len(s.bounds) && s.bounds[end] <= h.To; end++ {
+		cost := before + s.run(h, s.bounds[end]-s.bounds[at], d)
+		if i := end*width + centre; cost < best[i].cost {
+			best[i] = step{cost: cost, holder: holder, from: from}
+		}
+	}
+}
+
+// run is the time that a draft spends in layers of a holder, in ms; it rises as the holder's
+// memory fills, and is infinite once it is full.
+func (s *Search) run(h *Holder, layers int, d Draft) float64 {
+	a := s.engine.Accelerators[h.Accelerator]
+	share := float64(layers) / float64(s.engine.Layers)
+	read := 0.0
+	if s.engine.TokensReadPerSecond > 0 {
+		read = d.PromptTokens * a.ReadFactor * 1000 / s.engine.TokensReadPerSecond
+	}
+	write := d.AnswerTokens * a.Pace * s.engine.StepMS
+	room := Capacity(s.engine, h)
+	used := h.Used + d.tokens()*float64(layers)
+	if room <= 0 || used > fullBelow*room {
+		return math.Inf(1)
+	}
+	return share*(read+write)*max(1, h.Slowness)/(1-used/room) + hopMS*d.AnswerTokens
+}
+
+// transfer is what passing the draft on from one server to the next costs, in ms.
+func (s *Search) transfer(d Draft, isInside bool) float64 {
+	if isInside || s.engine.PipeMbps <= 0 {
+		return 0
+	}
+	seconds := d.tokens() * s.engine.ActivationBytes * 8 / (s.engine.PipeMbps * 1e6)
+	return crossWeight * seconds * 1000
+}
+
+// trace follows the cheapest state that has passed all layers back to the start.
+func (s *Search) trace(best []step, home string) (Path, float64, bool) {
+	width := len(s.centres)
+	last, _ := slices.BinarySearch(s.bounds, s.engine.Layers)
+	if last >= len(s.bounds) || s.bounds[last] != s.engine.Layers {
+		return nil, 0, false
+	}
+	end := -1
+	for c := range s.centres {
+		i := last*width + c
+		if best[i].cost < math.Inf(1) && (end < 0 || best[i].cost < best[end].cost) {
+			end = i
+		}
+	}
+	if end < 0 {
+		return nil, 0, false
+	}
+	var path Path
+	for i := end; i >= 0; i = best[i].from {
+		h := &s.holders[best[i].holder]
+		from := 0
+		if best[i].from >= 0 {
+			from = s.bounds[best[i].from/width]
+		}
+		path = append(path, Part{ID: h.ID, Address: h.Address, From: from, To: s.bounds[i/width]})
+	}
+	slices.Reverse(path)
+	path = joinRepeated(path)
+	return path, best[end].cost, len(path) <= maxParts
+}
+
+// joinRepeated lets a server that stands twice in a path run what lies between as well, since
+// a path may name it once only.
+func joinRepeated(p Path) Path {
+	var out Path
+	for _, part := range p {
+		i := slices.IndexFunc(out, func(o Part) bool { return o.ID == part.ID })
+		if i >= 0 {
+			out = out[:i+1]
+			out[i].To = part.To
+			continue
+		}
+		out = append(out, part)
+	}
+	return out
+}
+
+// Update calls f for each holder, to change its use.
+func (s *Search) Update(f func(h *Holder)) {
+	for i := range s.holders {
+		f(&s.holders[i])
+	}
+}
--- /dev/null
+++ b/layers/plan.go
@@ -0,0 +1,214 @@
+package layers
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/balsamlb/balsamlb/routing"
+)
+
+const (
+	// targetDrafts is the number of usual drafts that a copy of the model should have room
+	// for beside its layers: the most that Little's law gives for one data centre of the
+	// known deployments (38 drafts a second for 4 s).
+	targetDrafts = 160
+	// coverDrafts is the room of a second holder, which takes over drafts only after a loss.
+	coverDrafts = 80
+)
+
+// Server is a backend server that can hold layers.
+type Server struct {
+	ID          string
+	DataCentre  string
+	Accelerator string
+	// From and To are the layers that it holds, or is loading under an order.
+	From, To int
+	// IsBusy servers are carrying out an order.
+	IsBusy bool
+}
+
+func (s *Server) isEmpty() bool { return s.To <= s.From }
+
+// Placement is a range of layers that a server should hold.
+type Placement struct {
+	Server string
+	From   int
+	To     int
+}
+
+// Plan returns the placements that differ from what the servers hold now: a copy of the model
+// in each data centre, then a second holder for as much as possible.
+func Plan(e *routing.Engine, servers []Server) []Placement {
+	byCentre := make(map[string][]Server)
+	var centres []string
+	for _, s := range servers {
+		if _, ok := byCentre[s.DataCentre]; !ok {
+			centres = append(centres, s.DataCentre)
+		}
+		byCentre[s.DataCentre] = append(byCentre[s.DataCentre], s)
+	}
+	slices.Sort(centres)
+	var out []Placement
+	for _, c := range centres {
+		group := byCentre[c]
+		slices.SortFunc(group, func(a, b Server) int {
+			return cmp.Or(cmp.Compare(e.Accelerators[a.Accelerator].Pace, e.Accelerators[b.Accelerator].Pace), cmp.Compare(a.ID, b.ID))
+		})
+		if slices.ContainsFunc(group, func(s Server) bool { return !s.isEmpty() }) {
+			out = append(out, repair(e, group)...)
+			continue
+		}
+		out = append(out, found(e, group)...)
+	}
+	return out
+}
+
+// fits returns how many layers a server holds beside room for a number of usual drafts.
+func fits(e *routing.Engine, s *Server, drafts int) int {
+	draftMB := (e.UsualPrompt + e.UsualAnswer) * e.TokenBytes / float64(e.Layers) / bytesPerMB
+	return int(e.Accelerators[s.Accelerator].MemoryMB / (e.LayerMB + float64(drafts)*draftMB))
+}
+
+// found places the first copy in an empty data centre: on the fastest servers that hold it
+// with the room that is wanted, or on all of them with less room.
+func found(e *routing.Engine, group []Server) []Placement {
+	drafts := targetDrafts
+	for ; drafts > 0 && total(e, group, drafts) < e.Layers; drafts-- {
+	}
+	if total(e, group, drafts) < e.Layers {
+		return nil
+	}
+	var out []Placement
+	next := 0
+	for i := range group {
+		n := min(fits(e, &group[i], drafts), e.Layers-next)
+		if n <= 0 {
+			continue
+		}
+		out = append(out, Placement{Server: group[i].ID, From: next, To: next + n})
+		group[i].From, group[i].To = next, next+n
+		next += n
+	}
+	return append(out, repair(e, group)...)
+}
+
+func total(e *routing.Engine, group []Server, drafts int) int {
+	sum := 0
+	for i := range group {
+		sum += fits(e, &group[i], drafts)
+	}
+	return sum
+}
+
+// repair closes gaps with servers that are empty, or whose layers others hold as well, and
+// gives the empty ones that are left a second copy of the layers that are held least.
+func repair(e *routing.Engine, group []Server) []Placement {
+	var out []Placement
+	for {
+		from, to, ok := firstGap(e, group)
+		if !ok {
+			break
+		}
+		i := bestForGap(e, group, to-from)
+		if i < 0 {
+			break
+		}
+		out = place(out, &group[i], from, min(to, from+max(1, fits(e, &group[i], coverDrafts))))
+	}
+	for i := range group {
+		if !group[i].isEmpty() || group[i].IsBusy {
+			continue
+		}
+		n := min(fits(e, &group[i], coverDrafts), e.Layers)
+		if n <= 0 {
+			continue
+		}
+		from := leastHeld(e, group, n)
+		out = place(out, &group[i], from, from+n)
+	}
+	return out
+}
+
+// place replaces an earlier placement of the same server.
+func place(out []Placement, s *Server, from, to int) []Placement {
+	s.From, s.To = from, to
+	out = slices.DeleteFunc(out, func(p Placement) bool { return p.Server == s.ID })
+	return append(out, Placement{Server: s.ID, From: from, To: to})
+}
+
+// firstGap returns the first layers that nobody holds.
+func firstGap(e *routing.Engine, group []Server) (from, to int, ok bool) {
+	held := holders(e, group, -1)
+	for from < e.Layers && held[from] > 0 {
+		from++
+	}
+	to = from
+	for to < e.Layers && held[to] == 0 {
+		to++
+	}
+	return from, to, from < e.Layers
+}
+
+// holders counts the holders of each layer, without one server.
+func holders(e *routing.Engine, group []Server, without int) []int {
+	held := make([]int, e.Layers)
+	for i := range group {
+		if i == without {
+			continue
+		}
+		for l := max(0, group[i].From); l < min(e.Layers, group[i].To); l++ {
+			held[l]++
+		}
+	}
+	return held
+}
+
+// bestForGap returns the server that can hold most of a gap: an empty one, else one whose
+// layers are held elsewhere too; -1 if there is none.
+func bestForGap(e *routing.Engine, group []Server, width int) int {
+	best, bestScore := -1, 0
+	for i := range group {
+		s := &group[i]
+		if s.IsBusy {
+			continue
+		}
+		score := 2 * min(width, fits(e, s, coverDrafts))
+		if s.isEmpty() {
+			score++
+		} else if !isSpare(e, group, i) {
+			continue
+		}
+		if score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	return best
+}
+
+// isSpare reports whether all layers of a server are held by others too.
+func isSpare(e *routing.Engine, group []Server, i int) bool {
+	held := holders(e, group, i)
+	for l := group[i].From; l < min(e.Layers, group[i].To); l++ {
+		if held[l] == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// leastHeld returns where a range of n layers with the fewest holders begins.
+func leastHeld(e *routing.Engine, group []Server, n int) int {
+	held := holders(e, group, -1)
+	best, bestSum := 0, 0
+	sum := 0
+	for l := range e.Layers {
+		sum += held[l]
+		if l >= n {
+			sum -= held[l-n]
+		}
+		if from := l - n + 1; from >= 0 && (from == 0 || sum < bestSum) {
+			best, bestSum = from, sum
+		}
+	}
+	return best
+}
--- a/replica/command.go
+++ b/replica/command.go
@@ -27,6 +27,8 @@
 		w.Drain = drainToWire(*c.Drain)
 	case c.Credits != nil:
 		w.Credits = batchToWire(*c.Credits)
+	case c.Publish != nil:
+		w.Publish = &wire.Publish{Version: c.Publish.Version, Document: c.Publish.Document}
 	}
 	data, err := deterministic.Marshal(w)
 	return data, eris.Wrap(err, "replica: encode command")
@@ -53,6 +55,8 @@
 		c.Drain = &d
 	case w.Credits != nil:
 		c.Credits = batchFromWire(w.Credits)
+	case w.Publish != nil:
+		c.Publish = &Publish{Version: w.Publish.Version, Document: w.Publish.Document}
 	}
 	return c, nil
 }
--- a/replica/result.go
+++ b/replica/result.go
@@ -4,6 +4,7 @@
 	"github.com/balsamlb/balsamlb/config"
 	"github.com/balsamlb/balsamlb/ledger"
 	"github.com/balsamlb/balsamlb/replica/wire"
+	"github.com/balsamlb/balsamlb/routing"
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 )
@@ -22,6 +23,13 @@
 			Faults:   r.Config.Faults,
 		}
 	}
+	if r.Publish != nil {
+		w.Publish = &wire.PublishResult{
+			Verdict:  uint32(r.Publish.Verdict),
+			Version:  r.Publish.Version,
+			Document: r.Publish.Document,
+		}
+	}
 	data, err := deterministic.Marshal(w)
 	return data, eris.Wrap(err, "replica: encode result")
 }
@@ -44,5 +52,12 @@
 			Faults:   w.Config.Faults,
 		}
 	}
+	if w.Publish != nil {
+		r.Publish = &PublishResult{
+			Verdict:  routing.Verdict(w.Publish.Verdict),
+			Version:  w.Publish.Version,
+			Document: w.Publish.Document,
+		}
+	}
 	return r, nil
 }
--- a/replica/snapshot.go
+++ b/replica/snapshot.go
@@ -10,6 +10,7 @@
 	"github.com/balsamlb/balsamlb/credit"
 	"github.com/balsamlb/balsamlb/ledger"
 	"github.com/balsamlb/balsamlb/replica/wire"
+	"github.com/balsamlb/balsamlb/routing"
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 )
@@ -29,6 +30,7 @@
 	credits   credit.Image
 	drains    map[string]Drain
 	clock     Clock
+	routing   routing.Publication
 }
 
 // Image returns a copy of the state.
@@ -40,6 +42,7 @@
 		credits:   s.Credits.Image(),
 		drains:    maps.Clone(s.Drains),
 		clock:     s.clock,
+		routing:   s.Routing,
 	}
 }
 
@@ -57,6 +60,9 @@
 		ClockNanos: uint64(im.clock.now),
 		LastStamp:  stampToWire(im.clock.last),
 	}
+	if im.routing.Version != 0 {
+		w.Routing = &wire.Publish{Version: im.routing.Version, Document: im.routing.Bytes}
+	}
 	for _, name := range slices.Sorted(maps.Keys(im.drains)) {
 		w.Drains = append(w.Drains, drainToWire(im.drains[name]))
 	}
@@ -85,6 +91,7 @@
 	for _, d := range w.Drains {
 		s.Drains[d.Server] = drainFromWire(d)
 	}
+	s.Routing = routing.Publication{Version: w.Routing.GetVersion(), Bytes: w.Routing.GetDocument()}
 	s.viewIndex = w.ViewIndex
 	s.clock = Clock{now: time.Duration(w.ClockNanos), last: stampFromWire(w.LastStamp)}
 	return s, nil
--- a/replica/state.go
+++ b/replica/state.go
@@ -1,5 +1,5 @@
 // Package replica is the state that the control instances replicate: the ledger of
-// non-idempotent requests, the configuration, the drains and the credits.
+// non-idempotent requests, the configuration, the routing document, the drains and the credits.
 package replica
 
 import (
@@ -9,6 +9,7 @@
 	"github.com/balsamlb/balsamlb/config"
 	"github.com/balsamlb/balsamlb/credit"
 	"github.com/balsamlb/balsamlb/ledger"
+	"github.com/balsamlb/balsamlb/routing"
 )
 
 // Command is one entry of the replicated log. At most one field beside Stamp is set; none
@@ -20,6 +21,7 @@
 	Change  *config.Change
 	Drain   *Drain
 	Credits *credit.Batch
+	Publish *Publish
 	// Stamp is set by the leader.
 	Stamp Stamp
 }
@@ -31,6 +33,20 @@
 	Credit credit.Entry
 }
 
+// Publish offers a routing document; version 0 only reads the one in force.
+type Publish struct {
+	Version uint64
+	// Document is compressed.
+	Document []byte
+}
+
+// PublishResult says what became of an offer, and holds the document in force.
+type PublishResult struct {
+	Verdict  routing.Verdict
+	Version  uint64
+	Document []byte
+}
+
 // Drain starts or ends the drain of a backend server by an operator.
 type Drain struct {
 	Server string    `json:"server"`
@@ -40,8 +56,9 @@
 
 // Result is the answer to a command.
 type Result struct {
-	Ledger *ledger.Result
-	Config *config.Result
+	Ledger  *ledger.Result
+	Config  *config.Result
+	Publish *PublishResult
 }
 
 // View is the part of the state that every instance holds. Views are ordered by Index, and
@@ -59,6 +76,7 @@
 	Config  *config.History
 	Credits *credit.Book
 	Drains  map[string]Drain
+	Routing routing.Publication
 
 	clock Clock
 	// viewIndex is the index of the last command that changed the view.
@@ -107,6 +125,9 @@
 		s.viewIndex = index
 	case c.Credits != nil:
 		s.Credits.Add(*c.Credits)
+	case c.Publish != nil:
+		r := s.publish(*c.Publish)
+		return Result{Publish: &r}
 	}
 	return Result{}
 }
@@ -121,6 +142,15 @@
 	return r
 }
 
+// publish returns the document itself only to a reader, who has none.
+func (s *State) publish(p Publish) PublishResult {
+	r := PublishResult{Verdict: s.Routing.Offer(p.Version, p.Document), Version: s.Routing.Version}
+	if p.Version == 0 {
+		r.Document = s.Routing.Bytes
+	}
+	return r
+}
+
 func (s *State) applyDrain(d Drain) {
 	if d.On {
 		s.Drains[d.Server] = d
--- /dev/null
+++ b/routing/table.go
@@ -0,0 +1,97 @@
+package routing
+
+import (
+	"strings"
+)
+
+// Table answers look-ups of one document. The cost of a look-up depends on the number of
+// slashes in the path, not on the number of routes.
+type Table struct {
+	Version  uint64
+	Limits   Limits
+	hosts    map[string]map[string]*Route
+	keys     map[string]*Workspace
+	services map[string]*Service
+	needsKey bool
+}
+
+// NewTable returns the table of a valid document.
+func NewTable(d *Document) *Table {
+	t := &Table{
+		Version:  d.Version,
+		Limits:   d.Limits,
+		hosts:    make(map[string]map[string]*Route),
+		keys:     make(map[string]*Workspace),
+		services: make(map[string]*Service, len(d.Services)),
+		needsKey: len(d.Workspaces) > 0,
+	}
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		prefixes := t.hosts[r.Host]
+		if prefixes == nil {
+			prefixes = make(map[string]*Route)
+			t.hosts[r.Host] = prefixes
+		}
+		prefixes[r.Prefix] = r
+	}
+	for i := range d.Services {
+		t.services[d.Services[i].Name] = &d.Services[i]
+	}
+	for i := range d.Workspaces {
+		for _, k := range d.Workspaces[i].Keys {
+			t.keys[k] = &d.Workspaces[i]
+		}
+	}
+	return t
+}
+
+// Route returns the route with the longest prefix of the path, or nil. Prefixes end with a
+// slash.
+func (t *Table) Route(host, path string) *Route {
+	prefixes := t.hosts[host]
+	for len(prefixes) > 0 {
+		end := strings.LastIndexByte(path, '/')
+		if end < 0 {
+			return nil
+		}
+		if r, ok := prefixes[path[:end+1]]; ok {
+			return r
+		}
+		path = path[:end]
+	}
+	return nil
+}
+
+// Service returns the service of the name, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Services calls f for each service.
+func (t *Table) Services(f func(*Service)) {
+	for _, s := range t.services {
+		f(s)
+	}
+}
+
+// Workspace returns who holds the key.
+func (t *Table) Workspace(key string) (*Workspace, bool) {
+	w, ok := t.keys[key]
+	return w, ok
+}
+
+// NeedsKey reports whether a request on the route must carry a key.
+func (t *Table) NeedsKey(r *Route) bool { return t.needsKey && !r.Anonymous }
+
+// Pick returns the service of a split route for a number drawn evenly from [0, 1).
+func (r *Route) Pick(draw float64) string {
+	total := 0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	at := draw * float64(total)
+	for _, s := range r.Split {
+		if at -= float64(s.Weight); at < 0 {
+			return s.Service
+		}
+	}
+	return r.Split[len(r.Split)-1].Service
+}
--- /dev/null
+++ b/settings/member.go
@@ -0,0 +1,130 @@
+package settings
+
+import (
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// memberSchema lists the keys of a gateway or a controller.
+var memberSchema = []Key{
+	{"instance", "name", "", "", "Name of the instance, unique over all data centres.", anyText},
+	{"instance", "data_centre", "", "", "Data centre that the instance stands in.", anyText},
+	{"listen", "callers", "", "IP:port", "Gateway: address for callers.", addressPort},
+	{"listen", "ready", "", "IP:port", "Gateway: address at which readiness is asked.", addressPort},
+	{"listen", "control", "", "IP:port", "Controller: address for backend servers and operators.", addressPort},
+	{"listen", "instances", "", "IP:port", "Address for other instances. All instances of a deployment use the same port.", addressPort},
+	{"listen", "metrics", "", "IP:port", "Address of metrics. Empty: none are served.", addressPort},
+	{"control", "data_folder", "", "path", "Controller: folder of the replicated state.", anyText},
+	{"control", "founding", "false", "", "true: the deployment starts for the first time, and the seeds found the group of control instances.", oneOf("true", "false")},
+	{"control", "tolerate", "1", "control instances", "How many control instances may be lost at once; twice as many and one vote.", wholeNumber(0, 15)},
+	{"join", "seeds", "", "IP:port, ...", "Control instances to ask for the others. The port is replaced by that for instances. Read again when the file changes.", addressPorts},
+	{"fleet", "announce_interval_ms", "1200", "ms", "Time between two announcements of a backend server.", wholeNumber(10, 600000)},
+	{"limits", "grace_s", "10", "s", "Time between the signal to stop and the end of the process.", wholeNumber(1, 3600)},
+	{"limits", "memory_mb", "0", "MB", "Memory that the process may use; 0: not limited.", wholeNumber(0, 1<<20)},
+	{"log", "level", "info", "", "Least severe level that is logged.", oneOf("debug", "info", "error")},
+}
+
+// Member is the settings of a gateway or a controller.
+type Member struct {
+	Name       string
+	DataCentre string
+	Callers    string
+	Ready      string
+	Control    string
+	Instances  string
+	Metrics    string
+	DataFolder string
+	// IsFounding says that the deployment starts for the first time.
+	IsFounding bool
+	// Tolerate is how many control instances may be lost at once.
+	Tolerate int
+	// Seeds are addresses for instances.
+	Seeds            []string
+	AnnounceInterval time.Duration
+	Grace            time.Duration
+	MemoryMB         int
+	LogLevel         string
+}
+
+// Role is what a member does.
+type Role string
+
+// The roles of members.
+const (
+	RoleGateway    Role = "gateway"
+	RoleController Role = "controller"
+)
+
+// required are the keys that a role can't do without.
+var required = map[Role][][2]string{
+	RoleGateway: {{"instance", "name"}, {"instance", "data_centre"}, {"listen", "callers"}, {"listen", "ready"},
+		{"listen", "instances"}, {"join", "seeds"}},
+	RoleController: {{"instance", "name"}, {"instance", "data_centre"}, {"listen", "control"}, {"listen", "instances"},
+		{"control", "data_folder"}, {"join", "seeds"}},
+}
+
+// ReadMember reads and checks the settings file of a gateway or a controller.
+func ReadMember(path string, role Role) (Member, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Member{}, eris.Wrapf(err, "settings: read %s", path)
+	}
+	return ParseMember(path, data, role)
+}
+
+// ParseMember checks the settings of a gateway or a controller; name is used in errors.
+func ParseMember(name string, data []byte, role Role) (Member, error) {
+	r := &reader{schema: memberSchema}
+	src, ok := r.load(name, data)
+	if !ok {
+		return Member{}, r.err()
+	}
+	get := func(section, key string) string { return r.value([]source{src}, section, key) }
+	for _, k := range required[role] {
+		if get(k[0], k[1]) == "" {
+			r.fault(name, k[0], k[1], "", "is required")
+		}
+	}
+	// The schema has checked that these are whole numbers.
+	whole := func(section, key string) int {
+		n, _ := strconv.Atoi(get(section, key))
+		return n
+	}
+	m := Member{
+		Name:             get("instance", "name"),
+		DataCentre:       get("instance", "data_centre"),
+		Callers:          get("listen", "callers"),
+		Ready:            get("listen", "ready"),
+		Control:          get("listen", "control"),
+		Instances:        get("listen", "instances"),
+		Metrics:          get("listen", "metrics"),
+		DataFolder:       get("control", "data_folder"),
+		IsFounding:       get("control", "founding") == "true",
+		Tolerate:         whole("control", "tolerate"),
+		AnnounceInterval: time.Duration(whole("fleet", "announce_interval_ms")) * time.Millisecond,
+		Grace:            time.Duration(whole("limits", "grace_s")) * time.Second,
+		MemoryMB:         whole("limits", "memory_mb"),
+		LogLevel:         get("log", "level"),
+	}
+	m.Seeds = withPort(splitList(get("join", "seeds")), m.Instances)
+	return m, r.err()
+}
+
+// withPort gives the addresses the port of another one.
+func withPort(addresses []string, like string) []string {
+	_, port, err := net.SplitHostPort(like)
+	if err != nil {
+		return nil // reported as a fault of that key
+	}
+	var out []string
+	for _, a := range addresses {
+		if host, _, err := net.SplitHostPort(a); err == nil {
+			out = append(out, net.JoinHostPort(host, port))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/upstream/conn.go
@@ -0,0 +1,85 @@
+// Package upstream exchanges HTTP/1.1 messages with backend servers.
+//
+// It never sends a request twice, and it tells for each failure whether the request may have
+// reached the server. Neither net/http's client nor fasthttp's does both: they send some
+// requests again by themselves, and hand out the next answer on a connection without a look
+// at whose it is.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection. A lost opening packet is sent again
+	// after one second.
+	dialTimeout = 1200 * time.Millisecond
+	// unackedTimeout ends connections whose bytes are not acknowledged (TCP_USER_TIMEOUT).
+	unackedTimeout = 2500 * time.Millisecond
+	readBufferSize = 4 << 10
+	// defaultIdle is how long a connection is kept whose server states no time.
+	defaultIdle = 4 * time.Second
+	// idleMargin is left of the time for which a server keeps an idle connection.
+	idleMargin = 500 * time.Millisecond
+)
+
+// conn is one connection to a backend server.
+type conn struct {
+	net.Conn
+	address string
+	server  string
+	reader  *bufio.Reader
+	// usableUntil is when the server may close the idle connection.
+	usableUntil time.Time
+	isReused    bool
+}
+
+func dial(ctx context.Context, address string) (*conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: limitUnacked}
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(c, readBufferSize)}, nil
+}
+
+func limitUnacked(_, _ string, raw syscall.RawConn) error {
+	var err error
+	controlErr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
+	if controlErr != nil {
+		return controlErr
+	}
+	return err
+}
+
+// isQuiet reports whether an idle connection is open and holds no bytes. Bytes on an idle
+// connection belong to no request.
+func (c *conn) isQuiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = n <= 0 && err == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/upstream/exchange.go
@@ -0,0 +1,230 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+var (
+	// ErrNotSent means that no byte of the request has left this process.
+	ErrNotSent = errors.New("upstream: the request was not sent")
+	// ErrBroken means that the server gave no whole answer; it may have run the request.
+	ErrBroken = errors.New("upstream: the server broke off")
+)
+
+const (
+	// maxForeignAnswers bounds the answers to other requests that are read past.
+	maxForeignAnswers = 4
+	// concurrentBody is the size from which a body is written beside the wait for the answer,
+	// since the server may answer before it reads all of it.
+	concurrentBody = 16 << 10
+)
+
+// Request is one message to a backend server.
+type Request struct {
+	// Server names the start of the server that the connection must lead to.
+	Server  string
+	Address string
+	Method  string
+	// Target is the path and query as the caller sent them.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// HasBody says that the request has a body, which may be empty.
+	HasBody bool
+	// IsAnswer tells an answer to this request from another one by its status and header.
+	IsAnswer func(status int, h http.Header) bool
+}
+
+// Response is the answer of a backend server. Close must be called.
+type Response struct {
+	Status int
+	Header http.Header
+	// Length is the length of the body, -1 if it was not stated.
+	Length int64
+
+	body     io.ReadCloser
+	conn     *conn
+	client   *Client
+	stop     func() bool
+	written  chan error
+	mayReuse bool
+	isWhole  bool
+}
+
+// Client sends requests to backend servers. It is safe for concurrent use.
+type Client struct {
+	pool pool
+	// OnDial is called for each new connection.
+	OnDial func()
+}
+
+// NewClient returns a client without connections.
+func NewClient() *Client {
+	return &Client{pool: pool{idle: make(map[string][]*conn)}, OnDial: func() {}}
+}
+
+// Sweep closes connections that were idle for too long.
+func (c *Client) Sweep(now time.Time) { c.pool.sweep(now) }
+
+// Do sends the request and returns the head of the answer. The connection is closed when ctx
+// ends, which tells the server to stop. An error is ErrNotSent or ErrBroken.
+func (c *Client) Do(ctx context.Context, req *Request) (*Response, error) {
+	cn, err := c.connect(ctx, req)
+	if err != nil {
+		return nil, eris.Wrapf(errors.Join(ErrNotSent, err), "upstream: dial %s", req.Address)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
+	resp, err := c.exchange(cn, req)
+	if err != nil {
+		stop()
+		_ = cn.Close()
+		return nil, eris.Wrapf(err, "upstream: exchange with %s", req.Address)
+	}
+	resp.stop = stop
+	return resp, nil
+}
+
+func (c *Client) connect(ctx context.Context, req *Request) (*conn, error) {
+	if cn := c.pool.take(time.Now(), req.Server); cn != nil {
+		return cn, nil
+	}
+	c.OnDial()
+	cn, err := dial(ctx, req.Address)
+	if err != nil {
+		return nil, err
+	}
+	cn.server = req.Server
+	return cn, nil
+}
+
+func (c *Client) exchange(cn *conn, req *Request) (*Response, error) {
+	written := make(chan error, 1)
+	head := encodeHead(req)
+	if len(req.Body) < concurrentBody {
+		n, err := cn.Write(append(head, req.Body...))
+		if err != nil && n == 0 {
+			return nil, errors.Join(ErrNotSent, err)
+		}
+		written <- err
+	} else {
+		go func() { written <- writeAll(cn, head, req.Body) }()
+	}
+	resp, err := readAnswer(cn, req)
+	if err != nil {
+		return nil, errors.Join(ErrBroken, err)
+	}
+	return &Response{
+		Status:   resp.StatusCode,
+		Header:   resp.Header,
+		Length:   resp.ContentLength,
+		body:     resp.Body,
+		conn:     cn,
+		client:   c,
+		written:  written,
+		mayReuse: !resp.Close,
+	}, nil
+}
+
+func writeAll(w io.Writer, parts ...[]byte) error {
+	for _, p := range parts {
+		if _, err := w.Write(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// readAnswer reads past interim answers and answers to other requests.
+func readAnswer(cn *conn, req *Request) (*http.Response, error) {
+	for range maxForeignAnswers {
+		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: req.Method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+			continue
+		}
+		if req.IsAnswer == nil || req.IsAnswer(resp.StatusCode, resp.Header) {
+			return resp, nil
+		}
+		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, 1<<20)); err != nil {
+			return nil, err
+		}
+	}
+	return nil, errors.New("upstream: only answers to other requests")
+}
+
+func encodeHead(req *Request) []byte {
+	var b bytes.Buffer
+	b.WriteString(req.Method + " " + req.Target + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
+	for name, values := range req.Header {
+		for _, v := range values {
+			b.WriteString(name + ": " + v + "\r\n")
+		}
+	}
+	if req.HasBody {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// Read reads the body. Any error but io.EOF means that the answer is not whole.
+func (r *Response) Read(p []byte) (int, error) {
+	n, err := r.body.Read(p)
+	if err == io.EOF {
+		r.isWhole = true
+	}
+	return n, err
+}
+
+// Close returns the connection to the pool if the whole answer was read and nothing more came;
+// else it closes the connection.
+func (r *Response) Close() {
+	stopped := r.stop()
+	cn := r.conn
+	if !r.isWhole || !r.mayReuse || !stopped || !r.isWritten() || cn.reader.Buffered() > 0 {
+		_ = cn.Close()
+		return
+	}
+	cn.usableUntil = time.Now().Add(idleTime(r.Header))
+	r.client.pool.put(cn)
+}
+
+// isWritten reports whether the whole request was sent.
+func (r *Response) isWritten() bool {
+	select {
+	case err := <-r.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// idleTime reads how long the server keeps the idle connection.
+func idleTime(h http.Header) time.Duration {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
+			return max(0, time.Duration(seconds)*time.Second-idleMargin)
+		}
+	}
+	return defaultIdle
+}
+
+// IsTimeout reports whether an error came from a deadline of the connection.
+func IsTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
