Drafts are led by the predicted step of a whole path, and rarely cross data centres

Change: cost counts the drafts that run on each server, in the steps and for the others; a first server in another data centre costs little, a transfer between two servers across data centres is a last resort. The first plan takes as many of the fastest servers as write the most tokens.

--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -48,6 +48,11 @@
 	last int64
 	// lastAt is when that was.
 	lastAt time.Time
+	// events counts what was passed on; firstMS and longestMS are the time to the first event
+	// and the longest pause after it.
+	events    int
+	firstMS   int64
+	longestMS int64
 }
 
 func (g *Gateway) newDraft(j *job) *draft {
@@ -90,6 +95,8 @@
 		}
 		f := g.tryDraft(ctx, w, d, path)
 		if f == nil {
+			g.options.Log.Info("answered a draft", "request", j.call.ID, "path", describe(path), "tokens", d.tokens,
+				"events", d.events, "first_ms", d.firstMS, "longest_ms", d.longestMS, "ms", time.Since(j.arrived).Milliseconds(), "sends", j.sends)
 			g.ended(j, http.StatusOK, "")
 			return
 		}
@@ -220,16 +227,26 @@
 		if err := flusher.Flush(); err != nil {
 			return nil
 		}
-		if d.lastAt == d.arrived {
-			g.stats.firstEvent.Observe(time.Since(d.arrived).Seconds())
-		}
-		d.lastAt = time.Now()
+		d.passed(time.Now())
 		if ev.id >= 0 {
 			d.last = ev.id
 		}
 	}
 }
 
+// passed notes that an event was passed on.
+func (d *draft) passed(now time.Time) {
+	pause := now.Sub(d.lastAt)
+	d.lastAt = now
+	d.events++
+	if d.events == 1 {
+		d.firstMS = pause.Milliseconds()
+		d.gateway.stats.firstEvent.Observe(pause.Seconds())
+		return
+	}
+	d.longestMS = max(d.longestMS, pause.Milliseconds())
+}
+
 // setPath counts the draft on its servers.
 func (d *draft) setPath(p layers.Path) {
 	d.mu.Lock()
@@ -238,3 +255,15 @@
 	d.path = p
 	d.gateway.use.add(p, d.tokens, 1)
 }
+
+// describe returns a path as server=from-to, separated by spaces.
+func describe(p layers.Path) string {
+	var b strings.Builder
+	for i, part := range p {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		fmt.Fprintf(&b, "%s=%d-%d", part.ID, part.From, part.To)
+	}
+	return b.String()
+}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -94,8 +94,9 @@
 		x := u.own[part.ID]
 		x.Server = part.ID
 		x.TokenLayers += sign * tokens * (part.To - part.From)
+		x.Drafts += sign
 		if i == 0 {
-			x.Drafts += sign
+			x.Heads += sign
 		}
 		if x.Drafts == 0 && x.TokenLayers == 0 {
 			delete(u.own, part.ID)
@@ -132,7 +133,8 @@
 func (u *use) apply(h *layers.Holder) {
 	own, others := u.own[h.ID], u.others[h.ID]
 	h.Used = float64(own.TokenLayers + others.TokenLayers)
-	h.Heads = own.Drafts + others.Drafts
+	h.Drafts = own.Drafts + others.Drafts
+	h.Heads = own.Heads + others.Heads
 }
 
 // begin counts a plain request at a server; the returned function takes it off.
--- a/layers/path.go
+++ b/layers/path.go
@@ -23,8 +23,9 @@
 	From, To int
 	// Used is the predicted memory of the drafts that pass through it, in tokens times layers.
 	Used float64
-	// Heads is the number of drafts whose path it begins.
-	Heads int
+	// Drafts is the number of drafts that pass through it, Heads that of those it begins.
+	Drafts int
+	Heads  int
 	// Slowness multiplies the times of its accelerator; 1 is as described.
 	Slowness float64
 }
@@ -67,11 +68,18 @@
 const (
 	bytesPerMB = 1e6
 	bitsPerMB  = 8e6
-	// crossWeight makes a transfer between data centres as dear as this many times its time,
-	// since all share the pipe and it is cut when a data centre is.
-	crossWeight = 4.0
+	// crossMS is what a transfer between data centres costs besides its time. All transfers
+	// wait for each other there: drafts that crossed paused for 270 ms where others did for
+	// 100 ms, so that a path crosses only when no other has room.
+	crossMS = 2000.0
+	// foreignHeadMS is what a first server in another data centre costs: the way there, and
+	// the bytes of the stream, which are priced.
+	foreignHeadMS = 50.0
 	// hopMS is the time that one more server adds to a token, besides its layers.
 	hopMS = 0.05
+	// crowding counts what a draft adds to the steps of the others as much as what they add
+	// to its own.
+	crowding = 2.0
 	// fullBelow is the share of a holder's room that stays free for answers that are longer
 	// than predicted.
 	fullBelow = 0.97
@@ -143,7 +151,10 @@
 		if h.Heads >= s.engine.Slots && s.engine.Slots > 0 {
 			return
 		}
-		before = s.transfer(d, home == h.DataCentre) / 2
+		before = 0
+		if h.DataCentre != home {
+			before = foreignHeadMS
+		}
 	}
 	for c := range s.centres {
 		if i := at*width + c; at > 0 && best[i].cost < math.Inf(1) {
@@ -163,8 +174,8 @@
 	}
 }
 
-// run is the time that a draft spends in layers of a holder, in ms; it rises as the holder's
-// memory fills, and is infinite once it is full.
+// run is the time that a draft spends in layers of a holder and adds to the others there, in
+// ms. It is infinite if the holder has no room.
 func (s *Search) run(h *Holder, layers int, d Draft) float64 {
 	a := s.engine.Accelerators[h.Accelerator]
 	share := float64(layers) / float64(s.engine.Layers)
@@ -172,13 +183,14 @@
 	if s.engine.TokensReadPerSecond > 0 {
 		read = d.PromptTokens * a.ReadFactor * 1000 / s.engine.TokensReadPerSecond
 	}
-	write := d.AnswerTokens * a.Pace * s.engine.StepMS
+	perDraft := s.engine.StepPerRequestMS + s.engine.StepPerThousandMS*d.tokens()/1000
+	write := d.AnswerTokens * a.Pace * (s.engine.StepMS + crowding*perDraft*float64(h.Drafts))
 	room := Capacity(s.engine, h)
 	used := h.Used + d.tokens()*float64(layers)
 	if room <= 0 || used > fullBelow*room {
 		return math.Inf(1)
 	}
-	return share*(read+write)*max(1, h.Slowness)/(1-used/room) + hopMS*d.AnswerTokens
+	return share*(read+write)*max(1, h.Slowness) + hopMS*d.AnswerTokens
 }
 
 // transfer is what passing the draft on from one server to the next costs, in ms.
@@ -187,7 +199,7 @@
 		return 0
 	}
 	seconds := d.tokens() * s.engine.ActivationBytes * 8 / (s.engine.PipeMbps * 1e6)
-	return crossWeight * seconds * 1000
+	return crossMS + seconds*1000
 }
 
 // trace follows the cheapest state that has passed all layers back to the start.
--- a/layers/plan.go
+++ b/layers/plan.go
@@ -8,10 +8,12 @@
 )
 
 const (
-	// targetDrafts is the number of usual drafts that a copy of the model should have room
-	// for beside its layers: the most that Little's law gives for one data centre of the
-	// known deployments (38 drafts a second for 4 s).
-	targetDrafts = 160
+	// maxDrafts is the most drafts for which a chain is given room; with more, its tokens come
+	// too slowly on every accelerator that is known.
+	maxDrafts = 400
+	// worthOneMore is by how much one more server must raise the rate of a chain, since the
+	// loss of any server of a chain breaks it.
+	worthOneMore = 1.03
 	// coverDrafts is the room of a second holder, which takes over drafts only after a loss.
 	coverDrafts = 80
 )
@@ -69,18 +71,22 @@
 	return int(e.Accelerators[s.Accelerator].MemoryMB / (e.LayerMB + float64(drafts)*draftMB))
 }
 
-// found places the first copy in an empty data centre: on the fastest servers that hold it
-// with the room that is wanted, or on all of them with less room.
+// found places the first copy in an empty data centre: on as many of the fastest servers as
+// together write the most tokens a second, which leaves the slow ones to hold a second copy.
 func found(e *routing.Engine, group []Server) []Placement {
-	drafts := targetDrafts
-	for ; drafts > 0 && total(e, group, drafts) < e.Layers; drafts-- {
+	count, drafts, best := 0, 0, 0.0
+	for n := 1; n <= min(len(group), maxParts); n++ {
+		room := roomOf(e, group[:n])
+		if rate := writingRate(e, group[:n], room); room > 0 && rate > best*worthOneMore {
+			count, drafts, best = n, room, rate
+		}
 	}
-	if total(e, group, drafts) < e.Layers {
+	if count == 0 {
 		return nil
 	}
 	var out []Placement
 	next := 0
-	for i := range group {
+	for i := range group[:count] {
 		n := min(fits(e, &group[i], drafts), e.Layers-next)
 		if n <= 0 {
 			continue
@@ -92,6 +98,35 @@
 	return append(out, repair(e, group)...)
 }
 
+// roomOf returns for how many usual drafts a chain of all servers has room; 0 if it can't hold
+// all layers.
+func roomOf(e *routing.Engine, group []Server) int {
+	for drafts := maxDrafts; drafts > 0; drafts-- {
+		if total(e, group, drafts) >= e.Layers {
+			return drafts
+		}
+	}
+	return 0
+}
+
+// writingRate returns how many tokens a ms a chain writes when it is full: the drafts in it,
+// over the time of a token.
+func writingRate(e *routing.Engine, group []Server, drafts int) float64 {
+	pace := 0.0
+	left := e.Layers
+	for i := range group {
+		n := min(left, fits(e, &group[i], drafts))
+		pace += e.Accelerators[group[i].Accelerator].Pace * float64(n) / float64(e.Layers)
+		left -= n
+	}
+	perDraft := e.StepPerRequestMS + e.StepPerThousandMS*(e.UsualPrompt+e.UsualAnswer/2)/1000
+	step := pace*(e.StepMS+perDraft*float64(drafts)) + hopMS*float64(len(group))
+	if step <= 0 {
+		return 0
+	}
+	return float64(drafts) / step
+}
+
 func total(e *routing.Engine, group []Server, drafts int) int {
 	sum := 0
 	for i := range group {
--- a/mesh/use.go
+++ b/mesh/use.go
@@ -9,7 +9,9 @@
 // Use is work that passes through one backend server.
 type Use struct {
 	Server string
+	// Drafts counts all drafts, Heads those whose path the server begins.
 	Drafts int
+	Heads  int
 	// TokenLayers is the predicted memory of the drafts, in tokens times layers.
 	TokenLayers int
 }
@@ -68,6 +70,7 @@
 			s := sums[r.Server]
 			s.Server = r.Server
 			s.Drafts += r.Drafts
+			s.Heads += r.Heads
 			s.TokenLayers += r.TokenLayers
 			sums[r.Server] = s
 		}
@@ -88,7 +91,7 @@
 func usesFromWire(ws []*wire.DraftUse) []Use {
 	out := make([]Use, 0, len(ws))
 	for _, w := range ws {
-		out = append(out, Use{Server: w.Server, Drafts: int(w.Drafts), TokenLayers: int(w.TokenLayers)})
+		out = append(out, Use{Server: w.Server, Drafts: int(w.Drafts), Heads: int(w.Heads), TokenLayers: int(w.TokenLayers)})
 	}
 	return out
 }
@@ -96,7 +99,7 @@
 func usesToWire(uses []Use) []*wire.DraftUse {
 	out := make([]*wire.DraftUse, 0, len(uses))
 	for _, u := range uses {
-		out = append(out, &wire.DraftUse{Server: u.Server, Drafts: uint32(max(0, u.Drafts)), TokenLayers: uint64(max(0, u.TokenLayers))})
+		out = append(out, &wire.DraftUse{Server: u.Server, Drafts: uint32(max(0, u.Drafts)), Heads: uint32(max(0, u.Heads)), TokenLayers: uint64(max(0, u.TokenLayers))})
 	}
 	return out
 }
