Failed servers are told to all at once, and drafts are led around them

A controller that woke from a freeze called every server silent that it had heard last.

Change: gateways tell the controllers at once which servers give no sign of life; two gateways make a suspect, which all avoid and the leader replaces. A gap is closed by the server that gives up least. Each draft has a guard that orders another path, or gives up a dead first server. Retry budgets are each gateway's share of the deployment's. A controller that stood still listens anew.

Ruled out: shares of processor or links (0.02 cores; 25 MB between zones).

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -32,6 +32,9 @@
 	statusInterval = 100 * time.Millisecond
 	// publishTimeout bounds a publication or a read; the operator turns elsewhere after 1 s.
 	publishTimeout = 900 * time.Millisecond
+	// stoodStill is the time between two looks from which on the process counts as having
+	// stood still, and has to listen anew before it calls servers silent.
+	stoodStill = time.Second
 	// silentBeats is how many announcements may be missing before a server counts as silent.
 	silentBeats = 3
 	// apartAfter is for how long a control instance may have heard no quorum and still
@@ -68,6 +71,8 @@
 	// heard is when a quorum was last heard, in Unix nanoseconds of the steady clock.
 	heard   atomic.Int64
 	started time.Time
+	// listeningSince is when this instance began to hear servers without a break.
+	listeningSince time.Time
 	// routing is the newest document that the replica has applied.
 	routing atomic.Pointer[routing.Publication]
 	wake    chan struct{}
@@ -84,7 +89,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "controller: decompressor")
 	}
-	c := &Controller{options: o, encoder: encoder, decoder: decoder, started: time.Now(), wake: make(chan struct{}, 1)}
+	c := &Controller{options: o, encoder: encoder, decoder: decoder, started: time.Now(), listeningSince: time.Now(), wake: make(chan struct{}, 1)}
 	c.planner = newPlanner(o)
 	return c, nil
 }
@@ -130,12 +135,17 @@
 func (c *Controller) runStatus(ctx context.Context) error {
 	ticker := time.NewTicker(statusInterval)
 	defer ticker.Stop()
+	last := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 		}
+		if now := time.Now(); now.Sub(last) > stoodStill {
+			c.listeningSince = now
+		}
+		last = time.Now()
 		s, err := c.options.Host.Status(ctx)
 		if err != nil {
 			return nil // the replica has ended, which ends the instance
@@ -165,6 +175,9 @@
 // started, or that was apart, has not listened for long enough.
 func (c *Controller) expire(now time.Time) {
 	silence := silentBeats * c.options.AnnounceInterval
+	if now.Sub(c.listeningSince) < silence {
+		return
+	}
 	for _, id := range c.options.Mesh.Expire(now, now.Add(-silence)) {
 		c.options.Log.Info("a backend server has fallen silent", "server", id, "after_ms", silence.Milliseconds())
 	}
--- a/controller/placement.go
+++ b/controller/placement.go
@@ -6,6 +6,7 @@
 
 	"github.com/balsamlb/balsamlb/discovery"
 	"github.com/balsamlb/balsamlb/layers"
+	"github.com/balsamlb/balsamlb/mesh"
 	"github.com/balsamlb/balsamlb/routing"
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
@@ -19,8 +20,6 @@
 	settleBeats = 1.5
 	// orderTimeout bounds one order or report.
 	orderTimeout = time.Second
-	// reportInterval is the time between two reports of a server that carries out an order.
-	reportInterval = 300 * time.Millisecond
 	// orderLost is after how long an order that is not carried out is given up and planned anew,
 	// beyond the time that the load takes.
 	orderLost = 4 * time.Second
@@ -61,7 +60,6 @@
 	layers.Placement
 	incarnation int64
 	at          time.Time
-	asked       time.Time
 	lostAfter   time.Duration
 }
 
@@ -96,20 +94,20 @@
 		}
 		snapshot.Table.Services(func(svc *routing.Service) {
 			if svc.Engine != nil {
-				c.planner.plan(ctx, svc, snapshot.Servers, s.Term)
+				c.planner.plan(ctx, svc, snapshot, s.Term)
 			}
 		})
 	}
 }
 
 // plan orders what the plan for one service asks for.
-func (p *planner) plan(ctx context.Context, svc *routing.Service, all []discovery.Announcement, fence uint64) {
+func (p *planner) plan(ctx context.Context, svc *routing.Service, known mesh.Snapshot, fence uint64) {
 	now := time.Now()
 	byID := make(map[string]*discovery.Announcement)
 	var servers []layers.Server
-	for i := range all {
-		a := &all[i]
-		if a.Service != svc.Name {
+	for i := range known.Servers {
+		a := &known.Servers[i]
+		if a.Service != svc.Name || known.Suspects[a.ID] {
 			continue
 		}
 		if a.State != discovery.StateReady {
@@ -126,7 +124,6 @@
 	if now.Sub(p.newest) < p.settle && !anyHolds(servers) {
 		return
 	}
-	p.askBusy(ctx, byID, now)
 	g := errgroup.Group{}
 	for _, place := range layers.Plan(svc.Engine, servers) {
 		a := byID[place.Server]
@@ -135,7 +132,7 @@
 		}
 		share := float64(place.To-place.From) / float64(svc.Engine.Layers)
 		p.ordered[a.ID] = &order{
-			Placement: place, incarnation: a.Incarnation, at: now, asked: now,
+			Placement: place, incarnation: a.Incarnation, at: now,
 			lostAfter: orderLost + time.Duration(2*share*float64(svc.Engine.LoadTime)),
 		}
 		g.Go(func() error {
@@ -187,6 +184,3 @@
 	p.log.Info("ordered layers", "server", a.ID, "data_centre", a.DataCentre, "accelerator", a.Accelerator, "from", place.From, "to", place.To,
 		"fence", fence, "orders", r.Orders, "reason", reason)
 }
-
-// askBusy will ask servers under order whether they are done.
-func (p *planner) askBusy(context.Context, map[string]*discovery.Announcement, time.Time) {}
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -91,6 +91,9 @@
 		Orders:     platform.NewServers(upstream.NewClient()),
 		Seed:       xxhash.Sum64String(s.Name),
 		Log:        log.WithName("gateway"),
+
+		RetryRatio:   s.RetryRatio,
+		RetryReserve: s.RetryReserve,
 	})
 	gw.Stats().Register(m.registry)
 	dutyCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/balsamlb/balsamlb/layers"
@@ -36,18 +37,22 @@
 	size    layers.Draft
 	tokens  int
 
-	// mu guards the path, which changes while the draft runs.
-	mu   sync.Mutex
-	path layers.Path
-	// avoid are the servers that this draft must not use.
+	// mu guards the path, which changes while the draft runs, and lastAt.
+	mu    sync.Mutex
+	path  layers.Path
+	guard atomic.Pointer[guard]
+	// avoid are the first servers that have failed this draft.
 	avoid []string
 
 	// header says that the head of the answer was written.
 	header bool
 	// last is the id of the last event that was passed on; -1: none.
 	last int64
-	// lastAt is when that was.
-	lastAt time.Time
+	// lastAt is when that was, or when the attempt began.
+	lastAt    time.Time
+	attemptAt time.Time
+	// isWaiting says that the attempt has brought no event yet.
+	isWaiting bool
 	// events counts what was passed on; firstMS and longestMS are the time to the first event
 	// and the longest pause after it.
 	events    int
@@ -72,7 +77,7 @@
 		answer = e.UsualAnswer
 	}
 	d.size = layers.Draft{PromptTokens: prompt, AnswerTokens: answer}
-	d.tokens = int(prompt + answer)
+	d.tokens = int(prompt + meanHeld*answer)
 	if id, err := strconv.ParseInt(strings.TrimSpace(j.call.LastEvent), 10, 64); err == nil {
 		d.last = id
 	}
@@ -83,6 +88,9 @@
 // median only.
 const hintMargin = 1.2
 
+// meanHeld is the share of its answer that a draft holds on the mean over its run.
+const meanHeld = 0.6
+
 // serveDraft answers a draft with an event stream.
 func (g *Gateway) serveDraft(ctx context.Context, w http.ResponseWriter, j *job) {
 	g.noteRequest(j)
@@ -129,21 +137,46 @@
 	if s == nil {
 		return nil, false
 	}
-	excluded := g.excluded(time.Now())
+	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	g.use.mu.Lock()
 	s.paths.Update(g.use.apply)
 	g.use.mu.Unlock()
-	avoid := func(id string) bool { return slices.Contains(d.avoid, id) || slices.Contains(excluded, id) }
+	avoid := func(id string) bool {
+		if id == head {
+			return false
+		}
+		return v.suspects[id] || g.faults.avoids(now, id) || slices.Contains(d.avoid, id)
+	}
 	path, _, ok := s.paths.Find(d.size, g.options.DataCentre, head, avoid)
 	return path, ok
 }
 
 // tryDraft runs the draft on a path. It returns nil once the stream is complete.
 func (g *Gateway) tryDraft(ctx context.Context, w http.ResponseWriter, d *draft, path layers.Path) *failure {
-	d.setPath(path)
+	ctx, giveUp := context.WithCancelCause(ctx)
+	defer giveUp(nil)
+	d.begin(path)
 	defer d.setPath(nil)
+	gd := g.guardDraft(ctx, d, giveUp)
+	d.guard.Store(gd)
+	defer func() {
+		d.guard.Store(nil)
+		giveUp(nil)
+		<-gd.done
+	}()
+	f := g.runDraft(ctx, w, d, path)
+	if f != nil && errors.Is(context.Cause(ctx), errHeadLost) {
+		// A server that has ended does not count among those that the draft was sent to.
+		d.attempts = max(0, d.attempts-1)
+		f.reason = path[0].ID + " gives no sign of life"
+	}
+	return f
+}
+
+// runDraft sends the draft and passes the answer on.
+func (g *Gateway) runDraft(ctx context.Context, w http.ResponseWriter, d *draft, path layers.Path) *failure {
 	head := path[0]
 	lastEvent := ""
 	if d.header {
@@ -152,11 +185,12 @@
 	}
 	resp, a, err := g.send(ctx, d.job, head.ID, head.Address, path, lastEvent)
 	if err != nil {
-		if ctx.Err() == nil {
-			g.noteHealth(head.ID, false)
+		wasSent := !errors.Is(err, upstream.ErrNotSent)
+		if !wasSent && ctx.Err() == nil {
+			g.noteDead(head.ID, "can't be reached")
 		}
 		d.avoid = append(d.avoid, head.ID)
-		return &failure{reason: "no answer of " + head.ID, ran: !errors.Is(err, upstream.ErrNotSent), err: err}
+		return &failure{reason: "no answer of " + head.ID, ran: wasSent, err: err}
 	}
 	defer resp.Close()
 	if a.NotRun {
@@ -167,23 +201,28 @@
 		return f
 	}
 	if resp.Status != http.StatusOK || !strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
-		return g.passOther(ctx, w, d, resp)
+		return g.passOther(d, w, resp)
 	}
-	return g.passStream(ctx, w, d, resp)
+	return g.passStream(d, w, resp)
 }
 
 // rejected notes which server of the path could not take its part.
 func (d *draft) rejected(status int, a Answer) *failure {
-	fault := d.gateway.view.Load().byAddress[a.Fault]
+	g := d.gateway
+	fault := g.view.Load().byAddress[a.Fault]
 	if fault == "" {
 		fault = d.path[0].ID
 	}
-	d.avoid = append(d.avoid, fault)
+	leftOut := shortFor
+	if status == http.StatusMisdirectedRequest {
+		leftOut = staleFor
+	}
+	g.faults.refused(time.Now(), fault, leftOut)
 	return &failure{reason: fmt.Sprintf("%s did not take its part (status %d)", fault, status)}
 }
 
 // passOther passes on an answer that is not a stream.
-func (g *Gateway) passOther(ctx context.Context, w http.ResponseWriter, d *draft, resp *upstream.Response) *failure {
+func (g *Gateway) passOther(d *draft, w http.ResponseWriter, resp *upstream.Response) *failure {
 	if d.header {
 		return &failure{reason: "the stream did not go on: status " + strconv.Itoa(resp.Status), ran: true}
 	}
@@ -194,7 +233,7 @@
 }
 
 // passStream passes on whole events as they come.
-func (g *Gateway) passStream(ctx context.Context, w http.ResponseWriter, d *draft, resp *upstream.Response) *failure {
+func (g *Gateway) passStream(d *draft, w http.ResponseWriter, resp *upstream.Response) *failure {
 	flusher := http.NewResponseController(w)
 	if !d.header {
 		for name, values := range passedOn(resp.Header) {
@@ -206,8 +245,6 @@
 			return nil
 		}
 	}
-	guard := g.guardStream(ctx, d)
-	defer guard.stop()
 	events := newEventReader(resp)
 	for {
 		ev, err := events.next()
@@ -217,7 +254,6 @@
 		if err != nil {
 			return &failure{reason: "the stream of " + d.path[0].ID + " broke off", ran: true, err: err}
 		}
-		guard.progress()
 		if ev.id >= 0 && ev.id <= d.last {
 			continue // the caller has it from the run before
 		}
@@ -236,8 +272,11 @@
 
 // passed notes that an event was passed on.
 func (d *draft) passed(now time.Time) {
+	d.mu.Lock()
 	pause := now.Sub(d.lastAt)
 	d.lastAt = now
+	d.isWaiting = false
+	d.mu.Unlock()
 	d.events++
 	if d.events == 1 {
 		d.firstMS = pause.Milliseconds()
@@ -247,8 +286,45 @@
 	d.longestMS = max(d.longestMS, pause.Milliseconds())
 }
 
-// setPath counts the draft on its servers.
+// silence returns the time since the last event, or since the attempt began.
+func (d *draft) silence() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Since(d.lastAt)
+}
+
+// stallTime is the silence after which the path is looked at.
+func (d *draft) stallTime() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.isWaiting {
+		return firstStallAfter
+	}
+	return stallAfter
+}
+
+func (d *draft) currentPath() layers.Path {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.path
+}
+
+// begin starts an attempt on a path.
+func (d *draft) begin(p layers.Path) {
+	d.gateway.running.add(d)
+	d.setPath(p)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.isWaiting = true
+	d.attemptAt = time.Now()
+	d.lastAt = d.attemptAt
+}
+
+// setPath counts the draft on the servers of its path; an empty one ends an attempt.
 func (d *draft) setPath(p layers.Path) {
+	if len(p) == 0 {
+		d.gateway.running.remove(d)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.gateway.use.add(d.path, d.tokens, -1)
--- /dev/null
+++ b/gateway/faults.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// deadFor is for how long a server that gave no sign of life is left out after the last
+	// proof; it is asked again by the next draft after that.
+	deadFor = 1500 * time.Millisecond
+	// shortFor is for how long a server is left out that could not take its part of a path,
+	// for which lack of memory may be the reason.
+	shortFor = 150 * time.Millisecond
+	// staleFor is for how long a server is left out that does not hold the layers it was
+	// thought to hold; it announces itself within that time.
+	staleFor = 1200 * time.Millisecond
+)
+
+// faults remembers which servers of paths can't be used now. It is safe for concurrent use.
+type faults struct {
+	mu sync.Mutex
+	// dead servers gave no sign of life: until when they are left out, by server.
+	dead map[string]time.Time
+	// refusing servers did not take their part.
+	refusing map[string]time.Time
+}
+
+func newFaults() *faults {
+	return &faults{dead: make(map[string]time.Time), refusing: make(map[string]time.Time)}
+}
+
+// died notes that a server gives no sign of life. It reports whether that is news.
+func (f *faults) died(now time.Time, id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	until, known := f.dead[id]
+	f.dead[id] = now.Add(deadFor)
+	return !known || now.After(until)
+}
+
+// refused notes that a server did not take its part.
+func (f *faults) refused(now time.Time, id string, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refusing[id] = now.Add(d)
+}
+
+// works notes that a server has done its part.
+func (f *faults) works(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.dead, id)
+}
+
+// avoids reports whether a server is left out.
+func (f *faults) avoids(now time.Time, id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Before(f.dead[id]) || now.Before(f.refusing[id])
+}
+
+// isDead reports whether a server gave no sign of life lately.
+func (f *faults) isDead(now time.Time, id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Before(f.dead[id])
+}
+
+// listDead returns the servers that give no sign of life, and forgets what has run out.
+func (f *faults) listDead(now time.Time) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for id, until := range f.dead {
+		if now.Before(until) {
+			out = append(out, id)
+			continue
+		}
+		delete(f.dead, id)
+	}
+	for id, until := range f.refusing {
+		if !now.Before(until) {
+			delete(f.refusing, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/balsamlb/balsamlb/discovery"
 	"github.com/balsamlb/balsamlb/mesh"
 	"github.com/balsamlb/balsamlb/retry"
 	"github.com/balsamlb/balsamlb/routing"
@@ -49,8 +50,12 @@
 	Dialect Dialect
 	// Orders changes the paths of running drafts.
 	Orders Orders
-	Seed   uint64
-	Log    logr.Logger
+	// RetryRatio is the number of retries that each request allows; RetryReserve is the number
+	// that all gateways together may send besides, at once.
+	RetryRatio   float64
+	RetryReserve float64
+	Seed         uint64
+	Log          logr.Logger
 }
 
 // Gateway serves callers.
@@ -59,6 +64,8 @@
 	client   *upstream.Client
 	view     atomic.Pointer[view]
 	use      *use
+	faults   *faults
+	running  *running
 	inFlight atomic.Int64
 	leaving  atomic.Bool
 	stats    *Stats
@@ -75,6 +82,8 @@
 		options: o,
 		client:  upstream.NewClient(),
 		use:     newUse(),
+		faults:  newFaults(),
+		running: newRunning(),
 		stats:   newStats(),
 		rng:     rand.New(rand.NewPCG(o.Seed, 1)),
 		health:  retry.NewHealth(),
@@ -161,7 +170,9 @@
 func (g *Gateway) followMesh(ctx context.Context) error {
 	for {
 		changed := g.options.Mesh.Changed()
-		g.view.Store(newView(g.options.Mesh.Snapshot()))
+		before, next := g.view.Load(), newView(g.options.Mesh.Snapshot())
+		g.view.Store(next)
+		g.nudgeChanged(before, next)
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -170,6 +181,28 @@
 	}
 }
 
+// nudgeChanged looks at the drafts on servers that have become suspect or have left.
+func (g *Gateway) nudgeChanged(before, next *view) {
+	for id := range next.suspects {
+		if !before.suspects[id] {
+			g.nudgeThrough(id)
+		}
+	}
+	for id, state := range next.states {
+		if state >= discovery.StateSilent && before.states[id] < discovery.StateSilent {
+			g.nudgeThrough(id)
+		}
+	}
+}
+
+// shareBudget sets this instance's share of the retries that all gateways have.
+func (g *Gateway) shareBudget() {
+	reserve := g.options.RetryReserve / float64(g.options.Mesh.Gateways())
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budgets.Limit(g.options.RetryRatio, reserve)
+}
+
 // keepHouse swaps usage with the others and closes idle connections.
 func (g *Gateway) keepHouse(ctx context.Context) error {
 	ticker := time.NewTicker(housekeeping)
@@ -179,7 +212,9 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
-			g.options.Mesh.SetRunning(g.use.list(), g.excluded(now))
+			g.options.Mesh.SetRunning(g.use.list())
+			g.options.Mesh.SetFaulty(g.faults.listDead(now))
+			g.shareBudget()
 			g.use.setOthers(g.options.Mesh.Others())
 			g.client.Sweep(now)
 		}
--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -2,99 +2,221 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
+
+	"github.com/balsamlb/balsamlb/discovery"
+	"github.com/balsamlb/balsamlb/layers"
 )
 
 const (
-	// stallAfter is the time without an event after which a draft's path is looked at. The
-	// longest pause of known deployments that is still on time is 250 ms; callers leave
-	// after 2 s.
-	stallAfter = 600 * time.Millisecond
-	// repathTimeout bounds one question or order to the first server of a path.
-	repathTimeout = 500 * time.Millisecond
+	// stallAfter is the time without an event after which a draft's path is looked at. Pauses
+	// in steady state stay under 150 ms; those over 200 ms make an answer late.
+	stallAfter = 300 * time.Millisecond
+	// firstStallAfter is the same before the first event, which comes within 150 ms in steady
+	// state, and later where drafts wait.
+	firstStallAfter = 600 * time.Millisecond
+	// lookAgain is the time to the next look at a draft that is still held up.
+	lookAgain = 200 * time.Millisecond
+	// orderTimeout bounds one question or order to the first server of a path.
+	orderTimeout = 400 * time.Millisecond
+	// maxRepaths bounds the orders of one look.
+	maxRepaths = 3
+	// silentHeadAfter is the time without an event after which a first server that doesn't
+	// answer either is given up.
+	silentHeadAfter = 700 * time.Millisecond
 )
 
-// guard watches over the progress of one stream and changes its path when a server of it
+// errHeadLost ends an attempt whose first server gives no sign of life.
+var errHeadLost = errors.New("gateway: the first server gives no sign of life")
+
+// running are the drafts that run, so that those on a failed server are led around it at once.
+type running struct {
+	mu     sync.Mutex
+	drafts map[*draft]struct{}
+}
+
+func newRunning() *running { return &running{drafts: make(map[*draft]struct{})} }
+
+func (r *running) add(d *draft) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.drafts[d] = struct{}{}
+}
+
+func (r *running) remove(d *draft) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.drafts, d)
+}
+
+// through returns the drafts whose path passes through a server.
+func (r *running) through(id string) []*draft {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []*draft
+	for d := range r.drafts {
+		if d.currentPath().Contains(id) {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// guard watches over the progress of one attempt and changes its path when a server of it
 // holds the draft up.
 type guard struct {
-	timer *time.Timer
-	once  sync.Once
-	done  chan struct{}
+	gateway *Gateway
+	draft   *draft
+	ctx     context.Context
+	giveUp  context.CancelCauseFunc
+	timer   *time.Timer
+	// nudges asks for a look at once; one waiting is enough.
+	nudges chan struct{}
+	done   chan struct{}
 }
 
-func (g *Gateway) guardStream(ctx context.Context, d *draft) *guard {
-	gd := &guard{done: make(chan struct{})}
-	gd.timer = time.AfterFunc(stallAfter, func() {
-		select {
-		case <-gd.done:
-		default:
-			g.relieve(ctx, d)
-			gd.timer.Reset(stallAfter)
-		}
-	})
+// guardDraft starts to watch over an attempt; giveUp ends it.
+func (g *Gateway) guardDraft(ctx context.Context, d *draft, giveUp context.CancelCauseFunc) *guard {
+	gd := &guard{
+		gateway: g, draft: d, ctx: ctx, giveUp: giveUp,
+		timer:  time.NewTimer(firstStallAfter),
+		nudges: make(chan struct{}, 1),
+		done:   make(chan struct{}),
+	}
+	go gd.run()
 	return gd
 }
 
-// progress notes that an event has come.
-func (gd *guard) progress() { gd.timer.Reset(stallAfter) }
+func (gd *guard) run() {
+	defer close(gd.done)
+	defer gd.timer.Stop()
+	for {
+		select {
+		case <-gd.ctx.Done():
+			return
+		case <-gd.timer.C:
+			gd.look(gd.draft.silence())
+		case <-gd.nudges:
+			gd.look(0)
+		}
+	}
+}
 
-func (gd *guard) stop() {
-	gd.once.Do(func() {
-		close(gd.done)
-		gd.timer.Stop()
-	})
+// nudge makes the guard look at the path at once.
+func (gd *guard) nudge() {
+	select {
+	case gd.nudges <- struct{}{}:
+	default:
+	}
 }
 
-// relieve asks the first server who holds up the draft, and leads the path around that server.
-func (g *Gateway) relieve(ctx context.Context, d *draft) {
-	ctx, cancel := context.WithTimeout(ctx, repathTimeout)
-	defer cancel()
-	d.mu.Lock()
-	path := d.path
-	d.mu.Unlock()
-	if len(path) == 0 || g.options.Orders == nil {
+// look leads the draft around the server that holds it up.
+func (gd *guard) look(silence time.Duration) {
+	g, d := gd.gateway, gd.draft
+	if silence > 0 {
+		if left := d.stallTime() - silence; left > 0 {
+			gd.timer.Reset(left)
+			return
+		}
+	}
+	defer gd.timer.Reset(lookAgain)
+	path := d.currentPath()
+	if len(path) == 0 {
 		return
 	}
 	head := path[0]
 	v := g.view.Load()
-	fault := ""
+	if g.faults.avoids(time.Now(), head.ID) && silence > stallAfter || v.suspects[head.ID] {
+		gd.giveUp(errHeadLost)
+		return
+	}
+	if gd.knowsFault(v, path) {
+		gd.repath(v, head)
+		return
+	}
+	if silence == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(gd.ctx, orderTimeout)
+	defer cancel()
+	address, err := g.options.Orders.Stalled(ctx, head.Address, d.call.ID)
+	if gd.ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		if d.silence() > silentHeadAfter {
+			g.noteDead(head.ID, "does not answer while a draft waits: "+err.Error())
+			gd.giveUp(errHeadLost)
+		}
+		return
+	}
 	for _, part := range path[1:] {
-		if _, ok := v.servers[part.ID]; !ok {
-			fault = part.ID
+		if part.Address == address {
+			g.noteDead(part.ID, "holds up a draft at "+head.ID)
+			gd.repath(g.view.Load(), head)
+			return
 		}
 	}
-	if fault == "" {
-		address, err := g.options.Orders.Stalled(ctx, head.Address, d.call.ID)
-		if err != nil {
-			g.options.Log.Info("could not ask what holds up a draft", "request", d.call.ID, "head", head.ID, "reason", err.Error())
+}
+
+// knowsFault reports whether a later server of the path is known not to work.
+func (gd *guard) knowsFault(v *view, path layers.Path) bool {
+	now := time.Now()
+	for _, part := range path[1:] {
+		if v.suspects[part.ID] || gd.gateway.faults.isDead(now, part.ID) || v.states[part.ID] != discovery.StateReady {
+			return true
+		}
+	}
+	return false
+}
+
+// repath orders the first server to use another path.
+func (gd *guard) repath(v *view, head layers.Part) {
+	g, d := gd.gateway, gd.draft
+	for range maxRepaths {
+		next, ok := g.findPath(d, head.ID)
+		if !ok {
+			return // the next look may find one
+		}
+		ctx, cancel := context.WithTimeout(gd.ctx, orderTimeout)
+		refused, err := g.options.Orders.Repath(ctx, head.Address, d.call.ID, next, v.fence)
+		cancel()
+		if gd.ctx.Err() != nil {
 			return
 		}
-		for _, part := range path[1:] {
-			if part.Address == address {
-				fault = part.ID
-			}
+		if err == nil {
+			g.stats.repaths.Inc()
+			d.setPath(next)
+			g.options.Log.Info("changed the path of a draft", "request", d.call.ID, "path", describe(next), "silent_ms", d.silence().Milliseconds())
+			return
 		}
-		if fault == "" {
+		id := v.byAddress[refused]
+		g.options.Log.Info("could not change the path of a draft", "request", d.call.ID, "server", id, "reason", err.Error())
+		if id == "" {
 			return
 		}
-		g.noteHealth(fault, false)
+		g.faults.refused(time.Now(), id, shortFor)
 	}
-	d.avoid = append(d.avoid, fault)
-	next, ok := g.findPath(d, head.ID)
-	if !ok {
-		g.options.Log.Info("no way around a server that holds up a draft", "request", d.call.ID, "server", fault)
+}
+
+// noteDead notes that a server gives no sign of life, tells the others, and looks at the
+// drafts that pass through it.
+func (g *Gateway) noteDead(id, why string) {
+	now := time.Now()
+	if !g.faults.died(now, id) {
 		return
 	}
-	refused, err := g.options.Orders.Repath(ctx, head.Address, d.call.ID, next, v.fence)
-	if err != nil {
-		if id := v.byAddress[refused]; id != "" {
-			d.avoid = append(d.avoid, id)
+	g.options.Log.Info("a backend server gives no sign of life", "server", id, "why", why)
+	g.options.Mesh.SetFaulty(g.faults.listDead(now))
+	g.nudgeThrough(id)
+}
+
+func (g *Gateway) nudgeThrough(id string) {
+	for _, d := range g.running.through(id) {
+		if gd := d.guard.Load(); gd != nil {
+			gd.nudge()
 		}
-		g.options.Log.Info("could not change the path of a draft", "request", d.call.ID, "server", fault, "reason", err.Error())
-		return
 	}
-	g.stats.repaths.Inc()
-	d.setPath(next)
-	g.options.Log.Info("changed the path of a draft", "request", d.call.ID, "around", fault, "parts", len(next))
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -178,7 +178,7 @@
 }
 
 func (g *Gateway) budgetKey(j *job) retry.Key {
-	return retry.Key{Workspace: j.workspace, Service: j.service.Name}
+	return retry.Key{Workspace: j.service.Name, Service: j.service.Name}
 }
 
 func (g *Gateway) noteRequest(j *job) {
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -20,7 +20,10 @@
 	// byAddress finds the server that an answer blames.
 	byAddress map[string]string
 	searches  map[string]*search
-	fence     uint64
+	// states are those of all servers, also of those that take nothing new.
+	states   map[string]discovery.State
+	suspects map[string]bool
+	fence    uint64
 }
 
 // search is the search for paths of one service. Its lock guards the use of its holders.
@@ -37,16 +40,21 @@
 		plain:     make(map[string][]*discovery.Announcement),
 		byAddress: make(map[string]string),
 		searches:  make(map[string]*search),
+		states:    make(map[string]discovery.State),
+		suspects:  s.Suspects,
 		fence:     s.Fence,
 	}
 	holders := make(map[string][]layers.Holder)
 	for i := range s.Servers {
 		a := &s.Servers[i]
+		v.states[a.ID] = a.State
+		if a.State != discovery.StateGone {
+			v.byAddress[a.Address] = a.ID
+		}
 		if a.State != discovery.StateReady {
 			continue
 		}
 		v.servers[a.ID] = a
-		v.byAddress[a.Address] = a.ID
 		v.plain[a.Service] = append(v.plain[a.Service], a)
 		if a.HasLayers && a.LayersTo > a.LayersFrom {
 			holders[a.Service] = append(holders[a.Service], layers.Holder{
--- a/instance/watch.go
+++ b/instance/watch.go
@@ -17,6 +17,9 @@
 	// watchInterval is the longest time between two messages on a watch, either way. It is a
 	// sixth of the shortest contact time that a deployment states (3 s).
 	watchInterval = 500 * time.Millisecond
+	// usageInterval is the longest time between two accounts of a watcher's usage; a draft
+	// takes about 2.5 s, so that a tenth of the usage changes meanwhile.
+	usageInterval = 250 * time.Millisecond
 	// watchSilence is after how long without a message a watch is given up.
 	watchSilence = 3 * watchInterval
 )
@@ -114,6 +117,8 @@
 type Watcher interface {
 	// Request describes the watcher and its usage.
 	Request() *wire.WatchRequest
+	// Wake returns a channel that is closed when the usage should be told at once.
+	Wake() <-chan struct{}
 	// Received takes a beat of the control instance at the address.
 	Received(address string, b *wire.WatchBeat)
 }
@@ -159,8 +164,7 @@
 
 func sendWatchRequests(ctx context.Context, stream wire.DRPCInstance_WatchClient, w Watcher) error {
 	for {
-		pause(ctx, watchInterval)
-		if ctx.Err() != nil {
+		if !waitBeat(ctx, w.Wake(), usageInterval) {
 			return ctx.Err()
 		}
 		if err := stream.Send(w.Request()); err != nil {
--- a/layers/plan.go
+++ b/layers/plan.go
@@ -136,7 +136,7 @@
 }
 
 // repair closes gaps with servers that are empty, or whose layers others hold as well, and
-// gives the empty ones that are left a second copy of the layers that are held least.
+// lets the empty ones that are left hold the layers with the least room.
 func repair(e *routing.Engine, group []Server) []Placement {
 	var out []Placement
 	for {
@@ -158,7 +158,7 @@
 		if n <= 0 {
 			continue
 		}
-		from := leastHeld(e, group, n)
+		from := leastRoom(e, group, n)
 		out = place(out, &group[i], from, from+n)
 	}
 	return out
@@ -198,8 +198,11 @@
 	return held
 }
 
-// bestForGap returns the server that can hold most of a gap: an empty one, else one whose
-// layers are held elsewhere too; -1 if there is none.
+// emptyBonus puts empty servers before all that would give up layers.
+const emptyBonus = 1000
+
+// bestForGap returns the server that closes most of a gap for the fewest layers given up: an
+// empty one, else one whose layers are held elsewhere too; -1 if there is none.
 func bestForGap(e *routing.Engine, group []Server, width int) int {
 	best, bestScore := -1, 0
 	for i := range group {
@@ -207,13 +210,13 @@
 		if s.IsBusy {
 			continue
 		}
-		score := 2 * min(width, fits(e, s, coverDrafts))
+		score := 2*min(width, fits(e, s, coverDrafts)) - (s.To - s.From)
 		if s.isEmpty() {
-			score++
+			score += emptyBonus
 		} else if !isSpare(e, group, i) {
 			continue
 		}
-		if score > bestScore {
+		if best < 0 || score > bestScore {
 			best, bestScore = i, score
 		}
 	}
@@ -231,15 +234,25 @@
 	return true
 }
 
-// leastHeld returns where a range of n layers with the fewest holders begins.
-func leastHeld(e *routing.Engine, group []Server, n int) int {
-	held := holders(e, group, -1)
-	best, bestSum := 0, 0
-	sum := 0
+// leastRoom returns where the range of n layers begins whose layers have the least room.
+func leastRoom(e *routing.Engine, group []Server, n int) int {
+	room := make([]float64, e.Layers)
+	for i := range group {
+		s := &group[i]
+		h := Holder{Accelerator: s.Accelerator, From: s.From, To: s.To}
+		if s.isEmpty() {
+			continue
+		}
+		perLayer := Capacity(e, &h) / float64(s.To-s.From)
+		for l := max(0, s.From); l < min(e.Layers, s.To); l++ {
+			room[l] += perLayer
+		}
+	}
+	best, bestSum, sum := 0, 0.0, 0.0
 	for l := range e.Layers {
-		sum += held[l]
+		sum += room[l]
 		if l >= n {
-			sum -= held[l-n]
+			sum -= room[l-n]
 		}
 		if from := l - n + 1; from >= 0 && (from == 0 || sum < bestSum) {
 			best, bestSum = from, sum
--- a/mesh/feed.go
+++ b/mesh/feed.go
@@ -1,6 +1,8 @@
 package mesh
 
 import (
+	"slices"
+
 	"github.com/balsamlb/balsamlb/instance"
 	"github.com/balsamlb/balsamlb/instance/wire"
 )
@@ -32,7 +34,14 @@
 	m := f.mesh
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if f.control != "" {
+		return
+	}
+	before := m.ownSuspects()
 	m.usage[f.name] = &use{running: usesFromWire(req.Running), faulty: req.Faulty}
+	if !slices.Equal(before, m.ownSuspects()) {
+		m.notify()
+	}
 }
 
 // Next returns what has changed since the last beat.
@@ -45,6 +54,8 @@
 		Controls:       m.ownControls(),
 		Fence:          m.fence,
 		Others:         usesToWire(m.sumOthers(f.name)),
+		Suspects:       m.ownSuspects(),
+		Gateways:       uint32(len(m.usage)),
 	}
 	for _, a := range m.directory.Since(f.sent) {
 		b.Servers = append(b.Servers, instance.AnnouncementToWire(a))
--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -105,6 +105,13 @@
 	}
 }
 
+// Wake returns a channel that is closed when this instance's faulty servers change.
+func (w *watcher) Wake() <-chan struct{} {
+	w.mesh.mu.Lock()
+	defer w.mesh.mu.Unlock()
+	return w.mesh.faultyChanged
+}
+
 // Received merges a beat.
 func (w *watcher) Received(address string, b *wire.WatchBeat) {
 	if w.beats == 0 {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -44,6 +44,8 @@
 	Table   *routing.Table
 	Servers []discovery.Announcement
 	Fence   uint64
+	// Suspects are servers that don't answer several gateways.
+	Suspects map[string]bool
 }
 
 // Mesh is safe for concurrent use.
@@ -70,7 +72,13 @@
 	others  map[string][]Use
 	running []Use
 	faulty  []string
-	changed chan struct{}
+	// faultyChanged is closed when faulty changes.
+	faultyChanged chan struct{}
+	// suspects are those that each control instance names.
+	suspects map[string][]string
+	// gateways is the largest number of gateways that a control instance has named.
+	gateways map[string]int
+	changed  chan struct{}
 }
 
 // New returns a mesh that knows its seeds only.
@@ -89,7 +97,11 @@
 		watchers:  make(map[string]int),
 		usage:     make(map[string]*use),
 		others:    make(map[string][]Use),
+		suspects:  make(map[string][]string),
+		gateways:  make(map[string]int),
 		changed:   make(chan struct{}),
+
+		faultyChanged: make(chan struct{}),
 	}, nil
 }
 
@@ -115,6 +127,7 @@
 		Table:    m.table,
 		Servers:  m.directory.All(),
 		Fence:    m.fence,
+		Suspects: m.allSuspects(),
 	}
 }
 
@@ -268,6 +281,11 @@
 		isNews = true
 	}
 	m.others[address] = usesFromWire(b.Others)
+	m.gateways[address] = int(b.Gateways)
+	if !slices.Equal(m.suspects[address], b.Suspects) {
+		m.suspects[address] = b.Suspects
+		isNews = true
+	}
 	if isNews {
 		m.notify()
 	}
@@ -279,6 +297,8 @@
 	defer m.mu.Unlock()
 	delete(m.named, address)
 	delete(m.others, address)
+	delete(m.suspects, address)
+	delete(m.gateways, address)
 }
 
 // fetch takes the routing document of a control instance if it is newer.
--- a/mesh/use.go
+++ b/mesh/use.go
@@ -23,11 +23,34 @@
 }
 
 // SetRunning takes this instance's usage, which the watches pass on.
-func (m *Mesh) SetRunning(running []Use, faulty []string) {
+func (m *Mesh) SetRunning(running []Use) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.running = running
+}
+
+// SetFaulty takes the servers that don't answer this instance, and tells the control
+// instances at once.
+func (m *Mesh) SetFaulty(faulty []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if slices.Equal(m.faulty, faulty) {
+		return
+	}
 	m.faulty = faulty
+	close(m.faultyChanged)
+	m.faultyChanged = make(chan struct{})
+}
+
+// Gateways returns how many gateways there are, as far as is known; at least 1.
+func (m *Mesh) Gateways() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 1
+	for _, g := range m.gateways {
+		n = max(n, g)
+	}
+	return n
 }
 
 // Others returns what the other instances use of each backend server. Each control instance
@@ -46,17 +69,41 @@
 	return sums
 }
 
-// Faulty returns how many watchers of this instance get no answer from each server.
-func (m *Mesh) Faulty() map[string]int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+// suspicions is how many gateways must get no answer from a server before the others avoid
+// it; one alone may itself be cut off. Fewer gateways than that suspect on one word.
+const suspicions = 2
+
+// ownSuspects returns the servers that don't answer several of this instance's watchers. The
+// caller holds the lock.
+func (m *Mesh) ownSuspects() []string {
 	counts := make(map[string]int)
 	for _, u := range m.usage {
 		for _, id := range u.faulty {
 			counts[id]++
 		}
 	}
-	return counts
+	var out []string
+	for id, n := range counts {
+		if n >= min(suspicions, len(m.usage)) {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// allSuspects are those of this control instance and of the others. The caller holds the lock.
+func (m *Mesh) allSuspects() map[string]bool {
+	out := make(map[string]bool)
+	for _, id := range m.ownSuspects() {
+		out[id] = true
+	}
+	for _, told := range m.suspects {
+		for _, id := range told {
+			out[id] = true
+		}
+	}
+	return out
 }
 
 // sumOthers adds up the usage of all watchers but one. The caller holds the lock.
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -34,18 +34,28 @@
 // Budgets limits retries to a share of the requests, by workspace and by service, so that
 // retries can't keep up an overload.
 type Budgets struct {
-	held map[budgetName]*budget
+	ratio   float64
+	reserve float64
+	held    map[budgetName]*budget
 	// older is the generation before.
 	older map[budgetName]*budget
 }
 
 // NewBudgets returns full budgets.
-func NewBudgets() *Budgets { return &Budgets{held: make(map[budgetName]*budget)} }
+func NewBudgets() *Budgets {
+	return &Budgets{ratio: ratio, reserve: reserve, held: make(map[budgetName]*budget)}
+}
+
+// Limit replaces the number of retries that each request adds, and the most that a budget holds.
+func (b *Budgets) Limit(ratio, reserve float64) {
+	b.ratio = ratio
+	b.reserve = reserve
+}
 
 // Requested notes a request that is sent for the first time.
 func (b *Budgets) Requested(now time.Time, k Key) {
 	for _, x := range b.both(now, k) {
-		x.retries = min(reserve, x.retries+ratio)
+		x.retries = min(b.reserve, x.retries+b.ratio)
 	}
 }
 
@@ -78,18 +88,18 @@
 		x, ok = b.older[n]
 	}
 	if !ok {
-		x = &budget{retries: reserve, at: now}
+		x = &budget{retries: b.reserve, at: now}
 	}
 	if len(b.held) >= maxBudgets/2 {
 		b.older = b.held
 		b.held = make(map[budgetName]*budget)
 	}
 	b.held[n] = x
-	x.refill(now)
+	x.refill(now, b.reserve)
 	return x
 }
 
-func (x *budget) refill(now time.Time) {
+func (x *budget) refill(now time.Time, reserve float64) {
 	x.retries = min(reserve, x.retries+refillPerSecond*max(0, now.Sub(x.at).Seconds()))
 	x.at = now
 }
--- a/settings/member.go
+++ b/settings/member.go
@@ -23,6 +23,8 @@
 	{"control", "tolerate", "1", "control instances", "How many control instances may be lost at once; twice as many and one vote.", wholeNumber(0, 15)},
 	{"join", "seeds", "", "IP:port, ...", "Control instances to ask for the others. The port is replaced by that for instances. Read again when the file changes.", addressPorts},
 	{"fleet", "announce_interval_ms", "1200", "ms", "Time between two announcements of a backend server.", wholeNumber(10, 600000)},
+	{"retry", "ratio", "0.2", "", "Gateway: how many requests may be sent once more, for each request of a service.", fraction},
+	{"retry", "reserve", "100", "requests", "Gateways together: how many requests of a service may be sent once more besides, at once.", wholeNumber(0, 1<<20)},
 	{"limits", "grace_s", "10", "s", "Time between the signal to stop and the end of the process.", wholeNumber(1, 3600)},
 	{"limits", "memory_mb", "0", "MB", "Memory that the process may use; 0: not limited.", wholeNumber(0, 1<<20)},
 	{"log", "level", "info", "", "Least severe level that is logged.", oneOf("debug", "info", "error")},
@@ -45,6 +47,8 @@
 	// Seeds are addresses for instances.
 	Seeds            []string
 	AnnounceInterval time.Duration
+	RetryRatio       float64
+	RetryReserve     float64
 	Grace            time.Duration
 	MemoryMB         int
 	LogLevel         string
@@ -94,6 +98,7 @@
 		n, _ := strconv.Atoi(get(section, key))
 		return n
 	}
+	ratio, _ := strconv.ParseFloat(get("retry", "ratio"), 64) // checked as well
 	m := Member{
 		Name:             get("instance", "name"),
 		DataCentre:       get("instance", "data_centre"),
@@ -106,6 +111,8 @@
 		IsFounding:       get("control", "founding") == "true",
 		Tolerate:         whole("control", "tolerate"),
 		AnnounceInterval: time.Duration(whole("fleet", "announce_interval_ms")) * time.Millisecond,
+		RetryRatio:       ratio,
+		RetryReserve:     float64(whole("retry", "reserve")),
 		Grace:            time.Duration(whole("limits", "grace_s")) * time.Second,
 		MemoryMB:         whole("limits", "memory_mb"),
 		LogLevel:         get("log", "level"),
@@ -128,3 +135,12 @@
 	}
 	return out
 }
+
+// fraction checks a number from 0 to 1.
+func fraction(v string) string {
+	f, err := strconv.ParseFloat(v, 64)
+	if err != nil || f < 0 || f > 1 {
+		return "must be a number from 0 to 1"
+	}
+	return ""
+}
