Drafts wait a short while for room, and refused ones come back spread out

Drafts whose first event stalled were looked at after 0.6 s.

Change: up to 6 drafts a gateway wait for up to 250 ms; Retry-After is 2 to 4 s; the first look comes after 0.4 s.

--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -17,9 +17,21 @@
 	"github.com/balsamlb/balsamlb/upstream"
 )
 
-// noRoomRetry is when a caller may come back to engines whose memory is full: about when a
-// tenth of the drafts that run have ended.
-const noRoomRetry = 400 * time.Millisecond
+const (
+	// noRoomRetry is when a caller may come back to engines whose memory is full: about when
+	// the drafts that run now have ended. A random part up to noRoomSpread is added, so that
+	// those who were refused together don't come back together.
+	noRoomRetry  = 2 * time.Second
+	noRoomSpread = 2 * time.Second
+	// roomWait is how long a draft waits for room: half of the shortest latency objective of
+	// known deployments for drafts, of which its first event takes about 100 ms.
+	roomWait = 250 * time.Millisecond
+	// roomPoll is the time between two looks for room.
+	roomPoll = 20 * time.Millisecond
+	// maxRoomWaiters bounds the drafts that wait for room; about as many end at one gateway
+	// within roomWait.
+	maxRoomWaiters = 6
+)
 
 // Orders changes what backend servers do.
 type Orders interface {
@@ -96,7 +108,7 @@
 	g.noteRequest(j)
 	d := g.newDraft(j)
 	for {
-		path, ok := g.findPath(d, "")
+		path, ok := g.awaitPath(ctx, d)
 		if !ok {
 			g.endDraft(ctx, w, d, &failure{reason: "no path through the model's layers has room"})
 			return
@@ -116,6 +128,35 @@
 	}
 }
 
+// awaitPath returns the best path for the draft. If none has room, it waits a short while,
+// unless many wait already.
+func (g *Gateway) awaitPath(ctx context.Context, d *draft) (layers.Path, bool) {
+	path, ok := g.findPath(d, "")
+	if ok {
+		return path, true
+	}
+	defer g.waiters.Add(-1)
+	if g.waiters.Add(1) > maxRoomWaiters {
+		return nil, false
+	}
+	ticker := time.NewTicker(roomPoll)
+	defer ticker.Stop()
+	end := time.NewTimer(roomWait)
+	defer end.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil, false
+		case <-end.C:
+			return nil, false
+		case <-ticker.C:
+			if path, ok := g.findPath(d, ""); ok {
+				return path, true
+			}
+		}
+	}
+}
+
 // endDraft tells the caller that the draft has failed: by a status, or by breaking off the
 // stream, so that it doesn't look complete.
 func (g *Gateway) endDraft(ctx context.Context, w http.ResponseWriter, d *draft, f *failure) {
@@ -125,7 +166,7 @@
 	}
 	answer := g.giveUp(ctx, d.job, f)
 	if answer.status == http.StatusServiceUnavailable {
-		answer.retryAfter = noRoomRetry
+		answer.retryAfter = noRoomRetry + time.Duration(g.draw()*float64(noRoomSpread))
 	}
 	g.refuse(w, d.job, answer)
 }
@@ -149,7 +190,13 @@
 		}
 		return v.suspects[id] || g.faults.avoids(now, id) || slices.Contains(d.avoid, id)
 	}
-	path, _, ok := s.paths.Find(d.size, g.options.DataCentre, head, avoid)
+	path, _, ok := s.paths.Find(layers.Query{
+		Draft:    d.size,
+		Home:     g.options.DataCentre,
+		Head:     head,
+		Avoid:    avoid,
+		MayCross: true,
+	})
 	return path, ok
 }
 
--- a/gateway/faults.go
+++ b/gateway/faults.go
@@ -47,13 +47,6 @@
 	f.refusing[id] = now.Add(d)
 }
 
-// works notes that a server has done its part.
-func (f *faults) works(id string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.dead, id)
-}
-
 // avoids reports whether a server is left out.
 func (f *faults) avoids(now time.Time, id string) bool {
 	f.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,7 +68,9 @@
 	running  *running
 	inFlight atomic.Int64
 	leaving  atomic.Bool
-	stats    *Stats
+	// waiters counts the drafts that wait for room.
+	waiters atomic.Int64
+	stats   *Stats
 
 	mu      sync.Mutex
 	rng     *rand.Rand
--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -16,7 +16,7 @@
 	stallAfter = 300 * time.Millisecond
 	// firstStallAfter is the same before the first event, which comes within 150 ms in steady
 	// state, and later where drafts wait.
-	firstStallAfter = 600 * time.Millisecond
+	firstStallAfter = 400 * time.Millisecond
 	// lookAgain is the time to the next look at a draft that is still held up.
 	lookAgain = 200 * time.Millisecond
 	// orderTimeout bounds one question or order to the first server of a path.
--- a/layers/path.go
+++ b/layers/path.go
@@ -117,9 +117,42 @@
 	from int
 }
 
-// Find returns the cheapest path for a draft of a caller in the data centre home. Servers for
-// which avoid is true are left out. head, if not empty, must be the first server.
-func (s *Search) Find(d Draft, home, head string, avoid func(id string) bool) (Path, float64, bool) {
+// Query asks for a path.
+type Query struct {
+	Draft Draft
+	// Home is the data centre of the caller.
+	Home string
+	// Head, if not empty, must be the first server.
+	Head string
+	// Avoid tells which servers are left out.
+	Avoid func(id string) bool
+	// MayCross allows paths that pass from one data centre to another.
+	MayCross bool
+}
+
+// HasWholeCopy reports whether the servers of some data centre hold all layers together, with
+// or without room.
+func (s *Search) HasWholeCopy(avoid func(id string) bool) bool {
+	for _, centre := range s.centres {
+		next := 0
+		for reached := true; reached && next < s.engine.Layers; {
+			reached = false
+			for i := range s.holders {
+				h := &s.holders[i]
+				if h.DataCentre == centre && h.From <= next && h.To > next && !avoid(h.ID) {
+					next, reached = h.To, true
+				}
+			}
+		}
+		if next >= s.engine.Layers {
+			return true
+		}
+	}
+	return false
+}
+
+// Find returns the cheapest path and its cost in ms.
+func (s *Search) Find(q Query) (Path, float64, bool) {
 	n := len(s.bounds)
 	if n == 0 || s.bounds[0] != 0 || s.bounds[n-1] < s.engine.Layers {
 		return nil, 0, false
@@ -132,17 +165,17 @@
 	for at := range n - 1 {
 		for i := range s.holders {
 			h := &s.holders[i]
-			if h.From > s.bounds[at] || h.To <= s.bounds[at] || avoid(h.ID) || at == 0 && head != "" && h.ID != head {
+			if h.From > s.bounds[at] || h.To <= s.bounds[at] || q.Avoid(h.ID) || at == 0 && q.Head != "" && h.ID != q.Head {
 				continue
 			}
-			s.extend(best, at, i, d, home)
+			s.extend(best, at, i, &q)
 		}
 	}
-	return s.trace(best, home)
+	return s.trace(best)
 }
 
 // extend tries a holder from a bound on, up to each later bound that it holds.
-func (s *Search) extend(best []step, at, holder int, d Draft, home string) {
+func (s *Search) extend(best []step, at, holder int, q *Query) {
 	h := &s.holders[holder]
 	width := len(s.centres)
 	centre, _ := slices.BinarySearch(s.centres, h.DataCentre)
@@ -152,13 +185,13 @@
 			return
 		}
 		before = 0
-		if h.DataCentre != home {
+		if h.DataCentre != q.Home {
 			before = foreignHeadMS
 		}
 	}
 	for c := range s.centres {
-		if i := at*width + c; at > 0 && best[i].cost < math.Inf(1) {
-			if cost := best[i].cost + s.transfer(d, c == centre); cost < before {
+		if i := at*width + c; at > 0 && best[i].cost < math.Inf(1) && (q.MayCross || c == centre) {
+			if cost := best[i].cost + s.transfer(q.Draft, c == centre); cost < before {
 				before, from = cost, i
 			}
 		}
@@ -167,7 +200,7 @@
 		return
 	}
 	for end := at + 1; end < len(s.bounds) && s.bounds[end] <= h.To; end++ {
-		cost := before + s.run(h, s.bounds[end]-s.bounds[at], d)
+		cost := before + s.run(h, s.bounds[end]-s.bounds[at], q.Draft)
 		if i := end*width + centre; cost < best[i].cost {
 			best[i] = step{cost: cost, holder: holder, from: from}
 		}
@@ -203,7 +236,7 @@
 }
 
 // trace follows the cheapest state that has passed all layers back to the start.
-func (s *Search) trace(best []step, home string) (Path, float64, bool) {
+func (s *Search) trace(best []step) (Path, float64, bool) {
 	width := len(s.centres)
 	last, _ := slices.BinarySearch(s.bounds, s.engine.Layers)
 	if last >= len(s.bounds) || s.bounds[last] != s.engine.Layers {
