Placement: orders run beside the plan, cut data centres are left alone, fast servers take slow ranges

An order to a server behind a cut held up the plan for a second. A new v100 was put where memory was shortest while an l4 held layers alone.

Change: a leader plans once it has listened for 1.5 announcement intervals; orders run beside the plan and are planned anew when they did not reach the server; a data centre most of whose servers are suspect is left alone; an empty server goes where it is faster than the present holders.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -71,8 +71,9 @@
 	// heard is when a quorum was last heard, in Unix nanoseconds of the steady clock.
 	heard   atomic.Int64
 	started time.Time
-	// listeningSince is when this instance began to hear servers without a break.
-	listeningSince time.Time
+	// listeningSince is when this instance began to hear servers without a break, in
+	// nanoseconds of the steady clock since started.
+	listeningSince atomic.Int64
 	// routing is the newest document that the replica has applied.
 	routing atomic.Pointer[routing.Publication]
 	wake    chan struct{}
@@ -89,7 +90,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "controller: decompressor")
 	}
-	c := &Controller{options: o, encoder: encoder, decoder: decoder, started: time.Now(), listeningSince: time.Now(), wake: make(chan struct{}, 1)}
+	c := &Controller{options: o, encoder: encoder, decoder: decoder, started: time.Now(), wake: make(chan struct{}, 1)}
 	c.planner = newPlanner(o)
 	return c, nil
 }
@@ -143,7 +144,7 @@
 		case <-ticker.C:
 		}
 		if now := time.Now(); now.Sub(last) > stoodStill {
-			c.listeningSince = now
+			c.listeningSince.Store(int64(now.Sub(c.started)))
 		}
 		last = time.Now()
 		s, err := c.options.Host.Status(ctx)
@@ -175,7 +176,7 @@
 // started, or that was apart, has not listened for long enough.
 func (c *Controller) expire(now time.Time) {
 	silence := silentBeats * c.options.AnnounceInterval
-	if now.Sub(c.listeningSince) < silence {
+	if c.listeningFor() < silence {
 		return
 	}
 	for _, id := range c.options.Mesh.Expire(now, now.Add(-silence)) {
@@ -183,6 +184,11 @@
 	}
 }
 
+// listeningFor is for how long this instance has heard servers without a break.
+func (c *Controller) listeningFor() time.Duration {
+	return time.Since(c.started) - time.Duration(c.listeningSince.Load())
+}
+
 // isApart reports whether no quorum was heard lately.
 func (c *Controller) isApart() bool {
 	return time.Since(c.started)-time.Duration(c.heard.Load()) > apartAfter
--- a/controller/placement.go
+++ b/controller/placement.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/balsamlb/balsamlb/discovery"
@@ -44,12 +46,19 @@
 	Place(ctx context.Context, address string, p layers.Placement, fence, orders uint64) error
 }
 
+// maxOrders bounds the orders that are under way at once.
+const maxOrders = 64
+
 // planner remembers what was ordered.
 type planner struct {
 	engines Engines
 	log     logr.Logger
 	// settle is how long no new server must have come before the first plan.
-	settle  time.Duration
+	settle time.Duration
+	// sends carries out orders beside the plan, which must not wait for lost servers.
+	sends errgroup.Group
+
+	mu      sync.Mutex
 	ordered map[string]*order
 	known   map[string]int64
 	newest  time.Time
@@ -64,13 +73,22 @@
 }
 
 func newPlanner(o Options) *planner {
-	return &planner{
+	p := &planner{
 		engines: o.Engines,
 		log:     o.Log,
 		settle:  time.Duration(settleBeats * float64(o.AnnounceInterval)),
 		ordered: make(map[string]*order),
 		known:   make(map[string]int64),
 	}
+	p.sends.SetLimit(maxOrders)
+	return p
+}
+
+// forget drops the orders of an earlier term.
+func (p *planner) forget() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.ordered)
 }
 
 // runPlacement places layers while this instance leads.
@@ -85,9 +103,12 @@
 		}
 		s := c.status.Load()
 		if s == nil || !s.Lease {
-			clear(c.planner.ordered)
+			c.planner.forget()
 			continue
 		}
+		if c.listeningFor() < c.planner.settle {
+			continue // servers that are there may not have been heard yet
+		}
 		snapshot := c.options.Mesh.Snapshot()
 		if snapshot.Table == nil {
 			continue
@@ -103,17 +124,53 @@
 // plan orders what the plan for one service asks for.
 func (p *planner) plan(ctx context.Context, svc *routing.Service, known mesh.Snapshot, fence uint64) {
 	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	byID, servers := p.usable(svc, known, now)
+	if now.Sub(p.newest) < p.settle && !anyHolds(servers) {
+		return
+	}
+	for _, place := range layers.Plan(svc.Engine, servers) {
+		a := byID[place.Server]
+		if p.ordered[a.ID] != nil {
+			continue
+		}
+		share := float64(place.To-place.From) / float64(svc.Engine.Layers)
+		o := &order{
+			Placement: place, incarnation: a.Incarnation, at: now,
+			lostAfter: orderLost + time.Duration(2*share*float64(svc.Engine.LoadTime)),
+		}
+		started := p.sends.TryGo(func() error {
+			p.send(ctx, *a, o, fence)
+			return nil
+		})
+		if !started {
+			return // the next plan asks for the rest
+		}
+		p.ordered[a.ID] = o
+	}
+}
+
+// usable returns the servers of a service that layers can be placed on. A data centre most of
+// whose servers are suspect is cut off, not broken: nothing is moved there.
+func (p *planner) usable(svc *routing.Service, known mesh.Snapshot, now time.Time) (map[string]*discovery.Announcement, []layers.Server) {
 	byID := make(map[string]*discovery.Announcement)
+	total, suspect := make(map[string]int), make(map[string]int)
 	var servers []layers.Server
 	for i := range known.Servers {
 		a := &known.Servers[i]
-		if a.Service != svc.Name || known.Suspects[a.ID] {
+		if a.Service != svc.Name {
 			continue
 		}
 		if a.State != discovery.StateReady {
 			delete(p.ordered, a.ID)
 			continue
 		}
+		total[a.DataCentre]++
+		if known.Suspects[a.ID] {
+			suspect[a.DataCentre]++
+			continue
+		}
 		if p.known[a.ID] != a.Incarnation {
 			p.known[a.ID] = a.Incarnation
 			p.newest = now
@@ -121,26 +178,10 @@
 		byID[a.ID] = a
 		servers = append(servers, p.state(a, now))
 	}
-	if now.Sub(p.newest) < p.settle && !anyHolds(servers) {
-		return
-	}
-	g := errgroup.Group{}
-	for _, place := range layers.Plan(svc.Engine, servers) {
-		a := byID[place.Server]
-		if o := p.ordered[a.ID]; o != nil {
-			continue
-		}
-		share := float64(place.To-place.From) / float64(svc.Engine.Layers)
-		p.ordered[a.ID] = &order{
-			Placement: place, incarnation: a.Incarnation, at: now,
-			lostAfter: orderLost + time.Duration(2*share*float64(svc.Engine.LoadTime)),
-		}
-		g.Go(func() error {
-			p.send(ctx, a, place, fence)
-			return nil
-		})
-	}
-	_ = g.Wait() // the orders report their failures themselves
+	servers = slices.DeleteFunc(servers, func(s layers.Server) bool {
+		return 2*suspect[s.DataCentre] > total[s.DataCentre]
+	})
+	return byID, servers
 }
 
 func anyHolds(servers []layers.Server) bool {
@@ -169,18 +210,28 @@
 	return s
 }
 
-// send gives an order to a server, once its count of orders is known.
-func (p *planner) send(ctx context.Context, a *discovery.Announcement, place layers.Placement, fence uint64) {
+// send gives an order to a server, once its count of orders is known. An order that did not
+// reach the server is planned anew.
+func (p *planner) send(ctx context.Context, a discovery.Announcement, o *order, fence uint64) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	r, err := p.engines.Report(ctx, a.Address)
-	if err == nil {
-		err = p.engines.Place(ctx, a.Address, place, fence, r.Orders)
+	isSent := err == nil
+	if isSent {
+		err = p.engines.Place(ctx, a.Address, o.Placement, fence, r.Orders)
 	}
 	reason := ""
 	if err != nil {
 		reason = err.Error()
 	}
-	p.log.Info("ordered layers", "server", a.ID, "data_centre", a.DataCentre, "accelerator", a.Accelerator, "from", place.From, "to", place.To,
+	p.log.Info("ordered layers", "server", a.ID, "data_centre", a.DataCentre, "accelerator", a.Accelerator, "from", o.From, "to", o.To,
 		"fence", fence, "orders", r.Orders, "reason", reason)
+	if isSent {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ordered[a.ID] == o {
+		delete(p.ordered, a.ID)
+	}
 }
--- a/layers/plan.go
+++ b/layers/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/balsamlb/balsamlb/routing"
@@ -136,7 +137,7 @@
 }
 
 // repair closes gaps with servers that are empty, or whose layers others hold as well, and
-// lets the empty ones that are left hold the layers with the least room.
+// lets the empty ones that are left hold the layers that gain most from them.
 func repair(e *routing.Engine, group []Server) []Placement {
 	var out []Placement
 	for {
@@ -158,7 +159,7 @@
 		if n <= 0 {
 			continue
 		}
-		from := leastRoom(e, group, n)
+		from := bestRange(e, group, e.Accelerators[group[i].Accelerator].Pace, n)
 		out = place(out, &group[i], from, from+n)
 	}
 	return out
@@ -234,29 +235,42 @@
 	return true
 }
 
-// leastRoom returns where the range of n layers begins whose layers have the least room.
-func leastRoom(e *routing.Engine, group []Server, n int) int {
-	room := make([]float64, e.Layers)
+// bestRange returns where the range of n layers begins at which a server of a pace is of most
+// use: where it is faster than those that hold the layers now, else where there is least room.
+func bestRange(e *routing.Engine, group []Server, pace float64, n int) int {
+	fastest, room := layerState(e, group)
+	best, bestGain, bestRoom := 0, 0.0, math.Inf(1)
+	for from := 0; from+n <= e.Layers; from++ {
+		gain, sum := 0.0, 0.0
+		for l := from; l < from+n; l++ {
+			gain += max(0, fastest[l]-pace)
+			sum += room[l]
+		}
+		if gain > bestGain || gain == bestGain && sum < bestRoom {
+			best, bestGain, bestRoom = from, gain, sum
+		}
+	}
+	return best
+}
+
+// layerState returns for each layer the pace of its fastest holder, and the room that its
+// holders have for it together.
+func layerState(e *routing.Engine, group []Server) (fastest, room []float64) {
+	fastest = make([]float64, e.Layers)
+	room = make([]float64, e.Layers)
 	for i := range group {
 		s := &group[i]
-		h := Holder{Accelerator: s.Accelerator, From: s.From, To: s.To}
 		if s.isEmpty() {
 			continue
 		}
-		perLayer := Capacity(e, &h) / float64(s.To-s.From)
+		perLayer := Capacity(e, &Holder{Accelerator: s.Accelerator, From: s.From, To: s.To}) / float64(s.To-s.From)
+		pace := e.Accelerators[s.Accelerator].Pace
 		for l := max(0, s.From); l < min(e.Layers, s.To); l++ {
 			room[l] += perLayer
+			if fastest[l] == 0 || pace < fastest[l] {
+				fastest[l] = pace
+			}
 		}
 	}
-	best, bestSum, sum := 0, 0.0, 0.0
-	for l := range e.Layers {
-		sum += room[l]
-		if l >= n {
-			sum -= room[l-n]
-		}
-		if from := l - n + 1; from >= 0 && (from == 0 || sum < bestSum) {
-			best, bestSum = from, sum
-		}
-	}
-	return best
+	return fastest, room
 }
