Drafts begin in the caller's data centre unless another is much less loaded

What is remote is lost at the cut, and runs on behind it.

Change: a first server in another data centre costs as much as 2.5 s of a draft's own time.

--- a/layers/path.go
+++ b/layers/path.go
@@ -74,7 +74,7 @@
 	crossMS = 2000.0
 	// foreignHeadMS is what a first server in another data centre costs: the way there, and
 	// the bytes of the stream, which are priced.
-	foreignHeadMS = 50.0
+	foreignHeadMS = 2500.0
 	// hopMS is the time that one more server adds to a token, besides its layers.
 	hopMS = 0.05
 	// crowding counts what a draft adds to the steps of the others as much as what they add
