Tests of the data path and the adapter against stand-ins; the adapter's bounds

An architecture test holds that only platform/ knows the platform's names and that it starts, waits for and queues nothing.

--- a/daemon/member.go
+++ b/daemon/member.go
@@ -86,11 +86,14 @@
 		DataCentre: s.DataCentre,
 		Callers:    s.Callers,
 		Grace:      s.Grace,
-		Mesh:       m.mesh,
-		Dialect:    platform.Dialect{},
-		Orders:     platform.NewServers(upstream.NewClient()),
-		Seed:       xxhash.Sum64String(s.Name),
-		Log:        log.WithName("gateway"),
+
+		BalancerNotice: gateway.BalancerNotice,
+
+		Mesh:    m.mesh,
+		Dialect: platform.Dialect{},
+		Orders:  platform.NewServers(upstream.NewClient()),
+		Seed:    xxhash.Sum64String(s.Name),
+		Log:     log.WithName("gateway"),
 
 		RetryRatio:   s.RetryRatio,
 		RetryReserve: s.RetryReserve,
--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -258,7 +258,7 @@
 	g := d.gateway
 	fault := g.view.Load().byAddress[a.Fault]
 	if fault == "" {
-		fault = d.path[0].ID
+		fault = d.currentPath()[0].ID
 	}
 	leftOut := shortFor
 	if status == http.StatusMisdirectedRequest {
@@ -299,7 +299,7 @@
 			return nil
 		}
 		if err != nil {
-			return &failure{reason: "the stream of " + d.path[0].ID + " broke off", ran: true, err: err}
+			return &failure{reason: "the stream of " + d.currentPath()[0].ID + " broke off", ran: true, err: err}
 		}
 		if ev.id >= 0 && ev.id <= d.last {
 			continue // the caller has it from the run before
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,9 +45,12 @@
 	// Callers is the address to listen on.
 	Callers string
 	// Grace is the time between the signal to stop and the end of the process.
-	Grace   time.Duration
-	Mesh    *mesh.Mesh
-	Dialect Dialect
+	Grace time.Duration
+	// BalancerNotice is how long callers are taken after readiness has turned off; see
+	// BalancerNotice for the usual value.
+	BalancerNotice time.Duration
+	Mesh           *mesh.Mesh
+	Dialect        Dialect
 	// Orders changes the paths of running drafts.
 	Orders Orders
 	// RetryRatio is the number of retries that each request allows; RetryReserve is the number
@@ -146,9 +149,9 @@
 }
 
 const (
-	// balancerNotice is how long the balancer takes to send no new callers: two misses at one
+	// BalancerNotice is how long the balancer takes to send no new callers: two misses at one
 	// question a second, and the time on the way.
-	balancerNotice = 2500 * time.Millisecond
+	BalancerNotice = 2500 * time.Millisecond
 	// graceMargin is left of the grace time for the end of the process.
 	graceMargin = 400 * time.Millisecond
 )
@@ -159,7 +162,7 @@
 	started := time.Now()
 	g.leaving.Store(true)
 	g.options.Log.Info("leaving", "in_flight", g.inFlight.Load())
-	time.Sleep(balancerNotice)
+	time.Sleep(g.options.BalancerNotice)
 	left := max(0, g.options.Grace-graceMargin-time.Since(started))
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,317 @@
+package gateway_test
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestWithoutADocumentCallersAreToldToComeBack(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	r := f.get("/check/1", nil)
+	is.Equal(r.status, http.StatusServiceUnavailable)
+	is.True(r.header.Get("Retry-After") != "")
+}
+
+func TestRequestsThatTheDocumentDoesNotAllow(t *testing.T) {
+	f := newFleet(t)
+	f.publish()
+	f.serve("d1", "desk", 0, 0, func(c net.Conn, _ *http.Request) { reply(c, 200, "ok") })
+	f.until(func() bool { return f.get("/open/1", nil).status == http.StatusOK })
+	for _, c := range []struct {
+		name   string
+		result result
+		want   int
+	}{
+		{"no route", f.get("/nowhere/1", nil), http.StatusNotFound},
+		{"another host", f.get("/check/1", map[string]string{"Host": "x"}), http.StatusOK}, // Go ignores this header
+		{"unknown key", f.get("/check/1", map[string]string{"Api-Key": "stolen"}), http.StatusUnauthorized},
+		{"no key where none is needed", f.get("/open/1", map[string]string{"Api-Key": ""}), http.StatusOK},
+		{"body over the limit", f.send(http.MethodPost, "/hold/1", nil, bytes.NewReader(make([]byte, 1001))), http.StatusRequestEntityTooLarge},
+		{"chunked body over the limit", f.send(http.MethodPost, "/hold/1", nil, io.MultiReader(bytes.NewReader(make([]byte, 1001)))), http.StatusRequestEntityTooLarge},
+	} {
+		t.Run(c.name, func(t *testing.T) { is.New(t).Equal(c.result.status, c.want) })
+	}
+}
+
+func TestServersGetTheCallersRequestAndTheSystemsHeaders(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.publish()
+	type seen struct {
+		Method, Target, Host, Body string
+		Header                     http.Header
+	}
+	got := make(chan seen, 8)
+	f.serve("d1", "desk", 0, 0, func(c net.Conn, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		got <- seen{r.Method, r.RequestURI, r.Host, string(body), r.Header}
+		reply(c, 201, "made\x00it")
+	})
+	header := map[string]string{
+		"Balsamlb-Tenant": "somebody", "Balsamlb-Expect-Instance": "x", "Balsamlb-Hop-Count": "x", "X-Own": "kept",
+		"Balsamlb-Deadline-Ms": "800", "Connection": "X-Hop", "X-Hop": "dropped",
+	}
+	var r result
+	f.until(func() bool {
+		r = f.send(http.MethodPost, "/hold/a%20b/?q=1&q=%2F", header, strings.NewReader("two\r\n\r\nlines"))
+		return r.status != http.StatusServiceUnavailable
+	})
+	is.Equal(r.status, 201)
+	is.Equal(r.body, "made\x00it")
+	is.Equal(r.header.Get("Balsamlb-Response-Stamp"), "s1")
+	s := <-got
+	is.Equal(s.Method+" "+s.Target, "POST /hold/a%20b/?q=1&q=%2F")
+	is.Equal(s.Host, "shop")
+	is.Equal(s.Body, "two\r\n\r\nlines")
+	is.Equal(s.Header.Get("Balsamlb-Tenant"), "kandy")
+	is.Equal(s.Header.Get("Balsamlb-Expect-Instance"), "d1")
+	is.Equal(s.Header.Values("Balsamlb-Hop-Count"), nil)
+	is.Equal(s.Header.Values("Api-Key"), nil)
+	is.Equal(s.Header.Get("X-Own"), "kept")
+	is.Equal(s.Header.Values("X-Hop"), nil)
+	left := s.Header.Get("Balsamlb-Deadline-Ms")
+	is.True(len(left) <= 3 && left != "") // at most the caller's 800 ms
+}
+
+func TestWhatMayNotBeRepeatedIsSentOnceAfterALostAnswer(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.publish()
+	f.serve("d1", "desk", 0, 0, reset)
+	f.serve("d2", "desk", 0, 0, reset)
+	var r result
+	f.until(func() bool {
+		r = f.send(http.MethodPost, "/hold/1", nil, strings.NewReader("x"))
+		return len(f.arrivals()) > 0
+	})
+	is.Equal(r.status, http.StatusBadGateway) // it may have run: neither 429 nor 503
+	is.Equal(len(f.arrivals()), 1)
+}
+
+func TestWhatMayBeRepeatedGoesToAnotherServer(t *testing.T) {
+	for name, bad := range map[string]handler{
+		"reset":          reset,
+		"failed":         func(c net.Conn, _ *http.Request) { reply(c, 500, "broken") },
+		"not run":        func(c net.Conn, _ *http.Request) { notRun(c, 503, "") },
+		"another server": func(c net.Conn, _ *http.Request) { notRun(c, 421, "") },
+		"cut body": func(c net.Conn, _ *http.Request) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nBalsamlb-Request-Id: req-1\r\nBalsamlb-Response-Stamp: s\r\nContent-Length: 9\r\n\r\ncut")
+			_ = c.Close()
+		},
+		"unmarked success": func(c net.Conn, _ *http.Request) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nBalsamlb-Request-Id: req-1\r\nContent-Length: 2\r\n\r\nno")
+		},
+		"not HTTP": func(c net.Conn, _ *http.Request) { _, _ = io.WriteString(c, "\x00\x01 garbage\r\n\r\n"); _ = c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			f.publish()
+			var served atomic.Int64
+			one := func(c net.Conn, r *http.Request) {
+				if served.Add(1) == 1 {
+					bad(c, r)
+					return
+				}
+				reply(c, 200, "good")
+			}
+			f.serve("d1", "desk", 0, 0, one)
+			f.serve("d2", "desk", 0, 0, one)
+			var r result
+			f.until(func() bool {
+				r = f.get("/check/1", nil)
+				return len(f.arrivals()) > 0
+			})
+			if r.status == http.StatusServiceUnavailable {
+				r = f.get("/check/1", nil) // only the first server was known then
+			}
+			is.Equal(r.status, http.StatusOK)
+			is.Equal(r.body, "good")
+		})
+	}
+}
+
+func TestTimeLimitOfARouteEndsTheRequest(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.publish()
+	closed := make(chan struct{}, 8)
+	f.serve("d1", "desk", 0, 0, func(c net.Conn, _ *http.Request) {
+		_, _ = c.Read(make([]byte, 1))
+		closed <- struct{}{}
+	})
+	var r result
+	f.until(func() bool {
+		r = f.get("/short/1", nil)
+		return len(f.arrivals()) > 0
+	})
+	is.Equal(r.status, http.StatusGatewayTimeout)
+	<-closed // the server is told to stop
+}
+
+func TestStreamGoesOnAtAnotherServerAfterABreak(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.publish()
+	lastEvents := make(chan string, 8)
+	var served atomic.Int64
+	h := func(c net.Conn, r *http.Request) {
+		lastEvents <- r.Header.Get("Last-Event-Id")
+		streamHead(c)
+		if served.Add(1) == 1 {
+			chunk(c, event(1)+event(2)+"id: 3\ndata: pie") // cut in the middle of an event
+			reset(c, nil)
+			return
+		}
+		chunk(c, event(2)+event(3)) // begins one event too early
+		chunk(c, event(4))
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+	}
+	f.serve("e1", "advice", 0, 4, h)
+	f.serve("e2", "advice", 0, 4, h)
+	var r result
+	f.until(func() bool {
+		r = f.send(http.MethodPost, "/advice/1", map[string]string{"Balsamlb-Token-Counts": "10,20"}, strings.NewReader("x"))
+		return len(f.arrivals()) >= 2
+	})
+	is.NoErr(r.err)
+	is.Equal(r.body, event(1)+event(2)+event(3)+event(4))
+	is.Equal(<-lastEvents, "")
+	is.Equal(<-lastEvents, "2")
+}
+
+func TestStreamThatMayNotBeResumedDoesNotLookComplete(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.publish()
+	f.serve("e1", "advice", 0, 4, func(c net.Conn, _ *http.Request) {
+		streamHead(c)
+		chunk(c, event(1))
+		reset(c, nil)
+	})
+	var r result
+	f.until(func() bool {
+		r = f.send(http.MethodPost, "/once/1", nil, strings.NewReader("x"))
+		return len(f.arrivals()) > 0
+	})
+	is.Equal(r.status, http.StatusOK)
+	is.True(r.err != nil)
+	is.Equal(len(f.arrivals()), 1)
+}
+
+func TestDraftNamesItsPathAndPassesByAServerThatRefuses(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.publish()
+	paths := make(chan string, 8)
+	var fault atomic.Value
+	fault.Store("")
+	var served atomic.Int64
+	f.serve("e1", "advice", 0, 2, func(c net.Conn, r *http.Request) {
+		paths <- r.Header.Get("Balsamlb-Hop-Count")
+		if served.Add(1) == 1 {
+			notRun(c, 503, fault.Load().(string))
+			return
+		}
+		streamHead(c)
+		chunk(c, event(1))
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+	})
+	e2 := f.serve("e2", "advice", 2, 4, reset)
+	e3 := f.serve("e3", "advice", 2, 4, reset)
+	fault.Store(e2)
+	f.until(func() bool {
+		f.send(http.MethodPost, "/advice/1", nil, strings.NewReader("x"))
+		return len(f.arrivals()) >= 2
+	})
+	first, second := <-paths, <-paths
+	is.True(strings.HasSuffix(first, "=2-4"))
+	// The refusing server was named; the second path passes by it.
+	if strings.Contains(first, e2) {
+		is.True(strings.Contains(second, e3))
+	}
+}
+
+func TestStalledServerOfAPathIsPassedBy(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.publish()
+	goOn := make(chan struct{})
+	f.serve("e1", "advice", 0, 2, func(c net.Conn, _ *http.Request) {
+		streamHead(c)
+		chunk(c, event(1))
+		<-goOn
+		chunk(c, event(2))
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+	})
+	e2 := f.serve("e2", "advice", 2, 4, reset)
+	f.orders.mu.Lock()
+	f.orders.stalled = e2
+	f.orders.mu.Unlock()
+	results := make(chan result, 1)
+	f.until(func() bool {
+		r := f.send(http.MethodPost, "/nowhere/", nil, nil)
+		return r.status == http.StatusNotFound
+	})
+	go func() {
+		for {
+			if r := f.send(http.MethodPost, "/advice/1", nil, strings.NewReader("x")); r.status == http.StatusOK {
+				results <- r
+				return
+			}
+		}
+	}()
+	f.until(func() bool { return len(f.arrivals()) > 0 })
+	e3 := f.serve("e3", "advice", 2, 4, reset) // appears while the draft waits
+	f.until(func() bool {
+		f.orders.mu.Lock()
+		defer f.orders.mu.Unlock()
+		return len(f.orders.paths) > 0
+	})
+	close(goOn)
+	r := <-results
+	is.NoErr(r.err)
+	is.Equal(r.body, event(1)+event(2))
+	f.orders.mu.Lock()
+	defer f.orders.mu.Unlock()
+	is.Equal(f.orders.paths[0][0].ID, "e1")
+	is.Equal(f.orders.paths[0][1].Address, e3)
+	is.True(!slices.Contains(f.arrivals(), "e2"))
+}
+
+func TestCallerThatLeavesEndsTheWorkAtTheServer(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.publish()
+	closed := make(chan struct{}, 8)
+	f.serve("e1", "advice", 0, 4, func(c net.Conn, _ *http.Request) {
+		streamHead(c)
+		chunk(c, event(1))
+		_, _ = c.Read(make([]byte, 1))
+		closed <- struct{}{}
+	})
+	var resp *http.Response
+	f.until(func() bool {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, f.front.URL+"/advice/1", strings.NewReader("x"))
+		is.NoErr(err)
+		r.Host = "shop"
+		r.Header.Set("Balsamlb-Request-Id", "req-1")
+		r.Header.Set("Api-Key", "key-1")
+		resp, err = f.front.Client().Do(r)
+		is.NoErr(err)
+		return resp.StatusCode == http.StatusOK
+	})
+	_, err := io.ReadFull(resp.Body, make([]byte, len(event(1))))
+	is.NoErr(err)
+	_ = resp.Body.Close()
+	<-closed
+}
--- /dev/null
+++ b/gateway/standin_test.go
@@ -0,0 +1,224 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/balsamlb/balsamlb/discovery"
+	"github.com/balsamlb/balsamlb/gateway"
+	"github.com/balsamlb/balsamlb/layers"
+	"github.com/balsamlb/balsamlb/mesh"
+	"github.com/balsamlb/balsamlb/platform"
+	"github.com/balsamlb/balsamlb/routing"
+	"github.com/go-logr/logr"
+	"github.com/klauspost/compress/zstd"
+)
+
+// fleet is a gateway before backend servers that are played by functions.
+type fleet struct {
+	t       *testing.T
+	mesh    *mesh.Mesh
+	front   *httptest.Server
+	mu      sync.Mutex
+	arrived []string
+	orders  *scriptedOrders
+}
+
+// handler plays one backend server: it reads what is left of the request and answers on c.
+type handler func(c net.Conn, r *http.Request)
+
+// scriptedOrders answers for the first servers of paths.
+type scriptedOrders struct {
+	mu      sync.Mutex
+	stalled string
+	paths   []layers.Path
+}
+
+func (o *scriptedOrders) Stalled(context.Context, string, string) (string, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.stalled, nil
+}
+
+func (o *scriptedOrders) Repath(_ context.Context, _, _ string, p layers.Path, _ uint64) (string, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.paths = append(o.paths, p)
+	return "", nil
+}
+
+const document = `{"Version":7,"Routes":[
+ {"Name":"stream","Hostname":"shop","PathPrefix":"/advice/","Kind":"streaming","TimeoutMs":5000,"TargetLatencyMs":500,"GapTargetMs":250,"Service":"advice","MaxAttempts":2,"CanResume":true},
+ {"Name":"once-stream","Hostname":"shop","PathPrefix":"/once/","Kind":"streaming","TimeoutMs":5000,"Service":"advice","MaxAttempts":2},
+ {"Name":"hold","Hostname":"shop","PathPrefix":"/hold/","Kind":"non_idempotent","TimeoutMs":5000,"Service":"desk","MaxAttempts":2},
+ {"Name":"check","Hostname":"shop","PathPrefix":"/check/","Kind":"idempotent","TimeoutMs":5000,"Service":"desk","MaxAttempts":2},
+ {"Name":"short","Hostname":"shop","PathPrefix":"/short/","Kind":"idempotent","TimeoutMs":50,"Service":"desk","MaxAttempts":2},
+ {"Name":"open","Hostname":"shop","PathPrefix":"/open/","Kind":"idempotent","TimeoutMs":5000,"Service":"desk","MaxAttempts":1,"AllowAnonymous":true}],
+"Services":[{"Name":"advice","Engine":{"Slots":8,"KvBytes":1000,"Layers":4,"LayerMb":10,"step_ms":1,"read_per_s":100000,"usual":{"prompt":10,"answer":10},"Models":[{"Name":"m","LoadS":1}],"Kinds":[{"Name":"card","Mb":100,"pace":1,"ReadFactor":1}]}},{"Name":"desk"}],
+"Limits":{"MaxBodyBytes":1000},
+"Tenants":[{"Name":"kandy","ApiKeys":["key-1"]}]}`
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	m, err := mesh.New(mesh.Options{Name: "g", DataCentre: "a", Decode: platform.DecodeDocument, Log: logr.Discard()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{t: t, mesh: m, orders: &scriptedOrders{}}
+	g := gateway.New(gateway.Options{
+		Name: "g", DataCentre: "a", Callers: "127.0.0.1:0", Grace: time.Second, Mesh: m,
+		BalancerNotice: time.Millisecond, Dialect: platform.Dialect{}, Orders: f.orders, RetryRatio: 1, RetryReserve: 100, Log: logr.Discard(),
+	})
+	f.front = httptest.NewServer(g)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = g.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		f.front.Close()
+		cancel()
+		<-done
+	})
+	return f
+}
+
+// publish puts the document in force and waits until the gateway serves by it.
+func (f *fleet) publish() {
+	f.t.Helper()
+	encoder, err := zstd.NewWriter(nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := f.mesh.Publish(routing.Publication{Version: 7, Bytes: encoder.EncodeAll([]byte(document), nil)}); err != nil {
+		f.t.Fatal(err)
+	}
+	f.until(func() bool { return f.get("/nowhere/", nil).status == http.StatusNotFound })
+}
+
+// until waits for a condition that holds in the end.
+func (f *fleet) until(holds func() bool) {
+	for !holds() {
+		select {
+		case <-f.t.Context().Done():
+			f.t.Fatal("the condition never held")
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+// serve starts a backend server and announces it. to is 0 for a plain one.
+func (f *fleet) serve(id, service string, from, to int, h handler) string {
+	f.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go f.play(id, c, h)
+		}
+	}()
+	f.mesh.Heard(time.Now(), discovery.Announcement{
+		ID: id, Incarnation: 1, Sequence: 1, Service: service, Address: l.Addr().String(), DataCentre: "a",
+		State: discovery.StateReady, Slots: 4, Accelerator: "card", HasLayers: to > 0, LayersFrom: from, LayersTo: to,
+	})
+	return l.Addr().String()
+}
+
+func (f *fleet) play(id string, c net.Conn, h handler) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		f.mu.Lock()
+		f.arrived = append(f.arrived, id+" "+r.Method+" "+r.RequestURI)
+		f.mu.Unlock()
+		h(c, r)
+	}
+}
+
+func (f *fleet) arrivals() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.arrived...)
+}
+
+// result is an answer as a caller sees it.
+type result struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (f *fleet) send(method, path string, header map[string]string, body io.Reader) result {
+	f.t.Helper()
+	r, err := http.NewRequestWithContext(f.t.Context(), method, f.front.URL+path, body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r.Host = "shop"
+	r.Header.Set("Balsamlb-Request-Id", "req-1")
+	r.Header.Set("Api-Key", "key-1")
+	for k, v := range header {
+		r.Header.Set(k, v)
+	}
+	resp, err := f.front.Client().Do(r)
+	if err != nil {
+		return result{err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return result{status: resp.StatusCode, header: resp.Header, body: string(text), err: err}
+}
+
+func (f *fleet) get(path string, header map[string]string) result {
+	return f.send(http.MethodGet, path, header, nil)
+}
+
+// reply answers with the marks of a backend server.
+func reply(c net.Conn, status int, body string) {
+	fmt.Fprintf(c, "HTTP/1.1 %d Status\r\nBalsamlb-Request-Id: req-1\r\nBalsamlb-Response-Stamp: s1\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+}
+
+// notRun answers that the request did not run; fault may name the server of a path.
+func notRun(c net.Conn, status int, fault string) {
+	extra := ""
+	if fault != "" {
+		extra = "At-Server: " + fault + "\r\n"
+	}
+	fmt.Fprintf(c, "HTTP/1.1 %d Status\r\nBalsamlb-Not-Executed: 1\r\n%sContent-Length: 0\r\n\r\n", status, extra)
+}
+
+// reset ends a connection without an answer.
+func reset(c net.Conn, _ *http.Request) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+// streamHead begins an event stream.
+func streamHead(c net.Conn) {
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nBalsamlb-Request-Id: req-1\r\nBalsamlb-Response-Stamp: s1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+}
+
+func chunk(c net.Conn, text string) { fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text) }
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id) }
--- /dev/null
+++ b/internal/archtest/platform_test.go
@@ -0,0 +1,89 @@
+package archtest
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// adapter is the folder that alone knows the names of the users' platform.
+const adapter = "platform"
+
+// platformNames are words that only the platform uses.
+var platformNames = []string{
+	"Balsamlb-", "At-Server", "\"/-/", "TrafficSplit", "KvBytes", "ColdLeftMs", "LayerMb", "non_idempotent", "HeartbeatUrl",
+}
+
+// adapterImports are the packages whose types the adapter fills or calls.
+var adapterImports = []string{
+	"controller", "discovery", "gateway", "layers", "routing", "upstream",
+}
+
+// sources calls f for each Go file that is not a test.
+func sources(t *testing.T, root string, f func(path string)) {
+	t.Helper()
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err == nil && !d.IsDir() && strings.HasSuffix(path, ".go") && !strings.HasSuffix(path, "_test.go") {
+			f(path)
+		}
+		return err
+	})
+	is.New(t).NoErr(err)
+}
+
+func TestOnlyTheAdapterKnowsThePlatformsNames(t *testing.T) {
+	is := is.New(t)
+	root := filepath.Join("..", "..")
+	sources(t, root, func(path string) {
+		if strings.HasPrefix(path, filepath.Join(root, adapter)+string(filepath.Separator)) {
+			return
+		}
+		text, err := os.ReadFile(path)
+		is.NoErr(err)
+		for _, name := range platformNames {
+			if strings.Contains(string(text), name) {
+				t.Errorf("%s holds the platform's name %q", path, name)
+			}
+		}
+		if strings.Contains(string(text), `balsamlb/platform"`) && !strings.HasPrefix(path, filepath.Join(root, "daemon")) {
+			t.Errorf("%s imports the adapter; only the wiring may", path)
+		}
+	})
+}
+
+// TestTheAdapterDecidesNothing holds that it starts no goroutine, waits for nothing, keeps no
+// queue, and fills types of a few packages only.
+func TestTheAdapterDecidesNothing(t *testing.T) {
+	is := is.New(t)
+	sources(t, filepath.Join("..", "..", adapter), func(path string) {
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+		is.NoErr(err)
+		for _, imp := range file.Imports {
+			name, _ := strconv.Unquote(imp.Path.Value)
+			own, isOwn := strings.CutPrefix(name, "github.com/balsamlb/balsamlb/")
+			if isOwn && !slices.Contains(adapterImports, own) || name == "sync" || strings.HasPrefix(name, "math/rand") {
+				t.Errorf("%s imports %s", path, name)
+			}
+		}
+		ast.Inspect(file, func(n ast.Node) bool {
+			switch n := n.(type) {
+			case *ast.GoStmt, *ast.SelectStmt, *ast.ChanType:
+				t.Errorf("%s: the adapter starts or waits for something", path)
+			case *ast.SelectorExpr:
+				if x, ok := n.X.(*ast.Ident); ok && x.Name == "time" && slices.Contains(forbiddenCalls, "time."+n.Sel.Name) {
+					t.Errorf("%s calls time.%s", path, n.Sel.Name)
+				}
+			}
+			return true
+		})
+	})
+}
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -59,6 +59,7 @@
 		"negative weight":        func(d *Document) { d.Routes[1].Split[1].Weight = -1 },
 		"no time limit":          func(d *Document) { d.Routes[2].TimeLimit = 0 },
 		"service defined twice":  func(d *Document) { d.Services[1].Name = "advice" },
+		"too many layers":        func(d *Document) { d.Services[0].Engine = &Engine{Layers: MaxLayers + 1} },
 		"shared key": func(d *Document) {
 			d.Workspaces = append(d.Workspaces, Workspace{Name: "galle", Keys: []string{"k2"}})
 		},
--- a/routing/validate.go
+++ b/routing/validate.go
@@ -8,6 +8,9 @@
 // ErrInvalid marks every reason for which a document is refused.
 var ErrInvalid = errors.New("routing: invalid document")
 
+// MaxLayers bounds the layers of a model; what is planned grows with them.
+const MaxLayers = 4096
+
 type place struct{ host, prefix string }
 
 // Validate returns the first fault of the document, or nil.
@@ -18,6 +21,9 @@
 			return fmt.Errorf("%w: service %q is defined twice", ErrInvalid, s.Name)
 		}
 		services[s.Name] = true
+		if s.Engine != nil && (s.Engine.Layers < 0 || s.Engine.Layers > MaxLayers) {
+			return fmt.Errorf("%w: service %q has a model of %d layers", ErrInvalid, s.Name, s.Engine.Layers)
+		}
 	}
 	places := make(map[place]string, len(d.Routes))
 	for i := range d.Routes {
