--- /dev/null
+++ b/controller/placement_test.go
@@ -0,0 +1,177 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/balsamlb/balsamlb/discovery"
+	"github.com/balsamlb/balsamlb/layers"
+	"github.com/balsamlb/balsamlb/mesh"
+	"github.com/balsamlb/balsamlb/routing"
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+)
+
+// scriptedEngines accept orders and remember them.
+type scriptedEngines struct {
+	mu          sync.Mutex
+	placed      map[string]layers.Placement
+	fences      []uint64
+	unreachable map[string]bool
+}
+
+var errUnreachable = errors.New("unreachable")
+
+func (e *scriptedEngines) Report(_ context.Context, address string) (Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.unreachable[address] {
+		return Report{}, errUnreachable
+	}
+	return Report{Orders: 3}, nil
+}
+
+func (e *scriptedEngines) Place(_ context.Context, address string, p layers.Placement, fence, orders uint64) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if orders != 3 {
+		return fmt.Errorf("expected %d orders", orders)
+	}
+	e.placed[address] = p
+	e.fences = append(e.fences, fence)
+	return nil
+}
+
+func testService() *routing.Service {
+	return &routing.Service{Name: "advice", Engine: &routing.Engine{
+		Slots: 8, Layers: 8, LayerMB: 10, TokenBytes: 1000, StepMS: 1, TokensReadPerSecond: 1e6, UsualPrompt: 10, UsualAnswer: 10,
+		LoadTime: time.Second, Accelerators: map[string]routing.Accelerator{"card": {MemoryMB: 45, Pace: 1, ReadFactor: 1}},
+	}}
+}
+
+func newTestPlanner() (*planner, *scriptedEngines) {
+	e := &scriptedEngines{placed: make(map[string]layers.Placement), unreachable: make(map[string]bool)}
+	p := newPlanner(Options{Engines: e, Log: logr.Discard()})
+	return p, e
+}
+
+// announced are n ready servers of each data centre, which hold nothing.
+func announced(n int, centres ...string) []discovery.Announcement {
+	var out []discovery.Announcement
+	for _, c := range centres {
+		for i := range n {
+			id := fmt.Sprintf("%s%d", c, i)
+			out = append(out, discovery.Announcement{
+				ID: id, Address: id, Incarnation: 1, Service: "advice", DataCentre: c, State: discovery.StateReady, Accelerator: "card",
+			})
+		}
+	}
+	return out
+}
+
+// run plans once and waits for the orders.
+func (p *planner) run(known mesh.Snapshot) {
+	p.plan(context.Background(), testService(), known, 7)
+	_ = p.sends.Wait()
+}
+
+// hold lets the servers announce what they were ordered to hold.
+func hold(servers []discovery.Announcement, e *scriptedEngines) {
+	for i := range servers {
+		if p, ok := e.placed[servers[i].ID]; ok {
+			servers[i].HasLayers, servers[i].LayersFrom, servers[i].LayersTo = true, p.From, p.To
+		}
+	}
+}
+
+func TestEachDataCentreGetsACopyUnderTheLeadersFence(t *testing.T) {
+	is := is.New(t)
+	p, e := newTestPlanner()
+	servers := announced(3, "a", "b")
+	p.run(mesh.Snapshot{Servers: servers})
+	is.Equal(len(e.placed), 6)
+	for _, f := range e.fences {
+		is.Equal(f, uint64(7))
+	}
+	hold(servers, e)
+	clear(e.placed)
+	p.run(mesh.Snapshot{Servers: servers})
+	is.Equal(len(e.placed), 0)
+}
+
+func TestSuspectServerIsReplacedAtOnce(t *testing.T) {
+	is := is.New(t)
+	p, e := newTestPlanner()
+	servers := announced(3, "a") // two hold all layers, the third holds some of them as well
+	p.run(mesh.Snapshot{Servers: servers})
+	hold(servers, e)
+	p.run(mesh.Snapshot{Servers: servers})
+	lost := soleHolder(servers)
+	clear(e.placed)
+	p.run(mesh.Snapshot{Servers: servers, Suspects: map[string]bool{lost.ID: true}})
+	is.Equal(len(e.placed), 1)
+	for id, got := range e.placed {
+		is.True(id != lost.ID)
+		is.Equal([2]int{got.From, got.To}, [2]int{lost.LayersFrom, lost.LayersTo})
+	}
+}
+
+// soleHolder returns a server whose first layer nobody else holds.
+func soleHolder(servers []discovery.Announcement) discovery.Announcement {
+	for _, s := range servers {
+		others := 0
+		for _, o := range servers {
+			if o.ID != s.ID && o.LayersFrom <= s.LayersFrom && o.LayersTo > s.LayersFrom {
+				others++
+			}
+		}
+		if others == 0 && s.LayersTo > s.LayersFrom {
+			return s
+		}
+	}
+	return discovery.Announcement{}
+}
+
+func TestDataCentreThatIsCutOffIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	p, e := newTestPlanner()
+	servers := announced(4, "a")
+	p.run(mesh.Snapshot{Servers: servers})
+	hold(servers, e)
+	p.run(mesh.Snapshot{Servers: servers})
+	clear(e.placed)
+	p.run(mesh.Snapshot{Servers: servers, Suspects: map[string]bool{"a0": true, "a1": true, "a2": true}})
+	is.Equal(len(e.placed), 0)
+}
+
+func TestOrderThatDidNotReachTheServerIsPlannedAnew(t *testing.T) {
+	is := is.New(t)
+	p, e := newTestPlanner()
+	servers := announced(3, "a")
+	e.unreachable["a1"] = true
+	p.run(mesh.Snapshot{Servers: servers})
+	_, placed := e.placed["a1"]
+	is.True(!placed)
+	delete(e.unreachable, "a1")
+	p.run(mesh.Snapshot{Servers: servers})
+	_, placed = e.placed["a1"]
+	is.True(placed)
+}
+
+func TestRestartedServerIsOrderedAgain(t *testing.T) {
+	is := is.New(t)
+	p, e := newTestPlanner()
+	servers := announced(2, "a")
+	p.run(mesh.Snapshot{Servers: servers})
+	hold(servers, e)
+	p.run(mesh.Snapshot{Servers: servers})
+	clear(e.placed)
+	servers[0].Incarnation = 2
+	servers[0].LayersFrom, servers[0].LayersTo = 0, 0
+	p.run(mesh.Snapshot{Servers: servers})
+	is.Equal(len(e.placed), 1)
+}
