--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -61,6 +61,9 @@
 	committed []Entry
 	leaders   map[uint64]string
 	replaceIn int
+	// size is the number of voters to grow to; joinsOnly are nodes that must found nothing.
+	size      int
+	joinsOnly map[string]bool
 	script    []Message // what was sent, when recording is on
 	recording bool
 }
@@ -96,7 +99,7 @@
 	r.state = decodeState(r.disk.snapshot.Data)
 	r.node = New(Options{
 		ID: id, Address: id, Disk: r.disk.number, Epoch: r.disk.starts<<EpochNonceBits | c.rng.Uint64N(1<<EpochNonceBits),
-		Founders: c.founders, ElectionTicks: 10, HeartbeatTicks: 2, ReplaceTicks: c.replaceIn, Seed: c.rng.Uint64(),
+		Founders: c.founders, Size: c.size, JoinsOnly: c.joinsOnly[id], ElectionTicks: 10, HeartbeatTicks: 2, ReplaceTicks: c.replaceIn, Seed: c.rng.Uint64(),
 	}, r.disk.hard, r.disk.snapshot, slices.Clone(r.disk.entries))
 }
 
--- a/consensus/node_test.go
+++ b/consensus/node_test.go
@@ -59,6 +59,44 @@
 	c.awaitLeader()
 }
 
+// restartAll starts every node anew under changed options, with empty folders.
+func restartAll(c *cluster) {
+	for _, id := range c.ids {
+		c.replicas[id].disk = c.newDisk()
+		c.start(id)
+	}
+}
+
+func TestGroupGrowsToItsSize(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, 3, 1)
+	c.size = 5
+	restartAll(c)
+	c.tick(200)
+	is.Equal(len(c.voters()), 5)
+	// Two of five are lost, and what was committed is there.
+	c.propose(t, "kept")
+	c.replaceIn = 0
+	lost := c.others(c.leader())[:2]
+	c.stop(lost[0])
+	c.stop(lost[1])
+	c.propose(t, "after")
+	is.Equal(c.replicas[c.leader()].state, []string{"kept", "after"})
+}
+
+// New machines may all come to be the seeds of others; none of them may begin a second group.
+func TestNodeThatOnlyJoinsFoundsNothing(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, 0, 1)
+	c.joinsOnly = map[string]bool{"n0": true, "n1": true, "n2": true}
+	restartAll(c)
+	c.tick(300)
+	is.Equal(c.leader(), "")
+	for _, id := range c.ids {
+		is.Equal(c.replicas[id].node.Group(), uint64(0))
+	}
+}
+
 // With two of three folders emptied the group must not begin anew as if nothing had been
 // committed.
 func TestEmptiedMajorityFoundsNoSecondGroup(t *testing.T) {
