Changed paths keep their first part; control instances that are apart still hear servers

In the cut data centre its control instance refused heartbeats, then called all servers silent 3.6 s into the cut, so that the gateways cut off with it had none; at the healing it told everybody so, and the leader moved layers.

Change: the first part is kept as it is, also where no other server changes there. Heartbeats are taken while apart, and answered 503 as before, since a drain can't be promised then.

Ruled out: fencing (that is 412), room (409 names the server then).

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -194,26 +194,29 @@
 	return time.Since(c.started)-time.Duration(c.heard.Load()) > apartAfter
 }
 
-// Announced takes what a backend server says of itself.
+// Announced takes what a backend server says of itself. An instance that is apart passes it on
+// to those who are cut off with it, but can't promise that all others learn of it.
 func (c *Controller) Announced(a discovery.Announcement) error {
-	if c.isApart() {
-		return ErrApart
-	}
 	if c.options.Mesh.Heard(time.Now(), a) {
 		c.options.Log.Info("a backend server says something new", "server", a.ID, "state", a.State, "address", a.Address,
 			"data_centre", a.DataCentre, "from", a.LayersFrom, "to", a.LayersTo, "sequence", a.Sequence)
 	}
-	return nil
+	return c.acknowledge()
 }
 
 // Left takes the word of a backend server that it leaves.
 func (c *Controller) Left(id string) error {
-	if c.isApart() {
-		return ErrApart
-	}
 	if c.options.Mesh.Leave(time.Now(), id) {
 		c.options.Log.Info("a backend server leaves", "server", id)
 	}
+	return c.acknowledge()
+}
+
+// acknowledge returns an error unless what was just heard reaches all instances in touch.
+func (c *Controller) acknowledge() error {
+	if c.isApart() {
+		return ErrApart
+	}
 	return nil
 }
 
--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -131,7 +131,7 @@
 // awaitPath returns the best path for the draft. If none has room, it waits a short while,
 // unless many wait already.
 func (g *Gateway) awaitPath(ctx context.Context, d *draft) (layers.Path, bool) {
-	path, ok := g.findPath(d, "")
+	path, ok := g.findPath(d, layers.Part{})
 	if ok {
 		return path, true
 	}
@@ -150,7 +150,7 @@
 		case <-end.C:
 			return nil, false
 		case <-ticker.C:
-			if path, ok := g.findPath(d, ""); ok {
+			if path, ok := g.findPath(d, layers.Part{}); ok {
 				return path, true
 			}
 		}
@@ -171,8 +171,8 @@
 	g.refuse(w, d.job, answer)
 }
 
-// findPath returns the best path for the draft; head, if not empty, stays the first server.
-func (g *Gateway) findPath(d *draft, head string) (layers.Path, bool) {
+// findPath returns the best path for the draft; head, if it names a server, stays the first part.
+func (g *Gateway) findPath(d *draft, head layers.Part) (layers.Path, bool) {
 	v := g.view.Load()
 	s := v.searches[d.service.Name]
 	if s == nil {
@@ -185,7 +185,7 @@
 	s.paths.Update(g.use.apply)
 	g.use.mu.Unlock()
 	avoid := func(id string) bool {
-		if id == head {
+		if id == head.ID {
 			return false
 		}
 		return v.suspects[id] || g.faults.avoids(now, id) || slices.Contains(d.avoid, id)
--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -176,7 +176,7 @@
 func (gd *guard) repath(v *view, head layers.Part) {
 	g, d := gd.gateway, gd.draft
 	for range maxRepaths {
-		next, ok := g.findPath(d, head.ID)
+		next, ok := g.findPath(d, head)
 		if !ok {
 			return // the next look may find one
 		}
--- a/layers/path.go
+++ b/layers/path.go
@@ -109,6 +109,17 @@
 	return s
 }
 
+// withBound returns a search in which a path may change servers at a layer.
+func (s *Search) withBound(layer int) *Search {
+	i, found := slices.BinarySearch(s.bounds, layer)
+	if found {
+		return s
+	}
+	out := *s
+	out.bounds = slices.Insert(slices.Clone(s.bounds), i, layer)
+	return &out
+}
+
 // step is the cheapest way to a bound, in one data centre.
 type step struct {
 	cost   float64
@@ -122,8 +133,8 @@
 	Draft Draft
 	// Home is the data centre of the caller.
 	Home string
-	// Head, if not empty, must be the first server.
-	Head string
+	// Head, if its ID is not empty, must be the first part.
+	Head Part
 	// Avoid tells which servers are left out.
 	Avoid func(id string) bool
 	// MayCross allows paths that pass from one data centre to another.
@@ -153,6 +164,9 @@
 
 // Find returns the cheapest path and its cost in ms.
 func (s *Search) Find(q Query) (Path, float64, bool) {
+	if q.Head.ID != "" {
+		s = s.withBound(q.Head.To)
+	}
 	n := len(s.bounds)
 	if n == 0 || s.bounds[0] != 0 || s.bounds[n-1] < s.engine.Layers {
 		return nil, 0, false
@@ -165,7 +179,7 @@
 	for at := range n - 1 {
 		for i := range s.holders {
 			h := &s.holders[i]
-			if h.From > s.bounds[at] || h.To <= s.bounds[at] || q.Avoid(h.ID) || at == 0 && q.Head != "" && h.ID != q.Head {
+			if h.From > s.bounds[at] || h.To <= s.bounds[at] || q.Avoid(h.ID) || q.Head.ID != "" && (at == 0) != (h.ID == q.Head.ID) {
 				continue
 			}
 			s.extend(best, at, i, &q)
@@ -200,6 +214,9 @@
 		return
 	}
 	for end := at + 1; end < len(s.bounds) && s.bounds[end] <= h.To; end++ {
+		if at == 0 && q.Head.ID != "" && s.bounds[end] != q.Head.To {
+			continue
+		}
 		cost := before + s.run(h, s.bounds[end]-s.bounds[at], q.Draft)
 		if i := end*width + centre; cost < best[i].cost {
 			best[i] = step{cost: cost, holder: holder, from: from}
--- a/layers/path_test.go
+++ b/layers/path_test.go
@@ -106,15 +106,21 @@
 	}
 }
 
-func TestRepathKeepsTheFirstServer(t *testing.T) {
-	is := is.New(t)
+// A server takes a changed path only with the same first part, the layers included, also when
+// no server that is left changes there.
+func TestChangedPathKeepsItsFirstPart(t *testing.T) {
 	s := NewSearch(mixedEngine(), holdersOf(threeDataCentres()))
-	path, _, ok := s.Find(Query{
-		Draft: usualDraft, Home: "b", Head: "b-large-0", MayCross: true,
-		Avoid: func(id string) bool { return id == "b-small-2" },
-	})
-	is.True(ok)
-	is.Equal(path[0].ID, "b-large-0")
+	for _, to := range []int{30, 24, 7} {
+		is := is.New(t)
+		head := Part{ID: "b-large-0", Address: "b-large-0:1", From: 0, To: to}
+		path, _, ok := s.Find(Query{
+			Draft: usualDraft, Home: "b", Head: head, MayCross: true,
+			Avoid: func(id string) bool { return id == "b-small-2" },
+		})
+		is.True(ok)
+		is.Equal(path[0], head)
+		is.Equal(path[1].From, to)
+	}
 }
 
 func TestFullServersTakeNoDrafts(t *testing.T) {
