Memory of drafts is counted by the tokens that they have written

Change: a draft holds its prompt and what it has written, counted every 8 events; a new one must find room for its prompt and half of its predicted answer.

--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -47,7 +47,8 @@
 	*job
 	gateway *Gateway
 	size    layers.Draft
-	tokens  int
+	// held is how many tokens the draft holds now, as counted on its servers.
+	held int
 
 	// mu guards the path, which changes while the draft runs, and lastAt.
 	mu    sync.Mutex
@@ -89,7 +90,7 @@
 		answer = e.UsualAnswer
 	}
 	d.size = layers.Draft{PromptTokens: prompt, AnswerTokens: answer}
-	d.tokens = int(prompt + meanHeld*answer)
+	d.held = int(prompt)
 	if id, err := strconv.ParseInt(strings.TrimSpace(j.call.LastEvent), 10, 64); err == nil {
 		d.last = id
 	}
@@ -100,8 +101,9 @@
 // median only.
 const hintMargin = 1.2
 
-// meanHeld is the share of its answer that a draft holds on the mean over its run.
-const meanHeld = 0.6
+// countEvery is after how many events the tokens that a draft holds are counted anew; within
+// as many events another draft that ends frees about as much.
+const countEvery = 8
 
 // serveDraft answers a draft with an event stream.
 func (g *Gateway) serveDraft(ctx context.Context, w http.ResponseWriter, j *job) {
@@ -115,7 +117,7 @@
 		}
 		f := g.tryDraft(ctx, w, d, path)
 		if f == nil {
-			g.options.Log.Info("answered a draft", "request", j.call.ID, "path", describe(path), "tokens", d.tokens,
+			g.options.Log.Info("answered a draft", "request", j.call.ID, "path", describe(path), "tokens", d.held,
 				"events", d.events, "first_ms", d.firstMS, "longest_ms", d.longestMS, "ms", time.Since(j.arrived).Milliseconds(), "sends", j.sends)
 			g.ended(j, http.StatusOK, "")
 			return
@@ -325,6 +327,9 @@
 	d.isWaiting = false
 	d.mu.Unlock()
 	d.events++
+	if d.events%countEvery == 0 {
+		d.grow(countEvery * max(1, d.service.Engine.TokensPerEvent))
+	}
 	if d.events == 1 {
 		d.firstMS = pause.Milliseconds()
 		d.gateway.metrics.FirstEventSeconds.WithLabelValues().Observe(pause.Seconds())
@@ -374,9 +379,17 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.gateway.use.add(d.path, d.tokens, -1)
+	d.gateway.use.add(d.path, d.held, -1)
 	d.path = p
-	d.gateway.use.add(p, d.tokens, 1)
+	d.gateway.use.add(p, d.held, 1)
+}
+
+// grow counts tokens that the draft has written.
+func (d *draft) grow(tokens int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.held += tokens
+	d.gateway.use.grow(d.path, tokens)
 }
 
 // describe returns a path as server=from-to, separated by spaces.
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -114,6 +114,17 @@
 	}
 }
 
+// grow counts tokens that a draft has written on each server of its path.
+func (u *use) grow(p layers.Path, tokens int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, part := range p {
+		x := u.own[part.ID]
+		x.TokenLayers += tokens * (part.To - part.From)
+		u.own[part.ID] = x
+	}
+}
+
 // list returns this instance's use, ordered by server.
 func (u *use) list() []mesh.Use {
 	u.mu.Lock()
--- a/layers/path.go
+++ b/layers/path.go
@@ -80,9 +80,11 @@
 	// crowding counts what a draft adds to the steps of the others as much as what they add
 	// to its own.
 	crowding = 2.0
-	// fullBelow is the share of a holder's room that stays free for answers that are longer
-	// than predicted.
-	fullBelow = 0.97
+	// fullBelow is the share of a holder's room up to which it takes drafts; the rest is for
+	// the answers of those that run.
+	fullBelow = 0.95
+	// keptFree is the share of its predicted answer for which a new draft must find room.
+	keptFree = 0.5
 )
 
 // Search finds paths over one set of holders.
@@ -236,7 +238,7 @@
 	perDraft := s.engine.StepPerRequestMS + s.engine.StepPerThousandMS*d.tokens()/1000
 	write := d.AnswerTokens * a.Pace * (s.engine.StepMS + crowding*perDraft*float64(h.Drafts))
 	room := Capacity(s.engine, h)
-	used := h.Used + d.tokens()*float64(layers)
+	used := h.Used + (d.PromptTokens+keptFree*d.AnswerTokens)*float64(layers)
 	if room <= 0 || used > fullBelow*room {
 		return math.Inf(1)
 	}
