--- /dev/null
+++ b/controller/controller_test.go
@@ -0,0 +1,63 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	"github.com/balsamlb/balsamlb/discovery"
+	"github.com/balsamlb/balsamlb/mesh"
+	"github.com/balsamlb/balsamlb/routing"
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+)
+
+// newTestController has run for a minute and heard no quorum for as long.
+func newTestController(t *testing.T) *Controller {
+	t.Helper()
+	m, err := mesh.New(mesh.Options{Name: "c", ControlAddress: "10.0.0.1:7", Log: logr.Discard(),
+		Decode: func([]byte) (*routing.Document, error) { return &routing.Document{}, nil }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := New(Options{Name: "c", Mesh: m, AnnounceInterval: time.Second, Log: logr.Discard()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.started = time.Now().Add(-time.Minute)
+	return c
+}
+
+func ready(id string, sequence uint64) discovery.Announcement {
+	return discovery.Announcement{ID: id, Incarnation: 1, Sequence: sequence, Service: "s", Address: "10.0.0.9:1", State: discovery.StateReady}
+}
+
+// A control instance that is cut off with the servers and gateways of its data centre keeps
+// hearing the servers, or the gateways there would be left with none. It promises nothing.
+func TestServersAreHeardWhileApartAndNotAcknowledged(t *testing.T) {
+	is := is.New(t)
+	c := newTestController(t)
+	is.Equal(c.Announced(ready("a", 1)), ErrApart)
+	draining := ready("a", 2)
+	draining.State = discovery.StateDraining
+	is.Equal(c.Announced(draining), ErrApart)
+	is.Equal(c.options.Mesh.Snapshot().Servers[0].State, discovery.StateDraining)
+	is.Equal(c.Left("a"), ErrApart)
+	is.Equal(c.options.Mesh.Snapshot().Servers[0].State, discovery.StateGone)
+	c.heard.Store(int64(time.Minute))
+	is.NoErr(c.Announced(ready("b", 1)))
+}
+
+// A process that stood still has heard nobody, which says nothing about the servers.
+func TestServersAreNotCalledSilentByWhoHasNotListened(t *testing.T) {
+	is := is.New(t)
+	c := newTestController(t)
+	c.heard.Store(int64(time.Minute))
+	is.NoErr(c.Announced(ready("a", 1)))
+	later := time.Now().Add(10 * time.Second)
+	c.listeningSince.Store(int64(time.Minute))
+	c.expire(later)
+	is.Equal(c.options.Mesh.Snapshot().Servers[0].State, discovery.StateReady)
+	c.listeningSince.Store(0)
+	c.expire(later)
+	is.Equal(c.options.Mesh.Snapshot().Servers[0].State, discovery.StateSilent)
+}
