Silent servers that work for the gateways stay in use

Change: silence alone takes nobody out. A silent server that gave a gateway no sign of life is left out until it is heard again; the leader orders silent servers nothing, and replaces those that the gateways don't reach either.

--- a/controller/placement.go
+++ b/controller/placement.go
@@ -162,7 +162,7 @@
 		if a.Service != svc.Name {
 			continue
 		}
-		if a.State != discovery.StateReady {
+		if a.State != discovery.StateReady && a.State != discovery.StateSilent {
 			delete(p.ordered, a.ID)
 			continue
 		}
@@ -176,7 +176,10 @@
 			p.newest = now
 		}
 		byID[a.ID] = a
-		servers = append(servers, p.state(a, now))
+		s := p.state(a, now)
+		// A silent server that the gateways reach holds what it held, and is not ordered anything.
+		s.IsBusy = s.IsBusy || a.State == discovery.StateSilent
+		servers = append(servers, s)
 	}
 	servers = slices.DeleteFunc(servers, func(s layers.Server) bool {
 		return 2*suspect[s.DataCentre] > total[s.DataCentre]
--- a/controller/placement_test.go
+++ b/controller/placement_test.go
@@ -175,3 +175,19 @@
 	p.run(mesh.Snapshot{Servers: servers})
 	is.Equal(len(e.placed), 1)
 }
+
+// The control instances may be the ones that are cut off; the gateways would say so.
+func TestSilentServerThatGatewaysReachIsNotReplaced(t *testing.T) {
+	is := is.New(t)
+	p, e := newTestPlanner()
+	servers := announced(3, "a")
+	p.run(mesh.Snapshot{Servers: servers})
+	hold(servers, e)
+	p.run(mesh.Snapshot{Servers: servers})
+	clear(e.placed)
+	for i := range servers {
+		servers[i].State = discovery.StateSilent
+	}
+	p.run(mesh.Snapshot{Servers: servers})
+	is.Equal(len(e.placed), 0)
+}
--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -190,7 +190,7 @@
 		if id == head.ID {
 			return false
 		}
-		return v.suspects[id] || g.faults.avoids(now, id) || slices.Contains(d.avoid, id)
+		return g.avoids(v, now, id) || slices.Contains(d.avoid, id)
 	}
 	path, _, ok := s.paths.Find(layers.Query{
 		Draft:    d.size,
@@ -216,6 +216,11 @@
 		<-gd.done
 	}()
 	f := g.runDraft(ctx, w, d, path)
+	if f == nil {
+		for _, part := range d.currentPath() {
+			g.faults.lives(part.ID)
+		}
+	}
 	if f != nil && errors.Is(context.Cause(ctx), errHeadLost) {
 		// A server that has ended does not count among those that the draft was sent to.
 		d.attempts = max(0, d.attempts-1)
--- a/gateway/faults.go
+++ b/gateway/faults.go
@@ -25,10 +25,13 @@
 	dead map[string]time.Time
 	// refusing servers did not take their part.
 	refusing map[string]time.Time
+	// condemned servers were dead and have shown no life since. Silent ones among them are
+	// left out until they are heard again.
+	condemned map[string]bool
 }
 
 func newFaults() *faults {
-	return &faults{dead: make(map[string]time.Time), refusing: make(map[string]time.Time)}
+	return &faults{dead: make(map[string]time.Time), refusing: make(map[string]time.Time), condemned: make(map[string]bool)}
 }
 
 // died notes that a server gives no sign of life. It reports whether that is news.
@@ -37,6 +40,7 @@
 	defer f.mu.Unlock()
 	until, known := f.dead[id]
 	f.dead[id] = now.Add(deadFor)
+	f.condemned[id] = true
 	return !known || now.After(until)
 }
 
@@ -61,11 +65,35 @@
 	return now.Before(f.dead[id])
 }
 
-// listDead returns the servers that give no sign of life, and forgets what has run out.
-func (f *faults) listDead(now time.Time) []string {
+// lives notes that a server has done its part, or was heard anew.
+func (f *faults) lives(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.condemned, id)
+}
+
+// isCondemned reports whether a server was dead and has shown no life since.
+func (f *faults) isCondemned(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.condemned[id]
+}
+
+// listDead returns the servers that give no sign of life, those included that are silent and
+// were dead before, and forgets what has run out.
+func (f *faults) listDead(now time.Time, isSilent, isKnown func(id string) bool) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []string
+	for id := range f.condemned {
+		if !isKnown(id) {
+			delete(f.condemned, id)
+			continue
+		}
+		if isSilent(id) && !now.Before(f.dead[id]) {
+			out = append(out, id)
+		}
+	}
 	for id, until := range f.dead {
 		if now.Before(until) {
 			out = append(out, id)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -195,12 +195,26 @@
 		}
 	}
 	for id, state := range next.states {
-		if state >= discovery.StateSilent && before.states[id] < discovery.StateSilent {
+		if state == discovery.StateGone && before.states[id] < discovery.StateGone {
 			g.nudgeThrough(id)
 		}
+		if state == discovery.StateReady && before.states[id] == discovery.StateSilent {
+			g.faults.lives(id)
+		}
 	}
 }
 
+// listDead returns the servers that give this instance no sign of life.
+func (g *Gateway) listDead(now time.Time) []string {
+	v := g.view.Load()
+	return g.faults.listDead(now, v.isSilent, v.isKnown)
+}
+
+// avoids reports whether a server gets no drafts now.
+func (g *Gateway) avoids(v *view, now time.Time, id string) bool {
+	return v.suspects[id] || g.faults.avoids(now, id) || v.isSilent(id) && g.faults.isCondemned(id)
+}
+
 // shareBudget sets this instance's share of the retries that all gateways have.
 func (g *Gateway) shareBudget() {
 	reserve := g.options.RetryReserve / float64(g.options.Mesh.Gateways())
@@ -219,7 +233,7 @@
 			return nil
 		case now := <-ticker.C:
 			g.options.Mesh.SetRunning(g.use.list())
-			g.options.Mesh.SetFaulty(g.faults.listDead(now))
+			g.options.Mesh.SetFaulty(g.listDead(now))
 			g.shareBudget()
 			g.use.setOthers(g.options.Mesh.Others())
 			g.client.Sweep(now)
--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -165,7 +165,7 @@
 func (gd *guard) knowsFault(v *view, path layers.Path) bool {
 	now := time.Now()
 	for _, part := range path[1:] {
-		if v.suspects[part.ID] || gd.gateway.faults.isDead(now, part.ID) || v.states[part.ID] != discovery.StateReady {
+		if v.suspects[part.ID] || gd.gateway.faults.isDead(now, part.ID) || v.states[part.ID] == discovery.StateGone {
 			return true
 		}
 	}
@@ -209,7 +209,7 @@
 		return
 	}
 	g.options.Log.Info("a backend server gives no sign of life", "server", id, "why", why)
-	g.options.Mesh.SetFaulty(g.faults.listDead(now))
+	g.options.Mesh.SetFaulty(g.listDead(now))
 	g.nudgeThrough(id)
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -145,7 +145,7 @@
 		if a.DataCentre != g.options.DataCentre {
 			score += foreignPenalty
 		}
-		if slices.Contains(excluded, a.ID) {
+		if slices.Contains(excluded, a.ID) || a.State == discovery.StateSilent {
 			score += excludedPenalty
 		}
 		if best == nil || score < bestScore {
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -51,7 +51,7 @@
 		if a.State != discovery.StateGone {
 			v.byAddress[a.Address] = a.ID
 		}
-		if a.State != discovery.StateReady {
+		if a.State != discovery.StateReady && a.State != discovery.StateSilent {
 			continue
 		}
 		v.servers[a.ID] = a
@@ -74,6 +74,15 @@
 	return v
 }
 
+// isSilent reports whether the control instances hear nothing of a server. It may work all the
+// same: its way to them may be cut, and not that to the gateways.
+func (v *view) isSilent(id string) bool { return v.states[id] == discovery.StateSilent }
+
+func (v *view) isKnown(id string) bool {
+	_, ok := v.states[id]
+	return ok
+}
+
 // use is the work of this instance and of the others that passes through the servers.
 type use struct {
 	mu     sync.Mutex
