--- a/gateway/faults.go
+++ b/gateway/faults.go
@@ -8,8 +8,9 @@
 
 const (
 	// deadFor is for how long a server that gave no sign of life is left out after the last
-	// proof; it is asked again by the next draft after that.
-	deadFor = 1500 * time.Millisecond
+	// proof; by then the control instances call it silent, unless it works. With 1.5 s each
+	// gateway lost a second draft to it.
+	deadFor = 3500 * time.Millisecond
 	// shortFor is for how long a server is left out that could not take its part of a path,
 	// for which lack of memory may be the reason.
 	shortFor = 150 * time.Millisecond
@@ -65,6 +66,15 @@
 	return now.Before(f.dead[id])
 }
 
+// restarted forgets what was known of an earlier start of a server.
+func (f *faults) restarted(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.dead, id)
+	delete(f.refusing, id)
+	delete(f.condemned, id)
+}
+
 // lives notes that a server has done its part, or was heard anew.
 func (f *faults) lives(id string) {
 	f.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -178,6 +178,7 @@
 		changed := g.options.Mesh.Changed()
 		before, next := g.view.Load(), newView(g.options.Mesh.Snapshot())
 		g.view.Store(next)
+		g.forgetRestarted(before, next)
 		g.nudgeChanged(before, next)
 		select {
 		case <-changed:
@@ -204,6 +205,15 @@
 	}
 }
 
+// forgetRestarted drops what is held against the earlier starts of servers.
+func (g *Gateway) forgetRestarted(before, next *view) {
+	for id, a := range next.servers {
+		if b, ok := before.servers[id]; ok && a.Incarnation != b.Incarnation {
+			g.faults.restarted(id)
+		}
+	}
+}
+
 // listDead returns the servers that give this instance no sign of life.
 func (g *Gateway) listDead(now time.Time) []string {
 	v := g.view.Load()
