A draft lost with its server is never called not run; a stream's head waits for its first event

Cause (found by reading): an attempt on a first server that died was taken off the count of attempts, and that count decided whether the last answer may say that the request did not run: 503 for a draft that may have run. A stream whose server broke off before the first event was begun anew "after event -1", since its head had been written already.

Change: a request remembers whether any server may have run it; only if none may does an answer say so. The head is written with the first event. A caller that has left is called so in the log.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -65,12 +65,14 @@
 	if err != nil {
 		if !errors.Is(err, upstream.ErrNotSent) {
 			j.attempts++
+			j.mayHaveRun = true
 		}
 		return nil, Answer{}, err
 	}
 	a := g.options.Dialect.ReadAnswer(resp.Status, resp.Header)
 	if !a.NotRun {
 		j.attempts++
+		j.mayHaveRun = true
 	}
 	return resp, a, nil
 }
--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -62,8 +62,7 @@
 	// last is the id of the last event that was passed on; -1: none.
 	last int64
 	// lastAt is when that was, or when the attempt began.
-	lastAt    time.Time
-	attemptAt time.Time
+	lastAt time.Time
 	// isWaiting says that the attempt has brought no event yet.
 	isWaiting bool
 	// events counts what was passed on; firstMS and longestMS are the time to the first event
@@ -233,7 +232,7 @@
 func (g *Gateway) runDraft(ctx context.Context, w http.ResponseWriter, d *draft, path layers.Path) *failure {
 	head := path[0]
 	lastEvent := ""
-	if d.header {
+	if d.header && d.last >= 0 {
 		lastEvent = strconv.FormatInt(d.last, 10)
 		g.metrics.Resumes.WithLabelValues().Inc()
 	}
@@ -289,20 +288,11 @@
 // passStream passes on whole events as they come.
 func (g *Gateway) passStream(d *draft, w http.ResponseWriter, resp *upstream.Response) *failure {
 	flusher := http.NewResponseController(w)
-	if !d.header {
-		for name, values := range passedOn(resp.Header) {
-			w.Header()[name] = values
-		}
-		w.WriteHeader(resp.Status)
-		d.header = true
-		if err := flusher.Flush(); err != nil {
-			return nil
-		}
-	}
 	events := newEventReader(resp)
 	for {
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
+			d.writeHead(w, resp)
 			return nil
 		}
 		if err != nil {
@@ -311,6 +301,7 @@
 		if ev.id >= 0 && ev.id <= d.last {
 			continue // the caller has it from the run before
 		}
+		d.writeHead(w, resp)
 		if _, err := w.Write(ev.bytes); err != nil {
 			return nil
 		}
@@ -324,6 +315,19 @@
 	}
 }
 
+// writeHead begins the answer, with the head of the first server that sent an event. Until
+// then a failure can be told by its status.
+func (d *draft) writeHead(w http.ResponseWriter, resp *upstream.Response) {
+	if d.header {
+		return
+	}
+	for name, values := range passedOn(resp.Header) {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(resp.Status)
+	d.header = true
+}
+
 // passed notes that an event was passed on.
 func (d *draft) passed(now time.Time) {
 	d.mu.Lock()
@@ -373,8 +377,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.isWaiting = true
-	d.attemptAt = time.Now()
-	d.lastAt = d.attemptAt
+	d.lastAt = time.Now()
 }
 
 // setPath counts the draft on the servers of its path; an empty one ends an attempt.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -273,6 +273,9 @@
 	attempts int
 	// sends counts all sends.
 	sends int
+	// mayHaveRun says that some server may have run the request, so that no answer may say
+	// that it has not.
+	mayHaveRun bool
 }
 
 // ServeHTTP answers one request.
@@ -381,6 +384,9 @@
 	if j.route != nil {
 		route = j.route.Name
 	}
+	if errors.Is(j.request.Context().Err(), context.Canceled) {
+		reason = "the caller left: " + reason
+	}
 	took := time.Since(j.arrived)
 	g.metrics.Requests.WithLabelValues(strconv.Itoa(status)).Inc()
 	g.metrics.RequestSeconds.WithLabelValues().Observe(took.Seconds())
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -315,3 +315,53 @@
 	_ = resp.Body.Close()
 	<-closed
 }
+
+// A server that has died with a draft may have run it: the answer must not say that it did not.
+func TestDraftLostWithItsServerIsNotCalledNotRun(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.publish()
+	f.serve("e1", "advice", 0, 4, func(c net.Conn, _ *http.Request) { _, _ = c.Read(make([]byte, 1)) })
+	f.orders.mu.Lock()
+	f.orders.unreachable = true
+	f.orders.mu.Unlock()
+	for _, path := range []string{"/once/1", "/advice/1"} {
+		before := len(f.arrivals())
+		var r result
+		f.until(func() bool {
+			r = f.send(http.MethodPost, path, nil, strings.NewReader("x"))
+			return len(f.arrivals()) > before
+		})
+		is.Equal(r.status, http.StatusBadGateway)
+	}
+}
+
+// A stream that breaks before its first event begins anew, not after an event that never came.
+func TestStreamThatBreaksBeforeItsFirstEventBeginsAnew(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.publish()
+	lastEvents := make(chan string, 8)
+	var served atomic.Int64
+	h := func(c net.Conn, r *http.Request) {
+		lastEvents <- r.Header.Get("Last-Event-Id")
+		streamHead(c)
+		if served.Add(1) == 1 {
+			reset(c, nil)
+			return
+		}
+		chunk(c, event(1))
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+	}
+	f.serve("e1", "advice", 0, 4, h)
+	f.serve("e2", "advice", 0, 4, h)
+	var r result
+	f.until(func() bool {
+		r = f.send(http.MethodPost, "/advice/1", nil, strings.NewReader("x"))
+		return len(f.arrivals()) >= 2
+	})
+	is.NoErr(r.err)
+	is.Equal(r.body, event(1))
+	is.Equal(<-lastEvents, "")
+	is.Equal(<-lastEvents, "")
+}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -115,7 +115,7 @@
 
 // giveUp is the last answer after a failure.
 func (g *Gateway) giveUp(ctx context.Context, j *job, f *failure) *refusal {
-	if j.attempts == 0 {
+	if !j.mayHaveRun {
 		return &refusal{http.StatusServiceUnavailable, f.reason, busyRetry}
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -41,11 +42,18 @@
 	mu      sync.Mutex
 	stalled string
 	paths   []layers.Path
+	// unreachable says that the first servers answer nothing.
+	unreachable bool
 }
 
+var errUnreachable = errors.New("unreachable")
+
 func (o *scriptedOrders) Stalled(context.Context, string, string) (string, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.unreachable {
+		return "", errUnreachable
+	}
 	return o.stalled, nil
 }
 
