--- a/controller/placement.go
+++ b/controller/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -181,12 +182,29 @@
 		s.IsBusy = s.IsBusy || a.State == discovery.StateSilent
 		servers = append(servers, s)
 	}
+	p.prune(known.Servers)
 	servers = slices.DeleteFunc(servers, func(s layers.Server) bool {
 		return 2*suspect[s.DataCentre] > total[s.DataCentre]
 	})
 	return byID, servers
 }
 
+// prunedAbove is how many forgotten servers are remembered before they are dropped.
+const prunedAbove = 64
+
+// prune drops what is remembered of servers that are not known any more.
+func (p *planner) prune(servers []discovery.Announcement) {
+	if len(p.known) < len(servers)+prunedAbove {
+		return
+	}
+	present := make(map[string]bool, len(servers))
+	for i := range servers {
+		present[servers[i].ID] = true
+	}
+	maps.DeleteFunc(p.known, func(id string, _ int64) bool { return !present[id] })
+	maps.DeleteFunc(p.ordered, func(id string, _ *order) bool { return !present[id] })
+}
+
 func anyHolds(servers []layers.Server) bool {
 	for i := range servers {
 		if servers[i].To > servers[i].From {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -246,6 +246,7 @@
 			g.options.Mesh.SetFaulty(g.listDead(now))
 			g.shareBudget()
 			g.use.setOthers(g.options.Mesh.Others())
+			g.use.forget(now)
 			g.client.Sweep(now)
 		}
 	}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -192,6 +192,17 @@
 // loadAge is for how long a stated load says something; a plain request takes about 60 ms.
 const loadAge = 300 * time.Millisecond
 
+// forget drops stated loads that say nothing any more.
+func (u *use) forget(now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for id, l := range u.load {
+		if now.Sub(l.at) > loadAge {
+			delete(u.load, id)
+		}
+	}
+}
+
 // busy estimates the share of a server's places that are taken.
 func (u *use) busy(a *discovery.Announcement, now time.Time) float64 {
 	n := u.running[a.ID]
