--- a/cmd/balsamd/main.go
+++ b/cmd/balsamd/main.go
@@ -48,6 +48,8 @@
 	if err != nil {
 		return err
 	}
+	// The settings of this role are read at the start only; the signal must not end it.
+	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	return d.Run(ctx)
