Drafts that flow are left alone, whatever others say of their servers

Cause (found by reading): the word of two gateways that a server is lost made all others give up drafts on it at once, also those whose events kept coming. A plain answer that broke off midway left its server counted as busy for good.

Change: a draft is led around a server only after 120 ms without an event. The count is taken back also when the answer breaks off.

--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -17,6 +17,9 @@
 	// firstStallAfter is the same before the first event, which comes within 150 ms in steady
 	// state, and later where drafts wait.
 	firstStallAfter = 400 * time.Millisecond
+	// flowingWithin is the time within which an event shows that a draft flows, whatever others
+	// say of its servers; the longest pause of most drafts is shorter.
+	flowingWithin = 120 * time.Millisecond
 	// lookAgain is the time to the next look at a draft that is still held up.
 	lookAgain = 200 * time.Millisecond
 	// orderTimeout bounds one question or order to the first server of a path.
@@ -97,10 +100,9 @@
 		case <-gd.ctx.Done():
 			return
 		case <-gd.timer.C:
-			gd.look(gd.draft.silence())
 		case <-gd.nudges:
-			gd.look(0)
 		}
+		gd.look()
 	}
 }
 
@@ -113,32 +115,37 @@
 }
 
 // look leads the draft around the server that holds it up.
-func (gd *guard) look(silence time.Duration) {
-	g, d := gd.gateway, gd.draft
-	if silence > 0 {
-		if left := d.stallTime() - silence; left > 0 {
-			gd.timer.Reset(left)
-			return
-		}
-	}
-	defer gd.timer.Reset(lookAgain)
+func (gd *guard) look() {
+	d := gd.draft
 	path := d.currentPath()
 	if len(path) == 0 {
 		return
 	}
-	head := path[0]
-	v := g.view.Load()
-	if g.faults.avoids(time.Now(), head.ID) && silence > stallAfter || v.suspects[head.ID] {
-		gd.giveUp(errHeadLost)
-		return
+	v := gd.gateway.view.Load()
+	isHeadLost := gd.isLost(v, path[0].ID)
+	knowsFault := isHeadLost || gd.knowsFault(v, path)
+	wait := d.stallTime()
+	if knowsFault {
+		wait = flowingWithin
 	}
-	if gd.knowsFault(v, path) {
-		gd.repath(v, head)
+	if left := wait - d.silence(); left > 0 {
+		gd.timer.Reset(left)
 		return
 	}
-	if silence == 0 {
-		return
+	defer gd.timer.Reset(lookAgain)
+	switch {
+	case isHeadLost:
+		gd.giveUp(errHeadLost)
+	case knowsFault:
+		gd.repath(v, path[0])
+	default:
+		gd.ask(path)
 	}
+}
+
+// ask lets the first server say which other server holds up the draft.
+func (gd *guard) ask(path layers.Path) {
+	g, d, head := gd.gateway, gd.draft, path[0]
 	ctx, cancel := context.WithTimeout(gd.ctx, orderTimeout)
 	defer cancel()
 	address, err := g.options.Orders.Stalled(ctx, head.Address, d.call.ID)
@@ -161,11 +168,15 @@
 	}
 }
 
+// isLost reports whether a server gives this gateway, or several others, no sign of life.
+func (gd *guard) isLost(v *view, id string) bool {
+	return v.suspects[id] || gd.gateway.faults.isDead(time.Now(), id)
+}
+
 // knowsFault reports whether a later server of the path is known not to work.
 func (gd *guard) knowsFault(v *view, path layers.Path) bool {
-	now := time.Now()
 	for _, part := range path[1:] {
-		if v.suspects[part.ID] || gd.gateway.faults.isDead(now, part.ID) || v.states[part.ID] == discovery.StateGone {
+		if gd.isLost(v, part.ID) || v.states[part.ID] == discovery.StateGone {
 			return true
 		}
 	}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -33,9 +33,7 @@
 			return
 		}
 		tried = append(tried, server.ID)
-		done := g.use.begin(server.ID)
 		outcome := g.tryPlain(ctx, w, j, server)
-		done()
 		if outcome == nil {
 			return
 		}
@@ -56,6 +54,7 @@
 
 // tryPlain sends the request to one server. It returns nil once the caller has an answer.
 func (g *Gateway) tryPlain(ctx context.Context, w http.ResponseWriter, j *job, server *discovery.Announcement) *failure {
+	defer g.use.begin(server.ID)() // deferred, since an answer that breaks off panics
 	resp, a, err := g.send(ctx, j, server.ID, server.Address, nil, "")
 	if err != nil {
 		ran := !errors.Is(err, upstream.ErrNotSent)
