--- a/daemon/member.go
+++ b/daemon/member.go
@@ -129,10 +129,13 @@
 		return err
 	}
 	defer store.Close()
-	proposer := instance.NewProposer(m.dialer, s.Seeds)
 	c, err := controller.New(controller.Options{
-		Name: s.Name, Mesh: m.mesh, Proposer: proposer, Engines: platform.NewServers(upstream.NewClient()),
-		AnnounceInterval: s.AnnounceInterval, Log: log.WithName("controller"),
+		Name:             s.Name,
+		Mesh:             m.mesh,
+		Proposer:         instance.NewProposer(m.dialer, s.Seeds),
+		Engines:          platform.NewServers(upstream.NewClient()),
+		AnnounceInterval: s.AnnounceInterval,
+		Log:              log.WithName("controller"),
 	})
 	if err != nil {
 		return err
@@ -142,13 +145,21 @@
 		return err
 	}
 	c.SetHost(host)
-	dutyCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	g, dutyCtx := errgroup.WithContext(dutyCtx)
 	listener, err := net.Listen("tcp", s.Instances)
 	if err != nil {
 		return eris.Wrapf(err, "daemon: listen on %s", s.Instances)
 	}
+	log.Info("started", "instance", s.Name, "role", m.role, "data_centre", s.DataCentre, "founding", s.IsFounding, "seeds", s.Seeds)
+	err = m.runController(ctx, c, host, sender, listener)
+	log.Info("stopped", "instance", s.Name)
+	return err
+}
+
+// runController runs the duties of a controller until ctx ends, and hands the leadership over.
+func (m *member) runController(ctx context.Context, c *controller.Controller, host *control.Host, sender *instance.ConsensusSender, listener net.Listener) error {
+	dutyCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, dutyCtx := errgroup.WithContext(dutyCtx)
 	server := instance.NewServer(&replicaPort{Host: host, sender: sender}, nil)
 	server.ServeWatches(m.mesh)
 	m.runCommon(dutyCtx, g)
@@ -156,11 +167,11 @@
 	g.Go(func() error { return sender.Run(dutyCtx) })
 	g.Go(func() error { return server.Serve(dutyCtx, listener) })
 	g.Go(func() error { return c.Run(dutyCtx) })
-	serveHTTP(dutyCtx, g, s.Control, platform.NewControlServer(c))
+	serveHTTP(dutyCtx, g, m.settings.Control, platform.NewControlServer(c))
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
-			log.Info("leaving")
+			m.log.Info("leaving")
 			handOver, cancel := context.WithTimeout(dutyCtx, handOverTime)
 			defer cancel()
 			host.HandOver(handOver)
@@ -169,10 +180,7 @@
 		}
 		return nil
 	})
-	log.Info("started", "instance", s.Name, "role", m.role, "data_centre", s.DataCentre, "founding", s.IsFounding, "seeds", s.Seeds)
-	err = g.Wait()
-	log.Info("stopped", "instance", s.Name)
-	return err
+	return g.Wait()
 }
 
 // openHost makes the replica. Control instances are named by their addresses, since nothing
--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -23,6 +23,9 @@
 	// those who were refused together don't come back together.
 	noRoomRetry  = 2 * time.Second
 	noRoomSpread = 2 * time.Second
+	// noCopyRetry is when a caller may come back to servers that hold no whole copy: about
+	// when they have announced themselves, or a lost range is loaded elsewhere.
+	noCopyRetry = time.Second
 	// roomWait is how long a draft waits for room: half of the shortest latency objective of
 	// known deployments for drafts, of which its first event takes about 100 ms.
 	roomWait = 250 * time.Millisecond
@@ -111,7 +114,7 @@
 	for {
 		path, ok := g.awaitPath(ctx, d)
 		if !ok {
-			g.endDraft(ctx, w, d, &failure{reason: "no path through the model's layers has room"})
+			g.endDraft(ctx, w, d, g.whyNoPath(d))
 			return
 		}
 		f := g.tryDraft(ctx, w, d, path)
@@ -158,6 +161,20 @@
 	}
 }
 
+// errNoWholeCopy means that the servers that can be used hold no whole copy of the model.
+var errNoWholeCopy = errors.New("gateway: no data centre holds a whole copy of the model")
+
+// whyNoPath tells a lack of servers from a lack of room.
+func (g *Gateway) whyNoPath(d *draft) *failure {
+	v := g.view.Load()
+	now := time.Now()
+	s := v.searches[d.service.Name]
+	if s == nil || !s.paths.HasWholeCopy(func(id string) bool { return g.avoids(v, now, id) }) {
+		return &failure{reason: "no data centre holds a whole copy of the model", err: errNoWholeCopy}
+	}
+	return &failure{reason: "no path through the model's layers has room"}
+}
+
 // endDraft tells the caller that the draft has failed: by a status, or by breaking off the
 // stream, so that it doesn't look complete.
 func (g *Gateway) endDraft(ctx context.Context, w http.ResponseWriter, d *draft, f *failure) {
@@ -166,7 +183,11 @@
 		panic(http.ErrAbortHandler)
 	}
 	answer := g.giveUp(ctx, d.job, f)
-	if answer.status == http.StatusServiceUnavailable {
+	switch {
+	case answer.status != http.StatusServiceUnavailable:
+	case errors.Is(f.err, errNoWholeCopy):
+		answer.retryAfter = noCopyRetry
+	default:
 		answer.retryAfter = noRoomRetry + time.Duration(g.draw()*float64(noRoomSpread))
 	}
 	g.refuse(w, d.job, answer)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -365,3 +365,16 @@
 	is.Equal(<-lastEvents, "")
 	is.Equal(<-lastEvents, "")
 }
+
+// While the servers that are known hold no whole copy, callers are told so, and to come back soon.
+func TestDraftWithoutAWholeCopyComesBackSoon(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.publish()
+	f.serve("e1", "advice", 0, 2, reset)
+	r := f.send(http.MethodPost, "/advice/1", nil, strings.NewReader("x"))
+	is.Equal(r.status, http.StatusServiceUnavailable)
+	is.Equal(r.header.Get("Retry-After"), "1.000")
+	is.Equal(r.body, "no data centre holds a whole copy of the model\n")
+	is.Equal(len(f.arrivals()), 0)
+}
