--- a/balancer/platform.go
+++ b/balancer/server.go
@@ -1,4 +1,4 @@
-// Package balancer serves the platform's balancer and monitoring: liveness, readiness and
+// Package balancer serves the balancer before the instances, and monitoring: liveness, readiness and
 // metrics.
 package balancer
 
@@ -9,7 +9,7 @@
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 )
 
-// Paths of the platform's interface.
+// Paths that are served.
 const (
 	PathLive    = "/livez"
 	PathReady   = "/readyz"
@@ -19,7 +19,7 @@
 // Readiness reports why the instance should get no new callers, or "".
 type Readiness func() (reason string)
 
-// NewServer returns the HTTP server for the platform.
+// NewServer returns the HTTP server for the balancer and monitoring.
 func NewServer(ready Readiness, registry *prometheus.Registry) *fasthttp.Server {
 	metrics := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	return &fasthttp.Server{
--- a/cmd/balsamd/main.go
+++ b/cmd/balsamd/main.go
@@ -23,6 +23,22 @@
 	}
 }
 
+// flags are those of every role.
+type flags struct {
+	// settings is the path of the settings file; checkOnly ends the process once it is checked.
+	settings  string
+	checkOnly bool
+}
+
+func parseFlags(name string, args []string) (flags, error) {
+	var f flags
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.StringVar(&f.settings, "settings", "balsamd.ini", "settings file of this instance")
+	fs.BoolVar(&f.checkOnly, "check", false, "check the settings file and exit")
+	err := ff.Parse(fs, args, ff.WithEnvVarPrefix("BALSAMD"))
+	return f, err
+}
+
 func run(args []string) error {
 	if len(args) > 0 {
 		switch role := settings.Role(args[0]); role {
@@ -30,18 +46,16 @@
 			return runMember(role, args[1:])
 		}
 	}
-	fs := flag.NewFlagSet("balsamd", flag.ContinueOnError)
-	path := fs.String("settings", "balsamd.ini", "settings file of this instance")
-	check := fs.Bool("check", false, "check the settings file and exit")
-	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("BALSAMD")); err != nil {
+	f, err := parseFlags("balsamd", args)
+	if err != nil {
 		return err
 	}
-	p, err := settings.ReadProcess(*path)
+	p, err := settings.ReadProcess(f.settings)
 	if err != nil {
 		return err
 	}
-	if *check {
-		fmt.Println(*path, "is valid")
+	if f.checkOnly {
+		fmt.Println(f.settings, "is valid")
 		return nil
 	}
 	d, err := daemon.New(p, logs.New(os.Stderr, p.LogLevel))
@@ -57,18 +71,16 @@
 
 // runMember runs a gateway or a controller.
 func runMember(role settings.Role, args []string) error {
-	fs := flag.NewFlagSet("balsamd "+string(role), flag.ContinueOnError)
-	path := fs.String("settings", "balsamd.ini", "settings file of this instance")
-	check := fs.Bool("check", false, "check the settings file and exit")
-	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("BALSAMD")); err != nil {
+	f, err := parseFlags("balsamd "+string(role), args)
+	if err != nil {
 		return err
 	}
-	s, err := settings.ReadMember(*path, role)
+	s, err := settings.ReadMember(f.settings, role)
 	if err != nil {
 		return err
 	}
-	if *check {
-		fmt.Println(*path, "is valid")
+	if f.checkOnly {
+		fmt.Println(f.settings, "is valid")
 		return nil
 	}
 	out := logs.NewBounded(os.Stdout, s.LogLinesPerSecond, time.Now)
@@ -83,7 +95,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if role == settings.RoleGateway {
-		return daemon.RunGateway(ctx, *path, s, log)
+		return daemon.RunGateway(ctx, f.settings, s, log)
 	}
-	return daemon.RunController(ctx, *path, s, log)
+	return daemon.RunController(ctx, f.settings, s, log)
 }
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -66,9 +66,8 @@
 type Controller struct {
 	options Options
 	encoder *zstd.Encoder
-	decoder *zstd.Decoder
 	status  atomic.Pointer[control.Status]
-	// heard is when a quorum was last heard, in Unix nanoseconds of the steady clock.
+	// heard is when a quorum was last heard, in nanoseconds of the steady clock since started.
 	heard   atomic.Int64
 	started time.Time
 	// listeningSince is when this instance began to hear servers without a break, in
@@ -86,11 +85,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "controller: compressor")
 	}
-	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true))
-	if err != nil {
-		return nil, eris.Wrap(err, "controller: decompressor")
-	}
-	c := &Controller{options: o, encoder: encoder, decoder: decoder, started: time.Now(), wake: make(chan struct{}, 1)}
+	c := &Controller{options: o, encoder: encoder, started: time.Now(), wake: make(chan struct{}, 1)}
 	c.planner = newPlanner(o)
 	return c, nil
 }
@@ -155,8 +150,9 @@
 		if s.HearsQuorum {
 			c.heard.Store(int64(time.Since(c.started)))
 		}
-		c.options.Mesh.SetVoters(voterAddresses(s))
-		c.options.Proposer.Know(voterAddresses(s))
+		voters := voterAddresses(s)
+		c.options.Mesh.SetVoters(voters)
+		c.options.Proposer.Know(voters)
 		if s.Lease {
 			c.options.Mesh.UseFence(s.Term)
 		}
@@ -240,8 +236,7 @@
 	if r.Version == 0 {
 		return nil, ErrNothingPublished
 	}
-	text, err := c.decoder.DecodeAll(r.Document, nil)
-	return text, eris.Wrapf(err, "controller: decompress routing document %d", r.Version)
+	return c.options.Mesh.Unpack(routing.Publication{Version: r.Version, Bytes: r.Document})
 }
 
 func (c *Controller) propose(ctx context.Context, p replica.Publish) (*replica.PublishResult, error) {
--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -213,11 +213,10 @@
 		return g.avoids(v, now, id) || slices.Contains(d.avoid, id)
 	}
 	path, _, ok := s.paths.Find(layers.Query{
-		Draft:    d.size,
-		Home:     g.options.DataCentre,
-		Head:     head,
-		Avoid:    avoid,
-		MayCross: true,
+		Draft: d.size,
+		Home:  g.options.DataCentre,
+		Head:  head,
+		Avoid: avoid,
 	})
 	return path, ok
 }
--- a/gateway/use.go
+++ b/gateway/use.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -61,7 +60,7 @@
 	}
 }
 
-// list returns this instance's use, ordered by server.
+// list returns this instance's use.
 func (u *use) list() []mesh.Use {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -69,12 +68,6 @@
 	for _, x := range u.own {
 		out = append(out, x)
 	}
-	slices.SortFunc(out, func(a, b mesh.Use) int {
-		if a.Server < b.Server {
-			return -1
-		}
-		return 1
-	})
 	return out
 }
 
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -57,7 +57,7 @@
 		if a.HasLayers && a.LayersTo > a.LayersFrom {
 			holders[a.Service] = append(holders[a.Service], layers.Holder{
 				ID: a.ID, Address: a.Address, DataCentre: a.DataCentre, Accelerator: a.Accelerator,
-				From: a.LayersFrom, To: a.LayersTo, Slowness: 1,
+				From: a.LayersFrom, To: a.LayersTo,
 			})
 		}
 	}
--- a/instance/conn.go
+++ b/instance/conn.go
@@ -55,6 +55,15 @@
 	return d.handshake(ctx, c, address)
 }
 
+// open returns a new connection for calls to the instance at the address.
+func (d Dialer) open(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	c, err := d.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return drpcconn.New(c), nil
+}
+
 // handshake checks the certificate of the instance at the address.
 func (d Dialer) handshake(ctx context.Context, c net.Conn, address string) (net.Conn, error) {
 	host, _, err := net.SplitHostPort(address)
@@ -85,11 +94,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conn == nil {
-		c, err := l.dialer.dial(ctx, l.address)
+		c, err := l.dialer.open(ctx, l.address)
 		if err != nil {
 			return err
 		}
-		l.conn = drpcconn.New(c)
+		l.conn = c
 	}
 	if err := f(ctx, wire.NewDRPCInstanceClient(l.conn)); err != nil {
 		l.close()
--- a/instance/publish.go
+++ b/instance/publish.go
@@ -33,14 +33,22 @@
 	Wake() <-chan struct{}
 }
 
+// enter counts a subscriber or watcher, unless there are too many.
+func (s *Server) enter() error {
+	if s.subscribers.Add(1) > maxSubscribers {
+		s.subscribers.Add(-1)
+		return errTooMany
+	}
+	return nil
+}
+
 // Subscribe sends beats until the subscriber goes.
 func (s *Server) Subscribe(stream wire.DRPCInstance_SubscribeStream) error {
 	if s.peers == nil {
 		return errNoPeers
 	}
-	if s.subscribers.Add(1) > maxSubscribers {
-		s.subscribers.Add(-1)
-		return errTooMany
+	if err := s.enter(); err != nil {
+		return err
 	}
 	defer s.subscribers.Add(-1)
 	first, err := stream.Recv()
--- a/instance/subscribe.go
+++ b/instance/subscribe.go
@@ -9,7 +9,6 @@
 	"github.com/balsamlb/balsamlb/membership"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
-	"storj.io/drpc/drpcconn"
 )
 
 // ErrSilent means that a connection was given up because nothing came over it in time. Its
@@ -32,11 +31,10 @@
 func (d Dialer) Subscribe(ctx context.Context, address string, r Receiver) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	c, err := d.dial(ctx, address)
+	conn, err := d.open(ctx, address)
 	if err != nil {
 		return err
 	}
-	conn := drpcconn.New(c)
 	defer conn.Close()
 	stream, err := wire.NewDRPCInstanceClient(conn).Subscribe(ctx)
 	if err != nil {
@@ -50,11 +48,17 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return sendClocks(ctx, stream, r) })
 	g.Go(func() error { return receiveBeats(stream, r, silence) })
-	err = g.Wait()
+	return eris.Wrapf(waitStream(ctx, g), "instance: subscription to %s", address)
+}
+
+// waitStream waits for the duties of a stream; silence is the cause of its end where it has
+// been noticed.
+func waitStream(ctx context.Context, g *errgroup.Group) error {
+	err := g.Wait()
 	if cause := context.Cause(ctx); errors.Is(cause, ErrSilent) {
-		err = cause
+		return cause
 	}
-	return eris.Wrapf(err, "instance: subscription to %s", address)
+	return err
 }
 
 func receiveBeats(stream wire.DRPCInstance_SubscribeClient, r Receiver, silence *time.Timer) error {
--- a/instance/watch.go
+++ b/instance/watch.go
@@ -10,7 +10,6 @@
 	"github.com/balsamlb/balsamlb/instance/wire"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
-	"storj.io/drpc/drpcconn"
 )
 
 const (
@@ -55,9 +54,8 @@
 	if s.watched == nil {
 		return errNotControl
 	}
-	if s.subscribers.Add(1) > maxSubscribers {
-		s.subscribers.Add(-1)
-		return errTooMany
+	if err := s.enter(); err != nil {
+		return err
 	}
 	defer s.subscribers.Add(-1)
 	first, err := stream.Recv()
@@ -128,11 +126,10 @@
 func (d Dialer) Watch(ctx context.Context, address string, w Watcher) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	c, err := d.dial(ctx, address)
+	conn, err := d.open(ctx, address)
 	if err != nil {
 		return err
 	}
-	conn := drpcconn.New(c)
 	defer conn.Close()
 	stream, err := wire.NewDRPCInstanceClient(conn).Watch(ctx)
 	if err != nil {
@@ -155,11 +152,7 @@
 			w.Received(address, b)
 		}
 	})
-	err = g.Wait()
-	if cause := context.Cause(ctx); errors.Is(cause, ErrSilent) {
-		err = cause
-	}
-	return eris.Wrapf(err, "instance: watch of %s", address)
+	return eris.Wrapf(waitStream(ctx, g), "instance: watch of %s", address)
 }
 
 func sendWatchRequests(ctx context.Context, stream wire.DRPCInstance_WatchClient, w Watcher) error {
--- a/layers/path.go
+++ b/layers/path.go
@@ -26,8 +26,6 @@
 	// Drafts is the number of drafts that pass through it, Heads that of those it begins.
 	Drafts int
 	Heads  int
-	// Slowness multiplies the times of its accelerator; 1 is as described.
-	Slowness float64
 }
 
 // Part is the part of a path that runs on one server: layers From to To, exclusive.
@@ -67,7 +65,6 @@
 
 const (
 	bytesPerMB = 1e6
-	bitsPerMB  = 8e6
 	// crossMS is what a transfer between data centres costs besides its time. All transfers
 	// wait for each other there: drafts that crossed paused for 270 ms where others did for
 	// 100 ms. With 4,000 and 8,000 more drafts were refused on heavy days.
@@ -139,8 +136,6 @@
 	Head Part
 	// Avoid tells which servers are left out.
 	Avoid func(id string) bool
-	// MayCross allows paths that pass from one data centre to another.
-	MayCross bool
 }
 
 // HasWholeCopy reports whether the servers of some data centre hold all layers together, with
@@ -206,7 +201,7 @@
 		}
 	}
 	for c := range s.centres {
-		if i := at*width + c; at > 0 && best[i].cost < math.Inf(1) && (q.MayCross || c == centre) {
+		if i := at*width + c; at > 0 && best[i].cost < math.Inf(1) {
 			if cost := best[i].cost + s.transfer(q.Draft, c == centre); cost < before {
 				before, from = cost, i
 			}
@@ -242,7 +237,7 @@
 	if room <= 0 || used > fullBelow*room {
 		return math.Inf(1)
 	}
-	return share*(read+write)*max(1, h.Slowness) + hopMS*d.AnswerTokens
+	return share*(read+write) + hopMS*d.AnswerTokens
 }
 
 // transfer is what passing the draft on from one server to the next costs, in ms.
--- a/layers/path_test.go
+++ b/layers/path_test.go
@@ -50,7 +50,7 @@
 		}
 		avoided := rapid.SampledFrom([]string{"s0", "s1", "none"}).Draw(t, "avoided")
 		path, _, ok := NewSearch(e, holders).Find(Query{
-			Draft: usualDraft, Home: "a", MayCross: true, Avoid: func(id string) bool { return id == avoided },
+			Draft: usualDraft, Home: "a", Avoid: func(id string) bool { return id == avoided },
 		})
 		if !ok {
 			return
@@ -75,7 +75,7 @@
 	is := is.New(t)
 	s := NewSearch(mixedEngine(), holdersOf(threeDataCentres()))
 	centres := func() map[byte]bool {
-		path, _, ok := s.Find(Query{Draft: usualDraft, Home: "b", MayCross: true, Avoid: nobody})
+		path, _, ok := s.Find(Query{Draft: usualDraft, Home: "b", Avoid: nobody})
 		is.True(ok)
 		out := map[byte]bool{}
 		for _, p := range path {
@@ -98,7 +98,7 @@
 	// The first server of b has second holders; those of the later layers are elsewhere.
 	for _, lost := range []string{"b-large-0", "b-small-2"} {
 		path, _, ok := s.Find(Query{
-			Draft: usualDraft, Home: "b", MayCross: true,
+			Draft: usualDraft, Home: "b",
 			Avoid: func(id string) bool { return id == lost || id[0] == 'a' },
 		})
 		is.True(ok)
@@ -114,7 +114,7 @@
 		is := is.New(t)
 		head := Part{ID: "b-large-0", Address: "b-large-0:1", From: 0, To: to}
 		path, _, ok := s.Find(Query{
-			Draft: usualDraft, Home: "b", Head: head, MayCross: true,
+			Draft: usualDraft, Home: "b", Head: head,
 			Avoid: func(id string) bool { return id == "b-small-2" },
 		})
 		is.True(ok)
@@ -127,7 +127,7 @@
 	is := is.New(t)
 	s := NewSearch(mixedEngine(), holdersOf(threeDataCentres()))
 	s.Update(func(h *Holder) { h.Used = math.MaxFloat32 })
-	_, _, ok := s.Find(Query{Draft: usualDraft, Home: "a", MayCross: true, Avoid: nobody})
+	_, _, ok := s.Find(Query{Draft: usualDraft, Home: "a", Avoid: nobody})
 	is.True(!ok)
 }
 
@@ -136,7 +136,7 @@
 	e := mixedEngine()
 	s := NewSearch(e, holdersOf(group2()))
 	s.Update(func(h *Holder) { h.Heads = e.Slots })
-	_, _, ok := s.Find(Query{Draft: usualDraft, Home: "a", MayCross: true, Avoid: nobody})
+	_, _, ok := s.Find(Query{Draft: usualDraft, Home: "a", Avoid: nobody})
 	is.True(!ok)
 }
 
@@ -150,7 +150,7 @@
 	s := NewSearch(mixedEngine(), holdersOf(threeDataCentres()))
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, _, ok := s.Find(Query{Draft: usualDraft, Home: "b", MayCross: true, Avoid: nobody}); !ok {
+		if _, _, ok := s.Find(Query{Draft: usualDraft, Home: "b", Avoid: nobody}); !ok {
 			b.Fatal("no path")
 		}
 	}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -174,11 +174,17 @@
 	}
 }
 
+// Unpack returns the text of a routing document.
+func (m *Mesh) Unpack(p routing.Publication) ([]byte, error) {
+	text, err := m.decoder.DecodeAll(p.Bytes, nil)
+	return text, eris.Wrapf(err, "mesh: decompress routing document %d", p.Version)
+}
+
 // Publish takes a routing document that is applied. Older ones are passed over.
 func (m *Mesh) Publish(p routing.Publication) error {
-	text, err := m.decoder.DecodeAll(p.Bytes, nil)
+	text, err := m.Unpack(p)
 	if err != nil {
-		return eris.Wrapf(err, "mesh: decompress routing document %d", p.Version)
+		return err
 	}
 	d, err := m.options.Decode(text)
 	if err != nil {
--- a/mesh/use.go
+++ b/mesh/use.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/balsamlb/balsamlb/instance/wire"
@@ -126,12 +127,7 @@
 	for _, u := range sums {
 		out = append(out, u)
 	}
-	slices.SortFunc(out, func(a, b Use) int {
-		if a.Server < b.Server {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b Use) int { return cmp.Compare(a.Server, b.Server) })
 	return out
 }
 
