--- a/controller/controller.go
+++ b/controller/controller.go
@@ -168,8 +168,8 @@
 	return out
 }
 
-// expire marks servers as silent that this instance heard last. An instance that has just
-// started, or that was apart, has not listened for long enough.
+// expire marks servers as silent that nobody hears. An instance that has just started, or that
+// was apart, has not listened for long enough.
 func (c *Controller) expire(now time.Time) {
 	silence := silentBeats * c.options.AnnounceInterval
 	if c.listeningFor() < silence {
--- a/discovery/announcement.go
+++ b/discovery/announcement.go
@@ -39,6 +39,8 @@
 	LayersFrom    int
 	LayersTo      int
 	LayersVersion int64
+	// HeardBy is the address of the control instance that the server speaks to.
+	HeardBy string
 }
 
 // IsNewerThan reports whether a was said after b, which is about the same server. What others
--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -18,6 +18,9 @@
 	announcement Announcement
 	// heard is when the server itself was last heard here; zero if others told of it.
 	heard time.Time
+	// missed is since when no control instance that is reached from here hears the server;
+	// zero if one does.
+	missed time.Time
 	// changed is when the entry last changed, revision the number of that change.
 	changed  time.Time
 	revision uint64
@@ -25,24 +28,26 @@
 
 // Directory holds the newest announcement of each server. It is not safe for concurrent use.
 type Directory struct {
+	// self is the address of this instance if it is a control instance.
+	self     string
 	entries  map[string]*entry
 	revision uint64
 }
 
-// NewDirectory returns an empty directory.
-func NewDirectory() *Directory { return &Directory{entries: make(map[string]*entry)} }
+// NewDirectory returns an empty directory of the control instance at an address; "" if this
+// instance hears no servers itself.
+func NewDirectory(self string) *Directory {
+	return &Directory{self: self, entries: make(map[string]*entry)}
+}
 
-// Heard takes what a server says here. It reports whether others have to learn of it.
+// Heard takes what a server says here. It reports whether others have to learn of it; that it
+// speaks to this instance now is news to whoever heard it before.
 func (d *Directory) Heard(now time.Time, a Announcement) bool {
+	a.HeardBy = d.self
 	e, isNews := d.apply(now, a)
 	if e == nil {
 		return false
 	}
-	if e.heard.IsZero() && !isNews {
-		// The server has changed to this instance; whoever heard it before must not expire it.
-		d.touch(now, e)
-		isNews = true
-	}
 	e.heard = now
 	return isNews
 }
@@ -52,6 +57,7 @@
 	e, isNews := d.apply(now, a)
 	if e != nil {
 		e.heard = time.Time{}
+		e.missed = time.Time{}
 	}
 	return isNews
 }
@@ -128,8 +134,9 @@
 	return true
 }
 
-// Expire marks servers as silent that were heard here last, before the time.
-func (d *Directory) Expire(now, since time.Time) []string {
+// Expire marks servers as silent that were last heard before a time: here, or by a control
+// instance that is not reached any more.
+func (d *Directory) Expire(now, since time.Time, isReached func(control string) bool) []string {
 	var expired []string
 	for id, e := range d.entries {
 		if e.announcement.State == StateGone {
@@ -138,7 +145,7 @@
 			}
 			continue
 		}
-		if e.announcement.State != StateSilent && !e.heard.IsZero() && e.heard.Before(since) {
+		if e.announcement.State != StateSilent && d.lastHeard(now, e, isReached).Before(since) {
 			e.announcement.State = StateSilent
 			d.touch(now, e)
 			expired = append(expired, id)
@@ -148,6 +155,23 @@
 	return expired
 }
 
+// lastHeard returns when a server may have been heard last. One whose control instance was
+// lost turns to another one, which tells of it.
+func (d *Directory) lastHeard(now time.Time, e *entry, isReached func(control string) bool) time.Time {
+	if !e.heard.IsZero() {
+		return e.heard
+	}
+	by := e.announcement.HeardBy
+	if by == "" || by != d.self && isReached(by) { // "": told by an instance of an older release
+		e.missed = time.Time{}
+		return now
+	}
+	if e.missed.IsZero() {
+		e.missed = now
+	}
+	return e.missed
+}
+
 // Revision rises with each change.
 func (d *Directory) Revision() uint64 { return d.revision }
 
--- a/discovery/directory_test.go
+++ b/discovery/directory_test.go
@@ -29,7 +29,7 @@
 
 func TestLateAnnouncementsChangeNothing(t *testing.T) {
 	is := is.New(t)
-	d := NewDirectory()
+	d := NewDirectory("self")
 	d.Heard(at(0), beat("a", 1, 5))
 	late := beat("a", 1, 4)
 	late.State = StateDraining
@@ -43,7 +43,7 @@
 
 func TestServerThatLeftComesBackOnlyAsALaterStart(t *testing.T) {
 	is := is.New(t)
-	d := NewDirectory()
+	d := NewDirectory("self")
 	d.Heard(at(0), beat("a", 1, 1))
 	is.True(d.Leave(at(1), "a"))
 	is.True(!d.Leave(at(1), "a"))
@@ -55,7 +55,7 @@
 
 func TestAddressBelongsToTheLatestStart(t *testing.T) {
 	is := is.New(t)
-	d := NewDirectory()
+	d := NewDirectory("self")
 	d.Heard(at(0), beat("old", 1, 1))
 	is.True(d.Heard(at(1), beat("new", 2, 1)))
 	is.Equal(stateOf(t, d, "old"), StateGone)
@@ -68,19 +68,22 @@
 
 func TestOnlyTheInstanceThatHeardLastExpiresAServer(t *testing.T) {
 	is := is.New(t)
-	first, second := NewDirectory(), NewDirectory()
+	first, second := NewDirectory("first"), NewDirectory("second")
 	first.Heard(at(0), beat("a", 1, 1))
 	tell(first, second, at(0))
 	is.True(second.Heard(at(1), beat("a", 1, 2))) // the others must learn that it changed over
 	tell(second, first, at(1))
-	is.Equal(first.Expire(at(9), at(5)), nil)
-	is.Equal(second.Expire(at(9), at(5)), []string{"a"})
+	is.Equal(first.Expire(at(9), at(5), everyone), nil)
+	is.Equal(second.Expire(at(9), at(5), everyone), []string{"a"})
 	tell(second, first, at(9))
 	is.Equal(stateOf(t, first, "a"), StateSilent)
 	is.True(first.Heard(at(10), beat("a", 1, 3))) // it was only cut off
 	is.Equal(stateOf(t, first, "a"), StateReady)
 }
 
+// everyone is reached.
+func everyone(string) bool { return true }
+
 func tell(from, to *Directory, now time.Time) {
 	for _, a := range from.All() {
 		to.Told(now, a)
@@ -89,7 +92,7 @@
 
 func TestOnlyChangesAreTold(t *testing.T) {
 	is := is.New(t)
-	d := NewDirectory()
+	d := NewDirectory("self")
 	d.Heard(at(0), beat("a", 1, 1))
 	seen := d.Revision()
 	is.True(!d.Heard(at(1), beat("a", 1, 2)))
@@ -102,11 +105,11 @@
 
 func TestServersThatHaveGoneAreForgotten(t *testing.T) {
 	is := is.New(t)
-	d := NewDirectory()
+	d := NewDirectory("self")
 	d.Heard(at(0), beat("a", 1, 1))
 	d.Leave(at(1), "a")
-	d.Expire(at(30), at(25))
+	d.Expire(at(30), at(25), everyone)
 	is.Equal(len(d.All()), 1)
-	d.Expire(at(120), at(115))
+	d.Expire(at(120), at(115), everyone)
 	is.Equal(len(d.All()), 0)
 }
--- a/instance/watch.go
+++ b/instance/watch.go
@@ -16,6 +16,9 @@
 	// watchInterval is the longest time between two messages on a watch, either way. It is a
 	// sixth of the shortest contact time that a deployment states (3 s).
 	watchInterval = 500 * time.Millisecond
+	// beatGap is the shortest time between two beats on a watch, so that a burst of changes, such
+	// as the servers of a lost control instance that turn elsewhere, costs few beats.
+	beatGap = 20 * time.Millisecond
 	// usageInterval is the longest time between two accounts of a watcher's usage; a draft
 	// takes about 2.5 s, so that a tenth of the usage changes meanwhile.
 	usageInterval = 250 * time.Millisecond
@@ -93,7 +96,7 @@
 		if err := stream.Send(f.Next()); err != nil {
 			return err
 		}
-		if !waitBeat(ctx, wake, watchInterval) {
+		if !waitBeat(ctx, nil, beatGap) || !waitBeat(ctx, wake, watchInterval) {
 			return ctx.Err()
 		}
 	}
@@ -204,6 +207,7 @@
 		LayersFrom:    uint32(a.LayersFrom),
 		LayersTo:      uint32(a.LayersTo),
 		LayersVersion: a.LayersVersion,
+		HeardBy:       a.HeardBy,
 	}
 }
 
@@ -226,5 +230,6 @@
 		LayersFrom:    int(w.LayersFrom),
 		LayersTo:      int(w.LayersTo),
 		LayersVersion: w.LayersVersion,
+		HeardBy:       w.HeardBy,
 	}
 }
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -82,13 +82,41 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(l.Close)
+	t.Cleanup(func() {
+		l.Close()
+		if t.Failed() {
+			showLogs(t, l)
+		}
+	})
 	if err := l.WaitServers(t.Context(), servers); err != nil {
 		t.Fatal(err)
 	}
 	return l
 }
 
+// shownLogBytes is how much of each process's log a failed test prints: some seconds of it.
+const shownLogBytes = 16 << 10
+
+// showLogs prints the end of each log, which goes with the test's folder.
+func showLogs(t *testing.T, l *Lab) {
+	t.Helper()
+	var processes []*Process
+	for _, i := range l.Instances {
+		processes = append(processes, i.Process)
+	}
+	for _, p := range l.Emulators {
+		processes = append(processes, p)
+	}
+	for _, p := range processes {
+		data, err := os.ReadFile(p.LogPath)
+		if err != nil {
+			t.Logf("log of %s: %v", p.Name, err)
+			continue
+		}
+		t.Logf("log of %s:\n%s", p.Name, data[max(0, len(data)-shownLogBytes):])
+	}
+}
+
 func bookings(l *Lab, seed uint64, instances ...string) load.Result {
 	var addresses []string
 	for _, name := range instances {
--- a/mesh/feed.go
+++ b/mesh/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/balsamlb/balsamlb/instance"
 	"github.com/balsamlb/balsamlb/instance/wire"
@@ -27,8 +28,14 @@
 	control string
 	// sent is the revision of the directory that the watcher has.
 	sent uint64
+	// usageSent is when usage was last told.
+	usageSent time.Time
 }
 
+// usageInterval is the shortest time between two accounts of the usage on a watch: a gateway
+// tells its own as often. Changes of servers, which come in bursts, are told without it.
+const usageInterval = 250 * time.Millisecond
+
 // Received takes the usage of the watcher.
 func (f *feed) Received(req *wire.WatchRequest) {
 	m := f.mesh
@@ -38,7 +45,7 @@
 		return
 	}
 	before := m.ownSuspects()
-	m.usage[f.name] = &use{running: usesFromWire(req.Running), faulty: req.Faulty}
+	m.setUsage(f.name, &use{running: usesFromWire(req.Running), faulty: req.Faulty})
 	if !slices.Equal(before, m.ownSuspects()) {
 		m.notify()
 	}
@@ -53,9 +60,14 @@
 		RoutingVersion: m.document.Version,
 		Controls:       m.ownControls(),
 		Fence:          m.fence,
-		Others:         usesToWire(m.sumOthers(f.name)),
 		Suspects:       m.ownSuspects(),
 		Gateways:       uint32(len(m.usage)),
+		LeavesOutUsage: true,
+	}
+	if now := time.Now(); f.control == "" && now.Sub(f.usageSent) >= usageInterval {
+		b.LeavesOutUsage = false
+		b.Others = m.sumOthers(f.name)
+		f.usageSent = now
 	}
 	for _, a := range m.directory.Since(f.sent) {
 		b.Servers = append(b.Servers, instance.AnnouncementToWire(a))
@@ -72,7 +84,7 @@
 	m := f.mesh
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	delete(m.usage, f.name)
+	m.setUsage(f.name, nil)
 	if f.control == "" {
 		return
 	}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -68,6 +68,8 @@
 	voters []string
 	fence  uint64
 	usage  map[string]*use
+	// totals are the sums of usage by server.
+	totals map[string]Use
 	// others is the usage that each control instance tells.
 	others  map[string][]Use
 	running []Use
@@ -91,11 +93,12 @@
 		options:   o,
 		decoder:   decoder,
 		fetches:   ring.New[string](fetchBacklog),
-		directory: discovery.NewDirectory(),
+		directory: discovery.NewDirectory(o.ControlAddress),
 		seeds:     o.Seeds,
 		named:     make(map[string][]string),
 		watchers:  make(map[string]int),
 		usage:     make(map[string]*use),
+		totals:    make(map[string]Use),
 		others:    make(map[string][]Use),
 		suspects:  make(map[string][]string),
 		gateways:  make(map[string]int),
@@ -153,11 +156,15 @@
 	return isNews
 }
 
-// Expire marks servers as silent that this instance heard last, before the time.
+// Expire marks servers as silent that were last heard before a time, by this instance or by a
+// control instance whose watch is lost.
 func (m *Mesh) Expire(now, since time.Time) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	expired := m.directory.Expire(now, since)
+	expired := m.directory.Expire(now, since, func(control string) bool {
+		_, ok := m.named[control]
+		return ok
+	})
 	if len(expired) > 0 {
 		m.notify()
 	}
@@ -286,7 +293,9 @@
 		m.fence = b.Fence
 		isNews = true
 	}
-	m.others[address] = usesFromWire(b.Others)
+	if !b.LeavesOutUsage {
+		m.others[address] = usesFromWire(b.Others)
+	}
 	m.gateways[address] = int(b.Gateways)
 	if !slices.Equal(m.suspects[address], b.Suspects) {
 		m.suspects[address] = b.Suspects
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/balsamlb/balsamlb/discovery"
+	"github.com/balsamlb/balsamlb/instance"
 	"github.com/balsamlb/balsamlb/instance/wire"
 	"github.com/balsamlb/balsamlb/routing"
 	"github.com/go-logr/logr"
@@ -122,3 +125,107 @@
 	is.Equal(usesFromWire(b.Others), []Use{{Server: "s", Drafts: 9, TokenLayers: 90, Heads: 2}})
 	is.Equal(b.Gateways, uint32(3))
 }
+
+func TestServerIsSilentOnceTheOnlyControlInstanceThatHeardItIsLost(t *testing.T) {
+	is := is.New(t)
+	m := newTestMesh(t, "10.0.0.5:7")
+	now := time.Unix(1000, 0)
+	silence := 3 * time.Second
+	expire := func(after time.Duration) []string { return m.Expire(now.Add(after), now.Add(after-silence)) }
+	heard := &wire.WatchBeat{Servers: []*wire.AnnouncedServer{{Id: "a", Sequence: 4, Address: "1", State: uint32(discovery.StateReady), HeardBy: "10.0.0.6:7"}}}
+	m.received("10.0.0.6:7", heard)
+	m.received("10.0.0.7:7", heard)
+	is.Equal(len(expire(10*time.Second)), 0) // the other one hears it
+	m.lost("10.0.0.6:7")
+	is.Equal(len(expire(11*time.Second)), 0)
+	is.Equal(len(expire(13*time.Second)), 0) // it may turn to another one
+	is.Equal(expire(15*time.Second), []string{"a"})
+}
+
+func TestServerThatTurnsToAnotherControlInstanceIsNotSilent(t *testing.T) {
+	is := is.New(t)
+	m := newTestMesh(t, "10.0.0.5:7")
+	now := time.Unix(1000, 0)
+	silence := 3 * time.Second
+	expire := func(after time.Duration) []string { return m.Expire(now.Add(after), now.Add(after-silence)) }
+	server := &wire.AnnouncedServer{Id: "a", Sequence: 4, Address: "1", State: uint32(discovery.StateReady), HeardBy: "10.0.0.6:7"}
+	m.received("10.0.0.6:7", &wire.WatchBeat{Servers: []*wire.AnnouncedServer{server}})
+	m.received("10.0.0.7:7", &wire.WatchBeat{})
+	m.lost("10.0.0.6:7")
+	is.Equal(len(expire(11*time.Second)), 0)
+	moved := &wire.AnnouncedServer{Id: "a", Sequence: 5, Address: "1", State: uint32(discovery.StateReady), HeardBy: "10.0.0.7:7"}
+	m.received("10.0.0.7:7", &wire.WatchBeat{Servers: []*wire.AnnouncedServer{moved}})
+	is.Equal(len(expire(20*time.Second)), 0)
+}
+
+func TestRestartedControlInstanceMissesTheServersThatItHeardBefore(t *testing.T) {
+	is := is.New(t)
+	m := newTestMesh(t, "10.0.0.5:7")
+	now := time.Unix(1000, 0)
+	silence := 3 * time.Second
+	expire := func(after time.Duration) []string { return m.Expire(now.Add(after), now.Add(after-silence)) }
+	m.received("10.0.0.6:7", &wire.WatchBeat{Servers: []*wire.AnnouncedServer{
+		{Id: "a", Sequence: 4, Address: "1", State: uint32(discovery.StateReady), HeardBy: "10.0.0.5:7"},
+		{Id: "b", Sequence: 4, Address: "2", State: uint32(discovery.StateReady), HeardBy: "10.0.0.5:7"},
+	}})
+	is.Equal(len(expire(0)), 0)
+	m.Heard(now.Add(time.Second), discovery.Announcement{ID: "b", Sequence: 5, Address: "2", State: discovery.StateReady})
+	is.Equal(expire(3500*time.Millisecond), []string{"a"})
+}
+
+// BenchmarkOneChangeAmong66 is what one change costs a control instance that 66 gateways watch:
+// a beat to each of them, with the usage of 93 servers.
+func BenchmarkOneChangeAmong66(b *testing.B) {
+	m, err := New(Options{ControlAddress: "10.0.0.5:7", Log: logr.Discard()})
+	if err != nil {
+		b.Fatal(err)
+	}
+	var running []*wire.DraftUse
+	for i := range 93 {
+		running = append(running, &wire.DraftUse{Server: fmt.Sprintf("i-%010d", i), Drafts: 3, TokenLayers: 9000})
+	}
+	var feeds []instance.WatchFeed
+	for i := range 66 {
+		feeds = append(feeds, m.Watched(&wire.WatchRequest{Name: fmt.Sprint("g", i), Running: running}))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		for _, f := range feeds {
+			f.Next()
+		}
+	}
+}
+
+func TestUsageIsNotRepeatedInEachBeat(t *testing.T) {
+	is := is.New(t)
+	synctest.Test(t, func(t *testing.T) {
+		m := newTestMesh(t, "10.0.0.5:7")
+		f := m.Watched(&wire.WatchRequest{Name: "g1"})
+		m.Watched(&wire.WatchRequest{Name: "g2", Running: []*wire.DraftUse{{Server: "s", Drafts: 4, TokenLayers: 40}}})
+		is.Equal(len(f.Next().Others), 1)
+		is.Equal(len(f.Next().Others), 0) // a change of something else soon after
+		time.Sleep(usageInterval)
+		is.Equal(len(f.Next().Others), 1)
+	})
+}
+
+func TestBeatWithoutUsageLeavesWhatIsKnownOfIt(t *testing.T) {
+	is := is.New(t)
+	m := newTestMesh(t, "")
+	m.received("10.0.0.5:7", &wire.WatchBeat{Others: []*wire.DraftUse{{Server: "s", Drafts: 4, TokenLayers: 40}}, Gateways: 3})
+	m.received("10.0.0.5:7", &wire.WatchBeat{Gateways: 3, LeavesOutUsage: true})
+	is.Equal(m.Others()["s"].Drafts, 4)
+	m.received("10.0.0.5:7", &wire.WatchBeat{Gateways: 3})
+	is.Equal(len(m.Others()), 0)
+}
+
+func TestUsageOfWatchersThatGoIsTakenOff(t *testing.T) {
+	is := is.New(t)
+	m := newTestMesh(t, "10.0.0.5:7")
+	f := m.Watched(&wire.WatchRequest{Name: "g1"})
+	second := m.Watched(&wire.WatchRequest{Name: "g2", Running: []*wire.DraftUse{{Server: "s", Drafts: 4, TokenLayers: 40}}})
+	second.Received(&wire.WatchRequest{Name: "g2", Running: []*wire.DraftUse{{Server: "s", Drafts: 5, TokenLayers: 50, Heads: 1}}})
+	is.Equal(usesFromWire(f.Next().Others), []Use{{Server: "s", Drafts: 5, TokenLayers: 50, Heads: 1}})
+	second.Close()
+	is.Equal(len(m.totals), 0)
+}
--- a/mesh/use.go
+++ b/mesh/use.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/balsamlb/balsamlb/instance/wire"
@@ -107,27 +106,57 @@
 	return out
 }
 
-// sumOthers adds up the usage of all watchers but one. The caller holds the lock.
-func (m *Mesh) sumOthers(without string) []Use {
-	sums := make(map[string]Use)
-	for name, u := range m.usage {
-		if name == without {
+// setUsage replaces what a watcher has told; nil forgets it. The sums follow each change, so
+// that a beat costs no more with many watchers. The caller holds the lock.
+func (m *Mesh) setUsage(name string, u *use) {
+	if old := m.usage[name]; old != nil {
+		m.addToTotals(old.running, -1)
+	}
+	if u == nil {
+		delete(m.usage, name)
+		return
+	}
+	m.usage[name] = u
+	m.addToTotals(u.running, 1)
+}
+
+// addToTotals adds usage to the sums, or takes it off with sign -1.
+func (m *Mesh) addToTotals(running []Use, sign int) {
+	for _, r := range running {
+		s := m.totals[r.Server]
+		s.Server = r.Server
+		s.Drafts += sign * r.Drafts
+		s.Heads += sign * r.Heads
+		s.TokenLayers += sign * r.TokenLayers
+		if s.Drafts == 0 && s.Heads == 0 && s.TokenLayers == 0 {
+			delete(m.totals, r.Server)
 			continue
 		}
+		m.totals[r.Server] = s
+	}
+}
+
+// sumOthers returns the usage of all watchers but one. The caller holds the lock.
+func (m *Mesh) sumOthers(without string) []*wire.DraftUse {
+	own := make(map[string]Use)
+	if u := m.usage[without]; u != nil {
 		for _, r := range u.running {
-			s := sums[r.Server]
-			s.Server = r.Server
-			s.Drafts += r.Drafts
-			s.Heads += r.Heads
-			s.TokenLayers += r.TokenLayers
-			sums[r.Server] = s
+			own[r.Server] = r
 		}
 	}
-	out := make([]Use, 0, len(sums))
-	for _, u := range sums {
-		out = append(out, u)
+	out := make([]*wire.DraftUse, 0, len(m.totals))
+	for id, total := range m.totals {
+		mine := own[id]
+		other := Use{
+			Server:      id,
+			Drafts:      total.Drafts - mine.Drafts,
+			Heads:       total.Heads - mine.Heads,
+			TokenLayers: total.TokenLayers - mine.TokenLayers,
+		}
+		if other.Drafts > 0 || other.TokenLayers > 0 {
+			out = append(out, useToWire(other))
+		}
 	}
-	slices.SortFunc(out, func(a, b Use) int { return cmp.Compare(a.Server, b.Server) })
 	return out
 }
 
@@ -142,7 +171,11 @@
 func usesToWire(uses []Use) []*wire.DraftUse {
 	out := make([]*wire.DraftUse, 0, len(uses))
 	for _, u := range uses {
-		out = append(out, &wire.DraftUse{Server: u.Server, Drafts: uint32(max(0, u.Drafts)), Heads: uint32(max(0, u.Heads)), TokenLayers: uint64(max(0, u.TokenLayers))})
+		out = append(out, useToWire(u))
 	}
 	return out
 }
+
+func useToWire(u Use) *wire.DraftUse {
+	return &wire.DraftUse{Server: u.Server, Drafts: uint32(max(0, u.Drafts)), Heads: uint32(max(0, u.Heads)), TokenLayers: uint64(max(0, u.TokenLayers))}
+}
