Gateways keep to their share of the links between data centres

Three servers had crashed at 25 s; 78 running drafts were led over other data centres within a second, each with about 30 MB of activations, and new ones followed. Transfers on a link wait for each other, so the queue of seconds held up every draft that passed, until the callers left.

Ruled out: the head's slots and memory (drafts that stayed in galle had their first event after 70 ms).

Change: layers.Pipes accounts for the transfers that an instance has begun; a gateway gives each link an equal share (gateways over data centres) of 0.6 of its rate, and a path over a link whose queue is over 250 ms counts as none.

--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -215,6 +215,9 @@
 		Home:  g.options.DataCentre,
 		Head:  head,
 		Avoid: avoid,
+		PipeWait: func(from, to string) time.Duration {
+			return g.pipes.wait(now, from, to)
+		},
 	})
 	return path, ok
 }
@@ -224,6 +227,7 @@
 	ctx, giveUp := context.WithCancelCause(ctx)
 	defer giveUp(nil)
 	d.begin(path)
+	g.notePipes(d, path)
 	defer d.setPath(nil)
 	gd := g.guardDraft(ctx, d, giveUp)
 	d.guard.Store(gd)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/discovery"
+	"github.com/balsamlb/balsamlb/layers"
 	"github.com/balsamlb/balsamlb/mesh"
 	"github.com/balsamlb/balsamlb/metrics"
 	"github.com/balsamlb/balsamlb/retry"
@@ -73,6 +74,7 @@
 	use      *use
 	faults   *faults
 	running  *running
+	pipes    *pipes
 	inFlight atomic.Int64
 	leaving  atomic.Bool
 	// waiters counts the drafts that wait for room.
@@ -93,6 +95,7 @@
 		use:     newUse(),
 		faults:  newFaults(),
 		running: newRunning(),
+		pipes:   &pipes{pipes: layers.NewPipes()},
 		metrics: metrics.NewGateway(o.Registry),
 		rng:     rand.New(rand.NewPCG(o.Seed, 1)),
 		health:  retry.NewHealth(),
--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -200,6 +200,7 @@
 		if err == nil {
 			g.metrics.Repaths.WithLabelValues().Inc()
 			d.setPath(next)
+			g.notePipes(d, next)
 			g.options.Log.Info("changed the path of a draft", "request", d.call.ID, "path", describe(next), "silent_ms", d.silence().Milliseconds())
 			return
 		}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -22,6 +22,8 @@
 	states   map[string]discovery.State
 	suspects map[string]bool
 	fence    uint64
+	// dataCentres is the number of data centres that servers stand in.
+	dataCentres int
 }
 
 // search is the search for paths of one service. Its lock guards the use of its holders.
@@ -43,9 +45,11 @@
 		fence:     s.Fence,
 	}
 	holders := make(map[string][]layers.Holder)
+	centres := make(map[string]bool)
 	for i := range s.Servers {
 		a := &s.Servers[i]
 		v.states[a.ID] = a.State
+		centres[a.DataCentre] = true
 		if a.State != discovery.StateGone {
 			v.byAddress[a.Address] = a.ID
 		}
@@ -61,6 +65,7 @@
 			})
 		}
 	}
+	v.dataCentres = len(centres)
 	if s.Table == nil {
 		return v
 	}
--- a/layers/path.go
+++ b/layers/path.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/balsamlb/balsamlb/routing"
 )
@@ -30,10 +31,11 @@
 
 // Part is the part of a path that runs on one server: layers From to To, exclusive.
 type Part struct {
-	ID      string
-	Address string
-	From    int
-	To      int
+	ID         string
+	Address    string
+	DataCentre string
+	From       int
+	To         int
 }
 
 // Path is a way through all layers, each once and in order.
@@ -136,6 +138,9 @@
 	Head Part
 	// Avoid tells which servers are left out.
 	Avoid func(id string) bool
+	// PipeWait tells how long a transfer between two data centres waits for those before it;
+	// nil: none waits.
+	PipeWait func(from, to string) time.Duration
 }
 
 // HasWholeCopy reports whether the servers of some data centre hold all layers together, with
@@ -173,20 +178,21 @@
 	for i := range best {
 		best[i].cost = math.Inf(1)
 	}
+	transfers := s.transfers(&q)
 	for at := range n - 1 {
 		for i := range s.holders {
 			h := &s.holders[i]
 			if h.From > s.bounds[at] || h.To <= s.bounds[at] || q.Avoid(h.ID) || q.Head.ID != "" && (at == 0) != (h.ID == q.Head.ID) {
 				continue
 			}
-			s.extend(best, at, i, &q)
+			s.extend(best, at, i, &q, transfers)
 		}
 	}
 	return s.trace(best)
 }
 
 // extend tries a holder from a bound on, up to each later bound that it holds.
-func (s *Search) extend(best []step, at, holder int, q *Query) {
+func (s *Search) extend(best []step, at, holder int, q *Query, transfers []float64) {
 	h := &s.holders[holder]
 	width := len(s.centres)
 	centre, _ := slices.BinarySearch(s.centres, h.DataCentre)
@@ -202,7 +208,7 @@
 	}
 	for c := range s.centres {
 		if i := at*width + c; at > 0 && best[i].cost < math.Inf(1) {
-			if cost := best[i].cost + s.transfer(q.Draft, c == centre); cost < before {
+			if cost := best[i].cost + transfers[c*width+centre]; cost < before {
 				before, from = cost, i
 			}
 		}
@@ -240,13 +246,34 @@
 	return share*(read+write) + hopMS*d.AnswerTokens
 }
 
-// transfer is what passing the draft on from one server to the next costs, in ms.
-func (s *Search) transfer(d Draft, isInside bool) float64 {
-	if isInside || s.engine.PipeMbps <= 0 {
-		return 0
+// transfers returns what passing the draft on from each data centre to each costs, in ms. It is
+// infinite where the queue of the pipe is too long.
+func (s *Search) transfers(q *Query) []float64 {
+	width := len(s.centres)
+	out := make([]float64, width*width)
+	if s.engine.PipeMbps <= 0 {
+		return out
+	}
+	own := transferTime(s.engine, q.Draft.tokens())
+	for i, from := range s.centres {
+		for j, to := range s.centres {
+			if from != to {
+				out[i*width+j] = transferCost(own, q, from, to)
+			}
+		}
+	}
+	return out
+}
+
+func transferCost(own time.Duration, q *Query, from, to string) float64 {
+	wait := time.Duration(0)
+	if q.PipeWait != nil {
+		wait = q.PipeWait(from, to)
+	}
+	if wait > maxPipeWait {
+		return math.Inf(1)
 	}
-	seconds := d.tokens() * s.engine.ActivationBytes * 8 / (s.engine.PipeMbps * 1e6)
-	return crossMS + seconds*1000
+	return crossMS + float64(own+wait)/float64(time.Millisecond)
 }
 
 // trace follows the cheapest state that has passed all layers back to the start.
@@ -273,7 +300,7 @@
 		if best[i].from >= 0 {
 			from = s.bounds[best[i].from/width]
 		}
-		path = append(path, Part{ID: h.ID, Address: h.Address, From: from, To: s.bounds[i/width]})
+		path = append(path, Part{ID: h.ID, Address: h.Address, DataCentre: h.DataCentre, From: from, To: s.bounds[i/width]})
 	}
 	slices.Reverse(path)
 	path = joinRepeated(path)
--- a/layers/path_test.go
+++ b/layers/path_test.go
@@ -112,7 +112,7 @@
 	s := NewSearch(mixedEngine(), holdersOf(threeDataCentres()))
 	for _, to := range []int{30, 24, 7} {
 		is := is.New(t)
-		head := Part{ID: "b-large-0", Address: "b-large-0:1", From: 0, To: to}
+		head := Part{ID: "b-large-0", Address: "b-large-0:1", DataCentre: "b", From: 0, To: to}
 		path, _, ok := s.Find(Query{
 			Draft: usualDraft, Home: "b", Head: head,
 			Avoid: func(id string) bool { return id == "b-small-2" },
