A restarted server takes the place that it had in its chain

Change: repairs know the best chain of the data centre and give servers of its pace the chain's room; a server that holds less than half of what it has room for grows around what it holds, where it is faster than the present holders.

--- a/layers/plan.go
+++ b/layers/plan.go
@@ -57,38 +57,63 @@
 		slices.SortFunc(group, func(a, b Server) int {
 			return cmp.Or(cmp.Compare(e.Accelerators[a.Accelerator].Pace, e.Accelerators[b.Accelerator].Pace), cmp.Compare(a.ID, b.ID))
 		})
-		if slices.ContainsFunc(group, func(s Server) bool { return !s.isEmpty() }) {
-			out = append(out, repair(e, group)...)
+		main := bestChain(e, group)
+		if !slices.ContainsFunc(group, func(s Server) bool { return !s.isEmpty() }) {
+			out = append(out, found(e, group, main)...)
 			continue
 		}
-		out = append(out, found(e, group)...)
+		out = append(out, repair(e, group, main)...)
 	}
 	return out
 }
 
-// fits returns how many layers a server holds beside room for a number of usual drafts.
-func fits(e *routing.Engine, s *Server, drafts int) int {
-	draftMB := (e.UsualPrompt + e.UsualAnswer) * e.TokenBytes / float64(e.Layers) / bytesPerMB
-	return int(e.Accelerators[s.Accelerator].MemoryMB / (e.LayerMB + float64(drafts)*draftMB))
+// chain is the main copy of the model in a data centre: so many of its fastest servers, with
+// room for so many drafts.
+type chain struct {
+	servers int
+	drafts  int
+	// slowest is the pace of the slowest accelerator in it.
+	slowest float64
 }
 
-// found places the first copy in an empty data centre: on as many of the fastest servers as
-// together write the most tokens a second, which leaves the slow ones to hold a second copy.
-func found(e *routing.Engine, group []Server) []Placement {
-	count, drafts, best := 0, 0, 0.0
+// bestChain returns the chain of the fastest servers that together write the most tokens a
+// second, which leaves the slow ones to hold a second copy.
+func bestChain(e *routing.Engine, group []Server) chain {
+	var c chain
+	best := 0.0
 	for n := 1; n <= min(len(group), maxParts); n++ {
 		room := roomOf(e, group[:n])
 		if rate := writingRate(e, group[:n], room); room > 0 && rate > best*worthOneMore {
-			count, drafts, best = n, room, rate
+			c, best = chain{servers: n, drafts: room, slowest: e.Accelerators[group[n-1].Accelerator].Pace}, rate
 		}
 	}
-	if count == 0 {
+	return c
+}
+
+// roomFor returns for how many drafts a server gets room. One that is as fast as the main chain
+// takes the place of one of it, and a place with less room would bound the whole chain.
+func (c chain) roomFor(e *routing.Engine, s *Server) int {
+	if c.servers > 0 && e.Accelerators[s.Accelerator].Pace <= c.slowest {
+		return c.drafts
+	}
+	return coverDrafts
+}
+
+// fits returns how many layers a server holds beside room for a number of usual drafts.
+func fits(e *routing.Engine, s *Server, drafts int) int {
+	draftMB := (e.UsualPrompt + e.UsualAnswer) * e.TokenBytes / float64(e.Layers) / bytesPerMB
+	return int(e.Accelerators[s.Accelerator].MemoryMB / (e.LayerMB + float64(drafts)*draftMB))
+}
+
+// found places the main chain in an empty data centre, and then the other servers.
+func found(e *routing.Engine, group []Server, main chain) []Placement {
+	if main.servers == 0 {
 		return nil
 	}
 	var out []Placement
 	next := 0
-	for i := range group[:count] {
-		n := min(fits(e, &group[i], drafts), e.Layers-next)
+	for i := range group[:main.servers] {
+		n := min(fits(e, &group[i], main.drafts), e.Layers-next)
 		if n <= 0 {
 			continue
 		}
@@ -96,7 +121,7 @@
 		group[i].From, group[i].To = next, next+n
 		next += n
 	}
-	return append(out, repair(e, group)...)
+	return append(out, repair(e, group, main)...)
 }
 
 // roomOf returns for how many usual drafts a chain of all servers has room; 0 if it can't hold
@@ -138,30 +163,52 @@
 
 // repair closes gaps with servers that are empty, or whose layers others hold as well, and
 // lets the empty ones that are left hold the layers that gain most from them.
-func repair(e *routing.Engine, group []Server) []Placement {
+func repair(e *routing.Engine, group []Server, main chain) []Placement {
 	var out []Placement
 	for {
 		from, to, ok := firstGap(e, group)
 		if !ok {
 			break
 		}
-		i := bestForGap(e, group, to-from)
+		i := bestForGap(e, group, main, to-from)
 		if i < 0 {
 			break
 		}
-		out = place(out, &group[i], from, min(to, from+max(1, fits(e, &group[i], coverDrafts))))
+		out = place(out, &group[i], from, min(to, from+max(1, fits(e, &group[i], main.roomFor(e, &group[i])))))
 	}
 	for i := range group {
 		if !group[i].isEmpty() || group[i].IsBusy {
 			continue
 		}
-		n := min(fits(e, &group[i], coverDrafts), e.Layers)
+		n := min(fits(e, &group[i], main.roomFor(e, &group[i])), e.Layers)
 		if n <= 0 {
 			continue
 		}
-		from := bestRange(e, group, e.Accelerators[group[i].Accelerator].Pace, n)
+		from, _ := bestRange(e, group, i, n)
 		out = place(out, &group[i], from, from+n)
 	}
+	for i := range group {
+		out = grow(e, group, main, i, out)
+	}
+	return out
+}
+
+// growAbove is how many times what it holds a server must have room for to be given more: it
+// was ordered to close a small gap. What a loss nearby makes of the best chain is no reason.
+const growAbove = 2
+
+// grow lets a server that closed a small gap hold more, if it is faster than those that hold it
+// now. It goes on with what it holds.
+func grow(e *routing.Engine, group []Server, main chain, i int, out []Placement) []Placement {
+	s := &group[i]
+	n := min(fits(e, s, main.roomFor(e, s)), e.Layers)
+	isOrdered := slices.ContainsFunc(out, func(p Placement) bool { return p.Server == s.ID })
+	if s.IsBusy || s.isEmpty() || isOrdered || n <= growAbove*(s.To-s.From) {
+		return out
+	}
+	if from, gain := bestRange(e, group, i, n); gain > 0 {
+		return place(out, s, from, from+n)
+	}
 	return out
 }
 
@@ -204,14 +251,14 @@
 
 // bestForGap returns the server that closes most of a gap for the fewest layers given up: an
 // empty one, else one whose layers are held elsewhere too; -1 if there is none.
-func bestForGap(e *routing.Engine, group []Server, width int) int {
+func bestForGap(e *routing.Engine, group []Server, main chain, width int) int {
 	best, bestScore := -1, 0
 	for i := range group {
 		s := &group[i]
 		if s.IsBusy {
 			continue
 		}
-		score := 2*min(width, fits(e, s, coverDrafts)) - (s.To - s.From)
+		score := 2*min(width, fits(e, s, main.roomFor(e, s))) - (s.To - s.From)
 		if s.isEmpty() {
 			score += emptyBonus
 		} else if !isSpare(e, group, i) {
@@ -235,12 +282,20 @@
 	return true
 }
 
-// bestRange returns where the range of n layers begins at which a server of a pace is of most
-// use: where it is faster than those that hold the layers now, else where there is least room.
-func bestRange(e *routing.Engine, group []Server, pace float64, n int) int {
+// bestRange returns where the range of n layers begins at which a server is of most use: where
+// it is faster than those that hold the layers now, else where there is least room. The range
+// contains what the server holds. The gain is the pace that is won, summed over the layers.
+func bestRange(e *routing.Engine, group []Server, server, n int) (best int, bestGain float64) {
+	s := &group[server]
+	pace := e.Accelerators[s.Accelerator].Pace
 	fastest, room := layerState(e, group)
-	best, bestGain, bestRoom := 0, 0.0, math.Inf(1)
-	for from := 0; from+n <= e.Layers; from++ {
+	bestRoom := math.Inf(1)
+	first, last := 0, e.Layers-n
+	if !s.isEmpty() {
+		first, last = max(0, s.To-n), min(s.From, e.Layers-n)
+	}
+	best = first
+	for from := first; from <= last; from++ {
 		gain, sum := 0.0, 0.0
 		for l := from; l < from+n; l++ {
 			gain += max(0, fastest[l]-pace)
@@ -250,7 +305,7 @@
 			best, bestGain, bestRoom = from, gain, sum
 		}
 	}
-	return best
+	return best, bestGain
 }
 
 // layerState returns for each layer the pace of its fastest holder, and the room that its
--- a/layers/plan_test.go
+++ b/layers/plan_test.go
@@ -141,3 +141,52 @@
 	carryOut(g, Plan(e, g))
 	is.Equal(len(Plan(e, lose(g, "a-small-1"))), 0)
 }
+
+// A fast server that comes back with more layers than it had holds fewer drafts than the rest
+// of its chain, which then refuses what the others have room for.
+func TestRestartedServerOfAChainHasTheRoomOfTheOthers(t *testing.T) {
+	e := mixedEngine()
+	for _, c := range []struct {
+		group []Server
+		lost  string
+	}{
+		{group("b", 3, 8, 8), "b-large-1"},
+		{group("b", 1, 6, 6), "b-small-1"},
+		{group("c", 1, 10, 4), "c-large-0"},
+		{group("d", 2, 24, 9), "d-small-7"},
+	} {
+		is := is.New(t)
+		carryOut(c.group, Plan(e, c.group))
+		var before Server
+		for i := range c.group {
+			if c.group[i].ID == c.lost {
+				before = c.group[i]
+				c.group[i].From, c.group[i].To = 0, 0
+			}
+		}
+		carryOut(c.group, Plan(e, c.group)) // closes a gap first
+		carryOut(c.group, Plan(e, c.group))
+		for _, s := range c.group {
+			if s.ID == c.lost {
+				is.Equal(s.To-s.From, before.To-before.From)
+			}
+		}
+		is.Equal(len(Plan(e, c.group)), 0)
+	}
+}
+
+func TestServerThatGrowsKeepsWhatItHolds(t *testing.T) {
+	is := is.New(t)
+	e := mixedEngine()
+	g := group("c", 1, 10, 4)
+	carryOut(g, Plan(e, g))
+	for i := range g {
+		if g[i].ID == "c-large-0" {
+			g[i].From, g[i].To = 21, 25 // it has closed a gap
+		}
+	}
+	plan := Plan(e, g)
+	is.Equal(len(plan), 1)
+	is.Equal(plan[0].Server, "c-large-0")
+	is.True(plan[0].From <= 21 && plan[0].To >= 25)
+}
