A draft that can't be led around a lost server goes on elsewhere; drafts at one server ask once

Ruled out: repaths that the servers refuse (these try another path at once).

Change: when no path leads on from the first server but another first server has one, the attempt ends and the stream goes on there after its last event, within the route's attempts and the retry budget. The links that a path takes are accounted for under the lock of the choice: drafts that looked at once all crossed (the test of the restart failed by it).

--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -38,8 +38,9 @@
 
 // Orders changes what backend servers do.
 type Orders interface {
-	// Stalled asks the first server of a path which other server holds up the draft; "" if none does.
-	Stalled(ctx context.Context, head, request string) (address string, err error)
+	// Stalled asks the first server of paths which other servers hold up the drafts there. It
+	// returns the addresses of those by the drafts' requests.
+	Stalled(ctx context.Context, head string) (byRequest map[string]string, err error)
 	// Repath changes the path of a running draft. The first server stays. An error may name
 	// the server that can't take its part.
 	Repath(ctx context.Context, head, request string, p layers.Path, fence uint64) (fault string, err error)
@@ -193,7 +194,8 @@
 	g.refuse(w, d.job, answer)
 }
 
-// findPath returns the best path for the draft; head, if it names a server, stays the first part.
+// findPath returns the best path for the draft, and accounts for the links that it takes; head,
+// if it names a server, stays the first part.
 func (g *Gateway) findPath(d *draft, head layers.Part) (layers.Path, bool) {
 	v := g.view.Load()
 	s := v.searches[d.service.Name]
@@ -219,6 +221,10 @@
 			return g.pipes.wait(now, from, to)
 		},
 	})
+	if ok {
+		// Under the same lock, so that drafts which choose at the same time don't all cross.
+		g.notePipes(v, d, path)
+	}
 	return path, ok
 }
 
@@ -227,7 +233,6 @@
 	ctx, giveUp := context.WithCancelCause(ctx)
 	defer giveUp(nil)
 	d.begin(path)
-	g.notePipes(d, path)
 	defer d.setPath(nil)
 	gd := g.guardDraft(ctx, d, giveUp)
 	d.guard.Store(gd)
@@ -242,10 +247,16 @@
 			g.faults.lives(part.ID)
 		}
 	}
-	if f != nil && errors.Is(context.Cause(ctx), errHeadLost) {
+	if f == nil {
+		return nil
+	}
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errHeadLost):
 		// A server that has ended does not count among those that the draft was sent to.
 		d.attempts = max(0, d.attempts-1)
 		f.reason = path[0].ID + " gives no sign of life"
+	case errors.Is(cause, errNoWayAround):
+		f.reason = "no path leads on from " + path[0].ID
 	}
 	return f
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,6 +75,7 @@
 	faults   *faults
 	running  *running
 	pipes    *pipes
+	stalls   *stalls
 	inFlight atomic.Int64
 	leaving  atomic.Bool
 	// waiters counts the drafts that wait for room.
@@ -96,6 +97,7 @@
 		faults:  newFaults(),
 		running: newRunning(),
 		pipes:   &pipes{pipes: layers.NewPipes()},
+		stalls:  newStalls(o.Orders.Stalled),
 		metrics: metrics.NewGateway(o.Registry),
 		rng:     rand.New(rand.NewPCG(o.Seed, 1)),
 		health:  retry.NewHealth(),
@@ -249,6 +251,7 @@
 			g.options.Mesh.SetFaulty(g.listDead(now))
 			g.shareBudget()
 			g.use.forget(now)
+			g.stalls.forget(now)
 			g.client.Sweep(now)
 		}
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -304,7 +304,7 @@
 		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, f.front.URL+"/advice/1", strings.NewReader("x"))
 		is.NoErr(err)
 		r.Host = "shop"
-		r.Header.Set("Balsamlb-Request-Id", "req-1")
+		r.Header.Set("Balsamlb-Request-Id", requestID)
 		r.Header.Set("Api-Key", "key-1")
 		resp, err = f.front.Client().Do(r)
 		is.NoErr(err)
@@ -378,3 +378,51 @@
 	is.Equal(r.body, "no data centre holds a whole copy of the model\n")
 	is.Equal(len(f.arrivals()), 0)
 }
+
+// A draft that can't be led around a lost server, here since the link to the other data centre
+// has a queue, goes on at another first server instead of waiting until its caller leaves.
+func TestDraftWithoutAWayAroundGoesOnElsewhere(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.publish()
+	goOn := make(chan struct{})
+	f.serve("e1", "advice", 0, 2, func(c net.Conn, _ *http.Request) {
+		streamHead(c)
+		chunk(c, event(1))
+		<-goOn
+		chunk(c, event(2))
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+	})
+	e2 := f.serve("e2", "advice", 2, 4, reset)
+	f.until(func() bool { return f.send(http.MethodPost, "/nowhere/", nil, nil).status == http.StatusNotFound })
+	const drafts = 2
+	results := make(chan result, drafts)
+	for range drafts {
+		go func() {
+			for {
+				if r := f.send(http.MethodPost, "/advice/1", nil, strings.NewReader("x")); r.status == http.StatusOK {
+					results <- r
+					return
+				}
+			}
+		}()
+	}
+	f.until(func() bool { return len(f.arrivals()) >= drafts })
+	lastEvent := make(chan string, drafts)
+	f.serveIn("b", "f1", "advice", 0, 4, func(c net.Conn, r *http.Request) {
+		lastEvent <- r.Header.Get("Last-Event-Id")
+		streamHead(c)
+		chunk(c, event(2))
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+	})
+	f.orders.mu.Lock()
+	f.orders.stalled = e2
+	f.orders.mu.Unlock()
+	is.Equal((<-results).body, event(1)+event(2)) // through f1, the other one waits
+	is.Equal(<-lastEvent, "1")
+	f.orders.mu.Lock()
+	is.Equal(len(f.orders.paths), 1) // the other one crosses
+	f.orders.mu.Unlock()
+	close(goOn)
+	is.Equal((<-results).body, event(1)+event(2))
+}
--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -31,8 +31,12 @@
 	silentHeadAfter = 700 * time.Millisecond
 )
 
-// errHeadLost ends an attempt whose first server gives no sign of life.
-var errHeadLost = errors.New("gateway: the first server gives no sign of life")
+var (
+	// errHeadLost ends an attempt whose first server gives no sign of life.
+	errHeadLost = errors.New("gateway: the first server gives no sign of life")
+	// errNoWayAround ends an attempt that is held up where its first server can't be led on.
+	errNoWayAround = errors.New("gateway: no path leads on from the first server")
+)
 
 // running are the drafts that run, so that those on a failed server are led around it at once.
 type running struct {
@@ -74,7 +78,9 @@
 	draft   *draft
 	ctx     context.Context
 	giveUp  context.CancelCauseFunc
-	timer   *time.Timer
+	// mayRestart says that the draft may go to another first server after this attempt.
+	mayRestart bool
+	timer      *time.Timer
 	// nudges asks for a look at once; one waiting is enough.
 	nudges chan struct{}
 	done   chan struct{}
@@ -84,9 +90,10 @@
 func (g *Gateway) guardDraft(ctx context.Context, d *draft, giveUp context.CancelCauseFunc) *guard {
 	gd := &guard{
 		gateway: g, draft: d, ctx: ctx, giveUp: giveUp,
-		timer:  time.NewTimer(firstStallAfter),
-		nudges: make(chan struct{}, 1),
-		done:   make(chan struct{}),
+		mayRestart: d.route.MayRepeat() && d.attempts+1 < d.route.MaxAttempts,
+		timer:      time.NewTimer(firstStallAfter),
+		nudges:     make(chan struct{}, 1),
+		done:       make(chan struct{}),
 	}
 	go gd.run()
 	return gd
@@ -146,9 +153,7 @@
 // ask lets the first server say which other server holds up the draft.
 func (gd *guard) ask(path layers.Path) {
 	g, d, head := gd.gateway, gd.draft, path[0]
-	ctx, cancel := context.WithTimeout(gd.ctx, orderTimeout)
-	defer cancel()
-	address, err := g.options.Orders.Stalled(ctx, head.Address, d.call.ID)
+	address, err := g.stalls.holdsUp(gd.ctx, head.Address, d.call.ID)
 	if gd.ctx.Err() != nil {
 		return
 	}
@@ -189,7 +194,8 @@
 	for range maxRepaths {
 		next, ok := g.findPath(d, head)
 		if !ok {
-			return // the next look may find one
+			gd.restart(head)
+			return
 		}
 		ctx, cancel := context.WithTimeout(gd.ctx, orderTimeout)
 		refused, err := g.options.Orders.Repath(ctx, head.Address, d.call.ID, next, v.fence)
@@ -200,7 +206,6 @@
 		if err == nil {
 			g.metrics.Repaths.WithLabelValues().Inc()
 			d.setPath(next)
-			g.notePipes(d, next)
 			g.options.Log.Info("changed the path of a draft", "request", d.call.ID, "path", describe(next), "silent_ms", d.silence().Milliseconds())
 			return
 		}
@@ -213,6 +218,19 @@
 	}
 }
 
+// restart ends an attempt that no path leads on from its first server, if the draft may go on
+// elsewhere and another first server has a path. Else the next look may find one.
+func (gd *guard) restart(head layers.Part) {
+	g, d := gd.gateway, gd.draft
+	path, ok := g.findPath(d, layers.Part{})
+	isElsewhere := ok && path[0].ID != head.ID
+	g.options.Log.Info("found no way around for a draft", "request", d.call.ID, "path", describe(d.currentPath()),
+		"silent_ms", d.silence().Milliseconds(), "elsewhere", isElsewhere, "may_restart", gd.mayRestart)
+	if isElsewhere && gd.mayRestart {
+		gd.giveUp(errNoWayAround)
+	}
+}
+
 // noteDead notes that a server gives no sign of life, tells the others, and looks at the
 // drafts that pass through it.
 func (g *Gateway) noteDead(id, why string) {
--- a/gateway/pipes.go
+++ b/gateway/pipes.go
@@ -21,8 +21,8 @@
 
 // notePipes accounts for a draft that takes a path. The gateways of one data centre are taken
 // to use the same links.
-func (g *Gateway) notePipes(d *draft, path layers.Path) {
-	sharers := g.options.Mesh.Gateways() / max(1, g.view.Load().dataCentres)
+func (g *Gateway) notePipes(v *view, d *draft, path layers.Path) {
+	sharers := g.options.Mesh.Gateways() / max(1, v.dataCentres)
 	g.pipes.mu.Lock()
 	defer g.pipes.mu.Unlock()
 	g.pipes.pipes.Begin(time.Now(), d.service.Engine, d.size, path, sharers)
--- /dev/null
+++ b/gateway/stalls_test.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// After a crash hundreds of drafts wait at one first server, and each of their gateways asks it
+// what holds them up.
+func TestDraftsThatWaitAtOneServerAskOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		asked := 0
+		s := newStalls(func(context.Context, string) (map[string]string, error) {
+			asked++
+			time.Sleep(5 * time.Millisecond)
+			return map[string]string{"r1": "10.0.0.9:80"}, nil
+		})
+		var wg sync.WaitGroup
+		for range 200 {
+			wg.Go(func() {
+				address, err := s.holdsUp(t.Context(), "head", "r1")
+				is.NoErr(err)
+				is.Equal(address, "10.0.0.9:80")
+			})
+		}
+		wg.Wait()
+		is.Equal(asked, 1)
+		address, err := s.holdsUp(t.Context(), "head", "another")
+		is.NoErr(err)
+		is.Equal(address, "")
+		is.Equal(asked, 1)
+		time.Sleep(stallsFreshFor)
+		_, err = s.holdsUp(t.Context(), "head", "r1")
+		is.NoErr(err)
+		is.Equal(asked, 2)
+		s.forget(time.Now().Add(stallsFreshFor))
+		is.Equal(len(s.answers), 0)
+	})
+}
+
+func TestQuestionGoesOnForTheOthersWhenOneDraftEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStalls(func(ctx context.Context, _ string) (map[string]string, error) {
+			time.Sleep(50 * time.Millisecond)
+			return map[string]string{"r2": "10.0.0.9:80"}, ctx.Err()
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		first := make(chan error, 1)
+		go func() {
+			_, err := s.holdsUp(ctx, "head", "r1")
+			first <- err
+		}()
+		synctest.Wait()
+		second := make(chan string, 1)
+		go func() {
+			address, _ := s.holdsUp(t.Context(), "head", "r2")
+			second <- address
+		}()
+		synctest.Wait()
+		cancel()
+		is.True(errors.Is(<-first, context.Canceled))
+		is.Equal(<-second, "10.0.0.9:80")
+	})
+}
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -37,6 +37,9 @@
 // handler plays one backend server: it reads what is left of the request and answers on c.
 type handler func(c net.Conn, r *http.Request)
 
+// requestID is the id of all requests to the fleet.
+const requestID = "req-1"
+
 // scriptedOrders answers for the first servers of paths.
 type scriptedOrders struct {
 	mu      sync.Mutex
@@ -48,13 +51,13 @@
 
 var errUnreachable = errors.New("unreachable")
 
-func (o *scriptedOrders) Stalled(context.Context, string, string) (string, error) {
+func (o *scriptedOrders) Stalled(context.Context, string) (map[string]string, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.unreachable {
-		return "", errUnreachable
+		return nil, errUnreachable
 	}
-	return o.stalled, nil
+	return map[string]string{requestID: o.stalled}, nil
 }
 
 func (o *scriptedOrders) Repath(_ context.Context, _, _ string, p layers.Path, _ uint64) (string, error) {
@@ -71,7 +74,7 @@
  {"Name":"check","Hostname":"shop","PathPrefix":"/check/","Kind":"idempotent","TimeoutMs":5000,"Service":"desk","MaxAttempts":2},
  {"Name":"short","Hostname":"shop","PathPrefix":"/short/","Kind":"idempotent","TimeoutMs":50,"Service":"desk","MaxAttempts":2},
  {"Name":"open","Hostname":"shop","PathPrefix":"/open/","Kind":"idempotent","TimeoutMs":5000,"Service":"desk","MaxAttempts":1,"AllowAnonymous":true}],
-"Services":[{"Name":"advice","Engine":{"Slots":8,"KvBytes":1000,"Layers":4,"LayerMb":10,"step_ms":1,"read_per_s":100000,"usual":{"prompt":10,"answer":10},"Models":[{"Name":"m","LoadS":1}],"Kinds":[{"Name":"card","Mb":100,"pace":1,"ReadFactor":1}]}},{"Name":"desk"}],
+"Services":[{"Name":"advice","Engine":{"Slots":8,"KvBytes":1000,"Layers":4,"LayerMb":10,"ActivationBytes":1000,"CrossZoneMbps":0.001,"step_ms":1,"read_per_s":100000,"usual":{"prompt":10,"answer":10},"Models":[{"Name":"m","LoadS":1}],"Kinds":[{"Name":"card","Mb":100,"pace":1,"ReadFactor":1}]}},{"Name":"desk"}],
 "Limits":{"MaxBodyBytes":1000},
 "Tenants":[{"Name":"kandy","ApiKeys":["key-1"]}]}`
 
@@ -127,6 +130,12 @@
 
 // serve starts a backend server and announces it. to is 0 for a plain one.
 func (f *fleet) serve(id, service string, from, to int, h handler) string {
+	f.t.Helper()
+	return f.serveIn("a", id, service, from, to, h)
+}
+
+// serveIn is serve in another data centre than the gateway's.
+func (f *fleet) serveIn(centre, id, service string, from, to int, h handler) string {
 	f.t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -143,7 +152,7 @@
 		}
 	}()
 	f.mesh.Heard(time.Now(), discovery.Announcement{
-		ID: id, Incarnation: 1, Sequence: 1, Service: service, Address: l.Addr().String(), DataCentre: "a",
+		ID: id, Incarnation: 1, Sequence: 1, Service: service, Address: l.Addr().String(), DataCentre: centre,
 		State: discovery.StateReady, Slots: 4, Accelerator: "card", HasLayers: to > 0, LayersFrom: from, LayersTo: to,
 	})
 	return l.Addr().String()
@@ -185,7 +194,7 @@
 		f.t.Fatal(err)
 	}
 	r.Host = "shop"
-	r.Header.Set("Balsamlb-Request-Id", "req-1")
+	r.Header.Set("Balsamlb-Request-Id", requestID)
 	r.Header.Set("Api-Key", "key-1")
 	for k, v := range header {
 		r.Header.Set(k, v)
