--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,6 +37,11 @@
 	idleTimeout   = 30 * time.Second
 	// noRouteRetry is when a caller may come back to an instance that knows no routes yet.
 	noRouteRetry = 500 * time.Millisecond
+	// tableWait is how long a request waits for the first routing document: a new instance gets
+	// it within 0.4 s when all instances were started anew. It is under the shortest time
+	// limit of known deployments (600 ms). tablePoll is the time between two looks for it.
+	tableWait = 450 * time.Millisecond
+	tablePoll = 10 * time.Millisecond
 	// housekeeping is the time between two sweeps of idle connections and of servers that failed.
 	housekeeping = 100 * time.Millisecond
 )
@@ -316,7 +321,7 @@
 // admit finds the route, the workspace and the service, and reads the body.
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request) (*job, *refusal) {
 	j := &job{call: g.options.Dialect.ReadCall(r.Header), request: r, arrived: time.Now()}
-	v := g.view.Load()
+	v := g.awaitTable(r.Context())
 	if v.table == nil {
 		return j, &refusal{http.StatusServiceUnavailable, "no routing document is known yet", noRouteRetry}
 	}
@@ -345,6 +350,27 @@
 	return j, g.readBody(w, j, v.table.Limits.BodyBytes)
 }
 
+// awaitTable returns the view, once it has a routing document if one comes soon.
+func (g *Gateway) awaitTable(ctx context.Context) *view {
+	v := g.view.Load()
+	if v.table != nil {
+		return v
+	}
+	ctx, cancel := context.WithTimeout(ctx, tableWait)
+	defer cancel()
+	ticker := time.NewTicker(tablePoll)
+	defer ticker.Stop()
+	for v.table == nil {
+		select {
+		case <-ctx.Done():
+			return v
+		case <-ticker.C:
+			v = g.view.Load()
+		}
+	}
+	return v
+}
+
 func (g *Gateway) readBody(w http.ResponseWriter, j *job, limit int) *refusal {
 	if limit <= 0 {
 		limit = defaultBodyBytes
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -21,6 +22,21 @@
 	is.True(r.header.Get("Retry-After") != "")
 }
 
+// After a restart of everything an instance learns the document within some 0.3 s; a caller
+// that comes back meanwhile may not come again.
+func TestCallerOfAStartingInstanceIsServedOnceTheDocumentIsKnown(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.serve("d1", "desk", 0, 0, func(c net.Conn, _ *http.Request) { reply(c, http.StatusOK, "held") })
+	served := make(chan result, 1)
+	go func() { served <- f.send(http.MethodPost, "/hold/1", nil, strings.NewReader("x")) }()
+	time.Sleep(50 * time.Millisecond)
+	f.publish()
+	r := <-served
+	is.Equal(r.status, http.StatusOK)
+	is.Equal(r.body, "held")
+}
+
 func TestRequestsThatTheDocumentDoesNotAllow(t *testing.T) {
 	f := newFleet(t)
 	f.publish()
