Drafts that pause together point to a lost server, which is tried at once

Ruled out: looking at each draft sooner, which costs a timer and a report for each; a shorter stall time (the report does not name the server yet).

Change: every 25 ms a gateway looks for three drafts or more that have been without an event for 110 ms. The servers that they share, less those that a flowing draft passes, are opened a connection to, two tries of 30 ms; one that can't be reached is led around at once. A server is tried at most every 300 ms.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -81,6 +81,7 @@
 	running  *running
 	pipes    *pipes
 	stalls   *stalls
+	probes   *probes
 	inFlight atomic.Int64
 	leaving  atomic.Bool
 	// waiters counts the drafts that wait for room.
@@ -103,6 +104,7 @@
 		running: newRunning(),
 		pipes:   &pipes{pipes: layers.NewPipes()},
 		stalls:  newStalls(o.Orders.Stalled),
+		probes:  &probes{reached: make(map[string]time.Time)},
 		metrics: metrics.NewGateway(o.Registry),
 		rng:     rand.New(rand.NewPCG(o.Seed, 1)),
 		health:  retry.NewHealth(),
@@ -144,6 +146,7 @@
 	eg, dutyCtx := errgroup.WithContext(dutyCtx)
 	eg.Go(func() error { return g.followMesh(dutyCtx) })
 	eg.Go(func() error { return g.keepHouse(dutyCtx) })
+	eg.Go(func() error { return g.watchPauses(dutyCtx) })
 	eg.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return eris.Wrap(err, "gateway: serve callers")
--- /dev/null
+++ b/gateway/pauses_test.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/balsamlb/balsamlb/layers"
+	"github.com/matryer/is"
+)
+
+// draftOn runs through servers and had its last event some time ago.
+func draftOn(now time.Time, silence time.Duration, servers ...string) *draft {
+	d := &draft{lastAt: now.Add(-silence)}
+	for _, id := range servers {
+		d.path = append(d.path, layers.Part{ID: id})
+	}
+	return d
+}
+
+func TestDraftsThatPauseTogetherPointToTheServersThatTheyShare(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	r := newRunning()
+	for range pausedTogether {
+		r.drafts[draftOn(now, pausedAfter, "head", "lost", "tail")] = struct{}{}
+	}
+	r.drafts[draftOn(now, flowsWithin/2, "head", "other", "tail")] = struct{}{}
+	r.drafts[draftOn(now, pausedAfter, "alone", "lost")] = struct{}{}
+	is.Equal(r.mayBeLost(now), []string{"lost"})
+}
+
+func TestFewPausesOrFirstEventsPointToNobody(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	r := newRunning()
+	for range pausedTogether - 1 {
+		r.drafts[draftOn(now, pausedAfter, "a")] = struct{}{}
+	}
+	waiting := draftOn(now, time.Second, "a")
+	waiting.isWaiting = true
+	r.drafts[waiting] = struct{}{}
+	is.Equal(r.mayBeLost(now), nil)
+}
+
+func TestReachedServersAreNotTriedAgainAtOnce(t *testing.T) {
+	is := is.New(t)
+	p := &probes{reached: make(map[string]time.Time)}
+	now := time.Unix(1000, 0)
+	is.Equal(p.due(now, []string{"a", "b"}), []string{"a", "b"})
+	is.Equal(p.due(now.Add(probeFreshFor/2), []string{"a", "c"}), []string{"c"})
+	is.Equal(p.due(now.Add(probeFreshFor), []string{"a", "c"}), []string{"a"})
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -95,6 +95,16 @@
 	return resp, nil
 }
 
+// Reach opens a connection to an address and closes it again.
+func (c *Client) Reach(ctx context.Context, address string) error {
+	c.OnDial()
+	cn, err := dial(ctx, address)
+	if err != nil {
+		return eris.Wrapf(err, "upstream: reach %s", address)
+	}
+	return eris.Wrapf(cn.Close(), "upstream: reach %s", address)
+}
+
 func (c *Client) connect(ctx context.Context, req *Request) (*conn, error) {
 	if cn := c.pool.take(time.Now(), req.Server); cn != nil {
 		return cn, nil
--- a/upstream/exchange_test.go
+++ b/upstream/exchange_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -232,3 +233,13 @@
 	is.Equal(resp.Status, 413)
 	resp.Close()
 }
+
+func TestReachTellsARefusalFromAServerThatListens(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	c := NewClient()
+	is.NoErr(c.Reach(t.Context(), l.Addr().String()))
+	is.NoErr(l.Close())
+	is.True(errors.Is(c.Reach(t.Context(), l.Addr().String()), syscall.ECONNREFUSED))
+}
