Streams that have begun get room before new drafts; requests wait up to 0.9 s for the first document

After the kill of everything documents came 0.6 to 1.0 s after gateways started, so that a wait of 450 ms still refused 60 to 155 callers.

Ruled out: holding new drafts longer (they have another try; streams do not).

Change: a stream that has begun waits until it has paused for 1.6 s, and may use the 5% of a server's room that is kept for the answers of those that run. A request waits up to 0.9 s for the first document, at most half of its time.

--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -29,6 +29,9 @@
 	// roomWait is how long a draft waits for room: half of the shortest latency objective of
 	// known deployments for drafts, of which its first event takes about 100 ms.
 	roomWait = 250 * time.Millisecond
+	// begunWait is how long a stream that has begun may have paused while it waits for room, which
+	// it gets before new drafts. Callers leave after a pause of 2 s or more.
+	begunWait = 1600 * time.Millisecond
 	// roomPoll is the time between two looks for room.
 	roomPoll = 20 * time.Millisecond
 	// maxRoomWaiters bounds the drafts that wait for room; about as many end at one gateway
@@ -61,8 +64,9 @@
 	// avoid are the first servers that have failed this draft.
 	avoid []string
 
-	// header says that the head of the answer was written.
-	header bool
+	// header says that the head of the answer was written; isBegun says the same to the guard.
+	header  bool
+	isBegun atomic.Bool
 	// last is the id of the last event that was passed on; -1: none.
 	last int64
 	// lastAt is when that was, or when the attempt began.
@@ -133,20 +137,25 @@
 	}
 }
 
-// awaitPath returns the best path for the draft. If none has room, it waits a short while,
-// unless many wait already.
+// awaitPath returns the best path for the draft. If none has room, it waits a short while, or
+// longer with a stream that has begun; of new drafts only some wait.
 func (g *Gateway) awaitPath(ctx context.Context, d *draft) (layers.Path, bool) {
 	path, ok := g.findPath(d, layers.Part{})
 	if ok {
 		return path, true
 	}
-	defer g.waiters.Add(-1)
-	if g.waiters.Add(1) > maxRoomWaiters {
-		return nil, false
+	wait := roomWait
+	if d.header {
+		wait = begunWait - d.silence()
+	} else {
+		defer g.waiters.Add(-1)
+		if g.waiters.Add(1) > maxRoomWaiters {
+			return nil, false
+		}
 	}
 	ticker := time.NewTicker(roomPoll)
 	defer ticker.Stop()
-	end := time.NewTimer(roomWait)
+	end := time.NewTimer(wait)
 	defer end.Stop()
 	for {
 		select {
@@ -217,6 +226,7 @@
 		Home:  g.options.DataCentre,
 		Head:  head,
 		Avoid: avoid,
+		Begun: d.isBegun.Load(),
 		PipeWait: func(from, to string) time.Duration {
 			return g.pipes.wait(now, from, to)
 		},
@@ -359,6 +369,7 @@
 	}
 	w.WriteHeader(resp.Status)
 	d.header = true
+	d.isBegun.Store(true)
 }
 
 // passed notes that an event was passed on.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,10 +37,10 @@
 	idleTimeout   = 30 * time.Second
 	// noRouteRetry is when a caller may come back to an instance that knows no routes yet.
 	noRouteRetry = 500 * time.Millisecond
-	// tableWait is how long a request waits for the first routing document: a new instance gets
-	// it within 0.4 s when all instances were started anew. It is under the shortest time
-	// limit of known deployments (600 ms). tablePoll is the time between two looks for it.
-	tableWait = 450 * time.Millisecond
+	// tableWait is how long a request waits for the first routing document, at most half of its
+	// time: a new instance gets it within 0.6 to 1.0 s when all instances were started anew.
+	// tablePoll is the time between two looks for it.
+	tableWait = 900 * time.Millisecond
 	tablePoll = 10 * time.Millisecond
 	// housekeeping is the time between two sweeps of idle connections and of servers that failed.
 	housekeeping = 100 * time.Millisecond
@@ -324,7 +324,7 @@
 // admit finds the route, the workspace and the service, and reads the body.
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request) (*job, *refusal) {
 	j := &job{call: g.options.Dialect.ReadCall(r.Header), request: r, arrived: time.Now()}
-	v := g.awaitTable(r.Context())
+	v := g.awaitTable(r.Context(), j.call.TimeLeft)
 	if v.table == nil {
 		return j, &refusal{http.StatusServiceUnavailable, "no routing document is known yet", noRouteRetry}
 	}
@@ -353,13 +353,18 @@
 	return j, g.readBody(w, j, v.table.Limits.BodyBytes)
 }
 
-// awaitTable returns the view, once it has a routing document if one comes soon.
-func (g *Gateway) awaitTable(ctx context.Context) *view {
+// awaitTable returns the view, once it has a routing document if one comes soon. timeLeft is what
+// the caller has; 0: not stated.
+func (g *Gateway) awaitTable(ctx context.Context, timeLeft time.Duration) *view {
 	v := g.view.Load()
 	if v.table != nil {
 		return v
 	}
-	ctx, cancel := context.WithTimeout(ctx, tableWait)
+	wait := tableWait
+	if timeLeft > 0 {
+		wait = min(wait, timeLeft/2)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	ticker := time.NewTicker(tablePoll)
 	defer ticker.Stop()
--- a/layers/path.go
+++ b/layers/path.go
@@ -136,6 +136,9 @@
 	Home string
 	// Head, if its ID is not empty, must be the first part.
 	Head Part
+	// Begun drafts have events at their callers already; they get the room that is kept free
+	// for the answers of those that run.
+	Begun bool
 	// Avoid tells which servers are left out.
 	Avoid func(id string) bool
 	// PipeWait tells how long a transfer between two data centres waits for those before it;
@@ -220,7 +223,7 @@
 		if at == 0 && q.Head.ID != "" && s.bounds[end] != q.Head.To {
 			continue
 		}
-		cost := before + s.run(h, s.bounds[end]-s.bounds[at], q.Draft)
+		cost := before + s.run(h, s.bounds[end]-s.bounds[at], q)
 		if i := end*width + centre; cost < best[i].cost {
 			best[i] = step{cost: cost, holder: holder, from: from}
 		}
@@ -229,7 +232,8 @@
 
 // run is the time that a draft spends in layers of a holder and adds to the others there, in
 // ms. It is infinite if the holder has no room.
-func (s *Search) run(h *Holder, layers int, d Draft) float64 {
+func (s *Search) run(h *Holder, layers int, q *Query) float64 {
+	d := q.Draft
 	a := s.engine.Accelerators[h.Accelerator]
 	share := float64(layers) / float64(s.engine.Layers)
 	read := 0.0
@@ -240,7 +244,10 @@
 	write := d.AnswerTokens * a.Pace * (s.engine.StepMS + crowding*perDraft*float64(h.Drafts))
 	room := Capacity(s.engine, h)
 	used := h.Used + (d.PromptTokens+keptFree*d.AnswerTokens)*float64(layers)
-	if room <= 0 || used > fullBelow*room {
+	if !q.Begun {
+		room *= fullBelow
+	}
+	if room <= 0 || used > room {
 		return math.Inf(1)
 	}
 	return share*(read+write) + hopMS*d.AnswerTokens
--- a/layers/path_test.go
+++ b/layers/path_test.go
@@ -131,6 +131,18 @@
 	is.True(!ok)
 }
 
+func TestStreamsThatHaveBegunGetTheLastRoom(t *testing.T) {
+	is := is.New(t)
+	e := mixedEngine()
+	s := NewSearch(e, holdersOf(threeDataCentres()))
+	s.Update(func(h *Holder) { h.Used = (fullBelow - 0.01) * Capacity(e, h) })
+	small := Draft{PromptTokens: 1500, AnswerTokens: 220}
+	_, _, ok := s.Find(Query{Draft: small, Home: "a", Avoid: nobody})
+	is.True(!ok)
+	_, _, ok = s.Find(Query{Draft: small, Home: "a", Avoid: nobody, Begun: true})
+	is.True(ok)
+}
+
 func TestAHeadTakesAtMostItsSlots(t *testing.T) {
 	is := is.New(t)
 	e := mixedEngine()
