A silent server that can't be reached is left out, also by gateways that never lost a draft to it

Silent servers are used unless a gateway has found them dead, since their way to the controllers alone may be cut, and the gateways that had found them dead were started anew. The head's refusal, which names the dead server, left it out for 150 ms only.

Ruled out: leaving out every silent server (a data centre that is cut off would serve nobody).

Change: when a refusal names a server that nobody hears, the gateway tries to reach it; one that can't be reached is left out until it is heard, and told to the controllers, which replace it.

--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -290,7 +290,7 @@
 	}
 	defer resp.Close()
 	if a.NotRun {
-		return d.rejected(resp.Status, a)
+		return d.rejected(ctx, resp.Status, a)
 	}
 	if f := g.judge(d.job, head.ID, resp, a); f != nil {
 		d.avoid = append(d.avoid, head.ID)
@@ -302,10 +302,12 @@
 	return g.passStream(d, w, resp)
 }
 
-// rejected notes which server of the path could not take its part.
-func (d *draft) rejected(status int, a Answer) *failure {
+// rejected notes which server of the path could not take its part. One that nobody hears may
+// have died before this instance was started: it is tried.
+func (d *draft) rejected(ctx context.Context, status int, a Answer) *failure {
 	g := d.gateway
-	fault := g.view.Load().byAddress[a.Fault]
+	v := g.view.Load()
+	fault := v.byAddress[a.Fault]
 	if fault == "" {
 		fault = d.currentPath()[0].ID
 	}
@@ -313,6 +315,9 @@
 	if status == http.StatusMisdirectedRequest {
 		leftOut = staleFor
 	}
+	if v.isSilent(fault) {
+		g.probe(ctx, time.Now(), []string{fault})
+	}
 	g.faults.refused(time.Now(), fault, leftOut)
 	return &failure{reason: fmt.Sprintf("%s did not take its part (status %d)", fault, status)}
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/balsamlb/balsamlb/discovery"
 	"github.com/matryer/is"
 )
 
@@ -442,3 +443,43 @@
 	close(goOn)
 	is.Equal((<-results).body, event(1)+event(2))
 }
+
+// A server that died before this instance was started is silent, and no draft of this instance
+// was lost to it: the first server's refusal is the only sign. It must not be tried for ever.
+func TestSilentServerThatCannotBeReachedIsLeftOut(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.publish()
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	dead := closed.Addr().String()
+	is.NoErr(closed.Close())
+	var refused atomic.Int64
+	f.serve("e1", "advice", 0, 2, func(c net.Conn, r *http.Request) {
+		if strings.Contains(r.Header.Get("Balsamlb-Hop-Count"), dead) {
+			refused.Add(1)
+			notRun(c, http.StatusServiceUnavailable, dead)
+			return
+		}
+		streamHead(c)
+		chunk(c, event(1))
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+	})
+	f.mesh.Heard(time.Now(), discovery.Announcement{
+		ID: "e2", Incarnation: 1, Sequence: 1, Service: "advice", Address: dead, DataCentre: "a",
+		State: discovery.StateReady, Accelerator: "card", HasLayers: true, LayersFrom: 2, LayersTo: 4,
+	})
+	f.serve("e3", "advice", 2, 4, reset)
+	later := time.Now().Add(time.Hour)
+	is.Equal(len(f.mesh.Expire(later, later)), 3)
+	send := func() {
+		is.Equal(f.send(http.MethodPost, "/advice/1", nil, strings.NewReader("x")).status, http.StatusOK)
+	}
+	f.until(func() bool { // until the gateway knows all three
+		send()
+		return refused.Load() > 0
+	})
+	time.Sleep(200 * time.Millisecond) // longer than a server is left out that has no room
+	send()
+	is.Equal(refused.Load(), int64(1))
+}
--- a/gateway/pauses.go
+++ b/gateway/pauses.go
@@ -126,7 +126,7 @@
 		}
 		eg.Go(func() error {
 			if err := g.reach(ctx, a); err != nil && ctx.Err() == nil {
-				g.noteDead(id, "can't be reached while drafts pause: "+err.Error())
+				g.noteDead(id, "can't be reached: "+err.Error())
 			}
 			return nil
 		})
