A draft leaves a first server only with a retry to go on elsewhere

Change: the retry is taken from the budget before the attempt ends; without one the draft stays and is looked at again.

--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -267,6 +267,7 @@
 		f.reason = path[0].ID + " gives no sign of life"
 	case errors.Is(cause, errNoWayAround):
 		f.reason = "no path leads on from " + path[0].ID
+		f.err = errAllowed
 	}
 	return f
 }
--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -90,7 +90,7 @@
 func (g *Gateway) guardDraft(ctx context.Context, d *draft, giveUp context.CancelCauseFunc) *guard {
 	gd := &guard{
 		gateway: g, draft: d, ctx: ctx, giveUp: giveUp,
-		mayRestart: d.route.MayRepeat() && d.attempts+1 < d.route.MaxAttempts,
+		mayRestart: d.route.MayRepeat() && d.attempts+1 < d.route.MaxAttempts && d.sends+1 < maxSends,
 		timer:      time.NewTimer(firstStallAfter),
 		nudges:     make(chan struct{}, 1),
 		done:       make(chan struct{}),
@@ -224,9 +224,11 @@
 	g, d := gd.gateway, gd.draft
 	path, ok := g.findPath(d, layers.Part{})
 	isElsewhere := ok && path[0].ID != head.ID
+	// Paid for before the attempt ends: without a retry it may still find a way around later.
+	isRestarted := isElsewhere && gd.mayRestart && g.allowRetry(d.job)
 	g.options.Log.Info("found no way around for a draft", "request", d.call.ID, "path", describe(d.currentPath()),
-		"silent_ms", d.silence().Milliseconds(), "elsewhere", isElsewhere, "may_restart", gd.mayRestart)
-	if isElsewhere && gd.mayRestart {
+		"silent_ms", d.silence().Milliseconds(), "elsewhere", isElsewhere, "restarted", isRestarted)
+	if isRestarted {
 		gd.giveUp(errNoWayAround)
 	}
 }
