--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -32,8 +32,10 @@
 	// begunWait is how long a stream that has begun may have paused while it waits for room, which
 	// it gets before new drafts. Callers leave after a pause of 2 s or more.
 	begunWait = 1600 * time.Millisecond
-	// roomPoll is the time between two looks for room.
-	roomPoll = 20 * time.Millisecond
+	// roomPoll is the time between two looks for room. Streams that have begun look less often:
+	// after the loss of a data centre's last copy all of them wait.
+	roomPoll  = 20 * time.Millisecond
+	begunPoll = 100 * time.Millisecond
 	// maxRoomWaiters bounds the drafts that wait for room; about as many end at one gateway
 	// within roomWait.
 	maxRoomWaiters = 6
@@ -64,8 +66,7 @@
 	// avoid are the first servers that have failed this draft.
 	avoid []string
 
-	// header says that the head of the answer was written; isBegun says the same to the guard.
-	header  bool
+	// isBegun says that the head of the answer was written.
 	isBegun atomic.Bool
 	// last is the id of the last event that was passed on; -1: none.
 	last int64
@@ -144,16 +145,19 @@
 	if ok {
 		return path, true
 	}
-	wait := roomWait
-	if d.header {
-		wait = begunWait - d.silence()
-	} else {
-		defer g.waiters.Add(-1)
-		if g.waiters.Add(1) > maxRoomWaiters {
-			return nil, false
-		}
+	if d.isBegun.Load() {
+		return g.pollPath(ctx, d, begunPoll, begunWait-d.silence())
+	}
+	defer g.waiters.Add(-1)
+	if g.waiters.Add(1) > maxRoomWaiters {
+		return nil, false
 	}
-	ticker := time.NewTicker(roomPoll)
+	return g.pollPath(ctx, d, roomPoll, roomWait)
+}
+
+// pollPath looks for a path at an interval until the wait is over.
+func (g *Gateway) pollPath(ctx context.Context, d *draft, interval, wait time.Duration) (layers.Path, bool) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	end := time.NewTimer(wait)
 	defer end.Stop()
@@ -188,7 +192,7 @@
 // endDraft tells the caller that the draft has failed: by a status, or by breaking off the
 // stream, so that it doesn't look complete.
 func (g *Gateway) endDraft(ctx context.Context, w http.ResponseWriter, d *draft, f *failure) {
-	if d.header {
+	if d.isBegun.Load() {
 		g.ended(d.job, 0, "broke off the stream: "+f.reason)
 		panic(http.ErrAbortHandler)
 	}
@@ -276,7 +280,7 @@
 func (g *Gateway) runDraft(ctx context.Context, w http.ResponseWriter, d *draft, path layers.Path) *failure {
 	head := path[0]
 	lastEvent := ""
-	if d.header && d.last >= 0 {
+	if d.isBegun.Load() && d.last >= 0 {
 		lastEvent = strconv.FormatInt(d.last, 10)
 		g.metrics.Resumes.WithLabelValues().Inc()
 	}
@@ -325,7 +329,7 @@
 
 // passOther passes on an answer that is not a stream.
 func (g *Gateway) passOther(d *draft, w http.ResponseWriter, resp *upstream.Response) *failure {
-	if d.header {
+	if d.isBegun.Load() {
 		return &failure{reason: "the stream did not go on: status " + strconv.Itoa(resp.Status), ran: true}
 	}
 	if err := g.pass(w, d.job, resp); err != nil {
@@ -367,14 +371,13 @@
 // writeHead begins the answer, with the head of the first server that sent an event. Until
 // then a failure can be told by its status.
 func (d *draft) writeHead(w http.ResponseWriter, resp *upstream.Response) {
-	if d.header {
+	if d.isBegun.Load() {
 		return
 	}
 	for name, values := range passedOn(resp.Header) {
 		w.Header()[name] = values
 	}
 	w.WriteHeader(resp.Status)
-	d.header = true
 	d.isBegun.Store(true)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,11 +37,6 @@
 	idleTimeout   = 30 * time.Second
 	// noRouteRetry is when a caller may come back to an instance that knows no routes yet.
 	noRouteRetry = 500 * time.Millisecond
-	// tableWait is how long a request waits for the first routing document, at most half of its
-	// time: a new instance gets it within 0.6 to 1.0 s when all instances were started anew.
-	// tablePoll is the time between two looks for it.
-	tableWait = 900 * time.Millisecond
-	tablePoll = 10 * time.Millisecond
 	// housekeeping is the time between two sweeps of idle connections and of servers that failed.
 	housekeeping = 100 * time.Millisecond
 )
@@ -104,7 +99,7 @@
 		running: newRunning(),
 		pipes:   &pipes{pipes: layers.NewPipes()},
 		stalls:  newStalls(o.Orders.Stalled),
-		probes:  &probes{reached: make(map[string]time.Time)},
+		probes:  &probes{tried: make(map[string]time.Time)},
 		metrics: metrics.NewGateway(o.Registry),
 		rng:     rand.New(rand.NewPCG(o.Seed, 1)),
 		health:  retry.NewHealth(),
@@ -353,32 +348,6 @@
 	return j, g.readBody(w, j, v.table.Limits.BodyBytes)
 }
 
-// awaitTable returns the view, once it has a routing document if one comes soon. timeLeft is what
-// the caller has; 0: not stated.
-func (g *Gateway) awaitTable(ctx context.Context, timeLeft time.Duration) *view {
-	v := g.view.Load()
-	if v.table != nil {
-		return v
-	}
-	wait := tableWait
-	if timeLeft > 0 {
-		wait = min(wait, timeLeft/2)
-	}
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
-	ticker := time.NewTicker(tablePoll)
-	defer ticker.Stop()
-	for v.table == nil {
-		select {
-		case <-ctx.Done():
-			return v
-		case <-ticker.C:
-			v = g.view.Load()
-		}
-	}
-	return v
-}
-
 func (g *Gateway) readBody(w http.ResponseWriter, j *job, limit int) *refusal {
 	if limit <= 0 {
 		limit = defaultBodyBytes
--- a/gateway/pauses.go
+++ b/gateway/pauses.go
@@ -24,9 +24,10 @@
 	// wait for prompts of others.
 	pausedTogether = 3
 	// probeTimeout bounds one attempt to reach a server, which takes about 2 ms. A lost packet
-	// looks the same, so that a second attempt decides.
+	// looks the same as a lost server, so that probeTries decide.
 	probeTimeout = 30 * time.Millisecond
-	// probeFreshFor is for how long a server that was reached is not tried again.
+	probeTries   = 2
+	// probeFreshFor is for how long a server is not tried again.
 	probeFreshFor = 300 * time.Millisecond
 )
 
@@ -51,8 +52,7 @@
 func (r *running) mayBeLost(now time.Time) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var paused []*draft
-	var flowing []*draft
+	var paused, flowing []*draft
 	for d := range r.drafts {
 		switch silence, isWriting := d.progress(now); {
 		case isWriting && silence >= pausedAfter:
@@ -90,25 +90,25 @@
 	return now.Sub(d.lastAt), !d.isWaiting
 }
 
-// probes remembers which servers were reached lately.
+// probes remembers when servers were tried.
 type probes struct {
-	mu      sync.Mutex
-	reached map[string]time.Time
+	mu    sync.Mutex
+	tried map[string]time.Time
 }
 
 // due leaves out the servers that were tried lately, and notes the others as tried.
 func (p *probes) due(now time.Time, ids []string) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id, at := range p.reached {
+	for id, at := range p.tried {
 		if now.Sub(at) >= probeFreshFor {
-			delete(p.reached, id)
+			delete(p.tried, id)
 		}
 	}
 	var out []string
 	for _, id := range ids {
-		if _, ok := p.reached[id]; !ok {
-			p.reached[id] = now
+		if _, ok := p.tried[id]; !ok {
+			p.tried[id] = now
 			out = append(out, id)
 		}
 	}
@@ -134,9 +134,10 @@
 	_ = eg.Wait() // the probes return no errors
 }
 
+// reach opens a connection to a server. A refusal is sure at once.
 func (g *Gateway) reach(ctx context.Context, a *discovery.Announcement) error {
 	var err error
-	for range 2 {
+	for range probeTries {
 		tryCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 		err = g.client.Reach(tryCtx, a.Address)
 		cancel()
--- a/gateway/pauses_test.go
+++ b/gateway/pauses_test.go
@@ -44,7 +44,7 @@
 
 func TestReachedServersAreNotTriedAgainAtOnce(t *testing.T) {
 	is := is.New(t)
-	p := &probes{reached: make(map[string]time.Time)}
+	p := &probes{tried: make(map[string]time.Time)}
 	now := time.Unix(1000, 0)
 	is.Equal(p.due(now, []string{"a", "b"}), []string{"a", "b"})
 	is.Equal(p.due(now.Add(probeFreshFor/2), []string{"a", "c"}), []string{"c"})
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -126,12 +126,16 @@
 	is.Equal(b.Gateways, uint32(3))
 }
 
+// expirer returns a function that expires servers some time after now, with a silence of 3 s.
+func expirer(m *Mesh, now time.Time) func(after time.Duration) []string {
+	return func(after time.Duration) []string { return m.Expire(now.Add(after), now.Add(after-3*time.Second)) }
+}
+
 func TestServerIsSilentOnceTheOnlyControlInstanceThatHeardItIsLost(t *testing.T) {
 	is := is.New(t)
 	m := newTestMesh(t, "10.0.0.5:7")
 	now := time.Unix(1000, 0)
-	silence := 3 * time.Second
-	expire := func(after time.Duration) []string { return m.Expire(now.Add(after), now.Add(after-silence)) }
+	expire := expirer(m, now)
 	heard := &wire.WatchBeat{Servers: []*wire.AnnouncedServer{{Id: "a", Sequence: 4, Address: "1", State: uint32(discovery.StateReady), HeardBy: "10.0.0.6:7"}}}
 	m.received("10.0.0.6:7", heard)
 	m.received("10.0.0.7:7", heard)
@@ -146,8 +150,7 @@
 	is := is.New(t)
 	m := newTestMesh(t, "10.0.0.5:7")
 	now := time.Unix(1000, 0)
-	silence := 3 * time.Second
-	expire := func(after time.Duration) []string { return m.Expire(now.Add(after), now.Add(after-silence)) }
+	expire := expirer(m, now)
 	server := &wire.AnnouncedServer{Id: "a", Sequence: 4, Address: "1", State: uint32(discovery.StateReady), HeardBy: "10.0.0.6:7"}
 	m.received("10.0.0.6:7", &wire.WatchBeat{Servers: []*wire.AnnouncedServer{server}})
 	m.received("10.0.0.7:7", &wire.WatchBeat{})
@@ -162,8 +165,7 @@
 	is := is.New(t)
 	m := newTestMesh(t, "10.0.0.5:7")
 	now := time.Unix(1000, 0)
-	silence := 3 * time.Second
-	expire := func(after time.Duration) []string { return m.Expire(now.Add(after), now.Add(after-silence)) }
+	expire := expirer(m, now)
 	m.received("10.0.0.6:7", &wire.WatchBeat{Servers: []*wire.AnnouncedServer{
 		{Id: "a", Sequence: 4, Address: "1", State: uint32(discovery.StateReady), HeardBy: "10.0.0.5:7"},
 		{Id: "b", Sequence: 4, Address: "2", State: uint32(discovery.StateReady), HeardBy: "10.0.0.5:7"},
