A probe that took longer than it may says nothing about the server

Cause: found by reading. Ruled out: longer probes, which would notice losses after drafts are late. Change: a try that took over 45 ms ends the probe without a verdict. Tested with a paused process in virtual time; the test fails without the change.

--- a/gateway/pauses.go
+++ b/gateway/pauses.go
@@ -8,7 +8,6 @@
 	"syscall"
 	"time"
 
-	"github.com/balsamlb/balsamlb/discovery"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -27,6 +26,8 @@
 	// looks the same as a lost server, so that probeTries decide.
 	probeTimeout = 30 * time.Millisecond
 	probeTries   = 2
+	// probeDelay is by how much a timer may be late in a process that gets its processor.
+	probeDelay = 15 * time.Millisecond
 	// probeFreshFor is for how long a server is not tried again.
 	probeFreshFor = 300 * time.Millisecond
 )
@@ -125,7 +126,8 @@
 			continue
 		}
 		eg.Go(func() error {
-			if err := g.reach(ctx, a); err != nil && ctx.Err() == nil {
+			err := reach(ctx, func(ctx context.Context) error { return g.client.Reach(ctx, a.Address) })
+			if err != nil && ctx.Err() == nil {
 				g.noteDead(id, "can't be reached: "+err.Error())
 			}
 			return nil
@@ -134,16 +136,21 @@
 	_ = eg.Wait() // the probes return no errors
 }
 
-// reach opens a connection to a server. A refusal is sure at once.
-func (g *Gateway) reach(ctx context.Context, a *discovery.Announcement) error {
+// reach tries to open a connection to a server. A refusal is sure at once. A try that took longer
+// than it may shows that this process did not run meanwhile, and nothing of the server.
+func reach(ctx context.Context, open func(ctx context.Context) error) error {
 	var err error
 	for range probeTries {
+		began := time.Now()
 		tryCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-		err = g.client.Reach(tryCtx, a.Address)
+		err = open(tryCtx)
 		cancel()
 		if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
 			return err
 		}
+		if time.Since(began) > probeTimeout+probeDelay {
+			return nil
+		}
 	}
 	return err
 }
--- a/gateway/pauses_test.go
+++ b/gateway/pauses_test.go
@@ -1,7 +1,11 @@
 package gateway
 
 import (
+	"context"
+	"fmt"
+	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/balsamlb/balsamlb/layers"
@@ -50,3 +54,34 @@
 	is.Equal(p.due(now.Add(probeFreshFor/2), []string{"a", "c"}), []string{"c"})
 	is.Equal(p.due(now.Add(probeFreshFor), []string{"a", "c"}), []string{"a"})
 }
+
+func TestProbeIsSureOnlyOfRefusalsAndOfSilenceWhileItRan(t *testing.T) {
+	refused := fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
+	for _, c := range []struct {
+		name   string
+		open   func(ctx context.Context) error
+		isLost bool
+		tries  int
+	}{
+		{"refused", func(context.Context) error { return refused }, true, 1},
+		{"reached", func(context.Context) error { return nil }, false, 1},
+		{"no answer", func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }, true, probeTries},
+		{"this process stood still", func(ctx context.Context) error {
+			time.Sleep(100 * time.Millisecond)
+			return ctx.Err()
+		}, false, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				tries := 0
+				err := reach(t.Context(), func(ctx context.Context) error {
+					tries++
+					return c.open(ctx)
+				})
+				is.Equal(err != nil, c.isLost)
+				is.Equal(tries, c.tries)
+			})
+		})
+	}
+}
