Tests of the gateway: servers are known before requests come

The test allowed for that with 503 only.

Ruled out: the product (with one server known, 502 is the right answer after a lost answer).

Change: servers announce themselves before the document is published; the view that knows the document knows them.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -102,9 +102,9 @@
 func TestWhatMayNotBeRepeatedIsSentOnceAfterALostAnswer(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t)
-	f.publish()
 	f.serve("d1", "desk", 0, 0, reset)
 	f.serve("d2", "desk", 0, 0, reset)
+	f.publish() // the gateway knows the servers once it knows the document
 	var r result
 	f.until(func() bool {
 		r = f.send(http.MethodPost, "/hold/1", nil, strings.NewReader("x"))
@@ -132,7 +132,6 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			f := newFleet(t)
-			f.publish()
 			var served atomic.Int64
 			one := func(c net.Conn, r *http.Request) {
 				if served.Add(1) == 1 {
@@ -143,14 +142,8 @@
 			}
 			f.serve("d1", "desk", 0, 0, one)
 			f.serve("d2", "desk", 0, 0, one)
-			var r result
-			f.until(func() bool {
-				r = f.get("/check/1", nil)
-				return len(f.arrivals()) > 0
-			})
-			if r.status == http.StatusServiceUnavailable {
-				r = f.get("/check/1", nil) // only the first server was known then
-			}
+			f.publish() // the gateway knows both servers once it knows the document
+			r := f.get("/check/1", nil)
 			is.Equal(r.status, http.StatusOK)
 			is.Equal(r.body, "good")
 		})
@@ -178,7 +171,6 @@
 func TestStreamGoesOnAtAnotherServerAfterABreak(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t)
-	f.publish()
 	lastEvents := make(chan string, 8)
 	var served atomic.Int64
 	h := func(c net.Conn, r *http.Request) {
@@ -195,6 +187,7 @@
 	}
 	f.serve("e1", "advice", 0, 4, h)
 	f.serve("e2", "advice", 0, 4, h)
+	f.publish() // the gateway knows the servers once it knows the document
 	var r result
 	f.until(func() bool {
 		r = f.send(http.MethodPost, "/advice/1", map[string]string{"Balsamlb-Token-Counts": "10,20"}, strings.NewReader("x"))
@@ -228,7 +221,6 @@
 func TestDraftNamesItsPathAndPassesByAServerThatRefuses(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t)
-	f.publish()
 	paths := make(chan string, 8)
 	var fault atomic.Value
 	fault.Store("")
@@ -245,6 +237,7 @@
 	})
 	e2 := f.serve("e2", "advice", 2, 4, reset)
 	e3 := f.serve("e3", "advice", 2, 4, reset)
+	f.publish() // the gateway knows the servers once it knows the document
 	fault.Store(e2)
 	f.until(func() bool {
 		f.send(http.MethodPost, "/advice/1", nil, strings.NewReader("x"))
@@ -449,7 +442,6 @@
 func TestSilentServerThatCannotBeReachedIsLeftOut(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t)
-	f.publish()
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	dead := closed.Addr().String()
@@ -472,10 +464,11 @@
 	f.serve("e3", "advice", 2, 4, reset)
 	later := time.Now().Add(time.Hour)
 	is.Equal(len(f.mesh.Expire(later, later)), 3)
+	f.publish() // the gateway knows all three once it knows the document
 	send := func() {
 		is.Equal(f.send(http.MethodPost, "/advice/1", nil, strings.NewReader("x")).status, http.StatusOK)
 	}
-	f.until(func() bool { // until the gateway knows all three
+	f.until(func() bool {
 		send()
 		return refused.Load() > 0
 	})
