One loop that polls, one text for errors in log lines, one place that tells a draft's silence

Cause: read once more as a whole. The wait for the routing document and the wait for room were the same loop with a ticker, an end and a context; placement wrote out what errorText does; silence and progress read the same field.

Change: poll serves both waits, errorText the planner, and silence asks progress. Behaviour is the same.

--- a/controller/placement.go
+++ b/controller/placement.go
@@ -241,12 +241,8 @@
 	if isSent {
 		err = p.engines.Place(ctx, a.Address, o.Placement, fence, r.Orders)
 	}
-	reason := ""
-	if err != nil {
-		reason = err.Error()
-	}
 	p.log.Info("ordered layers", "server", a.ID, "data_centre", a.DataCentre, "accelerator", a.Accelerator, "from", o.From, "to", o.To,
-		"fence", fence, "orders", r.Orders, "reason", reason)
+		"fence", fence, "orders", r.Orders, "reason", errorText(err))
 	if isSent {
 		return
 	}
--- a/controller/remembered.go
+++ b/controller/remembered.go
@@ -82,6 +82,7 @@
 	return storage.WriteFile(c.options.DataFolder, serversFile, data)
 }
 
+// errorText is what a log line says of an error; "" for none.
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -156,23 +156,12 @@
 }
 
 // pollPath looks for a path at an interval until the wait is over.
-func (g *Gateway) pollPath(ctx context.Context, d *draft, interval, wait time.Duration) (layers.Path, bool) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	end := time.NewTimer(wait)
-	defer end.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil, false
-		case <-end.C:
-			return nil, false
-		case <-ticker.C:
-			if path, ok := g.findPath(d, layers.Part{}); ok {
-				return path, true
-			}
-		}
-	}
+func (g *Gateway) pollPath(ctx context.Context, d *draft, interval, wait time.Duration) (path layers.Path, ok bool) {
+	poll(ctx, interval, wait, func() bool {
+		path, ok = g.findPath(d, layers.Part{})
+		return ok
+	})
+	return path, ok
 }
 
 // errNoWholeCopy means that the servers that can be used hold no whole copy of the model.
@@ -402,9 +391,8 @@
 
 // silence returns the time since the last event, or since the attempt began.
 func (d *draft) silence() time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return time.Since(d.lastAt)
+	silence, _ := d.progress(time.Now())
+	return silence
 }
 
 // stallTime is the silence after which the path is looked at.
--- a/gateway/start.go
+++ b/gateway/start.go
@@ -24,17 +24,27 @@
 	if timeLeft > 0 {
 		wait = min(wait, timeLeft/2)
 	}
+	poll(ctx, tablePoll, wait, func() bool {
+		v = g.view.Load()
+		return v.table != nil
+	})
+	return v
+}
+
+// poll calls isDone at an interval until it holds, the wait is over or ctx ends.
+func poll(ctx context.Context, interval, wait time.Duration, isDone func() bool) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	ticker := time.NewTicker(tablePoll)
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
-	for v.table == nil {
+	for {
 		select {
 		case <-ctx.Done():
-			return v
+			return
 		case <-ticker.C:
-			v = g.view.Load()
+			if isDone() {
+				return
+			}
 		}
 	}
-	return v
 }
