gateway: log each run that a failed server takes along, with the content's fingerprint

New: "lost a run", "shares the retry reserve", balsamlb_gateway_lost_runs_total. The fingerprint covers workspace, service, method, host, target and body; NewFingerprint takes further parts and no longer allocates. No decision changed.

--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -241,8 +241,8 @@
 }
 
 // runAttempt runs the draft on a path. It returns nil once the stream is complete.
-func (g *Gateway) runAttempt(ctx context.Context, w http.ResponseWriter, d *draft, path layers.Path) *failure {
-	ctx, cancel := context.WithCancelCause(ctx)
+func (g *Gateway) runAttempt(callerCtx context.Context, w http.ResponseWriter, d *draft, path layers.Path) *failure {
+	ctx, cancel := context.WithCancelCause(callerCtx)
 	defer cancel(nil)
 	d.startAttempt(path)
 	defer d.setPath(nil)
@@ -271,6 +271,9 @@
 		f.reason = "no path leads on from " + path[0].ID
 		f.err = errRetryAllowed
 	}
+	if f.ran && callerCtx.Err() == nil {
+		g.recordLostAttempt(d, context.Cause(ctx), f.reason)
+	}
 	return f
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/balsamlb/balsamlb/layers"
 	"github.com/balsamlb/balsamlb/mesh"
 	"github.com/balsamlb/balsamlb/metrics"
+	"github.com/balsamlb/balsamlb/quarantine"
 	"github.com/balsamlb/balsamlb/retry"
 	"github.com/balsamlb/balsamlb/routing"
 	"github.com/balsamlb/balsamlb/upstream"
@@ -88,6 +89,8 @@
 	rng     *rand.Rand
 	health  *retry.Health
 	budgets *retry.Budgets
+	// budgetShares is the number of gateways that the retry reserve is divided among.
+	budgetShares int
 }
 
 // New returns a gateway; Run starts to serve callers.
@@ -239,10 +242,15 @@
 
 // updateRetryBudget sets this instance's share of the retries that all gateways may send.
 func (g *Gateway) updateRetryBudget() {
-	reserve := g.options.RetryReserve / float64(g.options.Mesh.Gateways())
+	gateways := g.options.Mesh.Gateways()
+	reserve := g.options.RetryReserve / float64(gateways)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.budgets.SetLimits(g.options.RetryRatio, reserve)
+	if gateways != g.budgetShares {
+		g.budgetShares = gateways
+		g.options.Log.Info("shares the retry reserve", "gateways", gateways, "reserve", reserve)
+	}
 }
 
 // runMaintenance periodically reports the unresponsive servers, updates the retry budget, removes
@@ -289,6 +297,9 @@
 	// mayHaveRun means that some server may have run the request. The response must then not claim
 	// that the request was not run.
 	mayHaveRun bool
+
+	fingerprintOnce sync.Once
+	content         quarantine.Fingerprint // valid once fingerprint has returned
 }
 
 // ServeHTTP serves one request.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -60,6 +60,9 @@
 		ran := !errors.Is(err, upstream.ErrNotSent)
 		if ctx.Err() == nil {
 			g.recordHealth(server.ID, false)
+			if ran {
+				g.recordLostRun(j, server.ID, err.Error())
+			}
 		}
 		return &failure{reason: "no answer of " + server.ID, ran: ran, err: err}
 	}
@@ -74,6 +77,7 @@
 	if err := g.writeResponse(w, j, resp); err != nil {
 		if ctx.Err() == nil {
 			g.recordHealth(server.ID, false)
+			g.recordLostRun(j, server.ID, err.Error())
 		}
 		return &failure{reason: "the answer of " + server.ID + " broke off", ran: true, err: err}
 	}
--- a/gateway/stall_monitor.go
+++ b/gateway/stall_monitor.go
@@ -132,8 +132,8 @@
 		return
 	}
 	v := m.gateway.view.Load()
-	isHeadUnresponsive := m.isUnresponsive(v, path[0].ID)
-	hasFault := isHeadUnresponsive || m.hasKnownFault(v, path)
+	isHeadUnresponsive := m.gateway.isUnresponsive(v, path[0].ID)
+	hasFault := isHeadUnresponsive || len(m.gateway.faultyParts(v, path)) > 0
 	wait := d.stallThreshold()
 	if hasFault {
 		wait = faultStallAfter
@@ -178,19 +178,20 @@
 }
 
 // isUnresponsive reports whether a server is unresponsive to this gateway or to several others.
-func (m *stallMonitor) isUnresponsive(v *view, id string) bool {
-	return v.unresponsive[id] || m.gateway.faults.isUnresponsive(time.Now(), id)
+func (g *Gateway) isUnresponsive(v *view, id string) bool {
+	return v.unresponsive[id] || g.faults.isUnresponsive(time.Now(), id)
 }
 
-// hasKnownFault reports whether a later server of the path is known to be unresponsive or to have
+// faultyParts returns the later servers of the path that are known to be unresponsive or to have
 // left.
-func (m *stallMonitor) hasKnownFault(v *view, path layers.Path) bool {
+func (g *Gateway) faultyParts(v *view, path layers.Path) []string {
+	var out []string
 	for _, part := range path[1:] {
-		if m.isUnresponsive(v, part.ID) || v.states[part.ID] == discovery.StateLeft {
-			return true
+		if g.isUnresponsive(v, part.ID) || v.states[part.ID] == discovery.StateLeft {
+			out = append(out, part.ID)
 		}
 	}
-	return false
+	return out
 }
 
 // reroute commands the first server to continue the draft on another path.
@@ -210,6 +211,9 @@
 		}
 		if err == nil {
 			g.metrics.Reroutes.WithLabelValues().Inc()
+			for _, id := range g.faultyParts(v, d.currentPath()) {
+				g.recordLostRun(d.job, id, "rerouted around it")
+			}
 			d.setPath(next)
 			g.options.Log.Info("rerouted a draft", "request", d.header.ID, "path", formatPath(next), "silent_ms", d.idleTime().Milliseconds())
 			return
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -18,11 +18,14 @@
 		"Paths of running drafts that were changed."}
 	gatewayResumesTotal = description{"balsamlb_gateway_resumes_total", counter, nil,
 		"Streams that went on at another server after a break."}
+	gatewayLostRunsTotal = description{"balsamlb_gateway_lost_runs_total", counter, nil,
+		"Runs of requests that ended without an answer, because a backend server or the connection to it failed."}
 )
 
 // gatewayDescriptions lists the metrics of a gateway in the order of docs/METRICS.md.
 var gatewayDescriptions = []description{
 	gatewayRequestsTotal, gatewayRequestSeconds, gatewayFirstEventSeconds, gatewayDialsTotal, gatewayReroutesTotal, gatewayResumesTotal,
+	gatewayLostRunsTotal,
 }
 
 // Histogram buckets of a gateway, in seconds. They cover the latency objectives of known
@@ -40,6 +43,7 @@
 	Dials             *prometheus.CounterVec
 	Reroutes          *prometheus.CounterVec
 	Resumes           *prometheus.CounterVec
+	LostRuns          *prometheus.CounterVec
 }
 
 // NewGateway creates and registers the metrics of a gateway. It panics if a metric is already
@@ -52,7 +56,8 @@
 		Dials:             newCounter(gatewayDialsTotal),
 		Reroutes:          newCounter(gatewayReroutesTotal),
 		Resumes:           newCounter(gatewayResumesTotal),
+		LostRuns:          newCounter(gatewayLostRunsTotal),
 	}
-	r.MustRegister(g.Requests, g.RequestSeconds, g.FirstEventSeconds, g.Dials, g.Reroutes, g.Resumes)
+	r.MustRegister(g.Requests, g.RequestSeconds, g.FirstEventSeconds, g.Dials, g.Reroutes, g.Resumes, g.LostRuns)
 	return g
 }
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -56,6 +56,7 @@
 	g.Dials.WithLabelValues().Inc()
 	g.Reroutes.WithLabelValues().Inc()
 	g.Resumes.WithLabelValues().Inc()
+	g.LostRuns.WithLabelValues().Inc()
 	families, err := r.Gather()
 	is.NoErr(err)
 	described := make(map[string]bool)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -12,7 +12,9 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"fmt"
+	"hash"
 	"slices"
+	"sync"
 	"time"
 )
 
@@ -32,16 +34,39 @@
 // Fingerprint identifies a request by its content.
 type Fingerprint uint64
 
-// NewFingerprint returns the fingerprint of a request.
-func NewFingerprint(workspace, service string, content []byte) Fingerprint {
-	h := sha256.New()
-	for _, part := range [][]byte{[]byte(workspace), []byte(service), content} {
-		var length [8]byte
-		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
-		h.Write(length[:])
-		h.Write(part)
+// NewFingerprint returns the fingerprint of a request. The content is hashed in parts, each with its
+// length, so that parts can't be shifted into each other. It does not allocate.
+func NewFingerprint(workspace, service string, body []byte, target ...string) Fingerprint {
+	h := hashers.Get().(*hasher)
+	defer hashers.Put(h)
+	h.Reset()
+	h.addString(workspace)
+	h.addString(service)
+	h.add(body)
+	for _, part := range target {
+		h.addString(part)
 	}
-	return Fingerprint(binary.LittleEndian.Uint64(h.Sum(nil)))
+	return Fingerprint(binary.LittleEndian.Uint64(h.Sum(h.buffer[:0])))
+}
+
+// hasher is a reusable hash with a buffer for the conversion of strings.
+type hasher struct {
+	hash.Hash
+	buffer []byte
+}
+
+var hashers = sync.Pool{New: func() any { return &hasher{Hash: sha256.New(), buffer: make([]byte, 0, 256)} }}
+
+func (h *hasher) add(part []byte) {
+	h.buffer = binary.LittleEndian.AppendUint64(h.buffer[:0], uint64(len(part)))
+	h.Write(h.buffer)
+	h.Write(part)
+}
+
+func (h *hasher) addString(part string) {
+	h.buffer = binary.LittleEndian.AppendUint64(h.buffer[:0], uint64(len(part)))
+	h.buffer = append(h.buffer, part...)
+	h.Write(h.buffer)
 }
 
 // Verdict states how a request may run.
