--- a/gateway/lost_runs.go
+++ b/gateway/lost_runs.go
@@ -20,7 +20,7 @@
 // it, failed.
 func (g *Gateway) recordLostRun(j *job, server, why string) {
 	g.metrics.LostRuns.WithLabelValues().Inc()
-	g.options.Log.Info("lost a run", "request", j.header.ID, "content", j.fingerprint().String(), "server", server, "reason", why, "sends", j.sends)
+	g.options.Log.Info("lost a run", "request", j.header.ID, "content", j.fingerprint().String(), "server", server, "reason", why)
 }
 
 // recordLostAttempt records the servers that a failed attempt of a draft has lost: those of its path
