gateway: guard the excluded first servers of a draft by its lock

Callers could get a path by a half-written slice. Ruled out: the monitor reading other fields (path and times are under the lock already). Now both go through methods under the lock; the slice is only appended to.

--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -63,13 +63,13 @@
 	// heldTokens is the number of tokens that the draft keeps in memory on its servers.
 	heldTokens int
 
-	// mu guards path, heldTokens, lastEventAt and awaitsFirstEvent, which change while the draft
-	// runs.
-	mu      sync.Mutex
-	path    layers.Path
-	monitor atomic.Pointer[stallMonitor]
+	// mu guards path, avoid, heldTokens, lastEventAt and awaitsFirstEvent, which change while the
+	// draft runs.
+	mu   sync.Mutex
+	path layers.Path
 	// avoid holds the first servers of the paths on which an attempt of this draft has failed.
-	avoid []string
+	avoid   []string
+	monitor atomic.Pointer[stallMonitor]
 
 	// isStarted means that the header of the response was written.
 	isStarted atomic.Bool
@@ -216,11 +216,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	g.usage.apply(s.paths, g.options.Mesh.PeerUsage())
+	avoided := d.avoidedHeads()
 	avoid := func(id string) bool {
 		if id == head.ID {
 			return false
 		}
-		return g.isExcluded(v, now, id) || slices.Contains(d.avoid, id)
+		return g.isExcluded(v, now, id) || slices.Contains(avoided, id)
 	}
 	path, _, ok := s.paths.Find(layers.Query{
 		Draft:   d.size,
@@ -291,7 +292,7 @@
 		if !wasSent && ctx.Err() == nil {
 			g.markUnresponsive(head.ID, "can't be reached")
 		}
-		d.avoid = append(d.avoid, head.ID)
+		d.avoidHead(head.ID)
 		return &failure{reason: "no answer of " + head.ID, ran: wasSent, err: err}
 	}
 	defer resp.Close()
@@ -299,7 +300,7 @@
 		return d.recordRejection(ctx, resp.Status, rh)
 	}
 	if f := g.checkResponse(d.job, head.ID, resp, rh); f != nil {
-		d.avoid = append(d.avoid, head.ID)
+		d.avoidHead(head.ID)
 		return f
 	}
 	if resp.Status != http.StatusOK || !strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
@@ -434,6 +435,20 @@
 	d.lastEventAt = time.Now()
 }
 
+// avoidHead excludes a first server from the further paths of this draft.
+func (d *draft) avoidHead(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.avoid = append(d.avoid, id)
+}
+
+// avoidedHeads returns the first servers that are excluded; it must not be modified.
+func (d *draft) avoidedHeads() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.avoid
+}
+
 // setPath moves the draft's usage from the servers of its old path to those of p. An empty path
 // ends the attempt.
 func (d *draft) setPath(p layers.Path) {
