--- a/gateway/cluster_test.go
+++ b/gateway/cluster_test.go
@@ -278,8 +278,21 @@
 // isServed reports whether the caller got a complete successful answer.
 func (r clusterReply) isServed() bool { return r.err == nil && r.status == http.StatusOK }
 
-// send sends a request with a new ID.
+// send sends a request with a new ID. It checks that a request that has run is never reported as not
+// run, and that only requests that may be repeated run twice.
 func (g *clusterGateway) send(path, body string, header ...string) clusterReply {
+	r := g.exchange(path, body, header...)
+	runs := g.cluster.fleet.runCount(r.id)
+	if r.status == http.StatusServiceUnavailable && runs > 0 {
+		g.cluster.t.Errorf("%s %q has run and was answered 503: %s", path, body, r.body)
+	}
+	if runs > 1 && (strings.HasPrefix(path, "/hold/") || strings.HasPrefix(path, "/once/")) {
+		g.cluster.t.Errorf("%s %q has run %d times", path, body, runs)
+	}
+	return r
+}
+
+func (g *clusterGateway) exchange(path, body string, header ...string) clusterReply {
 	id := fmt.Sprintf("req-%d", g.cluster.requests.Add(1))
 	r, err := http.NewRequestWithContext(g.cluster.t.Context(), http.MethodPost, g.front.URL+path, strings.NewReader(body))
 	if err != nil {
--- a/gateway/crash_fleet_test.go
+++ b/gateway/crash_fleet_test.go
@@ -60,7 +60,9 @@
 	arrivals map[string]int
 	reroutes map[string]int
 	crashes  map[string]int
-	starts   int64
+	// ran counts the runs by request ID.
+	ran    map[string]int
+	starts int64
 }
 
 // crashServer is one server, which keeps its address over restarts.
@@ -97,6 +99,7 @@
 		t: t, kind: kind, announce: func(discovery.Announcement) {},
 		servers: make(map[string]*crashServer), runs: make(map[string]*fleetRun),
 		arrivals: make(map[string]int), reroutes: make(map[string]int), crashes: make(map[string]int),
+		ran: make(map[string]int),
 	}
 	done := make(chan struct{})
 	stop := make(chan struct{})
@@ -272,6 +275,13 @@
 	return f.arrivals[body] + f.reroutes[body], f.crashes[body]
 }
 
+// runCount returns how often the request with the ID has run.
+func (f *crashFleet) runCount(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ran[id]
+}
+
 func (s *crashServer) serve(c net.Conn) {
 	s.fleet.mu.Lock()
 	s.conns[c] = struct{}{}
@@ -314,6 +324,7 @@
 func (f *crashFleet) runCall(s *crashServer, c net.Conn, r *http.Request, body string) {
 	f.mu.Lock()
 	f.arrivals[body]++
+	f.ran[r.Header.Get("Balsamlb-Request-Id")]++
 	f.mu.Unlock()
 	if strings.HasPrefix(body, crashingPrefix) {
 		f.crashBy(s.address, body)
@@ -366,6 +377,7 @@
 	id := r.Header.Get("Balsamlb-Request-Id")
 	f.mu.Lock()
 	f.arrivals[body]++
+	f.ran[id]++
 	run.ids = f.idsOf(run.path)
 	f.runs[id] = run
 	f.mu.Unlock()
--- a/gateway/crash_request_test.go
+++ b/gateway/crash_request_test.go
@@ -147,6 +147,7 @@
 	before, _ := c.fleet.count("crash 1")
 	sendToAll := func() {
 		c.settle()
+		time.Sleep(contactTime) // until then a restarted process is not bound by the rule
 		for _, g := range c.gateways {
 			g.send("/check/1", "crash 1")
 		}
@@ -201,45 +202,65 @@
 	is.True(after <= toleratedCrash+allowedRetries)
 }
 
-// Requests that share servers with a crashing one are served in the end, also if they were on the
-// same server three times in a row.
+// Guards against blaming requests that only share servers with a crashing one: they are served in the
+// end, also if they were on the same server three times in a row.
 func TestRequestsBesideCrashingOneAreServed(t *testing.T) {
-	t.Parallel()
-	c := newCluster(t, crashKind{}, 2)
-	servers := c.fleet.addAll(3, "desk", 0, 0)
-	c.settle()
-	const others = 20
-	served := make([]bool, others)
-	for range 3 {
-		var group sync.WaitGroup
-		for i := range others {
-			group.Go(func() {
-				if c.gateways[i%2].send("/hold/1", fmt.Sprint("slow ", i)).isServed() {
-					served[i] = true
-				}
-			})
-		}
-		time.Sleep(10 * step)
-		c.gateways[0].send("/hold/1", "crash 1")
-		for _, s := range servers { // the crash takes all of them along
-			s.crash()
+	for path, layers := range map[string]int{"/hold/1": 0, "/check/1": 0, "/advice/1": 4, "/once/1": 4} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, crashKind{afterFirstEvent: true}, 2)
+			service := "desk"
+			if layers > 0 {
+				service = "advice"
+			}
+			c.fleet.addAll(1, service, 0, layers)
+			c.settle()
+			served := make([]bool, 20)
+			for range 3 {
+				c.crashBesideOthers(path, served)
+			}
+			c.fleet.addAll(2, service, 0, layers)
+			c.settle()
+			for range 12 { // the crashing request comes again in the meantime
+				c.crashBesideOthers(path, served)
+			}
+			c.checkAllServed(path, served)
+			if _, crashes := c.fleet.count("crash 1"); crashes > toleratedCrash+allowedRetries {
+				t.Errorf("%d servers crashed", crashes)
+			}
+		})
+	}
+}
+
+// crashBesideOthers sends the requests that are not served yet, and while they run the crashing one.
+func (c *cluster) crashBesideOthers(path string, served []bool) {
+	var group sync.WaitGroup
+	for i := range served {
+		if served[i] {
+			continue
 		}
-		group.Wait()
-		c.settle()
+		group.Go(func() {
+			if c.gateways[i%2].send(path, fmt.Sprint("slow ", i)).isServed() {
+				served[i] = true
+			}
+		})
 	}
-	c.checkAllServed(others, served)
+	time.Sleep(10 * step)
+	c.gateways[0].send(path, "crash 1")
+	group.Wait()
+	c.settle()
 }
 
 // checkAllServed sends the requests that aren't served yet until each is.
-func (c *cluster) checkAllServed(others int, served []bool) {
+func (c *cluster) checkAllServed(path string, served []bool) {
 	c.t.Helper()
 	for range 60 {
 		left := 0
-		for i := range others {
+		for i := range served {
 			if served[i] {
 				continue
 			}
-			if c.gateways[i%len(c.gateways)].send("/hold/1", fmt.Sprint("slow ", i)).isServed() {
+			if c.gateways[i%len(c.gateways)].send(path, fmt.Sprint("slow ", i)).isServed() {
 				served[i] = true
 				continue
 			}
@@ -250,6 +271,9 @@
 		}
 	}
 	c.t.Error("some requests were never served")
+	for _, g := range c.gateways {
+		c.t.Logf("%s: %s", g.name, g.log.String())
+	}
 }
 
 // A request that meets several crashes of other causes is served.
@@ -290,13 +314,15 @@
 	}
 }
 
-// releaseKills replaces all servers by another release of their software, without draining them.
+// releaseKills replaces the servers one after the other by another release of their software, without
+// draining them.
 func releaseKills(c *cluster, servers []*crashServer) {
 	for _, s := range servers {
 		c.fleet.mu.Lock()
 		s.release += "+1"
 		c.fleet.mu.Unlock()
 		s.crash()
+		c.settle()
 	}
 }
 
--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/layers"
+	"github.com/balsamlb/balsamlb/quarantine"
 	"github.com/balsamlb/balsamlb/upstream"
 )
 
@@ -63,16 +64,20 @@
 	// heldTokens is the number of tokens that the draft keeps in memory on its servers.
 	heldTokens int
 
-	// mu guards path, avoid, heldTokens, lastEventAt and awaitsFirstEvent, which change while the
+	// mu guards path, pathEnds, avoid, heldTokens, lastEventAt and awaitsFirstEvent, which change while the
 	// draft runs.
 	mu   sync.Mutex
 	path layers.Path
+	// pathEnds are the crashes that would end the incarnations of the path's servers.
+	pathEnds []quarantine.Crash
 	// avoid holds the first servers of the paths on which an attempt of this draft has failed.
 	avoid   []string
 	monitor atomic.Pointer[stallMonitor]
 
-	// isStarted means that the header of the response was written.
-	isStarted atomic.Bool
+	// isStarted means that the header of the response was written, and isComplete that a server has
+	// sent its whole answer.
+	isStarted  atomic.Bool
+	isComplete bool
 	// lastEventID is the ID of the last event that was forwarded; -1 means none.
 	lastEventID int64
 	// lastEventAt is when the last event was forwarded, or when the attempt started.
@@ -123,7 +128,12 @@
 func (g *Gateway) serveDraft(ctx context.Context, w http.ResponseWriter, j *job) {
 	g.recordRequest(j)
 	d := g.newDraft(j)
+	defer g.isolation.end(j)
 	for {
+		if f := g.checkQuarantine(j); f != nil {
+			g.failDraft(ctx, w, d, f)
+			return
+		}
 		path, ok := g.awaitPath(ctx, d)
 		if !ok {
 			g.failDraft(ctx, w, d, g.noPathFailure(d))
@@ -133,10 +143,13 @@
 		if f == nil {
 			g.options.Log.Info("completed a draft", "request", j.header.ID, "path", formatPath(path), "tokens", d.heldTokens,
 				"events", d.events, "first_ms", d.firstMS, "longest_ms", d.longestMS, "ms", time.Since(j.arrived).Milliseconds(), "sends", j.sends)
+			if d.isComplete {
+				g.recordAnswered(j)
+			}
 			g.recordEnd(j, http.StatusOK, "")
 			return
 		}
-		if !g.mayRetry(ctx, j, f) {
+		if g.verdict(j) != quarantine.Quarantined && !g.mayRetry(ctx, j, f) {
 			g.failDraft(ctx, w, d, f)
 			return
 		}
@@ -177,6 +190,9 @@
 // noPathFailure returns the failure for a draft without a path: either too few layers of the model
 // are loaded, or no path has capacity.
 func (g *Gateway) noPathFailure(d *draft) *failure {
+	if g.verdict(d.job) == quarantine.Suspect {
+		return notIsolated(d.job)
+	}
 	v := g.view.Load()
 	now := time.Now()
 	s := v.searches[d.service.Name]
@@ -195,7 +211,7 @@
 	}
 	r := g.finalRefusal(ctx, d.job, f)
 	switch {
-	case r.status != http.StatusServiceUnavailable:
+	case r.status != http.StatusServiceUnavailable || g.retryAfterCrash(d.job, f) > 0:
 	case errors.Is(f.err, errNoCompleteCopy):
 		r.retryAfter = noCopyRetry
 	default:
@@ -206,7 +222,19 @@
 
 // findPath returns the best path for the draft and counts the traffic on the links that it uses. If
 // head names a server, head stays the first part of the path.
-func (g *Gateway) findPath(d *draft, head layers.Part) (layers.Path, bool) {
+func (g *Gateway) findPath(d *draft, head layers.Part) (path layers.Path, ok bool) {
+	if g.verdict(d.job) != quarantine.Suspect {
+		return g.searchPath(d, head, nil)
+	}
+	g.isolation.choose(d.job, func(used []string) []string {
+		path, ok = g.searchPath(d, head, used)
+		return path.IDs()
+	})
+	return path, ok
+}
+
+// searchPath is findPath for a request that may not use the given servers.
+func (g *Gateway) searchPath(d *draft, head layers.Part, excluded []string) (layers.Path, bool) {
 	v := g.view.Load()
 	s := v.searches[d.service.Name]
 	if s == nil {
@@ -221,7 +249,7 @@
 		if id == head.ID {
 			return false
 		}
-		return g.isExcluded(v, now, id) || slices.Contains(avoided, id)
+		return g.isExcluded(v, now, id) || slices.Contains(avoided, id) || slices.Contains(excluded, id)
 	}
 	path, _, ok := s.paths.Find(layers.Query{
 		Draft:   d.size,
@@ -254,13 +282,15 @@
 		cancel(nil)
 		<-monitor.done
 	}()
+	started := time.Now()
 	f := g.sendDraft(ctx, w, d, path)
 	if f == nil {
 		for _, part := range d.currentPath() {
 			g.faults.markRecovered(part.ID)
+			if d.isComplete {
+				g.recordAlive(started, part.ID, "completed a draft")
+			}
 		}
-	}
-	if f == nil {
 		return nil
 	}
 	switch cause := context.Cause(ctx); {
@@ -272,7 +302,11 @@
 		f.reason = "no path leads on from " + path[0].ID
 		f.err = errRetryAllowed
 	}
-	if f.ran && callerCtx.Err() == nil {
+	switch {
+	case !f.ran:
+	case errors.Is(callerCtx.Err(), context.Canceled):
+		g.recordAbandonedAttempt(d)
+	default:
 		g.recordLostAttempt(d, context.Cause(ctx), f.reason)
 	}
 	return f
@@ -337,6 +371,7 @@
 	if err := g.writeResponse(w, d.job, resp); err != nil {
 		return &failure{reason: "the answer broke off", ran: true, err: err}
 	}
+	d.isComplete = true
 	return nil
 }
 
@@ -348,6 +383,7 @@
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
 			d.writeHeader(w, resp)
+			d.isComplete = true
 			return nil
 		}
 		if err != nil {
@@ -425,6 +461,13 @@
 	return d.path
 }
 
+// pathCrashes returns the crashes that would end the incarnations of the path's servers.
+func (d *draft) pathCrashes() []quarantine.Crash {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pathEnds
+}
+
 // startAttempt registers the draft as running and counts it on a path.
 func (d *draft) startAttempt(p layers.Path) {
 	d.gateway.running.add(d)
@@ -455,10 +498,16 @@
 	if len(p) == 0 {
 		d.gateway.running.remove(d)
 	}
+	ends := make([]quarantine.Crash, 0, len(p))
+	v := d.gateway.view.Load()
+	for _, part := range p {
+		ends = append(ends, v.crashOf(part.ID))
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.gateway.usage.add(d.path, d.heldTokens, -1)
 	d.path = p
+	d.pathEnds = ends
 	d.gateway.usage.add(p, d.heldTokens, 1)
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -49,6 +49,7 @@
 		Priority:  j.priority,
 	})
 	j.sends++
+	started := time.Now()
 	resp, err := g.client.Do(ctx, &upstream.Request{
 		Server:  id,
 		Address: address,
@@ -70,6 +71,7 @@
 		}
 		return nil, ResponseHeader{}, err
 	}
+	g.recordAlive(started, id, "answers")
 	rh := g.options.HeaderCodec.ParseResponse(resp.Status, resp.Header)
 	if !rh.NotRun {
 		j.attempts++
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,6 +77,9 @@
 	faults       *serverFaults
 	running      *runningDrafts
 	linkTraffic  *linkTraffic
+	evidence     *mesh.CrashEvidence
+	lost         *lostRuns
+	isolation    *isolation
 	stallReports *stallReports
 	probes       *probes
 	inFlight     atomic.Int64
@@ -102,6 +105,9 @@
 		faults:       newServerFaults(),
 		running:      newRunningDrafts(),
 		linkTraffic:  &linkTraffic{links: layers.NewPipes()},
+		evidence:     o.Mesh.CrashEvidence(),
+		lost:         newLostRuns(),
+		isolation:    newIsolation(),
 		stallReports: newStallReports(o.Orders.StallingServers),
 		probes:       &probes{probedAt: make(map[string]time.Time)},
 		metrics:      metrics.NewGateway(o.Registry),
@@ -193,6 +199,7 @@
 		before, next := g.view.Load(), newView(g.options.Mesh.Snapshot())
 		g.view.Store(next)
 		g.resetRestarted(before, next)
+		g.recordEndedServers(before, next)
 		g.handleStateChanges(before, next)
 		select {
 		case <-changed:
@@ -266,6 +273,7 @@
 			g.options.Mesh.SetUnresponsive(g.listUnresponsive(now))
 			g.updateRetryBudget()
 			g.usage.removeExpired(now)
+			g.lost.removeExpired(now)
 			g.stallReports.removeExpired(now)
 			g.client.CloseExpired(now)
 		}
@@ -300,6 +308,7 @@
 
 	fingerprintOnce sync.Once
 	content         quarantine.Fingerprint // valid once fingerprint has returned
+	crashes         requestCrashes
 }
 
 // ServeHTTP serves one request.
@@ -314,6 +323,7 @@
 		g.refuse(w, j, refusal)
 		return
 	}
+	defer g.reportCrashes(j)
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
 	if j.service.Engine != nil && j.route.Kind == routing.KindStream {
--- a/gateway/lost_runs.go
+++ b/gateway/lost_runs.go
@@ -1,40 +1,315 @@
 package gateway
 
 import (
+	"context"
 	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
 
+	"github.com/balsamlb/balsamlb/discovery"
 	"github.com/balsamlb/balsamlb/quarantine"
+	"golang.org/x/sync/singleflight"
 )
 
-// fingerprint identifies the request by its content: what a backend server sees of it, except for
-// the headers. A caller that sends a request again uses a new ID, but the same content.
-func (j *job) fingerprint() quarantine.Fingerprint {
-	j.fingerprintOnce.Do(func() {
-		r := j.request
-		j.content = quarantine.NewFingerprint(j.workspace, j.service.Name, j.body, r.Method, r.Host, r.RequestURI)
+const (
+	// lostRunTTL is how long after a failed run a crash of its server is attributed to it. A server
+	// that falls silent is noticed within three announcements, and returns some seconds later.
+	lostRunTTL = 10 * time.Second
+	// maxLostRuns bounds the failed runs that are remembered; the oldest is dropped first.
+	maxLostRuns = 1024
+	// crashMemory is how long a found crash is remembered, to attribute runs that fail later and to
+	// notice that the server is alive after all.
+	crashMemory = 30 * time.Second
+	// restartNotice is the time within which a restarted server has announced itself.
+	restartNotice = 2 * time.Second
+	// maxCrashes bounds the found crashes that are remembered.
+	maxCrashes = 1024
+)
+
+// lostRun is a run whose server, or the connection to it, has failed.
+type lostRun struct {
+	job   *job
+	crash quarantine.Crash
+	at    time.Time
+}
+
+// lostRuns attributes crashes of servers to the requests that ran on them. It is safe for concurrent
+// use.
+type lostRuns struct {
+	// probing holds the probes in progress, by the server's ID.
+	probing singleflight.Group
+	// crashCount is the length of crashes, readable without the lock.
+	crashCount atomic.Int64
+
+	mu   sync.Mutex
+	runs []lostRun
+	// crashes holds the found crashes and when they were found.
+	crashes map[quarantine.Crash]time.Time
+}
+
+func newLostRuns() *lostRuns { return &lostRuns{crashes: make(map[quarantine.Crash]time.Time)} }
+
+// add records a lost run. It returns true if the crash of its server is already known; then the
+// caller has to attribute it to the run.
+func (l *lostRuns) add(r lostRun) (isCrashed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.crashes[r.crash]; ok {
+		return true
+	}
+	if len(l.runs) >= maxLostRuns {
+		l.runs = slices.Delete(l.runs, 0, 1)
+	}
+	l.runs = append(l.runs, r)
+	return false
+}
+
+// addCrash records a crash and returns the requests of the lost runs on that server. isNew is false
+// if the crash was known.
+func (l *lostRuns) addCrash(now time.Time, c quarantine.Crash) (jobs []*job, isNew bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.crashes[c]; ok || len(l.crashes) >= maxCrashes {
+		return nil, false
+	}
+	l.crashes[c] = now
+	l.crashCount.Store(int64(len(l.crashes)))
+	l.runs = slices.DeleteFunc(l.runs, func(r lostRun) bool {
+		if r.crash != c {
+			return false
+		}
+		if now.Sub(r.at) < lostRunTTL {
+			jobs = append(jobs, r.job)
+		}
+		return true
 	})
-	return j.content
+	return jobs, true
+}
+
+// removeCrash removes a crash that was found before a time, and reports whether there was one.
+func (l *lostRuns) removeCrash(before time.Time, c quarantine.Crash) bool {
+	if l.crashCount.Load() == 0 {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at, ok := l.crashes[c]
+	if !ok || !at.Before(before) {
+		return false
+	}
+	delete(l.crashes, c)
+	l.crashCount.Store(int64(len(l.crashes)))
+	return true
+}
+
+// removeExpired removes the runs and crashes that are too old to be used.
+func (l *lostRuns) removeExpired(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs = slices.DeleteFunc(l.runs, func(r lostRun) bool { return now.Sub(r.at) >= lostRunTTL })
+	for c, at := range l.crashes {
+		if now.Sub(at) >= crashMemory {
+			delete(l.crashes, c)
+		}
+	}
+	l.crashCount.Store(int64(len(l.crashes)))
 }
 
 // recordLostRun records that a server was running the request when the server, or the connection to
-// it, failed.
-func (g *Gateway) recordLostRun(j *job, server, why string) {
+// it, failed. A probe then shows whether the server has crashed. crash is the end of the incarnation
+// to which the request was sent.
+func (g *Gateway) recordLostRun(j *job, crash quarantine.Crash, why string) {
 	g.metrics.LostRuns.WithLabelValues().Inc()
-	g.options.Log.Info("lost a run", "request", j.header.ID, "content", j.fingerprint().String(), "server", server, "reason", why)
+	g.options.Log.Info("lost a run", "request", j.header.ID, "content", j.fingerprint().String(), "server", crash.Server, "reason", why)
+	if g.addLostRun(j, crash) {
+		go g.probeLost(crash)
+	}
+}
+
+// addLostRun remembers a lost run, so that a later crash of its server is attributed to it. It returns
+// false if the crash is already known.
+func (g *Gateway) addLostRun(j *job, crash quarantine.Crash) bool {
+	if g.lost.add(lostRun{job: j, crash: crash, at: time.Now()}) {
+		g.attributeCrash(j, crash)
+		return false
+	}
+	return true
 }
 
 // recordLostAttempt records the servers that a failed attempt of a draft has lost: those of its path
 // that are known to be faulty, and the first one, unless the attempt was cancelled for the sake of a
 // later one.
 func (g *Gateway) recordLostAttempt(d *draft, cause error, why string) {
-	path := d.currentPath()
-	if len(path) == 0 {
+	v := g.view.Load()
+	for i, crash := range d.pathCrashes() {
+		isLost := g.isFaulty(v, crash.Server)
+		if i == 0 {
+			isLost = !errors.Is(cause, errNoReroute) && !errors.Is(cause, errQuarantined)
+		}
+		if isLost {
+			g.recordLostRun(d.job, crash, why)
+		}
+	}
+}
+
+// recordAbandonedAttempt remembers the servers of a draft whose caller left while the draft was idle:
+// one of them may have crashed.
+func (g *Gateway) recordAbandonedAttempt(d *draft) {
+	if d.idleTime() < idleAfter {
+		return
+	}
+	for _, crash := range d.pathCrashes() {
+		g.addLostRun(d.job, crash)
+	}
+}
+
+// probeLost records a crash if no connection to the server can be opened. Probes of one server that
+// are requested at the same time are shared.
+func (g *Gateway) probeLost(crash quarantine.Crash) {
+	a := g.view.Load().servers[crash.Server]
+	if a == nil {
+		return
+	}
+	_, err, _ := g.lost.probing.Do(crash.Server, func() (any, error) {
+		return nil, reach(context.Background(), func(ctx context.Context) error { return g.client.Probe(ctx, a.Address) })
+	})
+	if err != nil {
+		g.recordCrash(crash, "can't be reached: "+err.Error())
+	}
+}
+
+// recordCrash attributes the crash of a server to the requests that it was running: those that were
+// lost, and the drafts that still run on it.
+func (g *Gateway) recordCrash(crash quarantine.Crash, why string) {
+	g.attributeCrashTo(crash, why, g.running.on(crash))
+}
+
+// recordSilence attributes the presumed crash of a server to the lost runs only, since the server may
+// still work.
+func (g *Gateway) recordSilence(crash quarantine.Crash) { g.attributeCrashTo(crash, "is silent", nil) }
+
+func (g *Gateway) attributeCrashTo(crash quarantine.Crash, why string, running []*draft) {
+	now := time.Now()
+	jobs, isNew := g.lost.addCrash(now, crash)
+	if !isNew {
+		return
+	}
+	g.evidence.AddServerCrash(now, crash)
+	for _, d := range running {
+		jobs = append(jobs, d.job)
+	}
+	g.options.Log.Info("a backend server has crashed", "server", crash.Server, "incarnation", crash.Incarnation, "why", why, "requests", len(jobs))
+	for _, j := range jobs {
+		g.attributeCrash(j, crash)
+	}
+}
+
+// withdrawCrash takes back a crash, since the server is alive.
+func (g *Gateway) withdrawCrash(crash quarantine.Crash, why string) {
+	g.withdrawCrashBefore(time.Now(), crash, why)
+}
+
+// recordAlive takes back the crash of a server that has answered a request that was sent at the given
+// time. A server that returned under the same ID announces itself within restartNotice, and the
+// gateway then knows its new incarnation.
+func (g *Gateway) recordAlive(sent time.Time, id, why string) {
+	if g.lost.crashCount.Load() > 0 {
+		g.withdrawCrashBefore(sent.Add(-restartNotice), g.view.Load().crashOf(id), why)
+	}
+}
+
+func (g *Gateway) withdrawCrashBefore(before time.Time, crash quarantine.Crash, why string) {
+	if g.lost.removeCrash(before, crash) {
+		g.options.Log.Info("a backend server has not crashed", "server", crash.Server, "incarnation", crash.Incarnation, "why", why)
+		g.evidence.VoidCrash(crash)
+	}
+}
+
+// attributeCrash records that a server crashed while it ran the request, unless the request was
+// answered since.
+func (g *Gateway) attributeCrash(j *job, crash quarantine.Crash) {
+	j.crashes.mu.Lock()
+	defer j.crashes.mu.Unlock()
+	if j.crashes.isAnswered {
+		return
+	}
+	j.crashes.hasAny = true
+	f := j.fingerprint()
+	n, isNew := g.evidence.AddContentCrash(time.Now(), f, crash)
+	if j.crashes.hasEnded {
+		g.evidence.Share(f)
+	}
+	if isNew && n > 1 {
+		g.options.Log.Info("servers crashed while they ran a content", "request", j.header.ID, "content", f.String(), "server", crash.Server,
+			"crashes", n, "verdict", g.evidence.Check(time.Now(), f).String())
+	}
+}
+
+// requestCrashes is the state of a request with regard to crashes of its servers.
+type requestCrashes struct {
+	mu sync.Mutex
+	// hasAny means that a crash was attributed to the request.
+	hasAny bool
+	// isAnswered means that a server has answered the request, and hasEnded that the gateway has
+	// ended it without such an answer.
+	isAnswered bool
+	hasEnded   bool
+}
+
+// recordAnswered records that a server has answered the request, which shows that the content doesn't
+// crash servers.
+func (g *Gateway) recordAnswered(j *job) {
+	j.crashes.mu.Lock()
+	defer j.crashes.mu.Unlock()
+	j.crashes.isAnswered = true
+	if !g.evidence.IsEmpty() && g.evidence.Absolve(j.fingerprint()) {
+		g.options.Log.Info("served a request whose servers had crashed", "request", j.header.ID, "content", j.fingerprint().String())
+	}
+}
+
+// reportCrashes reports the crashes of a request that has ended without an answer to the other
+// instances, to which its caller may send it next.
+func (g *Gateway) reportCrashes(j *job) {
+	j.crashes.mu.Lock()
+	defer j.crashes.mu.Unlock()
+	if j.crashes.isAnswered {
 		return
 	}
-	if !errors.Is(cause, errNoReroute) {
-		g.recordLostRun(d.job, path[0].ID, why)
+	j.crashes.hasEnded = true
+	if j.crashes.hasAny {
+		g.evidence.Share(j.fingerprint())
 	}
-	for _, id := range g.faultyParts(g.view.Load(), path) {
-		g.recordLostRun(d.job, id, why)
+}
+
+// recordEndedServers records the crashes and the returns of servers that the control instances
+// report.
+func (g *Gateway) recordEndedServers(before, next *view) {
+	for id, old := range before.servers {
+		crash := before.crashOf(id)
+		current := next.servers[id]
+		switch {
+		case current != nil && current.Incarnation > old.Incarnation:
+			g.recordReplacement(crash, old, current)
+		case next.states[id] == discovery.StateLeft:
+			if successor := next.servers[next.byAddress[old.Address]]; successor != nil {
+				g.recordReplacement(crash, old, successor)
+			}
+		case next.states[id] == discovery.StateSilent && old.State == discovery.StateReady:
+			g.recordSilence(crash)
+		case current != nil && current.State == discovery.StateReady && old.State == discovery.StateSilent:
+			g.withdrawCrash(crash, "announces itself again")
+		}
+	}
+}
+
+// recordReplacement records that a server was replaced without having announced that it is leaving.
+// A successor with another release of the software means that the end was planned.
+func (g *Gateway) recordReplacement(crash quarantine.Crash, old, successor *discovery.Announcement) {
+	if old.Release != successor.Release {
+		g.withdrawCrash(crash, "was replaced by release "+successor.Release)
+		return
 	}
+	g.recordCrash(crash, "was replaced by "+successor.ID)
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/discovery"
+	"github.com/balsamlb/balsamlb/quarantine"
 	"github.com/balsamlb/balsamlb/retry"
 	"github.com/balsamlb/balsamlb/upstream"
 )
@@ -25,19 +27,24 @@
 // servePlain serves a request for a plain service.
 func (g *Gateway) servePlain(ctx context.Context, w http.ResponseWriter, j *job) {
 	g.recordRequest(j)
+	defer g.isolation.end(j)
 	var tried []string
 	for {
-		server := g.pickServer(j, tried)
-		if server == nil {
-			g.refuse(w, j, g.noServerRefusal(ctx, j))
+		if f := g.checkQuarantine(j); f != nil {
+			g.refuse(w, j, g.finalRefusal(ctx, j, f))
+			return
+		}
+		server, f := g.chooseServer(j, tried)
+		if f != nil {
+			g.refuse(w, j, g.finalRefusal(ctx, j, f))
 			return
 		}
 		tried = append(tried, server.ID)
-		f := g.sendPlain(ctx, w, j, server)
+		f = g.sendPlain(ctx, w, j, server)
 		if f == nil {
 			return
 		}
-		if !g.mayRetry(ctx, j, f) {
+		if g.verdict(j) != quarantine.Quarantined && !g.mayRetry(ctx, j, f) {
 			g.refuse(w, j, g.finalRefusal(ctx, j, f))
 			return
 		}
@@ -60,9 +67,9 @@
 		ran := !errors.Is(err, upstream.ErrNotSent)
 		if ctx.Err() == nil {
 			g.recordHealth(server.ID, false)
-			if ran {
-				g.recordLostRun(j, server.ID, err.Error())
-			}
+		}
+		if ran {
+			g.recordLostCall(ctx, j, server, err)
 		}
 		return &failure{reason: "no answer of " + server.ID, ran: ran, err: err}
 	}
@@ -77,15 +84,26 @@
 	if err := g.writeResponse(w, j, resp); err != nil {
 		if ctx.Err() == nil {
 			g.recordHealth(server.ID, false)
-			g.recordLostRun(j, server.ID, err.Error())
 		}
+		g.recordLostCall(ctx, j, server, err)
 		return &failure{reason: "the answer of " + server.ID + " broke off", ran: true, err: err}
 	}
 	g.recordHealth(server.ID, resp.Status < http.StatusInternalServerError)
+	g.recordAnswered(j)
 	g.recordEnd(j, resp.Status, "")
 	return nil
 }
 
+// recordLostCall records a lost run of a plain request. If the caller left, the server is not probed.
+func (g *Gateway) recordLostCall(ctx context.Context, j *job, server *discovery.Announcement, err error) {
+	crash := quarantine.Crash{Server: server.ID, Incarnation: uint64(server.Incarnation)}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		g.addLostRun(j, crash)
+		return
+	}
+	g.recordLostRun(j, crash, err.Error())
+}
+
 // checkResponse returns a failure for a response that must not be forwarded, and for a server error
 // if the request may be retried on another server.
 func (g *Gateway) checkResponse(j *job, server string, resp *upstream.Response, rh ResponseHeader) *failure {
@@ -119,7 +137,7 @@
 // finalRefusal returns the response to the caller after the last failure.
 func (g *Gateway) finalRefusal(ctx context.Context, j *job, f *failure) *refusal {
 	if !j.mayHaveRun {
-		return &refusal{http.StatusServiceUnavailable, f.reason, busyRetry}
+		return &refusal{http.StatusServiceUnavailable, f.reason, cmp.Or(g.retryAfterCrash(j, f), busyRetry)}
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return &refusal{http.StatusGatewayTimeout, "no answer in time: " + f.reason, 0}
@@ -127,8 +145,25 @@
 	return &refusal{http.StatusBadGateway, f.reason, 0}
 }
 
-func (g *Gateway) noServerRefusal(ctx context.Context, j *job) *refusal {
-	return g.finalRefusal(ctx, j, &failure{reason: "no backend server is ready"})
+// chooseServer returns the server for the next send. A suspect gets a server without other suspects.
+func (g *Gateway) chooseServer(j *job, tried []string) (*discovery.Announcement, *failure) {
+	if g.verdict(j) != quarantine.Suspect {
+		if server := g.pickServer(j, tried); server != nil {
+			return server, nil
+		}
+		return nil, &failure{reason: "no backend server is ready"}
+	}
+	var server *discovery.Announcement
+	isChosen := g.isolation.choose(j, func(used []string) []string {
+		if server = g.pickServer(j, slices.Concat(tried, used)); server == nil {
+			return nil
+		}
+		return []string{server.ID}
+	})
+	if !isChosen {
+		return nil, notIsolated(j)
+	}
+	return server, nil
 }
 
 // pickServer returns the least utilized server that was not tried yet, or nil.
--- a/gateway/stall_monitor.go
+++ b/gateway/stall_monitor.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/balsamlb/balsamlb/discovery"
 	"github.com/balsamlb/balsamlb/layers"
+	"github.com/balsamlb/balsamlb/quarantine"
 )
 
 const (
@@ -74,6 +76,19 @@
 	return out
 }
 
+// on returns the drafts that run on the incarnation of a server that the crash ended.
+func (r *runningDrafts) on(crash quarantine.Crash) []*draft {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []*draft
+	for d := range r.drafts {
+		if slices.Contains(d.pathCrashes(), crash) {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
 // stallMonitor watches the progress of one attempt and reroutes the draft if a server of its path
 // stalls the draft.
 type stallMonitor struct {
@@ -133,7 +148,7 @@
 	}
 	v := m.gateway.view.Load()
 	isHeadUnresponsive := m.gateway.isUnresponsive(v, path[0].ID)
-	hasFault := isHeadUnresponsive || len(m.gateway.faultyParts(v, path)) > 0
+	hasFault := isHeadUnresponsive || m.gateway.hasFaultyPart(v, path)
 	wait := d.stallThreshold()
 	if hasFault {
 		wait = faultStallAfter
@@ -182,22 +197,24 @@
 	return v.unresponsive[id] || g.faults.isUnresponsive(time.Now(), id)
 }
 
-// faultyParts returns the later servers of the path that are known to be unresponsive or to have
-// left.
-func (g *Gateway) faultyParts(v *view, path layers.Path) []string {
-	var out []string
-	for _, part := range path[1:] {
-		if g.isUnresponsive(v, part.ID) || v.states[part.ID] == discovery.StateLeft {
-			out = append(out, part.ID)
-		}
-	}
-	return out
+// isFaulty reports whether a server is known to be unresponsive or to have left.
+func (g *Gateway) isFaulty(v *view, id string) bool {
+	return g.isUnresponsive(v, id) || v.states[id] == discovery.StateLeft
+}
+
+// hasFaultyPart reports whether a later server of the path is faulty.
+func (g *Gateway) hasFaultyPart(v *view, path layers.Path) bool {
+	return slices.ContainsFunc(path[1:], func(part layers.Part) bool { return g.isFaulty(v, part.ID) })
 }
 
 // reroute commands the first server to continue the draft on another path.
 func (m *stallMonitor) reroute(v *view, head layers.Part) {
 	g, d := m.gateway, m.draft
 	for range maxReroutes {
+		if g.verdict(d.job) == quarantine.Quarantined {
+			m.cancel(errQuarantined)
+			return
+		}
 		next, ok := g.findPath(d, head)
 		if !ok {
 			m.restart(head)
@@ -211,10 +228,13 @@
 		}
 		if err == nil {
 			g.metrics.Reroutes.WithLabelValues().Inc()
-			for _, id := range g.faultyParts(v, d.currentPath()) {
-				g.recordLostRun(d.job, id, "rerouted around it")
-			}
+			lost := d.pathCrashes()
 			d.setPath(next)
+			for _, crash := range lost[1:] {
+				if g.isFaulty(v, crash.Server) {
+					g.recordLostRun(d.job, crash, "rerouted around it")
+				}
+			}
 			g.options.Log.Info("rerouted a draft", "request", d.header.ID, "path", formatPath(next), "silent_ms", d.idleTime().Milliseconds())
 			return
 		}
@@ -253,6 +273,7 @@
 	}
 	g.options.Log.Info("a backend server is unresponsive", "server", id, "why", why)
 	g.options.Mesh.SetUnresponsive(g.listUnresponsive(now))
+	g.recordCrash(g.view.Load().crashOf(id), why)
 	g.checkDraftsThrough(id)
 }
 
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -6,6 +6,7 @@
 	"github.com/balsamlb/balsamlb/discovery"
 	"github.com/balsamlb/balsamlb/layers"
 	"github.com/balsamlb/balsamlb/mesh"
+	"github.com/balsamlb/balsamlb/quarantine"
 	"github.com/balsamlb/balsamlb/routing"
 )
 
@@ -19,7 +20,9 @@
 	byAddress map[string]string
 	searches  map[string]*search
 	// states holds the state of every server, including those that take no new requests.
-	states       map[string]discovery.State
+	states map[string]discovery.State
+	// incarnations holds the incarnation of every server.
+	incarnations map[string]int64
 	unresponsive map[string]bool
 	fence        uint64
 	// dataCentres is the number of data centres with servers.
@@ -41,6 +44,7 @@
 		byAddress:    make(map[string]string),
 		searches:     make(map[string]*search),
 		states:       make(map[string]discovery.State),
+		incarnations: make(map[string]int64),
 		unresponsive: s.Unresponsive,
 		fence:        s.Fence,
 	}
@@ -49,6 +53,7 @@
 	for i := range s.Servers {
 		a := &s.Servers[i]
 		v.states[a.ID] = a.State
+		v.incarnations[a.ID] = a.Incarnation
 		centres[a.DataCentre] = true
 		if a.State != discovery.StateLeft {
 			v.byAddress[a.Address] = a.ID
@@ -82,6 +87,11 @@
 // gateways.
 func (v *view) isSilent(id string) bool { return v.states[id] == discovery.StateSilent }
 
+// crashOf returns the crash that would end the current incarnation of a server.
+func (v *view) crashOf(id string) quarantine.Crash {
+	return quarantine.Crash{Server: id, Incarnation: uint64(v.incarnations[id])}
+}
+
 func (v *view) isKnown(id string) bool {
 	_, ok := v.states[id]
 	return ok
--- a/mesh/feed.go
+++ b/mesh/feed.go
@@ -10,7 +10,7 @@
 
 // NewWatchFeed returns the feed for a watcher that has sent its first request.
 func (m *Mesh) NewWatchFeed(first *wire.WatchRequest) instance.WatchFeed {
-	f := &feed{mesh: m, name: first.Name, control: first.ControlAddress}
+	f := &feed{mesh: m, name: first.Name, control: first.ControlAddress, crashes: crashReporter{evidence: m.crashes}}
 	m.mu.Lock()
 	if f.control != "" {
 		m.controlWatches[f.control]++
@@ -31,6 +31,7 @@
 	// lastUsageSent is when usage was last sent; needsNoUsage is set if the watcher declines usage.
 	lastUsageSent time.Time
 	needsNoUsage  bool
+	crashes       crashReporter
 }
 
 const (
@@ -44,11 +45,16 @@
 	remoteUsageInterval = 250 * time.Millisecond
 )
 
-// HandleRequest stores the report of the watcher. Reports of control instances are ignored.
+// HandleRequest stores the report of the watcher. Of control instances, only the crash evidence is
+// used.
 func (f *feed) HandleRequest(req *wire.WatchRequest) {
 	m := f.mesh
+	hasEvidence := m.crashes.merge(time.Now(), req.Crashes)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if hasEvidence {
+		m.broadcast()
+	}
 	if f.control != "" {
 		return
 	}
@@ -63,9 +69,11 @@
 // Next returns the heartbeat with the changes since the previous one.
 func (f *feed) Next() *wire.WatchBeat {
 	m := f.mesh
+	crashes := f.crashes.next(time.Now())
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	b := &wire.WatchBeat{
+		Crashes:        crashes,
 		RoutingVersion: m.document.Version,
 		Controls:       m.directControls(),
 		Fence:          m.fence,
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -85,8 +85,10 @@
 	peerUsage    map[string]Usage
 	localUsage   func() []Usage
 	unresponsive []string
-	// unresponsiveChanged is closed when unresponsive changes.
-	unresponsiveChanged chan struct{}
+	// crashes has its own lock.
+	crashes *CrashEvidence
+	// reportChanged is closed when unresponsive changes, or crashes has something to report.
+	reportChanged chan struct{}
 	// reportedUnresponsive holds the unresponsive servers that each control instance reports.
 	reportedUnresponsive map[string][]string
 	// reportedGateways holds the number of gateways that each control instance reports.
@@ -100,7 +102,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "mesh: create decompressor")
 	}
-	return &Mesh{
+	m := &Mesh{
 		options:              o,
 		decoder:              decoder,
 		fetches:              ring.New[string](maxPendingFetches),
@@ -117,8 +119,26 @@
 		changed:              make(chan struct{}),
 		localUsage:           func() []Usage { return nil },
 
-		unresponsiveChanged: make(chan struct{}),
-	}, nil
+		reportChanged: make(chan struct{}),
+	}
+	m.crashes = newCrashEvidence(m.wakeWatches)
+	return m, nil
+}
+
+// CrashEvidence returns the evidence about content that crashes backend servers.
+func (m *Mesh) CrashEvidence() *CrashEvidence { return m.crashes }
+
+// wakeWatches makes this instance report to the control instances at once.
+func (m *Mesh) wakeWatches() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reportAtOnce()
+}
+
+// reportAtOnce is wakeWatches for a caller that holds the lock.
+func (m *Mesh) reportAtOnce() {
+	close(m.reportChanged)
+	m.reportChanged = make(chan struct{})
 }
 
 // Changed returns a channel that is closed at the next change.
@@ -187,19 +207,24 @@
 	return expired
 }
 
-// Revision returns a number that grows with each change of the servers.
+// Revision returns a number that grows with each change of what EncodeServers encodes.
 func (m *Mesh) Revision() uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.directory.Revision()
+	return m.directory.Revision() + m.crashes.revision()
 }
 
-// EncodeServers encodes the known servers, so that RestoreServers can restore them after a restart.
+// EncodeServers encodes the known servers and the crash evidence, so that RestoreServers can restore
+// them after a restart.
 func (m *Mesh) EncodeServers() ([]byte, error) {
 	m.mu.Lock()
 	all := m.directory.All()
 	m.mu.Unlock()
 	b := &wire.WatchBeat{}
+	reporter := &crashReporter{evidence: m.crashes}
+	for !reporter.isFull {
+		b.Crashes = append(b.Crashes, reporter.next(time.Now())...)
+	}
 	for _, a := range all {
 		b.Servers = append(b.Servers, instance.AnnouncementToWire(a))
 	}
@@ -207,13 +232,15 @@
 	return data, eris.Wrap(err, "mesh: encode the servers")
 }
 
-// RestoreServers adds the servers that this instance knew before its restart, as EncodeServers
-// encoded them, and returns their number.
+// RestoreServers adds the servers and the crash evidence that this instance knew before its restart,
+// as EncodeServers encoded them, and returns the number of servers. The time between is not known,
+// so it doesn't count for the age of crashes.
 func (m *Mesh) RestoreServers(now time.Time, data []byte) (int, error) {
 	b := &wire.WatchBeat{}
 	if err := proto.Unmarshal(data, b); err != nil {
 		return 0, eris.Wrap(err, "mesh: decode the servers")
 	}
+	m.crashes.merge(now, b.Crashes)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, s := range b.Servers {
@@ -327,9 +354,10 @@
 // mergeHeartbeat merges a heartbeat of a control instance.
 func (m *Mesh) mergeHeartbeat(address string, b *wire.WatchBeat) {
 	now := time.Now()
+	// Only a control instance passes evidence on, so only there its watchers have to be woken.
+	changed := m.crashes.merge(now, b.Crashes) && m.options.ControlAddress != ""
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	changed := false
 	for _, s := range b.Servers {
 		if m.directory.Merge(now, instance.AnnouncementFromWire(s)) {
 			changed = true
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -239,7 +239,7 @@
 	heartbeat := func(centre string, drafts uint32) *wire.WatchBeat {
 		return &wire.WatchBeat{DataCentre: centre, Others: []*wire.DraftUse{{Server: "s", Drafts: drafts, TokenLayers: uint64(drafts)}}}
 	}
-	near, far := &watcher{mesh: m, address: "10.0.0.1:7"}, &watcher{mesh: m, address: "10.0.0.2:7"}
+	near, far := m.newWatcher("10.0.0.1:7"), m.newWatcher("10.0.0.2:7")
 	m.mergeHeartbeat(far.address, heartbeat("b", 9))
 	is.Equal(m.PeerUsage()["s"].Drafts, 9)
 	is.True(!far.Request().NeedsNoUsage)
--- a/mesh/usage.go
+++ b/mesh/usage.go
@@ -35,8 +35,7 @@
 		return
 	}
 	m.unresponsive = servers
-	close(m.unresponsiveChanged)
-	m.unresponsiveChanged = make(chan struct{})
+	m.reportAtOnce()
 }
 
 // Gateways returns the largest number of gateways that a control instance reports, at least 1.
--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -64,7 +64,7 @@
 	retry := minRetry
 	wasConnected := false
 	for ctx.Err() == nil {
-		w := &watcher{mesh: m, address: address}
+		w := m.newWatcher(address)
 		err := m.options.Dialer.Watch(ctx, address, w)
 		m.forgetReports(address)
 		if ctx.Err() != nil {
@@ -90,12 +90,18 @@
 	mesh       *Mesh
 	address    string
 	heartbeats int
+	crashes    crashReporter
+}
+
+func (m *Mesh) newWatcher(address string) *watcher {
+	return &watcher{mesh: m, address: address, crashes: crashReporter{evidence: m.crashes, ownOnly: true}}
 }
 
 // Request returns a message that describes this instance and its usage.
 func (w *watcher) Request() *wire.WatchRequest {
 	m := w.mesh
 	usage := m.localUsage()
+	crashes := w.crashes.next(time.Now())
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return &wire.WatchRequest{
@@ -105,6 +111,7 @@
 		Running:        usageListToWire(usage),
 		Faulty:         m.unresponsive,
 		NeedsNoUsage:   !m.acceptsUsageFrom(w.address),
+		Crashes:        crashes,
 	}
 }
 
@@ -119,11 +126,11 @@
 	return remoteUsageInterval
 }
 
-// Wake returns a channel that is closed when this instance's unresponsive servers change.
+// Wake returns a channel that is closed when this instance has something to report at once.
 func (w *watcher) Wake() <-chan struct{} {
 	w.mesh.mu.Lock()
 	defer w.mesh.mu.Unlock()
-	return w.mesh.unresponsiveChanged
+	return w.mesh.reportChanged
 }
 
 // HandleHeartbeat merges a heartbeat.
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -18,6 +18,8 @@
 		"Paths of running drafts that were changed."}
 	gatewayResumesTotal = description{"balsamlb_gateway_resumes_total", counter, nil,
 		"Streams that went on at another server after a break."}
+	gatewayQuarantinedTotal = description{"balsamlb_gateway_quarantined_total", counter, nil,
+		"Requests that were not sent, or not sent again, because their content crashes backend servers."}
 	gatewayLostRunsTotal = description{"balsamlb_gateway_lost_runs_total", counter, nil,
 		"Runs of requests that ended without an answer, because a backend server or the connection to it failed."}
 )
@@ -25,7 +27,7 @@
 // gatewayDescriptions lists the metrics of a gateway in the order of docs/METRICS.md.
 var gatewayDescriptions = []description{
 	gatewayRequestsTotal, gatewayRequestSeconds, gatewayFirstEventSeconds, gatewayDialsTotal, gatewayReroutesTotal, gatewayResumesTotal,
-	gatewayLostRunsTotal,
+	gatewayLostRunsTotal, gatewayQuarantinedTotal,
 }
 
 // Histogram buckets of a gateway, in seconds. They cover the latency objectives of known
@@ -44,6 +46,7 @@
 	Reroutes          *prometheus.CounterVec
 	Resumes           *prometheus.CounterVec
 	LostRuns          *prometheus.CounterVec
+	Quarantined       *prometheus.CounterVec
 }
 
 // NewGateway creates and registers the metrics of a gateway. It panics if a metric is already
@@ -57,7 +60,8 @@
 		Reroutes:          newCounter(gatewayReroutesTotal),
 		Resumes:           newCounter(gatewayResumesTotal),
 		LostRuns:          newCounter(gatewayLostRunsTotal),
+		Quarantined:       newCounter(gatewayQuarantinedTotal),
 	}
-	r.MustRegister(g.Requests, g.RequestSeconds, g.FirstEventSeconds, g.Dials, g.Reroutes, g.Resumes, g.LostRuns)
+	r.MustRegister(g.Requests, g.RequestSeconds, g.FirstEventSeconds, g.Dials, g.Reroutes, g.Resumes, g.LostRuns, g.Quarantined)
 	return g
 }
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -57,6 +57,7 @@
 	g.Reroutes.WithLabelValues().Inc()
 	g.Resumes.WithLabelValues().Inc()
 	g.LostRuns.WithLabelValues().Inc()
+	g.Quarantined.WithLabelValues().Inc()
 	families, err := r.Gather()
 	is.NoErr(err)
 	described := make(map[string]bool)
--- /dev/null
+++ b/quarantine/evidence.go
@@ -0,0 +1,427 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// suspectCrashes is the number of unexplained crashes that make a content suspect.
+	suspectCrashes = 2
+	// quarantineCrashes is the number of unexplained crashes that put a content in quarantine, if
+	// no other suspect can explain at least one of them.
+	quarantineCrashes = 3
+	// certainCrashes is the number of unexplained crashes that put a content in quarantine in any
+	// case.
+	certainCrashes = 5
+	// commonCauseWindow is the time within which crashes of several servers are taken to have a
+	// common cause, such as a lost rack. It is longer than a server that stops announcing itself
+	// takes to be noticed.
+	commonCauseWindow = 5 * time.Second
+	// commonCauseServers is the number of further servers that must crash within the window.
+	commonCauseServers = 2
+	// maxExcused bounds the crashes of one content that a common cause can explain, so that a
+	// content that crashes servers is found also while other servers crash.
+	maxExcused = 2
+	// maxContents bounds the contents that are tracked, and maxCrashesPerContent the crashes of
+	// each. The content whose last crash is oldest is dropped first.
+	maxContents          = 2048
+	maxCrashesPerContent = 8
+	// maxServerCrashes bounds the crashes of servers that are remembered.
+	maxServerCrashes = 1024
+)
+
+// Crash identifies the unplanned end of one incarnation of a backend server.
+type Crash struct {
+	Server      string
+	Incarnation uint64
+}
+
+// ContentCrash is a crash of a server that was running a content.
+type ContentCrash struct {
+	Crash
+	At time.Time
+	// Void means that the crash no longer counts for the content: the server turned out to be
+	// alive, the content was served since, or an operator has released it.
+	Void bool
+}
+
+// ContentReport lists the crashes of servers that were running a content.
+type ContentReport struct {
+	Fingerprint Fingerprint
+	Crashes     []ContentCrash
+}
+
+// contentRecord holds the crashes that are known for a content.
+type contentRecord struct {
+	crashes   []ContentCrash
+	lastCrash time.Time
+	// isShared means that the record is reported to other instances. revision and ownRevision are
+	// the revisions of its last change, and of its last change by this instance.
+	isShared    bool
+	revision    uint64
+	ownRevision uint64
+}
+
+// serverCrash is a crash of a server, whatever it was running.
+type serverCrash struct {
+	Crash
+	at time.Time
+}
+
+// Evidence collects which content was running on servers when they crashed, and decides from it
+// which content crashes servers. Instances exchange their evidence; merging is commutative and
+// idempotent, so it doesn't matter on which ways reports arrive.
+//
+// A content is judged by the crashes that nothing else explains:
+//   - Crashes of several other servers at about the same time have a common cause.
+//   - A crash that a quarantined content was part of was caused by that content.
+//   - If several suspects share each of their crashes, either of them may be the cause. They run
+//     apart from each other from then on, and the next crash decides.
+//
+// It is not safe for concurrent use.
+type Evidence struct {
+	contents map[Fingerprint]*contentRecord
+	servers  []serverCrash // ordered by time
+	revision uint64
+}
+
+// NewEvidence returns an Evidence without crashes.
+func NewEvidence() *Evidence {
+	return &Evidence{contents: make(map[Fingerprint]*contentRecord)}
+}
+
+// Len returns the number of contents for which crashes are known.
+func (e *Evidence) Len() int { return len(e.contents) }
+
+// Revision returns a number that grows with each change that is reported to other instances.
+func (e *Evidence) Revision() uint64 { return e.revision }
+
+// AddServerCrash records that a server crashed.
+func (e *Evidence) AddServerCrash(now time.Time, c Crash) {
+	e.servers = slices.DeleteFunc(e.servers, func(s serverCrash) bool { return now.Sub(s.at) > TTL })
+	if slices.ContainsFunc(e.servers, func(s serverCrash) bool { return s.Crash == c }) {
+		return
+	}
+	if len(e.servers) >= maxServerCrashes {
+		e.servers = slices.Delete(e.servers, 0, 1)
+	}
+	e.servers = append(e.servers, serverCrash{Crash: c, at: now})
+}
+
+// AddContentCrash records that a server crashed while it ran the content, and returns the number of
+// crashes that count for the content, and whether this one is new. It reports the record to other
+// instances once a second crash counts.
+func (e *Evidence) AddContentCrash(now time.Time, f Fingerprint, c Crash) (crashes int, isNew bool) {
+	e.AddServerCrash(now, c)
+	r := e.record(now, f)
+	isNew = e.add(r, ContentCrash{Crash: c, At: now}, true)
+	crashes = r.count()
+	if crashes >= suspectCrashes {
+		e.Share(f)
+	}
+	return crashes, isNew
+}
+
+// add merges one crash into a record and reports whether the record has changed.
+func (e *Evidence) add(r *contentRecord, c ContentCrash, isOwn bool) bool {
+	i := slices.IndexFunc(r.crashes, func(x ContentCrash) bool { return x.Crash == c.Crash })
+	switch {
+	case i >= 0 && (r.crashes[i].Void || !c.Void):
+		return false
+	case i >= 0:
+		r.crashes[i].Void = true
+	case len(r.crashes) >= maxCrashesPerContent && !r.dropVoid():
+		return false
+	default:
+		r.crashes = append(r.crashes, c)
+		if c.At.After(r.lastCrash) {
+			r.lastCrash = c.At
+		}
+	}
+	e.recordChange(r, isOwn)
+	return true
+}
+
+// dropVoid removes the first crash that no longer counts. It returns false if there is none.
+func (r *contentRecord) dropVoid() bool {
+	i := slices.IndexFunc(r.crashes, func(c ContentCrash) bool { return c.Void })
+	if i < 0 {
+		return false
+	}
+	r.crashes = slices.Delete(r.crashes, i, i+1)
+	return true
+}
+
+func (e *Evidence) recordChange(r *contentRecord, isOwn bool) {
+	if !r.isShared {
+		return
+	}
+	e.revision++
+	r.revision = e.revision
+	if isOwn {
+		r.ownRevision = e.revision
+	}
+}
+
+// record returns the record of a content, and creates it if needed.
+func (e *Evidence) record(now time.Time, f Fingerprint) *contentRecord {
+	if r, ok := e.contents[f]; ok && now.Sub(r.lastCrash) < TTL {
+		return r
+	}
+	if len(e.contents) >= maxContents {
+		e.dropOldest(now)
+	}
+	r := &contentRecord{lastCrash: now}
+	e.contents[f] = r
+	return r
+}
+
+func (e *Evidence) dropOldest(now time.Time) {
+	var oldest Fingerprint
+	var at time.Time
+	for f, r := range e.contents {
+		if now.Sub(r.lastCrash) >= TTL {
+			delete(e.contents, f)
+			continue
+		}
+		if at.IsZero() || r.lastCrash.Before(at) {
+			oldest, at = f, r.lastCrash
+		}
+	}
+	if len(e.contents) >= maxContents {
+		delete(e.contents, oldest)
+	}
+}
+
+// count returns the number of crashes that count, including those with a common cause.
+func (r *contentRecord) count() int {
+	n := 0
+	for _, c := range r.crashes {
+		if !c.Void {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *contentRecord) has(c Crash) bool {
+	return slices.ContainsFunc(r.crashes, func(x ContentCrash) bool { return x.Crash == c && !x.Void })
+}
+
+// Share makes a content's record known to other instances.
+func (e *Evidence) Share(f Fingerprint) {
+	if r, ok := e.contents[f]; ok && !r.isShared {
+		r.isShared = true
+		e.recordChange(r, true)
+	}
+}
+
+// Check returns how the content may run.
+func (e *Evidence) Check(now time.Time, f Fingerprint) Verdict {
+	r, ok := e.contents[f]
+	if !ok || now.Sub(r.lastCrash) >= TTL || r.count() < suspectCrashes {
+		return Clear
+	}
+	return e.judge(now, f, r)
+}
+
+// judge decides on a content with at least suspectCrashes crashes.
+func (e *Evidence) judge(now time.Time, f Fingerprint, r *contentRecord) Verdict {
+	unexplained := e.unexplained(r)
+	if e.isGuilty(now, f, r, unexplained) {
+		return Quarantined
+	}
+	// Crashes of quarantined contents count for nobody else.
+	unexplained = slices.DeleteFunc(unexplained, func(c Crash) bool {
+		for g, other := range e.contents {
+			if g != f && other.has(c) && other.count() >= quarantineCrashes && e.isGuilty(now, g, other, e.unexplained(other)) {
+				return true
+			}
+		}
+		return false
+	})
+	if len(unexplained) >= suspectCrashes {
+		return Suspect
+	}
+	return Clear
+}
+
+// isGuilty reports whether the content itself crashes servers.
+func (e *Evidence) isGuilty(now time.Time, f Fingerprint, r *contentRecord, unexplained []Crash) bool {
+	switch {
+	case now.Sub(r.lastCrash) >= TTL || len(unexplained) < quarantineCrashes:
+		return false
+	case len(unexplained) >= certainCrashes:
+		return true
+	}
+	return slices.ContainsFunc(unexplained, func(c Crash) bool { return !e.isSharedWithSuspect(f, c) })
+}
+
+// isSharedWithSuspect reports whether another content with several crashes was part of a crash.
+func (e *Evidence) isSharedWithSuspect(f Fingerprint, c Crash) bool {
+	for g, other := range e.contents {
+		if g != f && other.has(c) && other.count() >= suspectCrashes {
+			return true
+		}
+	}
+	return false
+}
+
+// unexplained returns the crashes of a content without a common cause.
+func (e *Evidence) unexplained(r *contentRecord) []Crash {
+	var out []Crash
+	excused := 0
+	for _, c := range r.crashes {
+		switch {
+		case c.Void:
+		case excused < maxExcused && e.hasCommonCause(r, c):
+			excused++
+		default:
+			out = append(out, c.Crash)
+		}
+	}
+	return out
+}
+
+// hasCommonCause reports whether enough servers that didn't run the content crashed at about the
+// same time.
+func (e *Evidence) hasCommonCause(r *contentRecord, c ContentCrash) bool {
+	others := 0
+	for _, s := range e.servers {
+		if d := s.at.Sub(c.At); d > commonCauseWindow || d < -commonCauseWindow || r.ranOn(s.Crash) {
+			continue
+		}
+		if others++; others >= commonCauseServers {
+			return true
+		}
+	}
+	return false
+}
+
+// ranOn reports whether the content was running on the server when it crashed, whether that counts
+// or not.
+func (r *contentRecord) ranOn(c Crash) bool {
+	return slices.ContainsFunc(r.crashes, func(x ContentCrash) bool { return x.Crash == c })
+}
+
+// VoidCrash records that a server has not crashed, or that its end was planned.
+func (e *Evidence) VoidCrash(c Crash) {
+	e.servers = slices.DeleteFunc(e.servers, func(s serverCrash) bool { return s.Crash == c })
+	for _, r := range e.contents {
+		if r.has(c) {
+			e.add(r, ContentCrash{Crash: c, Void: true}, true)
+		}
+	}
+}
+
+// Absolve records that a content was served, or that an operator has released it: the crashes that
+// are known no longer count. It reports whether any crash counted before.
+func (e *Evidence) Absolve(f Fingerprint) bool {
+	r, ok := e.contents[f]
+	if !ok || r.count() == 0 {
+		return false
+	}
+	if !r.isShared {
+		delete(e.contents, f)
+		return true
+	}
+	for i := range r.crashes {
+		r.crashes[i].Void = true
+	}
+	e.recordChange(r, true)
+	return true
+}
+
+// Expires returns when the crashes of a content no longer count.
+func (e *Evidence) Expires(f Fingerprint) time.Time {
+	r, ok := e.contents[f]
+	if !ok {
+		return time.Time{}
+	}
+	return r.lastCrash.Add(TTL)
+}
+
+// Merge applies a report of another instance and reports whether anything has changed.
+func (e *Evidence) Merge(now time.Time, report ContentReport) bool {
+	changed := false
+	for _, c := range report.Crashes {
+		if now.Sub(c.At) >= TTL {
+			continue
+		}
+		if c.At.After(now) {
+			c.At = now
+		}
+		r := e.record(now, report.Fingerprint)
+		if len(r.crashes) == 0 {
+			r.lastCrash = c.At
+		}
+		if !r.isShared {
+			r.isShared = true
+			e.recordChange(r, false)
+			changed = true
+		}
+		if e.add(r, c, false) {
+			changed = true
+			if !c.Void {
+				e.AddServerCrash(c.At, c.Crash)
+			}
+		}
+	}
+	return changed
+}
+
+// Since returns up to limit shared records that have changed after a revision, in the order of
+// their changes, and the revision up to which they are complete. With ownOnly it returns those that
+// this instance has changed.
+func (e *Evidence) Since(revision uint64, ownOnly bool, limit int) ([]ContentReport, uint64) {
+	type change struct {
+		f        Fingerprint
+		revision uint64
+	}
+	var changes []change
+	for f, r := range e.contents {
+		at := r.revision
+		if ownOnly {
+			at = r.ownRevision
+		}
+		if r.isShared && at > revision {
+			changes = append(changes, change{f, at})
+		}
+	}
+	if len(changes) == 0 {
+		return nil, e.revision
+	}
+	slices.SortFunc(changes, func(a, b change) int { return cmp.Compare(a.revision, b.revision) })
+	upTo := e.revision
+	if len(changes) > limit {
+		changes = changes[:limit]
+		upTo = changes[limit-1].revision
+	}
+	out := make([]ContentReport, 0, len(changes))
+	for _, c := range changes {
+		out = append(out, ContentReport{Fingerprint: c.f, Crashes: slices.Clone(e.contents[c.f].crashes)})
+	}
+	return out, upTo
+}
+
+// List returns the suspect and the quarantined contents, ordered by fingerprint.
+func (e *Evidence) List(now time.Time) []Entry {
+	var out []Entry
+	for f, r := range e.contents {
+		v := e.Check(now, f)
+		if v == Clear {
+			continue
+		}
+		entry := Entry{Fingerprint: f, Expires: r.lastCrash.Add(TTL), Quarantined: v == Quarantined}
+		for _, c := range r.crashes {
+			if !c.Void {
+				entry.Servers = append(entry.Servers, c.Server)
+			}
+		}
+		out = append(out, entry)
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return out
+}
--- /dev/null
+++ b/quarantine/evidence_test.go
@@ -0,0 +1,316 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func crashOf(server string) Crash { return Crash{Server: server, Incarnation: 1} }
+
+// addCrash records that a server crashed while it ran the contents.
+func addCrash(e *Evidence, now time.Time, server string, contents ...Fingerprint) {
+	e.AddServerCrash(now, crashOf(server))
+	for _, f := range contents {
+		e.AddContentCrash(now, f, crashOf(server))
+	}
+}
+
+// Guards against the incident BUDGET: a content that crashed three servers is sent again.
+func TestContentIsInQuarantineAfterThreeCrashes(t *testing.T) {
+	is := is.New(t)
+	e := NewEvidence()
+	is.Equal(e.Check(at(0), 1), Clear)
+	addCrash(e, at(0), "a", 1, 2)
+	is.Equal(e.Check(at(1), 1), Clear)
+	addCrash(e, at(100), "b", 1, 3)
+	is.Equal(e.Check(at(101), 1), Suspect)
+	addCrash(e, at(200), "c", 1, 4)
+	is.Equal(e.Check(at(201), 1), Quarantined)
+	for f := Fingerprint(2); f <= 4; f++ {
+		is.Equal(e.Check(at(201), f), Clear)
+	}
+	is.Equal(e.Check(at(200).Add(TTL), 1), Clear)
+}
+
+// Contents that were part of the same crashes can't be told apart until one of them crashes a server
+// without the others.
+func TestSuspectsAreToldApartByTheNextCrash(t *testing.T) {
+	is := is.New(t)
+	e := NewEvidence()
+	contents := []Fingerprint{1, 2, 3, 4, 5}
+	for i := range 3 {
+		addCrash(e, at(100*i), fmt.Sprint("s", i), contents...)
+	}
+	for _, f := range contents {
+		is.Equal(e.Check(at(300), f), Suspect)
+	}
+	addCrash(e, at(400), "t", 3)
+	is.Equal(e.Check(at(401), 3), Quarantined)
+	for _, f := range []Fingerprint{1, 2, 4, 5} {
+		is.Equal(e.Check(at(401), f), Clear)
+	}
+}
+
+func TestCrashesWithACommonCauseAreExcused(t *testing.T) {
+	is := is.New(t)
+	e := NewEvidence()
+	for i := range 2 { // two racks, minutes apart
+		now := at(60_000 * i)
+		for s := range 4 {
+			e.AddServerCrash(now, crashOf(fmt.Sprint("rack-", i, "-", s)))
+		}
+		addCrash(e, now, fmt.Sprint("rack-", i, "-0"), 1)
+	}
+	addCrash(e, at(200_000), "single", 1)
+	is.Equal(e.Check(at(200_001), 1), Clear)
+	addCrash(e, at(300_000), "second", 1)
+	is.Equal(e.Check(at(300_001), 1), Suspect)
+}
+
+// A content that crashes servers is found also if other servers crash all the time.
+func TestCommonCauseExcusesFewCrashes(t *testing.T) {
+	is := is.New(t)
+	e := NewEvidence()
+	crashes := 0
+	for i := 0; e.Check(at(10_000*i), 1) != Quarantined; i++ {
+		for s := range 4 {
+			e.AddServerCrash(at(10_000*i), crashOf(fmt.Sprint("other-", i, "-", s)))
+		}
+		addCrash(e, at(10_000*i), fmt.Sprint("s", i), 1)
+		crashes++
+		is.True(crashes <= quarantineCrashes+maxExcused)
+	}
+}
+
+// Copies of a content that crash several servers at once don't excuse each other.
+func TestBatchOfOneContentHasNoCommonCause(t *testing.T) {
+	is := is.New(t)
+	e := NewEvidence()
+	for s := range 7 {
+		addCrash(e, at(s), fmt.Sprint("s", s), 1)
+	}
+	is.Equal(e.Check(at(10), 1), Quarantined)
+}
+
+func TestServerThatIsAliveCountsForNoContent(t *testing.T) {
+	is := is.New(t)
+	e, peer := NewEvidence(), NewEvidence()
+	for i := range 3 {
+		addCrash(e, at(i), fmt.Sprint("s", i), 1)
+	}
+	exchange(at(10), e, peer)
+	is.Equal(peer.Check(at(10), 1), Quarantined)
+	e.VoidCrash(crashOf("s0"))
+	is.Equal(e.Check(at(10), 1), Suspect)
+	exchange(at(10), e, peer)
+	is.Equal(peer.Check(at(10), 1), Suspect)
+	exchange(at(10), peer, e) // an older report doesn't bring the crash back
+	is.Equal(e.Check(at(10), 1), Suspect)
+}
+
+func TestServedOrReleasedContentIsAbsolvedEverywhere(t *testing.T) {
+	is := is.New(t)
+	e, peer := NewEvidence(), NewEvidence()
+	for i := range 3 {
+		addCrash(e, at(i), fmt.Sprint("s", i), 1)
+	}
+	exchange(at(10), e, peer)
+	is.Equal(len(peer.List(at(10))), 1)
+	is.True(peer.Absolve(1))
+	is.True(!peer.Absolve(1))
+	exchange(at(11), peer, e)
+	is.Equal(e.Check(at(11), 1), Clear)
+	for i := range 3 { // new crashes count
+		addCrash(e, at(20+i), fmt.Sprint("t", i), 1)
+	}
+	is.Equal(e.Check(at(30), 1), Quarantined)
+}
+
+// exchange reports everything that one instance knows to another.
+func exchange(now time.Time, from, to *Evidence) {
+	reports, _ := from.Since(0, false, maxContents)
+	for _, r := range reports {
+		to.Merge(now, r)
+	}
+}
+
+// A single crash is reported only if asked for: most requests that were on a crashed server are
+// served on another one.
+func TestSingleCrashIsNotReported(t *testing.T) {
+	is := is.New(t)
+	e := NewEvidence()
+	addCrash(e, at(0), "s", 1, 2)
+	reports, _ := e.Since(0, false, 10)
+	is.Equal(len(reports), 0)
+	e.Share(2)
+	reports, _ = e.Since(0, true, 10)
+	is.Equal(len(reports), 1)
+	is.Equal(reports[0].Fingerprint, Fingerprint(2))
+}
+
+func TestReportsAreBoundedAndResumed(t *testing.T) {
+	is := is.New(t)
+	e := NewEvidence()
+	for f := range 25 {
+		addCrash(e, at(f), fmt.Sprint("s", f), Fingerprint(f))
+		e.Share(Fingerprint(f))
+	}
+	var got []Fingerprint
+	revision := uint64(0)
+	for revision < e.Revision() {
+		var reports []ContentReport
+		reports, revision = e.Since(revision, false, 10)
+		is.True(len(reports) <= 10)
+		for _, r := range reports {
+			got = append(got, r.Fingerprint)
+		}
+	}
+	is.Equal(len(got), 25)
+	slices.Sort(got)
+	is.Equal(len(slices.Compact(got)), 25)
+}
+
+func TestEvidenceIsBounded(t *testing.T) {
+	is := is.New(t)
+	e := NewEvidence()
+	for f := range 10_000 {
+		addCrash(e, at(f), fmt.Sprint("s", f), Fingerprint(f))
+		if f%500 == 0 {
+			for i := range 2 * maxCrashesPerContent {
+				addCrash(e, at(f), fmt.Sprint("s", f, "-", i), Fingerprint(f))
+			}
+		}
+		is.True(e.Len() <= maxContents)
+	}
+	is.True(len(e.servers) <= maxServerCrashes)
+	for _, r := range e.contents {
+		is.True(len(r.crashes) <= maxCrashesPerContent)
+	}
+}
+
+// Evidence merges to the same verdicts, whatever the order of the reports.
+func TestInstancesAgreeAfterAnExchange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		instances := []*Evidence{NewEvidence(), NewEvidence(), NewEvidence()}
+		steps := rapid.IntRange(1, 30).Draw(t, "steps")
+		for i := range steps {
+			e := instances[rapid.IntRange(0, 2).Draw(t, "instance")]
+			f := Fingerprint(rapid.IntRange(1, 4).Draw(t, "content"))
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				e.Absolve(f)
+			case 1:
+				e.VoidCrash(crashOf(fmt.Sprint("s", rapid.IntRange(0, 9).Draw(t, "server"))))
+			case 2:
+				exchange(at(1000*i), e, instances[rapid.IntRange(0, 2).Draw(t, "peer")])
+			default:
+				addCrash(e, at(1000*i), fmt.Sprint("s", rapid.IntRange(0, 9).Draw(t, "server")), f)
+				e.Share(f)
+			}
+		}
+		now := at(1000 * steps)
+		for range 2 { // each instance has told each other what it heard
+			for _, from := range instances {
+				for _, to := range instances {
+					exchange(now, from, to)
+				}
+			}
+		}
+		for f := Fingerprint(1); f <= 4; f++ {
+			counts := make([]int, len(instances))
+			for i, e := range instances {
+				if r, ok := e.contents[f]; ok {
+					counts[i] = r.count()
+				}
+			}
+			is.Equal(counts[0], counts[1])
+			is.Equal(counts[0], counts[2])
+		}
+	})
+}
+
+// Requests share servers, one content crashes its server each time, and suspects run apart. The
+// content is found after few crashes, and all others are served.
+func TestCrashingContentIsFoundAndOthersAreServed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		e := NewEvidence()
+		const culprit = Fingerprint(0)
+		others := rapid.IntRange(1, 20).Draw(t, "others")
+		servers := rapid.IntRange(1, 8).Draw(t, "servers")
+		pending := []Fingerprint{culprit}
+		for i := range others {
+			pending = append(pending, Fingerprint(i+1))
+		}
+		crashes := 0
+		now := epoch
+		for round := range 400 {
+			now = at(10_000 * round)
+			running := make([][]Fingerprint, servers)
+			var suspectOn = make([]bool, servers)
+			for _, f := range pending {
+				verdict := e.Check(now, f)
+				s := rapid.IntRange(0, servers-1).Draw(t, "server")
+				if verdict == Quarantined || verdict == Suspect && suspectOn[s] {
+					continue
+				}
+				suspectOn[s] = suspectOn[s] || verdict == Suspect
+				running[s] = append(running[s], f)
+			}
+			for s, contents := range running {
+				crash := Crash{Server: fmt.Sprint("s", s), Incarnation: uint64(round)}
+				if slices.Contains(contents, culprit) {
+					crashes++
+					for _, f := range contents {
+						e.AddContentCrash(now, f, crash)
+					}
+					continue
+				}
+				for _, f := range contents {
+					e.Absolve(f)
+					pending = slices.DeleteFunc(pending, func(g Fingerprint) bool { return g == f })
+				}
+			}
+			if len(pending) == 1 && e.Check(now, culprit) == Quarantined {
+				break
+			}
+		}
+		is.Equal(pending, []Fingerprint{culprit})
+		is.Equal(e.Check(now, culprit), Quarantined)
+		is.True(crashes <= certainCrashes+1)
+	})
+}
+
+func TestFingerprintOfPartsIsUnambiguous(t *testing.T) {
+	is := is.New(t)
+	base := NewFingerprint("kandy", "desk", []byte("x"), "POST", "shop", "/hold/1")
+	is.Equal(NewFingerprint("kandy", "desk", []byte("x"), "POST", "shop", "/hold/1"), base)
+	for _, other := range []Fingerprint{
+		NewFingerprint("kand", "ydesk", []byte("x"), "POST", "shop", "/hold/1"),
+		NewFingerprint("kandy", "desk", []byte("xPOST"), "", "shop", "/hold/1"),
+		NewFingerprint("kandy", "desk", []byte("x"), "POST", "shop", "/hold/2"),
+		NewFingerprint("kandy", "desk", []byte("x")),
+	} {
+		is.True(other != base)
+	}
+}
+
+// BenchmarkCheckOfContentWithoutCrashes measures what a request costs whose content never crashed a
+// server, while others are known that did.
+func BenchmarkCheckOfContentWithoutCrashes(b *testing.B) {
+	e := NewEvidence()
+	addCrash(e, at(0), "s", 7)
+	body := make([]byte, 1500)
+	b.ReportAllocs()
+	for b.Loop() {
+		if e.Check(at(1), NewFingerprint("kandy", "desk", body, "POST", "shop", "/hold/1")) != Clear {
+			b.Fatal("not clear")
+		}
+	}
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -82,6 +82,18 @@
 	Quarantined
 )
 
+// String returns the name of the verdict.
+func (v Verdict) String() string {
+	switch v {
+	case Clear:
+		return "clear"
+	case Suspect:
+		return "suspect"
+	default:
+		return "quarantined"
+	}
+}
+
 // Run is one request on one server.
 type Run struct {
 	Request     string
