dispatch: keyed calls whose content crashes backend servers are held back

What callers saw: 'outcome unknown' for every send, and a server less each time. Ruled out: refusing before the ledger is asked (a send with an earlier key has to get its answer, or 'unknown'). Now the server is chosen as for idempotent calls, with isolation, and a refusal goes the way of 'no server': the ledger is only looked up, and 'not run' is told once it confirms it. Measured: TestCrashingBookingIsHeldBack failed before (third send 'interrupted', 8 crashes possible), passes now: 2 crashes; go test -race ./dispatch green.

--- a/dispatch/call_once.go
+++ b/dispatch/call_once.go
@@ -96,12 +96,13 @@
 		return reply{err: errNoQuorum()}
 	}
 	for pause := duplicatePause; ; pause = min(2*pause, maxDuplicatePause) {
-		server, chooseErr := d.chooseServer(a.Request, nil)
-		begin, err := d.begin(ctx, a, server, chooseErr != nil)
+		// The ledger is asked also without a server: the request may have run under the same key.
+		server, refusal := d.chooseForCall(ctx, a.Request, a.fingerprint(), nil)
+		begin, err := d.begin(ctx, a, server, refusal != nil)
 		if err == nil && begin.Verdict == ledger.VerdictGranted {
 			return d.dispatchOnce(ctx, a, server)
 		}
-		if chooseErr == nil {
+		if refusal == nil {
 			d.releaseServers(server.Name)
 		}
 		if err != nil {
@@ -110,7 +111,7 @@
 		}
 		switch begin.Verdict {
 		case ledger.VerdictNew:
-			return reply{err: markSettled(asOutcome(chooseErr))}
+			return reply{err: markSettled(refusal)}
 		case ledger.VerdictAbandoned:
 			return replyFromVerdict(begin) // another instance assumed that this one is down
 		}
@@ -194,9 +195,9 @@
 		}
 		d.releaseServers(server.Name)
 		d.log.Info("chosen backend server is leaving", "request", a.ID, "server", server.Name)
-		next, err := d.chooseServer(a.Request, []string{server.Name})
-		if err != nil {
-			return server, asOutcome(err)
+		next, refusal := d.chooseForCall(ctx, a.Request, a.fingerprint(), []string{server.Name})
+		if refusal != nil {
+			return server, refusal
 		}
 		begin, err := d.begin(ctx, a, next, false)
 		if err != nil || begin.Verdict != ledger.VerdictGranted {
