quarantine, dispatch: crashes with a common cause count for no request

Callers of an innocent request got 'quarantined' for 10 minutes. Cause: a crash was judged by the runs on that server only, never beside the crashes of others. Ruled out: a higher threshold (design 502 promises two crashes at most, and its tests hold that). Now the history of all server crashes, split off from Evidence, serves both; dispatch fills it from the fleet, looking at it once a second while nothing crashes. At most two crashes of a request are excused.

--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/balsamlb/balsamlb/fleet"
 	"github.com/balsamlb/balsamlb/outcome"
+	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 )
 
@@ -104,3 +105,36 @@
 	is.True(refusal == nil)
 	is.Equal(string(answer.Body), "done")
 }
+
+// Guards against quarantining a call for crashes of other causes: it is on a server of each of two
+// racks when they are lost.
+func TestCallThatMeetsLostRacksIsServed(t *testing.T) {
+	is := is.New(t)
+	var s fakeFleet
+	d := New("kandy-1", "kandy", &s, nil, noCredits{}, logr.Discard())
+	var checker crashChecker
+	now := time.Now()
+	var runs atomic.Int64
+	for rack := range 2 {
+		var servers []fleet.BackendServer
+		for i := range 4 {
+			servers = append(servers, startCrashServer(t, fmt.Sprint("rack-", rack, "-", i), "stock", &runs))
+		}
+		s.set(servers...)
+		now = now.Add(fleetCheckInterval)
+		checker.check(now, d)
+		s.set(servers[0]) // the others are lost together with the one that runs the call
+		r := stockCall(crashBody)
+		r.Deadline = time.Now().Add(300 * time.Millisecond) // there is no other server to wait for
+		_, refusal := d.Call(t.Context(), r)
+		is.True(refusal != nil)
+		checker.check(now, d)
+	}
+	is.Equal(runs.Load(), int64(2))
+	is.Equal(len(d.Quarantined()), 1)
+	is.True(!d.Quarantined()[0].Quarantined)
+	s.set(startPlainServer(t, "new", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("done")) }))
+	answer, refusal := d.Call(t.Context(), stockCall(crashBody))
+	is.True(refusal == nil)
+	is.Equal(string(answer.Body), "done")
+}
--- a/dispatch/resilience.go
+++ b/dispatch/resilience.go
@@ -26,6 +26,8 @@
 	isolationRetryInterval = 50 * time.Millisecond
 	// crashCheckInterval is how often servers that closed connections are checked for a crash.
 	crashCheckInterval = 100 * time.Millisecond
+	// fleetCheckInterval is how often the fleet is looked at while no server crashes.
+	fleetCheckInterval = time.Second
 )
 
 // Publisher sends notices to the other instances of the data centre.
@@ -219,46 +221,68 @@
 	}
 }
 
-// runCrashChecks periodically checks, until ctx ends, whether servers that closed connections have
-// crashed. A server has crashed if it has returned as another incarnation, or has lost its lease
-// without leaving.
+// runCrashChecks periodically checks, until ctx ends, whether servers have crashed. A server has
+// crashed if it has returned as another incarnation, or has lost its lease without leaving.
 func (d *Dispatcher) runCrashChecks(ctx context.Context) error {
 	ticker := time.NewTicker(crashCheckInterval)
 	defer ticker.Stop()
+	var c crashChecker
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
-			d.checkForCrashes()
+		case now := <-ticker.C:
+			c.check(now, d)
 		}
 	}
 }
 
-func (d *Dispatcher) checkForCrashes() {
+// crashChecker compares the fleet with its earlier state.
+type crashChecker struct {
+	// known holds the incarnations of the servers that accepted work at knownAt.
+	known   map[string]uint64
+	knownAt time.Time
+}
+
+// check records the servers that have crashed. Without a crash or a closed connection to explain, it
+// looks at the fleet only every fleetCheckInterval.
+func (c *crashChecker) check(now time.Time, d *Dispatcher) {
 	rs := d.resilience
 	rs.mu.Lock()
-	pending := rs.tracker.Pending(time.Now())
+	pending := rs.tracker.Pending(now)
+	isCalm := len(pending) == 0 && !rs.tracker.HasRecentCrash(now)
 	rs.mu.Unlock()
-	if len(pending) == 0 {
+	if isCalm && now.Sub(c.knownAt) < fleetCheckInterval {
 		return
 	}
 	present := make(map[string]uint64)
 	for _, s := range d.fleet.Available() {
 		present[s.Name] = s.Incarnation
 	}
-	for _, name := range d.leaving() {
+	leaving := d.leaving()
+	hasCrashed := func(server string, incarnation uint64) bool {
+		current, ok := present[server]
 		// A leaving server closes its connections without having crashed.
-		if _, ok := present[name]; !ok {
-			present[name] = 0
+		return ok && current > incarnation || !ok && !slices.Contains(leaving, server)
+	}
+	for name, incarnation := range c.known {
+		if hasCrashed(name, incarnation) {
+			rs.recordServerCrash(now, name, incarnation)
 		}
 	}
 	for _, p := range pending {
-		incarnation, ok := present[p.Server]
-		if !ok || incarnation > p.Incarnation {
+		if hasCrashed(p.Server, p.Incarnation) {
 			rs.recordCrash(p.Server, p.Incarnation)
 		}
 	}
+	c.known, c.knownAt = present, now
+}
+
+// recordServerCrash records a crash that may have a common cause with others.
+func (rs *resilience) recordServerCrash(now time.Time, server string, incarnation uint64) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	rs.tracker.AddServerCrash(now, quarantine.Crash{Server: server, Incarnation: incarnation})
 }
 
 // allowRetry reports whether the budgets allow one more try, and how long to wait before it.
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -15,29 +15,12 @@
 	// certainCrashes is the number of unexplained crashes that put a content in quarantine in any
 	// case.
 	certainCrashes = 5
-	// commonCauseWindow is the time within which crashes of several servers are taken to have a
-	// common cause, such as a lost rack. It is longer than a server that stops announcing itself
-	// takes to be noticed.
-	commonCauseWindow = 5 * time.Second
-	// commonCauseServers is the number of further servers that must crash within the window.
-	commonCauseServers = 2
-	// maxExcused bounds the crashes of one content that a common cause can explain, so that a
-	// content that crashes servers is found also while other servers crash.
-	maxExcused = 2
 	// maxContents bounds the contents that are tracked, and maxCrashesPerContent the crashes of
 	// each. The content whose last crash is oldest is dropped first.
 	maxContents          = 2048
 	maxCrashesPerContent = 8
-	// maxServerCrashes bounds the crashes of servers that are remembered.
-	maxServerCrashes = 1024
 )
 
-// Crash identifies the unplanned end of one incarnation of a backend server.
-type Crash struct {
-	Server      string
-	Incarnation uint64
-}
-
 // ContentCrash is a crash of a server that was running a content.
 type ContentCrash struct {
 	Crash
@@ -64,12 +47,6 @@
 	ownRevision uint64
 }
 
-// serverCrash is a crash of a server, whatever it was running.
-type serverCrash struct {
-	Crash
-	at time.Time
-}
-
 // Evidence collects which content was running on servers when they crashed, and decides from it
 // which content crashes servers. Instances exchange their evidence; merging is commutative and
 // idempotent, so it doesn't matter on which ways reports arrive.
@@ -83,7 +60,7 @@
 // It is not safe for concurrent use.
 type Evidence struct {
 	contents map[Fingerprint]*contentRecord
-	servers  []serverCrash // ordered by time
+	history  history
 	revision uint64
 }
 
@@ -99,16 +76,7 @@
 func (e *Evidence) Revision() uint64 { return e.revision }
 
 // AddServerCrash records that a server crashed.
-func (e *Evidence) AddServerCrash(now time.Time, c Crash) {
-	e.servers = slices.DeleteFunc(e.servers, func(s serverCrash) bool { return now.Sub(s.at) > TTL })
-	if slices.ContainsFunc(e.servers, func(s serverCrash) bool { return s.Crash == c }) {
-		return
-	}
-	if len(e.servers) >= maxServerCrashes {
-		e.servers = slices.Delete(e.servers, 0, 1)
-	}
-	e.servers = append(e.servers, serverCrash{Crash: c, at: now})
-}
+func (e *Evidence) AddServerCrash(now time.Time, c Crash) { e.history.add(now, c) }
 
 // AddContentCrash records that a server crashed while it ran the content, and returns the number of
 // crashes that count for the content, and whether this one is new. It reports the record to other
@@ -276,7 +244,7 @@
 	for _, c := range r.crashes {
 		switch {
 		case c.Void:
-		case excused < maxExcused && e.hasCommonCause(r, c):
+		case excused < maxExcused && e.history.hasCommonCause(c.At, r.ranOn):
 			excused++
 		default:
 			out = append(out, c.Crash)
@@ -285,21 +253,6 @@
 	return out
 }
 
-// hasCommonCause reports whether enough servers that didn't run the content crashed at about the
-// same time.
-func (e *Evidence) hasCommonCause(r *contentRecord, c ContentCrash) bool {
-	others := 0
-	for _, s := range e.servers {
-		if d := s.at.Sub(c.At); d > commonCauseWindow || d < -commonCauseWindow || r.ranOn(s.Crash) {
-			continue
-		}
-		if others++; others >= commonCauseServers {
-			return true
-		}
-	}
-	return false
-}
-
 // ranOn reports whether the content was running on the server when it crashed, whether that counts
 // or not.
 func (r *contentRecord) ranOn(c Crash) bool {
@@ -308,7 +261,7 @@
 
 // VoidCrash records that a server has not crashed, or that its end was planned.
 func (e *Evidence) VoidCrash(c Crash) {
-	e.servers = slices.DeleteFunc(e.servers, func(s serverCrash) bool { return s.Crash == c })
+	e.history.remove(c)
 	for _, r := range e.contents {
 		if r.has(c) {
 			e.add(r, ContentCrash{Crash: c, Void: true}, true)
--- /dev/null
+++ b/quarantine/history.go
@@ -0,0 +1,66 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// commonCauseWindow is the time within which crashes of several servers are taken to have a
+	// common cause, such as a lost rack. It is longer than a server that stops announcing itself
+	// takes to be noticed.
+	commonCauseWindow = 5 * time.Second
+	// commonCauseServers is the number of further servers that must crash within the window.
+	commonCauseServers = 2
+	// maxExcused bounds the crashes of one content that a common cause can explain, so that a
+	// content that crashes servers is found also while other servers crash.
+	maxExcused = 2
+	// maxServerCrashes bounds the crashes of servers that are remembered.
+	maxServerCrashes = 1024
+)
+
+// Crash identifies the unplanned end of one incarnation of a backend server.
+type Crash struct {
+	Server      string
+	Incarnation uint64
+}
+
+// serverCrash is a crash of a server, whatever it was running.
+type serverCrash struct {
+	Crash
+	at time.Time
+}
+
+// history holds the latest crashes of all servers.
+type history struct{ crashes []serverCrash }
+
+// add records a crash, unless it is known.
+func (h *history) add(now time.Time, c Crash) {
+	h.crashes = slices.DeleteFunc(h.crashes, func(s serverCrash) bool { return now.Sub(s.at) > TTL })
+	if slices.ContainsFunc(h.crashes, func(s serverCrash) bool { return s.Crash == c }) {
+		return
+	}
+	if len(h.crashes) >= maxServerCrashes {
+		h.crashes = slices.Delete(h.crashes, 0, 1)
+	}
+	h.crashes = append(h.crashes, serverCrash{Crash: c, at: now})
+}
+
+func (h *history) remove(c Crash) {
+	h.crashes = slices.DeleteFunc(h.crashes, func(s serverCrash) bool { return s.Crash == c })
+}
+
+// hasCommonCause reports whether enough servers that didn't run a content crashed at about the given
+// time. ranOn reports whether the content was running on a server when it crashed.
+func (h *history) hasCommonCause(at time.Time, ranOn func(Crash) bool) bool {
+	others := 0
+	for _, s := range h.crashes {
+		if d := s.at.Sub(at); d > commonCauseWindow || d < -commonCauseWindow || ranOn(s.Crash) {
+			continue
+		}
+		if others++; others >= commonCauseServers {
+			return true
+		}
+	}
+	return false
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -114,11 +114,19 @@
 
 // record holds the crashes that are attributed to one fingerprint.
 type record struct {
+	// servers are the servers that crashed, and crashedAt when that was found.
 	servers   []string
+	crashedAt []time.Time
 	lastCrash time.Time
 	expires   time.Time
 }
 
+func (r *record) add(now time.Time, server string) {
+	r.servers = append(r.servers, server)
+	r.crashedAt = append(r.crashedAt, now)
+	r.lastCrash = now
+}
+
 // Finding reports to other instances that servers crashed while they ran a request.
 type Finding struct {
 	Fingerprint Fingerprint
@@ -135,6 +143,7 @@
 	peerReservations map[string]time.Time
 	// released holds, by request, the servers whose earlier crashes no longer count.
 	released map[Fingerprint]*record
+	history  history
 }
 
 // NewTracker returns an empty tracker.
@@ -168,13 +177,34 @@
 	switch {
 	case !ok || !now.Before(r.expires):
 		return Clear
-	case len(r.servers) >= crashesToQuarantine:
+	case len(r.servers) >= crashesToQuarantine && t.unexplained(r) >= crashesToQuarantine:
 		return Quarantined
 	default:
 		return Suspect
 	}
 }
 
+// unexplained returns the number of crashes without a common cause.
+func (t *Tracker) unexplained(r *record) int {
+	ranOn := func(c Crash) bool { return slices.Contains(r.servers, c.Server) }
+	excused := 0
+	for _, at := range r.crashedAt {
+		if excused < maxExcused && t.history.hasCommonCause(at, ranOn) {
+			excused++
+		}
+	}
+	return len(r.servers) - excused
+}
+
+// HasRecentCrash reports whether a server crashed so recently that further crashes may have the same
+// cause.
+func (t *Tracker) HasRecentCrash(now time.Time) bool {
+	return slices.ContainsFunc(t.history.crashes, func(s serverCrash) bool { return now.Sub(s.at) <= commonCauseWindow })
+}
+
+// AddServerCrash records that a server crashed, whatever it was running.
+func (t *Tracker) AddServerCrash(now time.Time, c Crash) { t.history.add(now, c) }
+
 // Started records that a server was given a request.
 func (t *Tracker) Started(now time.Time, r Run) {
 	t.dropExpiredRuns(now)
@@ -219,6 +249,7 @@
 func (t *Tracker) Crashed(now time.Time, server string, incarnation uint64) []Finding {
 	var affected []*runState
 	t.dropExpiredRuns(now)
+	t.history.add(now, Crash{Server: server, Incarnation: incarnation})
 	for _, r := range t.runs {
 		if r.Server == server && r.Incarnation == incarnation && !r.crashHandled {
 			r.crashHandled = true
@@ -260,8 +291,7 @@
 	if slices.Contains(r.servers, run.Server) || (len(r.servers) > 0 && run.started.Before(r.lastCrash)) {
 		return false
 	}
-	r.servers = append(r.servers, run.Server)
-	r.lastCrash = now
+	r.add(now, run.Server)
 	r.expires = now.Add(TTL)
 	return true
 }
@@ -310,8 +340,7 @@
 		}
 		r := t.record(now, f.Fingerprint)
 		if !slices.Contains(r.servers, server) {
-			r.servers = append(r.servers, server)
-			r.lastCrash = now
+			r.add(now, server)
 		}
 		if f.Expires.After(r.expires) {
 			r.expires = f.Expires
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -211,3 +211,26 @@
 	tr.SetWaiting("a", false)
 	is.Equal(tr.Reserved(at(2), b), []string{"s-2"})
 }
+
+// Guards against quarantining a request for crashes of other causes: it runs while a rack and then a
+// data centre are lost.
+func TestRequestThatMeetsLostRacksIsNotQuarantined(t *testing.T) {
+	is := is.New(t)
+	tr := NewTracker()
+	for rack := range 2 {
+		now := 60_000 * rack
+		server := fmt.Sprint("rack-", rack, "-0")
+		tr.Started(at(now), newRun("r", 7, server))
+		crash(tr, at(now+1), server, "r")
+		for i := 1; i < 4; i++ {
+			tr.AddServerCrash(at(now+500), Crash{Server: fmt.Sprint("rack-", rack, "-", i), Incarnation: 1})
+		}
+	}
+	is.Equal(tr.Check(at(61_000), 7), Suspect)
+	tr.Started(at(120_000), newRun("r", 7, "single"))
+	crash(tr, at(120_001), "single", "r")
+	is.Equal(tr.Check(at(121_000), 7), Suspect)
+	tr.Started(at(130_000), newRun("r", 7, "second"))
+	crash(tr, at(130_001), "second", "r")
+	is.Equal(tr.Check(at(131_000), 7), Quarantined)
+}
