gateway: a server that is only unreachable counts as crashed after a delay, and not in a cut

Cause: no difference between a server that refuses connections or was replaced, and one that the network keeps away. Ruled out: a higher cap on excused crashes (a draft meets them within a second, before others show that the cut is one); counting only confirmed ones (a silent server that never returns would never count).

--- a/gateway/lost_runs.go
+++ b/gateway/lost_runs.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/balsamlb/balsamlb/discovery"
@@ -43,38 +44,50 @@
 	// crashCount is the length of crashes, readable without the lock.
 	crashCount atomic.Int64
 
-	mu   sync.Mutex
-	runs []lostRun
-	// crashes holds the found crashes and when they were found.
-	crashes map[quarantine.Crash]time.Time
+	mu      sync.Mutex
+	runs    []lostRun
+	crashes map[quarantine.Crash]foundCrash
 }
 
-func newLostRuns() *lostRuns { return &lostRuns{crashes: make(map[quarantine.Crash]time.Time)} }
+// foundCrash is a crash that this instance has found.
+type foundCrash struct {
+	at time.Time
+	// isConfirmed means that the server refused connections or was replaced.
+	isConfirmed bool
+}
+
+func newLostRuns() *lostRuns { return &lostRuns{crashes: make(map[quarantine.Crash]foundCrash)} }
 
-// add records a lost run. It returns true if the crash of its server is already known; then the
+// add records a lost run. It returns the crash of its server if that is already known; then the
 // caller has to attribute it to the run.
-func (l *lostRuns) add(r lostRun) (isCrashed bool) {
+func (l *lostRuns) add(r lostRun) (found foundCrash, isKnown bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, ok := l.crashes[r.crash]; ok {
-		return true
+	if found, isKnown = l.crashes[r.crash]; isKnown {
+		return found, true
 	}
 	if len(l.runs) >= maxLostRuns {
 		l.runs = slices.Delete(l.runs, 0, 1)
 	}
 	l.runs = append(l.runs, r)
-	return false
+	return foundCrash{}, false
 }
 
 // addCrash records a crash and returns the requests of the lost runs on that server. isNew is false
-// if the crash was known.
-func (l *lostRuns) addCrash(now time.Time, c quarantine.Crash) (jobs []*job, isNew bool) {
+// if the crash was known, and isUpgraded is true if it was known but not confirmed before.
+func (l *lostRuns) addCrash(now time.Time, c quarantine.Crash, isConfirmed bool) (jobs []*job, isNew, isUpgraded bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, ok := l.crashes[c]; ok || len(l.crashes) >= maxCrashes {
-		return nil, false
+	if found, ok := l.crashes[c]; ok {
+		isUpgraded = isConfirmed && !found.isConfirmed
+		found.isConfirmed = found.isConfirmed || isConfirmed
+		l.crashes[c] = found
+		return nil, false, isUpgraded
 	}
-	l.crashes[c] = now
+	if len(l.crashes) >= maxCrashes {
+		return nil, false, false
+	}
+	l.crashes[c] = foundCrash{at: now, isConfirmed: isConfirmed}
 	l.crashCount.Store(int64(len(l.crashes)))
 	l.runs = slices.DeleteFunc(l.runs, func(r lostRun) bool {
 		if r.crash != c {
@@ -85,7 +98,7 @@
 		}
 		return true
 	})
-	return jobs, true
+	return jobs, true, false
 }
 
 // removeCrash removes a crash that was found before a time, and reports whether there was one.
@@ -95,8 +108,8 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	at, ok := l.crashes[c]
-	if !ok || !at.Before(before) {
+	found, ok := l.crashes[c]
+	if !ok || !found.at.Before(before) {
 		return false
 	}
 	delete(l.crashes, c)
@@ -109,8 +122,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.runs = slices.DeleteFunc(l.runs, func(r lostRun) bool { return now.Sub(r.at) >= lostRunTTL })
-	for c, at := range l.crashes {
-		if now.Sub(at) >= crashMemory {
+	for c, found := range l.crashes {
+		if now.Sub(found.at) >= crashMemory {
 			delete(l.crashes, c)
 		}
 	}
@@ -129,13 +142,13 @@
 }
 
 // addLostRun remembers a lost run, so that a later crash of its server is attributed to it. It returns
-// false if the crash is already known.
-func (g *Gateway) addLostRun(j *job, crash quarantine.Crash) bool {
-	if g.lost.add(lostRun{job: j, crash: crash, at: time.Now()}) {
-		g.attributeCrash(j, crash)
-		return false
+// whether it has yet to be found out if the server has crashed.
+func (g *Gateway) addLostRun(j *job, crash quarantine.Crash) (isOpen bool) {
+	found, isKnown := g.lost.add(lostRun{job: j, crash: crash, at: time.Now()})
+	if isKnown {
+		g.attributeCrash(j, crash, found.isConfirmed)
 	}
-	return true
+	return !found.isConfirmed
 }
 
 // recordLostAttempt records the servers that a failed attempt of a draft has lost: those of its path
@@ -176,33 +189,39 @@
 		return nil, reach(context.Background(), func(ctx context.Context) error { return g.client.Probe(ctx, a.Address) })
 	})
 	if err != nil {
-		g.recordCrash(crash, "can't be reached: "+err.Error())
+		g.recordCrash(crash, "can't be reached: "+err.Error(), errors.Is(err, syscall.ECONNREFUSED))
 	}
 }
 
 // recordCrash attributes the crash of a server to the requests that it was running: those that were
 // lost, and the drafts that still run on it.
-func (g *Gateway) recordCrash(crash quarantine.Crash, why string) {
-	g.attributeCrashTo(crash, why, g.running.on(crash))
+func (g *Gateway) recordCrash(crash quarantine.Crash, why string, isConfirmed bool) {
+	g.attributeCrashTo(crash, why, isConfirmed, g.running.on(crash))
 }
 
 // recordSilence attributes the presumed crash of a server to the lost runs only, since the server may
 // still work.
-func (g *Gateway) recordSilence(crash quarantine.Crash) { g.attributeCrashTo(crash, "is silent", nil) }
+func (g *Gateway) recordSilence(crash quarantine.Crash) {
+	g.attributeCrashTo(crash, "is silent", false, nil)
+}
 
-func (g *Gateway) attributeCrashTo(crash quarantine.Crash, why string, running []*draft) {
+func (g *Gateway) attributeCrashTo(crash quarantine.Crash, why string, isConfirmed bool, running []*draft) {
 	now := time.Now()
-	jobs, isNew := g.lost.addCrash(now, crash)
-	if !isNew {
+	jobs, isNew, isUpgraded := g.lost.addCrash(now, crash, isConfirmed)
+	if !isNew && !isUpgraded {
 		return
 	}
-	g.evidence.AddServerCrash(now, crash)
 	for _, d := range running {
 		jobs = append(jobs, d.job)
 	}
-	g.options.Log.Info("a backend server has crashed", "server", crash.Server, "incarnation", crash.Incarnation, "why", why, "requests", len(jobs))
+	g.options.Log.Info("a backend server has crashed", "server", crash.Server, "incarnation", crash.Incarnation, "why", why,
+		"is_confirmed", isConfirmed, "requests", len(jobs))
+	g.evidence.AddServerCrash(now, crash)
+	if isUpgraded {
+		g.evidence.ConfirmCrash(crash)
+	}
 	for _, j := range jobs {
-		g.attributeCrash(j, crash)
+		g.attributeCrash(j, crash, isConfirmed)
 	}
 }
 
@@ -229,7 +248,7 @@
 
 // attributeCrash records that a server crashed while it ran the request, unless the request was
 // answered since.
-func (g *Gateway) attributeCrash(j *job, crash quarantine.Crash) {
+func (g *Gateway) attributeCrash(j *job, crash quarantine.Crash, isConfirmed bool) {
 	j.crashes.mu.Lock()
 	defer j.crashes.mu.Unlock()
 	if j.crashes.isAnswered {
@@ -237,7 +256,7 @@
 	}
 	j.crashes.hasAny = true
 	f := j.fingerprint()
-	n, isNew := g.evidence.AddContentCrash(time.Now(), f, crash)
+	n, isNew := g.evidence.AddContentCrash(time.Now(), f, crash, isConfirmed)
 	if j.crashes.hasEnded {
 		g.evidence.Share(f)
 	}
@@ -311,5 +330,5 @@
 		g.withdrawCrash(crash, "was replaced by release "+successor.Release)
 		return
 	}
-	g.recordCrash(crash, "was replaced by "+successor.ID)
+	g.recordCrash(crash, "was replaced by "+successor.ID, true)
 }
--- a/gateway/stall_monitor.go
+++ b/gateway/stall_monitor.go
@@ -273,7 +273,7 @@
 	}
 	g.options.Log.Info("a backend server is unresponsive", "server", id, "why", why)
 	g.options.Mesh.SetUnresponsive(g.listUnresponsive(now))
-	g.recordCrash(g.view.Load().crashOf(id), why)
+	g.recordCrash(g.view.Load().crashOf(id), why, false)
 	g.checkDraftsThrough(id)
 }
 
--- a/mesh/evidence.go
+++ b/mesh/evidence.go
@@ -62,12 +62,17 @@
 }
 
 // AddContentCrash records that a server crashed while it ran the content, and returns the number of
-// crashes that count for the content, and whether this one is new.
-func (c *CrashEvidence) AddContentCrash(now time.Time, f quarantine.Fingerprint, crash quarantine.Crash) (crashes int, isNew bool) {
-	c.update(func(e *quarantine.Evidence) { crashes, isNew = e.AddContentCrash(now, f, crash) })
+// its crashes, and whether this one is new.
+func (c *CrashEvidence) AddContentCrash(now time.Time, f quarantine.Fingerprint, crash quarantine.Crash, isConfirmed bool) (crashes int, isNew bool) {
+	c.update(func(e *quarantine.Evidence) { crashes, isNew = e.AddContentCrash(now, f, crash, isConfirmed) })
 	return crashes, isNew
 }
 
+// ConfirmCrash records that a server that was presumed to have crashed has crashed.
+func (c *CrashEvidence) ConfirmCrash(crash quarantine.Crash) {
+	c.update(func(e *quarantine.Evidence) { e.ConfirmCrash(crash) })
+}
+
 // Share makes the crashes of a content known to the other instances.
 func (c *CrashEvidence) Share(f quarantine.Fingerprint) {
 	c.update(func(e *quarantine.Evidence) { e.Share(f) })
@@ -149,7 +154,7 @@
 	out := &wire.ContentCrashes{Fingerprint: uint64(r.Fingerprint)}
 	for _, c := range r.Crashes {
 		out.Crashes = append(out.Crashes, &wire.ServerCrash{
-			Server: c.Server, Incarnation: c.Incarnation, AgeMs: uint32(max(0, now.Sub(c.At).Milliseconds())), IsVoid: c.Void,
+			Server: c.Server, Incarnation: c.Incarnation, AgeMs: uint32(max(0, now.Sub(c.At).Milliseconds())), IsVoid: c.Void, IsConfirmed: c.IsConfirmed,
 		})
 	}
 	return out
@@ -161,7 +166,9 @@
 		out.Crashes = append(out.Crashes, quarantine.ContentCrash{
 			Crash: quarantine.Crash{Server: c.Server, Incarnation: c.Incarnation},
 			At:    now.Add(-time.Duration(c.AgeMs) * time.Millisecond),
-			Void:  c.IsVoid,
+
+			IsConfirmed: c.IsConfirmed,
+			Void:        c.IsVoid,
 		})
 	}
 	return out
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -15,6 +15,9 @@
 	// certainCrashes is the number of unexplained crashes that put a content in quarantine in any
 	// case.
 	certainCrashes = 5
+	// presumedDelay is how long a server must be unreachable before its crash counts without being
+	// confirmed. If the network is at fault, other servers become unreachable in the meantime.
+	presumedDelay = 1500 * time.Millisecond
 	// maxContents bounds the contents that are tracked, and maxCrashesPerContent the crashes of
 	// each. The content whose last crash is oldest is dropped first.
 	maxContents          = 2048
@@ -25,6 +28,9 @@
 type ContentCrash struct {
 	Crash
 	At time.Time
+	// IsConfirmed means that the server refused connections or was replaced. Otherwise it can't be
+	// reached or is silent, which may be the network's fault.
+	IsConfirmed bool
 	// Void means that the crash no longer counts for the content: the server turned out to be
 	// alive, the content was served since, or an operator has released it.
 	Void bool
@@ -53,6 +59,8 @@
 //
 // A content is judged by the crashes that nothing else explains:
 //   - Crashes of several other servers at about the same time have a common cause.
+//   - A server that is only unreachable counts as crashed after a while, and only if no other server
+//     becomes unreachable or crashes at about the same time.
 //   - A crash that a quarantined content was part of was caused by that content.
 //   - If several suspects share each of their crashes, either of them may be the cause. They run
 //     apart from each other from then on, and the next crash decides.
@@ -79,12 +87,12 @@
 func (e *Evidence) AddServerCrash(now time.Time, c Crash) { e.history.add(now, c) }
 
 // AddContentCrash records that a server crashed while it ran the content, and returns the number of
-// crashes that count for the content, and whether this one is new. It reports the record to other
-// instances once a second crash counts.
-func (e *Evidence) AddContentCrash(now time.Time, f Fingerprint, c Crash) (crashes int, isNew bool) {
+// its crashes, and whether this one is new. It reports the record to other instances from the second
+// crash on.
+func (e *Evidence) AddContentCrash(now time.Time, f Fingerprint, c Crash, isConfirmed bool) (crashes int, isNew bool) {
 	e.AddServerCrash(now, c)
 	r := e.record(now, f)
-	isNew = e.add(r, ContentCrash{Crash: c, At: now}, true)
+	isNew = e.add(r, ContentCrash{Crash: c, At: now, IsConfirmed: isConfirmed}, true)
 	crashes = r.count()
 	if crashes >= suspectCrashes {
 		e.Share(f)
@@ -96,10 +104,13 @@
 func (e *Evidence) add(r *contentRecord, c ContentCrash, isOwn bool) bool {
 	i := slices.IndexFunc(r.crashes, func(x ContentCrash) bool { return x.Crash == c.Crash })
 	switch {
-	case i >= 0 && (r.crashes[i].Void || !c.Void):
-		return false
 	case i >= 0:
-		r.crashes[i].Void = true
+		x := &r.crashes[i]
+		if (x.Void || !c.Void) && (x.IsConfirmed || !c.IsConfirmed) {
+			return false
+		}
+		x.Void = x.Void || c.Void
+		x.IsConfirmed = x.IsConfirmed || c.IsConfirmed
 	case len(r.crashes) >= maxCrashesPerContent && !r.dropVoid():
 		return false
 	default:
@@ -197,14 +208,14 @@
 
 // judge decides on a content with at least suspectCrashes crashes.
 func (e *Evidence) judge(now time.Time, f Fingerprint, r *contentRecord) Verdict {
-	unexplained := e.unexplained(r)
+	unexplained := e.unexplained(now, r)
 	if e.isGuilty(now, f, r, unexplained) {
 		return Quarantined
 	}
 	// Crashes of quarantined contents count for nobody else.
 	unexplained = slices.DeleteFunc(unexplained, func(c Crash) bool {
 		for g, other := range e.contents {
-			if g != f && other.has(c) && other.count() >= quarantineCrashes && e.isGuilty(now, g, other, e.unexplained(other)) {
+			if g != f && other.has(c) && other.count() >= quarantineCrashes && e.isGuilty(now, g, other, e.unexplained(now, other)) {
 				return true
 			}
 		}
@@ -238,12 +249,13 @@
 }
 
 // unexplained returns the crashes of a content without a common cause.
-func (e *Evidence) unexplained(r *contentRecord) []Crash {
+func (e *Evidence) unexplained(now time.Time, r *contentRecord) []Crash {
 	var out []Crash
 	excused := 0
 	for _, c := range r.crashes {
 		switch {
 		case c.Void:
+		case !c.IsConfirmed && (now.Sub(c.At) < presumedDelay || e.history.coincides(c.At, r.ranOn, 1)):
 		case excused < maxExcused && e.history.hasCommonCause(c.At, r.ranOn):
 			excused++
 		default:
@@ -259,6 +271,15 @@
 	return slices.ContainsFunc(r.crashes, func(x ContentCrash) bool { return x.Crash == c })
 }
 
+// ConfirmCrash records that a server that was presumed to have crashed has crashed.
+func (e *Evidence) ConfirmCrash(c Crash) {
+	for _, r := range e.contents {
+		if r.has(c) {
+			e.add(r, ContentCrash{Crash: c, IsConfirmed: true}, true)
+		}
+	}
+}
+
 // VoidCrash records that a server has not crashed, or that its end was planned.
 func (e *Evidence) VoidCrash(c Crash) {
 	e.history.remove(c)
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -16,7 +16,7 @@
 func addCrash(e *Evidence, now time.Time, server string, contents ...Fingerprint) {
 	e.AddServerCrash(now, crashOf(server))
 	for _, f := range contents {
-		e.AddContentCrash(now, f, crashOf(server))
+		e.AddContentCrash(now, f, crashOf(server), true)
 	}
 }
 
@@ -87,6 +87,32 @@
 	}
 }
 
+// Guards against blaming a draft that is rerouted past the servers of a data centre that is cut off.
+func TestUnreachableServersOfACutCountForNoContent(t *testing.T) {
+	is := is.New(t)
+	e := NewEvidence()
+	for i := range 6 { // the draft finds them one after the other
+		e.AddContentCrash(at(200*i), 1, crashOf(fmt.Sprint("cut-", i)), false)
+		is.Equal(e.Check(at(200*i+1), 1), Clear)
+	}
+	e.AddServerCrash(at(1200), crashOf("cut-6")) // another draft finds one that this draft didn't use
+	is.Equal(e.Check(at(5000), 1), Clear)
+	e.ConfirmCrash(crashOf("cut-0"))
+	e.ConfirmCrash(crashOf("cut-1"))
+	is.Equal(e.Check(at(5000), 1), Suspect)
+}
+
+// A server that falls silent and never returns counts as crashed after a while.
+func TestUnreachableServerCountsAfterADelay(t *testing.T) {
+	is := is.New(t)
+	e := NewEvidence()
+	for i := range 3 {
+		e.AddContentCrash(at(100*i), 1, crashOf(fmt.Sprint("s", i)), false)
+	}
+	is.Equal(e.Check(at(300), 1), Clear)
+	is.Equal(e.Check(at(200).Add(presumedDelay), 1), Quarantined)
+}
+
 // Copies of a content that crash several servers at once don't excuse each other.
 func TestBatchOfOneContentHasNoCommonCause(t *testing.T) {
 	is := is.New(t)
@@ -202,15 +228,18 @@
 		for i := range steps {
 			e := instances[rapid.IntRange(0, 2).Draw(t, "instance")]
 			f := Fingerprint(rapid.IntRange(1, 4).Draw(t, "content"))
-			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			switch rapid.IntRange(0, 7).Draw(t, "step") {
 			case 0:
 				e.Absolve(f)
 			case 1:
-				e.VoidCrash(crashOf(fmt.Sprint("s", rapid.IntRange(0, 9).Draw(t, "server"))))
+				e.ConfirmCrash(crashOf(fmt.Sprint("s", rapid.IntRange(0, 9).Draw(t, "server"))))
 			case 2:
+				e.VoidCrash(crashOf(fmt.Sprint("s", rapid.IntRange(0, 9).Draw(t, "server"))))
+			case 3:
 				exchange(at(1000*i), e, instances[rapid.IntRange(0, 2).Draw(t, "peer")])
 			default:
-				addCrash(e, at(1000*i), fmt.Sprint("s", rapid.IntRange(0, 9).Draw(t, "server")), f)
+				server := crashOf(fmt.Sprint("s", rapid.IntRange(0, 9).Draw(t, "server")))
+				e.AddContentCrash(at(1000*i), f, server, rapid.Bool().Draw(t, "is confirmed"))
 				e.Share(f)
 			}
 		}
@@ -227,6 +256,11 @@
 			for i, e := range instances {
 				if r, ok := e.contents[f]; ok {
 					counts[i] = r.count()
+					for _, c := range r.crashes {
+						if !c.Void && c.IsConfirmed {
+							counts[i] += 100
+						}
+					}
 				}
 			}
 			is.Equal(counts[0], counts[1])
@@ -268,7 +302,7 @@
 				if slices.Contains(contents, culprit) {
 					crashes++
 					for _, f := range contents {
-						e.AddContentCrash(now, f, crash)
+						e.AddContentCrash(now, f, crash, true)
 					}
 					continue
 				}
--- a/quarantine/history.go
+++ b/quarantine/history.go
@@ -53,12 +53,18 @@
 // hasCommonCause reports whether enough servers that didn't run a content crashed at about the given
 // time. ranOn reports whether the content was running on a server when it crashed.
 func (h *history) hasCommonCause(at time.Time, ranOn func(Crash) bool) bool {
+	return h.coincides(at, ranOn, commonCauseServers)
+}
+
+// coincides reports whether at least count servers that didn't run a content crashed at about the
+// given time.
+func (h *history) coincides(at time.Time, ranOn func(Crash) bool, count int) bool {
 	others := 0
 	for _, s := range h.crashes {
 		if d := s.at.Sub(at); d > commonCauseWindow || d < -commonCauseWindow || ranOn(s.Crash) {
 			continue
 		}
-		if others++; others >= commonCauseServers {
+		if others++; others >= count {
 			return true
 		}
 	}
