gateway: suspects of one crash take turns, so that the next crash shows the cause

Callers of the innocent one were refused for 10 minutes. Ruled out: reservations sent to the other gateways (both start within the same exchange), a higher limit of certain crashes (only later). Now suspects that were part of the same crash may start in turns of a second, in the order of their fingerprints from the last crash on: all instances know both, so they agree without a message. Refused suspects are told when their turn comes, and at once instead of after the wait for capacity. A first form with lower bounds instead of turns let late ones overlap. Also found: a rejection with 421 at a reused address was taken as a sign that the crashed server is alive; only answers of runs are now. The stand-in checks the expected server.

--- a/gateway/cluster_test.go
+++ b/gateway/cluster_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -278,6 +279,19 @@
 // isServed reports whether the caller got a complete successful answer.
 func (r clusterReply) isServed() bool { return r.err == nil && r.status == http.StatusOK }
 
+// wait waits as the Retry-After header asks, but at most maxRetryWait.
+func (r clusterReply) wait() {
+	seconds, err := strconv.ParseFloat(r.retryAfter, 64)
+	if err != nil { // the header is missing
+		time.Sleep(downtime)
+		return
+	}
+	time.Sleep(min(maxRetryWait, time.Duration(seconds*float64(time.Second))))
+}
+
+// maxRetryWait is the longest time that a caller waits before it sends a request again.
+const maxRetryWait = 3 * time.Second
+
 // send sends a request with a new ID. It checks that a request that has run is never reported as not
 // run, and that only requests that may be repeated run twice.
 func (g *clusterGateway) send(path, body string, header ...string) clusterReply {
--- a/gateway/content.go
+++ b/gateway/content.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -19,18 +18,15 @@
 	return j.content
 }
 
-const (
-	// isolationRetry is the Retry-After delay of a suspect that finds no server without another
-	// suspect. A random delay up to isolationJitter is added.
-	isolationRetry  = time.Second
-	isolationJitter = time.Second
-)
+// turnJitter is added at random to the Retry-After delay of a suspect, so that callers don't retry
+// together.
+const turnJitter = 500 * time.Millisecond
 
 var (
 	// errQuarantined means that the content crashes the servers that run it.
 	errQuarantined = errors.New("gateway: the content crashes backend servers")
-	// errNotIsolated means that a suspect can't run apart from other suspects now.
-	errNotIsolated = errors.New("gateway: no backend server without another suspect")
+	// errNotItsTurn means that a suspect has to wait for other suspects.
+	errNotItsTurn = errors.New("gateway: the content may crash backend servers, and others run first")
 )
 
 // verdict returns how the request may run.
@@ -41,73 +37,70 @@
 	return g.evidence.Check(time.Now(), j.fingerprint())
 }
 
-// checkQuarantine returns a failure if the content is in quarantine.
-func (g *Gateway) checkQuarantine(j *job) *failure {
-	if g.verdict(j) != quarantine.Quarantined {
-		return nil
+// checkContent returns a failure if the request may not run now because of crashes of servers.
+func (g *Gateway) checkContent(j *job) *failure {
+	switch g.verdict(j) {
+	case quarantine.Quarantined:
+		return &failure{reason: "in quarantine: content " + j.fingerprint().String() + " crashes the backend servers that run it", err: errQuarantined}
+	case quarantine.Suspect:
+		if !g.hasTurn(j) {
+			return &failure{reason: "content " + j.fingerprint().String() + " may crash backend servers, and other such requests run first", err: errNotItsTurn}
+		}
+	}
+	return nil
+}
+
+func (g *Gateway) countQuarantined(f *failure) {
+	if errors.Is(f.err, errQuarantined) {
+		g.metrics.Quarantined.WithLabelValues().Inc()
 	}
-	g.metrics.Quarantined.WithLabelValues().Inc()
-	return &failure{reason: "in quarantine: content " + j.fingerprint().String() + " crashes the backend servers that run it", err: errQuarantined}
+}
+
+// hasTurn reports whether a suspect may run now. If so, it is recorded as running until its end.
+func (g *Gateway) hasTurn(j *job) bool {
+	now := time.Now()
+	return !now.Before(g.evidence.Turn(now, j.fingerprint())) && g.suspects.begin(j)
 }
 
 // retryAfterCrash returns the Retry-After delay of a request that is not run because of crashes, or 0
 // for other failures. A content in quarantine may run again when its crashes no longer count.
 func (g *Gateway) retryAfterCrash(j *job, f *failure) time.Duration {
+	now := time.Now()
 	switch {
 	case errors.Is(f.err, errQuarantined):
-		return max(time.Second, time.Until(g.evidence.Expires(j.fingerprint())))
-	case errors.Is(f.err, errNotIsolated):
-		return isolationRetry + time.Duration(g.randomFloat()*float64(isolationJitter))
+		return max(time.Second, g.evidence.Expires(j.fingerprint()).Sub(now))
+	case errors.Is(f.err, errNotItsTurn):
+		wait := max(turnJitter, g.evidence.Turn(now, j.fingerprint()).Sub(now))
+		return wait + time.Duration(g.randomFloat()*float64(turnJitter))
 	default:
 		return 0
 	}
 }
 
-// isolation keeps suspects on different servers, so that a crash shows which of them causes it. It is
-// safe for concurrent use.
-type isolation struct {
-	mu sync.Mutex
-	// servers holds the servers that each running suspect uses.
-	servers map[*job][]string
+// suspects holds the suspects that run at this instance. It is safe for concurrent use.
+type suspects struct {
+	mu      sync.Mutex
+	running map[quarantine.Fingerprint]*job
 }
 
-func newIsolation() *isolation { return &isolation{servers: make(map[*job][]string)} }
+func newSuspects() *suspects { return &suspects{running: make(map[quarantine.Fingerprint]*job)} }
 
-// choose calls f with the servers that other suspects use, and reserves the servers that f returns
-// for j, in place of those that j had. It returns false if f returns none, or if the same content
-// runs already.
-func (i *isolation) choose(j *job, f func(used []string) []string) bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	var used []string
-	for other, servers := range i.servers {
-		if other == j {
-			continue
-		}
-		if other.fingerprint() == j.fingerprint() {
-			return false
-		}
-		used = append(used, servers...)
-	}
-	chosen := f(used)
-	if len(chosen) == 0 {
+// begin records a suspect as running. It returns false if another request with the same content runs.
+func (s *suspects) begin(j *job) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if other := s.running[j.fingerprint()]; other != nil && other != j {
 		return false
 	}
-	i.servers[j] = slices.Clone(chosen)
+	s.running[j.fingerprint()] = j
 	return true
 }
 
-// end releases the servers of a suspect.
-func (i *isolation) end(j *job) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	delete(i.servers, j)
-}
-
-// notIsolated is the failure of a suspect without a server of its own.
-func notIsolated(j *job) *failure {
-	return &failure{
-		reason: "content " + j.fingerprint().String() + " may crash backend servers, and each one runs another such request",
-		err:    errNotIsolated,
+// end removes a request that is recorded as running.
+func (s *suspects) end(j *job) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.running) > 0 && s.running[j.fingerprint()] == j {
+		delete(s.running, j.fingerprint())
 	}
 }
--- a/gateway/crash_fleet_test.go
+++ b/gateway/crash_fleet_test.go
@@ -306,6 +306,10 @@
 			<-s.fleet.t.Context().Done()
 			return
 		}
+		if expected := r.Header.Get("Balsamlb-Expect-Instance"); expected != s.currentID() {
+			notRun(c, http.StatusMisdirectedRequest, "")
+			continue
+		}
 		if s.to > 0 {
 			s.fleet.runDraft(s, c, r, string(body))
 			continue
@@ -314,6 +318,12 @@
 	}
 }
 
+func (s *crashServer) currentID() string {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	return s.id
+}
+
 func (s *crashServer) isGone() bool {
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -128,12 +128,7 @@
 func (g *Gateway) serveDraft(ctx context.Context, w http.ResponseWriter, j *job) {
 	g.recordRequest(j)
 	d := g.newDraft(j)
-	defer g.isolation.end(j)
 	for {
-		if f := g.checkQuarantine(j); f != nil {
-			g.failDraft(ctx, w, d, f)
-			return
-		}
 		path, ok := g.awaitPath(ctx, d)
 		if !ok {
 			g.failDraft(ctx, w, d, g.noPathFailure(d))
@@ -161,10 +156,13 @@
 // up to capacityWait, at most maxCapacityWaiters of them at a time. A started stream waits until
 // resumeWait has passed since its last event.
 func (g *Gateway) awaitPath(ctx context.Context, d *draft) (layers.Path, bool) {
-	path, ok := g.findPath(d, layers.Part{})
+	path, ok := g.findNewPath(d)
 	if ok {
 		return path, true
 	}
+	if !d.isStarted.Load() && g.checkContent(d.job) != nil {
+		return nil, false
+	}
 	if d.isStarted.Load() {
 		return g.pollPath(ctx, d, resumePollInterval, resumeWait-d.idleTime())
 	}
@@ -178,20 +176,28 @@
 // pollPath searches for a path at an interval until one is found or the wait is over.
 func (g *Gateway) pollPath(ctx context.Context, d *draft, interval, wait time.Duration) (path layers.Path, ok bool) {
 	poll(ctx, interval, wait, func() bool {
-		path, ok = g.findPath(d, layers.Part{})
+		path, ok = g.findNewPath(d)
 		return ok
 	})
 	return path, ok
 }
 
+// findNewPath returns the best path for an attempt, if the draft may run now.
+func (g *Gateway) findNewPath(d *draft) (layers.Path, bool) {
+	if g.checkContent(d.job) != nil {
+		return nil, false
+	}
+	return g.findPath(d, layers.Part{})
+}
+
 // errNoCompleteCopy means that the available servers hold no complete copy of the model.
 var errNoCompleteCopy = errors.New("gateway: no data centre holds a whole copy of the model")
 
 // noPathFailure returns the failure for a draft without a path: either too few layers of the model
 // are loaded, or no path has capacity.
 func (g *Gateway) noPathFailure(d *draft) *failure {
-	if g.verdict(d.job) == quarantine.Suspect {
-		return notIsolated(d.job)
+	if f := g.checkContent(d.job); f != nil {
+		return f
 	}
 	v := g.view.Load()
 	now := time.Now()
@@ -206,6 +212,7 @@
 // started, by aborting the connection so that the stream doesn't look complete.
 func (g *Gateway) failDraft(ctx context.Context, w http.ResponseWriter, d *draft, f *failure) {
 	if d.isStarted.Load() {
+		g.countQuarantined(f)
 		g.recordEnd(d.job, 0, "broke off the stream: "+f.reason)
 		panic(http.ErrAbortHandler)
 	}
@@ -222,19 +229,7 @@
 
 // findPath returns the best path for the draft and counts the traffic on the links that it uses. If
 // head names a server, head stays the first part of the path.
-func (g *Gateway) findPath(d *draft, head layers.Part) (path layers.Path, ok bool) {
-	if g.verdict(d.job) != quarantine.Suspect {
-		return g.searchPath(d, head, nil)
-	}
-	g.isolation.choose(d.job, func(used []string) []string {
-		path, ok = g.searchPath(d, head, used)
-		return path.IDs()
-	})
-	return path, ok
-}
-
-// searchPath is findPath for a request that may not use the given servers.
-func (g *Gateway) searchPath(d *draft, head layers.Part, excluded []string) (layers.Path, bool) {
+func (g *Gateway) findPath(d *draft, head layers.Part) (layers.Path, bool) {
 	v := g.view.Load()
 	s := v.searches[d.service.Name]
 	if s == nil {
@@ -249,7 +244,7 @@
 		if id == head.ID {
 			return false
 		}
-		return g.isExcluded(v, now, id) || slices.Contains(avoided, id) || slices.Contains(excluded, id)
+		return g.isExcluded(v, now, id) || slices.Contains(avoided, id)
 	}
 	path, _, ok := s.paths.Find(layers.Query{
 		Draft:   d.size,
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -71,9 +71,9 @@
 		}
 		return nil, ResponseHeader{}, err
 	}
-	g.recordAlive(started, id, "answers")
 	rh := g.options.HeaderCodec.ParseResponse(resp.Status, resp.Header)
-	if !rh.NotRun {
+	if !rh.NotRun { // a rejection may come from another server at the address
+		g.recordAlive(started, id, "answers")
 		j.attempts++
 		j.mayHaveRun = true
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -79,7 +79,7 @@
 	linkTraffic  *linkTraffic
 	evidence     *mesh.CrashEvidence
 	lost         *lostRuns
-	isolation    *isolation
+	suspects     *suspects
 	stallReports *stallReports
 	probes       *probes
 	inFlight     atomic.Int64
@@ -107,7 +107,7 @@
 		linkTraffic:  &linkTraffic{links: layers.NewPipes()},
 		evidence:     o.Mesh.CrashEvidence(),
 		lost:         newLostRuns(),
-		isolation:    newIsolation(),
+		suspects:     newSuspects(),
 		stallReports: newStallReports(o.Orders.StallingServers),
 		probes:       &probes{probedAt: make(map[string]time.Time)},
 		metrics:      metrics.NewGateway(o.Registry),
@@ -323,6 +323,7 @@
 		g.refuse(w, j, refusal)
 		return
 	}
+	defer g.suspects.end(j)
 	defer g.reportCrashes(j)
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -27,20 +27,19 @@
 // servePlain serves a request for a plain service.
 func (g *Gateway) servePlain(ctx context.Context, w http.ResponseWriter, j *job) {
 	g.recordRequest(j)
-	defer g.isolation.end(j)
 	var tried []string
 	for {
-		if f := g.checkQuarantine(j); f != nil {
+		if f := g.checkContent(j); f != nil {
 			g.refuse(w, j, g.finalRefusal(ctx, j, f))
 			return
 		}
-		server, f := g.chooseServer(j, tried)
-		if f != nil {
-			g.refuse(w, j, g.finalRefusal(ctx, j, f))
+		server := g.pickServer(j, tried)
+		if server == nil {
+			g.refuse(w, j, g.noServerRefusal(ctx, j))
 			return
 		}
 		tried = append(tried, server.ID)
-		f = g.sendPlain(ctx, w, j, server)
+		f := g.sendPlain(ctx, w, j, server)
 		if f == nil {
 			return
 		}
@@ -136,6 +135,7 @@
 
 // finalRefusal returns the response to the caller after the last failure.
 func (g *Gateway) finalRefusal(ctx context.Context, j *job, f *failure) *refusal {
+	g.countQuarantined(f)
 	if !j.mayHaveRun {
 		return &refusal{http.StatusServiceUnavailable, f.reason, cmp.Or(g.retryAfterCrash(j, f), busyRetry)}
 	}
@@ -145,25 +145,8 @@
 	return &refusal{http.StatusBadGateway, f.reason, 0}
 }
 
-// chooseServer returns the server for the next send. A suspect gets a server without other suspects.
-func (g *Gateway) chooseServer(j *job, tried []string) (*discovery.Announcement, *failure) {
-	if g.verdict(j) != quarantine.Suspect {
-		if server := g.pickServer(j, tried); server != nil {
-			return server, nil
-		}
-		return nil, &failure{reason: "no backend server is ready"}
-	}
-	var server *discovery.Announcement
-	isChosen := g.isolation.choose(j, func(used []string) []string {
-		if server = g.pickServer(j, slices.Concat(tried, used)); server == nil {
-			return nil
-		}
-		return []string{server.ID}
-	})
-	if !isChosen {
-		return nil, notIsolated(j)
-	}
-	return server, nil
+func (g *Gateway) noServerRefusal(ctx context.Context, j *job) *refusal {
+	return g.finalRefusal(ctx, j, &failure{reason: "no backend server is ready"})
 }
 
 // pickServer returns the least utilized server that was not tried yet, or nil.
--- a/gateway/stall_monitor.go
+++ b/gateway/stall_monitor.go
@@ -211,9 +211,11 @@
 func (m *stallMonitor) reroute(v *view, head layers.Part) {
 	g, d := m.gateway, m.draft
 	for range maxReroutes {
-		if g.verdict(d.job) == quarantine.Quarantined {
-			m.cancel(errQuarantined)
-			return
+		if f := g.checkContent(d.job); f != nil {
+			if errors.Is(f.err, errQuarantined) {
+				m.cancel(errQuarantined)
+			}
+			return // the next check may find that the draft may run
 		}
 		next, ok := g.findPath(d, head)
 		if !ok {
--- a/layers/path.go
+++ b/layers/path.go
@@ -49,15 +49,6 @@
 	return slices.ContainsFunc(p, func(part Part) bool { return part.ID == id })
 }
 
-// IDs returns the servers of the path.
-func (p Path) IDs() []string {
-	ids := make([]string, len(p))
-	for i, part := range p {
-		ids[i] = part.ID
-	}
-	return ids
-}
-
 // Draft describes the size of a request before it runs.
 type Draft struct {
 	PromptTokens float64
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -18,6 +18,12 @@
 	// presumedDelay is how long a server must be unreachable before its crash counts without being
 	// confirmed. If the network is at fault, other servers become unreachable in the meantime.
 	presumedDelay = 1500 * time.Millisecond
+	// turnDelay is the time after a crash until the first turn of the suspects that were part of it.
+	// The instances have exchanged the crash by then.
+	turnDelay = 500 * time.Millisecond
+	// turnLength is the time in which one of these suspects may start to run, before it is the next
+	// one's turn.
+	turnLength = time.Second
 	// maxContents bounds the contents that are tracked, and maxCrashesPerContent the crashes of
 	// each. The content whose last crash is oldest is dropped first.
 	maxContents          = 2048
@@ -62,8 +68,8 @@
 //   - A server that is only unreachable counts as crashed after a while, and only if no other server
 //     becomes unreachable or crashes at about the same time.
 //   - A crash that a quarantined content was part of was caused by that content.
-//   - If several suspects share each of their crashes, either of them may be the cause. They run
-//     apart from each other from then on, and the next crash decides.
+//   - If several suspects share each of their crashes, either of them may be the cause. They run one
+//     after the other from then on (see Turn), and the next crash decides.
 //
 // It is not safe for concurrent use.
 type Evidence struct {
@@ -248,6 +254,50 @@
 	return false
 }
 
+// Turn returns the next time at which a suspect may start to run; that is now during its turn.
+// Suspects that were part of the same crash take turns in the order of their fingerprints, beginning
+// with the last crash, so that all instances agree on whose turn it is.
+func (e *Evidence) Turn(now time.Time, f Fingerprint) time.Time {
+	r, ok := e.contents[f]
+	if !ok {
+		return now
+	}
+	last, position, count := r.lastCrash, 0, 1
+	for g, other := range e.contents {
+		if g == f || other.count() < suspectCrashes || !sharesCrash(r, other) || e.Check(now, g) != Suspect {
+			continue
+		}
+		if other.lastCrash.After(last) {
+			last = other.lastCrash
+		}
+		count++
+		if g < f {
+			position++
+		}
+	}
+	return nextTurn(now, last.Add(turnDelay), position, count)
+}
+
+// nextTurn returns the next time in the turn at a position, of count turns that follow each other in
+// cycles from start on.
+func nextTurn(now, start time.Time, position, count int) time.Time {
+	turn := start.Add(time.Duration(position) * turnLength)
+	if now.Before(turn) {
+		return turn
+	}
+	cycle := time.Duration(count) * turnLength
+	turn = turn.Add(now.Sub(turn) / cycle * cycle)
+	if now.Sub(turn) < turnLength {
+		return now
+	}
+	return turn.Add(cycle)
+}
+
+// sharesCrash reports whether two contents were part of the same crash.
+func sharesCrash(a, b *contentRecord) bool {
+	return slices.ContainsFunc(a.crashes, func(c ContentCrash) bool { return !c.Void && b.has(c.Crash) })
+}
+
 // unexplained returns the crashes of a content without a common cause.
 func (e *Evidence) unexplained(now time.Time, r *contentRecord) []Crash {
 	var out []Crash
