daemon: operators list and release the quarantine of gateways and controllers

A content that gateways hold back could only be let go by waiting for 10 minutes: gateways had no operators' interface. balsamctl quarantine list and release now work with -instance at the [listen] metrics address of any gateway or controller, by the same calls as on instances; a release reaches all instances with the evidence. Refused connections found by probes of idle drafts confirm a crash at once instead of after a second probe.

--- a/daemon/member.go
+++ b/daemon/member.go
@@ -10,7 +10,6 @@
 	"syscall"
 	"time"
 
-	"github.com/balsamlb/balsamlb/balancer"
 	"github.com/balsamlb/balsamlb/control"
 	"github.com/balsamlb/balsamlb/controller"
 	"github.com/balsamlb/balsamlb/gateway"
@@ -235,7 +234,7 @@
 	g.Go(func() error { return m.mesh.Run(ctx) })
 	g.Go(func() error { return m.runReload(ctx) })
 	if m.settings.Metrics != "" {
-		serveHTTP(ctx, g, m.settings.Metrics, balancer.NewServer(func() string { return "" }, m.registry))
+		serveHTTP(ctx, g, m.settings.Metrics, newMonitoringServer(m.registry, memberQuarantine{m.mesh.CrashEvidence(), m.log}))
 	}
 }
 
--- a/daemon/moves.go
+++ b/daemon/moves.go
@@ -4,13 +4,11 @@
 	"cmp"
 	"context"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/balsamlb/balsamlb/consensus"
 	"github.com/balsamlb/balsamlb/drain"
 	"github.com/balsamlb/balsamlb/operator"
-	"github.com/balsamlb/balsamlb/quarantine"
 	"github.com/balsamlb/balsamlb/replica"
 )
 
@@ -85,22 +83,15 @@
 
 // Quarantine returns the suspect requests and those in quarantine.
 func (b *operatorBackend) Quarantine() []operator.QuarantineEntry {
-	out := []operator.QuarantineEntry{}
-	for _, e := range b.dispatcher.Quarantined() {
-		out = append(out, operator.QuarantineEntry{
-			Fingerprint: e.Fingerprint.String(), Quarantined: e.Quarantined, Servers: e.Servers, Expires: e.Expires,
-		})
-	}
-	return out
+	return quarantineEntries(b.dispatcher.Quarantined())
 }
 
 // Release ends the quarantine of the request with the fingerprint. It reports false if the fingerprint
 // is not hexadecimal.
 func (b *operatorBackend) Release(fingerprint string) bool {
-	f, err := strconv.ParseUint(fingerprint, 16, 64)
-	if err != nil {
-		return false
+	f, ok := parseFingerprint(fingerprint)
+	if ok {
+		b.dispatcher.Release(f)
 	}
-	b.dispatcher.Release(quarantine.Fingerprint(f))
-	return true
+	return ok
 }
--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -319,7 +319,7 @@
 	if err != nil {
 		wasSent := !errors.Is(err, upstream.ErrNotSent)
 		if !wasSent && ctx.Err() == nil {
-			g.markUnresponsive(head.ID, "can't be reached")
+			g.markUnreachable(head.ID, err)
 		}
 		d.avoidHead(head.ID)
 		return &failure{reason: "no answer of " + head.ID, ran: wasSent, err: err}
--- a/gateway/idle_drafts.go
+++ b/gateway/idle_drafts.go
@@ -133,7 +133,7 @@
 		eg.Go(func() error {
 			err := reach(ctx, func(ctx context.Context) error { return g.client.Probe(ctx, a.Address) })
 			if err != nil && ctx.Err() == nil {
-				g.markUnresponsive(id, "can't be reached: "+err.Error())
+				g.markUnreachable(id, err)
 			}
 			return nil
 		})
--- a/gateway/stall_monitor.go
+++ b/gateway/stall_monitor.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/balsamlb/balsamlb/discovery"
@@ -279,6 +280,16 @@
 	g.checkDraftsThrough(id)
 }
 
+// markUnreachable marks a server as unresponsive to which no connection could be opened. A refused
+// connection confirms that the server has crashed.
+func (g *Gateway) markUnreachable(id string, err error) {
+	why := "can't be reached: " + err.Error()
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		g.recordCrash(g.view.Load().crashOf(id), why, true)
+	}
+	g.markUnresponsive(id, why)
+}
+
 func (g *Gateway) checkDraftsThrough(id string) {
 	for _, d := range g.running.through(id) {
 		if m := d.monitor.Load(); m != nil {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -128,11 +128,14 @@
 // CrashEvidence returns the evidence about content that crashes backend servers.
 func (m *Mesh) CrashEvidence() *CrashEvidence { return m.crashes }
 
-// wakeWatches makes this instance report to the control instances at once.
+// wakeWatches makes this instance report to the control instances, and to its own watchers, at once.
 func (m *Mesh) wakeWatches() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.reportAtOnce()
+	if m.options.ControlAddress != "" {
+		m.broadcast()
+	}
 }
 
 // reportAtOnce is wakeWatches for a caller that holds the lock.
--- a/operator/policy.go
+++ b/operator/policy.go
@@ -45,23 +45,45 @@
 	Risk string `json:"risk,omitempty"`
 }
 
-// PolicyBackend gives access to the quarantine and the moves of an instance. Its methods are
-// called concurrently.
-type PolicyBackend interface {
+// QuarantineBackend gives access to the quarantine of an instance. Its methods are called
+// concurrently.
+type QuarantineBackend interface {
 	Quarantine() []QuarantineEntry
 	// Release ends the quarantine of the request with the fingerprint. It returns false if the
 	// fingerprint is malformed.
 	Release(fingerprint string) bool
+}
+
+// PolicyBackend gives access to the quarantine and the moves of an instance. Its methods are
+// called concurrently.
+type PolicyBackend interface {
+	QuarantineBackend
 	Moves() []MoveStatus
 }
 
-func (h *handler) release(ctx *fasthttp.RequestCtx) {
+// HandleQuarantine serves PathQuarantine: GET lists the quarantine, POST releases a request. It
+// returns false if the call has another path or method.
+func HandleQuarantine(ctx *fasthttp.RequestCtx, b QuarantineBackend) bool {
+	switch {
+	case string(ctx.Path()) != PathQuarantine:
+		return false
+	case ctx.IsGet():
+		writeJSON(ctx, fasthttp.StatusOK, b.Quarantine())
+	case ctx.IsPost():
+		release(ctx, b)
+	default:
+		return false
+	}
+	return true
+}
+
+func release(ctx *fasthttp.RequestCtx, b QuarantineBackend) {
 	var r ReleaseRequest
 	if err := json.Unmarshal(ctx.PostBody(), &r); err != nil {
 		writeError(ctx, fasthttp.StatusBadRequest, err.Error())
 		return
 	}
-	if !h.backend.Release(r.Fingerprint) {
+	if !b.Release(r.Fingerprint) {
 		writeError(ctx, fasthttp.StatusBadRequest, "fingerprint must be 16 hexadecimal digits")
 		return
 	}
--- a/operator/server.go
+++ b/operator/server.go
@@ -116,16 +116,13 @@
 		h.drain(callCtx, ctx)
 	case path == PathCredits && ctx.IsGet():
 		h.credits(callCtx, ctx)
-	case path == PathQuarantine && ctx.IsGet():
-		writeJSON(ctx, fasthttp.StatusOK, h.backend.Quarantine())
-	case path == PathQuarantine && ctx.IsPost():
-		h.release(ctx)
 	case path == PathMoves && ctx.IsGet():
 		writeJSON(ctx, fasthttp.StatusOK, h.backend.Moves())
 	case path == PathTrace && ctx.IsGet():
 		h.trace(ctx)
 	case path == PathDecisions && ctx.IsGet():
 		h.decisions(ctx)
+	case HandleQuarantine(ctx, h.backend):
 	default:
 		writeError(ctx, fasthttp.StatusNotFound, "no such call")
 	}
