--- a/gateway/cluster_test.go
+++ b/gateway/cluster_test.go
@@ -62,8 +62,9 @@
 	name    string
 	mesh    *mesh.Mesh
 	gateway *gateway.Gateway
-	front   *httptest.Server
 	stop    func()
+	// front changes at a restart, also while requests are sent.
+	front atomic.Pointer[httptest.Server]
 	// stopWatching cuts the gateway off from the control instance.
 	stopWatching func()
 	log          lockedBuffer
@@ -194,14 +195,15 @@
 		ShutdownDelay: time.Millisecond, HeaderCodec: platform.HeaderCodec{}, Orders: g.cluster.fleet, Registry: prometheus.NewRegistry(),
 		RetryRatio: 1, RetryReserve: 1000, Log: funcr.New(g.log.add, funcr.Options{}),
 	})
-	g.front = httptest.NewServer(g.gateway)
+	front := httptest.NewServer(g.gateway)
+	g.front.Store(front)
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { _ = g.gateway.Run(ctx) })
 	g.watch()
 	g.stop = func() {
-		g.front.CloseClientConnections()
-		g.front.Close()
+		front.CloseClientConnections()
+		front.Close()
 		cancel()
 		group.Wait()
 		g.stopWatching()
@@ -308,7 +310,8 @@
 
 func (g *clusterGateway) exchange(path, body string, header ...string) clusterReply {
 	id := fmt.Sprintf("req-%d", g.cluster.requests.Add(1))
-	r, err := http.NewRequestWithContext(g.cluster.t.Context(), http.MethodPost, g.front.URL+path, strings.NewReader(body))
+	front := g.front.Load()
+	r, err := http.NewRequestWithContext(g.cluster.t.Context(), http.MethodPost, front.URL+path, strings.NewReader(body))
 	if err != nil {
 		return clusterReply{err: err, id: id}
 	}
@@ -318,7 +321,7 @@
 	for i := 0; i+1 < len(header); i += 2 {
 		r.Header.Set(header[i], header[i+1])
 	}
-	resp, err := g.front.Client().Do(r)
+	resp, err := front.Client().Do(r)
 	if err != nil {
 		return clusterReply{err: err, id: id}
 	}
