quarantine: crashes of a content that crashes servers alone count for no other; presumed ones make room

Causes: a content with five crashes was quarantined before the crashes that guilty contents explain were taken away; and a record full of presumed crashes that don't count took no further ones. Change: the crashes of a content with three unexplained ones count for nobody who was alone in fewer crashes than it; a confirmed crash replaces a presumed or void one, never the other way round, so that full records don't change for ever.

--- a/gateway/crash_fleet_test.go
+++ b/gateway/crash_fleet_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -48,8 +49,10 @@
 // crashFleet is a set of fake backend servers that some requests crash. It also implements
 // gateway.Orders for these servers. It is safe for concurrent use.
 type crashFleet struct {
-	t        *testing.T
-	kind     crashKind
+	t    *testing.T
+	kind crashKind
+	// ip is used by this fleet alone, so that nothing else takes the port of a server that is down.
+	ip       string
 	announce func(discovery.Announcement)
 
 	mu      sync.Mutex
@@ -94,9 +97,13 @@
 	stalledBy string
 }
 
+// fleetCount is the number of fleets so far.
+var fleetCount atomic.Int64
+
 func newCrashFleet(t *testing.T, kind crashKind) *crashFleet {
+	n := fleetCount.Add(1)
 	f := &crashFleet{
-		t: t, kind: kind, announce: func(discovery.Announcement) {},
+		t: t, kind: kind, ip: fmt.Sprintf("127.0.%d.%d", 100+n/250, 1+n%250), announce: func(discovery.Announcement) {},
 		servers: make(map[string]*crashServer), runs: make(map[string]*fleetRun),
 		arrivals: make(map[string]int), reroutes: make(map[string]int), crashes: make(map[string]int),
 		ran: make(map[string]int),
@@ -146,7 +153,7 @@
 // add starts a server. For a plain service, to is 0.
 func (f *crashFleet) add(centre, service string, from, to int) *crashServer {
 	f.t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", f.ip+":0")
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/gateway/crash_soak_test.go
+++ b/gateway/crash_soak_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -67,6 +68,12 @@
 	}
 	s.others.Wait()
 	s.checkCrashes()
+	if t.Failed() {
+		t.Logf("path %s kind %+v", s.path, kind)
+		for _, g := range s.gateways {
+			t.Logf("%s: %s", g.name, g.log.String())
+		}
+	}
 }
 
 // step sends requests and, now and then, disturbs the system.
@@ -90,14 +97,16 @@
 
 // serve sends a request until it is served.
 func (s *soak) serve(body string, first int) {
+	var answers []string
 	for try := range maxTries {
 		r := s.gateways[(first+try)%len(s.gateways)].send(s.path, body)
 		if r.isServed() {
 			return
 		}
+		answers = append(answers, fmt.Sprintf("%s %d %s %v", r.id, r.status, strings.TrimSpace(r.body), r.err))
 		r.wait()
 	}
-	s.t.Errorf("%q was never served", body)
+	s.t.Errorf("%q was never served at %s:\n%s", body, s.path, strings.Join(answers, "\n"))
 }
 
 func (s *soak) restartGateway(n int) {
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -117,7 +117,7 @@
 		}
 		x.Void = x.Void || c.Void
 		x.IsConfirmed = x.IsConfirmed || c.IsConfirmed
-	case len(r.crashes) >= maxCrashesPerContent && !r.dropVoid():
+	case len(r.crashes) >= maxCrashesPerContent && !r.makeRoom(c):
 		return false
 	default:
 		r.crashes = append(r.crashes, c)
@@ -129,13 +129,26 @@
 	return true
 }
 
-// dropVoid removes the first crash that no longer counts. It returns false if there is none.
-func (r *contentRecord) dropVoid() bool {
-	i := slices.IndexFunc(r.crashes, func(c ContentCrash) bool { return c.Void })
-	if i < 0 {
+// weight ranks a crash as evidence: void ones lowest, then presumed, then confirmed ones.
+func (c ContentCrash) weight() int {
+	switch {
+	case c.Void:
+		return 0
+	case !c.IsConfirmed:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// makeRoom removes the crash of the lowest weight, if c weighs more. Otherwise it returns false, so
+// that instances that exchange full records don't replace crashes for ever.
+func (r *contentRecord) makeRoom(c ContentCrash) bool {
+	lowest := slices.MinFunc(r.crashes, func(a, b ContentCrash) int { return cmp.Compare(a.weight(), b.weight()) })
+	if lowest.weight() >= c.weight() {
 		return false
 	}
-	r.crashes = slices.Delete(r.crashes, i, i+1)
+	r.crashes = slices.DeleteFunc(r.crashes, func(x ContentCrash) bool { return x.Crash == lowest.Crash })
 	return true
 }
 
@@ -214,34 +227,47 @@
 
 // judge decides on a content with at least suspectCrashes crashes.
 func (e *Evidence) judge(now time.Time, f Fingerprint, r *contentRecord) Verdict {
-	unexplained := e.unexplained(now, r)
-	if e.isGuilty(now, f, r, unexplained) {
+	own := e.ownCrashes(now, f, r)
+	switch {
+	case len(own) >= certainCrashes:
+		return Quarantined
+	case len(own) >= quarantineCrashes && e.alone(f, own) > 0:
 		return Quarantined
+	case len(own) >= suspectCrashes:
+		return Suspect
+	default:
+		return Clear
 	}
-	// Crashes of quarantined contents count for nobody else.
-	unexplained = slices.DeleteFunc(unexplained, func(c Crash) bool {
+}
+
+// ownCrashes returns the unexplained crashes of a content, except for those that are explained by a
+// content that crashes servers also without it.
+func (e *Evidence) ownCrashes(now time.Time, f Fingerprint, r *contentRecord) []Crash {
+	unexplained := e.unexplained(now, r)
+	alone := e.alone(f, unexplained)
+	return slices.DeleteFunc(slices.Clone(unexplained), func(c Crash) bool {
 		for g, other := range e.contents {
-			if g != f && other.has(c) && other.count() >= quarantineCrashes && e.isGuilty(now, g, other, e.unexplained(now, other)) {
+			if g == f || !other.has(c) || now.Sub(other.lastCrash) >= TTL {
+				continue
+			}
+			its := e.unexplained(now, other)
+			if len(its) >= quarantineCrashes && e.alone(g, its) > alone {
 				return true
 			}
 		}
 		return false
 	})
-	if len(unexplained) >= suspectCrashes {
-		return Suspect
-	}
-	return Clear
 }
 
-// isGuilty reports whether the content itself crashes servers.
-func (e *Evidence) isGuilty(now time.Time, f Fingerprint, r *contentRecord, unexplained []Crash) bool {
-	switch {
-	case now.Sub(r.lastCrash) >= TTL || len(unexplained) < quarantineCrashes:
-		return false
-	case len(unexplained) >= certainCrashes:
-		return true
+// alone returns how many of the crashes of a content no other suspect was part of.
+func (e *Evidence) alone(f Fingerprint, crashes []Crash) int {
+	n := 0
+	for _, c := range crashes {
+		if !e.isSharedWithSuspect(f, c) {
+			n++
+		}
 	}
-	return slices.ContainsFunc(unexplained, func(c Crash) bool { return !e.isSharedWithSuspect(f, c) })
+	return n
 }
 
 // isSharedWithSuspect reports whether another content with several crashes was part of a crash.
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -374,3 +374,38 @@
 	e.Absolve(20)
 	is.Equal(e.Turn(at(20_000), 30), at(20_000))
 }
+
+// Guards against an innocent content that meets the crashes of two guilty ones and a third cause.
+func TestContentBesideTwoGuiltyOnesIsClear(t *testing.T) {
+	is := is.New(t)
+	e := NewEvidence()
+	const first, second, innocent = 1, 2, 3
+	for i := range 4 {
+		addCrash(e, at(20_000*i), fmt.Sprint("a", i), first)
+		addCrash(e, at(20_000*i+10_000), fmt.Sprint("b", i), second)
+	}
+	for i := range 2 {
+		e.AddContentCrash(at(20_000*i), innocent, crashOf(fmt.Sprint("a", i)), true)
+		e.AddContentCrash(at(20_000*i+10_000), innocent, crashOf(fmt.Sprint("b", i)), true)
+	}
+	now := at(80_000)
+	is.Equal(e.Check(now, first), Quarantined)
+	is.Equal(e.Check(now, second), Quarantined)
+	is.Equal(e.Check(now, innocent), Clear)
+}
+
+// Guards against a record full of crashes that don't count: further ones must still be recorded.
+func TestConfirmedCrashesReplacePresumedOnes(t *testing.T) {
+	is := is.New(t)
+	e := NewEvidence()
+	for i := range maxCrashesPerContent { // a cut, in which other servers are unreachable, too
+		e.AddContentCrash(at(i), 1, crashOf(fmt.Sprint("cut-", i)), false)
+		e.AddServerCrash(at(i), crashOf(fmt.Sprint("other-", i)))
+	}
+	is.Equal(e.Check(at(10_000), 1), Clear)
+	for i := range 3 {
+		addCrash(e, at(20_000+100*i), fmt.Sprint("s", i), 1)
+	}
+	is.Equal(e.Check(at(21_000), 1), Quarantined)
+	is.True(len(e.contents[1].crashes) <= maxCrashesPerContent)
+}
