quarantine: contents that share all crashes with another suspect are quarantined after seven

Cause: the rule for contents that can't be told apart came before their turns could separate them, as reroutes of one send take a second or two. Ruled out: waiting for a turn before the second crash (requests beside any single crash would wait). Seven instead of five crashes; a content that was alone in one of its crashes is still quarantined after three.

--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -14,7 +14,7 @@
 	quarantineCrashes = 3
 	// certainCrashes is the number of unexplained crashes that put a content in quarantine in any
 	// case.
-	certainCrashes = 5
+	certainCrashes = 7
 	// presumedDelay is how long a server must be unreachable before its crash counts without being
 	// confirmed. If the network is at fault, other servers become unreachable in the meantime.
 	presumedDelay = 1500 * time.Millisecond
