gateway: a request in quarantine after a failed send is not sent again, also if its crashes are voided

Found by reading the change: after a failed send, the check whether the request may be repeated was skipped for a content in quarantine, since the next round refuses it. If a crash was voided in between, the next round sent a request once more that may run only once. Now the quarantine ends the request where it is found.

--- a/gateway/content.go
+++ b/gateway/content.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"sync"
 	"time"
@@ -39,15 +40,27 @@
 
 // checkContent returns a failure if the request may not run now because of crashes of servers.
 func (g *Gateway) checkContent(j *job) *failure {
-	switch g.verdict(j) {
-	case quarantine.Quarantined:
-		return &failure{reason: "in quarantine: content " + j.fingerprint().String() + " crashes the backend servers that run it", err: errQuarantined}
-	case quarantine.Suspect:
-		if !g.hasTurn(j) {
-			return &failure{reason: "content " + j.fingerprint().String() + " may crash backend servers, and other such requests run first", err: errNotItsTurn}
-		}
+	switch v := g.verdict(j); {
+	case v == quarantine.Quarantined:
+		return quarantineFailure(j)
+	case v == quarantine.Suspect && !g.hasTurn(j):
+		return &failure{reason: "content " + j.fingerprint().String() + " may crash backend servers, and other such requests run first", err: errNotItsTurn}
+	default:
+		return nil
+	}
+}
+
+func quarantineFailure(j *job) *failure {
+	return &failure{reason: "in quarantine: content " + j.fingerprint().String() + " crashes the backend servers that run it", err: errQuarantined}
+}
+
+// mayGoOn reports whether a request may be sent to another server after a failure. If not, it returns
+// the failure to report: that of the send, or that the content is in quarantine now.
+func (g *Gateway) mayGoOn(ctx context.Context, j *job, f *failure) (*failure, bool) {
+	if g.verdict(j) == quarantine.Quarantined {
+		return quarantineFailure(j), false
 	}
-	return nil
+	return f, g.mayRetry(ctx, j, f)
 }
 
 func (g *Gateway) countQuarantined(f *failure) {
--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -144,7 +144,8 @@
 			g.recordEnd(j, http.StatusOK, "")
 			return
 		}
-		if g.verdict(j) != quarantine.Quarantined && !g.mayRetry(ctx, j, f) {
+		f, goesOn := g.mayGoOn(ctx, j, f)
+		if !goesOn {
 			g.failDraft(ctx, w, d, f)
 			return
 		}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -43,7 +43,8 @@
 		if f == nil {
 			return
 		}
-		if g.verdict(j) != quarantine.Quarantined && !g.mayRetry(ctx, j, f) {
+		f, goesOn := g.mayGoOn(ctx, j, f)
+		if !goesOn {
 			g.refuse(w, j, g.finalRefusal(ctx, j, f))
 			return
 		}
--- a/gateway/stall_monitor.go
+++ b/gateway/stall_monitor.go
@@ -233,8 +233,8 @@
 			g.metrics.Reroutes.WithLabelValues().Inc()
 			lost := d.pathCrashes()
 			d.setPath(next)
-			for _, crash := range lost[1:] {
-				if g.isFaulty(v, crash.Server) {
+			for i, crash := range lost {
+				if i > 0 && g.isFaulty(v, crash.Server) {
 					g.recordLostRun(d.job, crash, "rerouted around it")
 				}
 			}
