--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -153,62 +152,6 @@
 	}
 }
 
-// awaitPath returns the best path for the draft. If no path has capacity, it waits. New drafts wait
-// up to capacityWait, at most maxCapacityWaiters of them at a time. A started stream waits until
-// resumeWait has passed since its last event.
-func (g *Gateway) awaitPath(ctx context.Context, d *draft) (layers.Path, bool) {
-	path, ok := g.findNewPath(d)
-	if ok {
-		return path, true
-	}
-	if !d.isStarted.Load() && g.checkContent(d.job) != nil {
-		return nil, false
-	}
-	if d.isStarted.Load() {
-		return g.pollPath(ctx, d, resumePollInterval, resumeWait-d.idleTime())
-	}
-	defer g.waiters.Add(-1)
-	if g.waiters.Add(1) > maxCapacityWaiters {
-		return nil, false
-	}
-	return g.pollPath(ctx, d, capacityPollInterval, capacityWait)
-}
-
-// pollPath searches for a path at an interval until one is found or the wait is over.
-func (g *Gateway) pollPath(ctx context.Context, d *draft, interval, wait time.Duration) (path layers.Path, ok bool) {
-	poll(ctx, interval, wait, func() bool {
-		path, ok = g.findNewPath(d)
-		return ok
-	})
-	return path, ok
-}
-
-// findNewPath returns the best path for an attempt, if the draft may run now.
-func (g *Gateway) findNewPath(d *draft) (layers.Path, bool) {
-	if g.checkContent(d.job) != nil {
-		return nil, false
-	}
-	return g.findPath(d, layers.Part{})
-}
-
-// errNoCompleteCopy means that the available servers hold no complete copy of the model.
-var errNoCompleteCopy = errors.New("gateway: no data centre holds a whole copy of the model")
-
-// noPathFailure returns the failure for a draft without a path: either too few layers of the model
-// are loaded, or no path has capacity.
-func (g *Gateway) noPathFailure(d *draft) *failure {
-	if f := g.checkContent(d.job); f != nil {
-		return f
-	}
-	v := g.view.Load()
-	now := time.Now()
-	s := v.searches[d.service.Name]
-	if s == nil || !s.paths.HasWholeCopy(func(id string) bool { return g.isExcluded(v, now, id) }) {
-		return &failure{reason: "no data centre holds a whole copy of the model", err: errNoCompleteCopy}
-	}
-	return &failure{reason: "no path through the model's layers has room"}
-}
-
 // failDraft reports a failed draft to the caller: with an error status, or, if the stream has
 // started, by aborting the connection so that the stream doesn't look complete.
 func (g *Gateway) failDraft(ctx context.Context, w http.ResponseWriter, d *draft, f *failure) {
@@ -228,43 +171,6 @@
 	g.refuse(w, d.job, r)
 }
 
-// findPath returns the best path for the draft and counts the traffic on the links that it uses. If
-// head names a server, head stays the first part of the path.
-func (g *Gateway) findPath(d *draft, head layers.Part) (layers.Path, bool) {
-	v := g.view.Load()
-	s := v.searches[d.service.Name]
-	if s == nil {
-		return nil, false
-	}
-	now := time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	g.usage.apply(s.paths, g.options.Mesh.PeerUsage())
-	avoided := d.avoidedHeads()
-	avoid := func(id string) bool {
-		if id == head.ID {
-			return false
-		}
-		return g.isExcluded(v, now, id) || slices.Contains(avoided, id)
-	}
-	path, _, ok := s.paths.Find(layers.Query{
-		Draft:   d.size,
-		Home:    g.options.DataCentre,
-		Head:    head,
-		Avoid:   avoid,
-		Started: d.isStarted.Load(),
-		PipeWait: func(from, to string) time.Duration {
-			return g.linkTraffic.wait(now, from, to)
-		},
-	})
-	if ok {
-		// Done under the same lock, so that concurrent searches don't all choose the same link
-		// between data centres.
-		g.recordLinkTraffic(v, d, path)
-	}
-	return path, ok
-}
-
 // runAttempt runs the draft on a path. It returns nil once the stream is complete.
 func (g *Gateway) runAttempt(callerCtx context.Context, w http.ResponseWriter, d *draft, path layers.Path) *failure {
 	ctx, cancel := context.WithCancelCause(callerCtx)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -274,6 +274,7 @@
 			g.updateRetryBudget()
 			g.usage.removeExpired(now)
 			g.lost.removeExpired(now)
+			g.evidence.RemoveExpired(now)
 			g.stallReports.removeExpired(now)
 			g.client.CloseExpired(now)
 		}
--- a/mesh/evidence.go
+++ b/mesh/evidence.go
@@ -90,6 +90,13 @@
 	c.update(func(e *quarantine.Evidence) { e.VoidCrash(crash) })
 }
 
+// RemoveExpired removes the contents whose crashes no longer count.
+func (c *CrashEvidence) RemoveExpired(now time.Time) {
+	if !c.IsEmpty() {
+		c.update(func(e *quarantine.Evidence) { e.RemoveExpired(now) })
+	}
+}
+
 // Absolve records that a content was served, or that an operator has released it. It reports
 // whether any crash counted before.
 func (c *CrashEvidence) Absolve(f quarantine.Fingerprint) bool {
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -67,8 +68,8 @@
 //   - Crashes of several other servers at about the same time have a common cause.
 //   - A server that is only unreachable counts as crashed after a while, and only if no other server
 //     becomes unreachable or crashes at about the same time.
-//   - A crash that a quarantined content was part of was caused by that content.
-//   - If several suspects share each of their crashes, either of them may be the cause. They run one
+//   - A crash is explained by a content that was part of several, and was alone in more of them.
+//   - If several suspects share each of their crashes, any of them may be the cause. They run one
 //     after the other from then on (see Turn), and the next crash decides.
 //
 // It is not safe for concurrent use.
@@ -193,6 +194,11 @@
 	}
 }
 
+// RemoveExpired removes the contents whose crashes no longer count.
+func (e *Evidence) RemoveExpired(now time.Time) {
+	maps.DeleteFunc(e.contents, func(_ Fingerprint, r *contentRecord) bool { return now.Sub(r.lastCrash) >= TTL })
+}
+
 // count returns the number of crashes that count, including those with a common cause.
 func (r *contentRecord) count() int {
 	n := 0
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -35,6 +35,8 @@
 		is.Equal(e.Check(at(201), f), Clear)
 	}
 	is.Equal(e.Check(at(200).Add(TTL), 1), Clear)
+	e.RemoveExpired(at(200).Add(TTL))
+	is.Equal(e.Len(), 0)
 }
 
 // Contents that were part of the same crashes can't be told apart until one of them crashes a server
