--- a/gateway/crash_soak_test.go
+++ b/gateway/crash_soak_test.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -24,11 +23,10 @@
 // themselves, in series and at the same time.
 type soak struct {
 	*cluster
-	rng      *rand.Rand
-	path     string
-	servers  []*crashServer
-	crashing atomic.Int64
-	others   sync.WaitGroup
+	rng     *rand.Rand
+	path    string
+	servers []*crashServer
+	others  sync.WaitGroup
 	// guards protects each gateway from a restart while a cut of it is changed.
 	guards []sync.Mutex
 }
