--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -157,6 +157,8 @@
 func (g *Gateway) failDraft(ctx context.Context, w http.ResponseWriter, d *draft, f *failure) {
 	if d.isStarted.Load() {
 		g.countQuarantined(f)
+		g.options.Log.Info("breaking off a stream", "request", d.header.ID, "reason", f.reason, "silent_ms", d.idleTime().Milliseconds(),
+			"left_ms", time.Until(d.deadline).Milliseconds(), "may_repeat", d.route.MayRepeat(), "attempts", d.attempts, "max_attempts", d.route.MaxAttempts)
 		g.recordEnd(d.job, 0, "broke off the stream: "+f.reason)
 		panic(http.ErrAbortHandler)
 	}
@@ -339,6 +341,9 @@
 		return
 	}
 	d.longestMS = max(d.longestMS, gap.Milliseconds())
+	if gap >= stallAfter {
+		d.gateway.options.Log.Info("a silent draft goes on", "request", d.header.ID, "path", formatPath(d.currentPath()), "silent_ms", gap.Milliseconds())
+	}
 }
 
 // idleTime returns the time since the last event, or since the attempt started.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -297,7 +297,9 @@
 	service   *routing.Service
 	workspace string
 	priority  int
-	arrived   time.Time
+	// routing is the version of the routing document by which the request was admitted.
+	routing uint64
+	arrived time.Time
 	deadline  time.Time
 	// attempts counts the sends in which the request may have run.
 	attempts int
@@ -350,6 +352,7 @@
 	if v.table == nil {
 		return j, &refusal{http.StatusServiceUnavailable, "no routing document is known yet", noRouteRetry}
 	}
+	j.routing = v.table.Version
 	j.route = v.table.Route(r.Host, r.URL.EscapedPath())
 	if j.route == nil {
 		return j, &refusal{http.StatusNotFound, "no route for this host and path", 0}
@@ -428,6 +431,14 @@
 	g.metrics.RequestSeconds.WithLabelValues().Observe(took.Seconds())
 	if status >= 400 || reason != "" {
 		g.options.Log.Info("request ended", "request", j.header.ID, "route", route, "status", status, "reason", reason,
-			"ms", took.Milliseconds(), "sends", j.sends)
+			"ms", took.Milliseconds(), "sends", j.sends, "attempts", j.attempts, "routing", j.routing, "routing_in_force", g.routingVersion())
 	}
 }
+
+// routingVersion returns the version of the routing document in force, or 0 if none is known.
+func (g *Gateway) routingVersion() uint64 {
+	if t := g.view.Load().table; t != nil {
+		return t.Version
+	}
+	return 0
+}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -212,5 +212,9 @@
 func (g *Gateway) allowRetry(j *job) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.budgets.Allow(time.Now(), g.budgetKey(j))
+	isAllowed := g.budgets.Allow(time.Now(), g.budgetKey(j))
+	if !isAllowed {
+		g.options.Log.Info("the retry budget is used up", "request", j.header.ID, "service", j.service.Name)
+	}
+	return isAllowed
 }
