retry: the budgets of all gateways stay within the allowance in any window

Cause: an allowance of one window was built from parts that add up to more. Each gateway held its whole share of the reserve and was refilled by 0.2 retries a second beside it. A restarted gateway began with a full share, computed from the gateways known at that moment, at first one; a gateway that lost sight of the control instances took the whole reserve. And a send whose connection was refused, which no server has seen, was charged.

A refused connection isn't charged.

--- a/daemon/member.go
+++ b/daemon/member.go
@@ -100,6 +100,7 @@
 
 		RetryRatio:   s.RetryRatio,
 		RetryReserve: s.RetryReserve,
+		RetryWindow:  s.RetryWindow,
 	})
 	taskCtx, stopTasks := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopTasks()
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -158,6 +158,19 @@
 	return l.Addr().String()
 }
 
+// serveRefusing announces a plain server that refuses connections.
+func (f *fleet) serveRefusing(id, service string) {
+	f.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	_ = l.Close()
+	f.mesh.Announce(time.Now(), discovery.Announcement{
+		ID: id, Incarnation: 1, Sequence: 1, Service: service, Address: l.Addr().String(), DataCentre: "a", State: discovery.StateReady, Slots: 4,
+	})
+}
+
 func (f *fleet) serveConn(id string, c net.Conn, h handler) {
 	defer c.Close()
 	br := bufio.NewReader(c)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,9 +59,10 @@
 	// Orders queries the servers about stalled drafts and reroutes drafts.
 	Orders Orders
 	// RetryRatio is the number of retries that each request adds to the budget. RetryReserve is
-	// the number of further retries that all gateways together may send at once.
+	// the number of further retries that all gateways together may send in each RetryWindow.
 	RetryRatio   float64
 	RetryReserve float64
+	RetryWindow  time.Duration
 	Seed         uint64
 	// Registry is where the gateway registers its metrics.
 	Registry prometheus.Registerer
@@ -92,8 +93,10 @@
 	rng     *rand.Rand
 	health  *retry.Health
 	budgets *retry.Budgets
-	// budgetShares is the number of gateways that the retry reserve is divided among.
-	budgetShares int
+	// retryShares is the number of gateways that the retry reserve is divided among, and loggedShares
+	// the one that was logged last.
+	retryShares  retry.Shares
+	loggedShares int
 }
 
 // New returns a gateway; Run starts to serve callers.
@@ -115,6 +118,7 @@
 		health:       retry.NewHealth(),
 		budgets:      retry.NewBudgets(),
 	}
+	g.updateRetryBudget(time.Now())
 	g.client.OnDial = func() { g.metrics.Dials.WithLabelValues().Inc() }
 	g.view.Store(newView(o.Mesh.Snapshot()))
 	o.Mesh.SetLocalUsage(g.usage.list)
@@ -248,15 +252,16 @@
 }
 
 // updateRetryBudget sets this instance's share of the retries that all gateways may send.
-func (g *Gateway) updateRetryBudget() {
-	gateways := g.options.Mesh.Gateways()
-	reserve := g.options.RetryReserve / float64(gateways)
+func (g *Gateway) updateRetryBudget(now time.Time) {
+	known := g.options.Mesh.Gateways()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.budgets.SetLimits(g.options.RetryRatio, reserve)
-	if gateways != g.budgetShares {
-		g.budgetShares = gateways
-		g.options.Log.Info("shares the retry reserve", "gateways", gateways, "reserve", reserve)
+	gateways, isSettled := g.retryShares.Update(now, known)
+	o := g.options
+	g.budgets.SetAllowance(retry.Allowance{Ratio: o.RetryRatio, Reserve: o.RetryReserve, Window: o.RetryWindow}, gateways, isSettled)
+	if gateways != g.loggedShares {
+		g.loggedShares = gateways
+		g.options.Log.Info("shares the retry reserve", "gateways", gateways, "reserve", o.RetryReserve/float64(gateways))
 	}
 }
 
@@ -271,7 +276,7 @@
 			return nil
 		case now := <-ticker.C:
 			g.options.Mesh.SetUnresponsive(g.listUnresponsive(now))
-			g.updateRetryBudget()
+			g.updateRetryBudget(now)
 			g.usage.removeExpired(now)
 			g.lost.removeExpired(now)
 			g.evidence.RemoveExpired(now)
@@ -298,9 +303,9 @@
 	workspace string
 	priority  int
 	// routing is the version of the routing document by which the request was admitted.
-	routing uint64
-	arrived time.Time
-	deadline  time.Time
+	routing  uint64
+	arrived  time.Time
+	deadline time.Time
 	// attempts counts the sends in which the request may have run.
 	attempts int
 	// sends counts all sends, including those in which the request was not run.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -346,6 +346,20 @@
 	}
 }
 
+// A send that was refused before it left the gateway has reached no server, so it must not use up the
+// retry budget.
+func TestRefusedConnectionsDoNotUseUpTheRetryBudget(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.publish()
+	for _, id := range []string{"e1", "e2", "e3"} {
+		f.serveRefusing(id, "desk")
+	}
+	f.serve("e4", "desk", 0, 0, func(c net.Conn, _ *http.Request) { reply(c, http.StatusOK, "done") })
+	f.until(func() bool { return len(f.mesh.Snapshot().Servers) == 4 })
+	is.Equal(f.get("/check/1", nil).status, http.StatusOK)
+}
+
 // If a stream breaks before its first event, the retry must not ask the server to resume it: there
 // is no last event.
 func TestStreamBrokenBeforeFirstEventRestarts(t *testing.T) {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -131,7 +131,8 @@
 	if f.ran && (!j.route.MayRepeat() || j.attempts >= max(1, j.route.MaxAttempts)) {
 		return false
 	}
-	return errors.Is(f.err, errRetryAllowed) || g.allowRetry(j)
+	// A send that never left this process has used nothing of the budget.
+	return errors.Is(f.err, errRetryAllowed) || errors.Is(f.err, upstream.ErrNotSent) || g.allowRetry(j)
 }
 
 // finalRefusal returns the response to the caller after the last failure.
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -9,9 +9,9 @@
 	defaultRatio = 0.1
 	// defaultCapacity is the initial and the maximum number of retries of a budget.
 	defaultCapacity = 10
-	// refillPerSecond is the number of retries that a budget gains per second. It allows a service
-	// with few requests to retry at all.
-	refillPerSecond = 0.2
+	// defaultRefillPerSecond is the number of retries that a budget gains per second. It allows a
+	// service with few requests to retry at all.
+	defaultRefillPerSecond = 0.2
 	// maxBudgets limits the number of budgets that are kept.
 	maxBudgets = 4096
 )
@@ -37,7 +37,10 @@
 type Budgets struct {
 	ratio    float64
 	capacity float64
-	current  map[budgetKey]*budget
+	// initial is the number of retries of a new budget.
+	initial         float64
+	refillPerSecond float64
+	current         map[budgetKey]*budget
 	// previous holds the budgets that were in current when current was last replaced by an empty
 	// map.
 	previous map[budgetKey]*budget
@@ -45,14 +48,10 @@
 
 // NewBudgets returns a Budgets in which each new budget starts full.
 func NewBudgets() *Budgets {
-	return &Budgets{ratio: defaultRatio, capacity: defaultCapacity, current: make(map[budgetKey]*budget)}
-}
-
-// SetLimits sets the number of retries that each request adds to a budget, and the maximum that
-// a budget holds.
-func (b *Budgets) SetLimits(ratio, capacity float64) {
-	b.ratio = ratio
-	b.capacity = capacity
+	return &Budgets{
+		ratio: defaultRatio, capacity: defaultCapacity, initial: defaultCapacity, refillPerSecond: defaultRefillPerSecond,
+		current: make(map[budgetKey]*budget),
+	}
 }
 
 // RecordRequest records the first send of a request.
@@ -85,25 +84,25 @@
 }
 
 // budget returns the budget of the given name, creating it if necessary. Budgets that have not
-// been used for long are dropped, one generation at a time; a dropped budget starts full again.
+// been used for long are dropped, one generation at a time; a dropped budget starts anew.
 func (b *Budgets) budget(now time.Time, n budgetKey) *budget {
 	x, ok := b.current[n]
 	if !ok {
 		x, ok = b.previous[n]
 	}
 	if !ok {
-		x = &budget{retries: b.capacity, refilledAt: now}
+		x = &budget{retries: b.initial, refilledAt: now}
 	}
 	if len(b.current) >= maxBudgets/2 {
 		b.previous = b.current
 		b.current = make(map[budgetKey]*budget)
 	}
 	b.current[n] = x
-	x.refill(now, b.capacity)
+	x.refill(now, b.capacity, b.refillPerSecond)
 	return x
 }
 
-func (x *budget) refill(now time.Time, capacity float64) {
-	x.retries = min(capacity, x.retries+refillPerSecond*max(0, now.Sub(x.refilledAt).Seconds()))
+func (x *budget) refill(now time.Time, capacity, perSecond float64) {
+	x.retries = min(capacity, x.retries+perSecond*max(0, now.Sub(x.refilledAt).Seconds()))
 	x.refilledAt = now
 }
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -34,7 +34,7 @@
 			}
 			now = now.Add(gap)
 		}
-		limit := defaultCapacity + defaultRatio*float64(n) + refillPerSecond*now.Sub(epoch).Seconds()
+		limit := defaultCapacity + defaultRatio*float64(n) + defaultRefillPerSecond*now.Sub(epoch).Seconds()
 		is.True(float64(bounded) <= limit+1e-6)
 		is.True(naive == 3*n)
 	})
--- a/settings/member.go
+++ b/settings/member.go
@@ -24,7 +24,8 @@
 	{"join", "seeds", "", "IP:port, ...", "Control instances to ask for the others. The port is replaced by that for instances. Read again when the file changes.", addressPorts},
 	{"fleet", "announce_interval_ms", "1200", "ms", "Time between two announcements of a backend server.", wholeNumber(10, 600000)},
 	{"retry", "ratio", "0.2", "", "Gateway: how many requests may be sent once more, for each request of a service.", fraction},
-	{"retry", "reserve", "100", "requests", "Gateways together: how many requests of a service may be sent once more besides, at once.", wholeNumber(0, 1<<20)},
+	{"retry", "reserve", "100", "requests", "Gateways together: how many requests of a service may be sent once more besides, in each window.", wholeNumber(0, 1<<20)},
+	{"retry", "window_s", "10", "s", "Length of the windows in which the reserve holds.", wholeNumber(1, 3600)},
 	{"limits", "grace_s", "10", "s", "Time between the signal to stop and the end of the process.", wholeNumber(1, 3600)},
 	{"limits", "memory_mb", "0", "MB", "Memory that the process may use; 0: not limited.", wholeNumber(0, 1<<20)},
 	{"log", "level", "info", "", "Least severe level that is logged.", oneOf("debug", "info", "error")},
@@ -51,9 +52,11 @@
 	Seeds            []string
 	AnnounceInterval time.Duration
 	// RetryRatio is the number of retries that each request adds to the budget of its service.
-	// RetryReserve is the number of further retries that all gateways together may send at once.
+	// RetryReserve is the number of further retries that all gateways together may send in each
+	// RetryWindow.
 	RetryRatio   float64
 	RetryReserve float64
+	RetryWindow  time.Duration
 	// Grace is the time between the signal to stop and the end of a gateway's process.
 	Grace time.Duration
 	// MemoryMB is the memory that the process may use, in MiB; 0 means no limit.
@@ -123,6 +126,7 @@
 		AnnounceInterval: time.Duration(intValue("fleet", "announce_interval_ms")) * time.Millisecond,
 		RetryRatio:       ratio,
 		RetryReserve:     float64(intValue("retry", "reserve")),
+		RetryWindow:      time.Duration(intValue("retry", "window_s")) * time.Second,
 		Grace:            time.Duration(intValue("limits", "grace_s")) * time.Second,
 		MemoryMB:         intValue("limits", "memory_mb"),
 		LogLevel:         get("log", "level"),
