--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,321 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/balsamlb/balsamlb/layers"
+	"github.com/balsamlb/balsamlb/quarantine"
+)
+
+var (
+	// errOvertaken cancels an attempt after another attempt of the same draft has brought the next
+	// event.
+	errOvertaken = errors.New("gateway: another attempt goes on with the draft")
+	// errHeadCrashed cancels an attempt whose first server has crashed for certain.
+	errHeadCrashed = errors.New("gateway: the first server has crashed")
+	// errCallerGone ends an attempt whose caller takes no more events.
+	errCallerGone = errors.New("gateway: the caller takes no more events")
+)
+
+// attempt is one run of a draft at a first server. It is safe for concurrent use.
+type attempt struct {
+	gateway *Gateway
+	draft   *draft
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	monitor *stallMonitor
+	// done is closed when the attempt has ended; failure and panicked are valid then.
+	done    chan struct{}
+	failure *failure
+	// panicked is what the attempt has panicked with, to be raised again by the request's handler.
+	panicked any
+
+	// mu guards the fields below, which change while the attempt runs.
+	mu   sync.Mutex
+	path layers.Path
+	// pathEnds are the crashes that would end the incarnations of the path's servers.
+	pathEnds []quarantine.Crash
+	// heldTokens is the number of tokens that the draft keeps in memory on the servers of the path.
+	heldTokens int
+	// lastEventAt is when the last event arrived, or when the attempt started.
+	lastEventAt time.Time
+	// awaitsFirstEvent means that the attempt has returned no event yet.
+	awaitsFirstEvent bool
+}
+
+// newAttempt returns an attempt on a path; it begins with run.
+func (g *Gateway) newAttempt(ctx context.Context, d *draft, path layers.Path) *attempt {
+	a := &attempt{gateway: g, draft: d, done: make(chan struct{}), awaitsFirstEvent: true, lastEventAt: time.Now(), heldTokens: d.tokens()}
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	a.monitor = newStallMonitor(a)
+	a.setPath(path)
+	return a
+}
+
+// run runs the draft on the attempt's path, and returns nil once the stream is complete. The path is
+// counted as used until then.
+func (a *attempt) run() *failure {
+	g, d := a.gateway, a.draft
+	defer a.cancel(nil)
+	g.running.add(a)
+	defer a.setPath(nil)
+	defer g.running.remove(a)
+	go a.monitor.run()
+	defer func() {
+		a.cancel(nil)
+		<-a.monitor.done
+	}()
+	started := time.Now()
+	f := g.sendDraft(a)
+	if f == nil {
+		for _, part := range a.currentPath() {
+			g.faults.markRecovered(part.ID)
+			if d.isComplete.Load() {
+				g.recordAlive(started, part.ID, "completed a draft")
+			}
+		}
+		return nil
+	}
+	cause := context.Cause(a.ctx)
+	head := a.pathCrashes()[0]
+	if errors.Is(cause, errHeadCrashed) {
+		f.reason = head.Server + " has crashed"
+	}
+	if f.ran && g.lost.isConfirmed(head) {
+		// An attempt on a server that has crashed doesn't count against the route's limit.
+		d.attempts.Add(-1)
+	}
+	switch {
+	case !f.ran:
+	case errors.Is(d.callerCtx.Err(), context.Canceled):
+		g.recordAbandonedAttempt(a)
+	default:
+		g.recordLostAttempt(a, cause, f.reason)
+	}
+	return f
+}
+
+// runBeside is run for an attempt that runs beside the one of the request's handler.
+func (a *attempt) runBeside() {
+	defer close(a.done)
+	defer func() { a.panicked = recover() }()
+	a.failure = a.run()
+}
+
+// recordEvent updates the attempt's progress after an event was forwarded. It returns the time since
+// the event before, or since the attempt's start.
+func (a *attempt) recordEvent(now time.Time) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	gap := now.Sub(a.lastEventAt)
+	a.lastEventAt = now
+	a.awaitsFirstEvent = false
+	return gap
+}
+
+// progress returns the time since the last event or the start of the attempt, and whether the attempt
+// has returned an event.
+func (a *attempt) progress(now time.Time) (idle time.Duration, hasEvents bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return now.Sub(a.lastEventAt), !a.awaitsFirstEvent
+}
+
+// idleTime returns the time since the last event, or since the attempt started. Time in which this
+// process was paused doesn't count.
+func (a *attempt) idleTime(now time.Time) time.Duration {
+	idle, _ := a.progress(now)
+	return min(idle, a.gateway.pauses.sinceResumed(now))
+}
+
+// stallThreshold returns the time without an event after which the attempt counts as stalled.
+func (a *attempt) stallThreshold() time.Duration {
+	if _, hasEvents := a.progress(time.Time{}); !hasEvents {
+		return firstStallAfter
+	}
+	return stallAfter
+}
+
+func (a *attempt) currentPath() layers.Path {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.path
+}
+
+// pathCrashes returns the crashes that would end the incarnations of the path's servers.
+func (a *attempt) pathCrashes() []quarantine.Crash {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.pathEnds
+}
+
+// setPath moves the attempt's usage from the servers of its old path to those of p. An empty path
+// ends the usage.
+func (a *attempt) setPath(p layers.Path) {
+	g := a.gateway
+	v := g.view.Load()
+	ends := make([]quarantine.Crash, 0, len(p))
+	for _, part := range p {
+		ends = append(ends, v.crashOf(part.ID))
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	g.usage.add(a.path, a.heldTokens, -1)
+	a.path = p
+	a.pathEnds = ends
+	g.usage.add(p, a.heldTokens, 1)
+}
+
+// addTokens counts tokens that the draft has generated.
+func (a *attempt) addTokens(tokens int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.heldTokens += tokens
+	a.gateway.usage.addTokens(a.path, tokens)
+}
+
+// maxParallelAttempts bounds the attempts of one draft that run at the same time.
+const maxParallelAttempts = 2
+
+// race holds the attempts of a draft that run at the same time: a draft whose servers are silent is
+// also sent to others, and the attempt that brings the next event goes on. It is safe for concurrent
+// use.
+type race struct {
+	mu       sync.Mutex
+	attempts []*attempt
+	isClosed bool
+}
+
+// open begins a race with its first attempt.
+func (r *race) open(a *attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.attempts = []*attempt{a}
+	r.isClosed = false
+}
+
+// mayJoin reports whether another attempt may begin.
+func (r *race) mayJoin() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.canJoin()
+}
+
+func (r *race) canJoin() bool { return !r.isClosed && len(r.attempts) < maxParallelAttempts }
+
+// join adds an attempt, unless the race is closed or full.
+func (r *race) join(a *attempt) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.canJoin() {
+		return false
+	}
+	r.attempts = append(r.attempts, a)
+	return true
+}
+
+// leave removes an attempt that has ended, and returns one that still runs. If there is none, it
+// closes the race and returns nil.
+func (r *race) leave(a *attempt) *attempt {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, other := range r.attempts {
+		if other == a {
+			r.attempts = append(r.attempts[:i:i], r.attempts[i+1:]...)
+			break
+		}
+	}
+	if len(r.attempts) == 0 {
+		r.isClosed = true
+		return nil
+	}
+	return r.attempts[0]
+}
+
+// win cancels all attempts but one.
+func (r *race) win(a *attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, other := range r.attempts {
+		if other != a {
+			other.cancel(errOvertaken)
+		}
+	}
+}
+
+// claim closes the race if the attempt is the only one, and reports whether it is.
+func (r *race) claim(a *attempt) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.attempts) != 1 || r.attempts[0] != a {
+		return false
+	}
+	r.isClosed = true
+	return true
+}
+
+// heads returns the first servers of the attempts that run.
+func (r *race) heads() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for _, a := range r.attempts {
+		if path := a.currentPath(); len(path) > 0 {
+			out = append(out, path[0].ID)
+		}
+	}
+	return out
+}
+
+// runAttempts runs the draft on a path, and on further ones while its servers are silent. It returns
+// nil once the stream is complete, and otherwise the failure of the last attempt.
+func (g *Gateway) runAttempts(ctx context.Context, d *draft, path layers.Path) *failure {
+	a := g.newAttempt(ctx, d, path)
+	d.race.open(a)
+	f := a.run()
+	for {
+		if f == nil {
+			d.race.win(a)
+		}
+		other := d.race.leave(a)
+		if other == nil {
+			return f
+		}
+		<-other.done
+		if other.panicked != nil {
+			panic(other.panicked)
+		}
+		a = other
+		if f != nil && !(other.failure != nil && errors.Is(other.failure.err, errOvertaken)) {
+			f = other.failure
+		}
+	}
+}
+
+// startBeside starts a further attempt of a draft whose servers are silent, beside those that run. The
+// servers may go on, so their attempts end only when another attempt brings the next event.
+func (g *Gateway) startBeside(silent *attempt, reason string) {
+	d := silent.draft
+	mayRepeat := d.route.MayRepeat() && int(d.attempts.Load()) < d.route.MaxAttempts && d.sends.Load() < maxSends
+	if !mayRepeat || !d.race.mayJoin() {
+		return
+	}
+	path, hasPath := g.findNewPath(d)
+	// The budget is charged before the attempt joins: if no retry is left, the silent one goes on alone.
+	if !hasPath || !g.allowRetry(d.job) {
+		g.options.Log.Info("no other path for a silent draft", "request", d.header.ID, "reason", reason, "has_path", hasPath)
+		return
+	}
+	a := g.newAttempt(d.callerCtx, d, path)
+	if !d.race.join(a) {
+		a.cancel(nil)
+		a.setPath(nil)
+		return
+	}
+	g.options.Log.Info("sending a silent draft to another server as well", "request", d.header.ID, "reason", reason,
+		"path", formatPath(path), "silent_ms", silent.idleTime(time.Now()).Milliseconds())
+	go a.runBeside()
+}
--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/layers"
-	"github.com/balsamlb/balsamlb/quarantine"
 	"github.com/balsamlb/balsamlb/upstream"
 )
 
@@ -58,31 +57,30 @@
 // draft is a request that is run by a path of servers, each of which holds some of the layers.
 type draft struct {
 	*job
-	gateway *Gateway
-	size    layers.Draft
-	// heldTokens is the number of tokens that the draft keeps in memory on its servers.
-	heldTokens int
+	gateway   *Gateway
+	size      layers.Draft
+	callerCtx context.Context
+	writer    http.ResponseWriter
+	race      race
 
-	// mu guards path, pathEnds, avoid, heldTokens, lastEventAt and awaitsFirstEvent, which change while the
-	// draft runs.
-	mu   sync.Mutex
-	path layers.Path
-	// pathEnds are the crashes that would end the incarnations of the path's servers.
-	pathEnds []quarantine.Crash
+	// mu guards avoid and heldTokens, which change while the draft runs.
+	mu sync.Mutex
 	// avoid holds the first servers of the paths on which an attempt of this draft has failed.
-	avoid   []string
-	monitor atomic.Pointer[stallMonitor]
+	avoid []string
+	// heldTokens is the number of tokens of the prompt and of the forwarded events.
+	heldTokens int
 
 	// isStarted means that the header of the response was written, and isComplete that a server has
 	// sent its whole answer.
 	isStarted  atomic.Bool
-	isComplete bool
+	isComplete atomic.Bool
+
+	// deliveryMu is held while the response is written to the caller, and guards the fields below.
+	deliveryMu sync.Mutex
 	// lastEventID is the ID of the last event that was forwarded; -1 means none.
 	lastEventID int64
-	// lastEventAt is when the last event was forwarded, or when the attempt started.
+	// lastEventAt is when the last event was forwarded, or when the request arrived.
 	lastEventAt time.Time
-	// awaitsFirstEvent means that the attempt has returned no event yet.
-	awaitsFirstEvent bool
 	// events counts the forwarded events; firstMS and longestMS are the time to the first event
 	// and the longest time between two events after it.
 	events    int
@@ -90,8 +88,8 @@
 	longestMS int64
 }
 
-func (g *Gateway) newDraft(j *job) *draft {
-	d := &draft{job: j, gateway: g, lastEventID: -1, lastEventAt: j.arrived}
+func (g *Gateway) newDraft(ctx context.Context, w http.ResponseWriter, j *job) *draft {
+	d := &draft{job: j, gateway: g, callerCtx: ctx, writer: w, lastEventID: -1, lastEventAt: j.arrived}
 	e := j.service.Engine
 	answer := float64(j.header.MaxAnswerTokens)
 	if likely := float64(j.header.LikelyAnswerTokens); likely > 0 {
@@ -126,18 +124,18 @@
 // serveDraft runs a draft and streams its events to the caller.
 func (g *Gateway) serveDraft(ctx context.Context, w http.ResponseWriter, j *job) {
 	g.recordRequest(j)
-	d := g.newDraft(j)
+	d := g.newDraft(ctx, w, j)
 	for {
 		path, ok := g.awaitPath(ctx, d)
 		if !ok {
 			g.failDraft(ctx, w, d, g.noPathFailure(d))
 			return
 		}
-		f := g.runAttempt(ctx, w, d, path)
+		f := g.runAttempts(ctx, d, path)
 		if f == nil {
-			g.options.Log.Info("completed a draft", "request", j.header.ID, "path", formatPath(path), "tokens", d.heldTokens,
-				"events", d.events, "first_ms", d.firstMS, "longest_ms", d.longestMS, "ms", time.Since(j.arrived).Milliseconds(), "sends", j.sends)
-			if d.isComplete {
+			g.options.Log.Info("completed a draft", "request", j.header.ID, "path", formatPath(path), "tokens", d.tokens(),
+				"events", d.events, "first_ms", d.firstMS, "longest_ms", d.longestMS, "ms", time.Since(j.arrived).Milliseconds(), "sends", j.sends.Load())
+			if d.isComplete.Load() {
 				g.recordAnswered(j)
 			}
 			g.recordEnd(j, http.StatusOK, "")
@@ -158,7 +156,7 @@
 	if d.isStarted.Load() {
 		g.countQuarantined(f)
 		g.options.Log.Info("breaking off a stream", "request", d.header.ID, "reason", f.reason, "silent_ms", d.idleTime().Milliseconds(),
-			"left_ms", time.Until(d.deadline).Milliseconds(), "may_repeat", d.route.MayRepeat(), "attempts", d.attempts, "max_attempts", d.route.MaxAttempts)
+			"left_ms", time.Until(d.deadline).Milliseconds(), "may_repeat", d.route.MayRepeat(), "attempts", d.attempts.Load(), "max_attempts", d.route.MaxAttempts)
 		g.recordEnd(d.job, 0, "broke off the stream: "+f.reason)
 		panic(http.ErrAbortHandler)
 	}
@@ -173,61 +171,17 @@
 	g.refuse(w, d.job, r)
 }
 
-// runAttempt runs the draft on a path. It returns nil once the stream is complete.
-func (g *Gateway) runAttempt(callerCtx context.Context, w http.ResponseWriter, d *draft, path layers.Path) *failure {
-	ctx, cancel := context.WithCancelCause(callerCtx)
-	defer cancel(nil)
-	d.startAttempt(path)
-	defer d.setPath(nil)
-	monitor := g.monitorDraft(ctx, d, cancel)
-	d.monitor.Store(monitor)
-	defer func() {
-		d.monitor.Store(nil)
-		cancel(nil)
-		<-monitor.done
-	}()
-	started := time.Now()
-	f := g.sendDraft(ctx, w, d, path)
-	if f == nil {
-		for _, part := range d.currentPath() {
-			g.faults.markRecovered(part.ID)
-			if d.isComplete {
-				g.recordAlive(started, part.ID, "completed a draft")
-			}
-		}
-		return nil
-	}
-	switch cause := context.Cause(ctx); {
-	case errors.Is(cause, errHeadUnresponsive):
-		// An attempt on a server that crashed doesn't count against the route's limit of attempts.
-		d.attempts = max(0, d.attempts-1)
-		f.reason = path[0].ID + " gives no sign of life"
-	case errors.Is(cause, errNoReroute):
-		f.reason = "no path leads on from " + path[0].ID
-		f.err = errRetryAllowed
-	}
-	switch {
-	case !f.ran:
-	case errors.Is(callerCtx.Err(), context.Canceled):
-		g.recordAbandonedAttempt(d)
-	default:
-		g.recordLostAttempt(d, context.Cause(ctx), f.reason)
-	}
-	return f
-}
-
 // sendDraft sends the draft to the first server of the path and forwards its response.
-func (g *Gateway) sendDraft(ctx context.Context, w http.ResponseWriter, d *draft, path layers.Path) *failure {
+func (g *Gateway) sendDraft(a *attempt) *failure {
+	d, path := a.draft, a.currentPath()
 	head := path[0]
-	lastEvent := ""
-	if d.isStarted.Load() && d.lastEventID >= 0 {
-		lastEvent = strconv.FormatInt(d.lastEventID, 10)
-		g.metrics.Resumes.WithLabelValues().Inc()
-	}
-	resp, rh, err := g.send(ctx, d.job, head.ID, head.Address, path, lastEvent)
+	resp, rh, err := g.send(a.ctx, d.job, head.ID, head.Address, path, d.resumePoint())
 	if err != nil {
 		wasSent := !errors.Is(err, upstream.ErrNotSent)
-		if !wasSent && ctx.Err() == nil {
+		if cause := context.Cause(a.ctx); errors.Is(cause, errOvertaken) {
+			return &failure{reason: cause.Error(), ran: wasSent, err: errOvertaken}
+		}
+		if !wasSent && a.ctx.Err() == nil {
 			g.markUnreachable(head.ID, err)
 		}
 		d.avoidHead(head.ID)
@@ -235,154 +189,189 @@
 	}
 	defer resp.Close()
 	if rh.NotRun {
-		return d.recordRejection(ctx, resp.Status, rh)
+		return a.recordRejection(resp.Status, rh)
 	}
 	if f := g.checkResponse(d.job, head.ID, resp, rh); f != nil {
 		d.avoidHead(head.ID)
 		return f
 	}
 	if resp.Status != http.StatusOK || !strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
-		return g.forwardNonStream(d, w, resp)
+		return g.forwardNonStream(a, resp)
 	}
-	return g.forwardStream(d, w, resp)
+	return a.forwardStream(resp)
+}
+
+// resumePoint returns the ID of the event after which a server should resume the stream, or "" for a
+// stream that has not started.
+func (d *draft) resumePoint() string {
+	d.deliveryMu.Lock()
+	defer d.deliveryMu.Unlock()
+	if !d.isStarted.Load() || d.lastEventID < 0 {
+		return ""
+	}
+	d.gateway.metrics.Resumes.WithLabelValues().Inc()
+	return strconv.FormatInt(d.lastEventID, 10)
 }
 
 // recordRejection excludes the server that refused its part of the path. If that server is silent,
 // it is also probed, since it may have crashed before this instance was started.
-func (d *draft) recordRejection(ctx context.Context, status int, rh ResponseHeader) *failure {
-	g := d.gateway
+func (a *attempt) recordRejection(status int, rh ResponseHeader) *failure {
+	g := a.gateway
 	v := g.view.Load()
 	fault := v.byAddress[rh.FaultAddress]
 	if fault == "" {
-		fault = d.currentPath()[0].ID
+		fault = a.currentPath()[0].ID
 	}
 	exclusion := refusalFor
 	if status == http.StatusMisdirectedRequest {
 		exclusion = staleLayersFor
 	}
 	if v.isSilent(fault) {
-		g.probe(ctx, time.Now(), []string{fault})
+		g.probe(a.ctx, time.Now(), []string{fault})
 	}
 	g.faults.markRefusing(time.Now(), fault, exclusion)
 	return &failure{reason: fmt.Sprintf("%s did not take its part (status %d)", fault, status)}
 }
 
-// forwardNonStream forwards a response that is not an event stream.
-func (g *Gateway) forwardNonStream(d *draft, w http.ResponseWriter, resp *upstream.Response) *failure {
-	if d.isStarted.Load() {
+// forwardNonStream forwards a response that is not an event stream, unless another attempt may still
+// bring one.
+func (g *Gateway) forwardNonStream(a *attempt, resp *upstream.Response) *failure {
+	d := a.draft
+	if d.isStarted.Load() || !d.race.claim(a) {
 		return &failure{reason: "the stream did not go on: status " + strconv.Itoa(resp.Status), ran: true}
 	}
-	if err := g.writeResponse(w, d.job, resp); err != nil {
+	if err := g.writeResponse(d.writer, d.job, resp); err != nil {
 		return &failure{reason: "the answer broke off", ran: true, err: err}
 	}
-	d.isComplete = true
+	d.isComplete.Store(true)
 	return nil
 }
 
 // forwardStream forwards events as they arrive, each as a whole.
-func (g *Gateway) forwardStream(d *draft, w http.ResponseWriter, resp *upstream.Response) *failure {
-	flusher := http.NewResponseController(w)
+func (a *attempt) forwardStream(resp *upstream.Response) *failure {
 	events := newEventReader(resp)
 	for {
 		ev, err := events.next()
-		if errors.Is(err, io.EOF) {
-			d.writeHeader(w, resp)
-			d.isComplete = true
-			return nil
-		}
-		if err != nil {
-			return &failure{reason: "the stream of " + d.currentPath()[0].ID + " broke off", ran: true, err: err}
-		}
-		if ev.id >= 0 && ev.id <= d.lastEventID {
-			continue // forwarded by an earlier attempt
-		}
-		d.writeHeader(w, resp)
-		if _, err := w.Write(ev.bytes); err != nil {
-			return nil
+		switch {
+		case errors.Is(err, io.EOF):
+			err = a.completeStream(resp)
+		case err == nil:
+			if err = a.deliver(resp, ev); err == nil {
+				continue
+			}
 		}
-		if err := flusher.Flush(); err != nil {
+		switch {
+		case err == nil, errors.Is(err, errCallerGone):
 			return nil
-		}
-		d.recordEvent(time.Now())
-		if ev.id >= 0 {
-			d.lastEventID = ev.id
+		case errors.Is(context.Cause(a.ctx), errOvertaken):
+			return &failure{reason: errOvertaken.Error(), ran: true, err: errOvertaken}
+		default:
+			return &failure{reason: "the stream of " + a.currentPath()[0].ID + " broke off", ran: true, err: err}
 		}
 	}
 }
 
+// deliver forwards an event, unless it was forwarded before. The draft's other attempts end. It returns
+// errCallerGone if the caller takes no more events, and the cause if the attempt was cancelled.
+func (a *attempt) deliver(resp *upstream.Response, ev event) error {
+	d := a.draft
+	d.deliveryMu.Lock()
+	defer d.deliveryMu.Unlock()
+	if a.ctx.Err() != nil {
+		return context.Cause(a.ctx)
+	}
+	if ev.id >= 0 && ev.id <= d.lastEventID {
+		return nil
+	}
+	d.race.win(a)
+	d.writeHeader(resp)
+	if _, err := d.writer.Write(ev.bytes); err != nil {
+		return errCallerGone
+	}
+	if err := http.NewResponseController(d.writer).Flush(); err != nil {
+		return errCallerGone
+	}
+	if ev.id >= 0 {
+		d.lastEventID = ev.id
+	}
+	a.recordDelivery(time.Now())
+	return nil
+}
+
+// completeStream ends the stream after its last event. It returns the cause if the attempt was
+// cancelled.
+func (a *attempt) completeStream(resp *upstream.Response) error {
+	d := a.draft
+	d.deliveryMu.Lock()
+	defer d.deliveryMu.Unlock()
+	if a.ctx.Err() != nil {
+		return context.Cause(a.ctx)
+	}
+	d.race.win(a)
+	d.writeHeader(resp)
+	d.isComplete.Store(true)
+	return nil
+}
+
 // writeHeader writes the response header before the first event, with the headers of the server
 // that sent it. Until the header is written, a failure can still be reported to the caller by an
 // error status.
-func (d *draft) writeHeader(w http.ResponseWriter, resp *upstream.Response) {
+func (d *draft) writeHeader(resp *upstream.Response) {
 	if d.isStarted.Load() {
 		return
 	}
 	for name, values := range forwardedHeaders(resp.Header) {
-		w.Header()[name] = values
+		d.writer.Header()[name] = values
 	}
-	w.WriteHeader(resp.Status)
+	d.writer.WriteHeader(resp.Status)
 	d.isStarted.Store(true)
 }
 
-// recordEvent updates the draft's progress after an event was forwarded.
-func (d *draft) recordEvent(now time.Time) {
-	d.mu.Lock()
+// recordDelivery updates the draft's progress after an event was forwarded. The caller holds
+// deliveryMu.
+func (a *attempt) recordDelivery(now time.Time) {
+	d := a.draft
+	silence := a.recordEvent(now)
 	gap := now.Sub(d.lastEventAt)
 	d.lastEventAt = now
-	d.awaitsFirstEvent = false
-	d.mu.Unlock()
 	d.events++
 	if d.events%tokenCountInterval == 0 {
-		d.addTokens(tokenCountInterval * max(1, d.service.Engine.TokensPerEvent))
+		tokens := tokenCountInterval * max(1, d.service.Engine.TokensPerEvent)
+		d.addTokens(tokens)
+		a.addTokens(tokens)
+	}
+	if silence >= faultStallAfter {
+		d.gateway.recordResponsive(a, silence)
 	}
 	if d.events == 1 {
-		d.firstMS = gap.Milliseconds()
-		d.gateway.metrics.FirstEventSeconds.WithLabelValues().Observe(gap.Seconds())
+		d.firstMS = silence.Milliseconds()
+		d.gateway.metrics.FirstEventSeconds.WithLabelValues().Observe(silence.Seconds())
 		return
 	}
 	d.longestMS = max(d.longestMS, gap.Milliseconds())
-	if gap >= stallAfter {
-		d.gateway.options.Log.Info("a silent draft goes on", "request", d.header.ID, "path", formatPath(d.currentPath()), "silent_ms", gap.Milliseconds())
-	}
 }
 
-// idleTime returns the time since the last event, or since the attempt started.
+// idleTime returns the time since the last event was forwarded, or since the request arrived. Time in
+// which this process was paused doesn't count.
 func (d *draft) idleTime() time.Duration {
-	idle, _ := d.progress(time.Now())
-	return idle
-}
-
-// stallThreshold returns the time without an event after which the draft counts as stalled.
-func (d *draft) stallThreshold() time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.awaitsFirstEvent {
-		return firstStallAfter
-	}
-	return stallAfter
-}
-
-func (d *draft) currentPath() layers.Path {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.path
+	now := time.Now()
+	d.deliveryMu.Lock()
+	idle := now.Sub(d.lastEventAt)
+	d.deliveryMu.Unlock()
+	return min(idle, d.gateway.pauses.sinceResumed(now))
 }
 
-// pathCrashes returns the crashes that would end the incarnations of the path's servers.
-func (d *draft) pathCrashes() []quarantine.Crash {
+// tokens returns the number of tokens of the prompt and of the forwarded events.
+func (d *draft) tokens() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.pathEnds
+	return d.heldTokens
 }
 
-// startAttempt registers the draft as running and counts it on a path.
-func (d *draft) startAttempt(p layers.Path) {
-	d.gateway.running.add(d)
-	d.setPath(p)
+func (d *draft) addTokens(tokens int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.awaitsFirstEvent = true
-	d.lastEventAt = time.Now()
+	d.heldTokens += tokens
 }
 
 // avoidHead excludes a first server from the further paths of this draft.
@@ -392,38 +381,12 @@
 	d.avoid = append(d.avoid, id)
 }
 
-// avoidedHeads returns the first servers that are excluded; it must not be modified.
+// avoidedHeads returns the first servers that are excluded, and those of the attempts that run.
 func (d *draft) avoidedHeads() []string {
+	heads := d.race.heads()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.avoid
-}
-
-// setPath moves the draft's usage from the servers of its old path to those of p. An empty path
-// ends the attempt.
-func (d *draft) setPath(p layers.Path) {
-	if len(p) == 0 {
-		d.gateway.running.remove(d)
-	}
-	ends := make([]quarantine.Crash, 0, len(p))
-	v := d.gateway.view.Load()
-	for _, part := range p {
-		ends = append(ends, v.crashOf(part.ID))
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.gateway.usage.add(d.path, d.heldTokens, -1)
-	d.path = p
-	d.pathEnds = ends
-	d.gateway.usage.add(p, d.heldTokens, 1)
-}
-
-// addTokens counts tokens that the draft has generated.
-func (d *draft) addTokens(tokens int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.heldTokens += tokens
-	d.gateway.usage.addTokens(d.path, tokens)
+	return append(heads, d.avoid...)
 }
 
 // formatPath returns a path as server=from-to parts, separated by spaces.
--- a/gateway/faults.go
+++ b/gateway/faults.go
@@ -19,6 +19,17 @@
 	staleLayersFor = 1200 * time.Millisecond
 )
 
+// observer tells whose exchange with a server has shown a fault.
+type observer int
+
+const (
+	// observedElsewhere means that another backend server has not heard from the server. Only a draft
+	// that goes on through both shows that they reach each other again.
+	observedElsewhere observer = iota
+	// observedHere means that the server has not answered this instance.
+	observedHere
+)
+
 // serverFaults records which servers must not be used in paths now. It is safe for concurrent use.
 type serverFaults struct {
 	mu sync.Mutex
@@ -29,17 +40,28 @@
 	// unrecovered holds the servers that were unresponsive and have not been seen working since.
 	// Those that are also silent stay excluded until one of their announcements is received.
 	unrecovered map[string]bool
+	// checkedAt holds the unresponsive servers that have not answered this instance, with the time of
+	// the last check whether they answer again.
+	checkedAt map[string]time.Time
 }
 
 func newServerFaults() *serverFaults {
-	return &serverFaults{unresponsive: make(map[string]time.Time), refusing: make(map[string]time.Time), unrecovered: make(map[string]bool)}
+	return &serverFaults{
+		unresponsive: make(map[string]time.Time),
+		refusing:     make(map[string]time.Time),
+		unrecovered:  make(map[string]bool),
+		checkedAt:    make(map[string]time.Time),
+	}
 }
 
 // markUnresponsive excludes a server as unresponsive. It returns false if the server was already
 // excluded as unresponsive.
-func (f *serverFaults) markUnresponsive(now time.Time, id string) bool {
+func (f *serverFaults) markUnresponsive(now time.Time, id string, by observer) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if _, isChecked := f.checkedAt[id]; by == observedHere && !isChecked {
+		f.checkedAt[id] = now
+	}
 	until, known := f.unresponsive[id]
 	f.unresponsive[id] = now.Add(unresponsiveFor)
 	f.unrecovered[id] = true
@@ -74,6 +96,7 @@
 	delete(f.unresponsive, id)
 	delete(f.refusing, id)
 	delete(f.unrecovered, id)
+	delete(f.checkedAt, id)
 }
 
 // markRecovered records that a server has completed its part of a draft, or that its announcements
@@ -84,6 +107,37 @@
 	delete(f.unrecovered, id)
 }
 
+// clearUnresponsive records that a server works after all. It reports whether the server was excluded as
+// unresponsive.
+func (f *serverFaults) clearUnresponsive(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, wasUnresponsive := f.unresponsive[id]
+	delete(f.unresponsive, id)
+	delete(f.unrecovered, id)
+	delete(f.checkedAt, id)
+	return wasUnresponsive
+}
+
+// dueChecks returns the unresponsive servers that have not answered this instance and were not checked
+// within responsiveCheckInterval, and marks them as checked now.
+func (f *serverFaults) dueChecks(now time.Time) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for id, at := range f.checkedAt {
+		switch {
+		case !now.Before(f.unresponsive[id]):
+			delete(f.checkedAt, id)
+		case now.Sub(at) >= responsiveCheckInterval:
+			f.checkedAt[id] = now
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // isUnrecovered reports whether a server was unresponsive and has not been seen working since.
 func (f *serverFaults) isUnrecovered(id string) bool {
 	f.mu.Lock()
--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -14,8 +14,8 @@
 	known := func(string) bool { return true }
 	silent := func(string) bool { return true }
 	announced := func(string) bool { return false }
-	is.True(f.markUnresponsive(now, "a"))
-	is.True(!f.markUnresponsive(now, "a")) // already known
+	is.True(f.markUnresponsive(now, "a", observedHere))
+	is.True(!f.markUnresponsive(now, "a", observedHere)) // already known
 	is.True(f.isExcluded(now, "a"))
 	is.Equal(f.listUnresponsive(now, announced, known), []string{"a"})
 
@@ -27,7 +27,7 @@
 	f.markRecovered("a")
 	is.True(!f.isUnrecovered("a"))
 
-	f.markUnresponsive(now, "b")
+	f.markUnresponsive(now, "b", observedHere)
 	f.reset("b")
 	is.True(!f.isExcluded(now, "b"))
 	is.True(!f.isUnrecovered("b"))
@@ -47,8 +47,24 @@
 	is := is.New(t)
 	f := newServerFaults()
 	now := time.Unix(1000, 0)
-	f.markUnresponsive(now, "a")
+	f.markUnresponsive(now, "a", observedHere)
 	never := func(string) bool { return false }
 	is.Equal(f.listUnresponsive(now.Add(unresponsiveFor), never, never), nil)
 	is.True(!f.isUnrecovered("a"))
 }
+
+func TestUnresponsiveServerIsCheckedAtAnInterval(t *testing.T) {
+	is := is.New(t)
+	f := newServerFaults()
+	now := time.Unix(1000, 0)
+	f.markUnresponsive(now, "a", observedHere)
+	f.markUnresponsive(now, "b", observedElsewhere)
+	is.Equal(f.dueChecks(now), nil)
+	now = now.Add(responsiveCheckInterval)
+	is.Equal(f.dueChecks(now), []string{"a"})
+	is.Equal(f.dueChecks(now), nil)
+	is.True(f.clearUnresponsive("a"))
+	is.True(!f.clearUnresponsive("a"))
+	is.True(!f.isExcluded(now, "a"))
+	is.Equal(f.dueChecks(now.Add(responsiveCheckInterval)), nil)
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -48,7 +48,8 @@
 		LastEvent: lastEvent,
 		Priority:  j.priority,
 	})
-	j.sends++
+	j.sends.Add(1)
+	j.attempts.Add(1)
 	started := time.Now()
 	resp, err := g.client.Do(ctx, &upstream.Request{
 		Server:  id,
@@ -65,17 +66,19 @@
 		},
 	})
 	if err != nil {
-		if !errors.Is(err, upstream.ErrNotSent) {
-			j.attempts++
-			j.mayHaveRun = true
+		if errors.Is(err, upstream.ErrNotSent) {
+			j.attempts.Add(-1)
+		} else {
+			j.mayHaveRun.Store(true)
 		}
 		return nil, ResponseHeader{}, err
 	}
 	rh := g.options.HeaderCodec.ParseResponse(resp.Status, resp.Header)
-	if !rh.NotRun { // a rejection may come from another server at the address
+	if rh.NotRun { // a rejection may come from another server at the address
+		j.attempts.Add(-1)
+	} else {
 		g.recordAlive(started, id, "answers")
-		j.attempts++
-		j.mayHaveRun = true
+		j.mayHaveRun.Store(true)
 	}
 	return resp, rh, nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,6 +58,9 @@
 	HeaderCodec   HeaderCodec
 	// Orders queries the servers about stalled drafts and reroutes drafts.
 	Orders Orders
+	// Identify returns the incarnation of the server that answers at an address. It must be safe for
+	// concurrent use. If it is nil, unresponsive servers are not asked whether they answer again.
+	Identify func(ctx context.Context, address string) (incarnation int64, err error)
 	// RetryRatio is the number of retries that each request adds to the budget. RetryReserve is
 	// the number of further retries that all gateways together may send in each RetryWindow.
 	RetryRatio   float64
@@ -76,13 +79,14 @@
 	view         atomic.Pointer[view]
 	usage        *usage
 	faults       *serverFaults
-	running      *runningDrafts
+	running      *runningAttempts
 	linkTraffic  *linkTraffic
 	evidence     *mesh.CrashEvidence
 	lost         *lostRuns
 	suspects     *suspects
 	stallReports *stallReports
 	probes       *probes
+	pauses       *pauseDetector
 	inFlight     atomic.Int64
 	leaving      atomic.Bool
 	// waiters counts the new drafts that wait for capacity.
@@ -106,13 +110,14 @@
 		client:       upstream.NewClient(),
 		usage:        newUsage(),
 		faults:       newServerFaults(),
-		running:      newRunningDrafts(),
+		running:      newRunningAttempts(),
 		linkTraffic:  &linkTraffic{links: layers.NewPipes()},
 		evidence:     o.Mesh.CrashEvidence(),
 		lost:         newLostRuns(),
 		suspects:     newSuspects(),
 		stallReports: newStallReports(o.Orders.StallingServers),
 		probes:       &probes{probedAt: make(map[string]time.Time)},
+		pauses:       &pauseDetector{},
 		metrics:      metrics.NewGateway(o.Registry),
 		rng:          rand.New(rand.NewPCG(o.Seed, 1)),
 		health:       retry.NewHealth(),
@@ -276,6 +281,7 @@
 			return nil
 		case now := <-ticker.C:
 			g.options.Mesh.SetUnresponsive(g.listUnresponsive(now))
+			g.checkResponsive(ctx, now)
 			g.updateRetryBudget(now)
 			g.usage.removeExpired(now)
 			g.lost.removeExpired(now)
@@ -306,13 +312,13 @@
 	routing  uint64
 	arrived  time.Time
 	deadline time.Time
-	// attempts counts the sends in which the request may have run.
-	attempts int
+	// attempts counts the sends in which the request may have run, including those in progress.
+	attempts atomic.Int32
 	// sends counts all sends, including those in which the request was not run.
-	sends int
+	sends atomic.Int32
 	// mayHaveRun means that some server may have run the request. The response must then not claim
 	// that the request was not run.
-	mayHaveRun bool
+	mayHaveRun atomic.Bool
 
 	fingerprintOnce sync.Once
 	content         quarantine.Fingerprint // valid once fingerprint has returned
@@ -436,7 +442,7 @@
 	g.metrics.RequestSeconds.WithLabelValues().Observe(took.Seconds())
 	if status >= 400 || reason != "" {
 		g.options.Log.Info("request ended", "request", j.header.ID, "route", route, "status", status, "reason", reason,
-			"ms", took.Milliseconds(), "sends", j.sends, "attempts", j.attempts, "routing", j.routing, "routing_in_force", g.routingVersion())
+			"ms", took.Milliseconds(), "sends", j.sends.Load(), "attempts", j.attempts.Load(), "routing", j.routing, "routing_in_force", g.routingVersion())
 	}
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -328,6 +328,24 @@
 
 // A server that crashed may have run its draft, so the response must not say that it was not run.
 func TestDraftLostInCrashIsNotReportedAsNotRun(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.publish()
+	f.serve("e1", "advice", 0, 4, reset)
+	for _, path := range []string{"/once/1", "/advice/1"} {
+		before := len(f.arrivals())
+		var r result
+		f.until(func() bool {
+			r = f.send(http.MethodPost, path, nil, strings.NewReader("x"))
+			return len(f.arrivals()) > before
+		})
+		is.Equal(r.status, http.StatusBadGateway)
+	}
+}
+
+// A silent server may still run its draft, so the draft waits for it until the deadline, and the
+// response must not say that it was not run.
+func TestDraftOfSilentServerIsNotReportedAsNotRun(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t)
 	f.publish()
@@ -339,10 +357,10 @@
 		before := len(f.arrivals())
 		var r result
 		f.until(func() bool {
-			r = f.send(http.MethodPost, path, nil, strings.NewReader("x"))
+			r = f.send(http.MethodPost, path, map[string]string{"Balsamlb-Deadline-Ms": "1500"}, strings.NewReader("x"))
 			return len(f.arrivals()) > before
 		})
-		is.Equal(r.status, http.StatusBadGateway)
+		is.Equal(r.status, http.StatusGatewayTimeout)
 	}
 }
 
--- a/gateway/idle_drafts.go
+++ b/gateway/idle_drafts.go
@@ -43,7 +43,11 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case now := <-ticker.C:
+		case <-ticker.C:
+			now := time.Now()
+			if g.pauses.sinceResumed(now) < idleAfter {
+				continue // the drafts were idle because this process was paused
+			}
 			if ids := g.running.probeCandidates(now); len(ids) > 0 {
 				g.probe(ctx, now, ids)
 			}
@@ -53,31 +57,31 @@
 
 // probeCandidates returns the servers that at least minIdleDrafts idle drafts share and that no
 // progressing draft uses.
-func (r *runningDrafts) probeCandidates(now time.Time) []string {
+func (r *runningAttempts) probeCandidates(now time.Time) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var idleDrafts, progressing []*draft
-	for d := range r.drafts {
-		switch idle, hasEvents := d.progress(now); {
-		case hasEvents && idle >= idleAfter:
-			idleDrafts = append(idleDrafts, d)
-		case hasEvents && idle < progressingWithin:
-			progressing = append(progressing, d)
+	var idle, progressing []*attempt
+	for a := range r.attempts {
+		switch t, hasEvents := a.progress(now); {
+		case hasEvents && t >= idleAfter:
+			idle = append(idle, a)
+		case hasEvents && t < progressingWithin:
+			progressing = append(progressing, a)
 		}
 	}
-	if len(idleDrafts) < minIdleDrafts {
+	if len(idle) < minIdleDrafts {
 		return nil
 	}
 	working := make(map[string]bool)
-	for _, d := range progressing {
-		for _, part := range d.currentPath() {
+	for _, a := range progressing {
+		for _, part := range a.currentPath() {
 			working[part.ID] = true
 		}
 	}
 	counts := make(map[string]int)
 	var ids []string
-	for _, d := range idleDrafts {
-		for _, part := range d.currentPath() {
+	for _, a := range idle {
+		for _, part := range a.currentPath() {
 			if counts[part.ID]++; counts[part.ID] == minIdleDrafts && !working[part.ID] {
 				ids = append(ids, part.ID)
 			}
@@ -87,14 +91,6 @@
 	return ids
 }
 
-// progress returns the time since the draft's last event or the start of its attempt, and whether
-// the attempt has returned an event.
-func (d *draft) progress(now time.Time) (idle time.Duration, hasEvents bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return now.Sub(d.lastEventAt), !d.awaitsFirstEvent
-}
-
 // probes records when servers were last probed.
 type probes struct {
 	mu       sync.Mutex
--- a/gateway/idle_drafts_test.go
+++ b/gateway/idle_drafts_test.go
@@ -12,38 +12,38 @@
 	"github.com/matryer/is"
 )
 
-// draftOn returns a draft whose path consists of the given servers and whose last event was
+// attemptOn returns an attempt whose path consists of the given servers and whose last event was
 // forwarded the given idle time before now.
-func draftOn(now time.Time, idle time.Duration, servers ...string) *draft {
-	d := &draft{lastEventAt: now.Add(-idle)}
+func attemptOn(now time.Time, idle time.Duration, servers ...string) *attempt {
+	a := &attempt{lastEventAt: now.Add(-idle)}
 	for _, id := range servers {
-		d.path = append(d.path, layers.Part{ID: id})
+		a.path = append(a.path, layers.Part{ID: id})
 	}
-	return d
+	return a
 }
 
 func TestServersSharedByIdleDraftsAreProbed(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	r := newRunningDrafts()
+	r := newRunningAttempts()
 	for range minIdleDrafts {
-		r.drafts[draftOn(now, idleAfter, "head", "lost", "tail")] = struct{}{}
+		r.attempts[attemptOn(now, idleAfter, "head", "lost", "tail")] = struct{}{}
 	}
-	r.drafts[draftOn(now, progressingWithin/2, "head", "other", "tail")] = struct{}{}
-	r.drafts[draftOn(now, idleAfter, "alone", "lost")] = struct{}{}
+	r.attempts[attemptOn(now, progressingWithin/2, "head", "other", "tail")] = struct{}{}
+	r.attempts[attemptOn(now, idleAfter, "alone", "lost")] = struct{}{}
 	is.Equal(r.probeCandidates(now), []string{"lost"})
 }
 
 func TestFewIdleDraftsCauseNoProbe(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	r := newRunningDrafts()
+	r := newRunningAttempts()
 	for range minIdleDrafts - 1 {
-		r.drafts[draftOn(now, idleAfter, "a")] = struct{}{}
+		r.attempts[attemptOn(now, idleAfter, "a")] = struct{}{}
 	}
-	waiting := draftOn(now, time.Second, "a")
+	waiting := attemptOn(now, time.Second, "a")
 	waiting.awaitsFirstEvent = true
-	r.drafts[waiting] = struct{}{}
+	r.attempts[waiting] = struct{}{}
 	is.Equal(r.probeCandidates(now), nil)
 }
 
--- a/gateway/lost_runs.go
+++ b/gateway/lost_runs.go
@@ -117,6 +117,16 @@
 	return true
 }
 
+// isConfirmed reports whether a crash is known for certain.
+func (l *lostRuns) isConfirmed(c quarantine.Crash) bool {
+	if l.crashCount.Load() == 0 {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.crashes[c].isConfirmed
+}
+
 // removeExpired removes the runs and crashes that are too old to be used.
 func (l *lostRuns) removeExpired(now time.Time) {
 	l.mu.Lock()
@@ -152,29 +162,29 @@
 }
 
 // recordLostAttempt records the servers that a failed attempt of a draft has lost: those of its path
-// that are known to be faulty, and the first one, unless the attempt was cancelled for the sake of a
-// later one.
-func (g *Gateway) recordLostAttempt(d *draft, cause error, why string) {
+// that are known to be faulty, and the first one, unless the attempt was cancelled for the sake of
+// another one.
+func (g *Gateway) recordLostAttempt(a *attempt, cause error, why string) {
 	v := g.view.Load()
-	for i, crash := range d.pathCrashes() {
+	for i, crash := range a.pathCrashes() {
 		isLost := g.isFaulty(v, crash.Server)
-		if i == 0 {
-			isLost = !errors.Is(cause, errNoReroute) && !errors.Is(cause, errQuarantined)
+		if i == 0 && !errors.Is(cause, errOvertaken) {
+			isLost = !errors.Is(cause, errQuarantined)
 		}
 		if isLost {
-			g.recordLostRun(d.job, crash, why)
+			g.recordLostRun(a.draft.job, crash, why)
 		}
 	}
 }
 
 // recordAbandonedAttempt remembers the servers of a draft whose caller left while the draft was idle:
 // one of them may have crashed.
-func (g *Gateway) recordAbandonedAttempt(d *draft) {
-	if d.idleTime() < idleAfter {
+func (g *Gateway) recordAbandonedAttempt(a *attempt) {
+	if a.idleTime(time.Now()) < idleAfter {
 		return
 	}
-	for _, crash := range d.pathCrashes() {
-		g.addLostRun(d.job, crash)
+	for _, crash := range a.pathCrashes() {
+		g.addLostRun(a.draft.job, crash)
 	}
 }
 
@@ -205,14 +215,14 @@
 	g.attributeCrashTo(crash, "is silent", false, nil)
 }
 
-func (g *Gateway) attributeCrashTo(crash quarantine.Crash, why string, isConfirmed bool, running []*draft) {
+func (g *Gateway) attributeCrashTo(crash quarantine.Crash, why string, isConfirmed bool, running []*attempt) {
 	now := time.Now()
 	jobs, isNew, isUpgraded := g.lost.addCrash(now, crash, isConfirmed)
 	if !isNew && !isUpgraded {
 		return
 	}
-	for _, d := range running {
-		jobs = append(jobs, d.job)
+	for _, a := range running {
+		jobs = append(jobs, a.draft.job)
 	}
 	g.options.Log.Info("a backend server has crashed", "server", crash.Server, "incarnation", crash.Incarnation, "why", why,
 		"is_confirmed", isConfirmed, "requests", len(jobs))
@@ -223,6 +233,9 @@
 	for _, j := range jobs {
 		g.attributeCrash(j, crash, isConfirmed)
 	}
+	if isConfirmed {
+		g.checkDraftsThrough(crash.Server)
+	}
 }
 
 // withdrawCrash takes back a crash, since the server is alive.
@@ -317,7 +330,7 @@
 			}
 		case next.states[id] == discovery.StateSilent && old.State == discovery.StateReady:
 			g.recordSilence(crash)
-		case current != nil && current.State == discovery.StateReady && old.State == discovery.StateSilent:
+		case old.State == discovery.StateSilent && next.incarnations[id] == old.Incarnation && next.announces(id):
 			g.withdrawCrash(crash, "announces itself again")
 		}
 	}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -112,7 +112,7 @@
 		g.recordHealth(server, false)
 		return &failure{reason: "the answer of " + server + " bears no mark", ran: true}
 	}
-	canRetry := j.route.MayRepeat() && j.attempts < j.route.MaxAttempts && j.sends < maxSends
+	canRetry := j.route.MayRepeat() && int(j.attempts.Load()) < j.route.MaxAttempts && j.sends.Load() < maxSends
 	if resp.Status >= http.StatusInternalServerError && canRetry && g.allowRetry(j) {
 		g.recordHealth(server, false)
 		return &failure{reason: server + " failed", ran: true, err: errRetryAllowed}
@@ -125,10 +125,10 @@
 
 // mayRetry reports whether a request may be sent to another server after a failure.
 func (g *Gateway) mayRetry(ctx context.Context, j *job, f *failure) bool {
-	if ctx.Err() != nil || j.sends >= maxSends {
+	if ctx.Err() != nil || j.sends.Load() >= maxSends {
 		return false
 	}
-	if f.ran && (!j.route.MayRepeat() || j.attempts >= max(1, j.route.MaxAttempts)) {
+	if f.ran && (!j.route.MayRepeat() || int(j.attempts.Load()) >= max(1, j.route.MaxAttempts)) {
 		return false
 	}
 	// A send that never left this process has used nothing of the budget.
@@ -138,7 +138,7 @@
 // finalRefusal returns the response to the caller after the last failure.
 func (g *Gateway) finalRefusal(ctx context.Context, j *job, f *failure) *refusal {
 	g.countQuarantined(f)
-	if !j.mayHaveRun {
+	if !j.mayHaveRun.Load() {
 		return &refusal{http.StatusServiceUnavailable, f.reason, cmp.Or(g.retryAfterCrash(j, f), busyRetry)}
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/gateway/stall_monitor.go
+++ b/gateway/stall_monitor.go
@@ -36,86 +36,70 @@
 	headUnresponsiveAfter = 700 * time.Millisecond
 )
 
-var (
-	// errHeadUnresponsive cancels an attempt whose first server is unresponsive.
-	errHeadUnresponsive = errors.New("gateway: the first server is unresponsive")
-	// errNoReroute cancels a stalled attempt for which no other path starts at its first server.
-	errNoReroute = errors.New("gateway: no other path starts at the first server")
-)
-
-// runningDrafts holds the drafts that run, so that the drafts on a failed server can be rerouted at
-// once.
-type runningDrafts struct {
-	mu     sync.Mutex
-	drafts map[*draft]struct{}
+// runningAttempts holds the attempts that run, so that the drafts on a failed server can be rerouted at
+// once. It is safe for concurrent use.
+type runningAttempts struct {
+	mu       sync.Mutex
+	attempts map[*attempt]struct{}
 }
 
-func newRunningDrafts() *runningDrafts { return &runningDrafts{drafts: make(map[*draft]struct{})} }
+func newRunningAttempts() *runningAttempts {
+	return &runningAttempts{attempts: make(map[*attempt]struct{})}
+}
 
-func (r *runningDrafts) add(d *draft) {
+func (r *runningAttempts) add(a *attempt) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.drafts[d] = struct{}{}
+	r.attempts[a] = struct{}{}
 }
 
-func (r *runningDrafts) remove(d *draft) {
+func (r *runningAttempts) remove(a *attempt) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.drafts, d)
+	delete(r.attempts, a)
 }
 
-// through returns the drafts whose path includes a server.
-func (r *runningDrafts) through(id string) []*draft {
+// through returns the attempts whose path includes a server.
+func (r *runningAttempts) through(id string) []*attempt {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []*draft
-	for d := range r.drafts {
-		if d.currentPath().Contains(id) {
-			out = append(out, d)
+	var out []*attempt
+	for a := range r.attempts {
+		if a.currentPath().Contains(id) {
+			out = append(out, a)
 		}
 	}
 	return out
 }
 
-// on returns the drafts that run on the incarnation of a server that the crash ended.
-func (r *runningDrafts) on(crash quarantine.Crash) []*draft {
+// on returns the attempts that run on the incarnation of a server that the crash ended.
+func (r *runningAttempts) on(crash quarantine.Crash) []*attempt {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []*draft
-	for d := range r.drafts {
-		if slices.Contains(d.pathCrashes(), crash) {
-			out = append(out, d)
+	var out []*attempt
+	for a := range r.attempts {
+		if slices.Contains(a.pathCrashes(), crash) {
+			out = append(out, a)
 		}
 	}
 	return out
 }
 
-// stallMonitor watches the progress of one attempt and reroutes the draft if a server of its path
-// stalls the draft.
+// stallMonitor watches the progress of one attempt. If a server of its path stalls the draft, it
+// reroutes the draft or has it sent to another first server as well. Silence alone never ends an
+// attempt: the server may go on.
 type stallMonitor struct {
 	gateway *Gateway
-	draft   *draft
-	ctx     context.Context
-	cancel  context.CancelCauseFunc
-	// mayRestart means that the draft may be sent to another first server after this attempt.
-	mayRestart bool
-	timer      *time.Timer
+	attempt *attempt
+	timer   *time.Timer
 	// wake requests an immediate check; one pending request is enough.
 	wake chan struct{}
 	done chan struct{}
 }
 
-// monitorDraft starts a stallMonitor for an attempt; cancel ends the attempt.
-func (g *Gateway) monitorDraft(ctx context.Context, d *draft, cancel context.CancelCauseFunc) *stallMonitor {
-	m := &stallMonitor{
-		gateway: g, draft: d, ctx: ctx, cancel: cancel,
-		mayRestart: d.route.MayRepeat() && d.attempts+1 < d.route.MaxAttempts && d.sends+1 < maxSends,
-		timer:      time.NewTimer(firstStallAfter),
-		wake:       make(chan struct{}, 1),
-		done:       make(chan struct{}),
-	}
-	go m.run()
-	return m
+// newStallMonitor returns the monitor of an attempt, which is run until the attempt's context ends.
+func newStallMonitor(a *attempt) *stallMonitor {
+	return &stallMonitor{gateway: a.gateway, attempt: a, timer: time.NewTimer(firstStallAfter), wake: make(chan struct{}, 1), done: make(chan struct{})}
 }
 
 func (m *stallMonitor) run() {
@@ -123,7 +107,7 @@
 	defer m.timer.Stop()
 	for {
 		select {
-		case <-m.ctx.Done():
+		case <-m.attempt.ctx.Done():
 			return
 		case <-m.timer.C:
 		case <-m.wake:
@@ -140,28 +124,33 @@
 	}
 }
 
-// check reroutes or cancels the attempt if the draft is stalled.
+// check reroutes the draft or starts another attempt if the draft is stalled. It ends the attempt if the
+// first server has crashed for certain.
 func (m *stallMonitor) check() {
-	d := m.draft
-	path := d.currentPath()
+	a := m.attempt
+	path := a.currentPath()
 	if len(path) == 0 {
 		return
 	}
+	if m.gateway.lost.isConfirmed(a.pathCrashes()[0]) {
+		a.cancel(errHeadCrashed)
+		return
+	}
 	v := m.gateway.view.Load()
 	isHeadUnresponsive := m.gateway.isUnresponsive(v, path[0].ID)
 	hasFault := isHeadUnresponsive || m.gateway.hasFaultyPart(v, path)
-	wait := d.stallThreshold()
+	wait := a.stallThreshold()
 	if hasFault {
 		wait = faultStallAfter
 	}
-	if left := wait - d.idleTime(); left > 0 {
+	if left := wait - a.idleTime(time.Now()); left > 0 {
 		m.timer.Reset(left)
 		return
 	}
 	defer m.timer.Reset(recheckInterval)
 	switch {
 	case isHeadUnresponsive:
-		m.cancel(errHeadUnresponsive)
+		m.gateway.startBeside(a, path[0].ID+" is unresponsive")
 	case hasFault:
 		m.reroute(v, path[0])
 	default:
@@ -170,23 +159,25 @@
 }
 
 // queryHead asks the first server which other server stalls the draft, and reroutes the draft
-// around that server. The attempt ends if the first server doesn't answer for too long.
+// around that server. A first server that doesn't answer for too long is unresponsive.
 func (m *stallMonitor) queryHead(path layers.Path) {
-	g, d, head := m.gateway, m.draft, path[0]
-	address, err := g.stallReports.stalledBy(m.ctx, head.Address, d.header.ID)
-	if m.ctx.Err() != nil {
+	g, a, head := m.gateway, m.attempt, path[0]
+	address, err := g.stallReports.stalledBy(a.ctx, head.Address, a.draft.header.ID)
+	if a.ctx.Err() != nil {
 		return
 	}
 	if err != nil {
-		if d.idleTime() > headUnresponsiveAfter {
-			g.markUnresponsive(head.ID, "does not answer while a draft waits: "+err.Error())
-			m.cancel(errHeadUnresponsive)
+		if a.idleTime(time.Now()) > headUnresponsiveAfter {
+			g.markUnresponsive(head.ID, "does not answer while a draft waits: "+err.Error(), observedHere)
+			go g.probeLost(a.pathCrashes()[0])
+			g.startBeside(a, head.ID+" does not answer")
 		}
 		return
 	}
-	for _, part := range path[1:] {
+	for i, part := range path[1:] {
 		if part.Address == address {
-			g.markUnresponsive(part.ID, "stalls a draft at "+head.ID)
+			g.markUnresponsive(part.ID, "stalls a draft at "+head.ID, observedElsewhere)
+			go g.probeLost(a.pathCrashes()[i+1])
 			m.reroute(g.view.Load(), head)
 			return
 		}
@@ -208,37 +199,39 @@
 	return slices.ContainsFunc(path[1:], func(part layers.Part) bool { return g.isFaulty(v, part.ID) })
 }
 
-// reroute commands the first server to continue the draft on another path.
+// reroute commands the first server to continue the draft on another path. If none starts there, another
+// attempt is started, since the stalling server may go on.
 func (m *stallMonitor) reroute(v *view, head layers.Part) {
-	g, d := m.gateway, m.draft
+	g, a := m.gateway, m.attempt
+	d := a.draft
 	for range maxReroutes {
 		if f := g.checkContent(d.job); f != nil {
 			if errors.Is(f.err, errQuarantined) {
-				m.cancel(errQuarantined)
+				a.cancel(errQuarantined)
 			}
 			return // the next check may find that the draft may run
 		}
 		next, ok := g.findPath(d, head)
 		if !ok {
-			m.restart(head)
+			g.startBeside(a, "no other path starts at "+head.ID)
 			return
 		}
-		ctx, cancel := context.WithTimeout(m.ctx, orderTimeout)
+		ctx, cancel := context.WithTimeout(a.ctx, orderTimeout)
 		fault, err := g.options.Orders.Reroute(ctx, head.Address, d.header.ID, next, v.fence)
 		cancel()
-		if m.ctx.Err() != nil {
+		if a.ctx.Err() != nil {
 			return
 		}
 		if err == nil {
 			g.metrics.Reroutes.WithLabelValues().Inc()
-			lost := d.pathCrashes()
-			d.setPath(next)
+			lost := a.pathCrashes()
+			a.setPath(next)
 			for i, crash := range lost {
 				if i > 0 && g.isFaulty(v, crash.Server) {
 					g.recordLostRun(d.job, crash, "rerouted around it")
 				}
 			}
-			g.options.Log.Info("rerouted a draft", "request", d.header.ID, "path", formatPath(next), "silent_ms", d.idleTime().Milliseconds())
+			g.options.Log.Info("rerouted a draft", "request", d.header.ID, "path", formatPath(next), "silent_ms", a.idleTime(time.Now()).Milliseconds())
 			return
 		}
 		id := v.byAddress[fault]
@@ -250,33 +243,15 @@
 	}
 }
 
-// restart handles a draft for which no other path starts at its first server. It cancels the
-// attempt if the draft may be retried and a path starts at another server. Otherwise the attempt
-// goes on, and the next check may find a path.
-func (m *stallMonitor) restart(head layers.Part) {
-	g, d := m.gateway, m.draft
-	path, ok := g.findPath(d, layers.Part{})
-	hasOtherHead := ok && path[0].ID != head.ID
-	// The retry is charged before the attempt is cancelled: if the budget has no retry left, the
-	// attempt goes on and may still be rerouted later.
-	isRestarted := hasOtherHead && m.mayRestart && g.allowRetry(d.job)
-	g.options.Log.Info("no other path starts at the draft's first server", "request", d.header.ID, "path", formatPath(d.currentPath()),
-		"silent_ms", d.idleTime().Milliseconds(), "elsewhere", hasOtherHead, "restarted", isRestarted)
-	if isRestarted {
-		m.cancel(errNoReroute)
-	}
-}
-
 // markUnresponsive excludes an unresponsive server, reports it to the mesh, and checks the drafts
 // whose path includes it.
-func (g *Gateway) markUnresponsive(id, why string) {
+func (g *Gateway) markUnresponsive(id, why string, by observer) {
 	now := time.Now()
-	if !g.faults.markUnresponsive(now, id) {
+	if !g.faults.markUnresponsive(now, id, by) {
 		return
 	}
 	g.options.Log.Info("a backend server is unresponsive", "server", id, "why", why)
 	g.options.Mesh.SetUnresponsive(g.listUnresponsive(now))
-	g.recordCrash(g.view.Load().crashOf(id), why, false)
 	g.checkDraftsThrough(id)
 }
 
@@ -284,16 +259,12 @@
 // connection confirms that the server has crashed.
 func (g *Gateway) markUnreachable(id string, err error) {
 	why := "can't be reached: " + err.Error()
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		g.recordCrash(g.view.Load().crashOf(id), why, true)
-	}
-	g.markUnresponsive(id, why)
+	g.recordCrash(g.view.Load().crashOf(id), why, errors.Is(err, syscall.ECONNREFUSED))
+	g.markUnresponsive(id, why, observedHere)
 }
 
 func (g *Gateway) checkDraftsThrough(id string) {
-	for _, d := range g.running.through(id) {
-		if m := d.monitor.Load(); m != nil {
-			m.checkNow()
-		}
+	for _, a := range g.running.through(id) {
+		a.monitor.checkNow()
 	}
 }
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -87,6 +87,11 @@
 // gateways.
 func (v *view) isSilent(id string) bool { return v.states[id] == discovery.StateSilent }
 
+// announces reports whether the announcements of a server are received.
+func (v *view) announces(id string) bool {
+	return v.states[id] == discovery.StateReady || v.states[id] == discovery.StateDraining
+}
+
 // crashOf returns the crash that would end the current incarnation of a server.
 func (v *view) crashOf(id string) quarantine.Crash {
 	return quarantine.Crash{Server: id, Incarnation: uint64(v.incarnations[id])}
