gateway: a begun stream outlasts refusals, a lack of room and a used-up retry budget

Cause: a begun stream had the limits of a new request. Refusals counted against maxSends (4), nothing was waited between them, a retry budget that was used up for a moment ended the stream, and so did 1.6 s without a path. A new request can be refused with a time to come back; a begun stream can only be broken off.

Change: a begun stream waits 100 ms after a refusal, waits for the retry budget and for a path until its deadline, and only the route's attempts (sends that may have run) bound it. Quarantine ends it as before.

Evidence: TestBegunStreamOutlastsRefusalsForLackOfRoom (eight refusals, then room) broke off after 0.21 s on the code before, as the users' stream did.

--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/layers"
+	"github.com/balsamlb/balsamlb/quarantine"
 	"github.com/balsamlb/balsamlb/upstream"
 )
 
@@ -29,12 +30,8 @@
 	// capacityWait is how long a draft waits for capacity: half of the shortest latency objective
 	// for drafts in known deployments. The first event takes about 100 ms of that objective.
 	capacityWait = 250 * time.Millisecond
-	// resumeWait bounds the time without an event of a started stream that waits for capacity.
-	// Started streams get capacity before new drafts. Callers disconnect after 2 s or more without
-	// an event.
-	resumeWait = 1600 * time.Millisecond
 	// capacityPollInterval is the time between two checks for capacity. Started streams check less
-	// often: if a data centre loses its last copy of the model, all of its started streams wait at
+	// often, and wait as long before they are sent again after a refusal: if a data centre loses its last copy of the model, all of its started streams wait at
 	// once, and each check searches for a path under a shared lock.
 	capacityPollInterval = 20 * time.Millisecond
 	resumePollInterval   = 100 * time.Millisecond
@@ -141,7 +138,7 @@
 			g.recordEnd(j, http.StatusOK, "")
 			return
 		}
-		f, goesOn := g.mayGoOn(ctx, j, f)
+		f, goesOn := g.mayContinue(ctx, d, f)
 		if !goesOn {
 			g.failDraft(ctx, w, d, f)
 			return
@@ -150,6 +147,33 @@
 	}
 }
 
+// mayContinue reports whether a draft may be sent again after a failure, and otherwise returns the failure
+// to report. A started stream can't be refused any more, so it waits for the retry budget and after
+// refusals, and only its deadline bounds its sends.
+func (g *Gateway) mayContinue(ctx context.Context, d *draft, f *failure) (*failure, bool) {
+	if !d.isStarted.Load() {
+		return g.mayGoOn(ctx, d.job, f)
+	}
+	if f.ran && (!d.route.MayRepeat() || int(d.attempts.Load()) >= max(1, d.route.MaxAttempts)) {
+		return f, false
+	}
+	isQuarantined := func() bool { return g.verdict(d.job) == quarantine.Quarantined }
+	isAllowed := !isQuarantined() && f.ran && ctx.Err() == nil && (errors.Is(f.err, errRetryAllowed) || g.allowRetry(d.job))
+	if !isAllowed {
+		poll(ctx, resumePollInterval, time.Until(d.deadline), func() bool {
+			if isQuarantined() {
+				return true
+			}
+			isAllowed = errors.Is(f.err, upstream.ErrNotSent) || g.takeRetry(d.job)
+			return isAllowed
+		})
+	}
+	if isQuarantined() {
+		return quarantineFailure(d.job), false
+	}
+	return f, isAllowed && ctx.Err() == nil
+}
+
 // failDraft reports a failed draft to the caller: with an error status, or, if the stream has
 // started, by aborting the connection so that the stream doesn't look complete.
 func (g *Gateway) failDraft(ctx context.Context, w http.ResponseWriter, d *draft, f *failure) {
--- a/gateway/draft_path.go
+++ b/gateway/draft_path.go
@@ -10,8 +10,8 @@
 )
 
 // awaitPath returns the best path for the draft. If no path has capacity, it waits. New drafts wait
-// up to capacityWait, at most maxCapacityWaiters of them at a time. A started stream waits until
-// resumeWait has passed since its last event.
+// up to capacityWait, at most maxCapacityWaiters of them at a time. A started stream waits until its
+// deadline.
 func (g *Gateway) awaitPath(ctx context.Context, d *draft) (layers.Path, bool) {
 	path, ok := g.findNewPath(d)
 	if ok {
@@ -21,7 +21,7 @@
 		return nil, false
 	}
 	if d.isStarted.Load() {
-		return g.pollPath(ctx, d, resumePollInterval, resumeWait-d.idleTime())
+		return g.pollPath(ctx, d, resumePollInterval, time.Until(d.deadline))
 	}
 	defer g.waiters.Add(-1)
 	if g.waiters.Add(1) > maxCapacityWaiters {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -512,3 +512,39 @@
 	send()
 	is.Equal(refused.Load(), int64(1))
 }
+
+// Guards against a begun stream that spends its sends on refusals for lack of room within a fraction of a
+// second, and is broken off although a server has room soon after.
+func TestBegunStreamOutlastsRefusalsForLackOfRoom(t *testing.T) {
+	const refusals = 8
+	is := is.New(t)
+	f := newFleet(t)
+	f.publish()
+	var sends atomic.Int64
+	h := func(c net.Conn, r *http.Request) {
+		switch n := sends.Add(1); {
+		case n == 1:
+			streamHeader(c)
+			chunk(c, event(1))
+			reset(c, nil)
+		case n <= 1+refusals:
+			notRun(c, http.StatusServiceUnavailable, "")
+		default:
+			streamHeader(c)
+			if r.Header.Get("Last-Event-Id") == "1" {
+				chunk(c, event(2))
+			}
+			_, _ = io.WriteString(c, "0\r\n\r\n")
+		}
+	}
+	f.serve("e1", "advice", 0, 4, h)
+	f.serve("e2", "advice", 0, 4, h)
+	var r result
+	f.until(func() bool {
+		r = f.send(http.MethodPost, "/advice/1", nil, strings.NewReader("x"))
+		return sends.Load() > 0
+	})
+	is.NoErr(r.err)
+	is.Equal(r.body, event(1)+event(2))
+	is.Equal(sends.Load(), int64(refusals+2))
+}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -210,12 +210,18 @@
 	g.budgets.RecordRequest(time.Now(), g.budgetKey(j))
 }
 
+// allowRetry takes a retry from the budget, if there is one.
 func (g *Gateway) allowRetry(j *job) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	isAllowed := g.budgets.Allow(time.Now(), g.budgetKey(j))
+	isAllowed := g.takeRetry(j)
 	if !isAllowed {
 		g.options.Log.Info("the retry budget is used up", "request", j.header.ID, "service", j.service.Name)
 	}
 	return isAllowed
 }
+
+// takeRetry is allowRetry without a log line.
+func (g *Gateway) takeRetry(j *job) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budgets.Allow(time.Now(), g.budgetKey(j))
+}
