pipeline: failing tests of drafts whose servers fall silent and go on

The simulation's servers can stand still for a while: connections stay open, and what arrives is handled when they go on. An open, a start or a cancel without a response fails after 400 ms, as in package backend, for the reason that package dispatch reports.

On a draft ends as soon as one of its servers is silent for 0.4 to 1.15 s and no other can take its stage:

the stream failed: pipeline: a0 could not be replaced: can't connect

--- a/pipeline/simulation_test.go
+++ b/pipeline/simulation_test.go
@@ -31,6 +31,8 @@
 	simStep  = 3 * time.Millisecond
 	simDelay = 2 * time.Millisecond // upper bound of the delay of a hop or a frame
 	simTick  = 50 * time.Millisecond
+	// simControlTimeout is the time after which an open, a start or a cancel without a response fails.
+	simControlTimeout = 400 * time.Millisecond
 )
 
 type event struct {
@@ -123,22 +125,28 @@
 		c := &fakeConn{sim: sim, id: a.Conn}
 		sim.conns[a.Conn] = c
 		s := sim.server(a.Chain[a.Stage].Server.Name)
-		sim.after(sim.delay(), func() { s.open(c, a) })
+		sim.after(sim.delay(), func() { s.handle(func() { s.open(c, a) }) })
+		sim.failUnanswered(s, a.Conn)
 	case Close:
 		sim.conns[a.Conn].closed = true
 	case Start:
 		s := sim.server(a.Stage.Server.Name)
 		sim.after(sim.delay(), func() { s.receive(fakeHop{attempt: a.Attempt, index: a.Index}) })
+		sim.failUnanswered(s, a.Conn)
 	case Replace:
 		return sim.replace(a)
 	case Cancel:
 		s := sim.server(a.Stage.Server.Name)
 		// The server may start more work before the cancel arrives.
 		sim.after(sim.delay()+sim.delay()+sim.delay(), func() {
-			if !s.crashed {
-				s.sessions = nil
-			}
-			if a.Confirm {
+			s.handle(func() {
+				if !s.crashed {
+					s.sessions = nil
+				}
+			})
+			if a.Confirm && s.paused {
+				sim.after(simControlTimeout, func() { sim.performAll(sim.stream.Cancelled(sim.now)) })
+			} else if a.Confirm {
 				sim.performAll(sim.stream.Cancelled(sim.now))
 			}
 		})
@@ -150,6 +158,18 @@
 	return nil
 }
 
+// failUnanswered fails a connection whose server is paused until a request on it has timed out.
+func (sim *simulation) failUnanswered(s *fakeServer, conn int) {
+	sim.after(simControlTimeout, func() {
+		if s.paused && sim.now.Sub(s.pausedAt) >= simControlTimeout {
+			sim.performAll(sim.stream.Failed(sim.now, conn, unansweredReason))
+		}
+	})
+}
+
+// unansweredReason is the reason that the dispatcher reports for a request without a response.
+const unansweredReason = ReasonDial
+
 func (sim *simulation) replace(a Replace) []Action {
 	for _, s := range sim.servers {
 		inChain := slices.ContainsFunc(a.Chain, func(st Stage) bool { return st.Server.Name == s.name })
@@ -224,6 +244,36 @@
 	crashed       bool
 	extraStepTime time.Duration  // added to each step
 	sessions      []*fakeSession // at most one
+	// paused means that the server stands still; held is what it does when it goes on.
+	paused   bool
+	pausedAt time.Time
+	held     []func()
+}
+
+// pause makes the server stand still for a time. Its connections stay open, and the kernel keeps
+// what arrives.
+func (s *fakeServer) pause(d time.Duration) {
+	if s.paused || s.crashed {
+		return
+	}
+	s.paused, s.pausedAt = true, s.sim.now
+	s.sim.after(d, func() {
+		s.paused = false
+		held := s.held
+		s.held = nil
+		for _, do := range held {
+			s.handle(do)
+		}
+	})
+}
+
+// handle does something at the server, or when the server goes on if it is paused.
+func (s *fakeServer) handle(do func()) {
+	if s.paused {
+		s.held = append(s.held, do)
+		return
+	}
+	do()
 }
 
 func (s *fakeServer) stage() Stage {
@@ -257,7 +307,7 @@
 		return
 	}
 	if s.mustWait(o) {
-		s.sim.after(simStep, func() { s.open(c, o) })
+		s.sim.after(simStep, func() { s.handle(func() { s.open(c, o) }) })
 		return
 	}
 	x := s.session()
@@ -274,7 +324,7 @@
 	}
 	x.conn = c
 	// A stage first waits for the inputs that the previous stage has already sent.
-	s.sim.after(simDelay, func() { s.opened(x, c, o) })
+	s.sim.after(simDelay, func() { s.handle(func() { s.opened(x, c, o) }) })
 }
 
 // mustWait reports whether the server that exports the KV cache is still running a token. It also
@@ -330,11 +380,13 @@
 
 func (s *fakeServer) alive(x *fakeSession, c *fakeConn) {
 	s.sim.after(200*time.Millisecond, func() {
-		if s.crashed || c.closed || s.sim.ended || s.session() != x {
-			return
-		}
-		s.sendProgress(x, c, false)
-		s.alive(x, c)
+		s.handle(func() {
+			if s.crashed || c.closed || s.sim.ended || s.session() != x {
+				return
+			}
+			s.sendProgress(x, c, false)
+			s.alive(x, c)
+		})
 	})
 }
 
@@ -384,7 +436,9 @@
 	return out
 }
 
-func (s *fakeServer) receive(h fakeHop) {
+func (s *fakeServer) receive(h fakeHop) { s.handle(func() { s.take(h) }) }
+
+func (s *fakeServer) take(h fakeHop) {
 	x := s.session()
 	if s.crashed || x == nil || x.exported || (h.attempt != x.open.Attempt && h.attempt != x.drainingAttempt) {
 		return
@@ -401,7 +455,7 @@
 	default:
 		x.pending = &h
 		x.received = h.index + 1
-		s.sim.after(simStep+s.extraStepTime, func() { s.finish(x, &h) })
+		s.sim.after(simStep+s.extraStepTime, func() { s.handle(func() { s.finish(x, &h) }) })
 	}
 }
 
