--- a/gateway/silence_cluster_test.go
+++ b/gateway/silence_cluster_test.go
@@ -239,8 +239,9 @@
 	events []int
 	body   string
 	// err is nil if the answer is complete.
-	err  error
-	took time.Duration
+	err   error
+	began time.Time
+	took  time.Duration
 }
 
 func (r silentReply) String() string {
@@ -270,29 +271,30 @@
 
 // send sends one request on a connection of its own. deadline bounds the caller's wait.
 func (g *silentGateway) send(path string, deadline time.Duration, header ...string) silentReply {
-	return g.sendID(fmt.Sprintf("req-%d", g.cluster.requests.Add(1)), path, deadline, header...)
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	return g.sendOver(transport, path, fmt.Sprint("body ", g.cluster.requests.Load()), deadline, header...)
 }
 
-func (g *silentGateway) sendID(id, path string, deadline time.Duration, header ...string) silentReply {
+// sendOver sends one request over the transport's connections.
+func (g *silentGateway) sendOver(transport *http.Transport, path, body string, deadline time.Duration, header ...string) silentReply {
 	began := time.Now()
-	reply := silentReply{id: id}
+	reply := silentReply{id: fmt.Sprintf("req-%d", g.cluster.requests.Add(1)), began: began}
 	// The caller waits a little longer than the deadline that it states.
 	ctx, cancel := context.WithTimeout(context.Background(), deadline+callerSlack)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.address+path, strings.NewReader("body of "+id))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.address+path, strings.NewReader(body))
 	if err != nil {
 		reply.err = err
 		return reply
 	}
 	r.Host = "shop"
-	r.Header.Set("Balsamlb-Request-Id", id)
+	r.Header.Set("Balsamlb-Request-Id", reply.id)
 	r.Header.Set("Balsamlb-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	r.Header.Set("Api-Key", "key-1")
 	for i := 0; i+1 < len(header); i += 2 {
 		r.Header.Set(header[i], header[i+1])
 	}
-	transport := &http.Transport{}
-	defer transport.CloseIdleConnections()
 	resp, err := transport.RoundTrip(r)
 	if err != nil {
 		reply.err = err
--- a/gateway/silence_fleet_test.go
+++ b/gateway/silence_fleet_test.go
@@ -376,6 +376,10 @@
 		s.awaitSpeech(silentServer)
 		f.mu.Lock()
 		id, isThis := s.id, s.isUp && s.born == born
+		if !isThis { // it has crashed before it began
+			now := time.Now()
+			f.runs = append(f.runs, &silentRun{request: r.Header.Get("Balsamlb-Request-Id"), server: s, born: born, began: now, ended: now, isCrashed: true})
+		}
 		f.mu.Unlock()
 		if !isThis {
 			return
