--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -328,6 +328,24 @@
 
 // A server that crashed may have run its draft, so the response must not say that it was not run.
 func TestDraftLostInCrashIsNotReportedAsNotRun(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.publish()
+	f.serve("e1", "advice", 0, 4, reset)
+	for _, path := range []string{"/once/1", "/advice/1"} {
+		before := len(f.arrivals())
+		var r result
+		f.until(func() bool {
+			r = f.send(http.MethodPost, path, nil, strings.NewReader("x"))
+			return len(f.arrivals()) > before
+		})
+		is.Equal(r.status, http.StatusBadGateway)
+	}
+}
+
+// A silent server may still run its draft, so the draft waits for it until the deadline, and the
+// response must not say that it was not run.
+func TestDraftOfSilentServerIsNotReportedAsNotRun(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t)
 	f.publish()
@@ -339,11 +357,25 @@
 		before := len(f.arrivals())
 		var r result
 		f.until(func() bool {
-			r = f.send(http.MethodPost, path, nil, strings.NewReader("x"))
+			r = f.send(http.MethodPost, path, map[string]string{"Balsamlb-Deadline-Ms": "1500"}, strings.NewReader("x"))
 			return len(f.arrivals()) > before
 		})
-		is.Equal(r.status, http.StatusBadGateway)
+		is.Equal(r.status, http.StatusGatewayTimeout)
+	}
+}
+
+// A send that was refused before it left the gateway has reached no server, so it must not use up the
+// retry budget.
+func TestRefusedConnectionsDoNotUseUpTheRetryBudget(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.publish()
+	for _, id := range []string{"e1", "e2", "e3"} {
+		f.serveRefusing(id, "desk")
 	}
+	f.serve("e4", "desk", 0, 0, func(c net.Conn, _ *http.Request) { reply(c, http.StatusOK, "done") })
+	f.until(func() bool { return len(f.mesh.Snapshot().Servers) == 4 })
+	is.Equal(f.get("/check/1", nil).status, http.StatusOK)
 }
 
 // If a stream breaks before its first event, the retry must not ask the server to resume it: there
