Failing tests: suspicions that are acted upon as if they were certain

No code of the product is changed. The silence fleet can refuse requests and answer streams with a status.

--- a/gateway/silence_fleet_test.go
+++ b/gateway/silence_fleet_test.go
@@ -58,6 +58,10 @@
 	crashed map[string]bool
 	// onProgress is called for each run before its first event and after each event.
 	onProgress func(run *silentRun)
+	// refusals is the number of requests that servers refuse next, as if their memory were full.
+	refusals int
+	// status is what a stream is answered with instead of events, if it is not 0.
+	status int
 }
 
 // silentlyServer is one server of a silenceFleet. The fleet's lock guards its fields.
@@ -375,11 +379,18 @@
 		}
 		s.awaitSpeech(silentServer)
 		f.mu.Lock()
-		id, isThis := s.id, s.isUp && s.born == born
+		id, isThis, refuses := s.id, s.isUp && s.born == born, f.refusals > 0
+		if refuses {
+			f.refusals--
+		}
 		f.mu.Unlock()
 		if !isThis {
 			return
 		}
+		if refuses {
+			notRun(c, http.StatusServiceUnavailable, "")
+			continue
+		}
 		if r.Header.Get("Balsamlb-Expect-Instance") != id {
 			notRun(c, http.StatusMisdirectedRequest, "")
 			continue
@@ -411,7 +422,7 @@
 		_, _ = fmt.Sscan(last, &run.sent)
 	}
 	f.runs = append(f.runs, run)
-	progress := f.onProgress
+	progress, status := f.onProgress, f.status
 	f.mu.Unlock()
 	defer func() {
 		f.mu.Lock()
@@ -426,6 +437,13 @@
 		}
 		return
 	}
+	if status != 0 {
+		if f.advance(run, closed) {
+			f.complete(run)
+			fmt.Fprintf(c, "HTTP/1.1 %d Status\r\nBalsamlb-Request-Id: %s\r\nBalsamlb-Response-Stamp: s\r\nContent-Length: 0\r\n\r\n", status, run.request)
+		}
+		return
+	}
 	isStarted := false
 	for run.sent < silenceEvents {
 		if !f.advance(run, closed) {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -268,3 +268,15 @@
 	is.Equal(len(f.Next().Others), 1)
 	is.Equal(f.Interval(), usageInterval)
 }
+
+// Guards against the report of one gateway that counts for all because the others watch other control
+// instances, or have yet to watch this one after its restart.
+func TestReportOfOneGatewayDoesNotCountForGatewaysElsewhere(t *testing.T) {
+	is := is.New(t)
+	m := newTestMesh(t, "10.0.0.5:7")
+	m.mergeHeartbeat("10.0.0.6:7", &wire.WatchBeat{Controls: []string{"10.0.0.5:7"}, Gateways: 7})
+	f := m.NewWatchFeed(&wire.WatchRequest{Name: "g1", Faulty: []string{"s1"}})
+	is.Equal(m.Gateways(), 7)
+	is.Equal(len(f.Next().Suspects), 0)
+	is.Equal(len(m.Snapshot().Unresponsive), 0)
+}
--- a/retry/allowance_test.go
+++ b/retry/allowance_test.go
@@ -145,3 +145,17 @@
 	is.Equal(count, 4) // the largest of the numbers reported in the meantime
 	is.True(isSettled)
 }
+
+// Guards against shares below one retry: if the reserve is small for the number of instances, none of
+// them may ever retry, however many requests it has served.
+func TestSmallSharesStillAllowRetries(t *testing.T) {
+	g := newGatewayGroup(Allowance{Ratio: 0.2, Reserve: 100, Window: 10 * time.Second}, groupSize)
+	retries := 0.0
+	for range 1200 {
+		g.tick(func(int) int { return groupSize })
+		retries += g.retries[len(g.retries)-1]
+	}
+	g.checkWindows(t)
+	// 10,200 requests in two minutes allow 2,040 retries besides the reserve.
+	is.New(t).True(retries > 0)
+}
