--- a/mesh/usage.go
+++ b/mesh/usage.go
@@ -42,6 +42,11 @@
 func (m *Mesh) Gateways() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.knownGateways()
+}
+
+// knownGateways is Gateways for a caller that holds the lock.
+func (m *Mesh) knownGateways() int {
 	n := 1
 	for _, g := range m.reportedGateways {
 		n = max(n, g)
@@ -93,7 +98,7 @@
 
 // unresponsiveToWatchers returns the sorted servers that enough of this control instance's watchers
 // report as unresponsive. Only the reports of gateways count, not those of watching control
-// instances. unresponsiveReports of them are needed, or one if a single gateway watches. The caller
+// instances. unresponsiveReports of them are needed, or one if there is a single gateway. The caller
 // holds the lock.
 func (m *Mesh) unresponsiveToWatchers() []string {
 	counts := make(map[string]int)
@@ -103,8 +108,9 @@
 		}
 	}
 	var out []string
+	needed := min(unresponsiveReports, max(len(m.watcherReports), m.knownGateways()))
 	for id, n := range counts {
-		if n >= min(unresponsiveReports, len(m.watcherReports)) {
+		if n >= needed {
 			out = append(out, id)
 		}
 	}
