retry: a budget holds at least one retry

A budget holds one at least, and is refilled from the reserve only by what its share has beyond that. TestSmallSharesStillAllowRetries failed before; the windows still hold.

--- a/retry/allowance.go
+++ b/retry/allowance.go
@@ -28,10 +28,10 @@
 func (b *Budgets) SetAllowance(a Allowance, instances int, refills bool) {
 	share := a.Reserve / float64(max(1, instances))
 	b.ratio = a.Ratio
-	b.capacity = storedShare * share
+	b.capacity = max(1, storedShare*share) // below 1 there would never be a retry
 	b.refillPerSecond = 0
 	if refills && a.Window > 0 {
-		b.refillPerSecond = (1 - storedShare) * share / a.Window.Seconds()
+		b.refillPerSecond = max(0, share-b.capacity) / a.Window.Seconds()
 	}
 	// A budget begins empty: before a restart the instance may have spent its share.
 	b.initial = 0
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -64,15 +64,22 @@
 // Allow reports whether the request may be sent again, and if so takes one retry from both
 // budgets.
 func (b *Budgets) Allow(now time.Time, k Key) bool {
-	pair := b.pair(now, k)
-	for _, x := range pair {
+	if !b.Has(now, k) {
+		return false
+	}
+	for _, x := range b.pair(now, k) {
+		x.retries--
+	}
+	return true
+}
+
+// Has reports whether Allow would allow the request to be sent again.
+func (b *Budgets) Has(now time.Time, k Key) bool {
+	for _, x := range b.pair(now, k) {
 		if x.retries < 1 {
 			return false
 		}
 	}
-	for _, x := range pair {
-		x.retries--
-	}
 	return true
 }
 
