upstream: a server that reads a long body late is waited for

TestServerThatReadsLateGetsTheWholeBody failed before.

Not changed: a link that is cut for 2.5 s while data is unacknowledged still ends the request, as lost connections are noticed only so.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -22,6 +22,9 @@
 	dialTimeout = 1200 * time.Millisecond
 	// unackedTimeout closes connections with data that is not acknowledged (TCP_USER_TIMEOUT).
 	unackedTimeout = 2500 * time.Millisecond
+	// unreadTimeout replaces it while a body is written that may not fit into the server's window: a
+	// server that reads late acknowledges nothing either.
+	unreadTimeout  = 15 * time.Second
 	readBufferSize = 4 << 10
 	// defaultIdle is how long an idle connection is kept if the server states no timeout.
 	defaultIdle = 4 * time.Second
@@ -39,6 +42,8 @@
 	// close it.
 	usableUntil time.Time
 	isReused    bool
+	// writesLongBody means that unreadTimeout is set.
+	writesLongBody bool
 }
 
 func dial(ctx context.Context, address string) (*conn, error) {
@@ -50,10 +55,29 @@
 	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(c, readBufferSize)}, nil
 }
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+// setLongBody sets the time after which unacknowledged data closes the connection.
+func (c *conn) setLongBody(isLong bool) error {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok || c.writesLongBody == isLong {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	c.writesLongBody = isLong
+	if isLong {
+		return setTimeout(raw, unreadTimeout)
+	}
+	return setTimeout(raw, unackedTimeout)
+}
+
+func setUserTimeout(_, _ string, raw syscall.RawConn) error { return setTimeout(raw, unackedTimeout) }
+
+func setTimeout(raw syscall.RawConn, d time.Duration) error {
 	var err error
 	controlErr := raw.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	})
 	if controlErr != nil {
 		return controlErr
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -132,6 +132,9 @@
 		}
 		written <- err
 	} else {
+		if err := cn.setLongBody(true); err != nil {
+			return nil, errors.Join(ErrNotSent, err)
+		}
 		go func() { written <- writeAll(cn, head, req.Body) }()
 	}
 	resp, err := readAnswer(cn, req)
@@ -213,6 +216,10 @@
 		_ = cn.Close()
 		return
 	}
+	if err := cn.setLongBody(false); err != nil {
+		_ = cn.Close()
+		return
+	}
 	cn.usableUntil = time.Now().Add(idleTime(r.Header))
 	r.client.pool.put(cn)
 }
