gateway: a later server that answers again is used if there is no other

Such servers are asked whether they answer, too. One that answers may still be cut off from the other server, so it is used only if no other path is left.

--- a/gateway/draft_path.go
+++ b/gateway/draft_path.go
@@ -84,7 +84,7 @@
 		}
 		return g.isExcluded(v, now, id) || slices.Contains(avoided, id)
 	}
-	path, _, ok := s.paths.Find(layers.Query{
+	query := layers.Query{
 		Draft:   d.size,
 		Home:    g.options.DataCentre,
 		Head:    head,
@@ -93,7 +93,12 @@
 		PipeWait: func(from, to string) time.Duration {
 			return g.linkTraffic.wait(now, from, to)
 		},
-	})
+	}
+	path, _, ok := s.paths.Find(query)
+	if !ok && g.faults.hasAnswering() {
+		query.Avoid = func(id string) bool { return avoid(id) && !g.faults.isAnswering(id) }
+		path, _, ok = s.paths.Find(query)
+	}
 	if ok {
 		// Done under the same lock, so that concurrent searches don't all choose the same link
 		// between data centres.
--- a/gateway/faults.go
+++ b/gateway/faults.go
@@ -40,9 +40,14 @@
 	// unrecovered holds the servers that were unresponsive and have not been seen working since.
 	// Those that are also silent stay excluded until one of their announcements is received.
 	unrecovered map[string]bool
-	// checkedAt holds the unresponsive servers that have not answered this instance, with the time of
-	// the last check whether they answer again.
+	// checkedAt holds the unresponsive servers, with the time of the last check whether they answer
+	// again.
 	checkedAt map[string]time.Time
+	// answering holds the unresponsive servers that answer this instance, but that another server has
+	// not heard from.
+	answering map[string]bool
+	// observedHere holds the unresponsive servers that have not answered this instance.
+	observedHere map[string]bool
 }
 
 func newServerFaults() *serverFaults {
@@ -51,6 +56,8 @@
 		refusing:     make(map[string]time.Time),
 		unrecovered:  make(map[string]bool),
 		checkedAt:    make(map[string]time.Time),
+		answering:    make(map[string]bool),
+		observedHere: make(map[string]bool),
 	}
 }
 
@@ -59,9 +66,13 @@
 func (f *serverFaults) markUnresponsive(now time.Time, id string, by observer) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if _, isChecked := f.checkedAt[id]; by == observedHere && !isChecked {
+	if _, isChecked := f.checkedAt[id]; !isChecked {
 		f.checkedAt[id] = now
 	}
+	if by == observedHere {
+		f.observedHere[id] = true
+	}
+	delete(f.answering, id)
 	until, known := f.unresponsive[id]
 	f.unresponsive[id] = now.Add(unresponsiveFor)
 	f.unrecovered[id] = true
@@ -96,7 +107,14 @@
 	delete(f.unresponsive, id)
 	delete(f.refusing, id)
 	delete(f.unrecovered, id)
+	f.endChecks(id)
+}
+
+// endChecks removes what is recorded for the checks of an unresponsive server. The caller holds the lock.
+func (f *serverFaults) endChecks(id string) {
 	delete(f.checkedAt, id)
+	delete(f.answering, id)
+	delete(f.observedHere, id)
 }
 
 // markRecovered records that a server has completed its part of a draft, or that its announcements
@@ -115,12 +133,38 @@
 	_, wasUnresponsive := f.unresponsive[id]
 	delete(f.unresponsive, id)
 	delete(f.unrecovered, id)
-	delete(f.checkedAt, id)
+	f.endChecks(id)
 	return wasUnresponsive
 }
 
-// dueChecks returns the unresponsive servers that have not answered this instance and were not checked
-// within responsiveCheckInterval, and marks them as checked now.
+// recordAnswer records that an unresponsive server has answered a check. It reports whether that shows
+// that the server works: a server that another one has not heard from may still be cut off from it.
+func (f *serverFaults) recordAnswer(id string) (isResponsive bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, isChecked := f.checkedAt[id]; isChecked && !f.observedHere[id] {
+		f.answering[id] = true
+		return false
+	}
+	return true
+}
+
+// isAnswering reports whether an unresponsive server answers this instance.
+func (f *serverFaults) isAnswering(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.answering[id]
+}
+
+// hasAnswering reports whether any unresponsive server answers this instance.
+func (f *serverFaults) hasAnswering() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.answering) > 0
+}
+
+// dueChecks returns the unresponsive servers that were not checked within responsiveCheckInterval, and
+// marks them as checked now.
 func (f *serverFaults) dueChecks(now time.Time) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -128,7 +172,7 @@
 	for id, at := range f.checkedAt {
 		switch {
 		case !now.Before(f.unresponsive[id]):
-			delete(f.checkedAt, id)
+			f.endChecks(id)
 		case now.Sub(at) >= responsiveCheckInterval:
 			f.checkedAt[id] = now
 			out = append(out, id)
--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -61,10 +61,19 @@
 	f.markUnresponsive(now, "b", observedElsewhere)
 	is.Equal(f.dueChecks(now), nil)
 	now = now.Add(responsiveCheckInterval)
-	is.Equal(f.dueChecks(now), []string{"a"})
+	is.Equal(f.dueChecks(now), []string{"a", "b"})
 	is.Equal(f.dueChecks(now), nil)
+	is.True(f.recordAnswer("a"))
 	is.True(f.clearUnresponsive("a"))
 	is.True(!f.clearUnresponsive("a"))
 	is.True(!f.isExcluded(now, "a"))
+
+	// Another server has not heard from this one, so an answer to this instance doesn't clear it.
+	is.True(!f.recordAnswer("b"))
+	is.True(f.isAnswering("b"))
+	is.True(f.isExcluded(now, "b"))
+	f.markUnresponsive(now, "b", observedElsewhere)
+	is.True(!f.isAnswering("b"))
+	is.True(f.clearUnresponsive("b"))
 	is.Equal(f.dueChecks(now.Add(responsiveCheckInterval)), nil)
 }
--- a/gateway/responsive.go
+++ b/gateway/responsive.go
@@ -11,9 +11,8 @@
 // it is longer than orderTimeout, so there is one check of a server at a time.
 const responsiveCheckInterval = 500 * time.Millisecond
 
-// checkResponsive asks the servers that have not answered this instance whether they answer again, so that
-// a server that was silent for a moment gets work again at once, also where no draft of this instance has
-// waited for it.
+// checkResponsive asks the unresponsive servers whether they answer again, so that a server that was silent
+// for a moment gets work again at once, also where no draft of this instance has waited for it.
 func (g *Gateway) checkResponsive(ctx context.Context, now time.Time) {
 	if g.options.Identify == nil {
 		return
@@ -29,7 +28,7 @@
 			defer cancel()
 			incarnation, err := g.options.Identify(ctx, a.Address)
 			// Another incarnation at the address says nothing about this one.
-			if err == nil && incarnation == a.Incarnation {
+			if err == nil && incarnation == a.Incarnation && g.faults.recordAnswer(id) {
 				g.takeBack(quarantine.Crash{Server: id, Incarnation: uint64(incarnation)}, "answers again")
 			}
 		}()
