gateway: attempts that run at the same time end one by one; only certain crashes don't count

- TestSilentStreamGoesToThirdServerAfterRefusal: an attempt that had ended stayed in the race until the first one ended, so no other could join.
Attempts now leave the race as they end.
- TestStreamAfterSilenceSurvivesCrash: whether a lost server had crashed was asked 1 ms before the probe confirmed it.
The lost servers are remembered, and asked about when attempts are counted; a stream without a further attempt waits 200 ms for the probe.
Calls count the same way.
- TestWholeAnswerOutlivesCrashOfItsServer, TestEventSentBeforeCrashTakesNoCrashBack: the time that a slow caller takes counted as silence of the servers, and a crash dropped events that had arrived before.
- TestAnswerOfSilentServerIsForwarded: an answer that is no stream and no server error ends the race.
- TestSilentDraftWithoutRetriesCountsNoTraffic: the path is searched only if the budget has a retry.
- TestCallToServerWithSilentLinkIsServed: a call whose servers accept no connection in time tries them once more within its sends.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/balsamlb/balsamlb/layers"
@@ -27,11 +29,8 @@
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	monitor *stallMonitor
-	// done is closed when the attempt has ended; failure and panicked are valid then.
-	done    chan struct{}
-	failure *failure
-	// panicked is what the attempt has panicked with, to be raised again by the request's handler.
-	panicked any
+	// isDelivering means that an event is being written to the caller.
+	isDelivering atomic.Bool
 
 	// mu guards the fields below, which change while the attempt runs.
 	mu   sync.Mutex
@@ -40,7 +39,7 @@
 	pathEnds []quarantine.Crash
 	// heldTokens is the number of tokens that the draft keeps in memory on the servers of the path.
 	heldTokens int
-	// lastEventAt is when the last event arrived, or when the attempt started.
+	// lastEventAt is when the last event was forwarded, or when the attempt started.
 	lastEventAt time.Time
 	// awaitsFirstEvent means that the attempt has returned no event yet.
 	awaitsFirstEvent bool
@@ -48,7 +47,7 @@
 
 // newAttempt returns an attempt on a path; it begins with run.
 func (g *Gateway) newAttempt(ctx context.Context, d *draft, path layers.Path) *attempt {
-	a := &attempt{gateway: g, draft: d, done: make(chan struct{}), awaitsFirstEvent: true, lastEventAt: time.Now(), heldTokens: d.tokens()}
+	a := &attempt{gateway: g, draft: d, awaitsFirstEvent: true, lastEventAt: time.Now(), heldTokens: d.tokens()}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	a.monitor = newStallMonitor(a)
 	a.setPath(path)
@@ -84,13 +83,12 @@
 	if errors.Is(cause, errHeadCrashed) {
 		f.reason = head.Server + " has crashed"
 	}
-	if f.ran && g.lost.isConfirmed(head) {
-		// An attempt on a server that has crashed doesn't count against the route's limit.
-		d.attempts.Add(-1)
+	if f.ran {
+		d.addEndedRun(head)
 	}
 	switch {
 	case !f.ran:
-	case errors.Is(d.callerCtx.Err(), context.Canceled):
+	case d.callerCtx.Err() != nil:
 		g.recordAbandonedAttempt(a)
 	default:
 		g.recordLostAttempt(a, cause, f.reason)
@@ -98,22 +96,23 @@
 	return f
 }
 
-// runBeside is run for an attempt that runs beside the one of the request's handler.
-func (a *attempt) runBeside() {
-	defer close(a.done)
-	defer func() { a.panicked = recover() }()
-	a.failure = a.run()
+// recordArrival returns how long the attempt has waited for an event that has arrived.
+func (a *attempt) recordArrival(now time.Time) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.awaitsFirstEvent = false
+	silence := now.Sub(a.lastEventAt)
+	a.lastEventAt = now
+	return silence
 }
 
-// recordEvent updates the attempt's progress after an event was forwarded. It returns the time since
-// the event before, or since the attempt's start.
-func (a *attempt) recordEvent(now time.Time) time.Duration {
+// endDelivery records that an event was written to the caller. The time that this took is not silence of
+// the servers.
+func (a *attempt) endDelivery(now time.Time) {
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	gap := now.Sub(a.lastEventAt)
 	a.lastEventAt = now
-	a.awaitsFirstEvent = false
-	return gap
+	a.mu.Unlock()
+	a.isDelivering.Store(false)
 }
 
 // progress returns the time since the last event or the start of the attempt, and whether the attempt
@@ -124,9 +123,12 @@
 	return now.Sub(a.lastEventAt), !a.awaitsFirstEvent
 }
 
-// idleTime returns the time since the last event, or since the attempt started. Time in which this
-// process was paused doesn't count.
+// idleTime returns the time since the last event, or since the attempt started. Time in which the caller
+// took no event or this process was paused doesn't count.
 func (a *attempt) idleTime(now time.Time) time.Duration {
+	if a.isDelivering.Load() {
+		return 0
+	}
 	idle, _ := a.progress(now)
 	return min(idle, a.gateway.pauses.sinceResumed(now))
 }
@@ -184,9 +186,22 @@
 // also sent to others, and the attempt that brings the next event goes on. It is safe for concurrent
 // use.
 type race struct {
+	// beside counts the attempts that run beside the one of the request's handler.
+	beside sync.WaitGroup
+
 	mu       sync.Mutex
 	attempts []*attempt
 	isClosed bool
+	result   raceResult
+}
+
+// raceResult is how the attempts of a race have ended.
+type raceResult struct {
+	isComplete bool
+	// failure is that of the last attempt that failed by itself.
+	failure *failure
+	// panicked is what an attempt has panicked with, to be raised again by the request's handler.
+	panicked any
 }
 
 // open begins a race with its first attempt.
@@ -195,6 +210,7 @@
 	defer r.mu.Unlock()
 	r.attempts = []*attempt{a}
 	r.isClosed = false
+	r.result = raceResult{}
 }
 
 // mayJoin reports whether another attempt may begin.
@@ -206,7 +222,7 @@
 
 func (r *race) canJoin() bool { return !r.isClosed && len(r.attempts) < maxParallelAttempts }
 
-// join adds an attempt, unless the race is closed or full.
+// join adds an attempt and starts it, unless the race is closed or full.
 func (r *race) join(a *attempt) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -214,31 +230,49 @@
 		return false
 	}
 	r.attempts = append(r.attempts, a)
+	r.beside.Go(func() {
+		defer func() {
+			if p := recover(); p != nil {
+				r.leave(a, raceResult{panicked: p})
+			}
+		}()
+		f := a.run()
+		r.leave(a, raceResult{isComplete: f == nil, failure: f})
+	})
 	return true
 }
 
-// leave removes an attempt that has ended, and returns one that still runs. If there is none, it
-// closes the race and returns nil.
-func (r *race) leave(a *attempt) *attempt {
+// leave removes an attempt that has ended with a result. The race is closed once no attempt runs.
+func (r *race) leave(a *attempt, result raceResult) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for i, other := range r.attempts {
-		if other == a {
-			r.attempts = append(r.attempts[:i:i], r.attempts[i+1:]...)
-			break
-		}
+	r.attempts = slices.DeleteFunc(r.attempts, func(other *attempt) bool { return other == a })
+	r.isClosed = r.isClosed || len(r.attempts) == 0
+	r.result.isComplete = r.result.isComplete || result.isComplete
+	if result.panicked != nil {
+		r.result.panicked = result.panicked
 	}
-	if len(r.attempts) == 0 {
-		r.isClosed = true
-		return nil
+	if f := result.failure; f != nil && (r.result.failure == nil || !errors.Is(f.err, errOvertaken)) {
+		r.result.failure = f
 	}
-	return r.attempts[0]
+}
+
+// await waits until no attempt runs, and returns how they have ended.
+func (r *race) await() raceResult {
+	r.beside.Wait()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.result
 }
 
 // win cancels all attempts but one.
 func (r *race) win(a *attempt) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.cancelOthers(a)
+}
+
+func (r *race) cancelOthers(a *attempt) {
 	for _, other := range r.attempts {
 		if other != a {
 			other.cancel(errOvertaken)
@@ -246,14 +280,16 @@
 	}
 }
 
-// claim closes the race if the attempt is the only one, and reports whether it is.
-func (r *race) claim(a *attempt) bool {
+// claim closes the race for an attempt that has an answer, and cancels the others. An answer that doesn't
+// count as final is claimed only if no other attempt runs. It reports whether the attempt may answer.
+func (r *race) claim(a *attempt, isFinal bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.attempts) != 1 || r.attempts[0] != a {
+	if len(r.attempts) > 1 && !isFinal || r.isClosed {
 		return false
 	}
 	r.isClosed = true
+	r.cancelOthers(a)
 	return true
 }
 
@@ -276,22 +312,18 @@
 	a := g.newAttempt(ctx, d, path)
 	d.race.open(a)
 	f := a.run()
-	for {
-		if f == nil {
-			d.race.win(a)
-		}
-		other := d.race.leave(a)
-		if other == nil {
-			return f
-		}
-		<-other.done
-		if other.panicked != nil {
-			panic(other.panicked)
-		}
-		a = other
-		if f != nil && !(other.failure != nil && errors.Is(other.failure.err, errOvertaken)) {
-			f = other.failure
-		}
+	if f == nil {
+		d.race.win(a)
+	}
+	d.race.leave(a, raceResult{isComplete: f == nil, failure: f})
+	result := d.race.await()
+	switch {
+	case result.panicked != nil:
+		panic(result.panicked)
+	case result.isComplete:
+		return nil
+	default:
+		return result.failure
 	}
 }
 
@@ -299,8 +331,11 @@
 // servers may go on, so their attempts end only when another attempt brings the next event.
 func (g *Gateway) startBeside(silent *attempt, reason string) {
 	d := silent.draft
-	mayRepeat := d.route.MayRepeat() && int(d.attempts.Load()) < d.route.MaxAttempts && d.sends.Load() < maxSends
-	if !mayRepeat || !d.race.mayJoin() {
+	if silent.ctx.Err() != nil {
+		return
+	}
+	mayRepeat := d.route.MayRepeat() && g.countedAttempts(d.job) < d.route.MaxAttempts && (d.isStarted.Load() || d.sends.Load() < maxSends)
+	if !mayRepeat || !d.race.mayJoin() || !g.hasRetry(d.job) {
 		return
 	}
 	path, hasPath := g.findNewPath(d)
@@ -317,5 +352,4 @@
 	}
 	g.options.Log.Info("sending a silent draft to another server as well", "request", d.header.ID, "reason", reason,
 		"path", formatPath(path), "silent_ms", silent.idleTime(time.Now()).Milliseconds())
-	go a.runBeside()
 }
--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -35,6 +35,10 @@
 	// once, and each check searches for a path under a shared lock.
 	capacityPollInterval = 20 * time.Millisecond
 	resumePollInterval   = 100 * time.Millisecond
+	// crashConfirmWait is how long a draft without a further attempt waits for the probe of its lost
+	// server, which takes at most probeTries times probeTimeout.
+	crashConfirmWait  = 200 * time.Millisecond
+	crashPollInterval = 10 * time.Millisecond
 	// maxCapacityWaiters bounds the new drafts that wait for capacity: about as many running drafts
 	// end at one gateway within capacityWait, and free their capacity.
 	maxCapacityWaiters = 6
@@ -154,7 +158,7 @@
 	if !d.isStarted.Load() {
 		return g.mayGoOn(ctx, d.job, f)
 	}
-	if f.ran && (!d.route.MayRepeat() || int(d.attempts.Load()) >= max(1, d.route.MaxAttempts)) {
+	if f.ran && !g.mayRunAgain(ctx, d) {
 		return f, false
 	}
 	isQuarantined := func() bool { return g.verdict(d.job) == quarantine.Quarantined }
@@ -174,6 +178,17 @@
 	return f, isAllowed && ctx.Err() == nil
 }
 
+// mayRunAgain reports whether the route allows a further attempt. If the attempts are used up, it waits
+// until the probe of the last server is over: an attempt on a server that has crashed doesn't count.
+func (g *Gateway) mayRunAgain(ctx context.Context, d *draft) bool {
+	hasAttempt := func() bool { return g.countedAttempts(d.job) < max(1, d.route.MaxAttempts) }
+	if !d.route.MayRepeat() || hasAttempt() {
+		return d.route.MayRepeat()
+	}
+	poll(ctx, crashPollInterval, crashConfirmWait, hasAttempt)
+	return hasAttempt()
+}
+
 // failDraft reports a failed draft to the caller: with an error status, or, if the stream has
 // started, by aborting the connection so that the stream doesn't look complete.
 func (g *Gateway) failDraft(ctx context.Context, w http.ResponseWriter, d *draft, f *failure) {
@@ -257,11 +272,11 @@
 	return &failure{reason: fmt.Sprintf("%s did not take its part (status %d)", fault, status)}
 }
 
-// forwardNonStream forwards a response that is not an event stream, unless another attempt may still
-// bring one.
+// forwardNonStream forwards a response that is not an event stream. A server error is not forwarded while
+// another attempt may still bring a stream.
 func (g *Gateway) forwardNonStream(a *attempt, resp *upstream.Response) *failure {
 	d := a.draft
-	if d.isStarted.Load() || !d.race.claim(a) {
+	if d.isStarted.Load() || !d.race.claim(a, resp.Status < http.StatusInternalServerError) {
 		return &failure{reason: "the stream did not go on: status " + strconv.Itoa(resp.Status), ran: true}
 	}
 	if err := g.writeResponse(d.writer, d.job, resp); err != nil {
@@ -280,7 +295,11 @@
 		case errors.Is(err, io.EOF):
 			err = a.completeStream(resp)
 		case err == nil:
-			if err = a.deliver(resp, ev); err == nil {
+			silence := a.recordArrival(time.Now())
+			if silence >= faultStallAfter {
+				a.gateway.recordResponsive(a, silence)
+			}
+			if err = a.deliver(resp, ev, silence); err == nil {
 				continue
 			}
 		}
@@ -296,9 +315,12 @@
 }
 
 // deliver forwards an event, unless it was forwarded before. The draft's other attempts end. It returns
-// errCallerGone if the caller takes no more events, and the cause if the attempt was cancelled.
-func (a *attempt) deliver(resp *upstream.Response, ev event) error {
+// errCallerGone if the caller takes no more events, and the cause if the attempt was cancelled. silence is
+// how long the attempt has waited for the event.
+func (a *attempt) deliver(resp *upstream.Response, ev event, silence time.Duration) error {
 	d := a.draft
+	a.isDelivering.Store(true)
+	defer func() { a.endDelivery(time.Now()) }()
 	d.deliveryMu.Lock()
 	defer d.deliveryMu.Unlock()
 	if a.ctx.Err() != nil {
@@ -318,7 +340,7 @@
 	if ev.id >= 0 {
 		d.lastEventID = ev.id
 	}
-	a.recordDelivery(time.Now())
+	a.recordDelivery(time.Now(), silence)
 	return nil
 }
 
@@ -353,9 +375,8 @@
 
 // recordDelivery updates the draft's progress after an event was forwarded. The caller holds
 // deliveryMu.
-func (a *attempt) recordDelivery(now time.Time) {
+func (a *attempt) recordDelivery(now time.Time, silence time.Duration) {
 	d := a.draft
-	silence := a.recordEvent(now)
 	gap := now.Sub(d.lastEventAt)
 	d.lastEventAt = now
 	d.events++
@@ -364,9 +385,6 @@
 		d.addTokens(tokens)
 		a.addTokens(tokens)
 	}
-	if silence >= faultStallAfter {
-		d.gateway.recordResponsive(a, silence)
-	}
 	if d.events == 1 {
 		d.firstMS = silence.Milliseconds()
 		d.gateway.metrics.FirstEventSeconds.WithLabelValues().Observe(silence.Seconds())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -320,11 +320,37 @@
 	// that the request was not run.
 	mayHaveRun atomic.Bool
 
+	// runsMu guards endedRuns, the crashes that would end the servers of the sends that have failed
+	// after the request may have run.
+	runsMu    sync.Mutex
+	endedRuns []quarantine.Crash
+
 	fingerprintOnce sync.Once
 	content         quarantine.Fingerprint // valid once fingerprint has returned
 	crashes         requestCrashes
 }
 
+// addEndedRun records the server of a send that has failed after the request may have run there.
+func (j *job) addEndedRun(end quarantine.Crash) {
+	j.runsMu.Lock()
+	defer j.runsMu.Unlock()
+	j.endedRuns = append(j.endedRuns, end)
+}
+
+// countedAttempts returns the number of attempts that count against the route's limit: those on servers
+// that have crashed for certain don't.
+func (g *Gateway) countedAttempts(j *job) int {
+	j.runsMu.Lock()
+	defer j.runsMu.Unlock()
+	n := int(j.attempts.Load())
+	for _, end := range j.endedRuns {
+		if g.lost.isConfirmed(end) {
+			n--
+		}
+	}
+	return n
+}
+
 // ServeHTTP serves one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
--- a/gateway/pauses.go
+++ b/gateway/pauses.go
@@ -10,37 +10,26 @@
 const pauseThreshold = 250 * time.Millisecond
 
 // pauseDetector tells when this process was paused, so that the pause isn't taken for silence of the
-// backend servers. It must observe the time at least once in idleCheckInterval. It is safe for concurrent
-// use.
+// backend servers. sinceResumed must be called at least once in idleCheckInterval. It is safe for
+// concurrent use.
 type pauseDetector struct {
 	mu         sync.Mutex
 	observedAt time.Time
 	resumedAt  time.Time
 }
 
-// observe records that the process runs.
-func (p *pauseDetector) observe(now time.Time) {
+// sinceResumed records that the process runs, and returns the time since it was last paused.
+func (p *pauseDetector) sinceResumed(now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.observeLocked(now)
-}
-
-func (p *pauseDetector) observeLocked(now time.Time) {
-	if !p.observedAt.IsZero() && now.Sub(p.observedAt) > pauseThreshold {
+	if p.observedAt.IsZero() {
+		p.observedAt = now
+	}
+	if now.Sub(p.observedAt) > pauseThreshold {
 		p.resumedAt = now
 	}
 	if now.After(p.observedAt) {
 		p.observedAt = now
 	}
-}
-
-// sinceResumed records that the process runs, and returns the time since it was last paused.
-func (p *pauseDetector) sinceResumed(now time.Time) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.observedAt.IsZero() { // nothing observes this process, as in tests of a single part
-		return now.Sub(time.Time{})
-	}
-	p.observeLocked(now)
 	return now.Sub(p.resumedAt)
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -28,12 +28,19 @@
 func (g *Gateway) servePlain(ctx context.Context, w http.ResponseWriter, j *job) {
 	g.recordRequest(j)
 	var tried []string
+	var silent []string // those of tried that have accepted no connection in time
 	for {
 		if f := g.checkContent(j); f != nil {
 			g.refuse(w, j, g.finalRefusal(ctx, j, f))
 			return
 		}
 		server := g.pickServer(j, tried)
+		if server == nil && len(silent) > 0 {
+			// No other server is left, and these may accept connections by now.
+			tried = slices.DeleteFunc(tried, func(id string) bool { return slices.Contains(silent, id) })
+			silent = nil
+			server = g.pickServer(j, tried)
+		}
 		if server == nil {
 			g.refuse(w, j, g.noServerRefusal(ctx, j))
 			return
@@ -43,6 +50,9 @@
 		if f == nil {
 			return
 		}
+		if errors.Is(f.err, upstream.ErrNotSent) && upstream.IsTimeout(f.err) {
+			silent = append(silent, server.ID)
+		}
 		f, goesOn := g.mayGoOn(ctx, j, f)
 		if !goesOn {
 			g.refuse(w, j, g.finalRefusal(ctx, j, f))
@@ -97,6 +107,7 @@
 // recordLostCall records a lost run of a plain request. If the caller left, the server is not probed.
 func (g *Gateway) recordLostCall(ctx context.Context, j *job, server *discovery.Announcement, err error) {
 	crash := quarantine.Crash{Server: server.ID, Incarnation: uint64(server.Incarnation)}
+	j.addEndedRun(crash)
 	if errors.Is(ctx.Err(), context.Canceled) {
 		g.addLostRun(j, crash)
 		return
@@ -112,7 +123,7 @@
 		g.recordHealth(server, false)
 		return &failure{reason: "the answer of " + server + " bears no mark", ran: true}
 	}
-	canRetry := j.route.MayRepeat() && int(j.attempts.Load()) < j.route.MaxAttempts && j.sends.Load() < maxSends
+	canRetry := j.route.MayRepeat() && g.countedAttempts(j) < j.route.MaxAttempts && j.sends.Load() < maxSends
 	if resp.Status >= http.StatusInternalServerError && canRetry && g.allowRetry(j) {
 		g.recordHealth(server, false)
 		return &failure{reason: server + " failed", ran: true, err: errRetryAllowed}
@@ -128,7 +139,7 @@
 	if ctx.Err() != nil || j.sends.Load() >= maxSends {
 		return false
 	}
-	if f.ran && (!j.route.MayRepeat() || int(j.attempts.Load()) >= max(1, j.route.MaxAttempts)) {
+	if f.ran && (!j.route.MayRepeat() || g.countedAttempts(j) >= max(1, j.route.MaxAttempts)) {
 		return false
 	}
 	// A send that never left this process has used nothing of the budget.
@@ -219,6 +230,13 @@
 	return isAllowed
 }
 
+// hasRetry reports whether the budget has a retry, and leaves it there.
+func (g *Gateway) hasRetry(j *job) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budgets.Has(time.Now(), g.budgetKey(j))
+}
+
 // takeRetry is allowRetry without a log line.
 func (g *Gateway) takeRetry(j *job) bool {
 	g.mu.Lock()
--- a/gateway/silence_cluster_test.go
+++ b/gateway/silence_cluster_test.go
@@ -157,7 +157,7 @@
 	g.mesh = newClusterMesh(c.t, g.name, "", c.address)
 	g.gateway = gateway.New(gateway.Options{
 		Name: g.name, DataCentre: "a", ListenAddress: g.address, GracePeriod: shutdownGrace, Mesh: g.mesh,
-		ShutdownDelay: 100 * time.Millisecond, HeaderCodec: platform.HeaderCodec{}, Orders: c.fleet, Registry: prometheus.NewRegistry(),
+		ShutdownDelay: 100 * time.Millisecond, HeaderCodec: platform.HeaderCodec{}, Orders: c.fleet, Identify: c.fleet.identify, Registry: prometheus.NewRegistry(),
 		RetryRatio: c.limits.ratio, RetryReserve: c.limits.reserve, Log: funcr.New(g.log.add, funcr.Options{LogTimestamp: true, TimestampFormat: clockFormat}),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/gateway/silence_fleet_test.go
+++ b/gateway/silence_fleet_test.go
@@ -592,6 +592,16 @@
 	}
 }
 
+// identify returns the incarnation of the server at an address, as gateway.Options.Identify does.
+func (f *silenceFleet) identify(ctx context.Context, address string) (int64, error) {
+	if err := f.awaitAnswer(ctx, address); err != nil {
+		return 0, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.at([]string{address})[0].born, nil
+}
+
 // Reroute implements gateway.Orders. A silent server takes no part of a path.
 func (f *silenceFleet) Reroute(ctx context.Context, head, request string, p layers.Path, _ uint64) (string, error) {
 	if err := f.awaitAnswer(ctx, head); err != nil {
--- a/gateway/stall_monitor.go
+++ b/gateway/stall_monitor.go
@@ -132,13 +132,10 @@
 	if len(path) == 0 {
 		return
 	}
-	if m.gateway.lost.isConfirmed(a.pathCrashes()[0]) {
-		a.cancel(errHeadCrashed)
-		return
-	}
+	hasHeadCrashed := m.gateway.lost.isConfirmed(a.pathCrashes()[0])
 	v := m.gateway.view.Load()
 	isHeadUnresponsive := m.gateway.isUnresponsive(v, path[0].ID)
-	hasFault := isHeadUnresponsive || m.gateway.hasFaultyPart(v, path)
+	hasFault := hasHeadCrashed || isHeadUnresponsive || m.gateway.hasFaultyPart(v, path)
 	wait := a.stallThreshold()
 	if hasFault {
 		wait = faultStallAfter
@@ -149,6 +146,9 @@
 	}
 	defer m.timer.Reset(recheckInterval)
 	switch {
+	case hasHeadCrashed:
+		// Only now, since events that it had sent before may still have been on their way to the caller.
+		a.cancel(errHeadCrashed)
 	case isHeadUnresponsive:
 		m.gateway.startBeside(a, path[0].ID+" is unresponsive")
 	case hasFault:
