--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -271,6 +271,11 @@
 			t.Parallel()
 			c := tc.start(t, 4)
 			defer c.logOnFailure()
+			c.fleet.onEventsOfAll(tc.after, 6*len(c.gateways), func(run *silentRun) {
+				for _, s := range tc.struck.servers(run) {
+					s.fallSilent(tc.kind, tc.lasts)
+				}
+			})
 			replies := c.sendTogether(tc.path, 6)
 			maxAttempts := 2
 			if tc.path == "/once/1" {
