gateway: failing test of a certain crash that is taken back

A draft that waits at a silent first server goes on through the server that has replaced a crashed one at its address. recordResponsive takes that for a sign that the crashed incarnation is alive, and withdraws its crash although it is certain ("was replaced by s4", then "has not crashed": "goes on with a draft"). The evidence against a content that crashes servers is lost that way.

--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -512,3 +513,22 @@
 		})
 	}
 }
+
+// Guards against a crash that is taken back although it is certain: a draft goes on through the server
+// that has replaced the crashed one at its address.
+func TestReplacedServerStaysCrashed(t *testing.T) {
+	t.Parallel()
+	c := newSilentCluster(t, 1, ampleRetries)
+	defer c.logOnFailure()
+	copies := c.fleet.addCopies(1)
+	c.settle()
+	first, middle := copies[0][0], copies[0][1]
+	first.fallSilent(silentServer, 1500*time.Millisecond)
+	time.AfterFunc(300*time.Millisecond, func() { middle.crash(100 * time.Millisecond) })
+	c.checkWhole("/advice/1", c.gateways[0].send("/advice/1", callerDeadline))
+	g := c.gateways[0]
+	c.within(contactTime, "the crash is known", func() bool { return strings.Contains(g.log.String(), `was replaced by`) })
+	if strings.Contains(g.log.String(), `has not crashed" "server"="s2"`) {
+		t.Error("the crash of s2, which was replaced, was taken back")
+	}
+}
