--- a/gateway/lost_runs.go
+++ b/gateway/lost_runs.go
@@ -127,6 +127,17 @@
 	return l.crashes[c].isConfirmed
 }
 
+// isPresumed reports whether a crash is known, but not for certain.
+func (l *lostRuns) isPresumed(c quarantine.Crash) bool {
+	if l.crashCount.Load() == 0 {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	found, ok := l.crashes[c]
+	return ok && !found.isConfirmed
+}
+
 // removeExpired removes the runs and crashes that are too old to be used.
 func (l *lostRuns) removeExpired(now time.Time) {
 	l.mu.Lock()
--- a/gateway/responsive.go
+++ b/gateway/responsive.go
@@ -46,13 +46,14 @@
 	}
 }
 
-// takeBack takes back that a server is unresponsive or that an incarnation of it has crashed.
+// takeBack takes back that a server is unresponsive, or that an incarnation of it is presumed to have
+// crashed. A certain crash stays: the answer may be that of a successor at the same address.
 func (g *Gateway) takeBack(crash quarantine.Crash, why string) {
 	if g.faults.clearUnresponsive(crash.Server) {
 		g.options.Log.Info("a backend server is responsive again", "server", crash.Server, "why", why)
 		g.options.Mesh.SetUnresponsive(g.listUnresponsive(time.Now()))
 	}
-	if g.lost.crashCount.Load() > 0 {
+	if g.lost.isPresumed(crash) {
 		g.withdrawCrash(crash, why)
 	}
 }
