gateway: failing tests for requests that share a part of the prompt that crashes servers

The stand-in servers can now crash on a part of the prompt (any but the last), whatever else the request holds. Several gateways and a control instance serve requests with it, no two alike, with and without sound ones of the same key and first part beside them: one or two parts, first or middle server of a path, reset or silence, other order and token counts, batches in flight, restarts with and without the disk, a cut-off gateway, a new document, a crashed rack, a part that was sound before.

--- a/gateway/crash_fleet_test.go
+++ b/gateway/crash_fleet_test.go
@@ -58,8 +58,11 @@
 	mu      sync.Mutex
 	servers map[string]*crashServer // by address
 	runs    map[string]*fleetRun    // by request ID
+	// crashingParts holds the IDs of prompt parts that crash the servers that run them.
+	crashingParts map[string]bool
 	// arrivals counts the requests that reached a server, and reroutes the changes of their paths,
-	// by body. crashes counts the crashes by the body of the request that caused them.
+	// by body and by crashing part. crashes counts the crashes by the body of the request that caused
+	// them and by its crashing part.
 	arrivals map[string]int
 	reroutes map[string]int
 	crashes  map[string]int
@@ -89,6 +92,8 @@
 // fleetRun is a draft that runs on a path.
 type fleetRun struct {
 	body string
+	// part is the part of the prompt that crashes servers, or "".
+	part string
 	path []string // addresses
 	// ids are the IDs of the servers when the path began to be used: a server that was restarted
 	// has lost the draft.
@@ -106,7 +111,7 @@
 		t: t, kind: kind, ip: fmt.Sprintf("127.0.%d.%d", 100+n/250, 1+n%250), announce: func(discovery.Announcement) {},
 		servers: make(map[string]*crashServer), runs: make(map[string]*fleetRun),
 		arrivals: make(map[string]int), reroutes: make(map[string]int), crashes: make(map[string]int),
-		ran: make(map[string]int),
+		ran: make(map[string]int), crashingParts: make(map[string]bool),
 	}
 	done := make(chan struct{})
 	stop := make(chan struct{})
@@ -274,7 +279,7 @@
 	})
 }
 
-// count returns how often requests with the body reached servers, by request or by reroute, and how
+// count returns how often requests with the body or the crashing part reached servers, by request or by reroute, and how
 // many servers they crashed.
 func (f *crashFleet) count(body string) (sends, crashes int) {
 	f.mu.Lock()
@@ -375,25 +380,47 @@
 }
 
 // crashBy crashes the server at the address for a request with the body.
-func (f *crashFleet) crashBy(address, body string) {
+func (f *crashFleet) crashBy(address string, causes ...string) {
 	f.mu.Lock()
 	s := f.servers[address]
 	if s == nil || !s.isUp || s.isSilent {
 		f.mu.Unlock()
 		return
 	}
-	f.crashes[body]++
+	countEach(f.crashes, causes)
 	f.mu.Unlock()
 	s.crash()
 }
 
+// countEach adds one to the count of each key that isn't empty.
+func countEach(counts map[string]int, keys []string) {
+	for _, key := range keys {
+		if key != "" {
+			counts[key]++
+		}
+	}
+}
+
+// crashingPart returns the part of the request's prompt that crashes servers, or "". The last part
+// belongs to the request alone. The caller holds the lock.
+func (f *crashFleet) crashingPart(prefix string) string {
+	parts := strings.Split(prefix, ",")
+	for _, part := range parts[:len(parts)-1] {
+		if id, _, _ := strings.Cut(part, ":"); f.crashingParts[id] {
+			return id
+		}
+	}
+	return ""
+}
+
 // runDraft runs a draft as the first server of its path: it sends the events, crashes a server of
 // the path if the body says so, and waits for a reroute when a later server has gone.
 func (f *crashFleet) runDraft(s *crashServer, c net.Conn, r *http.Request, body string) {
 	run := &fleetRun{body: body, path: pathAddresses(r.Header.Get("Balsamlb-Hop-Count"), s.address)}
 	id := r.Header.Get("Balsamlb-Request-Id")
 	f.mu.Lock()
-	f.arrivals[body]++
+	run.part = f.crashingPart(r.Header.Get("Balsamlb-Prompt-Prefix"))
+	countEach(f.arrivals, []string{body, run.part})
 	f.ran[id]++
 	run.ids = f.idsOf(run.path)
 	f.runs[id] = run
@@ -430,7 +457,7 @@
 			continue
 		}
 		if victim := f.victim(run); victim != "" && (!f.kind.afterFirstEvent || isStarted) {
-			f.crashBy(victim, body)
+			f.crashBy(victim, body, run.part)
 			if victim == s.address {
 				<-f.t.Context().Done()
 				return
@@ -447,7 +474,7 @@
 
 // victim returns the address of the server that the run crashes, or "".
 func (f *crashFleet) victim(run *fleetRun) string {
-	if !strings.HasPrefix(run.body, crashingPrefix) {
+	if !strings.HasPrefix(run.body, crashingPrefix) && run.part == "" {
 		return ""
 	}
 	f.mu.Lock()
@@ -537,7 +564,7 @@
 	}
 	ids := f.idsOf(path)
 	if !slices.Equal(ids, run.ids) {
-		f.reroutes[run.body]++
+		countEach(f.reroutes, []string{run.body, run.part})
 	}
 	run.path, run.ids = path, ids
 	return "", nil
--- /dev/null
+++ b/gateway/part_crash_test.go
@@ -0,0 +1,384 @@
+package gateway_test
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/balsamlb/balsamlb/routing"
+	"github.com/klauspost/compress/zstd"
+)
+
+// The users' rule: later than contactTime after the fifth crash of a part, requests with it may reach
+// servers allowedRetries times more, and from twice contactTime on others are served as usual.
+const toleratedPartCrashes = 5
+
+// unlikePrompt returns the prefix header of a request with the part, in one of several orders. No
+// two are alike, and all share their first part or their second one with sound requests.
+func unlikePrompt(i int, part string) string {
+	switch i % 3 {
+	case 0:
+		return fmt.Sprintf("f1:800,%s:%d,%x:100", part, 400+i, 0x10000+i)
+	case 1:
+		return fmt.Sprintf("%s:%d,f1:800,d%d:300,%x:100", part, 300, i%4, 0x10000+i)
+	default:
+		return fmt.Sprintf("f1:800,d%d:300,%s:%d,%x:%d", i%4, part, 500, 0x10000+i, 50+i)
+	}
+}
+
+func soundPrompt(i int) string { return fmt.Sprintf("f1:800,d%d:300,%x:100", i%4, 0x20000+i) }
+
+// partAttack sends requests with crashing parts, no two alike, to all gateways in turn.
+type partAttack struct {
+	cluster *cluster
+	parts   []string
+	sent    atomic.Int64
+}
+
+func (c *cluster) newPartAttack(parts ...string) *partAttack {
+	c.fleet.mu.Lock()
+	defer c.fleet.mu.Unlock()
+	for _, part := range parts {
+		c.fleet.crashingParts[part] = true
+	}
+	return &partAttack{cluster: c, parts: parts}
+}
+
+func (a *partAttack) send(g *clusterGateway) {
+	i := int(a.sent.Add(1))
+	part := a.parts[i%len(a.parts)]
+	if g.send("/advice/1", fmt.Sprint("unlike ", i), "Balsamlb-Prompt-Prefix", unlikePrompt(i/len(a.parts), part)).isServed() {
+		a.cluster.t.Errorf("request %d with the crashing part was served", i)
+	}
+}
+
+// sendAll sends count requests one after the other, to the gateways in turn.
+func (a *partAttack) sendAll(count int) {
+	for i := range count {
+		a.send(a.cluster.gateways[i%len(a.cluster.gateways)])
+	}
+}
+
+// sendAtOnce sends count requests at the same time, to all gateways.
+func (a *partAttack) sendAtOnce(count int) {
+	var group sync.WaitGroup
+	for i := range count {
+		group.Go(func() { a.send(a.cluster.gateways[i%len(a.cluster.gateways)]) })
+	}
+	group.Wait()
+}
+
+// untilFifth sends requests until each part has crashed five servers.
+func (a *partAttack) untilFifth() {
+	a.cluster.t.Helper()
+	for i := 0; !a.hasFive(); i++ {
+		a.send(a.cluster.gateways[i%len(a.cluster.gateways)])
+		time.Sleep(downtime / 2)
+		if i > 50 {
+			a.cluster.t.Fatal("the parts don't crash servers")
+		}
+	}
+}
+
+func (a *partAttack) hasFive() bool {
+	for _, part := range a.parts {
+		if _, crashes := a.cluster.fleet.count(part); crashes < toleratedPartCrashes {
+			return false
+		}
+	}
+	return true
+}
+
+// counts returns how often requests with each part have reached servers.
+func (a *partAttack) counts() []int {
+	var out []int
+	for _, part := range a.parts {
+		n, _ := a.cluster.fleet.count(part)
+		out = append(out, n)
+	}
+	return out
+}
+
+// checkSince checks how often requests with each part have reached servers since the counts.
+func (a *partAttack) checkSince(before []int) {
+	a.cluster.t.Helper()
+	after := a.counts()
+	for i, part := range a.parts {
+		if after[i]-before[i] > allowedRetries {
+			_, crashes := a.cluster.fleet.count(part)
+			a.cluster.t.Errorf("requests with part %s reached servers %d times later than %v after its fifth crash, %d crashes in all; at most %d are allowed",
+				part, after[i]-before[i], contactTime, crashes, allowedRetries)
+		}
+	}
+}
+
+// check sends 24 requests with crashing parts later than contactTime after the fifth crash, and sound
+// ones beside the later half.
+func (a *partAttack) check() {
+	a.cluster.t.Helper()
+	time.Sleep(contactTime)
+	before := a.counts()
+	a.sendAll(12)
+	time.Sleep(contactTime)
+	var group sync.WaitGroup
+	group.Go(func() { a.sendAtOnce(12) })
+	a.cluster.checkSound(24)
+	group.Wait()
+	a.checkSince(before)
+}
+
+// checkSound checks that sound requests are served at the first attempt. They share the key and the
+// first part with the crashing ones.
+func (c *cluster) checkSound(count int) {
+	c.t.Helper()
+	for i := range count {
+		g := c.gateways[i%len(c.gateways)]
+		if r := g.send("/advice/1", fmt.Sprint("sound ", i), "Balsamlb-Prompt-Prefix", soundPrompt(i)); !r.isServed() {
+			c.t.Errorf("sound request %d at %s: status %d: %s", i, g.name, r.status, r.body)
+		}
+	}
+	c.logOnFailure()
+}
+
+func (c *cluster) logOnFailure() {
+	c.t.Helper()
+	if !c.t.Failed() {
+		return
+	}
+	for _, g := range c.gateways {
+		c.t.Logf("%s: %s", g.name, g.log.String())
+	}
+}
+
+// sendSound sends sound requests to all gateways until the returned function is called.
+func (c *cluster) sendSound() (stop func()) {
+	done := make(chan struct{})
+	var group sync.WaitGroup
+	for n, g := range c.gateways {
+		group.Go(func() {
+			for i := n; ; i += len(c.gateways) {
+				body := fmt.Sprint("sound ", i)
+				if i%2 == 0 {
+					body = fmt.Sprint("slow ", i)
+				}
+				g.send("/advice/1", body, "Balsamlb-Prompt-Prefix", soundPrompt(i))
+				select {
+				case <-done:
+					return
+				case <-time.After(4 * step):
+				}
+			}
+		})
+	}
+	return func() {
+		close(done)
+		group.Wait()
+	}
+}
+
+// newPartCluster returns a cluster of three gateways and, unless the paths have three parts, eight
+// servers with the whole model.
+func newPartCluster(t *testing.T, kind crashKind, isSplit bool) *cluster {
+	c := newCluster(t, kind, 3)
+	if isSplit {
+		addDraftServers(c.fleet)
+	} else {
+		c.fleet.addAll(8, "advice", 0, 4)
+	}
+	c.settle()
+	return c
+}
+
+// Guards against the incident BUDGET: requests that share one part of their prompts, no two alike,
+// each crash every server that begins to write an answer on them.
+func TestRequestsWithCrashingPartAreHeldBack(t *testing.T) {
+	for name, test := range map[string]struct {
+		kind    crashKind
+		isSplit bool
+		parts   []string
+	}{
+		"one server":               {crashKind{afterFirstEvent: true}, false, []string{"9a"}},
+		"one server, silent":       {crashKind{afterFirstEvent: true, silent: true}, false, []string{"9a"}},
+		"first server of three":    {crashKind{afterFirstEvent: true}, true, []string{"9a"}},
+		"middle server":            {crashKind{part: middlePart, afterFirstEvent: true}, true, []string{"9a"}},
+		"two parts, one server":    {crashKind{afterFirstEvent: true}, false, []string{"9a", "9b"}},
+		"two parts, middle server": {crashKind{part: middlePart, afterFirstEvent: true}, true, []string{"9a", "9b"}},
+	} {
+		for _, hasSound := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, sound requests beside it: %t", name, hasSound), func(t *testing.T) {
+				t.Parallel()
+				c := newPartCluster(t, test.kind, test.isSplit)
+				if hasSound {
+					defer c.sendSound()()
+				}
+				a := c.newPartAttack(test.parts...)
+				a.untilFifth()
+				a.check()
+			})
+		}
+	}
+}
+
+// Guards against a part that was sound before it began to crash servers, as a part has that is
+// changed in place, or one that meets a fault of a new release.
+func TestCrashingPartThatWasSoundIsHeldBack(t *testing.T) {
+	t.Parallel()
+	c := newPartCluster(t, crashKind{afterFirstEvent: true}, false)
+	defer c.sendSound()()
+	for i := range 24 {
+		if !c.gateways[i%3].send("/advice/1", fmt.Sprint("early ", i), "Balsamlb-Prompt-Prefix", unlikePrompt(i, "9a")).isServed() {
+			t.Errorf("request %d was not served", i)
+		}
+	}
+	a := c.newPartAttack("9a")
+	a.untilFifth()
+	a.check()
+}
+
+// Guards against requests with a crashing part that are in flight at all gateways at once.
+func TestBatchesOfRequestsWithCrashingPartAreHeldBack(t *testing.T) {
+	t.Parallel()
+	c := newPartCluster(t, crashKind{afterFirstEvent: true}, false)
+	defer c.sendSound()()
+	a := c.newPartAttack("9a")
+	for i := 0; !a.hasFive(); i++ {
+		a.sendAtOnce(24)
+		time.Sleep(downtime)
+		if i > 50 {
+			t.Fatal("the part doesn't crash servers")
+		}
+	}
+	time.Sleep(contactTime)
+	before := a.counts()
+	for range 4 {
+		a.sendAtOnce(24)
+	}
+	time.Sleep(contactTime)
+	c.checkSound(24)
+	a.checkSince(before)
+}
+
+// Guards against knowledge of crashing parts that only one process holds.
+func TestCrashingPartIsHeldBackAfterRestarts(t *testing.T) {
+	t.Parallel()
+	c := newPartCluster(t, crashKind{afterFirstEvent: true}, false)
+	a := c.newPartAttack("9a")
+	a.untilFifth()
+	time.Sleep(contactTime)
+	before := a.counts()
+	sendToAll := func() {
+		c.settle()
+		time.Sleep(contactTime) // until then a restarted process is not bound by the rule
+		a.sendAll(2 * len(c.gateways))
+	}
+	for _, g := range c.gateways {
+		g.restart()
+		sendToAll()
+	}
+	c.addGateway()
+	sendToAll()
+	c.restartControl(nil)
+	c.gateways[0].restart()
+	sendToAll()
+	saved, err := c.controlMesh().EncodeServers()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, g := range c.gateways {
+		g.stop()
+	}
+	c.restartControl(saved)
+	for _, g := range c.gateways {
+		g.start()
+	}
+	sendToAll()
+	a.checkSince(before)
+	c.checkSound(24)
+}
+
+// A gateway that is cut off from the control instances holds the part back by its own evidence, and
+// shares it when the cut heals.
+func TestCutOffGatewayHoldsCrashingPartBackAndSharesItLater(t *testing.T) {
+	t.Parallel()
+	c := newPartCluster(t, crashKind{afterFirstEvent: true}, false)
+	cut := c.gateways[0]
+	cut.stopWatching()
+	a := c.newPartAttack("9a")
+	for i := 0; !a.hasFive(); i++ {
+		a.send(cut)
+		time.Sleep(downtime)
+		if i > 50 {
+			t.Fatal("the part doesn't crash servers")
+		}
+	}
+	time.Sleep(contactTime)
+	before := a.counts()
+	for range 6 {
+		a.send(cut)
+	}
+	cut.watch()
+	time.Sleep(contactTime)
+	a.sendAll(12)
+	a.checkSince(before)
+	c.settle()
+	c.checkSound(24)
+}
+
+// Guards against a routing document that is applied while a part crashes servers.
+func TestCrashingPartIsHeldBackBesideNewDocument(t *testing.T) {
+	t.Parallel()
+	c := newPartCluster(t, crashKind{afterFirstEvent: true}, false)
+	defer c.sendSound()()
+	a := c.newPartAttack("9a")
+	a.sendAll(1)
+	c.publish(8)
+	a.untilFifth()
+	c.publish(9)
+	a.check()
+}
+
+// publish publishes the routing document under another version.
+func (c *cluster) publish(version uint64) {
+	c.t.Helper()
+	encoder, err := zstd.NewWriter(nil)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if err := c.controlMesh().Publish(routing.Publication{Version: version, Bytes: encoder.EncodeAll([]byte(clusterDocument), nil)}); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// Guards against crashes of a rack that hide the cause of others, or are blamed on a popular part.
+func TestCrashingPartIsHeldBackBesideCrashedRack(t *testing.T) {
+	t.Parallel()
+	c := newPartCluster(t, crashKind{afterFirstEvent: true}, false)
+	rack := c.fleet.addAll(4, "advice", 0, 4)
+	c.settle()
+	defer c.sendSound()()
+	a := c.newPartAttack("9a")
+	a.sendAll(1)
+	crashRack(c, rack)
+	a.untilFifth()
+	crashRack(c, rack)
+	a.check()
+}
+
+// Guards against a popular part that is blamed for racks that crash while it runs on all of their
+// servers.
+func TestPopularPartIsServedAfterCrashesOfRacks(t *testing.T) {
+	t.Parallel()
+	c := newPartCluster(t, crashKind{}, false)
+	rack := c.fleet.addAll(8, "advice", 0, 4)
+	c.settle()
+	defer c.sendSound()()
+	for range 3 {
+		time.Sleep(20 * step)
+		crashRack(c, rack)
+		c.settle()
+	}
+	time.Sleep(time.Second)
+	c.checkSound(24)
+}
