--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -31,6 +31,7 @@
 	monitor *stallMonitor
 	// isDelivering means that an event is being written to the caller.
 	isDelivering atomic.Bool
+	writing      writing
 
 	// mu guards the fields below, which change while the attempt runs.
 	mu   sync.Mutex
@@ -159,6 +160,9 @@
 func (a *attempt) setPath(p layers.Path) {
 	g := a.gateway
 	v := g.view.Load()
+	if len(p) > 0 {
+		a.writing.restart()
+	}
 	ends := make([]quarantine.Crash, 0, len(p))
 	for _, part := range p {
 		ends = append(ends, v.crashOf(part.ID))
--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -173,7 +173,7 @@
 		})
 	}
 	if isQuarantined() {
-		return quarantineFailure(d.job), false
+		return g.quarantineFailure(d.job), false
 	}
 	return f, isAllowed && ctx.Err() == nil
 }
@@ -356,6 +356,7 @@
 	d.race.win(a)
 	d.writeHeader(resp)
 	d.isComplete.Store(true)
+	d.gateway.recordCompletedRun(a)
 	return nil
 }
 
@@ -379,6 +380,7 @@
 	d := a.draft
 	gap := now.Sub(d.lastEventAt)
 	d.lastEventAt = now
+	d.gateway.recordWriting(a, now)
 	d.events++
 	if d.events%tokenCountInterval == 0 {
 		tokens := tokenCountInterval * max(1, d.service.Engine.TokensPerEvent)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -50,6 +50,7 @@
 	})
 	j.sends.Add(1)
 	j.attempts.Add(1)
+	j.trial.markSent()
 	started := time.Now()
 	resp, err := g.client.Do(ctx, &upstream.Request{
 		Server:  id,
--- a/gateway/lost_runs.go
+++ b/gateway/lost_runs.go
@@ -34,6 +34,8 @@
 	job   *job
 	crash quarantine.Crash
 	at    time.Time
+	// provedSound means that the run had proved sound on the server.
+	provedSound bool
 }
 
 // lostRuns attributes crashes of servers to the requests that ran on them. It is safe for concurrent
@@ -73,9 +75,9 @@
 	return foundCrash{}, false
 }
 
-// addCrash records a crash and returns the requests of the lost runs on that server. isNew is false
+// addCrash records a crash and returns the lost runs on that server. isNew is false
 // if the crash was known, and isUpgraded is true if it was known but not confirmed before.
-func (l *lostRuns) addCrash(now time.Time, c quarantine.Crash, isConfirmed bool) (jobs []*job, isNew, isUpgraded bool) {
+func (l *lostRuns) addCrash(now time.Time, c quarantine.Crash, isConfirmed bool) (runs []lostRun, isNew, isUpgraded bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if found, ok := l.crashes[c]; ok {
@@ -94,11 +96,11 @@
 			return false
 		}
 		if now.Sub(r.at) < lostRunTTL {
-			jobs = append(jobs, r.job)
+			runs = append(runs, r)
 		}
 		return true
 	})
-	return jobs, true, false
+	return runs, true, false
 }
 
 // removeCrash removes a crash that was found before a time, and reports whether there was one.
@@ -154,20 +156,21 @@
 // recordLostRun records that a server was running the request when the server, or the connection to
 // it, failed. A probe then shows whether the server has crashed. crash is the end of the incarnation
 // to which the request was sent.
-func (g *Gateway) recordLostRun(j *job, crash quarantine.Crash, why string) {
+func (g *Gateway) recordLostRun(j *job, crash quarantine.Crash, provedSound bool, why string) {
 	g.metrics.LostRuns.WithLabelValues().Inc()
-	g.options.Log.Info("lost a run", "request", j.header.ID, "content", j.fingerprint().String(), "server", crash.Server, "reason", why)
-	if g.addLostRun(j, crash) {
+	g.options.Log.Info("lost a run", "request", j.header.ID, "content", j.fingerprint().String(), "parts", formatParts(j.sharedParts), "server", crash.Server, "reason", why)
+	if g.addLostRun(j, crash, provedSound) {
 		go g.probeLost(crash)
 	}
 }
 
 // addLostRun remembers a lost run, so that a later crash of its server is attributed to it. It returns
 // whether it has yet to be found out if the server has crashed.
-func (g *Gateway) addLostRun(j *job, crash quarantine.Crash) (isOpen bool) {
-	found, isKnown := g.lost.add(lostRun{job: j, crash: crash, at: time.Now()})
+func (g *Gateway) addLostRun(j *job, crash quarantine.Crash, provedSound bool) (isOpen bool) {
+	r := lostRun{job: j, crash: crash, at: time.Now(), provedSound: provedSound}
+	found, isKnown := g.lost.add(r)
 	if isKnown {
-		g.attributeCrash(j, crash, found.isConfirmed)
+		g.attributeCrash(r, found.isConfirmed)
 	}
 	return !found.isConfirmed
 }
@@ -183,7 +186,7 @@
 			isLost = !errors.Is(cause, errQuarantined)
 		}
 		if isLost {
-			g.recordLostRun(a.draft.job, crash, why)
+			g.recordLostRun(a.draft.job, crash, a.writing.provedSound(), why)
 		}
 	}
 }
@@ -195,7 +198,7 @@
 		return
 	}
 	for _, crash := range a.pathCrashes() {
-		g.addLostRun(a.draft.job, crash)
+		g.addLostRun(a.draft.job, crash, a.writing.provedSound())
 	}
 }
 
@@ -228,21 +231,21 @@
 
 func (g *Gateway) attributeCrashTo(crash quarantine.Crash, why string, isConfirmed bool, running []*attempt) {
 	now := time.Now()
-	jobs, isNew, isUpgraded := g.lost.addCrash(now, crash, isConfirmed)
+	runs, isNew, isUpgraded := g.lost.addCrash(now, crash, isConfirmed)
 	if !isNew && !isUpgraded {
 		return
 	}
 	for _, a := range running {
-		jobs = append(jobs, a.draft.job)
+		runs = append(runs, lostRun{job: a.draft.job, crash: crash, provedSound: a.writing.provedSound()})
 	}
 	g.options.Log.Info("a backend server has crashed", "server", crash.Server, "incarnation", crash.Incarnation, "why", why,
-		"is_confirmed", isConfirmed, "requests", len(jobs))
+		"is_confirmed", isConfirmed, "requests", len(runs))
 	g.evidence.AddServerCrash(now, crash)
 	if isUpgraded {
 		g.evidence.ConfirmCrash(crash)
 	}
-	for _, j := range jobs {
-		g.attributeCrash(j, crash, isConfirmed)
+	for _, r := range runs {
+		g.attributeCrash(r, isConfirmed)
 	}
 	if isConfirmed {
 		g.checkDraftsThrough(crash.Server)
@@ -270,15 +273,18 @@
 	}
 }
 
-// attributeCrash records that a server crashed while it ran the request, unless the request was
-// answered since.
-func (g *Gateway) attributeCrash(j *job, crash quarantine.Crash, isConfirmed bool) {
+// attributeCrash records that a server crashed during a run, unless the request was answered since.
+func (g *Gateway) attributeCrash(r lostRun, isConfirmed bool) {
+	j, crash := r.job, r.crash
 	j.crashes.mu.Lock()
 	defer j.crashes.mu.Unlock()
 	if j.crashes.isAnswered {
 		return
 	}
 	j.crashes.hasAny = true
+	if !r.provedSound {
+		g.evidence.AddPartCrash(time.Now(), crash, isConfirmed, j.sharedParts)
+	}
 	f := j.fingerprint()
 	n, isNew := g.evidence.AddContentCrash(time.Now(), f, crash, isConfirmed)
 	if j.crashes.hasEnded {
@@ -307,6 +313,9 @@
 	j.crashes.mu.Lock()
 	defer j.crashes.mu.Unlock()
 	j.crashes.isAnswered = true
+	if j.service.Engine == nil {
+		g.clearParts(j, j.arrived) // its server began later
+	}
 	if !g.evidence.IsEmpty() && g.evidence.Absolve(j.fingerprint()) {
 		g.options.Log.Info("served a request whose servers had crashed", "request", j.header.ID, "content", j.fingerprint().String())
 	}
@@ -315,6 +324,7 @@
 // reportCrashes reports the crashes of a request that has ended without an answer to the other
 // instances, to which its caller may send it next.
 func (g *Gateway) reportCrashes(j *job) {
+	g.endTrial(j)
 	j.crashes.mu.Lock()
 	defer j.crashes.mu.Unlock()
 	if j.crashes.isAnswered {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -109,10 +109,10 @@
 	crash := quarantine.Crash{Server: server.ID, Incarnation: uint64(server.Incarnation)}
 	j.addEndedRun(crash)
 	if errors.Is(ctx.Err(), context.Canceled) {
-		g.addLostRun(j, crash)
+		g.addLostRun(j, crash, false)
 		return
 	}
-	g.recordLostRun(j, crash, err.Error())
+	g.recordLostRun(j, crash, false, err.Error())
 }
 
 // checkResponse returns a failure for a response that must not be forwarded, and for a server error
--- a/gateway/stall_monitor.go
+++ b/gateway/stall_monitor.go
@@ -228,7 +228,7 @@
 			a.setPath(next)
 			for i, crash := range lost {
 				if i > 0 && g.isFaulty(v, crash.Server) {
-					g.recordLostRun(d.job, crash, "rerouted around it")
+					g.recordLostRun(d.job, crash, a.writing.provedSound(), "rerouted around it")
 				}
 			}
 			g.options.Log.Info("rerouted a draft", "request", d.header.ID, "path", formatPath(next), "silent_ms", a.idleTime(time.Now()).Milliseconds())
