quarantine: look up crash evidence by crash, and keep verdicts until something changes

Change: contents are indexed by crash, so that only those that share a crash are compared; crashes of servers are kept by time; a verdict is used again until something changes, for 20 ms at most. The decision on parts is made once after a change, from 32 crashes on every 20 ms at most. A full table drops the contents with the fewest crashes first, so that unlike requests don't push suspects out.

--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -26,9 +26,15 @@
 	// one's turn.
 	turnLength = time.Second
 	// maxContents bounds the contents that are tracked, and maxCrashesPerContent the crashes of
-	// each. The content whose last crash is oldest is dropped first.
+	// each. Contents with the fewest crashes are dropped first, and of these the
+	// oldest.
 	maxContents          = 2048
 	maxCrashesPerContent = 8
+	// contentsRoom is the number of contents that are dropped at a time.
+	contentsRoom = 128
+	// judgementLifetime bounds the time for which a verdict is used again though nothing is known
+	// to have changed: crashes count from a certain age on.
+	judgementLifetime = 20 * time.Millisecond
 )
 
 // ContentCrash is a crash of a server that was running a content.
@@ -51,8 +57,10 @@
 
 // contentRecord holds the crashes that are known for a content.
 type contentRecord struct {
-	crashes   []ContentCrash
-	lastCrash time.Time
+	fingerprint Fingerprint
+	crashes     []ContentCrash
+	judged      judgement
+	lastCrash   time.Time
 	// isShared means that the record is reported to other instances. revision and ownRevision are
 	// the revisions of its last change, and of its last change by this instance.
 	isShared    bool
@@ -75,6 +83,10 @@
 // It is not safe for concurrent use.
 type Evidence struct {
 	contents map[Fingerprint]*contentRecord
+	// byCrash holds the contents that were part of each crash, whether it counts or not.
+	byCrash map[Crash][]*contentRecord
+	// version counts the changes that may change a verdict.
+	version  uint64
 	parts    *partEvidence
 	history  history
 	revision uint64
@@ -82,7 +94,7 @@
 
 // NewEvidence returns an Evidence without crashes.
 func NewEvidence() *Evidence {
-	e := &Evidence{contents: make(map[Fingerprint]*contentRecord)}
+	e := &Evidence{contents: make(map[Fingerprint]*contentRecord), byCrash: make(map[Crash][]*contentRecord)}
 	e.parts = newPartEvidence(&e.history, &e.revision, e.isOneContent)
 	return e
 }
@@ -97,7 +109,8 @@
 // AddServerCrash records that a server crashed.
 func (e *Evidence) AddServerCrash(now time.Time, c Crash) {
 	e.history.add(now, c)
-	e.parts.decision.isStale = true
+	e.version++
+	e.parts.markStale()
 }
 
 // AddContentCrash records that a server crashed while it ran the content, and returns the number of
@@ -125,14 +138,16 @@
 		}
 		x.Void = x.Void || c.Void
 		x.IsConfirmed = x.IsConfirmed || c.IsConfirmed
-	case len(r.crashes) >= maxCrashesPerContent && !r.makeRoom(c):
+	case len(r.crashes) >= maxCrashesPerContent && !e.makeRoom(r, c):
 		return false
 	default:
 		r.crashes = append(r.crashes, c)
+		e.byCrash[c.Crash] = append(e.byCrash[c.Crash], r)
 		if c.At.After(r.lastCrash) {
 			r.lastCrash = c.At
 		}
 	}
+	e.version++
 	e.recordChange(r, isOwn)
 	return true
 }
@@ -151,15 +166,32 @@
 
 // makeRoom removes the crash of the lowest weight, if c weighs more. Otherwise it returns false, so
 // that instances that exchange full records don't replace crashes for ever.
-func (r *contentRecord) makeRoom(c ContentCrash) bool {
+func (e *Evidence) makeRoom(r *contentRecord, c ContentCrash) bool {
 	lowest := slices.MinFunc(r.crashes, func(a, b ContentCrash) int { return cmp.Compare(a.weight(), b.weight()) })
 	if lowest.weight() >= c.weight() {
 		return false
 	}
 	r.crashes = slices.DeleteFunc(r.crashes, func(x ContentCrash) bool { return x.Crash == lowest.Crash })
+	e.removeFromCrash(r, lowest.Crash)
 	return true
 }
 
+func (e *Evidence) removeFromCrash(r *contentRecord, c Crash) {
+	e.byCrash[c] = slices.DeleteFunc(e.byCrash[c], func(x *contentRecord) bool { return x == r })
+	if len(e.byCrash[c]) == 0 {
+		delete(e.byCrash, c)
+	}
+}
+
+// remove removes the record of a content.
+func (e *Evidence) remove(r *contentRecord) {
+	for _, c := range r.crashes {
+		e.removeFromCrash(r, c.Crash)
+	}
+	delete(e.contents, r.fingerprint)
+	e.version++
+}
+
 func (e *Evidence) recordChange(r *contentRecord, isOwn bool) {
 	if !r.isShared {
 		return
@@ -173,37 +205,47 @@
 
 // record returns the record of a content, and creates it if needed.
 func (e *Evidence) record(now time.Time, f Fingerprint) *contentRecord {
-	if r, ok := e.contents[f]; ok && now.Sub(r.lastCrash) < TTL {
+	r, ok := e.contents[f]
+	switch {
+	case ok && now.Sub(r.lastCrash) < TTL:
 		return r
+	case ok:
+		e.remove(r)
+	case len(e.contents) >= maxContents:
+		e.makeRoomForContents(now)
 	}
-	if len(e.contents) >= maxContents {
-		e.dropOldest(now)
-	}
-	r := &contentRecord{lastCrash: now}
+	r = &contentRecord{fingerprint: f, lastCrash: now}
 	e.contents[f] = r
 	return r
 }
 
-func (e *Evidence) dropOldest(now time.Time) {
-	var oldest Fingerprint
-	var at time.Time
-	for f, r := range e.contents {
+// makeRoomForContents removes some contents: those with the fewest crashes that count, and of these the
+// oldest.
+func (e *Evidence) makeRoomForContents(now time.Time) {
+	e.removeExpiredContents(now)
+	if len(e.contents) <= maxContents-contentsRoom {
+		return
+	}
+	all := slices.Collect(maps.Values(e.contents))
+	slices.SortFunc(all, func(a, b *contentRecord) int {
+		return cmp.Or(cmp.Compare(a.count(), b.count()), a.lastCrash.Compare(b.lastCrash), cmp.Compare(a.fingerprint, b.fingerprint))
+	})
+	for _, r := range all[:contentsRoom] {
+		e.remove(r)
+	}
+}
+
+func (e *Evidence) removeExpiredContents(now time.Time) {
+	for _, r := range e.contents {
 		if now.Sub(r.lastCrash) >= TTL {
-			delete(e.contents, f)
-			continue
-		}
-		if at.IsZero() || r.lastCrash.Before(at) {
-			oldest, at = f, r.lastCrash
+			e.remove(r)
 		}
 	}
-	if len(e.contents) >= maxContents {
-		delete(e.contents, oldest)
-	}
 }
 
 // RemoveExpired removes the contents whose crashes no longer count.
 func (e *Evidence) RemoveExpired(now time.Time) {
-	maps.DeleteFunc(e.contents, func(_ Fingerprint, r *contentRecord) bool { return now.Sub(r.lastCrash) >= TTL })
+	e.removeExpiredContents(now)
 	e.parts.removeExpired(now)
 }
 
@@ -239,8 +281,24 @@
 	return e.judge(now, f, r)
 }
 
+// judgement is a verdict with the state of the evidence at which it was made.
+type judgement struct {
+	verdict Verdict
+	at      time.Time
+	version uint64
+}
+
 // judge decides on a content with at least suspectCrashes crashes.
 func (e *Evidence) judge(now time.Time, f Fingerprint, r *contentRecord) Verdict {
+	version := e.version + e.parts.version
+	if age := now.Sub(r.judged.at); r.judged.version == version && age >= 0 && age < judgementLifetime {
+		return r.judged.verdict
+	}
+	r.judged = judgement{verdict: e.newVerdict(now, f, r), at: now, version: version}
+	return r.judged.verdict
+}
+
+func (e *Evidence) newVerdict(now time.Time, f Fingerprint, r *contentRecord) Verdict {
 	own := e.ownCrashes(now, f, r)
 	switch {
 	case len(own) >= certainCrashes:
@@ -260,7 +318,8 @@
 	unexplained := e.unexplained(now, r)
 	alone := e.alone(f, unexplained)
 	return slices.DeleteFunc(slices.Clone(unexplained), func(c Crash) bool {
-		for g, other := range e.contents {
+		for _, other := range e.byCrash[c] {
+			g := other.fingerprint
 			if g == f || !other.has(c) || now.Sub(other.lastCrash) >= TTL {
 				continue
 			}
@@ -286,8 +345,8 @@
 
 // isSharedWithSuspect reports whether another content with several crashes was part of a crash.
 func (e *Evidence) isSharedWithSuspect(f Fingerprint, c Crash) bool {
-	for g, other := range e.contents {
-		if g != f && other.has(c) && other.count() >= suspectCrashes {
+	for _, other := range e.byCrash[c] {
+		if other.fingerprint != f && other.has(c) && other.count() >= suspectCrashes {
 			return true
 		}
 	}
@@ -303,8 +362,9 @@
 		return now
 	}
 	last, position, count := r.lastCrash, 0, 1
-	for g, other := range e.contents {
-		if g == f || other.count() < suspectCrashes || !sharesCrash(r, other) || e.Check(now, g) != Suspect {
+	for _, other := range e.sharingCrash(r) {
+		g := other.fingerprint
+		if other.count() < suspectCrashes || e.Check(now, g) != Suspect {
 			continue
 		}
 		if other.lastCrash.After(last) {
@@ -333,9 +393,20 @@
 	return turn.Add(cycle)
 }
 
-// sharesCrash reports whether two contents were part of the same crash.
-func sharesCrash(a, b *contentRecord) bool {
-	return slices.ContainsFunc(a.crashes, func(c ContentCrash) bool { return !c.Void && b.has(c.Crash) })
+// sharingCrash returns the other contents that were part of a crash of r, each once.
+func (e *Evidence) sharingCrash(r *contentRecord) []*contentRecord {
+	var out []*contentRecord
+	for _, c := range r.crashes {
+		if c.Void {
+			continue
+		}
+		for _, other := range e.byCrash[c.Crash] {
+			if other != r && other.has(c.Crash) && !slices.Contains(out, other) {
+				out = append(out, other)
+			}
+		}
+	}
+	return out
 }
 
 // unexplained returns the crashes of a content without a common cause.
@@ -362,9 +433,10 @@
 	return slices.ContainsFunc(r.crashes, func(x ContentCrash) bool { return x.Crash == c })
 }
 
-// isOneContent reports whether a single content was part of all the crashes.
+// isOneContent reports whether a single content was part of all the crashes, of which there is one or
+// more.
 func (e *Evidence) isOneContent(crashes []Crash) bool {
-	for _, r := range e.contents {
+	for _, r := range e.byCrash[crashes[0]] {
 		if !slices.ContainsFunc(crashes, func(c Crash) bool { return !r.has(c) }) {
 			return true
 		}
@@ -377,7 +449,7 @@
 	if x, ok := e.parts.crashes[c]; ok {
 		e.parts.confirm(x, true)
 	}
-	for _, r := range e.contents {
+	for _, r := range e.byCrash[c] {
 		if r.has(c) {
 			e.add(r, ContentCrash{Crash: c, IsConfirmed: true}, true)
 		}
@@ -390,7 +462,8 @@
 	if x, ok := e.parts.crashes[c]; ok {
 		e.parts.void(x, true)
 	}
-	for _, r := range e.contents {
+	e.version++
+	for _, r := range e.byCrash[c] {
 		if r.has(c) {
 			e.add(r, ContentCrash{Crash: c, Void: true}, true)
 		}
@@ -404,8 +477,9 @@
 	if !ok || r.count() == 0 {
 		return false
 	}
+	e.version++
 	if !r.isShared {
-		delete(e.contents, f)
+		e.remove(r)
 		return true
 	}
 	for i := range r.crashes {
--- a/quarantine/history.go
+++ b/quarantine/history.go
@@ -31,7 +31,7 @@
 	at time.Time
 }
 
-// history holds the latest crashes of all servers.
+// history holds the latest crashes of all servers, by time.
 type history struct{ crashes []serverCrash }
 
 // add records a crash, unless it is known.
@@ -43,7 +43,19 @@
 	if len(h.crashes) >= maxServerCrashes {
 		h.crashes = slices.Delete(h.crashes, 0, 1)
 	}
-	h.crashes = append(h.crashes, serverCrash{Crash: c, at: now})
+	i := h.firstSince(now.Add(1))
+	h.crashes = slices.Insert(h.crashes, i, serverCrash{Crash: c, at: now})
+}
+
+// firstSince returns the index of the first crash at or after a time.
+func (h *history) firstSince(t time.Time) int {
+	i, _ := slices.BinarySearchFunc(h.crashes, t, func(s serverCrash, t time.Time) int { return s.at.Compare(t) })
+	return i
+}
+
+// around returns the crashes within a window around a time. They must not be modified.
+func (h *history) around(at time.Time, window time.Duration) []serverCrash {
+	return h.crashes[h.firstSince(at.Add(-window)):h.firstSince(at.Add(window+1))]
 }
 
 func (h *history) remove(c Crash) {
@@ -60,8 +72,8 @@
 // around the given time.
 func (h *history) coincides(at time.Time, window time.Duration, ranOn func(Crash) bool, count int) bool {
 	others := 0
-	for _, s := range h.crashes {
-		if d := s.at.Sub(at); d > window || d < -window || ranOn(s.Crash) {
+	for _, s := range h.around(at, window) {
+		if ranOn(s.Crash) {
 			continue
 		}
 		if others++; others >= count {
--- a/quarantine/part_decision.go
+++ b/quarantine/part_decision.go
@@ -8,6 +8,7 @@
 // partDecision is the verdict on all parts.
 type partDecision struct {
 	isStale bool
+	madeAt  time.Time
 	// validUntil is when the verdict has to be made anew though nothing has changed.
 	validUntil time.Time
 	// held holds the groups that are in quarantine, by each of their parts.
@@ -63,8 +64,18 @@
 	return true
 }
 
+const (
+	// manyPartCrashes is the number of crashes from which on decisions are decisionInterval apart.
+	manyPartCrashes  = 32
+	decisionInterval = 20 * time.Millisecond
+)
+
 // decide returns the current decision.
 func (e *partEvidence) decide(now time.Time) *partDecision {
+	age := now.Sub(e.decision.madeAt)
+	if len(e.crashes) >= manyPartCrashes && age >= 0 && age < decisionInterval {
+		return &e.decision
+	}
 	if e.decision.isStale || !now.Before(e.decision.validUntil) {
 		e.decision = e.newDecision(now)
 	}
@@ -72,7 +83,7 @@
 }
 
 func (e *partEvidence) newDecision(now time.Time) partDecision {
-	d := partDecision{validUntil: now.Add(TTL), held: make(map[Part]*partGroup), explained: make(map[Crash]bool)}
+	d := partDecision{madeAt: now, validUntil: now.Add(TTL), held: make(map[Part]*partGroup), explained: make(map[Crash]bool)}
 	candidates := e.candidates(now, &d)
 	var groups []*partGroup
 	for len(candidates) > 0 {
@@ -180,15 +191,16 @@
 
 // candidates returns the parts with enough crashes that count, in the order of their IDs.
 func (e *partEvidence) candidates(now time.Time, d *partDecision) []*partCandidate {
+	parts := e.sortedParts(partCrashes)
+	if len(parts) == 0 {
+		return nil
+	}
+	others := &otherCrashes{history: e.history, suspected: e.suspectedCrashes(), simultaneous: make(map[Crash][]Crash)}
 	var out []*partCandidate
-	var suspected map[Crash]bool
-	for _, p := range e.sortedParts(partCrashes) {
-		if suspected == nil {
-			suspected = e.suspectedCrashes()
-		}
+	for _, p := range parts {
 		r := e.parts[p]
 		open := e.openCrashes(p, r)
-		counted := e.counted(now, d, p, open, suspected)
+		counted := e.counted(now, d, p, open, others)
 		if len(counted) < partCrashes || e.isOneContent(crashIDs(counted)) {
 			continue
 		}
@@ -224,8 +236,8 @@
 
 // counted returns those of the open crashes of a part that count: without those that are not
 // confirmed, and without further ones of several servers that crashed at once.
-func (e *partEvidence) counted(now time.Time, d *partDecision, p Part, open []*partCrash, suspected map[Crash]bool) []*partCrash {
-	isKnown := func(c Crash) bool { return suspected[c] || e.ranPart(c, p) }
+func (e *partEvidence) counted(now time.Time, d *partDecision, p Part, open []*partCrash, others *otherCrashes) []*partCrash {
+	isKnown := func(c Crash) bool { return others.suspected[c] || e.ranPart(c, p) }
 	var out []*partCrash
 	for _, x := range open {
 		n := len(out)
@@ -237,8 +249,7 @@
 			continue
 		case !x.isConfirmed && e.history.coincides(x.at, commonCauseWindow, isKnown, 1):
 			continue
-		case n >= maxSimultaneous && x.at.Sub(out[n-maxSimultaneous].at) < simultaneousWindow &&
-			e.history.coincides(x.at, simultaneousWindow, isKnown, commonCauseServers):
+		case n >= maxSimultaneous && x.at.Sub(out[n-maxSimultaneous].at) < simultaneousWindow && others.coincide(x, isKnown):
 			continue
 		}
 		d.recheckAt(x.at.Add(TTL))
@@ -247,6 +258,36 @@
 	return out
 }
 
+// otherCrashes finds the crashes that no suspected part explains.
+type otherCrashes struct {
+	history   *history
+	suspected map[Crash]bool
+	// simultaneous holds the other crashes at about the time of each crash, once they are needed.
+	simultaneous map[Crash][]Crash
+}
+
+// coincide reports whether several servers that a part didn't run on crashed at the time of a crash.
+func (o *otherCrashes) coincide(x *partCrash, ranOn func(Crash) bool) bool {
+	found, ok := o.simultaneous[x.Crash]
+	if !ok {
+		for _, s := range o.history.around(x.at, simultaneousWindow) {
+			if !o.suspected[s.Crash] {
+				found = append(found, s.Crash)
+			}
+		}
+		o.simultaneous[x.Crash] = found
+	}
+	count := 0
+	for _, c := range found {
+		if !ranOn(c) {
+			if count++; count >= commonCauseServers {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // ranPart reports whether the part was running on the server when it crashed.
 func (e *partEvidence) ranPart(c Crash, p Part) bool {
 	x, ok := e.crashes[c]
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -69,6 +69,8 @@
 	crashes      map[Crash]*partCrash
 	parts        map[Part]*partRecord
 	decision     partDecision
+	// version counts the changes that may change the decision.
+	version uint64
 }
 
 // partCrash is a crash of a server with the parts that it was running.
@@ -132,10 +134,15 @@
 		x.last.own = *e.revision
 		c.own = *e.revision
 	}
-	e.decision.isStale = true
+	e.markStale()
 	return c
 }
 
+func (e *partEvidence) markStale() {
+	e.decision.isStale = true
+	e.version++
+}
+
 // crash returns the record of a crash, and creates it if there is room. It returns nil otherwise.
 func (e *partEvidence) crash(now time.Time, c Crash, isOwn bool) *partCrash {
 	if x, ok := e.crashes[c]; ok {
@@ -186,7 +193,7 @@
 			delete(e.parts, p)
 		}
 	}
-	e.decision.isStale = true
+	e.markStale()
 }
 
 // removeExpired removes the crashes that no longer count.
@@ -325,7 +332,7 @@
 	}
 	if at.Before(x.at) {
 		x.at = at
-		e.parts.decision.isStale = true
+		e.parts.markStale()
 	}
 	if report.IsConfirmed {
 		e.parts.confirm(x, false)
