operator: list and release parts of prompts in quarantine

balsamctl quarantine list shows parts as part:ID, with the other parts that can't be told apart from them; release part:ID ends their quarantine at all instances. Tests: daemon.TestQuarantineOfAPartIsListedAndReleased, gateway.TestReleasedPartRunsAgain (the part runs again once it is mended, and is held back again if it crashes servers again).

--- a/cmd/balsamctl/policy.go
+++ b/cmd/balsamctl/policy.go
@@ -16,7 +16,7 @@
 
 func newQuarantine() *ffcli.Command {
 	return &ffcli.Command{
-		Name: "quarantine", ShortUsage: "balsamctl quarantine <list|release>", ShortHelp: "show and release requests that crash backend servers",
+		Name: "quarantine", ShortUsage: "balsamctl quarantine <list|release>", ShortHelp: "show and release requests, and parts of prompts, that crash backend servers",
 		FlagSet:     newFlagSet("quarantine"),
 		Subcommands: []*ffcli.Command{newQuarantineList(), newQuarantineRelease()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
@@ -25,7 +25,7 @@
 
 func newQuarantineList() *ffcli.Command {
 	return query[[]operator.QuarantineEntry]{
-		name: "list", usage: "quarantine list [flags]", help: "show suspects and requests in quarantine",
+		name: "list", usage: "quarantine list [flags]", help: "show suspects, and requests and parts of prompts in quarantine",
 		get:   (*operator.Client).Quarantine,
 		print: printQuarantine,
 	}.command()
@@ -38,6 +38,9 @@
 		if e.Quarantined {
 			state = "quarantined"
 		}
+		if len(e.With) > 0 {
+			state += " with " + strings.Join(e.With, " ")
+		}
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", e.Fingerprint, state, strings.Join(e.Servers, " "), time.Until(e.Expires).Round(time.Second))
 	}
 }
@@ -46,7 +49,7 @@
 	fs := newFlagSet("release")
 	connection := addConnectionFlags(fs)
 	return &ffcli.Command{
-		Name: "release", ShortUsage: "balsamctl quarantine release [flags] FINGERPRINT", ShortHelp: "let a request run again",
+		Name: "release", ShortUsage: "balsamctl quarantine release [flags] FINGERPRINT", ShortHelp: "let a request, or a part of prompts, run again",
 		FlagSet: fs, Options: envOptions(),
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) != 1 {
--- a/daemon/quarantine.go
+++ b/daemon/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/balsamlb/balsamlb/balancer"
@@ -36,14 +37,30 @@
 	log      logr.Logger
 }
 
-// Quarantine returns the suspect requests and those in quarantine.
+// Quarantine returns the suspect requests and parts of prompts, and those in quarantine.
 func (q memberQuarantine) Quarantine() []operator.QuarantineEntry {
-	return quarantineEntries(q.evidence.List(time.Now()))
+	now := time.Now()
+	out := quarantineEntries(q.evidence.List(now))
+	for _, e := range q.evidence.ListParts(now) {
+		entry := operator.QuarantineEntry{Fingerprint: operator.PartPrefix + e.Part.String(), Quarantined: e.Quarantined, Servers: e.Servers, Expires: e.Expires}
+		for _, p := range e.With {
+			entry.With = append(entry.With, operator.PartPrefix+p.String())
+		}
+		out = append(out, entry)
+	}
+	return out
 }
 
-// Release ends the quarantine of the request with the fingerprint at all instances. It returns false
-// if the fingerprint is not hexadecimal.
+// Release ends the quarantine of the request or the part with the fingerprint at all instances. It
+// returns false if the fingerprint is malformed.
 func (q memberQuarantine) Release(fingerprint string) bool {
+	if id, isPart := strings.CutPrefix(fingerprint, operator.PartPrefix); isPart {
+		p := quarantine.ParsePart(id)
+		if id != "" {
+			q.log.Info("released part of prompts from quarantine", "part", p.String(), "had_crashes", q.evidence.ReleasePart(p))
+		}
+		return id != ""
+	}
 	f, ok := parseFingerprint(fingerprint)
 	if ok {
 		q.log.Info("released request from quarantine", "content", f.String(), "had_crashes", q.evidence.Absolve(f))
--- a/daemon/quarantine_test.go
+++ b/daemon/quarantine_test.go
@@ -43,3 +43,29 @@
 	is.NoErr(server.Shutdown())
 	is.NoErr(<-done)
 }
+
+// Operators list and release parts of prompts by the ID that callers use.
+func TestQuarantineOfAPartIsListedAndReleased(t *testing.T) {
+	is := is.New(t)
+	m, err := mesh.New(mesh.Options{Name: "g", Log: logr.Discard()})
+	is.NoErr(err)
+	evidence := m.CrashEvidence()
+	began := time.Now().Add(-time.Minute)
+	prompt := []quarantine.Part{0x1f, 0x9a}
+	for i, server := range []string{"a", "b", "c", "d"} {
+		evidence.AddPartCrash(began.Add(time.Duration(i)*time.Second), quarantine.Crash{Server: server, Incarnation: 1}, true, prompt)
+	}
+	q := memberQuarantine{evidence, logr.Discard()}
+	entries := q.Quarantine()
+	is.Equal(len(entries), 2)
+	is.Equal(entries[1].Fingerprint, "part:9a")
+	is.Equal(entries[1].With, []string{"part:1f"})
+	is.Equal(entries[1].Servers, []string{"a", "b", "c", "d"})
+	is.True(entries[1].Quarantined)
+	is.True(!q.Release("part:"))
+	is.True(q.Release("part:9a"))
+	is.True(q.Release("part:1f"))
+	is.Equal(len(q.Quarantine()), 0)
+	_, _, isHeld := evidence.HeldPart(time.Now(), prompt)
+	is.True(!isHeld)
+}
--- a/gateway/part_crash_test.go
+++ b/gateway/part_crash_test.go
@@ -433,3 +433,37 @@
 	time.Sleep(time.Second)
 	c.checkSound()
 }
+
+// A part that an operator has released runs again at every gateway, and is held back again if it still
+// crashes servers.
+func TestReleasedPartRunsAgain(t *testing.T) {
+	t.Parallel()
+	c := newPartCluster(t, crashKind{afterFirstEvent: true}, false)
+	defer c.sendSound()()
+	a := c.newPartAttack("9a")
+	a.untilFifth()
+	time.Sleep(contactTime)
+	c.settle()
+	c.controlMesh().CrashEvidence().ReleasePart(0x9a)
+	time.Sleep(contactTime)
+	c.setCrashing("9a", false)
+	for i, g := range c.gateways {
+		if r := g.send("/advice/1", fmt.Sprint("mended ", i), "Balsamlb-Prompt-Prefix", unlikePrompt(i, "9a")); !r.isServed() {
+			t.Errorf("%s: status %d: %s", g.name, r.status, r.body)
+		}
+	}
+	c.setCrashing("9a", true)
+	_, crashes := c.fleet.count("9a")
+	a.sendAll(12)
+	if _, after := c.fleet.count("9a"); after-crashes < toleratedPartCrashes {
+		t.Errorf("the part has crashed %d servers since its release", after-crashes)
+	}
+	a.check(c.checkSound)
+}
+
+// setCrashing states whether a part crashes servers from now on.
+func (c *cluster) setCrashing(part string, isCrashing bool) {
+	c.fleet.mu.Lock()
+	defer c.fleet.mu.Unlock()
+	c.fleet.crashingParts[part] = isCrashing
+}
--- a/mesh/evidence.go
+++ b/mesh/evidence.go
@@ -90,6 +90,13 @@
 	return changed
 }
 
+// ListParts returns the suspect and the quarantined parts of prompts.
+func (c *CrashEvidence) ListParts(now time.Time) []quarantine.PartEntry {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.evidence.ListParts(now)
+}
+
 // ReleasePart ends the quarantine of a part and reports whether any crash counted for it.
 func (c *CrashEvidence) ReleasePart(p quarantine.Part) bool {
 	changed := false
--- a/operator/policy.go
+++ b/operator/policy.go
@@ -13,10 +13,16 @@
 	PathMoves      = "/v1/moves"
 )
 
-// QuarantineEntry is a request that is suspect or in quarantine.
+// PartPrefix begins the fingerprint of a part of prompts; the part's ID follows.
+const PartPrefix = "part:"
+
+// QuarantineEntry is a request, or a part of prompts, that is suspect or in quarantine.
 type QuarantineEntry struct {
 	Fingerprint string `json:"fingerprint"`
-	// Quarantined is false for a suspect request.
+	// With are the fingerprints of parts that can't be told apart from this one: only requests with
+	// all of them are held back.
+	With []string `json:"with,omitempty"`
+	// Quarantined is false for a suspect request or part.
 	Quarantined bool `json:"quarantined"`
 	// Servers are the servers that crashed while they ran the request.
 	Servers []string  `json:"servers"`
@@ -49,8 +55,8 @@
 // concurrently.
 type QuarantineBackend interface {
 	Quarantine() []QuarantineEntry
-	// Release ends the quarantine of the request with the fingerprint. It returns false if the
-	// fingerprint is malformed.
+	// Release ends the quarantine of the request or the part with the fingerprint. It returns false
+	// if the fingerprint is malformed.
 	Release(fingerprint string) bool
 }
 
@@ -84,7 +90,7 @@
 		return
 	}
 	if !b.Release(r.Fingerprint) {
-		writeError(ctx, fasthttp.StatusBadRequest, "fingerprint must be 16 hexadecimal digits")
+		writeError(ctx, fasthttp.StatusBadRequest, "fingerprint must be 16 hexadecimal digits, or "+PartPrefix+" and the ID of a part")
 		return
 	}
 	writeJSON(ctx, fasthttp.StatusOK, r)
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -420,3 +420,35 @@
 	slices.Sort(out)
 	return out
 }
+
+// PartEntry describes a suspect or quarantined part of prompts, for operators.
+type PartEntry struct {
+	Part        Part
+	Servers     []string
+	Expires     time.Time
+	Quarantined bool
+	// With are the other parts that were part of the same crashes: only requests with all of them
+	// are held back.
+	With []Part
+}
+
+// ListParts returns the suspect and the quarantined parts, ordered by ID.
+func (e *Evidence) ListParts(now time.Time) []PartEntry {
+	d := e.parts.decide(now)
+	var out []PartEntry
+	for _, p := range e.parts.sortedParts(partCrashes - 1) {
+		open := e.parts.openCrashes(p, e.parts.parts[p])
+		entry := PartEntry{Part: p, Expires: open[len(open)-1].at.Add(TTL)}
+		for _, x := range open {
+			entry.Servers = append(entry.Servers, x.Server)
+		}
+		if g := d.held[p]; g != nil && now.Before(g.expires) {
+			entry.Quarantined = true
+			entry.With = slices.DeleteFunc(slices.Clone(g.parts), func(q Part) bool { return q == p })
+		}
+		if now.Before(entry.Expires) {
+			out = append(out, entry)
+		}
+	}
+	return out
+}
