--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -19,7 +19,7 @@
 	gatewayResumesTotal = description{"balsamlb_gateway_resumes_total", counter, nil,
 		"Streams that went on at another server after a break."}
 	gatewayQuarantinedTotal = description{"balsamlb_gateway_quarantined_total", counter, nil,
-		"Requests that were not sent, or not sent again, because their content crashes backend servers."}
+		"Requests that were not sent, or not sent again, because their content, or a part of their prompt, crashes backend servers."}
 	gatewayLostRunsTotal = description{"balsamlb_gateway_lost_runs_total", counter, nil,
 		"Runs of requests that ended without an answer, because a backend server or the connection to it failed."}
 )
