gateway: an answer that ends with its connection clears no part before its server is known to live

A server that crashes after a whole event then ends the answer as if it were complete, so that the run counted as sound and cleared the crashes of the part that had caused them, and the crash counted for no part of it.

What callers get of such an answer isn't changed.

--- a/gateway/crash_fleet_test.go
+++ b/gateway/crash_fleet_test.go
@@ -38,6 +38,9 @@
 	silent bool
 	// stays means that the server never returns. Otherwise it returns after downtime.
 	stays bool
+	// looksComplete means that answers end with their connection, and that a crash closes connections
+	// as if the answers were complete.
+	looksComplete bool
 }
 
 // crashingPrefix begins the bodies of requests that crash each server that runs them.
@@ -207,6 +210,10 @@
 		_ = s.listener.Close()
 	}
 	for c := range s.conns {
+		if s.fleet.kind.looksComplete {
+			_ = c.Close()
+			continue
+		}
 		reset(c, nil)
 	}
 	clear(s.conns)
@@ -441,6 +448,15 @@
 	}
 	isStarted := false
 	send := func() {
+		if f.kind.looksComplete {
+			if !isStarted {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nBalsamlb-Request-Id: %s\r\nBalsamlb-Response-Stamp: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", id)
+				isStarted = true
+			}
+			_, _ = io.WriteString(c, event(next))
+			next++
+			return
+		}
 		if !isStarted {
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nBalsamlb-Request-Id: %s\r\nBalsamlb-Response-Stamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id)
 			isStarted = true
@@ -466,6 +482,10 @@
 		}
 		send()
 	}
+	if f.kind.looksComplete {
+		_ = c.Close()
+		return
+	}
 	if !isStarted { // resumed after its last event
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nBalsamlb-Request-Id: %s\r\nBalsamlb-Response-Stamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id)
 	}
--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -286,6 +286,7 @@
 		if errors.Is(err, io.EOF) {
 			d.writeHeader(w, resp)
 			d.isComplete = true
+			d.writing.end(resp.EndsWithConnection())
 			return nil
 		}
 		if err != nil {
@@ -401,14 +402,12 @@
 	if len(p) == 0 {
 		d.gateway.running.remove(d)
 	}
-	if len(p) > 0 {
-		d.writing.restart()
-	}
 	ends := make([]quarantine.Crash, 0, len(p))
 	v := d.gateway.view.Load()
 	for _, part := range p {
 		ends = append(ends, v.crashOf(part.ID))
 	}
+	d.writing.restart(ends)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.gateway.usage.add(d.path, d.heldTokens, -1)
--- a/gateway/lost_runs.go
+++ b/gateway/lost_runs.go
@@ -36,6 +36,8 @@
 	at    time.Time
 	// provedSound means that the run had proved sound on the server.
 	provedSound bool
+	// isAnswered means that the answer of the run seemed to be complete.
+	isAnswered bool
 }
 
 // lostRuns attributes crashes of servers to the requests that ran on them. It is safe for concurrent
@@ -103,6 +105,14 @@
 	return runs, true, false
 }
 
+// hasCrash reports whether a crash was found.
+func (l *lostRuns) hasCrash(c quarantine.Crash) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, ok := l.crashes[c]
+	return ok
+}
+
 // removeCrash removes a crash that was found before a time, and reports whether there was one.
 func (l *lostRuns) removeCrash(before time.Time, c quarantine.Crash) bool {
 	if l.crashCount.Load() == 0 {
@@ -251,6 +261,10 @@
 
 // attributeCrash records that a server crashed during a run, unless the request was answered since.
 func (g *Gateway) attributeCrash(r lostRun, isConfirmed bool) {
+	if r.isAnswered {
+		g.attributePartCrash(r, isConfirmed)
+		return
+	}
 	j, crash := r.job, r.crash
 	j.crashes.mu.Lock()
 	defer j.crashes.mu.Unlock()
@@ -258,9 +272,7 @@
 		return
 	}
 	j.crashes.hasAny = true
-	if !r.provedSound {
-		g.evidence.AddPartCrash(time.Now(), crash, isConfirmed, j.sharedParts)
-	}
+	g.attributePartCrash(r, isConfirmed)
 	f := j.fingerprint()
 	n, isNew := g.evidence.AddContentCrash(time.Now(), f, crash, isConfirmed)
 	if j.crashes.hasEnded {
--- a/gateway/part_runs.go
+++ b/gateway/part_runs.go
@@ -23,16 +23,38 @@
 	// since is when the run sent its first event, or zero, and last when it sent its latest.
 	since, last time.Time
 	isSound     bool
+	// head is the first server, and isUncertain means that the answer ended as it does if that server
+	// ends.
+	head        quarantine.Crash
+	isUncertain bool
 	// wasSound is set if the run on the previous path was sound and no event has followed since.
 	wasSound bool
 }
 
-// restart records that the request continues on other servers.
-func (w *writing) restart() {
+// restart records that the request continues on a path, given by the crashes that would end it.
+func (w *writing) restart(path []quarantine.Crash) {
+	if len(path) == 0 {
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.wasSound = w.isSound
 	w.since, w.last, w.isSound = time.Time{}, time.Time{}, false
+	w.head, w.isUncertain = path[0], false
+}
+
+// end records the end of the answer.
+func (w *writing) end(endsWithConnection bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.isUncertain = endsWithConnection && !w.isSound
+}
+
+// uncertainHead returns the first server if the answer may have ended because that server has.
+func (w *writing) uncertainHead() (head quarantine.Crash, isUncertain bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.head, w.isUncertain
 }
 
 // record records an event. It returns when the run began if it is sound since this event.
@@ -80,11 +102,43 @@
 		g.clearParts(j, j.arrived) // its server began later
 		return
 	}
-	if begun := j.writing.begun(); !begun.IsZero() {
+	begun := j.writing.begun()
+	head, isUncertain := j.writing.uncertainHead()
+	switch {
+	case begun.IsZero() || len(j.sharedParts) == 0:
+	case isUncertain:
+		g.verifyCompleted(j, begun, head)
+	default:
 		g.clearParts(j, begun)
 	}
 }
 
+// verifyDelay is the time after the end of an answer at which its server is probed.
+const verifyDelay = 100 * time.Millisecond
+
+// verifyCompleted finds out whether an answer ended because its server did. A crash that is found later
+// is attributed to the run, too.
+func (g *Gateway) verifyCompleted(j *job, begun time.Time, head quarantine.Crash) {
+	r := lostRun{job: j, crash: head, at: time.Now(), isAnswered: true}
+	if found, isKnown := g.lost.add(r); isKnown {
+		g.attributePartCrash(r, found.isConfirmed)
+		return
+	}
+	time.AfterFunc(verifyDelay, func() {
+		g.probeLost(head)
+		if !g.lost.hasCrash(head) && g.view.Load().crashOf(head.Server) == head {
+			g.clearParts(j, begun)
+		}
+	})
+}
+
+// attributePartCrash records that a server crashed during a run for the parts of its prompt.
+func (g *Gateway) attributePartCrash(r lostRun, isConfirmed bool) {
+	if !r.provedSound {
+		g.evidence.AddPartCrash(time.Now(), r.crash, isConfirmed, r.job.sharedParts)
+	}
+}
+
 // clearParts records that a run of the request, which began to write its answer at the given time, has
 // proved sound.
 func (g *Gateway) clearParts(j *job, begun time.Time) {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -63,6 +63,8 @@
 	written    chan error  // receives the result of writing the request
 	mayReuse   bool
 	isComplete bool
+
+	endsWithConnection bool
 }
 
 // Client sends requests to backend servers. It is safe for concurrent use.
@@ -139,14 +141,16 @@
 		return nil, errors.Join(ErrInterrupted, err)
 	}
 	return &Response{
-		Status:   resp.StatusCode,
-		Header:   resp.Header,
-		Length:   resp.ContentLength,
-		body:     resp.Body,
-		conn:     cn,
-		client:   c,
-		written:  written,
-		mayReuse: !resp.Close,
+		Status: resp.StatusCode,
+		Header: resp.Header,
+		Length: resp.ContentLength,
+
+		endsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+		body:               resp.Body,
+		conn:               cn,
+		client:             c,
+		written:            written,
+		mayReuse:           !resp.Close,
 	}, nil
 }
 
@@ -195,6 +199,10 @@
 	return b.Bytes()
 }
 
+// EndsWithConnection reports whether the body has neither a length nor chunks: its end can't be told
+// from the end of its server.
+func (r *Response) EndsWithConnection() bool { return r.endsWithConnection }
+
 // Read reads the body. Any error except io.EOF means that the answer is incomplete.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
