--- a/gateway/part_crash_test.go
+++ b/gateway/part_crash_test.go
@@ -478,3 +478,59 @@
 	a.untilFifth()
 	a.check(c.checkSound)
 }
+
+// Guards against blaming the parts of the many requests that each crash takes along: seven gateways,
+// sound streams with some popular and many rare parts, and requests with a crashing part among them all
+// the time.
+func TestCrashingPartIsFoundAmongManyRequests(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, crashKind{afterFirstEvent: true}, 7)
+	c.fleet.addAll(14, "advice", 0, 4)
+	c.settle()
+	var lateSent, lateServed atomic.Int64
+	var isLate atomic.Bool
+	done := make(chan struct{})
+	var group sync.WaitGroup
+	for n := range 4 * len(c.gateways) {
+		group.Go(func() {
+			for i := n; ; i += 1000 {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				late := isLate.Load()
+				prompt := fmt.Sprintf("f%d:800,d%x:300,%x:100", i%3, i%59, 0x20000+i)
+				r := c.gateways[i%len(c.gateways)].send("/advice/1", fmt.Sprint("slow ", i), "Balsamlb-Prompt-Prefix", prompt)
+				if late {
+					lateSent.Add(1)
+					if r.isServed() {
+						lateServed.Add(1)
+					}
+				}
+			}
+		})
+	}
+	a := c.newPartAttack("9a")
+	attack := func(count int) {
+		for range count {
+			a.send(c.gateways[int(a.sent.Load())%len(c.gateways)])
+			time.Sleep(2 * downtime)
+		}
+	}
+	for i := 0; i < 30 && !a.hasFive(); i++ {
+		attack(1)
+	}
+	attack(int(contactTime / (2 * downtime)))
+	before := a.counts()
+	attack(int(contactTime / (2 * downtime)))
+	isLate.Store(true)
+	attack(int(contactTime / (2 * downtime)))
+	close(done)
+	group.Wait()
+	a.checkSince(before)
+	if lateServed.Load() < lateSent.Load()*19/20 {
+		t.Errorf("%d of %d sound requests were served at the first attempt", lateServed.Load(), lateSent.Load())
+	}
+	c.logOnFailure()
+}
