--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -160,13 +160,11 @@
 func (a *attempt) setPath(p layers.Path) {
 	g := a.gateway
 	v := g.view.Load()
-	if len(p) > 0 {
-		a.writing.restart()
-	}
 	ends := make([]quarantine.Crash, 0, len(p))
 	for _, part := range p {
 		ends = append(ends, v.crashOf(part.ID))
 	}
+	a.writing.restart(ends)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	g.usage.add(a.path, a.heldTokens, -1)
--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -356,6 +356,7 @@
 	d.race.win(a)
 	d.writeHeader(resp)
 	d.isComplete.Store(true)
+	a.writing.end(resp.EndsWithConnection())
 	d.gateway.recordCompletedRun(a)
 	return nil
 }
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -69,6 +69,8 @@
 	crashes      map[Crash]*partCrash
 	parts        map[Part]*partRecord
 	decision     partDecision
+	// version counts the changes that may change the decision.
+	version uint64
 }
 
 // partCrash is a crash of a server with the parts that it was running.
@@ -132,10 +134,15 @@
 		x.last.own = *e.revision
 		c.own = *e.revision
 	}
-	e.decision.isStale = true
+	e.markStale()
 	return c
 }
 
+func (e *partEvidence) markStale() {
+	e.decision.isStale = true
+	e.version++
+}
+
 // crash returns the record of a crash, and creates it if there is room. It returns nil otherwise.
 func (e *partEvidence) crash(now time.Time, c Crash, isOwn bool) *partCrash {
 	if x, ok := e.crashes[c]; ok {
@@ -186,7 +193,7 @@
 			delete(e.parts, p)
 		}
 	}
-	e.decision.isStale = true
+	e.markStale()
 }
 
 // removeExpired removes the crashes that no longer count.
@@ -325,7 +332,7 @@
 	}
 	if at.Before(x.at) {
 		x.at = at
-		e.parts.decision.isStale = true
+		e.parts.markStale()
 	}
 	if report.IsConfirmed {
 		e.parts.confirm(x, false)
@@ -413,3 +420,35 @@
 	slices.Sort(out)
 	return out
 }
+
+// PartEntry describes a suspect or quarantined part of prompts, for operators.
+type PartEntry struct {
+	Part        Part
+	Servers     []string
+	Expires     time.Time
+	Quarantined bool
+	// With are the other parts that were part of the same crashes: only requests with all of them
+	// are held back.
+	With []Part
+}
+
+// ListParts returns the suspect and the quarantined parts, ordered by ID.
+func (e *Evidence) ListParts(now time.Time) []PartEntry {
+	d := e.parts.decide(now)
+	var out []PartEntry
+	for _, p := range e.parts.sortedParts(partCrashes - 1) {
+		open := e.parts.openCrashes(p, e.parts.parts[p])
+		entry := PartEntry{Part: p, Expires: open[len(open)-1].at.Add(TTL)}
+		for _, x := range open {
+			entry.Servers = append(entry.Servers, x.Server)
+		}
+		if g := d.held[p]; g != nil && now.Before(g.expires) {
+			entry.Quarantined = true
+			entry.With = slices.DeleteFunc(slices.Clone(g.parts), func(q Part) bool { return q == p })
+		}
+		if now.Before(entry.Expires) {
+			out = append(out, entry)
+		}
+	}
+	return out
+}
