gateway: the silence tests check retries in any window

The check was over a whole run. The users' rule is a window that slides, in which the requests of it, of the one before or of the one half a window before count; the gateways now have a RetryWindow, too. Rejected arrivals count.

--- a/gateway/silence_cluster_test.go
+++ b/gateway/silence_cluster_test.go
@@ -72,11 +72,18 @@
 	version  uint64
 	gateways []*silentGateway
 	requests atomic.Int64
+
+	mu sync.Mutex
+	// sent holds the times of the requests to a path.
+	sent map[string][]time.Time
 }
 
 // retryLimits are the retry limits of all gateways.
 type retryLimits struct{ ratio, reserve float64 }
 
+// retryWindow is the window in which they hold.
+const retryWindow = 5 * time.Second
+
 // ampleRetries never limit a test.
 var ampleRetries = retryLimits{ratio: 1, reserve: 1000}
 
@@ -99,7 +106,7 @@
 
 func newSilentCluster(t *testing.T, gateways int, limits retryLimits) *silentCluster {
 	t.Helper()
-	c := &silentCluster{t: t, fleet: newSilenceFleet(t), limits: limits, version: 6}
+	c := &silentCluster{t: t, fleet: newSilenceFleet(t), limits: limits, version: 6, sent: make(map[string][]time.Time)}
 	l, err := net.Listen("tcp", c.fleet.ip+":0")
 	if err != nil {
 		t.Fatal(err)
@@ -159,7 +166,7 @@
 	g.gateway = gateway.New(gateway.Options{
 		Name: g.name, DataCentre: "a", ListenAddress: g.address, GracePeriod: shutdownGrace, Mesh: g.mesh,
 		ShutdownDelay: 100 * time.Millisecond, HeaderCodec: platform.HeaderCodec{}, Orders: c.fleet, Identify: c.fleet.identify, Registry: prometheus.NewRegistry(),
-		RetryRatio: c.limits.ratio, RetryReserve: c.limits.reserve, Log: funcr.New(g.log.add, funcr.Options{LogTimestamp: true, TimestampFormat: clockFormat}),
+		RetryRatio: c.limits.ratio, RetryReserve: c.limits.reserve, RetryWindow: retryWindow, Log: funcr.New(g.log.add, funcr.Options{LogTimestamp: true, TimestampFormat: clockFormat}),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -283,6 +290,7 @@
 // sendOver sends one request over the transport's connections.
 func (g *silentGateway) sendOver(transport *http.Transport, path, body string, deadline time.Duration, header ...string) silentReply {
 	began := time.Now()
+	g.cluster.recordSent(path, began)
 	reply := silentReply{id: fmt.Sprintf("req-%d", g.cluster.requests.Add(1)), began: began}
 	// The caller waits a little longer than the deadline that it states.
 	ctx, cancel := context.WithTimeout(context.Background(), deadline+callerSlack)
@@ -312,6 +320,25 @@
 	return reply
 }
 
+func (c *silentCluster) recordSent(path string, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sent[path] = append(c.sent[path], at)
+}
+
+// sentTo returns the times of the requests to a service, which may be the target of the streams.
+func (c *silentCluster) sentTo(service string) []time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []time.Time
+	for path, times := range c.sent {
+		if isCall(path) == (service == "desk") {
+			out = append(out, times...)
+		}
+	}
+	return out
+}
+
 // callerSlack is the time after its deadline at which a caller closes its connection.
 const callerSlack = time.Second
 
@@ -398,6 +425,29 @@
 	}
 }
 
+// checkRetries checks the retries for a service, of which the callers sent requests at the given
+// times, in any window. The requests are those of the window, of the one before or of the one half a
+// window before, whichever has most.
+func (c *silentCluster) checkRetries(service string, sent []time.Time) {
+	c.t.Helper()
+	within := func(times []time.Time, from time.Time) (n int) {
+		for _, at := range times {
+			if !at.Before(from) && at.Before(from.Add(retryWindow)) {
+				n++
+			}
+		}
+		return n
+	}
+	retries := c.fleet.retries(service)
+	for _, from := range retries {
+		requests := max(within(sent, from), within(sent, from.Add(-retryWindow/2)), within(sent, from.Add(-retryWindow)))
+		if n := within(retries, from); float64(n) > c.limits.ratio*float64(requests)+c.limits.reserve {
+			c.t.Errorf("%s got %d retries of %d requests within %v; %v x requests + %v are allowed", service, n, requests, retryWindow, c.limits.ratio, c.limits.reserve)
+			return
+		}
+	}
+}
+
 // checkNoSuspects checks that the silence has left no suspect content, no server that counts as
 // crashed or unresponsive, at any gateway. It has to be called when no server is silent.
 func (c *silentCluster) checkNoSuspects() {
--- a/gateway/silence_fleet_test.go
+++ b/gateway/silence_fleet_test.go
@@ -95,6 +95,7 @@
 	sent    int
 	sentAt  []time.Time
 	stalled string
+	arrived time.Time
 	began   time.Time
 	ended   time.Time
 	// isComplete means that the server sent its whole answer, and isCrashed that its incarnation, or
@@ -376,7 +377,7 @@
 		if err != nil {
 			return
 		}
-		run := &silentRun{request: r.Header.Get("Balsamlb-Request-Id"), body: string(body), server: s, born: born, path: []*silentlyServer{s}, births: []int64{born}}
+		run := &silentRun{request: r.Header.Get("Balsamlb-Request-Id"), body: string(body), server: s, born: born, path: []*silentlyServer{s}, births: []int64{born}, arrived: time.Now()}
 		f.mu.Lock()
 		f.runs = append(f.runs, run)
 		f.mu.Unlock()
@@ -630,19 +631,22 @@
 	return out
 }
 
-// arrivals returns the number of runs of requests whose path has the service's servers, and of
-// distinct requests among them.
-func (f *silenceFleet) arrivals(service string) (runs, requests int) {
+// retries returns when requests reached a service's servers beyond the first time.
+func (f *silenceFleet) retries(service string) []time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	seen := make(map[string]bool)
+	var out []time.Time
 	for _, r := range f.runs {
-		if r.server.service == service && r.counts() {
-			runs++
-			seen[r.request] = true
+		if r.server.service != service {
+			continue
+		}
+		if seen[r.request] {
+			out = append(out, r.arrived)
 		}
+		seen[r.request] = true
 	}
-	return runs, len(seen)
+	return out
 }
 
 // describe returns the runs of a request for a failure's message.
--- a/gateway/silence_soak_test.go
+++ b/gateway/silence_soak_test.go
@@ -33,17 +33,14 @@
 	*silentCluster
 	rng    *rand.Rand
 	others sync.WaitGroup
-	limits retryLimits
 	// guards protects each gateway from two changes at the same time. A gateway is changed only if it
 	// is not being changed already, and restarting holds one place for each gateway that may be down.
 	guards     []sync.Mutex
 	restarting chan struct{}
 
-	mu sync.Mutex
+	stopsMu sync.Mutex
 	// stops holds the times at which each gateway was told to stop.
 	stops map[string][]time.Time
-	// sent counts the requests by service; with a route to two services, for both.
-	sent map[string]int
 }
 
 // Guards against the incidents LOST and BUDGET in combinations of silences and other disturbances.
@@ -62,10 +59,9 @@
 
 func runSilenceSoak(t *testing.T, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 11))
-	limits := retryLimits{ratio: 0.3, reserve: 30}
 	s := &silenceSoak{
-		silentCluster: newSilentCluster(t, 3, limits), rng: rng, limits: limits,
-		stops: make(map[string][]time.Time), sent: make(map[string]int),
+		silentCluster: newSilentCluster(t, 3, retryLimits{ratio: 0.3, reserve: 30}), rng: rng,
+		stops: make(map[string][]time.Time),
 	}
 	defer s.logOnFailure()
 	s.guards = make([]sync.Mutex, len(s.gateways))
@@ -146,9 +142,9 @@
 	}
 	defer s.guards[n].Unlock()
 	g := s.gateways[n]
-	s.mu.Lock()
+	s.stopsMu.Lock()
 	s.stops[g.name] = append(s.stops[g.name], time.Now())
-	s.mu.Unlock()
+	s.stopsMu.Unlock()
 	g.stop()
 	g.start()
 }
@@ -178,7 +174,6 @@
 		if last > 0 {
 			header = []string{"Last-Event-Id", strconv.Itoa(last)}
 		}
-		s.count(path)
 		r := g.sendOver(transport, path, body, min(callerDeadline, time.Until(deadline)), header...)
 		tries = append(tries, g.name+" "+r.String())
 		last = s.checkEvents(r, last)
@@ -205,17 +200,6 @@
 	time.Sleep(min(maxRetryWait, time.Duration(seconds*float64(time.Second))))
 }
 
-func (s *silenceSoak) count(path string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if isCall(path) {
-		s.sent["desk"]++
-		return
-	}
-	s.sent["advice"]++
-	s.sent["review"]++
-}
-
 // checkEvents checks that the events of a reply follow the last one that the caller has, and returns
 // the last one.
 func (s *silenceSoak) checkEvents(r silentReply, last int) int {
@@ -256,8 +240,8 @@
 
 // outlastedGrace reports whether the request was cut at the end of the grace period of its gateway.
 func (s *silenceSoak) outlastedGrace(g *silentGateway, r silentReply) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.stopsMu.Lock()
+	defer s.stopsMu.Unlock()
 	ended := r.began.Add(r.took)
 	return slices.ContainsFunc(s.stops[g.name], func(at time.Time) bool {
 		return ended.After(at.Add(shutdownGrace-graceSlack)) && r.began.Before(at.Add(shutdownGrace))
@@ -267,10 +251,7 @@
 // checkEnd checks the state after all disturbances.
 func (s *silenceSoak) checkEnd() {
 	for _, service := range []string{"advice", "review", "desk"} {
-		runs, requests := s.fleet.arrivals(service)
-		if retries := float64(runs - requests); retries > s.limits.ratio*float64(s.sent[service])+s.limits.reserve {
-			s.t.Errorf("%s got %v retries of %d requests; %v x requests + %v are allowed", service, retries, s.sent[service], s.limits.ratio, s.limits.reserve)
-		}
+		s.checkRetries(service, s.sentTo(service))
 	}
 	for _, g := range s.gateways {
 		s.within(contactTime, "no server that never crashed counts as crashed at "+g.name, func() bool { return len(g.countedCrashes()) == 0 })
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -359,11 +359,7 @@
 				time.Sleep(20 * time.Millisecond)
 			}
 			callers.Wait()
-			runs, requests := c.fleet.arrivals(service)
-			sent := int(c.requests.Load())
-			if retries := float64(runs - requests); retries > limits.ratio*float64(sent)+limits.reserve {
-				t.Errorf("%v retries of %d requests; %v x requests + %v are allowed", retries, sent, limits.ratio, limits.reserve)
-			}
+			c.checkRetries(service, c.sentTo(service))
 			c.checkNoSuspects()
 		})
 	}
