--- a/gateway/responsive.go
+++ b/gateway/responsive.go
@@ -11,9 +11,8 @@
 // it is longer than orderTimeout, so there is one check of a server at a time.
 const responsiveCheckInterval = 500 * time.Millisecond
 
-// checkResponsive asks the servers that have not answered this instance whether they answer again, so that
-// a server that was silent for a moment gets work again at once, also where no draft of this instance has
-// waited for it.
+// checkResponsive asks the unresponsive servers whether they answer again, so that a server that was silent
+// for a moment gets work again at once, also where no draft of this instance has waited for it.
 func (g *Gateway) checkResponsive(ctx context.Context, now time.Time) {
 	if g.options.Identify == nil {
 		return
@@ -29,7 +28,7 @@
 			defer cancel()
 			incarnation, err := g.options.Identify(ctx, a.Address)
 			// Another incarnation at the address says nothing about this one.
-			if err == nil && incarnation == a.Incarnation {
+			if err == nil && incarnation == a.Incarnation && g.faults.recordAnswer(id) {
 				g.takeBack(quarantine.Crash{Server: id, Incarnation: uint64(incarnation)}, "answers again")
 			}
 		}()
@@ -47,13 +46,14 @@
 	}
 }
 
-// takeBack takes back that a server is unresponsive or that an incarnation of it has crashed.
+// takeBack takes back that a server is unresponsive, or that an incarnation of it is presumed to have
+// crashed. A certain crash stays: the answer may be that of a successor at the same address.
 func (g *Gateway) takeBack(crash quarantine.Crash, why string) {
 	if g.faults.clearUnresponsive(crash.Server) {
 		g.options.Log.Info("a backend server is responsive again", "server", crash.Server, "why", why)
 		g.options.Mesh.SetUnresponsive(g.listUnresponsive(time.Now()))
 	}
-	if g.lost.crashCount.Load() > 0 {
+	if g.lost.isPresumed(crash) {
 		g.withdrawCrash(crash, why)
 	}
 }
