gateway: failing test of a late report of a silent server

The other gateways took back the server's presumed crash as it went on, 0.24 s later; a report that arrives after that is never taken back, as Evidence.VoidCrash marks only the records that are there. After 1.5 s the presumed crash counts against the content, for 10 minutes.

The test makes the order certain: the report comes after all gateways know that the server goes on.

--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -8,6 +8,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/balsamlb/balsamlb/quarantine"
 )
 
 // struck names the servers that fall silent.
@@ -528,3 +530,28 @@
 		t.Error("the crash of s2, which was replaced, was taken back")
 	}
 }
+
+// Guards against a report of a presumed crash that was under way when the server went on: it must not
+// count against the content, although the gateway that has reported it can't take it back any more.
+func TestLateReportOfSilentServerDoesNotCount(t *testing.T) {
+	t.Parallel()
+	c := newSilentCluster(t, 2, ampleRetries)
+	defer c.logOnFailure()
+	silent := c.fleet.addCopies(1)[0][1]
+	c.settle()
+	silent.fallSilent(silentServer, time.Second)
+	for _, g := range c.gateways {
+		c.within(contactTime, "the silence is known to "+g.name, func() bool { return len(g.countedCrashes()) > 0 })
+	}
+	c.awaitSpeech()
+	c.checkNoSuspects()
+	late := quarantine.NewFingerprint("kandy", "advice", []byte("late"))
+	reporter, other := c.gateways[0].mesh.CrashEvidence(), c.gateways[1].mesh.CrashEvidence()
+	reporter.AddContentCrash(time.Now(), late, quarantine.Crash{Server: silent.id, Incarnation: uint64(silent.born)}, false)
+	reporter.Share(late)
+	c.within(contactTime, "the report has arrived", func() bool { return !other.IsEmpty() })
+	time.Sleep(contactTime) // a presumed crash counts after some time
+	if other.Absolve(late) {
+		t.Error("a crash of a server that has gone on counts against a content")
+	}
+}
