gateway: no request reaches a server that has said in an answer that it leaves

A backend server that leaves says Server-Leaving: 1 in all its answers, maybe before the control instances know, and requests went on to it until they did.

Cause: the gateway read what a server says about itself only from the control instances.

Change: the answer is read at the boundary, and the new pure package selfreport holds, for each incarnation of a server, what it has said, with source and age. Nothing new goes there: calls, streams, later parts of a path, resumed streams. upstream asks once more when the connection is open, right before the first byte (Request.MaySend); such a request goes to another server without a charge to the retry budget. Running work ends whole. The report ends with the incarnation, or when the server takes its drain back: it has announced draining and, with a higher sequence, ready. A ready announcement alone may be older than the answer. Words in a 421 of another server at the address don't count.

--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -223,6 +223,9 @@
 		g.metrics.Resumes.WithLabelValues().Inc()
 	}
 	resp, rh, err := g.send(ctx, d.job, head.ID, head.Address, path, lastEvent)
+	if errors.Is(err, errHeldBack) {
+		return heldBackFailure(err)
+	}
 	if err != nil {
 		wasSent := !errors.Is(err, upstream.ErrNotSent)
 		if !wasSent && ctx.Err() == nil {
--- a/gateway/draft_path.go
+++ b/gateway/draft_path.go
@@ -59,7 +59,7 @@
 	v := g.view.Load()
 	now := time.Now()
 	s := v.searches[d.service.Name]
-	if s == nil || !s.paths.HasWholeCopy(func(id string) bool { return g.isExcluded(v, now, id) }) {
+	if s == nil || !s.paths.HasWholeCopy(func(id string) bool { return g.isExcluded(v, now, id) || g.isHeldBack(d.job, v, id) }) {
 		return &failure{reason: "no data centre holds a whole copy of the model", err: errNoCompleteCopy}
 	}
 	return &failure{reason: "no path through the model's layers has room"}
@@ -82,7 +82,7 @@
 		if id == head.ID {
 			return false
 		}
-		return g.isExcluded(v, now, id) || slices.Contains(avoided, id)
+		return g.isExcluded(v, now, id) || g.isHeldBack(d.job, v, id) || slices.Contains(avoided, id)
 	}
 	path, _, ok := s.paths.Find(layers.Query{
 		Draft:   d.size,
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -49,6 +49,7 @@
 		Priority:  j.priority,
 	})
 	j.sends++
+	v := g.view.Load()
 	started := time.Now()
 	resp, err := g.client.Do(ctx, &upstream.Request{
 		Server:  id,
@@ -59,19 +60,24 @@
 		Header:  header,
 		Body:    j.body,
 		HasBody: j.hasBody,
+		MaySend: func() error { return g.checkSend(j, v, id, path) },
 		IsAnswer: func(status int, h http.Header) bool {
 			rh := g.options.HeaderCodec.ParseResponse(status, h)
 			return rh.ID == j.header.ID || rh.ID == "" && status >= http.StatusMultipleChoices
 		},
 	})
 	if err != nil {
-		if !errors.Is(err, upstream.ErrNotSent) {
+		switch {
+		case errors.Is(err, errHeldBack):
+			j.sends--
+		case !errors.Is(err, upstream.ErrNotSent):
 			j.attempts++
 			j.mayHaveRun = true
 		}
 		return nil, ResponseHeader{}, err
 	}
 	rh := g.options.HeaderCodec.ParseResponse(resp.Status, resp.Header)
+	g.recordSelfReport(j, v.server(id), resp.Status, rh)
 	if !rh.NotRun { // a rejection may come from another server at the address
 		g.recordAlive(started, id, "answers")
 		j.attempts++
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/balsamlb/balsamlb/quarantine"
 	"github.com/balsamlb/balsamlb/retry"
 	"github.com/balsamlb/balsamlb/routing"
+	"github.com/balsamlb/balsamlb/selfreport"
 	"github.com/balsamlb/balsamlb/upstream"
 	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
@@ -80,6 +81,7 @@
 	evidence     *mesh.CrashEvidence
 	lost         *lostRuns
 	suspects     *suspects
+	selfReports  *selfReports
 	stallReports *stallReports
 	probes       *probes
 	inFlight     atomic.Int64
@@ -108,6 +110,7 @@
 		evidence:     o.Mesh.CrashEvidence(),
 		lost:         newLostRuns(),
 		suspects:     newSuspects(),
+		selfReports:  newSelfReports(),
 		stallReports: newStallReports(o.Orders.StallingServers),
 		probes:       &probes{probedAt: make(map[string]time.Time)},
 		metrics:      metrics.NewGateway(o.Registry),
@@ -199,6 +202,7 @@
 		before, next := g.view.Load(), newView(g.options.Mesh.Snapshot())
 		g.view.Store(next)
 		g.resetRestarted(before, next)
+		g.applyAnnouncements(next)
 		g.recordEndedServers(before, next)
 		g.handleStateChanges(before, next)
 		select {
@@ -275,6 +279,7 @@
 			g.usage.removeExpired(now)
 			g.lost.removeExpired(now)
 			g.evidence.RemoveExpired(now)
+			g.removeExpiredReports(now)
 			g.stallReports.removeExpired(now)
 			g.client.CloseExpired(now)
 		}
@@ -306,6 +311,9 @@
 	// mayHaveRun means that some server may have run the request. The response must then not claim
 	// that the request was not run.
 	mayHaveRun bool
+	// heldBack holds the reasons for which the request was kept from a server, so that each is
+	// counted once.
+	heldBack [selfreport.Verdicts]atomic.Bool
 
 	fingerprintOnce sync.Once
 	content         quarantine.Fingerprint // valid once fingerprint has returned
--- a/gateway/header_codec.go
+++ b/gateway/header_codec.go
@@ -49,6 +49,8 @@
 	IsFromServer bool
 	// FaultAddress is the address of the server on the path that could not run its layers.
 	FaultAddress string
+	// IsLeaving means that the server says that it leaves.
+	IsLeaving bool
 	// HasLoad means that Running, Waiting and Slots are stated.
 	HasLoad bool
 	Running int
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -63,6 +63,9 @@
 func (g *Gateway) sendPlain(ctx context.Context, w http.ResponseWriter, j *job, server *discovery.Announcement) *failure {
 	defer g.usage.begin(server.ID)() // deferred, since a truncated response panics
 	resp, rh, err := g.send(ctx, j, server.ID, server.Address, nil, "")
+	if errors.Is(err, errHeldBack) {
+		return heldBackFailure(err)
+	}
 	if err != nil {
 		ran := !errors.Is(err, upstream.ErrNotSent)
 		if ctx.Err() == nil {
@@ -153,14 +156,15 @@
 // pickServer returns the least utilized server that was not tried yet, or nil.
 func (g *Gateway) pickServer(j *job, tried []string) *discovery.Announcement {
 	now := time.Now()
-	candidates := g.view.Load().plain[j.service.Name]
+	v := g.view.Load()
+	candidates := v.plain[j.service.Name]
 	excluded := g.failedServers(now)
 	g.usage.mu.Lock()
 	defer g.usage.mu.Unlock()
 	var best *discovery.Announcement
 	bestScore := 0.0
 	for _, a := range candidates {
-		if slices.Contains(tried, a.ID) {
+		if slices.Contains(tried, a.ID) || g.isHeldBack(j, v, a.ID) {
 			continue
 		}
 		score := g.usage.utilization(a, now)
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -23,6 +23,8 @@
 	states map[string]discovery.State
 	// incarnations holds the incarnation of every server.
 	incarnations map[string]int64
+	// sequences holds the sequence of every server's newest announcement.
+	sequences    map[string]uint64
 	unresponsive map[string]bool
 	fence        uint64
 	// dataCentres is the number of data centres with servers.
@@ -45,6 +47,7 @@
 		searches:     make(map[string]*search),
 		states:       make(map[string]discovery.State),
 		incarnations: make(map[string]int64),
+		sequences:    make(map[string]uint64),
 		unresponsive: s.Unresponsive,
 		fence:        s.Fence,
 	}
@@ -54,6 +57,7 @@
 		a := &s.Servers[i]
 		v.states[a.ID] = a.State
 		v.incarnations[a.ID] = a.Incarnation
+		v.sequences[a.ID] = a.Sequence
 		centres[a.DataCentre] = true
 		if a.State != discovery.StateLeft {
 			v.byAddress[a.Address] = a.ID
--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -22,7 +22,7 @@
 	"admission", "config", "consensus", "credit", "fleet", "ledger", "membership", "outcome", "pipeline", "placement",
 	"quarantine", "replica", "retry", "route",
 	"admission", "config", "consensus", "credit", "discovery", "drain", "fleet", "layers", "ledger", "membership", "outcome", "pipeline",
-	"placement", "quarantine", "replica", "retry", "route", "routing",
+	"placement", "quarantine", "replica", "retry", "route", "routing", "selfreport",
 }
 
 // forbiddenImports are packages that do I/O, log, or communicate with other processes.
--- a/internal/archtest/platform_test.go
+++ b/internal/archtest/platform_test.go
@@ -20,7 +20,7 @@
 
 // platformNames are names that belong to the platform's interfaces.
 var platformNames = []string{
-	"Balsamlb-", "At-Server", "\"/-/", "TrafficSplit", "KvBytes", "ColdLeftMs", "LayerMb", "non_idempotent", "HeartbeatUrl",
+	"Balsamlb-", "At-Server", "Server-Leaving", "\"/-/", "TrafficSplit", "KvBytes", "ColdLeftMs", "LayerMb", "non_idempotent", "HeartbeatUrl",
 }
 
 // adapterImports are the packages of this module that the adapter may import.
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -2,6 +2,9 @@
 
 import "github.com/prometheus/client_golang/prometheus"
 
+// LabelSaid is what a backend server has said about itself.
+const LabelSaid = "said"
+
 // LabelStatus is the HTTP status of a response; 0 means that the response's stream was aborted.
 const LabelStatus = "status"
 
@@ -22,12 +25,14 @@
 		"Requests that were not sent, or not sent again, because their content crashes backend servers."}
 	gatewayLostRunsTotal = description{"balsamlb_gateway_lost_runs_total", counter, nil,
 		"Runs of requests that ended without an answer, because a backend server or the connection to it failed."}
+	gatewayHeldBackTotal = description{"balsamlb_gateway_held_back_total", counter, []string{LabelSaid},
+		"Requests that were kept from a backend server because of what it said about itself, by what it said."}
 )
 
 // gatewayDescriptions lists the metrics of a gateway in the order of docs/METRICS.md.
 var gatewayDescriptions = []description{
 	gatewayRequestsTotal, gatewayRequestSeconds, gatewayFirstEventSeconds, gatewayDialsTotal, gatewayReroutesTotal, gatewayResumesTotal,
-	gatewayLostRunsTotal, gatewayQuarantinedTotal,
+	gatewayLostRunsTotal, gatewayQuarantinedTotal, gatewayHeldBackTotal,
 }
 
 // Histogram buckets of a gateway, in seconds. They cover the latency objectives of known
@@ -47,6 +52,7 @@
 	Resumes           *prometheus.CounterVec
 	LostRuns          *prometheus.CounterVec
 	Quarantined       *prometheus.CounterVec
+	HeldBack          *prometheus.CounterVec
 }
 
 // NewGateway creates and registers the metrics of a gateway. It panics if a metric is already
@@ -61,7 +67,8 @@
 		Resumes:           newCounter(gatewayResumesTotal),
 		LostRuns:          newCounter(gatewayLostRunsTotal),
 		Quarantined:       newCounter(gatewayQuarantinedTotal),
+		HeldBack:          newCounter(gatewayHeldBackTotal),
 	}
-	r.MustRegister(g.Requests, g.RequestSeconds, g.FirstEventSeconds, g.Dials, g.Reroutes, g.Resumes, g.LostRuns, g.Quarantined)
+	r.MustRegister(g.Requests, g.RequestSeconds, g.FirstEventSeconds, g.Dials, g.Reroutes, g.Resumes, g.LostRuns, g.Quarantined, g.HeldBack)
 	return g
 }
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -58,6 +58,7 @@
 	g.Resumes.WithLabelValues().Inc()
 	g.LostRuns.WithLabelValues().Inc()
 	g.Quarantined.WithLabelValues().Inc()
+	g.HeldBack.WithLabelValues("leaving").Inc()
 	families, err := r.Gather()
 	is.NoErr(err)
 	described := make(map[string]bool)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -44,6 +44,9 @@
 	Body   []byte
 	// HasBody is set if the request has a body, which may be empty.
 	HasBody bool
+	// MaySend is asked right before the first byte is sent, when the connection is open. Its error
+	// ends the request, wrapped in ErrNotSent. If it is nil, the request is sent.
+	MaySend func() error
 	// IsAnswer reports by status and header whether an answer belongs to this request. If it is
 	// nil, every answer does.
 	IsAnswer func(status int, h http.Header) bool
@@ -88,6 +91,12 @@
 	if err != nil {
 		return nil, eris.Wrapf(errors.Join(ErrNotSent, err), "upstream: dial %s", req.Address)
 	}
+	if req.MaySend != nil {
+		if err := req.MaySend(); err != nil {
+			_ = cn.Close()
+			return nil, eris.Wrapf(errors.Join(ErrNotSent, err), "upstream: send to %s", req.Address)
+		}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	resp, err := c.exchange(cn, req)
 	if err != nil {
--- a/upstream/exchange_test.go
+++ b/upstream/exchange_test.go
@@ -243,3 +243,25 @@
 	is.NoErr(l.Close())
 	is.True(errors.Is(c.Probe(t.Context(), l.Addr().String()), syscall.ECONNREFUSED))
 }
+
+// Guards against a request that is sent though its server has become unusable while the connection was
+// opened.
+func TestNothingIsSentThatMayNotBeSent(t *testing.T) {
+	is := is.New(t)
+	s := newFakeServer(t, func(_ int64, c net.Conn, r *http.Request) { answer(c, r.Header.Get("X-Id"), "body") })
+	client := NewClient()
+	_, err := do(t, client, s.request("1")) // leaves a connection in the pool
+	is.NoErr(err)
+	errNo := errors.New("no")
+	r := s.request("2")
+	r.MaySend = func() error { return errNo }
+	for range 2 {
+		_, err = do(t, client, r)
+		is.True(errors.Is(err, errNo))
+		is.True(errors.Is(err, ErrNotSent))
+	}
+	r.MaySend = func() error { return nil }
+	_, err = do(t, client, r)
+	is.NoErr(err)
+	is.Equal(s.requests.Load(), int64(2))
+}
