gateway: a server that turns a request away with Retry-After gets nothing until the time is over

What callers saw: a server that answers 503 with Retry-After went on getting requests, and a service whose servers all did so told its callers to return after 0.25 s, and turned them away again.

Cause: Retry-After of a backend server was not read.

Change: selfreport also holds the pause that an incarnation asks for, bounded to 0.1 s to 60 s; what can't be read counts as 1 s. Calls, streams, later parts and resumed streams keep away until it is over, also those that have chosen the server already. Afterwards one trial goes first, and each that is served allows one more.

--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -163,6 +163,7 @@
 	r := g.finalRefusal(ctx, d.job, f)
 	switch {
 	case r.status != http.StatusServiceUnavailable || g.retryAfterCrash(d.job, f) > 0:
+	case f.retryAfter > 0: // finalRefusal has set it
 	case errors.Is(f.err, errNoCompleteCopy):
 		r.retryAfter = noCopyRetry
 	default:
--- a/gateway/draft_path.go
+++ b/gateway/draft_path.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sort"
 	"time"
 
 	"github.com/balsamlb/balsamlb/layers"
@@ -20,6 +21,9 @@
 	if !d.isStarted.Load() && g.checkContent(d.job) != nil {
 		return nil, false
 	}
+	if !d.isStarted.Load() && g.draftPause(d) > capacityWait {
+		return nil, false
+	}
 	if d.isStarted.Load() {
 		return g.pollPath(ctx, d, resumePollInterval, resumeWait-d.idleTime())
 	}
@@ -56,15 +60,48 @@
 	if f := g.checkContent(d.job); f != nil {
 		return f
 	}
+	if wait := g.draftPause(d); wait > 0 {
+		return &failure{reason: "the servers of all copies of the model want nothing for a time", retryAfter: g.spreadRetry(wait)}
+	}
 	v := g.view.Load()
 	now := time.Now()
 	s := v.searches[d.service.Name]
-	if s == nil || !s.paths.HasWholeCopy(func(id string) bool { return g.isExcluded(v, now, id) || g.isHeldBack(d.job, v, id) }) {
+	if s == nil || !s.paths.HasWholeCopy(func(id string) bool { return g.isExcluded(v, now, id) || g.isHeldBack(d.job, v, now, id) }) {
 		return &failure{reason: "no data centre holds a whole copy of the model", err: errNoCompleteCopy}
 	}
 	return &failure{reason: "no path through the model's layers has room"}
 }
 
+// draftPause returns the time until servers that want nothing now complete a copy of the model. It returns
+// 0 if there is a copy now, or no such servers would complete one.
+func (g *Gateway) draftPause(d *draft) time.Duration {
+	if g.selfReports.count.Load() == 0 {
+		return 0
+	}
+	v := g.view.Load()
+	now := time.Now()
+	s := v.searches[d.service.Name]
+	if s == nil {
+		return 0
+	}
+	// hasCopy reports whether the servers that take drafts at a time hold a whole copy.
+	hasCopy := func(at time.Time) bool {
+		return s.paths.HasWholeCopy(func(id string) bool {
+			next, mayReturn := g.selfReports.next(now, v.server(id))
+			return !mayReturn || next.After(at) || g.isUnresponsive(v, id) || v.isSilent(id) && g.faults.isUnrecovered(id)
+		})
+	}
+	if hasCopy(now) {
+		return 0
+	}
+	returns := g.selfReports.returns(now)
+	i := sort.Search(len(returns), func(i int) bool { return hasCopy(returns[i]) })
+	if i == len(returns) {
+		return 0
+	}
+	return returns[i].Sub(now)
+}
+
 // findPath returns the best path for the draft and counts the traffic on the links that it uses. If
 // head names a server, head stays the first part of the path.
 func (g *Gateway) findPath(d *draft, head layers.Part) (layers.Path, bool) {
@@ -82,7 +119,7 @@
 		if id == head.ID {
 			return false
 		}
-		return g.isExcluded(v, now, id) || g.isHeldBack(d.job, v, id) || slices.Contains(avoided, id)
+		return g.isExcluded(v, now, id) || g.isHeldBack(d.job, v, now, id) || slices.Contains(avoided, id)
 	}
 	path, _, ok := s.paths.Find(layers.Query{
 		Draft:   d.size,
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/layers"
+	"github.com/balsamlb/balsamlb/selfreport"
 	"github.com/balsamlb/balsamlb/upstream"
 )
 
@@ -49,7 +50,8 @@
 		Priority:  j.priority,
 	})
 	j.sends++
-	v := g.view.Load()
+	servers := g.view.Load().serversOf(id, path)
+	var trials []selfreport.Trial
 	started := time.Now()
 	resp, err := g.client.Do(ctx, &upstream.Request{
 		Server:  id,
@@ -60,13 +62,17 @@
 		Header:  header,
 		Body:    j.body,
 		HasBody: j.hasBody,
-		MaySend: func() error { return g.checkSend(j, v, id, path) },
+		MaySend: func() (err error) {
+			trials, err = g.beginSend(j, servers)
+			return err
+		},
 		IsAnswer: func(status int, h http.Header) bool {
 			rh := g.options.HeaderCodec.ParseResponse(status, h)
 			return rh.ID == j.header.ID || rh.ID == "" && status >= http.StatusMultipleChoices
 		},
 	})
 	if err != nil {
+		g.endTrials(trials, false)
 		switch {
 		case errors.Is(err, errHeldBack):
 			j.sends--
@@ -77,7 +83,8 @@
 		return nil, ResponseHeader{}, err
 	}
 	rh := g.options.HeaderCodec.ParseResponse(resp.Status, resp.Header)
-	g.recordSelfReport(j, v.server(id), resp.Status, rh)
+	g.recordSelfReport(j, servers[0], resp.Status, rh)
+	g.endTrials(trials, !rh.NotRun && resp.Status != http.StatusServiceUnavailable)
 	if !rh.NotRun { // a rejection may come from another server at the address
 		g.recordAlive(started, id, "answers")
 		j.attempts++
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,6 +82,7 @@
 	lost         *lostRuns
 	suspects     *suspects
 	selfReports  *selfReports
+	pauseLines   *pauseLines
 	stallReports *stallReports
 	probes       *probes
 	inFlight     atomic.Int64
@@ -111,6 +112,7 @@
 		lost:         newLostRuns(),
 		suspects:     newSuspects(),
 		selfReports:  newSelfReports(),
+		pauseLines:   newPauseLines(),
 		stallReports: newStallReports(o.Orders.StallingServers),
 		probes:       &probes{probedAt: make(map[string]time.Time)},
 		metrics:      metrics.NewGateway(o.Registry),
--- a/gateway/header_codec.go
+++ b/gateway/header_codec.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/layers"
+	"github.com/balsamlb/balsamlb/selfreport"
 )
 
 // RequestHeader holds the parsed headers of a caller's request.
@@ -51,6 +52,9 @@
 	FaultAddress string
 	// IsLeaving means that the server says that it leaves.
 	IsLeaving bool
+	// HasPause means that the server has turned the request away and asks for the pause Pause.
+	HasPause bool
+	Pause    selfreport.PauseRequest
 	// HasLoad means that Running, Waiting and Slots are stated.
 	HasLoad bool
 	Running int
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -33,16 +33,18 @@
 			g.refuse(w, j, g.finalRefusal(ctx, j, f))
 			return
 		}
-		server := g.pickServer(j, tried)
+		server := g.awaitServer(ctx, j, tried)
 		if server == nil {
 			g.refuse(w, j, g.noServerRefusal(ctx, j))
 			return
 		}
-		tried = append(tried, server.ID)
 		f := g.sendPlain(ctx, w, j, server)
 		if f == nil {
 			return
 		}
+		if f.ran || !g.wantsNothing(server) { // one that wants nothing for a time may be asked again
+			tried = append(tried, server.ID)
+		}
 		f, goesOn := g.mayGoOn(ctx, j, f)
 		if !goesOn {
 			g.refuse(w, j, g.finalRefusal(ctx, j, f))
@@ -57,6 +59,8 @@
 	// ran means that the request may have run.
 	ran bool
 	err error
+	// retryAfter is when the caller should send the request again; 0 means not known.
+	retryAfter time.Duration
 }
 
 // sendPlain sends the request to one server. It returns nil once the caller has a response.
@@ -141,7 +145,7 @@
 func (g *Gateway) finalRefusal(ctx context.Context, j *job, f *failure) *refusal {
 	g.countQuarantined(f)
 	if !j.mayHaveRun {
-		return &refusal{http.StatusServiceUnavailable, f.reason, cmp.Or(g.retryAfterCrash(j, f), busyRetry)}
+		return &refusal{http.StatusServiceUnavailable, f.reason, cmp.Or(g.retryAfterCrash(j, f), f.retryAfter, g.pauseRetry(j), busyRetry)}
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return &refusal{http.StatusGatewayTimeout, "no answer in time: " + f.reason, 0}
@@ -164,7 +168,7 @@
 	var best *discovery.Announcement
 	bestScore := 0.0
 	for _, a := range candidates {
-		if slices.Contains(tried, a.ID) || g.isHeldBack(j, v, a.ID) {
+		if slices.Contains(tried, a.ID) || g.isHeldBack(j, v, now, a.ID) {
 			continue
 		}
 		score := g.usage.utilization(a, now)
--- a/gateway/self_reports.go
+++ b/gateway/self_reports.go
@@ -37,29 +37,89 @@
 }
 
 // check returns whether a request may be sent to a server.
-func (s *selfReports) check(server selfreport.Server) selfreport.Verdict {
+func (s *selfReports) check(now time.Time, server selfreport.Server) selfreport.Verdict {
 	if s.count.Load() == 0 {
 		return selfreport.Free
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.reports.Check(server)
+	return s.reports.Check(now, server)
+}
+
+// next returns when a server may get a request again. It returns false for a server that leaves.
+func (s *selfReports) next(now time.Time, server selfreport.Server) (time.Time, bool) {
+	if s.count.Load() == 0 {
+		return now, true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reports.Next(now, server)
+}
+
+// returns returns when servers that want nothing now may get requests again, in order.
+func (s *selfReports) returns(now time.Time) []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reports.Returns(now)
+}
+
+// begin records that a request is sent to servers. If one of them takes no requests now, begin returns
+// its verdict and index instead, and records nothing.
+func (s *selfReports) begin(now time.Time, servers []selfreport.Server) (trials []selfreport.Trial, v selfreport.Verdict, i int) {
+	if s.count.Load() == 0 {
+		return nil, selfreport.Free, 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, server := range servers {
+		if v := s.reports.Check(now, server); v != selfreport.Free {
+			return nil, v, i
+		}
+	}
+	return s.reports.Begin(now, servers...), selfreport.Free, 0
 }
 
 // recordSelfReport records what a server has said about itself in an answer.
 func (g *Gateway) recordSelfReport(j *job, server selfreport.Server, status int, rh ResponseHeader) {
-	if !rh.IsLeaving || !isFromChosen(g.view.Load(), server.ID, status, rh) {
+	if !rh.IsLeaving && !rh.HasPause {
+		return
+	}
+	v := g.view.Load()
+	if !isFromChosen(v, server.ID, status, rh) {
 		return
 	}
-	now := time.Now()
 	source := selfreport.Source{Kind: "answer", Request: j.header.ID}
-	newest := g.view.Load().announcement(server.ID)
+	if rh.IsLeaving {
+		g.recordLeaving(v, server, source)
+	}
+	if !rh.HasPause {
+		return
+	}
+	g.recordPause(server, source, rh.Pause)
+	// The answer doesn't say whether the first server of the path or the one that it names asks.
+	if fault := v.byAddress[rh.FaultAddress]; fault != "" && fault != server.ID {
+		g.recordPause(v.server(fault), source, rh.Pause)
+	}
+}
+
+func (g *Gateway) recordLeaving(v *view, server selfreport.Server, source selfreport.Source) {
+	now := time.Now()
+	newest := v.announcement(server.ID)
 	if update(g.selfReports, func(r *selfreport.Reports) bool { return r.AddLeaving(now, server, source, newest) }) {
 		g.options.Log.Info("a backend server says that it leaves", "server", server.ID, "incarnation", server.Incarnation,
 			"source", source.Kind, "request", source.Request)
 	}
 }
 
+func (g *Gateway) recordPause(server selfreport.Server, source selfreport.Source, p selfreport.PauseRequest) {
+	now, random := time.Now(), g.randomFloat()
+	paused := update(g.selfReports, func(r *selfreport.Reports) selfreport.Paused { return r.AddPause(now, server, source, p, random) })
+	if paused.IsNew {
+		g.options.Log.Info("a backend server wants no requests for a time", "server", server.ID, "incarnation", server.Incarnation,
+			"source", source.Kind, "request", source.Request, "stated", p.Stated, "seconds", paused.Duration.Seconds(), "is_bounded", paused.IsBounded)
+	}
+}
+
 // isFromChosen reports whether an answer is from the server to which the request was sent. Another
 // server at the address answers 421; so does the chosen one, if it names a later server of the path.
 func isFromChosen(v *view, id string, status int, rh ResponseHeader) bool {
@@ -97,36 +157,54 @@
 	}
 }
 
-// isHeldBack reports whether a request may not be sent to a server because of what the server has said
-// about itself. It counts the request once for each reason.
-func (g *Gateway) isHeldBack(j *job, v *view, id string) bool {
-	verdict := g.selfReports.check(v.server(id))
-	if verdict == selfreport.Free {
-		return false
-	}
-	if !j.heldBack[verdict].Swap(true) {
+// isHeldBack reports whether a request may not be sent to a server now because of what the server has
+// said about itself.
+func (g *Gateway) isHeldBack(j *job, v *view, now time.Time, id string) bool {
+	verdict := g.selfReports.check(now, v.server(id))
+	g.countHeldBack(j, verdict)
+	return verdict != selfreport.Free
+}
+
+// countHeldBack counts the request once for each verdict by which it is kept from a server.
+func (g *Gateway) countHeldBack(j *job, verdict selfreport.Verdict) {
+	if verdict != selfreport.Free && !j.heldBack[verdict].Swap(true) {
 		g.metrics.HeldBack.WithLabelValues(verdict.String()).Inc()
 	}
-	return true
 }
 
-// checkSend returns an error if one of the servers that a request is about to be sent to has said, since
-// it was chosen, that it takes no requests.
-func (g *Gateway) checkSend(j *job, v *view, id string, path layers.Path) error {
-	if g.isHeldBack(j, v, id) {
-		return fmt.Errorf("server %s: %w", id, errHeldBack)
+// beginSend records that a request is sent to servers, and returns an error if one of them has said,
+// since it was chosen, that it takes no requests.
+func (g *Gateway) beginSend(j *job, servers []selfreport.Server) ([]selfreport.Trial, error) {
+	trials, verdict, i := g.selfReports.begin(time.Now(), servers)
+	if verdict == selfreport.Free {
+		return trials, nil
 	}
-	for _, part := range path {
-		if part.ID != id && g.isHeldBack(j, v, part.ID) {
-			return fmt.Errorf("server %s: %w", part.ID, errHeldBack)
-		}
+	g.countHeldBack(j, verdict)
+	return nil, fmt.Errorf("%s: %s: %w", servers[i].ID, verdict, errHeldBack)
+}
+
+// endTrials records whether servers that had asked for a pause have taken a request.
+func (g *Gateway) endTrials(trials []selfreport.Trial, isServed bool) {
+	if len(trials) > 0 {
+		now := time.Now()
+		g.logEnds(update(g.selfReports, func(r *selfreport.Reports) []selfreport.End { return r.Done(now, trials, isServed) }))
 	}
-	return nil
 }
 
 // heldBackFailure is the failure of a request that checkSend has stopped.
 func heldBackFailure(err error) *failure { return &failure{reason: err.Error(), err: err} }
 
+// serversOf returns the servers that a request to a server, or along a path, reaches.
+func (v *view) serversOf(id string, path layers.Path) []selfreport.Server {
+	servers := []selfreport.Server{v.server(id)}
+	for _, part := range path {
+		if part.ID != id {
+			servers = append(servers, v.server(part.ID))
+		}
+	}
+	return servers
+}
+
 // server returns the current incarnation of a server.
 func (v *view) server(id string) selfreport.Server {
 	return selfreport.Server{ID: id, Incarnation: v.incarnations[id]}
@@ -139,3 +217,8 @@
 		IsReady: v.states[id] == discovery.StateReady, IsDraining: v.states[id] == discovery.StateDraining,
 	}
 }
+
+// wantsNothing reports whether a server has asked for a pause that counts now.
+func (g *Gateway) wantsNothing(a *discovery.Announcement) bool {
+	return g.selfReports.check(time.Now(), selfreport.Server{ID: a.ID, Incarnation: a.Incarnation}) == selfreport.WantsNothing
+}
--- a/internal/archtest/platform_test.go
+++ b/internal/archtest/platform_test.go
@@ -25,7 +25,7 @@
 
 // adapterImports are the packages of this module that the adapter may import.
 var adapterImports = []string{
-	"controller", "discovery", "gateway", "layers", "routing", "upstream",
+	"controller", "discovery", "gateway", "layers", "routing", "selfreport", "upstream",
 }
 
 // forEachSource calls f for each Go file below root that is not a test.
--- a/selfreport/selfreport.go
+++ b/selfreport/selfreport.go
@@ -38,6 +38,8 @@
 	Free Verdict = iota
 	// Leaving servers get no new work.
 	Leaving
+	// WantsNothing is the verdict on servers that have asked for a pause.
+	WantsNothing
 	// Verdicts is the number of verdicts.
 	Verdicts = int(iota)
 )
@@ -47,6 +49,8 @@
 	switch v {
 	case Leaving:
 		return "leaving"
+	case WantsNothing:
+		return "wants nothing"
 	default:
 		return "free"
 	}
@@ -66,6 +70,7 @@
 type report struct {
 	incarnation int64
 	leaving     *leaving
+	pause       *pause
 	heardAt     time.Time
 }
 
@@ -92,11 +97,17 @@
 func (r *Reports) Len() int { return len(r.servers) }
 
 // Check returns whether a request may be sent to a server.
-func (r *Reports) Check(s Server) Verdict {
-	if x := r.find(s); x != nil && x.leaving != nil {
+func (r *Reports) Check(now time.Time, s Server) Verdict {
+	switch x := r.find(s); {
+	case x == nil:
+		return Free
+	case x.leaving != nil:
 		return Leaving
+	case x.pause != nil && !x.pause.takes(now):
+		return WantsNothing
+	default:
+		return Free
 	}
-	return Free
 }
 
 // find returns the reports of exactly this incarnation, or nil.
@@ -212,17 +223,21 @@
 }
 
 func (r *Reports) removeEmpty(id string) {
-	if x := r.servers[id]; x != nil && x.leaving == nil {
+	if x := r.servers[id]; x != nil && x.leaving == nil && x.pause == nil {
 		delete(r.servers, id)
 	}
 }
 
 // ends returns the ends of all parts of a report.
 func (x *report) ends(now time.Time, id, why string) []End {
-	if x.leaving == nil {
-		return nil
+	var ends []End
+	if x.leaving != nil {
+		ends = append(ends, x.leaving.end(now, Server{id, x.incarnation}, why))
+	}
+	if x.pause != nil {
+		ends = append(ends, x.pause.end(now, Server{id, x.incarnation}, why))
 	}
-	return []End{x.leaving.end(now, Server{id, x.incarnation}, why)}
+	return ends
 }
 
 func (l *leaving) end(now time.Time, s Server, why string) End {
--- a/selfreport/selfreport_test.go
+++ b/selfreport/selfreport_test.go
@@ -27,8 +27,8 @@
 	is := is.New(t)
 	r := New()
 	is.True(r.AddLeaving(start, first, asked, ready(first, 3)))
-	is.Equal(r.Check(first), Leaving)
-	is.Equal(r.Check(again), Free)
+	is.Equal(r.Check(start, first), Leaving)
+	is.Equal(r.Check(start, again), Free)
 	ends := r.Announced(start.Add(time.Second), ready(again, 1))
 	is.Equal(ends, []End{{Server: first, Kind: Leaving, Source: asked, Age: time.Second, Why: "was restarted"}})
 	is.Equal(r.Len(), 0)
@@ -39,8 +39,8 @@
 	r := New()
 	r.AddLeaving(start, again, asked, ready(again, 1))
 	is.True(!r.AddLeaving(start, first, asked, ready(again, 1)))
-	is.Equal(r.Check(again), Leaving)
-	is.Equal(r.Check(first), Free)
+	is.Equal(r.Check(start, again), Leaving)
+	is.Equal(r.Check(start, first), Free)
 }
 
 func TestLeavingIsNewOnce(t *testing.T) {
@@ -85,7 +85,7 @@
 				newest = s.announced
 				r.Announced(start, newest)
 			}
-			is.Equal(r.Check(first), c.want)
+			is.Equal(r.Check(start, first), c.want)
 		})
 	}
 }
@@ -97,8 +97,8 @@
 		r.AddLeaving(start.Add(time.Duration(i)), Server{ID: fmt.Sprint(i)}, asked, Announcement{})
 	}
 	is.Equal(r.Len(), maxServers)
-	is.Equal(r.Check(Server{ID: "9"}), Free)
-	is.Equal(r.Check(Server{ID: "10"}), Leaving)
+	is.Equal(r.Check(start, Server{ID: "9"}), Free)
+	is.Equal(r.Check(start, Server{ID: "10"}), Leaving)
 	is.Equal(len(r.RemoveExpired(start.Add(forgetAfter-time.Second))), 0)
 	is.Equal(len(r.RemoveExpired(start.Add(forgetAfter+time.Second))), maxServers)
 	is.Equal(r.Len(), 0)
