dispatch: no request reaches a server that has said in an answer that it leaves

Cause: the protocol with backend servers had no such word in answers, only in announcements.

Change: answers carry X-Leaving: 1 (calls and stages; backend.SelfReport). dispatch uses the same package selfreport: choice of servers, chains, replacements and hedges, forecasts, and once more right before a call or a new stage is sent. A stage that the server runs already may be connected to again. Running drafts move away as after an announcement, and the server's end is no crash. Emulated servers say so when they leave, and under the fault leaving_in_answers before any announcement does.

--- a/backend/client.go
+++ b/backend/client.go
@@ -93,6 +93,8 @@
 	Body        []byte
 	// NotRun means that the server refused the call before running it.
 	NotRun bool
+	// Said is what the server says about itself.
+	Said SelfReport
 }
 
 // CallError is a failed call; it records whether the server may have run the call.
@@ -127,6 +129,7 @@
 		ContentType: string(c.resp.Header.ContentType()),
 		Body:        append([]byte(nil), c.resp.Body()...),
 		NotRun:      isRefusal(&c.resp),
+		Said:        parseSelfReport(&c.resp),
 	}, nil
 }
 
--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -26,6 +26,8 @@
 	HeaderKey       = "Idempotency-Key"
 	// HeaderOutcome is "not_run" in a response that refuses a request before running it.
 	HeaderOutcome = "X-Outcome"
+	// HeaderLeaving is "1" in all responses of a server that leaves.
+	HeaderLeaving = "X-Leaving"
 )
 
 // StageRef identifies one stage of a chain and the server that runs it.
--- a/backend/stage.go
+++ b/backend/stage.go
@@ -25,24 +25,27 @@
 var ErrRefused = errors.New("backend: the server refused the request before running it")
 
 // OpenStage connects to a stage. It returns once the server has accepted the request; Next
-// later returns the FrameOpened that reports the stage as ready.
-func OpenStage(ctx context.Context, open OpenStageRequest) (*Conn, error) {
+// later returns the FrameOpened that reports the stage as ready. said is what the server says about
+// itself, also in a refusal.
+func OpenStage(ctx context.Context, open OpenStageRequest) (c *Conn, said SelfReport, err error) {
 	ref := open.Chain[open.Stage]
 	headerCtx, cancel := context.WithTimeout(ctx, openHeaderTimeout)
 	defer cancel()
-	c, err := dial(headerCtx, ref.Server, ref.Address)
+	c, err = dial(headerCtx, ref.Server, ref.Address)
 	if err != nil {
-		return nil, err
+		return nil, said, err
 	}
 	stop := context.AfterFunc(ctx, c.Close)
 	defer stop()
-	if err := c.openStage(ref, open); err != nil {
+	err = c.openStage(ref, open)
+	said = parseSelfReport(&c.resp)
+	if err != nil {
 		c.Close()
-		return nil, err
+		return nil, said, err
 	}
 	// The caller monitors the stream's progress, so the stream has no deadline.
 	_ = c.conn.SetDeadline(time.Time{})
-	return c, nil
+	return c, said, nil
 }
 
 func (c *Conn) openStage(ref StageRef, open OpenStageRequest) error {
--- a/dispatch/call_idempotent.go
+++ b/dispatch/call_idempotent.go
@@ -181,13 +181,17 @@
 
 // sendTracked calls the server once and records the result.
 func (d *Dispatcher) sendTracked(ctx context.Context, r Call, server fleet.BackendServer, f quarantine.Fingerprint) (backend.CallAnswer, error) {
-	if !d.isStillAvailable(server) {
+	trials, isFree := d.beginTrial(server)
+	if !isFree || !d.isAnnounced(server) {
+		d.endTrial(trials, false)
 		d.releaseServers(server.Name)
 		return backend.CallAnswer{}, &backend.CallError{Err: errLeaving}
 	}
 	d.resilience.recordStart(r.ID, f, server)
 	start := time.Now()
 	answer, err := d.send(ctx, r, server)
+	d.recordSelfReport(r.ID, server, answer.Said)
+	d.endTrial(trials, err == nil && !answer.NotRun)
 	switch {
 	case err == nil:
 		d.resilience.recordAnswer(r.ID, server.Name)
@@ -200,6 +204,6 @@
 	return answer, err
 }
 
-// errLeaving means that the server began to leave or was restarted after it was chosen and before
-// the call was sent.
-var errLeaving = errors.New("dispatch: the chosen backend server is leaving")
+// errLeaving means that the server began to leave, was restarted or asked for a pause after it was chosen
+// and before the call was sent.
+var errLeaving = errors.New("dispatch: the chosen backend server takes no requests any more")
--- a/dispatch/call_once.go
+++ b/dispatch/call_once.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/balsamlb/balsamlb/backend"
@@ -212,12 +213,19 @@
 
 // isStillAvailable reports whether the server accepts new work and has not been restarted.
 func (d *Dispatcher) isStillAvailable(server fleet.BackendServer) bool {
-	for _, s := range d.fleet.Available() {
-		if s.Name == server.Name {
-			return s.Incarnation == server.Incarnation
-		}
-	}
-	return false
+	return holds(d.available(), server)
+}
+
+// isAnnounced is isStillAvailable without regard to what the server has said in answers.
+func (d *Dispatcher) isAnnounced(server fleet.BackendServer) bool {
+	return holds(d.fleet.Available(), server)
+}
+
+// holds reports whether a list holds this incarnation of a server.
+func holds(servers []fleet.BackendServer, server fleet.BackendServer) bool {
+	return slices.ContainsFunc(servers, func(s fleet.BackendServer) bool {
+		return s.Name == server.Name && s.Incarnation == server.Incarnation
+	})
 }
 
 // finishOnce records the answer in the ledger before it returns the answer for the caller.
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -14,7 +14,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	c, err := d.router.Call(now, r.Service.Name, d.fleet.Available(), exclude)
+	c, err := d.router.Call(now, r.Service.Name, d.available(), exclude)
 	if err != nil {
 		d.log.Info("no backend server can take the request", "request", r.ID, "service", r.Service.Name)
 		return fleet.BackendServer{}, err
@@ -35,7 +35,7 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	req := r.requirements(exclude)
-	c, err := d.router.Chain(now, req, d.fleet.Available())
+	c, err := d.router.Chain(now, req, d.available())
 	if err != nil {
 		d.log.Info("no chain found", "request", r.ID, "model", r.Service.Model)
 		return c, err
@@ -57,7 +57,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	c, err := d.router.Replacement(now, r.requirements(exclude), chain, stage, d.fleet.Available())
+	c, err := d.router.Replacement(now, r.requirements(exclude), chain, stage, d.available())
 	if err != nil {
 		d.log.Info("no replacement server found", "request", r.ID, "stage", stage)
 		return fleet.BackendServer{}, err
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -46,7 +46,9 @@
 	log        logr.Logger
 	once       onceState
 	resilience *resilience
-	served     func(request string)
+	// selfReports is what the backend servers have said about themselves.
+	selfReports *selfReports
+	served      func(request string)
 
 	mu     sync.Mutex
 	router *route.Router
@@ -64,6 +66,9 @@
 		router:     route.New(route.Options{DataCentre: dataCentre, Seed: seed}),
 		resilience: newResilience(seed, log.WithName("retry")),
 		served:     func(string) {},
+
+		selfReports: newSelfReports(),
+
 		once: onceState{
 			self:     ledger.Dispatcher{Instance: instance},
 			peers:    noPeers{},
--- a/dispatch/draft_choose.go
+++ b/dispatch/draft_choose.go
@@ -13,13 +13,19 @@
 	Leaving() []string
 }
 
-// leaving returns the names of the backend servers that are leaving.
+// leaving returns the names of the backend servers that are leaving, as they have announced or said in
+// an answer.
 func (d *Dispatcher) leaving() []string {
+	return append(d.announcedLeaving(), d.selfReports.reportedLeaving()...)
+}
+
+// announcedLeaving returns the names of the backend servers that have announced that they are leaving.
+func (d *Dispatcher) announcedLeaving() []string {
 	lister, ok := d.fleet.(LeavingLister)
 	if !ok {
 		return nil
 	}
-	return lister.Leaving()
+	return slices.Clone(lister.Leaving())
 }
 
 // observeStep passes the duration of a stage's step to the router, along with the duration that
@@ -54,7 +60,7 @@
 	}
 	unclipped := make(map[string]fleet.BackendServer)
 	var clipped []fleet.BackendServer
-	for _, s := range d.fleet.Available() {
+	for _, s := range d.available() {
 		if s.Model != r.Service.Model {
 			continue
 		}
@@ -84,7 +90,7 @@
 // hasReservedReplacement reports whether some server could take over the stage if that server were
 // not reserved at the moment.
 func (d *Dispatcher) hasReservedReplacement(r Draft, a pipeline.Replace) bool {
-	return slices.ContainsFunc(d.fleet.Available(), func(s fleet.BackendServer) bool {
+	return slices.ContainsFunc(d.available(), func(s fleet.BackendServer) bool {
 		inChain := slices.ContainsFunc(a.Chain, func(st pipeline.Stage) bool { return st.Server.Name == s.Name })
 		if s.Model != r.Service.Model || inChain || slices.Contains(a.Exclude, s.Name) {
 			return false
--- a/dispatch/draft_conn.go
+++ b/dispatch/draft_conn.go
@@ -4,6 +4,7 @@
 	"github.com/balsamlb/balsamlb/backend"
 	"github.com/balsamlb/balsamlb/fleet"
 	"github.com/balsamlb/balsamlb/pipeline"
+	"github.com/rotisserie/eris"
 )
 
 // open connects to a stage and reads its frames until the connection ends.
@@ -32,13 +33,26 @@
 	run.conns[a.Conn] = nil
 	run.mu.Unlock()
 	run.group.Go(func() error {
-		run.readFrames(a.Conn, open)
+		run.readFrames(a.Conn, a.Chain[a.Stage].Server, open)
 		return nil
 	})
 }
 
-func (run *draftRun) readFrames(conn int, open backend.OpenStageRequest) {
-	c, err := backend.OpenStage(run.ctx, open)
+// openStage opens a connection to a stage. A server that takes no new work gets only the stages that it
+// runs already.
+func (run *draftRun) openStage(server fleet.BackendServer, open backend.OpenStageRequest) (*backend.Conn, error) {
+	trials, isFree := run.d.beginTrial(server)
+	if !isFree && !run.wasConnected(server.Name) {
+		return nil, eris.Wrapf(backend.ErrRefused, "dispatch: open stage on %s: it takes no new work now", server.Name)
+	}
+	c, said, err := backend.OpenStage(run.ctx, open)
+	run.d.recordSelfReport(run.r.ID, server, said)
+	run.d.endTrial(trials, err == nil)
+	return c, err
+}
+
+func (run *draftRun) readFrames(conn int, server fleet.BackendServer, open backend.OpenStageRequest) {
+	c, err := run.openStage(server, open)
 	if err != nil {
 		if backend.WasClosed(err) {
 			run.markConnected(open.Chain[open.Stage].Server)
--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -26,7 +26,7 @@
 func (d *Dispatcher) Forecast(s settings.Service) admission.Forecast {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	servers := d.fleet.Available()
+	servers := d.available()
 	var f admission.Forecast
 	capacity := 0.0
 	for i := range servers {
--- a/dispatch/resilience.go
+++ b/dispatch/resilience.go
@@ -233,6 +233,7 @@
 			return nil
 		case now := <-ticker.C:
 			c.check(now, d)
+			d.applyAnnouncements(now)
 		}
 	}
 }
--- a/internal/bench/draft_naive.go
+++ b/internal/bench/draft_naive.go
@@ -56,7 +56,7 @@
 	defer readers.Wait()
 	defer cancel()
 	for stage := range chain {
-		c, err := backend.OpenStage(ctx, backend.OpenStageRequest{
+		c, _, err := backend.OpenStage(ctx, backend.OpenStageRequest{
 			Request: request, Attempt: 1, Chain: chain, Stage: stage, Fresh: true,
 			Prompt: n.prompt, PromptTokens: promptTokens, MaxTokens: n.tokens,
 		})
--- a/internal/emulate/fault.go
+++ b/internal/emulate/fault.go
@@ -30,6 +30,9 @@
 	FaultCrashOn FaultKind = "crash_on"
 	// FaultRefuse refuses stages and calls before they run, with the outcome not_run.
 	FaultRefuse FaultKind = "refuse"
+	// FaultLeavingInAnswers makes the server say that it leaves in its responses, but not in its
+	// announcements.
+	FaultLeavingInAnswers FaultKind = "leaving_in_answers"
 	// FaultLate delays every frame by Millis.
 	FaultLate FaultKind = "late"
 	// FaultReorder sends token frames out of order, FaultDuplicate sends each token frame twice,
--- a/internal/emulate/fleet.go
+++ b/internal/emulate/fleet.go
@@ -102,6 +102,7 @@
 }
 
 func (e *engine) handle(ctx *fasthttp.RequestCtx) {
+	defer e.sayLeaving(ctx)
 	path := string(ctx.Path())
 	switch {
 	case path == backend.PathStage:
@@ -145,6 +146,16 @@
 	}
 }
 
+// sayLeaving states in a response that the server leaves, if so.
+func (e *engine) sayLeaving(ctx *fasthttp.RequestCtx) {
+	e.mu.Lock()
+	isLeaving := e.leaving
+	e.mu.Unlock()
+	if isLeaving || e.faults.has(FaultLeavingInAnswers) {
+		ctx.Response.Header.Set(backend.HeaderLeaving, "1")
+	}
+}
+
 func (e *engine) handleHops(ctx *fasthttp.RequestCtx) {
 	var batch []hop
 	if err := json.Unmarshal(ctx.PostBody(), &batch); err != nil {
--- a/selfreport/selfreport.go
+++ b/selfreport/selfreport.go
@@ -167,6 +167,18 @@
 	return isNew
 }
 
+// Leaving returns the servers that have said that they leave, sorted by ID.
+func (r *Reports) Leaving() []Server {
+	var out []Server
+	for id, x := range r.servers {
+		if x.leaving != nil {
+			out = append(out, Server{id, x.incarnation})
+		}
+	}
+	slices.SortFunc(out, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
 // Announcement is what the control instances know of a server.
 type Announcement struct {
 	Server   Server
