dispatch: a server that refuses with Retry-After gets nothing until the time is over

What callers saw: a server of the product's own protocol that refused calls with 503 had no way to say for how long; it went on getting calls, and callers were told to return after a second.

Cause: Retry-After of a backend server was not read.

Calls, chains, replacements and hedges keep away until the time is over; one trial goes first. A call waits up to 250 ms for a server that alone could take it; otherwise the refusal says when the first server may. Emulated servers state a pause under the fault refuse with millis.

--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -28,6 +28,9 @@
 	HeaderOutcome = "X-Outcome"
 	// HeaderLeaving is "1" in all responses of a server that leaves.
 	HeaderLeaving = "X-Leaving"
+	// HeaderRetryAfter in a refusal with status 503 is the time in seconds for which the server wants
+	// no requests from the instance.
+	HeaderRetryAfter = "Retry-After"
 )
 
 // StageRef identifies one stage of a chain and the server that runs it.
--- a/backend/self_report.go
+++ b/backend/self_report.go
@@ -1,13 +1,23 @@
 package backend
 
-import "github.com/valyala/fasthttp"
+import (
+	"github.com/balsamlb/balsamlb/selfreport"
+	"github.com/valyala/fasthttp"
+)
 
 // SelfReport is what a backend server says about itself in a response.
 type SelfReport struct {
 	// IsLeaving means that the server leaves: it accepts no new work.
 	IsLeaving bool
+	// HasPause means that the server has refused the request and asks for the pause Pause.
+	HasPause bool
+	Pause    selfreport.PauseRequest
 }
 
 func parseSelfReport(resp *fasthttp.Response) SelfReport {
-	return SelfReport{IsLeaving: string(resp.Header.Peek(HeaderLeaving)) == "1"}
+	s := SelfReport{IsLeaving: string(resp.Header.Peek(HeaderLeaving)) == "1"}
+	if pause := resp.Header.Peek(HeaderRetryAfter); resp.StatusCode() == fasthttp.StatusServiceUnavailable && len(pause) > 0 {
+		s.HasPause, s.Pause = true, selfreport.ParsePause(string(pause))
+	}
+	return s
 }
--- a/dispatch/call_idempotent.go
+++ b/dispatch/call_idempotent.go
@@ -170,8 +170,12 @@
 				return server, nil
 			}
 		}
+		runs := func(s fleet.BackendServer) bool { return s.Runs(r.Service.Name) && !slices.Contains(tried, s.Name) }
+		if left, ok := d.pauseLeft(runs); ok && left <= maxPauseWait && sleep(ctx, left) {
+			continue
+		}
 		if verdict == quarantine.Clear {
-			return fleet.BackendServer{}, asOutcome(err)
+			return fleet.BackendServer{}, d.withPause(asOutcome(err), runs)
 		}
 		if !sleep(ctx, isolationRetryInterval) {
 			return fleet.BackendServer{}, errDeadline(outcome.NotRun)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -67,7 +67,7 @@
 		resilience: newResilience(seed, log.WithName("retry")),
 		served:     func(string) {},
 
-		selfReports: newSelfReports(),
+		selfReports: newSelfReports(seed),
 
 		once: onceState{
 			self:     ledger.Dispatcher{Instance: instance},
--- a/dispatch/draft_resilience.go
+++ b/dispatch/draft_resilience.go
@@ -35,7 +35,7 @@
 			}
 		}
 		if verdict == quarantine.Clear {
-			return route.ChainChoice{}, asOutcome(err)
+			return route.ChainChoice{}, d.withPause(asOutcome(err), func(s fleet.BackendServer) bool { return s.Model == r.Service.Model })
 		}
 		if !sleep(ctx, isolationRetryInterval) {
 			return route.ChainChoice{}, errDeadline(outcome.NotRun)
--- a/dispatch/self_reports.go
+++ b/dispatch/self_reports.go
@@ -1,26 +1,39 @@
 package dispatch
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/balsamlb/balsamlb/backend"
 	"github.com/balsamlb/balsamlb/fleet"
+	"github.com/balsamlb/balsamlb/outcome"
 	"github.com/balsamlb/balsamlb/selfreport"
 )
 
+const (
+	// maxPauseWait bounds how long a call waits for a server that wants nothing for a time. A call
+	// that would wait longer is refused at once.
+	maxPauseWait = 250 * time.Millisecond
+	// pauseRetrySpread spreads the Retry-After delays of callers that are refused because servers want
+	// nothing for a time.
+	pauseRetrySpread = 500 * time.Millisecond
+)
+
 // selfReports holds what backend servers have said about themselves to this instance. It is safe for
 // concurrent use.
 type selfReports struct {
 	mu      sync.Mutex
+	random  *rand.Rand
 	reports *selfreport.Reports
 	// newest holds the newest announcements of the servers with reports.
 	newest map[string]selfreport.Announcement
 }
 
-func newSelfReports() *selfReports {
+func newSelfReports(seed uint64) *selfReports {
 	return &selfReports{
+		random:  rand.New(rand.NewPCG(seed, 2)),
 		reports: selfreport.New(),
 		newest:  make(map[string]selfreport.Announcement),
 	}
@@ -48,7 +61,7 @@
 
 // recordSelfReport records what a server has said about itself in an answer to a request.
 func (d *Dispatcher) recordSelfReport(request string, s fleet.BackendServer, said backend.SelfReport) {
-	if !said.IsLeaving {
+	if !said.IsLeaving && !said.HasPause {
 		return
 	}
 	now, server := time.Now(), reporterOf(s)
@@ -56,13 +69,22 @@
 	sr := d.selfReports
 	sr.mu.Lock()
 	defer sr.mu.Unlock()
-	newest, ok := sr.newest[s.Name]
-	if !ok || newest.Server != server {
-		newest = selfreport.Announcement{Server: server, Sequence: s.Sequence, IsReady: true}
-		sr.newest[s.Name] = newest
+	if said.IsLeaving {
+		newest, ok := sr.newest[s.Name]
+		if !ok || newest.Server != server {
+			newest = selfreport.Announcement{Server: server, Sequence: s.Sequence, IsReady: true}
+			sr.newest[s.Name] = newest
+		}
+		if sr.reports.AddLeaving(now, server, source, newest) {
+			d.log.Info("a backend server says that it leaves", "server", s.Name, "incarnation", s.Incarnation, "source", source.Kind, "request", request)
+		}
+	}
+	if !said.HasPause {
+		return
 	}
-	if sr.reports.AddLeaving(now, server, source, newest) {
-		d.log.Info("a backend server says that it leaves", "server", s.Name, "incarnation", s.Incarnation, "source", source.Kind, "request", request)
+	if p := sr.reports.AddPause(now, server, source, said.Pause, sr.random.Float64()); p.IsNew {
+		d.log.Info("a backend server wants no requests for a time", "server", s.Name, "incarnation", s.Incarnation, "source", source.Kind,
+			"request", request, "stated", said.Pause.Stated, "seconds", p.Duration.Seconds(), "is_bounded", p.IsBounded)
 	}
 }
 
@@ -135,3 +157,39 @@
 	}
 	return out
 }
+
+// pauseLeft returns the time until the first of the servers that want nothing, and could run the request
+// otherwise, takes it. It returns false if there is no such server.
+func (d *Dispatcher) pauseLeft(canRun func(s fleet.BackendServer) bool) (left time.Duration, ok bool) {
+	now := time.Now()
+	sr := d.selfReports
+	sr.mu.Lock()
+	defer sr.mu.Unlock()
+	if sr.reports.Len() == 0 {
+		return 0, false
+	}
+	for _, s := range d.fleet.Available() {
+		at, mayReturn := sr.reports.Next(now, reporterOf(s))
+		if !mayReturn || !at.After(now) || !canRun(s) {
+			continue
+		}
+		if wait := at.Sub(now); !ok || wait < left {
+			left, ok = wait, true
+		}
+	}
+	return left, ok
+}
+
+// withPause sets the Retry-After delay of a refusal to the time until a server that wants nothing now
+// takes the request, if there is one.
+func (d *Dispatcher) withPause(e *outcome.Error, canRun func(s fleet.BackendServer) bool) *outcome.Error {
+	left, ok := d.pauseLeft(canRun)
+	if !ok {
+		return e
+	}
+	refusal := *e
+	d.selfReports.mu.Lock()
+	defer d.selfReports.mu.Unlock()
+	refusal.RetryAfter = left + time.Duration(d.selfReports.random.Float64()*float64(pauseRetrySpread))
+	return &refusal
+}
--- a/dispatch/self_reports_test.go
+++ b/dispatch/self_reports_test.go
@@ -15,12 +15,20 @@
 	"github.com/balsamlb/balsamlb/backend"
 	"github.com/balsamlb/balsamlb/fleet"
 	"github.com/balsamlb/balsamlb/internal/emulate"
+	"github.com/balsamlb/balsamlb/outcome"
 	"github.com/balsamlb/balsamlb/settings"
 	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
 	"github.com/matryer/is"
 )
 
+// turnAway refuses a call with a Retry-After header.
+func turnAway(w http.ResponseWriter, retryAfter string) {
+	w.Header().Set(backend.HeaderRetryAfter, retryAfter)
+	w.Header().Set(backend.HeaderOutcome, backend.OutcomeNotRun)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // Guards against calls to a server that has said in an answer that it leaves.
 func TestNoCallReachesServerThatSaysItLeaves(t *testing.T) {
 	is := is.New(t)
@@ -47,6 +55,55 @@
 	is.True(!slices.ContainsFunc(d.available(), func(s fleet.BackendServer) bool { return s.Name == "leaving" }))
 }
 
+// Guards against calls during the pause that a server has asked for, and against callers that are told to
+// return before its end.
+func TestServerThatWantsNothingGetsNothing(t *testing.T) {
+	is := is.New(t)
+	var arrivals atomic.Int64
+	pausing := startPlainServer(t, "pausing", func(w http.ResponseWriter, _ *http.Request) {
+		arrivals.Add(1)
+		turnAway(w, "30")
+	})
+	d := newPlainDispatcher(pausing)
+	var group sync.WaitGroup
+	_, refusal := d.Call(t.Context(), stockCall("first"))
+	is.True(refusal != nil)
+	for i := range 8 {
+		group.Go(func() {
+			for k := range 20 {
+				_, refusal := d.Call(t.Context(), stockCall(strconv.Itoa(i)+" "+strconv.Itoa(k)))
+				if refusal == nil || refusal.Outcome != outcome.NotRun || refusal.RetryAfter < 20*time.Second || refusal.RetryAfter > 31*time.Second {
+					t.Errorf("refusal %+v", refusal)
+				}
+			}
+		})
+	}
+	group.Wait()
+	is.Equal(arrivals.Load(), int64(1))
+}
+
+// Guards against the refusal of calls that could be served after a short pause, and against a server that
+// gets nothing any more after it.
+func TestServerGetsCallsAgainAfterItsPause(t *testing.T) {
+	is := is.New(t)
+	var arrivals atomic.Int64
+	d := newPlainDispatcher(startPlainServer(t, "a", func(w http.ResponseWriter, _ *http.Request) {
+		if arrivals.Add(1) == 1 {
+			turnAway(w, "0.1")
+			return
+		}
+		_, _ = w.Write([]byte("served"))
+	}))
+	_, refusal := d.Call(t.Context(), stockCall("first"))
+	is.True(refusal != nil) // no other server
+	for i := range 20 {
+		answer, refusal := d.Call(t.Context(), stockCall(strconv.Itoa(i)))
+		is.True(refusal == nil)
+		is.Equal(string(answer.Body), "served")
+	}
+	is.Equal(d.selfReports.reports.Len(), 0)
+}
+
 // changingFleet is a fleet that changes during a test.
 type changingFleet struct {
 	mu      sync.Mutex
@@ -196,3 +253,26 @@
 	}
 	is.Equal(log.chosen("leaving"), before)
 }
+
+// Guards against new drafts on an engine during the pause that it has asked for.
+func TestNoDraftReachesEngineThatWantsNothing(t *testing.T) {
+	is := is.New(t)
+	servers := startEngines(t, "pausing", "free")
+	is.NoErr(emulate.SetFault(servers[0].Address, emulate.Fault{Kind: emulate.FaultRefuse, Millis: 30_000}))
+	time.Sleep(50 * time.Millisecond) // the fault takes effect a little later
+	log := &choiceLog{}
+	d := New("kandy-1", "kandy", fixedFleet(servers), nil, noCredits{}, funcr.New(log.add, funcr.Options{}))
+	for i := 0; log.chosen("pausing") == 0; i++ {
+		is.True(runDraft(t, d, "first "+strconv.Itoa(i)).Done)
+	}
+	for i := range 20 {
+		is.True(runDraft(t, d, strconv.Itoa(i)).Done)
+	}
+	is.Equal(log.chosen("pausing"), 1)
+	// Without another engine, callers learn when to return.
+	d = New("kandy-2", "kandy", fixedFleet(servers[:1]), nil, noCredits{}, logr.Discard())
+	is.True(runDraft(t, d, "alone 1").Err != nil)
+	refusal := runDraft(t, d, "alone 2").Err
+	is.Equal(refusal.Outcome, outcome.NotRun)
+	is.True(refusal.RetryAfter > 20*time.Second)
+}
--- a/internal/emulate/fault.go
+++ b/internal/emulate/fault.go
@@ -28,7 +28,8 @@
 	FaultSlowLink FaultKind = "slow_link"
 	// FaultCrashOn crashes the server when it opens a stage whose prompt contains Content.
 	FaultCrashOn FaultKind = "crash_on"
-	// FaultRefuse refuses stages and calls before they run, with the outcome not_run.
+	// FaultRefuse refuses stages and calls before they run, with the outcome not_run. With Millis the
+	// server asks for a pause of that time.
 	FaultRefuse FaultKind = "refuse"
 	// FaultLeavingInAnswers makes the server say that it leaves in its responses, but not in its
 	// announcements.
@@ -64,7 +65,8 @@
 	Factor float64 `json:"factor,omitempty"`
 	// Content is the text in a prompt at which FaultCrashOn crashes the server.
 	Content string `json:"content,omitempty"`
-	// Millis is the time in milliseconds by which FaultLate delays each frame.
+	// Millis is the time in milliseconds by which FaultLate delays each frame, or that FaultRefuse
+	// states in Retry-After.
 	Millis int `json:"millis,omitempty"`
 }
 
--- a/internal/emulate/requests.go
+++ b/internal/emulate/requests.go
@@ -105,6 +105,7 @@
 	refuse, loseAnswer := e.callFaults.nextCall()
 	if refuse || e.faults.has(FaultRefuse) {
 		refuseCall(ctx, fasthttp.StatusServiceUnavailable, "the server is busy")
+		e.askForPause(ctx)
 		return
 	}
 	request := string(ctx.Request.Header.Peek(backend.HeaderRequest))
--- a/internal/emulate/stage.go
+++ b/internal/emulate/stage.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"strconv"
 	"strings"
 	"time"
 
@@ -31,6 +32,7 @@
 	}
 	if e.faults.has(FaultRefuse) {
 		refuse(ctx)
+		e.askForPause(ctx)
 		return
 	}
 	e.faults.crashOnPrompt(open.Prompt)
@@ -55,6 +57,13 @@
 	ctx.Response.Header.Set(backend.HeaderOutcome, "not_run")
 }
 
+// askForPause adds the pause that FaultRefuse states to a refusal.
+func (e *engine) askForPause(ctx *fasthttp.RequestCtx) {
+	if x, ok := e.faults.get(FaultRefuse); ok && x.Millis > 0 {
+		ctx.Response.Header.Set(backend.HeaderRetryAfter, strconv.FormatFloat(float64(x.Millis)/1000, 'f', -1, 64))
+	}
+}
+
 // waitForLink waits for the transfer time from the upstream server and linkMargin, so that tokens
 // that are still on the way arrive.
 func (e *engine) waitForLink(open backend.OpenStageRequest) {
--- a/selfreport/pause_test.go
+++ b/selfreport/pause_test.go
@@ -1,6 +1,7 @@
 package selfreport
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -130,3 +131,22 @@
 	is.True(!ok)
 	is.Equal(len(r.Announced(start, ready(again, 1))), 2)
 }
+
+func TestParsePause(t *testing.T) {
+	is := is.New(t)
+	for stated, want := range map[string]PauseRequest{
+		"3":                             {IsReadable: true, Duration: 3 * time.Second},
+		" 0.25 ":                        {IsReadable: true, Duration: 250 * time.Millisecond},
+		"0":                             {IsReadable: true},
+		"-2":                            {IsReadable: true, Duration: -2 * time.Second},
+		"1e400":                         {IsReadable: true, Duration: maxSeconds * time.Second},
+		"NaN":                           {},
+		"":                              {},
+		"tomorrow":                      {},
+		"Fri, 04 Dec 2026 08:00:00 GMT": {},
+	} {
+		want.Stated = stated
+		is.Equal(ParsePause(stated), want)
+	}
+	is.Equal(len(ParsePause(strings.Repeat("x", 1000)).Stated), maxStatedBytes)
+}
