gateway: leaving heard in the answer to a report or an order counts as well

What callers saw: nothing; a server says that it leaves in all its answers, also in those to a gateway's questions about stalled drafts and to its orders, and these answers were not looked at.

Change: platform.Servers passes the address of such a server on, and the gateway records it with the source "report or order".

--- a/daemon/member.go
+++ b/daemon/member.go
@@ -82,6 +82,7 @@
 	if err != nil {
 		return err
 	}
+	servers := platform.NewServers(upstream.NewClient())
 	gw := gateway.New(gateway.Options{
 		Name:          s.Name,
 		DataCentre:    s.DataCentre,
@@ -92,7 +93,7 @@
 
 		Mesh:        m.mesh,
 		HeaderCodec: platform.HeaderCodec{},
-		Orders:      platform.NewServers(upstream.NewClient()),
+		Orders:      servers,
 		Seed:        xxhash.Sum64String(s.Name),
 		Log:         log.WithName("gateway"),
 
@@ -101,6 +102,7 @@
 		RetryRatio:   s.RetryRatio,
 		RetryReserve: s.RetryReserve,
 	})
+	servers.OnLeaving = gw.RecordLeaving
 	taskCtx, stopTasks := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopTasks()
 	g, taskCtx := errgroup.WithContext(taskCtx)
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -28,6 +28,7 @@
 type fleet struct {
 	t       *testing.T
 	mesh    *mesh.Mesh
+	gateway *gateway.Gateway
 	front   *httptest.Server
 	mu      sync.Mutex
 	arrived []string
@@ -89,6 +90,7 @@
 		Name: "g", DataCentre: "a", ListenAddress: "127.0.0.1:0", GracePeriod: time.Second, Mesh: m,
 		ShutdownDelay: time.Millisecond, HeaderCodec: platform.HeaderCodec{}, Orders: f.orders, Registry: prometheus.NewRegistry(), RetryRatio: 1, RetryReserve: 100, Log: logr.Discard(),
 	})
+	f.gateway = g
 	f.front = httptest.NewServer(g)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/gateway/self_reports.go
+++ b/gateway/self_reports.go
@@ -102,6 +102,15 @@
 	}
 }
 
+// RecordLeaving records that the server at an address has said, in its answer to a report or an order, that
+// it leaves. It is safe for concurrent use.
+func (g *Gateway) RecordLeaving(address string) {
+	v := g.view.Load()
+	if id := v.byAddress[address]; id != "" {
+		g.recordLeaving(v, v.server(id), selfreport.Source{Kind: "report or order"})
+	}
+}
+
 func (g *Gateway) recordLeaving(v *view, server selfreport.Server, source selfreport.Source) {
 	now := time.Now()
 	newest := v.announcement(server.ID)
--- a/gateway/self_reports_test.go
+++ b/gateway/self_reports_test.go
@@ -272,3 +272,16 @@
 	isOther.Store(false)
 	is.Equal(f.get("/check/", nil).body, "a")
 }
+
+// Guards against new requests to a server that has said that it leaves in its answer to a report.
+func TestLeavingHeardInAReportCounts(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	address := f.serve("a", "desk", 0, 0, func(c net.Conn, _ *http.Request) { reply(c, 200, "a") })
+	f.publish()
+	is.Equal(f.get("/check/", nil).body, "a")
+	f.gateway.RecordLeaving("127.0.0.1:1") // an unknown address
+	is.Equal(f.get("/check/", nil).body, "a")
+	f.gateway.RecordLeaving(address)
+	is.Equal(f.get("/check/", nil).status, http.StatusServiceUnavailable)
+}
