selfreport: a server that was full isn't filled up again right after its pause

What callers saw: with servers that ask for time at twice their capacity, most calls failed: the servers were idle during their pauses and full again some 100 ms after each, since a pause was forgotten after eight requests that were served.

Change: after a pause the unanswered requests of this instance are limited to 0.7 of those at the refusal, or its share of the announced slots if that is more; the limit is back after four pauses, and is forgotten after 30 s.

What is missing is the time in which servers want nothing.

--- a/dispatch/self_reports.go
+++ b/dispatch/self_reports.go
@@ -66,6 +66,8 @@
 	}
 	now, server := time.Now(), reporterOf(s)
 	source := selfreport.Source{Kind: "answer", Request: request}
+	// Asked before sr.mu is taken, since choices hold the other lock first.
+	load := selfreport.Load{Unanswered: d.InFlight(s.Name) + 1, Share: s.Slots / d.instances()}
 	sr := d.selfReports
 	sr.mu.Lock()
 	defer sr.mu.Unlock()
@@ -82,12 +84,20 @@
 	if !said.HasPause {
 		return
 	}
-	if p := sr.reports.AddPause(now, server, source, said.Pause, sr.random.Float64()); p.IsNew {
+	if p := sr.reports.AddPause(now, server, source, said.Pause, load, sr.random.Float64()); p.IsNew {
 		d.log.Info("a backend server wants no requests for a time", "server", s.Name, "incarnation", s.Incarnation, "source", source.Kind,
 			"request", request, "stated", said.Pause.Stated, "seconds", p.Duration.Seconds(), "is_bounded", p.IsBounded)
 	}
 }
 
+// instances returns the number of instances that share the backend servers.
+func (d *Dispatcher) instances() int {
+	if lister, ok := d.fleet.(InstanceLister); ok {
+		return max(1, len(lister.LiveInstances()))
+	}
+	return 1
+}
+
 // beginTrial records that a request is sent to a server. It returns false if the server has said, since
 // it was chosen, that it takes no requests. The trials must be passed to endTrial.
 func (d *Dispatcher) beginTrial(s fleet.BackendServer) ([]selfreport.Trial, bool) {
--- a/gateway/pause_line.go
+++ b/gateway/pause_line.go
@@ -14,8 +14,9 @@
 	// maxPauseWait bounds how long a plain request waits for a server that wants nothing for a time. A
 	// request that would wait longer is refused at once.
 	maxPauseWait = capacityWait
-	// maxPauseWaiters bounds the plain requests of one service that wait so.
-	maxPauseWaiters = 64
+	// maxPauseWaiters bounds the plain requests of one service that wait so: most of them should get a
+	// server within maxPauseWait.
+	maxPauseWaiters = 16
 	// pauseRecheck is the longest time between two looks of the first request of a line for a server.
 	pauseRecheck = 5 * time.Millisecond
 	// pauseRetrySpread spreads the Retry-After delays of callers that are refused because servers want
@@ -139,14 +140,14 @@
 }
 
 // pauseRetry returns the Retry-After delay of a refused plain request if all servers want nothing: the
-// time until the first of them may get it. Otherwise it returns 0.
+// time until the first of them may get it. It returns 0 if that is at most busyRetry or not known.
 func (g *Gateway) pauseRetry(j *job) time.Duration {
 	if g.selfReports.count.Load() == 0 {
 		return 0
 	}
 	now := time.Now()
 	at, ok := g.nextFree(j, nil, now)
-	if !ok || !at.After(now) {
+	if !ok || at.Sub(now) <= busyRetry {
 		return 0
 	}
 	return g.spreadRetry(at.Sub(now))
--- a/gateway/self_reports.go
+++ b/gateway/self_reports.go
@@ -95,10 +95,10 @@
 	if !rh.HasPause {
 		return
 	}
-	g.recordPause(server, source, rh.Pause)
+	g.recordPause(v, server, source, rh.Pause)
 	// The answer doesn't say whether the first server of the path or the one that it names asks.
 	if fault := v.byAddress[rh.FaultAddress]; fault != "" && fault != server.ID {
-		g.recordPause(v.server(fault), source, rh.Pause)
+		g.recordPause(v, v.server(fault), source, rh.Pause)
 	}
 }
 
@@ -120,9 +120,15 @@
 	}
 }
 
-func (g *Gateway) recordPause(server selfreport.Server, source selfreport.Source, p selfreport.PauseRequest) {
+func (g *Gateway) recordPause(v *view, server selfreport.Server, source selfreport.Source, p selfreport.PauseRequest) {
 	now, random := time.Now(), g.randomFloat()
-	paused := update(g.selfReports, func(r *selfreport.Reports) selfreport.Paused { return r.AddPause(now, server, source, p, random) })
+	load := selfreport.Load{Unanswered: g.usage.requests(server.ID)}
+	if a := v.servers[server.ID]; a != nil {
+		load.Share = a.Slots / g.options.Mesh.Gateways()
+	}
+	paused := update(g.selfReports, func(r *selfreport.Reports) selfreport.Paused {
+		return r.AddPause(now, server, source, p, load, random)
+	})
 	if paused.IsNew {
 		g.options.Log.Info("a backend server wants no requests for a time", "server", server.ID, "incarnation", server.Incarnation,
 			"source", source.Kind, "request", source.Request, "stated", p.Stated, "seconds", paused.Duration.Seconds(), "is_bounded", paused.IsBounded)
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -100,6 +100,14 @@
 	}
 }
 
+// requests returns the number of this instance's requests on a server: plain ones, and drafts of whose
+// paths it is the first server.
+func (u *usage) requests(id string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.running[id] + u.local[id].Heads
+}
+
 // recordLoad records the load that a server reported.
 func (u *usage) recordLoad(id string, rh ResponseHeader, now time.Time) {
 	if !rh.HasLoad {
--- a/selfreport/pause.go
+++ b/selfreport/pause.go
@@ -16,11 +16,17 @@
 	// most maxSpread, so that the instances don't return at the same moment.
 	spreadPart = 0.1
 	maxSpread  = 500 * time.Millisecond
-	// trialInterval is the time after which another trial request is sent though the one before has
-	// not been answered yet.
+	// trialInterval is the time after which another request is sent though those before have not been
+	// answered yet.
 	trialInterval = 500 * time.Millisecond
-	// maxTrials is the number of unanswered requests at which the server counts as recovered.
-	maxTrials = 8
+	// soon is when a server that has as many unanswered requests as it may have is asked about again.
+	soon = 10 * time.Millisecond
+	// ceilingPart is the part of the unanswered requests at a refusal that the server may have
+	// afterwards. Without another refusal it has as many as before after growthPauses times the pause.
+	ceilingPart  = 0.7
+	growthPauses = 4
+	// rememberFor is how long after the end of a pause the number of unanswered requests is limited.
+	rememberFor = 30 * time.Second
 )
 
 // PauseRequest is what a server has asked for.
@@ -42,22 +48,29 @@
 }
 
 // pause is the report of a server that it wants no requests for a time. Afterwards the server gets one
-// trial request first, and then more with each one that it answers.
+// trial request first, and one more at the same time with each that it takes, up to a ceiling: otherwise it
+// would be full again at once, and ask for the next pause.
 type pause struct {
 	source Source
 	since  time.Time
 	// until is the end that the server has asked for, and returnAt that of this instance's return.
 	until    time.Time
 	returnAt time.Time
+	// isOver means that the server has taken a request since.
+	isOver bool
 
-	// generation counts the pauses, so that the answer to an earlier trial has no effect on a later
+	// generation counts the pauses, so that the answer to an earlier request has no effect on a later
 	// pause.
 	generation int
-	// trials is the number of unanswered requests that were sent since returnAt, and limit the number
-	// that is allowed.
-	trials      int
-	limit       int
-	lastTrialAt time.Time
+	// unanswered is the number of unanswered requests that were sent since returnAt, and limit the
+	// number that is allowed, at most ceiling.
+	unanswered int
+	limit      int
+	lastSentAt time.Time
+	ceiling    int
+	// growthInterval is the time after which the ceiling grows, and grownAt when it last changed.
+	growthInterval time.Duration
+	grownAt        time.Time
 }
 
 // Paused describes a pause that has begun.
@@ -69,34 +82,55 @@
 	IsBounded bool
 }
 
+// Load is this instance's load on a server that asks for a pause.
+type Load struct {
+	// Unanswered is the number of unanswered requests, including the refused one.
+	Unanswered int
+	// Share is this instance's share of the server's slots, which it may always use after the pause.
+	Share int
+}
+
+// ceiling returns how many unanswered requests the server may have after the pause.
+func (l Load) ceiling() int { return max(1, l.Share, int(ceilingPart*float64(l.Unanswered))) }
+
 // AddPause records that a server has asked for a pause. random spreads the end of the pause; it is at
 // least 0 and less than 1. A pause doesn't become shorter by a later answer, which may be older.
-func (r *Reports) AddPause(now time.Time, s Server, source Source, p PauseRequest, random float64) Paused {
+func (r *Reports) AddPause(now time.Time, s Server, source Source, request PauseRequest, load Load, random float64) Paused {
 	x := r.heard(now, s)
 	if x == nil {
 		return Paused{}
 	}
-	d, isBounded := p.bounded()
+	d, isBounded := request.bounded()
 	result := Paused{IsNew: x.pause == nil || !now.Before(x.pause.until), Duration: d, IsBounded: isBounded}
-	until := now.Add(d)
 	if x.pause == nil {
-		x.pause = &pause{source: source, since: now}
+		x.pause = &pause{}
 	}
+	p := x.pause
 	if result.IsNew {
-		x.pause.source, x.pause.since = source, now
+		p.source, p.since, p.isOver = source, now, false
+		p.ceiling = load.ceiling()
+		p.growthInterval = growthPauses * d / time.Duration(max(1, load.Unanswered-p.ceiling))
 	}
-	if until.After(x.pause.until) {
-		x.pause.until = until
-		x.pause.returnAt = until.Add(time.Duration(random * float64(min(maxSpread, time.Duration(spreadPart*float64(d))))))
+	if until := now.Add(d); until.After(p.until) {
+		p.until = until
+		p.returnAt = until.Add(time.Duration(random * float64(min(maxSpread, time.Duration(spreadPart*float64(d))))))
+		p.grownAt = p.returnAt
 	}
-	x.pause.generation++
-	x.pause.trials, x.pause.limit, x.pause.lastTrialAt = 0, 1, time.Time{}
+	p.generation++
+	p.unanswered, p.limit, p.lastSentAt = 0, 1, time.Time{}
 	return result
 }
 
 // takes reports whether the server may get a request now.
 func (p *pause) takes(now time.Time) bool {
-	return !now.Before(p.returnAt) && (p.trials < p.limit || now.Sub(p.lastTrialAt) >= trialInterval)
+	switch {
+	case now.Before(p.returnAt):
+		return false
+	case p.unanswered < min(p.limit, p.ceiling) || now.Sub(p.lastSentAt) >= trialInterval:
+		return true
+	default:
+		return p.isOver && now.Sub(p.returnAt) >= rememberFor
+	}
 }
 
 // next returns when the server may get a request, as far as is known now.
@@ -107,7 +141,16 @@
 	case p.takes(now):
 		return now
 	default:
-		return p.lastTrialAt.Add(trialInterval)
+		return now.Add(soon)
+	}
+}
+
+// served records that the server has taken a request that was sent after the pause.
+func (p *pause) served(now time.Time) {
+	p.limit++
+	if now.Sub(p.grownAt) >= p.growthInterval {
+		p.ceiling++
+		p.grownAt = now
 	}
 }
 
@@ -145,7 +188,7 @@
 }
 
 // Begin records that a request is sent to servers, all of which take requests. It returns the trials
-// among them, each of which must be passed to Done.
+// among them, which must be passed to Done.
 func (r *Reports) Begin(now time.Time, servers ...Server) []Trial {
 	var trials []Trial
 	for _, s := range servers {
@@ -153,15 +196,15 @@
 		if x == nil || x.pause == nil {
 			continue
 		}
-		x.pause.trials++
-		x.pause.lastTrialAt = now
+		x.pause.unanswered++
+		x.pause.lastSentAt = now
 		trials = append(trials, Trial{server: s, generation: x.pause.generation})
 	}
 	return trials
 }
 
-// Done records the end of trials. isServed means that the servers have taken the request; a server that
-// has served several counts as recovered.
+// Done records the end of trials. isServed means that the servers have taken the request, which ends
+// their pauses.
 func (r *Reports) Done(now time.Time, trials []Trial, isServed bool) []End {
 	var ends []End
 	for _, t := range trials {
@@ -169,14 +212,14 @@
 		if x == nil || x.pause == nil || x.pause.generation != t.generation {
 			continue
 		}
-		x.pause.trials--
+		x.pause.unanswered--
 		if !isServed {
 			continue
 		}
-		if x.pause.limit++; x.pause.limit > maxTrials {
+		x.pause.served(now)
+		if !x.pause.isOver {
+			x.pause.isOver = true
 			ends = append(ends, x.pause.end(now, t.server, "serves again"))
-			x.pause = nil
-			r.removeEmpty(t.server.ID)
 		}
 	}
 	return ends
--- a/selfreport/selfreport.go
+++ b/selfreport/selfreport.go
@@ -224,11 +224,15 @@
 func (r *Reports) RemoveExpired(now time.Time) []End {
 	var ends []End
 	for id, x := range r.servers {
-		if now.Sub(x.heardAt) < forgetAfter {
+		if x.pause != nil && x.pause.isOver && now.Sub(x.pause.returnAt) >= rememberFor {
+			x.pause = nil
+		}
+		if now.Sub(x.heardAt) >= forgetAfter {
+			delete(r.servers, id)
+			ends = append(ends, x.ends(now, id, "was heard long ago")...)
 			continue
 		}
-		delete(r.servers, id)
-		ends = append(ends, x.ends(now, id, "was heard long ago")...)
+		r.removeEmpty(id)
 	}
 	slices.SortFunc(ends, func(a, b End) int { return strings.Compare(a.Server.ID, b.Server.ID) })
 	return ends
@@ -246,7 +250,7 @@
 	if x.leaving != nil {
 		ends = append(ends, x.leaving.end(now, Server{id, x.incarnation}, why))
 	}
-	if x.pause != nil {
+	if x.pause != nil && !x.pause.isOver {
 		ends = append(ends, x.pause.end(now, Server{id, x.incarnation}, why))
 	}
 	return ends
