--- a/daemon/member.go
+++ b/daemon/member.go
@@ -94,6 +94,7 @@
 		Mesh:        m.mesh,
 		HeaderCodec: platform.HeaderCodec{},
 		Orders:      servers,
+		Identify:    servers.Identify,
 		Seed:        xxhash.Sum64String(s.Name),
 		Log:         log.WithName("gateway"),
 
@@ -101,6 +102,7 @@
 
 		RetryRatio:   s.RetryRatio,
 		RetryReserve: s.RetryReserve,
+		RetryWindow:  s.RetryWindow,
 	})
 	servers.OnLeaving = gw.RecordLeaving
 	taskCtx, stopTasks := context.WithCancel(context.WithoutCancel(ctx))
--- a/dispatch/draft_conn.go
+++ b/dispatch/draft_conn.go
@@ -61,7 +61,7 @@
 		return
 	}
 	defer c.Close()
-	if !run.addConn(conn, open.Chain[open.Stage].Server, c) {
+	if !run.addConn(conn, server.Name, c) {
 		return
 	}
 	for {
@@ -70,7 +70,7 @@
 			run.reportEnd(connEvent{conn: conn, reason: failureReason(err, pipeline.ReasonClosed), err: err})
 			return
 		}
-		if run.inbox.Push(run.ctx, connEvent{conn: conn, frame: f}) != nil || f.Kind == backend.FrameEnd {
+		if run.inbox.Push(run.ctx, connEvent{conn: conn, server: server.Name, frame: f}) != nil || f.Kind == backend.FrameEnd {
 			return
 		}
 	}
@@ -136,7 +136,7 @@
 			Request: run.r.ID, Attempt: a.Attempt, Index: a.Index, Previous: a.Previous,
 		})
 		if err != nil {
-			run.reportEnd(connEvent{conn: a.Conn, reason: pipeline.ReasonDial, err: err})
+			run.reportEnd(connEvent{conn: a.Conn, reason: failureReason(err, pipeline.ReasonDial), err: err})
 		}
 		return nil
 	})
--- a/gateway/draft_path.go
+++ b/gateway/draft_path.go
@@ -11,8 +11,8 @@
 )
 
 // awaitPath returns the best path for the draft. If no path has capacity, it waits. New drafts wait
-// up to capacityWait, at most maxCapacityWaiters of them at a time. A started stream waits until
-// resumeWait has passed since its last event.
+// up to capacityWait, at most maxCapacityWaiters of them at a time. A started stream waits until its
+// deadline.
 func (g *Gateway) awaitPath(ctx context.Context, d *draft) (layers.Path, bool) {
 	path, ok := g.findNewPath(d)
 	if ok {
@@ -25,7 +25,7 @@
 		return nil, false
 	}
 	if d.isStarted.Load() {
-		return g.pollPath(ctx, d, resumePollInterval, resumeWait-d.idleTime())
+		return g.pollPath(ctx, d, resumePollInterval, time.Until(d.deadline))
 	}
 	defer g.waiters.Add(-1)
 	if g.waiters.Add(1) > maxCapacityWaiters {
@@ -115,22 +115,25 @@
 	defer s.mu.Unlock()
 	g.usage.apply(s.paths, g.options.Mesh.PeerUsage())
 	avoided := d.avoidedHeads()
-	avoid := func(id string) bool {
-		if id == head.ID {
-			return false
-		}
-		return g.isExcluded(v, now, id) || g.isHeldBack(d.job, v, now, id) || slices.Contains(avoided, id)
+	heldBack := func(id string) bool { return id != head.ID && g.isHeldBack(d.job, v, now, id) }
+	failed := func(id string) bool {
+		return id != head.ID && (g.isExcluded(v, now, id) || slices.Contains(avoided, id))
 	}
-	path, _, ok := s.paths.Find(layers.Query{
+	query := layers.Query{
 		Draft:   d.size,
 		Home:    g.options.DataCentre,
 		Head:    head,
-		Avoid:   avoid,
+		Avoid:   func(id string) bool { return failed(id) || heldBack(id) },
 		Started: d.isStarted.Load(),
 		PipeWait: func(from, to string) time.Duration {
 			return g.linkTraffic.wait(now, from, to)
 		},
-	})
+	}
+	path, _, ok := s.paths.Find(query)
+	if !ok && g.faults.hasAnswering() {
+		query.Avoid = func(id string) bool { return failed(id) && !g.faults.isAnswering(id) || heldBack(id) }
+		path, _, ok = s.paths.Find(query)
+	}
 	if ok {
 		// Done under the same lock, so that concurrent searches don't all choose the same link
 		// between data centres.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -49,7 +49,8 @@
 		LastEvent: lastEvent,
 		Priority:  j.priority,
 	})
-	j.sends++
+	j.sends.Add(1)
+	j.attempts.Add(1)
 	servers := g.view.Load().serversOf(id, path)
 	var trials []selfreport.Trial
 	started := time.Now()
@@ -73,22 +74,24 @@
 	})
 	if err != nil {
 		g.endTrials(trials, false)
-		switch {
-		case errors.Is(err, errHeldBack):
-			j.sends--
-		case !errors.Is(err, upstream.ErrNotSent):
-			j.attempts++
-			j.mayHaveRun = true
+		if errors.Is(err, errHeldBack) {
+			j.sends.Add(-1)
+		}
+		if errors.Is(err, upstream.ErrNotSent) {
+			j.attempts.Add(-1)
+		} else {
+			j.mayHaveRun.Store(true)
 		}
 		return nil, ResponseHeader{}, err
 	}
 	rh := g.options.HeaderCodec.ParseResponse(resp.Status, resp.Header)
 	g.recordSelfReport(j, servers[0], resp.Status, rh)
 	g.endTrials(trials, !rh.NotRun && resp.Status != http.StatusServiceUnavailable)
-	if !rh.NotRun { // a rejection may come from another server at the address
+	if rh.NotRun { // a rejection may come from another server at the address
+		j.attempts.Add(-1)
+	} else {
 		g.recordAlive(started, id, "answers")
-		j.attempts++
-		j.mayHaveRun = true
+		j.mayHaveRun.Store(true)
 	}
 	return resp, rh, nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,10 +59,14 @@
 	HeaderCodec   HeaderCodec
 	// Orders queries the servers about stalled drafts and reroutes drafts.
 	Orders Orders
+	// Identify returns the incarnation of the server that answers at an address. It must be safe for
+	// concurrent use. If it is nil, unresponsive servers are not asked whether they answer again.
+	Identify func(ctx context.Context, address string) (incarnation int64, err error)
 	// RetryRatio is the number of retries that each request adds to the budget. RetryReserve is
-	// the number of further retries that all gateways together may send at once.
+	// the number of further retries that all gateways together may send in each RetryWindow.
 	RetryRatio   float64
 	RetryReserve float64
+	RetryWindow  time.Duration
 	Seed         uint64
 	// Registry is where the gateway registers its metrics.
 	Registry prometheus.Registerer
@@ -76,7 +80,7 @@
 	view         atomic.Pointer[view]
 	usage        *usage
 	faults       *serverFaults
-	running      *runningDrafts
+	running      *runningAttempts
 	linkTraffic  *linkTraffic
 	evidence     *mesh.CrashEvidence
 	lost         *lostRuns
@@ -85,6 +89,7 @@
 	pauseLines   *pauseLines
 	stallReports *stallReports
 	probes       *probes
+	pauses       *pauseDetector
 	inFlight     atomic.Int64
 	leaving      atomic.Bool
 	// waiters counts the new drafts that wait for capacity.
@@ -95,8 +100,10 @@
 	rng     *rand.Rand
 	health  *retry.Health
 	budgets *retry.Budgets
-	// budgetShares is the number of gateways that the retry reserve is divided among.
-	budgetShares int
+	// retryShares is the number of gateways that the retry reserve is divided among, and loggedShares
+	// the one that was logged last.
+	retryShares  retry.Shares
+	loggedShares int
 }
 
 // New returns a gateway; Run starts to serve callers.
@@ -106,7 +113,7 @@
 		client:       upstream.NewClient(),
 		usage:        newUsage(),
 		faults:       newServerFaults(),
-		running:      newRunningDrafts(),
+		running:      newRunningAttempts(),
 		linkTraffic:  &linkTraffic{links: layers.NewPipes()},
 		evidence:     o.Mesh.CrashEvidence(),
 		lost:         newLostRuns(),
@@ -115,11 +122,13 @@
 		pauseLines:   newPauseLines(),
 		stallReports: newStallReports(o.Orders.StallingServers),
 		probes:       &probes{probedAt: make(map[string]time.Time)},
+		pauses:       &pauseDetector{},
 		metrics:      metrics.NewGateway(o.Registry),
 		rng:          rand.New(rand.NewPCG(o.Seed, 1)),
 		health:       retry.NewHealth(),
 		budgets:      retry.NewBudgets(),
 	}
+	g.updateRetryBudget(time.Now())
 	g.client.OnDial = func() { g.metrics.Dials.WithLabelValues().Inc() }
 	g.view.Store(newView(o.Mesh.Snapshot()))
 	o.Mesh.SetLocalUsage(g.usage.list)
@@ -254,15 +263,16 @@
 }
 
 // updateRetryBudget sets this instance's share of the retries that all gateways may send.
-func (g *Gateway) updateRetryBudget() {
-	gateways := g.options.Mesh.Gateways()
-	reserve := g.options.RetryReserve / float64(gateways)
+func (g *Gateway) updateRetryBudget(now time.Time) {
+	known := g.options.Mesh.Gateways()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.budgets.SetLimits(g.options.RetryRatio, reserve)
-	if gateways != g.budgetShares {
-		g.budgetShares = gateways
-		g.options.Log.Info("shares the retry reserve", "gateways", gateways, "reserve", reserve)
+	gateways, isSettled := g.retryShares.Update(now, known)
+	o := g.options
+	g.budgets.SetAllowance(retry.Allowance{Ratio: o.RetryRatio, Reserve: o.RetryReserve, Window: o.RetryWindow}, gateways, isSettled)
+	if gateways != g.loggedShares {
+		g.loggedShares = gateways
+		g.options.Log.Info("shares the retry reserve", "gateways", gateways, "reserve", o.RetryReserve/float64(gateways))
 	}
 }
 
@@ -277,7 +287,8 @@
 			return nil
 		case now := <-ticker.C:
 			g.options.Mesh.SetUnresponsive(g.listUnresponsive(now))
-			g.updateRetryBudget()
+			g.checkResponsive(ctx, now)
+			g.updateRetryBudget(now)
 			g.usage.removeExpired(now)
 			g.lost.removeExpired(now)
 			g.evidence.RemoveExpired(now)
@@ -304,24 +315,52 @@
 	service   *routing.Service
 	workspace string
 	priority  int
-	arrived   time.Time
-	deadline  time.Time
-	// attempts counts the sends in which the request may have run.
-	attempts int
+	// routing is the version of the routing document by which the request was admitted.
+	routing  uint64
+	arrived  time.Time
+	deadline time.Time
+	// attempts counts the sends in which the request may have run, including those in progress.
+	attempts atomic.Int32
 	// sends counts all sends, including those in which the request was not run.
-	sends int
+	sends atomic.Int32
 	// mayHaveRun means that some server may have run the request. The response must then not claim
 	// that the request was not run.
-	mayHaveRun bool
+	mayHaveRun atomic.Bool
 	// heldBack holds the reasons for which the request was kept from a server, so that each is
 	// counted once.
 	heldBack [selfreport.Verdicts]atomic.Bool
 
+	// runsMu guards endedRuns, the crashes that would end the servers of the sends that have failed
+	// after the request may have run.
+	runsMu    sync.Mutex
+	endedRuns []quarantine.Crash
+
 	fingerprintOnce sync.Once
 	content         quarantine.Fingerprint // valid once fingerprint has returned
 	crashes         requestCrashes
 }
 
+// addEndedRun records the server of a send that has failed after the request may have run there.
+func (j *job) addEndedRun(end quarantine.Crash) {
+	j.runsMu.Lock()
+	defer j.runsMu.Unlock()
+	j.endedRuns = append(j.endedRuns, end)
+}
+
+// countedAttempts returns the number of attempts that count against the route's limit: those on servers
+// that have crashed for certain don't.
+func (g *Gateway) countedAttempts(j *job) int {
+	j.runsMu.Lock()
+	defer j.runsMu.Unlock()
+	n := int(j.attempts.Load())
+	for _, end := range j.endedRuns {
+		if g.lost.isConfirmed(end) {
+			n--
+		}
+	}
+	return n
+}
+
 // ServeHTTP serves one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
@@ -360,6 +399,7 @@
 	if v.table == nil {
 		return j, &refusal{http.StatusServiceUnavailable, "no routing document is known yet", noRouteRetry}
 	}
+	j.routing = v.table.Version
 	j.route = v.table.Route(r.Host, r.URL.EscapedPath())
 	if j.route == nil {
 		return j, &refusal{http.StatusNotFound, "no route for this host and path", 0}
@@ -438,6 +478,14 @@
 	g.metrics.RequestSeconds.WithLabelValues().Observe(took.Seconds())
 	if status >= 400 || reason != "" {
 		g.options.Log.Info("request ended", "request", j.header.ID, "route", route, "status", status, "reason", reason,
-			"ms", took.Milliseconds(), "sends", j.sends)
+			"ms", took.Milliseconds(), "sends", j.sends.Load(), "attempts", j.attempts.Load(), "routing", j.routing, "routing_in_force", g.routingVersion())
+	}
+}
+
+// routingVersion returns the version of the routing document in force, or 0 if none is known.
+func (g *Gateway) routingVersion() uint64 {
+	if t := g.view.Load().table; t != nil {
+		return t.Version
 	}
+	return 0
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -328,6 +328,24 @@
 
 // A server that crashed may have run its draft, so the response must not say that it was not run.
 func TestDraftLostInCrashIsNotReportedAsNotRun(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.publish()
+	f.serve("e1", "advice", 0, 4, reset)
+	for _, path := range []string{"/once/1", "/advice/1"} {
+		before := len(f.arrivals())
+		var r result
+		f.until(func() bool {
+			r = f.send(http.MethodPost, path, nil, strings.NewReader("x"))
+			return len(f.arrivals()) > before
+		})
+		is.Equal(r.status, http.StatusBadGateway)
+	}
+}
+
+// A silent server may still run its draft, so the draft waits for it until the deadline, and the
+// response must not say that it was not run.
+func TestDraftOfSilentServerIsNotReportedAsNotRun(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t)
 	f.publish()
@@ -339,11 +357,25 @@
 		before := len(f.arrivals())
 		var r result
 		f.until(func() bool {
-			r = f.send(http.MethodPost, path, nil, strings.NewReader("x"))
+			r = f.send(http.MethodPost, path, map[string]string{"Balsamlb-Deadline-Ms": "1500"}, strings.NewReader("x"))
 			return len(f.arrivals()) > before
 		})
-		is.Equal(r.status, http.StatusBadGateway)
+		is.Equal(r.status, http.StatusGatewayTimeout)
+	}
+}
+
+// A send that was refused before it left the gateway has reached no server, so it must not use up the
+// retry budget.
+func TestRefusedConnectionsDoNotUseUpTheRetryBudget(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.publish()
+	for _, id := range []string{"e1", "e2", "e3"} {
+		f.serveRefusing(id, "desk")
 	}
+	f.serve("e4", "desk", 0, 0, func(c net.Conn, _ *http.Request) { reply(c, http.StatusOK, "done") })
+	f.until(func() bool { return len(f.mesh.Snapshot().Servers) == 4 })
+	is.Equal(f.get("/check/1", nil).status, http.StatusOK)
 }
 
 // If a stream breaks before its first event, the retry must not ask the server to resume it: there
@@ -480,3 +512,39 @@
 	send()
 	is.Equal(refused.Load(), int64(1))
 }
+
+// Guards against a begun stream that spends its sends on refusals for lack of room within a fraction of a
+// second, and is broken off although a server has room soon after.
+func TestBegunStreamOutlastsRefusalsForLackOfRoom(t *testing.T) {
+	const refusals = 8
+	is := is.New(t)
+	f := newFleet(t)
+	f.publish()
+	var sends atomic.Int64
+	h := func(c net.Conn, r *http.Request) {
+		switch n := sends.Add(1); {
+		case n == 1:
+			streamHeader(c)
+			chunk(c, event(1))
+			reset(c, nil)
+		case n <= 1+refusals:
+			notRun(c, http.StatusServiceUnavailable, "")
+		default:
+			streamHeader(c)
+			if r.Header.Get("Last-Event-Id") == "1" {
+				chunk(c, event(2))
+			}
+			_, _ = io.WriteString(c, "0\r\n\r\n")
+		}
+	}
+	f.serve("e1", "advice", 0, 4, h)
+	f.serve("e2", "advice", 0, 4, h)
+	var r result
+	f.until(func() bool {
+		r = f.send(http.MethodPost, "/advice/1", nil, strings.NewReader("x"))
+		return sends.Load() > 0
+	})
+	is.NoErr(r.err)
+	is.Equal(r.body, event(1)+event(2))
+	is.Equal(sends.Load(), int64(refusals+2))
+}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -28,12 +28,19 @@
 func (g *Gateway) servePlain(ctx context.Context, w http.ResponseWriter, j *job) {
 	g.recordRequest(j)
 	var tried []string
+	var silent []string // those of tried that have accepted no connection in time
 	for {
 		if f := g.checkContent(j); f != nil {
 			g.refuse(w, j, g.finalRefusal(ctx, j, f))
 			return
 		}
 		server := g.awaitServer(ctx, j, tried)
+		if server == nil && len(silent) > 0 {
+			// No other server is left, and these may accept connections by now.
+			tried = slices.DeleteFunc(tried, func(id string) bool { return slices.Contains(silent, id) })
+			silent = nil
+			server = g.pickServer(j, tried)
+		}
 		if server == nil {
 			g.refuse(w, j, g.noServerRefusal(ctx, j))
 			return
@@ -45,6 +52,9 @@
 		if f.ran || !g.wantsNothing(server) { // one that wants nothing for a time may be asked again
 			tried = append(tried, server.ID)
 		}
+		if errors.Is(f.err, upstream.ErrNotSent) && upstream.IsTimeout(f.err) {
+			silent = append(silent, server.ID)
+		}
 		f, goesOn := g.mayGoOn(ctx, j, f)
 		if !goesOn {
 			g.refuse(w, j, g.finalRefusal(ctx, j, f))
@@ -104,6 +114,7 @@
 // recordLostCall records a lost run of a plain request. If the caller left, the server is not probed.
 func (g *Gateway) recordLostCall(ctx context.Context, j *job, server *discovery.Announcement, err error) {
 	crash := quarantine.Crash{Server: server.ID, Incarnation: uint64(server.Incarnation)}
+	j.addEndedRun(crash)
 	if errors.Is(ctx.Err(), context.Canceled) {
 		g.addLostRun(j, crash)
 		return
@@ -119,7 +130,7 @@
 		g.recordHealth(server, false)
 		return &failure{reason: "the answer of " + server + " bears no mark", ran: true}
 	}
-	canRetry := j.route.MayRepeat() && j.attempts < j.route.MaxAttempts && j.sends < maxSends
+	canRetry := j.route.MayRepeat() && g.countedAttempts(j) < j.route.MaxAttempts && j.sends.Load() < maxSends
 	if resp.Status >= http.StatusInternalServerError && canRetry && g.allowRetry(j) {
 		g.recordHealth(server, false)
 		return &failure{reason: server + " failed", ran: true, err: errRetryAllowed}
@@ -132,19 +143,20 @@
 
 // mayRetry reports whether a request may be sent to another server after a failure.
 func (g *Gateway) mayRetry(ctx context.Context, j *job, f *failure) bool {
-	if ctx.Err() != nil || j.sends >= maxSends {
+	if ctx.Err() != nil || j.sends.Load() >= maxSends {
 		return false
 	}
-	if f.ran && (!j.route.MayRepeat() || j.attempts >= max(1, j.route.MaxAttempts)) {
+	if f.ran && (!j.route.MayRepeat() || g.countedAttempts(j) >= max(1, j.route.MaxAttempts)) {
 		return false
 	}
-	return errors.Is(f.err, errRetryAllowed) || g.allowRetry(j)
+	// A send that never left this process has used nothing of the budget.
+	return errors.Is(f.err, errRetryAllowed) || errors.Is(f.err, upstream.ErrNotSent) || g.allowRetry(j)
 }
 
 // finalRefusal returns the response to the caller after the last failure.
 func (g *Gateway) finalRefusal(ctx context.Context, j *job, f *failure) *refusal {
 	g.countQuarantined(f)
-	if !j.mayHaveRun {
+	if !j.mayHaveRun.Load() {
 		return &refusal{http.StatusServiceUnavailable, f.reason, cmp.Or(g.retryAfterCrash(j, f), f.retryAfter, g.pauseRetry(j), busyRetry)}
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -217,7 +229,24 @@
 	g.budgets.RecordRequest(time.Now(), g.budgetKey(j))
 }
 
+// allowRetry takes a retry from the budget, if there is one.
 func (g *Gateway) allowRetry(j *job) bool {
+	isAllowed := g.takeRetry(j)
+	if !isAllowed {
+		g.options.Log.Info("the retry budget is used up", "request", j.header.ID, "service", j.service.Name)
+	}
+	return isAllowed
+}
+
+// hasRetry reports whether the budget has a retry, and leaves it there.
+func (g *Gateway) hasRetry(j *job) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budgets.Has(time.Now(), g.budgetKey(j))
+}
+
+// takeRetry is allowRetry without a log line.
+func (g *Gateway) takeRetry(j *job) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.budgets.Allow(time.Now(), g.budgetKey(j))
