--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -86,7 +86,7 @@
 	lost         *lostRuns
 	suspects     *suspects
 	selfReports  *selfReports
-	pauseLines   *pauseLines
+	waitLines    *waitLines
 	stallReports *stallReports
 	probes       *probes
 	pauses       *pauseDetector
@@ -119,7 +119,7 @@
 		lost:         newLostRuns(),
 		suspects:     newSuspects(),
 		selfReports:  newSelfReports(),
-		pauseLines:   newPauseLines(),
+		waitLines:    newWaitLines(),
 		stallReports: newStallReports(o.Orders.StallingServers),
 		probes:       &probes{probedAt: make(map[string]time.Time)},
 		pauses:       &pauseDetector{},
--- a/gateway/pause_line.go
+++ b/gateway/wait_line.go
@@ -14,37 +14,37 @@
 	// maxPauseWait bounds how long a plain request waits for a server that wants nothing for a time. A
 	// request that would wait longer is refused at once.
 	maxPauseWait = capacityWait
-	// maxPauseWaiters bounds the plain requests of one service that wait so: most of them should get a
+	// maxLineLength bounds the plain requests of one service that wait so: most of them should get a
 	// server within maxPauseWait.
-	maxPauseWaiters = 16
-	// pauseRecheck is the longest time between two looks of the first request of a line for a server.
-	pauseRecheck = 5 * time.Millisecond
+	maxLineLength = 16
+	// lineRecheckInterval is the longest time between two looks of the first request of a line for a server.
+	lineRecheckInterval = 5 * time.Millisecond
 	// pauseRetrySpread spreads the Retry-After delays of callers that are refused because servers want
 	// nothing for a time.
 	pauseRetrySpread = 500 * time.Millisecond
 )
 
-// pauseLines holds the plain requests that wait for servers that want nothing for a time, by service, in
+// waitLines holds the plain requests that wait for servers that want nothing for a time, by service, in
 // the order of their arrival. It is safe for concurrent use.
-type pauseLines struct {
+type waitLines struct {
 	// count is the number of waiting requests, readable without the lock.
 	count atomic.Int64
 
 	mu    sync.Mutex
-	lines map[string][]*pauseTurn
+	lines map[string][]*waitTurn
 }
 
-// pauseTurn is the place of a request in a line.
-type pauseTurn struct {
+// waitTurn is the place of a request in a line.
+type waitTurn struct {
 	service string
 	// isFirst is closed when the request is the first of its line.
 	isFirst chan struct{}
 }
 
-func newPauseLines() *pauseLines { return &pauseLines{lines: make(map[string][]*pauseTurn)} }
+func newWaitLines() *waitLines { return &waitLines{lines: make(map[string][]*waitTurn)} }
 
 // hasWaiters reports whether requests of a service wait.
-func (l *pauseLines) hasWaiters(service string) bool {
+func (l *waitLines) hasWaiters(service string) bool {
 	if l.count.Load() == 0 {
 		return false
 	}
@@ -54,14 +54,14 @@
 }
 
 // join appends a request to the line of a service. It returns false if the line is full.
-func (l *pauseLines) join(service string) (*pauseTurn, bool) {
+func (l *waitLines) join(service string) (*waitTurn, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	line := l.lines[service]
-	if len(line) >= maxPauseWaiters {
+	if len(line) >= maxLineLength {
 		return nil, false
 	}
-	t := &pauseTurn{service: service, isFirst: make(chan struct{})}
+	t := &waitTurn{service: service, isFirst: make(chan struct{})}
 	if len(line) == 0 {
 		close(t.isFirst)
 	}
@@ -71,7 +71,7 @@
 }
 
 // leave removes a request from its line, which may be the turn of the next one.
-func (l *pauseLines) leave(t *pauseTurn) {
+func (l *waitLines) leave(t *waitTurn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	line := l.lines[t.service]
@@ -91,7 +91,7 @@
 // awaitServer returns a server for a plain request, or nil. If all servers want nothing, it waits in the
 // order of arrival, provided that the wait is short and ends before the deadline.
 func (g *Gateway) awaitServer(ctx context.Context, j *job, tried []string) *discovery.Announcement {
-	if !g.pauseLines.hasWaiters(j.service.Name) {
+	if !g.waitLines.hasWaiters(j.service.Name) {
 		if server := g.pickServer(j, tried); server != nil {
 			return server
 		}
@@ -101,11 +101,11 @@
 			return nil
 		}
 	}
-	turn, ok := g.pauseLines.join(j.service.Name)
+	turn, ok := g.waitLines.join(j.service.Name)
 	if !ok {
 		return nil
 	}
-	defer g.pauseLines.leave(turn)
+	defer g.waitLines.leave(turn)
 	ctx, cancel := context.WithTimeout(ctx, maxPauseWait)
 	defer cancel()
 	select {
@@ -115,7 +115,7 @@
 	}
 	server := g.pickServer(j, tried)
 	if server == nil {
-		poll(ctx, pauseRecheck, maxPauseWait, func() bool {
+		poll(ctx, lineRecheckInterval, maxPauseWait, func() bool {
 			server = g.pickServer(j, tried)
 			return server != nil
 		})
--- a/gateway/pause_line_test.go
+++ b/gateway/wait_line_test.go
@@ -6,7 +6,7 @@
 	"github.com/matryer/is"
 )
 
-func isFirst(t *pauseTurn) bool {
+func isFirst(t *waitTurn) bool {
 	select {
 	case <-t.isFirst:
 		return true
@@ -15,11 +15,11 @@
 	}
 }
 
-func TestPauseLineKeepsTheOrderOfArrival(t *testing.T) {
+func TestWaitLineKeepsTheOrderOfArrival(t *testing.T) {
 	is := is.New(t)
-	l := newPauseLines()
-	var turns []*pauseTurn
-	for range maxPauseWaiters {
+	l := newWaitLines()
+	var turns []*waitTurn
+	for range maxLineLength {
 		turn, ok := l.join("desk")
 		is.True(ok)
 		turns = append(turns, turn)
