--- a/daemon/member.go
+++ b/daemon/member.go
@@ -104,6 +104,7 @@
 		RetryReserve: s.RetryReserve,
 		RetryWindow:  s.RetryWindow,
 	})
+	servers.OnLeaving = gw.RecordLeaving
 	taskCtx, stopTasks := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopTasks()
 	g, taskCtx := errgroup.WithContext(taskCtx)
--- a/dispatch/call_idempotent.go
+++ b/dispatch/call_idempotent.go
@@ -170,8 +170,12 @@
 				return server, nil
 			}
 		}
+		runs := func(s fleet.BackendServer) bool { return s.Runs(r.Service.Name) && !slices.Contains(tried, s.Name) }
+		if left, ok := d.pauseLeft(runs); ok && left <= maxPauseWait && sleep(ctx, left) {
+			continue
+		}
 		if verdict == quarantine.Clear {
-			return fleet.BackendServer{}, asOutcome(err)
+			return fleet.BackendServer{}, d.withPause(asOutcome(err), runs)
 		}
 		if !sleep(ctx, isolationRetryInterval) {
 			return fleet.BackendServer{}, errDeadline(outcome.NotRun)
@@ -181,13 +185,17 @@
 
 // sendTracked calls the server once and records the result.
 func (d *Dispatcher) sendTracked(ctx context.Context, r Call, server fleet.BackendServer, f quarantine.Fingerprint) (backend.CallAnswer, error) {
-	if !d.isStillAvailable(server) {
+	trials, isFree := d.beginTrial(server)
+	if !isFree || !d.isAnnounced(server) {
+		d.endTrial(trials, false)
 		d.releaseServers(server.Name)
 		return backend.CallAnswer{}, &backend.CallError{Err: errLeaving}
 	}
 	d.resilience.recordStart(r.ID, f, server)
 	start := time.Now()
 	answer, err := d.send(ctx, r, server)
+	d.recordSelfReport(r.ID, server, answer.Said)
+	d.endTrial(trials, err == nil && !answer.NotRun)
 	switch {
 	case err == nil:
 		d.resilience.recordAnswer(r.ID, server.Name)
@@ -200,6 +208,6 @@
 	return answer, err
 }
 
-// errLeaving means that the server began to leave or was restarted after it was chosen and before
-// the call was sent.
-var errLeaving = errors.New("dispatch: the chosen backend server is leaving")
+// errLeaving means that the server began to leave, was restarted or asked for a pause after it was chosen
+// and before the call was sent.
+var errLeaving = errors.New("dispatch: the chosen backend server takes no requests any more")
--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -202,6 +202,7 @@
 	r := g.finalRefusal(ctx, d.job, f)
 	switch {
 	case r.status != http.StatusServiceUnavailable || g.retryAfterCrash(d.job, f) > 0:
+	case f.retryAfter > 0: // finalRefusal has set it
 	case errors.Is(f.err, errNoCompleteCopy):
 		r.retryAfter = noCopyRetry
 	default:
@@ -215,6 +216,9 @@
 	d, path := a.draft, a.currentPath()
 	head := path[0]
 	resp, rh, err := g.send(a.ctx, d.job, head.ID, head.Address, path, d.resumePoint())
+	if errors.Is(err, errHeldBack) {
+		return heldBackFailure(err)
+	}
 	if err != nil {
 		wasSent := !errors.Is(err, upstream.ErrNotSent)
 		if cause := context.Cause(a.ctx); errors.Is(cause, errOvertaken) {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/layers"
+	"github.com/balsamlb/balsamlb/selfreport"
 	"github.com/balsamlb/balsamlb/upstream"
 )
 
@@ -51,6 +52,8 @@
 	j.sends.Add(1)
 	j.attempts.Add(1)
 	j.trial.markSent()
+	servers := g.view.Load().serversOf(id, path)
+	var trials []selfreport.Trial
 	started := time.Now()
 	resp, err := g.client.Do(ctx, &upstream.Request{
 		Server:  id,
@@ -61,12 +64,20 @@
 		Header:  header,
 		Body:    j.body,
 		HasBody: j.hasBody,
+		MaySend: func() (err error) {
+			trials, err = g.beginSend(j, servers)
+			return err
+		},
 		IsAnswer: func(status int, h http.Header) bool {
 			rh := g.options.HeaderCodec.ParseResponse(status, h)
 			return rh.ID == j.header.ID || rh.ID == "" && status >= http.StatusMultipleChoices
 		},
 	})
 	if err != nil {
+		g.endTrials(trials, false)
+		if errors.Is(err, errHeldBack) {
+			j.sends.Add(-1)
+		}
 		if errors.Is(err, upstream.ErrNotSent) {
 			j.attempts.Add(-1)
 		} else {
@@ -75,6 +86,8 @@
 		return nil, ResponseHeader{}, err
 	}
 	rh := g.options.HeaderCodec.ParseResponse(resp.Status, resp.Header)
+	g.recordSelfReport(j, servers[0], resp.Status, rh)
+	g.endTrials(trials, !rh.NotRun && resp.Status != http.StatusServiceUnavailable)
 	if rh.NotRun { // a rejection may come from another server at the address
 		j.attempts.Add(-1)
 	} else {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/balsamlb/balsamlb/quarantine"
 	"github.com/balsamlb/balsamlb/retry"
 	"github.com/balsamlb/balsamlb/routing"
+	"github.com/balsamlb/balsamlb/selfreport"
 	"github.com/balsamlb/balsamlb/upstream"
 	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
@@ -84,6 +85,8 @@
 	evidence     *mesh.CrashEvidence
 	lost         *lostRuns
 	suspects     *suspects
+	selfReports  *selfReports
+	waitLines    *waitLines
 	stallReports *stallReports
 	probes       *probes
 	pauses       *pauseDetector
@@ -115,6 +118,8 @@
 		evidence:     o.Mesh.CrashEvidence(),
 		lost:         newLostRuns(),
 		suspects:     newSuspects(),
+		selfReports:  newSelfReports(),
+		waitLines:    newWaitLines(),
 		stallReports: newStallReports(o.Orders.StallingServers),
 		probes:       &probes{probedAt: make(map[string]time.Time)},
 		pauses:       &pauseDetector{},
@@ -208,6 +213,7 @@
 		before, next := g.view.Load(), newView(g.options.Mesh.Snapshot())
 		g.view.Store(next)
 		g.resetRestarted(before, next)
+		g.applyAnnouncements(next)
 		g.recordEndedServers(before, next)
 		g.handleStateChanges(before, next)
 		select {
@@ -286,6 +292,7 @@
 			g.usage.removeExpired(now)
 			g.lost.removeExpired(now)
 			g.evidence.RemoveExpired(now)
+			g.removeExpiredReports(now)
 			g.stallReports.removeExpired(now)
 			g.client.CloseExpired(now)
 		}
@@ -319,6 +326,9 @@
 	// mayHaveRun means that some server may have run the request. The response must then not claim
 	// that the request was not run.
 	mayHaveRun atomic.Bool
+	// heldBack holds the reasons for which the request was kept from a server, so that each is
+	// counted once.
+	heldBack [selfreport.Verdicts]atomic.Bool
 
 	// runsMu guards endedRuns, the crashes that would end the servers of the sends that have failed
 	// after the request may have run.
--- a/gateway/header_codec.go
+++ b/gateway/header_codec.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/layers"
+	"github.com/balsamlb/balsamlb/selfreport"
 )
 
 // RequestHeader holds the parsed headers of a caller's request.
@@ -52,6 +53,11 @@
 	IsFromServer bool
 	// FaultAddress is the address of the server on the path that could not run its layers.
 	FaultAddress string
+	// IsLeaving means that the server says that it leaves.
+	IsLeaving bool
+	// HasPause means that the server has turned the request away and asks for the pause Pause.
+	HasPause bool
+	Pause    selfreport.PauseRequest
 	// HasLoad means that Running, Waiting and Slots are stated.
 	HasLoad bool
 	Running int
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -34,7 +34,7 @@
 			g.refuse(w, j, g.finalRefusal(ctx, j, f))
 			return
 		}
-		server := g.pickServer(j, tried)
+		server := g.awaitServer(ctx, j, tried)
 		if server == nil && len(silent) > 0 {
 			// No other server is left, and these may accept connections by now.
 			tried = slices.DeleteFunc(tried, func(id string) bool { return slices.Contains(silent, id) })
@@ -45,11 +45,13 @@
 			g.refuse(w, j, g.noServerRefusal(ctx, j))
 			return
 		}
-		tried = append(tried, server.ID)
 		f := g.sendPlain(ctx, w, j, server)
 		if f == nil {
 			return
 		}
+		if f.ran || !g.wantsNothing(server) { // one that wants nothing for a time may be asked again
+			tried = append(tried, server.ID)
+		}
 		if errors.Is(f.err, upstream.ErrNotSent) && upstream.IsTimeout(f.err) {
 			silent = append(silent, server.ID)
 		}
@@ -67,12 +69,17 @@
 	// ran means that the request may have run.
 	ran bool
 	err error
+	// retryAfter is when the caller should send the request again; 0 means not known.
+	retryAfter time.Duration
 }
 
 // sendPlain sends the request to one server. It returns nil once the caller has a response.
 func (g *Gateway) sendPlain(ctx context.Context, w http.ResponseWriter, j *job, server *discovery.Announcement) *failure {
 	defer g.usage.begin(server.ID)() // deferred, since a truncated response panics
 	resp, rh, err := g.send(ctx, j, server.ID, server.Address, nil, "")
+	if errors.Is(err, errHeldBack) {
+		return heldBackFailure(err)
+	}
 	if err != nil {
 		ran := !errors.Is(err, upstream.ErrNotSent)
 		if ctx.Err() == nil {
@@ -150,7 +157,7 @@
 func (g *Gateway) finalRefusal(ctx context.Context, j *job, f *failure) *refusal {
 	g.countQuarantined(f)
 	if !j.mayHaveRun.Load() {
-		return &refusal{http.StatusServiceUnavailable, f.reason, cmp.Or(g.retryAfterCrash(j, f), busyRetry)}
+		return &refusal{http.StatusServiceUnavailable, f.reason, cmp.Or(g.retryAfterCrash(j, f), f.retryAfter, g.pauseRetry(j), busyRetry)}
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return &refusal{http.StatusGatewayTimeout, "no answer in time: " + f.reason, 0}
@@ -165,14 +172,15 @@
 // pickServer returns the least utilized server that was not tried yet, or nil.
 func (g *Gateway) pickServer(j *job, tried []string) *discovery.Announcement {
 	now := time.Now()
-	candidates := g.view.Load().plain[j.service.Name]
+	v := g.view.Load()
+	candidates := v.plain[j.service.Name]
 	excluded := g.failedServers(now)
 	g.usage.mu.Lock()
 	defer g.usage.mu.Unlock()
 	var best *discovery.Announcement
 	bestScore := 0.0
 	for _, a := range candidates {
-		if slices.Contains(tried, a.ID) {
+		if slices.Contains(tried, a.ID) || g.isHeldBack(j, v, now, a.ID) {
 			continue
 		}
 		score := g.usage.utilization(a, now)
--- a/internal/archtest/platform_test.go
+++ b/internal/archtest/platform_test.go
@@ -20,12 +20,12 @@
 
 // platformNames are names that belong to the platform's interfaces.
 var platformNames = []string{
-	"Balsamlb-", "At-Server", "\"/-/", "TrafficSplit", "KvBytes", "ColdLeftMs", "LayerMb", "non_idempotent", "HeartbeatUrl",
+	"Balsamlb-", "At-Server", "Server-Leaving", "\"/-/", "TrafficSplit", "KvBytes", "ColdLeftMs", "LayerMb", "non_idempotent", "HeartbeatUrl",
 }
 
 // adapterImports are the packages of this module that the adapter may import.
 var adapterImports = []string{
-	"controller", "discovery", "gateway", "layers", "routing", "upstream",
+	"controller", "discovery", "gateway", "layers", "routing", "selfreport", "upstream",
 }
 
 // forEachSource calls f for each Go file below root that is not a test.
--- a/internal/emulate/fault.go
+++ b/internal/emulate/fault.go
@@ -28,8 +28,12 @@
 	FaultSlowLink FaultKind = "slow_link"
 	// FaultCrashOn crashes the server when it opens a stage whose prompt contains Content.
 	FaultCrashOn FaultKind = "crash_on"
-	// FaultRefuse refuses stages and calls before they run, with the outcome not_run.
+	// FaultRefuse refuses stages and calls before they run, with the outcome not_run. With Millis the
+	// server asks for a pause of that time.
 	FaultRefuse FaultKind = "refuse"
+	// FaultLeavingInAnswers makes the server say that it leaves in its responses, but not in its
+	// announcements.
+	FaultLeavingInAnswers FaultKind = "leaving_in_answers"
 	// FaultLate delays every frame by Millis.
 	FaultLate FaultKind = "late"
 	// FaultReorder sends token frames out of order, FaultDuplicate sends each token frame twice,
@@ -61,7 +65,8 @@
 	Factor float64 `json:"factor,omitempty"`
 	// Content is the text in a prompt at which FaultCrashOn crashes the server.
 	Content string `json:"content,omitempty"`
-	// Millis is the time in milliseconds by which FaultLate delays each frame.
+	// Millis is the time in milliseconds by which FaultLate delays each frame, or that FaultRefuse
+	// states in Retry-After.
 	Millis int `json:"millis,omitempty"`
 }
 
