lab: the wait for expired leases logs what galle-1 said when it fails

TestThawedInstanceUsesNoOldLeases failed once in its first wait, before any instance was thawed. Still not traced.

--- a/internal/lab/membership_test.go
+++ b/internal/lab/membership_test.go
@@ -147,10 +147,16 @@
 	}
 	// The servers continue to announce themselves to the frozen instances until they are killed.
 	galle := l.Instance("galle-1")
-	is.NoErr(l.Wait(t.Context(), "the leases to expire", func() bool {
-		s, ok := fetchStatus(galle)
-		return ok && len(s.Servers) == 0
-	}))
+	var last operator.Status
+	var answered bool
+	err := l.Wait(t.Context(), "the leases to expire", func() bool {
+		last, answered = fetchStatus(galle)
+		return answered && len(last.Servers) == 0
+	})
+	if err != nil {
+		t.Logf("galle-1 exited: %t, answered: %t, servers: %+v, instances: %+v", galle.HasExited(), answered, last.Servers, last.Instances)
+	}
+	is.NoErr(err)
 	l.Emulators["emulator"].Kill()
 	// The frozen instances may have granted leases just before they were frozen.
 	time.Sleep(serverLease)
