pipeline: a stage that waits for its replacement is not opened again

What callers saw: for a suspect draft, a stage given up as stalled could be opened again on the same server while its replacement waited; the replacement then arrived in a running attempt, its stage was never opened, and the draft stood still until the next stall. Cause: advance did not look at the pending replacements. The late confirmation of an earlier cancellation was enough to call it. Evidence: TestStageWithPendingReplacementIsNotOpened on the code before: Cancelled returned an Open of the stalled server instead of nothing. Ruled out, by the same test: several replacements that wait at once and whose stage numbers shift (replacing is keyed by stage number). No event asks for a second one while one waits.

--- a/pipeline/opening.go
+++ b/pipeline/opening.go
@@ -14,7 +14,7 @@
 	if s.isComplete() {
 		return s.finish(nil)
 	}
-	if s.started || s.pendingCancels > 0 {
+	if s.started || s.pendingCancels > 0 || len(s.replacing) > 0 {
 		return nil
 	}
 	out := s.openExisting(now)
--- a/pipeline/stream_test.go
+++ b/pipeline/stream_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/fleet"
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
 
@@ -271,3 +272,60 @@
 		t.Fatalf("%d tokens are buffered, error %v; want an OrderError", len(r.buffered), err)
 	}
 }
+
+// Guards against opening a stage that was given up: while its replacement waits, the confirmation of
+// an earlier cancellation let the stream go on with the old server.
+func TestStageWithPendingReplacementIsNotOpened(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	stage := func(name string, from, to int) Stage {
+		return Stage{Server: fleet.BackendServer{Name: name}, Layers: fleet.Range{From: from, To: to}}
+	}
+	s := NewStream(StreamSpec{
+		Request: "r", Layers: 8, MaxTokens: 4, Deadline: now.Add(time.Minute), Limits: DefaultLimits(),
+		Chain: Chain{stage("a0", 0, 4), stage("b0", 4, 8)},
+	})
+	for _, a := range s.Begin(now) {
+		if o, ok := a.(Open); ok && o.Stage == 0 {
+			s.Opened(now, o.Conn, Progress{})
+		}
+	}
+	replacements := func(actions []Action) []Replace {
+		var out []Replace
+		for _, a := range actions {
+			if r, ok := a.(Replace); ok {
+				out = append(out, r)
+			}
+		}
+		return out
+	}
+	// Stage 1 is replaced at once; its old server has not confirmed the cancellation yet.
+	first := replacements(s.Failed(now, s.states[1].conn, ReasonReported))
+	is.Equal(len(first), 1)
+	s.Replaced(now, first[0].Stage, Chain{stage("b1", 4, 8)})
+	// The confirmation is late, so the chain stalls, and the replacement of a stage has to wait.
+	var waiting []Replace
+	for len(waiting) == 0 {
+		now = now.Add(time.Second)
+		is.True(now.Before(time.Unix(60, 0)))
+		waiting = replacements(s.Tick(now))
+	}
+	is.Equal(len(waiting), 1)
+	is.Equal(s.Cancelled(now), nil) // no stage may be opened now
+	// Nor does anything else happen meanwhile, so at most one replacement waits at a time and the
+	// numbers of the stages stay valid.
+	is.Equal(s.Tick(now.Add(time.Second)), nil)
+	is.Equal(s.Leaving(now, "b1"), nil)
+	// The replacement opens the stages.
+	opened := 0
+	for _, a := range s.Replaced(now, waiting[0].Stage, Chain{stage("a1", 0, 4)}) {
+		if c, ok := a.(Cancel); ok && c.Confirm {
+			for _, a := range s.Cancelled(now) {
+				if _, ok := a.(Open); ok {
+					opened++
+				}
+			}
+		}
+	}
+	is.Equal(opened, 2)
+}
