dispatch: a second replacement keeps the probation of the first one

What callers saw: servers that had run a suspect draft without harm stayed reserved for it until its end, so other suspects waited for them. Cause: tryReplace overwrote the list of new servers on probation. Evidence: TestSecondReplacementKeepsTheProbationOfTheFirst on the code before: [a1] is still reserved.

--- a/dispatch/draft_replace.go
+++ b/dispatch/draft_replace.go
@@ -40,7 +40,7 @@
 	}
 	run.inUse = append(run.inUse, names...)
 	run.d.resilience.recordStart(run.r.ID, run.r.fingerprint(), serversOf(stages)...)
-	run.onProbation = names
+	run.onProbation = append(run.onProbation, names...)
 	run.probationEnd = run.stream.Next() + probationTokens
 	run.log.Info("replacing stage", "server", a.Server, "reason", string(a.Reason), "by", names, "next", run.stream.Next())
 	return run.stream.Replaced(time.Now(), a.Stage, stages)
