dispatch: a call is not answered with not_run while its hedge runs

What callers saw: when one server refused a hedged call that other instances had put into quarantine meanwhile, the caller was told not_run although the hedge might be running it. Cause: handleFailure checked the quarantine before it looked for a running try. Evidence: TestCallIsNotAnsweredWhileItsHedgeRuns on the code before: refused with a try running. The call now waits for the running try, whose result decides.

--- a/dispatch/call_idempotent.go
+++ b/dispatch/call_idempotent.go
@@ -98,6 +98,9 @@
 func (c *idempotentCall) handleFailure(failed callTry) *outcome.Error {
 	c.d.log.Info("call failed", "request", c.r.ID, "server", failed.server.Name, "err", failed.err.Error())
 	c.mayHaveRun = c.mayHaveRun || (wasSent(failed.err) && !errors.Is(failed.err, errRefused))
+	if c.running > 0 {
+		return nil
+	}
 	o := outcome.NotRun
 	if c.mayHaveRun {
 		o = outcome.Failed
@@ -105,9 +108,6 @@
 	if c.d.resilience.check(c.fingerprint) == quarantine.Quarantined {
 		return errQuarantined(o)
 	}
-	if c.running > 0 {
-		return nil
-	}
 	if len(c.tried) >= maxCallTries {
 		return errServerFailed(o, "every backend server that was tried has failed")
 	}
--- a/dispatch/idempotent_test.go
+++ b/dispatch/idempotent_test.go
@@ -10,7 +10,9 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/fleet"
+	"github.com/balsamlb/balsamlb/membership"
 	"github.com/balsamlb/balsamlb/outcome"
+	"github.com/balsamlb/balsamlb/quarantine"
 	"github.com/balsamlb/balsamlb/settings"
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
@@ -112,3 +114,24 @@
 		is.Equal(string(answer.Body), "ok")
 	}
 }
+
+// Guards against the answer not_run while the hedge of a call may be running: the first server refused
+// the call, and other instances have put it into quarantine in the meantime.
+func TestCallIsNotAnsweredWhileItsHedgeRuns(t *testing.T) {
+	is := is.New(t)
+	d := newPlainDispatcher()
+	r := stockCall("x")
+	c := &idempotentCall{d: d, r: r, fingerprint: r.fingerprint(), ctx: t.Context(), tried: []string{"a", "b"}, running: 1}
+	now := time.Now()
+	d.HandleNotice(now, membership.Notice{
+		Kind: membership.NoticeCrash, Fingerprint: uint64(r.fingerprint()), Servers: []string{"c", "d", "e"}, Expires: now.Add(time.Minute),
+	})
+	is.Equal(d.resilience.check(r.fingerprint()), quarantine.Quarantined)
+	failed := callTry{server: fleet.BackendServer{Name: "a"}, err: errRefused}
+	is.True(c.handleFailure(failed) == nil) // the hedge may still answer
+	c.running = 0
+	failed = callTry{server: fleet.BackendServer{Name: "b"}, err: io.ErrUnexpectedEOF}
+	refusal := c.handleFailure(failed)
+	is.Equal(refusal.Code, outcome.CodeQuarantined)
+	is.Equal(refusal.Outcome, outcome.Failed) // it may have run on b
+}
