dispatch: a waiting suspect whose caller left is cancelled, not past its deadline

What callers and logs saw: 'deadline' for requests whose caller had left while a suspect waited for a server of its own; the codes are counted by outcome. Cause: chooseForCall and chooseForDraft took every end of the wait for the deadline. The wait before a retry also said failed where nothing had run; it now gives the outcome that handleFailure knows. Evidence: TestWaitingSuspectWhoseCallerLeftIsCancelled on the code before: deadline != cancelled.

--- a/dispatch/call_idempotent.go
+++ b/dispatch/call_idempotent.go
@@ -52,7 +52,7 @@
 		select {
 		case <-ctx.Done():
 			stop()
-			return backend.CallAnswer{}, errContextDone(ctx)
+			return backend.CallAnswer{}, errContextDone(ctx, outcome.Failed)
 		case <-hedge:
 			c.hedge()
 		case result := <-c.results:
@@ -116,7 +116,7 @@
 		return errServerFailed(o, "a backend server has failed, and there is no room for retries now")
 	}
 	if !sleep(c.ctx, backoff) {
-		return errContextDone(c.ctx)
+		return errContextDone(c.ctx, o)
 	}
 	refusal := c.start()
 	if refusal != nil && c.mayHaveRun {
@@ -174,7 +174,7 @@
 			return fleet.BackendServer{}, asOutcome(err)
 		}
 		if !sleep(ctx, isolationRetryInterval) {
-			return fleet.BackendServer{}, errDeadline(outcome.NotRun)
+			return fleet.BackendServer{}, errContextDone(ctx, outcome.NotRun)
 		}
 	}
 }
--- a/dispatch/draft.go
+++ b/dispatch/draft.go
@@ -88,11 +88,12 @@
 	return &outcome.Error{Outcome: o, Code: outcome.CodeServerFailed, Message: message, RetryAfter: retryAfterFailure}
 }
 
-func errContextDone(ctx context.Context) *outcome.Error {
+// errContextDone returns why ctx is done: the deadline has passed or the caller has left.
+func errContextDone(ctx context.Context, o outcome.Outcome) *outcome.Error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return errDeadline(outcome.Failed)
+		return errDeadline(o)
 	}
-	return &outcome.Error{Outcome: outcome.Failed, Code: outcome.CodeCancelled, Message: "the caller has gone"}
+	return &outcome.Error{Outcome: o, Code: outcome.CodeCancelled, Message: "the caller has gone"}
 }
 
 func asOutcome(err error) *outcome.Error {
--- a/dispatch/draft_resilience.go
+++ b/dispatch/draft_resilience.go
@@ -38,7 +38,7 @@
 			return route.ChainChoice{}, asOutcome(err)
 		}
 		if !sleep(ctx, isolationRetryInterval) {
-			return route.ChainChoice{}, errDeadline(outcome.NotRun)
+			return route.ChainChoice{}, errContextDone(ctx, outcome.NotRun)
 		}
 	}
 }
--- a/dispatch/idempotent_test.go
+++ b/dispatch/idempotent_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -135,3 +136,28 @@
 	is.Equal(refusal.Code, outcome.CodeQuarantined)
 	is.Equal(refusal.Outcome, outcome.Failed) // it may have run on b
 }
+
+// Guards against telling callers that have left that their deadline has passed, while a suspect waits
+// for a server of its own.
+func TestWaitingSuspectWhoseCallerLeftIsCancelled(t *testing.T) {
+	is := is.New(t)
+	d := newPlainDispatcher()
+	r := stockCall("x")
+	now := time.Now()
+	d.HandleNotice(now, membership.Notice{
+		Kind: membership.NoticeCrash, Fingerprint: uint64(r.fingerprint()), Servers: []string{"c"}, Expires: now.Add(time.Minute),
+	})
+	is.Equal(d.resilience.check(r.fingerprint()), quarantine.Suspect)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, refusal := d.chooseForCall(ctx, r.Request, r.fingerprint(), nil)
+	is.Equal(refusal.Code, outcome.CodeCancelled)
+	is.Equal(refusal.Outcome, outcome.NotRun)
+	draft := Draft{Request: r.Request, Prompt: "x"}
+	d.HandleNotice(now, membership.Notice{
+		Kind: membership.NoticeCrash, Fingerprint: uint64(draft.fingerprint()), Servers: []string{"c"}, Expires: now.Add(time.Minute),
+	})
+	_, refusal = d.chooseForDraft(ctx, draft)
+	is.Equal(refusal.Code, outcome.CodeCancelled)
+	is.Equal(refusal.Outcome, outcome.NotRun)
+}
