storage: a reset that is interrupted keeps the old files

They are kept there to be inspected, and are the only copy if the reset was a mistake. Cause: the new identity is written before the files are moved, and Open took a folder with an identity and no segment for a new one, whose other files are left-overs. Evidence: TestResetThatIsInterruptedKeepsTheOldFiles on the code before: the old log is missing. Change: Open finishes such a reset; a name that was moved already is not moved again, because the first new segment may have it. The moves are synced.

--- a/storage/log.go
+++ b/storage/log.go
@@ -83,7 +83,7 @@
 		return Stored{}, l.create(instance)
 	}
 	if l.identity.LastSegment == 0 {
-		return Stored{}, l.createFirstSegment()
+		return Stored{}, l.finishReset()
 	}
 	if err := l.removeUnreferenced(); err != nil {
 		return Stored{}, err
--- a/storage/memfs_test.go
+++ b/storage/memfs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"io/fs"
 	"path/filepath"
@@ -25,10 +26,25 @@
 	readOnly             error
 	locked               bool
 	syncs                int
+	// stopAfter is the number of changes, such as writes, renames and syncs, that still succeed.
+	// Later ones have no effect and return errStopped. Negative: no limit.
+	stopAfter int
+}
+
+// errStopped stands for the end of the process.
+var errStopped = errors.New("memfs: the process has ended")
+
+// change counts a change, and returns an error if the process has ended before it.
+func (m *memFS) change() error {
+	if m.stopAfter == 0 {
+		return errStopped
+	}
+	m.stopAfter--
+	return nil
 }
 
 func newMemFS() *memFS {
-	return &memFS{files: map[string]*memFile{}, durable: map[string]*memFile{}, space: -1}
+	return &memFS{files: map[string]*memFile{}, durable: map[string]*memFile{}, space: -1, stopAfter: -1}
 }
 
 // crash discards unsynced data, except for the first keep unsynced bytes of each file.
@@ -44,6 +60,7 @@
 	}
 	m.durable = cloneFiles(m.files)
 	m.locked = false
+	m.stopAfter = -1
 }
 
 // copyDurable returns a deep copy of the synced content.
@@ -70,6 +87,9 @@
 	if m.readOnly != nil {
 		return nil, m.readOnly
 	}
+	if err := m.change(); err != nil {
+		return nil, err
+	}
 	f := &memFile{}
 	m.files[path] = f
 	return &memHandle{fs: m, file: f}, nil
@@ -102,17 +122,26 @@
 }
 
 func (m *memFS) Rename(from, to string) error {
+	if err := m.change(); err != nil {
+		return err
+	}
 	m.files[to] = m.files[from]
 	delete(m.files, from)
 	return nil
 }
 
 func (m *memFS) Remove(path string) error {
+	if err := m.change(); err != nil {
+		return err
+	}
 	delete(m.files, path)
 	return nil
 }
 
 func (m *memFS) Truncate(path string, size int64) error {
+	if err := m.change(); err != nil {
+		return err
+	}
 	f := m.files[path]
 	f.data = f.data[:size]
 	f.synced = bytes.Clone(f.data)
@@ -120,6 +149,9 @@
 }
 
 func (m *memFS) SyncDir(path string) error {
+	if err := m.change(); err != nil {
+		return err
+	}
 	if m.failSync != nil {
 		return m.failSync
 	}
@@ -163,6 +195,9 @@
 }
 
 func (h *memHandle) Write(b []byte) (int, error) {
+	if err := h.fs.change(); err != nil {
+		return 0, err
+	}
 	if h.fs.space >= 0 && len(b) > h.fs.space {
 		n := h.fs.space
 		h.file.data = append(h.file.data, b[:n]...)
@@ -177,6 +212,9 @@
 }
 
 func (h *memHandle) Sync() error {
+	if err := h.fs.change(); err != nil {
+		return err
+	}
 	h.fs.syncs++
 	if h.fs.failSync != nil {
 		return h.fs.failSync
--- a/storage/reset.go
+++ b/storage/reset.go
@@ -1,6 +1,9 @@
 package storage
 
 import (
+	"errors"
+	"io/fs"
+	"slices"
 	"strings"
 
 	"github.com/balsamlb/balsamlb/consensus"
@@ -45,25 +48,43 @@
 	if err := l.writeIdentity(); err != nil {
 		return err
 	}
-	if err := l.moveAside(aside); err != nil {
-		return err
-	}
 	l.hardState = consensus.HardState{}
+	return l.finishReset()
+}
+
+// finishReset completes a reset whose new identity was written, also after a crash. Without a reset, it
+// only creates the first segment.
+func (l *Log) finishReset() error {
+	aside := join(l.folder, asideFolder)
+	moved, err := l.fs.ReadDir(aside)
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return wrapError("list", aside, err)
+	}
+	if slices.Contains(moved, identityName) {
+		if err := l.moveAside(aside, moved); err != nil {
+			return err
+		}
+	}
 	return l.createFirstSegment()
 }
 
-func (l *Log) moveAside(aside string) error {
+// moveAside moves the files of the folder. A file that is in moved already stays: after a crash it is
+// the first segment of the new log, which may have the same name as an old one.
+func (l *Log) moveAside(aside string, moved []string) error {
 	names, err := l.fs.ReadDir(l.folder)
 	if err != nil {
 		return wrapError("list", l.folder, err)
 	}
 	for _, name := range names {
-		if !isManagedFile(name) || name == identityName {
+		if !isManagedFile(name) || name == identityName || slices.Contains(moved, name) {
 			continue
 		}
 		if err := l.fs.Rename(join(l.folder, name), join(aside, name)); err != nil {
 			return wrapError("move", join(l.folder, name), err)
 		}
 	}
+	if err := l.fs.SyncDir(aside); err != nil {
+		return wrapError("sync", aside, err)
+	}
 	return nil
 }
