--- a/internal/logs/bounded.go
+++ b/internal/logs/bounded.go
@@ -85,9 +85,13 @@
 }
 
 // flush writes a batch together with queued lines, until it reaches batchBytes or the queue is
-// empty. Lines that the writer does not accept count as dropped.
-func (b *Bounded) flush(batch []byte) {
-	count := uint64(1)
+// empty, and returns the number of lines in it. Lines that the writer does not accept count as
+// dropped.
+func (b *Bounded) flush(line []byte) int {
+	batch, count := line, 0
+	if line != nil {
+		count = 1
+	}
 	for {
 		select {
 		case line := <-b.lines:
@@ -100,13 +104,15 @@
 		}
 		break
 	}
-	if n := b.dropped.Swap(0); n > 0 {
+	n := b.dropped.Swap(0)
+	if n > 0 {
 		batch = fmt.Appendf(batch, "{\"time\":%q,\"level\":\"INFO\",\"msg\":\"left out log lines\",\"lines\":%d}\n", b.now().UTC().Format(time.RFC3339Nano), n)
 	}
 	if len(batch) == 0 {
-		return
+		return count
 	}
 	if _, err := b.out.Write(batch); err != nil {
-		b.dropped.Add(count)
+		b.dropped.Add(uint64(count) + n)
 	}
+	return count
 }
--- a/internal/logs/bounded_test.go
+++ b/internal/logs/bounded_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
@@ -71,3 +72,34 @@
 	b.flush(nil)
 	is.Equal(out.String(), "x\nx\ny\n{\"time\":\"1970-01-01T00:16:41Z\",\"level\":\"INFO\",\"msg\":\"left out log lines\",\"lines\":3}\n")
 }
+
+// failingWriter refuses every write while isFailing is set.
+type failingWriter struct {
+	isFailing bool
+	text      bytes.Buffer
+}
+
+func (w *failingWriter) Write(b []byte) (int, error) {
+	if w.isFailing {
+		return 0, errors.New("no space")
+	}
+	return w.text.Write(b)
+}
+
+// Guards against losing the number of dropped lines when the write that reports it fails.
+func TestFailedWriteLosesNoCount(t *testing.T) {
+	is := is.New(t)
+	out := &failingWriter{isFailing: true}
+	b := NewBounded(out, 2, func() time.Time { return time.Unix(1000, 0) })
+	for range 5 {
+		_, _ = b.Write([]byte("x\n"))
+	}
+	b.flush(nil)
+	is.Equal(b.Dropped(), uint64(5))
+	b.flush(nil) // the queue is empty now
+	is.Equal(b.Dropped(), uint64(5))
+	out.isFailing = false
+	b.flush(nil)
+	is.True(strings.Contains(out.text.String(), `"lines":5}`))
+	is.Equal(b.Dropped(), uint64(0))
+}
