logs: all queued lines are written at the end

What operators saw: the last lines of a process were missing when more than one batch (64 KB) was queued at its end, without a word on it. Evidence: TestAllQueuedLinesAreWrittenAtTheEnd on the code before: 128 != 2048 lines.

--- a/internal/logs/bounded.go
+++ b/internal/logs/bounded.go
@@ -70,20 +70,31 @@
 // Dropped returns the number of dropped lines that are not logged yet.
 func (b *Bounded) Dropped() uint64 { return b.dropped.Load() }
 
-// Run writes lines until ctx ends, and then one last batch of the lines that are still queued.
-// Queued lines that don't fit into this batch are lost.
+// Run writes lines until ctx ends, and then the lines that are still queued.
 func (b *Bounded) Run(ctx context.Context) error {
 	for {
 		select {
 		case line := <-b.lines:
 			b.flush(line)
 		case <-ctx.Done():
-			b.flush(nil)
+			b.flushQueued()
 			return nil
 		}
 	}
 }
 
+// flushQueued writes the lines that are queued now. Lines that are queued meanwhile may be lost, so
+// that it returns also while others log.
+func (b *Bounded) flushQueued() {
+	for queued := len(b.lines); ; {
+		before := queued
+		queued -= b.flush(nil)
+		if queued <= 0 || queued == before {
+			return
+		}
+	}
+}
+
 // flush writes a batch together with queued lines, until it reaches batchBytes or the queue is
 // empty, and returns the number of lines in it. Lines that the writer does not accept count as
 // dropped.
--- a/internal/logs/bounded_test.go
+++ b/internal/logs/bounded_test.go
@@ -103,3 +103,18 @@
 	is.True(strings.Contains(out.text.String(), `"lines":5}`))
 	is.Equal(b.Dropped(), uint64(0))
 }
+
+// Guards against losing queued lines at the end of the process: only one batch was written then.
+func TestAllQueuedLinesAreWrittenAtTheEnd(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	b := NewBounded(&out, 1<<30, func() time.Time { return time.Unix(1000, 0) })
+	line := append(bytes.Repeat([]byte("x"), 16*batchBytes/backlogLines), '\n')
+	for range backlogLines {
+		_, _ = b.Write(line)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	is.NoErr(b.Run(ctx))
+	is.Equal(bytes.Count(out.Bytes(), []byte("\n")), backlogLines)
+}
