balsamctl: a failed backup keeps the earlier archive

What operators saw: balsamctl backup of a folder that is in use, or on a full disk, truncated and then removed an earlier archive at the path; a path it could not create was removed as well. Cause: the archive was written in place and removed after any error. Evidence: TestFailedBackupKeepsTheEarlierArchive on the code before: 'open .../archive: no such file'.

--- a/cmd/balsamctl/backup.go
+++ b/cmd/balsamctl/backup.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"path/filepath"
 
 	"github.com/balsamlb/balsamlb/storage"
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -28,14 +29,7 @@
 			if len(args) != 1 {
 				return errMissingArchive
 			}
-			err := writeFile(args[0], func(out *os.File) error {
-				if err := storage.Archive(*folder, out); err != nil {
-					return err
-				}
-				return eris.Wrap(out.Sync(), "sync the archive")
-			})
-			if err != nil {
-				_ = os.Remove(args[0])
+			if err := writeArchive(*folder, args[0]); err != nil {
 				return err
 			}
 			fmt.Printf("wrote %s to %s\n", *folder, args[0])
@@ -44,6 +38,29 @@
 	}
 }
 
+// partialSuffix marks an archive that is being written.
+const partialSuffix = ".partial"
+
+// writeArchive writes the data folder to the archive. An earlier archive at the path is replaced only
+// once the new one is complete.
+func writeArchive(folder, path string) error {
+	partial := path + partialSuffix
+	err := writeFile(partial, func(out *os.File) error {
+		if err := storage.Archive(folder, out); err != nil {
+			return err
+		}
+		return eris.Wrap(out.Sync(), "sync the archive")
+	})
+	if err == nil {
+		err = eris.Wrap(os.Rename(partial, path), "rename the complete archive")
+	}
+	if err != nil {
+		_ = os.Remove(partial)
+		return err
+	}
+	return eris.Wrap(storage.OS{}.SyncDir(filepath.Dir(path)), "sync the folder of the archive")
+}
+
 func newRestore() *ffcli.Command {
 	fs := newFlagSet("restore")
 	folder := fs.String("data-folder", "", "data folder to fill, which must be empty or missing")
--- a/cmd/balsamctl/main_test.go
+++ b/cmd/balsamctl/main_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"github.com/balsamlb/balsamlb/storage"
 	"github.com/matryer/is"
 )
 
@@ -50,3 +51,31 @@
 		})
 	}
 }
+
+// Guards against losing an earlier archive: a backup of a folder that is in use, or that can't be
+// written, truncated and then removed the file.
+func TestFailedBackupKeepsTheEarlierArchive(t *testing.T) {
+	is := is.New(t)
+	folder, archive := t.TempDir(), filepath.Join(t.TempDir(), "archive")
+	is.NoErr(os.WriteFile(filepath.Join(folder, "identity"), []byte("x"), 0o600))
+	backup := func() int { return run(t.Context(), []string{"backup", "-data-folder", folder, archive}) }
+	is.Equal(backup(), exitOK)
+	earlier, err := os.ReadFile(archive)
+	is.NoErr(err)
+	lock, err := storage.OS{}.Lock(filepath.Join(folder, "lock"))
+	is.NoErr(err)
+	is.Equal(backup(), exitFailure)
+	is.NoErr(lock.Close())
+	kept, err := os.ReadFile(archive)
+	is.NoErr(err)
+	is.Equal(kept, earlier)
+	// A path that can't be created is not removed either.
+	is.NoErr(os.Remove(archive))
+	is.NoErr(os.Mkdir(archive, 0o700))
+	is.Equal(backup(), exitFailure)
+	_, err = os.Stat(archive)
+	is.NoErr(err)
+	names, err := os.ReadDir(filepath.Dir(archive))
+	is.NoErr(err)
+	is.Equal(len(names), 1) // no temporary file stays
+}
