settings: a retry ratio that is no number is a fault

What operators saw: ratio = NaN was accepted. Every comparison with the budget is then false. Cause: the check compared only with 0 and 1. Evidence: TestRatioThatIsNoNumberIsAFault on the code before: the error does not name [retry] ratio: nil.

--- a/settings/member.go
+++ b/settings/member.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"math"
 	"net"
 	"os"
 	"strconv"
@@ -151,7 +152,7 @@
 // fraction checks that the value is a number from 0 to 1.
 func fraction(v string) string {
 	f, err := strconv.ParseFloat(v, 64)
-	if err != nil || f < 0 || f > 1 {
+	if err != nil || math.IsNaN(f) || f < 0 || f > 1 {
 		return "must be a number from 0 to 1"
 	}
 	return ""
