settings: a control instance counts once

What operators saw: [control] voters with a name or an address twice was accepted, and seeds whose hosts are equal counted as several members of the founding group, so that fewer than a majority of the control instances could decide. Evidence: TestControlInstanceCountsOnce on the code before: the error does not name [control] voters: nil. Voters named twice are a fault. Equal seeds count once, since their ports are replaced anyway.

--- a/settings/member.go
+++ b/settings/member.go
@@ -4,6 +4,7 @@
 	"math"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -134,7 +135,8 @@
 	return m, r.err()
 }
 
-// replacePorts replaces the port of each address with that of portSource.
+// replacePorts replaces the port of each address with that of portSource. Addresses that are equal then
+// are returned once.
 func replacePorts(addresses []string, portSource string) []string {
 	_, port, err := net.SplitHostPort(portSource)
 	if err != nil {
@@ -142,8 +144,12 @@
 	}
 	var out []string
 	for _, a := range addresses {
-		if host, _, err := net.SplitHostPort(a); err == nil {
-			out = append(out, net.JoinHostPort(host, port))
+		host, _, err := net.SplitHostPort(a)
+		if err != nil {
+			continue // already reported
+		}
+		if a = net.JoinHostPort(host, port); !slices.Contains(out, a) {
+			out = append(out, a)
 		}
 	}
 	return out
--- a/settings/schema.go
+++ b/settings/schema.go
@@ -272,11 +272,16 @@
 }
 
 func namedAddresses(v string) string {
+	seen := make(map[string]bool)
 	for _, part := range splitList(v) {
 		name, address, ok := strings.Cut(part, "=")
 		if !ok || name == "" || addressPort(address) != "" || address == "" {
 			return "must be a list of name=address, such as colombo-1=127.0.1.1:8084"
 		}
+		if seen[name] || seen[address] {
+			return "names " + part + " twice"
+		}
+		seen[name], seen[address] = true, true
 	}
 	return ""
 }
--- a/settings/values_test.go
+++ b/settings/values_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"github.com/matryer/is"
 )
 
 // validProcess and validMember hold valid settings, by section and key.
@@ -52,6 +53,21 @@
 	}
 }
 
+// Guards against a group that takes one control instance for two, so that one fewer than a majority
+// can decide.
+func TestControlInstanceCountsOnce(t *testing.T) {
+	is := is.New(t)
+	for _, voters := range []string{"a=127.0.1.2:84, a=127.0.1.3:84", "a=127.0.1.2:84, b=127.0.1.2:84"} {
+		_, err := ParseProcess("p.ini", []byte(settingsText(validProcess, map[[2]string]string{{"control", "voters"}: voters})))
+		checkFault(t, err, "control", "voters")
+	}
+	// The ports of seeds are replaced, so equal hosts are equal seeds.
+	text := settingsText(validMember, map[[2]string]string{{"join", "seeds"}: "127.0.1.3:82, 127.0.1.2:82, 127.0.1.3:83"})
+	m, err := ParseMember("m.ini", []byte(text), RoleController)
+	is.NoErr(err)
+	is.Equal(m.Seeds, []string{"127.0.1.3:84", "127.0.1.2:84"})
+}
+
 // Guards against a retry budget that is not a number: every comparison with it is false.
 func TestRatioThatIsNoNumberIsAFault(t *testing.T) {
 	for _, value := range []string{"NaN", "nan", "-NaN", "Inf", "1e400", "-0.1"} {
@@ -60,4 +76,3 @@
 		checkFault(t, err, "retry", "ratio")
 	}
 }
-
