settings: a list without items is a fault

What operators saw: 'seeds = ,' and 'voters = ,' counted as set. A process without the address of any control instance started and panicked at its first proposal (Proposer.pickTarget divides by the number of voters); an instance silently took the voters for the seeds. Evidence: TestListWithoutItemsIsAFault on the code before: the error does not name [join] seeds: nil. TestAnyValueIsRefusedByKeyOrUsed draws values of all keys from a grammar, for instances, gateways and controllers, 40 files a check.

--- a/settings/schema.go
+++ b/settings/schema.go
@@ -262,7 +262,17 @@
 	return ""
 }
 
+// noItems is the reason for a list that has separators but no items. An empty value is no list.
+const noItems = "names nothing"
+
+func isListWithoutItems(v string) bool {
+	return strings.TrimSpace(v) != "" && len(splitList(v)) == 0
+}
+
 func addressPorts(v string) string {
+	if isListWithoutItems(v) {
+		return noItems
+	}
 	for _, part := range splitList(v) {
 		if reason := addressPort(part); reason != "" {
 			return reason
@@ -272,6 +282,9 @@
 }
 
 func namedAddresses(v string) string {
+	if isListWithoutItems(v) {
+		return noItems
+	}
 	seen := make(map[string]bool)
 	for _, part := range splitList(v) {
 		name, address, ok := strings.Cut(part, "=")
--- a/settings/values_test.go
+++ b/settings/values_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"errors"
+	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 // validProcess and validMember hold valid settings, by section and key.
@@ -53,6 +56,23 @@
 	}
 }
 
+// Guards against a process that starts without the address of any control instance, and then panics
+// at its first proposal: seeds = , counted as set.
+func TestListWithoutItemsIsAFault(t *testing.T) {
+	for _, value := range []string{",", " , ,", ",,"} {
+		text := settingsText(validMember, map[[2]string]string{{"join", "seeds"}: value})
+		for _, role := range []Role{RoleGateway, RoleController} {
+			_, err := ParseMember("m.ini", []byte(text), role)
+			checkFault(t, err, "join", "seeds")
+		}
+		_, err := ParseProcess("p.ini", []byte(settingsText(validProcess, map[[2]string]string{{"control", "voters"}: value})))
+		checkFault(t, err, "control", "voters")
+		// Without this fault, the voters took the place of the seeds.
+		_, err = ParseProcess("p.ini", []byte(settingsText(validProcess, map[[2]string]string{{"join", "seeds"}: value})))
+		checkFault(t, err, "join", "seeds")
+	}
+}
+
 // Guards against a group that takes one control instance for two, so that one fewer than a majority
 // can decide.
 func TestControlInstanceCountsOnce(t *testing.T) {
@@ -76,3 +96,102 @@
 		checkFault(t, err, "retry", "ratio")
 	}
 }
+
+// drawValue draws a value that a mistake or a template may put into a settings file.
+func drawValue(t *rapid.T) string {
+	address := rapid.SampledFrom([]string{
+		"127.0.1.1:80", "[::1]:80", "::1:80", "0.0.0.0:0", "127.0.1.1", ":80", "127.0.1.1:65536", "127.0.1.1:-1", "kandy:80",
+		"[fe80::1%eth0]:80", "999.0.0.1:80", "",
+	})
+	item := rapid.OneOf(address, rapid.Map(address, func(a string) string { return "galle-1=" + a }), rapid.SampledFrom([]string{"=", "a=", "=127.0.1.1:80"}))
+	list := rapid.Custom(func(t *rapid.T) string {
+		return strings.Join(rapid.SliceOfN(item, 1, 4).Draw(t, "items"), rapid.SampledFrom([]string{",", ", ", ",,"}).Draw(t, "separator"))
+	})
+	number := rapid.SampledFrom([]string{
+		"0", "-0", "+1", "-1", "00", "1_000", "1e3", "0x10", "NaN", "Inf", "-Inf", "1e400", "0.2", ".5", "1.0000001", "2147483648",
+		"9223372036854775807", "9223372036854775808", "99999999999999999999999", "٣", "1 2", "1s",
+	})
+	text := rapid.SampledFrom([]string{"", ",", "true", "false", "True", "yes", "info", "\"\"", "`", "%(name)s", "%(seeds)s", "\"a\"", "a;b", "#", "\\", "\x00", "\xff", "="})
+	return rapid.OneOf(list, number, text).Draw(t, "value")
+}
+
+// Every value of every key is either refused with an error that names section and key, or is used as it
+// was written.
+func TestAnyValueIsRefusedByKeyOrUsed(t *testing.T) {
+	const filesPerCheck = 40
+	rapid.Check(t, func(t *rapid.T) {
+		for range filesPerCheck {
+			checkDrawnSettings(t)
+		}
+	})
+}
+
+// checkDrawnSettings draws settings in which a few keys have any value, and checks what is made of them.
+func checkDrawnSettings(t *rapid.T) {
+	schema, valid := memberSchema, validMember
+	role := rapid.SampledFrom([]Role{RoleGateway, RoleController, ""}).Draw(t, "role")
+	if role == "" {
+		schema, valid = processSchema, validProcess
+	}
+	replaced := make(map[[2]string]string)
+	for range rapid.SampledFrom([]int{1, 1, 1, 2}).Draw(t, "keys") {
+		k := rapid.SampledFrom(schema).Draw(t, "key")
+		replaced[[2]string{k.Section, k.Name}] = drawValue(t)
+	}
+	text := settingsText(valid, replaced)
+	var err error
+	var m Member
+	var p Process
+	if role == "" {
+		p, err = ParseProcess("p.ini", []byte(text))
+	} else {
+		m, err = ParseMember("m.ini", []byte(text), role)
+	}
+	var faults Faults
+	switch {
+	case err == nil && role == "":
+		checkProcessValues(t, p, text)
+	case err == nil:
+		checkMemberValues(t, m, text)
+	case !errors.As(err, &faults):
+		t.Fatalf("an error that is no fault: %v", err)
+	}
+	for _, f := range faults {
+		if f.File == "" || f.Reason == "" || f.Section != "" && f.Key == "" {
+			t.Fatalf("a fault that does not say where: %+v of %q", f, text)
+		}
+	}
+}
+
+func checkProcessValues(t *rapid.T, p Process, text string) {
+	if len(p.Voters) == 0 || len(p.Seeds) == 0 {
+		t.Fatalf("no control instances: %+v of %q", p, text)
+	}
+	seen := make(map[string]bool)
+	for _, v := range p.Voters {
+		if v.Name == "" || v.Address == "" || seen[v.Name] || seen[v.Address] {
+			t.Fatalf("voters %+v of %q", p.Voters, text)
+		}
+		seen[v.Name], seen[v.Address] = true, true
+	}
+	for _, a := range []string{p.Callers, p.Backends, p.Operators, p.Platform, p.Instances, p.Advertise} {
+		if a == "" || addressPort(a) != "" {
+			t.Fatalf("address %q of %q", a, text)
+		}
+	}
+}
+
+func checkMemberValues(t *rapid.T, m Member, text string) {
+	if len(m.Seeds) == 0 {
+		t.Fatalf("no control instances: %+v of %q", m, text)
+	}
+	if math.IsNaN(m.RetryRatio) || m.RetryRatio < 0 || m.RetryRatio > 1 || m.RetryReserve < 0 {
+		t.Fatalf("retry budget %v, %v of %q", m.RetryRatio, m.RetryReserve, text)
+	}
+	if m.AnnounceInterval <= 0 || m.Grace <= 0 || m.LogLinesPerSecond <= 0 || m.MemoryMB < 0 || m.Tolerate < 0 {
+		t.Fatalf("numbers %+v of %q", m, text)
+	}
+	if fmt.Sprint(m.Name, m.DataCentre) == "" || addressPort(m.Instances) != "" || m.Instances == "" {
+		t.Fatalf("names or addresses %+v of %q", m, text)
+	}
+}
