instance: a proposer without control instances reports no quorum

What operators saw: a process that knew no control instance panicked at its first proposal. Evidence: TestProposerWithoutControlInstancesReportsNoQuorum on the code before: integer divide by zero.

--- a/instance/proposer.go
+++ b/instance/proposer.go
@@ -59,6 +59,10 @@
 	}
 	for attempt := 0; ctx.Err() == nil; attempt++ {
 		address := p.pickTarget(attempt)
+		if address == "" {
+			sleep(ctx, proposeRetryDelay)
+			continue
+		}
 		started := time.Now()
 		resp, err := p.proposeOnce(ctx, address, data)
 		if err == nil && resp.Status == wire.ProposeResponse_STATUS_APPLIED {
@@ -146,11 +150,11 @@
 }
 
 // pickTarget returns the leader if it is known. Otherwise it returns the control instances in turn,
-// but an avoided one only if all are avoided.
+// but an avoided one only if all are avoided. It returns "" if none is known.
 func (p *Proposer) pickTarget(attempt int) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.leader != "" {
+	if p.leader != "" || len(p.voters) == 0 {
 		return p.leader
 	}
 	for i := range p.voters {
