load: an event without choices is a violation, not a panic

Evidence: TestEventWithoutChoicesIsAViolation on the code before: index out of range [0] with length 0.

--- a/internal/load/reply.go
+++ b/internal/load/reply.go
@@ -125,6 +125,9 @@
 			r.Outcome = outcome.Outcome(e.Error.Outcome)
 			r.Code = outcome.Code(e.Error.Code)
 			return r
+		case len(e.Choices) == 0:
+			r.Violation = "malformed event: " + data
+			return r
 		case e.Choices[0].FinishReason == "":
 			if e.Choices[0].Text != emulate.TokenText(req.Prompt, len(r.Tokens)) {
 				r.Violation = "a token does not match the prompt"
