daemon: a start that finds an address taken ends with that error

What operators saw: an instance whose second or later address was taken hung without a word: the servers of the earlier addresses went on, and Run waited for them. Its data folder stayed locked. Change: serve returns the listeners that it opened, also after an error, and Run closes them and the data folder. Closing ends a server that has not begun to serve, too.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -149,9 +149,11 @@
 	taskCtx, stopTasks := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopTasks()
 	g, taskCtx := errgroup.WithContext(taskCtx)
-	servers, err := d.serve(taskCtx, g)
+	defer d.closeStore()
+	listeners, err := d.serve(taskCtx, g)
 	if err != nil {
 		stopTasks()
+		closeAll(listeners)
 		_ = g.Wait()
 		return err
 	}
@@ -179,15 +181,17 @@
 	case <-taskCtx.Done():
 	}
 	stopTasks()
-	for _, s := range servers {
-		_ = s.Shutdown()
-	}
+	closeAll(listeners)
 	err = g.Wait()
+	d.log.Info("stopped", "instance", d.process.Name)
+	return err
+}
+
+// closeStore closes the data folder, if there is one.
+func (d *Daemon) closeStore() {
 	if d.store != nil {
 		_ = d.store.Close()
 	}
-	d.log.Info("stopped", "instance", d.process.Name)
-	return err
 }
 
 // drain turns readiness off, waits until the load balancer has noticed, and then until the requests
@@ -215,8 +219,9 @@
 	d.host.TransferLeadership(ctx)
 }
 
-// serve opens the listeners and starts their servers. It returns the HTTP servers.
-func (d *Daemon) serve(ctx context.Context, g *errgroup.Group) ([]*fasthttp.Server, error) {
+// serve opens the listeners and starts their servers. It returns the HTTP listeners, also after an
+// error.
+func (d *Daemon) serve(ctx context.Context, g *errgroup.Group) ([]*httpListener, error) {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	requestMetrics := metrics.New(registry, d.metricsState)
@@ -236,7 +241,7 @@
 		admitter:   d.admitter,
 		lines:      d.lines,
 	}, d.secrets.operatorKeys())
-	listeners := []struct {
+	plans := []struct {
 		address string
 		server  *fasthttp.Server
 	}{
@@ -245,11 +250,11 @@
 		{d.process.Operators, operators},
 		{d.process.Platform, balancer.NewServer(d.state.notReady, registry)},
 	}
-	var servers []*fasthttp.Server
-	for _, p := range listeners {
+	var listeners []*httpListener
+	for _, p := range plans {
 		l, err := net.Listen("tcp", p.address)
 		if err != nil {
-			return servers, eris.Wrapf(err, "daemon: listen on %s", p.address)
+			return listeners, eris.Wrapf(err, "daemon: listen on %s", p.address)
 		}
 		if p.address == d.process.Backends {
 			l = d.traffic.backends.Listener(l)
@@ -257,17 +262,18 @@
 		if p.server == operators {
 			l = d.secrets.operatorListener(l)
 		}
-		g.Go(func() error { return eris.Wrapf(p.server.Serve(l), "daemon: serve %s", p.address) })
-		servers = append(servers, p.server)
+		h := &httpListener{server: p.server, listener: l}
+		g.Go(h.serve)
+		listeners = append(listeners, h)
 	}
 	l, err := net.Listen("tcp", d.process.Instances)
 	if err != nil {
-		return servers, eris.Wrapf(err, "daemon: listen on %s", d.process.Instances)
+		return listeners, eris.Wrapf(err, "daemon: listen on %s", d.process.Instances)
 	}
 	l = d.secrets.instanceListener(d.traffic.instances.Listener(l))
 	peers := instance.NewServer(d.replica(), d.state)
 	g.Go(func() error { return peers.Serve(ctx, l) })
-	return servers, nil
+	return listeners, nil
 }
 
 // replica returns the replica of this instance, or a nil interface if it has none.
