daemon: a gateway or controller that is stopped while it starts ends

What operators saw: a process hung when it was stopped, or a part of it failed, before its HTTP servers served: fasthttp's Shutdown does nothing then, and the server served on afterwards. Evidence: TestServerThatStartsAfterTheEndStops on the code before: it hangs (20 s).

--- a/daemon/listen_test.go
+++ b/daemon/listen_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"net"
@@ -10,6 +11,8 @@
 	"github.com/balsamlb/balsamlb/settings"
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
 )
 
 // hangTimeout is how long a function may take that has nothing to wait for.
@@ -55,3 +58,16 @@
 		}
 	}
 }
+
+// Guards against a process that doesn't end when it is stopped, or another part of it fails, while it
+// starts: the HTTP server was shut down before it served, and then served on.
+func TestServerThatStartsAfterTheEndStops(t *testing.T) {
+	is := is.New(t)
+	for range 50 {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		var g errgroup.Group
+		serveHTTP(ctx, &g, fmt.Sprintf("127.0.33.7:%d", freePort(t)), &fasthttp.Server{})
+		is.NoErr(awaitError(t, g.Wait))
+	}
+}
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -281,10 +281,11 @@
 		if err != nil {
 			return eris.Wrapf(err, "daemon: listen on %s", address)
 		}
-		return eris.Wrapf(server.Serve(listener), "daemon: serve %s", address)
-	})
-	g.Go(func() error {
-		<-ctx.Done()
-		return server.Shutdown()
+		h := &httpListener{server: server, listener: listener}
+		g.Go(func() error {
+			<-ctx.Done()
+			return h.close()
+		})
+		return h.serve()
 	})
 }
