consensus: a test of who may reject a replica after a restart

Read as a fault: the sender of a rejecting verify reply is not checked to be a voter. It is none: the folder of a replica that was rolled back may hold a membership older than the voter that knows better, so such a check would keep it from being found. What keeps others from rejecting is the receiver's group and epoch, and canVerify at the sender.

--- a/consensus/vote_test.go
+++ b/consensus/vote_test.go
@@ -66,3 +66,45 @@
 	n.Step(reply)
 	is.Equal(n.Commit(), uint64(3))
 }
+
+// A rejection counts also if its sender is no voter that this replica knows: the membership in a folder
+// that was rolled back may be older than the voter. What protects against others is checked as well: a
+// reply to an earlier start and one of another group are ignored, and a former voter, whose records may
+// be outdated, does not answer a replica with a newer log.
+func TestUnknownVoterMayRejectARolledBackReplica(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, 0, 1)
+	c.propose(t, "a")
+	leader := c.leader()
+	old := c.others(leader)[0]
+	c.crash(old)
+	c.start(old)
+	n := c.replicas[old].node
+	membership := n.membership()
+	reject := Message{Kind: KindVerifyReply, From: "n9", To: old, Group: n.Group(), Hint: n.opts.Epoch, Reject: true, Membership: &membership}
+	_, isKnown := membership.Voter(reject.From)
+	is.True(!isKnown)
+	outdated := reject
+	outdated.Hint++
+	n.Step(outdated)
+	is.True(!n.IsRolledBack())
+	foreign := reject
+	foreign.Group++
+	n.Step(foreign)
+	is.True(!n.IsRolledBack())
+	n.Step(reject)
+	is.True(n.IsRolledBack())
+	// The sender has another folder than this node knows, and a newer log.
+	former := c.replicas[leader].node
+	last := former.log.lastPosition()
+	verify := Message{
+		Kind: KindVerify, From: old, To: leader, Group: former.Group(), Disk: n.opts.Disk + 1, Epoch: n.opts.Epoch,
+		PrevIndex: last.Index + 1, PrevTerm: last.Term,
+	}
+	former.messages = nil
+	former.Step(verify)
+	is.Equal(lastMessage(former, KindVerifyReply), Message{})
+	verify.PrevIndex = last.Index
+	former.Step(verify)
+	is.True(lastMessage(former, KindVerifyReply).Reject)
+}
