daemon: a confirmation from before the start does not open the view gate

What callers saw: a new instance whose only peer was cut off from the control instances served at once with that peer's old configuration, instead of waiting 3 s for others to be found. Cause: any confirmation counted, however old; the gate's contract says since the start. Evidence: TestConfirmationBeforeTheStartDoesNotOpenTheViewGate on the code before: the instance is ready.

--- a/daemon/state.go
+++ b/daemon/state.go
@@ -140,7 +140,7 @@
 		return "the instance is leaving"
 	case s.view.Config.Version == 0:
 		return "no configuration is in force yet"
-	case !s.viewGate.IsOpen(time.Now(), s.view.Index, !s.confirmedAt.IsZero()):
+	case !s.viewGate.IsOpen(time.Now(), s.view.Index, s.confirmedAt.After(s.started)):
 		return "the configuration may be older than that of the other instances"
 	case time.Since(s.started) < s.serverLease():
 		// Every available backend server renews its lease within this time. So a new instance knows
--- a/daemon/subscription_test.go
+++ b/daemon/subscription_test.go
@@ -9,6 +9,7 @@
 	"github.com/balsamlb/balsamlb/config"
 	"github.com/balsamlb/balsamlb/fleet"
 	"github.com/balsamlb/balsamlb/instance/wire"
+	"github.com/balsamlb/balsamlb/membership"
 	"github.com/balsamlb/balsamlb/replica"
 	"github.com/balsamlb/balsamlb/settings"
 	"github.com/go-logr/logr"
@@ -154,6 +155,29 @@
 	is.Equal(b.notReady(), "")
 }
 
+// Guards against a new instance that serves with an outdated view: its only peer is cut off, and was last
+// told before the instance started that the view is the newest.
+func TestConfirmationBeforeTheStartDoesNotOpenTheViewGate(t *testing.T) {
+	is := is.New(t)
+	cutOff, s := newTestState("a"), newTestState("b")
+	for _, i := range []*instanceState{cutOff, s} {
+		i.offerView(viewOf(9, 3))
+	}
+	cutOff.confirmView(9, time.Now().Add(-10*time.Second))
+	s.started = time.Now().Add(-s.serverLease())
+	s.viewGate = membership.NewViewGate(time.Now())
+	r := newSubscription(s, "a", func(string, uint64) {})
+	_, err := r.HandleHeartbeat(firstHeartbeat(cutOff, r))
+	is.NoErr(err)
+	is.Equal(s.notReady(), "the configuration may be older than that of the other instances")
+	// A confirmation since the start opens it.
+	cutOff.confirmView(9, time.Now())
+	r = newSubscription(s, "a", func(string, uint64) {})
+	_, err = r.HandleHeartbeat(firstHeartbeat(cutOff, r))
+	is.NoErr(err)
+	is.Equal(s.notReady(), "")
+}
+
 func TestConfirmationIsForwardedWithItsAge(t *testing.T) {
 	is := is.New(t)
 	a, b := newTestState("a"), newTestState("b")
