fleet: a follower accepts every feed

What operators saw: nothing so far. An instance with more than 4,096 servers of its own cut off all that subscribe to it: each of its updates ended their subscription. Cause: the follower accepted 4,096 slots; a registry, and so a feed, holds 8,192. Evidence: TestFollowerAcceptsEveryFeed on the code before: 'update for a slot without description'.

--- a/fleet/feed_test.go
+++ b/fleet/feed_test.go
@@ -108,3 +108,17 @@
 		is.Equal(NewFollower().Apply(now, now, u, NewRegistry()), ErrBadUpdate)
 	}
 }
+
+// Guards against an instance that is cut off from a peer with more servers than a follower accepts: each
+// update ended the subscription.
+func TestFollowerAcceptsEveryFeed(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	from, to := NewRegistry(), NewRegistry()
+	for n := range maxServers {
+		_, err := from.Announce(now, BackendServer{Name: fmt.Sprint(n), Incarnation: 1, Sequence: 1, Address: "127.0.0.1:1"}, lease)
+		is.NoErr(err)
+	}
+	is.NoErr(NewFollower().Apply(now, now, NewFeed().Next(now, from.Direct(now)), to))
+	is.Equal(len(to.Available(now)), maxServers)
+}
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -9,8 +9,8 @@
 // out of range or a server without a name.
 var ErrBadUpdate = errors.New("fleet: update for a slot without description")
 
-// maxSlots bounds the number of servers in a feed.
-const maxSlots = 4096
+// maxSlots bounds the number of servers in a feed. A feed never has more than a registry holds.
+const maxSlots = maxServers
 
 // Follower applies the updates of one subscription to a registry. It is not safe for concurrent
 // use.
