fleet, daemon: leases that are refused for lack of room are logged

What operators saw: servers above the 8,192nd were missing at an instance without a word, since the follower drops all refusals of Merge. Evidence: TestLeasesWithoutRoomAreCounted; without the counter nothing tells of the refused lease. The line comes at most every 200 ms (a tick).

--- a/daemon/members.go
+++ b/daemon/members.go
@@ -113,6 +113,9 @@
 	for _, b := range s.registry.Expire(now) {
 		s.leaseLog.Info("a lease has expired", "server", b.Name, "data_centre", b.DataCentre)
 	}
+	if n := s.registry.TakeRefused(); n > 0 {
+		s.leaseLog.Info("refused leases of backend servers for lack of room", "leases", n)
+	}
 }
 
 // planSubscriptions returns the addresses of the peers to subscribe to.
--- a/fleet/feed_test.go
+++ b/fleet/feed_test.go
@@ -122,3 +122,17 @@
 	is.NoErr(NewFollower().Apply(now, now, NewFeed().Next(now, from.Direct(now)), to))
 	is.Equal(len(to.Available(now)), maxServers)
 }
+
+// Guards against servers that are missing at one instance without a word: it had no room for them.
+func TestLeasesWithoutRoomAreCounted(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	to := NewRegistry()
+	for n := range maxServers {
+		is.NoErr(to.Merge(now, BackendServer{Name: fmt.Sprint(n), Incarnation: 1, Address: "127.0.0.1:1"}, now.Add(lease)))
+	}
+	u := Update{Remaining: []byte{9}, Described: []Description{{Server: BackendServer{Name: "late", Incarnation: 1, Address: "127.0.0.1:1"}}}}
+	is.NoErr(NewFollower().Apply(now, now, u, to))
+	is.Equal(to.TakeRefused(), 1)
+	is.Equal(to.TakeRefused(), 0)
+}
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -44,7 +44,7 @@
 			continue
 		}
 		// A server that Merge refuses stays unavailable on this instance. The instance that granted
-		// the lease learns of the same conflict.
+		// the lease learns of the same conflict, but not of a lack of room here: see TakeRefused.
 		_ = r.Merge(now, f.slots[i], sent.Add(time.Duration(units)*RemainingUnit))
 	}
 	return nil
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -38,6 +38,8 @@
 	direct map[string]*entry
 	// sorted holds the entries sorted by name; nil when it must be rebuilt.
 	sorted []*entry
+	// refused counts the leases that were refused for lack of room since TakeRefused was called.
+	refused int
 }
 
 // entry is one server. It is kept for a while after its lease has expired.
@@ -157,6 +159,7 @@
 	if _, ok := r.entries[s.Name]; !ok && len(r.entries) >= maxServers {
 		r.removeExpired(now)
 		if len(r.entries) >= maxServers {
+			r.refused++
 			return nil, ErrFull
 		}
 	}
@@ -166,6 +169,13 @@
 	return e, nil
 }
 
+// TakeRefused returns how many leases were refused for lack of room since the previous call.
+func (r *Registry) TakeRefused() int {
+	n := r.refused
+	r.refused = 0
+	return n
+}
+
 // byName returns the entries sorted by name.
 func (r *Registry) byName() []*entry {
 	if r.sorted != nil {
