daemon: a peer that ends its stream at once is redialled with pauses

What operators saw: an instance that dialled one peer thousands of times a second, for example one that is leaving, or another release that ends the stream after its first heartbeat. Cause: every stream with a heartbeat was followed by a dial without pause. A stream that lasted half a second is still followed at once.

--- a/daemon/exchange.go
+++ b/daemon/exchange.go
@@ -40,12 +40,13 @@
 // peerSync keeps this instance in sync with its peers: it subscribes to their heartbeats, queries
 // them for the members that they know, and fetches newer views.
 type peerSync struct {
-	state     *instanceState
-	host      *control.Host // nil on an instance without a replica
-	dialer    instance.Dialer
-	client    *instance.Exchanger
-	hints     *ring.Ring[viewHint]
-	dialSlots chan struct{}
+	state *instanceState
+	host  *control.Host // nil on an instance without a replica
+	// openStream is the dialer's Subscribe.
+	openStream func(ctx context.Context, address string, r instance.SubscriptionHandler) error
+	client     *instance.Exchanger
+	hints      *ring.Ring[viewHint]
+	dialSlots  chan struct{}
 
 	mu            sync.Mutex
 	random        *rand.Rand
@@ -56,7 +57,7 @@
 	return &peerSync{
 		state:         s,
 		host:          h,
-		dialer:        d,
+		openStream:    d.Subscribe,
 		client:        instance.NewExchanger(d),
 		hints:         ring.New[viewHint](fetchRingSize),
 		dialSlots:     make(chan struct{}, maxConcurrentDials),
@@ -119,8 +120,13 @@
 	}
 }
 
-// subscribe keeps up a subscription to the address until ctx ends. After a failure without a single
-// heartbeat it reconnects with exponential backoff.
+// lastingStream is how long a stream with heartbeats must have lasted for an immediate reconnection. It is
+// shorter than membership.ConnectionTimeout, since a peer with a silent connection must be reached over a
+// new one before it counts as failed.
+const lastingStream = 500 * time.Millisecond
+
+// subscribe keeps up a subscription to the address until ctx ends. It reconnects at once after a stream
+// that has lasted, and otherwise with exponential backoff.
 func (p *peerSync) subscribe(ctx context.Context, address string) {
 	delay := minRetryDelay
 	for ctx.Err() == nil {
@@ -135,10 +141,13 @@
 		}
 		if r.heartbeats > 0 {
 			p.state.memberLog.V(1).Info("a subscription ended", "instance", r.peer.Name, "reason", err.Error())
-			delay = minRetryDelay
-			continue
+			if time.Since(started) >= lastingStream {
+				delay = minRetryDelay
+				continue
+			}
+		} else {
+			p.state.connectFailed(address, started)
 		}
-		p.state.connectFailed(address, started)
 		sleepFor(ctx, p.jitter(delay))
 		delay = min(2*delay, maxRetryDelay)
 	}
@@ -153,7 +162,7 @@
 	release := sync.OnceFunc(func() { <-p.dialSlots })
 	defer release()
 	r.onHeartbeat = release
-	return p.dialer.Subscribe(ctx, address, r)
+	return p.openStream(ctx, address, r)
 }
 
 // jitter returns a random time between t/2 and t.
