daemon: the age of an instance doesn't depend on the wall clock

What callers saw: after the wall clock was set forward, an instance that had just started took instances that it had not found yet for down, and resolved their running requests 5 s early or, set back, never. Evidence: TestSetWallClockMakesNoInstanceDown on the code before: b is down.

--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -26,6 +26,5 @@
 			return m.Incarnation > d.Incarnation || !membership.IsAlive(m, now)
 		}
 	}
-	started := time.Unix(0, int64(s.incarnation))
-	return now.Sub(started) > unknownInstanceTimeout
+	return now.Sub(s.started) > unknownInstanceTimeout
 }
--- a/daemon/subscription_test.go
+++ b/daemon/subscription_test.go
@@ -9,6 +9,7 @@
 	"github.com/balsamlb/balsamlb/config"
 	"github.com/balsamlb/balsamlb/fleet"
 	"github.com/balsamlb/balsamlb/instance/wire"
+	"github.com/balsamlb/balsamlb/ledger"
 	"github.com/balsamlb/balsamlb/membership"
 	"github.com/balsamlb/balsamlb/replica"
 	"github.com/balsamlb/balsamlb/settings"
@@ -193,6 +194,20 @@
 	is.True(b.viewAge(now) < testUptime)
 }
 
+// Guards against an instance that reports others as down just after its start, because the wall clock was
+// set forward meanwhile.
+func TestSetWallClockMakesNoInstanceDown(t *testing.T) {
+	is := is.New(t)
+	s := newTestState("a")
+	unknown := ledger.Dispatcher{Instance: "b", Incarnation: 1}
+	s.started = time.Now()
+	s.incarnation = uint64(time.Now().Add(-time.Hour).UnixNano())
+	is.True(!s.IsDown(unknown))
+	s.started = time.Now().Add(-2 * unknownInstanceTimeout)
+	s.incarnation = uint64(time.Now().Add(time.Hour).UnixNano()) // set back
+	is.True(s.IsDown(unknown))
+}
+
 func FuzzHeartbeat(f *testing.F) {
 	a := newTestState("a")
 	_, _ = a.HandleAnnouncement(announcement("s", 1))
