admission: the idle workspaces of a pool are bounded

What operators saw: an instance kept every workspace that ever had a request, and went through all of them at each decision: the virtual time of a pool without a queue does not pass those of its workspaces. With 37,000 workspaces each request would cost as much. Evidence: TestIdleWorkspacesAreBounded on the code before: 1,000 of 1,000 stay. Change: at most 256 idle ones stay, those that are furthest ahead of the pool's virtual time.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -309,3 +309,29 @@
 		c.Ended(epoch, fmt.Sprint(i), false)
 	}
 }
+
+// Guards against a pool that keeps every workspace that ever had a request: without a queue, the pool's
+// virtual time did not pass theirs.
+func TestIdleWorkspacesAreBounded(t *testing.T) {
+	is := is.New(t)
+	c := newController(10)
+	const workspaces = 1000
+	for i := range workspaces {
+		id := fmt.Sprint(i)
+		is.Equal(c.Arrive(epoch, request(id, id, 1, time.Hour))[0].Verdict, Start)
+		c.Ended(epoch, id, true)
+	}
+	p := c.pools[poolName]
+	is.True(len(p.workspaces) <= maxIdleWorkspaces)
+	// Those that are furthest ahead stay.
+	c.Arrive(epoch, request("big", "big", 1, time.Hour))
+	c.Ended(epoch, "big", true)
+	p.workspaces["big"].virtualTime += 1000
+	for i := range workspaces {
+		id := fmt.Sprint("again", i)
+		c.Arrive(epoch, request(id, id, 1, time.Hour))
+		c.Ended(epoch, id, true)
+	}
+	_, kept := p.workspaces["big"]
+	is.True(kept)
+}
--- a/admission/pool.go
+++ b/admission/pool.go
@@ -83,15 +83,34 @@
 	return w
 }
 
-// removeIdle removes the workspaces without demand, to bound their number by the number of
-// requests. Workspaces whose virtual time is ahead of the pool's are kept: if such a workspace were
-// removed, its next request would start from the pool's virtual time, that is, too early.
+// maxIdleWorkspaces bounds the workspaces without demand that a pool keeps.
+const maxIdleWorkspaces = 256
+
+// removeIdle removes the workspaces without demand, to bound the number of workspaces by the number of
+// requests and maxIdleWorkspaces. Up to that bound, workspaces whose virtual time is ahead of the pool's
+// are kept: if such a workspace were removed, its next request would start from the pool's virtual time,
+// that is, too early.
 func (p *pool) removeIdle() {
+	var idle []*workspace
 	for name, w := range p.workspaces {
-		if w.running == 0 && len(w.waiting) == 0 && w.virtualTime <= p.virtualTime {
+		switch {
+		case w.demand() > 0:
+		case w.virtualTime <= p.virtualTime:
 			delete(p.workspaces, name)
+		default:
+			idle = append(idle, w)
 		}
 	}
+	if len(idle) <= maxIdleWorkspaces {
+		return
+	}
+	// Half of them stay, so that most calls need no sorting.
+	slices.SortFunc(idle, func(a, b *workspace) int {
+		return cmp.Or(cmp.Compare(a.virtualTime, b.virtualTime), cmp.Compare(a.name, b.name))
+	})
+	for _, w := range idle[:len(idle)-maxIdleWorkspaces/2] {
+		delete(p.workspaces, w.name)
+	}
 }
 
 func (w *workspace) demand() int { return w.running + len(w.waiting) }
