placement: a test of a lowered limit of loads

Read as a fault: weight_loads can't be lowered. TestLoweredLimitOfLoadsHoldsForNewLoads passes on the code as it is.

--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -226,3 +226,33 @@
 		}
 	}
 }
+
+// Read as a fault: a lowered limit of loads were ignored. It holds for the loads that begin after it, and
+// the ones that are open go on.
+func TestLoweredLimitOfLoadsHoldsForNewLoads(t *testing.T) {
+	is := is.New(t)
+	p := New(Options{OrderTimeout: time.Minute, MaxLoads: 3})
+	p.SetTerm(start, 1)
+	var servers []fleet.BackendServer
+	var desired []Desired
+	for _, name := range []string{"a", "b", "c", "d", "e"} {
+		servers = append(servers, fleet.BackendServer{Name: name, Incarnation: 1, ChecksFences: true})
+		desired = append(desired, wants(name, 0, 16))
+	}
+	is.Equal(len(p.Plan(start, desired, servers)), 3)
+	p.SetMaxLoads(1)
+	is.Equal(len(p.Plan(start, desired, servers)), 0) // three are open
+	finish := func(count int) {
+		for i := range servers {
+			if o, ok := p.open[servers[i].Name]; ok && count > 0 {
+				servers[i].Order = fleet.OrderReport{Fence: o.order.Fence, State: fleet.OrderDone}
+				servers[i].Model, servers[i].Layers = "icing", layers(0, 16)
+				count--
+			}
+		}
+	}
+	finish(2)
+	is.Equal(len(p.Plan(start, desired, servers)), 0) // one is open
+	finish(1)
+	is.Equal(len(p.Plan(start, desired, servers)), 1)
+}
