--- a/config/config_test.go
+++ b/config/config_test.go
@@ -122,3 +122,19 @@
 `)
 	is.Equal(Diff(a, a), "")
 }
+
+// Guards against a change that shows no difference, so that an operator takes it for applied.
+func TestMissingLastNewlineIsADifference(t *testing.T) {
+	is := is.New(t)
+	with, without := Document{Version: 1, Base: "[limits]\nmax_body = 9\n"}, Document{Base: "[limits]\nmax_body = 9"}
+	is.Equal(Diff(with, without), `--- base.ini (version 1)
++++ base.ini (not applied)
+@@ -1,2 +1,2 @@
+ [limits]
+-max_body = 9
++max_body = 9
+\ No newline at end of file
+`)
+	is.Equal(Diff(without, without), "")
+	is.True(Diff(Document{Base: "\n"}, Document{}) != "")
+}
--- a/config/diff.go
+++ b/config/diff.go
@@ -34,17 +34,32 @@
 	if from == to {
 		return ""
 	}
-	// The error is ignored because writing to memory never fails.
-	text, _ := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
+	diff := difflib.UnifiedDiff{
 		A:        lines(from),
 		B:        lines(to),
 		FromFile: fmt.Sprintf("%s (%s)", name, versionName(fromVersion)),
 		ToFile:   fmt.Sprintf("%s (%s)", name, versionName(toVersion)),
 		Context:  diffContext,
-	})
+	}
+	// The errors are ignored because writing to memory never fails.
+	text, _ := difflib.GetUnifiedDiffString(diff)
+	if text == "" {
+		// Only the newline at the end differs.
+		diff.A, diff.B = markMissingNewline(diff.A, from), markMissingNewline(diff.B, to)
+		text, _ = difflib.GetUnifiedDiffString(diff)
+	}
 	return text
 }
 
+// markMissingNewline marks the last line of a text that does not end with a newline, as diff does.
+func markMissingNewline(lines []string, text string) []string {
+	if len(lines) == 0 || strings.HasSuffix(text, "\n") {
+		return lines
+	}
+	lines[len(lines)-1] += "\\ No newline at end of file\n"
+	return lines
+}
+
 // lines splits a text into lines. A last line without a newline gets one, so that it is
 // terminated in the diff.
 func lines(text string) []string {
