upstream: interim answers do not end a call

What callers saw: 502 for a call whose server sends four interim answers (103 Early Hints) before its answer: they counted as answers to other requests, of which four are read. Evidence: TestInterimAnswersAreSkipped on the code before: 'the server sent only answers to other requests'. They have their own bound of 64, held by TestInterimAnswersAreBounded.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -22,8 +22,11 @@
 )
 
 const (
-	// maxAnswers bounds the answers read for one request, including skipped ones.
+	// maxAnswers bounds the answers read for one request, including skipped ones, but without interim
+	// answers.
 	maxAnswers = 4
+	// maxInterimAnswers bounds the interim answers (status 1xx) read for one request.
+	maxInterimAnswers = 64
 	// concurrentWriteSize is the smallest size of a body that is written while the client already
 	// waits for the answer. So the client can read an answer that the server sends before it has
 	// read the whole body.
@@ -162,14 +165,18 @@
 // readAnswer returns the answer to the request. It skips interim answers and answers to other
 // requests.
 func readAnswer(cn *conn, req *Request) (*http.Response, error) {
+	interim := 0
 	for range maxAnswers {
 		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: req.Method})
+		for ; err == nil && isInterim(resp); interim++ {
+			if interim == maxInterimAnswers {
+				return nil, errors.New("upstream: the server sent only interim answers")
+			}
+			resp, err = http.ReadResponse(cn.reader, &http.Request{Method: req.Method})
+		}
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
-			continue
-		}
 		if req.IsAnswer == nil || req.IsAnswer(resp.StatusCode, resp.Header) {
 			return resp, nil
 		}
@@ -180,6 +187,8 @@
 	return nil, errors.New("upstream: the server sent only answers to other requests")
 }
 
+func isInterim(resp *http.Response) bool { return resp.StatusCode >= 100 && resp.StatusCode < 200 }
+
 func encodeRequestHead(req *Request) []byte {
 	var b bytes.Buffer
 	b.WriteString(req.Method + " " + req.Target + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
--- a/upstream/exchange_test.go
+++ b/upstream/exchange_test.go
@@ -243,3 +243,30 @@
 	is.NoErr(l.Close())
 	is.True(errors.Is(c.Probe(t.Context(), l.Addr().String()), syscall.ECONNREFUSED))
 }
+
+// Guards against ending a call because of its interim answers: they counted as answers to other requests.
+func TestInterimAnswersAreSkipped(t *testing.T) {
+	is := is.New(t)
+	s := newFakeServer(t, func(_ int64, c net.Conn, r *http.Request) {
+		for range 2 * maxAnswers {
+			_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n")
+		}
+		answer(c, r.Header.Get("X-Id"), "yours")
+	})
+	body, err := do(t, NewClient(), s.request("1"))
+	is.NoErr(err)
+	is.Equal(body, "yours")
+}
+
+func TestInterimAnswersAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := newFakeServer(t, func(_ int64, c net.Conn, r *http.Request) {
+		for {
+			if _, err := io.WriteString(c, "HTTP/1.1 103 Early Hints\r\n\r\n"); err != nil {
+				return
+			}
+		}
+	})
+	_, err := do(t, NewClient(), s.request("1"))
+	is.True(err != nil)
+}
