mesh: reports that are forgotten are a change

What callers saw: a gateway avoided a server as unresponsive until something else changed, although the control instance that had called it so was gone; and it went on to watch control instances that only that one had named. Cause: forgetReports told nobody. Evidence: TestForgottenReportsAreAChange on the code before: the channel of changes stays open.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -411,12 +411,16 @@
 func (m *Mesh) forgetReports(address string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	changed := len(m.reportedControls[address])+len(m.reportedUnresponsive[address]) > 0
 	delete(m.reportedControls, address)
 	delete(m.reportedUsage, address)
 	m.mergePeerUsage()
 	delete(m.dataCentres, address)
 	delete(m.reportedUnresponsive, address)
 	delete(m.reportedGateways, address)
+	if changed {
+		m.broadcast()
+	}
 }
 
 // fetch gets the routing document of a control instance and publishes it if it is newer.
