mesh: the end of a watch is a change

What callers saw: when a gateway ended, the others went on to avoid servers that no longer had enough reports, until the next heartbeat; a control instance that had left was named as long. Evidence: TestEndOfAWatchIsAChange on the code before: the channel of changes stays open.

--- a/mesh/disconnect_test.go
+++ b/mesh/disconnect_test.go
@@ -31,3 +31,24 @@
 	m.forgetReports("10.0.0.1:7") // it could not be reached again
 	is.True(!isClosed(changed))
 }
+
+// Guards against watchers that are told late of what a watcher's end changes.
+func TestEndOfAWatchIsAChange(t *testing.T) {
+	is := is.New(t)
+	m := newTestMesh(t, "10.0.0.5:7")
+	first := m.NewWatchFeed(&wire.WatchRequest{Name: "g1", Faulty: []string{"s1"}})
+	second := m.NewWatchFeed(&wire.WatchRequest{Name: "g2", Faulty: []string{"s1"}})
+	m.NewWatchFeed(&wire.WatchRequest{Name: "g3"})
+	is.True(m.Snapshot().Unresponsive["s1"])
+	changed := m.Changed()
+	first.Close()
+	is.Equal(len(m.Snapshot().Unresponsive), 0)
+	is.True(isClosed(changed))
+	changed = m.Changed()
+	second.Close() // it changes nothing for others
+	is.True(!isClosed(changed))
+	standby := m.NewWatchFeed(&wire.WatchRequest{Name: "s", ControlAddress: "10.0.0.7:7"})
+	changed = m.Changed()
+	standby.Close()
+	is.True(isClosed(changed))
+}
--- a/mesh/feed.go
+++ b/mesh/feed.go
@@ -116,11 +116,16 @@
 	m := f.mesh
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	before := m.unresponsiveToWatchers()
 	m.setWatcherReport(f.name, nil)
-	if f.control == "" {
-		return
+	changed := !slices.Equal(before, m.unresponsiveToWatchers())
+	if f.control != "" {
+		if m.controlWatches[f.control]--; m.controlWatches[f.control] <= 0 {
+			delete(m.controlWatches, f.control)
+			changed = true
+		}
 	}
-	if m.controlWatches[f.control]--; m.controlWatches[f.control] <= 0 {
-		delete(m.controlWatches, f.control)
+	if changed {
+		m.broadcast()
 	}
 }
