mesh: the report of a watcher that has connected again is kept

What callers saw: after a gateway's connection broke, its usage and the servers it called unresponsive were missing at the control instance until its next report, so others may have filled servers above their room. Cause: the end of the earlier connection removed the report of the later one. Evidence: TestReportOfAReconnectedWatcherIsKept on the code before: the report is gone.

--- a/mesh/disconnect_test.go
+++ b/mesh/disconnect_test.go
@@ -52,3 +52,17 @@
 	standby.Close()
 	is.True(isClosed(changed))
 }
+
+// Guards against losing the report of a watcher that has connected again before the end of its earlier
+// connection was noticed.
+func TestReportOfAReconnectedWatcherIsKept(t *testing.T) {
+	is := is.New(t)
+	m := newTestMesh(t, "10.0.0.5:7")
+	request := &wire.WatchRequest{Name: "g1", Faulty: []string{"s1"}, Running: []*wire.DraftUse{{Server: "s2", Drafts: 3, TokenLayers: 9}}}
+	earlier := m.NewWatchFeed(request)
+	m.NewWatchFeed(request)
+	earlier.Close()
+	is.True(m.Snapshot().Unresponsive["s1"])
+	other := m.NewWatchFeed(&wire.WatchRequest{Name: "g2"})
+	is.Equal(len(other.Next().Others), 1)
+}
--- a/mesh/feed.go
+++ b/mesh/feed.go
@@ -60,7 +60,7 @@
 	}
 	before := m.unresponsiveToWatchers()
 	f.needsNoUsage = req.NeedsNoUsage
-	m.setWatcherReport(f.name, &watcherReport{usage: usageListFromWire(req.Running), unresponsive: req.Faulty})
+	m.setWatcherReport(f.name, &watcherReport{feed: f, usage: usageListFromWire(req.Running), unresponsive: req.Faulty})
 	if !slices.Equal(before, m.unresponsiveToWatchers()) {
 		m.broadcast()
 	}
@@ -117,7 +117,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	before := m.unresponsiveToWatchers()
-	m.setWatcherReport(f.name, nil)
+	// A watcher may have connected again before the end of this connection was noticed.
+	if r := m.watcherReports[f.name]; r != nil && r.feed == f {
+		m.setWatcherReport(f.name, nil)
+	}
 	changed := !slices.Equal(before, m.unresponsiveToWatchers())
 	if f.control != "" {
 		if m.controlWatches[f.control]--; m.controlWatches[f.control] <= 0 {
--- a/mesh/usage.go
+++ b/mesh/usage.go
@@ -18,6 +18,7 @@
 
 // watcherReport is the latest report of one watcher.
 type watcherReport struct {
+	feed         *feed // that received the report
 	usage        []Usage
 	unresponsive []string
 }
