replica: the timestamp of the leader replaces an earlier one

What operators saw: nothing so far; no instance proposes a command with a timestamp. One that does could advance the replicated time, by which records of the ledger expire: fields that are zero in the leader's timestamp kept the proposer's values, since protobuf merges a message that occurs twice. Evidence: TestTimestampOfTheLeaderReplacesAnEarlierOne on the code before: 99h0m0s != 0s.

--- a/replica/command.go
+++ b/replica/command.go
@@ -8,6 +8,7 @@
 	"github.com/balsamlb/balsamlb/ledger"
 	"github.com/balsamlb/balsamlb/replica/wire"
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -64,13 +65,34 @@
 // AddTimestamp returns the encoded command with the timestamp added. The leader calls it for each
 // command before it appends the command to the log.
 func AddTimestamp(data []byte, t Timestamp) ([]byte, error) {
-	// The encoded timestamp is appended as a second one. Protobuf merges a message field that occurs
-	// twice: the later occurrence replaces the fields of the earlier one.
 	tail, err := deterministic.Marshal(&wire.Command{Stamp: timestampToWire(t)})
 	if err != nil {
 		return nil, eris.Wrap(err, "replica: encode timestamp")
 	}
-	return append(append(make([]byte, 0, len(data)+len(tail)), data...), tail...), nil
+	out, err := appendWithoutTimestamp(make([]byte, 0, len(data)+len(tail)), data)
+	if err != nil {
+		return nil, err
+	}
+	return append(out, tail...), nil
+}
+
+// timestampField is the number of the field stamp of a command.
+const timestampField = 15
+
+// appendWithoutTimestamp appends the encoded command without its timestamp. Protobuf would merge the
+// fields of two timestamps.
+func appendWithoutTimestamp(out, data []byte) ([]byte, error) {
+	for len(data) > 0 {
+		number, _, size := protowire.ConsumeField(data)
+		if size < 0 {
+			return nil, eris.Wrap(protowire.ParseError(size), "replica: decode command")
+		}
+		if number != timestampField {
+			out = append(out, data[:size]...)
+		}
+		data = data[size:]
+	}
+	return out, nil
 }
 
 func beginToWire(b ledger.Begin) *wire.Begin {
