drain: a plain service may name a model

What operators saw: a move of a plain service whose section names a model made the leader panic, and every control instance that took over from it: the least of no layers was asked for. Where no server runs that model, the move found no servers. Evidence: TestMoveOfAServiceWithAModelButNoLayers on the code before: panic, slices.Min: empty list.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -18,7 +18,7 @@
 type Move struct {
 	Name    string
 	Service string
-	// Model is the service's model, "" for a plain service. Layers is its number of layers.
+	// Model is the service's model and Layers its number of layers; a plain service has no layers.
 	Model  string
 	Layers int
 	// DataCentre names the data centre whose servers are retired; "" retires those in Servers.
@@ -136,8 +136,12 @@
 	return out
 }
 
+// hasLayers reports whether the service is a draft service. The section of a plain service may name a
+// model, too.
+func (m Move) hasLayers() bool { return m.Model != "" && m.Layers > 0 }
+
 func (m Move) runs(s Server) bool {
-	if m.Model != "" {
+	if m.hasLayers() {
 		return s.Model == m.Model
 	}
 	return s.Runs(m.Service)
@@ -200,7 +204,7 @@
 // capacity returns how many requests can run at the same time without the excluded server: the
 // slots of the layer that has the fewest, or all slots of a plain service.
 func (m Move) capacity(excluded string, f Fleet) int {
-	if m.Model == "" {
+	if !m.hasLayers() {
 		total := 0
 		for _, s := range f.Servers {
 			if m.runs(s) && !s.isDrained() && s.Name != excluded {
@@ -224,7 +228,7 @@
 // work returns the number of requests that are running or queued: the requests of the layer that
 // has the most, or the requests of all servers of a plain service.
 func (m Move) work(f Fleet) int {
-	if m.Model == "" {
+	if !m.hasLayers() {
 		total := 0
 		for _, s := range f.Servers {
 			if m.runs(s) {
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -130,3 +130,23 @@
 	f.Servers[1].InFlight = 3
 	is.Equal(Evaluate(epoch, move("kandy"), f).Next, "c")
 }
+
+// plainServer returns a server of the plain service stock.
+func plainServer(name, dc string) Server {
+	return Server{BackendServer: fleet.BackendServer{Name: name, DataCentre: dc, Services: []string{"stock"}, Slots: 8}}
+}
+
+// Guards against a leader that panics on a move of a plain service whose section names a model: it has no
+// layers.
+func TestMoveOfAServiceWithAModelButNoLayers(t *testing.T) {
+	is := is.New(t)
+	m := move("kandy")
+	m.Service, m.Layers = "stock", 0
+	f := Fleet{Servers: []Server{plainServer("old", "kandy"), plainServer("new", "galle")}}
+	for i := range f.Servers {
+		f.Servers[i].Model = m.Model
+	}
+	p := Evaluate(epoch, m, f)
+	is.Equal(p.Total, 1)
+	is.Equal(p.Next, "old")
+}
