drain: a plain service without servers lacks capacity, not layers

What operators saw: 'the servers that stay don't cover all layers' for a service that has none. Evidence: TestMoveOfTheLastPlainServerLacksCapacity on the code before: it names the layers.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -192,10 +192,10 @@
 // blockedBy returns the reason why the server can't be drained now.
 func (m Move) blockedBy(name string, f Fleet) Risk {
 	left := m.capacity(name, f)
-	if left == 0 {
+	if left == 0 && m.hasLayers() {
 		return RiskLayers
 	}
-	if float64(left) < headroom*float64(m.work(f)) {
+	if left == 0 || float64(left) < headroom*float64(m.work(f)) {
 		return RiskCapacity
 	}
 	return RiskNone
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -150,3 +150,13 @@
 	is.Equal(p.Total, 1)
 	is.Equal(p.Next, "old")
 }
+
+// Guards against a wrong reason: a plain service has no layers that the servers that stay don't cover.
+func TestMoveOfTheLastPlainServerLacksCapacity(t *testing.T) {
+	is := is.New(t)
+	m := move("kandy")
+	m.Service, m.Model, m.Layers = "stock", "", 0
+	p := Evaluate(epoch, m, Fleet{Servers: []Server{plainServer("last", "kandy")}})
+	is.Equal(p.Next, "")
+	is.Equal(p.Risk, RiskCapacity)
+}
