dispatch: a draft whose tokens are missing says so

What callers saw: 'a token did not pass every layer once, in order' where a token had not arrived. Evidence: TestMissingTokenIsNamedAsTheReason on the code before: the text of the layers.

--- a/dispatch/draft.go
+++ b/dispatch/draft.go
@@ -72,6 +72,7 @@
 	}
 	var end *pipeline.EndError
 	var stage *pipeline.StageError
+	var order *pipeline.OrderError
 	switch {
 	case errors.As(err, &end) && end.Deadline:
 		return errDeadline(o)
@@ -79,6 +80,8 @@
 		return &outcome.Error{Outcome: outcome.Failed, Code: outcome.CodeCancelled, Message: "the caller has gone"}
 	case errors.As(err, &stage):
 		return errServerFailed(o, "a stage failed and no backend server could take it over: "+string(stage.Reason))
+	case errors.As(err, &order):
+		return errServerFailed(outcome.Failed, "a token of the answer is missing")
 	default:
 		return errServerFailed(outcome.Failed, "a token did not pass every layer once, in order")
 	}
--- a/dispatch/draft_replace_test.go
+++ b/dispatch/draft_replace_test.go
@@ -8,6 +8,7 @@
 	"github.com/balsamlb/balsamlb/fleet"
 	"github.com/balsamlb/balsamlb/internal/ring"
 	"github.com/balsamlb/balsamlb/membership"
+	"github.com/balsamlb/balsamlb/outcome"
 	"github.com/balsamlb/balsamlb/pipeline"
 	"github.com/balsamlb/balsamlb/settings"
 	"github.com/go-logr/logr"
@@ -46,3 +47,11 @@
 	run.endProbation()
 	is.Equal(d.resilience.tracker.Reserved(now, r.fingerprint()+1), nil)
 }
+
+// Guards against telling callers of a draft whose tokens are missing that a token skipped layers.
+func TestMissingTokenIsNamedAsTheReason(t *testing.T) {
+	is := is.New(t)
+	is.Equal(draftOutcome(&pipeline.OrderError{Request: "r", Missing: 3}, true).Message, "a token of the answer is missing")
+	is.Equal(draftOutcome(&pipeline.CoverageError{Request: "r"}, true).Message, "a token did not pass every layer once, in order")
+	is.Equal(draftOutcome(&pipeline.OrderError{}, false).Outcome, outcome.Failed) // tokens have arrived
+}
