bench: no slope without samples, no error text without a cause

Tools only, two small faults of report texts: a slope of 0 was reported where the samples don't determine one, and 'status 503: %!w(<nil>)' where a server refused to leave.

--- a/internal/bench/leases.go
+++ b/internal/bench/leases.go
@@ -74,8 +74,9 @@
 func leaseRound(l *lab.Lab, n int, left, crashed, crashedFrozen *[]time.Duration) error {
 	start := time.Now()
 	address := fmt.Sprintf("%s.1.%d:9000", l.Layout.Network, 100+n%13)
-	if code, _, err := fasthttp.Post(nil, "http://"+address+emulate.PathLeave, nil); err != nil || code != fasthttp.StatusOK {
-		return fmt.Errorf("bench: ask a server to leave: status %d: %w", code, err)
+	code, _, err := fasthttp.Post(nil, "http://"+address+emulate.PathLeave, nil)
+	if err := leaveError(code, err); err != nil {
+		return err
 	}
 	if err := waitUnused(l.Instances, fmt.Sprintf("colombo-advice-%d/", n%13)); err != nil {
 		return err
@@ -102,6 +103,17 @@
 	return nil
 }
 
+// leaveError returns why a server did not accept the order to leave, or nil.
+func leaveError(code int, err error) error {
+	switch {
+	case err != nil:
+		return fmt.Errorf("bench: ask a server to leave: %w", err)
+	case code != fasthttp.StatusOK:
+		return fmt.Errorf("bench: ask a server to leave: status %d", code)
+	}
+	return nil
+}
+
 // waitUnused waits until no instance may give new work to a server whose name begins with the
 // prefix. A slash is appended to each name before the comparison, so that a prefix that ends with a
 // slash matches only a whole name.
--- a/internal/bench/voters.go
+++ b/internal/bench/voters.go
@@ -56,25 +56,24 @@
 		}
 		samples = append(samples, s)
 	}
-	details["slope_bookings_per_second"] = votersSlope(samples, func(s votersSample) float64 { return s.perSecond })
-	details["slope_network_bytes"] = votersSlope(samples, func(s votersSample) float64 { return s.networkBytes })
-	details["slope_disk_bytes"] = votersSlope(samples, func(s votersSample) float64 { return s.diskBytes })
+	addVotersSlope(details, "slope_bookings_per_second", samples, func(s votersSample) float64 { return s.perSecond })
+	addVotersSlope(details, "slope_network_bytes", samples, func(s votersSample) float64 { return s.networkBytes })
+	addVotersSlope(details, "slope_disk_bytes", samples, func(s votersSample) float64 { return s.diskBytes })
 	return Figure{Value: samples[0].perSecond, Unit: "bookings/s", Baseline: &baseline, Details: details}, nil
 }
 
-// votersSlope returns the change of a value per additional voter, by least squares.
-func votersSlope(samples []votersSample, of func(votersSample) float64) float64 {
+// addVotersSlope adds the change of a value per additional voter, by least squares. It adds nothing if
+// the samples don't determine it.
+func addVotersSlope(details map[string]float64, name string, samples []votersSample, of func(votersSample) float64) {
 	var x [][]float64
 	var y []float64
 	for _, s := range samples {
 		x = append(x, []float64{1, float64(s.voters)})
 		y = append(y, of(s))
 	}
-	c, err := leastSquares(x, y)
-	if err != nil {
-		return 0
+	if c, err := leastSquares(x, y); err == nil {
+		details[name] = c[1]
 	}
-	return c[1]
 }
 
 // votersCounters holds the bytes that all instances have sent over the network and all voters
