--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -19,8 +19,6 @@
 // decisionPackages are the pure packages: they receive the time and events as input and return
 // actions.
 var decisionPackages = []string{
-	"admission", "config", "consensus", "credit", "fleet", "ledger", "membership", "outcome", "pipeline", "placement",
-	"quarantine", "replica", "retry", "route",
 	"admission", "config", "consensus", "credit", "discovery", "drain", "fleet", "layers", "ledger", "membership", "outcome", "pipeline",
 	"placement", "quarantine", "replica", "retry", "route", "routing",
 }
