--- a/storage/memfs_test.go
+++ b/storage/memfs_test.go
@@ -29,6 +29,8 @@
 	// stopAfter is the number of changes, such as writes, renames and syncs, that still succeed.
 	// Later ones have no effect and return errStopped. Negative: no limit.
 	stopAfter int
+	// removesAtOnce means that a removal is durable before its folder is synced, as it may be.
+	removesAtOnce bool
 }
 
 // errStopped stands for the end of the process.
@@ -135,6 +137,9 @@
 		return err
 	}
 	delete(m.files, path)
+	if m.removesAtOnce {
+		delete(m.durable, path)
+	}
 	return nil
 }
 
--- a/storage/reset_test.go
+++ b/storage/reset_test.go
@@ -45,6 +45,7 @@
 		for second, restarted := 0, false; !restarted; second++ {
 			points++
 			m := original.copyDurable()
+			m.removesAtOnce = true
 			l, _ := mustOpen(t, m)
 			disk := l.Identity().Disk
 			m.stopAfter = first
