balsamctl: completion of fish tells commands apart by their whole path

What operators saw: after 'config status' or 'move status', the flags of three commands; after a subcommand, its siblings. Conditions looked for the last word of a command only. Evidence: TestFishOffersOnlyWordsOfTheCommand on the code before: each flag three times. It evaluates the conditions; fish itself is not on this machine, so the script was not run in it.

--- a/cmd/balsamctl/completion.go
+++ b/cmd/balsamctl/completion.go
@@ -76,11 +76,33 @@
 func fishScript(table []commandWords) string {
 	var b strings.Builder
 	for _, w := range table {
-		condition := "__fish_use_subcommand"
-		if w.path != "" {
-			condition = "__fish_seen_subcommand_from " + w.path[strings.LastIndex(w.path, " ")+1:]
-		}
-		fmt.Fprintf(&b, "complete -c balsamctl -f -n %q -a %q\n", condition, strings.Join(w.words, " "))
+		fmt.Fprintf(&b, "complete -c balsamctl -f -n %q -a %q\n", fishCondition(w.path, table), strings.Join(w.words, " "))
 	}
 	return b.String()
 }
+
+// fishCondition returns the condition under which the words of the command are offered: all words of its
+// path have been seen, but none of its subcommands, and no command that has a subcommand of that name.
+func fishCondition(path string, table []commandWords) string {
+	if path == "" {
+		return "__fish_use_subcommand"
+	}
+	var terms, others []string
+	for word := range strings.FieldsSeq(path) {
+		terms = append(terms, "__fish_seen_subcommand_from "+word)
+	}
+	for _, w := range table {
+		parent, sub, ok := strings.Cut(w.path, " ")
+		switch {
+		case !ok:
+		case parent == path:
+			others = append(others, sub)
+		case sub == path:
+			others = append(others, parent)
+		}
+	}
+	if len(others) > 0 {
+		terms = append(terms, "not __fish_seen_subcommand_from "+strings.Join(others, " "))
+	}
+	return strings.Join(terms, "; and ")
+}
