drain: departed servers of a data centre count in its move

What operators saw: a move of a data centre drained its servers one right after the other, instead of spread over the time to its date, and its totals shrank: servers that were drained and had left no longer counted, since nothing said which data centre they had been in. TestDepartedServersOfADataCentreKeepThePace with the new field ignored: 9 != 10 servers in total.

--- a/daemon/moves.go
+++ b/daemon/moves.go
@@ -19,9 +19,9 @@
 func (s *instanceState) moveProgress(now time.Time) []drain.Progress {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	f := drain.Fleet{Departed: make(map[string]time.Time)}
+	f := drain.Fleet{Departed: make(map[string]drain.Departure)}
 	for name, d := range s.view.Drains {
-		f.Departed[name] = d.At
+		f.Departed[name] = drain.Departure{DrainedAt: d.At, Move: d.Move}
 	}
 	for _, l := range s.registry.Leases(now) {
 		delete(f.Departed, l.Server.Name)
@@ -61,7 +61,7 @@
 				continue
 			}
 			log.Info("draining a server for a move", "move", p.Move.Name, "server", p.Next, "drained", p.Drained, "total", p.Total)
-			c := replica.Command{Drain: &replica.Drain{Server: p.Next, On: true, At: time.Now()}}
+			c := replica.Command{Drain: &replica.Drain{Server: p.Next, On: true, At: time.Now(), Move: p.Move.Name}}
 			if _, err := d.proposer.Propose(ctx, c); err != nil {
 				log.Info("could not drain a server", "server", p.Next, "err", err.Error())
 			}
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -46,9 +46,16 @@
 type Fleet struct {
 	// Servers are the servers with a lease.
 	Servers []Server
-	// Departed holds the drained servers without a lease, with the time at which their drain
-	// began.
-	Departed map[string]time.Time
+	// Departed holds the drained servers without a lease, by name.
+	Departed map[string]Departure
+}
+
+// Departure describes the drain of a server that no longer has a lease.
+type Departure struct {
+	// DrainedAt is when the drain began.
+	DrainedAt time.Time
+	// Move is the name of the move that drained the server, "" if it was an operator.
+	Move string
 }
 
 const (
@@ -97,13 +104,10 @@
 func Evaluate(now time.Time, m Move, f Fleet) Progress {
 	retiring := m.retiring(f)
 	p := Progress{Move: m, Total: len(retiring)}
-	for _, name := range m.Servers {
-		if _, ok := f.Departed[name]; ok {
-			p.Total++
-			p.Drained++
-			p.Done++
-		}
-	}
+	departed := len(m.departed(f))
+	p.Total += departed
+	p.Drained += departed
+	p.Done += departed
 	for _, s := range retiring {
 		if s.isDrained() {
 			p.Drained++
@@ -147,6 +151,18 @@
 	return s.Runs(m.Service)
 }
 
+// departed returns the servers of the move that no longer have a lease: those that it names, and those
+// that it drained.
+func (m Move) departed(f Fleet) []Departure {
+	var out []Departure
+	for name, d := range f.Departed {
+		if slices.Contains(m.Servers, name) || d.Move == m.Name {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
 func (m Move) selects(s Server) bool {
 	if m.DataCentre != "" {
 		return s.DataCentre == m.DataCentre
@@ -277,8 +293,8 @@
 	for _, s := range retiring {
 		keepEarliest(s.DrainedAt)
 	}
-	for _, name := range m.Servers {
-		keepEarliest(f.Departed[name])
+	for _, d := range m.departed(f) {
+		keepEarliest(d.DrainedAt)
 	}
 	if first.IsZero() || p.Done == 0 || !now.After(first) {
 		return time.Time{}
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -115,12 +116,38 @@
 	is := is.New(t)
 	m := move("")
 	m.Servers = []string{"a", "b"}
-	f := Fleet{Servers: []Server{server("b", "kandy", 0, 32), server("c", "galle", 0, 32)}, Departed: map[string]time.Time{"a": epoch, "z": epoch}}
+	f := Fleet{Servers: []Server{server("b", "kandy", 0, 32), server("c", "galle", 0, 32)}, Departed: map[string]Departure{"a": {DrainedAt: epoch}, "z": {DrainedAt: epoch}}}
 	p := Evaluate(epoch.Add(time.Hour), m, f)
 	is.Equal(p.Total, 2)
 	is.Equal(p.Done, 1)
 }
 
+// Guards against a move of a data centre that drains everything at once: servers that had departed no
+// longer counted, so it always looked as if none had been drained yet.
+func TestDepartedServersOfADataCentreKeepThePace(t *testing.T) {
+	is := is.New(t)
+	const servers = 10
+	m := move("kandy")
+	f := Fleet{Servers: []Server{server("stays", "galle", 0, 32)}, Departed: map[string]Departure{"other": {DrainedAt: epoch, Move: "another"}}}
+	for i := range servers {
+		f.Servers = append(f.Servers, server(fmt.Sprint("old", i), "kandy", 0, 32))
+	}
+	for hour := range 100 {
+		now := epoch.Add(time.Duration(hour) * time.Hour)
+		p := Evaluate(now, m, f)
+		is.Equal(p.Total, servers)
+		is.True(p.Drained <= hour*servers/90+1) // spread over nine tenths of the time
+		if p.Next != "" {
+			// It is idle and gone by the next hour.
+			f.Servers = slices.DeleteFunc(f.Servers, func(s Server) bool { return s.Name == p.Next })
+			f.Departed[p.Next] = Departure{DrainedAt: now, Move: m.Name}
+		}
+	}
+	p := Evaluate(m.Date, m, f)
+	is.Equal(p.Done, servers)
+	is.Equal(p.Risk, RiskNone)
+}
+
 func TestServerWhoseDrainLeavesTheMostCapacityIsDrainedFirst(t *testing.T) {
 	is := is.New(t)
 	f := Fleet{Servers: []Server{
--- a/replica/codec.go
+++ b/replica/codec.go
@@ -152,9 +152,9 @@
 }
 
 func drainToWire(d Drain) *wire.Drain {
-	return &wire.Drain{Server: d.Server, On: d.On, AtUnixNanos: unixNanos(d.At)}
+	return &wire.Drain{Server: d.Server, On: d.On, AtUnixNanos: unixNanos(d.At), Move: d.Move}
 }
 
 func drainFromWire(w *wire.Drain) Drain {
-	return Drain{Server: w.GetServer(), On: w.GetOn(), At: timeFromUnixNanos(w.GetAtUnixNanos())}
+	return Drain{Server: w.GetServer(), On: w.GetOn(), At: timeFromUnixNanos(w.GetAtUnixNanos()), Move: w.GetMove()}
 }
--- a/replica/snapshot_test.go
+++ b/replica/snapshot_test.go
@@ -63,7 +63,7 @@
 			Overlays: map[string]string{"kandy": "x", "galle": attempt},
 		}
 	case 5:
-		c.Drain = &Drain{Server: attempt, On: rapid.Bool().Draw(t, "on")}
+		c.Drain = &Drain{Server: attempt, On: rapid.Bool().Draw(t, "on"), Move: rapid.SampledFrom([]string{"", "m"}).Draw(t, "move")}
 	case 6:
 		c.Credits = &credit.Batch{
 			Source:      rapid.SampledFrom([]string{"kandy-1", "galle-1"}).Draw(t, "credit source"),
--- a/replica/state.go
+++ b/replica/state.go
@@ -47,11 +47,13 @@
 	Document []byte
 }
 
-// Drain is an operator's order to start or end the drain of a backend server.
+// Drain is the order of an operator or a move to start or end the drain of a backend server.
 type Drain struct {
 	Server string    `json:"server"`
 	On     bool      `json:"on"`
 	At     time.Time `json:"at"`
+	// Move is the name of the move that the drain belongs to, "" for a drain by an operator.
+	Move string `json:"move,omitempty"`
 }
 
 // Result is the result of applying a command.
