settings: a range of layers has an end

What operators saw: layers = 0- of a [server] section, a typing error, was accepted. The leader counts the copies of each layer at each plan, four times a second, and would run out of memory, and so would every control instance that takes over. Evidence: TestRangeOfTooManyLayersIsAFault and TestAnySharedValueIsRefusedByKeyOrUsed (rapid.) on the code before: 0-4097 and 0- are accepted. The bound is that of a service, 4,096.

--- a/fleet/server.go
+++ b/fleet/server.go
@@ -12,6 +12,9 @@
 	To   int `json:"to"`
 }
 
+// MaxLayers bounds the layers of a model, and so the end of a Range.
+const MaxLayers = 4096
+
 // Len returns the number of layers in the range.
 func (r Range) Len() int { return r.To - r.From }
 
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -151,7 +152,7 @@
 
 func layerRange(v string) string {
 	if _, err := parseLayers(v); err != nil {
-		return "must be a range such as 0-16"
+		return fmt.Sprintf("must be a range such as 0-16, up to %d", fleet.MaxLayers)
 	}
 	return ""
 }
@@ -172,5 +173,8 @@
 	if low < 0 || high < low {
 		return fleet.Range{}, eris.New("settings: a range must not run backwards")
 	}
+	if high > fleet.MaxLayers {
+		return fleet.Range{}, eris.Errorf("settings: a model has at most %d layers", fleet.MaxLayers)
+	}
 	return fleet.Range{From: low, To: high}, nil
 }
--- a/settings/shared_config.go
+++ b/settings/shared_config.go
@@ -3,6 +3,8 @@
 import (
 	"strconv"
 	"time"
+
+	"github.com/balsamlb/balsamlb/fleet"
 )
 
 // ServiceKind says whether the requests of a service run on a chain of backend servers or on a
@@ -26,7 +28,7 @@
 	{"limits", "weight_loads", "2", "servers", "Servers that may load weights at a time, since they share the rate of the weight store.", wholeNumber(1, 1000)},
 	{"service", "kind", "plain", "", "draft: text streamed from a chain; plain: one call to one server.", oneOf(string(ServiceDraft), string(ServicePlain))},
 	{"service", "model", "", "", "Model that a draft service runs.", anyText},
-	{"service", "layers", "0", "layers", "Number of layers of the model.", wholeNumber(0, 4096)},
+	{"service", "layers", "0", "layers", "Number of layers of the model.", wholeNumber(0, fleet.MaxLayers)},
 	{"service", "idempotent", "true", "", "false: the service's calls are recorded and run at most once.", oneOf("true", "false")},
 	{"service", "enabled", "true", "", "false: the service takes no requests in the data centre.", oneOf("true", "false")},
 	{"move", "service", "", "", "Service whose backend servers are retired.", anyText},
--- a/settings/values_test.go
+++ b/settings/values_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 
+	"github.com/balsamlb/balsamlb/fleet"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
@@ -195,3 +196,91 @@
 		t.Fatalf("names or addresses %+v of %q", m, text)
 	}
 }
+
+// Guards against a typing error that makes the leader go through billions of layers at each plan.
+func TestRangeOfTooManyLayersIsAFault(t *testing.T) {
+	is := is.New(t)
+	read := func(layers string) error {
+		_, err := ParseSharedConfig(File{Name: "base.ini", Text: "[server s]\nmodel = m\nlayers = " + layers + "\n"}, File{})
+		return err
+	}
+	is.NoErr(read("0-4096"))
+	for _, layers := range []string{"0-4097", "0-2000000000", "4096-9223372036854775807"} {
+		checkFault(t, read(layers), "server s", "layers")
+	}
+}
+
+var validShared = map[[2]string]string{
+	{"service s", "kind"}: "draft", {"service s", "model"}: "m", {"service s", "layers"}: "32",
+	{"workspace w", "member"}: "m", {"server e", "model"}: "m", {"server e", "layers"}: "0-16",
+	{"move v", "service"}: "s", {"move v", "data_centre"}: "kandy", {"move v", "date"}: "2027-03-31T18:00:00Z",
+}
+
+// Like TestAnyValueIsRefusedByKeyOrUsed, for the shared configuration.
+func TestAnySharedValueIsRefusedByKeyOrUsed(t *testing.T) {
+	const filesPerCheck = 40
+	names := map[string]string{"service": "service s", "workspace": "workspace w", "server": "server e", "move": "move v"}
+	rapid.Check(t, func(t *rapid.T) {
+		for range filesPerCheck {
+			replaced := make(map[[2]string]string)
+			for range rapid.SampledFrom([]int{1, 1, 1, 2}).Draw(t, "keys") {
+				k := rapid.SampledFrom(sharedConfigSchema).Draw(t, "key")
+				section := k.Section
+				if name, ok := names[section]; ok {
+					section = name
+				}
+				replaced[[2]string{section, k.Name}] = drawSharedValue(t)
+			}
+			checkSharedValues(t, settingsText(validShared, replaced))
+		}
+	})
+}
+
+// drawSharedValue is like drawValue, with durations, dates and ranges.
+func drawSharedValue(t *rapid.T) string {
+	more := rapid.SampledFrom([]string{
+		"1h", "-1s", "0s", "1ns", "9999999h", "1.5s", "2027-03-31T18:00:00Z", "2027-03-31", "0000-01-01T00:00:00Z", "9999-12-31T23:59:59Z",
+		"0-16", "16-0", "-1-3", "0-0", "0-99999999999", "0-9223372036854775808", "1", "4096", "4097", "draft", "plain", "prefill", "kandy",
+	})
+	return rapid.OneOf(more, rapid.Custom(drawValue)).Draw(t, "shared value")
+}
+
+func checkSharedValues(t *rapid.T, text string) {
+	cfg, err := ParseSharedConfig(File{Name: "base.ini", Text: text}, File{})
+	var faults Faults
+	if err != nil && !errors.As(err, &faults) {
+		t.Fatalf("an error that is no fault: %v", err)
+	}
+	for _, f := range faults {
+		if f.File == "" || f.Reason == "" || f.Section != "" && f.Key == "" {
+			t.Fatalf("a fault that does not say where: %+v of %q", f, text)
+		}
+	}
+	if err != nil {
+		return
+	}
+	l := cfg.Limits
+	if l.MaxBodyBytes <= 0 || l.MaxTokens <= 0 || l.DefaultDeadline <= 0 || l.ServerLease <= 0 || l.WeightLoads <= 0 {
+		t.Fatalf("limits %+v of %q", l, text)
+	}
+	for _, s := range cfg.Services {
+		if s.Kind == ServiceDraft && (s.Model == "" || s.Layers <= 0) || s.Layers < 0 || s.Layers > fleet.MaxLayers {
+			t.Fatalf("service %+v of %q", s, text)
+		}
+	}
+	for _, e := range cfg.Engines {
+		if e.Model == "" || e.Layers.From < 0 || e.Layers.Len() <= 0 || e.Layers.To > fleet.MaxLayers {
+			t.Fatalf("engine %+v of %q", e, text)
+		}
+	}
+	for _, w := range cfg.Workspaces {
+		if w.Member == "" || w.Share <= 0 || w.MaxInFlight <= 0 {
+			t.Fatalf("workspace %+v of %q", w, text)
+		}
+	}
+	for _, m := range cfg.Moves {
+		if _, ok := cfg.Services[m.Service]; !ok || m.Date.IsZero() || !m.Start.IsZero() && !m.Start.Before(m.Date) || (m.DataCentre == "") == (len(m.Servers) == 0) {
+			t.Fatalf("move %+v of %q", m, text)
+		}
+	}
+}
