backend: announced layers have an end

What operators saw: nothing so far. Evidence: TestAnnouncedLayersAreBounded on the code before: 0-4097 is accepted.

--- a/backend/announce.go
+++ b/backend/announce.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/netip"
 
 	"github.com/balsamlb/balsamlb/fleet"
@@ -128,6 +129,8 @@
 		return "slots must be above 0"
 	case s.Model != "" && (s.Layers.From < 0 || s.Layers.To <= s.Layers.From):
 		return "layers must be a range that is not empty"
+	case s.Layers.To > fleet.MaxLayers:
+		return fmt.Sprintf("layers must not go beyond %d", fleet.MaxLayers)
 	}
 	if _, err := netip.ParseAddrPort(s.Address); err != nil {
 		return "address must be an IP address and port"
