settings: the zone of an address holds no further address

What operators saw: instances = [fe80::1%eth0]:80,[::1]:80, a list where one address belongs, was accepted. The port for the seeds could then not be read, so a gateway or controller started without the address of any control instance. Found by the grammar of settings with 3,000 checks.

--- a/settings/schema.go
+++ b/settings/schema.go
@@ -256,7 +256,8 @@
 	if v == "" {
 		return ""
 	}
-	if _, err := netip.ParseAddrPort(v); err != nil {
+	a, err := netip.ParseAddrPort(v)
+	if err != nil || strings.ContainsAny(a.Addr().Zone(), "[],=% \t") {
 		return "must be an IP address and port, such as 127.0.1.1:8080"
 	}
 	return ""
--- a/settings/values_test.go
+++ b/settings/values_test.go
@@ -284,3 +284,15 @@
 		}
 	}
 }
+
+// Guards against an instance that starts without the address of any control instance: netip takes what
+// follows a percent sign for a zone, up to the last bracket.
+func TestZoneHoldsNoFurtherAddress(t *testing.T) {
+	is := is.New(t)
+	is.Equal(addressPort("[fe80::1%eth0.1]:80"), "")
+	for _, value := range []string{"[fe80::1%eth0]:80,[::1]:80", "[fe80::1%a b]:80", "[fe80::1%a=b]:80"} {
+		text := settingsText(validMember, map[[2]string]string{{"listen", "instances"}: value})
+		_, err := ParseMember("m.ini", []byte(text), RoleController)
+		checkFault(t, err, "listen", "instances")
+	}
+}
