--- a/dispatch/call_idempotent.go
+++ b/dispatch/call_idempotent.go
@@ -52,7 +52,7 @@
 		select {
 		case <-ctx.Done():
 			stop()
-			return backend.CallAnswer{}, errContextDone(ctx)
+			return backend.CallAnswer{}, errContextDone(ctx, outcome.Failed)
 		case <-hedge:
 			c.hedge()
 		case result := <-c.results:
@@ -98,6 +98,9 @@
 func (c *idempotentCall) handleFailure(failed callTry) *outcome.Error {
 	c.d.log.Info("call failed", "request", c.r.ID, "server", failed.server.Name, "err", failed.err.Error())
 	c.mayHaveRun = c.mayHaveRun || (wasSent(failed.err) && !errors.Is(failed.err, errRefused))
+	if c.running > 0 {
+		return nil
+	}
 	o := outcome.NotRun
 	if c.mayHaveRun {
 		o = outcome.Failed
@@ -105,9 +108,6 @@
 	if c.d.resilience.check(c.fingerprint) == quarantine.Quarantined {
 		return errQuarantined(o)
 	}
-	if c.running > 0 {
-		return nil
-	}
 	if len(c.tried) >= maxCallTries {
 		return errServerFailed(o, "every backend server that was tried has failed")
 	}
@@ -116,7 +116,7 @@
 		return errServerFailed(o, "a backend server has failed, and there is no room for retries now")
 	}
 	if !sleep(c.ctx, backoff) {
-		return errContextDone(c.ctx)
+		return errContextDone(c.ctx, o)
 	}
 	refusal := c.start()
 	if refusal != nil && c.mayHaveRun {
@@ -178,7 +178,7 @@
 			return fleet.BackendServer{}, d.withPause(asOutcome(err), runs)
 		}
 		if !sleep(ctx, isolationRetryInterval) {
-			return fleet.BackendServer{}, errDeadline(outcome.NotRun)
+			return fleet.BackendServer{}, errContextDone(ctx, outcome.NotRun)
 		}
 	}
 }
--- a/dispatch/draft_resilience.go
+++ b/dispatch/draft_resilience.go
@@ -38,7 +38,7 @@
 			return route.ChainChoice{}, d.withPause(asOutcome(err), func(s fleet.BackendServer) bool { return s.Model == r.Service.Model })
 		}
 		if !sleep(ctx, isolationRetryInterval) {
-			return route.ChainChoice{}, errDeadline(outcome.NotRun)
+			return route.ChainChoice{}, errContextDone(ctx, outcome.NotRun)
 		}
 	}
 }
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -18,7 +18,7 @@
 type Move struct {
 	Name    string
 	Service string
-	// Model is the service's model, "" for a plain service. Layers is its number of layers.
+	// Model is the service's model and Layers its number of layers; a plain service has no layers.
 	Model  string
 	Layers int
 	// DataCentre names the data centre whose servers are retired; "" retires those in Servers.
@@ -46,9 +46,16 @@
 type Fleet struct {
 	// Servers are the servers with a lease.
 	Servers []Server
-	// Departed holds the drained servers without a lease, with the time at which their drain
-	// began.
-	Departed map[string]time.Time
+	// Departed holds the drained servers without a lease, by name.
+	Departed map[string]Departure
+}
+
+// Departure describes the drain of a server that no longer has a lease.
+type Departure struct {
+	// DrainedAt is when the drain began.
+	DrainedAt time.Time
+	// Move is the name of the move that drained the server, "" if it was an operator.
+	Move string
 }
 
 const (
@@ -97,13 +104,10 @@
 func Evaluate(now time.Time, m Move, f Fleet) Progress {
 	retiring := m.retiring(f)
 	p := Progress{Move: m, Total: len(retiring)}
-	for _, name := range m.Servers {
-		if _, ok := f.Departed[name]; ok {
-			p.Total++
-			p.Drained++
-			p.Done++
-		}
-	}
+	departed := len(m.departed(f))
+	p.Total += departed
+	p.Drained += departed
+	p.Done += departed
 	for _, s := range retiring {
 		if s.isDrained() {
 			p.Drained++
@@ -136,13 +140,29 @@
 	return out
 }
 
+// hasLayers reports whether the service is a draft service. The section of a plain service may name a
+// model, too.
+func (m Move) hasLayers() bool { return m.Model != "" && m.Layers > 0 }
+
 func (m Move) runs(s Server) bool {
-	if m.Model != "" {
+	if m.hasLayers() {
 		return s.Model == m.Model
 	}
 	return s.Runs(m.Service)
 }
 
+// departed returns the servers of the move that no longer have a lease: those that it names, and those
+// that it drained.
+func (m Move) departed(f Fleet) []Departure {
+	var out []Departure
+	for name, d := range f.Departed {
+		if slices.Contains(m.Servers, name) || d.Move == m.Name {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
 func (m Move) selects(s Server) bool {
 	if m.DataCentre != "" {
 		return s.DataCentre == m.DataCentre
@@ -188,10 +208,10 @@
 // blockedBy returns the reason why the server can't be drained now.
 func (m Move) blockedBy(name string, f Fleet) Risk {
 	left := m.capacity(name, f)
-	if left == 0 {
+	if left == 0 && m.hasLayers() {
 		return RiskLayers
 	}
-	if float64(left) < headroom*float64(m.work(f)) {
+	if left == 0 || float64(left) < headroom*float64(m.work(f)) {
 		return RiskCapacity
 	}
 	return RiskNone
@@ -200,7 +220,7 @@
 // capacity returns how many requests can run at the same time without the excluded server: the
 // slots of the layer that has the fewest, or all slots of a plain service.
 func (m Move) capacity(excluded string, f Fleet) int {
-	if m.Model == "" {
+	if !m.hasLayers() {
 		total := 0
 		for _, s := range f.Servers {
 			if m.runs(s) && !s.isDrained() && s.Name != excluded {
@@ -224,7 +244,7 @@
 // work returns the number of requests that are running or queued: the requests of the layer that
 // has the most, or the requests of all servers of a plain service.
 func (m Move) work(f Fleet) int {
-	if m.Model == "" {
+	if !m.hasLayers() {
 		total := 0
 		for _, s := range f.Servers {
 			if m.runs(s) {
@@ -273,8 +293,8 @@
 	for _, s := range retiring {
 		keepEarliest(s.DrainedAt)
 	}
-	for _, name := range m.Servers {
-		keepEarliest(f.Departed[name])
+	for _, d := range m.departed(f) {
+		keepEarliest(d.DrainedAt)
 	}
 	if first.IsZero() || p.Done == 0 || !now.After(first) {
 		return time.Time{}
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -115,12 +116,38 @@
 	is := is.New(t)
 	m := move("")
 	m.Servers = []string{"a", "b"}
-	f := Fleet{Servers: []Server{server("b", "kandy", 0, 32), server("c", "galle", 0, 32)}, Departed: map[string]time.Time{"a": epoch, "z": epoch}}
+	f := Fleet{Servers: []Server{server("b", "kandy", 0, 32), server("c", "galle", 0, 32)}, Departed: map[string]Departure{"a": {DrainedAt: epoch}, "z": {DrainedAt: epoch}}}
 	p := Evaluate(epoch.Add(time.Hour), m, f)
 	is.Equal(p.Total, 2)
 	is.Equal(p.Done, 1)
 }
 
+// Guards against a move of a data centre that drains everything at once: servers that had departed no
+// longer counted, so it always looked as if none had been drained yet.
+func TestDepartedServersOfADataCentreKeepThePace(t *testing.T) {
+	is := is.New(t)
+	const servers = 10
+	m := move("kandy")
+	f := Fleet{Servers: []Server{server("stays", "galle", 0, 32)}, Departed: map[string]Departure{"other": {DrainedAt: epoch, Move: "another"}}}
+	for i := range servers {
+		f.Servers = append(f.Servers, server(fmt.Sprint("old", i), "kandy", 0, 32))
+	}
+	for hour := range 100 {
+		now := epoch.Add(time.Duration(hour) * time.Hour)
+		p := Evaluate(now, m, f)
+		is.Equal(p.Total, servers)
+		is.True(p.Drained <= hour*servers/90+1) // spread over nine tenths of the time
+		if p.Next != "" {
+			// It is idle and gone by the next hour.
+			f.Servers = slices.DeleteFunc(f.Servers, func(s Server) bool { return s.Name == p.Next })
+			f.Departed[p.Next] = Departure{DrainedAt: now, Move: m.Name}
+		}
+	}
+	p := Evaluate(m.Date, m, f)
+	is.Equal(p.Done, servers)
+	is.Equal(p.Risk, RiskNone)
+}
+
 func TestServerWhoseDrainLeavesTheMostCapacityIsDrainedFirst(t *testing.T) {
 	is := is.New(t)
 	f := Fleet{Servers: []Server{
@@ -130,3 +157,33 @@
 	f.Servers[1].InFlight = 3
 	is.Equal(Evaluate(epoch, move("kandy"), f).Next, "c")
 }
+
+// plainServer returns a server of the plain service stock.
+func plainServer(name, dc string) Server {
+	return Server{BackendServer: fleet.BackendServer{Name: name, DataCentre: dc, Services: []string{"stock"}, Slots: 8}}
+}
+
+// Guards against a leader that panics on a move of a plain service whose section names a model: it has no
+// layers.
+func TestMoveOfAServiceWithAModelButNoLayers(t *testing.T) {
+	is := is.New(t)
+	m := move("kandy")
+	m.Service, m.Layers = "stock", 0
+	f := Fleet{Servers: []Server{plainServer("old", "kandy"), plainServer("new", "galle")}}
+	for i := range f.Servers {
+		f.Servers[i].Model = m.Model
+	}
+	p := Evaluate(epoch, m, f)
+	is.Equal(p.Total, 1)
+	is.Equal(p.Next, "old")
+}
+
+// Guards against a wrong reason: a plain service has no layers that the servers that stay don't cover.
+func TestMoveOfTheLastPlainServerLacksCapacity(t *testing.T) {
+	is := is.New(t)
+	m := move("kandy")
+	m.Service, m.Model, m.Layers = "stock", "", 0
+	p := Evaluate(epoch, m, Fleet{Servers: []Server{plainServer("last", "kandy")}})
+	is.Equal(p.Next, "")
+	is.Equal(p.Risk, RiskCapacity)
+}
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -9,8 +9,8 @@
 // out of range or a server without a name.
 var ErrBadUpdate = errors.New("fleet: update for a slot without description")
 
-// maxSlots bounds the number of servers in a feed.
-const maxSlots = 4096
+// maxSlots bounds the number of servers in a feed. A feed never has more than a registry holds.
+const maxSlots = maxServers
 
 // Follower applies the updates of one subscription to a registry. It is not safe for concurrent
 // use.
@@ -44,7 +44,7 @@
 			continue
 		}
 		// A server that Merge refuses stays unavailable on this instance. The instance that granted
-		// the lease learns of the same conflict.
+		// the lease learns of the same conflict, but not of a lack of room here: see TakeRefused.
 		_ = r.Merge(now, f.slots[i], sent.Add(time.Duration(units)*RemainingUnit))
 	}
 	return nil
--- /dev/null
+++ b/mesh/disconnect_test.go
@@ -0,0 +1,68 @@
+package mesh
+
+import (
+	"testing"
+
+	"github.com/balsamlb/balsamlb/instance/wire"
+	"github.com/matryer/is"
+)
+
+// isClosed reports whether the channel is closed.
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// Guards against a gateway that avoids a server long after the only control instance that called it
+// unresponsive is gone: what such an instance had reported was dropped without a word.
+func TestForgottenReportsAreAChange(t *testing.T) {
+	is := is.New(t)
+	m := newTestMesh(t, "")
+	m.mergeHeartbeat("10.0.0.1:7", &wire.WatchBeat{Suspects: []string{"s1"}})
+	changed := m.Changed()
+	m.forgetReports("10.0.0.1:7")
+	is.Equal(len(m.Snapshot().Unresponsive), 0)
+	is.True(isClosed(changed))
+	changed = m.Changed()
+	m.forgetReports("10.0.0.1:7") // it could not be reached again
+	is.True(!isClosed(changed))
+}
+
+// Guards against watchers that are told late of what a watcher's end changes.
+func TestEndOfAWatchIsAChange(t *testing.T) {
+	is := is.New(t)
+	m := newTestMesh(t, "10.0.0.5:7")
+	first := m.NewWatchFeed(&wire.WatchRequest{Name: "g1", Faulty: []string{"s1"}})
+	second := m.NewWatchFeed(&wire.WatchRequest{Name: "g2", Faulty: []string{"s1"}})
+	m.NewWatchFeed(&wire.WatchRequest{Name: "g3"})
+	is.True(m.Snapshot().Unresponsive["s1"])
+	changed := m.Changed()
+	first.Close()
+	is.Equal(len(m.Snapshot().Unresponsive), 0)
+	is.True(isClosed(changed))
+	changed = m.Changed()
+	second.Close() // it changes nothing for others
+	is.True(!isClosed(changed))
+	standby := m.NewWatchFeed(&wire.WatchRequest{Name: "s", ControlAddress: "10.0.0.7:7"})
+	changed = m.Changed()
+	standby.Close()
+	is.True(isClosed(changed))
+}
+
+// Guards against losing the report of a watcher that has connected again before the end of its earlier
+// connection was noticed.
+func TestReportOfAReconnectedWatcherIsKept(t *testing.T) {
+	is := is.New(t)
+	m := newTestMesh(t, "10.0.0.5:7")
+	request := &wire.WatchRequest{Name: "g1", Faulty: []string{"s1"}, Running: []*wire.DraftUse{{Server: "s2", Drafts: 3, TokenLayers: 9}}}
+	earlier := m.NewWatchFeed(request)
+	m.NewWatchFeed(request)
+	earlier.Close()
+	is.True(m.Snapshot().Unresponsive["s1"])
+	other := m.NewWatchFeed(&wire.WatchRequest{Name: "g2"})
+	is.Equal(len(other.Next().Others), 1)
+}
--- a/settings/member.go
+++ b/settings/member.go
@@ -1,8 +1,10 @@
 package settings
 
 import (
+	"math"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -137,7 +139,8 @@
 	return m, r.err()
 }
 
-// replacePorts replaces the port of each address with that of portSource.
+// replacePorts replaces the port of each address with that of portSource. Addresses that are equal then
+// are returned once.
 func replacePorts(addresses []string, portSource string) []string {
 	_, port, err := net.SplitHostPort(portSource)
 	if err != nil {
@@ -145,8 +148,12 @@
 	}
 	var out []string
 	for _, a := range addresses {
-		if host, _, err := net.SplitHostPort(a); err == nil {
-			out = append(out, net.JoinHostPort(host, port))
+		host, _, err := net.SplitHostPort(a)
+		if err != nil {
+			continue // already reported
+		}
+		if a = net.JoinHostPort(host, port); !slices.Contains(out, a) {
+			out = append(out, a)
 		}
 	}
 	return out
@@ -155,7 +162,7 @@
 // fraction checks that the value is a number from 0 to 1.
 func fraction(v string) string {
 	f, err := strconv.ParseFloat(v, 64)
-	if err != nil || f < 0 || f > 1 {
+	if err != nil || math.IsNaN(f) || f < 0 || f > 1 {
 		return "must be a number from 0 to 1"
 	}
 	return ""
--- a/settings/schema.go
+++ b/settings/schema.go
@@ -256,13 +256,24 @@
 	if v == "" {
 		return ""
 	}
-	if _, err := netip.ParseAddrPort(v); err != nil {
+	a, err := netip.ParseAddrPort(v)
+	if err != nil || strings.ContainsAny(a.Addr().Zone(), "[],=% \t") {
 		return "must be an IP address and port, such as 127.0.1.1:8080"
 	}
 	return ""
 }
 
+// noItems is the reason for a list that has separators but no items. An empty value is no list.
+const noItems = "names nothing"
+
+func isListWithoutItems(v string) bool {
+	return strings.TrimSpace(v) != "" && len(splitList(v)) == 0
+}
+
 func addressPorts(v string) string {
+	if isListWithoutItems(v) {
+		return noItems
+	}
 	for _, part := range splitList(v) {
 		if reason := addressPort(part); reason != "" {
 			return reason
@@ -272,11 +283,19 @@
 }
 
 func namedAddresses(v string) string {
+	if isListWithoutItems(v) {
+		return noItems
+	}
+	seen := make(map[string]bool)
 	for _, part := range splitList(v) {
 		name, address, ok := strings.Cut(part, "=")
 		if !ok || name == "" || addressPort(address) != "" || address == "" {
 			return "must be a list of name=address, such as colombo-1=127.0.1.1:8084"
 		}
+		if seen[name] || seen[address] {
+			return "names " + part + " twice"
+		}
+		seen[name], seen[address] = true, true
 	}
 	return ""
 }
