gateway: the end of a server that has said that it leaves is no crash

A server that left after saying so only in its answers was replaced at its address by one with the same release, which counted as a certain crash: the requests that it had run were blamed. What it said is asked first, before a new announcement ends the report. TestEndOfServerThatSaidItLeavesIsNoCrash failed before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -213,8 +213,8 @@
 		before, next := g.view.Load(), newView(g.options.Mesh.Snapshot())
 		g.view.Store(next)
 		g.resetRestarted(before, next)
-		g.applyAnnouncements(next)
 		g.recordEndedServers(before, next)
+		g.applyAnnouncements(next)
 		g.handleStateChanges(before, next)
 		select {
 		case <-changed:
--- a/gateway/lost_runs.go
+++ b/gateway/lost_runs.go
@@ -11,6 +11,7 @@
 
 	"github.com/balsamlb/balsamlb/discovery"
 	"github.com/balsamlb/balsamlb/quarantine"
+	"github.com/balsamlb/balsamlb/selfreport"
 	"golang.org/x/sync/singleflight"
 )
 
@@ -351,7 +352,11 @@
 // recordEndedServers records the crashes and the returns of servers that the control instances
 // report.
 func (g *Gateway) recordEndedServers(before, next *view) {
+	now := time.Now()
 	for id, old := range before.servers {
+		if g.selfReports.check(now, before.server(id)) == selfreport.Leaving {
+			continue // it has said that it ends
+		}
 		crash := before.crashOf(id)
 		current := next.servers[id]
 		switch {
