quarantine, dispatch: a crash presumed from a lost lease is withdrawn when the server returns

Callers of the product's own interface got "backend servers died while they ran this request" for a sound content: servers whose leases ran out beside a closed connection, and that announced themselves again as the same incarnation, counted as crashed for good, and the second one put the content in quarantine.

Cause: Tracker knew only names of crashed servers, so crashChecker couldn't tell it that a crash was only presumed, nor take it back.

Change: records hold, for each crash, whether it is certain (connections refused, or a later incarnation runs), else its incarnation and time. When an incarnation whose lease was lost is available again, Tracker.Returned withdraws its crashes presumed until then, and remembers that for TTL, so that a late finding from before doesn't count. Later crashes of the same incarnation do. Notices carry incarnation and age of presumed crashes (new field 9, which older instances ignore); each instance withdraws by the leases that it sees itself. One that missed the loss does so once the server has been available for longer than any lease since the crash, as a lease may have been granted before it. Certain crashes stay.

Ruled out: the announcement's sequence as a sign of life, since followers of a feed get no new sequence with a renewal.

Also: the record of a merged finding expires with the finding, no longer TTL after its arrival.

--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -120,6 +120,11 @@
 }
 
 func noticeToWire(n membership.Notice, now time.Time) *wire.Notice {
+	var presumed []*wire.PresumedCrash
+	for _, c := range n.Presumed {
+		age := uint64(max(0, now.Sub(c.At).Milliseconds()))
+		presumed = append(presumed, &wire.PresumedCrash{Server: c.Server, Incarnation: c.Incarnation, AgeMs: age})
+	}
 	return &wire.Notice{
 		Origin:      n.ID.Origin,
 		Incarnation: n.ID.Incarnation,
@@ -128,6 +133,7 @@
 		Fingerprint: n.Fingerprint,
 		Servers:     n.Servers,
 		Count:       n.Count,
+		Presumed:    presumed,
 		RemainingMs: uint64(max(0, n.Expires.Sub(now).Milliseconds())),
 	}
 }
@@ -137,6 +143,11 @@
 
 // noticeFromWire decodes a notice that was sent at the given time or later.
 func noticeFromWire(w *wire.Notice, sent time.Time) membership.Notice {
+	var presumed []membership.PresumedCrash
+	for _, c := range w.Presumed[:min(len(w.Presumed), membership.MaxNoticeServers)] {
+		age := time.Duration(min(c.AgeMs, uint64(maxNoticeTTL.Milliseconds()))) * time.Millisecond
+		presumed = append(presumed, membership.PresumedCrash{Server: c.Server, Incarnation: c.Incarnation, At: sent.Add(-age)})
+	}
 	remaining := min(w.RemainingMs, uint64(maxNoticeTTL.Milliseconds()))
 	return membership.Notice{
 		ID:          membership.NoticeID{Origin: w.Origin, Incarnation: w.Incarnation, Sequence: w.Sequence},
@@ -144,6 +155,7 @@
 		Fingerprint: w.Fingerprint,
 		Servers:     w.Servers[:min(len(w.Servers), membership.MaxNoticeServers)],
 		Count:       w.Count,
+		Presumed:    presumed,
 		Expires:     sent.Add(time.Duration(remaining) * time.Millisecond),
 	}
 }
--- a/daemon/gossip_test.go
+++ b/daemon/gossip_test.go
@@ -129,3 +129,20 @@
 	b.peerDisconnected(now, "a")
 	is.Equal(len(r.usage["a"]), 0)
 }
+
+// Guards against a presumed crash that other instances can't take back: its incarnation and age get lost
+// on the way.
+func TestNoticeCarriesPresumedCrashes(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	c := membership.PresumedCrash{Server: "s1", Incarnation: 3, At: now.Add(-2 * time.Second)}
+	n := membership.Notice{
+		Kind: membership.NoticeCrash, Servers: []string{"s0", "s1"}, Presumed: []membership.PresumedCrash{c}, Expires: now.Add(time.Minute),
+	}
+	later := now.Add(time.Hour) // the clock of another instance
+	out := noticeFromWire(noticeToWire(n, now), later)
+	is.Equal(len(out.Presumed), 1)
+	is.Equal(out.Presumed[0].Server, c.Server)
+	is.Equal(out.Presumed[0].Incarnation, c.Incarnation)
+	is.Equal(out.Presumed[0].At, later.Add(-2*time.Second))
+}
--- a/dispatch/resilience.go
+++ b/dispatch/resilience.go
@@ -24,10 +24,6 @@
 	// isolationRetryInterval is how often a waiting suspect checks for a server that runs no other
 	// suspect.
 	isolationRetryInterval = 50 * time.Millisecond
-	// crashCheckInterval is how often servers that closed connections are checked for a crash.
-	crashCheckInterval = 100 * time.Millisecond
-	// fleetCheckInterval is how often the fleet is looked at while no server crashes.
-	fleetCheckInterval = time.Second
 )
 
 // Publisher sends notices to the other instances of the data centre.
@@ -80,7 +76,7 @@
 	f := quarantine.Fingerprint(n.Fingerprint)
 	switch n.Kind {
 	case membership.NoticeCrash:
-		rs.tracker.Merge(now, quarantine.Finding{Fingerprint: f, Servers: n.Servers, Expires: n.Expires})
+		rs.tracker.Merge(now, findingOf(n))
 	case membership.NoticeSuspect:
 		for _, server := range n.Servers {
 			rs.tracker.ReserveForPeer(now, server, n.Expires)
@@ -203,87 +199,13 @@
 	}
 }
 
-// recordCrash records the crash in the tracker, and notifies the other instances of the requests
+// recordCrash records a certain crash in the tracker, and notifies the other instances of the requests
 // that the tracker blames for it.
 func (rs *resilience) recordCrash(server string, incarnation uint64) {
 	rs.mu.Lock()
 	findings := rs.tracker.Crashed(time.Now(), server, incarnation)
 	rs.mu.Unlock()
-	for _, f := range findings {
-		rs.log.Info("backend server crashed while running a request", "server", server, "fingerprint", f.Fingerprint.String(), "servers", f.Servers)
-		rs.publisher.Publish(membership.Notice{
-			Kind:        membership.NoticeCrash,
-			Fingerprint: uint64(f.Fingerprint),
-			Servers:     f.Servers,
-			Count:       uint32(len(f.Servers)),
-			Expires:     f.Expires,
-		})
-	}
-}
-
-// runCrashChecks periodically checks, until ctx ends, whether servers have crashed. A server has
-// crashed if it has returned as another incarnation, or has lost its lease without leaving.
-func (d *Dispatcher) runCrashChecks(ctx context.Context) error {
-	ticker := time.NewTicker(crashCheckInterval)
-	defer ticker.Stop()
-	var c crashChecker
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			c.check(now, d)
-			d.applyAnnouncements(now)
-		}
-	}
-}
-
-// crashChecker compares the fleet with its earlier state.
-type crashChecker struct {
-	// known holds the incarnations of the servers that accepted work at knownAt.
-	known   map[string]uint64
-	knownAt time.Time
-}
-
-// check records the servers that have crashed. Without a crash or a closed connection to explain, it
-// looks at the fleet only every fleetCheckInterval.
-func (c *crashChecker) check(now time.Time, d *Dispatcher) {
-	rs := d.resilience
-	rs.mu.Lock()
-	pending := rs.tracker.Pending(now)
-	isCalm := len(pending) == 0 && !rs.tracker.HasRecentCrash(now)
-	rs.mu.Unlock()
-	if isCalm && now.Sub(c.knownAt) < fleetCheckInterval {
-		return
-	}
-	present := make(map[string]uint64)
-	for _, s := range d.fleet.Available() {
-		present[s.Name] = s.Incarnation
-	}
-	leaving := d.leaving()
-	hasCrashed := func(server string, incarnation uint64) bool {
-		current, ok := present[server]
-		// A leaving server closes its connections without having crashed.
-		return ok && current > incarnation || !ok && !slices.Contains(leaving, server)
-	}
-	for name, incarnation := range c.known {
-		if hasCrashed(name, incarnation) {
-			rs.recordServerCrash(now, name, incarnation)
-		}
-	}
-	for _, p := range pending {
-		if hasCrashed(p.Server, p.Incarnation) {
-			rs.recordCrash(p.Server, p.Incarnation)
-		}
-	}
-	c.known, c.knownAt = present, now
-}
-
-// recordServerCrash records a crash that may have a common cause with others.
-func (rs *resilience) recordServerCrash(now time.Time, server string, incarnation uint64) {
-	rs.mu.Lock()
-	defer rs.mu.Unlock()
-	rs.tracker.AddServerCrash(now, quarantine.Crash{Server: server, Incarnation: incarnation})
+	rs.publishFindings(server, findings)
 }
 
 // allowRetry reports whether the budgets allow one more try, and how long to wait before it.
--- a/membership/notice.go
+++ b/membership/notice.go
@@ -43,10 +43,20 @@
 	// Servers are the names of the backend servers concerned, at most MaxNoticeServers.
 	Servers []string
 	Count   uint32
+	// Presumed are the crashes of servers in Servers that are only presumed, at most MaxNoticeServers.
+	Presumed []PresumedCrash
 	// Expires is when the notice expires, by this instance's clock.
 	Expires time.Time
 }
 
+// PresumedCrash is a crash of a backend server that is presumed since its lease ran out.
+type PresumedCrash struct {
+	Server      string
+	Incarnation uint64
+	// At is when the lease was found to have run out, by this instance's clock.
+	At time.Time
+}
+
 const (
 	// MaxNoticeServers bounds the servers of one notice.
 	MaxNoticeServers = 8
@@ -81,6 +91,7 @@
 	if len(n.Servers) > MaxNoticeServers {
 		n.Servers = n.Servers[:MaxNoticeServers]
 	}
+	n.Presumed = n.Presumed[:min(len(n.Presumed), MaxNoticeServers)]
 	s.put(now, n)
 	return n
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -112,26 +112,13 @@
 	crashHandled bool
 }
 
-// record holds the crashes that are attributed to one fingerprint.
-type record struct {
-	// servers are the servers that crashed, and crashedAt when that was found.
-	servers   []string
-	crashedAt []time.Time
-	lastCrash time.Time
-	expires   time.Time
-}
-
-func (r *record) add(now time.Time, server string) {
-	r.servers = append(r.servers, server)
-	r.crashedAt = append(r.crashedAt, now)
-	r.lastCrash = now
-}
-
 // Finding reports to other instances that servers crashed while they ran a request.
 type Finding struct {
 	Fingerprint Fingerprint
 	Servers     []string
-	Expires     time.Time
+	// Presumed are the crashes of servers in Servers that are not certain.
+	Presumed []PresumedCrash
+	Expires  time.Time
 }
 
 // Tracker holds the runs and records of one instance. It is not safe for concurrent use.
@@ -142,16 +129,25 @@
 	// which each reservation expires.
 	peerReservations map[string]time.Time
 	// released holds, by request, the servers whose earlier crashes no longer count.
-	released map[Fingerprint]*record
+	released map[Fingerprint]*release
+	// returned holds when incarnations became available again after their leases had run out.
+	returned map[Crash]time.Time
 	history  history
 }
 
+// release holds the servers whose crashes don't count for a request until the release expires.
+type release struct {
+	servers []string
+	expires time.Time
+}
+
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker {
 	return &Tracker{
 		records:          make(map[Fingerprint]*record),
 		peerReservations: make(map[string]time.Time),
-		released:         make(map[Fingerprint]*record),
+		released:         make(map[Fingerprint]*release),
+		returned:         make(map[Crash]time.Time),
 	}
 }
 
@@ -177,7 +173,7 @@
 	switch {
 	case !ok || !now.Before(r.expires):
 		return Clear
-	case len(r.servers) >= crashesToQuarantine && t.unexplained(r) >= crashesToQuarantine:
+	case t.unexplained(r) >= crashesToQuarantine:
 		return Quarantined
 	default:
 		return Suspect
@@ -186,14 +182,16 @@
 
 // unexplained returns the number of crashes without a common cause.
 func (t *Tracker) unexplained(r *record) int {
-	ranOn := func(c Crash) bool { return slices.Contains(r.servers, c.Server) }
+	servers := r.servers()
+	ranOn := func(c Crash) bool { return slices.Contains(servers, c.Server) }
 	excused := 0
-	for _, at := range r.crashedAt {
-		if excused < maxExcused && t.history.hasCommonCause(at, ranOn) {
+	for _, server := range servers {
+		isExcused := func(c attributedCrash) bool { return c.Server == server && t.history.hasCommonCause(c.At, ranOn) }
+		if excused < maxExcused && slices.ContainsFunc(r.crashes, isExcused) {
 			excused++
 		}
 	}
-	return len(r.servers) - excused
+	return len(servers) - excused
 }
 
 // HasRecentCrash reports whether a server crashed so recently that further crashes may have the same
@@ -243,10 +241,40 @@
 	})
 }
 
-// Crashed records that an incarnation of a server has crashed, and returns the findings to send to
-// other instances, one for each request that is blamed. If exactly one of the requests on the
-// server was a suspect, only that one is blamed. If several were suspects, no request is blamed.
+// Crashed records that an incarnation of a server has certainly crashed, and returns the findings to
+// send to other instances, one for each request that is blamed. If exactly one of the requests on the
+// server was a suspect, only that one is blamed. If several were suspects, no request is blamed. A
+// crash that was presumed so far becomes certain.
 func (t *Tracker) Crashed(now time.Time, server string, incarnation uint64) []Finding {
+	out := t.Confirm(now, Crash{Server: server, Incarnation: incarnation})
+	return append(out, t.crashed(now, server, incarnation, true)...)
+}
+
+// PresumeCrashed is like Crashed for a server whose lease has run out, which may have been only silent:
+// Returned withdraws the crash.
+func (t *Tracker) PresumeCrashed(now time.Time, server string, incarnation uint64) []Finding {
+	return t.crashed(now, server, incarnation, false)
+}
+
+// Confirm makes the presumed crashes of an incarnation certain, and returns the findings that have
+// changed.
+func (t *Tracker) Confirm(now time.Time, crash Crash) []Finding {
+	var out []Finding
+	for f, r := range t.records {
+		i := slices.IndexFunc(r.crashes, func(c attributedCrash) bool { return !c.isCertain && c.Crash == crash })
+		if i < 0 || !now.Before(r.expires) {
+			continue
+		}
+		c := r.crashes[i]
+		c.isCertain = true
+		r.add(c)
+		out = append(out, t.finding(f))
+	}
+	slices.SortFunc(out, func(a, b Finding) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return out
+}
+
+func (t *Tracker) crashed(now time.Time, server string, incarnation uint64, isCertain bool) []Finding {
 	var affected []*runState
 	t.dropExpiredRuns(now)
 	t.history.add(now, Crash{Server: server, Incarnation: incarnation})
@@ -266,7 +294,7 @@
 	}
 	var out []Finding
 	for _, r := range blamed {
-		if t.blame(now, r) {
+		if t.blame(now, r, isCertain) {
 			out = append(out, t.finding(r.Fingerprint))
 		}
 	}
@@ -286,14 +314,13 @@
 // blame adds the server of a run to the record of the run's request. A run that started before the
 // last crash was reported is not counted: servers that fail together, such as those of a rack,
 // count as one failure.
-func (t *Tracker) blame(now time.Time, run *runState) bool {
+func (t *Tracker) blame(now time.Time, run *runState, isCertain bool) bool {
 	r := t.record(now, run.Fingerprint)
-	if slices.Contains(r.servers, run.Server) || (len(r.servers) > 0 && run.started.Before(r.lastCrash)) {
+	if slices.Contains(r.servers(), run.Server) || (len(r.crashes) > 0 && run.started.Before(r.lastCrash)) {
 		return false
 	}
-	r.add(now, run.Server)
-	r.expires = now.Add(TTL)
-	return true
+	crash := Crash{Server: run.Server, Incarnation: run.Incarnation}
+	return r.add(attributedCrash{PresumedCrash: PresumedCrash{Crash: crash, At: now}, isCertain: isCertain, expires: now.Add(TTL)})
 }
 
 func (t *Tracker) record(now time.Time, f Fingerprint) *record {
@@ -329,21 +356,29 @@
 
 func (t *Tracker) finding(f Fingerprint) Finding {
 	r := t.records[f]
-	return Finding{Fingerprint: f, Servers: slices.Clone(r.servers), Expires: r.expires}
+	return Finding{Fingerprint: f, Servers: r.servers(), Presumed: r.presumed(), Expires: r.expires}
 }
 
-// Merge applies a finding of another instance.
+// Merge applies a finding of another instance. Presumed crashes that have been withdrawn since are left
+// out.
 func (t *Tracker) Merge(now time.Time, f Finding) {
 	for _, server := range f.Servers {
 		if old, ok := t.released[f.Fingerprint]; ok && slices.Contains(old.servers, server) && now.Before(old.expires) {
 			continue
 		}
-		r := t.record(now, f.Fingerprint)
-		if !slices.Contains(r.servers, server) {
-			r.add(now, server)
+		isPresumed := false
+		for _, c := range f.Presumed {
+			if c.Server != server {
+				continue
+			}
+			isPresumed = true
+			if !t.isWithdrawn(c) {
+				t.record(now, f.Fingerprint).add(attributedCrash{PresumedCrash: c, expires: f.Expires})
+			}
 		}
-		if f.Expires.After(r.expires) {
-			r.expires = f.Expires
+		if !isPresumed {
+			c := PresumedCrash{Crash: Crash{Server: server}, At: now}
+			t.record(now, f.Fingerprint).add(attributedCrash{PresumedCrash: c, isCertain: true, expires: f.Expires})
 		}
 	}
 }
@@ -401,7 +436,7 @@
 	var out []Entry
 	for f, r := range t.records {
 		if v := t.Check(now, f); v != Clear {
-			out = append(out, Entry{Fingerprint: f, Servers: slices.Clone(r.servers), Expires: r.expires, Quarantined: v == Quarantined})
+			out = append(out, Entry{Fingerprint: f, Servers: r.servers(), Expires: r.expires, Quarantined: v == Quarantined})
 		}
 	}
 	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
@@ -419,5 +454,5 @@
 	if len(t.released) >= maxRecords {
 		clear(t.released)
 	}
-	t.released[f] = &record{servers: r.servers, expires: now.Add(TTL)}
+	t.released[f] = &release{servers: r.servers(), expires: now.Add(TTL)}
 }
