gateway: no more runs of a request break off than the route has attempts

At most MaxAttempts runs may break off now; a run that was overtaken after a silence is none of them. TestOneSendOfCrashingStreamCrashesNoMoreServersThanAttempts failed before (3 servers, 2 allowed).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -84,7 +84,7 @@
 	if errors.Is(cause, errHeadCrashed) {
 		f.reason = head.Server + " has crashed"
 	}
-	if f.ran {
+	if f.ran && !errors.Is(cause, errOvertaken) {
 		d.addEndedRun(head)
 	}
 	switch {
@@ -336,7 +336,7 @@
 	if silent.ctx.Err() != nil {
 		return
 	}
-	mayRepeat := d.route.MayRepeat() && g.countedAttempts(d.job) < d.route.MaxAttempts && (d.isStarted.Load() || d.sends.Load() < maxSends)
+	mayRepeat := d.route.MayRepeat() && g.hasAttempt(d.job) && (d.isStarted.Load() || d.sends.Load() < maxSends)
 	if !mayRepeat || !d.race.mayJoin() || !g.hasRetry(d.job) {
 		return
 	}
--- a/gateway/crash_request_test.go
+++ b/gateway/crash_request_test.go
@@ -405,3 +405,18 @@
 	is.Equal(r.status, http.StatusServiceUnavailable) // this send has not run
 	is.True(r.retryAfter != "")
 }
+
+// Guards against a stream that goes on and on past the servers that it crashes: each gives it one more
+// event, and none counts as an attempt.
+func TestOneSendOfCrashingStreamCrashesNoMoreServersThanAttempts(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, crashKind{afterFirstEvent: true}, 1)
+	c.fleet.addAll(8, "advice", 0, 4)
+	c.settle()
+	for i := range 6 { // each adds a retry to the budget
+		c.gateways[0].send("/advice/1", fmt.Sprint("sound ", i))
+	}
+	c.gateways[0].send("/advice/1", "crash 1")
+	_, crashes := c.fleet.count("crash 1")
+	is.New(t).Equal(crashes, 2) // MaxAttempts of the route
+}
--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -181,12 +181,11 @@
 // mayRunAgain reports whether the route allows a further attempt. If the attempts are used up, it waits
 // until the probe of the last server is over: an attempt on a server that has crashed doesn't count.
 func (g *Gateway) mayRunAgain(ctx context.Context, d *draft) bool {
-	hasAttempt := func() bool { return g.countedAttempts(d.job) < max(1, d.route.MaxAttempts) }
-	if !d.route.MayRepeat() || hasAttempt() {
+	if !d.route.MayRepeat() || g.hasAttempt(d.job) {
 		return d.route.MayRepeat()
 	}
-	poll(ctx, crashPollInterval, crashConfirmWait, hasAttempt)
-	return hasAttempt()
+	poll(ctx, crashPollInterval, crashConfirmWait, func() bool { return g.hasAttempt(d.job) })
+	return g.hasAttempt(d.job)
 }
 
 // failDraft reports a failed draft to the caller: with an error status, or, if the stream has
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -330,8 +330,7 @@
 	// counted once.
 	heldBack [selfreport.Verdicts]atomic.Bool
 
-	// runsMu guards endedRuns, the crashes that would end the servers of the sends that have failed
-	// after the request may have run.
+	// runsMu guards endedRuns, the crashes that would end the servers of the runs that have broken off.
 	runsMu    sync.Mutex
 	endedRuns []quarantine.Crash
 
@@ -343,25 +342,26 @@
 	trial       trial
 }
 
-// addEndedRun records the server of a send that has failed after the request may have run there.
+// addEndedRun records the server of a run that has broken off.
 func (j *job) addEndedRun(end quarantine.Crash) {
 	j.runsMu.Lock()
 	defer j.runsMu.Unlock()
 	j.endedRuns = append(j.endedRuns, end)
 }
 
-// countedAttempts returns the number of attempts that count against the route's limit: those on servers
-// that have crashed for certain don't.
-func (g *Gateway) countedAttempts(j *job) int {
+// hasAttempt reports whether the route's limit allows a further attempt. Attempts on servers that have
+// crashed for certain don't count against it, but no more runs than that may break off.
+func (g *Gateway) hasAttempt(j *job) bool {
+	limit := max(1, j.route.MaxAttempts)
 	j.runsMu.Lock()
 	defer j.runsMu.Unlock()
-	n := int(j.attempts.Load())
+	crashed := 0
 	for _, end := range j.endedRuns {
 		if g.lost.isConfirmed(end) {
-			n--
+			crashed++
 		}
 	}
-	return n
+	return len(j.endedRuns) < limit && int(j.attempts.Load())-crashed < limit
 }
 
 // ServeHTTP serves one request.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -130,7 +130,7 @@
 		g.recordHealth(server, false)
 		return &failure{reason: "the answer of " + server + " bears no mark", ran: true}
 	}
-	canRetry := j.route.MayRepeat() && g.countedAttempts(j) < j.route.MaxAttempts && j.sends.Load() < maxSends
+	canRetry := j.route.MayRepeat() && g.hasAttempt(j) && j.sends.Load() < maxSends
 	if resp.Status >= http.StatusInternalServerError && canRetry && g.allowRetry(j) {
 		g.recordHealth(server, false)
 		return &failure{reason: server + " failed", ran: true, err: errRetryAllowed}
@@ -146,7 +146,7 @@
 	if ctx.Err() != nil || j.sends.Load() >= maxSends {
 		return false
 	}
-	if f.ran && (!j.route.MayRepeat() || g.countedAttempts(j) >= max(1, j.route.MaxAttempts)) {
+	if f.ran && (!j.route.MayRepeat() || !g.hasAttempt(j)) {
 		return false
 	}
 	// A send that never left this process has used nothing of the budget.
