--- a/gateway/draft_path.go
+++ b/gateway/draft_path.go
@@ -10,8 +10,8 @@
 )
 
 // awaitPath returns the best path for the draft. If no path has capacity, it waits. New drafts wait
-// up to capacityWait, at most maxCapacityWaiters of them at a time. A started stream waits until
-// resumeWait has passed since its last event.
+// up to capacityWait, at most maxCapacityWaiters of them at a time. A started stream waits until its
+// deadline.
 func (g *Gateway) awaitPath(ctx context.Context, d *draft) (layers.Path, bool) {
 	path, ok := g.findNewPath(d)
 	if ok {
@@ -21,7 +21,7 @@
 		return nil, false
 	}
 	if d.isStarted.Load() {
-		return g.pollPath(ctx, d, resumePollInterval, resumeWait-d.idleTime())
+		return g.pollPath(ctx, d, resumePollInterval, time.Until(d.deadline))
 	}
 	defer g.waiters.Add(-1)
 	if g.waiters.Add(1) > maxCapacityWaiters {
@@ -84,7 +84,7 @@
 		}
 		return g.isExcluded(v, now, id) || slices.Contains(avoided, id)
 	}
-	path, _, ok := s.paths.Find(layers.Query{
+	query := layers.Query{
 		Draft:   d.size,
 		Home:    g.options.DataCentre,
 		Head:    head,
@@ -93,7 +93,12 @@
 		PipeWait: func(from, to string) time.Duration {
 			return g.linkTraffic.wait(now, from, to)
 		},
-	})
+	}
+	path, _, ok := s.paths.Find(query)
+	if !ok && g.faults.hasAnswering() {
+		query.Avoid = func(id string) bool { return avoid(id) && !g.faults.isAnswering(id) }
+		path, _, ok = s.paths.Find(query)
+	}
 	if ok {
 		// Done under the same lock, so that concurrent searches don't all choose the same link
 		// between data centres.
--- a/gateway/lost_runs.go
+++ b/gateway/lost_runs.go
@@ -129,6 +129,27 @@
 	return true
 }
 
+// isConfirmed reports whether a crash is known for certain.
+func (l *lostRuns) isConfirmed(c quarantine.Crash) bool {
+	if l.crashCount.Load() == 0 {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.crashes[c].isConfirmed
+}
+
+// isPresumed reports whether a crash is known, but not for certain.
+func (l *lostRuns) isPresumed(c quarantine.Crash) bool {
+	if l.crashCount.Load() == 0 {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	found, ok := l.crashes[c]
+	return ok && !found.isConfirmed
+}
+
 // removeExpired removes the runs and crashes that are too old to be used.
 func (l *lostRuns) removeExpired(now time.Time) {
 	l.mu.Lock()
@@ -144,19 +165,19 @@
 
 // recordLostRun records that a server was running the request when the server, or the connection to
 // it, failed. A probe then shows whether the server has crashed. crash is the end of the incarnation
-// to which the request was sent.
-func (g *Gateway) recordLostRun(j *job, crash quarantine.Crash, why string) {
+// to which the request was sent. provedSound means that the run had proved sound there.
+func (g *Gateway) recordLostRun(j *job, crash quarantine.Crash, provedSound bool, why string) {
 	g.metrics.LostRuns.WithLabelValues().Inc()
 	g.options.Log.Info("lost a run", "request", j.header.ID, "content", j.fingerprint().String(), "parts", formatParts(j.sharedParts), "server", crash.Server, "reason", why)
-	if g.addLostRun(j, crash) {
+	if g.addLostRun(j, crash, provedSound) {
 		go g.probeLost(crash)
 	}
 }
 
 // addLostRun remembers a lost run, so that a later crash of its server is attributed to it. It returns
 // whether it has yet to be found out if the server has crashed.
-func (g *Gateway) addLostRun(j *job, crash quarantine.Crash) (isOpen bool) {
-	r := lostRun{job: j, crash: crash, at: time.Now(), provedSound: j.writing.provedSound()}
+func (g *Gateway) addLostRun(j *job, crash quarantine.Crash, provedSound bool) (isOpen bool) {
+	r := lostRun{job: j, crash: crash, at: time.Now(), provedSound: provedSound}
 	found, isKnown := g.lost.add(r)
 	if isKnown {
 		g.attributeCrash(r, found.isConfirmed)
@@ -165,29 +186,29 @@
 }
 
 // recordLostAttempt records the servers that a failed attempt of a draft has lost: those of its path
-// that are known to be faulty, and the first one, unless the attempt was cancelled for the sake of a
-// later one.
-func (g *Gateway) recordLostAttempt(d *draft, cause error, why string) {
+// that are known to be faulty, and the first one, unless the attempt was cancelled for the sake of
+// another one.
+func (g *Gateway) recordLostAttempt(a *attempt, cause error, why string) {
 	v := g.view.Load()
-	for i, crash := range d.pathCrashes() {
+	for i, crash := range a.pathCrashes() {
 		isLost := g.isFaulty(v, crash.Server)
-		if i == 0 {
-			isLost = !errors.Is(cause, errNoReroute) && !errors.Is(cause, errQuarantined)
+		if i == 0 && !errors.Is(cause, errOvertaken) {
+			isLost = !errors.Is(cause, errQuarantined)
 		}
 		if isLost {
-			g.recordLostRun(d.job, crash, why)
+			g.recordLostRun(a.draft.job, crash, a.writing.provedSound(), why)
 		}
 	}
 }
 
 // recordAbandonedAttempt remembers the servers of a draft whose caller left while the draft was idle:
 // one of them may have crashed.
-func (g *Gateway) recordAbandonedAttempt(d *draft) {
-	if d.idleTime() < idleAfter {
+func (g *Gateway) recordAbandonedAttempt(a *attempt) {
+	if a.idleTime(time.Now()) < idleAfter {
 		return
 	}
-	for _, crash := range d.pathCrashes() {
-		g.addLostRun(d.job, crash)
+	for _, crash := range a.pathCrashes() {
+		g.addLostRun(a.draft.job, crash, a.writing.provedSound())
 	}
 }
 
@@ -218,14 +239,14 @@
 	g.attributeCrashTo(crash, "is silent", false, nil)
 }
 
-func (g *Gateway) attributeCrashTo(crash quarantine.Crash, why string, isConfirmed bool, running []*draft) {
+func (g *Gateway) attributeCrashTo(crash quarantine.Crash, why string, isConfirmed bool, running []*attempt) {
 	now := time.Now()
 	runs, isNew, isUpgraded := g.lost.addCrash(now, crash, isConfirmed)
 	if !isNew && !isUpgraded {
 		return
 	}
-	for _, d := range running {
-		runs = append(runs, lostRun{job: d.job, crash: crash, provedSound: d.writing.provedSound()})
+	for _, a := range running {
+		runs = append(runs, lostRun{job: a.draft.job, crash: crash, provedSound: a.writing.provedSound()})
 	}
 	g.options.Log.Info("a backend server has crashed", "server", crash.Server, "incarnation", crash.Incarnation, "why", why,
 		"is_confirmed", isConfirmed, "requests", len(runs))
@@ -236,6 +257,9 @@
 	for _, r := range runs {
 		g.attributeCrash(r, isConfirmed)
 	}
+	if isConfirmed {
+		g.checkDraftsThrough(crash.Server)
+	}
 }
 
 // withdrawCrash takes back a crash, since the server is alive.
@@ -301,7 +325,9 @@
 	j.crashes.mu.Lock()
 	defer j.crashes.mu.Unlock()
 	j.crashes.isAnswered = true
-	g.recordCompleted(j)
+	if j.service.Engine == nil {
+		g.clearParts(j, j.arrived) // its server began later
+	}
 	if !g.evidence.IsEmpty() && g.evidence.Absolve(j.fingerprint()) {
 		g.options.Log.Info("served a request whose servers had crashed", "request", j.header.ID, "content", j.fingerprint().String())
 	}
@@ -337,7 +363,7 @@
 			}
 		case next.states[id] == discovery.StateSilent && old.State == discovery.StateReady:
 			g.recordSilence(crash)
-		case current != nil && current.State == discovery.StateReady && old.State == discovery.StateSilent:
+		case old.State == discovery.StateSilent && next.incarnations[id] == old.Incarnation && next.announces(id):
 			g.withdrawCrash(crash, "announces itself again")
 		}
 	}
--- a/gateway/part_runs.go
+++ b/gateway/part_runs.go
@@ -16,22 +16,20 @@
 	writingGap = 300 * time.Millisecond
 )
 
-// writing is how long the current run of a request has been sending events. It is safe for concurrent
+// writing is how long a run on the servers of an attempt has been sending events. It is safe for concurrent
 // use.
 type writing struct {
 	mu sync.Mutex
 	// since is when the run sent its first event, or zero, and last when it sent its latest.
 	since, last time.Time
 	isSound     bool
-	// head is the first server, and isUncertain means that the answer ended as it does if that server
-	// ends.
-	head        quarantine.Crash
-	isUncertain bool
+	// head is the first server.
+	head quarantine.Crash
 	// wasSound is set if the run on the previous path was sound and no event has followed since.
 	wasSound bool
 }
 
-// restart records that the request continues on a path, given by the crashes that would end it.
+// restart records that the attempt continues on a path, given by the crashes that would end it.
 func (w *writing) restart(path []quarantine.Crash) {
 	if len(path) == 0 {
 		return
@@ -40,21 +38,7 @@
 	defer w.mu.Unlock()
 	w.wasSound = w.isSound
 	w.since, w.last, w.isSound = time.Time{}, time.Time{}, false
-	w.head, w.isUncertain = path[0], false
-}
-
-// end records the end of the answer.
-func (w *writing) end(endsWithConnection bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.isUncertain = endsWithConnection && !w.isSound
-}
-
-// uncertainHead returns the first server if the answer may have ended because that server has.
-func (w *writing) uncertainHead() (head quarantine.Crash, isUncertain bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.head, w.isUncertain
+	w.head = path[0]
 }
 
 // record records an event. It returns when the run began if it is sound since this event.
@@ -79,52 +63,57 @@
 	return w.isSound || w.wasSound
 }
 
-// begun returns when the run sent its first event, or zero.
-func (w *writing) begun() time.Time {
+// run returns when the run sent its first event, or zero, its first server, and whether it has proved
+// sound.
+func (w *writing) run() (begun time.Time, head quarantine.Crash, isSound bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.since
+	return w.since, w.head, w.isSound
 }
 
-// recordWriting records that the request has got an event of its answer.
-func (g *Gateway) recordWriting(j *job, now time.Time) {
+// recordWriting records that an attempt has got an event of its answer.
+func (g *Gateway) recordWriting(a *attempt, now time.Time) {
+	j := a.draft.job
 	if len(j.sharedParts) == 0 {
 		return
 	}
-	if begun, isSoundNow := j.writing.record(now); isSoundNow {
+	if begun, isSoundNow := a.writing.record(now); isSoundNow {
 		g.clearParts(j, begun)
 	}
 }
 
-// recordCompleted records that a run of the request has ended with a whole answer.
-func (g *Gateway) recordCompleted(j *job) {
-	if j.service.Engine == nil {
-		g.clearParts(j, j.arrived) // its server began later
+// recordCompleted records that an attempt has ended with a whole answer.
+func (g *Gateway) recordCompleted(a *attempt, endsWithConnection bool) {
+	j := a.draft.job
+	if len(j.sharedParts) == 0 {
 		return
 	}
-	begun := j.writing.begun()
-	head, isUncertain := j.writing.uncertainHead()
+	begun, head, isSound := a.writing.run()
 	switch {
-	case begun.IsZero() || len(j.sharedParts) == 0:
-	case isUncertain:
-		g.verifyCompleted(j, begun, head)
-	default:
+	case begun.IsZero():
+	case isSound:
 		g.clearParts(j, begun)
+	case endsWithConnection || g.evidence.HasPartCrashes():
+		g.verifyCompleted(j, begun, head)
 	}
 }
 
-// verifyDelay is the time after the end of an answer at which its server is probed.
+// verifyDelay is the least time after the end of an answer at which its server is probed.
 const verifyDelay = 100 * time.Millisecond
 
-// verifyCompleted finds out whether an answer ended because its server did. A crash that is found later
-// is attributed to the run, too.
+// verifyCompleted finds out whether a server has survived a run that ended before it had proved sound:
+// the rest of an answer may be short, and the end of a server may look like that of the answer. A crash
+// that is found later is attributed to the run, too.
 func (g *Gateway) verifyCompleted(j *job, begun time.Time, head quarantine.Crash) {
 	r := lostRun{job: j, crash: head, at: time.Now(), isAnswered: true}
 	if found, isKnown := g.lost.add(r); isKnown {
 		g.attributePartCrash(r, found.isConfirmed)
 		return
 	}
-	time.AfterFunc(verifyDelay, func() {
+	time.AfterFunc(max(verifyDelay, soundAfter-time.Since(begun)), func() {
+		if !g.evidence.HasPartCrashes() {
+			return
+		}
 		g.probeLost(head)
 		if !g.lost.hasCrash(head) && g.view.Load().crashOf(head.Server) == head {
 			g.clearParts(j, begun)
--- a/mesh/evidence.go
+++ b/mesh/evidence.go
@@ -74,6 +74,9 @@
 	c.evidence.ReturnTrial(p)
 }
 
+// HasPartCrashes reports whether crashes are known with parts of prompts.
+func (c *CrashEvidence) HasPartCrashes() bool { return c.partCrashes.Load() }
+
 // AddPartCrash records that a server crashed while it ran a request with the parts, which had not
 // proved sound there.
 func (c *CrashEvidence) AddPartCrash(now time.Time, crash quarantine.Crash, isConfirmed bool, parts []quarantine.Part) {
