--- a/quarantine/part_decision.go
+++ b/quarantine/part_decision.go
@@ -158,10 +158,13 @@
 	return most
 }
 
+// maxClearedWeight bounds the weight of cleared crashes: a part that was sound may crash servers now.
+const maxClearedWeight = 2
+
 // isLikelier reports whether a part is likelier than another one to be the cause of its crashes: it
 // was part of more of them, and of fewer that sound runs have cleared.
 func (c *partCandidate) isLikelier(than *partCandidate) bool {
-	return len(c.open)-c.cleared > len(than.open)-than.cleared
+	return len(c.open)-min(c.cleared, maxClearedWeight) > len(than.open)-min(than.cleared, maxClearedWeight)
 }
 
 // removeExplained removes the explained crashes and reports whether enough are left.
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -302,15 +302,20 @@
 	return changed
 }
 
-// ReleasePart ends the quarantine of a part: the crashes that are known no longer count. It reports
-// whether any did.
+// ReleasePart ends the quarantine of a part: the crashes that are known no longer count, neither for it
+// nor for other parts that were part of them. It reports whether any did.
 func (e *Evidence) ReleasePart(p Part) bool {
 	r, ok := e.parts.parts[p]
 	if !ok || r.open == 0 {
 		return false
 	}
 	for _, x := range r.crashes {
-		e.parts.clear(x, p, r, true)
+		if !x.counts(p) {
+			continue
+		}
+		for q := range x.parts {
+			e.parts.clear(x, q, e.parts.parts[q], true)
+		}
 	}
 	return true
 }
