gateway: a stream that goes on clears no crashes of a part after it began

By reading: a run that paused for more than 300 ms or was rerouted counted as having begun again. A stream that began before its part crashed servers, and goes on soundly through the crashes around it, so cleared the part of them, and the next crashes were needed again. What clears a part is a server that begins to write and survives; the first server of such a stream began long before.

Change: a run clears only crashes from before its attempt's first event. What counts as sound is as before. TestStreamThatGoesOnClearsOnlyCrashesBeforeItBegan failed before (begun 10 s late, in both cases).

--- a/gateway/part_runs.go
+++ b/gateway/part_runs.go
@@ -20,7 +20,10 @@
 // use.
 type writing struct {
 	mu sync.Mutex
-	// since is when the run sent its first event, or zero, and last when it sent its latest.
+	// first is when the attempt sent its first event, or zero.
+	first time.Time
+	// since is when the run on the current path sent its first event, or its first one after a pause, or
+	// zero; last is when it sent its latest.
 	since, last time.Time
 	isSound     bool
 	// head is the first server, and isUncertain means that the answer ended as it does if that server
@@ -57,10 +60,15 @@
 	return w.head, w.isUncertain
 }
 
-// record records an event. It returns when the run began if it is sound since this event.
+// record records an event. It returns when the attempt began to write if its run is sound since this
+// event. A run that goes on after a pause or on another path has not begun again: its first server began
+// to write before.
 func (w *writing) record(now time.Time) (begun time.Time, isSoundNow bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.first.IsZero() {
+		w.first = now
+	}
 	if w.since.IsZero() || now.Sub(w.last) > writingGap {
 		w.since, w.isSound = now, false
 	}
@@ -69,7 +77,7 @@
 		return time.Time{}, false
 	}
 	w.isSound = true
-	return w.since, true
+	return w.first, true
 }
 
 // provedSound reports whether the run proved sound on its servers, or on those that it has left.
@@ -79,11 +87,11 @@
 	return w.isSound || w.wasSound
 }
 
-// begun returns when the run sent its first event, or zero.
+// begun returns when the attempt sent its first event, or zero.
 func (w *writing) begun() time.Time {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.since
+	return w.first
 }
 
 // recordWriting records that an attempt has brought an event of its answer.
