--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -269,7 +269,7 @@
 	defer g.mu.Unlock()
 	gateways, isSettled := g.retryShares.Update(now, known)
 	o := g.options
-	g.budgets.SetAllowance(retry.Allowance{Ratio: o.RetryRatio, Reserve: o.RetryReserve, Window: o.RetryWindow}, gateways, isSettled)
+	g.budgets.SetShare(retry.SharedBudget{Ratio: o.RetryRatio, Reserve: o.RetryReserve, Window: o.RetryWindow}, gateways, isSettled)
 	if gateways != g.loggedShares {
 		g.loggedShares = gateways
 		g.options.Log.Info("shares the retry reserve", "gateways", gateways, "reserve", o.RetryReserve/float64(gateways))
--- a/retry/allowance.go
+++ b/retry/shared_budget.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// Allowance is what all instances of a deployment together may retry for one service: in any window,
+// SharedBudget is what all instances of a deployment together may retry for one service: in any window,
 // Ratio for each request, and Reserve besides.
-type Allowance struct {
+type SharedBudget struct {
 	Ratio   float64
 	Reserve float64
 	Window  time.Duration
@@ -23,9 +23,9 @@
 	shareHoldTime = time.Minute
 )
 
-// SetAllowance limits the budgets to one share of the allowance among the given number of instances, at
+// SetShare limits the budgets to one share of the shared budget among the given number of instances, at
 // least 1. With refills false, only requests add retries.
-func (b *Budgets) SetAllowance(a Allowance, instances int, refills bool) {
+func (b *Budgets) SetShare(a SharedBudget, instances int, refills bool) {
 	share := a.Reserve / float64(max(1, instances))
 	b.ratio = a.Ratio
 	b.capacity = max(1, storedShare*share) // below 1 there would never be a retry
@@ -37,7 +37,7 @@
 	b.initial = 0
 }
 
-// Shares is the number of instances among which an allowance is divided, as this instance knows it. A larger
+// Shares is the number of instances among which a shared budget is divided, as this instance knows it. A larger
 // number holds at once. It is not safe for concurrent use.
 type Shares struct {
 	count       int
--- a/retry/allowance_test.go
+++ b/retry/shared_budget_test.go
@@ -7,13 +7,13 @@
 	"github.com/matryer/is"
 )
 
-// gatewayGroup is a group of instances that share an allowance and retry as often as they may.
+// gatewayGroup is a group of instances that share a shared budget and retry as often as they may.
 type gatewayGroup struct {
-	allowance Allowance
-	budgets   []*Budgets
-	shares    []*Shares
-	requests  []float64 // of all instances, by tick
-	retries   []float64
+	shared   SharedBudget
+	budgets  []*Budgets
+	shares   []*Shares
+	requests []float64 // of all instances, by tick
+	retries  []float64
 }
 
 const (
@@ -24,8 +24,8 @@
 
 var groupKey = Key{Workspace: "s", Service: "s"}
 
-func newGatewayGroup(a Allowance, size int) *gatewayGroup {
-	g := &gatewayGroup{allowance: a}
+func newGatewayGroup(a SharedBudget, size int) *gatewayGroup {
+	g := &gatewayGroup{shared: a}
 	for range size {
 		g.budgets = append(g.budgets, NewBudgets())
 		g.shares = append(g.shares, &Shares{})
@@ -44,7 +44,7 @@
 	requests, retries := 0.0, 0.0
 	for i, b := range g.budgets {
 		count, isSettled := g.shares[i].Update(now, reported(i))
-		b.SetAllowance(g.allowance, count, isSettled)
+		b.SetShare(g.shared, count, isSettled)
 		if n%requestTicks == 0 {
 			b.RecordRequest(now, groupKey)
 			requests++
@@ -65,7 +65,7 @@
 // checkWindows checks the retries in each window.
 func (g *gatewayGroup) checkWindows(t *testing.T) {
 	t.Helper()
-	size := int(g.allowance.Window / groupTick)
+	size := int(g.shared.Window / groupTick)
 	for i := 0; i+size <= len(g.retries); i++ {
 		retries, requests := 0.0, 0.0
 		for j := i; j < i+size; j++ {
@@ -73,31 +73,31 @@
 			requests += g.requests[j]
 		}
 		// The windows of this test begin on any tick; a request may fall one tick outside.
-		if allowed := g.allowance.Reserve + g.allowance.Ratio*(requests+float64(len(g.budgets))); retries > allowed {
+		if allowed := g.shared.Reserve + g.shared.Ratio*(requests+float64(len(g.budgets))); retries > allowed {
 			t.Fatalf("%v retries in the window from tick %d on, allowed %v", retries, i, allowed)
 		}
 	}
 }
 
-var testAllowance = Allowance{Ratio: 0.2, Reserve: 354, Window: 10 * time.Second}
+var testBudget = SharedBudget{Ratio: 0.2, Reserve: 354, Window: 10 * time.Second}
 
 const groupSize = 85
 
-// Guards against budgets that are refilled beside the reserve: together they exceed the allowance when
+// Guards against budgets that are refilled beside the reserve: together they exceed the shared budget when
 // everything fails.
-func TestRetriesOfAllInstancesStayWithinAllowance(t *testing.T) {
-	g := newGatewayGroup(testAllowance, groupSize)
+func TestRetriesOfAllInstancesStayWithinSharedBudget(t *testing.T) {
+	g := newGatewayGroup(testBudget, groupSize)
 	for range 600 {
 		g.tick(func(int) int { return groupSize })
 	}
 	g.checkWindows(t)
-	is.New(t).True(g.retries[len(g.retries)-1] < g.allowance.Reserve)
+	is.New(t).True(g.retries[len(g.retries)-1] < g.shared.Reserve)
 }
 
 // Guards against budgets that are full after a restart, and against shares computed from the few
 // instances that are known right after it.
-func TestRestartsDoNotMultiplyTheAllowance(t *testing.T) {
-	g := newGatewayGroup(testAllowance, groupSize)
+func TestRestartsDoNotMultiplyTheSharedBudget(t *testing.T) {
+	g := newGatewayGroup(testBudget, groupSize)
 	for n := range 900 {
 		if n > 0 && n%150 == 0 {
 			for i := range groupSize {
@@ -112,7 +112,7 @@
 
 // Guards against an instance that takes the others' shares while it is cut off from them.
 func TestCutOffInstancesKeepTheirShares(t *testing.T) {
-	g := newGatewayGroup(testAllowance, groupSize)
+	g := newGatewayGroup(testBudget, groupSize)
 	for n := range 900 {
 		g.tick(func(i int) int {
 			if isCut := n > 200 && n < 200+int(shareHoldTime/groupTick); isCut && i%3 == 0 {
@@ -149,7 +149,7 @@
 // Guards against shares below one retry: if the reserve is small for the number of instances, none of
 // them may ever retry, however many requests it has served.
 func TestSmallSharesStillAllowRetries(t *testing.T) {
-	g := newGatewayGroup(Allowance{Ratio: 0.2, Reserve: 100, Window: 10 * time.Second}, groupSize)
+	g := newGatewayGroup(SharedBudget{Ratio: 0.2, Reserve: 100, Window: 10 * time.Second}, groupSize)
 	retries := 0.0
 	for range 1200 {
 		g.tick(func(int) int { return groupSize })
