gateway: tests wait until the gateway itself routes by what the mesh knows

Traced by its log: settle asked the mesh, and the gateway's view follows the mesh in a goroutine of its own, which had not run yet, so the request came before the gateway knew a server. settle asks the gateway now, in both clusters; the checks of the tests are as before. Test files only.

--- a/gateway/cluster_test.go
+++ b/gateway/cluster_test.go
@@ -244,25 +244,21 @@
 	c.t.Helper()
 	for _, g := range c.gateways {
 		c.until("all servers are known to "+g.name, func() bool {
-			s := g.mesh.Snapshot()
-			ready := make(map[string]bool)
-			for _, a := range s.Servers {
-				ready[a.ID] = a.State == discovery.StateReady
-			}
-			return s.Table != nil && c.fleet.allUp(ready)
+			isReady := func(id string) bool { return g.gateway.KnownState(id) == discovery.StateReady }
+			return g.gateway.KnownRouting() > 0 && c.fleet.allUp(isReady)
 		})
 	}
 }
 
 // allUp reports whether all servers are up, and known by the ID of their current incarnation.
-func (f *crashFleet) allUp(ready map[string]bool) bool {
+func (f *crashFleet) allUp(isReady func(id string) bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range f.servers {
 		if f.kind.stays && !s.isUp || s.isSilent && f.kind.stays {
 			continue
 		}
-		if !s.isUp || s.isSilent || !ready[s.id] {
+		if !s.isUp || s.isSilent || !isReady(s.id) {
 			return false
 		}
 	}
--- a/gateway/silence_cluster_test.go
+++ b/gateway/silence_cluster_test.go
@@ -206,18 +206,13 @@
 	c.t.Helper()
 	for _, g := range c.gateways {
 		c.within(20*time.Second, "the current state is known to "+g.name, func() bool {
-			s := g.mesh.Snapshot()
-			if s.Table == nil || s.Table.Version != c.version {
+			if g.gateway.KnownRouting() != c.version {
 				return false
 			}
-			states := make(map[string]discovery.State)
-			for _, a := range s.Servers {
-				states[a.ID] = a.State
-			}
 			c.fleet.mu.Lock()
 			defer c.fleet.mu.Unlock()
 			for _, server := range c.fleet.servers {
-				if state, ok := states[server.id]; !ok || !server.leaves && state != discovery.StateReady {
+				if state := g.gateway.KnownState(server.id); state == 0 || !server.leaves && state != discovery.StateReady {
 					return false
 				}
 			}
