--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -86,16 +86,19 @@
 	// byCrash holds the contents that were part of each crash, whether it counts or not.
 	byCrash map[Crash][]*contentRecord
 	// version counts the changes that may change a verdict.
-	version  uint64
-	parts    *partEvidence
-	history  history
-	revision uint64
+	version uint64
+	parts   *partEvidence
+	history history
+	// withdrawn holds the crashes that were presumed and taken back.
+	withdrawn withdrawnCrashes
+	revision  uint64
 }
 
 // NewEvidence returns an Evidence without crashes.
 func NewEvidence() *Evidence {
 	e := &Evidence{contents: make(map[Fingerprint]*contentRecord), byCrash: make(map[Crash][]*contentRecord)}
-	e.parts = newPartEvidence(&e.history, &e.revision, e.isOneContent)
+	e.withdrawn.known = make(map[Crash]bool)
+	e.parts = newPartEvidence(&e.history, &e.revision, e.isOneContent, e.withdrawn.has)
 	return e
 }
 
@@ -129,6 +132,9 @@
 
 // add merges one crash into a record and reports whether the record has changed.
 func (e *Evidence) add(r *contentRecord, c ContentCrash, isOwn bool) bool {
+	if !c.IsConfirmed && e.withdrawn.has(c.Crash) {
+		c.Void = true
+	}
 	i := slices.IndexFunc(r.crashes, func(x ContentCrash) bool { return x.Crash == c.Crash })
 	switch {
 	case i >= 0:
@@ -456,8 +462,11 @@
 	}
 }
 
-// VoidCrash records that a server has not crashed, or that its end was planned.
+// VoidCrash records that a server has not crashed, or that its end was planned. Reports that the
+// server is presumed to have crashed no longer count either, whenever they arrive; only a confirmation
+// does.
 func (e *Evidence) VoidCrash(c Crash) {
+	e.withdrawn.add(c)
 	e.history.remove(c)
 	if x, ok := e.parts.crashes[c]; ok {
 		e.parts.void(x, true)
@@ -519,7 +528,7 @@
 		}
 		if e.add(r, c, false) {
 			changed = true
-			if !c.Void {
+			if !c.Void && (c.IsConfirmed || !e.withdrawn.has(c.Crash)) {
 				e.AddServerCrash(c.At, c.Crash)
 			}
 		}
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -411,3 +411,33 @@
 	is.Equal(e.Check(at(21_000), 1), Quarantined)
 	is.True(len(e.contents[1].crashes) <= maxCrashesPerContent)
 }
+
+// Guards against a report of a presumed crash that arrives after the server has gone on. Only a
+// confirmed crash of that incarnation counts from then on.
+func TestWithdrawnCrashCountsOnlyIfConfirmed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	crash := Crash{Server: "s", Incarnation: 1}
+	parts := []Part{7, 8}
+	ways := map[string]func(e *Evidence, isConfirmed bool){
+		"recorded here": func(e *Evidence, isConfirmed bool) {
+			e.AddContentCrash(now, 5, crash, isConfirmed)
+			e.AddPartCrash(now, crash, isConfirmed, parts)
+		},
+		"reported by another instance": func(e *Evidence, isConfirmed bool) {
+			e.Merge(now, ContentReport{Fingerprint: 5, Crashes: []ContentCrash{{Crash: crash, At: now, IsConfirmed: isConfirmed}}})
+			e.MergeParts(now, PartReport{Crash: crash, At: now, IsConfirmed: isConfirmed, Parts: parts})
+		},
+	}
+	for name, report := range ways {
+		for _, isConfirmed := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", confirmed ", isConfirmed), func(t *testing.T) {
+				is := is.New(t)
+				e := NewEvidence()
+				e.VoidCrash(crash)
+				report(e, isConfirmed)
+				is.Equal(e.Absolve(5), isConfirmed)
+				is.Equal(e.ReleasePart(7), isConfirmed)
+			})
+		}
+	}
+}
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -66,9 +66,11 @@
 	revision *uint64
 	// isOneContent reports whether a single content was part of all the crashes.
 	isOneContent func(crashes []Crash) bool
-	crashes      map[Crash]*partCrash
-	parts        map[Part]*partRecord
-	decision     partDecision
+	// isWithdrawn reports whether a presumed crash was taken back.
+	isWithdrawn func(Crash) bool
+	crashes     map[Crash]*partCrash
+	parts       map[Part]*partRecord
+	decision    partDecision
 	// version counts the changes that may change the decision.
 	version uint64
 }
@@ -118,9 +120,9 @@
 	isTried bool
 }
 
-func newPartEvidence(h *history, revision *uint64, isOneContent func([]Crash) bool) *partEvidence {
+func newPartEvidence(h *history, revision *uint64, isOneContent func([]Crash) bool, isWithdrawn func(Crash) bool) *partEvidence {
 	return &partEvidence{
-		history: h, revision: revision, isOneContent: isOneContent,
+		history: h, revision: revision, isOneContent: isOneContent, isWithdrawn: isWithdrawn,
 		crashes: make(map[Crash]*partCrash), parts: make(map[Part]*partRecord),
 	}
 }
@@ -196,6 +198,13 @@
 	e.markStale()
 }
 
+// voidIfWithdrawn voids a crash that is only presumed, if it was taken back before it was reported.
+func (e *partEvidence) voidIfWithdrawn(x *partCrash) {
+	if !x.isConfirmed && !x.isVoid && e.isWithdrawn(x.Crash) {
+		e.void(x, true)
+	}
+}
+
 // removeExpired removes the crashes that no longer count.
 func (e *partEvidence) removeExpired(now time.Time) {
 	for _, x := range e.crashes {
@@ -271,6 +280,8 @@
 	}
 	if isConfirmed {
 		e.parts.confirm(x, true)
+	} else {
+		e.parts.voidIfWithdrawn(x)
 	}
 	for _, p := range parts {
 		e.parts.add(x, p, true)
@@ -345,7 +356,8 @@
 	if report.Void {
 		e.parts.void(x, false)
 	}
-	if isNew && !report.Void {
+	e.parts.voidIfWithdrawn(x)
+	if isNew && !x.isVoid {
 		e.AddServerCrash(at, report.Crash)
 	}
 	for _, p := range report.Parts {
