mesh: only the control instance that hears a server calls it silent

Cause: a control instance that loses another one calls the servers silent whose announcements that one receives. An instance connected to both took the report over, and kept it: the one that hears the server sends nothing more, since for it nothing has changed. Servers that were sound stood as silent at all gateways until their next change.

Change: a report of silence by another control instance than the one that hears the server is withheld while that one is connected, and merged when it is lost.

Measured: TestOnlyTheControlInstanceOfAServerCallsItSilent fails before (state silent, want ready) and passes after.

--- a/mesh/disconnect_test.go
+++ b/mesh/disconnect_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/balsamlb/balsamlb/discovery"
 	"github.com/balsamlb/balsamlb/instance/wire"
 	"github.com/matryer/is"
 )
@@ -66,3 +67,35 @@
 	other := m.NewWatchFeed(&wire.WatchRequest{Name: "g2"})
 	is.Equal(len(next(t, other).Others), 1)
 }
+
+// Guards against a control instance that has lost another one and calls its servers silent: an instance
+// that is connected to the one that receives their announcements goes by that one.
+func TestOnlyTheControlInstanceOfAServerCallsItSilent(t *testing.T) {
+	is := is.New(t)
+	m := newTestMesh(t, "")
+	report := func(by string, sequence uint64, state discovery.State) {
+		m.mergeHeartbeat(by, &wire.WatchBeat{Servers: []*wire.AnnouncedServer{
+			{Id: "a", Sequence: sequence, Address: "1", State: uint32(state), HeardBy: "10.0.0.6:7"},
+		}})
+	}
+	state := func() discovery.State { return m.Snapshot().Servers[0].State }
+	report("10.0.0.6:7", 5, discovery.StateReady)
+	report("10.0.0.7:7", 5, discovery.StateSilent)
+	is.Equal(state(), discovery.StateReady)
+
+	// It counts once this instance has lost that control instance, too.
+	m.forgetReports("10.0.0.6:7")
+	is.Equal(state(), discovery.StateSilent)
+
+	// The server announces itself to another control instance.
+	m.mergeHeartbeat("10.0.0.7:7", &wire.WatchBeat{Servers: []*wire.AnnouncedServer{
+		{Id: "a", Sequence: 6, Address: "1", State: uint32(discovery.StateReady), HeardBy: "10.0.0.7:7"},
+	}})
+	is.Equal(state(), discovery.StateReady)
+
+	// A control instance calls its own servers silent.
+	m.mergeHeartbeat("10.0.0.7:7", &wire.WatchBeat{Servers: []*wire.AnnouncedServer{
+		{Id: "a", Sequence: 6, Address: "1", State: uint32(discovery.StateSilent), HeardBy: "10.0.0.7:7"},
+	}})
+	is.Equal(state(), discovery.StateSilent)
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -102,7 +102,10 @@
 	reportedUnresponsive map[string][]string
 	// reportedGateways holds the number of gateways that each control instance reports.
 	reportedGateways map[string]int
-	changed          chan struct{}
+	// withheld holds reports that servers are silent, by server, while this instance is connected to
+	// the control instance that receives the server's announcements.
+	withheld map[string]discovery.Announcement
+	changed  chan struct{}
 }
 
 // New returns a mesh that knows only its seeds.
@@ -125,6 +128,7 @@
 		dataCentres:          make(map[string]string),
 		reportedUnresponsive: make(map[string][]string),
 		reportedGateways:     make(map[string]int),
+		withheld:             make(map[string]discovery.Announcement),
 		unresponsiveCounts:   make(map[string]int),
 		shared:               sharedFragments{servers: make(map[string]serverFragment)},
 		changed:              make(chan struct{}),
@@ -398,15 +402,13 @@
 	changed := m.crashes.merge(now, b.Crashes, b.PartCrashes) && m.options.ControlAddress != ""
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, s := range b.Servers {
-		if m.directory.Merge(now, instance.AnnouncementFromWire(s)) {
-			changed = true
-		}
+	if m.mergeServers(now, address, b.Servers) {
+		changed = true
 	}
 	if b.RoutingVersion > m.document.Version {
 		m.fetches.Offer(address)
 	}
-	if !slices.Equal(m.reportedControls[address], b.Controls) {
+	if known, ok := m.reportedControls[address]; !ok || !slices.Equal(known, b.Controls) {
 		m.reportedControls[address] = b.Controls
 		changed = true
 	}
@@ -453,6 +455,7 @@
 	defer m.mu.Unlock()
 	changed := len(m.reportedControls[address])+len(m.reportedUnresponsive[address]) > 0
 	delete(m.reportedControls, address)
+	changed = m.mergeWithheld(time.Now(), address) || changed
 	delete(m.reportedUsage, address)
 	m.mergePeerUsage()
 	delete(m.dataCentres, address)
--- /dev/null
+++ b/mesh/silent.go
@@ -0,0 +1,51 @@
+package mesh
+
+import (
+	"time"
+
+	"github.com/balsamlb/balsamlb/discovery"
+	"github.com/balsamlb/balsamlb/instance"
+	"github.com/balsamlb/balsamlb/instance/wire"
+)
+
+// mergeServers merges the servers in a heartbeat of the control instance at the address, and reports
+// whether there is a change. The caller holds the lock.
+//
+// A control instance calls a server silent also when it has only lost the control instance that receives
+// the server's announcements. While this instance is connected to that one, it withholds the report.
+func (m *Mesh) mergeServers(now time.Time, address string, servers []*wire.AnnouncedServer) bool {
+	changed := false
+	for _, s := range servers {
+		a := instance.AnnouncementFromWire(s)
+		if a.State == discovery.StateSilent && a.HeardBy != address && m.hears(a.HeardBy) {
+			m.withheld[a.ID] = a
+			continue
+		}
+		delete(m.withheld, a.ID)
+		changed = m.directory.Merge(now, a) || changed
+	}
+	return changed
+}
+
+// hears reports whether this instance is, or is connected to, a control instance. The caller holds the
+// lock.
+func (m *Mesh) hears(control string) bool {
+	if control == "" {
+		return false
+	}
+	_, ok := m.reportedControls[control]
+	return ok || control == m.options.ControlAddress
+}
+
+// mergeWithheld merges the withheld reports about the servers of a control instance that is no longer
+// connected, and reports whether there is a change. The caller holds the lock.
+func (m *Mesh) mergeWithheld(now time.Time, control string) bool {
+	changed := false
+	for id, a := range m.withheld {
+		if a.HeardBy == control {
+			delete(m.withheld, id)
+			changed = m.directory.Merge(now, a) || changed
+		}
+	}
+	return changed
+}
