Listeners accept what the kernel has queued before they close

Cause: a planned stop closes its listener while connections may stand in the kernel's queue; these are reset, with the requests that their clients have sent (one of the cases that operators of similar systems report). The time is short on a free machine and as long as a scheduling delay on a slow one.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/balsamlb/balsamlb/control"
 	"github.com/balsamlb/balsamlb/dispatch"
 	"github.com/balsamlb/balsamlb/instance"
+	"github.com/balsamlb/balsamlb/internal/listen"
 	"github.com/balsamlb/balsamlb/metrics"
 	"github.com/balsamlb/balsamlb/operator"
 	"github.com/balsamlb/balsamlb/replica"
@@ -252,10 +253,11 @@
 	}
 	var listeners []*httpListener
 	for _, p := range plans {
-		l, err := net.Listen("tcp", p.address)
+		tcp, err := listen.TCP(p.address)
 		if err != nil {
 			return listeners, eris.Wrapf(err, "daemon: listen on %s", p.address)
 		}
+		var l net.Listener = tcp
 		if p.address == d.process.Backends {
 			l = d.traffic.backends.Listener(l)
 		}
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -14,6 +14,7 @@
 	"github.com/balsamlb/balsamlb/controller"
 	"github.com/balsamlb/balsamlb/gateway"
 	"github.com/balsamlb/balsamlb/instance"
+	"github.com/balsamlb/balsamlb/internal/listen"
 	"github.com/balsamlb/balsamlb/internal/meter"
 	"github.com/balsamlb/balsamlb/mesh"
 	"github.com/balsamlb/balsamlb/metrics"
@@ -288,7 +289,7 @@
 // serveHTTP listens on the address and serves until ctx ends.
 func serveHTTP(ctx context.Context, g *errgroup.Group, address string, server *fasthttp.Server) {
 	g.Go(func() error {
-		listener, err := net.Listen("tcp", address)
+		listener, err := listen.TCP(address)
 		if err != nil {
 			return eris.Wrapf(err, "daemon: listen on %s", address)
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,7 +8,6 @@
 	"errors"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -16,6 +15,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/discovery"
+	"github.com/balsamlb/balsamlb/internal/listen"
 	"github.com/balsamlb/balsamlb/layers"
 	"github.com/balsamlb/balsamlb/mesh"
 	"github.com/balsamlb/balsamlb/metrics"
@@ -160,7 +160,7 @@
 // Run serves callers until ctx ends, and then completes the requests in flight within the grace
 // period.
 func (g *Gateway) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", g.options.ListenAddress)
+	listener, err := listen.TCP(g.options.ListenAddress)
 	if err != nil {
 		return eris.Wrapf(err, "gateway: listen on %s", g.options.ListenAddress)
 	}
