--- a/daemon/member.go
+++ b/daemon/member.go
@@ -14,8 +14,10 @@
 	"github.com/balsamlb/balsamlb/controller"
 	"github.com/balsamlb/balsamlb/gateway"
 	"github.com/balsamlb/balsamlb/instance"
+	"github.com/balsamlb/balsamlb/internal/listen"
 	"github.com/balsamlb/balsamlb/internal/meter"
 	"github.com/balsamlb/balsamlb/mesh"
+	"github.com/balsamlb/balsamlb/metrics"
 	"github.com/balsamlb/balsamlb/platform"
 	"github.com/balsamlb/balsamlb/replica"
 	"github.com/balsamlb/balsamlb/routing"
@@ -37,6 +39,8 @@
 	// heapShare is the share of the process's memory that is set as the memory limit of the Go
 	// runtime.
 	heapShare = 0.7
+	// bodiesShare is the share of the process's memory that the bodies of requests may take.
+	bodiesShare = 0.2
 	// replaceAfter is how long a voter must be silent before a standby may replace it. It is short
 	// because a new machine must be a full member 4 s after its start.
 	replaceAfter = 2 * time.Second
@@ -103,6 +107,9 @@
 		RetryRatio:   s.RetryRatio,
 		RetryReserve: s.RetryReserve,
 		RetryWindow:  s.RetryWindow,
+
+		MaxAnswerBytes: int64(s.MaxAnswerMB) << 20,
+		MaxBodiesBytes: int64(bodiesShare * float64(s.MemoryMB) * (1 << 20)),
 	})
 	servers.OnLeaving = gw.RecordLeaving
 	taskCtx, stopTasks := context.WithCancel(context.WithoutCancel(ctx))
@@ -151,6 +158,7 @@
 		return err
 	}
 	c.SetHost(host)
+	metrics.RegisterController(m.registry, func() metrics.FeedWork { return metrics.FeedWork(m.mesh.FeedWork()) })
 	listener, err := net.Listen("tcp", s.Instances)
 	if err != nil {
 		return eris.Wrapf(err, "daemon: listen on %s", s.Instances)
@@ -281,11 +289,11 @@
 // serveHTTP listens on the address and serves until ctx ends.
 func serveHTTP(ctx context.Context, g *errgroup.Group, address string, server *fasthttp.Server) {
 	g.Go(func() error {
-		listener, err := net.Listen("tcp", address)
+		listener, err := listen.TCP(address)
 		if err != nil {
 			return eris.Wrapf(err, "daemon: listen on %s", address)
 		}
-		h := &httpListener{server: server, listener: listener}
+		h := newHTTPListener(server, listener)
 		g.Go(func() error {
 			<-ctx.Done()
 			return h.close()
