consensus: a transfer that is given up ends the leader's term

Cause: a leader that gives a transfer of its leadership up took its lease back in the same term. Its request to take over may still be under way; when it arrives, the voters grant the votes that follow from it whatever they have promised the leader. Both then hold a lease, and both send orders (a case that operators of similar systems report around a hand-over).

Ruled out: that the transferee could tell a late request by itself; nothing in it says when it was sent, and clocks don't agree.

Change: a leader that has asked for a takeover has itself elected in a new term when it gives up. The request belongs to the old term and has no effect in the new one. A planned stop waits for that election.

--- a/consensus/node.go
+++ b/consensus/node.go
@@ -92,8 +92,10 @@
 	lease           lease
 	transferee      string
 	transferTick    uint64
-	verification    verification
-	voterRecords    map[string]*voterRecord
+	// isTakeoverRequested means that the transferee was asked to campaign.
+	isTakeoverRequested bool
+	verification        verification
+	voterRecords        map[string]*voterRecord
 	// uncommittedBytes is the total size of the leader's uncommitted entries.
 	uncommittedBytes int
 }
@@ -160,6 +162,9 @@
 		return
 	}
 	n.tickTransfer()
+	if n.role != RoleLeader {
+		return
+	}
 	n.dropSilentLearners()
 	if n.elapsed >= n.opts.HeartbeatTicks {
 		n.elapsed = 0
--- a/consensus/node_test.go
+++ b/consensus/node_test.go
@@ -293,3 +293,36 @@
 	_, _, err = n.Propose([]byte("x"))
 	is.NoErr(err)
 }
+
+// Guards against two leaders at a time: a request to take over the leadership that arrives after the
+// leader has given the transfer up.
+func TestLateTakeoverRequestMakesNoSecondLeader(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, 0, 1)
+	old := c.awaitLeader()
+	node := c.replicas[old].node
+	c.recording = true
+	is.True(node.Transfer())
+	transferee := node.transferee
+	// The request is under way for as long as the link to the transferee is blocked.
+	c.blocked[[2]string{old, transferee}] = true
+	c.settle()
+	var late Message
+	for _, m := range c.recorded {
+		if m.Kind == KindTimeoutNow {
+			late = m
+		}
+	}
+	is.Equal(late.To, transferee)
+	c.tick(15)
+	c.blocked = map[[2]string]bool{}
+	c.tick(5)
+	is.Equal(c.leader(), old)
+	c.setIsolated(old, true)
+	c.replicas[transferee].node.Step(late)
+	c.process(transferee)
+	c.settle()
+	if c.replicas[old].node.HasLease() && c.replicas[transferee].node.HasLease() {
+		t.Error("both the old and the new leader hold a lease")
+	}
+}
--- a/control/status.go
+++ b/control/status.go
@@ -36,10 +36,9 @@
 	for ctx.Err() == nil {
 		leads := false
 		err := h.Query(ctx, func(_ *replica.State, n *consensus.Node) {
-			leads = n.Role() == consensus.RoleLeader
-			if leads {
-				n.Transfer()
-			}
+			// A leader whose transfer has failed is a candidate until it leads again.
+			leads = n.Role() == consensus.RoleLeader || n.Role() == consensus.RoleCandidate
+			n.Transfer()
 		})
 		if err != nil || !leads {
 			return
