settings: bounds of the platform may have fractions

The keys that deploy/ fills from the platform's bounds took whole numbers only.

Change: reserve, window_s, grace_s, memory_mb and announce_interval_ms take numbers with fractions, in the same ranges; NaN and infinities are refused.

--- a/settings/member.go
+++ b/settings/member.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"math"
 	"net"
 	"os"
@@ -24,12 +25,12 @@
 	{"control", "founding", "false", "", "true: the deployment starts for the first time, and the seeds found the group of control instances.", oneOf("true", "false")},
 	{"control", "tolerate", "1", "control instances", "How many control instances may be lost at once; twice as many and one vote.", wholeNumber(0, 15)},
 	{"join", "seeds", "", "IP:port, ...", "Control instances to ask for the others. The port is replaced by that for instances. Read again when the file changes.", addressPorts},
-	{"fleet", "announce_interval_ms", "1200", "ms", "Time between two announcements of a backend server.", wholeNumber(10, 600000)},
+	{"fleet", "announce_interval_ms", "1200", "ms", "Time between two announcements of a backend server.", decimal(10, 600000)},
 	{"retry", "ratio", "0.2", "", "Gateway: how many requests may be sent once more, for each request of a service.", fraction},
-	{"retry", "reserve", "100", "requests", "Gateways together: how many requests of a service may be sent once more besides, in each window.", wholeNumber(0, 1<<20)},
-	{"retry", "window_s", "10", "s", "Length of the windows in which the reserve holds.", wholeNumber(1, 3600)},
-	{"limits", "grace_s", "10", "s", "Time between the signal to stop and the end of the process.", wholeNumber(1, 3600)},
-	{"limits", "memory_mb", "0", "MB", "Memory that the process may use; 0: not limited.", wholeNumber(0, 1<<20)},
+	{"retry", "reserve", "100", "requests", "Gateways together: how many requests of a service may be sent once more besides, in each window.", decimal(0, 1<<20)},
+	{"retry", "window_s", "10", "s", "Length of the windows in which the reserve holds.", decimal(1, 3600)},
+	{"limits", "grace_s", "10", "s", "Time between the signal to stop and the end of the process.", decimal(1, 3600)},
+	{"limits", "memory_mb", "0", "MB", "Memory that the process may use; 0: not limited.", decimal(0, 1<<20)},
 	{"limits", "answer_mb", "64", "MB", "Gateway: largest answer of a backend server that is forwarded.", wholeNumber(1, 1<<16)},
 	{"log", "level", "info", "", "Least severe level that is logged.", oneOf("debug", "info", "error")},
 	{"log", "lines_per_second", "400", "lines/s", "Most lines that are logged in a second; how many were left out is told.", wholeNumber(1, 1<<20)},
@@ -111,12 +112,15 @@
 			r.addFault(name, k[0], k[1], "", "is required")
 		}
 	}
-	// The schema has already checked that these are whole numbers.
+	// The schema has already checked that these are numbers.
 	intValue := func(section, key string) int {
 		n, _ := strconv.Atoi(get(section, key))
 		return n
 	}
-	ratio, _ := strconv.ParseFloat(get("retry", "ratio"), 64) // already checked too
+	decimalValue := func(section, key string) float64 {
+		n, _ := strconv.ParseFloat(get(section, key), 64)
+		return n
+	}
 	m := Member{
 		Name:             get("instance", "name"),
 		DataCentre:       get("instance", "data_centre"),
@@ -128,12 +132,12 @@
 		DataFolder:       get("control", "data_folder"),
 		IsFounding:       get("control", "founding") == "true",
 		Tolerate:         intValue("control", "tolerate"),
-		AnnounceInterval: time.Duration(intValue("fleet", "announce_interval_ms")) * time.Millisecond,
-		RetryRatio:       ratio,
-		RetryReserve:     float64(intValue("retry", "reserve")),
-		RetryWindow:      time.Duration(intValue("retry", "window_s")) * time.Second,
-		Grace:            time.Duration(intValue("limits", "grace_s")) * time.Second,
-		MemoryMB:         intValue("limits", "memory_mb"),
+		AnnounceInterval: time.Duration(decimalValue("fleet", "announce_interval_ms") * float64(time.Millisecond)),
+		RetryRatio:       decimalValue("retry", "ratio"),
+		RetryReserve:     decimalValue("retry", "reserve"),
+		RetryWindow:      time.Duration(decimalValue("retry", "window_s") * float64(time.Second)),
+		Grace:            time.Duration(decimalValue("limits", "grace_s") * float64(time.Second)),
+		MemoryMB:         int(decimalValue("limits", "memory_mb")),
 		MaxAnswerMB:      intValue("limits", "answer_mb"),
 		LogLevel:         get("log", "level"),
 
@@ -164,6 +168,17 @@
 }
 
 // fraction checks that the value is a number from 0 to 1.
+// decimal returns a check for a number that may have a fraction, as the platform states some bounds.
+func decimal(low, high float64) func(string) string {
+	return func(v string) string {
+		f, err := strconv.ParseFloat(v, 64)
+		if err != nil || !(f >= low && f <= high) { // NaN is in no range
+			return fmt.Sprintf("must be a number from %g to %g", low, high)
+		}
+		return ""
+	}
+}
+
 func fraction(v string) string {
 	f, err := strconv.ParseFloat(v, 64)
 	if err != nil || math.IsNaN(f) || f < 0 || f > 1 {
--- a/settings/values_test.go
+++ b/settings/values_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/balsamlb/balsamlb/fleet"
 	"github.com/matryer/is"
@@ -89,6 +90,24 @@
 	is.Equal(m.Seeds, []string{"127.0.1.3:84", "127.0.1.2:84"})
 }
 
+// Guards against a gateway that doesn't start, since the platform states a bound with a fraction.
+func TestBoundsOfThePlatformMayHaveFractions(t *testing.T) {
+	is := is.New(t)
+	text := settingsText(validMember, map[[2]string]string{
+		{"retry", "reserve"}: "47.833333333333336", {"retry", "window_s"}: "2.5", {"limits", "grace_s"}: "7.5",
+		{"limits", "memory_mb"}: "184.5", {"fleet", "announce_interval_ms"}: "1200.5",
+	})
+	m, err := ParseMember("m.ini", []byte(text), RoleGateway)
+	is.NoErr(err)
+	is.Equal(m.RetryReserve, 47.833333333333336)
+	is.Equal([]time.Duration{m.RetryWindow, m.Grace, m.AnnounceInterval}, []time.Duration{2500 * time.Millisecond, 7500 * time.Millisecond, 1200500 * time.Microsecond})
+	is.Equal(m.MemoryMB, 184)
+	for _, value := range []string{"NaN", "Inf", "-1", "1e400"} {
+		_, err := ParseMember("m.ini", []byte(settingsText(validMember, map[[2]string]string{{"retry", "reserve"}: value})), RoleGateway)
+		checkFault(t, err, "retry", "reserve")
+	}
+}
+
 // Guards against a retry budget that is not a number: every comparison with it is false.
 func TestRatioThatIsNoNumberIsAFault(t *testing.T) {
 	for _, value := range []string{"NaN", "nan", "-NaN", "Inf", "1e400", "-0.1"} {
