Listeners go on after errors that pass, and hold fewer connections than the process may open

Servers that retry open new connections, and idle ones were kept without end (busiest control instance: 5,960 connections, 558 new ones a second).

Change: internal/listen pauses and goes on after EMFILE, ENFILE, ENOBUFS, ENOMEM and ECONNABORTED; a listener holds at most three quarters of the files that the process may open; connections for announcements without a call are closed after 10 s. The listeners between instances use it, too.

Measured: TestAcceptGoesOnAfterErrorsThatPass.

--- a/backend/announce.go
+++ b/backend/announce.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"time"
 
 	"github.com/balsamlb/balsamlb/fleet"
 	"github.com/valyala/fasthttp"
@@ -52,11 +53,16 @@
 
 const maxAnnounceBytes = 64 << 10
 
+// announceIdleTimeout is how long a connection is kept without an announcement. Backend servers
+// announce themselves every second or so, and those that retry open new connections.
+const announceIdleTimeout = 10 * time.Second
+
 // NewServer returns the HTTP server that receives announcements and renewals.
 func NewServer(a AnnouncementHandler) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:               func(ctx *fasthttp.RequestCtx) { handle(ctx, a) },
 		MaxRequestBodySize:    maxAnnounceBytes,
+		IdleTimeout:           announceIdleTimeout,
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
 		NoDefaultContentType:  true,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -268,11 +268,11 @@
 		g.Go(h.serve)
 		listeners = append(listeners, h)
 	}
-	l, err := net.Listen("tcp", d.process.Instances)
+	tcp, err := listen.TCP(d.process.Instances)
 	if err != nil {
 		return listeners, eris.Wrapf(err, "daemon: listen on %s", d.process.Instances)
 	}
-	l = d.secrets.instanceListener(d.traffic.instances.Listener(l))
+	l := d.secrets.instanceListener(d.traffic.instances.Listener(tcp))
 	peers := instance.NewServer(d.replica(), d.state)
 	g.Go(func() error { return peers.Serve(ctx, l) })
 	return listeners, nil
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/balsamlb/balsamlb/internal/listen"
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 )
@@ -13,18 +14,18 @@
 	// requestTimeout is how long a client may take to send a request with its body. The largest, a
 	// configuration of 4 MiB, takes 2 s on a link of 20 Mbit/s.
 	requestTimeout = 10 * time.Second
-	// idleTimeout is how long a connection is kept without a request.
+	// idleTimeout is how long a connection is kept without a request, unless the server states a time.
 	idleTimeout = 60 * time.Second
-	// maxConnections bounds the connections to one listener. Further ones are closed.
-	maxConnections = 4096
 )
 
 // newHTTPListener returns a listener whose clients can hold neither connections without requests nor
 // requests without end.
 func newHTTPListener(server *fasthttp.Server, listener net.Listener) *httpListener {
 	server.ReadTimeout = requestTimeout
-	server.IdleTimeout = idleTimeout
-	server.Concurrency = maxConnections
+	if server.IdleTimeout == 0 {
+		server.IdleTimeout = idleTimeout
+	}
+	server.Concurrency = listen.MaxConnections()
 	return &httpListener{server: server, listener: listener}
 }
 
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -159,7 +159,7 @@
 	}
 	c.SetHost(host)
 	metrics.RegisterController(m.registry, func() metrics.FeedWork { return metrics.FeedWork(m.mesh.FeedWork()) })
-	listener, err := net.Listen("tcp", s.Instances)
+	listener, err := listen.TCP(s.Instances)
 	if err != nil {
 		return eris.Wrapf(err, "daemon: listen on %s", s.Instances)
 	}
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -5,7 +5,9 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -16,6 +18,14 @@
 	// the connections in its queue, and their clients may have sent requests; closing the listener
 	// would reset them.
 	drainTime = 50 * time.Millisecond
+	// defaultConnections is the number of connections that a listener may hold if the limit of open
+	// files isn't known, and maxConnections the most at any limit.
+	defaultConnections = 768
+	maxConnections     = 1 << 16
+	// minAcceptPause and maxAcceptPause bound the pause after an Accept that has failed for want of
+	// file descriptors or memory. Clients wait in the kernel's queue meanwhile.
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = 100 * time.Millisecond
 	// closeTimeout bounds the wait for the end of the accepting, if nobody accepts any longer.
 	closeTimeout = 2 * drainTime
 )
@@ -24,6 +34,7 @@
 // queued. It is safe for concurrent use.
 type Listener struct {
 	*net.TCPListener
+	accept    func() (net.Conn, error)
 	drained   chan struct{} // closed when Accept has found the queue empty after Close was called
 	drainOnce sync.Once
 	closeOnce sync.Once
@@ -41,18 +52,39 @@
 		_ = l.Close()
 		return nil, eris.Errorf("listen: %s is no TCP address", address)
 	}
-	return &Listener{TCPListener: tcp, drained: make(chan struct{})}, nil
+	return &Listener{TCPListener: tcp, accept: tcp.Accept, drained: make(chan struct{})}, nil
 }
 
-// Accept returns the next connection. After Close was called, it returns those that are still queued,
-// and then net.ErrClosed.
+// Accept returns the next connection. It goes on after errors that pass, such as too many open files.
+// After Close was called, it returns the connections that are still queued, and then net.ErrClosed.
 func (l *Listener) Accept() (net.Conn, error) {
-	c, err := l.TCPListener.Accept()
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		l.drainOnce.Do(func() { close(l.drained) })
-		return nil, net.ErrClosed
+	for pause := minAcceptPause; ; pause = min(maxAcceptPause, 2*pause) {
+		c, err := l.accept()
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			l.drainOnce.Do(func() { close(l.drained) })
+			return nil, net.ErrClosed
+		case !isPassing(err):
+			return c, err
+		}
+		time.Sleep(pause)
+	}
+}
+
+// isPassing reports whether a later Accept may succeed.
+func isPassing(err error) bool {
+	return slices.ContainsFunc([]error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED},
+		func(passing error) bool { return errors.Is(err, passing) })
+}
+
+// MaxConnections returns the number of connections that a listener of this process may hold, so that
+// files and connections to others can still be opened.
+func MaxConnections() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return defaultConnections
 	}
-	return c, err
+	return int(min(limit.Cur/4*3, maxConnections))
 }
 
 // Close closes the listener once the queued connections are accepted.
--- a/internal/listen/listen_test.go
+++ b/internal/listen/listen_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"net"
+	"os"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -46,3 +48,27 @@
 	_, err = l.Accept()
 	is.True(errors.Is(err, net.ErrClosed))
 }
+
+// Guards against a process that ends since it has too many open files for a moment.
+func TestAcceptGoesOnAfterErrorsThatPass(t *testing.T) {
+	is := is.New(t)
+	l, err := TCP("127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	failures := []error{syscall.EMFILE, syscall.ECONNABORTED, syscall.ENFILE}
+	l.accept = func() (net.Conn, error) {
+		if len(failures) > 0 {
+			err := &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", failures[0])}
+			failures = failures[1:]
+			return nil, err
+		}
+		return l.TCPListener.Accept()
+	}
+	c, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	accepted, err := l.Accept()
+	is.NoErr(err)
+	is.NoErr(accepted.Close())
+	is.Equal(len(failures), 0)
+}
