gateway: batches are repeated until the tolerated crashes have happened; mesh: fragments are pruned seldom

TestCrashingContentIsHeldBackWhenSentInBatches took it for given that one batch of seven requests crashes three servers.

--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -245,6 +245,9 @@
 	return out
 }
 
+// Len returns the number of known servers, including those that have left.
+func (d *Directory) Len() int { return len(d.entries) }
+
 // Visited returns how many entries Since has visited so far.
 func (d *Directory) Visited() uint64 { return d.visited }
 
--- a/gateway/crash_request_test.go
+++ b/gateway/crash_request_test.go
@@ -124,10 +124,13 @@
 		}
 		group.Wait()
 	}
-	batch()
-	time.Sleep(contactTime)
-	before, crashes := c.fleet.count("crash 1")
-	is.New(t).True(crashes >= toleratedCrash)
+	// The requests of a batch that come after its first crashes are held back, so one batch may crash
+	// fewer servers than are tolerated.
+	for _, crashes := c.fleet.count("crash 1"); crashes < toleratedCrash; _, crashes = c.fleet.count("crash 1") {
+		batch()
+		time.Sleep(contactTime)
+	}
+	before, _ := c.fleet.count("crash 1")
 	for range 5 {
 		batch()
 	}
--- a/mesh/shared.go
+++ b/mesh/shared.go
@@ -92,9 +92,12 @@
 	return buf, nil
 }
 
-// removeForgotten removes the fragments of servers that the directory no longer holds. The caller
-// holds the lock.
+// removeForgotten removes the fragments of servers that the directory no longer holds, once these may
+// be as many as the others. The caller holds the lock.
 func (m *Mesh) removeForgotten() {
+	if len(m.shared.servers) <= 2*m.directory.Len() {
+		return
+	}
 	for id := range m.shared.servers {
 		if _, ok := m.directory.Get(id); !ok {
 			delete(m.shared.servers, id)
