--- a/scripts/regression.sh
+++ b/scripts/regression.sh
@@ -13,6 +13,7 @@
 if [ "${1:-}" = --update ]; then update=1; shift; fi
 [ $# -gt 0 ] || { sed -n '2,9p' "$0" >&2; exit 2; }
 landed=deploy/worth.tsv
+touch "$landed"
 results=$(mktemp)
 trap 'rm -f "$results"' EXIT
 for site in "$@"; do
@@ -26,8 +27,8 @@
       }' >> "$results"
 done
 awk -F'\t' -v OFS='\t' '
-  NR == FNR { before[$1 FS $2] = $3; next }
+  FILENAME == ARGV[1] { before[$1 FS $2] = $3; next }
   FNR == 1 { print "site", "day", "worth", "change", "broken" }
   { print $1, $2, $3, ($1 FS $2) in before ? sprintf("%+.3f", $3 - before[$1 FS $2]) : "new", $4 }
-' <(cat "$landed" 2>/dev/null || true) "$results" | column -t -s "$(printf '\t')"
+' "$landed" "$results" | column -t -s "$(printf '\t')"
 [ -z "$update" ] || cp "$results" "$landed"
