A planned stop closes the listener before its server; bodies take the memory that they need

Cause, by reading the diff: http.Server.Shutdown holds the lock that an accepted connection needs, so a listener that is closed by it lets the server accept one queued connection, and then resets the others.

Measured: TestServerAnswersQueuedRequestsBeforeItsEnd: 5 of 5 queued requests are answered.

--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -45,13 +45,12 @@
 	return eris.Wrapf(err, "daemon: serve %s", l.listener.Addr())
 }
 
-// close ends serve, also if serve is called later, and waits for the open connections to end.
+// close ends serve, also if serve is called later, and waits for the open connections to end. The
+// listener goes first: it lets the server accept what is queued, which Shutdown may keep it from.
 func (l *httpListener) close() error {
 	l.isClosing.Store(true)
-	err := l.server.Shutdown()
-	// Shutdown closes only listeners that the server serves already.
-	_ = l.listener.Close()
-	return err
+	_ = l.listener.Close() // a listener that was closed before
+	return l.server.Shutdown()
 }
 
 // closeAll closes the listeners one after the other.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -178,14 +179,15 @@
 	eg.Go(func() error { return g.runMaintenance(workersCtx) })
 	eg.Go(func() error { return g.watchIdleDrafts(workersCtx) })
 	eg.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		err := server.Serve(listener)
+		if !errors.Is(err, http.ErrServerClosed) && !(g.leaving.Load() && errors.Is(err, net.ErrClosed)) {
 			return eris.Wrap(err, "gateway: serve callers")
 		}
 		return nil
 	})
 	select {
 	case <-ctx.Done():
-		g.shutDown(server)
+		g.shutDown(server, listener)
 	case <-workersCtx.Done():
 	}
 	stopWorkers()
@@ -203,7 +205,7 @@
 
 // shutDown makes NotReady report that the instance is leaving, accepts callers for the shutdown
 // delay, and then waits for the requests in flight.
-func (g *Gateway) shutDown(server *http.Server) {
+func (g *Gateway) shutDown(server *http.Server, listener net.Listener) {
 	started := time.Now()
 	g.leaving.Store(true)
 	g.options.Log.Info("leaving", "in_flight", g.inFlight.Load())
@@ -211,6 +213,10 @@
 	left := max(0, g.options.GracePeriod-graceMargin-time.Since(started))
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
+	// First, since the server accepts nothing more while Shutdown closes the listener.
+	if err := listener.Close(); err != nil {
+		g.options.Log.Info("could not close the listener for callers", "reason", err.Error())
+	}
 	if err := server.Shutdown(ctx); err != nil {
 		g.options.Log.Info("aborted requests after the grace period", "in_flight", g.inFlight.Load())
 	}
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -17,6 +17,7 @@
 	body, err := b.read(slow, strings.NewReader(strings.Repeat("x", limit/2)))
 	is.NoErr(err)
 	is.Equal(len(body), limit/2)
+	is.Equal(b.used.Load(), int64(limit/2)) // what has arrived, without the unused part of a step
 	_, err = b.read(other, strings.NewReader(strings.Repeat("x", limit)))
 	is.True(errors.Is(err, errNoBodyMemory))
 	b.release(other)
--- a/gateway/request_body.go
+++ b/gateway/request_body.go
@@ -40,7 +40,7 @@
 }
 
 // release frees the memory of a request that has ended.
-func (b *requestBodies) release(j *job) { b.used.Add(-j.bodyMemory) }
+func (b *requestBodies) release(j *job) { b.giveBack(j, j.bodyMemory) }
 
 // readBody reads the body of a request, of at most limit bytes, until its deadline.
 func (g *Gateway) readBody(w http.ResponseWriter, j *job, limit int) *refusal {
@@ -81,6 +81,12 @@
 	return nil
 }
 
+// giveBack frees memory that was taken for the body of a request.
+func (b *requestBodies) giveBack(j *job, n int64) {
+	b.used.Add(-n)
+	j.bodyMemory -= n
+}
+
 // read reads a body. It takes memory for what has arrived, not for what a caller announces.
 func (b *requestBodies) read(j *job, body io.Reader) ([]byte, error) {
 	var buffer bytes.Buffer
@@ -88,7 +94,9 @@
 		if !b.take(j, bodyStep) {
 			return nil, errNoBodyMemory
 		}
-		switch _, err := io.CopyN(&buffer, body, bodyStep); {
+		n, err := io.CopyN(&buffer, body, bodyStep)
+		b.giveBack(j, bodyStep-n)
+		switch {
 		case errors.Is(err, io.EOF):
 			return buffer.Bytes(), nil
 		case err != nil:
--- a/internal/listen/listen_test.go
+++ b/internal/listen/listen_test.go
@@ -1,8 +1,11 @@
 package listen
 
 import (
+	"bufio"
 	"errors"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"syscall"
 	"testing"
@@ -40,6 +43,32 @@
 	is.NoErr(l.Close())
 }
 
+// Guards a planned stop of a server: requests on queued connections are answered.
+func TestServerAnswersQueuedRequestsBeforeItsEnd(t *testing.T) {
+	is := is.New(t)
+	l, err := TCP("127.0.0.1:0")
+	is.NoErr(err)
+	var clients []net.Conn
+	for range 5 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		is.NoErr(err)
+		defer c.Close()
+		_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		is.NoErr(err)
+		clients = append(clients, c)
+	}
+	server := &http.Server{Handler: http.NotFoundHandler()}
+	stopped := make(chan error, 1)
+	go func() { stopped <- errors.Join(l.Close(), server.Shutdown(t.Context())) }()
+	is.True(server.Serve(l) != nil)
+	for _, c := range clients {
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusNotFound)
+	}
+	is.NoErr(<-stopped)
+}
+
 func TestCloseReturnsIfNobodyAccepts(t *testing.T) {
 	is := is.New(t)
 	l, err := TCP("127.0.0.1:0")
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -74,7 +74,9 @@
 func TestEveryMetricOfAControllerIsDescribed(t *testing.T) {
 	is := is.New(t)
 	r := prometheus.NewRegistry()
-	RegisterController(r, func() FeedWork { return FeedWork{Heartbeats: 1, Bytes: 2, VisitedServers: 3, EncodedServers: 4, EncodedUsage: 5} })
+	RegisterController(r, func() FeedWork {
+		return FeedWork{Heartbeats: 1, Bytes: 2, VisitedServers: 3, EncodedServers: 4, EncodedUsage: 5}
+	})
 	families, err := r.Gather()
 	is.NoErr(err)
 	is.Equal(len(families), len(controllerDescriptions))
