--- a/mesh/fanout_test.go
+++ b/mesh/fanout_test.go
@@ -47,8 +47,9 @@
 		w.servers = append(w.servers, a)
 		w.Announce(w.started, a)
 	}
+	w.seen = make([]map[string]uint32, watchers)
 	for i := range watchers {
-		w.seen = append(w.seen, make(map[string]uint32))
+		w.seen[i] = make(map[string]uint32)
 		feed := w.NewWatchFeed(&wire.WatchRequest{Name: fmt.Sprint("g", i), NeedsNoUsage: true, Report: 1})
 		go w.follow(t, ctx, i, feed)
 	}
