--- /dev/null
+++ b/scripts/regression.sh
@@ -0,0 +1,33 @@
+#!/usr/bin/env bash
+# Scores deployments on the users' bench and prints one table: for each day the worth, its change
+# against the last landing (deploy/worth.tsv), and the rules that were broken.
+#
+#   scripts/regression.sh [--update] SITE...
+#
+# SITE is the path of a site file. --update writes the worths into deploy/worth.tsv. QUICK=1 plays the
+# light days only, JOBS (3) days at a time.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bench=${BENCH:-$(find ../given/kit/more/system -path '*bench*/bin/fleetbench' | sort | tail -n 1)}
+update=""
+if [ "${1:-}" = --update ]; then update=1; shift; fi
+[ $# -gt 0 ] || { sed -n '2,9p' "$0" >&2; exit 2; }
+landed=deploy/worth.tsv
+results=$(mktemp)
+trap 'rm -f "$results"' EXIT
+for site in "$@"; do
+  name=$(basename "$site" .toml)
+  "$bench" score "$site" --jobs "${JOBS:-3}" ${QUICK:+--quick} --why "regression" |
+    awk -v site="$name" -v OFS='\t' '
+      /^day .*worth/ { table = 1; next }
+      table && $2 ~ /^[0-9]+\/[0-9]+$/ {
+        broken = match($0, /BROKEN.*/) ? substr($0, RSTART) : "none"
+        print site, $1, $4, broken
+      }' >> "$results"
+done
+awk -F'\t' -v OFS='\t' '
+  NR == FNR { before[$1 FS $2] = $3; next }
+  FNR == 1 { print "site", "day", "worth", "change", "broken" }
+  { print $1, $2, $3, ($1 FS $2) in before ? sprintf("%+.3f", $3 - before[$1 FS $2]) : "new", $4 }
+' <(cat "$landed" 2>/dev/null || true) "$results" | column -t -s "$(printf '\t')"
+[ -z "$update" ] || cp "$results" "$landed"
