--- a/scripts/regression.sh
+++ b/scripts/regression.sh
@@ -2,16 +2,20 @@
 # Scores deployments on the users' bench and prints one table: for each day the worth, its change
 # against the last landing (deploy/worth.tsv), and the rules that were broken.
 #
-#   scripts/regression.sh [--update] SITE...
+#   scripts/regression.sh [--update] [SITE...]
 #
-# SITE is the path of a site file. --update writes the worths into deploy/worth.tsv. QUICK=1 plays the
+# SITE is the path of a site file; without one, the sites of the regression runs are scored: the large
+# one in place of the oldest two. --update writes the worths into deploy/worth.tsv. QUICK=1 plays the
 # light days only, JOBS (3) days at a time.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bench=${BENCH:-$(find ../given/kit/more/system -path '*bench*/bin/fleetbench' | sort | tail -n 1)}
 update=""
 if [ "${1:-}" = --update ]; then update=1; shift; fi
-[ $# -gt 0 ] || { sed -n '2,9p' "$0" >&2; exit 2; }
+if [ $# -eq 0 ]; then
+  system=../given/kit/more/system
+  set -- "$system"/large/*.toml "$system"/further/*.toml "$system"/further-grown/*.toml "$system"/grown/*.toml
+fi
 landed=deploy/worth.tsv
 touch "$landed"
 results=$(mktemp)
