Failing tests for a content that crashes servers among other suspects

quarantine.TestContentWithManyCrashesStaysInQuarantine: the verdict after the ninth crash is "clear".

--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -58,6 +58,30 @@
 	}
 }
 
+// Guards against the incident BUDGET of shared crashes: a content with many crashes is clear again once a
+// popular part of the prompts beside it is held to blame for them.
+func TestContentWithManyCrashesStaysInQuarantine(t *testing.T) {
+	is := is.New(t)
+	e := NewEvidence()
+	const guilty, popular = Fingerprint(1), Part(9)
+	for i := range 20 {
+		now := at(100 * i)
+		crash := crashOf(fmt.Sprint("s", i))
+		e.AddServerCrash(now, crash)
+		for f := guilty; f < guilty+4; f++ { // others come and go; each meets a few crashes
+			other := f + Fingerprint(1000*(i/3))
+			if f == guilty {
+				other = guilty
+			}
+			e.AddContentCrash(now, other, crash, true)
+			e.AddPartCrash(now, crash, true, []Part{popular})
+		}
+		if i >= 2*quarantineCrashes {
+			is.Equal(e.Check(now.Add(soundRunDelay), guilty), Quarantined)
+		}
+	}
+}
+
 func TestCrashesWithACommonCauseAreExcused(t *testing.T) {
 	is := is.New(t)
 	e := NewEvidence()
