quarantine, gateway: a content that has crashed three servers runs in trials that all instances share

Cause: evidence was divided among suspects, and nothing bounded the sends of one that couldn't be told from others. A content all of whose crashes other suspects share was in quarantine only after seven crashes; a turn of a suspect was a turn at every gateway at once; and since only eight crashes of a content were recorded, the ninth counted for popular parts of the prompts beside it, which then "explained" the content's crashes.

Common causes and voided crashes aren't needed to explain it.

Change: from its third crash on, however it is explained, a content is sent in trials only. An instance claims a trial, waits until it would have heard of another claim (claimDelay, 600 ms), and sends the content once. Three trials at most are sent by all instances together, two if they crash servers and no content in quarantine was part of it; then the content is in quarantine. One that is answered is clear. An instance that has heard no control instance for 550 ms claims none. 32 crashes of a content are recorded, not 8. The log says whether a content needs a trial.

Why it works: a trial is a single send, counted before it is made, so the bound doesn't depend on how crashes are explained.

--- a/gateway/content.go
+++ b/gateway/content.go
@@ -54,6 +54,12 @@
 	switch v := g.verdict(j); {
 	case v == quarantine.Quarantined:
 		return g.quarantineFailure(j)
+	case g.evidence.NeedsTrial(time.Now(), j.fingerprint()):
+		holds, next := g.claimTrial(time.Now(), j)
+		if holds {
+			return nil
+		}
+		return &failure{reason: "content " + j.fingerprint().String() + " has crashed several backend servers, and has no trial now", err: errNotItsTurn, retryAfter: time.Until(next)}
 	case v == quarantine.Suspect && !g.hasTurn(j):
 		return &failure{reason: "content " + j.fingerprint().String() + " may crash backend servers, and other such requests run first", err: errNotItsTurn}
 	default:
@@ -99,6 +105,8 @@
 		return max(time.Second, part.expires.Sub(now))
 	case errors.Is(f.err, errQuarantined):
 		return max(time.Second, g.evidence.Expires(j.fingerprint()).Sub(now))
+	case errors.Is(f.err, errNotItsTurn) && f.retryAfter > 0:
+		return g.spreadRetry(f.retryAfter)
 	case errors.Is(f.err, errNotItsTurn):
 		wait := max(turnJitter, g.evidence.Turn(now, j.fingerprint()).Sub(now))
 		return wait + time.Duration(g.randomFloat()*float64(turnJitter))
--- a/gateway/draft_path.go
+++ b/gateway/draft_path.go
@@ -14,6 +14,9 @@
 // up to capacityWait, at most maxCapacityWaiters of them at a time. A started stream waits until its
 // deadline.
 func (g *Gateway) awaitPath(ctx context.Context, d *draft) (layers.Path, bool) {
+	if !d.isStarted.Load() {
+		g.awaitTrial(ctx, d.job)
+	}
 	path, ok := g.findNewPath(d)
 	if ok {
 		return path, true
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -79,6 +79,7 @@
 			j.sends.Add(-1)
 		}
 		if errors.Is(err, upstream.ErrNotSent) {
+			j.contentTrial.endRun()
 			j.attempts.Add(-1)
 		} else {
 			j.mayHaveRun.Store(true)
@@ -89,6 +90,7 @@
 	g.recordSelfReport(j, servers[0], resp.Status, rh)
 	g.endTrials(trials, !rh.NotRun && resp.Status != http.StatusServiceUnavailable)
 	if rh.NotRun { // a rejection may come from another server at the address
+		j.contentTrial.endRun()
 		j.attempts.Add(-1)
 	} else {
 		g.recordAlive(started, id, "answers")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -356,12 +356,14 @@
 	content         quarantine.Fingerprint // valid once fingerprint has returned
 	crashes         requestCrashes
 	// sharedParts are the parts of the prompt that other requests may have, too.
-	sharedParts []quarantine.Part
-	trial       trial
+	sharedParts  []quarantine.Part
+	trial        trial
+	contentTrial contentTrial
 }
 
 // addEndedRun records the server of a run that has broken off.
 func (j *job) addEndedRun(end quarantine.Crash) {
+	j.contentTrial.endRun()
 	j.runsMu.Lock()
 	defer j.runsMu.Unlock()
 	j.endedRuns = append(j.endedRuns, end)
--- a/gateway/lost_runs.go
+++ b/gateway/lost_runs.go
@@ -305,7 +305,7 @@
 	}
 	if isNew && n > 1 {
 		g.options.Log.Info("servers crashed while they ran a content", "request", j.header.ID, "content", f.String(), "server", crash.Server,
-			"crashes", n, "verdict", g.evidence.Check(time.Now(), f).String())
+			"crashes", n, "verdict", g.evidence.Check(time.Now(), f).String(), "needs_trial", g.evidence.NeedsTrial(time.Now(), f))
 	}
 }
 
@@ -338,6 +338,7 @@
 // instances, to which its caller may send it next.
 func (g *Gateway) reportCrashes(j *job) {
 	g.endTrial(j)
+	defer g.endContentTrial(j)
 	j.crashes.mu.Lock()
 	defer j.crashes.mu.Unlock()
 	if j.crashes.isAnswered {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -30,6 +30,7 @@
 	var tried []string
 	var silent []string // those of tried that have accepted no connection in time
 	for {
+		g.awaitTrial(ctx, j)
 		if f := g.checkContent(j); f != nil {
 			g.refuse(w, j, g.finalRefusal(ctx, j, f))
 			return
--- a/gateway/self_reports.go
+++ b/gateway/self_reports.go
@@ -192,6 +192,10 @@
 func (g *Gateway) beginSend(j *job, servers []selfreport.Server) ([]selfreport.Trial, error) {
 	trials, verdict, i := g.selfReports.begin(time.Now(), servers)
 	if verdict == selfreport.Free {
+		if err := g.beginRun(j); err != nil {
+			g.endTrials(trials, false)
+			return nil, err
+		}
 		return trials, nil
 	}
 	g.countHeldBack(j, verdict)
--- a/gateway/stall_monitor.go
+++ b/gateway/stall_monitor.go
@@ -216,6 +216,9 @@
 			g.startBeside(a, "no other path starts at "+head.ID)
 			return
 		}
+		if err := g.beginRun(d.job); err != nil {
+			return
+		}
 		ctx, cancel := context.WithTimeout(a.ctx, orderTimeout)
 		fault, err := g.options.Orders.Reroute(ctx, head.Address, d.header.ID, next, v.fence)
 		cancel()
--- a/mesh/evidence.go
+++ b/mesh/evidence.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/balsamlb/balsamlb/instance"
 	"github.com/balsamlb/balsamlb/instance/wire"
 	"github.com/balsamlb/balsamlb/quarantine"
 )
@@ -29,6 +30,8 @@
 
 	mu       sync.Mutex
 	evidence *quarantine.Evidence
+	// heardAt is when a heartbeat of a control instance was last received.
+	heardAt time.Time
 }
 
 func newCrashEvidence(onChange func()) *CrashEvidence {
@@ -104,6 +107,57 @@
 	return changed
 }
 
+// NeedsTrial reports whether a content may run in trials only.
+func (c *CrashEvidence) NeedsTrial(now time.Time, f quarantine.Fingerprint) bool {
+	if c.IsEmpty() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.evidence.NeedsTrial(now, f)
+}
+
+// ClaimTrial claims a trial of a content under an ID, and returns the state of the claim and when to ask
+// again. An instance that is cut off from the control instances claims none.
+func (c *CrashEvidence) ClaimTrial(now time.Time, f quarantine.Fingerprint, id uint64) (claim quarantine.Claim, next time.Time) {
+	if !c.isInTouch(now) {
+		return quarantine.ClaimDenied, now.Add(maxHeartbeatAge)
+	}
+	c.update(func(e *quarantine.Evidence) { claim, next = e.ClaimTrial(now, f, id) })
+	return claim, next
+}
+
+// BeginTrial records that the content is sent to a server under a claim. It returns false if the claim
+// doesn't hold.
+func (c *CrashEvidence) BeginTrial(now time.Time, f quarantine.Fingerprint, id uint64) (hasBegun bool) {
+	if c.isInTouch(now) {
+		c.update(func(e *quarantine.Evidence) { hasBegun = e.BeginTrial(now, f, id) })
+	}
+	return hasBegun
+}
+
+// EndTrial records that a trial has ended, or that it doesn't count.
+func (c *CrashEvidence) EndTrial(now time.Time, f quarantine.Fingerprint, id uint64, void bool) {
+	c.update(func(e *quarantine.Evidence) { e.EndTrial(now, f, id, void) })
+}
+
+// maxHeartbeatAge is the age of the latest heartbeat from which on this instance may not know what others
+// have claimed.
+const maxHeartbeatAge = instance.WatchInterval + 50*time.Millisecond
+
+// recordHeartbeat records that a control instance was heard.
+func (c *CrashEvidence) recordHeartbeat(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.heardAt = now
+}
+
+func (c *CrashEvidence) isInTouch(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.heardAt) <= maxHeartbeatAge
+}
+
 // Turn returns the next time at which a suspect may start to run.
 func (c *CrashEvidence) Turn(now time.Time, f quarantine.Fingerprint) time.Time {
 	c.mu.Lock()
@@ -262,6 +316,11 @@
 	for _, c := range r.Crashes {
 		out.Crashes = append(out.Crashes, crashToWire(now, c))
 	}
+	for _, t := range r.Trials {
+		out.Trials = append(out.Trials, &wire.ContentTrial{
+			Id: t.ID, AgeMs: ageToWire(now, t.At), HasBegun: t.HasBegun, HasEnded: t.HasEnded, IsVoid: t.Void,
+		})
+	}
 	return out
 }
 
@@ -270,9 +329,17 @@
 	for _, c := range w.Crashes {
 		out.Crashes = append(out.Crashes, crashFromWire(now, c))
 	}
+	for _, t := range w.Trials {
+		out.Trials = append(out.Trials, quarantine.ContentTrial{
+			ID: t.Id, At: now.Add(-time.Duration(t.AgeMs) * time.Millisecond), HasBegun: t.HasBegun, HasEnded: t.HasEnded, Void: t.IsVoid,
+		})
+	}
 	return out
 }
 
+// ageToWire returns how long ago a time was, in milliseconds.
+func ageToWire(now, t time.Time) uint32 { return uint32(max(0, now.Sub(t).Milliseconds())) }
+
 func partReportToWire(now time.Time, r quarantine.PartReport) *wire.PartCrash {
 	crash := quarantine.ContentCrash{Crash: r.Crash, At: r.At, IsConfirmed: r.IsConfirmed, Void: r.Void}
 	return &wire.PartCrash{Crash: crashToWire(now, crash), Parts: partsToWire(r.Parts), ClearedParts: partsToWire(r.Cleared)}
@@ -304,7 +371,7 @@
 
 func crashToWire(now time.Time, c quarantine.ContentCrash) *wire.ServerCrash {
 	return &wire.ServerCrash{
-		Server: c.Server, Incarnation: c.Incarnation, AgeMs: uint32(max(0, now.Sub(c.At).Milliseconds())), IsVoid: c.Void, IsConfirmed: c.IsConfirmed,
+		Server: c.Server, Incarnation: c.Incarnation, AgeMs: ageToWire(now, c.At), IsVoid: c.Void, IsConfirmed: c.IsConfirmed,
 	}
 }
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -400,6 +400,7 @@
 	now := time.Now()
 	// Only a control instance passes evidence on, so only there its watchers have to be woken.
 	changed := m.crashes.merge(now, b.Crashes, b.PartCrashes) && m.options.ControlAddress != ""
+	m.crashes.recordHeartbeat(now)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.mergeServers(now, address, b.Servers) {
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -29,7 +29,7 @@
 	// each. Contents with the fewest crashes are dropped first, and of these the
 	// oldest.
 	maxContents          = 2048
-	maxCrashesPerContent = 8
+	maxCrashesPerContent = 32
 	// contentsRoom is the number of contents that are dropped at a time.
 	contentsRoom = 128
 	// judgementLifetime bounds the time for which a verdict is used again though nothing is known
@@ -53,12 +53,14 @@
 type ContentReport struct {
 	Fingerprint Fingerprint
 	Crashes     []ContentCrash
+	Trials      []ContentTrial
 }
 
 // contentRecord holds the crashes that are known for a content.
 type contentRecord struct {
 	fingerprint Fingerprint
 	crashes     []ContentCrash
+	trials      []ContentTrial
 	judged      judgement
 	lastCrash   time.Time
 	// isShared means that the record is reported to other instances. revision and ownRevision are
@@ -307,6 +309,8 @@
 func (e *Evidence) newVerdict(now time.Time, f Fingerprint, r *contentRecord) Verdict {
 	own := e.ownCrashes(now, f, r)
 	switch {
+	case len(r.trials) > 0 && e.needsTrial(now, r) && !r.isTried(now) && !e.hasTrialLeft(now, r):
+		return Quarantined
 	case len(own) >= certainCrashes:
 		return Quarantined
 	case len(own) >= quarantineCrashes && e.alone(f, own) > 0:
@@ -423,7 +427,7 @@
 		switch {
 		case c.Void:
 		case e.parts.explains(now, c.Crash):
-		case !c.IsConfirmed && (now.Sub(c.At) < presumedDelay || e.history.coincides(c.At, commonCauseWindow, r.ranOn, 1)):
+		case !c.IsConfirmed && !e.isPresumptionSound(now, r, c):
 		case excused < maxExcused && e.history.hasCommonCause(c.At, r.ranOn):
 			excused++
 		default:
@@ -433,6 +437,11 @@
 	return out
 }
 
+// isPresumptionSound reports whether a server that is only presumed to have crashed counts as crashed.
+func (e *Evidence) isPresumptionSound(now time.Time, r *contentRecord, c ContentCrash) bool {
+	return now.Sub(c.At) >= presumedDelay && !e.history.coincides(c.At, commonCauseWindow, r.ranOn, 1)
+}
+
 // ranOn reports whether the content was running on the server when it crashed, whether that counts
 // or not.
 func (r *contentRecord) ranOn(c Crash) bool {
@@ -494,6 +503,9 @@
 	for i := range r.crashes {
 		r.crashes[i].Void = true
 	}
+	for i := range r.trials {
+		r.trials[i].Void = true
+	}
 	e.recordChange(r, true)
 	return true
 }
@@ -533,6 +545,11 @@
 			}
 		}
 	}
+	if r, ok := e.contents[report.Fingerprint]; ok {
+		for _, t := range report.Trials {
+			changed = e.mergeTrial(r, t, false) || changed
+		}
+	}
 	return changed
 }
 
@@ -565,7 +582,7 @@
 	}
 	out := make([]ContentReport, 0, len(changes))
 	for _, c := range changes {
-		out = append(out, ContentReport{Fingerprint: c.f, Crashes: slices.Clone(e.contents[c.f].crashes)})
+		out = append(out, ContentReport{Fingerprint: c.f, Crashes: slices.Clone(e.contents[c.f].crashes), Trials: slices.Clone(e.contents[c.f].trials)})
 	}
 	return out, upTo
 }
