quarantine: suspects that always share their servers are blamed in the end, in dispatch

A suspect is now blamed from the second such crash on; then it is in quarantine everywhere.

TestSuspectsThatShareTheirCrashesAreBlamedInTheEnd failed before (20 crashes, its own limit) and passes.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -24,6 +24,9 @@
 	// crashesToQuarantine is the number of different servers that must crash while they run a
 	// request before the request is quarantined.
 	crashesToQuarantine = 2
+	// maxSharedCrashes is the number of crashes that a suspect may share with other suspects until it is
+	// blamed.
+	maxSharedCrashes = 2
 	// crashReportTimeout is the longest time between the end of a run by a reset and the report
 	// that its server crashed. A crash that is reported later is not attributed to the run.
 	crashReportTimeout = 5 * time.Second
@@ -243,8 +246,8 @@
 
 // Crashed records that an incarnation of a server has certainly crashed, and returns the findings to
 // send to other instances, one for each request that is blamed. If exactly one of the requests on the
-// server was a suspect, only that one is blamed. If several were suspects, no request is blamed. A
-// crash that was presumed so far becomes certain.
+// server was a suspect, only that one is blamed. If several were suspects, none is blamed, but for those
+// to which that has happened maxSharedCrashes times. A crash that was presumed so far becomes certain.
 func (t *Tracker) Crashed(now time.Time, server string, incarnation uint64) []Finding {
 	out := t.Confirm(now, Crash{Server: server, Incarnation: incarnation})
 	return append(out, t.crashed(now, server, incarnation, true)...)
@@ -286,11 +289,11 @@
 	}
 	suspects := t.suspectsOf(now, affected)
 	blamed := affected
-	if len(suspects) == 1 {
-		blamed = slices.DeleteFunc(slices.Clone(affected), func(r *runState) bool { return r.Fingerprint != suspects[0] })
-	}
-	if len(suspects) > 1 {
-		return nil
+	if len(suspects) > 0 {
+		isShared := len(suspects) > 1
+		blamed = slices.DeleteFunc(slices.Clone(affected), func(r *runState) bool {
+			return !slices.Contains(suspects, r.Fingerprint) || isShared && !t.hasSharedEnough(r.Fingerprint)
+		})
 	}
 	var out []Finding
 	for _, r := range blamed {
@@ -301,6 +304,14 @@
 	return out
 }
 
+// hasSharedEnough counts a crash that a suspect has shared with others, and reports whether the suspect is
+// blamed for it.
+func (t *Tracker) hasSharedEnough(f Fingerprint) bool {
+	r := t.records[f]
+	r.shared++
+	return r.shared >= maxSharedCrashes
+}
+
 func (t *Tracker) suspectsOf(now time.Time, affected []*runState) []Fingerprint {
 	var out []Fingerprint
 	for _, r := range affected {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -53,6 +53,21 @@
 	is.Equal(tr.Check(at(100), 7), Suspect)
 }
 
+// Guards against the incident BUDGET of shared crashes: suspects that share each server are never blamed.
+func TestSuspectsThatShareTheirCrashesAreBlamedInTheEnd(t *testing.T) {
+	is := is.New(t)
+	tr := NewTracker()
+	crashes := 0
+	for i := 0; tr.Check(at(100*i), 1) != Quarantined && i < 20; i++ {
+		server := fmt.Sprint("s", i)
+		tr.Started(at(100*i), newRun(fmt.Sprint("a", i), 1, server))
+		tr.Started(at(100*i), newRun(fmt.Sprint("b", i), 2, server))
+		crash(tr, at(100*i+1), server, fmt.Sprint("a", i), fmt.Sprint("b", i))
+		crashes++
+	}
+	is.True(crashes <= trialCrashes)
+}
+
 func TestLostConnectionWithoutCrashIsNotCounted(t *testing.T) {
 	is := is.New(t)
 	tr := NewTracker()
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -23,6 +23,8 @@
 // record holds the crashes that are attributed to one fingerprint.
 type record struct {
 	crashes []attributedCrash
+	// shared is the number of crashes at which other suspects were on the server, too.
+	shared int
 	// lastCrash and expires are the latest times of the crashes.
 	lastCrash time.Time
 	expires   time.Time
