selfreport: limits that instances keep together, and a failing test of gateways that don't read them

The module holds the requests a second that a server takes from all instances together, and this instance's part of it: in proportion to the requests in flight, among as many instances as the limit allows to save up a request (limit + 4, chosen by rank and server). Nothing uses it yet.

selfreport.TestAllInstancesKeepALimitTogether plays 1 to 195 instances before limits of 0 to 60 a second, after up to a minute of idle time: never more than one and a half times the limit and 5 in 4 s.

--- a/gateway/crash_fleet_test.go
+++ b/gateway/crash_fleet_test.go
@@ -72,6 +72,10 @@
 	// ran counts the runs by request ID.
 	ran    map[string]int
 	starts int64
+	// limit is the requests a second that each server names as its limit; 0 means none. received holds
+	// when requests reached each server, by address.
+	limit    float64
+	received map[string][]time.Time
 }
 
 // crashServer is one server, which keeps its address over restarts.
@@ -114,7 +118,7 @@
 		t: t, kind: kind, ip: fmt.Sprintf("127.0.%d.%d", 100+n/250, 1+n%250), announce: func(discovery.Announcement) {},
 		servers: make(map[string]*crashServer), runs: make(map[string]*fleetRun),
 		arrivals: make(map[string]int), reroutes: make(map[string]int), crashes: make(map[string]int),
-		ran: make(map[string]int), crashingParts: make(map[string]bool),
+		ran: make(map[string]int), crashingParts: make(map[string]bool), received: make(map[string][]time.Time),
 	}
 	done := make(chan struct{})
 	stop := make(chan struct{})
@@ -329,6 +333,7 @@
 			notRun(c, http.StatusMisdirectedRequest, "")
 			continue
 		}
+		s.fleet.recordReceived(s.address)
 		if s.to > 0 {
 			s.fleet.runDraft(s, c, r, string(body))
 			continue
@@ -363,7 +368,7 @@
 	if strings.HasPrefix(body, "slow") && !f.wait(s, slowSteps) {
 		return
 	}
-	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nBalsamlb-Request-Id: %s\r\nBalsamlb-Response-Stamp: s\r\nContent-Length: 4\r\n\r\ndone", id)
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nBalsamlb-Request-Id: %s\r\nBalsamlb-Response-Stamp: s\r\n%sContent-Length: 4\r\n\r\ndone", id, f.limitHeader())
 }
 
 const (
@@ -458,7 +463,7 @@
 			return
 		}
 		if !isStarted {
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nBalsamlb-Request-Id: %s\r\nBalsamlb-Response-Stamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nBalsamlb-Request-Id: %s\r\nBalsamlb-Response-Stamp: s\r\nContent-Type: text/event-stream\r\n%sTransfer-Encoding: chunked\r\n\r\n", id, f.limitHeader())
 			isStarted = true
 		}
 		chunk(c, event(next))
--- a/selfreport/pause.go
+++ b/selfreport/pause.go
@@ -162,8 +162,10 @@
 		return now, true
 	case x.leaving != nil:
 		return time.Time{}, false
-	case x.pause != nil:
+	case x.pause != nil && !x.pause.takes(now):
 		return x.pause.next(now), true
+	case x.limit != nil:
+		return x.limit.next(now), true
 	default:
 		return now, true
 	}
--- a/selfreport/selfreport.go
+++ b/selfreport/selfreport.go
@@ -40,6 +40,8 @@
 	Leaving
 	// WantsNothing is the verdict on servers that have asked for a pause.
 	WantsNothing
+	// Limited servers take no request from this instance now, but may take work of others' requests.
+	Limited
 	// Verdicts is the number of verdicts.
 	Verdicts = int(iota)
 )
@@ -51,6 +53,8 @@
 		return "leaving"
 	case WantsNothing:
 		return "wants nothing"
+	case Limited:
+		return "limited"
 	default:
 		return "free"
 	}
@@ -71,6 +75,7 @@
 	incarnation int64
 	leaving     *leaving
 	pause       *pause
+	limit       *limit
 	heardAt     time.Time
 }
 
@@ -105,6 +110,8 @@
 		return Leaving
 	case x.pause != nil && !x.pause.takes(now):
 		return WantsNothing
+	case x.limit != nil && !x.limit.takes(now):
+		return Limited
 	default:
 		return Free
 	}
@@ -239,7 +246,7 @@
 }
 
 func (r *Reports) removeEmpty(id string) {
-	if x := r.servers[id]; x != nil && x.leaving == nil && x.pause == nil {
+	if x := r.servers[id]; x != nil && x.leaving == nil && x.pause == nil && x.limit == nil {
 		delete(r.servers, id)
 	}
 }
@@ -253,6 +260,9 @@
 	if x.pause != nil && !x.pause.isOver {
 		ends = append(ends, x.pause.end(now, Server{id, x.incarnation}, why))
 	}
+	if x.limit != nil {
+		ends = append(ends, End{Server: Server{id, x.incarnation}, Kind: Limited, Source: x.limit.source, Age: now.Sub(x.limit.since), Why: why})
+	}
 	return ends
 }
 
