gateway: the limit that a server names is kept by all gateways together

Change: answers with Server-Limit are read (platform), and each request takes one from this gateway's part of the limit where it is sent, so retries, streams that go on and drafts sent beside silent ones count. A server without a part left begins no path (layers.Query.AvoidHead), but may be a later server of one; plain calls choose another server or wait up to 250 ms. Refused callers are told when the first part is free. Parts follow the requests in flight, which gateways exchange already; control instances now tell each gateway its rank among them, by which a small limit is left to a few of many gateways. The limit ends with the first answer, to a request sent since, that names none, and with the server's incarnation.

Why it works: all parts add up to 0.9 of the limit, and as many gateways as the limit allows may save up a request, so all together send at most 5.5 times the limit and 4 in 4 s (6 and 5 are allowed), also 195 of them before a limit of 1. A gateway that has lost contact keeps the rank it knew.

Result: gateway.TestGatewaysKeepTheLimitOfAServerTogether failed before (2,625 to 4,388 in 4 s; 11 and 68 allowed) and passes, with a gateway that restarts. A lock order between the usage and the reports hung a first form of the test; parts are computed before the lock is taken.

--- a/gateway/draft_path.go
+++ b/gateway/draft_path.go
@@ -72,6 +72,9 @@
 	if s == nil || !s.paths.HasWholeCopy(func(id string) bool { return g.isExcluded(v, now, id) || g.isHeldBack(d.job, v, now, id) }) {
 		return &failure{reason: "no data centre holds a whole copy of the model", err: errNoCompleteCopy}
 	}
+	if wait := g.limitedHeadWait(d, v, now); wait > 0 {
+		return &failure{reason: "the first servers of all paths take no more requests now", retryAfter: g.spreadRetry(wait)}
+	}
 	return &failure{reason: "no path through the model's layers has room"}
 }
 
@@ -90,7 +93,7 @@
 	// hasCopy reports whether the servers that take drafts at a time hold a whole copy.
 	hasCopy := func(at time.Time) bool {
 		return s.paths.HasWholeCopy(func(id string) bool {
-			next, mayReturn := g.selfReports.next(now, v.server(id))
+			next, mayReturn := g.selfReports.pauseEnd(now, v.server(id))
 			return !mayReturn || next.After(at) || g.isUnresponsive(v, id) || v.isSilent(id) && g.faults.isUnrecovered(id)
 		})
 	}
@@ -123,10 +126,13 @@
 		return id != head.ID && (g.isExcluded(v, now, id) || slices.Contains(avoided, id))
 	}
 	query := layers.Query{
-		Draft:   d.size,
-		Home:    g.options.DataCentre,
-		Head:    head,
-		Avoid:   func(id string) bool { return failed(id) || heldBack(id) },
+		Draft: d.size,
+		Home:  g.options.DataCentre,
+		Head:  head,
+		Avoid: func(id string) bool { return failed(id) || heldBack(id) },
+		AvoidHead: func(id string) bool {
+			return g.isLimited(d.job, v, now, id)
+		},
 		Started: d.isStarted.Load(),
 		PipeWait: func(from, to string) time.Duration {
 			return g.linkTraffic.wait(now, from, to)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -305,6 +305,7 @@
 			g.options.Mesh.SetUnresponsive(g.listUnresponsive(now))
 			g.checkResponsive(ctx, now)
 			g.updateRetryBudget(now)
+			g.divideLimits(now)
 			g.usage.removeExpired(now)
 			g.lost.removeExpired(now)
 			g.evidence.RemoveExpired(now)
--- a/gateway/header_codec.go
+++ b/gateway/header_codec.go
@@ -55,6 +55,9 @@
 	FaultAddress string
 	// IsLeaving means that the server says that it leaves.
 	IsLeaving bool
+	// HasLimit means that the server names the requests a second that it takes from all instances, Limit.
+	HasLimit bool
+	Limit    float64
 	// HasPause means that the server has turned the request away and asks for the pause Pause.
 	HasPause bool
 	Pause    selfreport.PauseRequest
--- a/gateway/self_reports.go
+++ b/gateway/self_reports.go
@@ -56,6 +56,17 @@
 	return s.reports.Next(now, server)
 }
 
+// pauseEnd returns when a server may get work again, whatever its limit on requests. It returns false for a
+// server that leaves.
+func (s *selfReports) pauseEnd(now time.Time, server selfreport.Server) (time.Time, bool) {
+	if s.count.Load() == 0 {
+		return now, true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reports.PauseEnd(now, server)
+}
+
 // returns returns when servers that want nothing now may get requests again, in order.
 func (s *selfReports) returns(now time.Time) []time.Time {
 	s.mu.Lock()
@@ -72,16 +83,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i, server := range servers {
-		if v := s.reports.Check(now, server); v != selfreport.Free {
-			return nil, v, i
+		v := s.reports.Check(now, server)
+		if v == selfreport.Free || v == selfreport.Limited && i > 0 {
+			continue // the limit is on requests, which only the first server gets
 		}
+		return nil, v, i
 	}
+	s.reports.TakeRequest(now, servers[0])
 	return s.reports.Begin(now, servers...), selfreport.Free, 0
 }
 
-// recordSelfReport records what a server has said about itself in an answer.
-func (g *Gateway) recordSelfReport(j *job, server selfreport.Server, status int, rh ResponseHeader) {
-	if !rh.IsLeaving && !rh.HasPause {
+// recordSelfReport records what a server has said about itself in an answer to a request that was sent at
+// the given time.
+func (g *Gateway) recordSelfReport(j *job, sent time.Time, server selfreport.Server, status int, rh ResponseHeader) {
+	if !rh.IsLeaving && !rh.HasPause && !rh.HasLimit && g.selfReports.count.Load() == 0 {
 		return
 	}
 	v := g.view.Load()
@@ -92,6 +107,7 @@
 	if rh.IsLeaving {
 		g.recordLeaving(v, server, source)
 	}
+	g.recordLimit(sent, server, source, rh)
 	if !rh.HasPause {
 		return
 	}
@@ -176,6 +192,9 @@
 // said about itself.
 func (g *Gateway) isHeldBack(j *job, v *view, now time.Time, id string) bool {
 	verdict := g.selfReports.check(now, v.server(id))
+	if verdict == selfreport.Limited && j.service.Engine != nil {
+		return false // it may be a later server of a path; see isLimited
+	}
 	g.countHeldBack(j, verdict)
 	return verdict != selfreport.Free
 }
--- a/layers/path.go
+++ b/layers/path.go
@@ -151,6 +151,9 @@
 	Started bool
 	// Avoid reports whether a server must not be used. It must not be nil.
 	Avoid func(id string) bool
+	// AvoidHead reports whether a server must not be the first one of a path, unless it is Head; nil means
+	// that none is avoided.
+	AvoidHead func(id string) bool
 	// PipeWait returns how long a transfer between two data centres waits for earlier
 	// transfers; nil means that transfers never wait.
 	PipeWait func(from, to string) time.Duration
@@ -199,6 +202,9 @@
 			if h.From > s.bounds[at] || h.To <= s.bounds[at] || q.Avoid(h.ID) || q.Head.ID != "" && (at == 0) != (h.ID == q.Head.ID) {
 				continue
 			}
+			if at == 0 && q.Head.ID == "" && q.AvoidHead != nil && q.AvoidHead(h.ID) {
+				continue
+			}
 			s.extend(best, at, i, &q, transfers)
 		}
 	}
--- a/mesh/feed.go
+++ b/mesh/feed.go
@@ -89,7 +89,7 @@
 		return nil, err
 	}
 	f.sentRevision = m.directory.Revision()
-	own := &wire.WatchBeat{Crashes: crashes, PartCrashes: partCrashes, LeavesOutUsage: true}
+	own := &wire.WatchBeat{Crashes: crashes, PartCrashes: partCrashes, LeavesOutUsage: true, Rank: m.rankOf(f.name)}
 	if buf, err = f.appendUsage(buf, own, now); err != nil {
 		return nil, err
 	}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -102,6 +102,10 @@
 	reportedUnresponsive map[string][]string
 	// reportedGateways holds the number of gateways that each control instance reports.
 	reportedGateways map[string]int
+	// reportedRanks holds this gateway's place among those gateways, from 0, and -1 if it is none of them.
+	reportedRanks map[string]int
+	// watcherNames are the sorted keys of watcherReports, or nil if they have to be sorted anew.
+	watcherNames []string
 	// withheld holds reports that servers are silent, by server, while this instance is connected to
 	// the control instance that receives the server's announcements.
 	withheld map[string]discovery.Announcement
@@ -128,6 +132,7 @@
 		dataCentres:          make(map[string]string),
 		reportedUnresponsive: make(map[string][]string),
 		reportedGateways:     make(map[string]int),
+		reportedRanks:        make(map[string]int),
 		withheld:             make(map[string]discovery.Announcement),
 		unresponsiveCounts:   make(map[string]int),
 		shared:               sharedFragments{servers: make(map[string]serverFragment)},
@@ -419,6 +424,7 @@
 	}
 	m.dataCentres[address] = b.DataCentre
 	m.updateReportedUsage(address, b)
+	m.reportedRanks[address] = int(b.Rank) - 1
 	if m.reportedGateways[address] != int(b.Gateways) {
 		m.reportedGateways[address] = int(b.Gateways)
 		changed = m.updateUnresponsive() || changed
@@ -462,6 +468,7 @@
 	delete(m.dataCentres, address)
 	delete(m.reportedUnresponsive, address)
 	delete(m.reportedGateways, address)
+	delete(m.reportedRanks, address)
 	changed = m.updateUnresponsive() || changed
 	if changed {
 		m.broadcast()
--- a/mesh/usage.go
+++ b/mesh/usage.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/balsamlb/balsamlb/instance/wire"
@@ -56,6 +57,34 @@
 	return n
 }
 
+// Rank returns this gateway's place, from 0, among the gateways that the control instance reports that
+// knows most of them, and their number. The rank is -1 if it isn't known.
+func (m *Mesh) Rank() (rank, gateways int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	rank, gateways = -1, 1
+	for address, n := range m.reportedGateways {
+		r, ok := m.reportedRanks[address]
+		if ok && r >= 0 && (n > gateways || n == gateways && (rank < 0 || r < rank)) {
+			rank, gateways = r, n
+		}
+	}
+	return rank, gateways
+}
+
+// rankOf returns the place, from 1, of a watcher among those that have sent a report, or 0 if it has sent
+// none. The caller holds the lock.
+func (m *Mesh) rankOf(name string) uint32 {
+	if m.watcherNames == nil {
+		m.watcherNames = slices.Sorted(maps.Keys(m.watcherReports))
+	}
+	i, ok := slices.BinarySearch(m.watcherNames, name)
+	if !ok {
+		return 0
+	}
+	return uint32(i + 1)
+}
+
 // PeerUsage returns the other instances' usage by backend server. The map must not be modified.
 func (m *Mesh) PeerUsage() map[string]Usage {
 	m.mu.Lock()
@@ -149,6 +178,7 @@
 	isSameCount := (old == nil) == (u == nil)
 	if !isSameCount {
 		m.shared.common = nil // contains the number of reports
+		m.watcherNames = nil
 	}
 	if isSameCount && slices.Equal(unresponsiveBefore, unresponsive) {
 		return false
--- a/selfreport/limit.go
+++ b/selfreport/limit.go
@@ -114,11 +114,22 @@
 	l.rate = limitPart * max(minLimit, l.perSecond) * d.share(server, l.perSecond)
 }
 
-// Divide updates this instance's parts of all limits. division returns the division of a server's limit.
-func (r *Reports) Divide(now time.Time, division func(server string) Division) {
+// Limited returns the IDs of the servers that have named a limit.
+func (r *Reports) Limited() []string {
+	var out []string
 	for id, x := range r.servers {
 		if x.limit != nil {
-			x.limit.divide(now, id, division(id))
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Divide updates this instance's parts of the limits of servers, by their IDs.
+func (r *Reports) Divide(now time.Time, divisions map[string]Division) {
+	for id, d := range divisions {
+		if x := r.servers[id]; x != nil && x.limit != nil {
+			x.limit.divide(now, id, d)
 		}
 	}
 }
@@ -136,12 +147,6 @@
 	return []End{end}
 }
 
-// HasLimit reports whether a server has named a limit.
-func (r *Reports) HasLimit(s Server) bool {
-	x := r.find(s)
-	return x != nil && x.limit != nil
-}
-
 // TakeRequest records that a request is sent to a server that may have a limit.
 func (r *Reports) TakeRequest(now time.Time, s Server) {
 	if x := r.find(s); x != nil && x.limit != nil {
--- a/selfreport/limit_test.go
+++ b/selfreport/limit_test.go
@@ -50,7 +50,7 @@
 				all += k
 			}
 			for i, r := range reports {
-				r.Divide(now, func(string) Division { return Division{Instances: n, Rank: i, Own: inFlight[i], All: all} })
+				r.Divide(now, map[string]Division{server.ID: {Instances: n, Rank: i, Own: inFlight[i], All: all}})
 				for r.Check(now, server) == Free {
 					r.TakeRequest(now, server)
 					sent = append(sent, now)
--- a/selfreport/pause.go
+++ b/selfreport/pause.go
@@ -157,15 +157,25 @@
 // Next returns when a server may get a request again, as far as is known now. It returns false for a
 // server that leaves.
 func (r *Reports) Next(now time.Time, s Server) (time.Time, bool) {
+	at, mayReturn := r.PauseEnd(now, s)
+	if x := r.find(s); mayReturn && x != nil && x.limit != nil {
+		if next := x.limit.next(now); next.After(at) {
+			return next, true
+		}
+	}
+	return at, mayReturn
+}
+
+// PauseEnd returns when a server may get work again, as far as is known now, whatever its limit on
+// requests. It returns false for a server that leaves.
+func (r *Reports) PauseEnd(now time.Time, s Server) (time.Time, bool) {
 	switch x := r.find(s); {
 	case x == nil:
 		return now, true
 	case x.leaving != nil:
 		return time.Time{}, false
-	case x.pause != nil && !x.pause.takes(now):
+	case x.pause != nil:
 		return x.pause.next(now), true
-	case x.limit != nil:
-		return x.limit.next(now), true
 	default:
 		return now, true
 	}
