--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -28,6 +28,9 @@
 	HeaderOutcome = "X-Outcome"
 	// HeaderLeaving is "1" in all responses of a server that leaves.
 	HeaderLeaving = "X-Leaving"
+	// HeaderLimit is the requests a second, a decimal number, that a server takes from all instances
+	// together, for as long as its responses say so.
+	HeaderLimit = "X-Request-Limit"
 	// HeaderRetryAfter in a refusal with status 503 is the time in seconds for which the server wants
 	// no requests from the instance.
 	HeaderRetryAfter = "Retry-After"
--- a/dispatch/call_idempotent.go
+++ b/dispatch/call_idempotent.go
@@ -195,6 +195,7 @@
 	start := time.Now()
 	answer, err := d.send(ctx, r, server)
 	d.recordSelfReport(r.ID, server, answer.Said)
+	d.recordLimit(start, r.ID, server, answer.Said)
 	d.endTrial(trials, err == nil && !answer.NotRun)
 	switch {
 	case err == nil:
--- a/dispatch/draft_conn.go
+++ b/dispatch/draft_conn.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"github.com/balsamlb/balsamlb/backend"
 	"github.com/balsamlb/balsamlb/fleet"
 	"github.com/balsamlb/balsamlb/pipeline"
@@ -45,8 +47,10 @@
 	if !isFree && !run.wasConnected(server.Name) {
 		return nil, eris.Wrapf(backend.ErrRefused, "dispatch: open stage on %s: it takes no new work now", server.Name)
 	}
+	sent := time.Now()
 	c, said, err := backend.OpenStage(run.ctx, open)
 	run.d.recordSelfReport(run.r.ID, server, said)
+	run.d.recordLimit(sent, run.r.ID, server, said)
 	run.d.endTrial(trials, err == nil)
 	return c, err
 }
--- a/dispatch/self_reports.go
+++ b/dispatch/self_reports.go
@@ -108,6 +108,7 @@
 	if sr.reports.Check(now, server) != selfreport.Free {
 		return nil, false
 	}
+	sr.reports.TakeRequest(now, server)
 	return sr.reports.Begin(now, server), true
 }
 
@@ -148,6 +149,7 @@
 		d.logEnds(sr.reports.Announced(now, a))
 	}
 	d.logEnds(sr.reports.RemoveExpired(now))
+	d.divideLimits(now)
 }
 
 func (d *Dispatcher) logEnds(ends []selfreport.End) {
