gateway: an answer that may have ended with its server absolves its content only after a check

An answer without a length ends with its connection, so the crash of a server looks like the end of an answer. For parts of prompts such an answer was already checked (verifyCompleted); for contents it counted as served, and voided the crashes before. A content that crashes servers so was never held back.

Change: such an answer absolves its content once its server was reached after the end; a crash that is found counts for the content too. Whether a stream has proved sound is now recorded for drafts without shared parts as well, so only short answers are checked.

--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -75,6 +75,8 @@
 	// sent its whole answer.
 	isStarted  atomic.Bool
 	isComplete atomic.Bool
+	// isUncertain means that the answer may only have ended because its server did.
+	isUncertain atomic.Bool
 
 	// deliveryMu is held while the response is written to the caller, and guards the fields below.
 	deliveryMu sync.Mutex
@@ -136,7 +138,7 @@
 		if f == nil {
 			g.options.Log.Info("completed a draft", "request", j.header.ID, "path", formatPath(path), "tokens", d.tokens(),
 				"events", d.events, "first_ms", d.firstMS, "longest_ms", d.longestMS, "ms", time.Since(j.arrived).Milliseconds(), "sends", j.sends.Load())
-			if d.isComplete.Load() {
+			if d.isComplete.Load() && !d.isUncertain.Load() {
 				g.recordAnswered(j)
 			}
 			g.recordEnd(j, http.StatusOK, "")
--- a/gateway/lost_runs.go
+++ b/gateway/lost_runs.go
@@ -37,8 +37,6 @@
 	at    time.Time
 	// provedSound means that the run had proved sound on the server.
 	provedSound bool
-	// isAnswered means that the answer of the run seemed to be complete.
-	isAnswered bool
 }
 
 // lostRuns attributes crashes of servers to the requests that ran on them. It is safe for concurrent
@@ -286,10 +284,6 @@
 
 // attributeCrash records that a server crashed during a run, unless the request was answered since.
 func (g *Gateway) attributeCrash(r lostRun, isConfirmed bool) {
-	if r.isAnswered {
-		g.attributePartCrash(r, isConfirmed)
-		return
-	}
 	j, crash := r.job, r.crash
 	j.crashes.mu.Lock()
 	defer j.crashes.mu.Unlock()
--- a/gateway/part_runs.go
+++ b/gateway/part_runs.go
@@ -96,25 +96,20 @@
 
 // recordWriting records that an attempt has brought an event of its answer.
 func (g *Gateway) recordWriting(a *attempt, now time.Time) {
-	j := a.draft.job
-	if len(j.sharedParts) == 0 {
-		return
-	}
 	if begun, isSoundNow := a.writing.record(now); isSoundNow {
-		g.clearParts(j, begun)
+		g.clearParts(a.draft.job, begun)
 	}
 }
 
 // recordCompletedRun records that an attempt has ended with a whole answer.
 func (g *Gateway) recordCompletedRun(a *attempt) {
 	j := a.draft.job
-	begun := a.writing.begun()
-	head, isUncertain := a.writing.uncertainHead()
-	switch {
-	case begun.IsZero() || len(j.sharedParts) == 0:
-	case isUncertain:
-		g.verifyCompleted(j, begun, head)
-	default:
+	if head, isUncertain := a.writing.uncertainHead(); isUncertain {
+		a.draft.isUncertain.Store(true)
+		g.verifyCompleted(j, a.writing.begun(), head)
+		return
+	}
+	if begun := a.writing.begun(); !begun.IsZero() {
 		g.clearParts(j, begun)
 	}
 }
@@ -125,15 +120,18 @@
 // verifyCompleted finds out whether an answer ended because its server did. A crash that is found later
 // is attributed to the run, too.
 func (g *Gateway) verifyCompleted(j *job, begun time.Time, head quarantine.Crash) {
-	r := lostRun{job: j, crash: head, at: time.Now(), isAnswered: true}
+	r := lostRun{job: j, crash: head, at: time.Now()}
 	if found, isKnown := g.lost.add(r); isKnown {
-		g.attributePartCrash(r, found.isConfirmed)
+		g.attributeCrash(r, found.isConfirmed)
 		return
 	}
 	time.AfterFunc(verifyDelay, func() {
 		g.probeLost(head)
 		if !g.lost.hasCrash(head) && g.view.Load().crashOf(head.Server) == head {
-			g.clearParts(j, begun)
+			g.recordAnswered(j)
+			if !begun.IsZero() {
+				g.clearParts(j, begun)
+			}
 		}
 	})
 }
--- a/gateway/shared_crash_test.go
+++ b/gateway/shared_crash_test.go
@@ -103,3 +103,25 @@
 		group.Wait()
 	}
 }
+
+// Guards against a content whose crashes look like the ends of its answers: each answer absolved it of the
+// crashes before.
+func TestContentWhoseCrashesLookLikeAnswersIsHeldBack(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, crashKind{afterFirstEvent: true, looksComplete: true}, 3)
+	c.fleet.addAll(8, "advice", 0, 4)
+	c.settle()
+	c.crashUntilThird("/advice/1", "crash 1")
+	time.Sleep(contactTime)
+	before, _ := c.fleet.count("crash 1")
+	for i := range 12 {
+		c.gateways[i%len(c.gateways)].send("/advice/1", "crash 1").wait()
+	}
+	if after, crashes := c.fleet.count("crash 1"); after-before > allowedRetries {
+		t.Errorf("the content reached servers %d times after its third crash and %v, %d crashes in all", after-before, contactTime, crashes)
+	}
+	r := c.gateways[0].send("/advice/1", "slow 1")
+	if !r.isServed() {
+		t.Errorf("a sound content was refused: %s", r.body)
+	}
+}
