--- a/mesh/fanout_test.go
+++ b/mesh/fanout_test.go
@@ -222,3 +222,26 @@
 		is.Equal(len(b.Others), 1)
 	})
 }
+
+// Guards against gateways that take the same part of a server's limit: their ranks are distinct, and follow
+// those that join and leave.
+func TestGatewaysKnowTheirRanks(t *testing.T) {
+	is := is.New(t)
+	control := newTestMesh(t, "10.0.0.5:7")
+	join := func(name string) (instance.WatchFeed, *Mesh) {
+		return control.NewWatchFeed(&wire.WatchRequest{Name: name, NeedsNoUsage: true, Report: 1}), newTestMesh(t, "")
+	}
+	feedB, b := join("b")
+	feedA, a := join("a")
+	control.NewWatchFeed(&wire.WatchRequest{Name: "control-2", ControlAddress: "10.0.0.6:7"})
+	for _, want := range []struct{ a, b, gateways int }{{0, 1, 2}, {-1, 0, 1}} {
+		a.mergeHeartbeat("10.0.0.5:7", next(t, feedA))
+		b.mergeHeartbeat("10.0.0.5:7", next(t, feedB))
+		rank, _ := a.Rank()
+		is.Equal(rank, want.a)
+		rank, gateways := b.Rank()
+		is.Equal(rank, want.b)
+		is.Equal(gateways, want.gateways)
+		feedA.Close()
+	}
+}
