--- a/gateway/content.go
+++ b/gateway/content.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/balsamlb/balsamlb/quarantine"
@@ -19,15 +18,11 @@
 	return j.content
 }
 
-// turnJitter is added at random to the Retry-After delay of a suspect, so that callers don't retry
-// together.
-const turnJitter = 500 * time.Millisecond
-
 var (
 	// errQuarantined means that the content crashes the servers that run it.
 	errQuarantined = errors.New("gateway: the content crashes backend servers")
-	// errNotItsTurn means that a suspect has to wait for other suspects.
-	errNotItsTurn = errors.New("gateway: the content may crash backend servers, and others run first")
+	// errNoTrialNow means that a content that runs in trials only has to wait for one.
+	errNoTrialNow = errors.New("gateway: the content has crashed several backend servers, and has no trial now")
 )
 
 // partFailure means that a part of the prompt is in quarantine. It is an errQuarantined.
@@ -59,9 +54,7 @@
 		if holds {
 			return nil
 		}
-		return &failure{reason: "content " + j.fingerprint().String() + " has crashed several backend servers, and has no trial now", err: errNotItsTurn, retryAfter: time.Until(next)}
-	case v == quarantine.Suspect && !g.hasTurn(j):
-		return &failure{reason: "content " + j.fingerprint().String() + " may crash backend servers, and other such requests run first", err: errNotItsTurn}
+		return &failure{reason: "content " + j.fingerprint().String() + " has crashed several backend servers, and has no trial now", err: errNoTrialNow, retryAfter: time.Until(next)}
 	default:
 		return nil
 	}
@@ -89,12 +82,6 @@
 	}
 }
 
-// hasTurn reports whether a suspect may run now. If so, it is recorded as running until its end.
-func (g *Gateway) hasTurn(j *job) bool {
-	now := time.Now()
-	return !now.Before(g.evidence.Turn(now, j.fingerprint())) && g.suspects.begin(j)
-}
-
 // retryAfterCrash returns the Retry-After delay of a request that is not run because of crashes, or 0
 // for other failures. A content in quarantine may run again when its crashes no longer count.
 func (g *Gateway) retryAfterCrash(j *job, f *failure) time.Duration {
@@ -105,40 +92,9 @@
 		return max(time.Second, part.expires.Sub(now))
 	case errors.Is(f.err, errQuarantined):
 		return max(time.Second, g.evidence.Expires(j.fingerprint()).Sub(now))
-	case errors.Is(f.err, errNotItsTurn) && f.retryAfter > 0:
+	case errors.Is(f.err, errNoTrialNow):
 		return g.spreadRetry(f.retryAfter)
-	case errors.Is(f.err, errNotItsTurn):
-		wait := max(turnJitter, g.evidence.Turn(now, j.fingerprint()).Sub(now))
-		return wait + time.Duration(g.randomFloat()*float64(turnJitter))
 	default:
 		return 0
 	}
 }
-
-// suspects holds the suspects that run at this instance. It is safe for concurrent use.
-type suspects struct {
-	mu      sync.Mutex
-	running map[quarantine.Fingerprint]*job
-}
-
-func newSuspects() *suspects { return &suspects{running: make(map[quarantine.Fingerprint]*job)} }
-
-// begin records a suspect as running. It returns false if another request with the same content runs.
-func (s *suspects) begin(j *job) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if other := s.running[j.fingerprint()]; other != nil && other != j {
-		return false
-	}
-	s.running[j.fingerprint()] = j
-	return true
-}
-
-// end removes a request that is recorded as running.
-func (s *suspects) end(j *job) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.running) > 0 && s.running[j.fingerprint()] == j {
-		delete(s.running, j.fingerprint())
-	}
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,7 +92,6 @@
 	linkTraffic  *linkTraffic
 	evidence     *mesh.CrashEvidence
 	lost         *lostRuns
-	suspects     *suspects
 	selfReports  *selfReports
 	waitLines    *waitLines
 	stallReports *stallReports
@@ -127,7 +126,6 @@
 		linkTraffic:  &linkTraffic{links: layers.NewPipes()},
 		evidence:     o.Mesh.CrashEvidence(),
 		lost:         newLostRuns(),
-		suspects:     newSuspects(),
 		selfReports:  newSelfReports(),
 		waitLines:    newWaitLines(),
 		stallReports: newStallReports(o.Orders.StallingServers),
@@ -398,7 +396,6 @@
 		g.refuse(w, j, refusal)
 		return
 	}
-	defer g.suspects.end(j)
 	defer g.reportCrashes(j)
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
--- a/mesh/evidence.go
+++ b/mesh/evidence.go
@@ -158,13 +158,6 @@
 	return now.Sub(c.heardAt) <= maxHeartbeatAge
 }
 
-// Turn returns the next time at which a suspect may start to run.
-func (c *CrashEvidence) Turn(now time.Time, f quarantine.Fingerprint) time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.evidence.Turn(now, f)
-}
-
 // Expires returns when the crashes of a content no longer count.
 func (c *CrashEvidence) Expires(f quarantine.Fingerprint) time.Time {
 	c.mu.Lock()
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -19,12 +19,6 @@
 	// presumedDelay is how long a server must be unreachable before its crash counts without being
 	// confirmed. If the network is at fault, other servers become unreachable in the meantime.
 	presumedDelay = 1500 * time.Millisecond
-	// turnDelay is the time after a crash until the first turn of the suspects that were part of it.
-	// The instances have exchanged the crash by then.
-	turnDelay = 500 * time.Millisecond
-	// turnLength is the time in which one of these suspects may start to run, before it is the next
-	// one's turn.
-	turnLength = time.Second
 	// maxContents bounds the contents that are tracked, and maxCrashesPerContent the crashes of
 	// each. Contents with the fewest crashes are dropped first, and of these the
 	// oldest.
@@ -79,8 +73,8 @@
 //   - A server that is only unreachable counts as crashed after a while, and only if no other server
 //     becomes unreachable or crashes at about the same time.
 //   - A crash is explained by a content that was part of several, and was alone in more of them.
-//   - If several suspects share each of their crashes, any of them may be the cause. They run one
-//     after the other from then on (see Turn), and the next crash decides.
+//   - If several suspects share each of their crashes, any of them may be the cause. From trialCrashes
+//     on they run in trials (see ContentTrial), and the next crash decides.
 //
 // It is not safe for concurrent use.
 type Evidence struct {
@@ -363,46 +357,6 @@
 	return false
 }
 
-// Turn returns the next time at which a suspect may start to run; that is now during its turn.
-// Suspects that were part of the same crash take turns in the order of their fingerprints, beginning
-// with the last crash, so that all instances agree on whose turn it is.
-func (e *Evidence) Turn(now time.Time, f Fingerprint) time.Time {
-	r, ok := e.contents[f]
-	if !ok {
-		return now
-	}
-	last, position, count := r.lastCrash, 0, 1
-	for _, other := range e.sharingCrash(r) {
-		g := other.fingerprint
-		if other.count() < suspectCrashes || e.Check(now, g) != Suspect {
-			continue
-		}
-		if other.lastCrash.After(last) {
-			last = other.lastCrash
-		}
-		count++
-		if g < f {
-			position++
-		}
-	}
-	return nextTurn(now, last.Add(turnDelay), position, count)
-}
-
-// nextTurn returns the next time in the turn at a position, of count turns that follow each other in
-// cycles from start on.
-func nextTurn(now, start time.Time, position, count int) time.Time {
-	turn := start.Add(time.Duration(position) * turnLength)
-	if now.Before(turn) {
-		return turn
-	}
-	cycle := time.Duration(count) * turnLength
-	turn = turn.Add(now.Sub(turn) / cycle * cycle)
-	if now.Sub(turn) < turnLength {
-		return now
-	}
-	return turn.Add(cycle)
-}
-
 // sharingCrash returns the other contents that were part of a crash of r, each once.
 func (e *Evidence) sharingCrash(r *contentRecord) []*contentRecord {
 	var out []*contentRecord
