--- a/gateway/content.go
+++ b/gateway/content.go
@@ -49,12 +49,8 @@
 	switch v := g.verdict(j); {
 	case v == quarantine.Quarantined:
 		return g.quarantineFailure(j)
-	case g.evidence.NeedsTrial(time.Now(), j.fingerprint()):
-		holds, next := g.claimTrial(time.Now(), j)
-		if holds {
-			return nil
-		}
-		return &failure{reason: "content " + j.fingerprint().String() + " has crashed several backend servers, and has no trial now", err: errNoTrialNow, retryAfter: time.Until(next)}
+	case g.needsTrial(j):
+		return g.trialFailure(j)
 	default:
 		return nil
 	}
--- a/gateway/content_trial.go
+++ b/gateway/content_trial.go
@@ -32,6 +32,22 @@
 // errNoTrial means that a content that has crashed several servers may not be sent now.
 var errNoTrial = fmt.Errorf("gateway: the content has no trial now: %w", errHeldBack)
 
+// needsTrial reports whether the request may run in a trial only.
+func (g *Gateway) needsTrial(j *job) bool {
+	return !g.evidence.IsEmpty() && g.evidence.NeedsTrial(time.Now(), j.fingerprint())
+}
+
+// trialFailure returns a failure unless the request holds the claim to a trial. It claims one if needed.
+func (g *Gateway) trialFailure(j *job) *failure {
+	now := time.Now()
+	holds, next := g.claimTrial(now, j)
+	if holds {
+		return nil
+	}
+	reason := "content " + j.fingerprint().String() + " has crashed several backend servers, and has no trial now"
+	return &failure{reason: reason, err: errNoTrialNow, retryAfter: max(trialPollInterval, next.Sub(now))}
+}
+
 // claimTrial reports whether the request holds the claim to a trial of its content, and otherwise when to
 // ask again. It claims one if needed.
 func (g *Gateway) claimTrial(now time.Time, j *job) (holds bool, next time.Time) {
@@ -58,14 +74,13 @@
 // beginRun records that the request is sent to a server or to another path. It returns an error if its
 // content may only run in a trial and the request has none.
 func (g *Gateway) beginRun(j *job) error {
-	now := time.Now()
-	if !g.evidence.NeedsTrial(now, j.fingerprint()) {
+	if !g.needsTrial(j) {
 		return nil
 	}
 	t := &j.contentTrial
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.id == 0 || t.isSent || !g.evidence.BeginTrial(now, j.fingerprint(), t.id) {
+	if t.id == 0 || t.isSent || !g.evidence.BeginTrial(time.Now(), j.fingerprint(), t.id) {
 		return errNoTrial
 	}
 	t.isSent = true
@@ -113,7 +128,7 @@
 
 // awaitTrial waits while the request has a claim that may hold soon.
 func (g *Gateway) awaitTrial(ctx context.Context, j *job) {
-	if g.evidence.IsEmpty() || !g.evidence.NeedsTrial(time.Now(), j.fingerprint()) {
+	if !g.needsTrial(j) {
 		return
 	}
 	poll(ctx, trialPollInterval, trialWait, func() bool {
