quarantine: a trial whose gateway ends blocks no other

A crash of the content since the trial began decides it, also without its end; a trial of which nothing more is heard stands for 5 s.

--- a/quarantine/content_trial.go
+++ b/quarantine/content_trial.go
@@ -22,9 +22,9 @@
 	// instances hear of each other's claims.
 	claimDelay = 600 * time.Millisecond
 	// claimLifetime and trialLifetime are how long a claim and a trial stand if their instance doesn't
-	// report what became of them.
+	// report what became of them. A content that crashes servers has done so by then.
 	claimLifetime = 2 * time.Second
-	trialLifetime = 15 * time.Second
+	trialLifetime = 5 * time.Second
 	// trialPause is the time until a claim that has failed is worth another.
 	trialPause = time.Second
 	// maxTrialRecords bounds the trials that are remembered of a content.
@@ -43,8 +43,13 @@
 	HasBegun, HasEnded, Void bool
 }
 
-// isOpen reports whether the trial keeps others from beginning.
-func (t ContentTrial) isOpen(now time.Time) bool {
+// isOpen reports whether a trial of the content keeps others from beginning. A crash since its begin has
+// decided it, whether its instance still reports the end or not.
+func (r *contentRecord) isOpen(now time.Time, t ContentTrial) bool {
+	begun := t.At.Add(claimDelay)
+	if t.HasBegun && slices.ContainsFunc(r.crashes, func(c ContentCrash) bool { return !c.Void && c.At.After(begun) }) {
+		return false
+	}
 	lifetime := claimLifetime
 	if t.HasBegun {
 		lifetime = trialLifetime
@@ -76,7 +81,7 @@
 
 // isTried reports whether a trial of the content is open.
 func (r *contentRecord) isTried(now time.Time) bool {
-	return slices.ContainsFunc(r.trials, func(t ContentTrial) bool { return t.isOpen(now) })
+	return slices.ContainsFunc(r.trials, func(t ContentTrial) bool { return r.isOpen(now, t) })
 }
 
 // hasTrialLeft reports whether another trial of the content may begin.
@@ -157,7 +162,7 @@
 		return ClaimDenied, now.Add(trialPause)
 	case own < 0:
 		return ClaimPending, now.Add(claimDelay)
-	case isRival || !r.trials[own].isOpen(now) || r.trials[own].HasBegun || !e.hasTrialLeft(now, r):
+	case isRival || !r.isOpen(now, r.trials[own]) || r.trials[own].HasBegun || !e.hasTrialLeft(now, r):
 		e.mergeTrial(r, ContentTrial{ID: id, At: now, Void: !r.trials[own].HasBegun}, true)
 		return ClaimDenied, now.Add(trialPause)
 	case now.Sub(r.trials[own].At) < claimDelay:
@@ -171,18 +176,14 @@
 // beginning: a trial of the same content, or of one that was part of the same crashes, if either is a
 // prime suspect. Prime suspects run apart from the others, so that the next crash tells them apart.
 func (e *Evidence) hasRival(now time.Time, r *contentRecord, id uint64, isClaimed bool) bool {
-	isInTheWay := func(t ContentTrial) bool {
-		return t.ID != id && t.isOpen(now) && (!isClaimed || t.HasBegun || t.ID < id)
-	}
-	if slices.ContainsFunc(r.trials, isInTheWay) {
-		return true
+	isInTheWay := func(x *contentRecord) bool {
+		return slices.ContainsFunc(x.trials, func(t ContentTrial) bool {
+			return t.ID != id && x.isOpen(now, t) && (!isClaimed || t.HasBegun || t.ID < id)
+		})
 	}
-	for _, other := range e.sharingCrash(r) {
-		if slices.ContainsFunc(other.trials, isInTheWay) && (e.isPrime(r) || e.isPrime(other)) {
-			return true
-		}
-	}
-	return false
+	return isInTheWay(r) || slices.ContainsFunc(e.sharingCrash(r), func(other *contentRecord) bool {
+		return isInTheWay(other) && (e.isPrime(r) || e.isPrime(other))
+	})
 }
 
 // isPrime reports whether no content that was part of the same crashes has more of them.
@@ -214,7 +215,7 @@
 	if len(r.trials) < maxTrialRecords {
 		return true
 	}
-	r.trials = slices.DeleteFunc(r.trials, func(x ContentTrial) bool { return !x.HasBegun && !x.isOpen(t.At) })
+	r.trials = slices.DeleteFunc(r.trials, func(x ContentTrial) bool { return !x.HasBegun && !r.isOpen(t.At, x) })
 	return t.HasBegun || len(r.trials) < maxTrialRecords
 }
 
--- a/quarantine/content_trial_test.go
+++ b/quarantine/content_trial_test.go
@@ -141,3 +141,23 @@
 		}
 	})
 }
+
+// Guards against a trial whose instance ends before it can report what became of it: the content is sent
+// again once the crash is known, and not much later if there was none.
+func TestTrialOfAnInstanceThatEndsBlocksNoOther(t *testing.T) {
+	for name, hasCrashed := range map[string]bool{"crash": true, "no crash": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := newSharedSuspects(trialCrashes)
+			runTrial(is, e, at(1000), 7)
+			claim, _ := e.ClaimTrial(at(1700), 1, 8)
+			is.Equal(claim, ClaimDenied)
+			now := at(1000).Add(trialLifetime)
+			if hasCrashed {
+				addCrash(e, at(1800), "t", 1)
+				now = at(1800).Add(crashNotice)
+			}
+			runTrial(is, e, now, 9)
+		})
+	}
+}
