gateway: log and metric of the servers that others report; the dialler of backend servers can be set

A gateway now logs each change of what it avoids on the word of others (the first 8 names) and exports their number. gateway.Options.Dial and upstream.Client.Dial let a test cut one gateway's connections; the default is unchanged, with the same timeout.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,10 +6,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -61,6 +64,8 @@
 	HeaderCodec   HeaderCodec
 	// Orders queries the servers about stalled drafts and reroutes drafts.
 	Orders Orders
+	// Dial opens connections to backend servers; nil means TCP.
+	Dial upstream.DialFunc
 	// Identify returns the incarnation of the server that answers at an address. It must be safe for
 	// concurrent use. If it is nil, unresponsive servers are not asked whether they answer again.
 	Identify func(ctx context.Context, address string) (incarnation int64, err error)
@@ -138,6 +143,9 @@
 		budgets:      retry.NewBudgets(),
 	}
 	g.updateRetryBudget(time.Now())
+	if o.Dial != nil {
+		g.client.Dial = o.Dial
+	}
 	g.client.OnDial = func() { g.metrics.Dials.WithLabelValues().Inc() }
 	g.view.Store(newView(o.Mesh.Snapshot()))
 	o.Mesh.SetLocalUsage(g.usage.list)
@@ -241,6 +249,7 @@
 // handleStateChanges checks the drafts on servers that have become unresponsive or have left, and
 // marks a server as recovered when its announcements are received again.
 func (g *Gateway) handleStateChanges(before, next *view) {
+	g.logOthersWord(before, next)
 	for id := range next.unresponsive {
 		if !before.unresponsive[id] {
 			g.checkDraftsThrough(id)
@@ -256,6 +265,29 @@
 	}
 }
 
+// logOthersWord logs which servers this instance avoids, or no longer avoids, because several gateways
+// report them as unresponsive.
+func (g *Gateway) logOthersWord(before, next *view) {
+	if maps.Equal(before.unresponsive, next.unresponsive) {
+		return
+	}
+	g.metrics.UnresponsiveToOthers.Set(float64(len(next.unresponsive)))
+	g.options.Log.Info("gateways report backend servers as unresponsive", "servers", len(next.unresponsive), "known", len(next.servers),
+		"names", firstNames(next.unresponsive))
+}
+
+// maxLoggedNames bounds the names in a log line.
+const maxLoggedNames = 8
+
+// firstNames returns the first names of a set in order, and how many there are besides.
+func firstNames(set map[string]bool) []string {
+	names := slices.Sorted(maps.Keys(set))
+	if more := len(names) - maxLoggedNames; more > 0 {
+		names = append(names[:maxLoggedNames], fmt.Sprintf("and %d more", more))
+	}
+	return names
+}
+
 // resetRestarted removes the faults that were recorded before servers were restarted.
 func (g *Gateway) resetRestarted(before, next *view) {
 	for id, a := range next.servers {
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -27,12 +27,15 @@
 		"Runs of requests that ended without an answer, because a backend server or the connection to it failed."}
 	gatewayHeldBackTotal = description{"balsamlb_gateway_held_back_total", counter, []string{LabelSaid},
 		"Requests that were kept from a backend server because of what it said about itself, by what it said."}
+	gatewayUnresponsive = description{"balsamlb_gateway_unresponsive_to_others", gauge, nil,
+		"Backend servers that a gateway avoids since several gateways report them as unresponsive."}
 )
 
 // gatewayDescriptions lists the metrics of a gateway in the order of docs/METRICS.md.
 var gatewayDescriptions = []description{
 	gatewayRequestsTotal, gatewayRequestSeconds, gatewayFirstEventSeconds, gatewayDialsTotal, gatewayReroutesTotal, gatewayResumesTotal,
 	gatewayLostRunsTotal, gatewayQuarantinedTotal, gatewayHeldBackTotal,
+	gatewayUnresponsive,
 }
 
 // Histogram buckets of a gateway, in seconds. They cover the latency objectives of known
@@ -53,6 +56,8 @@
 	LostRuns          *prometheus.CounterVec
 	Quarantined       *prometheus.CounterVec
 	HeldBack          *prometheus.CounterVec
+
+	UnresponsiveToOthers prometheus.Gauge
 }
 
 // NewGateway creates and registers the metrics of a gateway. It panics if a metric is already
@@ -68,7 +73,9 @@
 		LostRuns:          newCounter(gatewayLostRunsTotal),
 		Quarantined:       newCounter(gatewayQuarantinedTotal),
 		HeldBack:          newCounter(gatewayHeldBackTotal),
+
+		UnresponsiveToOthers: prometheus.NewGauge(prometheus.GaugeOpts{Name: gatewayUnresponsive.name, Help: gatewayUnresponsive.help}),
 	}
-	r.MustRegister(g.Requests, g.RequestSeconds, g.FirstEventSeconds, g.Dials, g.Reroutes, g.Resumes, g.LostRuns, g.Quarantined, g.HeldBack)
+	r.MustRegister(g.Requests, g.RequestSeconds, g.FirstEventSeconds, g.Dials, g.Reroutes, g.Resumes, g.LostRuns, g.Quarantined, g.HeldBack, g.UnresponsiveToOthers)
 	return g
 }
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -47,14 +47,20 @@
 	writesLongBody bool
 }
 
-func dial(ctx context.Context, address string) (*conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
-	c, err := d.DialContext(ctx, "tcp", address)
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{KeepAlive: -1, Control: setUserTimeout}
+	return d.DialContext(ctx, "tcp", address)
+}
+
+func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	nc, err := c.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	bounds := &boundedReader{conn: c}
-	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(bounds, readBufferSize), bounds: bounds}, nil
+	bounds := &boundedReader{conn: nc}
+	return &conn{Conn: nc, address: address, reader: bufio.NewReaderSize(bounds, readBufferSize), bounds: bounds}, nil
 }
 
 // setLongBody sets the time after which unacknowledged data closes the connection.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -79,11 +79,16 @@
 	// OnDial is called before each attempt to open a connection, possibly concurrently. It must be
 	// set before the first request.
 	OnDial func()
+	// Dial opens a connection to an address. It must be set before the first request.
+	Dial DialFunc
 }
 
+// DialFunc opens a connection to an address (IP:port). It must be safe for concurrent use.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
 // NewClient returns a client without open connections.
 func NewClient() *Client {
-	return &Client{pool: pool{idle: make(map[string][]*conn)}, OnDial: func() {}}
+	return &Client{pool: pool{idle: make(map[string][]*conn)}, OnDial: func() {}, Dial: dialTCP}
 }
 
 // CloseExpired closes idle connections that may no longer be reused.
@@ -116,7 +121,7 @@
 // Probe opens a connection to an address and closes it again. The error wraps the dialler's error.
 func (c *Client) Probe(ctx context.Context, address string) error {
 	c.OnDial()
-	cn, err := dial(ctx, address)
+	cn, err := c.dial(ctx, address)
 	if err != nil {
 		return eris.Wrapf(err, "upstream: probe %s", address)
 	}
@@ -128,7 +133,7 @@
 		return cn, nil
 	}
 	c.OnDial()
-	cn, err := dial(ctx, req.Address)
+	cn, err := c.dial(ctx, req.Address)
 	if err != nil {
 		return nil, err
 	}
