Failing tests for gateways that are cut off from all backend servers (RECOVER)

emulate.Links breaks the ways from one gateway to servers: silent, reset, refusing new connections only, losing answers. Seven real gateways, three copies of a model, plain servers; two, three and five gateways are cut off, first tries are counted from 3 s after the cut.

--- a/gateway/silence_cluster_test.go
+++ b/gateway/silence_cluster_test.go
@@ -19,6 +19,7 @@
 	"github.com/balsamlb/balsamlb/discovery"
 	"github.com/balsamlb/balsamlb/gateway"
 	"github.com/balsamlb/balsamlb/instance"
+	"github.com/balsamlb/balsamlb/internal/emulate"
 	"github.com/balsamlb/balsamlb/mesh"
 	"github.com/balsamlb/balsamlb/platform"
 	"github.com/balsamlb/balsamlb/routing"
@@ -93,6 +94,7 @@
 	name    string
 	// address stays the same over restarts.
 	address      string
+	links        *emulate.Links // to the backend servers
 	mesh         *mesh.Mesh
 	gateway      *gateway.Gateway
 	shutDown     context.CancelFunc
@@ -138,7 +140,7 @@
 	c.fleet.mu.Unlock()
 	ip := newLoopback() // nothing else takes its ports, so that gateways can be restarted
 	for i := range gateways {
-		g := &silentGateway{cluster: c, name: fmt.Sprint("g", i), address: fmt.Sprintf("%s:%d", ip, 8080+i)}
+		g := &silentGateway{cluster: c, name: fmt.Sprint("g", i), address: fmt.Sprintf("%s:%d", ip, 8080+i), links: emulate.NewLinks()}
 		c.gateways = append(c.gateways, g)
 		g.start()
 		t.Cleanup(g.stop)
@@ -165,8 +167,8 @@
 	g.mesh = newClusterMesh(c.t, g.name, "", c.address)
 	g.gateway = gateway.New(gateway.Options{
 		Name: g.name, DataCentre: "a", ListenAddress: g.address, GracePeriod: shutdownGrace, Mesh: g.mesh,
-		ShutdownDelay: 100 * time.Millisecond, HeaderCodec: platform.HeaderCodec{}, Orders: c.fleet, Identify: c.fleet.identify, Registry: prometheus.NewRegistry(),
-		RetryRatio: c.limits.ratio, RetryReserve: c.limits.reserve, RetryWindow: retryWindow, Log: funcr.New(g.log.add, funcr.Options{LogTimestamp: true, TimestampFormat: clockFormat}),
+		ShutdownDelay: 100 * time.Millisecond, HeaderCodec: platform.HeaderCodec{}, Orders: linkedOrders{c.fleet, g.links}, Identify: linkedOrders{c.fleet, g.links}.identify, Registry: prometheus.NewRegistry(),
+		Dial: g.links.Dial, RetryRatio: c.limits.ratio, RetryReserve: c.limits.reserve, RetryWindow: retryWindow, Log: funcr.New(g.log.add, funcr.Options{LogTimestamp: true, TimestampFormat: clockFormat}),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/gateway/silence_fleet_test.go
+++ b/gateway/silence_fleet_test.go
@@ -60,6 +60,8 @@
 	onProgress func(run *silentRun)
 	// refusals is the number of requests that servers refuse next, as if their memory were full.
 	refusals int
+	// closesConns means that servers close each connection after an answer. It is set before the first one.
+	closesConns bool
 	// status is what a stream is answered with instead of events, if it is not 0.
 	status int
 }
@@ -415,6 +417,9 @@
 			}
 		}()
 		f.run(run, c, r, closed)
+		if f.closesConns {
+			return
+		}
 		<-peeked
 	}
 }
@@ -442,7 +447,7 @@
 	if s.to == 0 {
 		if f.advance(run, closed) {
 			f.complete(run)
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nBalsamlb-Request-Id: %s\r\nBalsamlb-Response-Stamp: s\r\nContent-Length: 4\r\n\r\ndone", run.request)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nBalsamlb-Request-Id: %s\r\nBalsamlb-Response-Stamp: s\r\n%sContent-Length: 4\r\n\r\ndone", run.request, f.closeHeader())
 		}
 		return
 	}
@@ -460,7 +465,7 @@
 		}
 		if !isStarted {
 			isStarted = true
-			startStream(c, run.request)
+			f.startStream(c, run.request)
 		}
 		f.mu.Lock()
 		run.sent++
@@ -470,14 +475,22 @@
 		progress(run)
 	}
 	if !isStarted {
-		startStream(c, run.request)
+		f.startStream(c, run.request)
 	}
 	f.complete(run)
 	_, _ = io.WriteString(c, "0\r\n\r\n")
 }
 
-func startStream(c net.Conn, request string) {
-	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nBalsamlb-Request-Id: %s\r\nBalsamlb-Response-Stamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", request)
+func (f *silenceFleet) startStream(c net.Conn, request string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nBalsamlb-Request-Id: %s\r\nBalsamlb-Response-Stamp: s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		request, f.closeHeader())
+}
+
+func (f *silenceFleet) closeHeader() string {
+	if f.closesConns {
+		return "Connection: close\r\n"
+	}
+	return ""
 }
 
 // silenceEvents is the number of events of a stream.
