gateway, mesh: a gateway that is cut off takes no servers from others

The class of fault: a statement about a server without where it was seen from.

Now, in the pure package reachability: - A gateway that can't reach a server samples five others first. If it reaches none, it says nothing about servers, except that it is cut off; it checks three servers every 250 ms until it isn't. If it reaches most, the server is to blame; else a refused connection is only a presumption. A gateway without an answer for 0.5 s (2 s while idle) samples, too, so a cut is known without a failed dial. - Control instances tell which servers some gateway can't reach; whoever gets an answer from one of these says so, and a server that answers somebody is avoided only by those that don't reach it. Reports that a server stalls drafts at another one are not contradicted that way. Reports of gateways that are cut off count only while all gateways are. - A presumed crash is taken back if the server answers others; an answer that ended with its connection absolves nothing if the server couldn't be reached for the check.

TestServerReportedByTwoGateways and the tests of silences and crashes are unchanged.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -106,6 +106,15 @@
 	return silence
 }
 
+// recordServersAnswer records that all servers of the path answer: an event has passed them.
+func (a *attempt) recordServersAnswer() {
+	now := time.Now()
+	a.gateway.links.recordAnswer(now)
+	for _, part := range a.currentPath() {
+		a.gateway.links.recordAnswer(now, part.ID)
+	}
+}
+
 // endDelivery records that an event was written to the caller. The time that this took is not silence of
 // the servers.
 func (a *attempt) endDelivery(now time.Time) {
--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -305,6 +305,7 @@
 			err = a.completeStream(resp)
 		case err == nil:
 			silence := a.recordArrival(time.Now())
+			a.recordServersAnswer()
 			if silence >= faultStallAfter {
 				a.gateway.recordResponsive(a, silence)
 			}
--- a/gateway/faults.go
+++ b/gateway/faults.go
@@ -185,6 +185,29 @@
 	return out
 }
 
+// listUnreached returns those of the servers that have not answered this instance.
+func (f *serverFaults) listUnreached(ids []string) (out []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range ids {
+		if f.observedHere[id] {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// clearUnreached records that the servers that have not answered this instance may work.
+func (f *serverFaults) clearUnreached() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id := range f.observedHere {
+		delete(f.unresponsive, id)
+		delete(f.unrecovered, id)
+		f.endChecks(id)
+	}
+}
+
 // isUnrecovered reports whether a server was unresponsive and has not been seen working since.
 func (f *serverFaults) isUnrecovered(id string) bool {
 	f.mu.Lock()
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -64,6 +64,7 @@
 		Header:  header,
 		Body:    j.body,
 		HasBody: j.hasBody,
+		MayDial: g.links.untilCutOff(),
 		MaySend: func() (err error) {
 			trials, err = g.beginSend(j, servers)
 			return err
@@ -94,6 +95,7 @@
 		j.attempts.Add(-1)
 	} else {
 		g.recordAlive(started, id, "answers")
+		g.links.recordAnswer(time.Now(), id)
 		j.mayHaveRun.Store(true)
 	}
 	return resp, rh, nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,6 +93,7 @@
 	view         atomic.Pointer[view]
 	usage        *usage
 	faults       *serverFaults
+	links        *serverLinks
 	running      *runningAttempts
 	linkTraffic  *linkTraffic
 	evidence     *mesh.CrashEvidence
@@ -127,6 +128,7 @@
 		client:       upstream.NewClient(),
 		usage:        newUsage(),
 		faults:       newServerFaults(),
+		links:        newServerLinks(),
 		running:      newRunningAttempts(),
 		linkTraffic:  &linkTraffic{links: layers.NewPipes()},
 		evidence:     o.Mesh.CrashEvidence(),
@@ -238,6 +240,7 @@
 		g.recordEndedServers(before, next)
 		g.applyAnnouncements(next)
 		g.handleStateChanges(before, next)
+		g.followDoubts(time.Now())
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -281,13 +284,15 @@
 
 // firstNames returns the first names of a set in order, and how many there are besides.
 func firstNames(set map[string]bool) []string {
-	names := slices.Sorted(maps.Keys(set))
+	names := sortedKeys(set)
 	if more := len(names) - maxLoggedNames; more > 0 {
 		names = append(names[:maxLoggedNames], fmt.Sprintf("and %d more", more))
 	}
 	return names
 }
 
+func sortedKeys(set map[string]bool) []string { return slices.Sorted(maps.Keys(set)) }
+
 // resetRestarted removes the faults that were recorded before servers were restarted.
 func (g *Gateway) resetRestarted(before, next *view) {
 	for id, a := range next.servers {
@@ -332,7 +337,9 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
-			g.options.Mesh.SetUnresponsive(g.listUnresponsive(now))
+			g.reportReachability(now)
+			g.checkLinks(now)
+			g.followDoubts(now)
 			g.checkResponsive(ctx, now)
 			g.updateRetryBudget(now)
 			g.divideLimits(now)
--- a/gateway/idle_drafts.go
+++ b/gateway/idle_drafts.go
@@ -141,6 +141,14 @@
 // second attempt. If an attempt takes longer than its timeout allows, this process was paused. That
 // says nothing about the server, so reach returns nil.
 func reach(ctx context.Context, open func(ctx context.Context) error) error {
+	if err := tryReach(ctx, open); !errors.Is(err, errPaused) {
+		return err
+	}
+	return nil
+}
+
+// tryReach is reach, but returns errPaused if this process was paused.
+func tryReach(ctx context.Context, open func(ctx context.Context) error) error {
 	var err error
 	for range probeTries {
 		began := time.Now()
@@ -151,8 +159,11 @@
 			return err
 		}
 		if time.Since(began) > probeTimeout+maxTimerDelay {
-			return nil
+			return errPaused
 		}
 	}
 	return err
 }
+
+// errPaused means that this process was paused while it tried to reach a server.
+var errPaused = errors.New("gateway: the process was paused")
--- a/gateway/lost_runs.go
+++ b/gateway/lost_runs.go
@@ -6,7 +6,6 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/balsamlb/balsamlb/discovery"
@@ -211,19 +210,20 @@
 	}
 }
 
-// probeLost records a crash if no connection to the server can be opened. Probes of one server that
-// are requested at the same time are shared.
-func (g *Gateway) probeLost(crash quarantine.Crash) {
+// probeLost records a crash if no connection to the server can be opened, and reports whether that failed.
+// Probes of one server that are requested at the same time are shared.
+func (g *Gateway) probeLost(crash quarantine.Crash) (hasFailed bool) {
 	a := g.view.Load().servers[crash.Server]
 	if a == nil {
-		return
+		return false
 	}
 	_, err, _ := g.lost.probing.Do(crash.Server, func() (any, error) {
 		return nil, reach(context.Background(), func(ctx context.Context) error { return g.client.Probe(ctx, a.Address) })
 	})
 	if err != nil {
-		g.recordCrash(crash, "can't be reached: "+err.Error(), errors.Is(err, syscall.ECONNREFUSED))
+		g.recordUnreachable(crash, "can't be reached: "+err.Error(), err)
 	}
+	return err != nil
 }
 
 // recordCrash attributes the crash of a server to the requests that it was running: those that were
--- a/gateway/part_runs.go
+++ b/gateway/part_runs.go
@@ -126,8 +126,7 @@
 		return
 	}
 	time.AfterFunc(verifyDelay, func() {
-		g.probeLost(head)
-		if !g.lost.hasCrash(head) && g.view.Load().crashOf(head.Server) == head {
+		if !g.probeLost(head) && !g.lost.hasCrash(head) && g.view.Load().crashOf(head.Server) == head {
 			g.recordAnswered(j)
 			if !begun.IsZero() {
 				g.clearParts(j, begun)
--- a/gateway/responsive.go
+++ b/gateway/responsive.go
@@ -51,7 +51,7 @@
 func (g *Gateway) takeBack(crash quarantine.Crash, why string) {
 	if g.faults.clearUnresponsive(crash.Server) {
 		g.options.Log.Info("a backend server is responsive again", "server", crash.Server, "why", why)
-		g.options.Mesh.SetUnresponsive(g.listUnresponsive(time.Now()))
+		g.reportReachability(time.Now())
 	}
 	if g.lost.isPresumed(crash) {
 		g.withdrawCrash(crash, why)
--- a/gateway/stall_monitor.go
+++ b/gateway/stall_monitor.go
@@ -11,6 +11,7 @@
 	"github.com/balsamlb/balsamlb/discovery"
 	"github.com/balsamlb/balsamlb/layers"
 	"github.com/balsamlb/balsamlb/quarantine"
+	"github.com/balsamlb/balsamlb/reachability"
 )
 
 const (
@@ -168,7 +169,9 @@
 	}
 	if err != nil {
 		if a.idleTime(time.Now()) > headUnresponsiveAfter {
-			g.markUnresponsive(head.ID, "does not answer while a draft waits: "+err.Error(), observedHere)
+			if g.markUnresponsive(head.ID, "does not answer while a draft waits: "+err.Error(), observedHere) {
+				go g.judge(time.Now(), head.ID)
+			}
 			go g.probeLost(a.pathCrashes()[0])
 			g.startBeside(a, head.ID+" does not answer")
 		}
@@ -176,7 +179,9 @@
 	}
 	for i, part := range path[1:] {
 		if part.Address == address {
-			g.markUnresponsive(part.ID, "stalls a draft at "+head.ID, observedElsewhere)
+			if g.markUnresponsive(part.ID, "stalls a draft at "+head.ID, observedElsewhere) {
+				g.reportReachability(time.Now())
+			}
 			go g.probeLost(a.pathCrashes()[i+1])
 			m.reroute(g.view.Load(), head)
 			return
@@ -246,24 +251,45 @@
 	}
 }
 
-// markUnresponsive excludes an unresponsive server, reports it to the mesh, and checks the drafts
-// whose path includes it.
-func (g *Gateway) markUnresponsive(id, why string, by observer) {
-	now := time.Now()
-	if !g.faults.markUnresponsive(now, id, by) {
-		return
+// markUnresponsive excludes an unresponsive server, and checks the drafts whose path includes it. It returns
+// false if the server was excluded already.
+func (g *Gateway) markUnresponsive(id, why string, by observer) bool {
+	if !g.faults.markUnresponsive(time.Now(), id, by) {
+		return false
 	}
 	g.options.Log.Info("a backend server is unresponsive", "server", id, "why", why)
-	g.options.Mesh.SetUnresponsive(g.listUnresponsive(now))
 	g.checkDraftsThrough(id)
+	return true
 }
 
-// markUnreachable marks a server as unresponsive to which no connection could be opened. A refused
-// connection confirms that the server has crashed.
+// markUnreachable marks a server as unresponsive to which no connection could be opened, and reports it once
+// other servers were reached.
 func (g *Gateway) markUnreachable(id string, err error) {
 	why := "can't be reached: " + err.Error()
-	g.recordCrash(g.view.Load().crashOf(id), why, errors.Is(err, syscall.ECONNREFUSED))
+	crash := g.view.Load().crashOf(id)
 	g.markUnresponsive(id, why, observedHere)
+	g.recordUnreachable(crash, why, err)
+	g.reportReachability(time.Now())
+}
+
+// recordUnreachable records the crash of a server to which no connection could be opened, unless the fault may
+// be near this gateway. A refused connection confirms the crash if most other servers are reached.
+func (g *Gateway) recordUnreachable(crash quarantine.Crash, why string, err error) {
+	blame := g.judge(time.Now(), crash.Server)
+	if blame == reachability.BlameNone {
+		g.options.Log.Info("a backend server is not blamed", "server", crash.Server, "why", why, "is_cut_off", g.links.isCutOff())
+		return
+	}
+	g.recordCrash(crash, why, blame == reachability.BlameCertain && errors.Is(err, syscall.ECONNREFUSED))
+}
+
+// checkAll makes the monitors of all attempts check their drafts.
+func (r *runningAttempts) checkAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for a := range r.attempts {
+		a.monitor.checkNow()
+	}
 }
 
 func (g *Gateway) checkDraftsThrough(id string) {
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -85,6 +85,13 @@
 	})
 }
 
+// hasWork reports whether this instance has requests at any server.
+func (u *usage) hasWork() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.local)+len(u.running) > 0
+}
+
 // begin counts a plain request, which runs on a single server without a path, as running on the
 // server; the returned function subtracts it from the count again.
 func (u *usage) begin(id string) func() {
--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -20,7 +20,7 @@
 // actions.
 var decisionPackages = []string{
 	"admission", "config", "consensus", "credit", "discovery", "drain", "fleet", "layers", "ledger", "membership", "outcome", "pipeline",
-	"placement", "quarantine", "replica", "retry", "route", "routing", "selfreport",
+	"placement", "quarantine", "reachability", "replica", "retry", "route", "routing", "selfreport",
 }
 
 // forbiddenImports are packages that do I/O, log, or communicate with other processes.
--- a/mesh/feed.go
+++ b/mesh/feed.go
@@ -67,7 +67,7 @@
 	}
 	f.needsNoUsage = req.NeedsNoUsage
 	f.subtractsOwnUsage = req.Report > 0
-	report := &watcherReport{feed: f, number: req.Report, usage: usageListFromWire(req.Running), unresponsive: req.Faulty}
+	report := &watcherReport{feed: f, number: req.Report, usage: usageListFromWire(req.Running), servers: reachabilityFromWire(req)}
 	if m.setWatcherReport(f.name, report) && m.updateUnresponsive() {
 		m.broadcast()
 	}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -15,6 +15,7 @@
 	"github.com/balsamlb/balsamlb/instance"
 	"github.com/balsamlb/balsamlb/instance/wire"
 	"github.com/balsamlb/balsamlb/internal/ring"
+	"github.com/balsamlb/balsamlb/reachability"
 	"github.com/balsamlb/balsamlb/routing"
 	"github.com/go-logr/logr"
 	"github.com/klauspost/compress/zstd"
@@ -82,24 +83,30 @@
 	reportedUsage map[string][]Usage
 	dataCentres   map[string]string
 	// peerUsage is reportedUsage merged by server.
-	peerUsage    map[string]Usage
-	localUsage   func() []Usage
-	unresponsive []string
-	// unresponsiveCounts holds how many watchers report a server as unresponsive, and unresponsiveHere
-	// the servers that enough of them report.
-	unresponsiveCounts map[string]int
-	unresponsiveHere   []string
-	shared             sharedFragments
-	feedWork           FeedWork
-	wakeups            wakeSchedule
+	peerUsage  map[string]Usage
+	localUsage func() []Usage
+	// reachability is what this instance says about servers.
+	reachability reachability.Report
+	// doubts weighs what the watchers say about servers. unresponsiveHere and doubtsHere are the result.
+	doubts           *reachability.Doubts
+	unresponsiveHere []string
+	doubtsHere       reportedDoubts
+	loggedCutOff     int
+	shared           sharedFragments
+	feedWork         FeedWork
+	wakeups          wakeSchedule
 	// isTurnScheduled is set while a timer for the next turn of wakeups runs.
 	isTurnScheduled bool
 	// crashes has its own lock.
 	crashes *CrashEvidence
-	// reportChanged is closed when unresponsive changes, or crashes has something to report.
+	// reportChanged is closed when reachability changes, or crashes has something to report.
 	reportChanged chan struct{}
 	// reportedUnresponsive holds the unresponsive servers that each control instance reports.
 	reportedUnresponsive map[string][]string
+	// reportedDoubts holds the doubts that each control instance reports, and doubtedSince since when the
+	// servers in them are doubted.
+	reportedDoubts map[string]reportedDoubts
+	doubtedSince   map[string]time.Time
 	// reportedGateways holds the number of gateways that each control instance reports.
 	reportedGateways map[string]int
 	// reportedRanks holds this gateway's place among those gateways, from 0, and -1 if it is none of them.
@@ -134,7 +141,8 @@
 		reportedGateways:     make(map[string]int),
 		reportedRanks:        make(map[string]int),
 		withheld:             make(map[string]discovery.Announcement),
-		unresponsiveCounts:   make(map[string]int),
+		doubts:               reachability.NewDoubts(),
+		reportedDoubts:       make(map[string]reportedDoubts),
 		shared:               sharedFragments{servers: make(map[string]serverFragment)},
 		changed:              make(chan struct{}),
 		localUsage:           func() []Usage { return nil },
@@ -433,6 +441,7 @@
 		m.reportedUnresponsive[address] = b.Suspects
 		changed = true
 	}
+	changed = m.updateDoubts(now, address, reportedDoubts{doubted: b.Doubted, answering: b.Answering}) || changed
 	if changed {
 		m.broadcast()
 	}
@@ -467,6 +476,7 @@
 	m.mergePeerUsage()
 	delete(m.dataCentres, address)
 	delete(m.reportedUnresponsive, address)
+	changed = m.updateDoubts(time.Now(), address, reportedDoubts{}) || changed
 	delete(m.reportedGateways, address)
 	delete(m.reportedRanks, address)
 	changed = m.updateUnresponsive() || changed
--- a/mesh/shared.go
+++ b/mesh/shared.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"slices"
 	"time"
 
 	"github.com/balsamlb/balsamlb/discovery"
@@ -61,6 +60,8 @@
 			Controls:       m.directControls(),
 			Fence:          m.fence,
 			Suspects:       m.unresponsiveHere,
+			Doubted:        m.doubtsHere.doubted,
+			Answering:      m.doubtsHere.answering,
 			Gateways:       uint32(len(m.watcherReports)),
 			DataCentre:     m.options.DataCentre,
 		})
@@ -137,14 +138,3 @@
 	}
 	return nil
 }
-
-// updateUnresponsive recomputes the unresponsive servers after a change of the reports, and reports
-// whether they have changed. The caller holds the lock.
-func (m *Mesh) updateUnresponsive() bool {
-	now := m.unresponsiveToWatchers()
-	if slices.Equal(now, m.unresponsiveHere) {
-		return false
-	}
-	m.unresponsiveHere = now
-	return true
-}
--- a/mesh/usage.go
+++ b/mesh/usage.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/balsamlb/balsamlb/instance/wire"
+	"github.com/balsamlb/balsamlb/reachability"
 )
 
 // Usage is the work that passes through one backend server.
@@ -19,28 +20,16 @@
 
 // watcherReport is the latest report of one watcher.
 type watcherReport struct {
-	feed         *feed // that received the report
-	number       uint64
-	usage        []Usage
-	unresponsive []string
+	feed    *feed // that received the report
+	number  uint64
+	usage   []Usage
+	servers reachability.Report
 }
 
 // SetLocalUsage sets the function that returns this instance's usage, which is sent to the
 // control instances. It must be called before Run.
 func (m *Mesh) SetLocalUsage(usage func() []Usage) { m.localUsage = usage }
 
-// SetUnresponsive replaces the servers that are unresponsive to this instance, and sends them to
-// the control instances at once.
-func (m *Mesh) SetUnresponsive(servers []string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if slices.Equal(m.unresponsive, servers) {
-		return
-	}
-	m.unresponsive = servers
-	m.reportAtOnce()
-}
-
 // Gateways returns the largest number of gateways that a control instance reports, at least 1.
 func (m *Mesh) Gateways() int {
 	m.mu.Lock()
@@ -122,80 +111,29 @@
 	return true
 }
 
-// unresponsiveReports is the number of gateways that must report a server as unresponsive before all
-// gateways avoid the server, since a single gateway may itself be cut off. If there is only one
-// gateway, its report is enough.
-const unresponsiveReports = 2
-
-// unresponsiveToWatchers returns the sorted servers that enough of this control instance's watchers
-// report as unresponsive. Only the reports of gateways count, not those of watching control
-// instances. unresponsiveReports of them are needed, or one if there is a single gateway. The caller
-// holds the lock.
-func (m *Mesh) unresponsiveToWatchers() []string {
-	var out []string
-	needed := min(unresponsiveReports, max(len(m.watcherReports), m.knownGateways()))
-	for id, n := range m.unresponsiveCounts {
-		if n >= needed {
-			out = append(out, id)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
-
-// allUnresponsive returns the servers that this instance's watchers or other control instances
-// report as unresponsive. The caller holds the lock.
-func (m *Mesh) allUnresponsive() map[string]bool {
-	out := make(map[string]bool)
-	for _, id := range m.unresponsiveHere {
-		out[id] = true
-	}
-	for _, reported := range m.reportedUnresponsive {
-		for _, id := range reported {
-			out[id] = true
-		}
-	}
-	return out
-}
-
 // setWatcherReport replaces the report of a watcher; nil removes it. It reports whether the number of
-// reports or the servers reported as unresponsive have changed. The totals are updated incrementally,
-// so that the cost of a heartbeat doesn't grow with the number of watchers. The caller holds the lock.
+// reports or what they say about servers has changed. The totals are updated incrementally, so that the
+// cost of a heartbeat doesn't grow with the number of watchers. The caller holds the lock.
 func (m *Mesh) setWatcherReport(name string, u *watcherReport) bool {
-	var unresponsiveBefore, unresponsive []string
 	old := m.watcherReports[name]
 	if old != nil {
 		m.addToTotals(old.usage, -1)
-		unresponsiveBefore = old.unresponsive
 	}
+	changed := false
 	if u == nil {
 		delete(m.watcherReports, name)
+		changed = m.doubts.Remove(name)
 	} else {
 		m.watcherReports[name] = u
 		m.addToTotals(u.usage, 1)
-		unresponsive = u.unresponsive
+		changed = m.doubts.Set(name, u.servers)
 	}
-	isSameCount := (old == nil) == (u == nil)
-	if !isSameCount {
+	if (old == nil) != (u == nil) {
 		m.shared.common = nil // contains the number of reports
 		m.watcherNames = nil
+		return true
 	}
-	if isSameCount && slices.Equal(unresponsiveBefore, unresponsive) {
-		return false
-	}
-	m.countUnresponsive(unresponsiveBefore, -1)
-	m.countUnresponsive(unresponsive, 1)
-	return true
-}
-
-// countUnresponsive adds reports of unresponsive servers to the counts, or subtracts them if sign is
-// -1. The caller holds the lock.
-func (m *Mesh) countUnresponsive(servers []string, sign int) {
-	for _, id := range servers {
-		if m.unresponsiveCounts[id] += sign; m.unresponsiveCounts[id] == 0 {
-			delete(m.unresponsiveCounts, id)
-		}
-	}
+	return changed
 }
 
 // addToTotals adds usage to the totals, or subtracts it if sign is -1.
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -27,6 +27,8 @@
 		"Runs of requests that ended without an answer, because a backend server or the connection to it failed."}
 	gatewayHeldBackTotal = description{"balsamlb_gateway_held_back_total", counter, []string{LabelSaid},
 		"Requests that were kept from a backend server because of what it said about itself, by what it said."}
+	gatewayCutOff = description{"balsamlb_gateway_cut_off", gauge, nil,
+		"1 while a gateway reaches no backend server, 0 otherwise."}
 	gatewayUnresponsive = description{"balsamlb_gateway_unresponsive_to_others", gauge, nil,
 		"Backend servers that a gateway avoids since several gateways report them as unresponsive."}
 )
@@ -35,7 +37,7 @@
 var gatewayDescriptions = []description{
 	gatewayRequestsTotal, gatewayRequestSeconds, gatewayFirstEventSeconds, gatewayDialsTotal, gatewayReroutesTotal, gatewayResumesTotal,
 	gatewayLostRunsTotal, gatewayQuarantinedTotal, gatewayHeldBackTotal,
-	gatewayUnresponsive,
+	gatewayUnresponsive, gatewayCutOff,
 }
 
 // Histogram buckets of a gateway, in seconds. They cover the latency objectives of known
@@ -58,6 +60,7 @@
 	HeldBack          *prometheus.CounterVec
 
 	UnresponsiveToOthers prometheus.Gauge
+	CutOff               prometheus.Gauge
 }
 
 // NewGateway creates and registers the metrics of a gateway. It panics if a metric is already
@@ -75,7 +78,8 @@
 		HeldBack:          newCounter(gatewayHeldBackTotal),
 
 		UnresponsiveToOthers: prometheus.NewGauge(prometheus.GaugeOpts{Name: gatewayUnresponsive.name, Help: gatewayUnresponsive.help}),
+		CutOff:               prometheus.NewGauge(prometheus.GaugeOpts{Name: gatewayCutOff.name, Help: gatewayCutOff.help}),
 	}
-	r.MustRegister(g.Requests, g.RequestSeconds, g.FirstEventSeconds, g.Dials, g.Reroutes, g.Resumes, g.LostRuns, g.Quarantined, g.HeldBack, g.UnresponsiveToOthers)
+	r.MustRegister(g.Requests, g.RequestSeconds, g.FirstEventSeconds, g.Dials, g.Reroutes, g.Resumes, g.LostRuns, g.Quarantined, g.HeldBack, g.UnresponsiveToOthers, g.CutOff)
 	return g
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -47,6 +47,8 @@
 	Body   []byte
 	// HasBody is set if the request has a body, which may be empty.
 	HasBody bool
+	// MayDial ends the opening of a new connection when it ends; nil means no such end.
+	MayDial context.Context
 	// MaySend is asked right before the first byte is sent, when the connection is open. Its error
 	// ends the request, wrapped in ErrNotSent. If it is nil, the request is sent.
 	MaySend func() error
@@ -133,6 +135,12 @@
 		return cn, nil
 	}
 	c.OnDial()
+	if req.MayDial != nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(req.MayDial, cancel)()
+	}
 	cn, err := c.dial(ctx, req.Address)
 	if err != nil {
 		return nil, err
