gateway, instance: a gateway that is cut off passes requests on to another one

Now it passes a request on to an instance that control instances name to it, over drpc (Instance.Relay): - One hop: a request that was passed on is never passed on again. At most three instances are asked. - The head is offered first; the other instance accepts or declines it within 300 ms, and nothing runs before the body follows. So what was declined, or offered to an instance that doesn't answer, has not run, also if it may run only once; after that a break is an unknown outcome (502). - Attempts, the deadline and the retry budget's count go along; the other instance's own limits, pauses, trials and budget hold for what it sends. It declines with an older routing document, while it is cut off or leaving, and beyond 384 requests of others. - Streams go on by Last-Event-Id if the other instance is silent for a second or breaks off; a draft that is silent when the cut begins is sent by another instance as well, and a plain request that may be repeated goes there at once. The caller's end and slowness reach the other instance over the stream. - Control instances name up to eight that are not cut off, most in the same data centre, only to gateways that need them: nothing is added to the heartbeats of the others.

Ruled out: turning readiness off (open connections stay; a whole data centre may be cut off).

--- a/daemon/member.go
+++ b/daemon/member.go
@@ -99,8 +99,12 @@
 		HeaderCodec: platform.HeaderCodec{},
 		Orders:      servers,
 		Identify:    servers.Identify,
-		Seed:        xxhash.Sum64String(s.Name),
-		Log:         log.WithName("gateway"),
+
+		RelayAddress: s.Instances,
+		Relayer:      instance.NewRelayer(m.dialer),
+
+		Seed: xxhash.Sum64String(s.Name),
+		Log:  log.WithName("gateway"),
 
 		Registry: m.registry,
 
@@ -112,11 +116,18 @@
 		MaxBodiesBytes: int64(bodiesShare * float64(s.MemoryMB) * (1 << 20)),
 	})
 	servers.OnLeaving = gw.RecordLeaving
+	listener, err := listen.TCP(s.Instances)
+	if err != nil {
+		return eris.Wrapf(err, "daemon: listen on %s", s.Instances)
+	}
+	relayServer := instance.NewServer(nil, nil)
+	relayServer.SetRelayHandler(gw)
 	taskCtx, stopTasks := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopTasks()
 	g, taskCtx := errgroup.WithContext(taskCtx)
 	m.runCommon(taskCtx, g)
 	serveHTTP(taskCtx, g, s.Ready, platform.NewReadyServer(gw.NotReady))
+	g.Go(func() error { return relayServer.Serve(taskCtx, listener) })
 	g.Go(func() error {
 		defer stopTasks()
 		runCtx, cancel := context.WithCancel(ctx)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/layers"
+	"github.com/balsamlb/balsamlb/mesh"
 	"github.com/balsamlb/balsamlb/quarantine"
 )
 
@@ -31,6 +32,9 @@
 	// isDelivering means that an event is being written to the caller.
 	isDelivering atomic.Bool
 	writing      writing
+	// relay is the instance that runs the attempt in place of this one; then the path is empty. It is set
+	// before the attempt runs.
+	relay *mesh.Relay
 
 	// mu guards the fields below, which change while the attempt runs.
 	mu   sync.Mutex
@@ -78,6 +82,9 @@
 		}
 		return nil
 	}
+	if a.relay != nil {
+		return f
+	}
 	cause := context.Cause(a.ctx)
 	head := a.pathCrashes()[0]
 	if errors.Is(cause, errHeadCrashed) {
@@ -200,18 +207,38 @@
 	if !mayRepeat || !d.race.mayJoin() || !g.hasRetry(d.job) {
 		return
 	}
-	path, hasPath := g.findNewPath(d)
+	a := g.newAttemptBeside(d)
 	// The budget is charged before the attempt joins: if no retry is left, the silent one goes on alone.
-	if !hasPath || !g.allowRetry(d.job) {
-		g.options.Log.Info("no other path for a silent draft", "request", d.header.ID, "reason", reason, "has_path", hasPath)
+	if a == nil || !g.allowRetry(d.job) {
+		g.options.Log.Info("no other path for a silent draft", "request", d.header.ID, "reason", reason, "has_path", a != nil)
+		if a != nil {
+			a.discard()
+		}
 		return
 	}
-	a := g.newAttempt(d.callerCtx, d, path)
 	if !d.race.join(a) {
-		a.cancel(nil)
-		a.setPath(nil)
+		a.discard()
 		return
 	}
 	g.options.Log.Info("sending a silent draft to another server as well", "request", d.header.ID, "reason", reason,
-		"path", formatPath(path), "silent_ms", silent.idleTime(time.Now()).Milliseconds())
+		"path", formatPath(a.currentPath()), "relay", a.relay != nil, "silent_ms", silent.idleTime(time.Now()).Milliseconds())
+}
+
+// newAttemptBeside returns a further attempt of a silent draft, or nil if there is no way for it.
+func (g *Gateway) newAttemptBeside(d *draft) *attempt {
+	if g.links.isCutOff() {
+		if relay, ok := g.pickRelay(d.job); ok {
+			return g.newRelayedAttempt(d.callerCtx, d, relay)
+		}
+	}
+	if path, ok := g.findNewPath(d); ok {
+		return g.newAttempt(d.callerCtx, d, path)
+	}
+	return nil
+}
+
+// discard ends an attempt that was not run.
+func (a *attempt) discard() {
+	a.cancel(nil)
+	a.setPath(nil)
 }
--- a/gateway/cluster_test.go
+++ b/gateway/cluster_test.go
@@ -111,12 +111,18 @@
 	return c.control
 }
 
-func newClusterMesh(t *testing.T, name, control string, seeds ...string) *mesh.Mesh {
+func newDialer(t *testing.T) instance.Dialer {
 	t.Helper()
 	dialer, err := instance.NewDialer("127.0.0.1:1", nil, &meter.Traffic{})
 	if err != nil {
 		t.Fatal(err)
 	}
+	return dialer
+}
+
+func newClusterMesh(t *testing.T, name, control string, seeds ...string) *mesh.Mesh {
+	t.Helper()
+	dialer := newDialer(t)
 	m, err := mesh.New(mesh.Options{
 		Name: name, DataCentre: "a", ControlAddress: control, Seeds: seeds, Dialer: dialer, Decode: platform.DecodeDocument, Log: logr.Discard(),
 	})
--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -77,6 +77,8 @@
 	isComplete atomic.Bool
 	// isUncertain means that the answer may only have ended because its server did.
 	isUncertain atomic.Bool
+	// isRelayed means that the draft was passed on to another instance.
+	isRelayed atomic.Bool
 
 	// deliveryMu is held while the response is written to the caller, and guards the fields below.
 	deliveryMu sync.Mutex
@@ -129,16 +131,17 @@
 	g.recordRequest(j)
 	d := g.newDraft(ctx, w, j)
 	for {
-		path, ok := g.awaitPath(ctx, d)
-		if !ok {
+		a := g.nextAttempt(ctx, d)
+		if a == nil {
 			g.failDraft(ctx, w, d, g.noPathFailure(d))
 			return
 		}
-		f := g.runAttempts(ctx, d, path)
+		path := a.currentPath()
+		f := g.runAttempts(a)
 		if f == nil {
 			g.options.Log.Info("completed a draft", "request", j.header.ID, "path", formatPath(path), "tokens", d.tokens(),
 				"events", d.events, "first_ms", d.firstMS, "longest_ms", d.longestMS, "ms", time.Since(j.arrived).Milliseconds(), "sends", j.sends.Load())
-			if d.isComplete.Load() && !d.isUncertain.Load() {
+			if d.isComplete.Load() && !d.isUncertain.Load() && !d.isRelayed.Load() {
 				g.recordAnswered(j)
 			}
 			g.recordEnd(j, http.StatusOK, "")
@@ -153,6 +156,21 @@
 	}
 }
 
+// nextAttempt returns the next attempt of a draft, at servers or by way of another instance, or nil if there is
+// no way.
+func (g *Gateway) nextAttempt(ctx context.Context, d *draft) *attempt {
+	if relay, ok := g.relayFor(ctx, d.job, false); ok {
+		return g.newRelayedAttempt(ctx, d, relay)
+	}
+	if path, ok := g.awaitPath(ctx, d); ok {
+		return g.newAttempt(ctx, d, path)
+	}
+	if relay, ok := g.relayFor(ctx, d.job, g.isOutOfReach(d)); ok {
+		return g.newRelayedAttempt(ctx, d, relay)
+	}
+	return nil
+}
+
 // mayContinue reports whether a draft may be sent again after a failure, and otherwise returns the failure
 // to report. A started stream can't be refused any more, so it waits for the retry budget and after
 // refusals, and only its deadline bounds its sends.
@@ -214,6 +232,9 @@
 
 // sendDraft sends the draft to the first server of the path and forwards its response.
 func (g *Gateway) sendDraft(a *attempt) *failure {
+	if a.relay != nil {
+		return g.relayDraft(a)
+	}
 	d, path := a.draft, a.currentPath()
 	head := path[0]
 	resp, rh, err := g.send(a.ctx, d.job, head.ID, head.Address, path, d.resumePoint())
@@ -286,9 +307,11 @@
 		return &failure{reason: "the stream did not go on: status " + strconv.Itoa(resp.Status), ran: true}
 	}
 	if err := g.writeResponse(d.writer, d.job, resp); err != nil {
-		head := a.currentPath()[0].ID
-		g.markMalformed(head, err)
-		d.avoidHead(head)
+		if a.relay == nil {
+			head := a.currentPath()[0].ID
+			g.markMalformed(head, err)
+			d.avoidHead(head)
+		}
 		return &failure{reason: "the answer broke off", ran: true, err: err}
 	}
 	d.isComplete.Store(true)
@@ -305,7 +328,9 @@
 			err = a.completeStream(resp)
 		case err == nil:
 			silence := a.recordArrival(time.Now())
-			a.recordServersAnswer()
+			if a.relay == nil {
+				a.recordServersAnswer()
+			}
 			if silence >= faultStallAfter {
 				a.gateway.recordResponsive(a, silence)
 			}
@@ -318,6 +343,8 @@
 			return nil
 		case errors.Is(context.Cause(a.ctx), errOvertaken):
 			return &failure{reason: errOvertaken.Error(), ran: true, err: errOvertaken}
+		case a.relay != nil:
+			return &failure{reason: "the stream by way of " + a.relay.Name + " broke off", ran: true, err: err}
 		default:
 			a.gateway.markMalformed(a.currentPath()[0].ID, err)
 			return &failure{reason: "the stream of " + a.currentPath()[0].ID + " broke off", ran: true, err: err}
--- a/gateway/draft_path.go
+++ b/gateway/draft_path.go
@@ -40,6 +40,9 @@
 // pollPath searches for a path at an interval until one is found or the wait is over.
 func (g *Gateway) pollPath(ctx context.Context, d *draft, interval, wait time.Duration) (path layers.Path, ok bool) {
 	poll(ctx, interval, wait, func() bool {
+		if g.hasRelay(d.job) {
+			return true
+		}
 		path, ok = g.findNewPath(d)
 		return ok
 	})
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -50,21 +50,22 @@
 		Priority:  j.priority,
 	})
 	j.sends.Add(1)
-	j.attempts.Add(1)
+	j.addAttempts(1)
 	j.trial.markSent()
 	servers := g.view.Load().serversOf(id, path)
 	var trials []selfreport.Trial
 	started := time.Now()
 	resp, err := g.client.Do(ctx, &upstream.Request{
-		Server:  id,
-		Address: address,
-		Method:  j.request.Method,
-		Target:  j.request.RequestURI,
-		Host:    j.request.Host,
-		Header:  header,
-		Body:    j.body,
-		HasBody: j.hasBody,
-		MayDial: g.links.untilCutOff(),
+		Server:      id,
+		Address:     address,
+		Method:      j.request.Method,
+		Target:      j.request.RequestURI,
+		Host:        j.request.Host,
+		Header:      header,
+		Body:        j.body,
+		HasBody:     j.hasBody,
+		MayDial:     g.links.untilCutOff(),
+		DialTimeout: g.links.dialTimeout(),
 		MaySend: func() (err error) {
 			trials, err = g.beginSend(j, servers)
 			return err
@@ -81,7 +82,7 @@
 		}
 		if errors.Is(err, upstream.ErrNotSent) {
 			j.contentTrial.endRun()
-			j.attempts.Add(-1)
+			j.addAttempts(-1)
 		} else {
 			j.mayHaveRun.Store(true)
 		}
@@ -92,7 +93,7 @@
 	g.endTrials(trials, !rh.NotRun && resp.Status != http.StatusServiceUnavailable)
 	if rh.NotRun { // a rejection may come from another server at the address
 		j.contentTrial.endRun()
-		j.attempts.Add(-1)
+		j.addAttempts(-1)
 	} else {
 		g.recordAlive(started, id, "answers")
 		g.links.recordAnswer(time.Now(), id)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/discovery"
+	"github.com/balsamlb/balsamlb/instance"
 	"github.com/balsamlb/balsamlb/internal/listen"
 	"github.com/balsamlb/balsamlb/layers"
 	"github.com/balsamlb/balsamlb/mesh"
@@ -66,6 +67,10 @@
 	Orders Orders
 	// Dial opens connections to backend servers; nil means TCP.
 	Dial upstream.DialFunc
+	// RelayAddress is where this gateway takes requests of others (IP:port); empty means that it takes none.
+	// Relayer passes requests on to others; nil means that none is passed on.
+	RelayAddress string
+	Relayer      *instance.Relayer
 	// Identify returns the incarnation of the server that answers at an address. It must be safe for
 	// concurrent use. If it is nil, unresponsive servers are not asked whether they answer again.
 	Identify func(ctx context.Context, address string) (incarnation int64, err error)
@@ -94,6 +99,7 @@
 	usage        *usage
 	faults       *serverFaults
 	links        *serverLinks
+	relays       *relays
 	running      *runningAttempts
 	linkTraffic  *linkTraffic
 	evidence     *mesh.CrashEvidence
@@ -129,6 +135,7 @@
 		usage:        newUsage(),
 		faults:       newServerFaults(),
 		links:        newServerLinks(),
+		relays:       newRelays(),
 		running:      newRunningAttempts(),
 		linkTraffic:  &linkTraffic{links: layers.NewPipes()},
 		evidence:     o.Mesh.CrashEvidence(),
@@ -225,7 +232,9 @@
 	if err := listener.Close(); err != nil {
 		g.options.Log.Info("could not close the listener for callers", "reason", err.Error())
 	}
-	if err := server.Shutdown(ctx); err != nil {
+	err := server.Shutdown(ctx)
+	poll(ctx, capacityPollInterval, left, func() bool { return g.relays.taken.Load() == 0 })
+	if err != nil || g.relays.taken.Load() > 0 {
 		g.options.Log.Info("aborted requests after the grace period", "in_flight", g.inFlight.Load())
 	}
 }
@@ -375,6 +384,8 @@
 	routing  uint64
 	arrived  time.Time
 	deadline time.Time
+	// origin is set if another gateway has passed the request on.
+	origin *relayOrigin
 	// attempts counts the sends in which the request may have run, including those in progress.
 	attempts atomic.Int32
 	// sends counts all sends, including those in which the request was not run.
@@ -386,9 +397,12 @@
 	// counted once.
 	heldBack [selfreport.Verdicts]atomic.Bool
 
-	// runsMu guards endedRuns, the crashes that would end the servers of the runs that have broken off.
+	// runsMu guards the fields below. endedRuns are the crashes that would end the servers of the runs that have
+	// broken off.
 	runsMu    sync.Mutex
 	endedRuns []quarantine.Crash
+	// relaysTried are the instances to which the request was passed on.
+	relaysTried []string
 
 	fingerprintOnce sync.Once
 	content         quarantine.Fingerprint // valid once fingerprint has returned
@@ -422,14 +436,17 @@
 	return len(j.endedRuns) < limit && int(j.attempts.Load())-crashed < limit
 }
 
-// ServeHTTP serves one request.
-func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// ServeHTTP serves one request of a caller.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.serve(w, r, nil) }
+
+// serve serves one request, which another gateway has passed on if origin is not nil.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, origin *relayOrigin) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	j, refusal := g.admit(w, r)
+	j, refusal := g.admit(w, r, origin)
 	defer g.bodies.release(j)
 	if refusal != nil {
 		g.refuse(w, j, refusal)
@@ -454,8 +471,12 @@
 }
 
 // admit finds the route, the workspace and the service, and reads the body.
-func (g *Gateway) admit(w http.ResponseWriter, r *http.Request) (*job, *refusal) {
-	j := &job{header: g.options.HeaderCodec.ParseRequest(r.Header), request: r, arrived: time.Now()}
+func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, origin *relayOrigin) (*job, *refusal) {
+	j := &job{header: g.options.HeaderCodec.ParseRequest(r.Header), request: r, origin: origin, arrived: time.Now()}
+	if origin != nil {
+		j.attempts.Store(int32(origin.Attempts))
+		j.mayHaveRun.Store(origin.Attempts > 0)
+	}
 	j.sharedParts = parseParts(j.header.SharedParts)
 	v := g.awaitTable(r.Context(), j.header.TimeLeft)
 	if v.table == nil {
--- a/gateway/header_codec.go
+++ b/gateway/header_codec.go
@@ -74,5 +74,8 @@
 	ParseRequest(h http.Header) RequestHeader
 	// WriteDispatch replaces the headers that only the gateway may set.
 	WriteDispatch(h http.Header, d DispatchHeader)
+	// WriteRelay sets the headers of a request that is passed on to another gateway: how long the caller still
+	// waits, and the event after which a stream goes on, if lastEvent is not empty.
+	WriteRelay(h http.Header, timeLeft time.Duration, lastEvent string)
 	ParseResponse(status int, h http.Header) ResponseHeader
 }
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -71,6 +71,17 @@
 	return l.connected
 }
 
+// cutOffDialTimeout bounds the opening of a connection by a gateway that is cut off.
+const cutOffDialTimeout = 100 * time.Millisecond
+
+// dialTimeout bounds the opening of a connection; 0 means the usual time.
+func (l *serverLinks) dialTimeout() time.Duration {
+	if l.isCutOff() {
+		return cutOffDialTimeout
+	}
+	return 0
+}
+
 // recordAnswer records that servers have answered.
 func (l *serverLinks) recordAnswer(now time.Time, ids ...string) {
 	l.answeredAt.Store(int64(now.Sub(l.started)))
@@ -235,6 +246,7 @@
 // reportReachability tells the control instances which servers this gateway doesn't reach. It waits for the
 // samples in progress, since these may show that the gateway itself is cut off.
 func (g *Gateway) reportReachability(now time.Time) {
+	g.reportRelaying(now)
 	r := reachability.Report{IsCutOff: g.links.isCutOff()}
 	if g.links.pending.Load() > 0 && !r.IsCutOff {
 		return // whoever samples reports
--- a/gateway/part_runs.go
+++ b/gateway/part_runs.go
@@ -96,6 +96,9 @@
 
 // recordWriting records that an attempt has brought an event of its answer.
 func (g *Gateway) recordWriting(a *attempt, now time.Time) {
+	if a.relay != nil {
+		return // the other instance does
+	}
 	if begun, isSoundNow := a.writing.record(now); isSoundNow {
 		g.clearParts(a.draft.job, begun)
 	}
@@ -103,6 +106,9 @@
 
 // recordCompletedRun records that an attempt has ended with a whole answer.
 func (g *Gateway) recordCompletedRun(a *attempt) {
+	if a.relay != nil {
+		return // the other instance does
+	}
 	j := a.draft.job
 	if head, isUncertain := a.writing.uncertainHead(); isUncertain {
 		a.draft.isUncertain.Store(true)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -30,6 +30,17 @@
 	var tried []string
 	var silent []string // those of tried that have accepted no connection in time
 	for {
+		if relay, ok := g.relayFor(ctx, j, len(tried) > 0 && j.attempts.Load() == 0 && g.pickServer(j, tried) == nil); ok {
+			f := g.relayPlain(ctx, w, j, relay)
+			if f == nil {
+				return
+			}
+			if f, goesOn := g.mayGoOn(ctx, j, f); !goesOn {
+				g.refuse(w, j, g.finalRefusal(ctx, j, f))
+				return
+			}
+			continue
+		}
 		g.awaitTrial(ctx, j)
 		if f := g.checkContent(j); f != nil {
 			g.refuse(w, j, g.finalRefusal(ctx, j, f))
@@ -77,7 +88,12 @@
 // sendPlain sends the request to one server. It returns nil once the caller has a response.
 func (g *Gateway) sendPlain(ctx context.Context, w http.ResponseWriter, j *job, server *discovery.Announcement) *failure {
 	defer g.usage.begin(server.ID)() // deferred, since a truncated response panics
-	resp, rh, err := g.send(ctx, j, server.ID, server.Address, nil, "")
+	sendCtx, stopWatching := g.watchCut(ctx, j)
+	resp, rh, err := g.send(sendCtx, j, server.ID, server.Address, nil, "")
+	stopWatching()
+	if err != nil && errors.Is(context.Cause(sendCtx), errCutOff) {
+		return &failure{reason: "no answer of " + server.ID, ran: !errors.Is(err, upstream.ErrNotSent), err: errRetryAllowed}
+	}
 	if errors.Is(err, errHeldBack) {
 		return heldBackFailure(err)
 	}
@@ -225,6 +241,9 @@
 }
 
 func (g *Gateway) recordRequest(j *job) {
+	if j.origin != nil && j.origin.IsCounted {
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.budgets.RecordRequest(time.Now(), g.budgetKey(j))
--- a/gateway/race.go
+++ b/gateway/race.go
@@ -1,12 +1,9 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"slices"
 	"sync"
-
-	"github.com/balsamlb/balsamlb/layers"
 )
 
 // maxParallelAttempts bounds the attempts of one draft that run at the same time.
@@ -136,10 +133,10 @@
 	return out
 }
 
-// runAttempts runs the draft on a path, and on further ones while its servers are silent. It returns
+// runAttempts runs an attempt of a draft, and further ones while its servers are silent. It returns
 // nil once the stream is complete, and otherwise the failure of the last attempt.
-func (g *Gateway) runAttempts(ctx context.Context, d *draft, path layers.Path) *failure {
-	a := g.newAttempt(ctx, d, path)
+func (g *Gateway) runAttempts(a *attempt) *failure {
+	d := a.draft
 	d.race.open(a)
 	f := a.run()
 	if f == nil {
--- a/gateway/silence_cluster_test.go
+++ b/gateway/silence_cluster_test.go
@@ -94,11 +94,13 @@
 	name    string
 	// address stays the same over restarts.
 	address      string
+	relayAddress string
 	links        *emulate.Links // to the backend servers
 	mesh         *mesh.Mesh
 	gateway      *gateway.Gateway
 	shutDown     context.CancelFunc
 	done         chan struct{}
+	stopRelays   func()
 	stopWatching func()
 	log          lockedBuffer
 }
@@ -140,7 +142,7 @@
 	c.fleet.mu.Unlock()
 	ip := newLoopback() // nothing else takes its ports, so that gateways can be restarted
 	for i := range gateways {
-		g := &silentGateway{cluster: c, name: fmt.Sprint("g", i), address: fmt.Sprintf("%s:%d", ip, 8080+i), links: emulate.NewLinks()}
+		g := &silentGateway{cluster: c, name: fmt.Sprint("g", i), address: fmt.Sprintf("%s:%d", ip, 8080+i), relayAddress: fmt.Sprintf("%s:%d", ip, 9080+i), links: emulate.NewLinks()}
 		c.gateways = append(c.gateways, g)
 		g.start()
 		t.Cleanup(g.stop)
@@ -168,7 +170,7 @@
 	g.gateway = gateway.New(gateway.Options{
 		Name: g.name, DataCentre: "a", ListenAddress: g.address, GracePeriod: shutdownGrace, Mesh: g.mesh,
 		ShutdownDelay: 100 * time.Millisecond, HeaderCodec: platform.HeaderCodec{}, Orders: linkedOrders{c.fleet, g.links}, Identify: linkedOrders{c.fleet, g.links}.identify, Registry: prometheus.NewRegistry(),
-		Dial: g.links.Dial, RetryRatio: c.limits.ratio, RetryReserve: c.limits.reserve, RetryWindow: retryWindow, Log: funcr.New(g.log.add, funcr.Options{LogTimestamp: true, TimestampFormat: clockFormat}),
+		Dial: g.links.Dial, RelayAddress: g.relayAddress, Relayer: instance.NewRelayer(newDialer(c.t)), RetryRatio: c.limits.ratio, RetryReserve: c.limits.reserve, RetryWindow: retryWindow, Log: funcr.New(g.log.add, funcr.Options{LogTimestamp: true, TimestampFormat: clockFormat}),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -179,9 +181,28 @@
 			c.t.Errorf("%s: %v", g.name, err)
 		}
 	}()
+	g.startRelays()
 	g.watch()
 }
 
+// startRelays makes the gateway take requests of others.
+func (g *silentGateway) startRelays() {
+	l, err := net.Listen("tcp", g.relayAddress)
+	if err != nil {
+		g.cluster.t.Errorf("%s: %v", g.name, err)
+		return
+	}
+	server := instance.NewServer(nil, nil)
+	server.SetRelayHandler(g.gateway)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = server.Serve(ctx, l) })
+	g.stopRelays = func() {
+		cancel()
+		group.Wait()
+	}
+}
+
 // startMark is the log line at the start of a gateway, which knows nothing of before.
 const startMark = "the gateway starts"
 
@@ -200,6 +221,7 @@
 func (g *silentGateway) stop() {
 	g.shutDown()
 	<-g.done
+	g.stopRelays()
 	g.stopWatching()
 }
 
--- /dev/null
+++ b/instance/relay.go
@@ -0,0 +1,426 @@
+package instance
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/balsamlb/balsamlb/instance/wire"
+	"github.com/rotisserie/eris"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+)
+
+const (
+	// relayAcceptTimeout bounds the time until an instance accepts a request, with the time to connect. It is
+	// several round trips between data centres.
+	relayAcceptTimeout = 300 * time.Millisecond
+	// relaySignInterval is the time between two signs of life of an instance that serves a request, and
+	// relaySilence the time without one after which the instance counts as silent.
+	relaySignInterval = 250 * time.Millisecond
+	relaySilence      = 4 * relaySignInterval
+	// relayPatience is longer than any request.
+	relayPatience = time.Hour
+	// relayPartBytes bounds one part of a body.
+	relayPartBytes = 32 << 10
+	// relayIdleTime is how long an idle connection is kept, and maxIdleRelays bounds those to one instance.
+	relayIdleTime = 5 * time.Second
+	maxIdleRelays = 32
+)
+
+var (
+	// ErrDeclined means that an instance has not taken a request. It has not run there and never will.
+	ErrDeclined = errors.New("instance: the request was not taken")
+	// ErrRelayBroken means that an instance has taken a request, and its answer has not arrived as a whole.
+	ErrRelayBroken = errors.New("instance: the answer of the instance that took the request broke off")
+	// errNoRelays means that the instance serves no requests of others.
+	errNoRelays = errors.New("instance: takes no requests of others")
+)
+
+// RelayedRequest is a caller's request that one instance passes on to another.
+type RelayedRequest struct {
+	Method string
+	// Target is the path and query as sent by the caller.
+	Target  string
+	Host    string
+	Header  http.Header
+	Body    []byte
+	HasBody bool
+	// Sender is the name of the instance that passes the request on.
+	Sender string
+	// RoutingVersion is the version of the routing document by which the sender has admitted the request.
+	RoutingVersion uint64
+	// Attempts counts the sends by the sender in which the request may have run.
+	Attempts int
+	// IsCounted means that the sender has counted the request for the retry budget.
+	IsCounted bool
+
+	// EndsOnSilence means that the sender gives the request up if the other instance falls silent. Otherwise
+	// only the request's context ends it. It is not passed on.
+	EndsOnSilence bool
+}
+
+// RelayHandler serves requests that other instances pass on. Implementations must be safe for concurrent use.
+type RelayHandler interface {
+	// AcceptRelay decides on a request, whose body has not arrived yet. If the request isn't accepted,
+	// declined is the reason; otherwise release must be called when it has ended.
+	AcceptRelay(r *RelayedRequest) (release func(), declined string)
+	// ServeRelay serves an accepted request. It calls setAttempts with the number of sends so far in which the
+	// request may have run, when that changes. It panics with http.ErrAbortHandler if the answer has broken
+	// off.
+	ServeRelay(w http.ResponseWriter, r *http.Request, relayed *RelayedRequest, setAttempts func(n int))
+}
+
+// SetRelayHandler enables relays on the server. It must be called before Serve.
+func (s *Server) SetRelayHandler(h RelayHandler) { s.relayHandler = h }
+
+// Relay serves a request that another instance passes on.
+func (s *Server) Relay(stream wire.DRPCInstance_RelayStream) error {
+	if s.relayHandler == nil {
+		return errNoRelays
+	}
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	if first.Head == nil {
+		return eris.New("instance: a relayed request begins without a head")
+	}
+	relayed := relayedFromWire(first.Head)
+	release, declined := s.relayHandler.AcceptRelay(relayed)
+	if declined != "" {
+		return stream.Send(&wire.RelayResponse{Declined: declined})
+	}
+	defer release()
+	w := &relayWriter{stream: stream, header: make(http.Header)}
+	if err := w.send(&wire.RelayResponse{IsAccepted: true}); err != nil {
+		return err
+	}
+	r, err := relayed.read(stream)
+	if err != nil {
+		return eris.Wrapf(err, "instance: read a request of %s", relayed.Sender)
+	}
+	ctx, stop := context.WithCancel(stream.Context())
+	var signs sync.WaitGroup
+	signs.Go(func() { w.sendSigns(ctx) })
+	isWhole := serveRelay(s.relayHandler, w, r.WithContext(ctx), relayed)
+	stop()
+	signs.Wait()
+	if !isWhole {
+		return ErrRelayBroken
+	}
+	w.WriteHeader(http.StatusOK) // unless the handler has written one
+	if err := w.send(&wire.RelayResponse{IsComplete: true}); err != nil {
+		return err
+	}
+	return stream.Close()
+}
+
+// serveRelay runs the handler, and reports whether it has written the whole answer.
+func serveRelay(h RelayHandler, w *relayWriter, r *http.Request, relayed *RelayedRequest) (isWhole bool) {
+	defer func() {
+		if p := recover(); p != nil && p != http.ErrAbortHandler {
+			panic(p)
+		}
+	}()
+	h.ServeRelay(w, r, relayed, w.setAttempts)
+	return w.failure() == nil
+}
+
+// read reads the body of the request and returns the request.
+func (r *RelayedRequest) read(stream wire.DRPCInstance_RelayStream) (*http.Request, error) {
+	target, err := url.ParseRequestURI(r.Target)
+	if err != nil {
+		return nil, eris.Wrapf(err, "target %q", r.Target)
+	}
+	for {
+		m, err := stream.Recv()
+		if err != nil {
+			return nil, err
+		}
+		if len(r.Body)+len(m.Body) > maxRelayedBody {
+			return nil, eris.Errorf("the body is longer than %d bytes", maxRelayedBody)
+		}
+		r.Body = append(r.Body, m.Body...)
+		if m.EndsBody {
+			break
+		}
+	}
+	request := &http.Request{
+		Method: r.Method, URL: target, RequestURI: r.Target, Host: r.Host, Header: r.Header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Body: http.NoBody,
+	}
+	if r.HasBody {
+		request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(r.Body)), int64(len(r.Body))
+		request.Header.Set("Content-Length", "0") // marks an empty body as one
+	}
+	return request, nil
+}
+
+// maxRelayedBody is above the body limit of every known deployment (4 MiB).
+const maxRelayedBody = 16 << 20
+
+// relayWriter sends an answer to the instance that has passed the request on. It is an http.ResponseWriter and
+// http.Flusher; what is written is sent at once.
+type relayWriter struct {
+	stream wire.DRPCInstance_RelayStream
+	header http.Header
+
+	mu       sync.Mutex
+	hasHead  bool
+	attempts uint32
+	err      error
+}
+
+// Header returns the header of the answer.
+func (w *relayWriter) Header() http.Header { return w.header }
+
+// WriteHeader sends the head of the answer.
+func (w *relayWriter) WriteHeader(status int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.hasHead {
+		w.hasHead = true
+		w.sendLocked(&wire.RelayResponse{Head: &wire.RelayAnswer{Status: uint32(status), Headers: headersToWire(w.header)}})
+	}
+}
+
+// Write sends a part of the body.
+func (w *relayWriter) Write(p []byte) (int, error) {
+	w.WriteHeader(http.StatusOK)
+	for rest := p; len(rest) > 0; {
+		n := min(len(rest), relayPartBytes)
+		if err := w.send(&wire.RelayResponse{Body: rest[:n]}); err != nil {
+			return len(p) - len(rest), err
+		}
+		rest = rest[n:]
+	}
+	return len(p), nil
+}
+
+// Flush does nothing, since nothing is held back.
+func (w *relayWriter) Flush() {}
+
+func (w *relayWriter) send(m *wire.RelayResponse) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.sendLocked(m)
+}
+
+func (w *relayWriter) sendLocked(m *wire.RelayResponse) error {
+	m.Attempts = w.attempts
+	if w.err == nil {
+		w.err = w.stream.Send(m)
+	}
+	return w.err
+}
+
+func (w *relayWriter) failure() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.err
+}
+
+func (w *relayWriter) setAttempts(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.attempts = uint32(max(0, n))
+}
+
+// sendSigns sends signs of life until ctx ends.
+func (w *relayWriter) sendSigns(ctx context.Context) {
+	ticker := time.NewTicker(relaySignInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if w.send(&wire.RelayResponse{}) != nil {
+				return
+			}
+		}
+	}
+}
+
+// Relayer passes requests on to other instances. It is safe for concurrent use.
+type Relayer struct {
+	dialer Dialer
+	pool   *drpcpool.Pool[string, *drpcconn.Conn]
+}
+
+// NewRelayer returns a relayer.
+func NewRelayer(d Dialer) *Relayer {
+	options := drpcpool.Options{Expiration: relayIdleTime, KeyCapacity: maxIdleRelays}
+	return &Relayer{dialer: d, pool: drpcpool.New[string, *drpcconn.Conn](options)}
+}
+
+// Do passes a request on to the instance at the address, and returns the answer once its head has arrived. The
+// answer must be closed. If ctx ends, the request is given up there. Every error wraps ErrDeclined or
+// ErrRelayBroken. onAttempts is called with the number of sends so far in which the request may have run.
+func (r *Relayer) Do(ctx context.Context, address string, req *RelayedRequest, onAttempts func(n int)) (*RelayAnswer, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stream, err := r.offer(ctx, cancel, address, req)
+	if err != nil {
+		cancel(nil)
+		return nil, eris.Wrapf(errors.Join(ErrDeclined, err), "instance: offer a request to %s", address)
+	}
+	a := &RelayAnswer{stream: stream, cancel: cancel, onAttempts: onAttempts, silence: relaySilence}
+	if !req.EndsOnSilence {
+		a.silence = relayPatience
+	}
+	a.timer = time.AfterFunc(a.silence, func() { cancel(ErrSilent) })
+	onAttempts(1) // the instance may have sent it, and not been able to say so
+	if err = sendBody(stream, req.Body); err == nil {
+		err = a.readHead()
+	}
+	if err != nil {
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
+		a.Close()
+		return nil, eris.Wrapf(errors.Join(ErrRelayBroken, err), "instance: relay by %s", address)
+	}
+	return a, nil
+}
+
+// offer sends the head of a request and waits until it is accepted.
+func (r *Relayer) offer(ctx context.Context, cancel context.CancelCauseFunc, address string, req *RelayedRequest) (wire.DRPCInstance_RelayClient, error) {
+	timer := time.AfterFunc(relayAcceptTimeout, func() { cancel(context.DeadlineExceeded) })
+	conn := r.pool.Get(ctx, address, r.dialer.open)
+	stream, err := wire.NewDRPCInstanceClient(conn).Relay(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if err := stream.Send(&wire.RelayRequest{Head: relayedToWire(req)}); err != nil {
+		return nil, err
+	}
+	m, err := stream.Recv()
+	switch {
+	case err != nil:
+		return nil, err
+	case !m.IsAccepted:
+		return nil, eris.New(m.Declined)
+	case !timer.Stop():
+		return nil, context.DeadlineExceeded
+	}
+	return stream, nil
+}
+
+func sendBody(stream wire.DRPCInstance_RelayClient, body []byte) error {
+	for {
+		n := min(len(body), relayPartBytes)
+		isLast := n == len(body)
+		if err := stream.Send(&wire.RelayRequest{Body: body[:n], EndsBody: isLast}); err != nil || isLast {
+			return err
+		}
+		body = body[n:]
+	}
+}
+
+// RelayAnswer is the answer to a request that was passed on. It must be closed. It is not safe for concurrent
+// use.
+type RelayAnswer struct {
+	Status int
+	Header http.Header
+
+	stream     wire.DRPCInstance_RelayClient
+	cancel     context.CancelCauseFunc
+	silence    time.Duration
+	timer      *time.Timer // ends the request after silence
+	onAttempts func(n int)
+	rest       []byte
+	isComplete bool
+}
+
+// receive returns the next message that isn't only a sign of life.
+func (a *RelayAnswer) receive() (*wire.RelayResponse, error) {
+	// The time until the caller takes what was received is no silence of the instance.
+	a.timer.Reset(a.silence)
+	defer a.timer.Stop()
+	for {
+		m, err := a.stream.Recv()
+		if err != nil {
+			return nil, err
+		}
+		a.timer.Reset(a.silence)
+		a.onAttempts(int(m.Attempts))
+		if m.Head != nil || len(m.Body) > 0 || m.IsComplete {
+			return m, nil
+		}
+	}
+}
+
+func (a *RelayAnswer) readHead() error {
+	m, err := a.receive()
+	if err != nil {
+		return err
+	}
+	if m.Head == nil {
+		return eris.New("instance: the answer begins without a head")
+	}
+	a.Status, a.Header = int(m.Head.Status), headersFromWire(m.Head.Headers)
+	return nil
+}
+
+// Read reads the body. Any error except io.EOF means that the answer is incomplete.
+func (a *RelayAnswer) Read(p []byte) (int, error) {
+	for len(a.rest) == 0 {
+		if a.isComplete {
+			return 0, io.EOF
+		}
+		m, err := a.receive()
+		if err != nil {
+			return 0, errors.Join(ErrRelayBroken, err)
+		}
+		a.rest, a.isComplete = m.Body, m.IsComplete
+	}
+	n := copy(p, a.rest)
+	a.rest = a.rest[n:]
+	return n, nil
+}
+
+// Close ends the request if the answer is not complete. It always returns nil.
+func (a *RelayAnswer) Close() error {
+	a.timer.Stop()
+	if a.isComplete {
+		_ = a.stream.Close() // the instance has ended it
+	}
+	a.cancel(nil)
+	return nil
+}
+
+func relayedToWire(r *RelayedRequest) *wire.RelayHead {
+	return &wire.RelayHead{
+		Method: r.Method, Target: r.Target, Host: r.Host, Headers: headersToWire(r.Header), HasBody: r.HasBody,
+		Sender: r.Sender, RoutingVersion: r.RoutingVersion, Attempts: uint32(r.Attempts), IsCounted: r.IsCounted,
+	}
+}
+
+func relayedFromWire(h *wire.RelayHead) *RelayedRequest {
+	return &RelayedRequest{
+		Method: h.Method, Target: h.Target, Host: h.Host, Header: headersFromWire(h.Headers), HasBody: h.HasBody,
+		Sender: h.Sender, RoutingVersion: h.RoutingVersion, Attempts: int(h.Attempts), IsCounted: h.IsCounted,
+	}
+}
+
+func headersToWire(h http.Header) []*wire.RelayHeader {
+	out := make([]*wire.RelayHeader, 0, len(h))
+	for name, values := range h {
+		out = append(out, &wire.RelayHeader{Name: name, Values: values})
+	}
+	return out
+}
+
+func headersFromWire(headers []*wire.RelayHeader) http.Header {
+	out := make(http.Header, len(headers))
+	for _, h := range headers {
+		out[h.Name] = h.Values
+	}
+	return out
+}
--- a/instance/server.go
+++ b/instance/server.go
@@ -43,11 +43,12 @@
 
 // Server serves the calls of other instances.
 type Server struct {
-	replica     Replica // nil unless this is a control instance
-	peers       PeerHandler
-	watchSource WatchSource // nil unless this server serves watches
-	started     time.Time
-	subscribers atomic.Int64
+	replica      Replica // nil unless this is a control instance
+	peers        PeerHandler
+	watchSource  WatchSource  // nil unless this server serves watches
+	relayHandler RelayHandler // nil unless this server takes requests of others
+	started      time.Time
+	subscribers  atomic.Int64
 }
 
 // NewServer returns a server. r is nil on an instance without a replica.
--- a/mesh/feed.go
+++ b/mesh/feed.go
@@ -67,7 +67,8 @@
 	}
 	f.needsNoUsage = req.NeedsNoUsage
 	f.subtractsOwnUsage = req.Report > 0
-	report := &watcherReport{feed: f, number: req.Report, usage: usageListFromWire(req.Running), servers: reachabilityFromWire(req)}
+	report := &watcherReport{feed: f, number: req.Report, usage: usageListFromWire(req.Running), servers: reachabilityFromWire(req),
+		relay: relayReport{address: req.RelayAddress, dataCentre: req.DataCentre, isNeeded: req.NeedsRelays}}
 	if m.setWatcherReport(f.name, report) && m.updateUnresponsive() {
 		m.broadcast()
 	}
@@ -89,7 +90,7 @@
 		return nil, err
 	}
 	f.sentRevision = m.directory.Revision()
-	own := &wire.WatchBeat{Crashes: crashes, PartCrashes: partCrashes, LeavesOutUsage: true, Rank: m.rankOf(f.name)}
+	own := &wire.WatchBeat{Crashes: crashes, PartCrashes: partCrashes, LeavesOutUsage: true, Rank: m.rankOf(f.name), Relays: m.relaysFor(f.name)}
 	if buf, err = f.appendUsage(buf, own, now); err != nil {
 		return nil, err
 	}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -87,6 +87,10 @@
 	localUsage func() []Usage
 	// reachability is what this instance says about servers.
 	reachability reachability.Report
+	// relaying is what this instance says about requests that are passed on. reportedRelays holds the
+	// instances that each control instance names to take this one's.
+	relaying       relayReport
+	reportedRelays map[string][]Relay
 	// doubts weighs what the watchers say about servers. unresponsiveHere and doubtsHere are the result.
 	doubts           *reachability.Doubts
 	unresponsiveHere []string
@@ -142,6 +146,7 @@
 		reportedRanks:        make(map[string]int),
 		withheld:             make(map[string]discovery.Announcement),
 		doubts:               reachability.NewDoubts(),
+		reportedRelays:       make(map[string][]Relay),
 		reportedDoubts:       make(map[string]reportedDoubts),
 		shared:               sharedFragments{servers: make(map[string]serverFragment)},
 		changed:              make(chan struct{}),
@@ -431,6 +436,7 @@
 		changed = true
 	}
 	m.dataCentres[address] = b.DataCentre
+	m.reportedRelays[address] = relaysFromWire(b.Relays)
 	m.updateReportedUsage(address, b)
 	m.reportedRanks[address] = int(b.Rank) - 1
 	if m.reportedGateways[address] != int(b.Gateways) {
@@ -476,6 +482,7 @@
 	m.mergePeerUsage()
 	delete(m.dataCentres, address)
 	delete(m.reportedUnresponsive, address)
+	delete(m.reportedRelays, address)
 	changed = m.updateDoubts(time.Now(), address, reportedDoubts{}) || changed
 	delete(m.reportedGateways, address)
 	delete(m.reportedRanks, address)
--- /dev/null
+++ b/mesh/relays.go
@@ -0,0 +1,101 @@
+package mesh
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/balsamlb/balsamlb/instance/wire"
+	"github.com/cespare/xxhash/v2"
+)
+
+// maxRelays bounds the instances that a control instance names to one that needs them. maxLocalRelays of them
+// are in its data centre, if there are as many.
+const (
+	maxRelays      = 8
+	maxLocalRelays = 5
+)
+
+// Relay is an instance that takes requests of others.
+type Relay struct {
+	Name       string
+	Address    string
+	DataCentre string
+}
+
+// relayReport is what an instance says about requests that are passed on.
+type relayReport struct {
+	// address is where it takes requests of others, or empty.
+	address    string
+	dataCentre string
+	// isNeeded means that it has requests that it can't serve itself.
+	isNeeded bool
+}
+
+// SetRelaying tells the control instances where this instance takes requests of others, or, if the address is
+// empty, that it takes none, and whether it needs others to take its own.
+func (m *Mesh) SetRelaying(address string, isNeeded bool) {
+	r := relayReport{address: address, dataCentre: m.options.DataCentre, isNeeded: isNeeded}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.relaying == r {
+		return
+	}
+	isUrgent := m.relaying.isNeeded != isNeeded || address == ""
+	m.relaying = r
+	if isUrgent {
+		m.reportAtOnce()
+	}
+}
+
+// Relays returns the instances that take this instance's requests, by name. There are none unless it has said
+// that it needs them.
+func (m *Mesh) Relays() []Relay {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	byName := make(map[string]Relay)
+	for _, relays := range m.reportedRelays {
+		for _, r := range relays {
+			byName[r.Name] = r
+		}
+	}
+	out := make([]Relay, 0, len(byName))
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		out = append(out, byName[name])
+	}
+	return out
+}
+
+// relaysFor returns the instances that take the requests of a watcher, if it needs them. Watchers begin at
+// different places of the list, so that they share all instances. The caller holds the lock.
+func (m *Mesh) relaysFor(name string) []*wire.RelayInstance {
+	needs := m.watcherReports[name]
+	if needs == nil || !needs.relay.isNeeded {
+		return nil
+	}
+	m.rankOf(name) // sorts the names
+	var local, remote []*wire.RelayInstance
+	start := int(xxhash.Sum64String(name) % uint64(len(m.watcherNames)))
+	for i := range m.watcherNames {
+		other := m.watcherNames[(start+i)%len(m.watcherNames)]
+		r := m.watcherReports[other]
+		if other == name || r.relay.address == "" || r.servers.IsCutOff {
+			continue
+		}
+		relay := &wire.RelayInstance{Name: other, Address: r.relay.address, DataCentre: r.relay.dataCentre}
+		if r.relay.dataCentre == needs.relay.dataCentre {
+			local = append(local, relay)
+		} else {
+			remote = append(remote, relay)
+		}
+	}
+	local = local[:min(len(local), max(maxLocalRelays, maxRelays-len(remote)), maxRelays)]
+	return append(local, remote[:min(len(remote), maxRelays-len(local))]...)
+}
+
+func relaysFromWire(ws []*wire.RelayInstance) []Relay {
+	out := make([]Relay, 0, len(ws))
+	for _, w := range ws {
+		out = append(out, Relay{Name: w.Name, Address: w.Address, DataCentre: w.DataCentre})
+	}
+	return out
+}
--- a/mesh/usage.go
+++ b/mesh/usage.go
@@ -24,6 +24,7 @@
 	number  uint64
 	usage   []Usage
 	servers reachability.Report
+	relay   relayReport
 }
 
 // SetLocalUsage sets the function that returns this instance's usage, which is sent to the
--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -124,6 +124,8 @@
 		Unreached:      m.reachability.Unreached,
 		Answering:      m.reachability.Answering,
 		IsCutOff:       m.reachability.IsCutOff,
+		RelayAddress:   m.relaying.address,
+		NeedsRelays:    m.relaying.isNeeded,
 		NeedsNoUsage:   !m.acceptsUsageFrom(w.address),
 		Crashes:        crashes,
 		PartCrashes:    partCrashes,
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -5,6 +5,9 @@
 // LabelSaid is what a backend server has said about itself.
 const LabelSaid = "said"
 
+// LabelRelay is what has happened to a request between two gateways.
+const LabelRelay = "relay"
+
 // LabelStatus is the HTTP status of a response; 0 means that the response's stream was aborted.
 const LabelStatus = "status"
 
@@ -29,6 +32,8 @@
 		"Requests that were kept from a backend server because of what it said about itself, by what it said."}
 	gatewayCutOff = description{"balsamlb_gateway_cut_off", gauge, nil,
 		"1 while a gateway reaches no backend server, 0 otherwise."}
+	gatewayRelayedTotal = description{"balsamlb_gateway_relayed_total", counter, []string{LabelRelay},
+		"Requests that a gateway passed on to another one, that another one declined, or that it took from others."}
 	gatewayUnresponsive = description{"balsamlb_gateway_unresponsive_to_others", gauge, nil,
 		"Backend servers that a gateway avoids since several gateways report them as unresponsive."}
 )
@@ -37,7 +42,7 @@
 var gatewayDescriptions = []description{
 	gatewayRequestsTotal, gatewayRequestSeconds, gatewayFirstEventSeconds, gatewayDialsTotal, gatewayReroutesTotal, gatewayResumesTotal,
 	gatewayLostRunsTotal, gatewayQuarantinedTotal, gatewayHeldBackTotal,
-	gatewayUnresponsive, gatewayCutOff,
+	gatewayUnresponsive, gatewayCutOff, gatewayRelayedTotal,
 }
 
 // Histogram buckets of a gateway, in seconds. They cover the latency objectives of known
@@ -61,6 +66,7 @@
 
 	UnresponsiveToOthers prometheus.Gauge
 	CutOff               prometheus.Gauge
+	Relayed              *prometheus.CounterVec
 }
 
 // NewGateway creates and registers the metrics of a gateway. It panics if a metric is already
@@ -78,8 +84,9 @@
 		HeldBack:          newCounter(gatewayHeldBackTotal),
 
 		UnresponsiveToOthers: prometheus.NewGauge(prometheus.GaugeOpts{Name: gatewayUnresponsive.name, Help: gatewayUnresponsive.help}),
+		Relayed:              newCounter(gatewayRelayedTotal),
 		CutOff:               prometheus.NewGauge(prometheus.GaugeOpts{Name: gatewayCutOff.name, Help: gatewayCutOff.help}),
 	}
-	r.MustRegister(g.Requests, g.RequestSeconds, g.FirstEventSeconds, g.Dials, g.Reroutes, g.Resumes, g.LostRuns, g.Quarantined, g.HeldBack, g.UnresponsiveToOthers, g.CutOff)
+	r.MustRegister(g.Requests, g.RequestSeconds, g.FirstEventSeconds, g.Dials, g.Reroutes, g.Resumes, g.LostRuns, g.Quarantined, g.HeldBack, g.UnresponsiveToOthers, g.CutOff, g.Relayed)
 	return g
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -47,8 +47,10 @@
 	Body   []byte
 	// HasBody is set if the request has a body, which may be empty.
 	HasBody bool
-	// MayDial ends the opening of a new connection when it ends; nil means no such end.
-	MayDial context.Context
+	// MayDial ends the opening of a new connection when it ends; nil means no such end. DialTimeout bounds
+	// that, too; 0 means the usual time.
+	MayDial     context.Context
+	DialTimeout time.Duration
 	// MaySend is asked right before the first byte is sent, when the connection is open. Its error
 	// ends the request, wrapped in ErrNotSent. If it is nil, the request is sent.
 	MaySend func() error
@@ -75,6 +77,16 @@
 	endsWithConnection bool
 }
 
+// NewResponse returns a response that has come on another way than a client's connection. body returns io.EOF
+// only at the end of a complete answer.
+func NewResponse(status int, header http.Header, body io.ReadCloser) *Response {
+	length, err := strconv.ParseInt(header.Get("Content-Length"), 10, 64)
+	if err != nil {
+		length = -1
+	}
+	return &Response{Status: status, Header: header, Length: length, body: body}
+}
+
 // Client sends requests to backend servers. It is safe for concurrent use.
 type Client struct {
 	pool pool
@@ -141,6 +153,11 @@
 		defer cancel()
 		defer context.AfterFunc(req.MayDial, cancel)()
 	}
+	if req.DialTimeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, req.DialTimeout)
+		defer cancel()
+	}
 	cn, err := c.dial(ctx, req.Address)
 	if err != nil {
 		return nil, err
@@ -269,7 +286,7 @@
 	switch {
 	case err == io.EOF:
 		r.isComplete = true
-	case err != nil && !isEndOfConnection(err):
+	case err != nil && r.conn != nil && !isEndOfConnection(err):
 		err = errors.Join(ErrNotHTTP, err)
 	}
 	return n, err
@@ -278,6 +295,10 @@
 // Close returns the connection to the pool if the request was sent and the answer read completely
 // and no further bytes arrived. Otherwise it closes the connection.
 func (r *Response) Close() {
+	if r.conn == nil {
+		_ = r.body.Close() // nothing was sent on it that could be lost
+		return
+	}
 	stopped := r.stop()
 	cn := r.conn
 	if !r.isComplete || !r.mayReuse || !stopped || !r.isWritten() || cn.reader.Buffered() > 0 {
