--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -59,6 +59,7 @@
 	g.LostRuns.WithLabelValues().Inc()
 	g.Quarantined.WithLabelValues().Inc()
 	g.HeldBack.WithLabelValues("leaving").Inc()
+	g.Relayed.WithLabelValues("taken").Inc()
 	families, err := r.Gather()
 	is.NoErr(err)
 	described := make(map[string]bool)
