--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/layers"
-	"github.com/balsamlb/balsamlb/mesh"
 	"github.com/balsamlb/balsamlb/quarantine"
+	"github.com/balsamlb/balsamlb/relay"
 )
 
 var (
@@ -34,7 +34,7 @@
 	writing      writing
 	// relay is the instance that runs the attempt in place of this one; then the path is empty. It is set
 	// before the attempt runs.
-	relay *mesh.Relay
+	relay *relay.Instance
 
 	// mu guards the fields below, which change while the attempt runs.
 	mu   sync.Mutex
@@ -116,9 +116,8 @@
 // recordServersAnswer records that all servers of the path answer: an event has passed them.
 func (a *attempt) recordServersAnswer() {
 	now := time.Now()
-	a.gateway.links.recordAnswer(now)
 	for _, part := range a.currentPath() {
-		a.gateway.links.recordAnswer(now, part.ID)
+		a.gateway.recordServerAnswers(now, part.ID)
 	}
 }
 
@@ -226,9 +225,9 @@
 
 // newAttemptBeside returns a further attempt of a silent draft, or nil if there is no way for it.
 func (g *Gateway) newAttemptBeside(d *draft) *attempt {
-	if g.links.isCutOff() {
-		if relay, ok := g.pickRelay(d.job); ok {
-			return g.newRelayedAttempt(d.callerCtx, d, relay)
+	if g.links.IsCutOff() {
+		if taker, ok := g.pickRelay(d.job); ok {
+			return g.newRelayedAttempt(d.callerCtx, d, taker)
 		}
 	}
 	if path, ok := g.findNewPath(d); ok {
--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -36,7 +36,7 @@
 	capacityPollInterval = 20 * time.Millisecond
 	resumePollInterval   = 100 * time.Millisecond
 	// crashConfirmWait is how long a draft without a further attempt waits for the probe of its lost
-	// server, which takes at most probeTries times probeTimeout.
+	// server, which takes at most a tenth of a second.
 	crashConfirmWait  = 200 * time.Millisecond
 	crashPollInterval = 10 * time.Millisecond
 	// maxCapacityWaiters bounds the new drafts that wait for capacity: about as many running drafts
@@ -159,14 +159,14 @@
 // nextAttempt returns the next attempt of a draft, at servers or by way of another instance, or nil if there is
 // no way.
 func (g *Gateway) nextAttempt(ctx context.Context, d *draft) *attempt {
-	if relay, ok := g.relayFor(ctx, d.job, false); ok {
-		return g.newRelayedAttempt(ctx, d, relay)
+	if taker, ok := g.relayFor(ctx, d.job, false); ok {
+		return g.newRelayedAttempt(ctx, d, taker)
 	}
 	if path, ok := g.awaitPath(ctx, d); ok {
 		return g.newAttempt(ctx, d, path)
 	}
-	if relay, ok := g.relayFor(ctx, d.job, g.isOutOfReach(d)); ok {
-		return g.newRelayedAttempt(ctx, d, relay)
+	if taker, ok := g.relayFor(ctx, d.job, g.isOutOfReach(d)); ok {
+		return g.newRelayedAttempt(ctx, d, taker)
 	}
 	return nil
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -64,8 +64,8 @@
 		Header:      header,
 		Body:        j.body,
 		HasBody:     j.hasBody,
-		MayDial:     g.links.untilCutOff(),
-		DialTimeout: g.links.dialTimeout(),
+		MayDial:     g.links.UntilCutOff(),
+		DialTimeout: g.dialTimeout(),
 		MaySend: func() (err error) {
 			trials, err = g.beginSend(j, servers)
 			return err
@@ -96,7 +96,7 @@
 		j.addAttempts(-1)
 	} else {
 		g.recordAlive(started, id, "answers")
-		g.links.recordAnswer(time.Now(), id)
+		g.recordServerAnswers(time.Now(), id)
 		j.mayHaveRun.Store(true)
 	}
 	return resp, rh, nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,12 +19,13 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/discovery"
-	"github.com/balsamlb/balsamlb/instance"
 	"github.com/balsamlb/balsamlb/internal/listen"
 	"github.com/balsamlb/balsamlb/layers"
+	"github.com/balsamlb/balsamlb/linkcheck"
 	"github.com/balsamlb/balsamlb/mesh"
 	"github.com/balsamlb/balsamlb/metrics"
 	"github.com/balsamlb/balsamlb/quarantine"
+	"github.com/balsamlb/balsamlb/relay"
 	"github.com/balsamlb/balsamlb/retry"
 	"github.com/balsamlb/balsamlb/routing"
 	"github.com/balsamlb/balsamlb/selfreport"
@@ -70,7 +71,7 @@
 	// RelayAddress is where this gateway takes requests of others (IP:port); empty means that it takes none.
 	// Relayer passes requests on to others; nil means that none is passed on.
 	RelayAddress string
-	Relayer      *instance.Relayer
+	Relayer      relay.Sender
 	// Identify returns the incarnation of the server that answers at an address. It must be safe for
 	// concurrent use. If it is nil, unresponsive servers are not asked whether they answer again.
 	Identify func(ctx context.Context, address string) (incarnation int64, err error)
@@ -98,7 +99,8 @@
 	view         atomic.Pointer[view]
 	usage        *usage
 	faults       *serverFaults
-	links        *serverLinks
+	links        *linkcheck.Checker
+	doubted      *doubtedServers
 	relays       *relays
 	running      *runningAttempts
 	linkTraffic  *linkTraffic
@@ -134,8 +136,8 @@
 		client:       upstream.NewClient(),
 		usage:        newUsage(),
 		faults:       newServerFaults(),
-		links:        newServerLinks(),
-		relays:       newRelays(),
+		doubted:      newDoubtedServers(),
+		relays:       &relays{Chooser: relay.NewChooser()},
 		running:      newRunningAttempts(),
 		linkTraffic:  &linkTraffic{links: layers.NewPipes()},
 		evidence:     o.Mesh.CrashEvidence(),
@@ -151,6 +153,7 @@
 		health:       retry.NewHealth(),
 		budgets:      retry.NewBudgets(),
 	}
+	g.links = g.newLinkChecker()
 	g.updateRetryBudget(time.Now())
 	if o.Dial != nil {
 		g.client.Dial = o.Dial
@@ -233,8 +236,8 @@
 		g.options.Log.Info("could not close the listener for callers", "reason", err.Error())
 	}
 	err := server.Shutdown(ctx)
-	poll(ctx, capacityPollInterval, left, func() bool { return g.relays.taken.Load() == 0 })
-	if err != nil || g.relays.taken.Load() > 0 {
+	poll(ctx, capacityPollInterval, left, func() bool { return g.relays.Taken() == 0 })
+	if err != nil || g.relays.Taken() > 0 {
 		g.options.Log.Info("aborted requests after the grace period", "in_flight", g.inFlight.Load())
 	}
 }
--- a/gateway/idle_drafts.go
+++ b/gateway/idle_drafts.go
@@ -5,9 +5,9 @@
 	"errors"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
+	"github.com/balsamlb/balsamlb/linkcheck"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -23,12 +23,6 @@
 	// minIdleDrafts is how many drafts must be idle at the same time before servers are probed;
 	// fewer are usually waiting for the prompts of other drafts.
 	minIdleDrafts = 3
-	// probeTimeout bounds one attempt to connect to a server, which usually takes about 2 ms. A
-	// lost packet looks like an unreachable server, so there are probeTries attempts.
-	probeTimeout = 30 * time.Millisecond
-	probeTries   = 2
-	// maxTimerDelay is how late a timer may fire in a process that is scheduled normally.
-	maxTimerDelay = 15 * time.Millisecond
 	// minProbeInterval is the least time between two probes of one server.
 	minProbeInterval = 300 * time.Millisecond
 )
@@ -137,33 +131,11 @@
 	_ = eg.Wait() // the functions always return nil
 }
 
-// reach checks whether a connection to a server can be opened. A refused connection fails without a
-// second attempt. If an attempt takes longer than its timeout allows, this process was paused. That
+// reach checks whether a connection to a server can be opened. If this process was paused meanwhile, that
 // says nothing about the server, so reach returns nil.
 func reach(ctx context.Context, open func(ctx context.Context) error) error {
-	if err := tryReach(ctx, open); !errors.Is(err, errPaused) {
+	if err := linkcheck.Reach(ctx, open); !errors.Is(err, linkcheck.ErrPaused) {
 		return err
 	}
 	return nil
 }
-
-// tryReach is reach, but returns errPaused if this process was paused.
-func tryReach(ctx context.Context, open func(ctx context.Context) error) error {
-	var err error
-	for range probeTries {
-		began := time.Now()
-		tryCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-		err = open(tryCtx)
-		cancel()
-		if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
-			return err
-		}
-		if time.Since(began) > probeTimeout+maxTimerDelay {
-			return errPaused
-		}
-	}
-	return err
-}
-
-// errPaused means that this process was paused while it tried to reach a server.
-var errPaused = errors.New("gateway: the process was paused")
--- a/gateway/idle_drafts_test.go
+++ b/gateway/idle_drafts_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/layers"
+	"github.com/balsamlb/balsamlb/linkcheck"
 	"github.com/matryer/is"
 )
 
@@ -66,7 +67,7 @@
 	}{
 		{"refused", func(context.Context) error { return refused }, true, 1},
 		{"reached", func(context.Context) error { return nil }, false, 1},
-		{"no answer", func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }, true, probeTries},
+		{"no answer", func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }, true, linkcheck.ProbeTries},
 		{"this process was paused", func(ctx context.Context) error {
 			time.Sleep(100 * time.Millisecond)
 			return ctx.Err()
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -1,111 +1,60 @@
 package gateway
 
 import (
-	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/balsamlb/balsamlb/discovery"
+	"github.com/balsamlb/balsamlb/linkcheck"
 	"github.com/balsamlb/balsamlb/reachability"
-	"golang.org/x/sync/errgroup"
 )
 
 const (
-	// quietAfter is the time without an answer of any server after which a gateway with requests at servers
-	// checks its links, and idleLinkCheck the time after which it does without requests.
-	quietAfter    = 500 * time.Millisecond
-	idleLinkCheck = 2 * time.Second
-	// linkRecheckInterval is the time between two checks of a gateway that is cut off.
-	linkRecheckInterval = 250 * time.Millisecond
+	// cutOffDialTimeout bounds the opening of a connection by a gateway that is cut off.
+	cutOffDialTimeout = 100 * time.Millisecond
 	// answeringTTL is how long an answer shows that a doubted server answers this gateway.
 	answeringTTL = time.Second
+	// maxReportDelay is the time within which a gateway's report reaches the others.
+	maxReportDelay = 250 * time.Millisecond
 )
 
-// serverLinks is what a gateway knows of its own links to the backend servers. It is safe for concurrent use.
-type serverLinks struct {
-	// pending counts the samples in progress. Until they end, failures are not reported.
-	pending atomic.Int32
-	// answeredAt is when a server last answered, as the time since started.
-	answeredAt atomic.Int64
-	started    time.Time
-	// doubted are the servers that other gateways can't reach, with when this one learned so.
-	doubted atomic.Pointer[map[string]time.Time]
+// doubtedServers are the servers that other gateways can't reach. It is safe for concurrent use.
+type doubtedServers struct {
+	// since holds when this gateway learned of each.
+	since atomic.Pointer[map[string]time.Time]
 
-	// sampling is held while servers are sampled. lastBegan and last are the latest sample.
-	sampling  sync.Mutex
-	lastBegan time.Time
-	last      reachability.Sample
-
-	mu        sync.Mutex
-	observer  reachability.Observer
-	checkedAt time.Time
+	mu sync.Mutex
+	// answering holds when those that answer this gateway last did.
 	answering map[string]time.Time
-	// connected ends when the gateway is cut off.
-	connected context.Context
-	cutOff    context.CancelFunc
-}
-
-func newServerLinks() *serverLinks {
-	l := &serverLinks{started: time.Now(), answering: make(map[string]time.Time)}
-	l.connected, l.cutOff = context.WithCancel(context.Background())
-	return l
 }
 
-// isCutOff reports whether this gateway reaches no server.
-func (l *serverLinks) isCutOff() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.observer.IsCutOff()
-}
-
-// untilCutOff returns a context that ends when this gateway is cut off. It returns nil if it is already: then
-// the servers may only have crashed together, and each attempt to reach one counts.
-func (l *serverLinks) untilCutOff() context.Context {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.observer.IsCutOff() {
-		return nil
-	}
-	return l.connected
+func newDoubtedServers() *doubtedServers {
+	return &doubtedServers{answering: make(map[string]time.Time)}
 }
 
-// cutOffDialTimeout bounds the opening of a connection by a gateway that is cut off.
-const cutOffDialTimeout = 100 * time.Millisecond
-
-// dialTimeout bounds the opening of a connection; 0 means the usual time.
-func (l *serverLinks) dialTimeout() time.Duration {
-	if l.isCutOff() {
-		return cutOffDialTimeout
-	}
-	return 0
-}
-
-// recordAnswer records that servers have answered.
-func (l *serverLinks) recordAnswer(now time.Time, ids ...string) {
-	l.answeredAt.Store(int64(now.Sub(l.started)))
-	doubted := l.doubted.Load()
-	if doubted == nil || len(*doubted) == 0 {
+// recordAnswer records that a server has answered.
+func (d *doubtedServers) recordAnswer(now time.Time, id string) {
+	doubted := d.since.Load()
+	if doubted == nil {
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, id := range ids {
-		if since, ok := (*doubted)[id]; ok && now.After(since) {
-			l.answering[id] = now
-		}
+	if since, ok := (*doubted)[id]; !ok || !now.After(since) {
+		return
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.answering[id] = now
 }
 
-// listAnswering returns the doubted servers that have answered lately, sorted, and removes the others.
-func (l *serverLinks) listAnswering(now time.Time) []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+// listAnswering returns those that have answered lately, sorted, and removes the others.
+func (d *doubtedServers) listAnswering(now time.Time) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	fresh := make(map[string]bool)
-	for id, at := range l.answering {
+	for id, at := range d.answering {
 		if now.Sub(at) > answeringTTL {
-			delete(l.answering, id)
+			delete(d.answering, id)
 			continue
 		}
 		fresh[id] = true
@@ -113,85 +62,22 @@
 	return sortedKeys(fresh)
 }
 
-// add records a sample and reports whether it changes the state.
-func (l *serverLinks) add(now time.Time, s reachability.Sample) (isCutOff, changed bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	changed = l.observer.Add(now, s)
-	isCutOff = l.observer.IsCutOff()
-	if changed && isCutOff {
-		l.cutOff()
-	}
-	if changed && !isCutOff {
-		l.connected, l.cutOff = context.WithCancel(context.Background())
-	}
-	return isCutOff, changed
-}
-
-// isCheckDue reports whether the links have to be checked, and marks them as checked now.
-func (l *serverLinks) isCheckDue(now time.Time, hasWork bool) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	quiet := now.Sub(l.started.Add(time.Duration(l.answeredAt.Load())))
-	interval := linkRecheckInterval
-	switch {
-	case l.observer.IsCutOff():
-	case hasWork && quiet >= quietAfter:
-	case quiet >= idleLinkCheck:
-		interval = idleLinkCheck
-	default:
-		return false
-	}
-	if now.Sub(l.checkedAt) < interval {
-		return false
-	}
-	l.checkedAt = now
-	return true
-}
-
-// judge returns what may be said about a server that was not reached at a time. It samples other servers,
-// unless that was done since.
-func (g *Gateway) judge(failedAt time.Time, id string) reachability.Blame {
-	l := g.links
-	if l.isCutOff() {
-		return reachability.BlameNone
-	}
-	l.pending.Add(1)
-	defer l.pending.Add(-1)
-	l.sampling.Lock()
-	defer l.sampling.Unlock()
-	if l.lastBegan.Before(failedAt) {
-		l.lastBegan = time.Now()
-		l.last = g.sample(reachability.SampleSize, id)
-	}
-	s := l.last
-	s.Unreached++
-	g.addSample(s)
-	return s.Blame()
+func (g *Gateway) newLinkChecker() *linkcheck.Checker {
+	return linkcheck.New(linkcheck.Options{Probe: g.client.Probe, Targets: g.linkTargets, OnChange: g.handleLinkChange, Seed: g.options.Seed})
 }
 
-// checkLinks samples servers if that is due.
-func (g *Gateway) checkLinks(now time.Time) {
-	hasWork := g.usage.hasWork()
-	if g.pauses.sinceResumed(now) < quietAfter || !g.links.isCheckDue(now, hasWork) {
-		return
-	}
-	go func() {
-		g.links.pending.Add(1)
-		defer g.links.pending.Add(-1)
-		if s := g.sample(reachability.RecheckSize, ""); s.Reached+s.Unreached > 0 {
-			g.addSample(s)
+// linkTargets returns the servers that announce themselves.
+func (g *Gateway) linkTargets() (out []linkcheck.Target) {
+	for id, a := range g.view.Load().servers {
+		if a.State == discovery.StateReady {
+			out = append(out, linkcheck.Target{ID: id, Address: a.Address})
 		}
-	}()
+	}
+	return out
 }
 
-// addSample records a sample, and acts upon it if this gateway is cut off or connected again.
-func (g *Gateway) addSample(s reachability.Sample) {
-	now := time.Now()
-	isCutOff, changed := g.links.add(now, s)
-	if !changed {
-		return
-	}
+// handleLinkChange acts upon it that this gateway is cut off from the servers, or connected again.
+func (g *Gateway) handleLinkChange(isCutOff bool, s reachability.Sample) {
 	g.options.Log.Info("checked the links to the backend servers", "is_cut_off", isCutOff, "reached", s.Reached, "unreached", s.Unreached)
 	if isCutOff {
 		g.metrics.CutOff.Set(1)
@@ -199,61 +85,48 @@
 		g.metrics.CutOff.Set(0)
 		g.faults.clearUnreached()
 	}
-	g.reportReachability(now)
+	g.reportReachability(time.Now())
 	g.running.checkAll()
 }
 
-// sample tries to open connections to up to size servers but one.
-func (g *Gateway) sample(size int, except string) reachability.Sample {
-	candidates, isWhole := g.sampleCandidates(size, except)
-	s := reachability.Sample{IsWhole: isWhole}
-	var mu sync.Mutex
-	var eg errgroup.Group
-	for _, a := range candidates {
-		eg.Go(func() error {
-			err := tryReach(context.Background(), func(ctx context.Context) error { return g.client.Probe(ctx, a.Address) })
-			mu.Lock()
-			defer mu.Unlock()
-			switch {
-			case err == nil:
-				s.Reached++
-				g.links.recordAnswer(time.Now())
-			case !errors.Is(err, errPaused):
-				s.Unreached++
-			}
-			return nil
-		})
+// checkLinks samples servers if that is due.
+func (g *Gateway) checkLinks(now time.Time) {
+	if g.pauses.sinceResumed(now) >= pauseThreshold {
+		g.links.CheckIfDue(now, g.usage.hasWork())
 	}
-	_ = eg.Wait() // the functions always return nil
-	return s
 }
 
-// sampleCandidates returns up to size servers that announce themselves, in random order, and whether these
-// are all.
-func (g *Gateway) sampleCandidates(size int, except string) (out []*discovery.Announcement, isWhole bool) {
-	v := g.view.Load()
-	for id, a := range v.servers {
-		if id != except && a.State == discovery.StateReady {
-			out = append(out, a)
-		}
+// dialTimeout bounds the opening of a connection to a server; 0 means the usual time.
+func (g *Gateway) dialTimeout() time.Duration {
+	if g.links.IsCutOff() {
+		return cutOffDialTimeout
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.rng.Shuffle(len(out), func(i, k int) { out[i], out[k] = out[k], out[i] })
-	return out[:min(size, len(out))], len(out) <= size
+	return 0
+}
+
+// recordServerAnswers records that a server answers this gateway.
+func (g *Gateway) recordServerAnswers(now time.Time, id string) {
+	g.links.RecordAnswer(now)
+	g.doubted.recordAnswer(now, id)
+}
+
+// judgeAndReport reports a server that has not answered, once others were sampled.
+func (g *Gateway) judgeAndReport(id string) {
+	g.links.Judge(time.Now(), id)
+	g.reportReachability(time.Now())
 }
 
 // reportReachability tells the control instances which servers this gateway doesn't reach. It waits for the
 // samples in progress, since these may show that the gateway itself is cut off.
 func (g *Gateway) reportReachability(now time.Time) {
 	g.reportRelaying(now)
-	r := reachability.Report{IsCutOff: g.links.isCutOff()}
-	if g.links.pending.Load() > 0 && !r.IsCutOff {
+	r := reachability.Report{IsCutOff: g.links.IsCutOff()}
+	if g.links.IsPending() && !r.IsCutOff {
 		return // whoever samples reports
 	}
 	r.Unresponsive = g.listUnresponsive(now)
 	r.Unreached = g.faults.listUnreached(r.Unresponsive)
-	r.Answering = g.links.listAnswering(now)
+	r.Answering = g.doubted.listAnswering(now)
 	g.options.Mesh.SetReachability(r)
 }
 
@@ -261,7 +134,7 @@
 // that answer others.
 func (g *Gateway) followDoubts(now time.Time) {
 	doubted := g.options.Mesh.Doubts()
-	g.links.doubted.Store(&doubted)
+	g.doubted.since.Store(&doubted)
 	v := g.view.Load()
 	for id := range doubted {
 		if crash := v.crashOf(id); g.lost.isPresumed(crash) && g.options.Mesh.AnsweringOthers(id) {
@@ -270,6 +143,3 @@
 		}
 	}
 }
-
-// maxReportDelay is the time within which a gateway's report reaches the others.
-const maxReportDelay = 250 * time.Millisecond
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -30,8 +30,8 @@
 	var tried []string
 	var silent []string // those of tried that have accepted no connection in time
 	for {
-		if relay, ok := g.relayFor(ctx, j, len(tried) > 0 && j.attempts.Load() == 0 && g.pickServer(j, tried) == nil); ok {
-			f := g.relayPlain(ctx, w, j, relay)
+		if taker, ok := g.relayFor(ctx, j, len(tried) > 0 && j.attempts.Load() == 0 && g.pickServer(j, tried) == nil); ok {
+			f := g.relayPlain(ctx, w, j, taker)
 			if f == nil {
 				return
 			}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -3,30 +3,18 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"github.com/balsamlb/balsamlb/instance"
-	"github.com/balsamlb/balsamlb/mesh"
+	"github.com/balsamlb/balsamlb/relay"
 	"github.com/balsamlb/balsamlb/upstream"
 )
 
 const (
-	// maxRelayTries bounds the instances to which one request is passed on.
-	maxRelayTries = 3
-	// maxTakenRelays bounds the requests of others that this gateway serves at a time. A running draft takes
-	// about 100 KB.
-	maxTakenRelays = 384
-	// relayAvoidedFor is how long an instance that has not taken a request, or whose answer has broken off, is
-	// passed over.
-	relayAvoidedFor = time.Second
-	// remoteRelayPenalty is by how many more requests an instance of the own data centre may serve before one
-	// of another is chosen.
-	remoteRelayPenalty = 8
 	// relayWait is how long a request waits until this gateway knows instances that take its requests: a
 	// report to the control instances and their heartbeat.
 	relayWait = 300 * time.Millisecond
@@ -34,43 +22,15 @@
 	relaysNeededFor = 5 * time.Second
 )
 
-// relays holds the requests that this gateway passes on to other instances, and those that it takes from
-// others. It is safe for concurrent use.
+// relays holds what this gateway knows of requests that are passed on between instances. It is safe for
+// concurrent use.
 type relays struct {
-	// taken counts the requests of others in progress.
-	taken atomic.Int64
+	*relay.Chooser
 
 	mu          sync.Mutex
-	inFlight    map[string]int // by the instance that serves them
-	avoided     map[string]time.Time
 	neededUntil time.Time
 }
 
-func newRelays() *relays {
-	return &relays{inFlight: make(map[string]int), avoided: make(map[string]time.Time)}
-}
-
-// begin counts a request as passed on to an instance; the returned function subtracts it again.
-func (r *relays) begin(name string) func() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.inFlight[name]++
-	return func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		if r.inFlight[name]--; r.inFlight[name] == 0 {
-			delete(r.inFlight, name)
-		}
-	}
-}
-
-// avoid passes an instance over for some time.
-func (r *relays) avoid(now time.Time, name string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.avoided[name] = now.Add(relayAvoidedFor)
-}
-
 // need records that instances that take requests are needed.
 func (r *relays) need(now time.Time) {
 	r.mu.Lock()
@@ -81,68 +41,43 @@
 func (r *relays) areNeeded(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for name, until := range r.avoided {
-		if !now.Before(until) {
-			delete(r.avoided, name)
-		}
-	}
 	return now.Before(r.neededUntil)
 }
 
-// choose returns the instance with the fewest requests of this gateway.
-func (r *relays) choose(now time.Time, known []mesh.Relay, dataCentre string, tried []string) (best mesh.Relay, ok bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	bestScore := 0
-	for _, relay := range known {
-		if slices.Contains(tried, relay.Name) || now.Before(r.avoided[relay.Name]) {
-			continue
-		}
-		score := r.inFlight[relay.Name]
-		if relay.DataCentre != dataCentre {
-			score += remoteRelayPenalty
-		}
-		if !ok || score < bestScore {
-			best, bestScore, ok = relay, score, true
-		}
-	}
-	return best, ok
-}
-
 // pickRelay returns the instance to which a request is to be passed on, if one is known. A request that was
 // passed on once is never passed on again.
-func (g *Gateway) pickRelay(j *job) (mesh.Relay, bool) {
+func (g *Gateway) pickRelay(j *job) (relay.Instance, bool) {
 	tried := j.triedRelays()
-	if j.origin != nil || g.options.Relayer == nil || len(tried) >= maxRelayTries {
-		return mesh.Relay{}, false
+	if j.origin != nil || g.options.Relayer == nil || len(tried) >= relay.MaxTries {
+		return relay.Instance{}, false
 	}
-	return g.relays.choose(time.Now(), g.options.Mesh.Relays(), g.options.DataCentre, tried)
+	return g.relays.Choose(time.Now(), g.options.Mesh.Relays(), g.options.DataCentre, tried)
 }
 
 // relayFor returns the instance to which a request is to be passed on because this gateway is cut off from the
 // backend servers, or because isOutOfReach says that it doesn't reach those that the request needs. It waits
 // a moment if none is known yet.
-func (g *Gateway) relayFor(ctx context.Context, j *job, isOutOfReach bool) (relay mesh.Relay, ok bool) {
-	if !isOutOfReach && !g.links.isCutOff() {
-		return relay, false
+func (g *Gateway) relayFor(ctx context.Context, j *job, isOutOfReach bool) (taker relay.Instance, ok bool) {
+	if !isOutOfReach && !g.links.IsCutOff() {
+		return taker, false
 	}
-	if relay, ok = g.pickRelay(j); ok || j.origin != nil || g.options.Relayer == nil || len(j.triedRelays()) > 0 {
-		return relay, ok
+	if taker, ok = g.pickRelay(j); ok || j.origin != nil || g.options.Relayer == nil || len(j.triedRelays()) > 0 {
+		return taker, ok
 	}
 	if isOutOfReach {
 		g.relays.need(time.Now())
 		g.reportRelaying(time.Now())
 	}
 	poll(ctx, capacityPollInterval, relayWait, func() bool {
-		relay, ok = g.pickRelay(j)
-		return ok || !isOutOfReach && !g.links.isCutOff()
+		taker, ok = g.pickRelay(j)
+		return ok || !isOutOfReach && !g.links.IsCutOff()
 	})
-	return relay, ok
+	return taker, ok
 }
 
 // hasRelay reports whether a request is to be passed on now.
 func (g *Gateway) hasRelay(j *job) bool {
-	if !g.links.isCutOff() {
+	if !g.links.IsCutOff() {
 		return false
 	}
 	_, ok := g.pickRelay(j)
@@ -153,7 +88,7 @@
 // have to take its own.
 func (g *Gateway) reportRelaying(now time.Time) {
 	address := g.options.RelayAddress
-	isCutOff := g.links.isCutOff()
+	isCutOff := g.links.IsCutOff()
 	if isCutOff || g.leaving.Load() || g.view.Load().table == nil {
 		address = ""
 	}
@@ -161,36 +96,36 @@
 }
 
 // passOn passes a request on to another instance.
-func (g *Gateway) passOn(ctx context.Context, j *job, relay mesh.Relay, lastEvent string) (*upstream.Response, *failure) {
-	j.addTriedRelay(relay.Name)
+func (g *Gateway) passOn(ctx context.Context, j *job, taker relay.Instance, lastEvent string) (*upstream.Response, *failure) {
+	j.addTriedRelay(taker.Name)
 	header := forwardedHeaders(j.request.Header)
 	g.options.HeaderCodec.WriteRelay(header, time.Until(j.deadline), lastEvent)
-	done := g.relays.begin(relay.Name)
+	done := g.relays.Begin(taker.Name)
 	counted := int32(0)
-	answer, err := g.options.Relayer.Do(ctx, relay.Address, &instance.RelayedRequest{
+	answer, err := g.options.Relayer.Do(ctx, taker.Address, &relay.Request{
 		Method: j.request.Method, Target: j.request.RequestURI, Host: j.request.Host, Header: header, Body: j.body, HasBody: j.hasBody,
-		Sender: g.options.Name, RoutingVersion: j.routing, Attempts: int(j.attempts.Load()), IsCounted: true,
+		Sender: g.options.Name, ConfigVersion: j.routing, Attempts: int(j.attempts.Load()), IsCounted: true,
 		EndsOnSilence: j.route.MayRepeat(),
 	}, func(n int) {
 		j.attempts.Add(int32(n) - counted)
 		counted = int32(n)
 	})
-	g.options.Log.Info("passed a request on", "request", j.header.ID, "to", relay.Name, "last_event", lastEvent, "is_taken", !errors.Is(err, instance.ErrDeclined),
+	g.options.Log.Info("passed a request on", "request", j.header.ID, "to", taker.Name, "last_event", lastEvent, "is_taken", !errors.Is(err, relay.ErrDeclined),
 		"reason", errorText(err))
 	if err == nil {
 		g.metrics.Relayed.WithLabelValues(relayPassedOn).Inc()
-		return upstream.NewResponse(answer.Status, answer.Header, &countedAnswer{answer, done}), nil
+		return upstream.NewResponse(answer.Status, answer.Header, &countedBody{answer.Body, done}), nil
 	}
 	done()
 	if ctx.Err() == nil {
-		g.relays.avoid(time.Now(), relay.Name)
+		g.relays.Avoid(time.Now(), taker.Name)
 	}
-	if errors.Is(err, instance.ErrDeclined) {
+	if errors.Is(err, relay.ErrDeclined) {
 		g.metrics.Relayed.WithLabelValues(relayDeclined).Inc()
-		return nil, &failure{reason: relay.Name + " did not take it", err: errors.Join(upstream.ErrNotSent, err)}
+		return nil, &failure{reason: taker.Name + " did not take it", err: errors.Join(upstream.ErrNotSent, err)}
 	}
 	j.mayHaveRun.Store(true)
-	return nil, &failure{reason: "no answer by way of " + relay.Name, ran: true, err: err}
+	return nil, &failure{reason: "no answer by way of " + taker.Name, ran: true, err: err}
 }
 
 // Values of the label of Relayed.
@@ -207,36 +142,36 @@
 	return err.Error()
 }
 
-// countedAnswer is an answer that counts as in flight until it is closed.
-type countedAnswer struct {
-	*instance.RelayAnswer
+// countedBody is the body of an answer that counts as in flight until it is closed.
+type countedBody struct {
+	io.ReadCloser
 	done func()
 }
 
-func (a *countedAnswer) Close() error {
-	a.done()
-	return a.RelayAnswer.Close()
+func (b *countedBody) Close() error {
+	b.done()
+	return b.ReadCloser.Close()
 }
 
 // relayPlain passes a request for a plain service on. It returns nil once the caller has a response.
-func (g *Gateway) relayPlain(ctx context.Context, w http.ResponseWriter, j *job, relay mesh.Relay) *failure {
-	resp, f := g.passOn(ctx, j, relay, "")
+func (g *Gateway) relayPlain(ctx context.Context, w http.ResponseWriter, j *job, taker relay.Instance) *failure {
+	resp, f := g.passOn(ctx, j, taker, "")
 	if f != nil {
 		return f
 	}
 	defer resp.Close()
 	if err := g.writeResponse(w, j, resp); err != nil {
 		j.mayHaveRun.Store(true)
-		return &failure{reason: "the answer by way of " + relay.Name + " broke off", ran: true, err: err}
+		return &failure{reason: "the answer by way of " + taker.Name + " broke off", ran: true, err: err}
 	}
 	g.recordEnd(j, resp.Status, "")
 	return nil
 }
 
 // newRelayedAttempt returns an attempt of a draft at another instance.
-func (g *Gateway) newRelayedAttempt(ctx context.Context, d *draft, relay mesh.Relay) *attempt {
+func (g *Gateway) newRelayedAttempt(ctx context.Context, d *draft, taker relay.Instance) *attempt {
 	a := g.newAttempt(ctx, d, nil)
-	a.relay = &relay
+	a.relay = &taker
 	return a
 }
 
@@ -259,34 +194,36 @@
 }
 
 // AcceptRelay decides whether this gateway takes a request of another one.
-func (g *Gateway) AcceptRelay(r *instance.RelayedRequest) (release func(), declined string) {
+func (g *Gateway) AcceptRelay(r *relay.Request) (release func(), declined string) {
 	switch {
 	case g.leaving.Load():
 		declined = "leaving"
-	case g.routingVersion() < r.RoutingVersion:
+	case g.routingVersion() < r.ConfigVersion:
 		declined = "the routing document here is older"
-	case g.links.isCutOff():
+	case g.links.IsCutOff():
 		declined = "cut off from the backend servers"
-	case g.relays.taken.Add(1) > maxTakenRelays:
-		g.relays.taken.Add(-1)
-		declined = "too many requests of others"
+	default:
+		var ok bool
+		if release, ok = g.relays.Take(); !ok {
+			declined = "too many requests of others"
+		}
 	}
 	if declined != "" {
 		g.options.Log.Info("declined a request of another instance", "from", r.Sender, "reason", declined)
 		return nil, declined
 	}
 	g.metrics.Relayed.WithLabelValues(relayTaken).Inc()
-	return func() { g.relays.taken.Add(-1) }, ""
+	return release, ""
 }
 
 // ServeRelay serves a request of another gateway.
-func (g *Gateway) ServeRelay(w http.ResponseWriter, r *http.Request, relayed *instance.RelayedRequest, setAttempts func(n int)) {
-	g.serve(w, r, &relayOrigin{RelayedRequest: relayed, setAttempts: setAttempts})
+func (g *Gateway) ServeRelay(w http.ResponseWriter, r *http.Request, relayed *relay.Request, setAttempts func(n int)) {
+	g.serve(w, r, &relayOrigin{Request: relayed, setAttempts: setAttempts})
 }
 
 // relayOrigin is the request of another gateway that a request stands for.
 type relayOrigin struct {
-	*instance.RelayedRequest
+	*relay.Request
 	// setAttempts tells the other gateway how often the request was sent here so that it may have run.
 	setAttempts func(n int)
 }
@@ -332,7 +269,7 @@
 // watchCut returns a context in which a request that may be repeated is sent to a server. It ends if this
 // gateway is cut off and another instance takes the request. stop must be called once the answer has begun.
 func (g *Gateway) watchCut(ctx context.Context, j *job) (sendCtx context.Context, stop func()) {
-	connected := g.links.untilCutOff()
+	connected := g.links.UntilCutOff()
 	if !j.route.MayRepeat() || connected == nil || j.origin != nil {
 		return ctx, func() {}
 	}
--- /dev/null
+++ b/gateway/relay_test.go
@@ -0,0 +1,156 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/balsamlb/balsamlb/internal/emulate"
+)
+
+// newCutCluster returns gateways of which the first is cut off from all servers, and knows so.
+func newCutCluster(t *testing.T, gateways int) *silentCluster {
+	t.Helper()
+	c := newSilentCluster(t, gateways, ampleRetries)
+	c.fleet.addCopies(2)
+	c.fleet.add("desk", 0, 0)
+	c.fleet.add("desk", 0, 0)
+	c.settle()
+	c.cutOff(c.gateways[0])
+	return c
+}
+
+// cutOff cuts a gateway off from all servers, and waits until it knows so and who takes its requests.
+func (c *silentCluster) cutOff(g *silentGateway) {
+	c.t.Helper()
+	g.links.Break(emulate.LinkReset)
+	c.within(contactTime, g.name+" knows that it is cut off", func() bool {
+		return strings.Contains(g.log.String(), `"is_cut_off"=true`) && (len(c.gateways) == 1 || len(g.mesh.Relays()) == len(c.gateways)-1)
+	})
+}
+
+// heldRun makes the next run wait after its first step until release is called, and returns a channel that is
+// closed when it waits.
+func (f *silenceFleet) heldRun(events int) (waits <-chan struct{}, release func()) {
+	reached, released := make(chan struct{}), make(chan struct{})
+	f.onEvents(events, func(*silentRun) {
+		close(reached)
+		select {
+		case <-released:
+		case <-f.ctx.Done():
+		}
+	})
+	return reached, func() { close(released) }
+}
+
+// A booking that another gateway has taken runs once, also if the connection between the two breaks; its caller
+// is never told that it hasn't run.
+func TestBookingThatWasPassedOnRunsOnce(t *testing.T) {
+	c := newCutCluster(t, 3)
+	waits, release := c.fleet.heldRun(0)
+	replies := make(chan silentReply, 1)
+	go func() { replies <- c.gateways[0].send("/hold/1", firstTry) }()
+	<-waits
+	for _, g := range c.gateways[1:] {
+		g.stopRelays()
+	}
+	r := <-replies
+	release()
+	if r.status != http.StatusBadGateway {
+		t.Errorf("a booking whose outcome isn't known was answered %v", r)
+	}
+	for _, g := range c.gateways[1:] {
+		g.startRelays()
+	}
+	c.within(contactTime, "bookings are served again", func() bool {
+		next := c.gateways[0].send("/hold/1", firstTry)
+		c.checkRuns(next.id, 1)
+		return next.isWhole("/hold/1")
+	})
+	c.checkRuns(r.id, 1)
+}
+
+// A stream that another gateway has taken goes on at a third one, with each event once and in order.
+func TestStreamThatWasPassedOnGoesOnElsewhere(t *testing.T) {
+	c := newCutCluster(t, 3)
+	waits, release := c.fleet.heldRun(3)
+	replies := make(chan silentReply, 1)
+	go func() { replies <- c.gateways[0].send("/advice/1", firstTry) }()
+	<-waits
+	for _, g := range c.gateways[1:] {
+		if strings.Contains(c.gateways[0].log.String(), fmt.Sprintf(`"to"=%q`, g.name)) {
+			g.stopRelays()
+			defer g.startRelays() // the cluster stops it at the end
+		}
+	}
+	release()
+	r := <-replies
+	c.checkWhole("/advice/1", r)
+	c.checkRuns(r.id, 2)
+}
+
+// A request is passed on once at most: gateways that are all cut off refuse it and don't pass it back.
+func TestRequestIsNotPassedBack(t *testing.T) {
+	c := newCutCluster(t, 2)
+	c.gateways[1].links.Break(emulate.LinkReset)
+	for range 3 {
+		for _, path := range []string{"/hold/1", "/advice/1"} {
+			r := c.gateways[0].send(path, firstTry)
+			if r.status != http.StatusServiceUnavailable || r.retryAfter == "" {
+				t.Errorf("%s: not refused with a time to come back: %v", path, r)
+			}
+		}
+	}
+	if log := c.gateways[1].log.String(); strings.Contains(log, "passed a request on") && strings.Contains(log, `"is_taken"=true`) {
+		t.Errorf("a request was passed back:\n%s", log)
+	}
+}
+
+// The end of a caller reaches the server by way of the other gateway.
+func TestCallerThatLeavesEndsTheRunElsewhere(t *testing.T) {
+	c := newCutCluster(t, 2)
+	waits, release := c.fleet.heldRun(3)
+	ctx, leave := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	id := "req-leaves"
+	go func() {
+		defer close(done)
+		r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.gateways[0].address+"/advice/1", strings.NewReader("body"))
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		r.Host = "shop"
+		r.Header.Set("Balsamlb-Request-Id", id)
+		r.Header.Set("Api-Key", "key-1")
+		if resp, err := http.DefaultTransport.RoundTrip(r); err == nil {
+			_, _ = io.Copy(io.Discard, resp.Body) // until the caller leaves
+			_ = resp.Body.Close()
+		}
+	}()
+	<-waits
+	leave()
+	<-done
+	time.Sleep(outlives / 2)
+	release()
+	c.within(outlives, "the run has ended", func() bool {
+		runs := c.fleet.runsOf(id)
+		return len(runs) == 1 && !runs[0].ended.IsZero() && !runs[0].isComplete
+	})
+}
+
+// A gateway that stops completes the requests of others.
+func TestStoppingGatewayCompletesRequestsOfOthers(t *testing.T) {
+	c := newCutCluster(t, 2)
+	waits, release := c.fleet.heldRun(3)
+	replies := make(chan silentReply, 1)
+	go func() { replies <- c.gateways[0].send("/once/1", firstTry) }()
+	<-waits
+	c.gateways[1].shutDown()
+	time.AfterFunc(shutdownGrace/4, release)
+	c.checkWhole("/once/1", <-replies)
+}
--- a/gateway/stall_monitor.go
+++ b/gateway/stall_monitor.go
@@ -170,7 +170,7 @@
 	if err != nil {
 		if a.idleTime(time.Now()) > headUnresponsiveAfter {
 			if g.markUnresponsive(head.ID, "does not answer while a draft waits: "+err.Error(), observedHere) {
-				go g.judge(time.Now(), head.ID)
+				go g.judgeAndReport(head.ID)
 			}
 			go g.probeLost(a.pathCrashes()[0])
 			g.startBeside(a, head.ID+" does not answer")
@@ -275,9 +275,9 @@
 // recordUnreachable records the crash of a server to which no connection could be opened, unless the fault may
 // be near this gateway. A refused connection confirms the crash if most other servers are reached.
 func (g *Gateway) recordUnreachable(crash quarantine.Crash, why string, err error) {
-	blame := g.judge(time.Now(), crash.Server)
+	blame := g.links.Judge(time.Now(), crash.Server)
 	if blame == reachability.BlameNone {
-		g.options.Log.Info("a backend server is not blamed", "server", crash.Server, "why", why, "is_cut_off", g.links.isCutOff())
+		g.options.Log.Info("a backend server is not blamed", "server", crash.Server, "why", why, "is_cut_off", g.links.IsCutOff())
 		return
 	}
 	g.recordCrash(crash, why, blame == reachability.BlameCertain && errors.Is(err, syscall.ECONNREFUSED))
--- a/instance/relay.go
+++ b/instance/relay.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/instance/wire"
+	"github.com/balsamlb/balsamlb/relay"
 	"github.com/rotisserie/eris"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
@@ -33,51 +34,11 @@
 	maxIdleRelays = 32
 )
 
-var (
-	// ErrDeclined means that an instance has not taken a request. It has not run there and never will.
-	ErrDeclined = errors.New("instance: the request was not taken")
-	// ErrRelayBroken means that an instance has taken a request, and its answer has not arrived as a whole.
-	ErrRelayBroken = errors.New("instance: the answer of the instance that took the request broke off")
-	// errNoRelays means that the instance serves no requests of others.
-	errNoRelays = errors.New("instance: takes no requests of others")
-)
-
-// RelayedRequest is a caller's request that one instance passes on to another.
-type RelayedRequest struct {
-	Method string
-	// Target is the path and query as sent by the caller.
-	Target  string
-	Host    string
-	Header  http.Header
-	Body    []byte
-	HasBody bool
-	// Sender is the name of the instance that passes the request on.
-	Sender string
-	// RoutingVersion is the version of the routing document by which the sender has admitted the request.
-	RoutingVersion uint64
-	// Attempts counts the sends by the sender in which the request may have run.
-	Attempts int
-	// IsCounted means that the sender has counted the request for the retry budget.
-	IsCounted bool
-
-	// EndsOnSilence means that the sender gives the request up if the other instance falls silent. Otherwise
-	// only the request's context ends it. It is not passed on.
-	EndsOnSilence bool
-}
-
-// RelayHandler serves requests that other instances pass on. Implementations must be safe for concurrent use.
-type RelayHandler interface {
-	// AcceptRelay decides on a request, whose body has not arrived yet. If the request isn't accepted,
-	// declined is the reason; otherwise release must be called when it has ended.
-	AcceptRelay(r *RelayedRequest) (release func(), declined string)
-	// ServeRelay serves an accepted request. It calls setAttempts with the number of sends so far in which the
-	// request may have run, when that changes. It panics with http.ErrAbortHandler if the answer has broken
-	// off.
-	ServeRelay(w http.ResponseWriter, r *http.Request, relayed *RelayedRequest, setAttempts func(n int))
-}
+// errNoRelays means that the instance serves no requests of others.
+var errNoRelays = errors.New("instance: takes no requests of others")
 
 // SetRelayHandler enables relays on the server. It must be called before Serve.
-func (s *Server) SetRelayHandler(h RelayHandler) { s.relayHandler = h }
+func (s *Server) SetRelayHandler(h relay.Handler) { s.relayHandler = h }
 
 // Relay serves a request that another instance passes on.
 func (s *Server) Relay(stream wire.DRPCInstance_RelayStream) error {
@@ -101,7 +62,7 @@
 	if err := w.send(&wire.RelayResponse{IsAccepted: true}); err != nil {
 		return err
 	}
-	r, err := relayed.read(stream)
+	r, err := readRelayed(stream, relayed)
 	if err != nil {
 		return eris.Wrapf(err, "instance: read a request of %s", relayed.Sender)
 	}
@@ -112,7 +73,7 @@
 	stop()
 	signs.Wait()
 	if !isWhole {
-		return ErrRelayBroken
+		return relay.ErrBroken
 	}
 	w.WriteHeader(http.StatusOK) // unless the handler has written one
 	if err := w.send(&wire.RelayResponse{IsComplete: true}); err != nil {
@@ -122,7 +83,7 @@
 }
 
 // serveRelay runs the handler, and reports whether it has written the whole answer.
-func serveRelay(h RelayHandler, w *relayWriter, r *http.Request, relayed *RelayedRequest) (isWhole bool) {
+func serveRelay(h relay.Handler, w *relayWriter, r *http.Request, relayed *relay.Request) (isWhole bool) {
 	defer func() {
 		if p := recover(); p != nil && p != http.ErrAbortHandler {
 			panic(p)
@@ -132,8 +93,8 @@
 	return w.failure() == nil
 }
 
-// read reads the body of the request and returns the request.
-func (r *RelayedRequest) read(stream wire.DRPCInstance_RelayStream) (*http.Request, error) {
+// readRelayed reads the body of the request and returns the request.
+func readRelayed(stream wire.DRPCInstance_RelayStream, r *relay.Request) (*http.Request, error) {
 	target, err := url.ParseRequestURI(r.Target)
 	if err != nil {
 		return nil, eris.Wrapf(err, "target %q", r.Target)
@@ -260,37 +221,36 @@
 	return &Relayer{dialer: d, pool: drpcpool.New[string, *drpcconn.Conn](options)}
 }
 
-// Do passes a request on to the instance at the address, and returns the answer once its head has arrived. The
-// answer must be closed. If ctx ends, the request is given up there. Every error wraps ErrDeclined or
-// ErrRelayBroken. onAttempts is called with the number of sends so far in which the request may have run.
-func (r *Relayer) Do(ctx context.Context, address string, req *RelayedRequest, onAttempts func(n int)) (*RelayAnswer, error) {
+// Do implements relay.Sender.
+func (r *Relayer) Do(ctx context.Context, address string, req *relay.Request, onAttempts func(n int)) (*relay.Answer, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	stream, err := r.offer(ctx, cancel, address, req)
 	if err != nil {
 		cancel(nil)
-		return nil, eris.Wrapf(errors.Join(ErrDeclined, err), "instance: offer a request to %s", address)
+		return nil, eris.Wrapf(errors.Join(relay.ErrDeclined, err), "instance: offer a request to %s", address)
 	}
-	a := &RelayAnswer{stream: stream, cancel: cancel, onAttempts: onAttempts, silence: relaySilence}
+	a := &relayBody{stream: stream, cancel: cancel, onAttempts: onAttempts, silence: relaySilence}
 	if !req.EndsOnSilence {
 		a.silence = relayPatience
 	}
 	a.timer = time.AfterFunc(a.silence, func() { cancel(ErrSilent) })
 	onAttempts(1) // the instance may have sent it, and not been able to say so
+	var head *wire.RelayAnswer
 	if err = sendBody(stream, req.Body); err == nil {
-		err = a.readHead()
+		head, err = a.readHead()
 	}
 	if err != nil {
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
-		a.Close()
-		return nil, eris.Wrapf(errors.Join(ErrRelayBroken, err), "instance: relay by %s", address)
+		_ = a.Close() // returns nil
+		return nil, eris.Wrapf(errors.Join(relay.ErrBroken, err), "instance: relay by %s", address)
 	}
-	return a, nil
+	return &relay.Answer{Status: int(head.Status), Header: headersFromWire(head.Headers), Body: a}, nil
 }
 
 // offer sends the head of a request and waits until it is accepted.
-func (r *Relayer) offer(ctx context.Context, cancel context.CancelCauseFunc, address string, req *RelayedRequest) (wire.DRPCInstance_RelayClient, error) {
+func (r *Relayer) offer(ctx context.Context, cancel context.CancelCauseFunc, address string, req *relay.Request) (wire.DRPCInstance_RelayClient, error) {
 	timer := time.AfterFunc(relayAcceptTimeout, func() { cancel(context.DeadlineExceeded) })
 	conn := r.pool.Get(ctx, address, r.dialer.open)
 	stream, err := wire.NewDRPCInstanceClient(conn).Relay(ctx)
@@ -323,12 +283,8 @@
 	}
 }
 
-// RelayAnswer is the answer to a request that was passed on. It must be closed. It is not safe for concurrent
-// use.
-type RelayAnswer struct {
-	Status int
-	Header http.Header
-
+// relayBody is the body of an answer. It is not safe for concurrent use.
+type relayBody struct {
 	stream     wire.DRPCInstance_RelayClient
 	cancel     context.CancelCauseFunc
 	silence    time.Duration
@@ -339,7 +295,7 @@
 }
 
 // receive returns the next message that isn't only a sign of life.
-func (a *RelayAnswer) receive() (*wire.RelayResponse, error) {
+func (a *relayBody) receive() (*wire.RelayResponse, error) {
 	// The time until the caller takes what was received is no silence of the instance.
 	a.timer.Reset(a.silence)
 	defer a.timer.Stop()
@@ -356,27 +312,26 @@
 	}
 }
 
-func (a *RelayAnswer) readHead() error {
+func (a *relayBody) readHead() (*wire.RelayAnswer, error) {
 	m, err := a.receive()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if m.Head == nil {
-		return eris.New("instance: the answer begins without a head")
+		return nil, eris.New("instance: the answer begins without a head")
 	}
-	a.Status, a.Header = int(m.Head.Status), headersFromWire(m.Head.Headers)
-	return nil
+	return m.Head, nil
 }
 
 // Read reads the body. Any error except io.EOF means that the answer is incomplete.
-func (a *RelayAnswer) Read(p []byte) (int, error) {
+func (a *relayBody) Read(p []byte) (int, error) {
 	for len(a.rest) == 0 {
 		if a.isComplete {
 			return 0, io.EOF
 		}
 		m, err := a.receive()
 		if err != nil {
-			return 0, errors.Join(ErrRelayBroken, err)
+			return 0, errors.Join(relay.ErrBroken, err)
 		}
 		a.rest, a.isComplete = m.Body, m.IsComplete
 	}
@@ -386,7 +341,7 @@
 }
 
 // Close ends the request if the answer is not complete. It always returns nil.
-func (a *RelayAnswer) Close() error {
+func (a *relayBody) Close() error {
 	a.timer.Stop()
 	if a.isComplete {
 		_ = a.stream.Close() // the instance has ended it
@@ -395,17 +350,17 @@
 	return nil
 }
 
-func relayedToWire(r *RelayedRequest) *wire.RelayHead {
+func relayedToWire(r *relay.Request) *wire.RelayHead {
 	return &wire.RelayHead{
 		Method: r.Method, Target: r.Target, Host: r.Host, Headers: headersToWire(r.Header), HasBody: r.HasBody,
-		Sender: r.Sender, RoutingVersion: r.RoutingVersion, Attempts: uint32(r.Attempts), IsCounted: r.IsCounted,
+		Sender: r.Sender, RoutingVersion: r.ConfigVersion, Attempts: uint32(r.Attempts), IsCounted: r.IsCounted,
 	}
 }
 
-func relayedFromWire(h *wire.RelayHead) *RelayedRequest {
-	return &RelayedRequest{
+func relayedFromWire(h *wire.RelayHead) *relay.Request {
+	return &relay.Request{
 		Method: h.Method, Target: h.Target, Host: h.Host, Header: headersFromWire(h.Headers), HasBody: h.HasBody,
-		Sender: h.Sender, RoutingVersion: h.RoutingVersion, Attempts: int(h.Attempts), IsCounted: h.IsCounted,
+		Sender: h.Sender, ConfigVersion: h.RoutingVersion, Attempts: int(h.Attempts), IsCounted: h.IsCounted,
 	}
 }
 
--- a/instance/server.go
+++ b/instance/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/balsamlb/balsamlb/consensus"
 	"github.com/balsamlb/balsamlb/instance/wire"
+	"github.com/balsamlb/balsamlb/relay"
 	"github.com/balsamlb/balsamlb/replica"
 	"github.com/rotisserie/eris"
 	"storj.io/drpc/drpcmux"
@@ -45,8 +46,8 @@
 type Server struct {
 	replica      Replica // nil unless this is a control instance
 	peers        PeerHandler
-	watchSource  WatchSource  // nil unless this server serves watches
-	relayHandler RelayHandler // nil unless this server takes requests of others
+	watchSource  WatchSource   // nil unless this server serves watches
+	relayHandler relay.Handler // nil unless this server takes requests of others
 	started      time.Time
 	subscribers  atomic.Int64
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -16,6 +16,7 @@
 	"github.com/balsamlb/balsamlb/instance/wire"
 	"github.com/balsamlb/balsamlb/internal/ring"
 	"github.com/balsamlb/balsamlb/reachability"
+	"github.com/balsamlb/balsamlb/relay"
 	"github.com/balsamlb/balsamlb/routing"
 	"github.com/go-logr/logr"
 	"github.com/klauspost/compress/zstd"
@@ -90,7 +91,7 @@
 	// relaying is what this instance says about requests that are passed on. reportedRelays holds the
 	// instances that each control instance names to take this one's.
 	relaying       relayReport
-	reportedRelays map[string][]Relay
+	reportedRelays map[string][]relay.Instance
 	// doubts weighs what the watchers say about servers. unresponsiveHere and doubtsHere are the result.
 	doubts           *reachability.Doubts
 	unresponsiveHere []string
@@ -146,7 +147,7 @@
 		reportedRanks:        make(map[string]int),
 		withheld:             make(map[string]discovery.Announcement),
 		doubts:               reachability.NewDoubts(),
-		reportedRelays:       make(map[string][]Relay),
+		reportedRelays:       make(map[string][]relay.Instance),
 		reportedDoubts:       make(map[string]reportedDoubts),
 		shared:               sharedFragments{servers: make(map[string]serverFragment)},
 		changed:              make(chan struct{}),
--- a/mesh/relays.go
+++ b/mesh/relays.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/balsamlb/balsamlb/instance/wire"
+	"github.com/balsamlb/balsamlb/relay"
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -15,13 +16,6 @@
 	maxLocalRelays = 5
 )
 
-// Relay is an instance that takes requests of others.
-type Relay struct {
-	Name       string
-	Address    string
-	DataCentre string
-}
-
 // relayReport is what an instance says about requests that are passed on.
 type relayReport struct {
 	// address is where it takes requests of others, or empty.
@@ -49,16 +43,16 @@
 
 // Relays returns the instances that take this instance's requests, by name. There are none unless it has said
 // that it needs them.
-func (m *Mesh) Relays() []Relay {
+func (m *Mesh) Relays() []relay.Instance {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	byName := make(map[string]Relay)
+	byName := make(map[string]relay.Instance)
 	for _, relays := range m.reportedRelays {
 		for _, r := range relays {
 			byName[r.Name] = r
 		}
 	}
-	out := make([]Relay, 0, len(byName))
+	out := make([]relay.Instance, 0, len(byName))
 	for _, name := range slices.Sorted(maps.Keys(byName)) {
 		out = append(out, byName[name])
 	}
@@ -81,21 +75,21 @@
 		if other == name || r.relay.address == "" || r.servers.IsCutOff {
 			continue
 		}
-		relay := &wire.RelayInstance{Name: other, Address: r.relay.address, DataCentre: r.relay.dataCentre}
+		taker := &wire.RelayInstance{Name: other, Address: r.relay.address, DataCentre: r.relay.dataCentre}
 		if r.relay.dataCentre == needs.relay.dataCentre {
-			local = append(local, relay)
+			local = append(local, taker)
 		} else {
-			remote = append(remote, relay)
+			remote = append(remote, taker)
 		}
 	}
 	local = local[:min(len(local), max(maxLocalRelays, maxRelays-len(remote)), maxRelays)]
 	return append(local, remote[:min(len(remote), maxRelays-len(local))]...)
 }
 
-func relaysFromWire(ws []*wire.RelayInstance) []Relay {
-	out := make([]Relay, 0, len(ws))
+func relaysFromWire(ws []*wire.RelayInstance) []relay.Instance {
+	out := make([]relay.Instance, 0, len(ws))
 	for _, w := range ws {
-		out = append(out, Relay{Name: w.Name, Address: w.Address, DataCentre: w.DataCentre})
+		out = append(out, relay.Instance{Name: w.Name, Address: w.Address, DataCentre: w.DataCentre})
 	}
 	return out
 }
