dispatch: an instance that is cut off from all servers blames none

A server that closed a connection and refuses new ones counted as crashed for certain, and the call as a suspect, at all instances of the data centre. An instance whose links are reset saw that of every server. Now it samples others first, as gateways do (linkcheck); if it doesn't reach most of them, the server's lease shows what has become of it.

--- a/backend/probe.go
+++ b/backend/probe.go
@@ -7,6 +7,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // probeTimeout bounds the attempt to connect to a server that may have crashed.
@@ -22,10 +24,18 @@
 // RefusesConnections reports whether the connection is refused because no process listens at
 // the address.
 func RefusesConnections(ctx context.Context, address string) bool {
-	d := net.Dialer{Timeout: probeTimeout}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return errors.Is(Probe(ctx, address), syscall.ECONNREFUSED)
+}
+
+// Probe opens a connection to an address and closes it.
+func Probe(ctx context.Context, address string) error {
+	var d net.Dialer
 	c, err := d.DialContext(ctx, "tcp", address)
-	if err == nil {
-		_ = c.Close()
+	if err != nil {
+		return eris.Wrapf(err, "backend: probe %s", address)
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	_ = c.Close() // nothing was sent on it
+	return nil
 }
--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -24,6 +24,8 @@
 func (d *Dispatcher) Call(ctx context.Context, r Call) (backend.CallAnswer, *outcome.Error) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
+	d.working.Add(1)
+	defer d.working.Add(-1)
 	if r.Service.Idempotent {
 		return d.callIdempotent(ctx, r)
 	}
--- a/dispatch/crash_checker.go
+++ b/dispatch/crash_checker.go
@@ -32,6 +32,7 @@
 		case now := <-ticker.C:
 			c.check(now, d)
 			d.applyAnnouncements(now)
+			d.checkLinks(now)
 		}
 	}
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/balsamlb/balsamlb/credit"
 	"github.com/balsamlb/balsamlb/fleet"
 	"github.com/balsamlb/balsamlb/ledger"
+	"github.com/balsamlb/balsamlb/linkcheck"
 	"github.com/balsamlb/balsamlb/outcome"
 	"github.com/balsamlb/balsamlb/replica"
 	"github.com/balsamlb/balsamlb/route"
@@ -49,6 +51,9 @@
 	// selfReports is what the backend servers have said about themselves.
 	selfReports *selfReports
 	served      func(request string)
+	links       *linkcheck.Checker
+	// working counts the requests in progress.
+	working atomic.Int64
 
 	mu     sync.Mutex
 	router *route.Router
@@ -57,7 +62,7 @@
 // New returns a dispatcher for the named instance.
 func New(instance, dataCentre string, f Fleet, p Proposer, c Credits, log logr.Logger) *Dispatcher {
 	seed := xxhash.Sum64String(instance)
-	return &Dispatcher{
+	d := &Dispatcher{
 		instance:   instance,
 		fleet:      f,
 		proposer:   p,
@@ -78,6 +83,9 @@
 			pauses:   newPauseDetector(),
 		},
 	}
+	d.links = d.newLinkChecker(seed)
+	d.resilience.mayBlame = d.mayBlame
+	return d
 }
 
 // UseNaivePolicy switches to round-robin routing and unlimited retries, for benchmarks. It must
--- a/dispatch/draft.go
+++ b/dispatch/draft.go
@@ -37,7 +37,9 @@
 // one. The caller ends the request early by cancelling ctx.
 func (d *Dispatcher) Draft(ctx context.Context, r Draft) *ring.Ring[DraftEvent] {
 	events := ring.New[DraftEvent](eventRingSize)
+	d.working.Add(1)
 	go func() {
+		defer d.working.Add(-1)
 		last, wait := d.runDraft(ctx, r, events)
 		if last.Done {
 			d.served(r.ID)
--- a/dispatch/resilience.go
+++ b/dispatch/resilience.go
@@ -43,6 +43,8 @@
 	// naive is set for benchmarks: requests are retried without a budget, and are never isolated or
 	// quarantined.
 	naive bool
+	// mayBlame reports whether a server that refuses connections has crashed for certain.
+	mayBlame func(server string) bool
 
 	mu        sync.Mutex
 	random    *rand.Rand
@@ -56,6 +58,7 @@
 	return &resilience{
 		log:       log,
 		publisher: noPublisher{},
+		mayBlame:  func(string) bool { return true },
 		random:    rand.New(rand.NewPCG(seed, 1)),
 		budgets:   retry.NewBudgets(),
 		health:    retry.NewHealth(),
@@ -187,14 +190,15 @@
 }
 
 // recordFailure records that a server gave no answer; closed means that the server closed the
-// connection. A server that closed the connection and refuses new ones counts as crashed.
+// connection. A server that closed the connection and refuses new ones counts as crashed, unless this
+// instance doesn't reach most others either.
 func (rs *resilience) recordFailure(ctx context.Context, request string, s fleet.BackendServer, closed bool) {
 	now := time.Now()
 	rs.mu.Lock()
 	rs.health.Failed(now, s.Name)
 	rs.tracker.Ended(now, request, s.Name, closed)
 	rs.mu.Unlock()
-	if closed && backend.RefusesConnections(ctx, s.Address) {
+	if closed && backend.RefusesConnections(ctx, s.Address) && rs.mayBlame(s.Name) {
 		rs.recordCrash(s.Name, s.Incarnation)
 	}
 }
