caller, daemon: an instance that is cut off from all servers passes requests on

While dispatch is cut off, the callers' API offers each request to another live instance of the region, over the same relay as gateways: accepted or declined before anything runs, one hop, three instances at most; declined with an older configuration, while leaving or cut off. Bookings go through the ledger there, as everywhere. An answer that breaks off is an unknown outcome.

Measured: daemon.TestCallersOfCutOffInstanceAreServedByAnother, drafts, streams, calls and bookings in five cases, with drpc between two instances (go test -race). Before, the case 'cut off' had no way but its own servers. Not measured: whole processes in internal/lab with cut links.

--- a/caller/server.go
+++ b/caller/server.go
@@ -70,7 +70,9 @@
 	// NewID returns a request id that was never used before.
 	NewID   func() string
 	Metrics *metrics.Set
-	Log     logr.Logger
+	// Relays passes requests on; nil means that none are.
+	Relays *Relays
+	Log    logr.Logger
 }
 
 // handler handles the requests of callers.
@@ -93,6 +95,9 @@
 }
 
 func (h *handler) handle(ctx *fasthttp.RequestCtx) {
+	if h.passOn(ctx) {
+		return
+	}
 	path := string(ctx.Path())
 	switch {
 	case path == PathCompletions:
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -226,14 +226,16 @@
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	requestMetrics := metrics.New(registry, d.metricsState)
-	callers := caller.NewServer(ctx, caller.Options{
+	callerOptions := caller.Options{
 		Metrics:    requestMetrics,
 		Dispatcher: d.dispatcher,
 		Admitter:   d.admitter,
 		Config:     d.state.Config,
 		NewID:      d.newID,
+		Relays:     d.newRelays(),
 		Log:        d.log.WithName("caller"),
-	})
+	}
+	callers := caller.NewServer(ctx, callerOptions)
 	operators := operator.NewServer(&operatorBackend{
 		state:      d.state,
 		host:       d.host,
@@ -274,6 +276,7 @@
 	}
 	l := d.secrets.instanceListener(d.traffic.instances.Listener(tcp))
 	peers := instance.NewServer(d.replica(), d.state)
+	peers.SetRelayHandler(caller.NewRelayHandler(ctx, callerOptions))
 	g.Go(func() error { return peers.Serve(ctx, l) })
 	return listeners, nil
 }
