--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -80,16 +80,24 @@
 "Tenants":[{"Name":"kandy","ApiKeys":["key-1"]}]}`
 
 func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	return newFleetWith(t, func(*gateway.Options) {})
+}
+
+// newFleetWith is newFleet with changed options of the gateway.
+func newFleetWith(t *testing.T, change func(*gateway.Options)) *fleet {
 	t.Helper()
 	m, err := mesh.New(mesh.Options{Name: "g", DataCentre: "a", Decode: platform.DecodeDocument, Log: logr.Discard()})
 	if err != nil {
 		t.Fatal(err)
 	}
 	f := &fleet{t: t, mesh: m, orders: &scriptedOrders{}}
-	g := gateway.New(gateway.Options{
+	options := gateway.Options{
 		Name: "g", DataCentre: "a", ListenAddress: "127.0.0.1:0", GracePeriod: time.Second, Mesh: m,
 		ShutdownDelay: time.Millisecond, HeaderCodec: platform.HeaderCodec{}, Orders: f.orders, Registry: prometheus.NewRegistry(), RetryRatio: 20, RetryReserve: 100, MaxAnswerBytes: 1 << 20, Log: logr.Discard(),
-	})
+	}
+	change(&options)
+	g := gateway.New(options)
 	f.gateway = g
 	f.front = httptest.NewServer(g)
 	ctx, cancel := context.WithCancel(context.Background())
