gateway: a server that has asked for rest gets no queries and no orders either

Class of fault: a limit that is checked where requests are chosen, and not where anything else is sent to the same server. While a first server rests, a draft that is silent there, or has a faulty later server, is sent to another one as well, as for a server that doesn't answer.

The stream itself goes on and ends whole.

--- a/gateway/responsive.go
+++ b/gateway/responsive.go
@@ -20,7 +20,7 @@
 	v := g.view.Load()
 	for _, id := range g.faults.dueChecks(now) {
 		a := v.servers[id]
-		if a == nil {
+		if a == nil || g.isPaused(v, id) {
 			continue
 		}
 		go func() {
--- a/gateway/self_reports.go
+++ b/gateway/self_reports.go
@@ -256,6 +256,11 @@
 	}
 }
 
+// isPaused reports whether a server has asked for a pause that counts now.
+func (g *Gateway) isPaused(v *view, id string) bool {
+	return g.selfReports.check(time.Now(), v.server(id)) == selfreport.WantsNothing
+}
+
 // wantsNothing reports whether a server has asked for a pause that counts now.
 func (g *Gateway) wantsNothing(a *discovery.Announcement) bool {
 	return g.selfReports.check(time.Now(), selfreport.Server{ID: a.ID, Incarnation: a.Incarnation}) == selfreport.WantsNothing
--- a/gateway/stall_monitor.go
+++ b/gateway/stall_monitor.go
@@ -146,12 +146,18 @@
 		return
 	}
 	defer m.timer.Reset(recheckInterval)
+	// Queries and orders are requests, too, so a first server that wants none gets neither.
+	isHeadPaused := m.gateway.isPaused(v, path[0].ID)
 	switch {
 	case hasHeadCrashed:
 		// Only now, since events that it had sent before may still have been on their way to the caller.
 		a.cancel(errHeadCrashed)
 	case isHeadUnresponsive:
 		m.gateway.startBeside(a, path[0].ID+" is unresponsive")
+	case isHeadPaused:
+		if hasFault || a.idleTime(time.Now()) > headUnresponsiveAfter {
+			m.gateway.startBeside(a, path[0].ID+" wants nothing for a time")
+		}
 	case hasFault:
 		m.reroute(v, path[0])
 	default:
