gateway, instance: a leaving server or a limit heard by way of another gateway counts

A gateway that is cut off passes on answers of servers that others have asked. The answer now names the server that it is from; a pause stays with the gateway that was asked.

--- a/caller/relay.go
+++ b/caller/relay.go
@@ -137,7 +137,7 @@
 }
 
 // ServeRelay implements relay.Handler.
-func (s *relayServer) ServeRelay(w http.ResponseWriter, _ *http.Request, relayed *relay.Request, _ func(n int)) {
+func (s *relayServer) ServeRelay(w http.ResponseWriter, _ *http.Request, relayed *relay.Request, _ relay.Progress) {
 	var request fasthttp.Request
 	request.Header.SetMethod(relayed.Method)
 	request.SetRequestURI(relayed.Target)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -89,6 +89,9 @@
 		return nil, ResponseHeader{}, err
 	}
 	rh := g.options.HeaderCodec.ParseResponse(resp.Status, resp.Header)
+	if j.origin != nil {
+		j.origin.SetServer(servers[0].ID, servers[0].Incarnation)
+	}
 	g.recordSelfReport(j, started, servers[0], resp.Status, rh)
 	g.endTrials(trials, !rh.NotRun && resp.Status != http.StatusServiceUnavailable)
 	if rh.NotRun { // a rejection may come from another server at the address
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/relay"
+	"github.com/balsamlb/balsamlb/selfreport"
 	"github.com/balsamlb/balsamlb/upstream"
 )
 
@@ -101,6 +102,7 @@
 	header := forwardedHeaders(j.request.Header)
 	g.options.HeaderCodec.WriteRelay(header, time.Until(j.deadline), lastEvent)
 	done := g.relays.Begin(taker.Name)
+	began := time.Now()
 	counted := int32(0)
 	answer, err := g.options.Relayer.Do(ctx, taker.Address, &relay.Request{
 		Method: j.request.Method, Target: j.request.RequestURI, Host: j.request.Host, Header: header, Body: j.body, HasBody: j.hasBody,
@@ -114,6 +116,7 @@
 		"reason", errorText(err))
 	if err == nil {
 		g.metrics.Relayed.WithLabelValues(relayPassedOn).Inc()
+		g.recordRelayedReport(j, began, answer)
 		return upstream.NewResponse(answer.Status, answer.Header, &countedBody{answer.Body, done}), nil
 	}
 	done()
@@ -128,6 +131,17 @@
 	return nil, &failure{reason: "no answer by way of " + taker.Name, ran: true, err: err}
 }
 
+// recordRelayedReport records what a server has said about itself in an answer that has come by way of another
+// gateway. A pause it has asked of that one only.
+func (g *Gateway) recordRelayedReport(j *job, sent time.Time, answer *relay.Answer) {
+	rh := g.options.HeaderCodec.ParseResponse(answer.Status, answer.Header)
+	if answer.Server == "" || !rh.IsFromServer {
+		return // the other gateway has answered itself
+	}
+	rh.HasPause = false
+	g.recordSelfReport(j, sent, selfreport.Server{ID: answer.Server, Incarnation: answer.Incarnation}, answer.Status, rh)
+}
+
 // Values of the label of Relayed.
 const (
 	relayPassedOn = "passed on"
@@ -217,22 +231,21 @@
 }
 
 // ServeRelay serves a request of another gateway.
-func (g *Gateway) ServeRelay(w http.ResponseWriter, r *http.Request, relayed *relay.Request, setAttempts func(n int)) {
-	g.serve(w, r, &relayOrigin{Request: relayed, setAttempts: setAttempts})
+func (g *Gateway) ServeRelay(w http.ResponseWriter, r *http.Request, relayed *relay.Request, p relay.Progress) {
+	g.serve(w, r, &relayOrigin{Request: relayed, Progress: p})
 }
 
 // relayOrigin is the request of another gateway that a request stands for.
 type relayOrigin struct {
 	*relay.Request
-	// setAttempts tells the other gateway how often the request was sent here so that it may have run.
-	setAttempts func(n int)
+	relay.Progress
 }
 
 // addAttempts changes the number of sends in which the request may have run.
 func (j *job) addAttempts(n int32) {
 	attempts := j.attempts.Add(n)
 	if j.origin != nil {
-		j.origin.setAttempts(int(attempts) - j.origin.Attempts)
+		j.origin.SetAttempts(int(attempts) - j.origin.Attempts)
 	}
 }
 
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -93,6 +93,35 @@
 	c.checkRuns(r.id, 2)
 }
 
+// Guards against the rule DRAIN where another gateway was asked: a gateway that has passed on an answer which says
+// that its server leaves sends that server no request once it reaches the servers again.
+func TestLeavingHeardByWayOfAnotherGatewayCounts(t *testing.T) {
+	c := newCutCluster(t, 2)
+	g := c.gateways[0]
+	leaving := c.fleet.runsOf(g.send("/check/1", firstTry).id)[0].server
+	leaving.saysLeaving.Store(true)
+	c.checkWhole("/check/1", g.send("/check/1", firstTry))
+	runsThere := func() (n int) {
+		c.fleet.mu.Lock()
+		defer c.fleet.mu.Unlock()
+		for _, r := range c.fleet.runs {
+			if r.server == leaving {
+				n++
+			}
+		}
+		return n
+	}
+	g.links.Break(emulate.LinkSound)
+	c.within(contactTime, "the gateway reaches the servers again", func() bool { return strings.Contains(g.log.String(), `"is_cut_off"=false`) })
+	before := runsThere()
+	for range 40 {
+		c.checkWhole("/check/1", g.send("/check/1", firstTry))
+	}
+	if n := runsThere() - before; n > 0 {
+		t.Errorf("%d of 40 requests reached the server that leaves", n)
+	}
+}
+
 // A request is passed on once at most: gateways that are all cut off refuse it and don't pass it back.
 func TestRequestIsNotPassedBack(t *testing.T) {
 	c := newCutCluster(t, 2)
--- a/gateway/silence_fleet_test.go
+++ b/gateway/silence_fleet_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -77,10 +78,12 @@
 	sequence uint64
 	isUp     bool
 	leaves   bool
-	silence  silence
-	until    time.Time
-	spokeAt  time.Time
-	listener *net.TCPListener
+	// saysLeaving means that answers say that the server leaves, which it doesn't announce.
+	saysLeaving atomic.Bool
+	silence     silence
+	until       time.Time
+	spokeAt     time.Time
+	listener    *net.TCPListener
 	// spoke is closed when the silence or the incarnation ends.
 	spoke chan struct{}
 	conns map[net.Conn]struct{}
@@ -447,7 +450,7 @@
 	if s.to == 0 {
 		if f.advance(run, closed) {
 			f.complete(run)
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nBalsamlb-Request-Id: %s\r\nBalsamlb-Response-Stamp: s\r\n%sContent-Length: 4\r\n\r\ndone", run.request, f.closeHeader())
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nBalsamlb-Request-Id: %s\r\nBalsamlb-Response-Stamp: s\r\n%sContent-Length: 4\r\n\r\ndone", run.request, s.extraHeader())
 		}
 		return
 	}
@@ -465,7 +468,7 @@
 		}
 		if !isStarted {
 			isStarted = true
-			f.startStream(c, run.request)
+			s.startStream(c, run.request)
 		}
 		f.mu.Lock()
 		run.sent++
@@ -475,22 +478,26 @@
 		progress(run)
 	}
 	if !isStarted {
-		f.startStream(c, run.request)
+		s.startStream(c, run.request)
 	}
 	f.complete(run)
 	_, _ = io.WriteString(c, "0\r\n\r\n")
 }
 
-func (f *silenceFleet) startStream(c net.Conn, request string) {
+func (s *silentlyServer) startStream(c net.Conn, request string) {
 	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nBalsamlb-Request-Id: %s\r\nBalsamlb-Response-Stamp: s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-		request, f.closeHeader())
+		request, s.extraHeader())
 }
 
-func (f *silenceFleet) closeHeader() string {
-	if f.closesConns {
-		return "Connection: close\r\n"
+// extraHeader returns the lines that a server adds to the headers of its answers.
+func (s *silentlyServer) extraHeader() (lines string) {
+	if s.fleet.closesConns {
+		lines = "Connection: close\r\n"
 	}
-	return ""
+	if s.saysLeaving.Load() {
+		lines += leavingLine
+	}
+	return lines
 }
 
 // silenceEvents is the number of events of a stream.
--- a/instance/relay.go
+++ b/instance/relay.go
@@ -89,7 +89,7 @@
 			panic(p)
 		}
 	}()
-	h.ServeRelay(w, r, relayed, w.setAttempts)
+	h.ServeRelay(w, r, relayed, w)
 	return w.failure() == nil
 }
 
@@ -136,6 +136,9 @@
 	hasHead  bool
 	attempts uint32
 	err      error
+	// server and incarnation are those that the answer is from.
+	server      string
+	incarnation int64
 }
 
 // Header returns the header of the answer.
@@ -147,7 +150,8 @@
 	defer w.mu.Unlock()
 	if !w.hasHead {
 		w.hasHead = true
-		w.sendLocked(&wire.RelayResponse{Head: &wire.RelayAnswer{Status: uint32(status), Headers: headersToWire(w.header)}})
+		head := &wire.RelayAnswer{Status: uint32(status), Headers: headersToWire(w.header), Server: w.server, Incarnation: w.incarnation}
+		_ = w.sendLocked(&wire.RelayResponse{Head: head}) // kept in err
 	}
 }
 
@@ -187,7 +191,15 @@
 	return w.err
 }
 
-func (w *relayWriter) setAttempts(n int) {
+// SetServer implements relay.Progress.
+func (w *relayWriter) SetServer(id string, incarnation int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.server, w.incarnation = id, incarnation
+}
+
+// SetAttempts implements relay.Progress.
+func (w *relayWriter) SetAttempts(n int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.attempts = uint32(max(0, n))
@@ -246,7 +258,9 @@
 		_ = a.Close() // returns nil
 		return nil, eris.Wrapf(errors.Join(relay.ErrBroken, err), "instance: relay by %s", address)
 	}
-	return &relay.Answer{Status: int(head.Status), Header: headersFromWire(head.Headers), Body: a}, nil
+	return &relay.Answer{
+		Status: int(head.Status), Header: headersFromWire(head.Headers), Body: a, Server: head.Server, Incarnation: head.Incarnation,
+	}, nil
 }
 
 // offer sends the head of a request and waits until it is accepted.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -49,6 +49,19 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
+	// Server is the backend server that the answer is from, and Incarnation its incarnation. Server is empty if
+	// the instance answers itself.
+	Server      string
+	Incarnation int64
+}
+
+// Progress is what an instance that serves a request of another one tells it besides the answer.
+// Implementations must be safe for concurrent use.
+type Progress interface {
+	// SetAttempts sets the number of sends so far in which the request may have run.
+	SetAttempts(n int)
+	// SetServer sets the backend server that the answer is from. It must be called before the answer begins.
+	SetServer(id string, incarnation int64)
 }
 
 // Sender passes requests on. Implementations must be safe for concurrent use.
@@ -64,8 +77,6 @@
 	// AcceptRelay decides on a request, whose body has not arrived yet. If the request isn't accepted,
 	// declined is the reason; otherwise release must be called when it has ended.
 	AcceptRelay(r *Request) (release func(), declined string)
-	// ServeRelay serves an accepted request. It calls setAttempts with the number of sends so far in which the
-	// request may have run, when that changes. It panics with http.ErrAbortHandler if the answer has broken
-	// off.
-	ServeRelay(w http.ResponseWriter, r *http.Request, relayed *Request, setAttempts func(n int))
+	// ServeRelay serves an accepted request. It panics with http.ErrAbortHandler if the answer has broken off.
+	ServeRelay(w http.ResponseWriter, r *http.Request, relayed *Request, p Progress)
 }
