gateway: streams that a cut breaks use the retries of the gateways that take them

A gateway that takes a request can now be asked for one of its own retries; it declines if it has none, so all gateways together stay within the shared budget.

--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -182,13 +182,13 @@
 		return f, false
 	}
 	isQuarantined := func() bool { return g.verdict(d.job) == quarantine.Quarantined }
-	isAllowed := !isQuarantined() && f.ran && ctx.Err() == nil && (errors.Is(f.err, errRetryAllowed) || g.allowRetry(d.job))
+	isAllowed := !isQuarantined() && f.ran && ctx.Err() == nil && (errors.Is(f.err, errRetryAllowed) || g.allowRetry(d.job) || g.mayBorrowRetry(d.job))
 	if !isAllowed {
 		poll(ctx, resumePollInterval, time.Until(d.deadline), func() bool {
 			if isQuarantined() {
 				return true
 			}
-			isAllowed = errors.Is(f.err, upstream.ErrNotSent) || g.takeRetry(d.job)
+			isAllowed = errors.Is(f.err, upstream.ErrNotSent) || g.takeRetry(d.job) || g.mayBorrowRetry(d.job)
 			return isAllowed
 		})
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -396,6 +396,8 @@
 	// mayHaveRun means that some server may have run the request. The response must then not claim
 	// that the request was not run.
 	mayHaveRun atomic.Bool
+	// borrowsRetry means that the next send needs a retry of the gateway to which the request is passed on.
+	borrowsRetry atomic.Bool
 	// heldBack holds the reasons for which the request was kept from a server, so that each is
 	// counted once.
 	heldBack [selfreport.Verdicts]atomic.Bool
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -265,9 +265,12 @@
 	return g.budgets.Has(time.Now(), g.budgetKey(j))
 }
 
-// takeRetry is allowRetry without a log line.
-func (g *Gateway) takeRetry(j *job) bool {
+// takeServiceRetry takes a retry of a service from the budget, if there is one.
+func (g *Gateway) takeServiceRetry(service string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.budgets.Allow(time.Now(), g.budgetKey(j))
+	return g.budgets.Allow(time.Now(), retry.Key{Workspace: service, Service: service})
 }
+
+// takeRetry is allowRetry without a log line.
+func (g *Gateway) takeRetry(j *job) bool { return g.takeServiceRetry(j.service.Name) }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -104,10 +104,12 @@
 	done := g.relays.Begin(taker.Name)
 	began := time.Now()
 	counted := int32(0)
+	borrowed := j.takeBorrowedRetry()
 	answer, err := g.options.Relayer.Do(ctx, taker.Address, &relay.Request{
 		Method: j.request.Method, Target: j.request.RequestURI, Host: j.request.Host, Header: header, Body: j.body, HasBody: j.hasBody,
 		Sender: g.options.Name, ConfigVersion: j.routing, Attempts: int(j.attempts.Load()), IsCounted: true,
-		EndsOnSilence: j.route.MayRepeat(),
+		RetriedService: borrowed,
+		EndsOnSilence:  j.route.MayRepeat(),
 	}, func(n int) {
 		j.attempts.Add(int32(n) - counted)
 		counted = int32(n)
@@ -125,6 +127,9 @@
 	}
 	if errors.Is(err, relay.ErrDeclined) {
 		g.metrics.Relayed.WithLabelValues(relayDeclined).Inc()
+		if borrowed != "" {
+			return nil, &failure{reason: taker.Name + " has no retry left either", err: err} // the next send needs one, too
+		}
 		return nil, &failure{reason: taker.Name + " did not take it", err: errors.Join(upstream.ErrNotSent, err)}
 	}
 	j.mayHaveRun.Store(true)
@@ -217,10 +222,7 @@
 	case g.links.IsCutOff():
 		declined = "cut off from the backend servers"
 	default:
-		var ok bool
-		if release, ok = g.relays.Take(); !ok {
-			declined = "too many requests of others"
-		}
+		release, declined = g.takeRelay(r)
 	}
 	if declined != "" {
 		g.options.Log.Info("declined a request of another instance", "from", r.Sender, "reason", declined)
@@ -230,6 +232,37 @@
 	return release, ""
 }
 
+// takeRelay takes a request of another gateway, with the retry that it may need.
+func (g *Gateway) takeRelay(r *relay.Request) (release func(), declined string) {
+	release, ok := g.relays.Take()
+	if !ok {
+		return nil, "too many requests of others"
+	}
+	if r.RetriedService != "" && !g.takeServiceRetry(r.RetriedService) {
+		release()
+		return nil, "no retry is left"
+	}
+	return release, ""
+}
+
+// mayBorrowRetry reports whether a request that needs a retry, and for which this gateway has none, may use one of
+// the gateway to which it is passed on.
+func (g *Gateway) mayBorrowRetry(j *job) bool {
+	if !g.hasRelay(j) {
+		return false
+	}
+	j.borrowsRetry.Store(true)
+	return true
+}
+
+// takeBorrowedRetry returns the service of a request that needs a retry of another gateway, once.
+func (j *job) takeBorrowedRetry() string {
+	if !j.borrowsRetry.Swap(false) {
+		return ""
+	}
+	return j.service.Name
+}
+
 // ServeRelay serves a request of another gateway.
 func (g *Gateway) ServeRelay(w http.ResponseWriter, r *http.Request, relayed *relay.Request, p relay.Progress) {
 	g.serve(w, r, &relayOrigin{Request: relayed, Progress: p})
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -183,3 +183,29 @@
 	time.AfterFunc(shutdownGrace/4, release)
 	c.checkWhole("/once/1", <-replies)
 }
+
+// Guards against streams that are broken off when a gateway is cut off, since the retries that it may send itself
+// are used up, while other gateways have some. All together stay within the shared budget.
+func TestStreamsOfCutOffGatewayUseRetriesOfOthers(t *testing.T) {
+	const streams = 12
+	c := newSilentCluster(t, 7, retryLimits{ratio: 0, reserve: 28}) // 4 retries at each gateway
+	c.fleet.addCopies(2)
+	c.settle()
+	g := c.gateways[0]
+	c.within(contactTime, "the gateways share the retries", func() bool { return strings.Contains(g.log.String(), `"gateways"=7`) })
+	replies := make(chan silentReply, streams)
+	c.fleet.onEventsOfAll(3, streams, func(*silentRun) { g.links.Break(emulate.LinkReset) })
+	for range streams {
+		go func() { replies <- g.send("/advice/1", firstTry) }()
+	}
+	whole := 0
+	for range streams {
+		if r := <-replies; r.isWhole("/advice/1") {
+			whole++
+		}
+	}
+	if whole < streams {
+		t.Errorf("%d of %d streams went on", whole, streams)
+	}
+	c.checkRetries("advice", c.sentTo("advice"))
+}
--- a/instance/relay.go
+++ b/instance/relay.go
@@ -368,6 +368,7 @@
 	return &wire.RelayHead{
 		Method: r.Method, Target: r.Target, Host: r.Host, Headers: headersToWire(r.Header), HasBody: r.HasBody,
 		Sender: r.Sender, RoutingVersion: r.ConfigVersion, Attempts: uint32(r.Attempts), IsCounted: r.IsCounted,
+		RetriedService: r.RetriedService,
 	}
 }
 
@@ -375,6 +376,7 @@
 	return &relay.Request{
 		Method: h.Method, Target: h.Target, Host: h.Host, Header: headersFromWire(h.Headers), HasBody: h.HasBody,
 		Sender: h.Sender, ConfigVersion: h.RoutingVersion, Attempts: int(h.Attempts), IsCounted: h.IsCounted,
+		RetriedService: h.RetriedService,
 	}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -37,6 +37,9 @@
 	Attempts int
 	// IsCounted means that the sender has counted the request for the retry budget.
 	IsCounted bool
+	// RetriedService is the service for which the sender needs a retry of the other instance, since its own are
+	// used up; empty means that it needs none.
+	RetriedService string
 
 	// EndsOnSilence means that the sender gives the request up if the other instance falls silent. Otherwise
 	// only the request's context ends it. It is not passed on.
