gateway: an instance without a retry to lend is no failed try; the test gives the others retries first

And the test began before the other gateways had retries: a budget begins empty, with the first request, and a share of the reserve holds from 2 s after the number of gateways has last grown; so it failed with 0 or 7 of 12 by when that was. It sends each a request first and waits a window.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -406,8 +406,10 @@
 	// broken off.
 	runsMu    sync.Mutex
 	endedRuns []quarantine.Crash
-	// relaysTried are the instances to which the request was passed on.
-	relaysTried []string
+	// relaysTried are the instances to which the request was passed on, and relaysWithoutRetry the number of
+	// them that only had no retry to lend.
+	relaysTried        []string
+	relaysWithoutRetry int
 
 	fingerprintOnce sync.Once
 	content         quarantine.Fingerprint // valid once fingerprint has returned
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -48,8 +48,8 @@
 // pickRelay returns the instance to which a request is to be passed on, if one is known. A request that was
 // passed on once is never passed on again.
 func (g *Gateway) pickRelay(j *job) (relay.Instance, bool) {
-	tried := j.triedRelays()
-	if j.origin != nil || g.options.Relayer == nil || len(tried) >= relay.MaxTries {
+	tried, count := j.triedRelays()
+	if j.origin != nil || g.options.Relayer == nil || count >= relay.MaxTries {
 		return relay.Instance{}, false
 	}
 	return g.relays.Choose(time.Now(), g.options.Mesh.Relays(), g.options.DataCentre, tried)
@@ -62,7 +62,7 @@
 	if !isOutOfReach && !g.links.IsCutOff() {
 		return taker, false
 	}
-	if taker, ok = g.pickRelay(j); ok || j.origin != nil || g.options.Relayer == nil || len(j.triedRelays()) > 0 {
+	if taker, ok = g.pickRelay(j); ok || j.origin != nil || g.options.Relayer == nil || j.hasTriedRelays() {
 		return taker, ok
 	}
 	if isOutOfReach {
@@ -122,14 +122,17 @@
 		return upstream.NewResponse(answer.Status, answer.Header, &countedBody{answer.Body, done}), nil
 	}
 	done()
+	isDeclined := errors.Is(err, relay.ErrDeclined)
+	if isDeclined && borrowed != "" {
+		j.addRelayWithoutRetry()
+		g.metrics.Relayed.WithLabelValues(relayDeclined).Inc()
+		return nil, &failure{reason: taker.Name + " has no retry left either", err: err} // the next send needs one, too
+	}
 	if ctx.Err() == nil {
 		g.relays.Avoid(time.Now(), taker.Name)
 	}
-	if errors.Is(err, relay.ErrDeclined) {
+	if isDeclined {
 		g.metrics.Relayed.WithLabelValues(relayDeclined).Inc()
-		if borrowed != "" {
-			return nil, &failure{reason: taker.Name + " has no retry left either", err: err} // the next send needs one, too
-		}
 		return nil, &failure{reason: taker.Name + " did not take it", err: errors.Join(upstream.ErrNotSent, err)}
 	}
 	j.mayHaveRun.Store(true)
@@ -289,10 +292,25 @@
 	j.relaysTried = append(j.relaysTried, name)
 }
 
-func (j *job) triedRelays() []string {
+// triedRelays returns the instances to which the request was passed on, and how many of them count against the
+// limit of tries.
+func (j *job) triedRelays() (names []string, count int) {
+	j.runsMu.Lock()
+	defer j.runsMu.Unlock()
+	return slices.Clone(j.relaysTried), len(j.relaysTried) - j.relaysWithoutRetry
+}
+
+func (j *job) hasTriedRelays() bool {
+	j.runsMu.Lock()
+	defer j.runsMu.Unlock()
+	return len(j.relaysTried) > 0
+}
+
+// addRelayWithoutRetry records that the instance that was tried last had no retry to lend.
+func (j *job) addRelayWithoutRetry() {
 	j.runsMu.Lock()
 	defer j.runsMu.Unlock()
-	return slices.Clone(j.relaysTried)
+	j.relaysWithoutRetry++
 }
 
 // isOutOfReach reports whether the backend servers hold a whole copy of the model, but this gateway reaches
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -188,11 +188,17 @@
 // are used up, while other gateways have some. All together stay within the shared budget.
 func TestStreamsOfCutOffGatewayUseRetriesOfOthers(t *testing.T) {
 	const streams = 12
-	c := newSilentCluster(t, 7, retryLimits{ratio: 0, reserve: 28}) // 4 retries at each gateway
+	c := newSilentCluster(t, 7, retryLimits{ratio: 0, reserve: 84}) // 12 retries at each gateway in a window
 	c.fleet.addCopies(2)
 	c.settle()
 	g := c.gateways[0]
-	c.within(contactTime, "the gateways share the retries", func() bool { return strings.Contains(g.log.String(), `"gateways"=7`) })
+	for _, other := range c.gateways {
+		c.within(contactTime, other.name+" shares the retries", func() bool { return strings.Contains(other.log.String(), `"gateways"=7`) })
+	}
+	for _, other := range c.gateways {
+		c.checkWhole("/advice/0", other.send("/advice/0", firstTry)) // a budget begins empty with the first request
+	}
+	time.Sleep(retryWindow) // each gateway has a few retries then, fewer than there are streams
 	replies := make(chan silentReply, streams)
 	c.fleet.onEventsOfAll(3, streams, func(*silentRun) { g.links.Break(emulate.LinkReset) })
 	for range streams {
@@ -204,6 +210,7 @@
 			whole++
 		}
 	}
+	defer c.logOnFailure()
 	if whole < streams {
 		t.Errorf("%d of %d streams went on", whole, streams)
 	}
