gateway: soak of cut-off gateways; crashes that only refused connections showed are taken back

TestSoakOfCutOffGateways breaks the links of gateways in all forms, in series and overlapping, also to one server, beside restarts, lost control instances, crashes and silences. It found that a server whose connections a broken link refuses stays a certain crash, although it answers others, or answers this gateway again under the same incarnation. Both take the crash back now.

--- a/gateway/links.go
+++ b/gateway/links.go
@@ -130,14 +130,14 @@
 	g.options.Mesh.SetReachability(r)
 }
 
-// followDoubts takes over which servers other gateways can't reach, and takes back presumed crashes of servers
-// that answer others.
+// followDoubts takes over which servers other gateways can't reach, and takes back the crashes of servers that
+// answer others: a connection may be refused by what is between.
 func (g *Gateway) followDoubts(now time.Time) {
 	doubted := g.options.Mesh.Doubts()
 	g.doubted.since.Store(&doubted)
 	v := g.view.Load()
 	for id := range doubted {
-		if crash := v.crashOf(id); g.lost.isPresumed(crash) && g.options.Mesh.AnsweringOthers(id) {
+		if crash := v.crashOf(id); g.lost.hasCrash(crash) && g.options.Mesh.AnsweringOthers(id) {
 			// An answer may be as old as answeringTTL, so only crashes that are older are taken back.
 			g.withdrawCrashBefore(now.Add(-answeringTTL-maxReportDelay), crash, "answers other gateways")
 		}
--- a/gateway/responsive.go
+++ b/gateway/responsive.go
@@ -29,7 +29,10 @@
 			incarnation, err := g.options.Identify(ctx, a.Address)
 			// Another incarnation at the address says nothing about this one.
 			if err == nil && incarnation == a.Incarnation && g.faults.recordAnswer(id) {
-				g.takeBack(quarantine.Crash{Server: id, Incarnation: uint64(incarnation)}, "answers again")
+				crash := quarantine.Crash{Server: id, Incarnation: uint64(incarnation)}
+				g.takeBack(crash, "answers again")
+				// Also a certain crash: its connections were refused by what is between.
+				g.withdrawCrash(crash, "answers again")
 			}
 		}()
 	}
