gateway, linkcheck: links are judged by service, and hardly any server counts as none

The servers of a service are sampled among themselves now, and a gateway is cut off from them if four times as many are out of reach as are reached. Answers count whoever gets them, also of gateways that are cut off.

What the soak found besides: crashes that only broken links showed outlived the cut. They are taken back when the links are back, and a server that counts as crashed is asked whether it answers.

--- a/dispatch/call_idempotent.go
+++ b/dispatch/call_idempotent.go
@@ -200,7 +200,7 @@
 	switch {
 	case err == nil:
 		d.resilience.recordAnswer(r.ID, server.Name)
-		d.links.RecordAnswer(time.Now())
+		d.links.RecordAnswer(time.Now(), allServices)
 		d.observeCall(server, time.Since(start))
 	case ctx.Err() != nil:
 		d.resilience.recordStop(r.ID, server.Name)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -225,7 +225,7 @@
 
 // newAttemptBeside returns a further attempt of a silent draft, or nil if there is no way for it.
 func (g *Gateway) newAttemptBeside(d *draft) *attempt {
-	if g.links.IsCutOff() {
+	if g.links.IsCutOff(d.service.Name) {
 		if taker, ok := g.pickRelay(d.job); ok {
 			return g.newRelayedAttempt(d.callerCtx, d, taker)
 		}
--- a/gateway/faults.go
+++ b/gateway/faults.go
@@ -197,15 +197,17 @@
 	return out
 }
 
-// clearUnreached records that the servers that have not answered this instance may work.
-func (f *serverFaults) clearUnreached() {
+// clearUnreached records that the servers that have not answered this instance may work, and returns them.
+func (f *serverFaults) clearUnreached() (ids []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id := range f.observedHere {
+		ids = append(ids, id)
 		delete(f.unresponsive, id)
 		delete(f.unrecovered, id)
 		f.endChecks(id)
 	}
+	return ids
 }
 
 // isUnrecovered reports whether a server was unresponsive and has not been seen working since.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -64,8 +64,8 @@
 		Header:      header,
 		Body:        j.body,
 		HasBody:     j.hasBody,
-		MayDial:     g.links.UntilCutOff(),
-		DialTimeout: g.dialTimeout(),
+		MayDial:     g.links.UntilCutOff(j.service.Name),
+		DialTimeout: g.dialTimeout(j.service.Name),
 		MaySend: func() (err error) {
 			trials, err = g.beginSend(j, servers)
 			return err
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -70,20 +70,24 @@
 func (g *Gateway) linkTargets() (out []linkcheck.Target) {
 	for id, a := range g.view.Load().servers {
 		if a.State == discovery.StateReady {
-			out = append(out, linkcheck.Target{ID: id, Address: a.Address})
+			out = append(out, linkcheck.Target{ID: id, Address: a.Address, Service: a.Service})
 		}
 	}
 	return out
 }
 
-// handleLinkChange acts upon it that this gateway is cut off from the servers, or connected again.
-func (g *Gateway) handleLinkChange(isCutOff bool, s reachability.Sample) {
-	g.options.Log.Info("checked the links to the backend servers", "is_cut_off", isCutOff, "reached", s.Reached, "unreached", s.Unreached)
-	if isCutOff {
+// handleLinkChange acts upon it that this gateway is cut off from the servers of a service, or connected again.
+func (g *Gateway) handleLinkChange(service string, isCutOff bool, s reachability.Sample) {
+	g.options.Log.Info("checked the links to the backend servers", "service", service, "is_cut_off", isCutOff, "reached", s.Reached, "unreached", s.Unreached)
+	g.metrics.CutOff.Set(0)
+	if g.links.IsAnyCutOff() {
 		g.metrics.CutOff.Set(1)
-	} else {
-		g.metrics.CutOff.Set(0)
-		g.faults.clearUnreached()
+	}
+	if !isCutOff {
+		v := g.view.Load()
+		for _, id := range g.faults.clearUnreached() {
+			g.withdrawCrash(v.crashOf(id), "may only have been out of reach")
+		}
 	}
 	g.reportReachability(time.Now())
 	g.running.checkAll()
@@ -92,13 +96,20 @@
 // checkLinks samples servers if that is due.
 func (g *Gateway) checkLinks(now time.Time) {
 	if g.pauses.sinceResumed(now) >= pauseThreshold {
-		g.links.CheckIfDue(now, g.usage.hasWork())
+		v := g.view.Load()
+		working := make(map[string]bool)
+		for _, id := range g.usage.servers() {
+			if a := v.servers[id]; a != nil {
+				working[a.Service] = true
+			}
+		}
+		g.links.CheckIfDue(now, func(service string) bool { return working[service] })
 	}
 }
 
 // dialTimeout bounds the opening of a connection to a server; 0 means the usual time.
-func (g *Gateway) dialTimeout() time.Duration {
-	if g.links.IsCutOff() {
+func (g *Gateway) dialTimeout(service string) time.Duration {
+	if g.links.IsCutOff(service) {
 		return cutOffDialTimeout
 	}
 	return 0
@@ -106,21 +117,32 @@
 
 // recordServerAnswers records that a server answers this gateway.
 func (g *Gateway) recordServerAnswers(now time.Time, id string) {
-	g.links.RecordAnswer(now)
+	if a := g.view.Load().servers[id]; a != nil {
+		g.links.RecordAnswer(now, a.Service)
+	}
 	g.doubted.recordAnswer(now, id)
 }
 
 // judgeAndReport reports a server that has not answered, once others were sampled.
 func (g *Gateway) judgeAndReport(id string) {
-	g.links.Judge(time.Now(), id)
+	g.judge(id)
 	g.reportReachability(time.Now())
 }
 
+// judge returns what may be said about a server that has not answered.
+func (g *Gateway) judge(id string) reachability.Blame {
+	a := g.view.Load().servers[id]
+	if a == nil {
+		return reachability.BlameCertain // it takes no requests any more, whatever is said of it
+	}
+	return g.links.Judge(time.Now(), id, a.Service)
+}
+
 // reportReachability tells the control instances which servers this gateway doesn't reach. It waits for the
 // samples in progress, since these may show that the gateway itself is cut off.
 func (g *Gateway) reportReachability(now time.Time) {
 	g.reportRelaying(now)
-	r := reachability.Report{IsCutOff: g.links.IsCutOff()}
+	r := reachability.Report{IsCutOff: g.links.IsAnyCutOff()}
 	if g.links.IsPending() && !r.IsCutOff {
 		return // whoever samples reports
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -59,7 +59,7 @@
 // backend servers, or because isOutOfReach says that it doesn't reach those that the request needs. It waits
 // a moment if none is known yet.
 func (g *Gateway) relayFor(ctx context.Context, j *job, isOutOfReach bool) (taker relay.Instance, ok bool) {
-	if !isOutOfReach && !g.links.IsCutOff() {
+	if !isOutOfReach && !g.links.IsCutOff(j.service.Name) {
 		return taker, false
 	}
 	if taker, ok = g.pickRelay(j); ok || j.origin != nil || g.options.Relayer == nil || j.hasTriedRelays() {
@@ -71,14 +71,14 @@
 	}
 	poll(ctx, capacityPollInterval, relayWait, func() bool {
 		taker, ok = g.pickRelay(j)
-		return ok || !isOutOfReach && !g.links.IsCutOff()
+		return ok || !isOutOfReach && !g.links.IsCutOff(j.service.Name)
 	})
 	return taker, ok
 }
 
 // hasRelay reports whether a request is to be passed on now.
 func (g *Gateway) hasRelay(j *job) bool {
-	if !g.links.IsCutOff() {
+	if !g.links.IsCutOff(j.service.Name) {
 		return false
 	}
 	_, ok := g.pickRelay(j)
@@ -89,7 +89,7 @@
 // have to take its own.
 func (g *Gateway) reportRelaying(now time.Time) {
 	address := g.options.RelayAddress
-	isCutOff := g.links.IsCutOff()
+	isCutOff := g.links.IsAnyCutOff()
 	if isCutOff || g.leaving.Load() || g.view.Load().table == nil {
 		address = ""
 	}
@@ -222,7 +222,7 @@
 		declined = "leaving"
 	case g.routingVersion() < r.ConfigVersion:
 		declined = "the routing document here is older"
-	case g.links.IsCutOff():
+	case g.links.IsAnyCutOff():
 		declined = "cut off from the backend servers"
 	default:
 		release, declined = g.takeRelay(r)
@@ -333,7 +333,7 @@
 // watchCut returns a context in which a request that may be repeated is sent to a server. It ends if this
 // gateway is cut off and another instance takes the request. stop must be called once the answer has begun.
 func (g *Gateway) watchCut(ctx context.Context, j *job) (sendCtx context.Context, stop func()) {
-	connected := g.links.UntilCutOff()
+	connected := g.links.UntilCutOff(j.service.Name)
 	if !j.route.MayRepeat() || connected == nil || j.origin != nil {
 		return ctx, func() {}
 	}
--- a/gateway/stall_monitor.go
+++ b/gateway/stall_monitor.go
@@ -274,19 +274,24 @@
 	why := "can't be reached: " + err.Error()
 	crash := g.view.Load().crashOf(id)
 	g.markUnresponsive(id, why, observedHere)
-	g.recordUnreachable(crash, why, err)
+	if g.recordUnreachable(crash, why, err) {
+		// Again, since the links may have been judged sound meanwhile: a server that counts as crashed is checked.
+		g.faults.markUnresponsive(time.Now(), id, observedHere)
+	}
 	g.reportReachability(time.Now())
 }
 
 // recordUnreachable records the crash of a server to which no connection could be opened, unless the fault may
-// be near this gateway. A refused connection confirms the crash if most other servers are reached.
-func (g *Gateway) recordUnreachable(crash quarantine.Crash, why string, err error) {
-	blame := g.links.Judge(time.Now(), crash.Server)
+// be near this gateway, and reports whether it has. A refused connection confirms the crash if most other
+// servers are reached.
+func (g *Gateway) recordUnreachable(crash quarantine.Crash, why string, err error) bool {
+	blame := g.judge(crash.Server)
 	if blame == reachability.BlameNone {
-		g.options.Log.Info("a backend server is not blamed", "server", crash.Server, "why", why, "is_cut_off", g.links.IsCutOff())
-		return
+		g.options.Log.Info("a backend server is not blamed", "server", crash.Server, "why", why, "is_cut_off", g.links.IsAnyCutOff())
+		return false
 	}
 	g.recordCrash(crash, why, blame == reachability.BlameCertain && errors.Is(err, syscall.ECONNREFUSED))
+	return true
 }
 
 // checkAll makes the monitors of all attempts check their drafts.
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -85,11 +85,18 @@
 	})
 }
 
-// hasWork reports whether this instance has requests at any server.
-func (u *usage) hasWork() bool {
+// servers returns the servers at which this instance has requests.
+func (u *usage) servers() []string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return len(u.local)+len(u.running) > 0
+	out := make([]string, 0, len(u.local)+len(u.running))
+	for id := range u.local {
+		out = append(out, id)
+	}
+	for id := range u.running {
+		out = append(out, id)
+	}
+	return out
 }
 
 // begin counts a plain request, which runs on a single server without a path, as running on the
--- a/internal/emulate/links.go
+++ b/internal/emulate/links.go
@@ -151,6 +151,9 @@
 	})
 }
 
+// SyscallConn gives access to the socket, as for other TCP connections.
+func (c *linkConn) SyscallConn() (syscall.RawConn, error) { return c.Conn.(*net.TCPConn).SyscallConn() }
+
 // Close closes the connection.
 func (c *linkConn) Close() error {
 	c.fail(net.ErrClosed)
--- a/reachability/doubts.go
+++ b/reachability/doubts.go
@@ -73,9 +73,12 @@
 	}
 }
 
-// add adds a report to the tallies, or subtracts it if sign is -1. Reports of instances that are cut off are
-// left out.
+// add adds a report to the tallies, or subtracts it if sign is -1. Of instances that are cut off only the answers
+// count that they get.
 func (d *Doubts) add(r Report, sign int) {
+	for _, id := range r.Answering {
+		d.change(id, func(t *tally) { t.answering += sign })
+	}
 	if r.IsCutOff {
 		return
 	}
@@ -89,9 +92,6 @@
 			}
 		})
 	}
-	for _, id := range r.Answering {
-		d.change(id, func(t *tally) { t.answering += sign })
-	}
 }
 
 func (d *Doubts) change(id string, f func(*tally)) {
@@ -138,7 +138,7 @@
 	}
 	var out []string
 	for id, n := range counts {
-		if n >= needed {
+		if n >= needed && d.tallies[id].answering == 0 {
 			out = append(out, id)
 		}
 	}
--- a/reachability/reachability.go
+++ b/reachability/reachability.go
@@ -24,12 +24,14 @@
 	// minUnreached is the number of servers that must be out of reach before an instance counts as cut
 	// off, unless there are fewer.
 	minUnreached = 3
+	// cutOffRatio is by how many times more servers must be out of reach than reached.
+	cutOffRatio = 4
 )
 
-// IsCutOff reports whether the sample shows that the instance reaches no server. A single server that is out
-// of reach shows nothing.
+// IsCutOff reports whether the sample shows that the instance reaches hardly any server. A single server that is
+// out of reach shows nothing.
 func (s Sample) IsCutOff() bool {
-	return s.Reached == 0 && (s.Unreached >= minUnreached || s.IsWhole && s.Unreached > 1)
+	return s.Unreached >= max(minUnreached, cutOffRatio*s.Reached) || s.IsWhole && s.Reached == 0 && s.Unreached > 1
 }
 
 // Blame is what the instance may say about a server that it hasn't reached.
@@ -51,7 +53,7 @@
 	switch {
 	case s.IsWhole && s.Reached+s.Unreached <= 1:
 		return BlameCertain
-	case s.Reached == 0:
+	case s.Reached == 0 || s.IsCutOff():
 		return BlameNone
 	case s.Reached > s.Unreached:
 		return BlameCertain
@@ -60,14 +62,14 @@
 	}
 }
 
-// Observer tracks whether an instance is cut off from the servers. It is not safe for concurrent use.
+// Observer tracks whether an instance is cut off from the servers of a service. It is not safe for concurrent use.
 type Observer struct {
 	isCutOff bool
 	since    time.Time // of the last change
 }
 
-// Add records a sample and reports whether it changes the state. One sample without a server that was reached
-// starts the cut; it ends when most of a sample are reached.
+// Add records a sample and reports whether it changes the state. One sample that shows a cut starts it; it ends
+// when most of a sample are reached.
 func (o *Observer) Add(now time.Time, s Sample) (changed bool) {
 	isCutOff := o.isCutOff
 	switch {
@@ -83,7 +85,7 @@
 	return true
 }
 
-// IsCutOff reports whether the instance is cut off from the servers.
+// IsCutOff reports whether the instance is cut off.
 func (o *Observer) IsCutOff() bool { return o.isCutOff }
 
 // Since returns when the instance was cut off or connected again; the zero time if it never was cut off.
