gateway: a plain request that servers turn away is not passed on

Only servers to which no connection could be opened count now. And a request whose taker falls silent before it has said anything counts as one attempt.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -29,8 +29,9 @@
 	g.recordRequest(j)
 	var tried []string
 	var silent []string // those of tried that have accepted no connection in time
+	unreached := 0      // how many of tried were out of reach
 	for {
-		if taker, ok := g.relayFor(ctx, j, len(tried) > 0 && j.attempts.Load() == 0 && g.pickServer(j, tried) == nil); ok {
+		if taker, ok := g.relayFor(ctx, j, unreached > 0 && unreached == len(tried) && g.pickServer(j, tried) == nil); ok {
 			f := g.relayPlain(ctx, w, j, taker)
 			if f == nil {
 				return
@@ -64,6 +65,9 @@
 		if f.ran || !g.wantsNothing(server) { // one that wants nothing for a time may be asked again
 			tried = append(tried, server.ID)
 		}
+		if errors.Is(f.err, upstream.ErrNotSent) && !errors.Is(f.err, errHeldBack) {
+			unreached++
+		}
 		if errors.Is(f.err, upstream.ErrNotSent) && upstream.IsTimeout(f.err) {
 			silent = append(silent, server.ID)
 		}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -135,6 +135,9 @@
 		return nil, &failure{reason: taker.Name + " did not take it", err: errors.Join(upstream.ErrNotSent, err)}
 	}
 	j.mayHaveRun.Store(true)
+	if counted == 0 {
+		j.attempts.Add(1) // it was sent, for all that is known
+	}
 	return nil, &failure{reason: "no answer by way of " + taker.Name, ran: true, err: err}
 }
 
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -216,3 +216,24 @@
 	}
 	c.checkRetries("advice", c.sentTo("advice"))
 }
+
+// A plain request that all servers turn away for lack of room is refused, and not passed on: the servers are within
+// reach, and another gateway would only ask them again.
+func TestRequestThatServersTurnAwayIsNotPassedOn(t *testing.T) {
+	c := newSilentCluster(t, 2, ampleRetries)
+	c.fleet.add("desk", 0, 0)
+	c.fleet.add("desk", 0, 0)
+	c.settle()
+	c.fleet.mu.Lock()
+	c.fleet.refusals = 100
+	c.fleet.mu.Unlock()
+	g := c.gateways[0]
+	for range 3 {
+		if r := g.send("/check/1", firstTry); r.status != http.StatusServiceUnavailable {
+			t.Errorf("not refused: %v", r)
+		}
+	}
+	if strings.Contains(g.log.String(), "passed a request on") || len(g.mesh.Relays()) > 0 {
+		t.Errorf("asked other gateways:\n%s", g.log.String())
+	}
+}
