gateway: the test of requests that servers turn away begins with a retry budget

As committed before, it passed on the faulty code too: a retry budget begins empty with the first request, so nothing was sent twice. With a request and a wait first, it fails on ("asked other gateways") and passes now.

--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -224,10 +224,12 @@
 	c.fleet.add("desk", 0, 0)
 	c.fleet.add("desk", 0, 0)
 	c.settle()
+	g := c.gateways[0]
+	c.checkWhole("/check/0", g.send("/check/0", firstTry)) // a retry budget begins empty with the first request
+	time.Sleep(contactTime)
 	c.fleet.mu.Lock()
 	c.fleet.refusals = 100
 	c.fleet.mu.Unlock()
-	g := c.gateways[0]
 	for range 3 {
 		if r := g.send("/check/1", firstTry); r.status != http.StatusServiceUnavailable {
 			t.Errorf("not refused: %v", r)
