--- a/gateway/cut_soak_test.go
+++ b/gateway/cut_soak_test.go
@@ -63,7 +63,7 @@
 	s.checkEnd()
 }
 
-// cutStep starts two callers and a disturbance.
+// cutStep starts two callers and a fault.
 func (s *silenceSoak) cutStep(i int) {
 	for range 2 {
 		path := s.drawPath()
