consensus: since when a replica's state is known to hold everything acknowledged

Cause: no replica could say how old its state is. The only signs were Leader and HasQuorum of Status, which a follower of a deposed, cut-off or paused leader has, too.

Ruled out: the arrival of an append as the time of confirmation (it may have waited while the process was paused); the reply that the leader has when it sends the append, as first planned (a late append of a round names a reply sent after the round began: the follower would take the round for younger than it is); a reply without the epoch of its sender (a restarted follower takes its first reply to a delayed copy for the one that the leader had before).

Change: Node.ConfirmedTick. Appends carry the latest round to which the leader had the receiver's reply when their round began, the epoch of the receiver that replied (in the field of hints on the wire, which appends didn't use and older builds ignore there), and the latest round that a quorum has answered. The leader sends the latter only with a commit of its own term. A follower never dates a round later than its own reply that the leader had by then. Absent fields confirm nothing.

The simulated cluster of the tests counts ticks, keeps when each entry was first applied, and can hold back the messages for a paused replica; the existing tests run as before.

--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -60,8 +60,18 @@
 	rng           *rand.Rand
 	lastFolderID  uint64
 	committed     []Entry
-	leaders       map[uint64]string
-	replaceTicks  int
+	// ticks is the time, and committedAt holds when each of committed was first applied.
+	ticks       uint64
+	committedAt []uint64
+	// queuesForPaused keeps the messages to paused replicas until they are resumed, in queued.
+	queuesForPaused bool
+	queued          map[string][]Message
+	// olderLeaders makes messages look like those of a build that says nothing about rounds.
+	olderLeaders bool
+	// onProcessed is called after each step of a replica; nil means nothing.
+	onProcessed  func(id string)
+	leaders      map[uint64]string
+	replaceTicks int
 	// size is Options.Size, and joinOnly holds Options.JoinOnly of each node.
 	size      int
 	joinOnly  map[string]bool
@@ -142,9 +152,15 @@
 		r.node.Advance(ready)
 	}
 	c.checkLeader(id)
+	if c.onProcessed != nil {
+		c.onProcessed(id)
+	}
 }
 
 func (c *cluster) enqueue(m Message) {
+	if c.olderLeaders {
+		m.AckedRound, m.AckedEpoch, m.ConfirmedRound = 0, 0, 0
+	}
 	if c.recording {
 		c.recorded = append(c.recorded, m)
 	}
@@ -168,6 +184,7 @@
 		}
 	} else if at == len(c.committed) {
 		c.committed = append(c.committed, e)
+		c.committedAt = append(c.committedAt, c.ticks)
 	} else {
 		c.fail("%s applied index %d before index %d was committed", id, e.Index, len(c.committed)+2)
 	}
@@ -257,7 +274,9 @@
 			c.rng.Shuffle(len(messages), func(i, j int) { messages[i], messages[j] = messages[j], messages[i] })
 		}
 		for _, m := range messages {
-			if !c.isBlocked(m) {
+			if r := c.replicas[m.To]; c.queuesForPaused && r != nil && r.paused && !r.down {
+				c.queued[m.To] = append(c.queued[m.To], m)
+			} else if !c.isBlocked(m) {
 				c.replicas[m.To].node.Step(m)
 				c.process(m.To)
 			}
@@ -267,6 +286,7 @@
 
 func (c *cluster) tick(count int) {
 	for range count {
+		c.ticks++
 		for _, id := range c.ids {
 			if r := c.replicas[id]; !r.down && !r.paused {
 				r.node.Tick()
--- a/consensus/history_test.go
+++ b/consensus/history_test.go
@@ -87,6 +87,8 @@
 	if gap := h.ticks - h.pausedAt[id]; gap > 0 {
 		h.replicas[id].node.ResumeAfterPause(gap)
 	}
+	h.inFlight = append(h.inFlight, h.queued[id]...)
+	delete(h.queued, id)
 }
 
 // emptyFolder crashes a replica and starts it again with an empty data folder, if all voters are
@@ -181,19 +183,24 @@
 	}
 }
 
+func newHistory(t *rapid.T) *history {
+	initialVoters := rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "initial voters")
+	standbys := rapid.IntRange(0, 1).Draw(t, "standbys")
+	h := &history{
+		cluster:  newCluster(t, initialVoters, standbys, rapid.Uint64().Draw(t, "seed")),
+		t:        t,
+		pausedAt: map[string]int{},
+	}
+	h.replaceTicks = 60
+	for _, id := range h.ids {
+		h.start(id)
+	}
+	return h
+}
+
 func TestCommittedEntriesSurviveRandomFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		initialVoters := rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "initial voters")
-		standbys := rapid.IntRange(0, 1).Draw(t, "standbys")
-		h := &history{
-			cluster:  newCluster(t, initialVoters, standbys, rapid.Uint64().Draw(t, "seed")),
-			t:        t,
-			pausedAt: map[string]int{},
-		}
-		h.replaceTicks = 60
-		for _, id := range h.ids {
-			h.start(id)
-		}
+		h := newHistory(t)
 		h.run(30)
 		for range rapid.IntRange(10, 80).Draw(t, "steps") {
 			h.step()
--- a/consensus/message.go
+++ b/consensus/message.go
@@ -126,6 +126,12 @@
 	// Round is the number of the leader's heartbeat round. A reply repeats the round of the
 	// message that it answers.
 	Round uint64
+	// AckedRound is the latest round to which the leader had a reply of the receiver when Round began, and
+	// AckedEpoch is the epoch of the receiver that replied. ConfirmedRound is the latest round to which a quorum
+	// has replied. Only appends carry them; 0 means none.
+	AckedRound     uint64
+	AckedEpoch     uint64
+	ConfirmedRound uint64
 	// Force marks a vote request of a leadership transfer. Voters handle it even while a leader
 	// is active.
 	Force bool
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -91,6 +91,7 @@
 	// votersFromHello are the voters that the latest hello reply listed.
 	votersFromHello []Voter
 	lease           lease
+	confirmation    confirmation
 	transferee      string
 	transferTick    uint64
 	// isTakeoverRequested means that the transferee was asked to campaign.
@@ -309,6 +310,7 @@
 	if k := len(r.Committed); k > 0 {
 		n.log.applied = r.Committed[k-1].Index
 	}
+	n.confirmation.recordApplied(n.log.applied)
 	// The leader counts itself towards a quorum only for entries that it has stored durably.
 	if n.role == RoleLeader {
 		n.maybeCommit()
--- a/consensus/progress.go
+++ b/consensus/progress.go
@@ -23,6 +23,8 @@
 	// the latest round that it has answered.
 	lastSeen   uint64
 	ackedRound uint64
+	// ackedBefore is ackedRound when the current round began.
+	ackedBefore uint64
 	// unverified means that the saved state of the replica is not verified yet. The leader sends it
 	// the log, but its replies do not count towards a quorum.
 	unverified bool
--- a/consensus/replication.go
+++ b/consensus/replication.go
@@ -23,6 +23,7 @@
 	}
 	for _, id := range n.peerIDs() {
 		p := n.peers[id]
+		p.ackedBefore = p.ackedRound
 		if p.snapshot != nil {
 			n.sendChunk(id, p)
 			continue
@@ -53,7 +54,8 @@
 		n.startSnapshot(id, p)
 		return
 	}
-	m := Message{Kind: KindAppend, To: id, PrevIndex: prev, PrevTerm: term, Commit: n.log.commit, Round: n.lease.round, Stored: stored}
+	m := Message{Kind: KindAppend, To: id, PrevIndex: prev, PrevTerm: term, Commit: n.log.commit, Round: n.lease.round, Stored: stored,
+		AckedRound: p.ackedBefore, AckedEpoch: p.epoch, ConfirmedRound: n.confirmedRound()}
 	if p.inFlight < maxInFlight {
 		m.Entries = n.batch(prev)
 	}
@@ -82,6 +84,7 @@
 func (n *Node) handleAppend(m Message) {
 	n.becomeFollower(m.Term, m.From)
 	n.leaderLastSeen = n.now
+	n.observeRound(m)
 	n.recordStored(append(m.Stored, StoredPosition{ID: m.From, Position: lastPositionOf(m)}))
 	reply := Message{Kind: KindAppendReply, To: m.From, Round: m.Round}
 	if m.PrevIndex < n.log.commit && m.PrevIndex+uint64(len(m.Entries)) <= n.log.commit {
--- a/consensus/snapshot.go
+++ b/consensus/snapshot.go
@@ -47,6 +47,7 @@
 func (n *Node) handleSnapshot(m Message) {
 	n.becomeFollower(m.Term, m.From)
 	n.leaderLastSeen = n.now
+	n.observeRound(m)
 	if m.PrevIndex <= n.log.commit {
 		n.send(Message{Kind: KindAppendReply, To: m.From, Hint: n.log.commit, Round: m.Round})
 		return
--- a/instance/consensus.go
+++ b/instance/consensus.go
@@ -145,6 +145,13 @@
 		Chunk:      m.Chunk,
 		Offset:     m.Offset,
 		Size:       m.Size,
+
+		AckedRound:     m.AckedRound,
+		ConfirmedRound: m.ConfirmedRound,
+	}
+	// An append has no hint of its own, and builds before these fields ignore it there.
+	if m.Kind == consensus.KindAppend {
+		w.Hint = m.AckedEpoch
 	}
 	if m.Membership != nil {
 		w.Membership = m.Membership.Encode()
@@ -180,6 +187,12 @@
 		Chunk:      w.Chunk,
 		Offset:     w.Offset,
 		Size:       w.Size,
+
+		AckedRound:     w.AckedRound,
+		ConfirmedRound: w.ConfirmedRound,
+	}
+	if m.Kind == consensus.KindAppend {
+		m.Hint, m.AckedEpoch = 0, w.Hint
 	}
 	if len(w.Membership) > 0 {
 		membership, err := consensus.DecodeMembership(w.Membership)
