daemon: a control instance confirms its view by its replica, not by knowing a leader

Cause: runConfirmations took the view for the newest whenever the replica named a leader, also at a follower of a leader that is deposed, paused or cut off from all others; it also named the view in force when asked, not the one in the state that was asked about.

Ruled out: HasQuorum of the status, which such a follower has as well.

Change: control.Status carries the time since which the replica's state lacks nothing acknowledged, on the boot clock (internal/bootclock, moved out of control), so that neither a pause of the process nor a suspended machine makes it younger, and the index of the view in that state. A view in force that is newer than the confirmed one counts as confirmed.

--- a/control/clock.go
+++ b/control/clock.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/consensus"
-	"golang.org/x/sys/unix"
+	"github.com/balsamlb/balsamlb/internal/bootclock"
 )
 
 // pauseTicks is the minimum number of ticks between two calls of advance that counts as a pause
@@ -17,12 +17,12 @@
 	last time.Duration
 }
 
-func (c *clock) start() { c.last = timeSinceBoot() }
+func (c *clock) start() { c.last = bootclock.Now() }
 
 // advance ticks the node for the time since the last call. After a pause of the process it
 // returns the length of the pause, otherwise 0.
 func (c *clock) advance(n *consensus.Node) time.Duration {
-	ticks := int((timeSinceBoot() - c.last) / tickInterval)
+	ticks := int((bootclock.Now() - c.last) / tickInterval)
 	c.last += time.Duration(ticks) * tickInterval
 	if ticks >= pauseTicks {
 		n.ResumeAfterPause(ticks)
@@ -34,9 +34,10 @@
 	return 0
 }
 
-func timeSinceBoot() time.Duration {
-	var ts unix.Timespec
-	// The error is ignored, because every kernel that Go supports has CLOCK_BOOTTIME.
-	_ = unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts)
-	return time.Duration(ts.Nano())
+// timeOf returns when the node's clock had reached a tick, or earlier, as bootclock.Now counts; 0 for tick 0.
+func (c *clock) timeOf(n *consensus.Node, tick uint64) time.Duration {
+	if tick == 0 {
+		return 0
+	}
+	return c.last - time.Duration(n.Now()-tick)*tickInterval
 }
--- a/control/status.go
+++ b/control/status.go
@@ -15,13 +15,23 @@
 	// LeaderAddress is the address of the leader, "" if it is not known.
 	LeaderAddress string
 	Records       int
+	// ViewIndex and RoutingVersion name the view and the routing document in the applied state.
+	ViewIndex      uint64
+	RoutingVersion uint64
+	// ConfirmedAt is a time, as bootclock.Now counts, before which nothing was acknowledged that the applied
+	// state lacks; 0 means that none is known.
+	ConfirmedAt time.Duration
 }
 
 // Status returns the host's view of its group.
 func (h *Host) Status(ctx context.Context) (Status, error) {
 	var s Status
 	err := h.Query(ctx, func(state *replica.State, n *consensus.Node) {
-		s = Status{Status: n.Status(), Records: state.Ledger.Len()}
+		s = Status{
+			Status: n.Status(), Records: state.Ledger.Len(),
+			ViewIndex: state.ViewIndex(), RoutingVersion: state.Routing.Version,
+			ConfirmedAt: h.clock.timeOf(n, n.ConfirmedTick()),
+		}
 		v, _ := s.Membership.Voter(s.Leader)
 		s.LeaderAddress = v.Address
 	})
--- a/daemon/exchange.go
+++ b/daemon/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/balsamlb/balsamlb/control"
 	"github.com/balsamlb/balsamlb/instance"
 	"github.com/balsamlb/balsamlb/instance/wire"
+	"github.com/balsamlb/balsamlb/internal/bootclock"
 	"github.com/balsamlb/balsamlb/internal/ring"
 	"github.com/balsamlb/balsamlb/membership"
 	"github.com/cespare/xxhash/v2"
@@ -245,14 +246,14 @@
 // confirmInterval is how often a control instance checks whether its view is the newest.
 const confirmInterval = 250 * time.Millisecond
 
-// runConfirmations confirms the view of a control instance at every confirmInterval at which its
-// replica knows the leader.
+// runConfirmations confirms the view of a control instance, at every confirmInterval, as of the time since
+// which its replica is known to lack nothing that was acknowledged.
 func (p *peerSync) runConfirmations(ctx context.Context) error {
 	for ctx.Err() == nil {
-		now := time.Now()
 		status, err := p.host.Status(ctx)
-		if err == nil && status.Leader != "" {
-			p.state.confirmView(p.state.View().Index, now)
+		if err == nil && status.ConfirmedAt > 0 {
+			now := time.Now() // before the other clock is read, so that a pause in between confirms nothing later
+			p.state.confirmView(status.ViewIndex, now.Add(status.ConfirmedAt-bootclock.Now()))
 		}
 		sleepFor(ctx, confirmInterval)
 	}
--- a/daemon/views.go
+++ b/daemon/views.go
@@ -69,12 +69,12 @@
 	return readConfig(s.configReader, v, s.process.DataCentre)
 }
 
-// confirmView records that a quorum confirmed at the given time that the view with the index is the
-// newest.
+// confirmView records that a quorum confirmed at the given time that the view with the index is the newest.
+// The view in force may be newer, but not older.
 func (s *instanceState) confirmView(index uint64, at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if index == s.view.Index && index > 0 && at.After(s.confirmedAt) {
+	if index <= s.view.Index && index > 0 && at.After(s.confirmedAt) {
 		s.confirmedAt = at
 	}
 }
