mesh, controller: heartbeats tell how old the routing document's confirmation is

Cause: a gateway knew its version and nothing else: neither a newer one that it had heard of, nor when anybody had last known its document to be the newest.

Change: the controller hands its replica's confirmation to the mesh. Heartbeats carry its age and the number of the watcher's latest report; the watcher counts the age from when it sent that report, on the boot clock, so that a heartbeat that was delayed, or waited in a paused process, confirms nothing later. A confirmation of a document that isn't fetched yet is kept and taken up with the document (the first and the latest one, for documents that change faster than they are fetched). A control instance without a confirmation sends 0. A control instance whose replica follows a leader of an older build (it names no rounds for 16 rounds, 0.6 s) looks to its watchers like one of an older build: no confirmation is expected of it. While all connected control instances are such, documents are used as before; a cut-off gateway keeps what it expected last. [routing] apply_ms (2000) is the bound; crossing it is logged at control instances, and when the document is fresh again.

--- a/consensus/confirmation.go
+++ b/consensus/confirmation.go
@@ -17,11 +17,19 @@
 	term   uint64
 	leader string
 	rounds [trackedRounds]observedRound
+	// firstRound and lastRound are the first and the last of the leader's rounds that were seen, and saysRounds is
+	// set once the leader has said anything about this replica's replies or a quorum's.
+	firstRound, lastRound uint64
+	saysRounds            bool
 	// pending holds what is confirmed once more entries are applied: the first confirmation that waits for
 	// that, and the newest one. The first is kept, so that a replica that is always a bit behind gets on.
 	pending [2]pendingConfirmation
 }
 
+// maxSilentRounds is the number of rounds after which a leader that says nothing about them is taken for one of a
+// build that never does. A leader of this build that neither a quorum nor this replica answers gives up earlier.
+const maxSilentRounds = 16
+
 // observedRound is a leader's heartbeat round as a follower has seen it.
 type observedRound struct {
 	round uint64
@@ -48,6 +56,13 @@
 	return n.confirmation.tick
 }
 
+// canConfirm reports whether this node's state can be confirmed: it can't under a leader of an older build.
+func (n *Node) canConfirm() bool {
+	c := &n.confirmation
+	isSilent := !c.saysRounds && c.lastRound-c.firstRound >= maxSilentRounds
+	return n.role != RoleFollower || n.leader == "" || n.leader != c.leader || !isSilent
+}
+
 // Now returns the number of ticks since the start, with those of pauses.
 func (n *Node) Now() uint64 { return n.now }
 
@@ -80,8 +95,10 @@
 func (n *Node) observeRound(m Message) {
 	c := &n.confirmation
 	if c.term != m.Term || c.leader != m.From {
-		c.term, c.leader, c.rounds = m.Term, m.From, [trackedRounds]observedRound{}
+		*c = confirmation{tick: c.tick, pending: c.pending, term: m.Term, leader: m.From, firstRound: m.Round}
 	}
+	c.lastRound = max(c.lastRound, m.Round)
+	c.saysRounds = c.saysRounds || m.AckedRound > 0 || m.ConfirmedRound > 0
 	r := &c.rounds[m.Round%trackedRounds]
 	if m.Round == 0 || r.round > m.Round {
 		return
--- a/consensus/confirmation_test.go
+++ b/consensus/confirmation_test.go
@@ -114,8 +114,16 @@
 	for _, id := range c.others(c.leader()) {
 		_, ok := c.age(id)
 		is.True(!ok)
+		is.True(!c.replicas[id].node.Status().CanConfirm)
 		is.Equal(c.replicas[id].state, []string{"a"})
 	}
+	c.olderLeaders = false // the leader is replaced with one of this build
+	c.tick(10)
+	for _, id := range c.ids {
+		_, ok := c.age(id)
+		is.True(ok)
+		is.True(c.replicas[id].node.Status().CanConfirm)
+	}
 }
 
 // follow returns a follower of "leader" and a function that gives it an append of a round at a later tick.
--- a/consensus/status.go
+++ b/consensus/status.go
@@ -34,6 +34,9 @@
 	HasQuorum bool
 	// Voting is true if the node is a voter and its saved state is verified.
 	Voting bool
+	// CanConfirm is false if this replica's state can't be confirmed, because its leader is of a build that says
+	// nothing about its rounds.
+	CanConfirm bool
 }
 
 // Status returns the node's view of its group.
@@ -50,7 +53,8 @@
 		Lease:      n.HasLease(),
 		HasQuorum: n.HasLease() ||
 			n.role == RoleFollower && n.leader != "" && n.now-n.leaderLastSeen < uint64(n.opts.ElectionTicks),
-		Voting: n.isVoting() && n.verification.done,
+		Voting:     n.isVoting() && n.verification.done,
+		CanConfirm: n.canConfirm(),
 	}
 	for id, p := range n.peers {
 		if !n.countsTowardsQuorum(id, p) && p.disk != 0 {
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -66,7 +66,9 @@
 	AnnounceInterval time.Duration
 	// DataFolder is where the known servers are saved; "" saves nothing.
 	DataFolder string
-	Log        logr.Logger
+	// RoutingApplyTime is the time in which an acknowledged document must be in force.
+	RoutingApplyTime time.Duration
+	Log              logr.Logger
 }
 
 // Controller runs the duties of one control instance.
@@ -85,6 +87,8 @@
 	routing atomic.Pointer[routing.Publication]
 	wake    chan struct{}
 	planner *planner
+	// age logs when the document's age exceeds the bound.
+	age mesh.AgeMonitor
 }
 
 // New returns a controller. Its Applied method must be set as the host's OnRouting callback.
@@ -95,6 +99,8 @@
 	}
 	c := &Controller{options: o, encoder: encoder, started: time.Now(), wake: make(chan struct{}, 1)}
 	c.planner = newPlanner(o)
+	o.Mesh.SetConfirms(true)
+	c.age = mesh.AgeMonitor{Bound: o.RoutingApplyTime, Log: o.Log}
 	if err := c.loadServers(); err != nil {
 		o.Log.Info("could not load the saved backend servers", "reason", err.Error())
 	}
@@ -169,18 +175,29 @@
 // of, also after a restart; its own term may be that of a candidate who lost.
 func (c *Controller) recordStatus(s control.Status) {
 	c.status.Store(&s)
+	c.recordConfirmation(s)
 	if s.HasQuorum {
 		c.lastQuorum.Store(int64(time.Since(c.started)))
 	}
 	voters := voterAddresses(s)
 	c.options.Mesh.SetVoters(voters)
 	c.options.Proposer.SetVoters(voters)
+	c.recordConfirmation(s)
 	c.options.Mesh.RaiseFence(s.CommitTerm)
 	if s.Lease {
 		c.options.Mesh.RaiseFence(s.Term)
 	}
 }
 
+// recordConfirmation passes on since when the replica's document is known to be the newest.
+func (c *Controller) recordConfirmation(s control.Status) {
+	c.options.Mesh.SetConfirms(s.CanConfirm)
+	if s.ConfirmedAt > 0 {
+		c.options.Mesh.ConfirmRouting(s.RoutingVersion, s.ConfirmedAt)
+	}
+	c.age.Observe(c.options.Mesh.RoutingConfirmation())
+}
+
 func voterAddresses(s control.Status) []string {
 	var out []string
 	for _, v := range s.Membership.Voters {
--- a/mesh/feed.go
+++ b/mesh/feed.go
@@ -39,6 +39,8 @@
 	subtractsOwnUsage bool
 	includedReport    uint64
 	crashes           crashReporter
+	// latestReport is the number of the watcher's latest report.
+	latestReport uint64
 }
 
 const (
@@ -62,6 +64,7 @@
 	if hasEvidence {
 		m.broadcast()
 	}
+	f.latestReport = req.Report
 	if f.control != "" {
 		return
 	}
@@ -91,6 +94,7 @@
 	}
 	f.sentRevision = m.directory.Revision()
 	own := &wire.WatchBeat{Crashes: crashes, PartCrashes: partCrashes, LeavesOutUsage: true, Rank: m.rankOf(f.name), Relays: m.relaysFor(f.name)}
+	f.appendConfirmation(own)
 	if buf, err = f.appendUsage(buf, own, now); err != nil {
 		return nil, err
 	}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -67,7 +67,9 @@
 	directory *discovery.Directory
 	document  routing.Publication
 	table     *routing.Table
-	seeds     []string
+	// documentAge is how recent the document is known to be.
+	documentAge documentAge
+	seeds       []string
 	// reportedControls holds the control instances that each control instance reports.
 	reportedControls map[string][]string
 	// controlWatches counts the other control instances' watches of this one, by the address of the
@@ -155,6 +157,7 @@
 		doubts:               reachability.NewDoubts(),
 		reportedRelays:       make(map[string][]relay.Instance),
 		reportedDoubts:       make(map[string]reportedDoubts),
+		documentAge:          documentAge{confirmers: make(map[string]bool)},
 		shared:               sharedFragments{servers: make(map[string]serverFragment)},
 		changed:              make(chan struct{}),
 		localUsage:           func() []Usage { return nil },
@@ -353,6 +356,7 @@
 	}
 	m.document = p
 	m.table = routing.NewTable(d)
+	m.confirmAnnounced()
 	m.options.Log.Info("applied a new routing document", "version", p.Version, "routes", len(d.Routes), "workspaces", len(d.Workspaces))
 	m.broadcast()
 	return nil
@@ -491,6 +495,7 @@
 	delete(m.reportedUsage, address)
 	m.mergePeerUsage()
 	delete(m.dataCentres, address)
+	m.forgetConfirmer(address)
 	delete(m.reportedUnresponsive, address)
 	delete(m.reportedRelays, address)
 	changed = m.updateDoubts(time.Now(), address, reportedDoubts{}) || changed
--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/instance/wire"
+	"github.com/balsamlb/balsamlb/internal/bootclock"
 	"github.com/balsamlb/balsamlb/routing"
 	"golang.org/x/sync/errgroup"
 )
@@ -102,8 +103,9 @@
 	reported [maxSubtractableReports]ownReport
 }
 
-// ownReport is what this instance has reported of its own work.
+// ownReport is what this instance has reported of its own work, and when, as bootclock.Now counts.
 type ownReport struct {
+	sent   time.Duration
 	usage  []Usage
 	demand []RankDemand
 }
@@ -115,7 +117,7 @@
 // Request returns a message that describes this instance and its usage.
 func (w *watcher) Request() *wire.WatchRequest {
 	m := w.mesh
-	own := ownReport{usage: m.localUsage(), demand: m.localDemand()}
+	own := ownReport{sent: bootclock.Now(), usage: m.localUsage(), demand: m.localDemand()}
 	crashes, partCrashes := w.crashes.next(time.Now())
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -165,6 +167,7 @@
 	}
 	w.heartbeats++
 	w.subtractOwnUsage(b)
+	w.mergeConfirmation(b)
 	w.mesh.mergeHeartbeat(address, b)
 }
 
--- a/settings/member.go
+++ b/settings/member.go
@@ -29,6 +29,7 @@
 	{"retry", "ratio", "0.2", "", "Gateway: how many requests may be sent once more, for each request of a service.", fraction},
 	{"retry", "reserve", "100", "requests", "Gateways together: how many requests of a service may be sent once more besides, in each window.", decimal(0, 1<<20)},
 	{"retry", "window_s", "10", "s", "Length of the windows in which the reserve holds.", decimal(1, 3600)},
+	{"routing", "apply_ms", "2000", "ms", "Time within which an acknowledged routing document is in force. A gateway whose document was not confirmed within it answers 503 in place of 404 and 401, as the route or key may be new.", decimal(100, 600000)},
 	{"limits", "grace_s", "10", "s", "Time between the signal to stop and the end of the process.", decimal(1, 3600)},
 	{"limits", "memory_mb", "0", "MB", "Memory that the process may use; 0: not limited.", decimal(0, 1<<20)},
 	{"limits", "answer_mb", "64", "MB", "Gateway: largest answer of a backend server that is forwarded.", wholeNumber(1, 1<<16)},
@@ -61,6 +62,8 @@
 	RetryRatio   float64
 	RetryReserve float64
 	RetryWindow  time.Duration
+	// RoutingApplyTime is the time within which an acknowledged routing document is in force at all gateways.
+	RoutingApplyTime time.Duration
 	// Grace is the time between the signal to stop and the end of a gateway's process.
 	Grace time.Duration
 	// MemoryMB is the memory that the process may use, in MiB; 0 means no limit.
@@ -136,6 +139,7 @@
 		RetryRatio:       decimalValue("retry", "ratio"),
 		RetryReserve:     decimalValue("retry", "reserve"),
 		RetryWindow:      time.Duration(decimalValue("retry", "window_s") * float64(time.Second)),
+		RoutingApplyTime: time.Duration(decimalValue("routing", "apply_ms") * float64(time.Millisecond)),
 		Grace:            time.Duration(decimalValue("limits", "grace_s") * float64(time.Second)),
 		MemoryMB:         int(decimalValue("limits", "memory_mb")),
 		MaxAnswerMB:      intValue("limits", "answer_mb"),
