gateway: a document that may be outdated denies nothing

Cause: a gateway beside a control instance that lags behind, is cut off or was paused has its older document and answered 404 and 401 for routes and keys that were added since.

Change: while the document isn't confirmed within [routing] apply_ms, 404 and 401 become 503 with Retry-After. Requests that the document allows are served, whatever its age. A gateway that has just started holds requests for at most the time for which it waits for a first document (0.9 s, or half of the caller's), until its document is confirmed (membership.ViewGate). Readiness is as before. Metrics of the document's version, age and by whom, for gateways and control instances; a counter of the denials that were held back; log lines.

--- a/daemon/member.go
+++ b/daemon/member.go
@@ -76,9 +76,21 @@
 		Decode:         platform.DecodeDocument,
 		Log:            log.WithName("mesh"),
 	})
+	if err == nil {
+		metrics.RegisterDocument(m.registry, m.document)
+	}
 	return m, err
 }
 
+// document returns how recent the routing document is, for metrics.
+func (m *member) document() metrics.Document {
+	c := m.mesh.RoutingConfirmation()
+	age, isConfirmed := c.Age()
+	return metrics.Document{
+		Version: c.InForce, Newest: c.Newest, IsConfirmed: isConfirmed, AgeSeconds: age.Seconds(), By: c.By, IsExpected: c.IsExpected,
+	}
+}
+
 // RunGateway runs a gateway until ctx ends, and then until its requests in flight have ended or the
 // grace period is over.
 func RunGateway(ctx context.Context, path string, s settings.Member, log logr.Logger) error {
@@ -112,6 +124,8 @@
 		RetryReserve: s.RetryReserve,
 		RetryWindow:  s.RetryWindow,
 
+		RoutingApplyTime: s.RoutingApplyTime,
+
 		MaxAnswerBytes: int64(s.MaxAnswerMB) << 20,
 		MaxBodiesBytes: int64(bodiesShare * float64(s.MemoryMB) * (1 << 20)),
 	})
@@ -161,6 +175,7 @@
 		Demand:           m.mesh.Demand,
 		AnnounceInterval: s.AnnounceInterval,
 		DataFolder:       s.DataFolder,
+		RoutingApplyTime: s.RoutingApplyTime,
 		Log:              log.WithName("controller"),
 	})
 	if err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,6 +37,9 @@
 // DefaultMaxAnswerBytes bounds an answer if the settings state no limit.
 const DefaultMaxAnswerBytes = 64 << 20
 
+// DefaultRoutingApplyTime is the RoutingApplyTime if the settings state none.
+const DefaultRoutingApplyTime = 2 * time.Second
+
 const (
 	// maxHeaderBytes is above the header limit of every known deployment (16 KiB).
 	maxHeaderBytes = 64 << 10
@@ -78,6 +81,9 @@
 	RetryRatio   float64
 	RetryReserve float64
 	RetryWindow  time.Duration
+	// RoutingApplyTime is the time within which an acknowledged routing document must be in force; 0 means
+	// DefaultRoutingApplyTime. An older document denies nothing.
+	RoutingApplyTime time.Duration
 
 	// MaxAnswerBytes is the largest size of an answer that is forwarded; 0 means
 	// DefaultMaxAnswerBytes. A longer one is broken off.
@@ -117,6 +123,7 @@
 	waiters  atomic.Int64
 	metrics  *metrics.Gateway
 	admitter *admitter
+	document *documentGate
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -153,6 +160,7 @@
 		budgets:      retry.NewBudgets(),
 		admitter:     newAdmitter(o.Seed),
 	}
+	g.document = newDocumentGate(o)
 	g.links = g.newLinkChecker()
 	g.updateRetryBudget(time.Now())
 	if o.Dial != nil {
@@ -364,6 +372,7 @@
 			g.evidence.RemoveExpired(now)
 			g.removeExpiredReports(now)
 			g.stallReports.removeExpired(now)
+			g.followDocumentAge()
 			g.client.CloseExpired(now)
 		}
 	}
@@ -424,12 +433,12 @@
 	j.routing = v.table.Version
 	j.route = v.table.Route(r.Host, r.URL.EscapedPath())
 	if j.route == nil {
-		return j, &refusal{http.StatusNotFound, "no route for this host and path", 0}
+		return j, g.deny(v, http.StatusNotFound, "no route for this host and path")
 	}
 	j.priority = j.route.Priority
 	ws, ok := v.table.Workspace(j.header.APIKey)
 	if !ok && v.table.NeedsKey(j.route) {
-		return j, &refusal{http.StatusUnauthorized, "unknown key", 0}
+		return j, g.deny(v, http.StatusUnauthorized, "unknown key")
 	}
 	if ok {
 		j.workspace = ws.Name
--- a/gateway/start.go
+++ b/gateway/start.go
@@ -14,11 +14,12 @@
 	tablePollInterval = 10 * time.Millisecond
 )
 
-// awaitTable returns the current view. If it has no routing document yet, awaitTable waits for one
-// for a limited time. timeLeft is how long the caller waits; 0 means not stated.
+// awaitTable returns the current view. If it has no routing document yet, or one that this instance has not used yet
+// and that may be older than the one in force elsewhere, awaitTable waits for a limited time. timeLeft is how long
+// the caller waits; 0 means not stated.
 func (g *Gateway) awaitTable(ctx context.Context, timeLeft time.Duration) *view {
 	v := g.view.Load()
-	if v.table != nil {
+	if g.mayUse(v) {
 		return v
 	}
 	wait := tableWait
@@ -27,7 +28,7 @@
 	}
 	poll(ctx, tablePollInterval, wait, func() bool {
 		v = g.view.Load()
-		return v.table != nil
+		return g.mayUse(v)
 	})
 	return v
 }
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -41,6 +41,8 @@
 		"1 while a gateway reaches no backend server, 0 otherwise."}
 	gatewayRelayedTotal = description{"balsamlb_gateway_relayed_total", counter, []string{LabelRelay},
 		"Requests that a gateway passed on to another one, that another one declined, or that it took from others."}
+	gatewayUnconfirmedDenialsTotal = description{"balsamlb_gateway_unconfirmed_denials_total", counter, nil,
+		"Requests that the routing document did not allow, and that were answered with 503 since the document was not confirmed within the bound."}
 	gatewayUnresponsive = description{"balsamlb_gateway_unresponsive_to_others", gauge, nil,
 		"Backend servers that a gateway avoids since several gateways report them as unresponsive."}
 )
@@ -49,7 +51,7 @@
 var gatewayDescriptions = []description{
 	gatewayRequestsTotal, gatewayRequestSeconds, gatewayFirstEventSeconds, gatewayDialsTotal, gatewayReroutesTotal, gatewayResumesTotal,
 	gatewayLostRunsTotal, gatewayQuarantinedTotal, gatewayHeldBackTotal,
-	gatewayRejectedSendsTotal, gatewayClaimsHeldBackTotal,
+	gatewayRejectedSendsTotal, gatewayClaimsHeldBackTotal, gatewayUnconfirmedDenialsTotal,
 	gatewayUnresponsive, gatewayCutOff, gatewayRelayedTotal,
 	gatewayAdmissionTotal, gatewayRoom, gatewayLevel, gatewayFreeRoom,
 }
@@ -75,6 +77,8 @@
 	RejectedSends     *prometheus.CounterVec
 	ClaimsHeldBack    *prometheus.CounterVec
 
+	UnconfirmedDenials *prometheus.CounterVec
+
 	UnresponsiveToOthers prometheus.Gauge
 	CutOff               prometheus.Gauge
 	Relayed              *prometheus.CounterVec
@@ -97,11 +101,13 @@
 		RejectedSends:     newCounter(gatewayRejectedSendsTotal),
 		ClaimsHeldBack:    newCounter(gatewayClaimsHeldBackTotal),
 
+		UnconfirmedDenials: newCounter(gatewayUnconfirmedDenialsTotal),
+
 		UnresponsiveToOthers: prometheus.NewGauge(prometheus.GaugeOpts{Name: gatewayUnresponsive.name, Help: gatewayUnresponsive.help}),
 		Relayed:              newCounter(gatewayRelayedTotal),
 		CutOff:               prometheus.NewGauge(prometheus.GaugeOpts{Name: gatewayCutOff.name, Help: gatewayCutOff.help}),
 	}
 	g.Admission = newAdmission(r)
-	r.MustRegister(g.Requests, g.RequestSeconds, g.FirstEventSeconds, g.Dials, g.Reroutes, g.Resumes, g.LostRuns, g.Quarantined, g.HeldBack, g.RejectedSends, g.ClaimsHeldBack, g.UnresponsiveToOthers, g.CutOff, g.Relayed)
+	r.MustRegister(g.Requests, g.RequestSeconds, g.FirstEventSeconds, g.Dials, g.Reroutes, g.Resumes, g.LostRuns, g.Quarantined, g.HeldBack, g.RejectedSends, g.ClaimsHeldBack, g.UnconfirmedDenials, g.UnresponsiveToOthers, g.CutOff, g.Relayed)
 	return g
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -148,5 +148,10 @@
 	for _, d := range slices.Concat(controllerDescriptions, planDescriptions) {
 		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", d.name, d.kind, strings.Join(d.labels, ", "), d.help)
 	}
+	b.WriteString("\nGateways and controllers serve these of the routing document as well:\n\n")
+	b.WriteString("| metric | kind | labels | meaning |\n|---|---|---|---|\n")
+	for _, d := range documentDescriptions {
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", d.name, d.kind, strings.Join(d.labels, ", "), d.help)
+	}
 	return b.String()
 }
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -61,6 +61,7 @@
 	g.HeldBack.WithLabelValues("leaving").Inc()
 	g.RejectedSends.WithLabelValues("memory").Inc()
 	g.ClaimsHeldBack.WithLabelValues().Inc()
+	g.UnconfirmedDenials.WithLabelValues().Inc()
 	g.Relayed.WithLabelValues("taken").Inc()
 	g.Admission.Count("advice", 0, AdmissionStarted)
 	g.Admission.SetRoom("advice", 3, 1)
@@ -110,3 +111,19 @@
 	}
 	is.Equal(sum, 31.0) // each metric shows a value of its own
 }
+
+func TestEveryMetricOfADocumentIsDescribed(t *testing.T) {
+	is := is.New(t)
+	r := prometheus.NewRegistry()
+	RegisterDocument(r, func() Document {
+		return Document{Version: 2, Newest: 4, IsConfirmed: true, AgeSeconds: 8, By: "10.0.0.1:7", IsExpected: true}
+	})
+	families, err := r.Gather()
+	is.NoErr(err)
+	is.Equal(len(families), len(documentDescriptions))
+	sum := 0.0
+	for _, f := range families {
+		sum += f.GetMetric()[0].GetGauge().GetValue()
+	}
+	is.Equal(sum, 15.0) // each metric shows a value of its own
+}
