controller: the verdict on a document sent again depends on its text; version 0 is invalid

Cause: routing.Publication.Offer compares compressed bytes. The same document compressed by another build, level or library got 409 when it was sent again after a lost acknowledgement. Controller.Publish with version 0 only reads the document in force, and returned no error.

Ruled out: another comparison in Offer or in Apply: replicas of different builds would then compute different results or states from the same log.

Change: on VerdictConflict the controller that proposed reads the document in force through the log and compares the texts; the state is untouched. If that version has been superseded meanwhile, the conflict stands. Version 0 is ErrInvalid. Found already held before: the platform's call refuses a document without a version, or with 0, with 400 (platform/testdata/control.txt has it), so operators never saw that part through it.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -3,8 +3,10 @@
 package controller
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -258,16 +260,48 @@
 	return nil
 }
 
-// Publish puts a document in force if its version is the highest. After an error, the document may
-// still come into force.
+// Publish puts a document in force if its version is the highest. A document with version 0, which would only read
+// the one in force, is invalid. After any other error, the document may still come into force.
 func (c *Controller) Publish(ctx context.Context, d *routing.Document, text []byte) (routing.Verdict, error) {
+	if d.Version == 0 {
+		return 0, fmt.Errorf("controller: publish: %w: the version is 0", routing.ErrInvalid)
+	}
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
 	r, err := c.propose(ctx, replica.Publish{Version: d.Version, Document: c.encoder.EncodeAll(text, nil)})
 	if err != nil {
 		c.options.Log.Info("could not publish routing document", "version", d.Version, "reason", err.Error())
 		return 0, err
 	}
-	c.options.Log.Info("proposed routing document", "version", d.Version, "verdict", r.Verdict, "in_force", r.Version)
-	return r.Verdict, nil
+	verdict := r.Verdict
+	if verdict == routing.VerdictConflict {
+		if verdict, err = c.compareContent(ctx, d.Version, text); err != nil {
+			c.options.Log.Info("could not compare routing document with the one in force", "version", d.Version, "reason", err.Error())
+			return 0, err
+		}
+	}
+	c.options.Log.Info("proposed routing document", "version", d.Version, "verdict", verdict, "in_force", r.Version)
+	return verdict, nil
+}
+
+// compareContent returns the verdict on a document whose version is in force with other compressed bytes. Only the
+// texts count: another build or library may have compressed the same text in another way.
+func (c *Controller) compareContent(ctx context.Context, version uint64, text []byte) (routing.Verdict, error) {
+	r, err := c.propose(ctx, replica.Publish{})
+	if err != nil {
+		return 0, err
+	}
+	if r.Version != version {
+		return routing.VerdictConflict, nil // superseded meanwhile; what the log decided stands
+	}
+	inForce, err := c.options.Mesh.Decompress(routing.Publication{Version: r.Version, Bytes: r.Document})
+	if err != nil {
+		return 0, err
+	}
+	if !bytes.Equal(inForce, text) {
+		return routing.VerdictConflict, nil
+	}
+	return routing.VerdictAccepted, nil
 }
 
 // Published returns the newest published routing document, or ErrNothingPublished. It proposes an
