--- a/mesh/age_monitor.go
+++ b/mesh/age_monitor.go
@@ -11,13 +11,17 @@
 type AgeMonitor struct {
 	Bound time.Duration
 	Log   logr.Logger
-	// isOutdated is what was logged last.
-	isOutdated bool
+	// isOutdated and isUnknown are what was logged last.
+	isOutdated, isUnknown bool
 }
 
 // Observe logs a change, if there is one. A document that isn't expected to be confirmed, or that isn't known yet,
 // exceeds nothing.
 func (a *AgeMonitor) Observe(c Confirmation) {
+	if isUnknown := c.InForce > 0 && !c.IsExpected; isUnknown != a.isUnknown {
+		a.isUnknown = isUnknown
+		a.Log.Info("whether control instances confirm routing documents has changed", "confirm", !isUnknown, "version", c.InForce)
+	}
 	age, isConfirmed := c.Age()
 	isOutdated := c.InForce > 0 && c.IsExpected && !c.IsWithin(a.Bound, c.InForce)
 	if isOutdated == a.isOutdated {
