delivery: decide which control instance is asked for a document

What to ask next needs a decision that can be tested without a network.

Change: a pure plan with one state for each peer in place of a queue. One fetch for each peer; another one as soon as all have made no progress for 250 ms; a failed one is followed by the next peer at once; peers that have failed lately come last; the order of peers differs between instances, and a fetch in parts moves on to a peer that comes first once that has the document too. Nothing uses it yet.

Bound: NoProgressTime for each other peer that doesn't deliver, plus one fetch.

--- /dev/null
+++ b/delivery/delivery.go
@@ -0,0 +1,267 @@
+// Package delivery decides which peers an instance asks for the newest version of a document.
+//
+// A document that a sound peer has named is in force after at most
+//
+//	NoProgressTime x (other peers that named a newer version and don't deliver it) + the time of one fetch
+//
+// since a fetch that makes no progress delays the next one by NoProgressTime, a fetch that fails by nothing, and
+// peers that have failed lately are asked last. A fetch that makes progress is left to end.
+package delivery
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// NoProgressTime is how long all fetches may make no progress before another peer is asked as well.
+	NoProgressTime = 250 * time.Millisecond
+	// minRepeatPause and maxRepeatPause bound the pause before a peer that has failed is asked again. The pause
+	// doubles with each failure.
+	minRepeatPause = 100 * time.Millisecond
+	maxRepeatPause = 500 * time.Millisecond
+	// failureMemory is how long after a failure a peer is asked after the others.
+	failureMemory = 10 * time.Second
+)
+
+// Plan holds what the peers have named, and the fetches in flight. The caller passes the time, which must not go
+// back, and carries out what Next returns. It is not safe for concurrent use.
+type Plan struct {
+	name    string // of this instance
+	inForce uint64
+	peers   map[string]*peer
+	newest  Named
+}
+
+// Named says which peer was the first to name a version, and when.
+type Named struct {
+	Version uint64
+	By      string
+	At      time.Time
+}
+
+// peer is the state of one peer.
+type peer struct {
+	address string
+	// place orders the peers for this instance, so that instances that hear of a version together ask different
+	// peers.
+	place uint64
+	// version is the newest that the peer has named, 0 if it isn't connected.
+	version  uint64
+	failures int
+	failedAt time.Time
+	// isAsked is set while a fetch is in flight, which was begun for the version asked.
+	isAsked      bool
+	asked        uint64
+	isCancelled  bool
+	lastProgress time.Time
+}
+
+// Step is what to do now. A peer in Ask or Cancel counts as asked until Ended is called for it.
+type Step struct {
+	// Ask is the peer to ask, or "".
+	Ask string
+	// Version is what that peer has named.
+	Version uint64
+	// Cancel are peers whose fetches are no longer needed.
+	Cancel []string
+	// Wake is when Next has to be called again if nothing happens until then; zero means never.
+	Wake time.Time
+}
+
+// New returns a plan for the instance of that name.
+func New(name string) *Plan { return &Plan{name: name, peers: make(map[string]*peer)} }
+
+// Heard records that a peer names a version.
+func (p *Plan) Heard(now time.Time, address string, version uint64) {
+	s, ok := p.peers[address]
+	if !ok {
+		if version <= p.inForce {
+			return
+		}
+		p.removeForgotten(now)
+		s = &peer{address: address, place: xxhash.Sum64String(p.name + "\x00" + address)}
+		p.peers[address] = s
+	}
+	s.version = version
+	if version > max(p.newest.Version, p.inForce) {
+		p.newest = Named{Version: version, By: address, At: now}
+	}
+}
+
+// Newest returns the newest version that was named while it was not in force, or zero.
+func (p *Plan) Newest() Named { return p.newest }
+
+// Forget records that a peer is no longer connected. A fetch in flight goes on.
+func (p *Plan) Forget(address string) {
+	if s, ok := p.peers[address]; ok {
+		s.version = 0
+	}
+}
+
+// removeForgotten removes the peers that are not connected and have not failed lately.
+func (p *Plan) removeForgotten(now time.Time) {
+	for address, s := range p.peers {
+		if s.version == 0 && !s.isAsked && !s.hasFailed(now) {
+			delete(p.peers, address)
+		}
+	}
+}
+
+// InForce records that a version is in force.
+func (p *Plan) InForce(version uint64) { p.inForce = max(p.inForce, version) }
+
+// Progress records that something has come from a peer.
+func (p *Plan) Progress(now time.Time, address string) {
+	if s, ok := p.peers[address]; ok {
+		s.lastProgress = now
+	}
+}
+
+// Part records that a peer has sent a part of the document, which is new or was already there, and reports whether
+// the fetch goes on. It doesn't if it was overtaken by another one, or if a peer that comes first for this instance
+// has the document too and can continue.
+func (p *Plan) Part(now time.Time, address string, isNew bool) bool {
+	s, ok := p.peers[address]
+	if !ok || s.isCancelled {
+		return false
+	}
+	s.lastProgress = now
+	if !isNew && p.isMoving(now, s) {
+		return false
+	}
+	next := p.next(now)
+	return next == nil || next.hasFailed(now) || next.version < s.version || next.place > s.place && !s.hasFailed(now)
+}
+
+// Ended records that a fetch has ended because the peer has answered that its version is the given one.
+func (p *Plan) Ended(address string, version uint64) {
+	if s, ok := p.peers[address]; ok {
+		s.isAsked, s.isCancelled, s.failures = false, false, 0
+		if s.version > 0 {
+			s.version = version
+		}
+	}
+}
+
+// Failed records that a fetch has failed. One that was cancelled is no failure.
+func (p *Plan) Failed(now time.Time, address string) {
+	s, ok := p.peers[address]
+	if !ok {
+		return
+	}
+	wasCancelled := s.isCancelled
+	s.isAsked, s.isCancelled = false, false
+	if !wasCancelled {
+		s.fail(now)
+	}
+}
+
+func (s *peer) fail(now time.Time) {
+	if !s.hasFailed(now) {
+		s.failures = 0
+	}
+	s.failures++
+	s.failedAt = now
+}
+
+// hasFailed reports whether a peer has failed lately.
+func (s *peer) hasFailed(now time.Time) bool {
+	return !s.failedAt.IsZero() && now.Sub(s.failedAt) < failureMemory
+}
+
+// askableAt returns when the peer may be asked again. The pause differs between instances, so that these don't
+// come back together.
+func (s *peer) askableAt() time.Time {
+	if s.failures == 0 {
+		return time.Time{}
+	}
+	pause := minRepeatPause
+	for range s.failures - 1 {
+		pause = min(2*pause, maxRepeatPause)
+	}
+	const steps = 256
+	return s.failedAt.Add(pause/2 + pause/2*time.Duration(s.place%steps)/steps)
+}
+
+// Next returns what to do. It is called after each event, until it names no peer to ask.
+func (p *Plan) Next(now time.Time) Step {
+	step := Step{Cancel: p.cancelOutdated(now)}
+	if wake := p.stallTime(nil); wake.After(now) {
+		step.Wake = wake
+		return step
+	}
+	if s := p.next(now); s != nil {
+		s.isAsked, s.asked, s.lastProgress = true, s.version, now
+		step.Ask, step.Version, step.Wake = s.address, s.version, now.Add(NoProgressTime)
+		return step
+	}
+	for _, s := range p.peers {
+		if at := s.askableAt(); !s.isAsked && s.version > p.inForce && (step.Wake.IsZero() || at.Before(step.Wake)) {
+			step.Wake = at
+		}
+	}
+	return step
+}
+
+// cancelOutdated returns the peers that were asked for versions that are no longer needed. A fetch without progress
+// counts as failed, so that its peer isn't the first to be asked for the next version.
+func (p *Plan) cancelOutdated(now time.Time) []string {
+	var out []string
+	for address, s := range p.peers {
+		if !s.isAsked || s.isCancelled || s.asked > p.inForce {
+			continue
+		}
+		s.isCancelled = true
+		if now.Sub(s.lastProgress) >= NoProgressTime {
+			s.fail(now)
+		}
+		out = append(out, address)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// stallTime returns until when the fetches in flight, except that from one peer, count as making progress.
+func (p *Plan) stallTime(except *peer) time.Time {
+	var latest time.Time
+	for _, s := range p.peers {
+		if at := s.lastProgress.Add(NoProgressTime); s != except && s.isAsked && !s.isCancelled && at.After(latest) {
+			latest = at
+		}
+	}
+	return latest
+}
+
+// isMoving reports whether a fetch makes progress, except that from one peer.
+func (p *Plan) isMoving(now time.Time, except *peer) bool { return p.stallTime(except).After(now) }
+
+// next returns the peer to ask next, or nil.
+func (p *Plan) next(now time.Time) *peer {
+	var best *peer
+	for _, s := range p.peers {
+		if s.isAsked || s.version <= p.inForce || s.askableAt().After(now) {
+			continue
+		}
+		if best == nil || p.compare(now, s, best) < 0 {
+			best = s
+		}
+	}
+	return best
+}
+
+// compare orders peers by which is asked first: those that have not failed, and those whose failure was longer ago,
+// then those with the newest version, then by the order of this instance.
+func (p *Plan) compare(now time.Time, a, b *peer) int {
+	failedAt := func(s *peer) int64 {
+		if !s.hasFailed(now) {
+			return 0
+		}
+		return s.failedAt.UnixNano()
+	}
+	return cmp.Or(cmp.Compare(failedAt(a), failedAt(b)), cmp.Compare(b.version, a.version), cmp.Compare(a.place, b.place),
+		cmp.Compare(a.address, b.address))
+}
