instance: share the cache of patches between both roles

The first role's viewCache moves to instance.PatchCache, so that routing documents can be sent as patches too.

--- a/daemon/state.go
+++ b/daemon/state.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/fleet"
+	"github.com/balsamlb/balsamlb/instance"
 	"github.com/balsamlb/balsamlb/instance/wire"
 	"github.com/balsamlb/balsamlb/membership"
 	"github.com/balsamlb/balsamlb/replica"
@@ -25,7 +26,7 @@
 	clock       *clock
 	heartbeats  *heartbeatScheduler
 	// views holds the latest views in encoded form.
-	views *viewCache
+	views *instance.PatchCache
 
 	// readMu guards configReader and is held while a configuration is read.
 	readMu       sync.Mutex
@@ -61,7 +62,7 @@
 		gossip:       newGossip(p.Name, incarnation, heartbeats.sendNow),
 		clock:        newClock(now),
 		heartbeats:   heartbeats,
-		views:        newViewCache(),
+		views:        instance.NewPatchCache(instance.MaxPatchBases),
 		started:      now,
 		configReader: settings.NewSharedConfigReader(),
 		registry:     fleet.NewRegistry(),
--- a/daemon/views.go
+++ b/daemon/views.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"sync"
 	"time"
 
 	"github.com/balsamlb/balsamlb/instance"
@@ -52,7 +51,7 @@
 	}
 	s.view = v
 	s.config = cfg
-	s.views.add(v.Index, data)
+	s.views.Add(v.Index, data)
 	s.log.Info("applied a newer view", "index", v.Index, "config_version", v.Config.Version)
 	return true
 }
@@ -102,13 +101,13 @@
 	if index <= req.HaveIndex {
 		return &wire.FetchResponse{Index: index}, nil
 	}
-	return s.views.response(index, req)
+	return viewResponse(s.views, index, req)
 }
 
 // fetchRequest returns the request for a view that is newer than the one in force.
 func (s *instanceState) fetchRequest() *wire.FetchRequest {
 	index := s.View().Index
-	return &wire.FetchRequest{HaveIndex: index, HaveHash: instance.HashView(s.views.get(index))}
+	return &wire.FetchRequest{HaveIndex: index, HaveHash: instance.HashView(s.views.Text(index))}
 }
 
 // applyFetchedView applies the view in the response of another instance.
@@ -118,7 +117,7 @@
 	}
 	var base []byte
 	if resp.Patches {
-		base = s.views.get(req.HaveIndex)
+		base = s.views.Text(req.HaveIndex)
 	}
 	data, err := instance.ExpandView(resp.View, base)
 	if err != nil {
@@ -136,76 +135,18 @@
 	return nil
 }
 
-// maxCachedViews is the number of views that are kept as bases of patches.
-const maxCachedViews = 8
-
-// viewCache holds the latest views in JSON, and the last response. It is safe for concurrent use.
-type viewCache struct {
-	mu           sync.Mutex
-	views        []cachedView
-	lastKey      responseKey
-	lastResponse *wire.FetchResponse
-}
-
-type cachedView struct {
-	index uint64
-	data  []byte
-}
-
-// responseKey identifies a response by the index of its view and by the index and hash of the view that
-// its patch is based on, 0 if the response is no patch.
-type responseKey struct {
-	have, hash, index uint64
-}
-
-func newViewCache() *viewCache { return &viewCache{} }
-
-func (c *viewCache) add(index uint64, data []byte) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.views = append(c.views, cachedView{index: index, data: data})
-	if len(c.views) > maxCachedViews {
-		c.views = append([]cachedView(nil), c.views[1:]...)
+// viewResponse returns the view of the index, as a patch if the cache holds the caller's view with the same bytes.
+func viewResponse(views *instance.PatchCache, index uint64, req *wire.FetchRequest) (*wire.FetchResponse, error) {
+	patch, err := views.Patch(index, req.HaveIndex, req.HaveHash)
+	if err != nil {
+		return nil, err
 	}
-}
-
-// get returns the encoded view of the index, or nil.
-func (c *viewCache) get(index uint64) []byte {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.find(index)
-}
-
-func (c *viewCache) find(index uint64) []byte {
-	for _, v := range c.views {
-		if v.index == index {
-			return v.data
-		}
+	if patch != nil {
+		return &wire.FetchResponse{Index: index, View: patch, Patches: true}, nil
 	}
-	return nil
-}
-
-// response returns the view of the index, as a patch if the cache holds the caller's view with the same
-// bytes. The last response is kept, since most callers need the same one.
-func (c *viewCache) response(index uint64, req *wire.FetchRequest) (*wire.FetchResponse, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	base := c.find(req.HaveIndex)
-	if instance.HashView(base) != req.HaveHash {
-		base = nil
-	}
-	key := responseKey{index: index}
-	if base != nil {
-		key = responseKey{have: req.HaveIndex, hash: req.HaveHash, index: index}
-	}
-	if c.lastResponse != nil && c.lastKey == key {
-		return c.lastResponse, nil
-	}
-	data, err := instance.CompressView(c.find(index), base)
+	whole, err := views.Whole(index)
 	if err != nil {
 		return nil, err
 	}
-	c.lastKey = key
-	c.lastResponse = &wire.FetchResponse{Index: index, View: data, Patches: base != nil}
-	return c.lastResponse, nil
+	return &wire.FetchResponse{Index: index, View: whole}, nil
 }
