mesh: a control instance that hangs no longer holds up the routing document

Cause: fetches came from one queue of 16 addresses, one after the other. A control instance that hung cost 1 s for each of its entries while sound ones waited; a queue full of its entries dropped the others; a fetch that failed was taken up by the next heartbeat only.

Ruled out: a second worker, or a queue for each control instance. Both leave a failed fetch to the next heartbeat, and neither bounds the time with several that hang.

Change: package delivery decides, fed by heartbeats, received bytes, ends of fetches and documents in force; a goroutine for each control instance that is asked. The receiving side already takes parts and patches; no control instance sends them yet. A gateway no longer keeps the encoded document that nobody asks it for once it has a patch. WatchSource answers the whole request.

--- a/instance/conn.go
+++ b/instance/conn.go
@@ -30,6 +30,8 @@
 	certs *keys.Certificates // nil if TLS is disabled
 	// traffic counts the bytes sent and received on all connections.
 	traffic *meter.Traffic
+	// onReceived, unless it is nil, is called with the number of bytes of each read, and with 0 for a new connection.
+	onReceived func(bytes int)
 }
 
 // NewDialer returns a dialer for an instance that listens on the address (IP:port). certs is
@@ -49,12 +51,28 @@
 		return nil, eris.Wrapf(err, "instance: dial %s", address)
 	}
 	c = d.traffic.Conn(c)
+	if d.onReceived != nil {
+		d.onReceived(0)
+		c = &observedConn{Conn: c, onReceived: d.onReceived}
+	}
 	if d.certs == nil {
 		return c, nil
 	}
 	return d.handshake(ctx, c, address)
 }
 
+// observedConn reports what is received on a connection.
+type observedConn struct {
+	net.Conn
+	onReceived func(bytes int)
+}
+
+func (c *observedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.onReceived(n)
+	return n, err
+}
+
 // open dials the instance at the address and returns a drpc connection.
 func (d Dialer) open(ctx context.Context, address string) (*drpcconn.Conn, error) {
 	c, err := d.dial(ctx, address)
--- a/instance/watch.go
+++ b/instance/watch.go
@@ -31,8 +31,8 @@
 type WatchSource interface {
 	// NewWatchFeed returns the feed for a new watcher.
 	NewWatchFeed(first *wire.WatchRequest) WatchFeed
-	// Routing returns the routing document that this instance has applied.
-	Routing() (version uint64, document []byte)
+	// FetchRouting returns the routing document that this instance has applied, if it is newer than the caller's.
+	FetchRouting(req *wire.FetchRoutingRequest) (*wire.FetchRoutingResponse, error)
 }
 
 // WatchFeed builds the heartbeats for one watcher.
@@ -124,18 +124,6 @@
 	return eris.New("instance: heartbeats are not received from a watch feed")
 }
 
-// FetchRouting returns the routing document if it is newer than the caller's.
-func (s *Server) FetchRouting(_ context.Context, req *wire.FetchRoutingRequest) (*wire.FetchRoutingResponse, error) {
-	if s.watchSource == nil {
-		return nil, errNotControl
-	}
-	version, document := s.watchSource.Routing()
-	if version <= req.HaveVersion {
-		return &wire.FetchRoutingResponse{Version: version}, nil
-	}
-	return &wire.FetchRoutingResponse{Version: version, Document: document}, nil
-}
-
 // Watcher provides the messages to send on a watch and handles those received.
 type Watcher interface {
 	// Request returns a description of the watcher and its usage.
@@ -193,25 +181,6 @@
 	}
 }
 
-// FetchRouting asks the control instance at the address for a routing document newer than have.
-func (d Dialer) FetchRouting(ctx context.Context, address string, have uint64) (*wire.FetchRoutingResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	pc := &peerConn{dialer: d, address: address}
-	defer pc.close()
-	var resp *wire.FetchRoutingResponse
-	err := pc.call(ctx, func(ctx context.Context, c wire.DRPCInstanceClient) error {
-		var err error
-		resp, err = c.FetchRouting(ctx, &wire.FetchRoutingRequest{HaveVersion: have})
-		return err
-	})
-	return resp, err
-}
-
-// fetchTimeout bounds one fetch of the routing document. A large document takes 0.1 s on the
-// slowest link of a deployment.
-const fetchTimeout = time.Second
-
 // AnnouncementToWire converts an announcement to the message sent between instances.
 func AnnouncementToWire(a discovery.Announcement) *wire.AnnouncedServer {
 	return &wire.AnnouncedServer{
--- /dev/null
+++ b/mesh/delivery_test.go
@@ -0,0 +1,174 @@
+package mesh
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/balsamlb/balsamlb/instance"
+	"github.com/balsamlb/balsamlb/instance/wire"
+	"github.com/balsamlb/balsamlb/internal/meter"
+	"github.com/balsamlb/balsamlb/routing"
+	"github.com/go-logr/logr"
+)
+
+// applyTarget is the time within which deployments want a named document in force.
+const applyTarget = 3 * time.Second
+
+// receiver is a gateway's mesh that hears of documents and fetches them.
+type receiver struct {
+	*Mesh
+	traffic *meter.Traffic
+}
+
+func newReceiver(t *testing.T) receiver {
+	t.Helper()
+	r := receiver{traffic: &meter.Traffic{}}
+	dialer, err := instance.NewDialer("127.0.0.1:0", nil, r.traffic)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Mesh, err = New(Options{Name: "g", Dialer: dialer, Log: logr.Discard(),
+		Decode: func(text []byte) (*routing.Document, error) { return &routing.Document{}, nil }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- r.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return r
+}
+
+// hear passes a heartbeat on that names the version.
+func (r receiver) hear(address string, version uint64) {
+	r.mergeHeartbeat(address, &wire.WatchBeat{RoutingVersion: version})
+}
+
+// await fails the test unless the version is in force within the limit.
+func (r receiver) await(t *testing.T, version uint64, limit time.Duration) {
+	t.Helper()
+	timeout := time.After(limit)
+	for {
+		changed := r.Changed()
+		if have, _ := r.Routing(); have >= version {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			t.Fatalf("document %d is not in force %v after it was named", version, limit)
+		}
+	}
+}
+
+// listen calls serve for each connection to a loopback address, until the test ends.
+func listenLoopback(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// hang returns the address of a process that accepts connections and never answers.
+func hang(t *testing.T) string {
+	return listenLoopback(t, func(c net.Conn) { _, _ = io.Copy(io.Discard, c) })
+}
+
+// serveDocuments returns the address of a control instance with the source of documents.
+func serveDocuments(t *testing.T, m instance.WatchSource) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := instance.NewServer(nil, nil)
+	s.SetWatchSource(m)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ctx, l) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return l.Addr().String()
+}
+
+func publish(t *testing.T, m *Mesh, version uint64, text string) {
+	t.Helper()
+	if err := m.Publish(routing.Publication{Version: version, Bytes: compressed(t, text)}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against control instances that hang before a sound one is asked: each took the whole time of a fetch.
+func TestHangingControlInstancesDoNotHoldUpASoundOne(t *testing.T) {
+	control := newTestMesh(t, "127.0.0.1:1")
+	publish(t, control, 1, "one")
+	r := newReceiver(t)
+	for range 4 {
+		r.hear(hang(t), 1)
+	}
+	r.hear(serveDocuments(t, control), 1)
+	r.await(t, 1, applyTarget)
+}
+
+// Guards against the name of a document that is dropped since a hanging control instance has filled a queue.
+func TestNoNamedDocumentIsDropped(t *testing.T) {
+	control := newTestMesh(t, "127.0.0.1:1")
+	publish(t, control, 1, "one")
+	sound, frozen := serveDocuments(t, control), hang(t)
+	r := newReceiver(t)
+	for range 40 {
+		r.hear(frozen, 1)
+	}
+	r.hear(sound, 1)
+	r.await(t, 1, applyTarget)
+}
+
+// Guards against a fetch that fails and is taken up only by a later heartbeat.
+func TestFailedFetchIsRepeatedWithoutAnotherHeartbeat(t *testing.T) {
+	control := newTestMesh(t, "127.0.0.1:1")
+	publish(t, control, 1, "one")
+	sound := serveDocuments(t, control)
+	refusals := make(chan struct{}, 2)
+	address := listenLoopback(t, func(c net.Conn) {
+		defer c.Close()
+		select {
+		case refusals <- struct{}{}:
+			return
+		default:
+		}
+		up, err := net.Dial("tcp", sound)
+		if err != nil {
+			return
+		}
+		defer up.Close()
+		go func() { _, _ = io.Copy(up, c) }()
+		_, _ = io.Copy(c, up)
+	})
+	r := newReceiver(t)
+	r.hear(address, 1)
+	r.await(t, 1, applyTarget)
+}
--- /dev/null
+++ b/mesh/fetch.go
@@ -0,0 +1,245 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/balsamlb/balsamlb/delivery"
+	"github.com/balsamlb/balsamlb/instance"
+	"github.com/balsamlb/balsamlb/instance/wire"
+	"github.com/balsamlb/balsamlb/routing"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+)
+
+// errNoDocument is returned for an answer without the document that its version promises.
+var errNoDocument = errors.New("mesh: the answer holds no document")
+
+// wayOfDocument is how a document is asked for.
+type wayOfDocument struct {
+	// withoutPatch is set after a patch that didn't lead to the right text, withoutParts after such parts.
+	withoutPatch, withoutParts bool
+}
+
+// documentFetches is the state of the fetches of routing documents. The mesh's lock guards it.
+type documentFetches struct {
+	plan     *delivery.Plan
+	partials partialDocuments
+	way      wayOfDocument
+	// wake has an element if the plan may have something to do.
+	wake chan struct{}
+	// cancels ends the fetches in flight, by address.
+	cancels map[string]context.CancelFunc
+}
+
+func newDocumentFetches(name string) documentFetches {
+	return documentFetches{plan: delivery.New(name), wake: make(chan struct{}, 1), cancels: make(map[string]context.CancelFunc)}
+}
+
+// wakeUp makes the goroutine of the fetches look at the plan.
+func (f *documentFetches) wakeUp() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// runFetches carries out the plan of the fetches until ctx ends, each fetch in a goroutine of its own; there is at most
+// one for each control instance.
+func (m *Mesh) runFetches(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return g.Wait()
+		case <-m.fetches.wake:
+		case <-timer.C:
+		}
+		if wait, ok := m.startFetches(ctx, g); ok {
+			timer.Reset(wait)
+		}
+	}
+}
+
+// startFetches starts and cancels fetches as planned, and returns when to look at the plan again, if at any time.
+func (m *Mesh) startFetches(ctx context.Context, g *errgroup.Group) (wait time.Duration, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for {
+		now := time.Now()
+		step := m.fetches.plan.Next(now)
+		for _, address := range step.Cancel {
+			m.fetches.cancels[address]()
+		}
+		if step.Ask == "" {
+			return step.Wake.Sub(now), !step.Wake.IsZero()
+		}
+		fetchCtx, cancel := context.WithCancel(ctx)
+		m.fetches.cancels[step.Ask] = cancel
+		g.Go(func() error {
+			defer cancel()
+			m.runFetch(fetchCtx, step.Ask, step.Version)
+			return nil
+		})
+	}
+}
+
+// runFetch fetches from one control instance and tells the plan how it went.
+func (m *Mesh) runFetch(ctx context.Context, address string, named uint64) {
+	version, err := m.fetch(ctx, address, named)
+	isCancelled := ctx.Err() != nil
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.fetches.cancels, address)
+	if err != nil {
+		m.fetches.plan.Failed(time.Now(), address)
+	} else {
+		m.fetches.plan.Ended(address, version)
+	}
+	m.fetches.wakeUp()
+	if err != nil && !isCancelled {
+		m.options.Log.Info("could not fetch the routing document", "address", address, "version", named, "reason", err.Error())
+	}
+}
+
+// fetch gets the document that a control instance has named, part by part, and returns the version that is in force
+// there. Another fetch may have got the parts before, or go on with them.
+func (m *Mesh) fetch(ctx context.Context, address string, named uint64) (uint64, error) {
+	f := m.options.Dialer.NewRoutingFetch(address, func() { m.recordProgress(address) })
+	defer f.Close()
+	for {
+		req, base := m.fetchRequest(named)
+		resp, err := f.Call(ctx, req)
+		if err != nil {
+			return 0, err
+		}
+		if resp.Version <= req.HaveVersion {
+			return resp.Version, nil
+		}
+		goesOn, err := m.takeAnswer(address, resp, base)
+		if errors.Is(err, errWrongHash) && m.takesOtherWay(resp) {
+			m.options.Log.Info("the document arrived damaged and is fetched in another way", "address", address, "version", resp.Version, "is_patch", resp.Patches)
+			continue
+		}
+		if err != nil || !goesOn {
+			return resp.Version, err
+		}
+	}
+}
+
+func (m *Mesh) recordProgress(address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fetches.plan.Progress(time.Now(), address)
+}
+
+// fetchRequest returns the request for a document up to the named version, and the text that a patch is based on. A
+// control instance takes no patches, since it serves the encoded document on.
+func (m *Mesh) fetchRequest(named uint64) (req *wire.FetchRoutingRequest, base []byte) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	req = &wire.FetchRoutingRequest{HaveVersion: m.document.Version, TakesParts: !m.fetches.way.withoutParts}
+	if p := m.fetches.partials.upTo(named); p != nil && req.TakesParts {
+		req.Version, req.Offset = p.version, uint64(len(p.bytes))
+	}
+	if m.options.ControlAddress == "" && !m.fetches.way.withoutPatch {
+		base = m.texts.Text(m.document.Version)
+	}
+	if base != nil {
+		req.HaveHash = m.documentHash
+	}
+	return req, base
+}
+
+// takeAnswer uses an answer and reports whether the fetch goes on.
+func (m *Mesh) takeAnswer(address string, resp *wire.FetchRoutingResponse, base []byte) (goesOn bool, err error) {
+	switch {
+	case len(resp.Document) == 0:
+		return false, errNoDocument
+	case resp.Patches:
+		text, err := instance.ExpandView(resp.Document, base)
+		if err != nil {
+			return false, errors.Join(errWrongHash, err)
+		}
+		return false, m.publishText(routing.Publication{Version: resp.Version}, text, resp.Hash)
+	case resp.Size == 0:
+		return false, m.publishEncoded(routing.Publication{Version: resp.Version, Bytes: resp.Document}, resp.Hash)
+	}
+	encoded, goesOn, err := m.addPart(address, resp)
+	if encoded == nil || err != nil {
+		return goesOn, err
+	}
+	return false, m.publishEncoded(routing.Publication{Version: resp.Version, Bytes: encoded}, resp.Hash)
+}
+
+// addPart adds a part of a document. It returns the encoded document once that is complete.
+func (m *Mesh) addPart(address string, resp *wire.FetchRoutingResponse) (encoded []byte, goesOn bool, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p, isNew, err := m.fetches.partials.add(resp)
+	if errors.Is(err, errOtherEncoding) {
+		err = errors.Join(errWrongHash, err)
+	}
+	if err != nil {
+		return nil, false, err
+	}
+	if p != nil && p.isComplete() {
+		return p.bytes, false, nil
+	}
+	return nil, m.fetches.plan.Part(time.Now(), address, isNew), nil
+}
+
+// takesOtherWay gives up the way by which a document arrived damaged, and reports whether there is another one.
+func (m *Mesh) takesOtherWay(resp *wire.FetchRoutingResponse) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fetches.partials.drop(resp.Version)
+	switch {
+	case resp.Patches:
+		m.fetches.way.withoutPatch = true
+	case resp.Size > 0:
+		m.fetches.way.withoutPatch, m.fetches.way.withoutParts = true, true
+	default:
+		return false
+	}
+	return true
+}
+
+// publishEncoded puts a document in force if its text has the hash; 0 means that the hash isn't known.
+func (m *Mesh) publishEncoded(p routing.Publication, hash uint64) error {
+	text, err := m.Decompress(p)
+	if err != nil {
+		return errors.Join(errWrongHash, err)
+	}
+	return m.publishText(p, text, hash)
+}
+
+// publishText is publishEncoded for a text. The document has no bytes if it arrived as a patch.
+func (m *Mesh) publishText(p routing.Publication, text []byte, hash uint64) error {
+	computed := instance.HashView(text)
+	if hash != 0 && hash != computed {
+		return eris.Wrapf(errWrongHash, "mesh: routing document %d", p.Version)
+	}
+	d, err := m.options.Decode(text)
+	if err != nil {
+		return eris.Wrapf(err, "mesh: read routing document %d", p.Version)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p.Version <= m.document.Version {
+		return nil
+	}
+	m.texts.Add(p.Version, text)
+	m.document, m.documentHash = p, computed
+	m.table = routing.NewTable(d)
+	m.fetches.plan.InForce(p.Version)
+	m.fetches.partials.dropUpTo(p.Version)
+	m.fetches.way = wayOfDocument{}
+	m.fetches.wakeUp()
+	m.options.Log.Info("applied a new routing document", "version", p.Version, "routes", len(d.Routes), "workspaces", len(d.Workspaces))
+	m.broadcast()
+	return nil
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -12,7 +12,6 @@
 	"github.com/balsamlb/balsamlb/discovery"
 	"github.com/balsamlb/balsamlb/instance"
 	"github.com/balsamlb/balsamlb/instance/wire"
-	"github.com/balsamlb/balsamlb/internal/ring"
 	"github.com/balsamlb/balsamlb/reachability"
 	"github.com/balsamlb/balsamlb/relay"
 	"github.com/balsamlb/balsamlb/routing"
@@ -57,17 +56,19 @@
 type Mesh struct {
 	options Options
 	decoder *zstd.Decoder
-	// fetches queues the control instances that have a newer routing document. If the queue is
-	// full, an entry is dropped; the next heartbeat adds it again.
-	fetches *ring.Ring[string]
 	// started is when the mesh was created.
 	started time.Time
 
 	mu        sync.Mutex
 	directory *discovery.Directory
 	document  routing.Publication
-	table     *routing.Table
-	seeds     []string
+	// documentHash is the hash of the text of document, and texts holds that text. A control instance also has the
+	// texts before.
+	documentHash uint64
+	texts        *instance.PatchCache
+	fetches      documentFetches
+	table        *routing.Table
+	seeds        []string
 	// reportedControls holds the control instances that each control instance reports.
 	reportedControls map[string][]string
 	// controlWatches counts the other control instances' watches of this one, by the address of the
@@ -138,7 +139,8 @@
 	m := &Mesh{
 		options:              o,
 		decoder:              decoder,
-		fetches:              ring.New[string](maxPendingFetches),
+		fetches:              newDocumentFetches(o.Name),
+		texts:                instance.NewPatchCache(1),
 		started:              time.Now(),
 		directory:            discovery.NewDirectory(o.ControlAddress),
 		seeds:                o.Seeds,
@@ -162,6 +164,9 @@
 
 		reportChanged: make(chan struct{}),
 	}
+	if o.ControlAddress != "" {
+		m.texts = instance.NewPatchCache(instance.MaxPatchBases)
+	}
 	m.crashes = newCrashEvidence(m.wakeWatches)
 	return m, nil
 }
@@ -342,23 +347,11 @@
 	if err != nil {
 		return err
 	}
-	d, err := m.options.Decode(text)
-	if err != nil {
-		return eris.Wrapf(err, "mesh: read routing document %d", p.Version)
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if p.Version <= m.document.Version {
-		return nil
-	}
-	m.document = p
-	m.table = routing.NewTable(d)
-	m.options.Log.Info("applied a new routing document", "version", p.Version, "routes", len(d.Routes), "workspaces", len(d.Workspaces))
-	m.broadcast()
-	return nil
+	return m.publishText(p, text, 0)
 }
 
-// Routing returns the version and the compressed bytes of the routing document in force.
+// Routing returns the version and the compressed bytes of the routing document in force. There are no bytes at a gateway
+// that has received it as a patch.
 func (m *Mesh) Routing() (uint64, []byte) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -433,8 +426,9 @@
 	if m.mergeServers(now, address, b.Servers) {
 		changed = true
 	}
+	m.fetches.plan.Heard(now, address, b.RoutingVersion)
 	if b.RoutingVersion > m.document.Version {
-		m.fetches.Offer(address)
+		m.fetches.wakeUp()
 	}
 	if known, ok := m.reportedControls[address]; !ok || !slices.Equal(known, b.Controls) {
 		m.reportedControls[address] = b.Controls
@@ -485,6 +479,7 @@
 func (m *Mesh) forgetReports(address string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.fetches.plan.Forget(address)
 	changed := len(m.reportedControls[address])+len(m.reportedUnresponsive[address]) > 0
 	delete(m.reportedControls, address)
 	changed = m.mergeWithheld(time.Now(), address) || changed
--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -6,13 +6,10 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/instance/wire"
-	"github.com/balsamlb/balsamlb/routing"
 	"golang.org/x/sync/errgroup"
 )
 
 const (
-	// maxPendingFetches bounds the control instances queued for fetching a routing document.
-	maxPendingFetches = 16
 	// maxWatches bounds the control instances that are watched at the same time.
 	maxWatches = 32
 	// maxSubtractableReports is the number of own reports that are remembered to subtract them from
@@ -184,33 +181,6 @@
 	b.Demand = subtractDemand(b.Demand, own.demand)
 }
 
-// runFetches fetches newer routing documents, one at a time, until ctx ends.
-func (m *Mesh) runFetches(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case address := <-m.fetches.Items():
-			if err := m.fetch(ctx, address); err != nil && ctx.Err() == nil {
-				m.options.Log.Info("could not fetch the routing document", "address", address, "reason", err.Error())
-			}
-		}
-	}
-}
-
-// fetch gets the routing document of a control instance and publishes it if it is newer.
-func (m *Mesh) fetch(ctx context.Context, address string) error {
-	have, _ := m.Routing()
-	resp, err := m.options.Dialer.FetchRouting(ctx, address, have)
-	if err != nil {
-		return err
-	}
-	if len(resp.Document) == 0 {
-		return nil
-	}
-	return m.Publish(routing.Publication{Version: resp.Version, Bytes: resp.Document})
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
