instance, mesh: routing documents are sent in parts

Ruled out: a longer time for the call. It holds up the next control instance as long, and still ends somewhere.

Change: a control instance sends parts of 64 KiB to those who take them. What came is kept, and any control instance continues it, since a version has the same encoded bytes at all of them. The hash of the text is checked at the end; if it differs, the document is fetched whole. A control instance goes on serving parts of the last 4 documents (4 MiB), so that a fetch ends although documents change faster than it goes on. The whole document of an older build is taken.

--- a/mesh/delivery_test.go
+++ b/mesh/delivery_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -115,6 +118,42 @@
 	return l.Addr().String()
 }
 
+// narrow returns an address from which the other one is reached by a link of the given rate, in bytes a second,
+// over all connections. It sends in blocks of 1 KiB.
+func narrow(t *testing.T, address string, rate int) string {
+	t.Helper()
+	const block = 1 << 10
+	turns := time.NewTicker(time.Duration(block) * time.Second / time.Duration(rate))
+	t.Cleanup(turns.Stop)
+	return listenLoopback(t, func(c net.Conn) {
+		defer c.Close()
+		// A small buffer keeps the link from holding what the receiver no longer wants.
+		_ = c.(*net.TCPConn).SetWriteBuffer(4 * block)
+		up, err := net.Dial("tcp", address)
+		if err != nil {
+			return
+		}
+		defer up.Close()
+		go func() { _, _ = io.Copy(up, c) }()
+		for {
+			<-turns.C
+			if _, err := io.CopyN(c, up, block); err != nil {
+				return
+			}
+		}
+	})
+}
+
+// document returns a text of lines that hardly compresses, for the seed.
+func document(seed uint64, lines int) string {
+	random := rand.New(rand.NewPCG(seed, 0))
+	var b strings.Builder
+	for i := range lines {
+		fmt.Fprintf(&b, "route %d %016x%016x\n", i, random.Uint64(), random.Uint64())
+	}
+	return b.String()
+}
+
 func publish(t *testing.T, m *Mesh, version uint64, text string) {
 	t.Helper()
 	if err := m.Publish(routing.Publication{Version: version, Bytes: compressed(t, text)}); err != nil {
@@ -172,3 +211,18 @@
 	r.hear(address, 1)
 	r.await(t, 1, applyTarget)
 }
+
+// Guards against a document that is never in force since it needs longer than one call lasts.
+func TestDocumentLargerThanOneCallMovesArrives(t *testing.T) {
+	control := newTestMesh(t, "127.0.0.1:1")
+	text := document(7, 12000)
+	publish(t, control, 1, text)
+	_, encoded := control.Routing()
+	address := narrow(t, serveDocuments(t, control), 192<<10)
+	r := newReceiver(t)
+	for range 5 { // heartbeats go on
+		r.hear(address, 1)
+	}
+	t.Logf("document of %d bytes, encoded %d, link of %d bytes a second", len(text), len(encoded), 192<<10)
+	r.await(t, 1, 5*applyTarget) // the link takes over one second, the rest is room for a loaded machine
+}
--- a/mesh/documents.go
+++ b/mesh/documents.go
@@ -1,14 +1,77 @@
 package mesh
 
-import "github.com/balsamlb/balsamlb/instance/wire"
+import (
+	"github.com/balsamlb/balsamlb/instance"
+	"github.com/balsamlb/balsamlb/instance/wire"
+	"github.com/balsamlb/balsamlb/routing"
+)
 
-// FetchRouting returns the document in force if it is newer than the caller's.
-func (m *Mesh) FetchRouting(req *wire.FetchRoutingRequest) (*wire.FetchRoutingResponse, error) {
+const (
+	// maxEarlierDocuments is the number of encoded documents before the one in force whose fetches may still be
+	// completed, so that a fetch ends although documents change faster than it goes on.
+	maxEarlierDocuments = 4
+	// maxEarlierBytes bounds their size together.
+	maxEarlierBytes = 4 << 20
+)
+
+// servedDocument is an encoded document with the hash of its text.
+type servedDocument struct {
+	routing.Publication
+	hash uint64
+}
+
+// keepEarlier keeps the document in force, which is about to be replaced, for fetches that have begun. The caller holds
+// the lock.
+func (m *Mesh) keepEarlier() {
+	if len(m.document.Bytes) == 0 || m.options.ControlAddress == "" {
+		return
+	}
+	m.earlier = append(m.earlier, servedDocument{Publication: m.document, hash: m.documentHash})
+	size, first := 0, len(m.earlier)
+	for first > 0 && len(m.earlier)-first < maxEarlierDocuments {
+		if size += len(m.earlier[first-1].Bytes); size > maxEarlierBytes {
+			break
+		}
+		first--
+	}
+	m.earlier = append([]servedDocument(nil), m.earlier[first:]...)
+}
+
+// documentFor returns the document to serve: the one in force, or an earlier one of which the caller has a part.
+func (m *Mesh) documentFor(req *wire.FetchRoutingRequest) servedDocument {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	resp := &wire.FetchRoutingResponse{Version: m.document.Version}
-	if m.document.Version > req.HaveVersion {
-		resp.Document, resp.Hash = m.document.Bytes, m.documentHash
+	for _, d := range m.earlier {
+		if req.TakesParts && req.Offset > 0 && d.Version == req.Version {
+			return d
+		}
+	}
+	return servedDocument{Publication: m.document, hash: m.documentHash}
+}
+
+// FetchRouting returns the document in force if it is newer than the caller's, in parts, or whole,
+// as the caller takes it.
+func (m *Mesh) FetchRouting(req *wire.FetchRoutingRequest) (*wire.FetchRoutingResponse, error) {
+	d := m.documentFor(req)
+	resp := &wire.FetchRoutingResponse{Version: d.Version}
+	if d.Version <= req.HaveVersion {
+		return resp, nil
+	}
+	resp.Hash = d.hash
+	if req.TakesParts {
+		setPart(resp, d, req)
+	} else {
+		resp.Document = d.Bytes
 	}
 	return resp, nil
 }
+
+// setPart sets the part of the document at the offset of the request, or the first part if that is of another one.
+func setPart(resp *wire.FetchRoutingResponse, d servedDocument, req *wire.FetchRoutingRequest) {
+	size := uint64(len(d.Bytes))
+	if req.Version == d.Version && req.Offset < size {
+		resp.Offset = req.Offset
+	}
+	resp.Size = size
+	resp.Document = d.Bytes[resp.Offset:min(resp.Offset+instance.PartBytes, size)]
+}
--- /dev/null
+++ b/mesh/documents_test.go
@@ -0,0 +1,120 @@
+package mesh
+
+import (
+	"bytes"
+	"sync"
+	"testing"
+
+	"github.com/balsamlb/balsamlb/instance"
+	"github.com/balsamlb/balsamlb/instance/wire"
+	"github.com/matryer/is"
+)
+
+// alteredSource changes the answers of a control instance.
+type alteredSource struct {
+	*Mesh
+	alter func(req *wire.FetchRoutingRequest, resp *wire.FetchRoutingResponse)
+
+	mu       sync.Mutex
+	requests []*wire.FetchRoutingRequest
+}
+
+func (s *alteredSource) FetchRouting(req *wire.FetchRoutingRequest) (*wire.FetchRoutingResponse, error) {
+	resp, err := s.Mesh.FetchRouting(req)
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests = append(s.requests, req)
+	if s.alter != nil {
+		s.alter(req, resp)
+	}
+	return resp, nil
+}
+
+// last returns the latest request, and the number of requests.
+func (s *alteredSource) last() (*wire.FetchRoutingRequest, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requests[len(s.requests)-1], len(s.requests)
+}
+
+// Guards against a document that never arrives from a control instance of an older build, which knows no parts.
+func TestWholeDocumentOfAnOlderBuildIsTaken(t *testing.T) {
+	control := newTestMesh(t, "127.0.0.1:1")
+	publish(t, control, 1, document(7, 6000))
+	older := &alteredSource{Mesh: control, alter: func(_ *wire.FetchRoutingRequest, resp *wire.FetchRoutingResponse) {
+		_, whole := control.Routing()
+		*resp = wire.FetchRoutingResponse{Version: 1, Document: whole}
+	}}
+	r := newReceiver(t)
+	r.hear(serveDocuments(t, older), 1)
+	r.await(t, 1, applyTarget)
+}
+
+// Guards against damaged parts, or parts of two encodings, that are put in force or keep the document away.
+func TestDamagedPartsLeadToAWholeFetch(t *testing.T) {
+	is := is.New(t)
+	control := newTestMesh(t, "127.0.0.1:1")
+	publish(t, control, 1, document(7, 6000))
+	damaging := &alteredSource{Mesh: control, alter: func(req *wire.FetchRoutingRequest, resp *wire.FetchRoutingResponse) {
+		if req.Offset > 0 {
+			resp.Document = bytes.Repeat([]byte{1}, len(resp.Document))
+		}
+	}}
+	r := newReceiver(t)
+	r.hear(serveDocuments(t, damaging), 1)
+	r.await(t, 1, applyTarget)
+	last, _ := damaging.last()
+	is.True(!last.TakesParts)
+}
+
+// Guards against parts that are thrown away when the control instance that sent them hangs.
+func TestAnotherControlInstanceContinuesTheDocument(t *testing.T) {
+	is := is.New(t)
+	control := newTestMesh(t, "127.0.0.1:1")
+	publish(t, control, 1, document(7, 12000))
+	stuck := make(chan struct{})
+	defer close(stuck)
+	hanging := &alteredSource{Mesh: control}
+	hangingAt, continuing := make(chan struct{}), &alteredSource{Mesh: control}
+	hanging.alter = func(req *wire.FetchRoutingRequest, _ *wire.FetchRoutingResponse) {
+		if req.Offset > 0 {
+			close(hangingAt)
+			<-stuck
+		}
+	}
+	r := newReceiver(t)
+	r.hear(serveDocuments(t, hanging), 1)
+	<-hangingAt
+	r.hear(serveDocuments(t, continuing), 1)
+	r.await(t, 1, applyTarget)
+	is.Equal(continuing.requests[0].Offset, uint64(instance.PartBytes))
+}
+
+// Guards against a part of unbounded size, and against a fetch that never ends since documents change faster than it
+// goes on.
+func TestPartsAreBoundedAndOutliveTheirDocument(t *testing.T) {
+	is := is.New(t)
+	control := newTestMesh(t, "127.0.0.1:1")
+	publish(t, control, 1, document(7, 12000))
+	_, encoded := control.Routing()
+	got := []byte{}
+	for version := uint64(2); len(got) < len(encoded); version++ {
+		resp, err := control.FetchRouting(&wire.FetchRoutingRequest{TakesParts: true, Version: 1, Offset: uint64(len(got))})
+		is.NoErr(err)
+		is.Equal(resp.Version, uint64(1))
+		is.True(len(resp.Document) <= instance.PartBytes)
+		got = append(got, resp.Document...)
+		publish(t, control, version, document(version, 600))
+	}
+	is.True(bytes.Equal(got, encoded))
+	for version := uint64(10); version < 10+2*maxEarlierDocuments; version++ {
+		publish(t, control, version, document(version, 600))
+	}
+	is.Equal(len(control.earlier), maxEarlierDocuments)
+	resp, err := control.FetchRouting(&wire.FetchRoutingRequest{TakesParts: true, Version: 1, Offset: 5})
+	is.NoErr(err)
+	is.Equal(resp.Offset, uint64(0)) // the first part of another document
+}
--- a/mesh/fetch.go
+++ b/mesh/fetch.go
@@ -232,6 +232,7 @@
 	if p.Version <= m.document.Version {
 		return nil
 	}
+	m.keepEarlier()
 	m.texts.Add(p.Version, text)
 	m.document, m.documentHash = p, computed
 	m.table = routing.NewTable(d)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -63,9 +63,10 @@
 	directory *discovery.Directory
 	document  routing.Publication
 	// documentHash is the hash of the text of document, and texts holds that text. A control instance also has the
-	// texts before.
+	// texts before, and earlier holds what it has served before.
 	documentHash uint64
 	texts        *instance.PatchCache
+	earlier      []servedDocument
 	fetches      documentFetches
 	table        *routing.Table
 	seeds        []string
