mesh: a change of the routing document is sent as a patch

Cause: each change sent the whole document to each gateway; at 195 gateways and several changes a second that fills the links of the control instances.

A text with another hash than announced is not put in force; the document is then fetched in parts. Control instances go on fetching whole documents, since they serve the encoded bytes on.

--- a/mesh/delivery_test.go
+++ b/mesh/delivery_test.go
@@ -15,6 +15,7 @@
 	"github.com/balsamlb/balsamlb/internal/meter"
 	"github.com/balsamlb/balsamlb/routing"
 	"github.com/go-logr/logr"
+	"github.com/matryer/is"
 )
 
 // applyTarget is the time within which deployments want a named document in force.
@@ -226,3 +227,23 @@
 	t.Logf("document of %d bytes, encoded %d, link of %d bytes a second", len(text), len(encoded), 192<<10)
 	r.await(t, 1, 5*applyTarget) // the link takes over one second, the rest is room for a loaded machine
 }
+
+// Guards against the whole document being sent for a change of one line.
+func TestChangeOfOneLineIsSentAsAPatch(t *testing.T) {
+	is := is.New(t)
+	control := newTestMesh(t, "127.0.0.1:1")
+	address := serveDocuments(t, control)
+	r := newReceiver(t)
+	text := document(7, 6000)
+	publish(t, control, 1, text)
+	r.hear(address, 1)
+	r.await(t, 1, applyTarget)
+	whole := r.traffic.Received()
+	changed := strings.Replace(text, "route 3000 ", "route 3000x ", 1)
+	publish(t, control, 2, changed)
+	r.hear(address, 2)
+	r.await(t, 2, applyTarget)
+	patch := r.traffic.Received() - whole
+	t.Logf("whole document %d bytes, change %d bytes", whole, patch)
+	is.True(patch < whole/20)
+}
--- a/mesh/documents.go
+++ b/mesh/documents.go
@@ -4,6 +4,7 @@
 	"github.com/balsamlb/balsamlb/instance"
 	"github.com/balsamlb/balsamlb/instance/wire"
 	"github.com/balsamlb/balsamlb/routing"
+	"github.com/rotisserie/eris"
 )
 
 const (
@@ -49,8 +50,8 @@
 	return servedDocument{Publication: m.document, hash: m.documentHash}
 }
 
-// FetchRouting returns the document in force if it is newer than the caller's, in parts, or whole,
-// as the caller takes it.
+// FetchRouting returns the document in force if it is newer than the caller's: as a patch of the caller's document, or
+// in parts, or whole, as the caller takes it.
 func (m *Mesh) FetchRouting(req *wire.FetchRoutingRequest) (*wire.FetchRoutingResponse, error) {
 	d := m.documentFor(req)
 	resp := &wire.FetchRoutingResponse{Version: d.Version}
@@ -58,14 +59,36 @@
 		return resp, nil
 	}
 	resp.Hash = d.hash
-	if req.TakesParts {
+	patch, err := m.patchFor(d, req)
+	if err != nil {
+		return nil, err
+	}
+	switch {
+	case patch != nil:
+		resp.Document, resp.Patches = patch, true
+	case req.TakesParts:
 		setPart(resp, d, req)
-	} else {
+	default:
 		resp.Document = d.Bytes
 	}
 	return resp, nil
 }
 
+// patchFor returns a patch of the caller's document if it is smaller than the whole document and than a part, else nil.
+func (m *Mesh) patchFor(d servedDocument, req *wire.FetchRoutingRequest) ([]byte, error) {
+	if req.HaveHash == 0 || req.Offset > 0 {
+		return nil, nil
+	}
+	patch, err := m.texts.Patch(d.Version, req.HaveVersion, req.HaveHash)
+	if err != nil {
+		return nil, eris.Wrapf(err, "mesh: patch of routing document %d for one with document %d", d.Version, req.HaveVersion)
+	}
+	if len(patch) >= len(d.Bytes) || len(patch) > instance.PartBytes {
+		return nil, nil
+	}
+	return patch, nil
+}
+
 // setPart sets the part of the document at the offset of the request, or the first part if that is of another one.
 func setPart(resp *wire.FetchRoutingResponse, d servedDocument, req *wire.FetchRoutingRequest) {
 	size := uint64(len(d.Bytes))
--- a/mesh/documents_test.go
+++ b/mesh/documents_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"sync"
 	"testing"
 
@@ -70,6 +71,29 @@
 	is.True(!last.TakesParts)
 }
 
+// Guards against a patch that leads to another text than the control instance has.
+func TestPatchWithAnotherResultIsNotPutInForce(t *testing.T) {
+	is := is.New(t)
+	control := newTestMesh(t, "127.0.0.1:1")
+	text := document(7, 600)
+	publish(t, control, 1, text)
+	other, err := instance.CompressView([]byte("another text"), []byte(text))
+	is.NoErr(err)
+	damaging := &alteredSource{Mesh: control, alter: func(req *wire.FetchRoutingRequest, resp *wire.FetchRoutingResponse) {
+		if resp.Patches {
+			resp.Document = other
+		}
+	}}
+	address := serveDocuments(t, damaging)
+	r := newReceiver(t)
+	r.hear(address, 1)
+	r.await(t, 1, applyTarget)
+	publish(t, control, 2, text+"end")
+	r.hear(address, 2)
+	r.await(t, 2, applyTarget)
+	is.Equal(string(r.texts.Text(2)), text+"end")
+}
+
 // Guards against parts that are thrown away when the control instance that sent them hangs.
 func TestAnotherControlInstanceContinuesTheDocument(t *testing.T) {
 	is := is.New(t)
@@ -118,3 +142,28 @@
 	is.NoErr(err)
 	is.Equal(resp.Offset, uint64(0)) // the first part of another document
 }
+
+// Guards against patches for instances that serve the encoded document on, and against patches that save nothing.
+func TestPatchIsSentOnlyWhereItServes(t *testing.T) {
+	is := is.New(t)
+	control := newTestMesh(t, "127.0.0.1:1")
+	text := document(7, 600)
+	publish(t, control, 1, text)
+	have := instance.HashView([]byte(text))
+	publish(t, control, 2, strings.Replace(text, "route 5 ", "route 5x ", 1))
+	isPatch := func(req *wire.FetchRoutingRequest) bool {
+		resp, err := control.FetchRouting(req)
+		is.NoErr(err)
+		return resp.Patches
+	}
+	is.True(isPatch(&wire.FetchRoutingRequest{HaveVersion: 1, HaveHash: have, TakesParts: true}))
+	is.True(!isPatch(&wire.FetchRoutingRequest{HaveVersion: 1, HaveHash: have + 1, TakesParts: true}))
+	is.True(!isPatch(&wire.FetchRoutingRequest{HaveVersion: 1, TakesParts: true}))
+	publish(t, control, 3, "a")
+	is.True(!isPatch(&wire.FetchRoutingRequest{HaveVersion: 1, HaveHash: have, TakesParts: true}))
+	standby := newTestMesh(t, "127.0.0.1:2")
+	publish(t, standby, 1, text)
+	req, base := standby.fetchRequest(2)
+	is.True(base == nil)
+	is.Equal(req.HaveHash, uint64(0))
+}
