mesh, metrics: show which routing document was heard of and which is in force

Cause: a gateway knew the version that it has, but not the newest one that it had heard of, since when and from whom; a gateway that stayed behind said nothing but that a fetch had failed.

Change: metrics of both roles for the version in force, the newest heard of, the time in between, failed fetches by reason, and bytes received whole and as patches. One log line when a document that was heard of is not in force after 1 s, with all fetches since and what came of them.

--- a/daemon/member.go
+++ b/daemon/member.go
@@ -76,7 +76,21 @@
 		Decode:         platform.DecodeDocument,
 		Log:            log.WithName("mesh"),
 	})
-	return m, err
+	if err != nil {
+		return nil, err
+	}
+	metrics.RegisterDelivery(m.registry, func() metrics.Delivery { return deliveryOf(m.mesh.DeliveryStatus()) })
+	return m, nil
+}
+
+// deliveryOf returns the state of the delivery of routing documents for the metrics.
+func deliveryOf(s mesh.DeliveryStatus) metrics.Delivery {
+	d := metrics.Delivery{InForce: s.InForce, Heard: s.Heard, BehindSeconds: s.BehindFor.Seconds(),
+		Failures: make(map[string]uint64, len(s.Failures)), WholeBytes: s.WholeBytes, PatchBytes: s.PatchBytes}
+	for reason, n := range s.Failures {
+		d.Failures[string(reason)] = n
+	}
+	return d
 }
 
 // RunGateway runs a gateway until ctx ends, and then until its requests in flight have ended or the
--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -34,6 +34,8 @@
 	inForce uint64
 	peers   map[string]*peer
 	newest  Named
+	// behindSince is since when a newer version than the one in force has been known; zero if none is.
+	behindSince time.Time
 }
 
 // Named says which peer was the first to name a version, and when.
@@ -89,11 +91,15 @@
 	s.version = version
 	if version > max(p.newest.Version, p.inForce) {
 		p.newest = Named{Version: version, By: address, At: now}
+		if p.behindSince.IsZero() {
+			p.behindSince = now
+		}
 	}
 }
 
-// Newest returns the newest version that was named while it was not in force, or zero.
-func (p *Plan) Newest() Named { return p.newest }
+// Behind returns the newest version that was named while it was not in force, and since when a newer version than the
+// one in force has been known: zero if none is.
+func (p *Plan) Behind() (newest Named, since time.Time) { return p.newest, p.behindSince }
 
 // Forget records that a peer is no longer connected. A fetch in flight goes on.
 func (p *Plan) Forget(address string) {
@@ -112,7 +118,16 @@
 }
 
 // InForce records that a version is in force.
-func (p *Plan) InForce(version uint64) { p.inForce = max(p.inForce, version) }
+func (p *Plan) InForce(version uint64) {
+	if version <= p.inForce {
+		return
+	}
+	p.inForce = version
+	p.behindSince = time.Time{}
+	if p.newest.Version > version {
+		p.behindSince = p.newest.At
+	}
+}
 
 // Progress records that something has come from a peer.
 func (p *Plan) Progress(now time.Time, address string) {
--- a/mesh/fetch.go
+++ b/mesh/fetch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/balsamlb/balsamlb/delivery"
@@ -31,10 +32,17 @@
 	wake chan struct{}
 	// cancels ends the fetches in flight, by address.
 	cancels map[string]context.CancelFunc
+	// attempts are the latest fetches since the document in force was outdated.
+	attempts []fetchAttempt
+	// loggedBehind is since when the document in force had been outdated at the latest log line about that.
+	loggedBehind           time.Time
+	failures               map[FetchFailure]uint64
+	wholeBytes, patchBytes uint64
 }
 
 func newDocumentFetches(name string) documentFetches {
-	return documentFetches{plan: delivery.New(name), wake: make(chan struct{}, 1), cancels: make(map[string]context.CancelFunc)}
+	return documentFetches{plan: delivery.New(name), wake: make(chan struct{}, 1),
+		cancels: make(map[string]context.CancelFunc), failures: make(map[FetchFailure]uint64)}
 }
 
 // wakeUp makes the goroutine of the fetches look at the plan.
@@ -75,8 +83,12 @@
 			m.fetches.cancels[address]()
 		}
 		if step.Ask == "" {
+			if due := m.logBehind(now); !due.IsZero() && (step.Wake.IsZero() || due.Before(step.Wake)) {
+				step.Wake = due
+			}
 			return step.Wake.Sub(now), !step.Wake.IsZero()
 		}
+		m.fetches.beginAttempt(now, step.Ask, step.Version)
 		fetchCtx, cancel := context.WithCancel(ctx)
 		m.fetches.cancels[step.Ask] = cancel
 		g.Go(func() error {
@@ -94,15 +106,27 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.fetches.cancels, address)
-	if err != nil {
-		m.fetches.plan.Failed(time.Now(), address)
-	} else {
+	defer m.fetches.wakeUp()
+	now := time.Now()
+	if err == nil {
 		m.fetches.plan.Ended(address, version)
+		m.fetches.endAttempt(now, address, fmt.Sprintf("done at version %d", version))
+		return
 	}
-	m.fetches.wakeUp()
-	if err != nil && !isCancelled {
-		m.options.Log.Info("could not fetch the routing document", "address", address, "version", named, "reason", err.Error())
+	m.fetches.plan.Failed(now, address)
+	if isCancelled {
+		m.fetches.endAttempt(now, address, "no longer needed")
+		return
 	}
+	m.recordFailure(now, address, named, err)
+}
+
+// recordFailure counts and logs a failed fetch. The caller holds the lock.
+func (m *Mesh) recordFailure(now time.Time, address string, named uint64, err error) {
+	reason := fetchFailureOf(err)
+	m.fetches.failures[reason]++
+	m.fetches.endAttempt(now, address, string(reason))
+	m.options.Log.Info("could not fetch the routing document", "address", address, "version", named, "failure", reason, "reason", err.Error())
 }
 
 // fetch gets the document that a control instance has named, part by part, and returns the version that is in force
@@ -119,6 +143,7 @@
 		if resp.Version <= req.HaveVersion {
 			return resp.Version, nil
 		}
+		m.countReceived(resp)
 		goesOn, err := m.takeAnswer(address, resp, base)
 		if errors.Is(err, errWrongHash) && m.takesOtherWay(resp) {
 			m.options.Log.Info("the document arrived damaged and is fetched in another way", "address", address, "version", resp.Version, "is_patch", resp.Patches)
@@ -130,6 +155,17 @@
 	}
 }
 
+// countReceived counts the bytes of an answer.
+func (m *Mesh) countReceived(resp *wire.FetchRoutingResponse) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if resp.Patches {
+		m.fetches.patchBytes += uint64(len(resp.Document))
+	} else {
+		m.fetches.wholeBytes += uint64(len(resp.Document))
+	}
+}
+
 func (m *Mesh) recordProgress(address string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -225,7 +261,7 @@
 	}
 	d, err := m.options.Decode(text)
 	if err != nil {
-		return eris.Wrapf(err, "mesh: read routing document %d", p.Version)
+		return errors.Join(errUnreadable, eris.Wrapf(err, "mesh: read routing document %d", p.Version))
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -236,11 +272,16 @@
 	m.texts.Add(p.Version, text)
 	m.document, m.documentHash = p, computed
 	m.table = routing.NewTable(d)
+	_, behindSince := m.fetches.plan.Behind()
 	m.fetches.plan.InForce(p.Version)
+	if _, since := m.fetches.plan.Behind(); since.IsZero() {
+		m.fetches.attempts = nil
+	}
 	m.fetches.partials.dropUpTo(p.Version)
 	m.fetches.way = wayOfDocument{}
 	m.fetches.wakeUp()
-	m.options.Log.Info("applied a new routing document", "version", p.Version, "routes", len(d.Routes), "workspaces", len(d.Workspaces))
+	m.options.Log.Info("applied a new routing document", "version", p.Version, "routes", len(d.Routes), "workspaces", len(d.Workspaces),
+		"behind_ms", behindMillis(behindSince))
 	m.broadcast()
 	return nil
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -143,6 +143,11 @@
 	for _, d := range gatewayDescriptions {
 		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", d.name, d.kind, strings.Join(d.labels, ", "), d.help)
 	}
+	b.WriteString("\nBoth a gateway and a controller serve these about the delivery of routing documents:\n\n")
+	b.WriteString("| metric | kind | labels | meaning |\n|---|---|---|---|\n")
+	for _, d := range deliveryDescriptions {
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", d.name, d.kind, strings.Join(d.labels, ", "), d.help)
+	}
 	b.WriteString("\nA controller (`balsamd controller`) serves these:\n\n")
 	b.WriteString("| metric | kind | labels | meaning |\n|---|---|---|---|\n")
 	for _, d := range slices.Concat(controllerDescriptions, planDescriptions) {
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -93,6 +93,25 @@
 	is.Equal(sum, 15.0) // each metric shows a value of its own
 }
 
+// Guards against a value of the delivery of routing documents that isn't shown.
+func TestEveryMetricOfADeliveryIsDescribed(t *testing.T) {
+	is := is.New(t)
+	r := prometheus.NewRegistry()
+	RegisterDelivery(r, func() Delivery {
+		return Delivery{InForce: 1, Heard: 2, BehindSeconds: 4, Failures: map[string]uint64{"refused": 8}, WholeBytes: 16, PatchBytes: 32}
+	})
+	families, err := r.Gather()
+	is.NoErr(err)
+	is.Equal(len(families), len(deliveryDescriptions))
+	sum := 0.0
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			sum += m.GetCounter().GetValue() + m.GetGauge().GetValue()
+		}
+	}
+	is.Equal(sum, 63.0)
+}
+
 func TestEveryMetricOfAPlanIsDescribed(t *testing.T) {
 	is := is.New(t)
 	r := prometheus.NewRegistry()
