--- a/daemon/member.go
+++ b/daemon/member.go
@@ -76,10 +76,22 @@
 		Decode:         platform.DecodeDocument,
 		Log:            log.WithName("mesh"),
 	})
-	if err == nil {
-		metrics.RegisterDocument(m.registry, m.document)
+	if err != nil {
+		return nil, err
+	}
+	metrics.RegisterDocument(m.registry, m.document)
+	metrics.RegisterDelivery(m.registry, func() metrics.Delivery { return deliveryOf(m.mesh.DeliveryStatus()) })
+	return m, nil
+}
+
+// deliveryOf returns the state of the delivery of routing documents for the metrics.
+func deliveryOf(s mesh.DeliveryStatus) metrics.Delivery {
+	d := metrics.Delivery{BehindSeconds: s.BehindFor.Seconds(),
+		Failures: make(map[string]uint64, len(s.Failures)), WholeBytes: s.WholeBytes, PatchBytes: s.PatchBytes}
+	for reason, n := range s.Failures {
+		d.Failures[string(reason)] = n
 	}
-	return m, err
+	return d
 }
 
 // document returns how recent the routing document is, for metrics.
--- /dev/null
+++ b/mesh/delivery_test.go
@@ -0,0 +1,249 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/balsamlb/balsamlb/instance"
+	"github.com/balsamlb/balsamlb/instance/wire"
+	"github.com/balsamlb/balsamlb/internal/meter"
+	"github.com/balsamlb/balsamlb/routing"
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+)
+
+// applyTarget is the time within which deployments want a named document in force.
+const applyTarget = 3 * time.Second
+
+// receiver is a gateway's mesh that hears of documents and fetches them.
+type receiver struct {
+	*Mesh
+	traffic *meter.Traffic
+}
+
+func newReceiver(t *testing.T) receiver {
+	t.Helper()
+	r := receiver{traffic: &meter.Traffic{}}
+	dialer, err := instance.NewDialer("127.0.0.1:0", nil, r.traffic)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Mesh, err = New(Options{Name: "g", Dialer: dialer, Log: logr.Discard(),
+		Decode: func(text []byte) (*routing.Document, error) { return &routing.Document{}, nil }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- r.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return r
+}
+
+// hear passes a heartbeat on that names the version.
+func (r receiver) hear(address string, version uint64) {
+	r.mergeHeartbeat(address, &wire.WatchBeat{RoutingVersion: version})
+}
+
+// await fails the test unless the version is in force within the limit.
+func (r receiver) await(t *testing.T, version uint64, limit time.Duration) {
+	t.Helper()
+	timeout := time.After(limit)
+	for {
+		changed := r.Changed()
+		if have, _ := r.Routing(); have >= version {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			t.Fatalf("document %d is not in force %v after it was named", version, limit)
+		}
+	}
+}
+
+// listen calls serve for each connection to a loopback address, until the test ends.
+func listenLoopback(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// hang returns the address of a process that accepts connections and never answers.
+func hang(t *testing.T) string {
+	return listenLoopback(t, func(c net.Conn) { _, _ = io.Copy(io.Discard, c) })
+}
+
+// serveDocuments returns the address of a control instance with the source of documents.
+func serveDocuments(t *testing.T, m instance.WatchSource) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := instance.NewServer(nil, nil)
+	s.SetWatchSource(m)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ctx, l) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return l.Addr().String()
+}
+
+// narrow returns an address from which the other one is reached by a link of the given rate, in bytes a second,
+// over all connections. It sends in blocks of 1 KiB.
+func narrow(t *testing.T, address string, rate int) string {
+	t.Helper()
+	const block = 1 << 10
+	turns := time.NewTicker(time.Duration(block) * time.Second / time.Duration(rate))
+	t.Cleanup(turns.Stop)
+	return listenLoopback(t, func(c net.Conn) {
+		defer c.Close()
+		// A small buffer keeps the link from holding what the receiver no longer wants.
+		_ = c.(*net.TCPConn).SetWriteBuffer(4 * block)
+		up, err := net.Dial("tcp", address)
+		if err != nil {
+			return
+		}
+		defer up.Close()
+		go func() { _, _ = io.Copy(up, c) }()
+		for {
+			<-turns.C
+			if _, err := io.CopyN(c, up, block); err != nil {
+				return
+			}
+		}
+	})
+}
+
+// document returns a text of lines that hardly compresses, for the seed.
+func document(seed uint64, lines int) string {
+	random := rand.New(rand.NewPCG(seed, 0))
+	var b strings.Builder
+	for i := range lines {
+		fmt.Fprintf(&b, "route %d %016x%016x\n", i, random.Uint64(), random.Uint64())
+	}
+	return b.String()
+}
+
+func publish(t *testing.T, m *Mesh, version uint64, text string) {
+	t.Helper()
+	if err := m.Publish(routing.Publication{Version: version, Bytes: compressed(t, text)}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against control instances that hang before a sound one is asked: each took the whole time of a fetch.
+func TestHangingControlInstancesDoNotHoldUpASoundOne(t *testing.T) {
+	control := newTestMesh(t, "127.0.0.1:1")
+	publish(t, control, 1, "one")
+	r := newReceiver(t)
+	for range 4 {
+		r.hear(hang(t), 1)
+	}
+	r.hear(serveDocuments(t, control), 1)
+	r.await(t, 1, applyTarget)
+}
+
+// Guards against the name of a document that is dropped since a hanging control instance has filled a queue.
+func TestNoNamedDocumentIsDropped(t *testing.T) {
+	control := newTestMesh(t, "127.0.0.1:1")
+	publish(t, control, 1, "one")
+	sound, frozen := serveDocuments(t, control), hang(t)
+	r := newReceiver(t)
+	for range 40 {
+		r.hear(frozen, 1)
+	}
+	r.hear(sound, 1)
+	r.await(t, 1, applyTarget)
+}
+
+// Guards against a fetch that fails and is taken up only by a later heartbeat.
+func TestFailedFetchIsRepeatedWithoutAnotherHeartbeat(t *testing.T) {
+	control := newTestMesh(t, "127.0.0.1:1")
+	publish(t, control, 1, "one")
+	sound := serveDocuments(t, control)
+	refusals := make(chan struct{}, 2)
+	address := listenLoopback(t, func(c net.Conn) {
+		defer c.Close()
+		select {
+		case refusals <- struct{}{}:
+			return
+		default:
+		}
+		up, err := net.Dial("tcp", sound)
+		if err != nil {
+			return
+		}
+		defer up.Close()
+		go func() { _, _ = io.Copy(up, c) }()
+		_, _ = io.Copy(c, up)
+	})
+	r := newReceiver(t)
+	r.hear(address, 1)
+	r.await(t, 1, applyTarget)
+}
+
+// Guards against a document that is never in force since it needs longer than one call lasts.
+func TestDocumentLargerThanOneCallMovesArrives(t *testing.T) {
+	control := newTestMesh(t, "127.0.0.1:1")
+	text := document(7, 12000)
+	publish(t, control, 1, text)
+	_, encoded := control.Routing()
+	address := narrow(t, serveDocuments(t, control), 192<<10)
+	r := newReceiver(t)
+	for range 5 { // heartbeats go on
+		r.hear(address, 1)
+	}
+	t.Logf("document of %d bytes, encoded %d, link of %d bytes a second", len(text), len(encoded), 192<<10)
+	r.await(t, 1, 5*applyTarget) // the link takes over one second, the rest is room for a loaded machine
+}
+
+// Guards against the whole document being sent for a change of one line.
+func TestChangeOfOneLineIsSentAsAPatch(t *testing.T) {
+	is := is.New(t)
+	control := newTestMesh(t, "127.0.0.1:1")
+	address := serveDocuments(t, control)
+	r := newReceiver(t)
+	text := document(7, 6000)
+	publish(t, control, 1, text)
+	r.hear(address, 1)
+	r.await(t, 1, applyTarget)
+	whole := r.traffic.Received()
+	changed := strings.Replace(text, "route 3000 ", "route 3000x ", 1)
+	publish(t, control, 2, changed)
+	r.hear(address, 2)
+	r.await(t, 2, applyTarget)
+	patch := r.traffic.Received() - whole
+	t.Logf("whole document %d bytes, change %d bytes", whole, patch)
+	is.True(patch < whole/20)
+}
