Setting advertise for gateways and control instances

Cause: the first role can be reached at another address than it listens at, gateways and control instances can't, so neither address translation nor the lab's relays can stand between them. Change: [listen] advertise; the identity in the group, the watches, the relays and the port of the seeds use it. Empty, it is the address for other instances, as before.

--- a/daemon/member.go
+++ b/daemon/member.go
@@ -100,7 +100,7 @@
 		Orders:      servers,
 		Identify:    servers.Identify,
 
-		RelayAddress: s.Instances,
+		RelayAddress: s.Advertise,
 		Relayer:      instance.NewRelayer(m.dialer),
 
 		Seed: xxhash.Sum64String(s.Name),
@@ -143,7 +143,7 @@
 
 // RunController runs a controller until ctx ends, and then hands the leadership over.
 func RunController(ctx context.Context, path string, s settings.Member, log logr.Logger) error {
-	m, err := newMember(path, settings.RoleController, s, s.Instances, log)
+	m, err := newMember(path, settings.RoleController, s, s.Advertise, log)
 	if err != nil {
 		return err
 	}
@@ -232,18 +232,18 @@
 	founders := slices.Sorted(slices.Values(s.Seeds))
 	sender := instance.NewConsensusSender(m.dialer)
 	for _, f := range founders {
-		if f != s.Instances {
+		if f != s.Advertise {
 			sender.Reach(f, f)
 		}
 	}
 	host, err := control.NewHost(control.Options{
-		ID:           s.Instances,
-		Address:      s.Instances,
+		ID:           s.Advertise,
+		Address:      s.Advertise,
 		Voters:       founders,
 		Size:         2*s.Tolerate + 1,
-		JoinOnly:     !s.IsFounding || !slices.Contains(founders, s.Instances),
+		JoinOnly:     !s.IsFounding || !slices.Contains(founders, s.Advertise),
 		ReplaceAfter: replaceAfter,
-		Seed:         xxhash.Sum64String(s.Instances),
+		Seed:         xxhash.Sum64String(s.Advertise),
 		Storage:      store,
 		Sender:       sender,
 		OnView:       func(replica.View) {},
--- a/settings/member.go
+++ b/settings/member.go
@@ -20,6 +20,7 @@
 	{"listen", "ready", "", "IP:port", "Gateway: address at which readiness is asked.", addressPort},
 	{"listen", "control", "", "IP:port", "Controller: address for backend servers and operators.", addressPort},
 	{"listen", "instances", "", "IP:port", "Address for other instances. All instances of a deployment use the same port.", addressPort},
+	{"listen", "advertise", "", "IP:port", "Address that other instances reach this one at. Empty: the address for other instances. All instances of a deployment use the same port.", addressPort},
 	{"listen", "metrics", "", "IP:port", "Address of metrics. Empty: none are served.", addressPort},
 	{"control", "data_folder", "", "path", "Controller: folder of the replicated state.", anyText},
 	{"control", "founding", "false", "", "true: the deployment starts for the first time, and the seeds found the group of control instances.", oneOf("true", "false")},
@@ -45,6 +46,8 @@
 	Ready      string
 	Control    string
 	Instances  string
+	// Advertise is the address at which other instances reach this one.
+	Advertise  string
 	Metrics    string
 	DataFolder string
 	// IsFounding means that the deployment starts for the first time, and that the seeds found the
@@ -128,6 +131,7 @@
 		Ready:            get("listen", "ready"),
 		Control:          get("listen", "control"),
 		Instances:        get("listen", "instances"),
+		Advertise:        get("listen", "advertise"),
 		Metrics:          get("listen", "metrics"),
 		DataFolder:       get("control", "data_folder"),
 		IsFounding:       get("control", "founding") == "true",
@@ -143,7 +147,10 @@
 
 		LogLinesPerSecond: intValue("log", "lines_per_second"),
 	}
-	m.Seeds = replacePorts(splitList(get("join", "seeds")), m.Instances)
+	if m.Advertise == "" {
+		m.Advertise = m.Instances
+	}
+	m.Seeds = replacePorts(splitList(get("join", "seeds")), m.Advertise)
 	return m, r.err()
 }
 
