--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -88,10 +88,10 @@
 
 // Lab is a running system of instances and emulated backend servers.
 type Lab struct {
-	Layout       Layout
-	Instances    []*Instance
-	Emulators    map[string]*Process
-	relays       *relays
+	Layout    Layout
+	Instances []*Instance
+	Emulators map[string]*Process
+	*relays
 	networkClaim net.Listener // reserves Layout.Network; nil if the caller chose the network
 	cancel       context.CancelFunc
 }
@@ -149,25 +149,6 @@
 	return nil
 }
 
-// Partition stops all traffic between two instances without closing connections.
-func (l *Lab) Partition(a, b string) {
-	l.relays.update(func() { l.relays.partitioned[instancePair{from: a, to: b}] = true })
-}
-
-// Heal ends all partitions.
-func (l *Lab) Heal() {
-	l.relays.update(func() { l.relays.partitioned = make(map[instancePair]bool) })
-}
-
-// BlackholeConnections stops all traffic on the open connections between two instances for
-// good, without closing them. New connections work.
-func (l *Lab) BlackholeConnections(a, b string) {
-	l.relays.update(func() {
-		l.relays.epoch[instancePair{from: a, to: b}]++
-		l.relays.epoch[instancePair{from: b, to: a}]++
-	})
-}
-
 // PartitionDataCentre stops all traffic between a data centre and all others.
 func (l *Lab) PartitionDataCentre(dc string) {
 	for _, a := range l.Instances {
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -14,7 +14,7 @@
 // it has exited.
 type Process struct {
 	Name string
-	// LogPath is the file that the process's standard error is appended to.
+	// LogPath is the file that the process's standard output and error are appended to.
 	LogPath string
 
 	path string
@@ -30,7 +30,7 @@
 	return &Process{Name: name, LogPath: logPath, path: path, args: args}
 }
 
-// Start starts the process and appends its standard error to the log.
+// Start starts the process and appends its output to the log.
 func (p *Process) Start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -40,7 +40,7 @@
 	}
 	defer log.Close()
 	cmd := exec.Command(p.path, p.args...)
-	cmd.Stderr = log
+	cmd.Stdout, cmd.Stderr = log, log
 	cmd.Env = append(os.Environ(), p.env...)
 	// The process must not outlive a test process that is killed.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
