--- a/internal/lab/soak_operator_test.go
+++ b/internal/lab/soak_operator_test.go
@@ -180,7 +180,10 @@
 			return true
 		}
 		now := time.Now()
-		if now.Sub(begun) > ackBound && !reported && o.s.judge.wasCoreCalm(begun, now) {
+		if !o.s.judge.wasCoreCalm(now, now) {
+			begun = now
+		}
+		if now.Sub(begun) > ackBound && !reported {
 			reported = true
 			o.s.judge.report("NO-ACK", "version %d has no acknowledgement after %.1f s", d.version, now.Sub(begun).Seconds())
 		}
--- a/internal/lab/soak_test.go
+++ b/internal/lab/soak_test.go
@@ -27,8 +27,10 @@
 	duration    time.Duration
 	changeEvery time.Duration
 	probeEvery  time.Duration // at each gateway
-	// quiet means that no faults are played.
-	quiet bool
+	// isQuiet means that no faults are played.
+	isQuiet bool
+	// controlMbps and gatewayMbps are the bandwidths of the machines' links; 0: unlimited.
+	controlMbps, gatewayMbps int
 }
 
 // soak is a run of a deployment with an operator, callers, backend servers and faults.
@@ -60,8 +62,8 @@
 	s.work, s.endWork = context.WithCancel(s.ctx)
 	const megabit = 1_000_000 / 8
 	d, err := StartDeployment(s.ctx, DeploymentLayout{
-		Folder: t.TempDir(), Binary: binary, Controls: o.controls, Gateways: o.gateways, Tolerate: (o.controls - 1) / 2,
-		ControlBytesPerSecond: 170 * megabit, GatewayBytesPerSecond: 20 * megabit, AnnounceInterval: announceEvery,
+		Folder: soakFolder(t, o), Binary: binary, Controls: o.controls, Gateways: o.gateways, Tolerate: (o.controls - 1) / 2,
+		ControlBytesPerSecond: o.controlMbps * megabit, GatewayBytesPerSecond: o.gatewayMbps * megabit, AnnounceInterval: announceEvery,
 		ControlMemoryMB: 280, GatewayMemoryMB: 184, Env: []string{"GOMAXPROCS=1"},
 	})
 	if err != nil {
@@ -128,7 +130,7 @@
 	s.run(func() { newSoakOperator(s, s.options.seed).run() })
 	s.run(s.runReads)
 	s.run(s.watchDelays)
-	if !s.options.quiet {
+	if !s.options.isQuiet {
 		newSoakFaults(s).run()
 	} else {
 		s.sleep(s.options.duration)
@@ -236,6 +238,19 @@
 	s.t.Logf("%s:\n%s", m.Name, strings.Join(lines[max(0, len(lines)-maxLogLines):], "\n"))
 }
 
+// soakFolder returns the folder of the processes: a new one, which is kept, in BALSAMLB_SOAK_FOLDER if that is set.
+func soakFolder(t testing.TB, o soakOptions) string {
+	kept := os.Getenv("BALSAMLB_SOAK_FOLDER")
+	if kept == "" {
+		return t.TempDir()
+	}
+	folder := filepath.Join(kept, fmt.Sprintf("seed-%d-%d", o.seed, time.Now().Unix()))
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		t.Fatal(err)
+	}
+	return folder
+}
+
 // soakNumber returns a number from the environment.
 func soakNumber(t *testing.T, name string, otherwise int) int {
 	text := os.Getenv("BALSAMLB_SOAK_" + name)
@@ -264,7 +279,9 @@
 				duration:    time.Duration(soakNumber(t, "SECONDS", 40)) * time.Second,
 				changeEvery: time.Duration(soakNumber(t, "CHANGE_MS", 300)) * time.Millisecond,
 				probeEvery:  time.Duration(soakNumber(t, "PROBE_MS", 50)) * time.Millisecond,
-				quiet:       soakNumber(t, "QUIET", 0) > 0,
+				isQuiet:     soakNumber(t, "QUIET", 0) > 0,
+				controlMbps: soakNumber(t, "CONTROL_MBPS", 170),
+				gatewayMbps: soakNumber(t, "GATEWAY_MBPS", 20),
 			})
 			s.play()
 		})
