--- a/internal/lab/soak_operator_test.go
+++ b/internal/lab/soak_operator_test.go
@@ -62,7 +62,11 @@
 	for k := range s.options.routes {
 		// Random names can't be compressed.
 		o.filler = append(o.filler, soakNewRoute(fmt.Sprintf("f%d-%016x", k, o.rng.Uint64()), fmt.Sprintf("%x.example", o.rng.Uint64()), fmt.Sprintf("/%016x%016x/", o.rng.Uint64(), o.rng.Uint64()), soakServices[0]))
-		o.fillTo = append(o.fillTo, soakTenant{fmt.Sprintf("f%d", k), []string{fmt.Sprintf("%016x%016x", o.rng.Uint64(), o.rng.Uint64())}})
+		t := soakTenant{Name: fmt.Sprintf("f%d", k)}
+		for range s.options.keys {
+			t.ApiKeys = append(t.ApiKeys, fmt.Sprintf("%016x%016x", o.rng.Uint64(), o.rng.Uint64()))
+		}
+		o.fillTo = append(o.fillTo, t)
 	}
 	return o
 }
--- a/internal/lab/soak_test.go
+++ b/internal/lab/soak_test.go
@@ -22,11 +22,11 @@
 	seed               uint64
 	controls, gateways int
 	servers            int
-	// routes is how many routes, each with a key, never change.
-	routes      int
-	duration    time.Duration
-	changeEvery time.Duration
-	probeEvery  time.Duration // at each gateway
+	// routes is how many routes, each with so many keys, never change.
+	routes, keys int
+	duration     time.Duration
+	changeEvery  time.Duration
+	probeEvery   time.Duration // at each gateway
 	// isQuiet means that no faults are played.
 	isQuiet bool
 	// controlMbps and gatewayMbps are the bandwidths of the machines' links; 0: unlimited.
@@ -276,6 +276,7 @@
 				gateways:    soakNumber(t, "GATEWAYS", 4),
 				servers:     soakNumber(t, "SERVERS", 4),
 				routes:      soakNumber(t, "ROUTES", 20),
+				keys:        soakNumber(t, "KEYS", 1),
 				duration:    time.Duration(soakNumber(t, "SECONDS", 40)) * time.Second,
 				changeEvery: time.Duration(soakNumber(t, "CHANGE_MS", 300)) * time.Millisecond,
 				probeEvery:  time.Duration(soakNumber(t, "PROBE_MS", 50)) * time.Millisecond,
