--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -1,5 +1,7 @@
 package lab
 
+import "syscall"
+
 // Partition stops all traffic between two instances without closing connections.
 func (r *relays) Partition(a, b string) {
 	r.PartitionOneWay(a, b)
@@ -57,3 +59,22 @@
 		r.faults = make(map[instancePair]LinkFault)
 	})
 }
+
+// maxBacklog is more than the kernel allows for connections that wait to be accepted.
+const maxBacklog = 1 << 16
+
+// PauseAccepting lets no new connections to the instance be set up: the kernel drops their first packets, and
+// the caller's kernel sends them again after a second. Open connections live on.
+func (r *relays) PauseAccepting(name string) { r.setAccepting(name, true, 0) }
+
+// ResumeAccepting ends PauseAccepting.
+func (r *relays) ResumeAccepting(name string) { r.setAccepting(name, false, maxBacklog) }
+
+func (r *relays) setAccepting(name string, isPaused bool, backlog int) {
+	r.update(func() {
+		r.paused[name] = isPaused
+		if c, err := r.listeners[name].SyscallConn(); err == nil {
+			_ = c.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), backlog) })
+		}
+	})
+}
--- a/internal/lab/relay.go
+++ b/internal/lab/relay.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,6 +56,10 @@
 	// lineRate is the bandwidth of each machine's link in bytes per second; 0: unlimited.
 	lineRate map[string]int
 	open     map[*net.TCPConn]instancePair
+	// listeners holds the listener before each instance, and paused the instances before which no
+	// connection is accepted.
+	listeners map[string]*net.TCPListener
+	paused    map[string]bool
 	// changed is closed and replaced by every update.
 	changed chan struct{}
 }
@@ -80,6 +85,8 @@
 		lines:       make(map[string]*line),
 		lineRate:    make(map[string]int),
 		open:        make(map[*net.TCPConn]instancePair),
+		listeners:   make(map[string]*net.TCPListener),
+		paused:      make(map[string]bool),
 		changed:     make(chan struct{}),
 	}
 }
@@ -88,9 +95,10 @@
 // the name of the instance at the target.
 func (r *relays) serve(ctx context.Context, l net.Listener, to, target string) {
 	context.AfterFunc(ctx, func() { _ = l.Close() })
+	r.update(func() { r.listeners[to] = l.(*net.TCPListener) })
 	for {
 		inbound, err := l.Accept()
-		if err != nil {
+		if err != nil || !r.waitWhile(ctx, func() bool { return r.paused[to] }) {
 			return
 		}
 		host, _, _ := net.SplitHostPort(inbound.RemoteAddr().String())
@@ -241,15 +249,19 @@
 // waitOpen waits until none of the directions is partitioned. For a blackholed connection of the pair p it
 // waits until ctx ends. It returns false when ctx has ended.
 func (r *relays) waitOpen(ctx context.Context, p instancePair, epoch int, directions ...instancePair) bool {
+	return r.waitWhile(ctx, func() bool {
+		return r.epoch[p] != epoch || slices.ContainsFunc(directions, func(d instancePair) bool { return r.partitioned[d] })
+	})
+}
+
+// waitWhile waits until holds returns false, and returns false if ctx ends before. holds is called with the lock.
+func (r *relays) waitWhile(ctx context.Context, holds func() bool) bool {
 	for {
 		r.mu.Lock()
-		isOpen := r.epoch[p] == epoch
-		for _, d := range directions {
-			isOpen = isOpen && !r.partitioned[d]
-		}
+		isOver := !holds()
 		wake := r.changed
 		r.mu.Unlock()
-		if isOpen {
+		if isOver {
 			return true
 		}
 		select {
--- a/internal/lab/soak_faults_test.go
+++ b/internal/lab/soak_faults_test.go
@@ -22,7 +22,7 @@
 const (
 	// catchUpTime is how long a machine that is back still counts as lost.
 	catchUpTime = 4 * time.Second
-	// maxTouched is the share of the gateways that have a fault at once.
+	// maxTouchedShare is the share of the gateways that have a fault at once.
 	maxTouchedShare = 0.4
 )
 
@@ -212,7 +212,7 @@
 	t := trouble{isCore: true}
 	long := f.between(300*time.Millisecond, 15*time.Second)
 	restart := func() { s.startProcess(c) }
-	switch kind := f.number(10); kind {
+	switch kind := f.number(11); kind {
 	case 0, 1:
 		t.what = c.Name + " is frozen"
 		f.during(t, long, c.Freeze, c.Thaw)
@@ -250,6 +250,9 @@
 			s.d.BlackholeConnections(a, b)
 			s.d.HarmLink(a, b, LinkFault{HangsNew: true})
 		}, long)
+	case 9: // as if it had no file descriptors left: what is connected goes on
+		t.what = c.Name + " takes no new connections"
+		f.during(t, long, func() { s.d.PauseAccepting(c.Name) }, func() { s.d.ResumeAccepting(c.Name) })
 	default: // two links between control instances
 		harm, what := f.linkFault()
 		t.what, t.isLasting = fmt.Sprintf("a link of %s to control instances: %s", c.Name, what), true
--- a/internal/lab/soak_judge_test.go
+++ b/internal/lab/soak_judge_test.go
@@ -217,6 +217,9 @@
 	defer j.mu.Unlock()
 	j.statuses[fmt.Sprint(p.status)]++
 	if p.status != 200 && p.status != 404 && p.status != 401 && p.status != 403 {
+		if j.isInTouch(p.gateway, p.sent, p.answered) && j.isCoreCalm(p.sent, p.answered) {
+			j.statuses[unserved]++
+		}
 		return
 	}
 	var explains *soakDocument // the newest document that explains the answer
@@ -290,6 +293,18 @@
 	}
 }
 
+// unserved counts answers by gateways without an excuse that aren't the answer of a server or of the document.
+const unserved = "unserved"
+
+// checkServed breaks a rule if callers of gateways without an excuse were served less than three times in four.
+func (j *soakJudge) checkServed() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if n := j.statuses[unserved]; 3*n > j.statuses["LATE"] {
+		j.breaks("UNSERVED", "", time.Now(), "%d of %d requests were not served by gateways without trouble", n, n+j.statuses["LATE"])
+	}
+}
+
 // summary describes the run in one line.
 func (j *soakJudge) summary() string {
 	j.mu.Lock()
--- a/internal/lab/soak_test.go
+++ b/internal/lab/soak_test.go
@@ -123,13 +123,7 @@
 // play runs the operator, the callers and the faults, and then checks what is left after a loss of all
 // processes.
 func (s *soak) play() {
-	workers := min(16, s.options.gateways)
-	for w := range workers {
-		s.run(func() { s.runProbes(w, workers) })
-	}
-	s.run(func() { newSoakOperator(s, s.options.seed).run() })
-	s.run(s.runReads)
-	s.run(s.watchDelays)
+	s.startWork()
 	if !s.options.isQuiet {
 		newSoakFaults(s).run()
 	} else {
@@ -143,12 +137,27 @@
 			s.judge.report("EXITED", "%s has ended by itself", m.Name)
 		}
 	}
+	s.judge.checkServed()
 	s.t.Logf("seed %d, %d control instances, %d gateways, %d more routes: %s", s.options.seed, s.options.controls, s.options.gateways, s.options.routes, s.judge.summary())
 	if len(s.judge.broken) > 0 {
 		s.t.Errorf("broken: %v", s.judge.broken)
 	}
 }
 
+// startWork starts the operator and the callers.
+func (s *soak) startWork() {
+	workers := min(maxWorkers, s.options.gateways)
+	for w := range workers {
+		s.run(func() { s.runProbes(w, workers) })
+	}
+	s.run(func() { newSoakOperator(s, s.options.seed).run() })
+	s.run(s.runReads)
+	s.run(s.watchDelays)
+}
+
+// maxWorkers is how many callers at most ask at once.
+const maxWorkers = 16
+
 // watchDelays logs when this process itself was late, since it then can't judge the time of others.
 func (s *soak) watchDelays() {
 	const interval, late = 50 * time.Millisecond, 300 * time.Millisecond
@@ -267,6 +276,7 @@
 // Guards against acknowledged documents that are late, lost, older again or refused under faults of processes and
 // links (docs/incidents/configuration-not-in-force.md).
 func TestSoakOfDeployments(t *testing.T) {
+	t.Parallel()
 	first := soakNumber(t, "FIRST", 0)
 	for seed := first; seed < first+soakNumber(t, "SEEDS", 1); seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
