storage: a build that saved no commit reads the log again

Ruled out: leaving the commit out until all builds know it, which would make a restart after a loss of power wait for an election (design 609).

Change: the commit is a hard state with a mark in place of the vote, before the hard state proper, which replaces it in builds that don't know the mark. Records of the former kind are read, and a log that holds them is written anew when it is opened. A file of commits that an earlier build left in place is believed only for entries that the log holds, as before.

--- a/storage/codec.go
+++ b/storage/codec.go
@@ -10,28 +10,31 @@
 const (
 	recordHardState = iota + 1
 	recordEntry
-	// recordCommit completes the hard state before it. It is left out if no commit is known, as in the
-	// files of versions that saved none.
+	// recordCommit completes the hard state before it. It is read and no longer written, since builds
+	// that saved no commit can't read it.
 	recordCommit
 )
 
+// commitMark is the first byte of the vote of a hard state that holds a commit: its term is the term of
+// the commit, and the index follows the mark. The hard state proper follows in the same batch and
+// replaces it in builds that don't know the mark. No instance has a name that begins with a zero byte.
+const commitMark = 0
+
 // saveBatch is the content of one Save: at most one hard state, and entries.
 type saveBatch struct {
 	hardState *consensus.HardState
 	entries   []consensus.Entry
+	// hasCommitRecord means that a record was read that is no longer written.
+	hasCommitRecord bool
 }
 
 // appendBatch encodes a batch.
 func appendBatch(b []byte, batch saveBatch) []byte {
 	if batch.hardState != nil {
-		b = append(b, recordHardState)
-		b = binary.AppendUvarint(b, batch.hardState.Term)
-		b = appendBytes(b, []byte(batch.hardState.Vote))
 		if c := batch.hardState.Commit; c != (consensus.Position{}) {
-			b = append(b, recordCommit)
-			b = binary.AppendUvarint(b, c.Term)
-			b = binary.AppendUvarint(b, c.Index)
+			b = appendHardState(b, c.Term, binary.AppendUvarint([]byte{commitMark}, c.Index))
 		}
+		b = appendHardState(b, batch.hardState.Term, []byte(batch.hardState.Vote))
 	}
 	for _, e := range batch.entries {
 		b = append(b, recordEntry, byte(e.Kind))
@@ -42,14 +45,28 @@
 	return b
 }
 
+func appendHardState(b []byte, term uint64, vote []byte) []byte {
+	b = append(b, recordHardState)
+	b = binary.AppendUvarint(b, term)
+	return appendBytes(b, vote)
+}
+
 // decodeBatch decodes a batch. It returns false if the data is invalid.
 func decodeBatch(data []byte) (saveBatch, bool) {
 	var batch saveBatch
+	var commit consensus.Position
 	d := decoder{remaining: data}
 	for len(d.remaining) > 0 && !d.failed {
 		switch d.readByte() {
 		case recordHardState:
-			batch.hardState = &consensus.HardState{Term: d.readUvarint(), Vote: string(d.readBytes())}
+			term, vote := d.readUvarint(), d.readBytes()
+			if len(vote) > 0 && vote[0] == commitMark {
+				index := decoder{remaining: vote[1:]}
+				commit = consensus.Position{Term: term, Index: index.readUvarint()}
+				d.failed = d.failed || index.failed
+				continue
+			}
+			batch.hardState = &consensus.HardState{Term: term, Vote: string(vote), Commit: commit}
 		case recordEntry:
 			e := consensus.Entry{Kind: consensus.EntryKind(d.readByte())}
 			e.Term = d.readUvarint()
@@ -61,11 +78,12 @@
 				return saveBatch{}, false
 			}
 			batch.hardState.Commit = consensus.Position{Term: d.readUvarint(), Index: d.readUvarint()}
+			batch.hasCommitRecord = true
 		default:
 			return saveBatch{}, false
 		}
 	}
-	return batch, !d.failed
+	return batch, !d.failed && (commit == consensus.Position{} || batch.hardState != nil)
 }
 
 func appendBytes(b, data []byte) []byte {
--- a/storage/log.go
+++ b/storage/log.go
@@ -50,6 +50,8 @@
 	loggedCommit consensus.Position
 	buf          []byte
 	failure      error
+	// hasCommitRecords means that Open has read records that earlier builds can't read.
+	hasCommitRecords bool
 	// TruncatedBytes is the size of the torn frame that Open has removed from the end of the log.
 	TruncatedBytes int
 }
@@ -104,9 +106,32 @@
 	l.readCommit(&stored)
 	l.hardState = stored.HardState
 	l.identity.Starts++
+	if l.hasCommitRecords {
+		return stored, l.rewrite(stored.Entries)
+	}
 	return stored, l.writeIdentity()
 }
 
+// rewrite replaces the segments with one that builds that saved no commit can read. A log that is too
+// long for one segment is left as it is until the next snapshot replaces it.
+func (l *Log) rewrite(entries []consensus.Entry) error {
+	size := 0
+	for _, e := range entries {
+		size += len(e.Data)
+	}
+	if size >= maxSegmentBytes {
+		return l.writeIdentity()
+	}
+	if err := l.beginSegment(entries); err != nil {
+		return err
+	}
+	l.identity.FirstSegment = l.identity.LastSegment
+	if err := l.writeIdentity(); err != nil {
+		return err
+	}
+	return l.removeUnreferenced()
+}
+
 // create initializes a new folder. If the identity is missing, there must be no other managed
 // files either.
 func (l *Log) create(instance string) error {
--- a/storage/replay.go
+++ b/storage/replay.go
@@ -61,6 +61,7 @@
 		if !ok {
 			return 0, corruptedError(path, offset, "cannot decode record")
 		}
+		l.hasCommitRecords = l.hasCommitRecords || batch.hasCommitRecord
 		if !s.addBatch(batch) {
 			return 0, corruptedError(path, offset, "entries are missing before the record")
 		}
