storage: a folder of a newer form is named and left as it is

Cause: whatever a build could not read counted as a damaged file.

Change: unknown records from kind 128 on have a length and are skipped; other unknown kinds, a newer identity and a newer form give a FormError with the form, the build that opened the folder last and what to do. All is read, and checked by the replica, before anything is changed. The file "form" names form and build; builds that don't know it leave it alone. Ruled out: the identity, which earlier builds read with its exact length.

Flipped bits in it are found as in all files.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -111,7 +111,7 @@
 }
 
 func (d *Daemon) openReplica() error {
-	store, stored, err := storage.Open(storage.Options{Folder: d.process.DataFolder, Instance: d.process.Name})
+	store, stored, err := control.OpenStorage(d.process.DataFolder, d.process.Name)
 	if err != nil {
 		return err
 	}
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -147,7 +147,7 @@
 	if err != nil {
 		return err
 	}
-	store, stored, err := storage.Open(storage.Options{Folder: s.DataFolder, Instance: s.Name})
+	store, stored, err := control.OpenStorage(s.DataFolder, s.Name)
 	if err != nil {
 		return err
 	}
--- a/replica/snapshot.go
+++ b/replica/snapshot.go
@@ -12,11 +12,15 @@
 	"github.com/balsamlb/balsamlb/replica/wire"
 	"github.com/balsamlb/balsamlb/routing"
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 )
 
-// snapshotVersion is the version of the snapshot format.
-const snapshotVersion = 1
+// SupportedSnapshotVersion is the only version of the snapshot format that this build reads and writes.
+const SupportedSnapshotVersion = 1
+
+// snapshotVersionField is the number of the field version of a snapshot.
+const snapshotVersionField = 1
 
 // ErrSnapshotVersion means that the snapshot has a format version that this build can't read.
 var ErrSnapshotVersion = errors.New("replica: unsupported snapshot version")
@@ -52,7 +56,7 @@
 // Encode returns the image as a snapshot.
 func (im Image) Encode() ([]byte, error) {
 	w := &wire.Snapshot{
-		Version:    snapshotVersion,
+		Version:    SupportedSnapshotVersion,
 		ViewIndex:  im.viewIndex,
 		Ledger:     ledgerToWire(im.ledger),
 		Config:     configToWire(im.config),
@@ -70,13 +74,33 @@
 	return data, eris.Wrap(err, "replica: encode snapshot")
 }
 
+// SnapshotVersion returns the version of a snapshot without decoding the rest.
+func SnapshotVersion(data []byte) (uint64, error) {
+	for len(data) > 0 {
+		number, kind, size := protowire.ConsumeTag(data)
+		if size < 0 {
+			return 0, eris.Wrap(protowire.ParseError(size), "replica: decode snapshot")
+		}
+		if number == snapshotVersionField && kind == protowire.VarintType {
+			version, n := protowire.ConsumeVarint(data[size:])
+			return version, eris.Wrap(protowire.ParseError(min(n, 0)), "replica: decode snapshot version")
+		}
+		_, _, size = protowire.ConsumeField(data)
+		if size < 0 {
+			return 0, eris.Wrap(protowire.ParseError(size), "replica: decode snapshot")
+		}
+		data = data[size:]
+	}
+	return 0, nil
+}
+
 // Restore decodes a snapshot and returns its state.
 func Restore(data []byte) (*State, error) {
 	var w wire.Snapshot
 	if err := proto.Unmarshal(data, &w); err != nil {
 		return nil, eris.Wrap(err, "replica: decode snapshot")
 	}
-	if w.Version != snapshotVersion {
+	if w.Version != SupportedSnapshotVersion {
 		return nil, eris.Wrapf(ErrSnapshotVersion, "replica: snapshot version %d", w.Version)
 	}
 	s := NewState()
--- a/storage/codec.go
+++ b/storage/codec.go
@@ -15,6 +15,11 @@
 	recordCommit
 )
 
+// firstSkippableRecord is the first kind of the records that a build may skip if it does not know them;
+// their content follows as its length and its bytes. A record of any other unknown kind is mandatory:
+// the batch can't be read without it.
+const firstSkippableRecord = 0x80
+
 // commitMark is the first byte of the vote of a hard state that holds a commit: its term is the term of
 // the commit, and the index follows the mark. The hard state proper follows in the same batch and
 // replaces it in builds that don't know the mark. No instance has a name that begins with a zero byte.
@@ -26,6 +31,8 @@
 	entries   []consensus.Entry
 	// hasCommitRecord means that a record was read that is no longer written.
 	hasCommitRecord bool
+	// unknownKind is the kind of a record that can't be read; 0 is no kind.
+	unknownKind byte
 }
 
 // appendBatch encodes a batch.
@@ -51,13 +58,14 @@
 	return appendBytes(b, vote)
 }
 
-// decodeBatch decodes a batch. It returns false if the data is invalid.
+// decodeBatch decodes a batch. It returns false if the data is invalid, or holds a record of a mandatory
+// kind that this build does not know, which it then returns as unknownKind.
 func decodeBatch(data []byte) (saveBatch, bool) {
 	var batch saveBatch
 	var commit consensus.Position
 	d := decoder{remaining: data}
 	for len(d.remaining) > 0 && !d.failed {
-		switch d.readByte() {
+		switch kind := d.readByte(); kind {
 		case recordHardState:
 			term, vote := d.readUvarint(), d.readBytes()
 			if len(vote) > 0 && vote[0] == commitMark {
@@ -80,7 +88,10 @@
 			batch.hardState.Commit = consensus.Position{Term: d.readUvarint(), Index: d.readUvarint()}
 			batch.hasCommitRecord = true
 		default:
-			return saveBatch{}, false
+			if kind < firstSkippableRecord {
+				return saveBatch{unknownKind: kind}, false
+			}
+			d.readBytes()
 		}
 	}
 	return batch, !d.failed && (commit == consensus.Position{} || batch.hardState != nil)
--- a/storage/log.go
+++ b/storage/log.go
@@ -11,6 +11,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"io"
 	"io/fs"
 	"slices"
@@ -33,14 +34,22 @@
 	Instance string
 	// FS is the file system; nil: the file system of the operating system.
 	FS FS
+	// Build names this build in the folder and in errors.
+	Build string
+	// Check decides before anything in the folder is changed whether its content can be used; nil:
+	// always. It may return a FormError with the form only.
+	Check func(Stored) error
 }
 
 // Log is the open data folder of one replica.
 type Log struct {
-	fs          FS
-	folder      string
-	lock        io.Closer
-	identity    Identity
+	fs       FS
+	folder   string
+	lock     io.Closer
+	identity Identity
+	// build is this build, and form what the folder says of its form.
+	build       string
+	form        folderFormFile
 	hardState   consensus.HardState
 	file        File
 	framer      framer
@@ -61,7 +70,7 @@
 	if o.FS == nil {
 		o.FS = OS{}
 	}
-	l := &Log{fs: o.FS, folder: o.Folder}
+	l := &Log{fs: o.FS, folder: o.Folder, build: o.Build}
 	if err := l.fs.MkdirAll(l.folder); err != nil {
 		return nil, Stored{}, wrapError("create", l.folder, err)
 	}
@@ -70,7 +79,7 @@
 		return nil, Stored{}, wrapError("lock", join(l.folder, lockName), err)
 	}
 	l.lock = lock
-	stored, err := l.open(o.Instance)
+	stored, err := l.open(o)
 	if err != nil {
 		_ = l.Close()
 		return nil, Stored{}, err
@@ -81,25 +90,30 @@
 // Identity returns the current identity of the folder.
 func (l *Log) Identity() Identity { return l.identity }
 
-func (l *Log) open(instance string) (Stored, error) {
-	if err := l.readIdentity(instance); err != nil {
+func (l *Log) open(o Options) (Stored, error) {
+	if err := l.readForm(); err != nil {
+		return Stored{}, err
+	}
+	if err := l.readIdentity(o.Instance); err != nil {
 		return Stored{}, err
 	}
 	if l.identity.Disk == 0 {
-		return Stored{}, l.create(instance)
+		return Stored{}, l.create(o.Instance)
 	}
 	if l.identity.LastSegment == 0 {
 		return Stored{}, l.finishReset()
 	}
-	if err := l.removeUnreferenced(); err != nil {
+	stored, err := l.readFiles(o.Check)
+	if err != nil {
 		return Stored{}, err
 	}
-	snapshot, err := l.readSnapshot()
-	if err != nil {
+	if err := l.writeForm(); err != nil {
 		return Stored{}, err
 	}
-	stored := Stored{Snapshot: snapshot}
-	if err := l.readSegments(&stored); err != nil {
+	if err := l.removeUnreferenced(); err != nil {
+		return Stored{}, err
+	}
+	if err := l.openNewestSegment(); err != nil {
 		return Stored{}, err
 	}
 	l.loggedCommit = stored.HardState.Commit
@@ -112,6 +126,19 @@
 	return stored, l.writeIdentity()
 }
 
+// readFiles reads the snapshot and the log, and changes nothing.
+func (l *Log) readFiles(check func(Stored) error) (Stored, error) {
+	snapshot, err := l.readSnapshot()
+	if err != nil {
+		return Stored{}, err
+	}
+	stored := Stored{Snapshot: snapshot}
+	if err := l.readSegments(&stored); err != nil {
+		return Stored{}, err
+	}
+	return stored, l.check(check, stored)
+}
+
 // rewrite replaces the segments with one that builds that saved no commit can read. A log that is too
 // long for one segment is left as it is until the next snapshot replaces it.
 func (l *Log) rewrite(entries []consensus.Entry) error {
@@ -144,6 +171,9 @@
 			return eris.Wrapf(ErrMissing, "storage: read %s: there is no identity, but the folder contains %s", join(l.folder, identityName), name)
 		}
 	}
+	if err := l.writeForm(); err != nil {
+		return err
+	}
 	l.identity = Identity{Instance: instance, Disk: newDiskID(), Starts: 1}
 	if err := l.writeIdentity(); err != nil {
 		return err
@@ -178,6 +208,9 @@
 	if err != nil {
 		return wrapError("read", path, err)
 	}
+	if version, ok := newerIdentity(data); ok {
+		return l.formError(path, fmt.Sprintf("an identity of version %d", version))
+	}
 	id, ok := decodeIdentity(data)
 	if !ok {
 		return corruptedError(path, 0, "the identity is invalid")
@@ -193,19 +226,23 @@
 	return replaceFile(l.fs, l.folder, identityName, l.identity.encode())
 }
 
-// readSegments reads the log and opens its newest segment for appending.
+// readSegments reads the log.
 func (l *Log) readSegments(s *Stored) error {
-	validSize := 0
 	for n := l.identity.FirstSegment; n <= l.identity.LastSegment; n++ {
 		size, err := l.readSegment(s, n, n == l.identity.LastSegment)
 		if err != nil {
 			return err
 		}
-		validSize = size
+		l.segmentSize = int64(size)
 	}
+	return nil
+}
+
+// openNewestSegment removes a torn frame from the newest segment and opens it for appending.
+func (l *Log) openNewestSegment() error {
 	path := join(l.folder, segmentName(l.identity.LastSegment))
 	if l.TruncatedBytes > 0 {
-		if err := l.fs.Truncate(path, int64(validSize)); err != nil {
+		if err := l.fs.Truncate(path, l.segmentSize); err != nil {
 			return wrapError("truncate", path, err)
 		}
 	}
@@ -215,7 +252,6 @@
 	}
 	l.file = file
 	l.framer = newFramer(l.identity.Disk, l.identity.LastSegment)
-	l.segmentSize = int64(validSize)
 	return nil
 }
 
--- a/storage/replay.go
+++ b/storage/replay.go
@@ -58,6 +58,9 @@
 			return offset, nil
 		}
 		batch, ok := decodeBatch(body)
+		if batch.unknownKind != 0 {
+			return 0, l.formError(path, fmt.Sprintf("records of kind %d", batch.unknownKind))
+		}
 		if !ok {
 			return 0, corruptedError(path, offset, "cannot decode record")
 		}
