Levels of entries: a build that doesn't know an entry stops, and never skips it

Change: formlevel decides from when on commands of a level may be written: all voters and learners have named it for 10 minutes. The leader refuses commands above the level in force; a replica checks each batch before it saves it, and a folder before it opens it. This build supports level 1, that of all builds so far, so nothing is raised yet. balsamctl status shows the build, the level and what holds the next one back; each change of the level is logged.

The table of balsamctl status has two lines more. Not begun: levels that gateways must know.

--- a/cmd/balsamctl/status.go
+++ b/cmd/balsamctl/status.go
@@ -41,6 +41,12 @@
 	fmt.Fprintf(w, "control: %s in term %d, leader %s, lease %t, voting %t\n", c.Role, c.Term, c.Leader, c.Lease, c.Voting)
 	fmt.Fprintf(w, "control: commit %d, applied %d, snapshot at %d\n", c.Commit, c.Applied, c.Snapshot)
 	fmt.Fprintf(w, "control: %d of %d voters: %s\n", len(c.Voters), c.Size, strings.Join(c.Voters, ", "))
+	if c.Level > 0 { // builds before levels don't say it
+		fmt.Fprintf(w, "control: build %s, level %d in force, levels up to %d supported\n", c.Build, c.Level, c.SupportedLevel)
+	}
+	if c.LevelHeldBy != "" {
+		fmt.Fprintf(w, "control: level %d held back: %s\n", c.Level+1, c.LevelHeldBy)
+	}
 	for _, l := range c.Learners {
 		fmt.Fprintf(w, "control: learner %s at %d, caught up %t\n", l.Name, l.Match, l.CaughtUp)
 	}
--- a/consensus/message.go
+++ b/consensus/message.go
@@ -134,6 +134,9 @@
 	Unverified bool
 	// Address is the sender's network address in a hello and in its reply.
 	Address string
+	// FormLevel is the highest level of commands that the sender applies; 0 means that it names none. The
+	// caller of the node sets and reads it.
+	FormLevel uint32
 	// Membership is set in KindBootstrap and KindSnapshot, in a KindVerifyReply that answers a
 	// KindVerify, and in a KindHelloReply of a replica that belongs to a group.
 	Membership *Membership
--- a/consensus/status.go
+++ b/consensus/status.go
@@ -5,6 +5,8 @@
 // Learner is a replica that receives the log and does not vote.
 type Learner struct {
 	ID string
+	// Disk identifies its data folder.
+	Disk uint64
 	// Match is the highest index at which its log is known to match the leader's.
 	Match uint64
 	// CaughtUp means that its log is nearly complete and that it has answered recently.
@@ -54,7 +56,7 @@
 	}
 	for id, p := range n.peers {
 		if !n.countsTowardsQuorum(id, p) && p.disk != 0 {
-			s.Learners = append(s.Learners, Learner{ID: id, Match: p.match, CaughtUp: n.isCaughtUp(p)})
+			s.Learners = append(s.Learners, Learner{ID: id, Disk: p.disk, Match: p.match, CaughtUp: n.isCaughtUp(p)})
 		}
 	}
 	slices.SortFunc(s.Learners, func(a, b Learner) int {
--- a/control/host.go
+++ b/control/host.go
@@ -2,6 +2,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/binary"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/consensus"
+	"github.com/balsamlb/balsamlb/formlevel"
 	"github.com/balsamlb/balsamlb/internal/ring"
 	"github.com/balsamlb/balsamlb/replica"
 	"github.com/balsamlb/balsamlb/routing"
@@ -90,6 +92,7 @@
 	// the state has been received.
 	encoded    chan encodedState
 	isEncoding bool
+	levels     levels
 }
 
 // Options configure a host.
@@ -106,8 +109,10 @@
 	// ReplaceAfter is the time after which a silent voter may be replaced; 0: replaceTicks.
 	ReplaceAfter time.Duration
 	Seed         uint64
-	Storage      Storage
-	Sender       Sender
+	// Level is the highest level of commands that this build applies; 0: formlevel.Supported.
+	Level   formlevel.Level
+	Storage Storage
+	Sender  Sender
 	// OnView is called with each new view, in order.
 	OnView func(replica.View)
 	// OnRouting is called with each new routing document, in order. It may be nil.
@@ -126,6 +131,7 @@
 		stopped:    make(chan struct{}),
 		encoded:    make(chan encodedState, 1),
 		log:        o.Log,
+		levels:     levels{own: cmp.Or(o.Level, formlevel.Supported)},
 	}
 	return h, h.initialize(stored)
 }
@@ -216,6 +222,9 @@
 		for _, in := range h.inputQueue.Drain(maxBatchInputs) {
 			h.handleInput(in)
 		}
+		if err := h.raiseLevel(); err != nil {
+			h.log.Error(err, "the level of entries was not raised")
+		}
 		if err := h.process(); err != nil {
 			return err
 		}
@@ -266,6 +275,7 @@
 	if m.Membership != nil {
 		h.updateAddresses(*m.Membership)
 	}
+	h.levels.tracker.Hear(h.clock.last, formlevel.Replica{Name: m.From, Disk: m.Disk}, formlevel.Level(m.FormLevel))
 	h.node.Step(m)
 }
 
@@ -288,10 +298,14 @@
 		if r.IsEmpty() {
 			break
 		}
+		if err := h.levels.checkReady(r); err != nil {
+			return err
+		}
 		if err := h.save(r); err != nil {
 			return eris.Wrap(err, "control: save log entries, hard state or snapshot")
 		}
 		for _, m := range r.Messages {
+			m.FormLevel = uint32(h.levels.own)
 			h.sender.Send(m)
 		}
 		if err := h.applyReady(r); err != nil {
@@ -304,6 +318,7 @@
 	}
 	h.publishView()
 	h.logChanges()
+	h.logLevel()
 	return h.compact()
 }
 
--- a/control/propose.go
+++ b/control/propose.go
@@ -45,6 +45,11 @@
 }
 
 func (h *Host) propose(p *proposal) {
+	if err := checkProposal(p.data, h.state.Level()); err != nil {
+		h.log.Error(err, "refused a command")
+		p.result <- proposalResult{err: err}
+		return
+	}
 	index, term, err := h.node.Propose(p.data)
 	if err != nil {
 		p.result <- proposalResult{err: err}
--- a/control/status.go
+++ b/control/status.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/consensus"
+	"github.com/balsamlb/balsamlb/formlevel"
 	"github.com/balsamlb/balsamlb/replica"
 )
 
@@ -15,6 +16,16 @@
 	// LeaderAddress is the address of the leader, "" if it is not known.
 	LeaderAddress string
 	Records       int
+	Levels        LevelStatus
+}
+
+// LevelStatus says which build runs, and which level of entries is in force.
+type LevelStatus struct {
+	Build string
+	// InForce is the level in force, and Supported the highest one that this build applies.
+	InForce, Supported formlevel.Level
+	// Held says what holds the next level back, as the leader knows it; "" on other instances.
+	Held string
 }
 
 // Status returns the host's view of its group.
@@ -24,6 +35,7 @@
 		s = Status{Status: n.Status(), Records: state.Ledger.Len()}
 		v, _ := s.Membership.Voter(s.Leader)
 		s.LeaderAddress = v.Address
+		s.Levels = h.levelStatus()
 	})
 	return s, err
 }
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -99,6 +99,11 @@
 		Lease:    cs.Lease,
 		Voting:   cs.Voting,
 		Size:     cs.Membership.Size,
+
+		Build:          cs.Levels.Build,
+		Level:          uint32(cs.Levels.InForce),
+		SupportedLevel: uint32(cs.Levels.Supported),
+		LevelHeldBy:    cs.Levels.Held,
 	}
 	for _, v := range cs.Membership.Voters {
 		s.Voters = append(s.Voters, v.ID)
--- a/instance/consensus.go
+++ b/instance/consensus.go
@@ -145,6 +145,7 @@
 		Chunk:      m.Chunk,
 		Offset:     m.Offset,
 		Size:       m.Size,
+		FormLevel:  m.FormLevel,
 	}
 	if m.Membership != nil {
 		w.Membership = m.Membership.Encode()
@@ -180,6 +181,7 @@
 		Chunk:      w.Chunk,
 		Offset:     w.Offset,
 		Size:       w.Size,
+		FormLevel:  w.FormLevel,
 	}
 	if len(w.Membership) > 0 {
 		membership, err := consensus.DecodeMembership(w.Membership)
--- a/operator/protocol.go
+++ b/operator/protocol.go
@@ -57,6 +57,13 @@
 	Voters []string `json:"voters"`
 	// Learners are the replicas that receive the log but don't vote, as the leader knows them.
 	Learners []LearnerStatus `json:"learners,omitempty"`
+	// Build is the build of the instance.
+	Build string `json:"build,omitempty"`
+	// Level is the level of entries in force, and SupportedLevel the highest one that the build applies.
+	Level          uint32 `json:"level,omitempty"`
+	SupportedLevel uint32 `json:"supported_level,omitempty"`
+	// LevelHeldBy says what holds the next level back, as the leader knows it.
+	LevelHeldBy string `json:"level_held_by,omitempty"`
 }
 
 // LearnerStatus is the state of one learner.
--- a/replica/command.go
+++ b/replica/command.go
@@ -5,6 +5,7 @@
 
 	"github.com/balsamlb/balsamlb/config"
 	"github.com/balsamlb/balsamlb/credit"
+	"github.com/balsamlb/balsamlb/formlevel"
 	"github.com/balsamlb/balsamlb/ledger"
 	"github.com/balsamlb/balsamlb/replica/wire"
 	"github.com/rotisserie/eris"
@@ -14,7 +15,7 @@
 
 // Encode returns the command encoded for the log.
 func (c Command) Encode() ([]byte, error) {
-	w := &wire.Command{Stamp: timestampToWire(c.Timestamp)}
+	w := &wire.Command{Stamp: timestampToWire(c.Timestamp), Level: uint32(c.Level)}
 	switch {
 	case c.Begin != nil:
 		w.Begin = beginToWire(*c.Begin)
@@ -30,6 +31,8 @@
 		w.Credits = batchToWire(*c.Credits)
 	case c.Publish != nil:
 		w.Publish = &wire.Publish{Version: c.Publish.Version, Document: c.Publish.Document}
+	case c.RaiseLevel != 0:
+		w.RaiseLevel = &wire.RaiseLevel{Level: uint32(c.RaiseLevel)}
 	}
 	data, err := deterministic.Marshal(w)
 	return data, eris.Wrap(err, "replica: encode command")
@@ -41,7 +44,7 @@
 	if err := proto.Unmarshal(data, &w); err != nil {
 		return Command{}, eris.Wrap(err, "replica: decode command")
 	}
-	c := Command{Timestamp: timestampFromWire(w.Stamp)}
+	c := Command{Timestamp: timestampFromWire(w.Stamp), Level: formlevel.Level(w.Level)}
 	switch {
 	case w.Begin != nil:
 		c.Begin = beginFromWire(w.Begin)
@@ -58,6 +61,8 @@
 		c.Credits = batchFromWire(w.Credits)
 	case w.Publish != nil:
 		c.Publish = &Publish{Version: w.Publish.Version, Document: w.Publish.Document}
+	case w.RaiseLevel != nil:
+		c.RaiseLevel = formlevel.Level(w.RaiseLevel.Level)
 	}
 	return c, nil
 }
--- a/replica/snapshot.go
+++ b/replica/snapshot.go
@@ -8,6 +8,7 @@
 
 	"github.com/balsamlb/balsamlb/config"
 	"github.com/balsamlb/balsamlb/credit"
+	"github.com/balsamlb/balsamlb/formlevel"
 	"github.com/balsamlb/balsamlb/ledger"
 	"github.com/balsamlb/balsamlb/replica/wire"
 	"github.com/balsamlb/balsamlb/routing"
@@ -35,6 +36,7 @@
 	drains    map[string]Drain
 	clock     Clock
 	routing   routing.Publication
+	raised    formlevel.Level
 }
 
 // Image returns a copy of the state.
@@ -47,6 +49,7 @@
 		drains:    maps.Clone(s.Drains),
 		clock:     s.clock,
 		routing:   s.Routing,
+		raised:    s.raised,
 	}
 }
 
@@ -63,6 +66,7 @@
 		Credits:    creditsToWire(im.credits),
 		ClockNanos: uint64(im.clock.now),
 		LastStamp:  timestampToWire(im.clock.last),
+		Level:      uint32(im.raised),
 	}
 	if im.routing.Version != 0 {
 		w.Routing = &wire.Publish{Version: im.routing.Version, Document: im.routing.Bytes}
@@ -117,6 +121,7 @@
 	}
 	s.Routing = routing.Publication{Version: w.Routing.GetVersion(), Bytes: w.Routing.GetDocument()}
 	s.viewIndex = w.ViewIndex
+	s.raised = formlevel.Level(w.Level)
 	s.clock = Clock{now: time.Duration(w.ClockNanos), last: timestampFromWire(w.LastStamp)}
 	return s, nil
 }
--- a/replica/state.go
+++ b/replica/state.go
@@ -8,11 +8,12 @@
 
 	"github.com/balsamlb/balsamlb/config"
 	"github.com/balsamlb/balsamlb/credit"
+	"github.com/balsamlb/balsamlb/formlevel"
 	"github.com/balsamlb/balsamlb/ledger"
 	"github.com/balsamlb/balsamlb/routing"
 )
 
-// Command is one entry of the replicated log. At most one field besides Timestamp is set. A
+// Command is one entry of the replicated log. At most one field besides Level and Timestamp is set. A
 // command with none set changes nothing.
 type Command struct {
 	Begin   *ledger.Begin
@@ -22,6 +23,10 @@
 	Drain   *Drain
 	Credits *credit.Batch
 	Publish *Publish
+	// RaiseLevel raises the level in force to it.
+	RaiseLevel formlevel.Level
+	// Level is the level that a replica must know to apply the command; 0: formlevel.Base.
+	Level formlevel.Level
 	// Timestamp is set by the leader.
 	Timestamp Timestamp
 }
@@ -81,6 +86,8 @@
 	Routing routing.Publication
 
 	clock Clock
+	// raised is the level in force; 0: formlevel.Base.
+	raised formlevel.Level
 	// viewIndex is the log index of the last command that changed the view.
 	viewIndex uint64
 }
@@ -98,6 +105,9 @@
 // ViewIndex returns the log index of the last command that changed the view.
 func (s *State) ViewIndex() uint64 { return s.viewIndex }
 
+// Level returns the level in force: the highest level of commands that may be proposed.
+func (s *State) Level() formlevel.Level { return max(s.raised, formlevel.Base) }
+
 // View returns a copy of the part of the state that is distributed to every instance.
 func (s *State) View() View {
 	return View{Index: s.viewIndex, Config: s.Config.Current(), Drains: maps.Clone(s.Drains)}
@@ -130,6 +140,8 @@
 	case c.Publish != nil:
 		r := s.publish(*c.Publish)
 		return Result{Publish: &r}
+	case c.RaiseLevel != 0:
+		s.raised = max(s.raised, c.RaiseLevel)
 	}
 	return Result{}
 }
