--- /dev/null
+++ b/internal/lab/upgrade_test.go
@@ -0,0 +1,500 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	rolledControls = 5
+	rolledGateways = 12
+	rolledServers  = 4
+	// documentBound is the time after which an acknowledged document must be in force on a gateway that
+	// has run for settledAfter.
+	documentBound = 3 * time.Second
+	settledAfter  = 5 * time.Second
+	// callerPatience is the time that a caller waits for the answer to one try.
+	callerPatience = 2 * time.Second
+	// rolledLoadShare is the least share of requests that are served during a roll.
+	rolledLoadShare = 0.99
+)
+
+// rolled is one process whose build is changed during the run.
+type rolled struct {
+	process *Process
+	ip      string
+	gateway bool
+	mu      sync.Mutex
+	// startedAt is the time of the last start. away is set from before the process is stopped, killed or
+	// paused until it runs again.
+	startedAt time.Time
+	away      bool
+	ends      int
+	// newest is the highest version that the gateway has shown since its start.
+	newest int
+}
+
+func (r *rolled) state() (up time.Duration, away bool, ends int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.startedAt), r.away, r.ends
+}
+
+// rollout runs platform roles of two builds as processes on loopback, with callers that keep a connection to
+// each gateway, backend servers in this process, and an operator who publishes documents.
+type rollout struct {
+	t         *testing.T
+	rng       *rand.Rand
+	builds    [2]string
+	net       int
+	controls  []*rolled
+	gateways  []*rolled
+	published sync.Map // version to time of the acknowledgement
+	newest    atomic.Int64
+	sent      atomic.Int64
+	served    atomic.Int64
+	retried   atomic.Int64
+	failed    atomic.Int64
+	// younger counts the answers of gateways younger than settledAfter that lacked a document.
+	younger atomic.Int64
+	began   time.Time
+	// lastFailed is the last failure of a request, for the report.
+	lastFailed atomic.Pointer[string]
+}
+
+func (r *rollout) fault(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	r.t.Errorf("%.1f s: %s", time.Since(r.began).Seconds(), text)
+}
+
+const rolledSettings = `[instance]
+name = %[1]s
+data_centre = z%[2]d
+
+[listen]
+instances = %[3]s:8300
+metrics = %[3]s:9109
+%[4]s
+[join]
+seeds = %[5]s
+
+[fleet]
+announce_interval_ms = 1000
+
+[limits]
+grace_s = 8
+memory_mb = 280
+`
+
+func (r *rollout) ip(block, i int) string { return fmt.Sprintf("127.%d.%d.%d", r.net, block, i+1) }
+
+func (r *rollout) add(folder, role string, i int) *rolled {
+	block, own := 1, fmt.Sprintf("control = %s:8101\n\n[control]\ndata_folder = %s\nfounding = true\ntolerate = 2\n", r.ip(1, i), filepath.Join(folder, fmt.Sprint("data-", i)))
+	if role == "gateway" {
+		block, own = 2, fmt.Sprintf("callers = %[1]s:8201\nready = %[1]s:8202\n\n[retry]\nratio = 0.2\nreserve = 100\nwindow_s = 10\n", r.ip(2, i))
+	}
+	name := fmt.Sprintf("%s-%d", role, i)
+	seeds := r.ip(1, 0) + ":8101," + r.ip(1, 1) + ":8101," + r.ip(1, 2) + ":8101"
+	path := filepath.Join(folder, name+".ini")
+	text := fmt.Sprintf(rolledSettings, name, i%3, r.ip(block, i), own, seeds)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		r.t.Fatal(err)
+	}
+	return &rolled{process: newProcess(name, filepath.Join(folder, name+".log"), "", role, "-settings", path), ip: r.ip(block, i), gateway: role == "gateway"}
+}
+
+func (r *rollout) start(p *rolled, build int) {
+	p.process.path = r.builds[build]
+	if err := p.process.Start(); err != nil {
+		r.t.Error(err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.startedAt, p.away, p.newest = time.Now(), false, 0
+}
+
+// leave marks the process as away and says whether it was there.
+func (p *rolled) leave() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.away {
+		return false
+	}
+	p.away = true
+	p.ends++
+	return true
+}
+
+// replace ends the process as an operator does and starts it with the build.
+func (r *rollout) replace(p *rolled, build int) {
+	for !p.leave() {
+		time.Sleep(50 * time.Millisecond)
+	}
+	p.process.Stop()
+	r.start(p, build)
+}
+
+// roll gives all processes the build in a random order, gateways some at once. halfway
+// ends the roll after half of them.
+func (r *rollout) roll(ctx context.Context, build int, halfway bool) {
+	order := r.rng.Perm(rolledControls + rolledGateways)
+	if halfway {
+		order = order[:len(order)/2]
+	}
+	for len(order) > 0 && ctx.Err() == nil {
+		count := min(len(order), 1+r.rng.IntN(3))
+		var g errgroup.Group
+		controls := 0
+		var later []int
+		for _, i := range order[:count] {
+			p := append(r.controls, r.gateways...)[i]
+			if !p.gateway {
+				if controls++; controls > 1 {
+					later = append(later, i)
+					continue
+				}
+			}
+			g.Go(func() error { r.replace(p, build); return nil })
+		}
+		_ = g.Wait()
+		order = append(order[count:], later...)
+		r.pause(ctx, time.Duration(200+r.rng.IntN(800))*time.Millisecond)
+	}
+}
+
+func (r *rollout) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// disturb kills and pauses processes now and then, at most one control instance and one gateway at a time. It
+// is beside the roll, which takes one control instance at a time.
+func (r *rollout) disturb(ctx context.Context, rng *rand.Rand, ps []*rolled) error {
+	for ctx.Err() == nil {
+		r.pause(ctx, time.Duration(1500+rng.IntN(3000))*time.Millisecond)
+		p := ps[rng.IntN(len(ps))]
+		if ctx.Err() != nil || !p.leave() {
+			continue
+		}
+		d := time.Duration(200+rng.IntN(1500)) * time.Millisecond
+		if rng.IntN(2) == 0 {
+			p.process.Kill()
+			time.Sleep(d)
+			if err := p.process.Start(); err != nil {
+				return err
+			}
+			p.mu.Lock()
+			p.startedAt, p.newest = time.Now(), 0
+			p.mu.Unlock()
+		} else {
+			p.process.Freeze()
+			time.Sleep(d)
+			p.process.Thaw()
+			time.Sleep(500 * time.Millisecond)
+		}
+		p.mu.Lock()
+		p.away = false
+		p.mu.Unlock()
+	}
+	return nil
+}
+
+func (r *rollout) document(version int) []byte {
+	type object = map[string]any
+	var routes []object
+	for v := 1; v <= version; v++ {
+		routes = append(routes, object{"Name": fmt.Sprint("r", v), "Hostname": "h.example", "PathPrefix": fmt.Sprintf("/v%d/", v), "Kind": "idempotent",
+			"TimeoutMs": 1000, "TargetLatencyMs": 100, "Priority": 1, "Service": "s", "MaxAttempts": 2, "AllowAnonymous": true})
+	}
+	text, err := json.Marshal(object{
+		"Version": version, "Routes": routes,
+		"Services": []object{{"Name": "s", "HealthPath": "/health", "MaxConns": 100, "Protocol": "h1", "Tls": false}},
+		"Limits":   object{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+		"Tenants":  []object{{"Name": "t", "ApiKeys": []string{"k1"}, "Priority": 1}},
+	})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return text
+}
+
+func call(c *http.Client, method, url string, body []byte) (int, []byte, error) {
+	req, err := http.NewRequest(method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	req.Host = "h.example"
+	resp, err := c.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, text, err
+}
+
+// publish publishes documents one after the other until ctx ends.
+func (r *rollout) publish(ctx context.Context, rng *rand.Rand) error {
+	c := &http.Client{Timeout: 1500 * time.Millisecond}
+	for version := 1; ctx.Err() == nil; version++ {
+		text := r.document(version)
+		for ctx.Err() == nil {
+			status, answer, err := call(c, http.MethodPut, "http://"+r.controls[rng.IntN(rolledControls)].ip+":8101/-/config", text)
+			if err == nil && status == http.StatusOK {
+				r.published.Store(version, time.Now())
+				r.newest.Store(int64(version))
+				break
+			}
+			if err == nil && status >= 400 && status < 500 {
+				r.fault("document %d was refused: %d %s", version, status, answer)
+			}
+			r.pause(ctx, 50*time.Millisecond)
+		}
+		r.pause(ctx, 300*time.Millisecond)
+	}
+	return nil
+}
+
+// due returns the newest version that must be in force everywhere.
+func (r *rollout) due() int {
+	for v := int(r.newest.Load()); v > 0; v-- {
+		if at, ok := r.published.Load(v); ok && time.Since(at.(time.Time)) > documentBound {
+			return v
+		}
+	}
+	return 0
+}
+
+// checkDocuments asks gateways for the newest route that is due, and control instances for their document.
+func (r *rollout) checkDocuments(ctx context.Context, rng *rand.Rand) error {
+	c := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for ctx.Err() == nil {
+		r.pause(ctx, 20*time.Millisecond)
+		p := r.gateways[rng.IntN(rolledGateways)]
+		up, away, ends := p.state()
+		due := r.due()
+		if due == 0 || away {
+			continue
+		}
+		status, _, err := call(c, http.MethodGet, fmt.Sprintf("http://%s:8201/v%d/x", p.ip, due), nil)
+		_, awayNow, endsNow := p.state()
+		if err == nil && !awayNow && ends == endsNow {
+			r.checkRoute(p, up, due, status)
+		}
+		p = r.controls[rng.IntN(rolledControls)]
+		if _, away, _ := p.state(); away {
+			continue
+		}
+		if status, text, err := call(c, http.MethodGet, "http://"+p.ip+":8101/-/config", nil); err == nil && status == http.StatusOK {
+			var d struct{ Version int }
+			if err := json.Unmarshal(text, &d); err != nil || d.Version < due {
+				r.fault("%s reads back document %d (%v), %d is due", p.process.Name, d.Version, err, due)
+			}
+		}
+	}
+	return nil
+}
+
+func (r *rollout) checkRoute(p *rolled, up time.Duration, due, status int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case status != http.StatusNotFound:
+		p.newest = max(p.newest, due)
+	case p.newest >= due:
+		r.fault("%s went back behind document %d", p.process.Name, p.newest)
+	case up > settledAfter:
+		r.fault("%s (up %.1f s) does not have document %d", p.process.Name, up.Seconds(), due)
+	default:
+		r.younger.Add(1)
+	}
+}
+
+// request sends plain requests with one kept connection to each gateway, which stays open until the process
+// is gone. A request that fails is sent to one other gateway, as a caller does.
+func (r *rollout) request(ctx context.Context, rng *rand.Rand) error {
+	clients := make([]*http.Client, rolledGateways)
+	for i := range clients {
+		clients[i] = &http.Client{Timeout: callerPatience, Transport: &http.Transport{MaxConnsPerHost: 1}}
+	}
+	for ctx.Err() == nil {
+		r.pause(ctx, 10*time.Millisecond)
+		if r.due() == 0 {
+			continue
+		}
+		r.sent.Add(1)
+		first := rng.IntN(rolledGateways)
+		var last string
+		for try := range 3 {
+			i := (first + try*5) % rolledGateways
+			status, text, err := call(clients[i], http.MethodGet, "http://"+r.gateways[i].ip+":8201/v1/x", nil)
+			if err == nil && status == http.StatusOK {
+				if try > 0 {
+					r.retried.Add(1)
+				}
+				r.served.Add(1)
+				last = ""
+				break
+			}
+			last += fmt.Sprintf("%s: %d %.60s %v; ", r.gateways[i].process.Name, status, text, err)
+		}
+		if last != "" {
+			r.failed.Add(1)
+			r.lastFailed.Store(&last)
+		}
+	}
+	return nil
+}
+
+// answer answers as the servers of the users' platform do.
+func answer(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Balsamlb-Request-Id", r.Header.Get("Balsamlb-Request-Id"))
+	w.Header().Set("Balsamlb-Response-Stamp", "s")
+	_, _ = io.WriteString(w, "ok")
+}
+
+// serveBackends starts backend servers and announces them each second.
+func (r *rollout) serveBackends(ctx context.Context, g *errgroup.Group) {
+	for i := range rolledServers {
+		l, err := net.Listen("tcp", r.ip(3, i)+":9000")
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		s := &http.Server{Handler: http.HandlerFunc(answer)}
+		g.Go(func() error { _ = s.Serve(l); return nil })
+		g.Go(func() error {
+			<-ctx.Done()
+			return s.Close()
+		})
+		g.Go(func() error {
+			c := &http.Client{Timeout: 500 * time.Millisecond}
+			for n := 1; ctx.Err() == nil; n++ {
+				body := fmt.Appendf(nil, `{"Service":"s","Address":"%s:9000","Seq":%d,"Born":1,"Zone":"z%d","Version":"1","Slots":50,"State":"ready"}`, r.ip(3, i), n, i%3)
+				for try := range 2 * rolledControls {
+					url := fmt.Sprintf("http://%s:8101/-/instances/b%d", r.controls[(n+i+try)%rolledControls].ip, i)
+					if status, _, err := call(c, http.MethodPut, url, body); err == nil && status == http.StatusOK {
+						break
+					}
+				}
+				r.pause(ctx, time.Second)
+			}
+			return nil
+		})
+	}
+}
+
+func environment(name, otherwise string) string {
+	if v := os.Getenv(name); v != "" {
+		return v
+	}
+	return otherwise
+}
+
+// During an upgrade, a halt and a rollback old and new builds ran side by side, control instances ended at
+// their start, and the quorum was lost. scripts/upgrade.sh names the builds; without it both are this one.
+func TestUpgradeHaltAndRollback(t *testing.T) {
+	own := filepath.Join(binFolder, "balsamd")
+	old, plan := environment("BALSAMLB_OLD", own), environment("BALSAMLB_ROLL", "halfway")
+	if old == own {
+		t.Log("BALSAMLB_OLD names no earlier build: processes are replaced by the same build; see scripts/upgrade.sh")
+	}
+	seed, err := strconv.ParseUint(environment("BALSAMLB_SEED", "1"), 10, 64)
+	calm, err2 := time.ParseDuration(environment("BALSAMLB_HALT", "5s"))
+	if err := errors.Join(err, err2); err != nil {
+		t.Fatal(err)
+	}
+	r := &rollout{t: t, rng: rand.New(rand.NewPCG(seed, 46)), builds: [2]string{old, environment("BALSAMLB_NEW", own)}, net: 60 + int(seed%120), began: time.Now()}
+	folder := environment("BALSAMLB_FOLDER", t.TempDir())
+	first := 0
+	if plan == "back" {
+		first = 1
+	}
+	for i := range rolledControls {
+		r.controls = append(r.controls, r.add(folder, "controller", i))
+	}
+	for i := range rolledGateways {
+		r.gateways = append(r.gateways, r.add(folder, "gateway", i))
+	}
+	all := append(append([]*rolled{}, r.controls...), r.gateways...)
+	for _, p := range all {
+		r.start(p, first)
+		t.Cleanup(p.process.Kill)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	disturbances, calmDown := context.WithCancel(ctx)
+	var g, d errgroup.Group
+	r.serveBackends(ctx, &g)
+	g.Go(func() error { return r.publish(ctx, rand.New(rand.NewPCG(seed, 1))) })
+	for n := range uint64(4) {
+		g.Go(func() error { return r.checkDocuments(ctx, rand.New(rand.NewPCG(seed, 10+n))) })
+		g.Go(func() error { return r.request(ctx, rand.New(rand.NewPCG(seed, 20+n))) })
+	}
+	time.Sleep(settledAfter)
+	d.Go(func() error { return r.disturb(disturbances, rand.New(rand.NewPCG(seed, 2)), r.controls) })
+	d.Go(func() error { return r.disturb(disturbances, rand.New(rand.NewPCG(seed, 3)), r.gateways) })
+	switch plan {
+	case "forward", "back":
+		r.roll(ctx, 1-first, false)
+	case "halfway":
+		r.roll(ctx, 1, true)
+		time.Sleep(calm)
+		r.roll(ctx, 0, false)
+	default:
+		t.Errorf("BALSAMLB_ROLL is %q, not forward, halfway or back", plan)
+	}
+	calmDown()
+	if err := d.Wait(); err != nil {
+		t.Error(err)
+	}
+	time.Sleep(settledAfter + documentBound)
+	r.checkEnd(all)
+	stop()
+	if err := g.Wait(); err != nil {
+		t.Error(err)
+	}
+	t.Logf("%s, seed %d: %d documents, %d requests, served %d (%d after a retry), failed %d, answers of gateways younger than %s without a document that is due: %d",
+		plan, seed, r.newest.Load(), r.sent.Load(), r.served.Load(), r.retried.Load(), r.failed.Load(), settledAfter, r.younger.Load())
+	if last := r.lastFailed.Load(); last != nil {
+		t.Log("last failure: ", *last)
+	}
+	if share := float64(r.served.Load()) / float64(r.sent.Load()); !(share >= rolledLoadShare) {
+		t.Errorf("%.4f of the requests were served, want %.2f", share, rolledLoadShare)
+	}
+}
+
+// checkEnd checks that all processes run and that all control instances have the newest document.
+func (r *rollout) checkEnd(all []*rolled) {
+	for _, p := range all {
+		if p.process.HasExited() {
+			text, _ := os.ReadFile(p.process.LogPath)
+			r.fault("%s has ended: %s", p.process.Name, text[max(0, len(text)-400):])
+		}
+	}
+	c, due := &http.Client{Timeout: callerPatience}, r.due()
+	for _, p := range r.controls {
+		status, text, err := call(c, http.MethodGet, "http://"+p.ip+":8101/-/config", nil)
+		var d struct{ Version int }
+		if err != nil || status != http.StatusOK || json.Unmarshal(text, &d) != nil || d.Version < due {
+			r.fault("%s reads back document %d at the end (%d %v), %d is due", p.process.Name, d.Version, status, err, due)
+		}
+	}
+}
