metrics: the build, the levels of entries and who holds the next one back

Gateways and controllers say which build they are, also in the line "started"; controllers say the level in force, the highest supported one and, as leader, each control instance that holds the next one back.

--- a/cmd/balsamctl/status.go
+++ b/cmd/balsamctl/status.go
@@ -44,8 +44,8 @@
 	if c.Level > 0 { // builds before levels don't say it
 		fmt.Fprintf(w, "control: build %s, level %d in force, levels up to %d supported\n", c.Build, c.Level, c.SupportedLevel)
 	}
-	if c.LevelHeldBy != "" {
-		fmt.Fprintf(w, "control: level %d held back: %s\n", c.Level+1, c.LevelHeldBy)
+	if len(c.LevelHeldBy) > 0 {
+		fmt.Fprintf(w, "control: level %d held back: %s\n", c.Level+1, strings.Join(c.LevelHeldBy, ", "))
 	}
 	for _, l := range c.Learners {
 		fmt.Fprintf(w, "control: learner %s at %d, caught up %t\n", l.Name, l.Match, l.CaughtUp)
--- a/cmd/balsamctl/tables_test.go
+++ b/cmd/balsamctl/tables_test.go
@@ -19,7 +19,7 @@
 	Instance: "kandy-1", DataCentre: "kandy", ConfigVersion: 7, ConfigAgeMs: 12, InFlight: 3,
 	Control: &operator.ControlStatus{
 		Role: "follower", Term: 4, Leader: "galle-1", Lease: true, Voting: true, Commit: 90, Applied: 90, Snapshot: 60,
-		Build: "2717513a428c", Level: 1, SupportedLevel: 2, LevelHeldBy: "colombo-1 applies levels up to 1",
+		Build: "2717513a428c", Level: 1, SupportedLevel: 2, LevelHeldBy: []string{"colombo-1 applies levels up to 1"},
 		Size: 3, Voters: []string{"colombo-1", "galle-1", "kandy-1"},
 	},
 	Instances: []operator.InstanceStatus{
--- a/control/level.go
+++ b/control/level.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/balsamlb/balsamlb/consensus"
@@ -92,7 +91,7 @@
 }
 
 func (h *Host) nextLevel() (formlevel.Level, []formlevel.Hold) {
-	return h.levels.tracker.Next(h.clock.last, h.state.Level(), h.levels.own, h.otherReplicas())
+	return h.levels.tracker.Next(h.clock.last, h.state.Level(), h.options.ID, h.levels.own, h.otherReplicas())
 }
 
 // otherReplicas returns the replicas that need the log: the voters and those that may become voters.
@@ -120,16 +119,7 @@
 func (h *Host) levelStatus() LevelStatus {
 	s := LevelStatus{Build: build.Name(), InForce: h.state.Level(), Supported: h.levels.own}
 	if h.node.HasLease() {
-		_, holds := h.nextLevel()
-		s.Held = holdsText(holds)
+		_, s.Holds = h.nextLevel()
 	}
 	return s
 }
-
-func holdsText(holds []formlevel.Hold) string {
-	var out []string
-	for _, h := range holds {
-		out = append(out, h.String())
-	}
-	return strings.Join(out, ", ")
-}
--- a/control/status.go
+++ b/control/status.go
@@ -24,8 +24,8 @@
 	Build string
 	// InForce is the level in force, and Supported the highest one that this build applies.
 	InForce, Supported formlevel.Level
-	// Held says what holds the next level back, as the leader knows it; "" on other instances.
-	Held string
+	// Holds says what holds the next level back, as the leader knows it; nil on other instances.
+	Holds []formlevel.Hold
 }
 
 // Status returns the host's view of its group.
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -164,6 +164,14 @@
 	}
 }
 
+// Levels returns the build and the levels of entries as the replica knows them.
+func (c *Controller) Levels() control.LevelStatus {
+	if s := c.status.Load(); s != nil {
+		return s.Levels
+	}
+	return control.LevelStatus{}
+}
+
 // recordStatus passes on what the replica knows of its group. The fencing token is the term of a leader.
 // While this instance does not lead, the term of a committed entry is that of the latest leader it knows
 // of, also after a restart; its own term may be that of a candidate who lost.
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -14,6 +14,7 @@
 	"github.com/balsamlb/balsamlb/controller"
 	"github.com/balsamlb/balsamlb/gateway"
 	"github.com/balsamlb/balsamlb/instance"
+	"github.com/balsamlb/balsamlb/internal/build"
 	"github.com/balsamlb/balsamlb/internal/listen"
 	"github.com/balsamlb/balsamlb/internal/meter"
 	"github.com/balsamlb/balsamlb/mesh"
@@ -63,6 +64,7 @@
 	}
 	m := &member{path: path, role: role, settings: s, log: log, registry: prometheus.NewRegistry()}
 	m.registry.MustRegister(collectors.NewGoCollector())
+	metrics.RegisterBuild(m.registry, build.Name())
 	var err error
 	if m.dialer, err = instance.NewDialer(s.Instances, nil, &meter.Traffic{}); err != nil {
 		return nil, err
@@ -135,7 +137,7 @@
 		context.AfterFunc(taskCtx, cancel)
 		return gw.Run(runCtx)
 	})
-	log.Info("started", "instance", s.Name, "role", m.role, "data_centre", s.DataCentre, "seeds", s.Seeds)
+	log.Info("started", "instance", s.Name, "role", m.role, "build", build.Name(), "data_centre", s.DataCentre, "seeds", s.Seeds)
 	err = g.Wait()
 	log.Info("stopped", "instance", s.Name)
 	return err
@@ -172,17 +174,28 @@
 	}
 	c.SetHost(host)
 	metrics.RegisterPlan(m.registry, func() metrics.PlanWork { return planWork(c) })
+	metrics.RegisterLevels(m.registry, func() metrics.LevelWork { return levelWork(c) })
 	metrics.RegisterController(m.registry, func() metrics.FeedWork { return metrics.FeedWork(m.mesh.FeedWork()) })
 	listener, err := listen.TCP(s.Instances)
 	if err != nil {
 		return eris.Wrapf(err, "daemon: listen on %s", s.Instances)
 	}
-	log.Info("started", "instance", s.Name, "role", m.role, "data_centre", s.DataCentre, "founding", s.IsFounding, "seeds", s.Seeds)
+	log.Info("started", "instance", s.Name, "role", m.role, "build", build.Name(), "data_centre", s.DataCentre, "founding", s.IsFounding, "seeds", s.Seeds)
 	err = m.runController(ctx, c, host, sender, listener)
 	log.Info("stopped", "instance", s.Name)
 	return err
 }
 
+// levelWork returns the levels of entries for their metrics.
+func levelWork(c *controller.Controller) metrics.LevelWork {
+	l := c.Levels()
+	out := metrics.LevelWork{InForce: uint32(l.InForce), Supported: uint32(l.Supported)}
+	for _, h := range l.Holds {
+		out.HeldBy = append(out.HeldBy, h.Replica)
+	}
+	return out
+}
+
 // planWork returns the work of a controller's planner for its metrics.
 func planWork(c *controller.Controller) metrics.PlanWork {
 	w := c.PlanWork()
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -103,7 +103,9 @@
 		Build:          cs.Levels.Build,
 		Level:          uint32(cs.Levels.InForce),
 		SupportedLevel: uint32(cs.Levels.Supported),
-		LevelHeldBy:    cs.Levels.Held,
+	}
+	for _, h := range cs.Levels.Holds {
+		s.LevelHeldBy = append(s.LevelHeldBy, h.String())
 	}
 	for _, v := range cs.Membership.Voters {
 		s.Voters = append(s.Voters, v.ID)
--- a/formlevel/level.go
+++ b/formlevel/level.go
@@ -93,12 +93,12 @@
 func (h Hold) String() string { return h.Replica + " " + h.Reason }
 
 // Next returns the level above the one in force and the replicas that hold it back. It may come into
-// force if there are none. own is the level of this replica, and others are the other ones.
-func (t *Tracker) Next(now time.Duration, inForce, own Level, others []Replica) (Level, []Hold) {
+// force if there are none. The replica self applies the level own.
+func (t *Tracker) Next(now time.Duration, inForce Level, self string, own Level, others []Replica) (Level, []Hold) {
 	next := inForce + 1
 	var holds []Hold
 	if own < next {
-		holds = append(holds, Hold{Replica: "this instance", Reason: fmt.Sprintf("applies levels up to %d", own)})
+		holds = append(holds, Hold{Replica: self, Reason: fmt.Sprintf("applies levels up to %d", own)})
 	}
 	for _, r := range others {
 		if reason := t.reason(now, next, r); reason != "" {
--- a/formlevel/level_test.go
+++ b/formlevel/level_test.go
@@ -55,11 +55,11 @@
 			for now := time.Duration(0); now <= SettleTime; now += time.Second {
 				test.hear(&tr, now)
 			}
-			next, holds := tr.Next(SettleTime, 1, 2, []Replica{a, b})
+			next, holds := tr.Next(SettleTime, 1, "colombo-1", 2, []Replica{a, b})
 			is.Equal(next, Level(2))
 			is.Equal(holds, test.want)
-			_, holds = tr.Next(SettleTime, 1, 1, []Replica{a})
-			is.Equal(holds, []Hold{{"this instance", "applies levels up to 1"}})
+			_, holds = tr.Next(SettleTime, 1, "colombo-1", 1, []Replica{a})
+			is.Equal(holds, []Hold{{"colombo-1", "applies levels up to 1"}})
 		})
 	}
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -143,9 +143,10 @@
 	for _, d := range gatewayDescriptions {
 		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", d.name, d.kind, strings.Join(d.labels, ", "), d.help)
 	}
+	fmt.Fprintf(&b, "\nGateways and controllers serve `%s` (%s) as well: %s\n", buildInfo.name, strings.Join(buildInfo.labels, ", "), buildInfo.help)
 	b.WriteString("\nA controller (`balsamd controller`) serves these:\n\n")
 	b.WriteString("| metric | kind | labels | meaning |\n|---|---|---|---|\n")
-	for _, d := range slices.Concat(controllerDescriptions, planDescriptions) {
+	for _, d := range slices.Concat(controllerDescriptions, planDescriptions, levelDescriptions) {
 		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", d.name, d.kind, strings.Join(d.labels, ", "), d.help)
 	}
 	return b.String()
--- a/operator/protocol.go
+++ b/operator/protocol.go
@@ -63,7 +63,7 @@
 	Level          uint32 `json:"level,omitempty"`
 	SupportedLevel uint32 `json:"supported_level,omitempty"`
 	// LevelHeldBy says what holds the next level back, as the leader knows it.
-	LevelHeldBy string `json:"level_held_by,omitempty"`
+	LevelHeldBy []string `json:"level_held_by,omitempty"`
 }
 
 // LearnerStatus is the state of one learner.
