--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -99,6 +99,13 @@
 		Lease:    cs.Lease,
 		Voting:   cs.Voting,
 		Size:     cs.Membership.Size,
+
+		Build:          cs.Levels.Build,
+		Level:          uint32(cs.Levels.InForce),
+		SupportedLevel: uint32(cs.Levels.Supported),
+	}
+	for _, h := range cs.Levels.Holds {
+		s.LevelHeldBy = append(s.LevelHeldBy, h.String())
 	}
 	for _, v := range cs.Membership.Voters {
 		s.Voters = append(s.Voters, v.ID)
--- a/instance/consensus.go
+++ b/instance/consensus.go
@@ -145,6 +145,7 @@
 		Chunk:      m.Chunk,
 		Offset:     m.Offset,
 		Size:       m.Size,
+		FormLevel:  m.FormLevel,
 
 		AckedRound:     m.AckedRound,
 		ConfirmedRound: m.ConfirmedRound,
@@ -187,6 +188,7 @@
 		Chunk:      w.Chunk,
 		Offset:     w.Offset,
 		Size:       w.Size,
+		FormLevel:  w.FormLevel,
 
 		AckedRound:     w.AckedRound,
 		ConfirmedRound: w.ConfirmedRound,
--- a/storage/replay.go
+++ b/storage/replay.go
@@ -58,9 +58,13 @@
 			return offset, nil
 		}
 		batch, ok := decodeBatch(body)
+		if batch.unknownKind != 0 {
+			return 0, l.formError(path, fmt.Sprintf("records of kind %d", batch.unknownKind))
+		}
 		if !ok {
 			return 0, corruptedError(path, offset, "cannot decode record")
 		}
+		l.hasCommitRecords = l.hasCommitRecords || batch.hasCommitRecord
 		if !s.addBatch(batch) {
 			return 0, corruptedError(path, offset, "entries are missing before the record")
 		}
