consensus: delays in the histories that check confirmations; a fault of delayed verifications, known red

Their end isn't checked for a leader: with delays, a restarted voter sets a sound folder aside when its question for its state is overtaken by what it has stored since.

--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -66,6 +66,9 @@
 	// queuesForPaused keeps the messages to paused replicas until they are resumed, in queued.
 	queuesForPaused bool
 	queued          map[string][]Message
+	// maxDelay is the longest time in ticks that a message is on its way; delayed holds those that are.
+	maxDelay int
+	delayed  map[uint64][]Message
 	// olderLeaders makes messages look like those of a build that says nothing about rounds.
 	olderLeaders bool
 	// onProcessed is called after each step of a replica; nil means nothing.
@@ -167,10 +170,23 @@
 	if c.rng.Float64() < c.loss {
 		return
 	}
-	c.inFlight = append(c.inFlight, m)
+	c.transmit(m)
 	if c.rng.Float64() < c.loss {
+		c.transmit(m)
+	}
+}
+
+func (c *cluster) transmit(m Message) {
+	if c.maxDelay == 0 {
 		c.inFlight = append(c.inFlight, m)
+		return
+	}
+	at := c.ticks + c.rng.Uint64N(uint64(c.maxDelay)+1)
+	if at == c.ticks {
+		c.inFlight = append(c.inFlight, m)
+		return
 	}
+	c.delayed[at] = append(c.delayed[at], m)
 }
 
 // apply applies an entry. It checks that the first replica that reached this index applied the
@@ -287,6 +303,8 @@
 func (c *cluster) tick(count int) {
 	for range count {
 		c.ticks++
+		c.inFlight = append(c.inFlight, c.delayed[c.ticks]...)
+		delete(c.delayed, c.ticks)
 		for _, id := range c.ids {
 			if r := c.replicas[id]; !r.down && !r.paused {
 				r.node.Tick()
