--- a/internal/lab/soak_faults_test.go
+++ b/internal/lab/soak_faults_test.go
@@ -251,8 +251,13 @@
 			s.d.HarmLink(a, b, LinkFault{HangsNew: true})
 		}, long)
 	case 9: // as if it had no file descriptors left: what is connected goes on
-		t.what = c.Name + " takes no new connections"
-		f.during(t, long, func() { s.d.PauseAccepting(c.Name) }, func() { s.d.ResumeAccepting(c.Name) })
+		if f.number(2) == 0 {
+			t.what = c.Name + " takes no new connections"
+			f.during(t, long, func() { s.d.PauseAccepting(c.Name) }, func() { s.d.ResumeAccepting(c.Name) })
+			return
+		}
+		t.what = c.Name + " answers nothing on new connections"
+		f.harmLinks(t, c, append(s.controls(), s.gateways()...), func(a, b string) { s.d.HarmLink(a, b, LinkFault{HangsNew: true}) }, long)
 	default: // two links between control instances
 		harm, what := f.linkFault()
 		t.what, t.isLasting = fmt.Sprintf("a link of %s to control instances: %s", c.Name, what), true
