--- a/internal/lab/soak_test.go
+++ b/internal/lab/soak_test.go
@@ -213,7 +213,7 @@
 
 // printLogs prints what the control instances, and the gateway concerned, logged around each finding.
 func (s *soak) printLogs() {
-	const before, after = 8 * time.Second, time.Second
+	const before, after = 30 * time.Second, time.Second
 	for _, f := range s.judge.findings {
 		s.t.Logf("logs around the finding at %s: %.60s", s.judge.second(f.at), f.text)
 		for _, m := range s.d.Members() {
@@ -225,7 +225,7 @@
 }
 
 // maxLogLines is how many lines of each log are printed for a finding.
-const maxLogLines = 60
+const maxLogLines = 120
 
 func (s *soak) printLog(m *Member, from, to time.Time) {
 	file, err := os.Open(m.LogPath)
