--- a/control/status.go
+++ b/control/status.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/consensus"
+	"github.com/balsamlb/balsamlb/formlevel"
 	"github.com/balsamlb/balsamlb/replica"
 )
 
@@ -21,6 +22,16 @@
 	// ConfirmedAt is a time, as bootclock.Now counts, before which nothing was acknowledged that the applied
 	// state lacks; 0 means that none is known.
 	ConfirmedAt time.Duration
+	Levels      LevelStatus
+}
+
+// LevelStatus says which build runs, and which level of entries is in force.
+type LevelStatus struct {
+	Build string
+	// InForce is the level in force, and Supported the highest one that this build applies.
+	InForce, Supported formlevel.Level
+	// Holds says what holds the next level back, as the leader knows it; nil on other instances.
+	Holds []formlevel.Hold
 }
 
 // Status returns the host's view of its group.
@@ -34,6 +45,7 @@
 		}
 		v, _ := s.Membership.Voter(s.Leader)
 		s.LeaderAddress = v.Address
+		s.Levels = h.levelStatus()
 	})
 	return s, err
 }
--- a/replica/snapshot.go
+++ b/replica/snapshot.go
@@ -8,15 +8,20 @@
 
 	"github.com/balsamlb/balsamlb/config"
 	"github.com/balsamlb/balsamlb/credit"
+	"github.com/balsamlb/balsamlb/formlevel"
 	"github.com/balsamlb/balsamlb/ledger"
 	"github.com/balsamlb/balsamlb/replica/wire"
 	"github.com/balsamlb/balsamlb/routing"
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 )
 
-// snapshotVersion is the version of the snapshot format.
-const snapshotVersion = 1
+// SupportedSnapshotVersion is the only version of the snapshot format that this build reads and writes.
+const SupportedSnapshotVersion = 1
+
+// snapshotVersionField is the number of the field version of a snapshot.
+const snapshotVersionField = 1
 
 // ErrSnapshotVersion means that the snapshot has a format version that this build can't read.
 var ErrSnapshotVersion = errors.New("replica: unsupported snapshot version")
@@ -31,6 +36,7 @@
 	drains    map[string]Drain
 	clock     Clock
 	routing   routing.Publication
+	raised    formlevel.Level
 }
 
 // Image returns a copy of the state.
@@ -43,6 +49,7 @@
 		drains:    maps.Clone(s.Drains),
 		clock:     s.clock,
 		routing:   s.Routing,
+		raised:    s.raised,
 	}
 }
 
@@ -52,13 +59,14 @@
 // Encode returns the image as a snapshot.
 func (im Image) Encode() ([]byte, error) {
 	w := &wire.Snapshot{
-		Version:    snapshotVersion,
+		Version:    SupportedSnapshotVersion,
 		ViewIndex:  im.viewIndex,
 		Ledger:     ledgerToWire(im.ledger),
 		Config:     configToWire(im.config),
 		Credits:    creditsToWire(im.credits),
 		ClockNanos: uint64(im.clock.now),
 		LastStamp:  timestampToWire(im.clock.last),
+		Level:      uint32(im.raised),
 	}
 	if im.routing.Version != 0 {
 		w.Routing = &wire.Publish{Version: im.routing.Version, Document: im.routing.Bytes}
@@ -70,13 +78,33 @@
 	return data, eris.Wrap(err, "replica: encode snapshot")
 }
 
+// SnapshotVersion returns the version of a snapshot without decoding the rest.
+func SnapshotVersion(data []byte) (uint64, error) {
+	for len(data) > 0 {
+		number, kind, size := protowire.ConsumeTag(data)
+		if size < 0 {
+			return 0, eris.Wrap(protowire.ParseError(size), "replica: decode snapshot")
+		}
+		if number == snapshotVersionField && kind == protowire.VarintType {
+			version, n := protowire.ConsumeVarint(data[size:])
+			return version, eris.Wrap(protowire.ParseError(min(n, 0)), "replica: decode snapshot version")
+		}
+		_, _, size = protowire.ConsumeField(data)
+		if size < 0 {
+			return 0, eris.Wrap(protowire.ParseError(size), "replica: decode snapshot")
+		}
+		data = data[size:]
+	}
+	return 0, nil
+}
+
 // Restore decodes a snapshot and returns its state.
 func Restore(data []byte) (*State, error) {
 	var w wire.Snapshot
 	if err := proto.Unmarshal(data, &w); err != nil {
 		return nil, eris.Wrap(err, "replica: decode snapshot")
 	}
-	if w.Version != snapshotVersion {
+	if w.Version != SupportedSnapshotVersion {
 		return nil, eris.Wrapf(ErrSnapshotVersion, "replica: snapshot version %d", w.Version)
 	}
 	s := NewState()
@@ -93,6 +121,7 @@
 	}
 	s.Routing = routing.Publication{Version: w.Routing.GetVersion(), Bytes: w.Routing.GetDocument()}
 	s.viewIndex = w.ViewIndex
+	s.raised = formlevel.Level(w.Level)
 	s.clock = Clock{now: time.Duration(w.ClockNanos), last: timestampFromWire(w.LastStamp)}
 	return s, nil
 }
