--- a/control/status.go
+++ b/control/status.go
@@ -16,7 +16,13 @@
 	// LeaderAddress is the address of the leader, "" if it is not known.
 	LeaderAddress string
 	Records       int
-	Levels        LevelStatus
+	// ViewIndex and RoutingVersion name the view and the routing document in the applied state.
+	ViewIndex      uint64
+	RoutingVersion uint64
+	// ConfirmedAt is a time, as bootclock.Now counts, before which nothing was acknowledged that the applied
+	// state lacks; 0 means that none is known.
+	ConfirmedAt time.Duration
+	Levels      LevelStatus
 }
 
 // LevelStatus says which build runs, and which level of entries is in force.
@@ -32,7 +38,11 @@
 func (h *Host) Status(ctx context.Context) (Status, error) {
 	var s Status
 	err := h.Query(ctx, func(state *replica.State, n *consensus.Node) {
-		s = Status{Status: n.Status(), Records: state.Ledger.Len()}
+		s = Status{
+			Status: n.Status(), Records: state.Ledger.Len(),
+			ViewIndex: state.ViewIndex(), RoutingVersion: state.Routing.Version,
+			ConfirmedAt: h.clock.timeOf(n, n.ConfirmedTick()),
+		}
 		v, _ := s.Membership.Voter(s.Leader)
 		s.LeaderAddress = v.Address
 		s.Levels = h.levelStatus()
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -3,8 +3,10 @@
 package controller
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -66,7 +68,9 @@
 	AnnounceInterval time.Duration
 	// DataFolder is where the known servers are saved; "" saves nothing.
 	DataFolder string
-	Log        logr.Logger
+	// RoutingApplyTime is the time in which an acknowledged document must be in force.
+	RoutingApplyTime time.Duration
+	Log              logr.Logger
 }
 
 // Controller runs the duties of one control instance.
@@ -85,6 +89,8 @@
 	routing atomic.Pointer[routing.Publication]
 	wake    chan struct{}
 	planner *planner
+	// age logs when the document's age exceeds the bound.
+	age mesh.AgeMonitor
 }
 
 // New returns a controller. Its Applied method must be set as the host's OnRouting callback.
@@ -95,6 +101,8 @@
 	}
 	c := &Controller{options: o, encoder: encoder, started: time.Now(), wake: make(chan struct{}, 1)}
 	c.planner = newPlanner(o)
+	o.Mesh.SetConfirms(true)
+	c.age = mesh.AgeMonitor{Bound: o.RoutingApplyTime, Log: o.Log}
 	if err := c.loadServers(); err != nil {
 		o.Log.Info("could not load the saved backend servers", "reason", err.Error())
 	}
@@ -177,18 +185,29 @@
 // of, also after a restart; its own term may be that of a candidate who lost.
 func (c *Controller) recordStatus(s control.Status) {
 	c.status.Store(&s)
+	c.recordConfirmation(s)
 	if s.HasQuorum {
 		c.lastQuorum.Store(int64(time.Since(c.started)))
 	}
 	voters := voterAddresses(s)
 	c.options.Mesh.SetVoters(voters)
 	c.options.Proposer.SetVoters(voters)
+	c.recordConfirmation(s)
 	c.options.Mesh.RaiseFence(s.CommitTerm)
 	if s.Lease {
 		c.options.Mesh.RaiseFence(s.Term)
 	}
 }
 
+// recordConfirmation passes on since when the replica's document is known to be the newest.
+func (c *Controller) recordConfirmation(s control.Status) {
+	c.options.Mesh.SetConfirms(s.CanConfirm)
+	if s.ConfirmedAt > 0 {
+		c.options.Mesh.ConfirmRouting(s.RoutingVersion, s.ConfirmedAt)
+	}
+	c.age.Observe(c.options.Mesh.RoutingConfirmation())
+}
+
 func voterAddresses(s control.Status) []string {
 	var out []string
 	for _, v := range s.Membership.Voters {
@@ -249,16 +268,48 @@
 	return nil
 }
 
-// Publish puts a document in force if its version is the highest. After an error, the document may
-// still come into force.
+// Publish puts a document in force if its version is the highest. A document with version 0, which would only read
+// the one in force, is invalid. After any other error, the document may still come into force.
 func (c *Controller) Publish(ctx context.Context, d *routing.Document, text []byte) (routing.Verdict, error) {
+	if d.Version == 0 {
+		return 0, fmt.Errorf("controller: publish: %w: the version is 0", routing.ErrInvalid)
+	}
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
 	r, err := c.propose(ctx, replica.Publish{Version: d.Version, Document: c.encoder.EncodeAll(text, nil)})
 	if err != nil {
 		c.options.Log.Info("could not publish routing document", "version", d.Version, "reason", err.Error())
 		return 0, err
 	}
-	c.options.Log.Info("proposed routing document", "version", d.Version, "verdict", r.Verdict, "in_force", r.Version)
-	return r.Verdict, nil
+	verdict := r.Verdict
+	if verdict == routing.VerdictConflict {
+		if verdict, err = c.compareContent(ctx, d.Version, text); err != nil {
+			c.options.Log.Info("could not compare routing document with the one in force", "version", d.Version, "reason", err.Error())
+			return 0, err
+		}
+	}
+	c.options.Log.Info("proposed routing document", "version", d.Version, "verdict", verdict, "in_force", r.Version)
+	return verdict, nil
+}
+
+// compareContent returns the verdict on a document whose version is in force with other compressed bytes. Only the
+// texts count: another build or library may have compressed the same text in another way.
+func (c *Controller) compareContent(ctx context.Context, version uint64, text []byte) (routing.Verdict, error) {
+	r, err := c.propose(ctx, replica.Publish{})
+	if err != nil {
+		return 0, err
+	}
+	if r.Version != version {
+		return routing.VerdictConflict, nil // superseded meanwhile; what the log decided stands
+	}
+	inForce, err := c.options.Mesh.Decompress(routing.Publication{Version: r.Version, Bytes: r.Document})
+	if err != nil {
+		return 0, err
+	}
+	if !bytes.Equal(inForce, text) {
+		return routing.VerdictConflict, nil
+	}
+	return routing.VerdictAccepted, nil
 }
 
 // Published returns the newest published routing document, or ErrNothingPublished. It proposes an
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -78,7 +78,31 @@
 		Decode:         platform.DecodeDocument,
 		Log:            log.WithName("mesh"),
 	})
-	return m, err
+	if err != nil {
+		return nil, err
+	}
+	metrics.RegisterDocument(m.registry, m.document)
+	metrics.RegisterDelivery(m.registry, func() metrics.Delivery { return deliveryOf(m.mesh.DeliveryStatus()) })
+	return m, nil
+}
+
+// deliveryOf returns the state of the delivery of routing documents for the metrics.
+func deliveryOf(s mesh.DeliveryStatus) metrics.Delivery {
+	d := metrics.Delivery{BehindSeconds: s.BehindFor.Seconds(),
+		Failures: make(map[string]uint64, len(s.Failures)), WholeBytes: s.WholeBytes, PatchBytes: s.PatchBytes}
+	for reason, n := range s.Failures {
+		d.Failures[string(reason)] = n
+	}
+	return d
+}
+
+// document returns how recent the routing document is, for metrics.
+func (m *member) document() metrics.Document {
+	c := m.mesh.RoutingConfirmation()
+	age, isConfirmed := c.Age()
+	return metrics.Document{
+		Version: c.InForce, Newest: c.Newest, IsConfirmed: isConfirmed, AgeSeconds: age.Seconds(), By: c.By, IsExpected: c.IsExpected,
+	}
 }
 
 // RunGateway runs a gateway until ctx ends, and then until its requests in flight have ended or the
@@ -102,7 +126,7 @@
 		Orders:      servers,
 		Identify:    servers.Identify,
 
-		RelayAddress: s.Instances,
+		RelayAddress: s.Advertise,
 		Relayer:      instance.NewRelayer(m.dialer),
 
 		Seed: xxhash.Sum64String(s.Name),
@@ -114,6 +138,8 @@
 		RetryReserve: s.RetryReserve,
 		RetryWindow:  s.RetryWindow,
 
+		RoutingApplyTime: s.RoutingApplyTime,
+
 		MaxAnswerBytes: int64(s.MaxAnswerMB) << 20,
 		MaxBodiesBytes: int64(bodiesShare * float64(s.MemoryMB) * (1 << 20)),
 	})
@@ -145,7 +171,7 @@
 
 // RunController runs a controller until ctx ends, and then hands the leadership over.
 func RunController(ctx context.Context, path string, s settings.Member, log logr.Logger) error {
-	m, err := newMember(path, settings.RoleController, s, s.Instances, log)
+	m, err := newMember(path, settings.RoleController, s, s.Advertise, log)
 	if err != nil {
 		return err
 	}
@@ -163,6 +189,7 @@
 		Demand:           m.mesh.Demand,
 		AnnounceInterval: s.AnnounceInterval,
 		DataFolder:       s.DataFolder,
+		RoutingApplyTime: s.RoutingApplyTime,
 		Log:              log.WithName("controller"),
 	})
 	if err != nil {
@@ -245,18 +272,18 @@
 	founders := slices.Sorted(slices.Values(s.Seeds))
 	sender := instance.NewConsensusSender(m.dialer)
 	for _, f := range founders {
-		if f != s.Instances {
+		if f != s.Advertise {
 			sender.Reach(f, f)
 		}
 	}
 	host, err := control.NewHost(control.Options{
-		ID:           s.Instances,
-		Address:      s.Instances,
+		ID:           s.Advertise,
+		Address:      s.Advertise,
 		Voters:       founders,
 		Size:         2*s.Tolerate + 1,
-		JoinOnly:     !s.IsFounding || !slices.Contains(founders, s.Instances),
+		JoinOnly:     !s.IsFounding || !slices.Contains(founders, s.Advertise),
 		ReplaceAfter: replaceAfter,
-		Seed:         xxhash.Sum64String(s.Instances),
+		Seed:         xxhash.Sum64String(s.Advertise),
 		Storage:      store,
 		Sender:       sender,
 		OnView:       func(replica.View) {},
--- a/instance/consensus.go
+++ b/instance/consensus.go
@@ -146,6 +146,14 @@
 		Offset:     m.Offset,
 		Size:       m.Size,
 		FormLevel:  m.FormLevel,
+
+		AckedRound:     m.AckedRound,
+		ConfirmedRound: m.ConfirmedRound,
+		RecordedTerm:   m.RecordedTerm,
+	}
+	// An append has no hint of its own, and builds before these fields ignore it there.
+	if m.Kind == consensus.KindAppend {
+		w.Hint = m.AckedEpoch
 	}
 	if m.Membership != nil {
 		w.Membership = m.Membership.Encode()
@@ -182,6 +190,13 @@
 		Offset:     w.Offset,
 		Size:       w.Size,
 		FormLevel:  w.FormLevel,
+
+		AckedRound:     w.AckedRound,
+		ConfirmedRound: w.ConfirmedRound,
+		RecordedTerm:   w.RecordedTerm,
+	}
+	if m.Kind == consensus.KindAppend {
+		m.Hint, m.AckedEpoch = 0, w.Hint
 	}
 	if len(w.Membership) > 0 {
 		membership, err := consensus.DecodeMembership(w.Membership)
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -61,6 +61,7 @@
 	g.HeldBack.WithLabelValues("leaving").Inc()
 	g.RejectedSends.WithLabelValues("memory").Inc()
 	g.ClaimsHeldBack.WithLabelValues().Inc()
+	g.UnconfirmedDenials.WithLabelValues().Inc()
 	g.Relayed.WithLabelValues("taken").Inc()
 	g.Admission.Count("advice", 0, AdmissionStarted)
 	g.Admission.SetRoom("advice", 3, 1)
@@ -93,6 +94,25 @@
 	is.Equal(sum, 15.0) // each metric shows a value of its own
 }
 
+// Guards against a value of the delivery of routing documents that isn't shown.
+func TestEveryMetricOfADeliveryIsDescribed(t *testing.T) {
+	is := is.New(t)
+	r := prometheus.NewRegistry()
+	RegisterDelivery(r, func() Delivery {
+		return Delivery{BehindSeconds: 4, Failures: map[string]uint64{"refused": 8}, WholeBytes: 16, PatchBytes: 32}
+	})
+	families, err := r.Gather()
+	is.NoErr(err)
+	is.Equal(len(families), len(deliveryDescriptions))
+	sum := 0.0
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			sum += m.GetCounter().GetValue() + m.GetGauge().GetValue()
+		}
+	}
+	is.Equal(sum, 60.0) // each metric shows a value of its own
+}
+
 func TestEveryMetricOfAPlanIsDescribed(t *testing.T) {
 	is := is.New(t)
 	r := prometheus.NewRegistry()
@@ -110,3 +130,19 @@
 	}
 	is.Equal(sum, 31.0) // each metric shows a value of its own
 }
+
+func TestEveryMetricOfADocumentIsDescribed(t *testing.T) {
+	is := is.New(t)
+	r := prometheus.NewRegistry()
+	RegisterDocument(r, func() Document {
+		return Document{Version: 2, Newest: 4, IsConfirmed: true, AgeSeconds: 8, By: "10.0.0.1:7", IsExpected: true}
+	})
+	families, err := r.Gather()
+	is.NoErr(err)
+	is.Equal(len(families), len(documentDescriptions))
+	sum := 0.0
+	for _, f := range families {
+		sum += f.GetMetric()[0].GetGauge().GetValue()
+	}
+	is.Equal(sum, 15.0) // each metric shows a value of its own
+}
--- a/settings/member.go
+++ b/settings/member.go
@@ -20,6 +20,7 @@
 	{"listen", "ready", "", "IP:port", "Gateway: address at which readiness is asked.", addressPort},
 	{"listen", "control", "", "IP:port", "Controller: address for backend servers and operators.", addressPort},
 	{"listen", "instances", "", "IP:port", "Address for other instances. All instances of a deployment use the same port.", addressPort},
+	{"listen", "advertise", "", "IP:port", "Address that other instances reach this one at. Empty: the address for other instances. All instances of a deployment use the same port.", addressPort},
 	{"listen", "metrics", "", "IP:port", "Address of metrics. Empty: none are served.", addressPort},
 	{"control", "data_folder", "", "path", "Controller: folder of the replicated state.", anyText},
 	{"control", "founding", "false", "", "true: the deployment starts for the first time, and the seeds found the group of control instances.", oneOf("true", "false")},
@@ -29,6 +30,7 @@
 	{"retry", "ratio", "0.2", "", "Gateway: how many requests may be sent once more, for each request of a service.", fraction},
 	{"retry", "reserve", "100", "requests", "Gateways together: how many requests of a service may be sent once more besides, in each window.", decimal(0, 1<<20)},
 	{"retry", "window_s", "10", "s", "Length of the windows in which the reserve holds.", decimal(1, 3600)},
+	{"routing", "apply_ms", "2000", "ms", "Time within which an acknowledged routing document is in force. A gateway whose document was not confirmed within it answers 503 in place of 404 and 401, as the route or key may be new.", decimal(100, 600000)},
 	{"limits", "grace_s", "10", "s", "Time between the signal to stop and the end of the process.", decimal(1, 3600)},
 	{"limits", "memory_mb", "0", "MB", "Memory that the process may use; 0: not limited.", decimal(0, 1<<20)},
 	{"limits", "answer_mb", "64", "MB", "Gateway: largest answer of a backend server that is forwarded.", wholeNumber(1, 1<<16)},
@@ -45,6 +47,8 @@
 	Ready      string
 	Control    string
 	Instances  string
+	// Advertise is the address at which other instances reach this one.
+	Advertise  string
 	Metrics    string
 	DataFolder string
 	// IsFounding means that the deployment starts for the first time, and that the seeds found the
@@ -61,6 +65,8 @@
 	RetryRatio   float64
 	RetryReserve float64
 	RetryWindow  time.Duration
+	// RoutingApplyTime is the time within which an acknowledged routing document is in force at all gateways.
+	RoutingApplyTime time.Duration
 	// Grace is the time between the signal to stop and the end of a gateway's process.
 	Grace time.Duration
 	// MemoryMB is the memory that the process may use, in MiB; 0 means no limit.
@@ -128,6 +134,7 @@
 		Ready:            get("listen", "ready"),
 		Control:          get("listen", "control"),
 		Instances:        get("listen", "instances"),
+		Advertise:        get("listen", "advertise"),
 		Metrics:          get("listen", "metrics"),
 		DataFolder:       get("control", "data_folder"),
 		IsFounding:       get("control", "founding") == "true",
@@ -136,6 +143,7 @@
 		RetryRatio:       decimalValue("retry", "ratio"),
 		RetryReserve:     decimalValue("retry", "reserve"),
 		RetryWindow:      time.Duration(decimalValue("retry", "window_s") * float64(time.Second)),
+		RoutingApplyTime: time.Duration(decimalValue("routing", "apply_ms") * float64(time.Millisecond)),
 		Grace:            time.Duration(decimalValue("limits", "grace_s") * float64(time.Second)),
 		MemoryMB:         int(decimalValue("limits", "memory_mb")),
 		MaxAnswerMB:      intValue("limits", "answer_mb"),
@@ -143,7 +151,10 @@
 
 		LogLinesPerSecond: intValue("log", "lines_per_second"),
 	}
-	m.Seeds = replacePorts(splitList(get("join", "seeds")), m.Instances)
+	if m.Advertise == "" {
+		m.Advertise = m.Instances
+	}
+	m.Seeds = replacePorts(splitList(get("join", "seeds")), m.Advertise)
 	return m, r.err()
 }
 
