mesh: a control instance that sends other parts than were asked for is a failure

Found while reading the parts again: one that always sends the same part, or that sends parts to a caller who asked for the whole document, would have been asked without end and without a pause.

TestControlInstanceThatRepeatsAPartIsAFailure; the next control instance brings the document.

--- a/mesh/delivery_status.go
+++ b/mesh/delivery_status.go
@@ -33,7 +33,7 @@
 	switch {
 	case errors.Is(err, errUnreadable):
 		return FetchUnreadable
-	case errors.Is(err, errWrongHash), errors.Is(err, errDocumentTooLarge), errors.Is(err, errNoDocument):
+	case errors.Is(err, errWrongHash), errors.Is(err, errDocumentTooLarge), errors.Is(err, errNoDocument), errors.Is(err, errWrongPart):
 		return FetchDamaged
 	case watchFailure{err: err}.isUnanswered():
 		return FetchRefused
--- a/mesh/documents_test.go
+++ b/mesh/documents_test.go
@@ -5,10 +5,12 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/balsamlb/balsamlb/instance"
 	"github.com/balsamlb/balsamlb/instance/wire"
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 )
 
 // alteredSource changes the answers of a control instance.
@@ -94,6 +96,28 @@
 	is.Equal(string(r.texts.Text(2)), text+"end")
 }
 
+// Guards against asking a control instance without end that always sends the same part, or parts that were not asked for.
+func TestControlInstanceThatRepeatsAPartIsAFailure(t *testing.T) {
+	control := newTestMesh(t, "127.0.0.1:1")
+	publish(t, control, 1, document(7, 12000))
+	first, err := control.FetchRouting(&wire.FetchRoutingRequest{TakesParts: true})
+	is.New(t).NoErr(err)
+	repeating := &alteredSource{Mesh: control, alter: func(_ *wire.FetchRoutingRequest, resp *wire.FetchRoutingResponse) {
+		proto.Reset(resp)
+		proto.Merge(resp, first)
+	}}
+	r := newReceiver(t)
+	r.hear(serveDocuments(t, repeating), 1)
+	for deadline := time.Now().Add(applyTarget); r.DeliveryStatus().Failures[FetchDamaged] == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			_, n := repeating.last()
+			t.Fatalf("no failure after %d requests", n)
+		}
+	}
+	r.hear(serveDocuments(t, &alteredSource{Mesh: control}), 1)
+	r.await(t, 1, applyTarget)
+}
+
 // Guards against parts that are thrown away when the control instance that sent them hangs.
 func TestAnotherControlInstanceContinuesTheDocument(t *testing.T) {
 	is := is.New(t)
--- a/mesh/fetch.go
+++ b/mesh/fetch.go
@@ -14,8 +14,11 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// errNoDocument is returned for an answer without the document that its version promises.
-var errNoDocument = errors.New("mesh: the answer holds no document")
+var (
+	// errNoDocument is returned for an answer without the document that its version promises.
+	errNoDocument = errors.New("mesh: the answer holds no document")
+	errWrongPart  = errors.New("mesh: the answer holds another part of the document than was asked for")
+)
 
 // wayOfDocument is how a document is asked for.
 type wayOfDocument struct {
@@ -144,7 +147,7 @@
 			return resp.Version, nil
 		}
 		m.countReceived(resp)
-		goesOn, err := m.takeAnswer(address, resp, base)
+		goesOn, err := m.takeAnswer(address, req, resp, base)
 		if errors.Is(err, errWrongHash) && m.takesOtherWay(resp) {
 			m.options.Log.Info("the document arrived damaged and is fetched in another way", "address", address, "version", resp.Version, "is_patch", resp.Patches)
 			continue
@@ -191,7 +194,7 @@
 }
 
 // takeAnswer uses an answer and reports whether the fetch goes on.
-func (m *Mesh) takeAnswer(address string, resp *wire.FetchRoutingResponse, base []byte) (goesOn bool, err error) {
+func (m *Mesh) takeAnswer(address string, req *wire.FetchRoutingRequest, resp *wire.FetchRoutingResponse, base []byte) (goesOn bool, err error) {
 	switch {
 	case len(resp.Document) == 0:
 		return false, errNoDocument
@@ -204,6 +207,9 @@
 	case resp.Size == 0:
 		return false, m.publishEncoded(routing.Publication{Version: resp.Version, Bytes: resp.Document}, resp.Hash)
 	}
+	if resp.Version == req.Version && resp.Offset != req.Offset {
+		return false, fmt.Errorf("%w: asked for offset %d, got %d", errWrongPart, req.Offset, resp.Offset)
+	}
 	encoded, goesOn, err := m.addPart(address, resp)
 	if encoded == nil || err != nil {
 		return goesOn, err
@@ -233,15 +239,14 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.fetches.partials.drop(resp.Version)
+	before := m.fetches.way
 	switch {
 	case resp.Patches:
 		m.fetches.way.withoutPatch = true
 	case resp.Size > 0:
 		m.fetches.way.withoutPatch, m.fetches.way.withoutParts = true, true
-	default:
-		return false
 	}
-	return true
+	return m.fetches.way != before
 }
 
 // publishEncoded puts a document in force if its text has the hash; 0 means that the hash isn't known.
