daemon: a peer that hangs no longer holds up a view

Two workers took hints from a queue of 64, for 500 ms each; four hanging peers that repeat their hints held both for 10 s, a full queue dropped hints, and a failed fetch waited for the next heartbeat.

Received bytes count as progress. A view that can't be put in force is a failure of that fetch, so that its peer isn't asked again without a pause.

--- a/daemon/exchange.go
+++ b/daemon/exchange.go
@@ -9,7 +9,6 @@
 	"github.com/balsamlb/balsamlb/control"
 	"github.com/balsamlb/balsamlb/instance"
 	"github.com/balsamlb/balsamlb/instance/wire"
-	"github.com/balsamlb/balsamlb/internal/ring"
 	"github.com/balsamlb/balsamlb/membership"
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
@@ -19,10 +18,6 @@
 	tickInterval = 200 * time.Millisecond
 	// ticksPerPlan is the number of ticks between two updates of the subscriptions.
 	ticksPerPlan = 2
-	// fetchRingSize bounds the hints of newer views that wait to be followed. Further hints are
-	// dropped, since the next heartbeat repeats them.
-	fetchRingSize = 64
-	fetchWorkers  = 2
 	// maxConcurrentDials bounds the connections that are being opened at a time, so that this
 	// instance reconnects gradually when many peers return at once.
 	maxConcurrentDials = 8
@@ -31,12 +26,6 @@
 	maxRetryDelay = 5 * time.Second
 )
 
-// viewHint says that the peer at the address has the view with the index.
-type viewHint struct {
-	address string
-	index   uint64
-}
-
 // peerSync keeps this instance in sync with its peers: it subscribes to their heartbeats, queries
 // them for the members that they know, and fetches newer views.
 type peerSync struct {
@@ -45,7 +34,7 @@
 	// openStream is the dialer's Subscribe.
 	openStream func(ctx context.Context, address string, r instance.SubscriptionHandler) error
 	client     *instance.Exchanger
-	hints      *ring.Ring[viewHint]
+	fetches    *viewFetches
 	dialSlots  chan struct{}
 
 	mu            sync.Mutex
@@ -59,7 +48,7 @@
 		host:          h,
 		openStream:    d.Subscribe,
 		client:        instance.NewExchanger(d),
-		hints:         ring.New[viewHint](fetchRingSize),
+		fetches:       newViewFetches(s.process.Name),
 		dialSlots:     make(chan struct{}, maxConcurrentDials),
 		random:        rand.New(rand.NewPCG(s.process.Seed, xxhash.Sum64String(s.process.Name))),
 		subscriptions: make(map[string]context.CancelFunc),
@@ -70,9 +59,7 @@
 func (p *peerSync) run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return p.runMemberQueries(ctx) })
-	for range fetchWorkers {
-		g.Go(func() error { return p.runFetches(ctx) })
-	}
+	g.Go(func() error { return p.runFetches(ctx) })
 	if p.host != nil {
 		g.Go(func() error { return p.runConfirmations(ctx) })
 	}
@@ -133,6 +120,7 @@
 		started := time.Now()
 		r := newSubscription(p.state, address, p.offerHint)
 		err := p.subscribeOnce(ctx, address, r)
+		p.forgetHint(address)
 		if ctx.Err() != nil {
 			break
 		}
@@ -172,36 +160,6 @@
 	return t/2 + time.Duration(p.random.Int64N(int64(t/2)+1))
 }
 
-func (p *peerSync) offerHint(address string, index uint64) {
-	p.hints.Offer(viewHint{address: address, index: index})
-}
-
-// runFetches fetches the views that the hints name, until ctx ends.
-func (p *peerSync) runFetches(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case h := <-p.hints.Items():
-			p.fetch(ctx, h)
-		}
-	}
-}
-
-func (p *peerSync) fetch(ctx context.Context, h viewHint) {
-	req := p.state.fetchRequest()
-	if h.index <= req.HaveIndex {
-		return
-	}
-	resp, err := p.client.Fetch(ctx, h.address, req)
-	if err == nil {
-		err = p.state.applyFetchedView(req, resp)
-	}
-	if err != nil && ctx.Err() == nil {
-		p.state.log.Info("could not fetch a view", "address", h.address, "reason", err.Error())
-	}
-}
-
 // A new instance asks its peers which instances they know. It sends the first queries at the short
 // joinInterval, since other instances may be joining at the same time. After joinQueries answered
 // queries, it uses membership.MembersInterval.
--- a/instance/exchange.go
+++ b/instance/exchange.go
@@ -26,10 +26,12 @@
 	return resp, err
 }
 
-// Fetch returns the current view of the instance at the address if it is newer than the request's.
-func (e *Exchanger) Fetch(ctx context.Context, address string, req *wire.FetchRequest) (*wire.FetchResponse, error) {
+// Fetch returns the current view of the instance at the address if it is newer than the request's. onProgress is called
+// from other goroutines when the connection was opened, and as bytes come.
+func (e *Exchanger) Fetch(ctx context.Context, address string, req *wire.FetchRequest, onProgress func()) (*wire.FetchResponse, error) {
 	var resp *wire.FetchResponse
-	err := e.call(ctx, address, func(ctx context.Context, c wire.DRPCInstanceClient) error {
+	observed := Exchanger{dialer: e.dialer.withProgress(onProgress)}
+	err := observed.call(ctx, address, func(ctx context.Context, c wire.DRPCInstanceClient) error {
 		var err error
 		resp, err = c.Fetch(ctx, req)
 		return err
--- a/instance/fetch.go
+++ b/instance/fetch.go
@@ -42,16 +42,22 @@
 // unless it is nil, is called from other goroutines when the connection was opened, and as bytes come, for each
 // progressBytes.
 func (d Dialer) NewRoutingFetch(address string, onProgress func()) *RoutingFetch {
-	if onProgress != nil {
-		received := 0
-		d.onReceived = func(bytes int) {
-			if received += bytes; bytes == 0 || received >= progressBytes {
-				received = 0
-				onProgress()
-			}
+	return &RoutingFetch{conn: peerConn{dialer: d.withProgress(onProgress), address: address}}
+}
+
+// withProgress returns a dialer for one connection at a time that reports the progress on it. onProgress may be nil.
+func (d Dialer) withProgress(onProgress func()) Dialer {
+	if onProgress == nil {
+		return d
+	}
+	received := 0
+	d.onReceived = func(bytes int) {
+		if received += bytes; bytes == 0 || received >= progressBytes {
+			received = 0
+			onProgress()
 		}
 	}
-	return &RoutingFetch{conn: peerConn{dialer: d, address: address}}
+	return d
 }
 
 // Call asks for a document or a part of one, within partTimeout.
