delivery: a version named during a fetch is no longer forgotten when that ends

Found by BenchmarkChangeOfOneRoute, which stood still: a control instance names the next version while the fetch of the one before is in flight, and what that fetch had brought replaced what the instance had named; the next heartbeat (0.5 s) named it again. The same after an earlier document that was begun before.

What a peer says in an answer now counts only if there was nothing newer, and if it hasn't named another version since. An instance without any document, which has named one, is a failure.

TestVersionNamedDuringAFetchIsAskedFor fails before this change (nobody is asked).

--- a/daemon/view_fetches.go
+++ b/daemon/view_fetches.go
@@ -114,20 +114,27 @@
 // errViewNotInForce is returned if the view of a peer was not put in force, so that the peer isn't asked again at once.
 var errViewNotInForce = errors.New("daemon: the fetched view was not put in force")
 
-// fetch gets the view of a peer and puts it in force. It returns the index of the view at the peer.
+// fetch gets the view of a peer and puts it in force. If there is nothing newer, it returns the index of the view there,
+// else 0.
 func (p *peerSync) fetch(ctx context.Context, address string) (uint64, error) {
 	req := p.state.fetchRequest()
 	resp, err := p.client.Fetch(ctx, address, req, func() { p.recordProgress(address) })
 	if err != nil {
 		return 0, err
 	}
+	if resp.Index == 0 {
+		return 0, eris.Wrapf(errViewNotInForce, "daemon: %s has no view", address)
+	}
+	if resp.Index <= req.HaveIndex {
+		return resp.Index, nil
+	}
 	if err := p.state.applyFetchedView(req, resp); err != nil {
 		return 0, eris.Wrapf(err, "daemon: apply view %d of %s", resp.Index, address)
 	}
 	if resp.Index > p.state.View().Index {
 		return 0, eris.Wrapf(errViewNotInForce, "daemon: view %d of %s", resp.Index, address)
 	}
-	return resp.Index, nil
+	return 0, nil
 }
 
 func (p *peerSync) recordProgress(address string) {
--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -152,13 +152,16 @@
 	return next == nil || next.hasFailed(now) || next.version < s.version || next.place > s.place && !s.hasFailed(now)
 }
 
-// Ended records that a fetch has ended because the peer has answered that its version is the given one.
+// Ended records that a fetch has ended without a failure. If the peer has answered that it has nothing newer, version is
+// what it has, else 0. What the peer has named since it was asked counts more.
 func (p *Plan) Ended(address string, version uint64) {
-	if s, ok := p.peers[address]; ok {
-		s.isAsked, s.isCancelled, s.failures = false, false, 0
-		if s.version > 0 {
-			s.version = version
-		}
+	s, ok := p.peers[address]
+	if !ok {
+		return
+	}
+	s.isAsked, s.isCancelled, s.failures = false, false, 0
+	if version > 0 && s.version > 0 && s.version <= s.asked {
+		s.version = version
 	}
 }
 
--- a/delivery/delivery_test.go
+++ b/delivery/delivery_test.go
@@ -83,7 +83,7 @@
 		case b.isSound:
 			delete(p.began, address)
 			p.plan.InForce(1)
-			p.plan.Ended(address, 1)
+			p.plan.Ended(address, 0)
 			p.inForce = true
 		default:
 			delete(p.began, address)
@@ -166,6 +166,23 @@
 	is.Equal(p.Next(now), Step{})
 }
 
+// Guards against a version that a peer names while it is asked for the one before, and that is forgotten when that fetch ends.
+func TestVersionNamedDuringAFetchIsAskedFor(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	p := New("g")
+	p.Heard(now, "a", 5)
+	is.Equal(p.Next(now).Ask, "a")
+	p.InForce(5)
+	p.Heard(now, "a", 6)
+	p.Next(now)
+	p.Ended("a", 5)
+	is.Equal(p.Next(now).Ask, "a")
+	p.Heard(now, "a", 6)
+	p.Ended("a", 0) // it has sent an earlier document that was begun before
+	is.Equal(p.Next(now).Ask, "a")
+}
+
 // Guards against all gateways of a fleet asking the peer that names a version first.
 func TestFleetSpreadsOverThePeersThatHaveTheDocument(t *testing.T) {
 	const gateways, peers = 195, 5
@@ -188,7 +205,7 @@
 		}
 		next := "10.0.0.0:7"
 		if !p.Part(now, next, true) {
-			p.Ended(next, 1)
+			p.Ended(next, 0)
 			next = p.Next(now).Ask
 		}
 		continued[next]++
--- a/mesh/fetch.go
+++ b/mesh/fetch.go
@@ -113,7 +113,11 @@
 	now := time.Now()
 	if err == nil {
 		m.fetches.plan.Ended(address, version)
-		m.fetches.endAttempt(now, address, fmt.Sprintf("done at version %d", version))
+		outcome := "done"
+		if version > 0 {
+			outcome = fmt.Sprintf("nothing newer than version %d", version)
+		}
+		m.fetches.endAttempt(now, address, outcome)
 		return
 	}
 	m.fetches.plan.Failed(now, address)
@@ -132,8 +136,8 @@
 	m.options.Log.Info("could not fetch the routing document", "address", address, "version", named, "failure", reason, "reason", err.Error())
 }
 
-// fetch gets the document that a control instance has named, part by part, and returns the version that is in force
-// there. Another fetch may have got the parts before, or go on with them.
+// fetch gets the document that a control instance has named, part by part. If there is nothing newer, it returns the
+// version there, else 0. Another fetch may have got the parts before, or go on with them.
 func (m *Mesh) fetch(ctx context.Context, address string, named uint64) (uint64, error) {
 	f := m.options.Dialer.NewRoutingFetch(address, func() { m.recordProgress(address) })
 	defer f.Close()
@@ -143,6 +147,9 @@
 		if err != nil {
 			return 0, err
 		}
+		if resp.Version == 0 {
+			return 0, errNoDocument
+		}
 		if resp.Version <= req.HaveVersion {
 			return resp.Version, nil
 		}
@@ -153,7 +160,7 @@
 			continue
 		}
 		if err != nil || !goesOn {
-			return resp.Version, err
+			return 0, err
 		}
 	}
 }
