--- a/mesh/fetch.go
+++ b/mesh/fetch.go
@@ -208,7 +208,7 @@
 	case resp.Patches:
 		text, err := instance.ExpandView(resp.Document, base)
 		if err != nil {
-			return false, errors.Join(errWrongHash, err)
+			return false, fmt.Errorf("%w: %w", errWrongHash, err)
 		}
 		return false, m.publishText(routing.Publication{Version: resp.Version}, text, resp.Hash)
 	case resp.Size == 0:
@@ -230,7 +230,7 @@
 	defer m.mu.Unlock()
 	p, isNew, err := m.fetches.partials.add(resp)
 	if errors.Is(err, errOtherEncoding) {
-		err = errors.Join(errWrongHash, err)
+		err = fmt.Errorf("%w: %w", errWrongHash, err)
 	}
 	if err != nil {
 		return nil, false, err
@@ -260,7 +260,7 @@
 func (m *Mesh) publishEncoded(p routing.Publication, hash uint64) error {
 	text, err := m.Decompress(p)
 	if err != nil {
-		return errors.Join(errWrongHash, err)
+		return fmt.Errorf("%w: %w", errWrongHash, err)
 	}
 	return m.publishText(p, text, hash)
 }
@@ -273,7 +273,7 @@
 	}
 	d, err := m.options.Decode(text)
 	if err != nil {
-		return errors.Join(errUnreadable, eris.Wrapf(err, "mesh: read routing document %d", p.Version))
+		return fmt.Errorf("%w: version %d: %w", errUnreadable, p.Version, err)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
