--- a/mesh/fetch.go
+++ b/mesh/fetch.go
@@ -14,8 +14,11 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// errNoDocument is returned for an answer without the document that its version promises.
-var errNoDocument = errors.New("mesh: the answer holds no document")
+var (
+	// errNoDocument is returned for an answer without the document that its version promises.
+	errNoDocument = errors.New("mesh: the answer holds no document")
+	errWrongPart  = errors.New("mesh: the answer holds another part of the document than was asked for")
+)
 
 // wayOfDocument is how a document is asked for.
 type wayOfDocument struct {
@@ -110,7 +113,11 @@
 	now := time.Now()
 	if err == nil {
 		m.fetches.plan.Ended(address, version)
-		m.fetches.endAttempt(now, address, fmt.Sprintf("done at version %d", version))
+		outcome := "done"
+		if version > 0 {
+			outcome = fmt.Sprintf("nothing newer than version %d", version)
+		}
+		m.fetches.endAttempt(now, address, outcome)
 		return
 	}
 	m.fetches.plan.Failed(now, address)
@@ -129,8 +136,8 @@
 	m.options.Log.Info("could not fetch the routing document", "address", address, "version", named, "failure", reason, "reason", err.Error())
 }
 
-// fetch gets the document that a control instance has named, part by part, and returns the version that is in force
-// there. Another fetch may have got the parts before, or go on with them.
+// fetch gets the document that a control instance has named, part by part. If there is nothing newer, it returns the
+// version there, else 0. Another fetch may have got the parts before, or go on with them.
 func (m *Mesh) fetch(ctx context.Context, address string, named uint64) (uint64, error) {
 	f := m.options.Dialer.NewRoutingFetch(address, func() { m.recordProgress(address) })
 	defer f.Close()
@@ -140,17 +147,20 @@
 		if err != nil {
 			return 0, err
 		}
+		if resp.Version == 0 {
+			return 0, errNoDocument
+		}
 		if resp.Version <= req.HaveVersion {
 			return resp.Version, nil
 		}
 		m.countReceived(resp)
-		goesOn, err := m.takeAnswer(address, resp, base)
+		goesOn, err := m.takeAnswer(address, req, resp, base)
 		if errors.Is(err, errWrongHash) && m.takesOtherWay(resp) {
 			m.options.Log.Info("the document arrived damaged and is fetched in another way", "address", address, "version", resp.Version, "is_patch", resp.Patches)
 			continue
 		}
 		if err != nil || !goesOn {
-			return resp.Version, err
+			return 0, err
 		}
 	}
 }
@@ -191,19 +201,22 @@
 }
 
 // takeAnswer uses an answer and reports whether the fetch goes on.
-func (m *Mesh) takeAnswer(address string, resp *wire.FetchRoutingResponse, base []byte) (goesOn bool, err error) {
+func (m *Mesh) takeAnswer(address string, req *wire.FetchRoutingRequest, resp *wire.FetchRoutingResponse, base []byte) (goesOn bool, err error) {
 	switch {
 	case len(resp.Document) == 0:
 		return false, errNoDocument
 	case resp.Patches:
 		text, err := instance.ExpandView(resp.Document, base)
 		if err != nil {
-			return false, errors.Join(errWrongHash, err)
+			return false, fmt.Errorf("%w: %w", errWrongHash, err)
 		}
 		return false, m.publishText(routing.Publication{Version: resp.Version}, text, resp.Hash)
 	case resp.Size == 0:
 		return false, m.publishEncoded(routing.Publication{Version: resp.Version, Bytes: resp.Document}, resp.Hash)
 	}
+	if resp.Version == req.Version && resp.Offset != req.Offset {
+		return false, fmt.Errorf("%w: asked for offset %d, got %d", errWrongPart, req.Offset, resp.Offset)
+	}
 	encoded, goesOn, err := m.addPart(address, resp)
 	if encoded == nil || err != nil {
 		return goesOn, err
@@ -217,7 +230,7 @@
 	defer m.mu.Unlock()
 	p, isNew, err := m.fetches.partials.add(resp)
 	if errors.Is(err, errOtherEncoding) {
-		err = errors.Join(errWrongHash, err)
+		err = fmt.Errorf("%w: %w", errWrongHash, err)
 	}
 	if err != nil {
 		return nil, false, err
@@ -233,22 +246,21 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.fetches.partials.drop(resp.Version)
+	before := m.fetches.way
 	switch {
 	case resp.Patches:
 		m.fetches.way.withoutPatch = true
 	case resp.Size > 0:
 		m.fetches.way.withoutPatch, m.fetches.way.withoutParts = true, true
-	default:
-		return false
 	}
-	return true
+	return m.fetches.way != before
 }
 
 // publishEncoded puts a document in force if its text has the hash; 0 means that the hash isn't known.
 func (m *Mesh) publishEncoded(p routing.Publication, hash uint64) error {
 	text, err := m.Decompress(p)
 	if err != nil {
-		return errors.Join(errWrongHash, err)
+		return fmt.Errorf("%w: %w", errWrongHash, err)
 	}
 	return m.publishText(p, text, hash)
 }
@@ -261,7 +273,7 @@
 	}
 	d, err := m.options.Decode(text)
 	if err != nil {
-		return errors.Join(errUnreadable, eris.Wrapf(err, "mesh: read routing document %d", p.Version))
+		return fmt.Errorf("%w: version %d: %w", errUnreadable, p.Version, err)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
