--- a/internal/lab/soak_directed_test.go
+++ b/internal/lab/soak_directed_test.go
@@ -128,3 +128,31 @@
 	}
 	return seen[len(seen)-1].version
 }
+
+// Guards against control instances that don't come back after a loss of all, some of them without their data, right after
+// an acknowledgement (run 42 of the incident).
+func TestDocumentsAreReadBackAfterLossesOfAllControlInstances(t *testing.T) {
+	t.Parallel()
+	o := directedOptions(2)
+	o.controls, o.seed = soakNumber(t, "CONTROLS", 3), uint64(soakNumber(t, "FIRST", 0))
+	s := startSoak(t, o)
+	s.startQuietly()
+	faults := newSoakFaults(s)
+	for range soakNumber(t, "ROUNDS", 3) {
+		want := s.judge.newest().version
+		faults.killAll(false) // returns when all have had the time to catch up
+		for _, c := range s.controls() {
+			s.waitFor(time.Now(), recoveryBound, c.Name+" to read back a document after a loss of all", func() bool { return s.readOne(c) >= want })
+		}
+		if s.judge.isBroken() {
+			break
+		}
+	}
+	s.finish()
+}
+
+func (j *soakJudge) isBroken() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.broken) > 0
+}
