--- a/storage/reset.go
+++ b/storage/reset.go
@@ -13,10 +13,12 @@
 // them.
 const asideFolder = "aside"
 
-// isManagedFile reports whether a file has a name that this package uses.
+// isManagedFile reports whether a file has a name that the log uses, or that of a temporary file of it. Others
+// write files of their own into the folder.
 func isManagedFile(name string) bool {
-	return name == identityName || strings.HasPrefix(name, segmentPrefix) ||
-		strings.HasPrefix(name, snapshotPrefix) || strings.HasPrefix(name, commitPrefix) || strings.HasSuffix(name, tempSuffix)
+	final := strings.TrimSuffix(name, tempSuffix)
+	return final == identityName || name == formName+tempSuffix || strings.HasPrefix(final, segmentPrefix) ||
+		strings.HasPrefix(final, snapshotPrefix) || strings.HasPrefix(final, commitPrefix)
 }
 
 // Reset moves the files of the data folder to asideFolder, where they replace the files of an
