admission: lateness, ends and returns from what is measured; less reading at once

Cause: gateways took what callers state less than the time limit for time that they had waited. Returning callers looked like first ones; ends of long answers were predicted from the ratio of short ones that a crash held up; and once requests no longer counted as late, twice as many prompts were read at once, since only late ones had been bound tightly.

Change: admission.Patience learns what first callers state while nobody is refused; refused callers are asked to stay away until they can be told from first ones; first events, ends and waits are predicted from what was measured, for requests with an objective; reading takes a third of the shortest objective instead of a half. Metrics and logs of held room and of predicted against real waits.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -39,6 +39,8 @@
 	Objective time.Duration
 	// Caller is the same for a request and its repetitions; empty means that repetitions aren't recognized.
 	Caller string
+	// ReturnAfter is the least time after which its caller is asked to come back if it is refused.
+	ReturnAfter time.Duration
 	Size
 }
 
@@ -85,6 +87,8 @@
 	RetryAfter time.Duration
 	// Predicted is the expected time until the answer is complete.
 	Predicted time.Duration
+	// PredictedWait is the part of it until the start, for a new request that waits or is refused.
+	PredictedWait time.Duration
 }
 
 // Options configure a Controller.
@@ -131,6 +135,7 @@
 	dueAt     time.Time
 	running   bool
 	begun     bool
+	begunAt   time.Time
 	started   time.Time
 	predicted time.Duration
 	// correction is the factor by which the forecast was multiplied to get predicted.
@@ -210,7 +215,7 @@
 func (c *Controller) queueNew(now time.Time, e *entry) []Action {
 	p := e.pool
 	wait := p.waitTime(now, e)
-	predicted := wait + p.serviceTime(now, e.Request)
+	predicted := wait + p.endTime(now, p.pace(now), e)
 	reason := Reason("")
 	switch {
 	case now.Add(predicted).After(e.Deadline):
@@ -221,9 +226,11 @@
 	if reason != "" {
 		c.drop(e)
 		p.removeIdle()
-		return []Action{c.refuse(p, e, reason, predicted)}
+		refusal := c.refuse(p, e, reason, predicted)
+		refusal.PredictedWait = wait
+		return []Action{refusal}
 	}
-	decision := Action{ID: e.ID, Verdict: Wait, Rank: e.rank(), Predicted: predicted}
+	decision := Action{ID: e.ID, Verdict: Wait, Rank: e.rank(), Predicted: predicted, PredictedWait: wait}
 	if p.queued() <= c.options.MaxQueued {
 		return []Action{decision}
 	}
@@ -243,7 +250,10 @@
 	if !ok || !e.running || e.begun {
 		return
 	}
-	e.begun = true
+	e.begun, e.begunAt = true, now
+	if e.isReading(now) {
+		e.pool.observeFirst(now, now.Sub(e.started))
+	}
 	delete(e.pool.unbegun, e)
 	if e.class.isLate() {
 		e.pool.lateReading--
--- a/admission/level.go
+++ b/admission/level.go
@@ -1,5 +1,7 @@
 package admission
 
+import "time"
+
 // Level says which requests of a pool are admitted now.
 type Level struct {
 	// Rank is the least urgent rank that is granted its whole demand, together with all more urgent ones. It is
@@ -66,3 +68,29 @@
 	}
 	return usage
 }
+
+// Held returns how many running requests of a pool at this instance have begun or can begin to be answered by their
+// objective, or have none, and how many haven't.
+func (c *Controller) Held(name string) (inTime, late int) {
+	for _, e := range c.requests {
+		switch {
+		case !e.running || e.Pool != name:
+		case e.missedObjective(c.now):
+			late++
+		default:
+			inTime++
+		}
+	}
+	return inTime, late
+}
+
+// missedObjective reports whether the answer of a running request has begun too late, or would if it began now.
+func (e *entry) missedObjective(now time.Time) bool {
+	if e.InTimeUntil.IsZero() {
+		return false
+	}
+	if e.begun {
+		now = e.begunAt
+	}
+	return now.After(e.InTimeUntil)
+}
--- a/admission/load_test.go
+++ b/admission/load_test.go
@@ -40,12 +40,19 @@
 	retries int
 	repeats bool
 
+	// pace is by how many times longer the answer takes than instances predict, as on a slow card; 0 means 1.
+	pace float64
+	// impatience is the share of the time limit that its caller leaves out when it says how long it waits.
+	impatience float64
+
 	tries   int
 	begunAt time.Duration
 	isBegun bool
 }
 
-func (c *call) service() time.Duration { return firstToken + time.Duration(c.tokens)*tokenTime }
+func (c *call) service() time.Duration {
+	return firstToken + time.Duration(float64(c.tokens)*cmp.Or(c.pace, 1)*float64(tokenTime))
+}
 
 func (c *call) objective() time.Duration { return objectives[c.rank] }
 
@@ -73,6 +80,9 @@
 	room func(at time.Duration) float64
 	// forecast is what instances expect relative to the room; 0 means 1.
 	forecast float64
+	// impatience is the largest share of the time limit that callers leave out when they say how long they wait. With it,
+	// instances know only from that who has come back; without, they know when each request first arrived.
+	impatience float64
 	// change alters a new call.
 	change func(c *call, random *rand.Rand)
 	// overload is set if rank 0 alone is more than the slots: the whole demand relative to them. The best order would
@@ -107,6 +117,9 @@
 				rank: rank, at: at, retries: 1, instance: random.IntN(l.instances),
 				workspace: fmt.Sprint("w", random.IntN(6)), tokens: tokens[rank]/2 + random.IntN(tokens[rank]),
 			}
+			if l.impatience > 0 {
+				c.impatience = l.impatience * random.Float64()
+			}
 			if l.change != nil {
 				l.change(c, random)
 			}
@@ -137,6 +150,7 @@
 	byID      map[string]*call
 	running   int
 	blocked   int
+	patience  Patience
 	// events are ordered from the latest to the next.
 	events []event
 	random *rand.Rand
@@ -160,6 +174,7 @@
 func (l *load) play(seed uint64) (*run, []*call) {
 	calls := l.calls(seed)
 	r := &run{load: l, byID: make(map[string]*call), random: rand.New(rand.NewPCG(seed, 9))}
+	observeFirst(&r.patience, r.random, 100, l.impatience)
 	for i := range l.instances {
 		r.instances = append(r.instances, New(Options{MaxQueued: 256, Seed: seed + uint64(i), ReportLag: l.lag}))
 	}
@@ -232,11 +247,31 @@
 	r.byID[id] = c
 	r.handle(c.instance, r.instances[c.instance].Arrive(r.clock(), Request{
 		ID: id, Pool: loadPool, Workspace: c.workspace, Share: 1, MaxInFlight: 1000, Rank: c.rank,
-		Deadline: epoch.Add(c.at + 20*time.Second), InTimeUntil: epoch.Add(c.at + c.objective()), Objective: c.objective(), Caller: fmt.Sprint(c.id),
-		Size: Size{Tokens: c.tokens},
+		Deadline: epoch.Add(c.at + callersLimit), InTimeUntil: epoch.Add(r.inTimeUntil(c)), Objective: c.objective(), Caller: fmt.Sprint(c.id),
+		Size: Size{Tokens: c.tokens}, ReturnAfter: r.returnAfter(c),
 	}))
 }
 
+func (r *run) returnAfter(c *call) time.Duration {
+	if r.load.impatience == 0 {
+		return 0
+	}
+	return r.patience.RecognizedAfter(callersLimit, r.left(c), c.objective())
+}
+
+// left returns how long the caller of a call says that it waits.
+func (r *run) left(c *call) time.Duration {
+	return time.Duration((1-c.impatience)*float64(callersLimit)) - (r.now - c.at)
+}
+
+// inTimeUntil returns until when a call is in time, as far as instances know.
+func (r *run) inTimeUntil(c *call) time.Duration {
+	if r.load.impatience == 0 {
+		return c.at + c.objective()
+	}
+	return r.now + c.objective() - r.patience.Waited(callersLimit, r.left(c))
+}
+
 func (r *run) handle(i int, actions []Action) {
 	for _, a := range actions {
 		c := r.byID[a.ID]
@@ -244,7 +279,7 @@
 		case Start:
 			r.start(i, a.ID, c)
 		case Refuse:
-			if c.tries > c.retries || r.now > c.at+4*c.objective() {
+			if c.tries > c.retries || r.load.impatience == 0 && r.now > c.at+4*c.objective() {
 				continue
 			}
 			wait := a.RetryAfter
@@ -279,7 +314,7 @@
 // calls that have room in proportion are placed before all others, so that no rank is.
 func (l *load) clairvoyant(calls []*call, duties bool) float64 {
 	const bin = 20 * time.Millisecond
-	room := make([]int, (defaultLength+30*time.Second)/bin)
+	room := make([]int, (max(l.length, defaultLength)+30*time.Second)/bin)
 	for i := range room {
 		room[i] = l.roomAt(time.Duration(i) * bin)
 	}
--- /dev/null
+++ b/admission/patience.go
@@ -0,0 +1,103 @@
+package admission
+
+import "time"
+
+const (
+	// maxReturnShare is the part of a route's time limit within which callers come back: they follow Retry-After up to
+	// a third of the time that they have left. One that states less has little patience.
+	maxReturnShare = 1.0 / 3
+	// statementBins is the number of intervals into which the shares up to maxReturnShare are counted.
+	statementBins = 64
+	// minStatements is the number of first requests from which it is known what callers usually state.
+	minStatements = 10
+	// unusualPart is the part of first requests that may state less than what counts as usual.
+	unusualPart = 1.0 / 50
+	// calmFor is how long nobody must have been refused until all requests count as first ones.
+	calmFor = maxRetryAfter
+)
+
+// Patience tells requests of callers that come back from first ones, by how long their callers still wait. Callers
+// state different times from the start, so a request counts as one that came back only if its caller states less
+// than callers of first requests do. Nobody comes back while nobody was refused, so first requests are those that
+// arrive then. It is not safe for concurrent use.
+type Patience struct {
+	counts [statementBins]int
+	total  int
+	// calmSince is since when nobody is refused, as far as it is known; zero means that somebody is, or that it isn't known.
+	calmSince time.Time
+}
+
+// SetCalm tells whether nobody is refused now, at any instance. Without knowledge of the others it must be called
+// with false.
+func (p *Patience) SetCalm(now time.Time, isCalm bool) {
+	switch {
+	case !isCalm:
+		p.calmSince = time.Time{}
+	case p.calmSince.IsZero() || p.calmSince.After(now):
+		p.calmSince = now
+	}
+}
+
+// Observe records what the caller of a new request states: limit is the longest time that callers wait, and left
+// the time that this one does. left is 0 if the caller states none.
+func (p *Patience) Observe(now time.Time, limit, left time.Duration) {
+	if p.calmSince.IsZero() || now.Sub(p.calmSince) < calmFor {
+		return
+	}
+	if share, ok := missingShare(limit, left); ok {
+		p.counts[binOf(share)]++
+		p.total++
+	}
+}
+
+// Waited returns how long the caller of a request has waited at least before it came back; 0 means that this may be
+// its first request.
+func (p *Patience) Waited(limit, left time.Duration) time.Duration {
+	share, ok := missingShare(limit, left)
+	if !ok || p.total < minStatements {
+		return 0
+	}
+	return time.Duration(max(0, share-p.usualShare()) * float64(limit))
+}
+
+// RecognizedAfter returns the time after which a caller that is refused now is told from those of first requests, by
+// at least the given time, when it comes back. It is 0 if that isn't known, or if the caller doesn't stay away so long.
+func (p *Patience) RecognizedAfter(limit, left, by time.Duration) time.Duration {
+	share, ok := missingShare(limit, left)
+	if !ok || p.total < minStatements {
+		return 0
+	}
+	after := time.Duration(max(0, p.usualShare()-share)*float64(limit)) + by
+	if float64(after) > maxReturnShare*float64(left) {
+		return 0
+	}
+	return after
+}
+
+// usualShare returns the share of the limit that callers of first requests leave out at most, but for unusualPart of them.
+func (p *Patience) usualShare() float64 {
+	beyond := p.total
+	for i, n := range p.counts {
+		if beyond -= n; float64(beyond) <= unusualPart*float64(p.total) {
+			if i == 0 {
+				return 0
+			}
+			return float64(i+1) * maxReturnShare / statementBins
+		}
+	}
+	return maxReturnShare
+}
+
+// missingShare returns by what share of the limit the stated time is shorter, and false if that says nothing about
+// the time before.
+func missingShare(limit, left time.Duration) (float64, bool) {
+	if left <= 0 || limit <= 0 || left > limit {
+		return 0, false
+	}
+	share := float64(limit-left) / float64(limit)
+	return share, share <= maxReturnShare
+}
+
+func binOf(share float64) int {
+	return min(statementBins-1, int(share/maxReturnShare*statementBins))
+}
--- a/admission/pool.go
+++ b/admission/pool.go
@@ -125,17 +125,24 @@
 	}
 }
 
-// isLate reports whether a request can no longer begin to be answered within its objective. The predicted time
-// until the first token counts for half of the objective at most, so that a forecast that is too slow doesn't make
-// every request late.
+// isLate reports whether a request can no longer begin to be answered within its objective, as fast as answers have
+// begun lately. A time that is only forecast counts for half of the objective at most, so that a forecast that is too
+// slow doesn't make every request late.
 func (p *pool) isLate(now time.Time, e *entry) bool {
+	if e.InTimeUntil.IsZero() {
+		return false
+	}
+	left := e.InTimeUntil.Sub(now)
+	if first, ok := p.usualFirst(now); ok {
+		return left < min(first, e.objective())
+	}
 	half := e.objective() / 2
-	if e.InTimeUntil.IsZero() || !now.Add(half).After(e.InTimeUntil) {
+	if left >= half {
 		return false
 	}
 	r := e.Request
 	r.Tokens = 0
-	return now.Add(min(p.serviceTime(now, r), half)).After(e.InTimeUntil)
+	return left < min(p.serviceTime(now, r), half)
 }
 
 // roundingError is the tolerance for floating-point errors in the sum of granted parts.
--- a/admission/service.go
+++ b/admission/service.go
@@ -29,6 +29,30 @@
 	averageTime time.Duration
 	// meanTime is the same, but starts with the first request, where averageTime starts at 0.
 	meanTime time.Duration
+	// meanForecast is a moving average of the forecast times of the requests in meanTime.
+	meanForecast time.Duration
+	// firstTime is a moving average of the time from a start until the answer begins, and firstDeviation of how far
+	// single times are above it. firstAt is when one was observed last; zero means never.
+	firstTime, firstDeviation time.Duration
+	firstAt                   time.Time
+}
+
+// observeFirst updates the moving averages with a request whose answer has begun. Those that waited for a server that
+// hung (isReading) say nothing about it.
+func (s *service) observeFirst(now time.Time, took time.Duration) {
+	if s.firstAt.IsZero() {
+		s.firstTime = took
+	}
+	s.firstAt = now
+	above := max(0, took-s.firstTime)
+	s.firstTime += time.Duration(ratioWeight * float64(took-s.firstTime))
+	s.firstDeviation += time.Duration(ratioWeight * float64(above-s.firstDeviation))
+}
+
+// usualFirst returns the time from a start until the answer begins, as it was lately, and false if none was seen for
+// ratioHalfLife.
+func (s *service) usualFirst(now time.Time) (time.Duration, bool) {
+	return s.firstTime + s.firstDeviation, isWithin(now, s.firstAt, ratioHalfLife)
 }
 
 // correction returns the factor by which forecast times are multiplied. It is learned from ended
@@ -51,6 +75,11 @@
 	if predicted <= 0 {
 		return
 	}
+	forecast := time.Duration(float64(predicted) / correction)
+	if s.meanForecast == 0 {
+		s.meanForecast = forecast
+	}
+	s.meanForecast += time.Duration(ratioWeight * float64(forecast-s.meanForecast))
 	s.ratioUpdatedAt = now
 	observed := float64(took) / float64(predicted) * correction
 	observed = min(maxRatio, max(minRatio, observed))
@@ -86,6 +115,20 @@
 	return 1 + (p.forecast.FullLoadFactor-1)*min(1, float64(p.running+p.queued()+1)/p.localCapacity)
 }
 
+// endTime predicts the time from the start to the end of a request, for the decision whether it ends before its
+// deadline. For requests with an objective it is the forecast times what requests took lately for what was forecast,
+// all together: a short answer that was held up for a while takes several times its forecast, which says nothing
+// about a long one.
+func (p *pool) endTime(now time.Time, at pace, e *entry) time.Duration {
+	if e.objective() > 0 && p.meanForecast > 0 {
+		at.correction = 1
+		if isWithin(now, p.ratioUpdatedAt, ratioHalfLife) {
+			at.correction = float64(p.meanTime) / float64(p.meanForecast)
+		}
+	}
+	return p.pacedTime(at, e.Request)
+}
+
 // usualTime returns the mean service time, or that of a request without prompt and answer if none has ended.
 func (p *pool) usualTime(now time.Time) time.Duration {
 	if p.meanTime == 0 {
@@ -94,10 +137,14 @@
 	return p.meanTime
 }
 
-// expectedTime returns the usual service time of a request in the pool, for the prediction of waits.
-func (p *pool) expectedTime(at pace, r Request) time.Duration {
-	if p.averageTime == 0 {
-		return p.pacedTime(at, r)
+// expectedTime returns the usual service time of a request in the pool, for the prediction of waits. With an objective
+// the length of the request itself says nothing about those before it.
+func (p *pool) expectedTime(at pace, e *entry) time.Duration {
+	switch {
+	case p.averageTime == 0:
+		return p.pacedTime(at, e.Request)
+	case e.objective() > 0:
+		return max(p.averageTime, p.meanTime)
 	}
-	return max(p.averageTime, p.pacedTime(at, r)/2)
+	return max(p.averageTime, p.pacedTime(at, e.Request)/2)
 }
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -38,7 +38,7 @@
 
 // waitBehind predicts the wait for a number of places in a queue.
 func (p *pool) waitBehind(at pace, e *entry, w *workspace, places float64) time.Duration {
-	return time.Duration(float64(p.expectedTime(at, e.Request)) * places / max(w.limit, minLimit))
+	return time.Duration(float64(p.expectedTime(at, e)) * places / max(w.limit, minLimit))
 }
 
 // isHopeless reports whether a new request has others before it and its predicted wait is longer than it may wait.
@@ -73,7 +73,7 @@
 			for i, e := range w.waiting {
 				wait := p.waitBehind(at, e, w, expiryWaitFactor*float64(i))
 				until, isBounded := e.waitsUntil()
-				if now.Add(wait+p.pacedTime(at, e.Request)).After(e.Deadline) || isBounded && now.After(until) {
+				if now.Add(wait+p.endTime(now, at, e)).After(e.Deadline) || isBounded && now.After(until) {
 					expired = append(expired, e)
 				}
 			}
@@ -99,7 +99,7 @@
 	backlog, position, ranks := p.backlogTime(e.rank())
 	base := min(maxRetryAfter/retrySpread, max(minRetryAfter, backlog))
 	spread := 1 + (retrySpread-1)*(float64(position)+c.random.Float64())/float64(ranks)
-	retryAfter := time.Duration(math.Round(float64(base) * spread))
+	retryAfter := max(time.Duration(math.Round(float64(base)*spread)), e.ReturnAfter)
 	c.expectReturn(c.now, e, retryAfter)
 	return Action{
 		ID:         e.ID,
--- a/gateway/admission_room.go
+++ b/gateway/admission_room.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math"
 	"time"
 
 	"github.com/balsamlb/balsamlb/admission"
@@ -15,6 +14,7 @@
 		return
 	}
 	others, isHeard := g.othersDemand(v, now)
+	g.admitter.setCalm(now, g.options.Mesh.PeerDemand().Demand, isHeard)
 	g.admitter.mu.Lock()
 	g.admitter.controller.SetPeerUsage(othersName, others)
 	g.admitter.mu.Unlock()
@@ -25,15 +25,18 @@
 		f := g.forecast(v, s, now, others)
 		a := g.admitter
 		a.mu.Lock()
+		a.patienceOf(s.Name)
 		a.controller.SetForecast(s.Name, f)
 		level, ok := a.controller.Level(s.Name)
 		changed := ok && level.Rank != a.levels[s.Name].Rank
 		a.levels[s.Name] = level
+		inTime, late := a.controller.Held(s.Name)
 		a.mu.Unlock()
+		g.metrics.Admission.SetHeld(s.Name, inTime, late)
 		g.metrics.Admission.SetRoom(s.Name, float64(f.Slots), level.Rank)
 		if changed {
 			g.options.Log.Info("the least urgent rank that is admitted whole has changed", "service", s.Name, "rank", level.Rank, "room", f.Slots,
-				"late_readers", f.LateReaders, "demand", level.Demand, "hears_others", isHeard)
+				"late_readers", f.LateReaders, "demand", level.Demand, "running_in_time", inTime, "running_late", late, "hears_others", isHeard)
 		}
 	})
 }
@@ -126,15 +129,16 @@
 	return free, reads
 }
 
-// readers returns how many drafts may read their prompts here at a time, so that those of all gateways take half of
-// the shortest objective, and how many of them may be late ones, a third of it.
+// readers returns how many drafts may read their prompts here at a time, so that those of all gateways take a third of
+// the shortest objective, and how many of them may be late ones, half of that. What waits for longer waits here, where
+// it is ordered: at the servers it would hold up the drafts that run, too.
 func (g *Gateway) readers(v *view, service string, reads float64) (all, late int) {
 	objective := v.table.ShortestObjective(service)
 	if objective <= 0 || reads <= 0 {
 		return 0, 0
 	}
 	here := reads * objective.Seconds() / float64(g.gatewaysHere(v))
-	return max(2, int(math.Ceil(here/2))), max(1, int(here/3))
+	return max(1, int(here/3)), max(1, int(here/6))
 }
 
 // plainSlots returns how many requests of a plain service the gateways of this data centre may run at a time: as many
--- a/gateway/admitter.go
+++ b/gateway/admitter.go
@@ -45,6 +45,9 @@
 	refused map[refusedKey][]time.Time
 	// services holds the ranked services that had requests.
 	services map[string]bool
+	// patience tells, by service, which callers come back, and toldToReturn is when one was last asked to.
+	patience     map[string]*admission.Patience
+	toldToReturn time.Time
 	// levels holds the last logged level of each service.
 	levels map[string]admission.Level
 }
@@ -61,6 +64,7 @@
 		running:    make(map[string]int),
 		refused:    make(map[refusedKey][]time.Time),
 		services:   make(map[string]bool),
+		patience:   make(map[string]*admission.Patience),
 		levels:     make(map[string]admission.Level),
 	}
 }
@@ -85,6 +89,38 @@
 	a.refused[k] = append(recent(a.refused[k], now), now)
 }
 
+// patienceOf returns what is known of the callers of a service. The caller holds mu.
+func (a *admitter) patienceOf(service string) *admission.Patience {
+	p := a.patience[service]
+	if p == nil {
+		p = new(admission.Patience)
+		a.patience[service] = p
+	}
+	return p
+}
+
+// recordToldToReturn records that a caller was refused and asked to come back.
+func (a *admitter) recordToldToReturn(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.toldToReturn = now
+}
+
+// setCalm tells for each service that is known whether somebody is refused, here or at the others of this data centre.
+// Without a report of theirs that isn't known.
+func (a *admitter) setCalm(now time.Time, others []mesh.RankDemand, isHeard bool) {
+	refused := make(map[string]bool)
+	for _, d := range others {
+		refused[d.Service] = refused[d.Service] || d.Refused > 0
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	isCalmHere := isHeard && (a.toldToReturn.IsZero() || now.Sub(a.toldToReturn) > refusedWindow)
+	for service, p := range a.patience {
+		p.SetCalm(now, isCalmHere && !refused[service])
+	}
+}
+
 // recent returns the times that are not older than refusedWindow.
 func recent(times []time.Time, now time.Time) []time.Time {
 	for len(times) > 0 && now.Sub(times[0]) > refusedWindow {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -457,6 +457,7 @@
 	h := w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if f.retryAfter > 0 {
+		g.admitter.recordToldToReturn(time.Now())
 		h.Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 3, 64))
 	}
 	w.WriteHeader(f.status)
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -24,7 +24,13 @@
 	// refusal is set if the request was refused.
 	refusal *admission.Action
 	arrived time.Time
-	size    admission.Size
+	// waitedBefore is how long the caller has waited at least before it sent this request.
+	waitedBefore time.Duration
+	// returnAfter is the time after which the caller is told from one of a first request if it comes back.
+	returnAfter time.Duration
+	size        admission.Size
+	// predictedWait is the predicted time until the start, as of the arrival.
+	predictedWait time.Duration
 }
 
 // newPlace returns the place of a request, which leave must end.
@@ -42,6 +48,7 @@
 		a.running[j.service.Name]++
 		return p
 	}
+	p.recordCaller()
 	a.services[j.service.Name] = true
 	a.nextID++
 	p.id = strconv.FormatUint(a.nextID, 10)
@@ -77,8 +84,12 @@
 	if !p.ranked {
 		return
 	}
-	if objective := p.job.route.Objective; objective > 0 && time.Since(p.job.arrived) <= objective {
-		p.gateway.metrics.Admission.Count(p.job.service.Name, p.rank(), metrics.AdmissionInTime)
+	if p.job.route.Objective > 0 {
+		state := metrics.AdmissionInTime
+		if time.Now().After(p.request().InTimeUntil) {
+			state = metrics.AdmissionLate
+		}
+		p.gateway.metrics.Admission.Count(p.job.service.Name, p.rank(), state)
 	}
 	a := p.gateway.admitter
 	a.mu.Lock()
@@ -86,22 +97,25 @@
 	a.controller.Begun(time.Now(), p.id)
 }
 
-// maxReturnShare is the part of a route's time limit within which callers come back: they follow Retry-After up to
-// a third of the time that they have left.
-const maxReturnShare = 1.0 / 3
-
-// timeUsed returns how long a caller has waited before this request. One that comes back waits for less than the
-// route's time limit; one that waits for much less has only little patience. One that goes on with a stream that
-// broke off is late.
-func timeUsed(r *routing.Route, h *RequestHeader) time.Duration {
+// waitedBefore returns how long the caller of a request has waited at least before it sent this one. One that goes on
+// with a stream that broke off is late.
+func waitedBefore(patience *admission.Patience, r *routing.Route, h *RequestHeader) time.Duration {
 	if h.LastEvent != "" {
 		return r.Objective
 	}
-	used := r.TimeLimit - h.TimeLeft
-	if h.TimeLeft <= 0 || used < 0 || used > time.Duration(maxReturnShare*float64(r.TimeLimit)) {
-		return 0
+	return patience.Waited(r.TimeLimit, h.TimeLeft)
+}
+
+// recordCaller learns from what the caller of a new request states, and sets how long it has waited before. The
+// caller holds the lock of the admitter.
+func (p *place) recordCaller() {
+	j := p.job
+	patience := p.gateway.admitter.patienceOf(j.service.Name)
+	if j.origin == nil && j.header.LastEvent == "" {
+		patience.Observe(p.arrived, j.route.TimeLimit, j.header.TimeLeft)
 	}
-	return used
+	p.waitedBefore = waitedBefore(patience, j.route, &j.header)
+	p.returnAfter = patience.RecognizedAfter(j.route.TimeLimit, j.header.TimeLeft, j.route.Objective)
 }
 
 // request describes the place for the admission engine.
@@ -110,10 +124,10 @@
 	objective := j.route.Objective
 	r := admission.Request{
 		ID: p.id, Pool: j.service.Name, Workspace: j.workspace, Share: 1, MaxInFlight: maxWorkspaceInFlight, Deadline: j.deadline,
-		Rank: p.rank(), Objective: objective, Size: p.size,
+		Rank: p.rank(), Objective: objective, Size: p.size, ReturnAfter: p.returnAfter,
 	}
 	if objective > 0 {
-		r.InTimeUntil = j.arrived.Add(objective - timeUsed(j.route, &j.header))
+		r.InTimeUntil = j.arrived.Add(objective - p.waitedBefore)
 	}
 	return r
 }
@@ -142,7 +156,9 @@
 		p.decisions = make(chan admission.Action, 1)
 		a.mu.Lock()
 		a.waiting[p.id] = p.decisions
-		a.deliver(a.controller.Arrive(time.Now(), p.request()))
+		actions := a.controller.Arrive(time.Now(), p.request())
+		p.predictedWait = actions[0].PredictedWait
+		a.deliver(actions)
 		a.mu.Unlock()
 	}
 	ticker := time.NewTicker(resumePollInterval)
@@ -170,7 +186,7 @@
 // refuse keeps the decision that the request is not to run now.
 func (p *place) refuse(d admission.Action) {
 	p.refusal = &d
-	p.gateway.recordRefused(p, string(d.Reason), d.RetryAfter)
+	p.gateway.recordRefused(p, d)
 }
 
 // failure says why the request may not run.
@@ -196,13 +212,14 @@
 	decision := metrics.AdmissionStarted
 	if waited > admissionInterval/2 {
 		decision = metrics.AdmissionWaited
+		g.metrics.Admission.SetWaitError(p.job.service.Name, waited-p.predictedWait)
 		g.options.Log.Info("a request has waited for room", "request", p.job.header.ID, "service", p.job.service.Name, "rank", p.rank(),
-			"is_late", p.isLate(), "waited_ms", waited.Milliseconds(), "time_left_ms", p.job.header.TimeLeft.Milliseconds())
+			"is_late", p.isLate(), "waited_ms", waited.Milliseconds(), "predicted_wait_ms", p.predictedWait.Milliseconds(), "waited_before_ms", p.waitedBefore.Milliseconds(), "time_left_ms", p.job.header.TimeLeft.Milliseconds())
 	}
 	g.metrics.Admission.Count(p.job.service.Name, p.rank(), decision)
 }
 
-func (g *Gateway) recordRefused(p *place, reason string, retryAfter time.Duration) {
+func (g *Gateway) recordRefused(p *place, d admission.Action) {
 	j := p.job
 	a := g.admitter
 	a.recordRefusal(time.Now(), j.service.Name, p.rank())
@@ -211,6 +228,6 @@
 	a.mu.Unlock()
 	g.metrics.Admission.Count(j.service.Name, p.rank(), metrics.AdmissionRefused)
 	g.options.Log.Info("refused a request for lack of room", "request", j.header.ID, "service", j.service.Name, "rank", p.rank(), "workspace", j.workspace,
-		"why", reason, "is_late", p.isLate(), "level", level.Rank, "room", level.Capacity, "waited_ms", time.Since(p.arrived).Milliseconds(), "retry_after_ms", retryAfter.Milliseconds(),
+		"why", string(d.Reason), "predicted_wait_ms", p.predictedWait.Milliseconds(), "predicted_ms", d.Predicted.Milliseconds(), "time_left_ms", time.Until(j.deadline).Milliseconds(), "is_late", p.isLate(), "level", level.Rank, "room", level.Capacity, "waited_ms", time.Since(p.arrived).Milliseconds(), "retry_after_ms", d.RetryAfter.Milliseconds(),
 		"demand_age_ms", time.Since(g.options.Mesh.PeerDemand().At).Milliseconds())
 }
--- a/gateway/ranked_test.go
+++ b/gateway/ranked_test.go
@@ -69,6 +69,26 @@
 	}
 }
 
+// A caller that states less than the route's limit from the start isn't late.
+func TestUrgentRequestOfAnImpatientCallerGetsTheNextPlaceBeforeCheapOnes(t *testing.T) {
+	is := is.New(t)
+	document := strings.ReplaceAll(rankedDocument("0", "2"), `"TargetLatencyMs":9000`, `"TargetLatencyMs":4000`)
+	f, reached, end, answered := startBusyDesk(t, document)
+	for range 3 {
+		f.ask("/cheap/waiting", answered)
+	}
+	f.until(func() bool { return f.gateway.Waiting() == 3 })
+	go func() { answered <- f.get("/urgent/1", map[string]string{"Balsamlb-Deadline-Ms": "14000"}) }()
+	f.until(func() bool { return f.gateway.Waiting() == 4 })
+	is.Equal(len(reached), 0)
+	end <- struct{}{}
+	is.Equal(<-reached, "/urgent/1")
+	close(end)
+	for range 8 {
+		is.Equal((<-answered).status, http.StatusOK)
+	}
+}
+
 // As before: the server itself decides about requests beyond its slots.
 func TestRequestsOfOneRankGoToTheServerAtOnce(t *testing.T) {
 	is := is.New(t)
--- a/metrics/admission.go
+++ b/metrics/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 )
@@ -20,11 +21,19 @@
 	AdmissionWaited  = "waited"
 	AdmissionRefused = "refused"
 	AdmissionInTime  = "in_time"
+	AdmissionLate    = "late"
 )
 
+// LabelState is whether a request begins to be answered by its objective: AdmissionInTime or AdmissionLate.
+const LabelState = "state"
+
 var (
 	gatewayAdmissionTotal = description{"balsamlb_gateway_admission_total", counter, []string{LabelService, LabelRank, LabelDecision},
-		"Requests of ranked services by rank: started at once, started after a wait, refused for lack of room, and begun to be answered by their objective."}
+		"Requests of ranked services by rank: started at once, started after a wait, refused for lack of room, begun to be answered by their objective, and begun later."}
+	gatewayHeldRoom = description{"balsamlb_gateway_held_room", gauge, []string{LabelService, LabelState},
+		"Running requests of a ranked service at this gateway: those that begin to be answered by their objective, and late ones."}
+	gatewayWaitError = description{"balsamlb_gateway_wait_error_seconds", gauge, []string{LabelService},
+		"By how much the last request of a ranked service that waited for room has waited longer than predicted; negative: shorter."}
 	gatewayRoom = description{"balsamlb_gateway_room", gauge, []string{LabelService},
 		"Requests of a ranked service that the gateways of this data centre can run together, those that run included."}
 	gatewayLevel = description{"balsamlb_gateway_admitted_rank", gauge, []string{LabelService},
@@ -39,6 +48,8 @@
 	room      *prometheus.GaugeVec
 	level     *prometheus.GaugeVec
 	free      *prometheus.GaugeVec
+	held      *prometheus.GaugeVec
+	waitError *prometheus.GaugeVec
 }
 
 func newAdmission(r prometheus.Registerer) *Admission {
@@ -47,8 +58,10 @@
 		room:      newGaugeVec(gatewayRoom),
 		level:     newGaugeVec(gatewayLevel),
 		free:      newGaugeVec(gatewayFreeRoom),
+		held:      newGaugeVec(gatewayHeldRoom),
+		waitError: newGaugeVec(gatewayWaitError),
 	}
-	r.MustRegister(a.decisions, a.room, a.level, a.free)
+	r.MustRegister(a.decisions, a.room, a.level, a.free, a.held, a.waitError)
 	return a
 }
 
@@ -72,3 +85,14 @@
 	a.free.DeletePartialMatch(prometheus.Labels{LabelService: service})
 	a.free.WithLabelValues(service, limit).Set(drafts)
 }
+
+// SetHeld sets how many running requests of a service are in time and how many are late.
+func (a *Admission) SetHeld(service string, inTime, late int) {
+	a.held.WithLabelValues(service, AdmissionInTime).Set(float64(inTime))
+	a.held.WithLabelValues(service, AdmissionLate).Set(float64(late))
+}
+
+// SetWaitError sets by how much a request has waited longer than predicted.
+func (a *Admission) SetWaitError(service string, longer time.Duration) {
+	a.waitError.WithLabelValues(service).Set(longer.Seconds())
+}
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -51,7 +51,7 @@
 	gatewayLostRunsTotal, gatewayQuarantinedTotal, gatewayHeldBackTotal,
 	gatewayRejectedSendsTotal, gatewayClaimsHeldBackTotal,
 	gatewayUnresponsive, gatewayCutOff, gatewayRelayedTotal,
-	gatewayAdmissionTotal, gatewayRoom, gatewayLevel, gatewayFreeRoom,
+	gatewayAdmissionTotal, gatewayRoom, gatewayLevel, gatewayFreeRoom, gatewayHeldRoom, gatewayWaitError,
 }
 
 // Histogram buckets of a gateway, in seconds. They cover the latency objectives of known
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -65,6 +65,8 @@
 	g.Admission.Count("advice", 0, AdmissionStarted)
 	g.Admission.SetRoom("advice", 3, 1)
 	g.Admission.SetFree("advice", 2, "memory")
+	g.Admission.SetHeld("draft", 3, 1)
+	g.Admission.SetWaitError("draft", 0)
 	families, err := r.Gather()
 	is.NoErr(err)
 	described := make(map[string]bool)
