admission: follow callers whose stated times change

Counts of what first callers state are halved at 1,000. Found by reading: without it a change of callers was followed only after as many requests as had been seen before. TestCallersThatBecomeMorePatientAreFollowed fails without it.

--- a/admission/patience.go
+++ b/admission/patience.go
@@ -10,6 +10,8 @@
 	statementBins = 64
 	// minStatements is the number of first requests from which it is known what callers usually state.
 	minStatements = 10
+	// maxStatements is the number of statements at which all counts are halved, so that callers that change are followed.
+	maxStatements = 1000
 	// unusualPart is the part of first requests that may state less than what counts as usual.
 	unusualPart = 1.0 / 50
 	// calmFor is how long nobody must have been refused until all requests count as first ones.
@@ -48,6 +50,17 @@
 		p.counts[binOf(share)]++
 		p.total++
 	}
+	if p.total >= maxStatements {
+		p.halve()
+	}
+}
+
+func (p *Patience) halve() {
+	p.total = 0
+	for i := range p.counts {
+		p.counts[i] /= 2
+		p.total += p.counts[i]
+	}
 }
 
 // Waited returns how long the caller of a request has waited at least before it came back; 0 means that this may be
--- a/admission/patience_test.go
+++ b/admission/patience_test.go
@@ -84,3 +84,13 @@
 	}
 	is.Equal(p.Waited(callersLimit, 16*time.Second), before)
 }
+
+func TestCallersThatBecomeMorePatientAreFollowed(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	var p Patience
+	observeFirst(&p, random, 5000, 0.3)
+	is.Equal(p.Waited(callersLimit, 15*time.Second), time.Duration(0))
+	observeFirst(&p, random, 10*maxStatements, 0)
+	is.Equal(p.Waited(callersLimit, 15*time.Second), 5*time.Second)
+}
