--- /dev/null
+++ b/consensus/lost_vote_test.go
@@ -0,0 +1,59 @@
+package consensus
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a restarted voter that has lost its vote and passes, because an append of that term arrives before the
+// rejection: it could vote a second time in the term.
+func TestLostVoteIsFoundBesideAnAppend(t *testing.T) {
+	is := is.New(t)
+	m := Membership{Group: 1, Size: 3}
+	for i, id := range []string{"a", "b", "c"} {
+		m.Voters = append(m.Voters, Voter{ID: id, Disk: uint64(i) + 1})
+	}
+	s := Snapshot{Index: 1, Term: 1, Membership: m}
+	start := func(id string, disk, starts uint64) *Node {
+		return New(Options{ID: id, Disk: disk, Epoch: starts << EpochNonceBits, InitialVoters: []string{"a", "b", "c"}, ElectionTicks: 10, HeartbeatTicks: 2},
+			HardState{Term: 1}, s, nil)
+	}
+	a := start("a", 1, 1)
+	a.verification.done = true
+	for range 20 {
+		a.Tick()
+	}
+	a.messages = nil
+	a.becomeCandidate(false) // term 2
+	a.Step(Message{Kind: KindVoteReply, From: "b", To: "a", Group: 1, Disk: 2, Epoch: 1 << EpochNonceBits, Term: 2})
+	is.Equal(a.Role(), RoleLeader)
+	a.Advance(a.Ready())
+
+	b := start("b", 2, 2) // with the folder of term 1
+	var question Message
+	for question.Kind != KindVerify {
+		b.Tick()
+		for _, x := range b.Ready().Messages {
+			if x.Kind == KindVerify && x.To == "a" {
+				question = x
+			}
+		}
+	}
+	b.Advance(b.Ready())
+	// The append begins beyond b's log, so b stores nothing of it but the term.
+	b.Step(Message{Kind: KindAppend, From: "a", To: "b", Group: 1, Disk: 1, Epoch: 1 << EpochNonceBits, Term: 2, PrevIndex: 2, PrevTerm: 2, Commit: 1})
+	for _, x := range b.Ready().Messages {
+		if x.To == "a" {
+			a.Step(x) // a hears of the new start before the question comes
+		}
+	}
+	b.Advance(b.Ready())
+	a.Step(question)
+	for _, x := range a.Ready().Messages {
+		if x.Kind == KindVerifyReply {
+			b.Step(x)
+		}
+	}
+	is.True(b.IsRolledBack())
+}
--- a/consensus/verify.go
+++ b/consensus/verify.go
@@ -31,10 +31,11 @@
 type voterRecord struct {
 	disk  uint64
 	epoch uint64
-	// term is the highest term that the voter is known to have been in, and stored is the last
-	// position that the voter is known to have stored.
-	term   uint64
-	stored Position
+	// term is the highest term that the voter is known to have been in, earlierTerm that of its starts before
+	// the one of epoch, and stored is the last position that the voter is known to have stored.
+	term        uint64
+	earlierTerm uint64
+	stored      Position
 }
 
 // IsRolledBack reports whether the data folder of this replica is older than the records that
@@ -160,7 +161,8 @@
 	if record == nil || record.disk != m.Disk {
 		return false, nil
 	}
-	if isOlderEpoch(m.Epoch, record.epoch) {
+	// A term of an earlier start may be one in which the voter has voted, which nothing stored since makes good.
+	if isOlderEpoch(m.Epoch, record.epoch) || m.Term < record.termBefore(m.Epoch) {
 		return true, nil
 	}
 	if m.Term < record.term || (Position{Term: m.PrevTerm, Index: m.PrevIndex}).less(record.stored) {
@@ -169,6 +171,14 @@
 	return false, nil
 }
 
+// termBefore returns the highest term that the voter is known to have been in before its start of the epoch.
+func (r *voterRecord) termBefore(epoch uint64) uint64 {
+	if r.epoch == epoch {
+		return r.earlierTerm
+	}
+	return r.term
+}
+
 // explainsRecord reports whether this replica's state is not older than the record in a rejection. The request
 // was then overtaken by what this replica has stored since, and a later one is confirmed.
 func (n *Node) explainsRecord(m Message) bool {
@@ -211,6 +221,7 @@
 		record = &voterRecord{disk: m.Disk}
 		n.voterRecords[m.From] = record
 	}
+	record.earlierTerm = record.termBefore(m.Epoch)
 	record.epoch = m.Epoch
 	return record
 }
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -185,7 +185,6 @@
 // of, also after a restart; its own term may be that of a candidate who lost.
 func (c *Controller) recordStatus(s control.Status) {
 	c.status.Store(&s)
-	c.recordConfirmation(s)
 	if s.HasQuorum {
 		c.lastQuorum.Store(int64(time.Since(c.started)))
 	}
--- a/mesh/fetch.go
+++ b/mesh/fetch.go
@@ -221,7 +221,17 @@
 	if encoded == nil || err != nil {
 		return goesOn, err
 	}
-	return false, m.publishEncoded(routing.Publication{Version: resp.Version, Bytes: encoded}, resp.Hash)
+	err = m.publishEncoded(routing.Publication{Version: resp.Version, Bytes: encoded}, resp.Hash)
+	if err != nil {
+		m.dropPartial(resp.Version) // otherwise the rest of this document is asked for in place of a newer one
+	}
+	return false, err
+}
+
+func (m *Mesh) dropPartial(version uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fetches.partials.drop(version)
 }
 
 // addPart adds a part of a document. It returns the encoded document once that is complete.
