--- a/instance/conn.go
+++ b/instance/conn.go
@@ -69,7 +69,9 @@
 
 func (c *observedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.onReceived(n)
+	if n > 0 {
+		c.onReceived(n)
+	}
 	return n, err
 }
 
--- a/internal/archtest/production_test.go
+++ b/internal/archtest/production_test.go
@@ -19,8 +19,7 @@
 	return strings.TrimSpace(string(out)), err
 }
 
-// A day with an upgrade can't begin with a version that the bench can't build, and an upgrade from a build
-// to itself shows nothing.
+// Guards against a deploy file that names a version which can't be built, or this build itself, as the one to upgrade from.
 func TestProductionIsAnEarlierCommitOfTheHistory(t *testing.T) {
 	is := is.New(t)
 	text, err := os.ReadFile(filepath.Join("..", "..", "deploy", "system.toml"))
--- a/mesh/confirmation.go
+++ b/mesh/confirmation.go
@@ -38,10 +38,10 @@
 	// is kept, so that documents that change faster than they are fetched are confirmed, too.
 	announced [2]Confirmation
 	newest    uint64
-	// confirmers says of each connected control instance whether it confirms documents. wereExpected is what
+	// confirmers says of each connected control instance whether it confirms documents. isExpected is what
 	// IsExpected was while the last of them was connected.
-	confirmers   map[string]bool
-	wereExpected bool
+	confirmers map[string]bool
+	isExpected bool
 	// confirms is set on a control instance whose replica can tell the age of its state.
 	confirms bool
 }
@@ -51,7 +51,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c := m.documentAge.confirmed
-	c.IsExpected = m.documentAge.confirms || m.documentAge.wereExpected
+	c.IsExpected = m.documentAge.confirms || m.documentAge.isExpected
 	c.InForce = m.document.Version
 	c.Newest = max(m.documentAge.newest, c.InForce)
 	return c
@@ -116,9 +116,9 @@
 	if len(d.confirmers) == 0 {
 		return // without a connection, nobody has taken back what was expected
 	}
-	d.wereExpected = false
+	d.isExpected = false
 	for _, confirms := range d.confirmers {
-		d.wereExpected = d.wereExpected || confirms
+		d.isExpected = d.isExpected || confirms
 	}
 }
 
--- a/mesh/delivery_status.go
+++ b/mesh/delivery_status.go
@@ -72,8 +72,8 @@
 }
 
 const (
-	// maxBehind is how long a document that was heard of may be not in force before that is logged. It leaves the
-	// reader two thirds of the time within which deployments want it in force.
+	// maxBehind is how long a document that was heard of may be not in force before that is logged. It is
+	// half of the time within which a document has to be in force by default.
 	maxBehind = time.Second
 	// maxAttempts bounds the fetches that the log line names: the latest ones.
 	maxAttempts = 16
--- a/mesh/fetch.go
+++ b/mesh/fetch.go
@@ -20,8 +20,8 @@
 	errWrongPart  = errors.New("mesh: the answer holds another part of the document than was asked for")
 )
 
-// wayOfDocument is how a document is asked for.
-type wayOfDocument struct {
+// fetchForms says in which forms a document is no longer asked for.
+type fetchForms struct {
 	// withoutPatch is set after a patch that didn't lead to the right text, withoutParts after such parts.
 	withoutPatch, withoutParts bool
 }
@@ -30,7 +30,7 @@
 type documentFetches struct {
 	plan     *delivery.Plan
 	partials partialDocuments
-	way      wayOfDocument
+	forms    fetchForms
 	// wake has an element if the plan may have something to do.
 	wake chan struct{}
 	// cancels ends the fetches in flight, by address.
@@ -155,8 +155,8 @@
 		}
 		m.countReceived(resp)
 		goesOn, err := m.takeAnswer(address, req, resp, base)
-		if errors.Is(err, errWrongHash) && m.takesOtherWay(resp) {
-			m.options.Log.Info("the document arrived damaged and is fetched in another way", "address", address, "version", resp.Version, "is_patch", resp.Patches)
+		if errors.Is(err, errWrongHash) && m.takesOtherForm(resp) {
+			m.options.Log.Info("the document arrived damaged and is fetched in another form", "address", address, "version", resp.Version, "is_patch", resp.Patches)
 			continue
 		}
 		if err != nil || !goesOn {
@@ -187,11 +187,11 @@
 func (m *Mesh) fetchRequest(named uint64) (req *wire.FetchRoutingRequest, base []byte) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	req = &wire.FetchRoutingRequest{HaveVersion: m.document.Version, TakesParts: !m.fetches.way.withoutParts}
+	req = &wire.FetchRoutingRequest{HaveVersion: m.document.Version, TakesParts: !m.fetches.forms.withoutParts}
 	if p := m.fetches.partials.upTo(named); p != nil && req.TakesParts {
 		req.Version, req.Offset = p.version, uint64(len(p.bytes))
 	}
-	if m.options.ControlAddress == "" && !m.fetches.way.withoutPatch {
+	if m.options.ControlAddress == "" && !m.fetches.forms.withoutPatch {
 		base = m.texts.Text(m.document.Version)
 	}
 	if base != nil {
@@ -251,19 +251,19 @@
 	return nil, m.fetches.plan.Part(time.Now(), address, isNew), nil
 }
 
-// takesOtherWay gives up the way by which a document arrived damaged, and reports whether there is another one.
-func (m *Mesh) takesOtherWay(resp *wire.FetchRoutingResponse) bool {
+// takesOtherForm gives up the form in which a document arrived damaged, and reports whether there is another one.
+func (m *Mesh) takesOtherForm(resp *wire.FetchRoutingResponse) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.fetches.partials.drop(resp.Version)
-	before := m.fetches.way
+	before := m.fetches.forms
 	switch {
 	case resp.Patches:
-		m.fetches.way.withoutPatch = true
+		m.fetches.forms.withoutPatch = true
 	case resp.Size > 0:
-		m.fetches.way.withoutPatch, m.fetches.way.withoutParts = true, true
+		m.fetches.forms.withoutPatch, m.fetches.forms.withoutParts = true, true
 	}
-	return m.fetches.way != before
+	return m.fetches.forms != before
 }
 
 // publishEncoded puts a document in force if its text has the hash; 0 means that the hash isn't known.
@@ -301,7 +301,7 @@
 		m.fetches.attempts = nil
 	}
 	m.fetches.partials.dropUpTo(p.Version)
-	m.fetches.way = wayOfDocument{}
+	m.fetches.forms = fetchForms{}
 	m.fetches.wakeUp()
 	m.options.Log.Info("applied a new routing document", "version", p.Version, "routes", len(d.Routes), "workspaces", len(d.Workspaces),
 		"behind_ms", behindMillis(behindSince))
