upstream: idle connections are closed to servers that nobody asks again

Cause: the client of orders in daemon/member.go never calls CloseExpired, and take closes an expired connection only of a server that is asked again. A gateway that ended closed none of its idle ones, and a test's servers none of theirs.

--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -158,6 +158,7 @@
 			if err != nil {
 				return
 			}
+			f.t.Cleanup(func() { _ = c.Close() })
 			go f.serveConn(id, c, h)
 		}
 	}()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -220,6 +220,7 @@
 	}
 	stopWorkers()
 	_ = server.Close()
+	g.client.Close()
 	return eg.Wait()
 }
 
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -108,6 +108,9 @@
 // CloseExpired closes idle connections that may no longer be reused.
 func (c *Client) CloseExpired(now time.Time) { c.pool.closeExpired(now) }
 
+// Close closes all idle connections. Requests can still be sent; their connections aren't kept.
+func (c *Client) Close() { c.pool.close() }
+
 // Do sends the request and returns the answer once its header has arrived. When ctx ends, the
 // connection is closed, which makes the server stop. Every error wraps ErrNotSent or ErrInterrupted.
 func (c *Client) Do(ctx context.Context, req *Request) (*Response, error) {
@@ -309,8 +312,9 @@
 		_ = cn.Close()
 		return
 	}
-	cn.usableUntil = time.Now().Add(idleTime(r.Header))
-	r.client.pool.put(cn)
+	now := time.Now()
+	cn.usableUntil = now.Add(idleTime(r.Header))
+	r.client.pool.put(now, cn)
 }
 
 // isWritten reports whether the complete request was sent.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -9,10 +9,15 @@
 // connection.
 const maxIdle = 64
 
+// sweepInterval is the shortest time between two sweeps for idle connections that have expired.
+const sweepInterval = time.Second
+
 // pool keeps the idle connections to each server.
 type pool struct {
-	mu   sync.Mutex
-	idle map[string][]*conn
+	mu        sync.Mutex
+	idle      map[string][]*conn
+	nextSweep time.Time
+	isClosed  bool
 }
 
 // take returns an idle connection to the server, or nil.
@@ -42,21 +47,44 @@
 	return c
 }
 
-func (p *pool) put(c *conn) {
+// put keeps an idle connection. It also closes those to all servers that have expired, since nothing else
+// does for servers that are never asked again.
+func (p *pool) put(now time.Time, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[c.server]) >= maxIdle {
+	if !now.Before(p.nextSweep) {
+		p.nextSweep = now.Add(sweepInterval)
+		p.sweep(now)
+	}
+	if p.isClosed || len(p.idle[c.server]) >= maxIdle {
 		_ = c.Close()
 		return
 	}
 	p.idle[c.server] = append(p.idle[c.server], c)
 }
 
-// closeExpired closes connections that may no longer be reused, and removes servers that have no
-// connection left.
 func (p *pool) closeExpired(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.sweep(now)
+}
+
+// close closes all idle connections, and from now on each connection as it becomes idle.
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.isClosed = true
+	for _, idle := range p.idle {
+		for _, c := range idle {
+			_ = c.Close()
+		}
+	}
+	clear(p.idle)
+}
+
+// sweep closes connections that may no longer be reused, and removes servers that have no connection
+// left.
+func (p *pool) sweep(now time.Time) {
 	for server, idle := range p.idle {
 		kept := idle[:0]
 		for _, c := range idle {
