delivery: a fetch that would be late is overtaken by a faster one

Cause: the plan asked another peer only when nothing moved for 250 ms. It didn't know rates.

Ruled out: a pause of a second once a trial and the fetch beside it together are hardly faster than that one was alone, as over a narrow link of one's own.

Change: the plan measures the rate of each fetch. If the one that ends first is expected to end later than after half of [routing] apply_ms (views: of 5 s), one more peer is asked, and the slower of both is cancelled once both are measured (250 ms or 32 KiB). At most one such trial at a time; pauses of 125 ms, doubling, between them. A peer that was slower is asked last for 10 s. Part has a size so that the plan knows what is left.

TestSlowFetchIsLeftToEnd now states bytes and a time within which the fetch ends (it asserts as before that nothing is doubled); what is doubled otherwise is bounded by the new tests.

--- a/daemon/member.go
+++ b/daemon/member.go
@@ -75,8 +75,11 @@
 		ControlAddress: controlAddress,
 		Seeds:          s.Seeds,
 		Dialer:         m.dialer,
-		Decode:         platform.DecodeDocument,
-		Log:            log.WithName("mesh"),
+
+		RoutingApplyTime: s.RoutingApplyTime,
+
+		Decode: platform.DecodeDocument,
+		Log:    log.WithName("mesh"),
 	})
 	if err != nil {
 		return nil, err
--- a/daemon/view_fetches.go
+++ b/daemon/view_fetches.go
@@ -11,6 +11,9 @@
 	"golang.org/x/sync/errgroup"
 )
 
+// viewApplyTime is the time within which an accepted configuration is in force everywhere.
+const viewApplyTime = 5 * time.Second
+
 // viewFetches holds the plan of the fetches of views. It is safe for concurrent use.
 type viewFetches struct {
 	// wake has an element if the plan may have something to do.
@@ -23,7 +26,7 @@
 }
 
 func newViewFetches(name string) *viewFetches {
-	return &viewFetches{wake: make(chan struct{}, 1), plan: delivery.New(name), cancels: make(map[string]context.CancelFunc)}
+	return &viewFetches{wake: make(chan struct{}, 1), plan: delivery.New(name, viewApplyTime), cancels: make(map[string]context.CancelFunc)}
 }
 
 // update changes the plan and has it carried out.
@@ -118,7 +121,7 @@
 // else 0.
 func (p *peerSync) fetch(ctx context.Context, address string) (uint64, error) {
 	req := p.state.fetchRequest()
-	resp, err := p.client.Fetch(ctx, address, req, func(int) { p.recordProgress(address) })
+	resp, err := p.client.Fetch(ctx, address, req, func(bytes int) { p.recordProgress(address, bytes) })
 	if err != nil {
 		return 0, err
 	}
@@ -137,9 +140,9 @@
 	return 0, nil
 }
 
-func (p *peerSync) recordProgress(address string) {
+func (p *peerSync) recordProgress(address string, bytes int) {
 	now := time.Now()
 	p.fetches.mu.Lock()
 	defer p.fetches.mu.Unlock()
-	p.fetches.plan.Progress(now, address)
+	p.fetches.plan.Progress(now, address, bytes)
 }
--- a/delivery/delivery_test.go
+++ b/delivery/delivery_test.go
@@ -40,7 +40,7 @@
 }
 
 func newPlayer(name string) *player {
-	return &player{plan: New(name), now: time.Unix(1000, 0), peers: make(map[string]behaviour), began: make(map[string]time.Time)}
+	return &player{plan: New(name, 5*time.Second), now: time.Unix(1000, 0), peers: make(map[string]behaviour), began: make(map[string]time.Time)}
 }
 
 func (p *player) hear(address string, b behaviour, version uint64) {
@@ -78,7 +78,7 @@
 		b, age := p.peers[address], p.now.Sub(began)
 		switch {
 		case age < b.endsAfter && age <= b.progressFor:
-			p.plan.Progress(p.now, address)
+			p.plan.Progress(p.now, address, assumedBytes/2000) // at most, over 2 s
 		case age < b.endsAfter:
 		case b.isSound:
 			delete(p.began, address)
@@ -133,7 +133,7 @@
 func TestNothingIsFetchedTwiceOrInVain(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	p := New("g")
+	p := New("g", 0)
 	p.Heard(now, "a", 1)
 	is.Equal(p.Next(now).Ask, "a")
 	for range 10 {
@@ -158,7 +158,7 @@
 func TestPeerIsTakenAtItsLatestWord(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	p := New("g")
+	p := New("g", 0)
 	p.InForce(4)
 	p.Heard(now, "a", 5)
 	is.Equal(p.Next(now).Ask, "a")
@@ -170,7 +170,7 @@
 func TestVersionNamedDuringAFetchIsAskedFor(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	p := New("g")
+	p := New("g", 0)
 	p.Heard(now, "a", 5)
 	is.Equal(p.Next(now).Ask, "a")
 	p.InForce(5)
@@ -189,13 +189,13 @@
 	now := time.Unix(1000, 0)
 	asked, continued := make(map[string]int), make(map[string]int)
 	for g := range gateways {
-		p := New(fmt.Sprintf("gateway-%03d", g))
+		p := New(fmt.Sprintf("gateway-%03d", g), time.Second)
 		for i := range peers {
 			p.Heard(now, fmt.Sprintf("10.0.0.%d:7", i), 1)
 		}
 		asked[p.Next(now).Ask]++
 		// Where just one has it, that one is asked at once; the next part comes from another one that has it by then.
-		p = New(fmt.Sprintf("gateway-%03d", g))
+		p = New(fmt.Sprintf("gateway-%03d", g), time.Second)
 		p.Heard(now, "10.0.0.0:7", 1)
 		if p.Next(now).Ask != "10.0.0.0:7" {
 			t.Fatal("the only peer with the document isn't asked")
@@ -204,7 +204,7 @@
 			p.Heard(now, fmt.Sprintf("10.0.0.%d:7", i), 1)
 		}
 		next := "10.0.0.0:7"
-		if !p.Part(now, next, true) {
+		if !p.Part(now, next, Part{IsNew: true, Have: 1, Size: 2}) {
 			p.Ended(next, 0)
 			next = p.Next(now).Ask
 		}
--- a/mesh/delivery_test.go
+++ b/mesh/delivery_test.go
@@ -239,6 +239,21 @@
 	r.await(t, 1, 5*applyTarget) // the link takes 5 s
 }
 
+// Guards against a slow control instance that moves and holds up a fast one.
+func TestSlowControlInstanceIsOvertakenByAFastOne(t *testing.T) {
+	control := newTestMesh(t, "127.0.0.1:1")
+	publish(t, control, 1, document(7, 6000))
+	address := serveDocuments(t, control)
+	r := newReceiver(t)
+	slow := narrow(t, address, 20<<10)
+	r.hear(slow, 1)
+	for r.traffic.Received() < 8<<10 { // it is asked, and moves
+		time.Sleep(time.Millisecond)
+	}
+	r.hear(address, 1)
+	r.await(t, 1, applyTarget)
+}
+
 // Guards against the whole document being sent for a change of one line.
 func TestChangeOfOneLineIsSentAsAPatch(t *testing.T) {
 	is := is.New(t)
--- a/mesh/fetch.go
+++ b/mesh/fetch.go
@@ -43,8 +43,8 @@
 	wholeBytes, patchBytes uint64
 }
 
-func newDocumentFetches(name string) documentFetches {
-	return documentFetches{plan: delivery.New(name), wake: make(chan struct{}, 1),
+func newDocumentFetches(name string, applyTime time.Duration) documentFetches {
+	return documentFetches{plan: delivery.New(name, applyTime), wake: make(chan struct{}, 1),
 		cancels: make(map[string]context.CancelFunc), failures: make(map[FetchFailure]uint64)}
 }
 
@@ -92,6 +92,10 @@
 			return step.Wake.Sub(now), !step.Wake.IsZero()
 		}
 		m.fetches.beginAttempt(now, step.Ask, step.Version)
+		if step.Overtakes != "" {
+			m.options.Log.Info("asks another control instance for the routing document, as the fetch would be late", "address", step.Ask,
+				"version", step.Version, "slow", step.Overtakes)
+		}
 		fetchCtx, cancel := context.WithCancel(ctx)
 		m.fetches.cancels[step.Ask] = cancel
 		g.Go(func() error {
@@ -139,7 +143,7 @@
 // fetch gets the document that a control instance has named, part by part. If there is nothing newer, it returns the
 // version there, else 0. Another fetch may have got the parts before, or go on with them.
 func (m *Mesh) fetch(ctx context.Context, address string, named uint64) (uint64, error) {
-	f := m.options.Dialer.NewRoutingFetch(address, func(int) { m.recordProgress(address) })
+	f := m.options.Dialer.NewRoutingFetch(address, func(bytes int) { m.recordProgress(address, bytes) })
 	defer f.Close()
 	for {
 		req, base := m.fetchRequest(named)
@@ -176,10 +180,10 @@
 	}
 }
 
-func (m *Mesh) recordProgress(address string) {
+func (m *Mesh) recordProgress(address string, bytes int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.fetches.plan.Progress(time.Now(), address)
+	m.fetches.plan.Progress(time.Now(), address, bytes)
 }
 
 // fetchRequest returns the request for a document up to the named version, and the text that a patch is based on. A
@@ -248,7 +252,11 @@
 	if p != nil && p.isComplete() {
 		return p.bytes, false, nil
 	}
-	return nil, m.fetches.plan.Part(time.Now(), address, isNew), nil
+	if p == nil {
+		return nil, false, nil // it doesn't follow what was there
+	}
+	m.fetches.wakeUp()
+	return nil, m.fetches.plan.Part(time.Now(), address, delivery.Part{IsNew: isNew, Have: len(p.bytes), Size: int(p.size)}), nil
 }
 
 // takesOtherForm gives up the form in which a document arrived damaged, and reports whether there is another one.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -4,6 +4,7 @@
 package mesh
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -24,6 +25,9 @@
 // maxDocumentBytes bounds a routing document after decompression.
 const maxDocumentBytes = 16 << 20
 
+// defaultApplyTime is the time that settings state unless they are changed.
+const defaultApplyTime = 2 * time.Second
+
 // Options configure a Mesh.
 type Options struct {
 	Name       string
@@ -33,6 +37,9 @@
 	// Seeds are the addresses of the control instances to contact first.
 	Seeds  []string
 	Dialer instance.Dialer
+	// RoutingApplyTime is the time within which an acknowledged routing document must be in force; 0 means
+	// defaultApplyTime.
+	RoutingApplyTime time.Duration
 	// Decode parses a routing document.
 	Decode func([]byte) (*routing.Document, error)
 	Log    logr.Logger
@@ -142,7 +149,7 @@
 	m := &Mesh{
 		options:              o,
 		decoder:              decoder,
-		fetches:              newDocumentFetches(o.Name),
+		fetches:              newDocumentFetches(o.Name, cmp.Or(o.RoutingApplyTime, defaultApplyTime)),
 		texts:                instance.NewPatchCache(1),
 		started:              time.Now(),
 		directory:            discovery.NewDirectory(o.ControlAddress),
