A cut-off control instance keeps nobody waiting beside older builds

Cause: IsExpected asked whether any connected control instance can confirm, not whether one has. Evidence: TestCutOffControlInstanceKeepsNobodyWaitingBesideOlderBuilds failed before with 'not true: !m.RoutingConfirmation().IsExpected'. Change: beside control instances that confirm nothing, those that have confirmed nothing for 3 s aren't waited for.

--- a/mesh/confirmation.go
+++ b/mesh/confirmation.go
@@ -16,7 +16,8 @@
 	// By is the address of the control instance that has said so; on a control instance, it may be its own.
 	By string
 	// IsExpected is false if all control instances that this instance is connected to are of a build that confirms
-	// nothing, or follow a leader of such a build. The document's age is then not known.
+	// nothing, or follow a leader of such a build, or if some are and the others have confirmed nothing for
+	// maxUnconfirmed. The document's age is then not known.
 	IsExpected bool
 	// InForce is the version of the document in force, and Newest the newest version that was heard of.
 	InForce, Newest uint64
@@ -38,14 +39,25 @@
 	// is kept, so that documents that change faster than they are fetched are confirmed, too.
 	announced [2]Confirmation
 	newest    uint64
-	// confirmers says of each connected control instance whether it confirms documents. isExpected is what
-	// IsExpected was while the last of them was connected.
-	confirmers map[string]bool
+	// confirmers are the connected control instances. isExpected is what IsExpected was while the last of them was
+	// connected.
+	confirmers map[string]confirmer
 	isExpected bool
 	// confirms is set on a control instance whose replica can tell the age of its state.
 	confirms bool
 }
 
+// confirmer is a connected control instance. confirms is set if it confirms documents, and at is a time, as
+// bootclock.Now counts, of which it has: at first that of the connection.
+type confirmer struct {
+	confirms bool
+	at       time.Duration
+}
+
+// maxUnconfirmed is how long a control instance may confirm nothing before those of older builds are believed: it may
+// be cut off from a leader of such a build.
+const maxUnconfirmed = 3 * time.Second
+
 // RoutingConfirmation returns how recent the routing document in force is.
 func (m *Mesh) RoutingConfirmation() Confirmation {
 	m.mu.Lock()
@@ -99,10 +111,15 @@
 	}
 }
 
-// updateConfirmer records whether a control instance confirms documents. The caller holds the lock.
-func (m *Mesh) updateConfirmer(address string, confirms bool) {
+// updateConfirmer records whether a control instance confirms documents, and as of when; 0 means that it has no
+// confirmation. The caller holds the lock.
+func (m *Mesh) updateConfirmer(address string, confirms bool, at time.Duration) {
 	d := &m.documentAge
-	d.confirmers[address] = confirms
+	c, isKnown := d.confirmers[address]
+	if !isKnown || confirms && !c.confirms {
+		c.at = bootclock.Now()
+	}
+	d.confirmers[address] = confirmer{confirms: confirms, at: max(c.at, at)}
 	d.updateExpected()
 }
 
@@ -116,10 +133,16 @@
 	if len(d.confirmers) == 0 {
 		return // without a connection, nobody has taken back what was expected
 	}
-	d.isExpected = false
-	for _, confirms := range d.confirmers {
-		d.isExpected = d.isExpected || confirms
+	count, recent := 0, 0
+	for _, c := range d.confirmers {
+		if c.confirms {
+			count++
+			if bootclock.Now()-c.at <= maxUnconfirmed {
+				recent++
+			}
+		}
 	}
+	d.isExpected = recent > 0 || count == len(d.confirmers)
 }
 
 // mergeConfirmation records what a heartbeat says about the age of its sender's document. It counts from when
@@ -130,13 +153,14 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.documentAge.newest = max(m.documentAge.newest, b.RoutingVersion)
-	m.updateConfirmer(w.address, b.EchoedReport > 0)
 	isKnown := b.EchoedReport <= w.reports && w.reports-b.EchoedReport < maxSubtractableReports
 	if b.EchoedReport == 0 || b.RoutingConfirmedMs == 0 || !isKnown {
+		m.updateConfirmer(w.address, b.EchoedReport > 0, 0)
 		return
 	}
 	sent := w.reported[b.EchoedReport%maxSubtractableReports].sent
 	at := sent - time.Duration(b.RoutingConfirmedMs-1)*time.Millisecond
+	m.updateConfirmer(w.address, true, at)
 	m.confirm(Confirmation{At: at, Version: b.RoutingVersion, By: w.address})
 }
 
--- a/mesh/confirmation_test.go
+++ b/mesh/confirmation_test.go
@@ -73,6 +73,38 @@
 	is.True(!m.RoutingConfirmation().IsExpected) // all were replaced with the older build
 }
 
+// Guards against true denials that are held back for as long as a control instance of this build is cut off, or has yet
+// to join, while the leader is of a build that confirms nothing.
+func TestCutOffControlInstanceKeepsNobodyWaitingBesideOlderBuilds(t *testing.T) {
+	is := is.New(t)
+	m := newTestMesh(t, "")
+	older, newer := m.newWatcher("10.0.0.1:7"), m.newWatcher("10.0.0.2:7")
+	newer.Request()
+	hear := func(confirmedMs uint64) {
+		older.HandleHeartbeat(older.address, &wire.WatchBeat{RoutingVersion: 5})
+		newer.HandleHeartbeat(newer.address, &wire.WatchBeat{RoutingVersion: 5, EchoedReport: 1, RoutingConfirmedMs: confirmedMs})
+	}
+	later := func(d time.Duration) {
+		c := m.documentAge.confirmers[newer.address]
+		c.at -= d
+		m.documentAge.confirmers[newer.address] = c
+	}
+	hear(0)
+	later(maxUnconfirmed / 2)
+	hear(0)
+	is.True(m.RoutingConfirmation().IsExpected)
+	later(maxUnconfirmed)
+	hear(0)
+	is.True(!m.RoutingConfirmation().IsExpected)
+	hear(1 + 100) // it hears a leader that confirms
+	is.True(m.RoutingConfirmation().IsExpected)
+	later(maxUnconfirmed)
+	hear(1 + 10000) // no longer
+	is.True(!m.RoutingConfirmation().IsExpected)
+	m.forgetReports(older.address)
+	is.True(m.RoutingConfirmation().IsExpected) // none of an older build is left
+}
+
 // Guards against a control instance that confirms a document without a confirmation of its own, or one that its
 // mesh has not got yet.
 func TestControlInstanceConfirmsOnlyWhatItsReplicaConfirms(t *testing.T) {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -160,7 +160,7 @@
 		doubts:               reachability.NewDoubts(),
 		reportedRelays:       make(map[string][]relay.Instance),
 		reportedDoubts:       make(map[string]reportedDoubts),
-		documentAge:          documentAge{confirmers: make(map[string]bool)},
+		documentAge:          documentAge{confirmers: make(map[string]confirmer)},
 		shared:               sharedFragments{servers: make(map[string]serverFragment)},
 		changed:              make(chan struct{}),
 		localUsage:           func() []Usage { return nil },
