Soak of rolls: bookings and slow answers under way, faults of links, processes and data folders beside

TestSoakOfRolls replaces the build of all members (up to 3 gateways and 2 of 5 control instances at once) under the faults and the judge of the soak, with callers that keep a connection to each gateway until its process is gone. It checks that each answer is whole and the request's own, that no booking runs twice, that nothing ends by a planned stop, that no answer denies a run, and the documents as before.

--- a/internal/lab/soak_faults_test.go
+++ b/internal/lab/soak_faults_test.go
@@ -63,6 +63,13 @@
 			}
 		}()
 	}
+	if f.s.options.roll != nil {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			f.s.options.roll.run(f)
+		}()
+	}
 	series(f.harmGateway, 200*time.Millisecond, 1500*time.Millisecond)
 	series(f.harmControl, 500*time.Millisecond, 12*time.Second)
 	series(f.harmAll, 15*time.Second, 40*time.Second)
--- a/internal/lab/soak_operator_test.go
+++ b/internal/lab/soak_operator_test.go
@@ -68,6 +68,9 @@
 		}
 		o.fillTo = append(o.fillTo, t)
 	}
+	if s.options.roll != nil {
+		o.filler = append(o.filler, rollRoutes()...)
+	}
 	return o
 }
 
@@ -287,6 +290,9 @@
 	ctx.Response.Header.Set(soakStampHeader, "stamp")
 	ctx.Response.Header.Set("Balsamlb-Instance-Id", b.id)
 	ctx.Response.Header.Set("Keep-Alive", "timeout=10")
+	if b.s.options.roll.serve(ctx) {
+		return
+	}
 	fmt.Fprintf(ctx, "%s %s", b.service, ctx.Request.Header.Peek(soakTenantHeader))
 }
 
--- a/internal/lab/soak_test.go
+++ b/internal/lab/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -31,6 +32,10 @@
 	isQuiet bool
 	// controlMbps and gatewayMbps are the bandwidths of the machines' links; 0: unlimited.
 	controlMbps, gatewayMbps int
+	// binary is the build of the members; empty: this one, or BALSAMLB_SOAK_BIN.
+	binary string
+	// roll replaces builds; nil: none.
+	roll *soakRoll
 }
 
 // soak is a run of a deployment with an operator, callers, backend servers and faults.
@@ -52,10 +57,7 @@
 
 func startSoak(t testing.TB, o soakOptions) *soak {
 	t.Helper()
-	binary := os.Getenv("BALSAMLB_SOAK_BIN")
-	if binary == "" {
-		binary = filepath.Join(binFolder, "balsamd")
-	}
+	binary := cmp.Or(o.binary, os.Getenv("BALSAMLB_SOAK_BIN"), filepath.Join(binFolder, "balsamd"))
 	s := &soak{t: t, options: o, judge: newSoakJudge(t), boots: make(map[string]int), stopped: make(map[string]bool),
 		client: &fasthttp.Client{MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 1 << 16}}
 	s.ctx, s.cancel = context.WithCancel(t.Context())
@@ -82,6 +84,9 @@
 		s.judge.end(s.judge.begin(trouble{what: "start of " + g.Name, gateway: g.Name}))
 	}
 	s.judge.end(s.judge.begin(trouble{what: "start of all", isCore: true, isTotal: true}))
+	if o.roll != nil {
+		o.roll.s = s
+	}
 	s.startServers(o.servers)
 	return s
 }
@@ -124,9 +129,12 @@
 // processes.
 func (s *soak) play() {
 	s.startWork()
-	if !s.options.isQuiet {
-		newSoakFaults(s).run()
-	} else {
+	switch f := newSoakFaults(s); {
+	case !s.options.isQuiet:
+		f.run()
+	case s.options.roll != nil:
+		f.runRoll()
+	default:
 		s.sleep(s.options.duration)
 	}
 	s.checkEnd()
@@ -152,6 +160,11 @@
 	}
 	s.run(func() { newSoakOperator(s, s.options.seed).run() })
 	s.run(s.runReads)
+	if r := s.options.roll; r != nil {
+		for n := range uint64(rollCallers) {
+			s.run(func() { r.runCaller(n) })
+		}
+	}
 	s.run(s.watchDelays)
 }
 
