consensus: a replaced data folder is registered though the leader changes

After an acknowledged change all three control instances were killed, one data folder was lost, and nobody was elected for 21 s; the change was lost with the group.

Cause: a replica with a new data folder tells its address in a hello, which it sends only while it hears from no leader. So it sent no hello, its address stayed unknown, and bestLearner passed it over for good. The group looked whole and stood on two folders of three; the next loss of one ended it, and the restarted replica emptied its sound folder, since the membership still named the former one.

Now a replica that is no voter says hello to each new leader (which an older leader understands), and a leader starts with the addresses of its membership (which mends a replica of an older build). Each alone mends the test.

Ruled out for three voters, by reading: a voter with an older membership that doesn't confirm one with a newer folder. The removal of the former folder is committed by both others, so both know it.

--- a/consensus/bootstrap.go
+++ b/consensus/bootstrap.go
@@ -23,11 +23,14 @@
 func (n *Node) hasGroup() bool { return n.Group() != 0 }
 
 // tickHello sends a hello to all known replicas while this replica receives nothing from a
-// leader.
+// leader, and to a leader that this replica, which is no voter, has not told its address.
 func (n *Node) tickHello() {
 	if n.now%uint64(n.opts.ElectionTicks/2) != 0 || n.role == RoleLeader {
 		return
 	}
+	if n.hasGroup() && !n.isVoting() && n.leader != "" && n.greetedTerm != n.hardState.Term {
+		n.send(Message{Kind: KindHello, To: n.leader, Address: n.opts.Address})
+	}
 	silentTicks := n.opts.ElectionTicks
 	if n.isVoting() {
 		silentTicks *= lostContactTimeouts
@@ -149,6 +152,9 @@
 		n.votersFromHello = m.Membership.Voters
 	}
 	if n.hasGroup() {
+		if m.From == n.leader && m.Term == n.hardState.Term {
+			n.greetedTerm = m.Term
+		}
 		return
 	}
 	if m.Group != 0 {
--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -71,6 +71,8 @@
 	delayed  map[uint64][]Message
 	// olderLeaders makes messages look like those of a build that says nothing about rounds.
 	olderLeaders bool
+	// powerFailsAfter is the number of messages that are still sent before all replicas crash; 0: no limit.
+	powerFailsAfter int
 	// onProcessed is called after each step of a replica; nil means nothing.
 	onProcessed  func(id string)
 	leaders      map[uint64]string
@@ -149,6 +151,9 @@
 		for _, m := range ready.Messages {
 			c.enqueue(m)
 		}
+		if r.down { // the power has failed
+			return
+		}
 		for _, e := range ready.Committed {
 			c.apply(id, e)
 		}
@@ -161,6 +166,18 @@
 }
 
 func (c *cluster) enqueue(m Message) {
+	if c.replicas[m.From].down {
+		return
+	}
+	if c.powerFailsAfter > 0 {
+		if c.powerFailsAfter--; c.powerFailsAfter == 0 {
+			for _, id := range c.ids {
+				c.crash(id)
+			}
+			c.inFlight, c.delayed = nil, map[uint64][]Message{}
+			return
+		}
+	}
 	if c.olderLeaders {
 		m.AckedRound, m.AckedEpoch, m.ConfirmedRound = 0, 0, 0
 	}
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -57,7 +57,7 @@
 	n.peers = make(map[string]*progress)
 	for _, v := range n.membership().Voters {
 		if v.ID != n.opts.ID {
-			n.peers[v.ID] = &progress{next: n.log.last() + 1, disk: v.Disk, lastSeen: n.now}
+			n.peers[v.ID] = &progress{next: n.log.last() + 1, disk: v.Disk, address: v.Address, lastSeen: n.now}
 		}
 	}
 	n.propose(EntryCommand, nil)
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -90,10 +90,12 @@
 	bootstrapReplies map[string]bootstrapReply
 	// votersFromHello are the voters that the latest hello reply listed.
 	votersFromHello []Voter
-	lease           lease
-	confirmation    confirmation
-	transferee      string
-	transferTick    uint64
+	// greetedTerm is the term whose leader has answered a hello of this replica while it belonged to the group.
+	greetedTerm  uint64
+	lease        lease
+	confirmation confirmation
+	transferee   string
+	transferTick uint64
 	// isTakeoverRequested means that the transferee was asked to campaign.
 	isTakeoverRequested bool
 	verification        verification
--- a/consensus/progress.go
+++ b/consensus/progress.go
@@ -16,8 +16,10 @@
 	next  uint64
 	// disk and epoch identify the data folder and the start of the replica; epoch is 0 before the
 	// first reply.
-	disk    uint64
-	epoch   uint64
+	disk  uint64
+	epoch uint64
+	// address is the one in the membership until the replica has said its own in a hello. A replica with a new data
+	// folder gets the log of a new leader as the voter of its name does, and needs to send no hello.
 	address string
 	// lastSeen is the tick at which a message of the replica was last received, and ackedRound is
 	// the latest round that it has answered.
