consensus: a voter with an older membership confirms a folder whose log proves that it was registered later

What callers saw: nothing yet. With five voters, two of which lose their folders, nobody is elected for good.

Cause: after a restart a voter did not confirm one with another data folder than it knows and a newer log. If such a folder was registered while that voter lagged, and two of those that committed it were lost, the folder alone held the newest log and was confirmed by too few.

Now the question carries the sender's membership. A newer log that lists the folder holds all that was committed of the asked voter's log, and so the removal of the folder that the asked voter knows: it answers as it would with that log. What it remembers still counts: terms and starts are recorded for each folder (also for one that isn't listed), and if a leader told it of more than the folder shows, it doesn't answer. Earlier builds ignore the membership and don't answer, as before.

Three voters can't get there: the removal before is committed by both others.

--- a/consensus/node.go
+++ b/consensus/node.go
@@ -99,7 +99,7 @@
 	// isTakeoverRequested means that the transferee was asked to campaign.
 	isTakeoverRequested bool
 	verification        verification
-	voterRecords        map[string]*voterRecord
+	voterRecords        map[folderKey]*voterRecord
 	// uncommittedBytes is the total size of the leader's uncommitted entries.
 	uncommittedBytes int
 }
@@ -111,7 +111,7 @@
 		opts:             opts,
 		hardState:        HardState{Term: hard.Term, Vote: hard.Vote},
 		bootstrapReplies: make(map[string]bootstrapReply),
-		voterRecords:     make(map[string]*voterRecord),
+		voterRecords:     make(map[folderKey]*voterRecord),
 		rng:              rand.New(rand.NewPCG(opts.Seed, opts.Epoch)),
 	}
 	n.log.restore(snapshot)
--- a/consensus/recovery_test.go
+++ b/consensus/recovery_test.go
@@ -164,12 +164,65 @@
 	}
 	first := number("FIRST", 0)
 	for seed := first; seed < first+number("SEEDS", 200); seed++ {
-		r := newRecovery(t, seed)
+		playRecovery(t, seed)
+	}
+	// A voter without the membership that lists a folder did not confirm it, though it alone held the newest log.
+	playRecovery(t, 911)
+}
+
+func playRecovery(t *testing.T, seed uint64) {
+	r := newRecovery(t, seed)
+	r.awaitWhole()
+	for range 6 {
+		r.play()
 		r.awaitWhole()
-		for range 6 {
-			r.play()
-			r.awaitWhole()
-		}
+	}
+}
+
+// Guards against a confirmation of a folder that the asked voter does not know, where the folder's log does not prove that
+// it was registered later, or where the voter remembers more of it than it shows.
+func TestUnknownFolderIsConfirmedOnlyIfItsLogIsNewerAndWhole(t *testing.T) {
+	known := Membership{Group: 1, Size: 3, Voters: []Voter{{ID: "a", Disk: 1}, {ID: "b", Disk: 2}, {ID: "c", Disk: 3}}}
+	listed := known.with(Voter{ID: "b", Disk: 5})
+	const none, confirmed, rejected = "no answer", "confirmed", "rejected"
+	ask := func(starts, term uint64, end Position, m *Membership) Message {
+		return Message{Kind: KindVerify, From: "b", To: "a", Group: 1, Disk: 5, Epoch: starts << EpochNonceBits, Term: term,
+			PrevIndex: end.Index, PrevTerm: end.Term, Membership: m}
+	}
+	end := Position{Term: 2, Index: 9}
+	for _, test := range []struct {
+		name     string
+		before   []Message // that the voter got before
+		question Message
+		want     string
+	}{
+		{"listed in a newer log", nil, ask(2, 2, end, &listed), confirmed},
+		{"an earlier build, which sends no membership", nil, ask(2, 2, end, nil), none},
+		{"not listed", nil, ask(2, 2, end, &known), none},
+		{"log not newer", nil, ask(2, 2, Position{Term: 1, Index: 4}, &listed), rejected},
+		{"has stored more", []Message{{Kind: KindAppend, From: "c", To: "a", Group: 1, Disk: 3, Epoch: 1 << EpochNonceBits, Term: 2,
+			PrevIndex: 9, PrevTerm: 2, Stored: []StoredPosition{{ID: "b", Position: Position{Term: 2, Index: 10}}}}}, ask(2, 2, end, &listed), none},
+		{"was in a later term", []Message{{Kind: KindVoteReply, From: "b", To: "a", Group: 1, Disk: 5, Epoch: 1 << EpochNonceBits, Term: 3}},
+			ask(2, 2, end, &listed), rejected},
+		{"a later start is known", []Message{{Kind: KindVoteReply, From: "b", To: "a", Group: 1, Disk: 5, Epoch: 3 << EpochNonceBits, Term: 2}},
+			ask(2, 2, end, &listed), rejected},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			n := New(Options{ID: "a", Disk: 1, Epoch: 1 << EpochNonceBits, InitialVoters: []string{"a", "b", "c"}, ElectionTicks: 10, HeartbeatTicks: 2},
+				HardState{Term: 1}, Snapshot{Index: 4, Term: 1, Membership: known}, nil)
+			for _, m := range test.before {
+				n.Step(m)
+			}
+			n.messages = nil
+			n.Step(test.question)
+			got := none
+			if reply := lastMessage(n, KindVerifyReply); reply.Kind != 0 {
+				got = map[bool]string{true: rejected, false: confirmed}[reply.Reject]
+			}
+			if got != test.want {
+				t.Fatalf("%s, want %s", got, test.want)
+			}
+		})
 	}
 }
 
--- a/consensus/verify.go
+++ b/consensus/verify.go
@@ -27,9 +27,14 @@
 	return verification{done: done, confirmed: make(map[string]bool)}
 }
 
-// voterRecord is a node's record of another voter.
+// folderKey identifies a data folder of a voter, or of a replica of a voter's name.
+type folderKey struct {
+	id   string
+	disk uint64
+}
+
+// voterRecord is a node's record of another voter with one of its data folders.
 type voterRecord struct {
-	disk  uint64
 	epoch uint64
 	// term is the highest term that the voter is known to have been in, earlierTerm that of its starts before
 	// the one of epoch, and stored is the last position that the voter is known to have stored.
@@ -80,9 +85,14 @@
 		}
 	}
 	last := n.log.lastPosition()
+	var own *Membership
+	if n.isVoting() {
+		m := n.membership()
+		own = &m
+	}
 	for _, id := range ids {
 		if !n.verification.confirmed[id] {
-			n.send(Message{Kind: KindVerify, To: id, PrevIndex: last.Index, PrevTerm: last.Term})
+			n.send(Message{Kind: KindVerify, To: id, PrevIndex: last.Index, PrevTerm: last.Term, Membership: own})
 		}
 	}
 }
@@ -137,15 +147,38 @@
 // canVerify reports whether this node can verify the sender. It can't if the sender is a voter,
 // does not run on the data folder registered for it, and has a more up-to-date log than this node:
 // the group may have added the sender again with this data folder, in a membership that this node
-// has not received.
+// has not received. The exception is a sender whose log lists it with its data folder.
 func (n *Node) canVerify(m Message) bool {
 	v, ok := n.membership().Voter(m.From)
-	if !ok || v.Disk == m.Disk {
+	if !ok || v.Disk == m.Disk || !n.log.lastPosition().less(verifiedPosition(m)) {
 		return true
 	}
-	return !n.log.lastPosition().less(Position{Term: m.PrevTerm, Index: m.PrevIndex})
+	return n.hasNewerFolder(m)
 }
 
+// hasNewerFolder reports whether the sender of a verification is a voter with a data folder that was registered after
+// the one in this node's membership, and this node remembers nothing that the sender lacks.
+//
+// The sender's log is more up to date, so it holds all that was committed of this node's log. The folder that this node
+// knows was added after the removal of the one before was committed. So the sender's log holds that removal, and a
+// membership in it that lists the sender's folder is a later one. This node then answers as it would with that log.
+// What leaders told it of the voter's position may concern either folder.
+func (n *Node) hasNewerFolder(m Message) bool {
+	v, ok := n.membership().Voter(m.From)
+	if !ok || v.Disk == m.Disk || m.Membership == nil || !n.log.lastPosition().less(verifiedPosition(m)) {
+		return false
+	}
+	listed, ok := m.Membership.Voter(m.From)
+	if !ok || listed.Disk != m.Disk {
+		return false
+	}
+	record := n.voterRecords[folderKey{m.From, v.Disk}]
+	return record == nil || !verifiedPosition(m).less(record.stored)
+}
+
+// verifiedPosition returns the end of the log of a verification's sender.
+func verifiedPosition(m Message) Position { return Position{Term: m.PrevTerm, Index: m.PrevIndex} }
+
 // compareWithRecord reports whether this node's records of a voter are ahead of the state in the voter's
 // request. It returns the record if that is so because of the term or the stored position, which the voter may
 // have reached after it sent the request.
@@ -154,18 +187,18 @@
 	if !ok {
 		return false, nil
 	}
-	if v.Disk != m.Disk || isOlderEpoch(m.Epoch, v.Epoch) {
+	if (v.Disk != m.Disk && !n.hasNewerFolder(m)) || (v.Disk == m.Disk && isOlderEpoch(m.Epoch, v.Epoch)) {
 		return true, nil
 	}
-	record = n.voterRecords[m.From]
-	if record == nil || record.disk != m.Disk {
+	record = n.voterRecords[folderKey{m.From, m.Disk}]
+	if record == nil {
 		return false, nil
 	}
 	// A term of an earlier start may be one in which the voter has voted, which nothing stored since makes good.
 	if isOlderEpoch(m.Epoch, record.epoch) || m.Term < record.termBefore(m.Epoch) {
 		return true, nil
 	}
-	if m.Term < record.term || (Position{Term: m.PrevTerm, Index: m.PrevIndex}).less(record.stored) {
+	if m.Term < record.term || verifiedPosition(m).less(record.stored) {
 		return true, record
 	}
 	return false, nil
@@ -196,16 +229,20 @@
 	return a < b || (a == b && epoch != known)
 }
 
-// recordSender records the sender's term and epoch if it is a voter. It returns false if the
-// message is from an older start of the voter and must be dropped.
+// recordSender records the sender's term and epoch if it has the name of a voter. Its folder may be one that this node
+// does not know yet. It returns false if the message is from an older start of a voter and must be dropped.
 func (n *Node) recordSender(m Message) bool {
-	if m.Kind == KindVerify || m.Kind == KindVerifyReply || !n.isVoter(m) {
+	if m.Kind == KindVerify || m.Kind == KindVerifyReply {
 		return true
 	}
-	if record := n.voterRecords[m.From]; record != nil && record.disk == m.Disk && isOlderEpoch(m.Epoch, record.epoch) {
-		return false
+	if _, ok := n.membership().Voter(m.From); !ok {
+		return true
+	}
+	record := n.voterRecords[folderKey{m.From, m.Disk}]
+	if record != nil && isOlderEpoch(m.Epoch, record.epoch) {
+		return !n.isVoter(m)
 	}
-	record := n.updateRecord(m)
+	record = n.updateRecord(m)
 	// A pre-vote carries a term that the sender has not entered.
 	if m.Kind != KindPreVote && m.Kind != KindPreVoteReply {
 		record.term = max(record.term, m.Term)
@@ -213,13 +250,13 @@
 	return true
 }
 
-// updateRecord updates the epoch in the record of the sender, which must be a voter, and returns
-// the record.
+// updateRecord updates the epoch in the record of the sender and returns the record.
 func (n *Node) updateRecord(m Message) *voterRecord {
-	record := n.voterRecords[m.From]
-	if record == nil || record.disk != m.Disk {
-		record = &voterRecord{disk: m.Disk}
-		n.voterRecords[m.From] = record
+	key := folderKey{m.From, m.Disk}
+	record := n.voterRecords[key]
+	if record == nil {
+		record = &voterRecord{}
+		n.voterRecords[key] = record
 	}
 	record.earlierTerm = record.termBefore(m.Epoch)
 	record.epoch = m.Epoch
@@ -233,10 +270,11 @@
 		if !ok || s.ID == n.opts.ID {
 			continue
 		}
-		record := n.voterRecords[s.ID]
-		if record == nil || record.disk != v.Disk {
-			record = &voterRecord{disk: v.Disk, epoch: v.Epoch}
-			n.voterRecords[s.ID] = record
+		key := folderKey{s.ID, v.Disk}
+		record := n.voterRecords[key]
+		if record == nil {
+			record = &voterRecord{epoch: v.Epoch}
+			n.voterRecords[key] = record
 		}
 		if record.stored.less(s.Position) {
 			record.stored = s.Position
@@ -244,11 +282,16 @@
 	}
 }
 
-// dropFormerVoters deletes the records of replicas that are no longer voters.
+// maxRecords is the number of records beyond which those of folders that are not registered are dropped.
+const maxRecords = 2 * maxVoters
+
+// dropFormerVoters deletes the records of replicas that are no longer voters. It keeps those of other folders of a voter,
+// because this node may not have received the membership that lists them.
 func (n *Node) dropFormerVoters() {
-	for id := range n.voterRecords {
-		if _, ok := n.membership().Voter(id); !ok {
-			delete(n.voterRecords, id)
+	isFull := len(n.voterRecords) > maxRecords
+	for key := range n.voterRecords {
+		if v, ok := n.membership().Voter(key.id); !ok || (isFull && v.Disk != key.disk) {
+			delete(n.voterRecords, key)
 		}
 	}
 }
