--- a/consensus/node.go
+++ b/consensus/node.go
@@ -90,14 +90,16 @@
 	bootstrapReplies map[string]bootstrapReply
 	// votersFromHello are the voters that the latest hello reply listed.
 	votersFromHello []Voter
-	lease           lease
-	confirmation    confirmation
-	transferee      string
-	transferTick    uint64
+	// greetedTerm is the term whose leader has answered a hello of this replica while it belonged to the group.
+	greetedTerm  uint64
+	lease        lease
+	confirmation confirmation
+	transferee   string
+	transferTick uint64
 	// isTakeoverRequested means that the transferee was asked to campaign.
 	isTakeoverRequested bool
 	verification        verification
-	voterRecords        map[string]*voterRecord
+	voterRecords        map[folderKey]*voterRecord
 	// uncommittedBytes is the total size of the leader's uncommitted entries.
 	uncommittedBytes int
 }
@@ -109,7 +111,7 @@
 		opts:             opts,
 		hardState:        HardState{Term: hard.Term, Vote: hard.Vote},
 		bootstrapReplies: make(map[string]bootstrapReply),
-		voterRecords:     make(map[string]*voterRecord),
+		voterRecords:     make(map[folderKey]*voterRecord),
 		rng:              rand.New(rand.NewPCG(opts.Seed, opts.Epoch)),
 	}
 	n.log.restore(snapshot)
