consensus: entries and chunks are sent again only when lost or overdue, heartbeats carry neither

Callers saw: leaders lost about once a second, and documents of 213 KB without an acknowledgement, on links of 100 KB/s to 1 MiB/s between control instances.

Now a heartbeat carries neither. While entries are unanswered it refers to the entry before them; a probe has no entries. Entries are sent again after a rejection that answers an append that the leader waits for (replies name it now), a loss that the sender reports, or three times as long as the ones before took, at least four election timeouts, doubling. At most 1 MiB is unanswered. Heartbeats list the leader's own stored position: before, it was the end of the appends that they overtake now, and the check of a restarted leader's folder rests on it.

Ruled out: a heartbeat at the last index sent (rejected when it overtakes); stepping back at each time without an answer (a slow link would get up to 1 MiB again).

TestHeartbeatsTellWhatTheLeaderHasStored fails without the leader's own position. go test -race ./consensus -rapid.checks=1500 passed.

--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -69,6 +69,8 @@
 	// maxDelay is the longest time in ticks that a message is on its way; delayed holds those that are.
 	maxDelay int
 	delayed  map[uint64][]Message
+	// links limits the bandwidth between replicas; nil means that there is no limit.
+	links *slowLinks
 	// olderLeaders makes messages look like those of a build that says nothing about rounds.
 	olderLeaders bool
 	// onProcessed is called after each step of a replica; nil means nothing.
@@ -177,6 +179,10 @@
 }
 
 func (c *cluster) transmit(m Message) {
+	if c.links != nil {
+		c.links.put(m)
+		return
+	}
 	if c.maxDelay == 0 {
 		c.inFlight = append(c.inFlight, m)
 		return
@@ -305,6 +311,9 @@
 		c.ticks++
 		c.inFlight = append(c.inFlight, c.delayed[c.ticks]...)
 		delete(c.delayed, c.ticks)
+		if c.links != nil {
+			c.inFlight = append(c.inFlight, c.links.tick(c.ids)...)
+		}
 		for _, id := range c.ids {
 			if r := c.replicas[id]; !r.down && !r.paused {
 				r.node.Tick()
--- a/consensus/progress.go
+++ b/consensus/progress.go
@@ -5,8 +5,15 @@
 	"slices"
 )
 
-// maxInFlight is the maximum number of unanswered appends to one replica.
-const maxInFlight = 32
+const (
+	// maxInFlight and maxInFlightBytes limit the unanswered appends with entries to one replica. One is always sent.
+	maxInFlight      = 32
+	maxInFlightBytes = 1 << 20
+	// retryTimeouts is the number of election timeouts after which entries or a chunk without an answer are sent
+	// again at first, and maxRetryTimeouts the number to which that time grows.
+	retryTimeouts    = 4
+	maxRetryTimeouts = 256
+)
 
 // progress is the leader's view of one replica.
 type progress struct {
@@ -29,13 +36,85 @@
 	// the log, but its replies do not count towards a quorum.
 	unverified bool
 	// probing means that the leader is searching for the last index at which the logs match,
-	// with one append at a time.
+	// with appends without entries.
 	probing bool
-	// inFlight is the number of unanswered appends.
-	inFlight int
-	snapshot *outgoingSnapshot
+	// sent are the unanswered appends with entries, in the order of their entries and without a gap.
+	sent []sentAppend
+	// advancedAt is the tick of the latest answer that showed that entries or a chunk had arrived, and retryTicks
+	// the time without such an answer after which they are sent again; 0 means retryTimeouts.
+	advancedAt uint64
+	retryTicks uint64
+	snapshot   *outgoingSnapshot
+}
+
+// sentAppend is an append with entries that the replica has not answered.
+type sentAppend struct {
+	// prev is the index before its entries, and last that of its last entry.
+	prev, last uint64
+	bytes      int
+	at         uint64 // tick
+	// againAt and againRound are the tick and the round in which it was last sent again; 0 means never.
+	againAt, againRound uint64
+}
+
+// inFlightBytes returns the size of the unanswered entries.
+func (p *progress) inFlightBytes() int {
+	size := 0
+	for _, s := range p.sent {
+		size += s.bytes
+	}
+	return size
+}
+
+// recordMatch records up to which index the replica's log matches.
+func (p *progress) recordMatch(index, now uint64, opts Options) {
+	if index <= p.match {
+		return
+	}
+	p.match = index
+	for len(p.sent) > 0 && p.sent[0].last <= index {
+		p.recordArrival(p.sent[0].at, now, opts)
+		p.sent = p.sent[1:]
+	}
+	if p.next <= index+1 {
+		p.next = index + 1
+		p.sent = nil
+	}
 }
 
+// recordArrival records that what was sent at a tick has arrived. The time that it took since then, or since
+// what was sent before it had arrived, is what the next ones may take.
+func (p *progress) recordArrival(sentAt, now uint64, opts Options) {
+	took := now - max(sentAt, p.advancedAt)
+	p.advancedAt = now
+	p.retryTicks = min(max(3*took, firstRetryTicks(opts)), maxRetryTicks(opts))
+}
+
+// isOverdue reports whether what was sent at a tick has been without an answer for too long, and if so makes the
+// time longer for the next attempt.
+func (p *progress) isOverdue(sentAt, now uint64, opts Options) bool {
+	wait := max(p.retryTicks, firstRetryTicks(opts))
+	if now-max(sentAt, p.advancedAt) < wait {
+		return false
+	}
+	p.retryTicks = min(2*wait, maxRetryTicks(opts))
+	return true
+}
+
+// stepBack makes the replica's next entry the one after the index, once the replica has shown that it matches up
+// to there.
+func (p *progress) stepBack(index uint64) {
+	p.probing = true
+	p.next = index + 1
+	for len(p.sent) > 0 && p.sent[len(p.sent)-1].last > index {
+		p.sent = p.sent[:len(p.sent)-1]
+	}
+}
+
+func firstRetryTicks(o Options) uint64 { return uint64(retryTimeouts * o.ElectionTicks) }
+
+func maxRetryTicks(o Options) uint64 { return uint64(maxRetryTimeouts * o.ElectionTicks) }
+
 // reset discards the progress when the replica has restarted, since the replica may have lost
 // entries that it had stored.
 func (p *progress) reset(m Message, last uint64) {
--- a/consensus/snapshot.go
+++ b/consensus/snapshot.go
@@ -10,27 +10,50 @@
 // outgoingSnapshot is a snapshot that is being sent to one replica, one chunk at a time.
 type outgoingSnapshot struct {
 	snapshot Snapshot
-	offset   uint64
+	// offset is that of the chunk that is on its way, firstAt and sentAt the ticks at which it was first and last
+	// sent, and isLost is set if it will not arrive.
+	offset  uint64
+	firstAt uint64
+	sentAt  uint64
+	isLost  bool
 }
 
 // incomingSnapshot collects the chunks of one snapshot.
 type incomingSnapshot struct {
-	index uint64
-	term  uint64
-	data  []byte
+	// leaderTerm is the term of the leader that sends it.
+	leaderTerm uint64
+	index      uint64
+	term       uint64
+	data       []byte
 }
 
 func (n *Node) startSnapshot(id string, p *progress) {
 	p.snapshot = &outgoingSnapshot{snapshot: n.log.snapshot}
-	p.inFlight = 0
+	p.sent = nil
+	p.snapshot.firstAt = n.now
 	n.sendChunk(id, p)
 }
 
-// sendChunk sends the next chunk that the replica lacks. Each chunk also serves as a heartbeat.
+// tickSnapshot sends a replica that receives a snapshot a heartbeat, or the chunk again if it is overdue.
+func (n *Node) tickSnapshot(id string, p *progress) {
+	if p.isOverdue(p.snapshot.sentAt, n.now, n.opts) {
+		n.sendChunk(id, p)
+		return
+	}
+	n.sendPart(id, p, p.snapshot.offset)
+}
+
+// sendChunk sends the next chunk that the replica lacks.
 func (n *Node) sendChunk(id string, p *progress) {
+	p.snapshot.sentAt, p.snapshot.isLost = n.now, false
+	n.sendPart(id, p, min(uint64(len(p.snapshot.snapshot.Data)), p.snapshot.offset+chunkBytes))
+}
+
+// sendPart sends the snapshot's data from the offset up to end. Without data, it is a heartbeat to which the replica
+// replies how much it has received.
+func (n *Node) sendPart(id string, p *progress, end uint64) {
 	s := p.snapshot.snapshot
 	size := uint64(len(s.Data))
-	end := min(size, p.snapshot.offset+chunkBytes)
 	n.send(Message{
 		Kind:       KindSnapshot,
 		To:         id,
@@ -56,9 +79,15 @@
 		return
 	}
 	in := &n.incoming
+	if m.Term == in.leaderTerm && m.PrevIndex < in.index {
+		// A late chunk of an earlier snapshot of the same leader.
+		n.send(Message{Kind: KindSnapshotReply, To: m.From, PrevIndex: in.index, Hint: uint64(len(in.data)), Round: m.Round})
+		return
+	}
 	if in.index != m.PrevIndex || in.term != m.PrevTerm {
 		*in = incomingSnapshot{index: m.PrevIndex, term: m.PrevTerm}
 	}
+	in.leaderTerm = m.Term
 	if m.Offset == uint64(len(in.data)) {
 		in.data = append(in.data, m.Chunk...)
 	}
@@ -82,9 +111,14 @@
 	if p == nil || p.snapshot == nil || p.snapshot.snapshot.Index != m.PrevIndex {
 		return
 	}
-	if m.Hint <= p.snapshot.offset || m.Hint > uint64(len(p.snapshot.snapshot.Data)) {
+	s := p.snapshot
+	if m.Hint < s.offset || m.Hint > uint64(len(s.snapshot.Data)) || m.Hint == s.offset && !s.isLost {
 		return
 	}
-	p.snapshot.offset = m.Hint
+	if m.Hint > s.offset {
+		p.recordArrival(s.firstAt, n.now, n.opts)
+		s.firstAt = n.now
+	}
+	s.offset = m.Hint
 	n.sendChunk(m.From, p)
 }
