--- a/consensus/slow_links_test.go
+++ b/consensus/slow_links_test.go
@@ -199,5 +199,5 @@
 	c.propose(t, "a")
 	last := c.replicas[leader].node.log.lastPosition()
 	is.True(c.replicas[behind].node.log.last() < last.Index)
-	is.Equal(c.replicas[behind].node.voterRecords[leader].stored, last)
+	is.Equal(c.replicas[behind].node.voterRecords[folderKey{leader, c.replicas[leader].node.opts.Disk}].stored, last)
 }
