--- a/admission/wait.go
+++ b/admission/wait.go
@@ -33,7 +33,8 @@
 	if p.hasCapacity(e.class) {
 		ahead--
 	}
-	return p.waitBehind(p.pace(now), e, e.queue, float64(ahead))
+	at := p.pace(now)
+	return min(p.waitBehind(at, e, e.queue, float64(ahead)), p.waitByWork(at, e))
 }
 
 // waitBehind predicts the wait for a number of places in a queue.
