--- a/admission/admission.go
+++ b/admission/admission.go
@@ -131,8 +131,6 @@
 	arrived time.Time
 	// arrivedFirst is arrived, or when the request arrived before it was refused if its caller came back.
 	arrivedFirst time.Time
-	// cameEarly means that the caller came back before it was asked to.
-	cameEarly bool
 	// dueAt orders the requests of a queue: the deadline, or the longest wait since arrivedFirst if that is earlier.
 	dueAt     time.Time
 	running   bool
@@ -345,7 +343,6 @@
 		if e == nil {
 			break
 		}
-		p.takeTurn(e.class)
 		e.queue.remove(e)
 		c.start(now, e)
 		starts++
--- a/admission/class.go
+++ b/admission/class.go
@@ -25,8 +25,6 @@
 	limit float64
 	// places are the requests that the class may run while the pool's isRanked is set.
 	places places
-	// startsLeast is set if the next start among several that wait is that of the least work, under shortage.
-	startsLeast bool
 	// arrivals is a moving average of arrivals a second, as of arrivedAt.
 	arrivals  float64
 	arrivedAt time.Time
--- a/admission/pool.go
+++ b/admission/pool.go
@@ -49,8 +49,6 @@
 	localCapacity float64
 	// isRanked is set if classes compete, or if isUnnamed is.
 	isRanked bool
-	// isShort is set while the demand of all ranks exceeds the capacity.
-	isShort bool
 	// isUnnamed is set if some demand of other instances isn't known by workspace: then there may be so many
 	// instances that limits aren't rounded up, and each class is held to its own.
 	isUnnamed bool
@@ -194,7 +192,7 @@
 			}
 		}
 		if o := k.places.order(k.running); first == nil || o < order {
-			first, order = p.choose(k, w.waiting[0]), o
+			first, order = w.waiting[0], o
 		}
 	}
 	return first
--- a/admission/rank.go
+++ b/admission/rank.go
@@ -23,7 +23,6 @@
 	p.isUnnamed = slices.ContainsFunc(demands, func(d rankDemand) bool { return d.unnamed > 0 })
 	capacity := p.capacity(now)
 	isShort := divideRanks(capacity, demands)
-	p.isShort = isShort
 	p.localCapacity = 0
 	for i := range demands {
 		d := &demands[i]
--- a/admission/returning.go
+++ b/admission/returning.go
@@ -36,7 +36,6 @@
 	if away = known.until.Sub(now); away > 0 && away <= maxRetryAfter && p.hasQueue(r.rank()) {
 		return known.arrivedFirst, away
 	}
-	r.cameEarly = away > 0
 	delete(c.returning, r.Caller)
 	return known.arrivedFirst, 0
 }
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -33,8 +33,7 @@
 	if p.hasCapacity(e.class) {
 		ahead--
 	}
-	at := p.pace(now)
-	return min(p.waitBehind(at, e, e.queue, float64(ahead)), p.waitByWork(at, e))
+	return p.waitBehind(p.pace(now), e, e.queue, float64(ahead))
 }
 
 // waitBehind predicts the wait for a number of places in a queue.
