--- a/internal/lab/soak_directed_test.go
+++ b/internal/lab/soak_directed_test.go
@@ -65,6 +65,70 @@
 	s.finish()
 }
 
+// Guards against gateways that start over narrow links, where no document can be patched, and serve late: one of them, or
+// all at once, also where one control instance's link is narrow.
+func TestGatewaysStartedOverNarrowLinksServeInTime(t *testing.T) {
+	t.Parallel()
+	const share = 170_000_000 / 8 / 195 // as above
+	for name, c := range map[string]struct{ started, pairRate, controlRate int }{
+		"one":                                  {started: 1, pairRate: share},
+		"one, less than a part a second":       {started: 1, pairRate: 56 << 10},
+		"all":                                  {started: 8, pairRate: share},
+		"all, one control instance is narrow":  {started: 8, controlRate: share},
+		"all, four control instances are slow": {started: 8, controlRate: -share},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := directedOptions(8)
+			o.routes, o.keys, o.probeEvery, o.changeEvery = 1400, 6, 100*time.Millisecond, time.Hour
+			s := startSoak(t, o)
+			s.startQuietly()
+			s.narrowLinks(c.pairRate, c.controlRate)
+			started := s.d.Gateways[:c.started]
+			forEach(started, func(g *Member) { s.stopGateway(g, g.Kill) })
+			at := time.Now()
+			troubles := make(map[*Member]*trouble)
+			for _, g := range started {
+				troubles[g] = s.judge.begin(trouble{what: g.Name + " is started", gateway: g.Name})
+			}
+			forEach(started, s.startGateway)
+			for _, g := range started {
+				s.judge.end(troubles[g])
+			}
+			s.waitFor(at, touchTime, "all gateways to serve", func() bool {
+				for _, g := range started {
+					if s.judge.lastSeen(g.Name, s.boot(g)) == 0 {
+						return false
+					}
+				}
+				return true
+			})
+			t.Logf("all %d serve after %v", c.started, time.Since(at))
+			s.finish()
+		})
+	}
+}
+
+// narrowLinks limits each link between a gateway and a control instance, if pairRate is set, and the whole link of one
+// control instance, or, if controlRate is negative, of all but one. Both are in bytes a second.
+func (s *soak) narrowLinks(pairRate, controlRate int) {
+	for _, g := range s.d.Gateways {
+		for _, c := range s.d.Controls {
+			s.d.HarmLink(g.Name, c.Name, LinkFault{BytesPerSecond: pairRate})
+		}
+	}
+	narrow := s.d.Controls[:1]
+	if controlRate < 0 {
+		narrow, controlRate = s.d.Controls[1:], -controlRate
+	}
+	s.d.update(func() {
+		for _, c := range narrow {
+			if controlRate > 0 {
+				s.d.lineRate[c.Name] = controlRate
+			}
+		}
+	})
+}
+
 // Guards against documents that are late where the first packets of connections are lost.
 func TestDocumentsAreInTimeThoughFirstPacketsOfConnectionsAreLost(t *testing.T) {
 	t.Parallel()
