instance: entries and small messages of the consensus have a connection each, and large calls last while bytes move

Callers saw: documents of 213 KB without an acknowledgement for 6 s, leaders lost about once a second.

Cause: all messages to a peer shared one connection with one call at a time, so heartbeats waited behind entries; a call was broken off after 300 ms and its messages thrown away, however much of them had arrived.

Now messages with entries or chunks go over a connection of their own, in order. Their call lasts while the kernel's peer acknowledges or sends bytes; after 1 s without any (growing to 8 s) it is broken off, and the node is told which append was lost. What the lane still holds isn't queued again. A batch is 512 KiB at most: 64 appends of 512 KiB exceeded the 4 MiB of a call.

Ruled out: a longer fixed time, which only moves the limit; priority within one connection, since a begun call blocks it.

--- a/control/host.go
+++ b/control/host.go
@@ -56,9 +56,10 @@
 	maxBatchInputs = 512
 )
 
-// input is a message, proposal or query for the host. Exactly one field is set.
+// input is a message, lost message, proposal or query for the host. Exactly one field is set.
 type input struct {
 	message  *consensus.Message
+	lost     *consensus.Message
 	proposal *proposal
 	query    func(*replica.State, *consensus.Node)
 }
@@ -236,6 +237,12 @@
 	h.inputQueue.Offer(input{message: &m})
 }
 
+// ReportLost queues the report that a message will not arrive at another replica. The report is dropped if the queue
+// is full.
+func (h *Host) ReportLost(m consensus.Message) {
+	h.inputQueue.Offer(input{lost: &m})
+}
+
 // Query runs f while no command is being applied. f must not retain its arguments.
 func (h *Host) Query(ctx context.Context, f func(*replica.State, *consensus.Node)) error {
 	done := make(chan struct{})
@@ -260,6 +267,8 @@
 	switch {
 	case in.message != nil:
 		h.handleMessage(*in.message)
+	case in.lost != nil:
+		h.node.ReportLost(*in.lost)
 	case in.query != nil:
 		in.query(h.state, h.node)
 	case in.proposal != nil:
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -138,6 +138,7 @@
 		_ = store.Close()
 		return err
 	}
+	d.sender.SetOnLost(d.host.ReportLost)
 	identity := store.Identity()
 	d.log.Info("opened the data folder", "folder", d.process.DataFolder, "disk", identity.Disk, "start", identity.Starts,
 		"snapshot", stored.Snapshot.Index, "entries", len(stored.Entries), "cut_bytes", store.TruncatedBytes)
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -290,7 +290,11 @@
 		OnRouting:    applied,
 		Log:          m.log.WithName("control"),
 	}, stored)
-	return host, sender, err
+	if err != nil {
+		return nil, nil, err
+	}
+	sender.SetOnLost(host.ReportLost)
+	return host, sender, nil
 }
 
 // controllerReplica serves the replica to other instances.
--- a/instance/conn.go
+++ b/instance/conn.go
@@ -3,26 +3,35 @@
 package instance
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/balsamlb/balsamlb/instance/wire"
 	"github.com/balsamlb/balsamlb/internal/meter"
 	"github.com/balsamlb/balsamlb/keys"
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 	"storj.io/drpc/drpcconn"
 )
 
 const (
 	dialTimeout = 250 * time.Millisecond
+	// largeDialTimeout bounds a dial for large messages, whose earlier bytes may still fill the link.
+	largeDialTimeout = 500 * time.Millisecond
 	// callTimeout bounds a call that doesn't wait for a commit.
 	callTimeout = 500 * time.Millisecond
 )
 
+// errStalled means that a call was broken off because no byte moved.
+var errStalled = errors.New("instance: the call has stalled")
+
 // Dialer opens connections to other instances. All connections use the same local address, so
 // that the other instances can identify the caller by it.
 type Dialer struct {
@@ -32,6 +41,10 @@
 	traffic *meter.Traffic
 	// onReceived, unless it is nil, is called with the number of bytes of each read, and with 0 for a new connection.
 	onReceived func(bytes int)
+	// onDialed, unless it is nil, is called with each new connection.
+	onDialed func(*net.TCPConn)
+	// timeout is dialTimeout unless it is set.
+	timeout time.Duration
 }
 
 // NewDialer returns a dialer for an instance that listens on the address (IP:port). certs is
@@ -45,11 +58,14 @@
 }
 
 func (d Dialer) dial(ctx context.Context, address string) (net.Conn, error) {
-	nd := net.Dialer{Timeout: dialTimeout, LocalAddr: &net.TCPAddr{IP: d.local}}
+	nd := net.Dialer{Timeout: cmp.Or(d.timeout, dialTimeout), LocalAddr: &net.TCPAddr{IP: d.local}}
 	c, err := nd.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "instance: dial %s", address)
 	}
+	if tcp, ok := c.(*net.TCPConn); ok && d.onDialed != nil {
+		d.onDialed(tcp)
+	}
 	c = d.traffic.Conn(c)
 	if d.onReceived != nil {
 		d.onReceived(0)
@@ -90,7 +106,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "instance: parse address %s", address)
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(d.timeout, dialTimeout))
 	defer cancel()
 	secure := tls.Client(c, d.certs.ClientConfig(host))
 	if err := secure.HandshakeContext(ctx); err != nil {
@@ -107,6 +123,64 @@
 	address string
 	mu      sync.Mutex
 	conn    *drpcconn.Conn
+	// tcp is the connection below conn once callWhileMoving has opened it.
+	tcp atomic.Pointer[net.TCPConn]
+}
+
+// stallChecks is the number of times that a call is looked at within the time after which it counts as stalled.
+const stallChecks = 10
+
+// callWhileMoving runs f as call does, for as long as the peer acknowledges or sends bytes on the connection. It
+// returns errStalled if none has moved for the given time.
+func (pc *peerConn) callWhileMoving(ctx context.Context, stall time.Duration, f func(context.Context, wire.DRPCInstanceClient) error) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	pc.dialer.onDialed = func(c *net.TCPConn) { pc.tcp.Store(c) }
+	pc.dialer.timeout = largeDialTimeout
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		ticker := time.NewTicker(stall / stallChecks)
+		defer ticker.Stop()
+		moved, at := movedBytes(pc.tcp.Load()), time.Now()
+		for {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+			}
+			if now := movedBytes(pc.tcp.Load()); now != moved {
+				moved, at = now, time.Now()
+			}
+			if time.Since(at) >= stall {
+				cancel(errStalled)
+				return
+			}
+		}
+	}()
+	err := pc.call(ctx, f)
+	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
+		return eris.Wrapf(errStalled, "instance: call %s", pc.address)
+	}
+	return err
+}
+
+// movedBytes returns how many bytes the kernel's peer has acknowledged and sent on a connection, or 0 if that isn't known.
+func movedBytes(c *net.TCPConn) uint64 {
+	if c == nil {
+		return 0
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	var moved uint64
+	_ = raw.Control(func(fd uintptr) { // a closed connection has moved nothing
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.SOL_TCP, unix.TCP_INFO); err == nil {
+			moved = info.Bytes_acked + info.Bytes_received
+		}
+	})
+	return moved
 }
 
 // call runs f on the connection, which it opens if necessary.
--- a/instance/consensus.go
+++ b/instance/consensus.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -12,32 +13,42 @@
 )
 
 const (
-	// outboxSize bounds the messages queued for one peer. A full outbox drops new messages,
+	// outboxSize bounds the messages queued in each lane of a peer. A full lane drops new messages,
 	// which the consensus protocol resends.
 	outboxSize   = 1024
 	maxStepBatch = 64
-	// stepTimeout bounds the call that sends one batch. If the call takes longer, its connection is
+	// maxStepBytes bounds the entries and chunks in one call with more than one message. It is below the limit of a
+	// call, 4 MiB, also with the largest append.
+	maxStepBytes = 512 << 10
+	// stepTimeout bounds the call that sends one batch of small messages. If the call takes longer, its connection is
 	// closed and later redialled.
 	stepTimeout = 300 * time.Millisecond
+	// minStall and maxStall bound the time after which a call with entries or a chunk is broken off because no byte
+	// has moved. It grows with each such call, since buffers on the way may hold what the peer has not read yet.
+	minStall = time.Second
+	maxStall = 8 * time.Second
 )
 
 // maxPeers bounds the number of replicas that one instance sends to.
 const maxPeers = 64
 
-// ConsensusSender sends consensus messages, with one goroutine and one connection per peer. It is
+// ConsensusSender sends consensus messages. Each peer has two lanes, each with a goroutine and a connection: one for
+// messages with entries or chunks, which keep their order, and one for all others, which never wait for them. It is
 // safe for concurrent use.
 type ConsensusSender struct {
 	dialer Dialer
 	mu     sync.Mutex
 	peers  map[string]*outbox
-	// newPeers holds the outboxes whose goroutine has not been started yet.
+	onLost func(consensus.Message)
+	// newPeers holds the outboxes whose goroutines have not been started yet.
 	newPeers chan *outbox
 }
 
 // outbox queues the messages for one peer.
 type outbox struct {
-	conn  *peerConn
-	queue *ring.Ring[consensus.Message]
+	address string
+	small   *ring.Ring[consensus.Message]
+	large   *largeQueue
 }
 
 // NewConsensusSender returns a sender without peers.
@@ -45,6 +56,10 @@
 	return &ConsensusSender{dialer: d, peers: make(map[string]*outbox), newPeers: make(chan *outbox, maxPeers)}
 }
 
+// SetOnLost sets the function that is called with messages with entries or chunks that could not be sent. It is called
+// from other goroutines and must not block. SetOnLost must be called before Run.
+func (s *ConsensusSender) SetOnLost(f func(consensus.Message)) { s.onLost = f }
+
 // Reach sets the address of a peer. The first address of a peer is kept; later ones are ignored.
 func (s *ConsensusSender) Reach(name, address string) {
 	s.mu.Lock()
@@ -52,10 +67,7 @@
 	if _, ok := s.peers[name]; ok || address == "" || len(s.peers) >= maxPeers {
 		return
 	}
-	box := &outbox{
-		conn:  &peerConn{dialer: s.dialer, address: address},
-		queue: ring.New[consensus.Message](outboxSize),
-	}
+	box := &outbox{address: address, small: ring.New[consensus.Message](outboxSize), large: newLargeQueue()}
 	s.peers[name] = box
 	s.newPeers <- box
 }
@@ -65,19 +77,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if box, ok := s.peers[name]; ok {
-		return box.conn.address
+		return box.address
 	}
 	return ""
 }
 
-// Send queues a message. The message is dropped if the peer's queue is full or the peer is
+// Send queues a message. The message is dropped if the peer's lane is full or the peer is
 // unknown.
 func (s *ConsensusSender) Send(m consensus.Message) {
 	s.mu.Lock()
 	box, ok := s.peers[m.To]
 	s.mu.Unlock()
-	if ok {
-		box.queue.Offer(m)
+	switch {
+	case !ok:
+	case isLarge(m):
+		box.large.put(m)
+	default:
+		box.small.Offer(m)
 	}
 }
 
@@ -90,38 +106,70 @@
 			return g.Wait()
 		case box := <-s.newPeers:
 			g.Go(func() error {
-				runOutbox(ctx, box.conn, box.queue)
+				runSmall(ctx, &peerConn{dialer: s.dialer, address: box.address}, box.small)
+				return nil
+			})
+			g.Go(func() error {
+				s.runLarge(ctx, &peerConn{dialer: s.dialer, address: box.address}, box.large)
 				return nil
 			})
 		}
 	}
 }
 
-func runOutbox(ctx context.Context, pc *peerConn, queue *ring.Ring[consensus.Message]) {
+// runSmall sends the messages of the lane for small messages.
+func runSmall(ctx context.Context, pc *peerConn, queue *ring.Ring[consensus.Message]) {
 	defer pc.close()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case m := <-queue.Items():
-			batch := append([]consensus.Message{m}, queue.Drain(maxStepBatch-1)...)
-			sendBatch(ctx, pc, batch)
+			callCtx, cancel := context.WithTimeout(ctx, stepTimeout)
+			_ = pc.call(callCtx, step(append([]consensus.Message{m}, queue.Drain(maxStepBatch-1)...)))
+			cancel()
+		}
+	}
+}
+
+// runLarge sends the messages of the lane for entries and chunks. If a call fails, those that are queued are
+// dropped as well, since the peer can't use them without the ones that were lost.
+func (s *ConsensusSender) runLarge(ctx context.Context, pc *peerConn, queue *largeQueue) {
+	defer pc.close()
+	stall := minStall
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-queue.wake:
+		}
+		for batch := queue.next(); len(batch) > 0; batch = queue.next() {
+			err := pc.callWhileMoving(ctx, stall, step(batch))
+			if err == nil {
+				stall = minStall
+				continue
+			}
+			if errors.Is(err, errStalled) {
+				stall = min(2*stall, maxStall)
+			}
+			queue.clear()
+			if s.onLost != nil && ctx.Err() == nil {
+				s.onLost(batch[0])
+			}
 		}
 	}
 }
 
-// sendBatch sends the messages in one call. If the call fails, the batch is dropped.
-func sendBatch(ctx context.Context, pc *peerConn, batch []consensus.Message) {
+// step returns a call that sends the messages.
+func step(batch []consensus.Message) func(context.Context, wire.DRPCInstanceClient) error {
 	req := &wire.StepRequest{Messages: make([]*wire.ConsensusMessage, len(batch))}
 	for i, m := range batch {
 		req.Messages[i] = toWire(m)
 	}
-	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
-	defer cancel()
-	_ = pc.call(ctx, func(ctx context.Context, c wire.DRPCInstanceClient) error {
+	return func(ctx context.Context, c wire.DRPCInstanceClient) error {
 		_, err := c.Step(ctx, req)
 		return err
-	})
+	}
 }
 
 func toWire(m consensus.Message) *wire.ConsensusMessage {
