control, instance: a command that is sent again waits for the entry that is in the log already

What callers saw: a document whose commit takes longer than 400 ms was added to the log again with each attempt, which filled the links between control instances with copies of it (review of the incident: three entries, no acknowledgement at 700 ms).

Cause: an attempt ends after 400 ms, and the leader added each one. An attempt with a large command that needed longer on its way to the leader than that began anew.

Now a proposal with the same bytes as an uncommitted entry waits for that entry, and a call with 16 KiB or more goes on while its bytes move. A joined proposal is answered when the entry is applied, which is after it was sent, so reads by proposal stay current.

Evidence: TestCommandSentAgainBeforeItsCommitIsAddedOnce failed before with '3 != 1' entries. go test -race ./control (this test) and ./instance pass. Not run: the review's trial with processes.

--- a/control/host.go
+++ b/control/host.go
@@ -72,7 +72,7 @@
 	sender     Sender
 	state      *replica.State
 	inputQueue *ring.Ring[input]
-	waiters    map[uint64]waiter
+	waiters    map[uint64]*waiter
 	clock      clock
 	// stopped is closed when Run returns.
 	stopped chan struct{}
@@ -128,7 +128,7 @@
 		storage:    o.Storage,
 		sender:     o.Sender,
 		inputQueue: ring.New[input](inputQueueSize),
-		waiters:    make(map[uint64]waiter),
+		waiters:    make(map[uint64]*waiter),
 		stopped:    make(chan struct{}),
 		encoded:    make(chan encodedState, 1),
 		log:        o.Log,
--- a/control/host_test.go
+++ b/control/host_test.go
@@ -112,3 +112,29 @@
 		is.Equal(d.calls, failAt)
 	}
 }
+
+// Guards against a command that is added to the log again with each attempt while its commit takes longer than one.
+func TestCommandSentAgainBeforeItsCommitIsAddedOnce(t *testing.T) {
+	is := is.New(t)
+	d := &failingStorage{}
+	h := newTestHost(t, d, &peerRecorder{disk: d})
+	ctx, stop := context.WithCancel(t.Context())
+	runErr := make(chan error, 1)
+	go func() { runErr <- h.Run(ctx) }()
+	is.NoErr(commit(t, h))
+	stop()
+	is.NoErr(<-runErr)
+	data, err := replica.Command{Drain: &replica.Drain{Server: "advice-2", On: true}}.Encode()
+	is.NoErr(err)
+	var sent []*proposal
+	for range 3 {
+		p := &proposal{data: data, result: make(chan proposalResult, 1)}
+		h.propose(p)
+		sent = append(sent, p)
+	}
+	is.Equal(len(h.waiters), 1)
+	is.NoErr(h.process())
+	for _, p := range sent {
+		is.NoErr((<-p.result).err) // each attempt learns the result
+	}
+}
--- a/control/propose.go
+++ b/control/propose.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bytes"
 	"context"
 
 	"github.com/balsamlb/balsamlb/consensus"
@@ -19,11 +20,18 @@
 	err    error
 }
 
-// waiter is a proposal whose entry is in the log. The node's limit on uncommitted entries also
+// waiter is an entry in the log with the proposals that wait for it. The node's limit on uncommitted entries also
 // bounds the number of waiters.
 type waiter struct {
-	term     uint64
-	proposal *proposal
+	term      uint64
+	data      []byte
+	proposals []*proposal
+}
+
+func (w *waiter) resolve(r proposalResult) {
+	for _, p := range w.proposals {
+		p.result <- r
+	}
 }
 
 // Propose appends a command to the log and returns its result after it is applied. After any error
@@ -50,14 +58,32 @@
 		p.result <- proposalResult{err: err}
 		return
 	}
+	if w := h.uncommitted(p.data); w != nil {
+		w.proposals = append(w.proposals, p)
+		return
+	}
 	index, term, err := h.node.Propose(p.data)
 	if err != nil {
 		p.result <- proposalResult{err: err}
 		return
 	}
-	h.waiters[index] = waiter{term: term, proposal: p}
+	h.waiters[index] = &waiter{term: term, data: p.data, proposals: []*proposal{p}}
 }
 
+// uncommitted returns the entry with the same command that waits for its commit, or nil. A proposer that sends a
+// command again waits for that entry, instead of adding another one to a log that is slow already.
+func (h *Host) uncommitted(data []byte) *waiter {
+	for _, w := range h.waiters {
+		if len(w.proposals) < maxProposals && bytes.Equal(w.data, data) {
+			return w
+		}
+	}
+	return nil
+}
+
+// maxProposals bounds the proposals that wait for one entry.
+const maxProposals = 1024
+
 // applyReady replaces the state with the snapshot, if there is one, and applies the committed
 // entries.
 func (h *Host) applyReady(r consensus.Ready) error {
@@ -92,10 +118,10 @@
 	}
 	delete(h.waiters, e.Index)
 	if w.term != e.Term {
-		w.proposal.result <- proposalResult{err: ErrOverwritten}
+		w.resolve(proposalResult{err: ErrOverwritten})
 		return
 	}
-	w.proposal.result <- proposalResult{result: result}
+	w.resolve(proposalResult{result: result})
 }
 
 // failWaiters fails all pending proposals when this replica is no longer the leader and can't
@@ -103,6 +129,6 @@
 func (h *Host) failWaiters() {
 	for index, w := range h.waiters {
 		delete(h.waiters, index)
-		w.proposal.result <- proposalResult{err: consensus.ErrNotLeader}
+		w.resolve(proposalResult{err: consensus.ErrNotLeader})
 	}
 }
--- a/instance/proposer.go
+++ b/instance/proposer.go
@@ -19,6 +19,8 @@
 	// proposeTimeout bounds one attempt, since the leader may be paused or unreachable.
 	proposeTimeout    = 400 * time.Millisecond
 	proposeRetryDelay = 25 * time.Millisecond
+	// largeCommandBytes is the size from which on an attempt may take longer, as long as the command is on its way.
+	largeCommandBytes = 16 << 10
 )
 
 // Proposer proposes commands to the control instances. It resends a command until the command
@@ -81,17 +83,24 @@
 	return replica.Result{}, ErrNoQuorum
 }
 
+// proposeOnce makes one attempt. The leader adds a command to the log once, however often it is sent until then.
 func (p *Proposer) proposeOnce(ctx context.Context, address string, data []byte) (*wire.ProposeResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
-	defer cancel()
 	pc := p.takeIdle(address)
 	var resp *wire.ProposeResponse
-	err := pc.call(ctx, func(ctx context.Context, c wire.DRPCInstanceClient) error {
+	propose := func(ctx context.Context, c wire.DRPCInstanceClient) error {
 		var err error
 		req := &wire.ProposeRequest{Command: data, TimeoutMs: uint64(proposeTimeout.Milliseconds())}
 		resp, err = c.Propose(ctx, req)
 		return err
-	})
+	}
+	var err error
+	if len(data) >= largeCommandBytes {
+		err = pc.callWhileMoving(ctx, proposeTimeout, propose)
+	} else {
+		ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+		defer cancel()
+		err = pc.call(ctx, propose)
+	}
 	if err == nil {
 		p.putIdle(pc)
 		p.recordAnswer(address)
