--- a/internal/lab/soak_roll_test.go
+++ b/internal/lab/soak_roll_test.go
@@ -287,14 +287,14 @@
 }
 
 // Guards against callers, bookings and documents that pay for an upgrade, a halt or a rollback beside faults of links,
-// processes and data folders. scripts/upgrade.sh names the builds and the plan; without it all are this build.
+// processes and data folders. BALSAMLB_OLD names an earlier build, with the setting advertise, and BALSAMLB_ROLL the plan.
 func TestSoakOfRolls(t *testing.T) {
 	t.Parallel()
 	own := filepath.Join(binFolder, "balsamd")
 	r := &soakRoll{plan: environment("BALSAMLB_ROLL", "forward"), build: make(map[string]int), counts: make(map[string]int)}
 	r.builds = [2]string{environment("BALSAMLB_OLD", own), environment("BALSAMLB_NEW", own)}
 	if r.builds[0] == r.builds[1] {
-		t.Log("BALSAMLB_OLD names no earlier build: processes are replaced by the same build; see scripts/upgrade.sh")
+		t.Log("BALSAMLB_OLD names no earlier build: processes are replaced by the same build")
 	}
 	first := 0
 	if r.plan == "back" || r.plan == "calm" && os.Getenv("BALSAMLB_CALM") == "newer" {
--- a/internal/lab/upgrade_denial_test.go
+++ b/internal/lab/upgrade_denial_test.go
@@ -94,7 +94,7 @@
 	t.Parallel()
 	old := os.Getenv("BALSAMLB_OLD")
 	if old == "" {
-		t.Skip("BALSAMLB_OLD names no build that confirms no documents; see scripts/upgrade.sh")
+		t.Skip("BALSAMLB_OLD names no build that confirms no documents")
 	}
 	const gateways = 4
 	builds := [2]string{old, environment("BALSAMLB_NEW", filepath.Join(binFolder, "balsamd"))}
--- a/mesh/confirmation.go
+++ b/mesh/confirmation.go
@@ -45,7 +45,7 @@
 	// lastConfirmed keeps that time of control instances over disconnections, so that one whose connection breaks
 	// again and again gets no new time to confirm.
 	lastConfirmed map[string]time.Duration
-	isExpected bool
+	isExpected    bool
 	// confirms is set on a control instance whose replica can tell the age of its state.
 	confirms bool
 }
