daemon: tests notice an instance that ends, and use ports that no connection takes

Cause: the dump of its goroutines shows two controllers and the gateway running, and the third of the three not. A group is founded only with all three. Its ports were taken from the kernel's range for outgoing connections on addresses that others use too, and nothing read the error of an instance that had ended. With the error reported: 'bind: address already in use', 9 times in four processes that repeated the test for two minutes.

Ruled out: the replication (no entry was ever proposed; the group was never founded).

Change: fixed ports below that range in a loopback network that the process has claimed, as the lab does; an instance that ends by itself fails the test at once with its error, which is stricter than before.

--- a/daemon/member_test.go
+++ b/daemon/member_test.go
@@ -11,9 +11,11 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/balsamlb/balsamlb/internal/lab"
 	"github.com/balsamlb/balsamlb/settings"
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
@@ -27,6 +29,8 @@
 	ports     map[string]int
 	stopFuncs map[string]func()
 	backend   string
+	// ended receives instances that have ended without being stopped.
+	ended chan error
 }
 
 // freePort returns a port that is free on 127.0.0.1; the tests use it on other loopback addresses.
@@ -42,14 +46,29 @@
 
 const controlCount = 3
 
-func controlIP(i int) string { return fmt.Sprintf("127.0.31.%d", i+1) }
+// The ports of the instances are none that the kernel gives to outgoing connections, which would take them.
+var testPorts = map[string]int{"instances": 8084, "control": 8085, "callers": 8080, "ready": 8081}
+
+// testNetwork is a loopback network that no other process uses.
+var testNetwork = sync.OnceValue(func() string {
+	network, listener, err := lab.ClaimNetwork()
+	if err != nil {
+		panic(err)
+	}
+	networkClaim = listener
+	return network
+})
+
+// networkClaim keeps the claim until the process ends.
+var networkClaim net.Listener
+
+func controlIP(i int) string { return fmt.Sprintf("%s.31.%d", testNetwork(), i+1) }
+
+func gatewayIP() string { return testNetwork() + ".31.9" }
 
 func newTestSystem(t *testing.T) *testSystem {
 	t.Helper()
-	s := &testSystem{t: t, folder: t.TempDir(), ports: map[string]int{}, stopFuncs: map[string]func(){}}
-	for _, name := range []string{"instances", "control", "callers", "ready"} {
-		s.ports[name] = freePort(t)
-	}
+	s := &testSystem{t: t, folder: t.TempDir(), ports: testPorts, stopFuncs: map[string]func(){}, ended: make(chan error, controlCount+1)}
 	t.Cleanup(func() {
 		for _, stop := range s.stopFuncs {
 			stop()
@@ -81,11 +100,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() {
+		run := RunController
 		if role == settings.RoleGateway {
-			ended <- RunGateway(ctx, path, m, logr.Discard())
-			return
+			run = RunGateway
 		}
-		ended <- RunController(ctx, path, m, logr.Discard())
+		err := run(ctx, path, m, logr.Discard())
+		if ctx.Err() == nil {
+			s.ended <- fmt.Errorf("%s ended by itself: %w", name, err)
+		}
+		ended <- err
 	}()
 	s.stopFuncs[name] = func() {
 		cancel()
@@ -118,19 +141,19 @@
 name = gateway-1
 data_centre = a
 [listen]
-callers = 127.0.31.9:%d
-ready = 127.0.31.9:%d
-instances = 127.0.31.9:%d
+callers = %[1]s:%[2]d
+ready = %[1]s:%[3]d
+instances = %[1]s:%[4]d
 [join]
-seeds = %s
+seeds = %[5]s
 [limits]
 grace_s = 3
-`, s.ports["callers"], s.ports["ready"], s.ports["instances"], s.seeds()))
+`, gatewayIP(), s.ports["callers"], s.ports["ready"], s.ports["instances"], s.seeds()))
 }
 
 // serveBackend runs a fake backend server that answers every request with status 200.
 func (s *testSystem) serveBackend() {
-	l, err := net.Listen("tcp", "127.0.31.8:0")
+	l, err := net.Listen("tcp", testNetwork()+".31.8:0")
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -189,6 +212,8 @@
 		select {
 		case <-s.t.Context().Done():
 			s.t.Fatal("the condition never became true")
+		case err := <-s.ended:
+			s.t.Fatal(err)
 		case <-time.After(10 * time.Millisecond):
 		}
 	}
@@ -208,7 +233,7 @@
 
 func (s *testSystem) get(path string) int {
 	s.announce()
-	status, _ := s.call(http.MethodGet, fmt.Sprintf("http://127.0.31.9:%d%s", s.ports["callers"], path), "shop", "")
+	status, _ := s.call(http.MethodGet, fmt.Sprintf("http://%s:%d%s", gatewayIP(), s.ports["callers"], path), "shop", "")
 	return status
 }
 
@@ -235,7 +260,7 @@
 		s.startController(i, true)
 	}
 	s.startGateway()
-	ready := fmt.Sprintf("http://127.0.31.9:%d/-/readiness", s.ports["ready"])
+	ready := fmt.Sprintf("http://%s:%d/-/readiness", gatewayIP(), s.ports["ready"])
 	s.eventually(func() bool {
 		status, _ := s.call(http.MethodGet, ready, "", "")
 		return status == http.StatusServiceUnavailable
@@ -281,12 +306,12 @@
 name = gateway-1
 data_centre = a
 [listen]
-callers = 127.0.31.9:%d
-ready = 127.0.31.9:%d
-instances = 127.0.31.9:%d
+callers = %[1]s:%[2]d
+ready = %[1]s:%[3]d
+instances = %[1]s:%[4]d
 [join]
 seeds = 127.0.31.77:1
-`, s.ports["callers"], s.ports["ready"], s.ports["instances"]))
+`, gatewayIP(), s.ports["callers"], s.ports["ready"], s.ports["instances"]))
 	s.publish(3, "one")
 	text, err := os.ReadFile(path)
 	is.New(t).NoErr(err)
--- a/daemon/restart_of_all_test.go
+++ b/daemon/restart_of_all_test.go
@@ -24,7 +24,7 @@
 	for i, prefix := range []string{"one", "two", "three"} {
 		s.publish(i+1, prefix)
 	}
-	dialer, err := instance.NewDialer("127.0.31.9:0", nil, &meter.Traffic{})
+	dialer, err := instance.NewDialer(gatewayIP()+":0", nil, &meter.Traffic{})
 	is.NoErr(err)
 	applied := func(i int) uint64 {
 		resp, err := dialer.FetchRouting(t.Context(), fmt.Sprintf("%s:%d", controlIP(i), s.ports["instances"]), 0)
--- a/internal/lab/deployment.go
+++ b/internal/lab/deployment.go
@@ -75,7 +75,7 @@
 
 // StartDeployment starts the processes of a new deployment.
 func StartDeployment(ctx context.Context, layout DeploymentLayout) (*Deployment, error) {
-	network, claim, err := claimNetwork()
+	network, claim, err := ClaimNetwork()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -101,7 +101,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	l := &Lab{Layout: layout, Emulators: make(map[string]*Process), relays: newRelays(), cancel: cancel}
 	if layout.Network == "" {
-		network, claim, err := claimNetwork()
+		network, claim, err := ClaimNetwork()
 		if err != nil {
 			cancel()
 			return nil, err
--- a/internal/lab/network.go
+++ b/internal/lab/network.go
@@ -15,9 +15,9 @@
 	claimPort    = 7999
 )
 
-// claimNetwork reserves a loopback network, such as 127.16, that no other lab on the machine
+// ClaimNetwork reserves a loopback network, such as 127.16, that no other lab on the machine
 // uses, and returns its first two octets. The reservation lasts until the listener is closed.
-func claimNetwork() (string, net.Listener, error) {
+func ClaimNetwork() (string, net.Listener, error) {
 	for n := firstNetwork; n <= lastNetwork; n++ {
 		network := fmt.Sprintf("127.%d", n)
 		l, err := net.Listen("tcp", fmt.Sprintf("%s.255.254:%d", network, claimPort))
