caller: an instance without a newest configuration denies nothing

What callers saw: 400 'unknown workspace' (or a body 'longer than 0 bytes') from an instance that had started 20 to 30 ms before.

Cause, by the test's logs and by reading: the drafts came before the instance had applied its first view; without one, its configuration is empty, and newRequest denies what it doesn't know. With a view that its peers have newer, it denied too, though its readiness said so.

Change: a request waits up to 1 s for the first configuration; a workspace or service that is unknown is answered 503 not_configured, not_run, with Retry-After, while the gate of views is closed. What is known is served as before.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -77,7 +78,10 @@
 // response.
 func serve(t *testing.T, d Dispatcher) func(raw string) string {
 	t.Helper()
-	dial := listen(t, d)
+	return serveOn(t, listen(t, d))
+}
+
+func serveOn(t *testing.T, dial func() net.Conn) func(raw string) string {
 	return func(raw string) string {
 		c := dial()
 		defer c.Close()
@@ -94,7 +98,9 @@
 	}
 }
 
-func listen(t *testing.T, d Dispatcher) func() net.Conn {
+func listen(t *testing.T, d Dispatcher) func() net.Conn { return listenWith(t, d, nil, nil) }
+
+func listenWith(t *testing.T, d Dispatcher, hasConfig func() bool, unconfirmed func() string) func() net.Conn {
 	t.Helper()
 	cfg, err := settings.ParseSharedConfig(settings.File{Name: "base.ini", Text: testConfig}, settings.File{})
 	if err != nil {
@@ -102,12 +108,14 @@
 	}
 	l := fasthttputil.NewInmemoryListener()
 	s := NewServer(t.Context(), Options{
-		Dispatcher: d,
-		Admitter:   admitAll{},
-		Config:     func() settings.SharedConfig { return cfg },
-		NewID:      func() string { return "r-1" },
-		Metrics:    metrics.New(prometheus.NewRegistry(), func() metrics.State { return metrics.State{} }),
-		Log:        logr.Discard(),
+		Dispatcher:  d,
+		Admitter:    admitAll{},
+		Config:      func() settings.SharedConfig { return cfg },
+		HasConfig:   hasConfig,
+		NewID:       func() string { return "r-1" },
+		Metrics:     metrics.New(prometheus.NewRegistry(), func() metrics.State { return metrics.State{} }),
+		Log:         logr.Discard(),
+		Unconfirmed: unconfirmed,
 	})
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() { _ = l.Close() })
@@ -239,3 +247,19 @@
 		c.Close()
 	})
 }
+
+// Guards against workspaces that are denied by an instance which has just started: without a configuration, or with one
+// that may be too old.
+func TestInstanceWithoutANewestConfigurationDeniesNothing(t *testing.T) {
+	is := is.New(t)
+	var looks atomic.Int64
+	late := func() bool { return looks.Add(1) > 3 }
+	send := serveOn(t, listenWith(t, &fakeDispatcher{}, late, nil))
+	is.True(!strings.Contains(send(post(PathServices+"stock", "{}", kandy)), string(outcome.CodeNotConfigured))) // it has waited
+	never := func() bool { return false }
+	send = serveOn(t, listenWith(t, &fakeDispatcher{}, never, nil))
+	is.True(strings.Contains(send(post(PathServices+"stock", "{}", kandy)), "503 not_run"))
+	send = serveOn(t, listenWith(t, &fakeDispatcher{}, nil, func() string { return "may be old" }))
+	is.True(strings.Contains(send(post(PathServices+"stock", "{}", HeaderWorkspace+": new")), "503 not_run"))
+	is.True(!strings.Contains(send(post(PathServices+"stock", "{}", kandy)), "503")) // it allows what it knows
+}
--- a/caller/completions.go
+++ b/caller/completions.go
@@ -47,7 +47,12 @@
 // handleCompletion handles a completion request.
 func (h *handler) handleCompletion(ctx *fasthttp.RequestCtx) {
 	start := time.Now()
-	r, body, refusal := h.parseCompletion(ctx, h.Config())
+	cfg, refusal := h.awaitConfig()
+	if refusal != nil {
+		h.writeFailure(ctx, dispatch.Request{ID: h.NewID()}, refusal)
+		return
+	}
+	r, body, refusal := h.parseCompletion(ctx, cfg)
 	if refusal != nil {
 		h.writeFailure(ctx, r.Request, refusal)
 		return
--- a/caller/server.go
+++ b/caller/server.go
@@ -67,6 +67,10 @@
 	Admitter   Admitter
 	// Config returns the current configuration.
 	Config func() settings.SharedConfig
+	// HasConfig reports whether a configuration has come into force; nil means that it has.
+	HasConfig func() bool
+	// Unconfirmed returns why other instances may have a newer configuration, or ""; nil means that they don't.
+	Unconfirmed func() string
 	// NewID returns a request id that was never used before.
 	NewID   func() string
 	Metrics *metrics.Set
@@ -118,11 +122,11 @@
 	name := string(ctx.Request.Header.Peek(HeaderWorkspace))
 	w, ok := cfg.Workspaces[name]
 	if !ok {
-		return r, outcome.BadField(HeaderWorkspace, "unknown workspace "+strconv.Quote(name))
+		return r, h.deny(HeaderWorkspace, "unknown workspace "+strconv.Quote(name))
 	}
 	s, ok := cfg.Services[service]
 	if !ok || !s.Enabled {
-		return r, outcome.BadField("service", "unknown service "+strconv.Quote(service))
+		return r, h.deny("service", "unknown service "+strconv.Quote(service))
 	}
 	deadline, refusal := parseDeadline(string(ctx.Request.Header.Peek(HeaderDeadline)), cfg.Limits.DefaultDeadline)
 	if refusal != nil {
@@ -161,8 +165,11 @@
 // handleCall handles a call to a plain service.
 func (h *handler) handleCall(ctx *fasthttp.RequestCtx, service string) {
 	start := time.Now()
-	cfg := h.Config()
-	r, refusal := h.newRequest(ctx, cfg, service)
+	cfg, refusal := h.awaitConfig()
+	r := dispatch.Request{ID: h.NewID()}
+	if refusal == nil {
+		r, refusal = h.newRequest(ctx, cfg, service)
+	}
 	key := string(ctx.Request.Header.Peek(HeaderKey))
 	if refusal == nil {
 		refusal = checkKindAndKey(r.Service, key)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -228,13 +228,15 @@
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	requestMetrics := metrics.New(registry, d.metricsState)
 	callerOptions := caller.Options{
-		Metrics:    requestMetrics,
-		Dispatcher: d.dispatcher,
-		Admitter:   d.admitter,
-		Config:     d.state.Config,
-		NewID:      d.newID,
-		Relays:     d.newRelays(),
-		Log:        d.log.WithName("caller"),
+		Metrics:     requestMetrics,
+		Dispatcher:  d.dispatcher,
+		Admitter:    d.admitter,
+		Config:      d.state.Config,
+		HasConfig:   d.state.hasConfig,
+		NewID:       d.newID,
+		Relays:      d.newRelays(),
+		Unconfirmed: d.state.whyUnconfirmed,
+		Log:         d.log.WithName("caller"),
 	}
 	callers := caller.NewServer(ctx, callerOptions)
 	operators := operator.NewServer(&operatorBackend{
--- a/daemon/state.go
+++ b/daemon/state.go
@@ -132,17 +132,39 @@
 	s.heartbeats.sendNow()
 }
 
-// notReady returns the reason why the instance should receive no new callers, or "" if it is ready.
-func (s *instanceState) notReady() string {
+// hasConfig reports whether a configuration has come into force.
+func (s *instanceState) hasConfig() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.Config.Version > 0
+}
+
+// whyUnconfirmed returns why this instance, which has started a short time ago, may have no newest configuration, or "".
+func (s *instanceState) whyUnconfirmed() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.unconfirmed()
+}
+
+func (s *instanceState) unconfirmed() string {
 	switch {
-	case s.leaving:
-		return "the instance is leaving"
 	case s.view.Config.Version == 0:
 		return "no configuration is in force yet"
 	case !s.viewGate.IsOpen(time.Now(), s.view.Index, s.confirmedAt.After(s.started)):
 		return "the configuration may be older than that of the other instances"
+	}
+	return ""
+}
+
+// notReady returns the reason why the instance should receive no new callers, or "" if it is ready.
+func (s *instanceState) notReady() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.leaving:
+		return "the instance is leaving"
+	case s.unconfirmed() != "":
+		return s.unconfirmed()
 	case time.Since(s.started) < s.serverLease():
 		// Every available backend server renews its lease within this time. So a new instance knows
 		// all available servers once this time has passed.
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -38,6 +38,9 @@
 	CodeInProgress   Code = "in_progress"
 	CodeCancelled    Code = "cancelled"
 	CodeLeaving      Code = "instance_leaving"
+	// CodeNotConfigured means that the instance has no configuration yet, or one that may be too old to deny the
+	// request.
+	CodeNotConfigured Code = "not_configured"
 	// CodeQuarantined means that the request crashes backend servers.
 	CodeQuarantined Code = "quarantined"
 	// CodeKeyExpired means that the idempotency key was used before and the outcome of that request
