--- a/admission/load_test.go
+++ b/admission/load_test.go
@@ -42,7 +42,7 @@
 
 	// pace is by how many times longer the answer takes than instances predict, as on a slow card; 0 means 1.
 	pace float64
-	// impatience is the share of the time limit that its caller leaves out when it says how long it waits.
+	// impatience is the fraction of the time limit by which its caller understates its remaining time.
 	impatience float64
 
 	tries   int
@@ -80,8 +80,8 @@
 	room func(at time.Duration) float64
 	// forecast is what instances expect relative to the room; 0 means 1.
 	forecast float64
-	// impatience is the largest share of the time limit that callers leave out when they say how long they wait. With it,
-	// instances know only from that who has come back; without, they know when each request first arrived.
+	// impatience is the largest fraction of the time limit by which callers understate their remaining time. If it is
+	// set, instances recognize retries only by that time; otherwise they know when each request first arrived.
 	impatience float64
 	// change alters a new call.
 	change func(c *call, random *rand.Rand)
--- a/admission/overload_test.go
+++ b/admission/overload_test.go
@@ -9,7 +9,7 @@
 	"github.com/matryer/is"
 )
 
-// overloads are loads after which the system has to be back; callers state up to 15 in 100 less than the time limit.
+// overloads are loads from which the system has to recover. Callers state up to 15 % less than the time limit.
 var overloads = []load{
 	{name: "a tenth of the servers gone for 5 s", rate: steady(1), room: roomBetween(5, 10, 0.9)},
 	{name: "a wave of returning callers", rate: steady(0.85), room: roomBetween(5, 8, 0.1)},
--- a/admission/patience.go
+++ b/admission/patience.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// maxReturnShare is the part of a route's time limit within which callers come back: they follow Retry-After up to
-	// a third of the time that they have left. One that states less has little patience.
+	// maxReturnShare is the largest share of a route's time limit that a retry has used up: callers follow a Retry-After
+	// of at most a third of their remaining time. A caller that states less than what then remains is impatient.
 	maxReturnShare = 1.0 / 3
 	// statementBins is the number of intervals into which the shares up to maxReturnShare are counted.
 	statementBins = 64
@@ -18,10 +18,9 @@
 	calmFor = maxRetryAfter
 )
 
-// Patience tells requests of callers that come back from first ones, by how long their callers still wait. Callers
-// state different times from the start, so a request counts as one that came back only if its caller states less
-// than callers of first requests do. Nobody comes back while nobody was refused, so first requests are those that
-// arrive then. It is not safe for concurrent use.
+// Patience distinguishes retries from first requests by the remaining time that callers state. Callers state different
+// times from the start, so a request counts as a retry only if its caller states less than callers of first requests
+// do. While no request is refused nobody retries, so first requests are those that arrive then. It is not safe for concurrent use.
 type Patience struct {
 	counts [statementBins]int
 	total  int
@@ -29,8 +28,8 @@
 	calmSince time.Time
 }
 
-// SetCalm tells whether nobody is refused now, at any instance. Without knowledge of the others it must be called
-// with false.
+// SetCalm records whether no instance refuses requests now. If that isn't known of all of them, it must be called with
+// false.
 func (p *Patience) SetCalm(now time.Time, isCalm bool) {
 	switch {
 	case !isCalm:
@@ -73,7 +72,7 @@
 	return time.Duration(max(0, share-p.usualShare()) * float64(limit))
 }
 
-// RecognizedAfter returns the time after which a caller that is refused now is told from those of first requests, by
+// RecognizedAfter returns the time after which a caller that is refused now is distinguished from those of first requests, by
 // at least the given time, when it comes back. It is 0 if that isn't known, or if the caller doesn't stay away so long.
 func (p *Patience) RecognizedAfter(limit, left, by time.Duration) time.Duration {
 	share, ok := missingShare(limit, left)
--- a/consensus/confirmation_test.go
+++ b/consensus/confirmation_test.go
@@ -89,8 +89,8 @@
 	is.Equal(r.state, []string{"a"})
 }
 
-// Guards against a follower that takes the word of a leader for the newest, which was deposed while it was
-// cut off together with the follower.
+// Guards against a follower that trusts the confirmation of a leader which was deposed while both were cut off
+// together.
 func TestLeaderWithoutAQuorumConfirmsNothing(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, 5, 0, 5)
--- a/consensus/recovery_test.go
+++ b/consensus/recovery_test.go
@@ -227,7 +227,7 @@
 }
 
 // Guards against a replaced data folder that is never registered: its replica hears from a new leader at once, so it
-// never tells that one its address. The loss of one more folder then stops a group of three for good.
+// never sends that leader its address. The loss of one more folder then stops a group of three for good.
 func TestReplacedFolderIsRegisteredThoughTheLeaderChanges(t *testing.T) {
 	c := newCluster(t, 3, 0, 7)
 	c.propose(t, "a")
--- a/daemon/view_fetches.go
+++ b/daemon/view_fetches.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/delivery"
+	"github.com/balsamlb/balsamlb/internal/wakeloop"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 )
@@ -54,20 +55,7 @@
 // runFetches fetches the views that peers name, as planned, until ctx ends. Each fetch has a goroutine of its own; there
 // is at most one for each peer.
 func (p *peerSync) runFetches(ctx context.Context) error {
-	g, ctx := errgroup.WithContext(ctx)
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return g.Wait()
-		case <-p.fetches.wake:
-		case <-timer.C:
-		}
-		if wait, ok := p.startFetches(ctx, g); ok {
-			timer.Reset(wait)
-		}
-	}
+	return wakeloop.Run(ctx, p.fetches.wake, p.startFetches)
 }
 
 // startFetches starts and cancels fetches as planned, and returns when to look at the plan again, if at any time.
--- a/gateway/admitter.go
+++ b/gateway/admitter.go
@@ -45,7 +45,7 @@
 	refused map[refusedKey][]time.Time
 	// services holds the ranked services that had requests.
 	services map[string]bool
-	// patience tells, by service, which callers come back, and toldToReturn is when one was last asked to.
+	// patience recognizes retries, by service, and toldToReturn is when a Retry-After was last sent.
 	patience     map[string]*admission.Patience
 	toldToReturn time.Time
 	// levels holds the last logged level of each service.
@@ -106,8 +106,8 @@
 	a.toldToReturn = now
 }
 
-// setCalm tells for each service that is known whether somebody is refused, here or at the others of this data centre.
-// Without a report of theirs that isn't known.
+// setCalm records for each known service whether requests are refused, here or at other instances of this data centre.
+// That is unknown without a report of theirs.
 func (a *admitter) setCalm(now time.Time, others []mesh.RankDemand, isHeard bool) {
 	refused := make(map[string]bool)
 	for _, d := range others {
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -26,7 +26,7 @@
 	arrived time.Time
 	// waitedBefore is how long the caller has waited at least before it sent this request.
 	waitedBefore time.Duration
-	// returnAfter is the time after which the caller is told from one of a first request if it comes back.
+	// returnAfter is the time after which the caller is recognized as one that retries.
 	returnAfter time.Duration
 	size        admission.Size
 	// predictedWait is the predicted time until the start, as of the arrival.
--- a/instance/moving_test.go
+++ b/instance/moving_test.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"testing"
 	"time"
 
 	"github.com/balsamlb/balsamlb/instance/wire"
+	"github.com/balsamlb/balsamlb/internal/emulate"
 	"github.com/balsamlb/balsamlb/internal/meter"
 	"github.com/matryer/is"
 )
@@ -24,42 +24,21 @@
 }
 
 // serveSlowly returns the address of the peer, whose answers pass in blocks of the given size and distance.
-func serveSlowly(t *testing.T, p PeerHandler, block int64, every time.Duration) string {
+func serveSlowly(t *testing.T, p PeerHandler, block int, every time.Duration) string {
 	t.Helper()
 	is := is.New(t)
 	fast, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	slow, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- NewServer(nil, p).Serve(ctx, fast) }()
 	t.Cleanup(func() {
-		_ = slow.Close()
 		cancel()
 		is.NoErr(<-ended)
 	})
-	go func() {
-		for {
-			c, err := slow.Accept()
-			if err != nil {
-				return
-			}
-			up, err := net.Dial("tcp", fast.Addr().String())
-			if err != nil {
-				return
-			}
-			context.AfterFunc(ctx, func() { _ = c.Close(); _ = up.Close() })
-			go func() { _, _ = io.Copy(up, c) }()
-			go func() {
-				for err := error(nil); err == nil; time.Sleep(every) {
-					_, err = io.CopyN(c, up, block)
-				}
-				_ = c.Close()
-			}()
-		}
-	}()
-	return slow.Addr().String()
+	slow, err := emulate.NarrowLink(ctx, fast.Addr().String(), block, every)
+	is.NoErr(err)
+	return slow
 }
 
 // Guards against a view that never arrives since it doesn't fit through the link within the time of one call, and against
--- a/instance/slow_link_test.go
+++ b/instance/slow_link_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"testing"
 	"time"
 
 	"github.com/balsamlb/balsamlb/consensus"
+	"github.com/balsamlb/balsamlb/internal/emulate"
 	"github.com/balsamlb/balsamlb/internal/meter"
 	"github.com/balsamlb/balsamlb/replica"
 	"github.com/matryer/is"
@@ -36,40 +36,6 @@
 	return l
 }
 
-// relaySlowly passes on what comes on each connection, up to so many bytes a second.
-func relaySlowly(t *testing.T, target string, bytesPerSecond int) string {
-	t.Helper()
-	l := listenLocal(t)
-	go func() {
-		for {
-			in, err := l.Accept()
-			if err != nil {
-				return
-			}
-			out, err := net.Dial("tcp", target)
-			if err != nil {
-				return
-			}
-			const pieceBytes = 16 << 10
-			_ = in.(*net.TCPConn).SetReadBuffer(pieceBytes)
-			go func() {
-				_, _ = io.Copy(in, out)
-				_ = in.Close()
-			}()
-			go func() {
-				defer out.Close()
-				for {
-					if _, err := io.CopyN(out, in, pieceBytes); err != nil {
-						return
-					}
-					time.Sleep(pieceBytes * time.Second / time.Duration(bytesPerSecond))
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // Guards against large messages that are thrown away because they take longer than 300 ms, and against heartbeats that
 // wait behind them: each entry takes about 0.7 s over the relay.
 func TestLargeAppendsArriveOnceAndHeartbeatsOvertakeThem(t *testing.T) {
@@ -81,7 +47,10 @@
 	is.NoErr(err)
 	s := NewConsensusSender(dialer)
 	s.SetOnLost(func(m consensus.Message) { t.Errorf("the append after %d was lost", m.PrevIndex) })
-	s.Reach("b", relaySlowly(t, l.Addr().String(), 300_000))
+	const block = 4 << 10
+	link, err := emulate.NarrowLink(t.Context(), l.Addr().String(), block, block*time.Second/300_000)
+	is.NoErr(err)
+	s.Reach("b", link)
 	go func() { _ = s.Run(t.Context()) }()
 	for i := range uint64(3) {
 		m := consensus.Message{Kind: consensus.KindAppend, To: "b", Term: 1, PrevIndex: i, Entries: []consensus.Entry{{Index: i + 1, Data: make([]byte, 213_000)}}}
--- a/mesh/age_monitor_test.go
+++ b/mesh/age_monitor_test.go
@@ -9,7 +9,7 @@
 	"github.com/matryer/is"
 )
 
-// Guards against a document that becomes outdated without a word in the log, and against a line for each check.
+// Guards against a document that becomes outdated without a log line, and against a line for each check.
 func TestAgeOverTheBoundIsLoggedOnce(t *testing.T) {
 	is := is.New(t)
 	lines := 0
--- a/mesh/delivery_status_test.go
+++ b/mesh/delivery_status_test.go
@@ -10,7 +10,7 @@
 	"github.com/go-logr/logr/funcr"
 )
 
-// Guards against a gateway that stays behind without a word: which document, since when, who was asked and what came of it.
+// Guards against a gateway that stays behind silently: which document, since when, who was asked and what came of it.
 func TestDocumentThatStaysOutIsLogged(t *testing.T) {
 	lines := make(chan string, 64)
 	r := newReceiver(t)
--- a/mesh/delivery_test.go
+++ b/mesh/delivery_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/balsamlb/balsamlb/instance"
 	"github.com/balsamlb/balsamlb/instance/wire"
+	"github.com/balsamlb/balsamlb/internal/emulate"
 	"github.com/balsamlb/balsamlb/internal/meter"
 	"github.com/balsamlb/balsamlb/routing"
 	"github.com/go-logr/logr"
@@ -124,25 +125,11 @@
 func narrow(t *testing.T, address string, rate int) string {
 	t.Helper()
 	const block = 1 << 10
-	turns := time.NewTicker(time.Duration(block) * time.Second / time.Duration(rate))
-	t.Cleanup(turns.Stop)
-	return listenLoopback(t, func(c net.Conn) {
-		defer c.Close()
-		// A small buffer keeps the link from holding what the receiver no longer wants.
-		_ = c.(*net.TCPConn).SetWriteBuffer(4 * block)
-		up, err := net.Dial("tcp", address)
-		if err != nil {
-			return
-		}
-		defer up.Close()
-		go func() { _, _ = io.Copy(up, c) }()
-		for {
-			<-turns.C
-			if _, err := io.CopyN(c, up, block); err != nil {
-				return
-			}
-		}
-	})
+	link, err := emulate.NarrowLink(t.Context(), address, block, block*time.Second/time.Duration(rate))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return link
 }
 
 // document returns a text of lines that hardly compresses, for the seed.
--- a/mesh/fetch.go
+++ b/mesh/fetch.go
@@ -9,6 +9,7 @@
 	"github.com/balsamlb/balsamlb/delivery"
 	"github.com/balsamlb/balsamlb/instance"
 	"github.com/balsamlb/balsamlb/instance/wire"
+	"github.com/balsamlb/balsamlb/internal/wakeloop"
 	"github.com/balsamlb/balsamlb/routing"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
@@ -59,20 +60,7 @@
 // runFetches carries out the plan of the fetches until ctx ends, each fetch in a goroutine of its own; there is at most
 // one for each control instance.
 func (m *Mesh) runFetches(ctx context.Context) error {
-	g, ctx := errgroup.WithContext(ctx)
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return g.Wait()
-		case <-m.fetches.wake:
-		case <-timer.C:
-		}
-		if wait, ok := m.startFetches(ctx, g); ok {
-			timer.Reset(wait)
-		}
-	}
+	return wakeloop.Run(ctx, m.fetches.wake, m.startFetches)
 }
 
 // startFetches starts and cancels fetches as planned, and returns when to look at the plan again, if at any time.
