gateway: attempts of one draft share whether servers were held back without a race

Cause: two attempts of a draft, each rerouted by its own monitor, write draft.isHeldBack at once (searchPath by stallMonitor.reroute in both stacks). It is a plain bool since claims. Other attempts could read a torn decision of whether the draft waits for its turn; no answer depends on it.

Change: an atomic bool.

Evidence: the race detector's report.

--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -65,8 +65,9 @@
 	writer    http.ResponseWriter
 	race      race
 	place     *place
-	// isHeldBack means that servers had room for the draft that was left to other instances.
-	isHeldBack bool
+	// isHeldBack means that servers had room for the draft that was left to other instances. Attempts beside each other
+	// search at once.
+	isHeldBack atomic.Bool
 
 	// claimWindow is the window in which the draft was counted as demand last.
 	claimWindow atomic.Int64
--- a/gateway/draft_path.go
+++ b/gateway/draft_path.go
@@ -64,7 +64,7 @@
 // left to other instances, or needs more memory.
 func (g *Gateway) needsOther(d *draft) bool {
 	e := d.service.Engine
-	return d.isHeldBack || d.size.PromptTokens+d.size.AnswerTokens > 1.5*(e.MeanPromptTokens+e.MeanAnswerTokens)
+	return d.isHeldBack.Load() || d.size.PromptTokens+d.size.AnswerTokens > 1.5*(e.MeanPromptTokens+e.MeanAnswerTokens)
 }
 
 // hasCopy reports whether the servers that may take the draft hold a whole copy of the model.
@@ -200,8 +200,9 @@
 		// between data centres.
 		g.recordLinkTraffic(v, d, path)
 	}
-	d.isHeldBack = !ok && query.Claim.HeldBack > 0
-	if d.isHeldBack {
+	isHeldBack := !ok && query.Claim.HeldBack > 0
+	d.isHeldBack.Store(isHeldBack)
+	if isHeldBack {
 		g.metrics.ClaimsHeldBack.WithLabelValues().Inc()
 	}
 	return path, ok
