--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/bin/bash
+# Builds the stand-ins of the cases: backend servers, callers, the operator and a proxy, in one program.
+set -e
+cd "$(dirname "$0")/.."
+go build -tags review -o review/bin/standin ./review/standin
