review: a draining server that falls silent gets work again

Case 2, rule DRAIN: a backend server that was acknowledged as draining and is then partitioned from control for 5 s counts as silent, which is usable. Bookings that the other servers turn away reach it from 3.7 s after the ack on, and those that run there when it exits are cut off.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -12,6 +12,7 @@
 // cases are the cases by name. Each returns how the rule was broken, or "".
 var cases = map[string]func(d *deployment, hasTrouble bool) (broken string, err error){
 	"leave-unheard": leaveUnheard,
+	"silent-drain":  silentDrain,
 }
 
 const (
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -33,10 +33,16 @@
 	seq       atomic.Uint64
 	running   atomic.Int64
 	isLeaving atomic.Bool
-	lastBeat  atomic.Int64 // Unix milliseconds of the last heartbeat that was acknowledged
-	http      *http.Server
-	stopBeat  chan struct{}
-	beatDone  chan struct{}
+	// isDraining is what the heartbeats say; isCut means that the server is partitioned from control, so that its
+	// heartbeats arrive nowhere.
+	isDraining, isCut atomic.Bool
+	lastBeat          atomic.Int64 // Unix milliseconds of the last heartbeat that was acknowledged
+	http              *http.Server
+	stopBeat          chan struct{}
+	beatDone          chan struct{}
+
+	beatMu sync.Mutex
+	node   int // the node that gets the heartbeats, by its index in nodes
 
 	mu   sync.Mutex
 	runs map[string]int // by request id
@@ -68,25 +74,13 @@
 	return nil
 }
 
-// announce sends heartbeats. It stays with a node until a heartbeat fails there, and then calls the next one.
+// announce sends heartbeats.
 func (s *server) announce() {
 	defer close(s.beatDone)
-	node := 0
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for {
-		body, _ := json.Marshal(map[string]any{
-			"Service": s.service, "Address": s.address, "Zone": s.zone, "Version": "v1", "Slots": s.slots, "State": "ready", "ColdLeftMs": 0,
-			"Seq": s.seq.Add(1), "born": s.born,
-		})
-		for range s.nodes {
-			status, _, _ := call(http.MethodPut, "http://"+s.nodes[node].address(portControl)+"/-/instances/"+s.id, body)
-			if status/100 == 2 {
-				s.lastBeat.Store(time.Now().UnixMilli())
-				break
-			}
-			node = (node + 1) % len(s.nodes)
-		}
+		s.beat()
 		select {
 		case <-s.stopBeat:
 			return
@@ -95,6 +89,46 @@
 	}
 }
 
+// beat sends a heartbeat and reports whether it was acknowledged. The server stays with a node until a heartbeat
+// fails there, and then calls the next one.
+func (s *server) beat() bool {
+	s.beatMu.Lock()
+	defer s.beatMu.Unlock()
+	state := "ready"
+	if s.isDraining.Load() {
+		state = "draining"
+	}
+	body, _ := json.Marshal(map[string]any{
+		"Service": s.service, "Address": s.address, "Zone": s.zone, "Version": "v1", "Slots": s.slots, "State": state, "ColdLeftMs": 0,
+		"Seq": s.seq.Add(1), "born": s.born,
+	})
+	if s.isCut.Load() {
+		return false
+	}
+	for range s.nodes {
+		status, _, _ := call(http.MethodPut, "http://"+s.nodes[s.node].address(portControl)+"/-/instances/"+s.id, body)
+		if status/100 == 2 {
+			s.lastBeat.Store(time.Now().UnixMilli())
+			return true
+		}
+		s.node = (s.node + 1) % len(s.nodes)
+	}
+	return false
+}
+
+// drain reports that the server is draining, and returns when that was acknowledged.
+func (s *server) drain() (time.Time, error) {
+	s.isDraining.Store(true)
+	s.isLeaving.Store(true)
+	for range 5 {
+		if s.beat() {
+			s.d.record.printf("%s is acknowledged as draining by %s", s.id, s.nodes[s.node].name)
+			return time.Now(), nil
+		}
+	}
+	return time.Time{}, fmt.Errorf("%s got no ack", s.id)
+}
+
 // leave says at a node that the server leaves, without a word of it before. It returns when that was
 // acknowledged.
 func (s *server) leave(node *process) (time.Time, error) {
