--- a/review/standin/silent_drain.go
+++ b/review/standin/silent_drain.go
@@ -28,7 +28,7 @@
 	for _, s := range servers {
 		s.work = 150 * time.Millisecond
 		if s == leaver {
-			s.work *= 2
+			s.work = 400 * time.Millisecond
 		}
 		if err := s.start(); err != nil {
 			return "", err
