--- a/review/standin/silent_drain.go
+++ b/review/standin/silent_drain.go
@@ -18,9 +18,9 @@
 	const (
 		cutFor = 5 * time.Second
 		// exitAfter is when the server exits after the ack of its drain, well beyond DrainMs.
-		exitAfter = drainTime + 2200*time.Millisecond
-		// Every interval, two bookings more arrive than the two servers that stay have slots.
-		burst    = 14
+		exitAfter = drainTime + 2000*time.Millisecond
+		// Every interval, six bookings more arrive than the two servers that stay have slots.
+		burst    = 18
 		interval = 200 * time.Millisecond
 	)
 	leaver := newServer(d, 2, "desk", "galle", 2)
@@ -47,7 +47,7 @@
 		return "", err
 	}
 	if hasTrouble {
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(50 * time.Millisecond)
 		d.record.printf("%s is partitioned from control for %v", leaver.id, cutFor)
 		leaver.isCut.Store(true)
 		time.AfterFunc(cutFor, func() {
