--- a/review/standin/client_test.go
+++ b/review/standin/client_test.go
@@ -17,8 +17,12 @@
 	apiKey   = "n2ctnfzs989anu6wsjnb"
 )
 
-// plainConfig is a configuration with one plain service and two routes: bookings and look-ups.
+// plainConfig is a configuration with a plain service and two routes to it, for bookings and look-ups, and
+// with another plain service.
 func plainConfig(version int, timeoutMS int) map[string]any {
+	service := func(name string) map[string]any {
+		return map[string]any{"Name": name, "HealthPath": "/health", "MaxConns": 100, "Protocol": "h1", "Tls": false}
+	}
 	route := func(name, prefix, kind string, attempts int) map[string]any {
 		return map[string]any{
 			"Name": name, "Hostname": hostName, "PathPrefix": prefix, "Kind": kind, "TimeoutMs": timeoutMS, "TargetLatencyMs": 300, "Priority": 2,
@@ -28,7 +32,7 @@
 	return map[string]any{
 		"Version":  version,
 		"Routes":   []any{route("hold", "/hold/", "non_idempotent", 1), route("check", "/check/", "idempotent", 2)},
-		"Services": []any{map[string]any{"Name": "desk", "HealthPath": "/health", "MaxConns": 100, "Protocol": "h1", "Tls": false}},
+		"Services": []any{service("desk"), service("guide")},
 		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 		"Tenants":  []any{map[string]any{"Name": "hule930", "ApiKeys": []any{apiKey}, "Priority": 1}},
 	}
--- a/review/standin/deployment_test.go
+++ b/review/standin/deployment_test.go
@@ -56,8 +56,8 @@
 	started time.Time
 }
 
-func newRecord(folder string) (*record, error) {
-	f, err := os.Create(filepath.Join(folder, "record.txt"))
+func newRecord(path string) (*record, error) {
+	f, err := os.Create(path)
 	return &record{file: f, started: time.Now()}, err
 }
 
--- a/review/standin/leave_unheard_test.go
+++ b/review/standin/leave_unheard_test.go
@@ -12,7 +12,7 @@
 // leaveUnheard has a gateway restarted as planned work, and later a server leave that says so at another
 // control instance than the one that gets its heartbeats.
 func leaveUnheard(d *deployment, hasTrouble bool) (string, error) {
-	if err := d.startAll(2, plainConfig(3, 2000)); err != nil {
+	if err := d.startAll(3, plainConfig(3, 2000)); err != nil {
 		return "", err
 	}
 	var servers []*server
@@ -23,6 +23,9 @@
 		}
 		servers = append(servers, s)
 	}
+	if err := startOthers(d); err != nil {
+		return "", err
+	}
 	leaver, gateway := servers[0], d.gateways[0] // both in colombo
 	time.Sleep(8 * time.Second)
 	c := newClient(gateway)
--- a/review/standin/main_test.go
+++ b/review/standin/main_test.go
@@ -28,7 +28,7 @@
 
 func run() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
 		return exitNotRun
 	}
 	r, err := newRecord(os.Args[2])
--- a/review/standin/server_test.go
+++ b/review/standin/server_test.go
@@ -62,6 +62,19 @@
 	return s
 }
 
+// otherServers is the number of servers of another service, so that one server is an eighth of all.
+const otherServers = 5
+
+// startOthers starts the servers of the other service, which get no requests.
+func startOthers(d *deployment) error {
+	for i := range otherServers {
+		if err := newServer(d, 10+i, "guide", zones[i%len(zones)], i).start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // start serves requests and announces the server until leave or stop.
 func (s *server) start() error {
 	l, err := net.Listen("tcp", s.address)
--- a/review/standin/silent_drain_test.go
+++ b/review/standin/silent_drain_test.go
@@ -12,7 +12,7 @@
 
 // silentDrain has a server report that it drains, and then partitions it from control for some seconds.
 func silentDrain(d *deployment, hasTrouble bool) (string, error) {
-	if err := d.startAll(2, plainConfig(3, 2000)); err != nil {
+	if err := d.startAll(3, plainConfig(3, 2000)); err != nil {
 		return "", err
 	}
 	const (
@@ -34,6 +34,9 @@
 			return "", err
 		}
 	}
+	if err := startOthers(d); err != nil {
+		return "", err
+	}
 	time.Sleep(4 * contactTime) // all machines are in touch, and the core is stable
 	c := newClient(d.gateways[0])
 	for range 3 {
