control: don't return a status that is still being written

Nothing that callers see comes of it: the status is dropped with the error. Cause: if ctx ends while the query waits, Status returned its variable, to which the query may still write. Ruled out: the end of the host, which happens after all of its queries. Change: no status beside an error.

--- a/control/status.go
+++ b/control/status.go
@@ -47,7 +47,10 @@
 		s.LeaderAddress = v.Address
 		s.Levels = h.levelStatus()
 	})
-	return s, err
+	if err != nil {
+		return Status{}, err // the query may still run
+	}
+	return s, nil
 }
 
 const transferPollInterval = 10 * time.Millisecond
