mesh: watches that have nothing to say are nearly silent

Cause: each of 195 watches exchanged up to 10 messages a second in each direction, whether anything had changed or not, and a series of changes caused up to 4,000 heartbeats a second, more than twice what the allowance pays for. Change: reports and heartbeats with usage are sent when usage has changed. Without news a message is sent each 0.5 to 1 s, 5 ms for each gateway, and a report is answered soon, so that the document's age stays small. Changes cause 800 heartbeats a second at most, or two for each watcher; control instances are told as before. A watch counts as silent after 2 s. Where contents are in trial or relays are needed, heartbeats come each 0.5 s as before.

--- a/gateway/admitter.go
+++ b/gateway/admitter.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/admission"
+	"github.com/balsamlb/balsamlb/instance"
 	"github.com/balsamlb/balsamlb/mesh"
 )
 
@@ -19,7 +20,7 @@
 	demandLag = 250 * time.Millisecond
 	// demandTTL is how long the others' demand is used after it was heard last. Then each of them is taken
 	// to have this instance's.
-	demandTTL = time.Second
+	demandTTL = instance.MaxWatchInterval + 500*time.Millisecond
 	// othersName is the name under which the other gateways' demand is kept.
 	othersName = "others"
 	// refusedWindow is how long a refused caller counts as demand: most come back within that time.
--- a/instance/watch.go
+++ b/instance/watch.go
@@ -14,14 +14,17 @@
 )
 
 const (
-	// WatchInterval is the longest time between two messages on a watch in either direction. It
+	// WatchInterval is the usual longest time between two messages on a watch in either direction. It
 	// is a sixth of the shortest contact timeout that a deployment specifies (3 s).
 	WatchInterval = 500 * time.Millisecond
+	// MaxWatchInterval is the longest one, at control instances that many gateways watch. Earlier builds close a watch
+	// that is silent for 1.5 s.
+	MaxWatchInterval = time.Second
 	// minHeartbeatInterval is the shortest time between two heartbeats on a watch. It limits the
 	// heartbeats in a burst of changes, as when the servers of a failed control instance move to another.
 	minHeartbeatInterval = 20 * time.Millisecond
 	// watchTimeout is how long a watch may receive no message before it is closed.
-	watchTimeout = 3 * WatchInterval
+	watchTimeout = 2 * MaxWatchInterval
 )
 
 // errNotControl means that the instance has no replica of the shared state.
@@ -45,7 +48,7 @@
 	Sent()
 	// Wake returns a channel that is closed when the next heartbeat should be sent.
 	Wake() <-chan struct{}
-	// Interval is the longest time until the next heartbeat, at most WatchInterval.
+	// Interval is the longest time until the next heartbeat, at most MaxWatchInterval.
 	Interval() time.Duration
 	// Close releases the feed.
 	Close()
@@ -99,7 +102,11 @@
 			return err
 		}
 		f.Sent()
-		if !waitNext(ctx, nil, minHeartbeatInterval) || !waitNext(ctx, wake, f.Interval()-minHeartbeatInterval) {
+		sent := time.Now()
+		if !waitNext(ctx, wake, f.Interval()) {
+			return ctx.Err()
+		}
+		if early := minHeartbeatInterval - time.Since(sent); early > 0 && !waitNext(ctx, nil, early) {
 			return ctx.Err()
 		}
 	}
@@ -129,11 +136,12 @@
 
 // Watcher provides the messages to send on a watch and handles those received.
 type Watcher interface {
-	// Request returns a description of the watcher and its usage.
+	// Request returns a description of the watcher and its usage, or nil if there is nothing to send now. The first one is
+	// not nil.
 	Request() *wire.WatchRequest
 	// Wake returns a channel that is closed when the usage should be reported immediately.
 	Wake() <-chan struct{}
-	// Interval is the longest time until the next request, at most WatchInterval.
+	// Interval is the time after which Request is called again if Wake is not closed before.
 	Interval() time.Duration
 	// HandleHeartbeat handles a heartbeat from the control instance at the address.
 	HandleHeartbeat(address string, b *wire.WatchBeat)
@@ -178,7 +186,11 @@
 		if !waitNext(ctx, w.Wake(), w.Interval()) {
 			return ctx.Err()
 		}
-		if err := stream.Send(w.Request()); err != nil {
+		req := w.Request()
+		if req == nil {
+			continue
+		}
+		if err := stream.Send(req); err != nil {
 			return err
 		}
 	}
--- a/mesh/demand.go
+++ b/mesh/demand.go
@@ -122,7 +122,14 @@
 // updatePeerDemand replaces the demand at the other gateways, if the heartbeat is of a control instance of this
 // data centre. The caller holds the lock.
 func (m *Mesh) updatePeerDemand(now time.Time, b *wire.WatchBeat) {
-	if b.LeavesOutUsage || !b.HasDemand || b.DataCentre != m.options.DataCentre {
+	if b.DataCentre != m.options.DataCentre {
+		return
+	}
+	if b.LeavesOutUsage || !b.HasDemand {
+		// Nothing has changed, or it was sent within usageInterval.
+		if !m.peerDemand.At.IsZero() {
+			m.peerDemand.At = now
+		}
 		return
 	}
 	demand := make([]RankDemand, 0, len(b.Demand))
--- a/mesh/feed.go
+++ b/mesh/feed.go
@@ -11,9 +11,10 @@
 
 // NewWatchFeed returns the feed for a watcher that has sent its first request.
 func (m *Mesh) NewWatchFeed(first *wire.WatchRequest) instance.WatchFeed {
-	f := &feed{mesh: m, name: first.Name, control: first.ControlAddress, crashes: crashReporter{evidence: m.crashes}}
+	f := &feed{mesh: m, name: first.Name, control: first.ControlAddress, waker: newWaker(), crashes: crashReporter{evidence: m.crashes}}
 	m.mu.Lock()
-	f.wakeups = m.wakeups.join()
+	f.group = m.wakeups.join(f.waker, f.control != "")
+	m.dueFeeds.add(f)
 	if f.control != "" {
 		m.controlFeeds[f] = true
 		m.broadcast()
@@ -28,7 +29,14 @@
 	mesh    *Mesh
 	name    string // of the watcher
 	control string // the watcher's address if it is a control instance, else empty
-	wakeups *wakeGroup
+	waker   *waker
+	group   *wakeGroup
+	// slot is the feed's place in dueFeeds.
+	slot int
+	// lastSent is when the last heartbeat was built. sentWatchers and sentUsage are the mesh's revisions when the last
+	// ones were built that contained the number of gateways and the usage.
+	lastSent                time.Time
+	sentWatchers, sentUsage uint64
 	// sentRevision is the directory revision up to which servers were sent to the watcher, and writtenRevision the one
 	// up to which they have been written to the connection.
 	sentRevision, writtenRevision uint64
@@ -40,21 +48,12 @@
 	subtractsOwnUsage bool
 	includedReport    uint64
 	crashes           crashReporter
-	// latestReport is the number of the watcher's latest report.
-	latestReport uint64
+	// latestReport is the number of the watcher's latest report, and answeredReport that of the latest one when the last
+	// heartbeat was built.
+	latestReport, answeredReport uint64
+	needsRelays                  bool
 }
 
-const (
-	// usageInterval is the time between two usage reports that a gateway and a control instance of
-	// the same data centre send each other. At 150 new drafts a second in a data centre, a report
-	// misses up to 15 of them; at four times the interval, servers were filled to 1.2 times their
-	// memory.
-	usageInterval = 100 * time.Millisecond
-	// remoteUsageInterval is the interval if the gateway and the control instance are in different
-	// data centres, between which traffic costs more.
-	remoteUsageInterval = 250 * time.Millisecond
-)
-
 // HandleRequest stores the report of the watcher. Of control instances, only the crash evidence is
 // used.
 func (f *feed) HandleRequest(req *wire.WatchRequest) {
@@ -69,7 +68,7 @@
 	if f.control != "" {
 		return
 	}
-	f.needsNoUsage = req.NeedsNoUsage
+	f.needsNoUsage, f.needsRelays = req.NeedsNoUsage, req.NeedsRelays
 	f.subtractsOwnUsage = req.Report > 0
 	report := &watcherReport{feed: f, number: req.Report, usage: usageListFromWire(req.Running), demand: m.reportedDemand(req), servers: reachabilityFromWire(req),
 		relay: relayReport{address: req.RelayAddress, dataCentre: req.DataCentre, isNeeded: req.NeedsRelays}}
@@ -102,6 +101,7 @@
 	if buf, err = (proto.MarshalOptions{}).MarshalAppend(buf, own); err != nil {
 		return nil, eris.Wrapf(err, "mesh: encode a heartbeat to %s", f.name)
 	}
+	f.lastSent, f.sentWatchers, f.answeredReport = now, m.watchersRevision, f.latestReport
 	m.feedWork.Heartbeats++
 	m.feedWork.Bytes += uint64(len(buf) - start)
 	return buf, nil
@@ -128,7 +128,7 @@
 	}
 	if !f.subtractsOwnUsage {
 		own.LeavesOutUsage, own.Others = false, m.usageExcept(f.name)
-		f.lastUsageSent = now
+		f.lastUsageSent, f.sentUsage = now, m.usageRevision
 		return buf, nil
 	}
 	withUsage, err := m.appendSharedUsage(buf, now)
@@ -141,7 +141,7 @@
 		return buf, nil
 	}
 	own.LeavesOutUsage, own.IncludesReport = false, f.includedReport
-	f.lastUsageSent = now
+	f.lastUsageSent, f.sentUsage = now, m.shared.usageRevision
 	return withUsage, nil
 }
 
@@ -149,21 +149,32 @@
 // lock.
 func (f *feed) sendsUsage() bool { return f.control == "" && !f.needsNoUsage }
 
-// Interval returns the longest time to the next heartbeat.
+// Interval returns the longest time to the next heartbeat. It is short while the watcher acts by the age of what it
+// has heard, as in trials of contents that crash servers.
 func (f *feed) Interval() time.Duration {
 	f.mesh.mu.Lock()
 	defer f.mesh.mu.Unlock()
-	if f.sendsUsage() {
-		return usageInterval
+	if f.control != "" || f.needsRelays || !f.mesh.crashes.IsEmpty() {
+		return instance.WatchInterval
 	}
-	return instance.WatchInterval
+	return calmInterval(len(f.mesh.watcherReports))
+}
+
+// isDue reports whether a heartbeat should be sent though nothing has changed that is urgent. A report is answered
+// soon, so that the age that its answer confirms of the routing document is small. The caller holds the lock.
+func (f *feed) isDue(now time.Time) bool {
+	m := f.mesh
+	idle := now.Sub(f.lastSent)
+	return f.sendsUsage() && f.sentUsage != m.usageRevision && now.Sub(f.lastUsageSent) >= usageInterval ||
+		f.sentWatchers != m.watchersRevision && idle >= max(usageInterval, wakeInterval(m.wakeups.watchers)) ||
+		f.answeredReport != f.latestReport && idle >= calmInterval(len(m.watcherReports))/2
 }
 
 // Wake returns a channel that is closed after the next change of the mesh.
 func (f *feed) Wake() <-chan struct{} {
 	f.mesh.mu.Lock()
 	defer f.mesh.mu.Unlock()
-	return f.wakeups.woken
+	return f.waker.woken
 }
 
 // Close removes the watcher and its report.
@@ -171,7 +182,8 @@
 	m := f.mesh
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	f.wakeups.members--
+	m.wakeups.leave(f.group, f.waker)
+	m.dueFeeds.remove(f)
 	changed := false
 	// A watcher may have connected again before the end of this connection was noticed.
 	if r := m.watcherReports[f.name]; r != nil && r.feed == f {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -114,14 +114,20 @@
 	shared           sharedFragments
 	feedWork         FeedWork
 	wakeups          wakeSchedule
-	// isTurnScheduled is set while a timer for the next turn of wakeups runs.
-	isTurnScheduled bool
+	// turnTimer runs until nextTurn, the next turn of wakeups. nextTurn is zero while no turn is scheduled.
+	turnTimer *time.Timer
+	nextTurn  time.Time
+	dueFeeds  dueFeeds
+	// watchersRevision grows when a gateway joins or leaves the watchers, and usageRevision with each change of the usage
+	// or the demand of one.
+	watchersRevision, usageRevision uint64
 	// crashes has its own lock.
 	crashes *CrashEvidence
 	// hasContact is set once a heartbeat of any control instance has been received.
 	hasContact bool
-	// reportChanged is closed when reachability changes, or crashes has something to report.
+	// reportChanged is closed when reachability changes, or crashes has something to report. urgentReports counts that.
 	reportChanged chan struct{}
+	urgentReports uint64
 	// reportedUnresponsive holds the unresponsive servers that each control instance reports.
 	reportedUnresponsive map[string][]string
 	// reportedDoubts holds the doubts that each control instance reports, and doubtedSince since when the
@@ -198,6 +204,7 @@
 
 // reportAtOnce is wakeWatches for a caller that holds the lock.
 func (m *Mesh) reportAtOnce() {
+	m.urgentReports++
 	close(m.reportChanged)
 	m.reportChanged = make(chan struct{})
 }
@@ -222,20 +229,27 @@
 // wakeWatchers wakes the watchers whose turn it is and schedules the next turn. The caller holds the
 // lock.
 func (m *Mesh) wakeWatchers(now time.Time) {
-	if m.isTurnScheduled {
-		return
-	}
 	wait, ok := m.wakeups.wakeNext(now)
 	if !ok {
 		return
 	}
-	m.isTurnScheduled = true
-	time.AfterFunc(wait, func() {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		m.isTurnScheduled = false
-		m.wakeWatchers(time.Now())
-	})
+	at := now.Add(wait)
+	if !m.nextTurn.IsZero() && !at.Before(m.nextTurn) {
+		return
+	}
+	m.nextTurn = at
+	if m.turnTimer == nil {
+		m.turnTimer = time.AfterFunc(wait, m.takeTurn)
+		return
+	}
+	m.turnTimer.Reset(wait)
+}
+
+func (m *Mesh) takeTurn() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.nextTurn = time.Time{}
+	m.wakeWatchers(time.Now())
 }
 
 // Snapshot returns the current state.
--- a/mesh/shared.go
+++ b/mesh/shared.go
@@ -21,9 +21,10 @@
 	common []byte
 	// servers holds the encoded announcements by server.
 	servers map[string]serverFragment
-	// usage holds the usage of all watchers as of usageAt.
-	usage   []byte
-	usageAt time.Time
+	// usage holds the usage of all watchers as of usageAt, when its revision was usageRevision.
+	usage         []byte
+	usageAt       time.Time
+	usageRevision uint64
 }
 
 type serverFragment struct {
@@ -132,7 +133,7 @@
 	if err != nil {
 		return eris.Wrap(err, "mesh: encode the usage")
 	}
-	m.shared.usage, m.shared.usageAt = encoded, now
+	m.shared.usage, m.shared.usageAt, m.shared.usageRevision = encoded, now, m.usageRevision
 	m.feedWork.EncodedUsage += uint64(len(b.Others))
 	for _, r := range m.watcherReports {
 		r.feed.includedReport = r.number
--- a/mesh/usage.go
+++ b/mesh/usage.go
@@ -28,6 +28,11 @@
 	relay   relayReport
 }
 
+// hasSameUsage reports whether two reports of a watcher state the same usage and demand.
+func (r *watcherReport) hasSameUsage(o *watcherReport) bool {
+	return r.feed == o.feed && slices.Equal(r.usage, o.usage) && slices.Equal(r.demand, o.demand)
+}
+
 // SetLocalUsage sets the function that returns this instance's usage, which is sent to the
 // control instances. It must be called before Run.
 func (m *Mesh) SetLocalUsage(usage func() []Usage) { m.localUsage = usage }
@@ -118,6 +123,9 @@
 // cost of a heartbeat doesn't grow with the number of watchers. The caller holds the lock.
 func (m *Mesh) setWatcherReport(name string, u *watcherReport) bool {
 	old := m.watcherReports[name]
+	if old == nil || u == nil || !old.hasSameUsage(u) {
+		m.usageRevision++
+	}
 	if old != nil {
 		m.addToTotals(old.usage, -1)
 	}
@@ -132,6 +140,7 @@
 	}
 	if (old == nil) != (u == nil) {
 		m.shared.common = nil // contains the number of reports
+		m.watchersRevision++
 		m.watcherNames = nil
 		return true
 	}
--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -1,10 +1,13 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"time"
 
+	"github.com/balsamlb/balsamlb/instance"
 	"github.com/balsamlb/balsamlb/instance/wire"
 	"github.com/balsamlb/balsamlb/internal/bootclock"
 	"golang.org/x/sync/errgroup"
@@ -98,6 +101,12 @@
 	// index report%len(reported). The mesh's lock guards both.
 	reports  uint64
 	reported [maxSubtractableReports]ownReport
+	// reportedAt is when the last report was sent, urgentReports the mesh's count then, and neededNoUsage and relaying are
+	// what it said.
+	reportedAt    time.Time
+	urgentReports uint64
+	neededNoUsage bool
+	relaying      relayReport
 }
 
 // ownReport is what this instance has reported of its own work, and when, as bootclock.Now counts.
@@ -111,13 +120,22 @@
 	return &watcher{mesh: m, address: address, crashes: crashReporter{evidence: m.crashes, ownOnly: true}}
 }
 
-// Request returns a message that describes this instance and its usage.
+// Request returns a message that describes this instance and its usage, or nil while there is nothing new to say.
 func (w *watcher) Request() *wire.WatchRequest {
 	m := w.mesh
 	own := ownReport{sent: bootclock.Now(), usage: m.localUsage(), demand: m.localDemand()}
+	slices.SortFunc(own.usage, func(a, b Usage) int { return cmp.Compare(a.Server, b.Server) })
+	slices.SortFunc(own.demand, func(a, b RankDemand) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.total(), b.total()))
+	})
+	if !w.hasNews(own) {
+		return nil
+	}
 	crashes, partCrashes := w.crashes.next(time.Now())
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	w.reportedAt = time.Now()
+	w.urgentReports, w.neededNoUsage, w.relaying = m.urgentReports, !m.acceptsUsageFrom(w.address), m.relaying
 	w.reports++
 	w.reported[w.reports%maxSubtractableReports] = own
 	return &wire.WatchRequest{
@@ -133,13 +151,32 @@
 		IsCutOff:       m.reachability.IsCutOff,
 		RelayAddress:   m.relaying.address,
 		NeedsRelays:    m.relaying.isNeeded,
-		NeedsNoUsage:   !m.acceptsUsageFrom(w.address),
+		NeedsNoUsage:   w.neededNoUsage,
 		Crashes:        crashes,
 		PartCrashes:    partCrashes,
 	}
 }
 
-// Interval returns the longest time to the next request.
+// hasNews reports whether this instance has something to report to the control instance, if only that it still runs.
+func (w *watcher) hasNews(own ownReport) bool {
+	m := w.mesh
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	last := &w.reported[w.reports%maxSubtractableReports]
+	return w.reports == 0 || time.Since(w.reportedAt) >= w.calmInterval() || m.urgentReports != w.urgentReports ||
+		w.neededNoUsage == m.acceptsUsageFrom(w.address) || w.relaying != m.relaying ||
+		!slices.Equal(own.usage, last.usage) || !slices.Equal(own.demand, last.demand)
+}
+
+// calmInterval returns the longest time between two reports. The caller holds the lock.
+func (w *watcher) calmInterval() time.Duration {
+	if w.mesh.options.ControlAddress != "" || !w.mesh.crashes.IsEmpty() {
+		return instance.WatchInterval
+	}
+	return calmInterval(w.mesh.reportedGateways[w.address])
+}
+
+// Interval returns the time after which Request is called again.
 func (w *watcher) Interval() time.Duration {
 	m := w.mesh
 	m.mu.Lock()
@@ -147,7 +184,7 @@
 	if m.dataCentres[w.address] == m.options.DataCentre {
 		return usageInterval
 	}
-	return remoteUsageInterval
+	return remoteInterval(m.reportedGateways[w.address])
 }
 
 // Wake returns a channel that is closed when this instance has something to report at once.
