mesh: a server that turns to another control instance wakes no watcher

Cause: which control instance hears a server is part of its announcement. A server whose announcement isn't acknowledged within a second turns to the next control instance; each time all watchers of all control instances were woken, which delays the next acknowledgements. Work grew with lateness. Ruled out: telling servers where to announce themselves, which ends with the first late answer. Change: such a change travels with the next heartbeat. The test failed before: Announce and mergeServers reported a change, and the watcher was woken.

--- a/discovery/announcement.go
+++ b/discovery/announcement.go
@@ -77,6 +77,14 @@
 	return a.Incarnation == b.Incarnation && a.State != StateLeft && b.State != StateLeft && a.Sequence > b.Sequence
 }
 
+// DiffersForCallers reports whether a differs from b in more than Sequence, ColdMS and HeardBy, which only control instances
+// go by.
+func (a *Announcement) DiffersForCallers(b *Announcement) bool {
+	x := *a
+	x.HeardBy = b.HeardBy
+	return x.differsFrom(b)
+}
+
 // differsFrom reports whether a differs from b in more than Sequence and ColdMS.
 func (a *Announcement) differsFrom(b *Announcement) bool {
 	x, y := *a, *b
--- a/mesh/fanout_test.go
+++ b/mesh/fanout_test.go
@@ -320,3 +320,38 @@
 		}
 	}
 }
+
+// Guards against acknowledgements that come late and so make the next ones later: a server that turns from one control
+// instance to another wakes no watcher, and all learn of it with their next heartbeat.
+func TestServerThatTurnsToAnotherControlInstanceWakesNobody(t *testing.T) {
+	is := is.New(t)
+	m := newTestMesh(t, "10.0.0.5:7")
+	now := time.Now()
+	a := discovery.Announcement{ID: "a", Incarnation: 1, Sequence: 1, Address: "1", State: discovery.StateReady}
+	is.True(m.Announce(now, a))
+	f := m.NewWatchFeed(&wire.WatchRequest{Name: "g"})
+	is.Equal(next(t, f).Servers[0].HeardBy, "10.0.0.5:7")
+	isWoken := func(wake, changed <-chan struct{}) bool {
+		select {
+		case <-wake:
+			return true
+		case <-changed:
+			return true
+		default:
+			return false
+		}
+	}
+	wake, changed := f.Wake(), m.Changed()
+	elsewhere := a
+	elsewhere.Sequence, elsewhere.HeardBy = 2, "10.0.0.6:7"
+	is.True(!m.mergeServers(now, "10.0.0.6:7", []*wire.AnnouncedServer{instance.AnnouncementToWire(elsewhere)}))
+	is.True(!isWoken(wake, changed))
+	is.Equal(next(t, f).Servers[0].HeardBy, "10.0.0.6:7")
+	a.Sequence = 3
+	is.True(!m.Announce(now, a)) // back here
+	is.True(!isWoken(wake, changed))
+	is.Equal(next(t, f).Servers[0].HeardBy, "10.0.0.5:7")
+	a.Sequence, a.State = 4, discovery.StateDraining
+	is.True(m.Announce(now, a))
+	is.True(isWoken(wake, changed))
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -270,13 +270,25 @@
 func (m *Mesh) Announce(now time.Time, a discovery.Announcement) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	before, isKnown := m.directory.Get(a.ID)
 	changed := m.directory.Announce(now, a)
+	if changed && isKnown && m.isQuiet(&before) {
+		return false
+	}
 	if changed {
 		m.broadcast()
 	}
 	return changed
 }
 
+// isQuiet reports whether a server differs from what was known before only in which control instance hears it. That
+// travels with the next heartbeat and wakes nobody: servers whose announcements are acknowledged late turn from one control
+// instance to the next, and waking all watchers would make the next acknowledgement later. The caller holds the lock.
+func (m *Mesh) isQuiet(before *discovery.Announcement) bool {
+	after, ok := m.directory.Get(before.ID)
+	return ok && !after.DiffersForCallers(before)
+}
+
 // Leave marks a backend server as left at the server's own request. It reports whether the server's
 // state has changed. The only error is discovery.ErrUnknownServer.
 func (m *Mesh) Leave(now time.Time, id string) (bool, error) {
--- a/mesh/silent.go
+++ b/mesh/silent.go
@@ -25,11 +25,11 @@
 				continue // reported by a build that calls draining servers silent
 			}
 			a.State = discovery.StateReady
-			changed = m.directory.Merge(now, a) || changed
+			changed = m.directory.Merge(now, a) && !(isKnown && m.isQuiet(&before)) || changed
 			continue
 		}
 		delete(m.withheld, a.ID)
-		changed = m.directory.Merge(now, a) || changed
+		changed = m.directory.Merge(now, a) && !(isKnown && m.isQuiet(&before)) || changed
 		if isKnown && a.State != before.State {
 			m.logReportedState(address, &a, &before)
 		}
