balsamd: a controller uses one processor unless its settings state more

Cause: the Go runtime uses all processors of the machine, and wakes one thread after the other to look for work. With 195 calm watchers about a third of a control instance's processor time was spent there, and under a quota all threads spend the allowance at once. Ruled out: the runtime's own default, which follows a quota but is 2 at least. Change: [limits] cores; 0 is one processor for a controller and all for a gateway.

--- a/cmd/balsamd/main.go
+++ b/cmd/balsamd/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 	"time"
 
@@ -85,6 +86,7 @@
 		fmt.Println(f.settings, "is valid")
 		return nil
 	}
+	useCores(role, s.Cores)
 	out := logs.NewBounded(os.Stdout, s.LogLinesPerSecond, time.Now)
 	log := logs.New(out, s.LogLevel)
 	writeCtx, stopWrite := context.WithCancel(context.Background())
@@ -101,3 +103,14 @@
 	}
 	return daemon.RunController(ctx, f.settings, s, log)
 }
+
+// useCores sets the number of processors that the process uses at once. More than a controller has work for cost it
+// processor time, as the runtime wakes one thread after the other to look for work.
+func useCores(role settings.Role, cores int) {
+	if cores == 0 && role == settings.RoleController {
+		cores = 1
+	}
+	if cores > 0 {
+		runtime.GOMAXPROCS(cores)
+	}
+}
--- a/settings/member.go
+++ b/settings/member.go
@@ -32,6 +32,7 @@
 	{"retry", "window_s", "10", "s", "Length of the windows in which the reserve holds.", decimal(1, 3600)},
 	{"routing", "apply_ms", "2000", "ms", "Time within which an acknowledged routing document is in force. A gateway whose document was not confirmed within it answers 503 in place of 404 and 401, as the route or key may be new.", decimal(100, 600000)},
 	{"limits", "grace_s", "10", "s", "Time between the signal to stop and the end of the process.", decimal(1, 3600)},
+	{"limits", "cores", "0", "", "Processors that the process uses at once, rounded up. 0: one for a controller, whose work is small and mostly in sequence; all for a gateway.", decimal(0, 1<<10)},
 	{"limits", "memory_mb", "0", "MB", "Memory that the process may use; 0: not limited.", decimal(0, 1<<20)},
 	{"limits", "answer_mb", "64", "MB", "Gateway: largest answer of a backend server that is forwarded.", wholeNumber(1, 1<<16)},
 	{"log", "level", "info", "", "Least severe level that is logged.", oneOf("debug", "info", "error")},
@@ -69,6 +70,8 @@
 	RoutingApplyTime time.Duration
 	// Grace is the time between the signal to stop and the end of a gateway's process.
 	Grace time.Duration
+	// Cores is the number of processors that the process uses at once; 0 means the role's default.
+	Cores int
 	// MemoryMB is the memory that the process may use, in MiB; 0 means no limit.
 	MemoryMB int
 	// MaxAnswerMB is the largest answer that a gateway forwards, in MiB.
@@ -145,6 +148,7 @@
 		RetryWindow:      time.Duration(decimalValue("retry", "window_s") * float64(time.Second)),
 		RoutingApplyTime: time.Duration(decimalValue("routing", "apply_ms") * float64(time.Millisecond)),
 		Grace:            time.Duration(decimalValue("limits", "grace_s") * float64(time.Second)),
+		Cores:            int(math.Ceil(decimalValue("limits", "cores"))),
 		MemoryMB:         int(decimalValue("limits", "memory_mb")),
 		MaxAnswerMB:      intValue("limits", "answer_mb"),
 		LogLevel:         get("log", "level"),
