mesh: changes reach all watchers within 0.3 s on fleets above 240 gateways

Claims of trials count on being known everywhere within 0.6 s (quarantine.claimDelay); with 360 gateways the pace of the commits before left 0.15 s of that. Storm with 360 watchers, by TestWorkOfControlInstanceFollowsChanges: bound 1,200 a second.

--- a/mesh/pace.go
+++ b/mesh/pace.go
@@ -20,11 +20,11 @@
 	// to say. So the messages that keep the watches of a control instance alive are 200 a second in each direction.
 	calmTime = 5 * time.Millisecond
 	// minWakeInterval is the shortest time between two heartbeats to a watcher that are caused by changes; changes
-	// within it are sent in one heartbeat. It is wakeTime for each watcher if that is longer, which bounds
-	// these heartbeats to 800 a second, and maxWakeInterval at most.
+	// within it are sent in one heartbeat. It is wakeTime for each watcher if that is longer, which bounds these
+	// heartbeats to 800 a second, and maxWakeInterval at most: claims of trials must be known everywhere within 0.6 s.
 	minWakeInterval = 20 * time.Millisecond
 	wakeTime        = 1250 * time.Microsecond
-	maxWakeInterval = 500 * time.Millisecond
+	maxWakeInterval = 300 * time.Millisecond
 )
 
 // calmInterval returns the longest time between two messages in one direction on a watch of a control instance that
