--- a/mesh/fanout_test.go
+++ b/mesh/fanout_test.go
@@ -260,27 +260,35 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				control := newTestMesh(t, "10.0.0.5:7")
+				var mu sync.Mutex
 				reports, oldest := 0, time.Duration(0)
+				observe := func(isReport bool, silence time.Duration) {
+					mu.Lock()
+					defer mu.Unlock()
+					if isReport {
+						reports++
+					}
+					oldest = max(oldest, silence)
+				}
 				for i := range watchers {
 					gateway := newTestMesh(t, "")
 					gateway.options.Name = fmt.Sprint("g", i)
 					gateway.options.DataCentre = string(rune('a' + i%3)) // that of the control instance is "a"
 					gateway.SetLocalUsage(func() []Usage { return []Usage{{Server: "y", Drafts: 1}, {Server: "x", Drafts: 2}} })
 					time.Sleep(7 * time.Millisecond)
-					go watchCalmly(t, ctx, control, gateway.newWatcher("10.0.0.5:7"), func(isReport bool, silence time.Duration) {
-						if isReport {
-							reports++
-						}
-						oldest = max(oldest, silence)
-					})
+					go watchCalmly(t, ctx, control, gateway.newWatcher("10.0.0.5:7"), observe)
 				}
 				time.Sleep(3 * time.Second)
 				synctest.Wait()
 				before := control.FeedWork().Heartbeats
+				mu.Lock()
 				reports, oldest = 0, 0
+				mu.Unlock()
 				time.Sleep(seconds * time.Second)
 				synctest.Wait()
 				heartbeats := control.FeedWork().Heartbeats - before
+				mu.Lock()
+				defer mu.Unlock()
 				perSecond := max(250, watchers*5/4)
 				t.Logf("%d watchers, %d s: %d heartbeats, %d reports, longest silence %v", watchers, seconds, heartbeats, reports, oldest)
 				is.True(heartbeats <= uint64(seconds*perSecond))
@@ -295,13 +303,10 @@
 // report, and for each heartbeat with the time since the one before.
 func watchCalmly(t *testing.T, ctx context.Context, control *Mesh, w *watcher, observe func(isReport bool, silence time.Duration)) {
 	feed := control.NewWatchFeed(w.Request())
-	var mu sync.Mutex
 	go func() {
 		for sleep(ctx, w.Interval()); ctx.Err() == nil; sleep(ctx, w.Interval()) {
 			if req := w.Request(); req != nil {
-				mu.Lock()
 				observe(true, 0)
-				mu.Unlock()
 				feed.HandleRequest(req)
 			}
 		}
@@ -309,9 +314,7 @@
 	for last := time.Now(); ctx.Err() == nil; {
 		woken := feed.Wake()
 		w.HandleHeartbeat("10.0.0.5:7", next(t, feed))
-		mu.Lock()
 		observe(false, time.Since(last))
-		mu.Unlock()
 		last = time.Now()
 		select {
 		case <-woken:
