instance: a halt of this process is no silence of its peers

What callers would see: after a halt of a control instance for more than the time-out of its watches, all gateways connect again at once, each with a first heartbeat of all servers, while the agreement has as much to catch up with. Cause: the time without a message was compared when the process ran again, before the messages were handled that had arrived meanwhile; in which order was up to the scheduler. Change: a peer is suspected first, and counts as silent if nothing is heard within 0.25 s after that. Both roles: watches, and the subscriptions of the first role, in both directions.

--- a/instance/publish.go
+++ b/instance/publish.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
 	"time"
 
 	"github.com/balsamlb/balsamlb/instance/wire"
@@ -56,24 +55,23 @@
 		return err
 	}
 	feed := s.peers.NewFeed(first)
-	var lastSeen atomic.Int64
-	lastSeen.Store(s.elapsedMillis())
+	silence := newSilence(time.Now(), subscriberTimeout)
 	g, ctx := errgroup.WithContext(stream.Context())
-	g.Go(func() error { return s.receiveClocks(stream, feed, &lastSeen) })
+	g.Go(func() error { return receiveClocks(stream, feed, silence) })
 	g.Go(func() error {
 		defer stream.Close()
-		return s.sendHeartbeats(ctx, stream, feed, &lastSeen)
+		return sendHeartbeats(ctx, stream, feed, silence)
 	})
 	return eris.Wrapf(g.Wait(), "instance: publish to %s", first.GetSubscriber().GetName())
 }
 
-func (s *Server) receiveClocks(stream wire.DRPCInstance_SubscribeStream, f Feed, lastSeen *atomic.Int64) error {
+func receiveClocks(stream wire.DRPCInstance_SubscribeStream, f Feed, silence *silence) error {
 	for {
 		req, err := stream.Recv()
 		if err != nil {
 			return err
 		}
-		lastSeen.Store(s.elapsedMillis())
+		silence.hear(time.Now(), subscriberTimeout)
 		f.HandleClock(req)
 	}
 }
@@ -81,9 +79,9 @@
 // subscriberTimeout is how long a subscription lasts after the subscriber's latest clock message.
 const subscriberTimeout = 15 * time.Second
 
-func (s *Server) sendHeartbeats(ctx context.Context, stream wire.DRPCInstance_SubscribeStream, f Feed, lastSeen *atomic.Int64) error {
+func sendHeartbeats(ctx context.Context, stream wire.DRPCInstance_SubscribeStream, f Feed, silence *silence) error {
 	for {
-		if s.elapsedMillis()-lastSeen.Load() > subscriberTimeout.Milliseconds() {
+		if isSilent, _ := silence.check(time.Now()); isSilent {
 			return errSubscriberSilent
 		}
 		wake := f.Wake()
@@ -110,9 +108,6 @@
 	return true
 }
 
-// elapsedMillis returns the milliseconds since the server was created.
-func (s *Server) elapsedMillis() int64 { return time.Since(s.started).Milliseconds() }
-
 // Members records the caller and returns the instances that this instance knows.
 func (s *Server) Members(_ context.Context, req *wire.MembersRequest) (*wire.MembersResponse, error) {
 	if s.peers == nil {
--- a/instance/server.go
+++ b/instance/server.go
@@ -48,13 +48,12 @@
 	peers        PeerHandler
 	watchSource  WatchSource   // nil unless this server serves watches
 	relayHandler relay.Handler // nil unless this server takes requests of others
-	started      time.Time
 	subscribers  atomic.Int64
 }
 
 // NewServer returns a server. r is nil on an instance without a replica.
 func NewServer(r Replica, p PeerHandler) *Server {
-	return &Server{replica: r, peers: p, started: time.Now()}
+	return &Server{replica: r, peers: p}
 }
 
 // Serve accepts connections on the listener until ctx ends.
--- a/instance/subscribe.go
+++ b/instance/subscribe.go
@@ -43,11 +43,11 @@
 	if err := stream.Send(r.Request()); err != nil {
 		return eris.Wrapf(err, "instance: subscribe to %s", address)
 	}
-	silenceTimer := time.AfterFunc(membership.FirstHeartbeatTimeout(), func() { cancel(ErrSilent) })
-	defer silenceTimer.Stop()
+	silence := newSilence(time.Now(), membership.FirstHeartbeatTimeout())
+	defer silence.cancelIfSilent(func() { cancel(ErrSilent) })()
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return sendClocks(ctx, stream, r) })
-	g.Go(func() error { return receiveHeartbeats(stream, r, silenceTimer) })
+	g.Go(func() error { return receiveHeartbeats(stream, r, silence) })
 	return eris.Wrapf(waitStream(ctx, g), "instance: subscription to %s", address)
 }
 
@@ -61,7 +61,7 @@
 	return err
 }
 
-func receiveHeartbeats(stream wire.DRPCInstance_SubscribeClient, r SubscriptionHandler, silenceTimer *time.Timer) error {
+func receiveHeartbeats(stream wire.DRPCInstance_SubscribeClient, r SubscriptionHandler, silence *silence) error {
 	for {
 		b, err := stream.Recv()
 		if err != nil {
@@ -71,7 +71,7 @@
 		if err != nil {
 			return err
 		}
-		silenceTimer.Reset(membership.ConnectionTimeout(interval))
+		silence.hear(time.Now(), membership.ConnectionTimeout(interval))
 	}
 }
 
--- a/instance/watch.go
+++ b/instance/watch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
 	"time"
 
 	"github.com/balsamlb/balsamlb/discovery"
@@ -23,8 +22,8 @@
 	// minHeartbeatInterval is the shortest time between two heartbeats on a watch. It limits the
 	// heartbeats in a burst of changes, as when the servers of a failed control instance move to another.
 	minHeartbeatInterval = 20 * time.Millisecond
-	// watchTimeout is how long a watch may receive no message before it is closed.
-	watchTimeout = 2 * MaxWatchInterval
+	// watchTimeout is how long a watch may receive no message before the peer is suspected to be silent.
+	watchTimeout = 2*MaxWatchInterval - silenceGrace
 )
 
 // errNotControl means that the instance has no replica of the shared state.
@@ -72,8 +71,7 @@
 	}
 	feed := s.watchSource.NewWatchFeed(first)
 	defer feed.Close()
-	var lastSeen atomic.Int64
-	lastSeen.Store(s.elapsedMillis())
+	silence := newSilence(time.Now(), watchTimeout)
 	g, ctx := errgroup.WithContext(stream.Context())
 	g.Go(func() error {
 		for {
@@ -81,20 +79,21 @@
 			if err != nil {
 				return err
 			}
-			lastSeen.Store(s.elapsedMillis())
+			silence.hear(time.Now(), watchTimeout)
 			feed.HandleRequest(req)
 		}
 	})
 	g.Go(func() error {
 		defer stream.Close()
-		return s.sendWatchHeartbeats(ctx, stream, feed, &lastSeen)
+		return sendWatchHeartbeats(ctx, stream, feed, silence)
 	})
 	return eris.Wrapf(g.Wait(), "instance: watch by %s", first.GetName())
 }
 
-func (s *Server) sendWatchHeartbeats(ctx context.Context, stream wire.DRPCInstance_WatchStream, f WatchFeed, lastSeen *atomic.Int64) error {
+func sendWatchHeartbeats(ctx context.Context, stream wire.DRPCInstance_WatchStream, f WatchFeed, silence *silence) error {
 	for {
-		if s.elapsedMillis()-lastSeen.Load() > watchTimeout.Milliseconds() {
+		isSilent, nextCheck := silence.check(time.Now())
+		if isSilent {
 			return errSubscriberSilent
 		}
 		wake := f.Wake()
@@ -103,7 +102,11 @@
 		}
 		f.Sent()
 		sent := time.Now()
-		if !waitNext(ctx, wake, f.Interval()) {
+		interval := f.Interval()
+		if nextCheck <= silenceGrace {
+			interval = min(interval, nextCheck)
+		}
+		if !waitNext(ctx, wake, interval) {
 			return ctx.Err()
 		}
 		if early := minHeartbeatInterval - time.Since(sent); early > 0 && !waitNext(ctx, nil, early) {
@@ -164,8 +167,8 @@
 	if err := stream.Send(w.Request()); err != nil {
 		return eris.Wrapf(err, "instance: watch %s", address)
 	}
-	silenceTimer := time.AfterFunc(watchTimeout, func() { cancel(ErrSilent) })
-	defer silenceTimer.Stop()
+	silence := newSilence(time.Now(), watchTimeout)
+	defer silence.cancelIfSilent(func() { cancel(ErrSilent) })()
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return sendWatchRequests(ctx, stream, w) })
 	g.Go(func() error {
@@ -174,7 +177,7 @@
 			if err != nil {
 				return err
 			}
-			silenceTimer.Reset(watchTimeout)
+			silence.hear(time.Now(), watchTimeout)
 			w.HandleHeartbeat(address, b)
 		}
 	})
--- a/instance/watch_test.go
+++ b/instance/watch_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,14 +35,12 @@
 func TestBurstOfChangesIsSentInFewHeartbeats(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		s := &Server{started: time.Now()}
 		stream := &countingStream{}
 		feed := &busyFeed{changed: make(chan struct{})}
 		close(feed.changed)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second-time.Millisecond)
 		defer cancel()
-		var lastSeen atomic.Int64
-		is.True(s.sendWatchHeartbeats(ctx, stream, feed, &lastSeen) != nil)
+		is.True(sendWatchHeartbeats(ctx, stream, feed, newSilence(time.Now(), watchTimeout)) != nil)
 		is.Equal(stream.sent, int(time.Second/minHeartbeatInterval))
 	})
 }
