mesh: bounded log lines where many gateways or servers say the same

The gateways' own state didn't flip: each logged its link check once after each start. The number of gateways that are cut off follows the number that are connected, and that was logged. Now a control instance logs that none, some or most are, with a gap between the bounds; and an instance logs up to 8 reported states a second, and then how many it left out.

--- a/mesh/doubts.go
+++ b/mesh/doubts.go
@@ -99,13 +99,20 @@
 func (m *Mesh) updateUnresponsive() bool {
 	unresponsive := m.doubts.Unresponsive(m.knownGateways())
 	here := reportedDoubts{doubted: m.doubts.Doubted(), answering: m.doubts.Answering()}
-	if cutOff := m.doubts.CutOff(); cutOff != m.loggedCutOff {
-		m.loggedCutOff = cutOff
-		m.options.Log.Info("gateways are cut off from all backend servers", "cut_off", cutOff, "gateways", len(m.watcherReports))
-	}
+	m.logCutOff()
 	if slices.Equal(unresponsive, m.unresponsiveHere) && here.equal(m.doubtsHere) {
 		return false
 	}
 	m.unresponsiveHere, m.doubtsHere = unresponsive, here
 	return true
 }
+
+// logCutOff logs when none, some or most of the gateways have begun to be cut off from all backend servers. The number
+// of these also changes with each gateway that connects or disconnects. The caller holds the lock.
+func (m *Mesh) logCutOff() {
+	cutOff, gateways := m.doubts.CutOff(), len(m.watcherReports)
+	if share := newCutOffShare(m.loggedCutOff, cutOff, gateways); share != m.loggedCutOff {
+		m.loggedCutOff = share
+		m.options.Log.Info("gateways are cut off from all backend servers", "cut_off", cutOff, "gateways", gateways)
+	}
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -110,7 +110,9 @@
 	doubts           *reachability.Doubts
 	unresponsiveHere []string
 	doubtsHere       reportedDoubts
-	loggedCutOff     int
+	loggedCutOff     cutOffShare
+	// reportedStateLog bounds the lines about servers whose state control instances report.
+	reportedStateLog logLimit
 	shared           sharedFragments
 	feedWork         FeedWork
 	wakeups          wakeSchedule
--- a/mesh/silent.go
+++ b/mesh/silent.go
@@ -16,6 +16,9 @@
 // merges only the announcement.
 func (m *Mesh) mergeServers(now time.Time, address string, servers []*wire.AnnouncedServer) bool {
 	changed := false
+	if leftOut := m.reportedStateLog.begin(now); leftOut > 0 {
+		m.options.Log.Info("control instances reported other states of more backend servers", "left_out", leftOut)
+	}
 	for _, s := range servers {
 		a := instance.AnnouncementFromWire(s)
 		before, isKnown := m.directory.Get(a.ID)
@@ -30,7 +33,7 @@
 		}
 		delete(m.withheld, a.ID)
 		changed = m.directory.Merge(now, a) && !(isKnown && m.isQuiet(&before)) || changed
-		if isKnown && a.State != before.State {
+		if isKnown && a.State != before.State && m.reportedStateLog.allows() {
 			m.logReportedState(address, &a, &before)
 		}
 	}
