lab: soaks with throttled control instances

BALSAMLB_SOAK_SHARE_PER_MILL holds the control instances of a soak to a share of a core, so that losses of all processes and faults of links can be played on them by hand.

--- a/internal/lab/election_storm_test.go
+++ b/internal/lab/election_storm_test.go
@@ -41,10 +41,6 @@
 // storm is a soak without faults but for throttled control instances.
 type storm struct {
 	*soak
-	throttles []*throttle
-	mu        sync.Mutex // guards the following
-	// delays are when the test itself was late: the control instances then had trouble that is not theirs.
-	delays []*trouble
 }
 
 func startStorm(t *testing.T) *storm {
@@ -58,35 +54,13 @@
 		keys:        1,
 		changeEvery: 300 * time.Millisecond,
 		probeEvery:  250 * time.Millisecond,
+
+		controlShare: float64(soakNumber(t, "SHARE_PER_MILL", stormSharePerMill)) / 1000,
 	})}
-	share := float64(soakNumber(t, "SHARE_PER_MILL", stormSharePerMill)) / 1000
-	for _, c := range s.controls() {
-		h := newThrottle(c.Process, share, s.handleDelay)
-		s.throttles = append(s.throttles, h)
-		s.run(func() { h.run(s.ctx) })
-	}
 	s.sleep(stormStartTime)
 	return s
 }
 
-// handleDelay records that the test itself was late.
-func (s *storm) handleDelay(from, to time.Time) {
-	t := s.judge.begin(trouble{what: "the test itself is late", isCore: true})
-	s.judge.mu.Lock()
-	t.from, t.to = from, to
-	s.judge.mu.Unlock()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.delays = append(s.delays, t)
-}
-
-// wasLate reports whether the test itself was late at the time or within a bound before.
-func (s *storm) wasLate(at time.Time, before time.Duration) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.ContainsFunc(s.delays, func(t *trouble) bool { return t.overlaps(at, at, before) })
-}
-
 // change publishes documents, reads them back and asks the gateways until the soak ends its work.
 func (s *storm) change() {
 	workers := min(maxWorkers, s.options.gateways)
@@ -233,9 +207,6 @@
 	}
 	s.cancel()
 	s.wg.Wait()
-	for _, h := range s.throttles {
-		s.t.Logf("%s was halted %d times", h.process.Name, h.halts.Load())
-	}
 	s.t.Logf("the test itself was late %d times", len(s.delays))
 	s.t.Logf("%d gateways, %d routes: %s", s.options.gateways, s.options.routes, s.judge.summary())
 	s.judge.findings = nil // the logs are long
--- a/internal/lab/soak_test.go
+++ b/internal/lab/soak_test.go
@@ -33,6 +33,8 @@
 	isQuiet bool
 	// controlMbps and gatewayMbps are the bandwidths of the machines' links; 0: unlimited.
 	controlMbps, gatewayMbps int
+	// controlShare is the share of a core that each control instance gets; 0: not limited.
+	controlShare float64
 	// binary is the build of the members; empty: this one, or BALSAMLB_SOAK_BIN.
 	binary string
 	// roll replaces builds; nil: none.
@@ -54,6 +56,8 @@
 	mu      sync.Mutex // guards the members and the following
 	boots   map[string]int
 	stopped map[string]bool // gateways whose process doesn't run
+	// delays are when the test itself was late, so that throttled control instances had trouble that is not theirs.
+	delays []*trouble
 }
 
 func startSoak(t testing.TB, o soakOptions) *soak {
@@ -89,9 +93,32 @@
 		o.roll.s = s
 	}
 	s.startServers(o.servers)
+	if o.controlShare > 0 {
+		for _, c := range d.Controls {
+			s.run(func() { newThrottle(c.Process, o.controlShare, s.handleDelay).run(s.ctx) })
+		}
+	}
 	return s
 }
 
+// handleDelay records that the test itself was late.
+func (s *soak) handleDelay(from, to time.Time) {
+	t := s.judge.begin(trouble{what: "the test itself is late", isCore: true})
+	s.judge.mu.Lock()
+	t.from, t.to = from, to
+	s.judge.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delays = append(s.delays, t)
+}
+
+// wasLate reports whether the test itself was late at the time or within a bound before.
+func (s *soak) wasLate(at time.Time, before time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.delays, func(t *trouble) bool { return t.overlaps(at, at, before) })
+}
+
 func (s *soak) isWorking() bool { return s.work.Err() == nil }
 
 func (s *soak) sleep(d time.Duration) { sleepUntil(s.ctx, time.Now().Add(d)) }
@@ -311,6 +338,8 @@
 				isQuiet:     soakNumber(t, "QUIET", 0) > 0,
 				controlMbps: soakNumber(t, "CONTROL_MBPS", 170),
 				gatewayMbps: soakNumber(t, "GATEWAY_MBPS", 20),
+
+				controlShare: float64(soakNumber(t, "SHARE_PER_MILL", 0)) / 1000,
 			})
 			s.play()
 		})
--- a/internal/lab/throttle_test.go
+++ b/internal/lab/throttle_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,8 +20,6 @@
 type throttle struct {
 	process *Process
 	quota   time.Duration // in each throttlePeriod
-	// halts counts how often the process was halted.
-	halts atomic.Int64
 	// onDelay is called when this process was late by throttlePeriod or more, so that the throttled process may have
 	// stood still for longer than by its quota.
 	onDelay func(from, to time.Time)
@@ -59,7 +56,6 @@
 		case left <= 0:
 			if !isHalted {
 				h.process.Freeze()
-				h.halts.Add(1)
 			}
 			isHalted, wait = true, time.Until(end)
 		case isHalted:
