instance: a patch is encoded with buffers no larger than its texts

An eighth of that went into the patch for the gateways, whose encoder allocated 26 MB for texts of 343,000 bytes; clearing and collecting that came on top.

The encoder now gets a window of both texts. Ruled out: the default level, with half the time, as patches of views grow to 2,855 bytes of 56,734 (TestViewPatchIsSmall); the fastest level loses the texts of 37,000 workspaces (557,798 bytes in place of 379).

TestPatchTakesNoMoreMemoryThanTheLargestText failed before (26 MB; 16 MiB asked for).

--- a/instance/patches_test.go
+++ b/instance/patches_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"runtime"
 	"testing"
 
 	"github.com/matryer/is"
@@ -57,6 +58,25 @@
 	return before, bytes.Replace(before, []byte(old), []byte(fmt.Sprintf(line, n/2, 77, 99)), 1)
 }
 
+// Guards against a patch that makes a control instance with little memory collect garbage for each change of a document
+// (docs/incidents/election-storm.md).
+func TestPatchTakesNoMoreMemoryThanTheLargestText(t *testing.T) {
+	is := is.New(t)
+	before, after := documentOf(1400, `{"Prefix":"/r%07d","Service":"s%05d","Key":"%016x","TimeLimitMs":3000,"ObjectiveMs":300,"Methods":["GET","POST"]},`+"\n")
+	var begin, end runtime.MemStats
+	runtime.ReadMemStats(&begin)
+	patch, err := CompressView(after, before)
+	runtime.ReadMemStats(&end)
+	is.NoErr(err)
+	text, err := ExpandView(patch, before)
+	is.NoErr(err)
+	is.Equal(text, after)
+	is.True(len(patch) < 1024)
+	allocated := end.TotalAlloc - begin.TotalAlloc
+	t.Logf("%d bytes allocated for a patch of %d bytes", allocated, len(patch))
+	is.True(allocated <= maxViewBytes)
+}
+
 func BenchmarkPatch(b *testing.B) {
 	for _, size := range []struct {
 		name string
--- a/instance/view.go
+++ b/instance/view.go
@@ -1,6 +1,8 @@
 package instance
 
 import (
+	"math/bits"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/klauspost/compress/zstd"
 	"github.com/rotisserie/eris"
@@ -9,6 +11,9 @@
 // maxViewBytes bounds a view after decompression.
 const maxViewBytes = 16 << 20
 
+// maxPatchWindow bounds the window of a patch. It covers a view and its base.
+const maxPatchWindow = 2 * maxViewBytes
+
 // dictionaryID marks a view that is compressed with an earlier view as dictionary.
 const dictionaryID = 1
 
@@ -20,7 +25,10 @@
 func CompressView(view, base []byte) ([]byte, error) {
 	options := []zstd.EOption{zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedBetterCompression)}
 	if base != nil {
-		options = append(options, zstd.WithEncoderDictRaw(dictionaryID, base))
+		// With a window of both texts, the encoder's buffers are no larger than it needs.
+		window := 1 << bits.Len(uint(len(base)+len(view)))
+		options = append(options, zstd.WithEncoderDictRaw(dictionaryID, base), zstd.WithLowerEncoderMem(true),
+			zstd.WithWindowSize(max(zstd.MinWindowSize, min(window, maxPatchWindow))))
 	}
 	enc, err := zstd.NewWriter(nil, options...)
 	if err != nil {
