mesh: a gateway that has lost all control instances keeps its share

Gateways that lost all their watches counted themselves as the only gateway at once: each then took the whole limit that a server names, planned with all the room of its data centre, and after a minute had the whole retry reserve.

The number of gateways and this gateway's place among them need no control instance to go on. The last report is kept while no control instance is connected, and dropped with the first heartbeat of any. Overload isn't fed by it: a gateway that is alone in truth takes less than it could until a control instance is back.

TestGatewayWithoutControlInstancesKeepsItsShare failed before (1 gateway in place of 190).

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -138,6 +138,8 @@
 	doubtedSince   map[string]time.Time
 	// reportedGateways holds the number of gateways that each control instance reports.
 	reportedGateways map[string]int
+	// keptGateways is the control instance that was connected last, while none is: its report of gateways still counts.
+	keptGateways string
 	// reportedRanks holds this gateway's place among those gateways, from 0, and -1 if it is none of them.
 	reportedRanks map[string]int
 	// watcherNames are the sorted keys of watcherReports, or nil if they have to be sorted anew.
@@ -445,6 +447,7 @@
 	m.updateReportedUsage(address, b)
 	m.updatePeerDemand(now, b)
 	m.reportedRanks[address] = int(b.Rank) - 1
+	m.dropKeptGateways(address)
 	if m.reportedGateways[address] != int(b.Gateways) {
 		m.reportedGateways[address] = int(b.Gateways)
 		changed = m.updateUnresponsive() || changed
@@ -492,8 +495,7 @@
 	delete(m.reportedUnresponsive, address)
 	delete(m.reportedRelays, address)
 	changed = m.updateDoubts(time.Now(), address, reportedDoubts{}) || changed
-	delete(m.reportedGateways, address)
-	delete(m.reportedRanks, address)
+	m.forgetGateways(address)
 	changed = m.updateUnresponsive() || changed
 	if changed {
 		m.broadcast()
