control: say why replicas campaign and leaders step down, and what delays them

Change: the node counts campaigns, elections and step-downs by reason and hands out events; the host logs 'campaigns' and 'stepped down' with the silence, the greatest delay of its loop, save and wait of an input of the last second or two, at most 20 lines in 10 s. Metrics: term, known leader, counts, and histograms of the three delays. One pass of the host's loop is a function of the time, so that a test can run it in virtual time. No decision changes.

--- a/consensus/election.go
+++ b/consensus/election.go
@@ -3,6 +3,7 @@
 // becomeFollower makes the node a follower in the term. leader is "" if it is not known.
 func (n *Node) becomeFollower(term uint64, leader string) {
 	if term > n.hardState.Term {
+		n.recordStepDown(StepDownNewerTerm)
 		n.hardState = HardState{Term: term}
 	}
 	n.role = RoleFollower
@@ -18,6 +19,7 @@
 // becomePreCandidate asks the voters whether the node could win an election, without
 // increasing its term.
 func (n *Node) becomePreCandidate() {
+	n.recordCampaign()
 	n.role = RolePreCandidate
 	n.leader = ""
 	n.resetTimer()
@@ -32,6 +34,8 @@
 // becomeCandidate starts an election. force is true if the leader requested it, to transfer the
 // leadership.
 func (n *Node) becomeCandidate(force bool) {
+	n.recordStepDown(StepDownTransfer)
+	n.electionCounts.Elections++
 	n.role = RoleCandidate
 	n.leader = ""
 	n.hardState = HardState{Term: n.hardState.Term + 1, Vote: n.opts.ID}
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -102,6 +102,9 @@
 	voterRecords        map[folderKey]*voterRecord
 	// uncommittedBytes is the total size of the leader's uncommitted entries.
 	uncommittedBytes int
+	electionCounts   ElectionCounts
+	// electionEvents are those that ElectionEvents has not returned yet.
+	electionEvents []ElectionEvent
 }
 
 // New returns a follower that starts from previously saved state. Its first Ready returns the entries
@@ -154,6 +157,7 @@
 	switch {
 	case n.role != RoleLeader:
 	case ticks >= n.opts.ElectionTicks:
+		n.recordStepDown(StepDownPause)
 		n.becomeFollower(n.hardState.Term, "")
 	default:
 		n.heartbeat()
@@ -164,6 +168,7 @@
 // timeout.
 func (n *Node) tickLeader() {
 	if n.now-max(n.quorumAckTick(), n.lease.campaignTick) >= uint64(n.opts.ElectionTicks) {
+		n.recordStepDown(StepDownNoAnswers)
 		n.becomeFollower(n.hardState.Term, "")
 		return
 	}
--- a/control/clock.go
+++ b/control/clock.go
@@ -17,12 +17,14 @@
 	last time.Duration
 }
 
-func (c *clock) start() { c.last = bootclock.Now() }
+func (c *clock) start(now time.Duration) { c.last = now }
 
 // advance ticks the node for the time since the last call. After a pause of the process it
 // returns the length of the pause, otherwise 0.
-func (c *clock) advance(n *consensus.Node) time.Duration {
-	ticks := int((bootclock.Now() - c.last) / tickInterval)
+func (c *clock) advance(n *consensus.Node) time.Duration { return c.advanceTo(n, bootclock.Now()) }
+
+func (c *clock) advanceTo(n *consensus.Node, now time.Duration) time.Duration {
+	ticks := int((now - c.last) / tickInterval)
 	c.last += time.Duration(ticks) * tickInterval
 	if ticks >= pauseTicks {
 		n.ResumeAfterPause(ticks)
--- a/control/host.go
+++ b/control/host.go
@@ -7,10 +7,12 @@
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/balsamlb/balsamlb/consensus"
 	"github.com/balsamlb/balsamlb/formlevel"
+	"github.com/balsamlb/balsamlb/internal/bootclock"
 	"github.com/balsamlb/balsamlb/internal/ring"
 	"github.com/balsamlb/balsamlb/replica"
 	"github.com/balsamlb/balsamlb/routing"
@@ -56,12 +58,14 @@
 	maxBatchInputs = 512
 )
 
-// input is a message, lost message, proposal or query for the host. Exactly one field is set.
+// input is a message, lost message, proposal or query for the host. Exactly one of these fields is set.
 type input struct {
 	message  *consensus.Message
 	lost     *consensus.Message
 	proposal *proposal
 	query    func(*replica.State, *consensus.Node)
+	// queuedAt is when a message was received, as bootclock.Now counts.
+	queuedAt time.Duration
 }
 
 // Host owns a consensus node and the replicated state, which only the goroutine of Run accesses.
@@ -74,6 +78,8 @@
 	inputQueue *ring.Ring[input]
 	waiters    map[uint64]*waiter
 	clock      clock
+	// now returns the time, as bootclock.Now counts.
+	now func() time.Duration
 	// stopped is closed when Run returns.
 	stopped chan struct{}
 	log     logr.Logger
@@ -94,6 +100,10 @@
 	encoded    chan encodedState
 	isEncoding bool
 	levels     levels
+	delays     delays
+	// elections is replaced by the loop, and nil before it runs.
+	elections   atomic.Pointer[Elections]
+	electionLog electionLog
 }
 
 // Options configure a host.
@@ -118,6 +128,7 @@
 	OnView func(replica.View)
 	// OnRouting is called with each new routing document, in order. It may be nil.
 	OnRouting func(routing.Publication)
+	Observers Observers
 	Log       logr.Logger
 }
 
@@ -133,6 +144,8 @@
 		encoded:    make(chan encodedState, 1),
 		log:        o.Log,
 		levels:     levels{own: cmp.Or(o.Level, formlevel.Supported)},
+		delays:     delays{observers: o.Observers},
+		now:        bootclock.Now,
 	}
 	return h, h.initialize(stored)
 }
@@ -194,7 +207,7 @@
 	defer close(h.stopped)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	h.clock.start()
+	h.clock.start(h.now())
 	// What the data folder holds as committed is published before anything is received.
 	if err := h.process(); err != nil {
 		return err
@@ -212,29 +225,31 @@
 		case in := <-h.inputQueue.Items():
 			first = &in
 		}
-		// The clock is advanced first, so that after a pause of the process no input is handled
-		// as if no time had passed.
-		if pause := h.clock.advance(h.node); pause > 0 {
-			h.log.Info("the process was paused", "ms", pause.Milliseconds())
-		}
-		if first != nil {
-			h.handleInput(*first)
-		}
-		for _, in := range h.inputQueue.Drain(maxBatchInputs) {
-			h.handleInput(in)
-		}
-		if err := h.raiseLevel(); err != nil {
-			h.log.Error(err, "the level of entries was not raised")
-		}
-		if err := h.process(); err != nil {
+		if err := h.pass(first); err != nil {
 			return err
 		}
 	}
 }
 
+// pass advances the clock, handles the input, unless it is nil, and what else is queued, and processes what follows.
+func (h *Host) pass(first *input) error {
+	now := h.now()
+	h.delays.beginPass(now)
+	// The clock is advanced first, so that after a pause of the process no input is handled
+	// as if no time had passed.
+	if pause := h.clock.advanceTo(h.node, now); pause > 0 {
+		h.log.Info("the process was paused", "ms", pause.Milliseconds())
+	}
+	h.handleInputs(first)
+	if err := h.raiseLevel(); err != nil {
+		h.log.Error(err, "the level of entries was not raised")
+	}
+	return h.process()
+}
+
 // Receive queues a message from another replica. The message is dropped if the queue is full.
 func (h *Host) Receive(m consensus.Message) {
-	h.inputQueue.Offer(input{message: &m})
+	h.inputQueue.Offer(input{message: &m, queuedAt: h.now()})
 }
 
 // ReportLost queues the report that a message will not arrive at another replica. The report is dropped if the queue
@@ -263,6 +278,28 @@
 	}
 }
 
+// handleInputs handles the input, unless it is nil, and what is queued.
+func (h *Host) handleInputs(first *input) {
+	inputs := h.inputQueue.Drain(maxBatchInputs)
+	if first != nil {
+		h.recordWait(*first)
+		h.handleInput(*first)
+	} else if len(inputs) > 0 {
+		h.recordWait(inputs[0])
+	}
+	for _, in := range inputs {
+		h.handleInput(in)
+	}
+}
+
+// recordWait records how long the first of the queued inputs has waited.
+func (h *Host) recordWait(in input) {
+	if in.queuedAt > 0 {
+		now := h.now()
+		observe(h.delays.observers.InputWait, &h.delays.inputWait, now, now-in.queuedAt)
+	}
+}
+
 func (h *Host) handleInput(in input) {
 	switch {
 	case in.message != nil:
@@ -332,6 +369,17 @@
 }
 
 func (h *Host) save(r consensus.Ready) error {
+	if r.Snapshot == nil && r.HardState == nil && len(r.Entries) == 0 {
+		return nil
+	}
+	began := h.now()
+	err := h.store(r)
+	now := h.now()
+	observe(h.delays.observers.Sync, &h.delays.sync, now, now-began)
+	return err
+}
+
+func (h *Host) store(r consensus.Ready) error {
 	if r.Snapshot != nil {
 		return h.storage.SaveSnapshot(*r.Snapshot, h.node.HardState(), r.Entries)
 	}
--- a/control/status.go
+++ b/control/status.go
@@ -75,8 +75,9 @@
 	}
 }
 
-// logChanges logs changes of the role and the membership, and passes on the voters' addresses.
+// logChanges logs elections and changes of the role and the membership, and passes on the voters' addresses.
 func (h *Host) logChanges() {
+	h.logElections()
 	if role := h.node.Role(); role != h.loggedRole {
 		h.loggedRole = role
 		h.log.Info("changed role", "role", role.String(), "term", h.node.Term(), "leader", h.node.Leader())
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/balsamlb/balsamlb/consensus"
 	"github.com/balsamlb/balsamlb/control"
 	"github.com/balsamlb/balsamlb/controller"
 	"github.com/balsamlb/balsamlb/gateway"
@@ -198,13 +199,16 @@
 	if err != nil {
 		return err
 	}
-	host, sender, err := openHost(m, store, stored, c.Applied)
+	delays := metrics.NewReplicaDelays(m.registry)
+	host, sender, err := openHost(m, store, stored, c.Applied,
+		control.Observers{LoopDelay: delays.LoopDelay, Sync: delays.Sync, InputWait: delays.InputWait})
 	if err != nil {
 		return err
 	}
 	c.SetHost(host)
 	metrics.RegisterPlan(m.registry, func() metrics.PlanWork { return planWork(c) })
 	metrics.RegisterLevels(m.registry, func() metrics.LevelWork { return levelWork(c) })
+	metrics.RegisterElections(m.registry, func() metrics.Elections { return elections(host.Elections()) })
 	metrics.RegisterController(m.registry, func() metrics.FeedWork { return metrics.FeedWork(m.mesh.FeedWork()) })
 	listener, err := listen.TCP(s.Instances)
 	if err != nil {
@@ -226,6 +230,18 @@
 	return out
 }
 
+// elections returns what a replica has seen of elections for its metrics.
+func elections(e control.Elections) metrics.Elections {
+	out := metrics.Elections{
+		Term: e.Term, HasLeader: e.Leader != "", Campaigns: e.Campaigns, Elections: e.ElectionCounts.Elections,
+		StepDowns: make(map[string]uint64),
+	}
+	for _, r := range consensus.StepDownReasons {
+		out.StepDowns[r.String()] = e.StepDowns[r]
+	}
+	return out
+}
+
 // planWork returns the work of a controller's planner for its metrics.
 func planWork(c *controller.Controller) metrics.PlanWork {
 	w := c.PlanWork()
@@ -270,7 +286,7 @@
 
 // openHost creates the replica and the sender of its messages. Replicas are identified by their
 // addresses, since the settings state only the addresses of the seeds.
-func openHost(m *member, store *storage.Log, stored storage.Stored, applied func(routing.Publication)) (*control.Host, *instance.ConsensusSender, error) {
+func openHost(m *member, store *storage.Log, stored storage.Stored, applied func(routing.Publication), observers control.Observers) (*control.Host, *instance.ConsensusSender, error) {
 	s := m.settings
 	founders := slices.Sorted(slices.Values(s.Seeds))
 	sender := instance.NewConsensusSender(m.dialer)
@@ -291,6 +307,7 @@
 		Sender:       sender,
 		OnView:       func(replica.View) {},
 		OnRouting:    applied,
+		Observers:    observers,
 		Log:          m.log.WithName("control"),
 	}, stored)
 	if err != nil {
--- a/metrics/delivery.go
+++ b/metrics/delivery.go
@@ -2,7 +2,7 @@
 
 import "github.com/prometheus/client_golang/prometheus"
 
-// Labels of the metrics of the delivery of routing documents.
+// Labels of the metrics of the delivery of routing documents. LabelReason is also why a leader has stepped down.
 const (
 	LabelReason = "reason"
 	LabelForm   = "form"
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -146,7 +146,7 @@
 	fmt.Fprintf(&b, "\nGateways and controllers serve `%s` (%s) as well: %s\n", buildInfo.name, strings.Join(buildInfo.labels, ", "), buildInfo.help)
 	b.WriteString("\nA controller (`balsamd controller`) serves these:\n\n")
 	b.WriteString("| metric | kind | labels | meaning |\n|---|---|---|---|\n")
-	for _, d := range slices.Concat(controllerDescriptions, planDescriptions, levelDescriptions) {
+	for _, d := range slices.Concat(controllerDescriptions, planDescriptions, levelDescriptions, electionDescriptions) {
 		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", d.name, d.kind, strings.Join(d.labels, ", "), d.help)
 	}
 	b.WriteString("\nGateways and controllers serve these of the routing document as well:\n\n")
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -133,6 +133,29 @@
 	is.Equal(sum, 31.0) // each metric shows a value of its own
 }
 
+// Guards against a count of elections that is shown under another name or not at all.
+func TestEveryMetricOfElectionsIsDescribed(t *testing.T) {
+	is := is.New(t)
+	r := prometheus.NewRegistry()
+	delays := NewReplicaDelays(r)
+	for _, o := range []prometheus.Observer{delays.LoopDelay, delays.Sync, delays.InputWait} {
+		o.Observe(1)
+	}
+	RegisterElections(r, func() Elections {
+		return Elections{Term: 2, HasLeader: true, Campaigns: 4, Elections: 8, StepDowns: map[string]uint64{"pause": 16, "no_answers": 32}}
+	})
+	families, err := r.Gather()
+	is.NoErr(err)
+	is.Equal(len(families), len(electionDescriptions))
+	sum := 0.0
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			sum += m.GetCounter().GetValue() + m.GetGauge().GetValue()
+		}
+	}
+	is.Equal(sum, 63.0) // each metric shows a value of its own
+}
+
 func TestEveryMetricOfADocumentIsDescribed(t *testing.T) {
 	is := is.New(t)
 	r := prometheus.NewRegistry()
