--- a/control/host.go
+++ b/control/host.go
@@ -130,6 +130,8 @@
 	OnRouting func(routing.Publication)
 	Observers Observers
 	Log       logr.Logger
+	// nonce distinguishes this start from starts with copies of the same data folder; 0: a random number.
+	nonce uint64
 }
 
 // NewHost returns a host with the stored state.
@@ -167,7 +169,7 @@
 		ID:             h.options.ID,
 		Address:        h.options.Address,
 		Disk:           identity.Disk,
-		Epoch:          identity.Starts<<consensus.EpochNonceBits | nonce(),
+		Epoch:          identity.Starts<<consensus.EpochNonceBits | cmp.Or(h.options.nonce, nonce()),
 		InitialVoters:  h.options.Voters,
 		ElectionTicks:  electionTicks,
 		HeartbeatTicks: heartbeatTicks,
