consensus: a late process, disk or message is not a lost leader

Cause: elapsed time was taken for silence. (1) The ticks of a halt were made up for before the messages were handled that had come meanwhile, and halts under 100 ms added up. (2) Election timeouts, 240 to 480 ms, knew nothing of how late the process, its disk or its leader is; with syncs of 125 ms no candidate got its votes in time. (3) A leader stepped down once the latest answered round was 240 ms old, however regularly answers came. (4) A replica that was merely late supported the campaigns of others.

Change: Elapse advances the clock, then messages are handled, then RunTimers acts. Of the ticks that pass at once two count as silence; leases and promises follow the whole clock. The least election timeout grows from 240 ms to at most 1.44 s with the gaps that this replica sees though nothing has failed (three times the longest: between a leader's messages, between its own runs, between answers of a quorum), stays for 10 s, and is back after 28 s; timeouts end at 1.92 s. Replicas grant pre-votes only once they have lost patience themselves. A leader without answers gives up after 0.96 to 1.92 s; it has no lease from 0.2 s on, as before. The pause that deposes a leader at once is 1.92 s. Promises to leaders and leases have the same length as before, so builds mix as before.

--- a/consensus/bootstrap.go
+++ b/consensus/bootstrap.go
@@ -25,7 +25,7 @@
 // tickHello sends a hello to all known replicas while this replica receives nothing from a
 // leader, and to a leader that this replica, which is no voter, has not told its address.
 func (n *Node) tickHello() {
-	if n.now%uint64(n.opts.ElectionTicks/2) != 0 || n.role == RoleLeader {
+	if !n.isDue(n.opts.ElectionTicks/2) || n.role == RoleLeader {
 		return
 	}
 	if n.hasGroup() && !n.isVoting() && n.leader != "" && n.greetedTerm != n.hardState.Term {
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -20,6 +20,10 @@
 // increasing its term.
 func (n *Node) becomePreCandidate() {
 	n.recordCampaign()
+	n.giveUpLeader()
+	if n.role != RoleFollower && len(n.votes) > 1 {
+		n.answeredCampaigns++
+	}
 	n.role = RolePreCandidate
 	n.leader = ""
 	n.resetTimer()
@@ -54,7 +58,7 @@
 func (n *Node) becomeLeader() {
 	n.role = RoleLeader
 	n.leader = n.opts.ID
-	n.elapsed = 0
+	n.elapsed, n.leaderSilence, n.answeredCampaigns = 0, 0, 0
 	n.transferee = ""
 	n.uncommittedBytes = 0
 	n.lease.reset()
@@ -91,8 +95,15 @@
 	return n.leader != "" && n.elapsed < n.opts.ElectionTicks
 }
 
+// hasPatience reports whether this node waits for a leader that may only be late. It then supports no campaign of
+// a replica that is less patient.
+func (n *Node) hasPatience() bool { return n.leader != "" && n.elapsed < n.patienceTicks() }
+
 func (n *Node) handlePreVote(m Message) {
-	grant := n.verification.done && m.Term > n.hardState.Term && !n.leaderMayHoldLease() && n.isUpToDate(m)
+	grant := n.verification.done && m.Term > n.hardState.Term && !n.leaderMayHoldLease() && !n.hasPatience() && n.isUpToDate(m)
+	if grant {
+		n.giveUpLeader()
+	}
 	reply := Message{Kind: KindPreVoteReply, To: m.From, Term: m.Term, Reject: !grant}
 	if !grant {
 		reply.Term = n.hardState.Term
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -24,6 +24,8 @@
 	// retainedEntries is the number of entries before a snapshot that stay in memory, so that a
 	// follower that lags slightly does not need the whole snapshot.
 	retainedEntries = 1024
+	// maxSilentTicks is how many of the ticks that pass at once count as silence of another replica.
+	maxSilentTicks = 2
 )
 
 // Options configures a node.
@@ -46,7 +48,7 @@
 	// adds it.
 	JoinOnly bool
 	// ElectionTicks is the minimum election timeout. Timeouts are drawn at random between this
-	// value and twice this value.
+	// value and twice this value, and are up to maxTimeouts times it where leaders are heard irregularly.
 	ElectionTicks int
 	// HeartbeatTicks is the interval between a leader's heartbeats.
 	HeartbeatTicks int
@@ -68,8 +70,10 @@
 	log            entryLog
 	// now is the number of ticks since the start.
 	now uint64
+	// timersRunAt is the tick at which RunTimers was last called.
+	timersRunAt uint64
 	// elapsed is the number of ticks since the election timer was reset or, on a leader, since
-	// the last heartbeat.
+	// the last heartbeat, as far as Elapse counts them.
 	elapsed         int
 	electionTimeout int
 	votes           map[string]bool
@@ -77,6 +81,18 @@
 	messages        []Message
 	rng             *rand.Rand
 
+	// heard is the leader that was last heard, and leaderSilence the number of ticks since then or, on a leader, since
+	// quorumProgress, the start of the latest round that a quorum has answered, has last advanced; both as far as
+	// Elapse counts them.
+	heard          heardLeader
+	leaderSilence  int
+	quorumProgress uint64
+	// lost is a leader for which this replica has waited in vain, and lostAt when it was last heard.
+	lost     heardLeader
+	lostAt   uint64
+	patience patience
+	// answeredCampaigns is the number of campaigns in turn that others have answered and that elected no leader.
+	answeredCampaigns int
 	// leaderLastSeen is the tick at which the last append or snapshot of a leader was received.
 	leaderLastSeen uint64
 	// joiningGroup is the group from which this node receives a snapshot while it belongs to no group
@@ -129,8 +145,37 @@
 
 // Tick advances the node's logical clock by one.
 func (n *Node) Tick() {
-	n.now++
-	n.elapsed++
+	n.Elapse(1)
+	n.RunTimers()
+}
+
+// Elapse advances the clock by a number of ticks and does nothing else. The caller then handles the messages that
+// have arrived before it calls RunTimers, so that what waited counts before the time for which it waited.
+//
+// Leases and promises follow the clock. As silence of another replica count at most maxSilentTicks of them, since
+// more have passed only because this process was late, and messages may wait where it has not looked yet. So the
+// time for which a replica holds back votes is never shorter than by the clock.
+func (n *Node) Elapse(ticks int) {
+	n.elapse(ticks)
+	if ticks > maxSilentTicks {
+		n.patience.observe(ticks, n.now, n.opts)
+	}
+}
+
+func (n *Node) elapse(ticks int) {
+	n.now += uint64(ticks)
+	n.elapsed += min(ticks, maxSilentTicks)
+	n.leaderSilence += min(ticks, maxSilentTicks)
+}
+
+// isDue reports whether a multiple of the interval has been reached since RunTimers was last called.
+func (n *Node) isDue(interval int) bool {
+	return n.now/uint64(interval) > n.timersRunAt/uint64(interval)
+}
+
+// RunTimers does what is due by the clock.
+func (n *Node) RunTimers() {
+	defer func() { n.timersRunAt = n.now }()
 	if n.IsRolledBack() {
 		return
 	}
@@ -147,13 +192,10 @@
 
 // ResumeAfterPause advances the clock after the process was paused for a number of ticks. A leader
 // loses its lease until a quorum has answered again, and steps down if the pause lasted an
-// election timeout or longer. The pause advances a follower's election timer, but at most to half
-// a minimum election timeout before the timer expires, so that the leader has time to make
-// contact.
+// election timeout or longer. As silence of a leader count as many ticks of the pause as Elapse would count.
 func (n *Node) ResumeAfterPause(ticks int) {
-	n.now += uint64(ticks)
+	n.elapse(ticks)
 	n.lease.validFrom = n.now
-	n.elapsed = max(n.elapsed, min(n.elapsed+ticks, n.electionTimeout-n.opts.ElectionTicks/2))
 	switch {
 	case n.role != RoleLeader:
 	case ticks >= n.opts.ElectionTicks:
@@ -164,10 +206,14 @@
 	}
 }
 
-// tickLeader sends heartbeats and steps down when no quorum has answered for an election
-// timeout.
+// tickLeader sends heartbeats, and steps down when nothing has shown for long that a quorum still answers. Without a lease it leads nobody astray until then; if it stepped down as soon as
+// answers are late, the group would have no leader at all.
 func (n *Node) tickLeader() {
-	if n.now-max(n.quorumAckTick(), n.lease.campaignTick) >= uint64(n.opts.ElectionTicks) {
+	if tick := max(n.quorumAckTick(), n.lease.campaignTick); tick > n.quorumProgress {
+		n.patience.observe(n.leaderSilence, n.now, n.opts)
+		n.quorumProgress, n.leaderSilence = tick, 0
+	}
+	if n.leaderSilence >= n.stepDownTicks() {
 		n.recordStepDown(StepDownNoAnswers)
 		n.becomeFollower(n.hardState.Term, "")
 		return
@@ -214,6 +260,7 @@
 	if m.Group != n.Group() || !n.recordSender(m) || n.stepVerification(m) {
 		return
 	}
+	n.recognizeLost(m)
 	if m.Term > n.hardState.Term && !n.handleNewerTerm(m) {
 		return
 	}
@@ -339,7 +386,7 @@
 
 func (n *Node) resetTimer() {
 	n.elapsed = 0
-	n.electionTimeout = n.opts.ElectionTicks + n.rng.IntN(n.opts.ElectionTicks)
+	n.electionTimeout = n.drawElectionTimeout()
 }
 
 func (n *Node) send(m Message) {
--- /dev/null
+++ b/consensus/patience.go
@@ -0,0 +1,98 @@
+package consensus
+
+const (
+	// maxPatienceTimeouts bounds the least time for which a replica waits for a leader, in Options.ElectionTicks, and
+	// maxTimeouts the time that is drawn from it.
+	maxPatienceTimeouts = 6
+	maxTimeouts         = 8
+	// patienceFactor is how many times as long as the longest gap between two messages of a leader a replica waits.
+	patienceFactor = 3
+	// patienceHoldTicks is the time for which what an irregular leader has added stays. Then it falls by a tick in each
+	// patienceDecayTicks.
+	patienceHoldTicks  = 500
+	patienceDecayTicks = 15
+	// maxBackoff is the number of times that the election timeout doubles while campaigns get answers and elect no
+	// leader.
+	maxBackoff = 2
+	// stepDownTimeouts is how many times as long as a replica waits for a leader at least a leader waits for new answers
+	// of a quorum before it steps down, up to maxTimeouts. It has lost its lease long before.
+	stepDownTimeouts = 4
+)
+
+// patience adapts the election timeout to how irregularly this replica runs, hears leaders that live and, as a leader,
+// gets answers, because a process, a disk or the network is late. It changes when this replica campaigns and whether it
+// encourages others to, and never what it promises to a leader.
+type patience struct {
+	// extra is what was added to the least election timeout at the tick raisedAt.
+	extra    int
+	raisedAt uint64
+}
+
+// observe records that, though nothing had failed, nothing was heard for a number of ticks.
+func (p *patience) observe(gap int, now uint64, o Options) {
+	extra := min(patienceFactor*gap, maxPatienceTimeouts*o.ElectionTicks) - o.ElectionTicks
+	if extra > 0 && extra >= p.extraAt(now) {
+		*p = patience{extra: extra, raisedAt: now}
+	}
+}
+
+// extraAt returns what is added to the least election timeout at a tick.
+func (p patience) extraAt(now uint64) int {
+	age := now - p.raisedAt
+	return max(0, p.extra-int((max(age, patienceHoldTicks)-patienceHoldTicks)/patienceDecayTicks))
+}
+
+// heardLeader is the start of a replica that was last heard as a leader.
+type heardLeader struct {
+	id    string
+	epoch uint64
+	term  uint64
+}
+
+// patienceTicks returns the least time without a leader after which this node may campaign.
+func (n *Node) patienceTicks() int { return n.opts.ElectionTicks + n.patience.extraAt(n.now) }
+
+// drawElectionTimeout returns an election timeout.
+func (n *Node) drawElectionTimeout() int {
+	e := n.opts.ElectionTicks
+	timeout := (e + n.rng.IntN(e)) * n.patienceTicks() / e
+	return min(timeout<<min(max(n.answeredCampaigns-1, 0), maxBackoff), maxTimeouts*e)
+}
+
+// stepDownTicks returns the time without new answers of a quorum after which this node, a leader, steps down. One that
+// no quorum has answered yet does so before followers take it for a leader of an older build (canConfirm).
+func (n *Node) stepDownTicks() int {
+	if n.quorumAckTick() == 0 {
+		return (maxSilentRounds - 1) * n.opts.HeartbeatTicks
+	}
+	return min(stepDownTimeouts*n.patienceTicks(), maxTimeouts*n.opts.ElectionTicks)
+}
+
+// hearLeader records that a message of the term's leader has arrived.
+func (n *Node) hearLeader(m Message) {
+	from := heardLeader{id: m.From, epoch: m.Epoch, term: m.Term}
+	if from == n.heard {
+		n.patience.observe(n.leaderSilence, n.now, n.opts)
+	}
+	n.heard, n.leaderSilence, n.answeredCampaigns = from, 0, 0
+	n.lost = heardLeader{}
+}
+
+// giveUpLeader records that this replica has waited for the leader in vain.
+func (n *Node) giveUpLeader() {
+	if n.leader != "" && n.leader == n.heard.id {
+		n.lost, n.lostAt = n.heard, n.leaderLastSeen
+	}
+}
+
+// recognizeLost records that a leader for which this replica has waited in vain lives. One that is heard only after
+// the greatest patience was paused or cut off, for which no patience would have been enough.
+func (n *Node) recognizeLost(m Message) {
+	if n.lost.id == "" || m.From != n.lost.id || m.Epoch != n.lost.epoch {
+		return
+	}
+	if gap := n.now - n.lostAt; gap <= uint64(maxPatienceTimeouts*n.opts.ElectionTicks) {
+		n.patience.observe(int(gap), n.now, n.opts)
+	}
+	n.lost = heardLeader{}
+}
--- /dev/null
+++ b/consensus/patience_test.go
@@ -0,0 +1,38 @@
+package consensus
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a new leader whose heartbeats arrive but whose answers don't: followers would take it for one of a build
+// that confirms nothing.
+func TestLeaderThatNobodyAnswersStepsDownBeforeItLooksLikeAnOlderBuild(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, 0, 1)
+	old := c.awaitLeader()
+	n := c.replicas[c.others(old)[0]].node
+	c.tick(20)
+	n.patience = patience{extra: 60, raisedAt: n.now}
+	n.becomeCandidate(true)
+	n.becomeLeader()
+	for n.Role() == RoleLeader {
+		n.Tick()
+	}
+	is.True(n.lease.round <= maxSilentRounds)
+	is.Equal(n.ElectionCounts().StepDowns[StepDownNoAnswers], uint64(1))
+}
+
+// Guards against patience that never ends, with which a leader that is lost would be missed for as long ever after.
+func TestPatienceEnds(t *testing.T) {
+	is := is.New(t)
+	o := Options{ElectionTicks: 12}
+	var p patience
+	p.observe(4, 100, o)
+	is.Equal(p.extraAt(100), 0) // the usual gaps
+	p.observe(1000, 100, o)
+	p.observe(8, 200, o)
+	is.Equal(p.extraAt(600), (maxPatienceTimeouts-1)*o.ElectionTicks)
+	is.Equal(p.extraAt(100+patienceHoldTicks+60*patienceDecayTicks), 0)
+}
--- a/consensus/replication.go
+++ b/consensus/replication.go
@@ -160,6 +160,7 @@
 }
 
 func (n *Node) handleAppend(m Message) {
+	n.hearLeader(m)
 	n.becomeFollower(m.Term, m.From)
 	n.leaderLastSeen = n.now
 	n.observeRound(m)
--- a/consensus/snapshot.go
+++ b/consensus/snapshot.go
@@ -72,6 +72,7 @@
 }
 
 func (n *Node) handleSnapshot(m Message) {
+	n.hearLeader(m)
 	n.becomeFollower(m.Term, m.From)
 	n.leaderLastSeen = n.now
 	n.observeRound(m)
--- a/control/clock.go
+++ b/control/clock.go
@@ -8,8 +8,8 @@
 )
 
 // pauseTicks is the minimum number of ticks between two calls of advance that counts as a pause
-// of the process.
-const pauseTicks = 5
+// of the process. In a shorter time a loop may only have been late: for its disk, or for an allowance of processor time.
+const pauseTicks = 8 * electionTicks
 
 // clock converts elapsed time to ticks of the node. It includes the time during which the process
 // was paused or the machine was suspended.
@@ -19,8 +19,8 @@
 
 func (c *clock) start(now time.Duration) { c.last = now }
 
-// advance ticks the node for the time since the last call. After a pause of the process it
-// returns the length of the pause, otherwise 0.
+// advance advances the node's clock by the time since the last call. After a pause of the process it
+// returns the length of the pause, otherwise 0. The caller runs the node's timers once it has handled what waits.
 func (c *clock) advance(n *consensus.Node) time.Duration { return c.advanceTo(n, bootclock.Now()) }
 
 func (c *clock) advanceTo(n *consensus.Node, now time.Duration) time.Duration {
@@ -30,9 +30,7 @@
 		n.ResumeAfterPause(ticks)
 		return time.Duration(ticks) * tickInterval
 	}
-	for range ticks {
-		n.Tick()
-	}
+	n.Elapse(ticks)
 	return 0
 }
 
--- a/control/host.go
+++ b/control/host.go
@@ -237,12 +237,16 @@
 func (h *Host) pass(first *input) error {
 	now := h.now()
 	h.delays.beginPass(now)
-	// The clock is advanced first, so that after a pause of the process no input is handled
-	// as if no time had passed.
+	// The clock is advanced first, so that no input is handled as if no time had passed. The timers run last, so that
+	// no message waits here while its sender counts as silent.
+	before := h.clock.last
 	if pause := h.clock.advanceTo(h.node, now); pause > 0 {
 		h.log.Info("the process was paused", "ms", pause.Milliseconds())
 	}
 	h.handleInputs(first)
+	if h.clock.last > before {
+		h.node.RunTimers()
+	}
 	if err := h.raiseLevel(); err != nil {
 		h.log.Error(err, "the level of entries was not raised")
 	}
