control: leaders send heartbeats while they save

What callers saw: leaders that are lost on a slow disk (25 times 5 ms a sync), on which all that waits for a commit fails.

Ruled out: to send entries before they are saved (followers record what the leader has stored, and would take a leader that lost them for rolled back); a goroutine that owns the storage (larger, and all that follows a save waits for it anyway).

Change: while a save runs in another goroutine, the loop sends heartbeats of the current round every 40 ms. They refer to saved entries only and to no new round, so a lease is never longer for them. They end after 800 ms, so that a leader whose disk hangs is replaced within 1.5 s, as a frozen one.

The random histories send such heartbeats before a save and end some processes there.

--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -70,6 +70,8 @@
 	queued          map[string][]Message
 	// lateness is the probability with which a replica falls behind at a tick.
 	lateness float64
+	// beatsWhileSaving lets leaders send heartbeats before they have saved a batch, and some replicas end there.
+	beatsWhileSaving bool
 	// maxDelay is the longest time in ticks that a message is on its way; delayed holds those that are.
 	maxDelay int
 	delayed  map[uint64][]Message
@@ -150,6 +152,15 @@
 		if ready.IsEmpty() {
 			break
 		}
+		if c.beatsWhileSaving && c.rng.IntN(4) == 0 {
+			for _, m := range r.node.HeartbeatsWhileSaving() {
+				c.enqueue(m)
+			}
+			if c.rng.IntN(50) == 0 { // the process ends before it has saved
+				c.crash(id)
+				return
+			}
+		}
 		r.saved.save(ready)
 		if ready.Snapshot != nil {
 			r.state = decodeState(ready.Snapshot.Data)
--- a/consensus/history_test.go
+++ b/consensus/history_test.go
@@ -145,7 +145,7 @@
 // heal ends all faults.
 func (h *history) heal() {
 	h.blocked = map[[2]string]bool{}
-	h.loss, h.maxDelay, h.lateness = 0, 0, 0
+	h.loss, h.maxDelay, h.lateness, h.beatsWhileSaving = 0, 0, 0, false
 	for _, id := range h.ids {
 		if h.replicas[id].down {
 			h.start(id)
@@ -193,6 +193,7 @@
 		pausedAt: map[string]int{},
 	}
 	h.replaceTicks = 60
+	h.beatsWhileSaving = rapid.Bool().Draw(t, "beats while saving")
 	h.lateness = rapid.SampledFrom([]float64{0, 0, 0.02, 0.1}).Draw(t, "lateness")
 	for _, id := range h.ids {
 		h.start(id)
--- a/consensus/replication.go
+++ b/consensus/replication.go
@@ -15,15 +15,7 @@
 // entries nor chunks, so that they are small; they may overtake those that are on their way.
 func (n *Node) heartbeat() {
 	n.lease.startRound(n.now)
-	// The leader's own position is listed, since the entries themselves may reach a replica much later.
-	term, _ := n.log.termAt(n.log.stable)
-	stored := []StoredPosition{{ID: n.opts.ID, Position: Position{Term: term, Index: n.log.stable}}}
-	for _, v := range n.membership().Voters {
-		if p := n.peers[v.ID]; p != nil && n.countsTowardsQuorum(v.ID, p) {
-			term, _ := n.log.termAt(p.match)
-			stored = append(stored, StoredPosition{ID: v.ID, Position: Position{Term: term, Index: p.match}})
-		}
-	}
+	stored := n.storedPositions()
 	for _, id := range n.peerIDs() {
 		p := n.peers[id]
 		p.ackedBefore = p.ackedRound
@@ -36,6 +28,44 @@
 	}
 }
 
+// HeartbeatsWhileSaving returns heartbeats of the current round. They may be sent at once, between Ready and Advance,
+// while the caller saves what Ready has returned: they refer to no entry that isn't durable, since entries are sent only
+// after they are saved. It returns none on a node that isn't the leader, or whose term isn't durable.
+//
+// An answer counts for the start of the round, which was before, so the lease is not longer for it.
+func (n *Node) HeartbeatsWhileSaving() []Message {
+	if n.role != RoleLeader || n.savedHardState.Term != n.hardState.Term {
+		return nil
+	}
+	pending := n.messages
+	n.messages = nil
+	stored := n.storedPositions()
+	for _, id := range n.peerIDs() {
+		if p := n.peers[id]; p.snapshot != nil {
+			n.sendPart(id, p, p.snapshot.offset)
+		} else {
+			n.sendHeartbeat(id, p, stored)
+		}
+	}
+	heartbeats := n.messages
+	n.messages = pending
+	return heartbeats
+}
+
+// storedPositions returns the positions that the voters are known to have stored.
+func (n *Node) storedPositions() []StoredPosition {
+	// The leader's own position is listed, since the entries themselves may reach a replica much later.
+	term, _ := n.log.termAt(n.log.stable)
+	stored := []StoredPosition{{ID: n.opts.ID, Position: Position{Term: term, Index: n.log.stable}}}
+	for _, v := range n.membership().Voters {
+		if p := n.peers[v.ID]; p != nil && n.countsTowardsQuorum(v.ID, p) {
+			term, _ := n.log.termAt(p.match)
+			stored = append(stored, StoredPosition{ID: v.ID, Position: Position{Term: term, Index: p.match}})
+		}
+	}
+	return stored
+}
+
 // sendNewEntries sends new entries to all replicas that are ready to receive them.
 func (n *Node) sendNewEntries() {
 	if n.role != RoleLeader {
--- a/control/compact.go
+++ b/control/compact.go
@@ -48,7 +48,7 @@
 	select {
 	case e := <-h.encoded:
 		h.isEncoding = false
-		return h.saveSnapshot(e)
+		return h.saveEncoded(e)
 	default:
 	}
 	if h.isEncoding || !h.snapshotPolicy.isDue() {
@@ -66,7 +66,7 @@
 	out <- encodedState{node: node, index: index, data: data, err: err}
 }
 
-func (h *Host) saveSnapshot(e encodedState) error {
+func (h *Host) saveEncoded(e encodedState) error {
 	if e.err != nil {
 		return eris.Wrap(e.err, "control: encode the state")
 	}
@@ -77,7 +77,7 @@
 	if !ok {
 		return nil
 	}
-	if err := h.storage.SaveSnapshot(s, h.node.HardState(), rest); err != nil {
+	if err := h.saveSnapshot(s, h.node.HardState(), rest); err != nil {
 		return eris.Wrap(err, "control: save a snapshot")
 	}
 	h.snapshotPolicy.lastSnapshotBytes = len(e.data)
--- a/control/host.go
+++ b/control/host.go
@@ -56,6 +56,8 @@
 	inputQueueSize = 4096
 	// maxBatchInputs bounds the inputs that are saved with one sync.
 	maxBatchInputs = 512
+	// maxBeatsWhileSaving is 800 ms of heartbeats. A snapshot takes six syncs.
+	maxBeatsWhileSaving = 20
 )
 
 // input is a message, lost message, proposal or query for the host. Exactly one of these fields is set.
@@ -80,6 +82,8 @@
 	clock      clock
 	// now returns the time, as bootclock.Now counts.
 	now func() time.Duration
+	// runSave calls the first function and, from time to time until that returns, the second one.
+	runSave func(save func() error, beat func()) error
 	// stopped is closed when Run returns.
 	stopped chan struct{}
 	log     logr.Logger
@@ -148,6 +152,7 @@
 		levels:     levels{own: cmp.Or(o.Level, formlevel.Supported)},
 		delays:     delays{observers: o.Observers},
 		now:        bootclock.Now,
+		runSave:    runSave,
 	}
 	return h, h.initialize(stored)
 }
@@ -357,8 +362,7 @@
 			return eris.Wrap(err, "control: save log entries, hard state or snapshot")
 		}
 		for _, m := range r.Messages {
-			m.FormLevel = uint32(h.levels.own)
-			h.sender.Send(m)
+			h.send(m)
 		}
 		if err := h.applyReady(r); err != nil {
 			return err
@@ -378,18 +382,56 @@
 	if r.Snapshot == nil && r.HardState == nil && len(r.Entries) == 0 {
 		return nil
 	}
+	if r.Snapshot != nil {
+		return h.saveSnapshot(*r.Snapshot, h.node.HardState(), r.Entries)
+	}
+	return h.whileSaving(func() error { return h.storage.Save(r.HardState, r.Entries) })
+}
+
+func (h *Host) saveSnapshot(s consensus.Snapshot, hard consensus.HardState, rest []consensus.Entry) error {
+	return h.whileSaving(func() error { return h.storage.SaveSnapshot(s, hard, rest) })
+}
+
+// whileSaving calls save and returns its error. A leader goes on sending heartbeats meanwhile, so that a slow disk does
+// not look like a lost leader, but only for a time, so that one whose disk hangs is replaced.
+func (h *Host) whileSaving(save func() error) error {
 	began := h.now()
-	err := h.store(r)
+	beats := 0
+	err := h.runSave(save, func() {
+		if beats++; beats <= maxBeatsWhileSaving {
+			h.sendHeartbeats()
+		}
+	})
 	now := h.now()
 	observe(h.delays.observers.Sync, &h.delays.sync, now, now-began)
 	return err
 }
 
-func (h *Host) store(r consensus.Ready) error {
-	if r.Snapshot != nil {
-		return h.storage.SaveSnapshot(*r.Snapshot, h.node.HardState(), r.Entries)
+// runSave calls save in another goroutine, and beat at each heartbeat interval until save returns.
+func runSave(save func() error, beat func()) error {
+	done := make(chan error, 1)
+	go func() { done <- save() }()
+	ticker := time.NewTicker(heartbeatTicks * tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case <-ticker.C:
+			beat()
+		}
 	}
-	return h.storage.Save(r.HardState, r.Entries)
+}
+
+func (h *Host) sendHeartbeats() {
+	for _, m := range h.node.HeartbeatsWhileSaving() {
+		h.send(m)
+	}
+}
+
+func (h *Host) send(m consensus.Message) {
+	m.FormLevel = uint32(h.levels.own)
+	h.sender.Send(m)
 }
 
 // resetStorage replaces the data folder with an empty one. It is called if the folder is older than
--- a/control/quota_test.go
+++ b/control/quota_test.go
@@ -50,6 +50,7 @@
 	passQueued  bool
 	down        bool
 	frozenUntil time.Duration
+	syncUntil   time.Duration // the disk hangs
 }
 
 // quotaGroup runs processes in virtual time.
@@ -89,6 +90,7 @@
 		p.g.t.Fatal(err)
 	}
 	h.now = func() time.Duration { return p.now }
+	h.runSave = p.runSave
 	h.clock.start(p.g.now)
 	p.Host, p.now, p.nextTick, p.jobs, p.passQueued, p.down = h, p.g.now, p.g.now, nil, false, false
 }
@@ -100,11 +102,23 @@
 
 func (p *quotaProcess) Save(hard *consensus.HardState, entries []consensus.Entry) error {
 	if len(entries) > 0 || hard != nil && (hard.Term != p.stored.HardState.Term || hard.Vote != p.stored.HardState.Vote) {
-		p.now += p.g.load.sync
+		p.now = max(p.now+p.g.load.sync, p.syncUntil)
 	}
 	return p.memStorage.Save(hard, entries)
 }
 
+// runSave lets time pass for what is saved, in which another goroutine may send heartbeats.
+func (p *quotaProcess) runSave(save func() error, beat func()) error {
+	began := p.now
+	err := save()
+	end := p.now
+	for p.now = began + heartbeatTicks*tickInterval; p.now < end; p.now += heartbeatTicks * tickInterval {
+		beat()
+	}
+	p.now = end
+	return err
+}
+
 func (p *quotaProcess) Reach(string, string) {}
 
 // Send lets the message arrive once both processes have found time for it.
@@ -205,7 +219,7 @@
 
 func (g *quotaGroup) leader() *quotaProcess {
 	for _, p := range g.processes {
-		if !p.down && g.now >= p.frozenUntil && p.node.HasLease() {
+		if !p.down && g.now >= max(p.frozenUntil, p.syncUntil) && p.node.HasLease() {
 			return p
 		}
 	}
@@ -328,6 +342,28 @@
 	}
 }
 
+// Guards against leaders that send no heartbeats while they save a snapshot on a slow disk, and against ones whose disk
+// hangs and that go on sending them.
+func TestLeaderThatSavesForLong(t *testing.T) {
+	for seed := range uint64(10) {
+		for save, keeps := range map[time.Duration]bool{750 * time.Millisecond: true, 10 * time.Second: false} {
+			g := newQuotaGroup(t, seed, quotaLoad{quota: quotaPeriod, work: 0.05, sync: 2 * quotaStep})
+			g.awaitLeader(5 * time.Second)
+			g.run(time.Second)
+			leader := g.leader()
+			_, before, _ := g.elections()
+			g.propose()
+			leader.syncUntil = g.now + save
+			if g.run(1500 * time.Millisecond); keeps {
+				g.run(time.Second)
+			}
+			if _, after, _ := g.elections(); keeps != (after == before) || keeps != (g.leader() == leader) {
+				t.Errorf("seed %d, a save of %v: %d elections", seed, save, after-before)
+			}
+		}
+	}
+}
+
 // Guards against replicas that wait longer for a leader that is lost, because of what they do for late ones.
 func TestLostLeaderIsReplacedInTime(t *testing.T) {
 	for seed := range uint64(20) {
