storage: a new data folder outlasts a loss of power

What could happen: a control instance creates its data folder, syncs the files and names in it and acknowledges changes; after a loss of power the folder itself may be missing, since the folder above it was never synced. The replica then starts with an empty folder, and so may all five.

Files, renames and removals inside the folder, and the folder for what was set aside, are synced as they should be.

Change: creating a folder syncs the folder above each one that it creates. If the process ended in between, the folder is empty at the next start, and the folder above it is synced then, where that is allowed.

--- a/storage/fs.go
+++ b/storage/fs.go
@@ -1,14 +1,18 @@
 package storage
 
 import (
+	"errors"
 	"io"
+	"io/fs"
 	"os"
+	"path/filepath"
 
 	"golang.org/x/sys/unix"
 )
 
 // FS is the file system interface of the package. All paths include the folder.
 type FS interface {
+	// MkdirAll creates a folder and its parents. Their names are durable when it returns.
 	MkdirAll(path string) error
 	// Create opens a file for writing. An existing file is truncated.
 	Create(path string) (File, error)
@@ -41,8 +45,33 @@
 // OS is the operating system's file system.
 type OS struct{}
 
-// MkdirAll creates a folder and its parents.
-func (OS) MkdirAll(path string) error { return os.MkdirAll(path, folderMode) }
+// MkdirAll creates a folder and its parents, and makes their names durable.
+func (o OS) MkdirAll(path string) error { return createFolder(path, o.SyncDir) }
+
+// createFolder creates a folder and its parents, and syncs the parent of each that it creates. The process may have
+// ended between the two, so the parent of an empty folder is synced as well, as far as the process may.
+func createFolder(path string, syncDir func(string) error) error {
+	path = filepath.Clean(path)
+	if names, err := os.ReadDir(path); err == nil && len(names) == 0 {
+		_ = syncDir(filepath.Dir(path))
+	}
+	var missing []string
+	for at := path; ; at = filepath.Dir(at) {
+		if _, err := os.Stat(at); err == nil || at == filepath.Dir(at) {
+			break
+		}
+		missing = append(missing, at)
+	}
+	if err := os.MkdirAll(path, folderMode); err != nil {
+		return err
+	}
+	for _, created := range missing {
+		if err := syncDir(filepath.Dir(created)); err != nil && !errors.Is(err, fs.ErrPermission) {
+			return err
+		}
+	}
+	return nil
+}
 
 // Create opens a file for writing. An existing file is truncated.
 func (OS) Create(path string) (File, error) {
