instance: a late peer costs no connection and holds up no heartbeats

Cause: small messages to a peer go as one call after the other on one connection. A peer whose process stands still answers late; the messages behind the call waited for it, and after 300 ms the connection was closed, with what the peer had not read yet.

Change: two connections for small messages. A call goes on for up to 1 s while the peer's kernel has acknowledged all of it; otherwise it ends after 300 ms as before, so a peer that is cut off or has lost power is redialled as soon. Of the heartbeats that wait for a connection those that a later one replaces are dropped.

--- a/instance/conn.go
+++ b/instance/conn.go
@@ -165,22 +165,53 @@
 	return err
 }
 
+// callWhileReached runs f as call does, for as long as the timeout, or the longer limit while the peer's kernel has
+// acknowledged all that was sent.
+func (pc *peerConn) callWhileReached(ctx context.Context, timeout, limit time.Duration, f func(context.Context, wire.DRPCInstanceClient) error) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	pc.dialer.onDialed = func(c *net.TCPConn) { pc.tcp.Store(c) }
+	timer := time.AfterFunc(timeout, func() {
+		for ctx.Err() == nil && isAcknowledged(pc.tcp.Load()) {
+			time.Sleep(timeout / stallChecks)
+		}
+		cancel()
+	})
+	defer timer.Stop()
+	return pc.call(ctx, f)
+}
+
+// isAcknowledged reports whether the peer's kernel has acknowledged all that was written to the connection.
+func isAcknowledged(c *net.TCPConn) bool {
+	info := tcpInfo(c)
+	return info != nil && info.Unacked == 0 && info.Notsent_bytes == 0
+}
+
 // movedBytes returns how many bytes the kernel's peer has acknowledged and sent on a connection, or 0 if that isn't known.
 func movedBytes(c *net.TCPConn) uint64 {
+	if info := tcpInfo(c); info != nil {
+		return info.Bytes_acked + info.Bytes_received
+	}
+	return 0
+}
+
+// tcpInfo returns what the kernel knows about a connection, or nil if there is none or it is closed.
+func tcpInfo(c *net.TCPConn) *unix.TCPInfo {
 	if c == nil {
-		return 0
+		return nil
 	}
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return 0
+		return nil
 	}
-	var moved uint64
-	_ = raw.Control(func(fd uintptr) { // a closed connection has moved nothing
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.SOL_TCP, unix.TCP_INFO); err == nil {
-			moved = info.Bytes_acked + info.Bytes_received
-		}
+	var info *unix.TCPInfo
+	_ = raw.Control(func(fd uintptr) {
+		info, err = unix.GetsockoptTCPInfo(int(fd), unix.SOL_TCP, unix.TCP_INFO)
 	})
-	return moved
+	if err != nil {
+		return nil
+	}
+	return info
 }
 
 // call runs f on the connection, which it opens if necessary.
--- a/instance/consensus.go
+++ b/instance/consensus.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,9 +21,14 @@
 	// maxStepBytes bounds the entries and chunks in one call with more than one message. It is below the limit of a
 	// call, 4 MiB, also with the largest append.
 	maxStepBytes = 512 << 10
-	// stepTimeout bounds the call that sends one batch of small messages. If the call takes longer, its connection is
-	// closed and later redialled.
-	stepTimeout = 300 * time.Millisecond
+	// smallConns is the number of connections for small messages to a peer, so that one call without an answer doesn't
+	// hold up the messages behind it.
+	smallConns = 2
+	// stepTimeout bounds the call that sends one batch of small messages, and maxStepTimeout the call to a peer whose
+	// kernel has acknowledged all of it: the process there is only late, and what it has not read yet would be lost with
+	// the connection. If a call takes longer, its connection is closed and later redialled.
+	stepTimeout    = 300 * time.Millisecond
+	maxStepTimeout = time.Second
 	// minStall and maxStall bound the time after which a call with entries or a chunk is broken off because no byte
 	// has moved. It grows with each such call, since buffers on the way may hold what the peer has not read yet.
 	minStall = time.Second
@@ -32,8 +38,8 @@
 // maxPeers bounds the number of replicas that one instance sends to.
 const maxPeers = 64
 
-// ConsensusSender sends consensus messages. Each peer has two lanes, each with a goroutine and a connection: one for
-// messages with entries or chunks, which keep their order, and one for all others, which never wait for them. It is
+// ConsensusSender sends consensus messages. Each peer has two lanes: one for messages with entries or chunks, which keep
+// their order on one connection, and one with smallConns connections for all others, which never wait for them. It is
 // safe for concurrent use.
 type ConsensusSender struct {
 	dialer Dialer
@@ -105,10 +111,12 @@
 		case <-ctx.Done():
 			return g.Wait()
 		case box := <-s.newPeers:
-			g.Go(func() error {
-				runSmall(ctx, &peerConn{dialer: s.dialer, address: box.address}, box.small)
-				return nil
-			})
+			for range smallConns {
+				g.Go(func() error {
+					runSmall(ctx, &peerConn{dialer: s.dialer, address: box.address}, box.small)
+					return nil
+				})
+			}
 			g.Go(func() error {
 				s.runLarge(ctx, &peerConn{dialer: s.dialer, address: box.address}, box.large)
 				return nil
@@ -117,7 +125,7 @@
 	}
 }
 
-// runSmall sends the messages of the lane for small messages.
+// runSmall sends the messages of the lane for small messages on one connection.
 func runSmall(ctx context.Context, pc *peerConn, queue *ring.Ring[consensus.Message]) {
 	defer pc.close()
 	for {
@@ -125,13 +133,29 @@
 		case <-ctx.Done():
 			return
 		case m := <-queue.Items():
-			callCtx, cancel := context.WithTimeout(ctx, stepTimeout)
-			_ = pc.call(callCtx, step(append([]consensus.Message{m}, queue.Drain(maxStepBatch-1)...)))
-			cancel()
+			batch := withoutSuperseded(append([]consensus.Message{m}, queue.Drain(maxStepBatch-1)...))
+			_ = pc.callWhileReached(ctx, stepTimeout, maxStepTimeout, step(batch))
 		}
 	}
 }
 
+// withoutSuperseded removes the heartbeats that a later one in the batch replaces.
+func withoutSuperseded(batch []consensus.Message) []consensus.Message {
+	out := batch[:0]
+	for i, m := range batch {
+		if !slices.ContainsFunc(batch[i+1:], func(later consensus.Message) bool { return supersedes(later, m) }) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// supersedes reports whether a heartbeat says all that an earlier one does.
+func supersedes(later, m consensus.Message) bool {
+	return m.Kind == consensus.KindAppend && later.Kind == consensus.KindAppend && !isLarge(m) && !isLarge(later) &&
+		later.Term == m.Term && later.PrevIndex == m.PrevIndex && later.Round >= m.Round && len(later.Stored) >= len(m.Stored)
+}
+
 // runLarge sends the messages of the lane for entries and chunks. If a call fails, those that are queued are
 // dropped as well, since the peer can't use them without the ones that were lost.
 func (s *ConsensusSender) runLarge(ctx context.Context, pc *peerConn, queue *largeQueue) {
