consensus: followers of a leader without a quorum don't count on one

What could happen since leaders without answers stay for up to 1.92 s: a control instance that is cut off from a quorum together with its leader would go on to acknowledge what servers say for as long and 0.6 s more. Less than 1 s is allowed (controller.quorumTimeout), since a drain must take effect within 2 s.

Cause: a follower took any message of its leader within 240 ms for contact to a quorum; that was true while a leader stepped down after 240 ms.

Change: the leader must also have named a newer round that a quorum has answered within 480 ms. Before a leader commits in its term it names none. Leaders of builds that say nothing about rounds count as before, since they step down as before.

TestFollowerOfALeaderWithoutAQuorumHasNone fails without the check.

--- a/consensus/confirmation.go
+++ b/consensus/confirmation.go
@@ -21,6 +21,10 @@
 	// set once the leader has said anything about this replica's replies or a quorum's.
 	firstRound, lastRound uint64
 	saysRounds            bool
+	// confirmedRound is the latest round of which the leader has said that a quorum has replied, and quorumAt the tick
+	// at which it said so.
+	confirmedRound uint64
+	quorumAt       uint64
 	// pending holds what is confirmed once more entries are applied: the first confirmation that waits for
 	// that, and the newest one. The first is kept, so that a replica that is always a bit behind gets on.
 	pending [2]pendingConfirmation
@@ -30,6 +34,10 @@
 // build that never does. A leader of this build that neither a quorum nor this replica answers gives up earlier.
 const maxSilentRounds = 16
 
+// quorumTimeouts is the number of election timeouts after which a follower no longer counts on the quorum of a leader
+// that says nothing new about it.
+const quorumTimeouts = 2
+
 // observedRound is a leader's heartbeat round as a follower has seen it.
 type observedRound struct {
 	round uint64
@@ -63,6 +71,16 @@
 	return n.role != RoleFollower || n.leader == "" || n.leader != c.leader || !isSilent
 }
 
+// hearsQuorum reports whether this follower's leader has, within the last quorumTimeouts election timeouts, shown that a
+// quorum answers it. A leader without one stays for longer. One of an older build gives up in that time.
+func (n *Node) hearsQuorum() bool {
+	c := &n.confirmation
+	if n.role != RoleFollower || n.leader == "" || n.now-n.leaderLastSeen >= uint64(n.opts.ElectionTicks) {
+		return false
+	}
+	return !n.canConfirm() || n.leader == c.leader && c.confirmedRound > 0 && n.now-c.quorumAt < uint64(quorumTimeouts*n.opts.ElectionTicks)
+}
+
 // Now returns the number of ticks since the start, with those of pauses.
 func (n *Node) Now() uint64 { return n.now }
 
@@ -99,6 +117,9 @@
 	}
 	c.lastRound = max(c.lastRound, m.Round)
 	c.saysRounds = c.saysRounds || m.AckedRound > 0 || m.ConfirmedRound > 0
+	if m.ConfirmedRound > c.confirmedRound {
+		c.confirmedRound, c.quorumAt = m.ConfirmedRound, n.now
+	}
 	r := &c.rounds[m.Round%trackedRounds]
 	if m.Round == 0 || r.round > m.Round {
 		return
--- a/consensus/confirmation_test.go
+++ b/consensus/confirmation_test.go
@@ -108,6 +108,28 @@
 	is.True(age >= 8)
 }
 
+// Guards against a control instance that acknowledges what servers say while it is cut off from a quorum together with its
+// leader, which gives up later than a follower of a leader may.
+func TestFollowerOfALeaderWithoutAQuorumHasNone(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 5, 0, 5)
+	leader := c.awaitLeader()
+	c.tick(20)
+	for range 50 {
+		c.tick(1)
+		for _, id := range c.ids {
+			is.True(c.replicas[id].node.Status().HasQuorum)
+		}
+	}
+	follower, rest := c.others(leader)[0], c.others(leader)[1:]
+	for _, id := range rest {
+		c.blocked[[2]string{leader, id}], c.blocked[[2]string{follower, id}] = true, true
+	}
+	c.tick(25) // 2.5 election timeouts
+	is.Equal(c.replicas[follower].node.Leader(), leader)
+	is.True(!c.replicas[follower].node.Status().HasQuorum)
+}
+
 // Guards against a follower that takes the silence of an older build about rounds for a confirmation.
 func TestLeaderOfAnOlderBuildConfirmsNothing(t *testing.T) {
 	is := is.New(t)
--- a/consensus/status.go
+++ b/consensus/status.go
@@ -31,8 +31,8 @@
 	Learners []Learner
 	// Lease is true if the node is the leader and no other node can be a leader now.
 	Lease bool
-	// HasQuorum is true if the node is a leader with a lease, or a follower that received a
-	// message of its leader within the last election timeout.
+	// HasQuorum is true if the node is a leader with a lease, or a follower that received a message of its leader within
+	// the last election timeout and knows that a quorum has lately answered that leader.
 	HasQuorum bool
 	// Voting is true if the node is a voter and its saved state is verified.
 	Voting bool
@@ -53,8 +53,7 @@
 		Snapshot:   n.log.snapshot.Index,
 		Membership: n.membership(),
 		Lease:      n.HasLease(),
-		HasQuorum: n.HasLease() ||
-			n.role == RoleFollower && n.leader != "" && n.now-n.leaderLastSeen < uint64(n.opts.ElectionTicks),
+		HasQuorum:  n.HasLease() || n.hearsQuorum(),
 		Voting:     n.isVoting() && n.verification.done,
 		CanConfirm: n.canConfirm(),
 	}
