consensus: a late leader replaces no voter

What could happen since leaders stay while their process stands still for less than 1.92 s: the time since a voter was last heard includes it. A leader that hears a quorum again before it hears the last voter would take that one for silent for replaceAfter (2 s) and put a standby in its place.

Change: of the ticks that pass at once, no more count as silence of a voter than as silence of a leader.

TestLateLeaderReplacesNoVoter fails without it (the voter counts as replaceable after 60 ticks at once).

--- a/consensus/node.go
+++ b/consensus/node.go
@@ -166,6 +166,11 @@
 	n.now += uint64(ticks)
 	n.elapsed += min(ticks, maxSilentTicks)
 	n.leaderSilence += min(ticks, maxSilentTicks)
+	if late := ticks - maxSilentTicks; late > 0 {
+		for _, p := range n.peers {
+			p.lastSeen += uint64(late)
+		}
+	}
 }
 
 // isDue reports whether a multiple of the interval has been reached since RunTimers was last called.
--- a/consensus/patience_test.go
+++ b/consensus/patience_test.go
@@ -36,3 +36,23 @@
 	is.Equal(p.extraAt(600), (maxPatienceTimeouts-1)*o.ElectionTicks)
 	is.Equal(p.extraAt(100+patienceHoldTicks+60*patienceDecayTicks), 0)
 }
+
+// Guards against a leader that takes the time for which it stood still for the silence of a voter, and replaces that one
+// if it is the last to answer.
+func TestLateLeaderReplacesNoVoter(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, 1, 1)
+	c.replaceTicks = 50
+	for _, id := range c.ids {
+		c.start(id)
+	}
+	n := c.replicas[c.awaitLeader()].node
+	c.tick(20)
+	n.Elapse(60)
+	is.Equal(n.replaceableVoter(n.membership()), "")
+	is.True(!n.HasLease())
+	for range 60 {
+		n.Elapse(1)
+	}
+	is.True(n.replaceableVoter(n.membership()) != "")
+}
--- a/consensus/progress.go
+++ b/consensus/progress.go
@@ -29,7 +29,8 @@
 	// address is the one in the membership until the replica has said its own in a hello. A replica with a new data
 	// folder gets the log of a new leader as the voter of its name does, and needs to send no hello.
 	address string
-	// lastSeen is the tick at which a message of the replica was last received, and ackedRound is
+	// lastSeen is the tick at which a message of the replica was last received, later by what Elapse has not counted as
+	// silence since then, and ackedRound is
 	// the latest round that it has answered.
 	lastSeen   uint64
 	ackedRound uint64
