mesh: control instances read no document that they only pass on

Nearly half of that was reading the document, of which only the leader's planner needs anything.

A document that its build can't read is passed on to gateways that may; before, it was kept from them. Gateways read as before.

--- a/mesh/fetch.go
+++ b/mesh/fetch.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -279,7 +280,8 @@
 	return version <= m.document.Version
 }
 
-// publishText is publishEncoded for a text. The document has no bytes if it arrived as a patch.
+// publishText is publishEncoded for a text. A control instance only passes the document on, and reads it when it needs it
+// itself. The document has no bytes if it arrived as a patch.
 func (m *Mesh) publishText(p routing.Publication, text []byte, hash uint64) error {
 	computed := instance.HashView(text)
 	if hash != 0 && hash != computed {
@@ -288,9 +290,15 @@
 	if m.hasInForce(p.Version) {
 		return nil // another fetch was faster
 	}
-	d, err := m.options.Decode(text)
-	if err != nil {
-		return fmt.Errorf("%w: version %d: %w", errUnreadable, p.Version, err)
+	var table *routing.Table
+	facts := []any{"version", p.Version, "bytes", len(text)}
+	if m.options.ControlAddress == "" {
+		d, err := m.options.Decode(text)
+		if err != nil {
+			return fmt.Errorf("%w: version %d: %w", errUnreadable, p.Version, err)
+		}
+		table = routing.NewTable(d)
+		facts = append(facts, "routes", len(d.Routes), "workspaces", len(d.Workspaces))
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -300,7 +308,7 @@
 	m.keepEarlier()
 	m.texts.Add(p.Version, text)
 	m.document, m.documentHash = p, computed
-	m.table = routing.NewTable(d)
+	m.table, m.isTableOutdated = cmp.Or(table, m.table), table == nil
 	m.confirmAnnounced()
 	_, behindSince := m.fetches.plan.Behind()
 	m.fetches.plan.InForce(p.Version)
@@ -310,8 +318,7 @@
 	m.fetches.partials.dropUpTo(p.Version)
 	m.fetches.forms = fetchForms{}
 	m.fetches.wakeUp()
-	m.options.Log.Info("applied a new routing document", "version", p.Version, "routes", len(d.Routes), "workspaces", len(d.Workspaces),
-		"behind_ms", behindMillis(behindSince))
+	m.options.Log.Info("applied a new routing document", append(facts, "behind_ms", behindMillis(behindSince))...)
 	m.broadcast()
 	return nil
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -75,6 +75,8 @@
 	earlier      []servedDocument
 	fetches      documentFetches
 	table        *routing.Table
+	// isTableOutdated is set on a control instance while table is not that of document.
+	isTableOutdated bool
 	// documentAge is how recent the document is known to be.
 	documentAge documentAge
 	seeds       []string
@@ -258,6 +260,7 @@
 
 // Snapshot returns the current state.
 func (m *Mesh) Snapshot() Snapshot {
+	m.updateTable()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return Snapshot{
