--- a/internal/lab/deployment.go
+++ b/internal/lab/deployment.go
@@ -33,6 +33,8 @@
 	// ControlMemoryMB and GatewayMemoryMB are the memory that a process may use; 0: not limited.
 	ControlMemoryMB int
 	GatewayMemoryMB int
+	// HasMetrics makes all processes serve metrics.
+	HasMetrics bool
 	// Env is added to the environment of each process.
 	Env []string
 }
@@ -53,6 +55,15 @@
 // CallerAddress returns the address that callers connect to.
 func (m *Member) CallerAddress() string { return m.IP + ":8080" }
 
+// ReadyAddress returns the address of a gateway at which readiness is asked.
+func (m *Member) ReadyAddress() string { return m.IP + ":8083" }
+
+// MetricsAddress returns the address of metrics, if they are served.
+func (m *Member) MetricsAddress() string { return m.IP + ":8089" }
+
+// InstanceAddress returns the address for other instances.
+func (m *Member) InstanceAddress() string { return fmt.Sprintf("%s:%d", m.IP, instancePort) }
+
 // Deployment runs gateways and control instances on loopback addresses, each in its own process. The
 // traffic between them passes relays.
 type Deployment struct {
@@ -222,9 +233,13 @@
 }
 
 func (d *Deployment) roleSettings(m *Member) string {
+	metrics := ""
+	if d.Layout.HasMetrics {
+		metrics = fmt.Sprintf("metrics = %s\n", m.MetricsAddress())
+	}
 	if m.Role == settings.RoleGateway {
-		return fmt.Sprintf("callers = %s\nready = %s:8083\n[limits]\nmemory_mb = %d\n", m.CallerAddress(), m.IP, d.Layout.GatewayMemoryMB)
+		return fmt.Sprintf("%scallers = %s\nready = %s\n[limits]\nmemory_mb = %d\n", metrics, m.CallerAddress(), m.ReadyAddress(), d.Layout.GatewayMemoryMB)
 	}
-	return fmt.Sprintf("control = %s\n[control]\ndata_folder = %s\nfounding = %t\ntolerate = %d\n[limits]\nmemory_mb = %d\n",
+	return metrics + fmt.Sprintf("control = %s\n[control]\ndata_folder = %s\nfounding = %t\ntolerate = %d\n[limits]\nmemory_mb = %d\n",
 		m.ControlAddress(), m.DataFolder, m.isFounding, d.Layout.Tolerate, d.Layout.ControlMemoryMB)
 }
