--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -19,7 +19,7 @@
 // decisionPackages are the pure packages: they receive the time and events as input and return
 // actions.
 var decisionPackages = []string{
-	"admission", "config", "consensus", "credit", "delivery", "discovery", "drain", "fleet", "formlevel", "layers", "ledger", "membership", "outcome", "pipeline",
+	"admission", "config", "consensus", "credit", "delivery", "discovery", "drain", "fleet", "formlevel", "intake", "layers", "ledger", "membership", "outcome", "pipeline",
 	"placement", "quarantine", "reachability", "replica", "retry", "route", "routing", "selfreport",
 }
 
