--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -77,14 +77,19 @@
 		func(passing error) bool { return errors.Is(err, passing) })
 }
 
-// MaxConnections returns the number of connections that a listener of this process may hold, so that
-// files and connections to others can still be opened.
-func MaxConnections() int {
+// MaxFiles returns the number of descriptors that this process may open.
+func MaxFiles() int {
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
-		return defaultConnections
+		return defaultConnections / 3 * 4
 	}
-	return int(min(limit.Cur/4*3, maxConnections))
+	return int(min(limit.Cur, 2*maxConnections))
+}
+
+// MaxConnections returns the number of connections that a listener of this process may hold, so that
+// files and connections to others can still be opened.
+func MaxConnections() int {
+	return min(MaxFiles()/4*3, maxConnections)
 }
 
 // Close closes the listener once the queued connections are accepted.
