Bound what the connections of clients hold, at each door of both roles

Cause: each part had limits for one request or connection, and nothing bounded the sum. The bound on bodies covered one stage at one door, counted less than what growing a buffer holds, and refused ordinary bodies while those that never end held it.

Each listener of a gateway and of a controller has a guard with a share of the memory and of the descriptors of the process: callers [limits] callers_memory and callers_connections, readiness, metrics, control, and instances fixed ones. A third of the descriptors stays for connections to servers and instances. The routing document's limits of heads and idle connections are in force at the callers' connections. Bodies grow by doubling up to their stated length and are charged for what they hold; a request is refused with 503, not run, if there is no memory for it, and is never cut off once it is passed on. The rest of the body of a refused request may take 0.5 s. Calls of control are read by the same code; readiness and metrics take bodies of 1 KB at most. Connections between instances are kept once they carry a call. A gateway's heap limit is 0.6 of its memory (0.7 before), as the kernel's queues need a part.

--- a/balancer/server.go
+++ b/balancer/server.go
@@ -16,6 +16,9 @@
 	PathMetrics = "/metrics"
 )
 
+// maxBodyBytes bounds the body of a request; no call needs one.
+const maxBodyBytes = 1 << 10
+
 // Readiness returns the reason why the instance should receive no new callers, or "" if it is ready.
 type Readiness func() (reason string)
 
@@ -24,7 +27,8 @@
 func NewServer(ready Readiness, registry *prometheus.Registry) *fasthttp.Server {
 	metrics := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	return &fasthttp.Server{
-		Name: "balsamlb",
+		Name:               "balsamlb",
+		MaxRequestBodySize: maxBodyBytes,
 		Handler: func(ctx *fasthttp.RequestCtx) {
 			switch string(ctx.Path()) {
 			case PathLive:
--- a/daemon/listen_test.go
+++ b/daemon/listen_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/balsamlb/balsamlb/internal/connguard"
 	"github.com/balsamlb/balsamlb/settings"
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
@@ -67,7 +68,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
 		var g errgroup.Group
-		serveHTTP(ctx, &g, fmt.Sprintf("127.0.33.7:%d", freePort(t)), &fasthttp.Server{})
+		serveHTTP(ctx, &g, connguard.New(connguard.Options{}), fmt.Sprintf("127.0.33.7:%d", freePort(t)), &fasthttp.Server{})
 		is.NoErr(awaitError(t, g.Wait))
 	}
 }
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -16,6 +16,7 @@
 	"github.com/balsamlb/balsamlb/gateway"
 	"github.com/balsamlb/balsamlb/instance"
 	"github.com/balsamlb/balsamlb/internal/build"
+	"github.com/balsamlb/balsamlb/internal/connguard"
 	"github.com/balsamlb/balsamlb/internal/listen"
 	"github.com/balsamlb/balsamlb/internal/meter"
 	"github.com/balsamlb/balsamlb/mesh"
@@ -31,23 +32,21 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/rotisserie/eris"
-	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 )
 
 const (
 	// settingsCheckInterval is how often the settings file is checked for changes.
 	settingsCheckInterval = time.Second
-	// heapShare is the share of the process's memory that is set as the memory limit of the Go
-	// runtime.
-	heapShare = 0.7
-	// bodiesShare is the share of the process's memory that the bodies of requests may take.
-	bodiesShare = 0.2
 	// replaceAfter is how long a voter must be silent before a standby may replace it. It is short
 	// because a new machine must be a full member 4 s after its start.
 	replaceAfter = 2 * time.Second
 )
 
+// heapShares are the shares of a process's memory that are set as the memory limit of the Go runtime. At a gateway,
+// the kernel's queues for callers need a part of the rest.
+var heapShares = map[settings.Role]float64{settings.RoleGateway: 0.6, settings.RoleController: 0.7}
+
 // member holds the parts that gateways and controllers have in common.
 type member struct {
 	path     string
@@ -57,13 +56,16 @@
 	dialer   instance.Dialer
 	mesh     *mesh.Mesh
 	registry *prometheus.Registry
+	// guards bound the clients of each listener.
+	guards map[string]*connguard.Guard
 }
 
 func newMember(path string, role settings.Role, s settings.Member, controlAddress string, log logr.Logger) (*member, error) {
 	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryMB) * (1 << 20)))
+		debug.SetMemoryLimit(int64(heapShares[role] * float64(s.MemoryMB) * (1 << 20)))
 	}
 	m := &member{path: path, role: role, settings: s, log: log, registry: prometheus.NewRegistry()}
+	m.guards = m.newGuards()
 	m.registry.MustRegister(collectors.NewGoCollector())
 	metrics.RegisterBuild(m.registry, build.Name())
 	var err error
@@ -86,6 +88,7 @@
 		return nil, err
 	}
 	metrics.RegisterDocument(m.registry, m.document)
+	metrics.RegisterClients(m.registry, m.clients)
 	metrics.RegisterDelivery(m.registry, func() metrics.Delivery { return deliveryOf(m.mesh.DeliveryStatus()) })
 	return m, nil
 }
@@ -145,7 +148,7 @@
 		RoutingApplyTime: s.RoutingApplyTime,
 
 		MaxAnswerBytes: int64(s.MaxAnswerMB) << 20,
-		MaxBodiesBytes: int64(bodiesShare * float64(s.MemoryMB) * (1 << 20)),
+		Guard:          m.guards[callersListener],
 	})
 	servers.OnLeaving = gw.RecordLeaving
 	listener, err := listen.TCP(s.Instances)
@@ -158,8 +161,8 @@
 	defer stopTasks()
 	g, taskCtx := errgroup.WithContext(taskCtx)
 	m.runCommon(taskCtx, g)
-	serveHTTP(taskCtx, g, s.Ready, platform.NewReadyServer(gw.NotReady))
-	g.Go(func() error { return relayServer.Serve(taskCtx, listener) })
+	serveHTTP(taskCtx, g, m.guards[readyListener], s.Ready, platform.NewReadyServer(gw.NotReady))
+	g.Go(func() error { return relayServer.Serve(taskCtx, m.guards[instancesListener].Listener(listener)) })
 	g.Go(func() error {
 		defer stopTasks()
 		runCtx, cancel := context.WithCancel(ctx)
@@ -266,9 +269,9 @@
 	m.runCommon(taskCtx, g)
 	g.Go(func() error { return host.Run(taskCtx) })
 	g.Go(func() error { return sender.Run(taskCtx) })
-	g.Go(func() error { return server.Serve(taskCtx, listener) })
+	g.Go(func() error { return server.Serve(taskCtx, m.guards[instancesListener].Listener(listener)) })
 	g.Go(func() error { return c.Run(taskCtx) })
-	serveHTTP(taskCtx, g, m.settings.Control, platform.NewControlServer(c))
+	serveHTTP(taskCtx, g, m.guards[controlListener], m.settings.Control, platform.NewControlServer(c))
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -336,8 +339,11 @@
 func (m *member) runCommon(ctx context.Context, g *errgroup.Group) {
 	g.Go(func() error { return m.mesh.Run(ctx) })
 	g.Go(func() error { return m.runReload(ctx) })
+	for _, guard := range m.guards {
+		g.Go(func() error { return guard.Run(ctx) })
+	}
 	if m.settings.Metrics != "" {
-		serveHTTP(ctx, g, m.settings.Metrics, newMonitoringServer(m.registry, memberQuarantine{m.mesh.CrashEvidence(), m.log}))
+		serveHTTP(ctx, g, m.guards[metricsListener], m.settings.Metrics, newMonitoringServer(m.registry, memberQuarantine{m.mesh.CrashEvidence(), m.log}))
 	}
 }
 
@@ -376,19 +382,3 @@
 		m.mesh.SetSeeds(s.Seeds)
 	}
 }
-
-// serveHTTP listens on the address and serves until ctx ends.
-func serveHTTP(ctx context.Context, g *errgroup.Group, address string, server *fasthttp.Server) {
-	g.Go(func() error {
-		listener, err := listen.TCP(address)
-		if err != nil {
-			return eris.Wrapf(err, "daemon: listen on %s", address)
-		}
-		h := newHTTPListener(server, listener)
-		g.Go(func() error {
-			<-ctx.Done()
-			return h.close()
-		})
-		return h.serve()
-	})
-}
--- a/gateway/answer_limits.go
+++ b/gateway/answer_limits.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/balsamlb/balsamlb/internal/connguard"
 	"github.com/balsamlb/balsamlb/upstream"
 )
 
@@ -16,6 +17,8 @@
 	maxBufferedResponse = 256 << 10
 	// bufferStep is the size in bytes by which a buffer grows.
 	bufferStep = 16 << 10
+	// bufferGrowth is the memory of a buffer for each byte in it, since it grows by doubling.
+	bufferGrowth = 2
 	// maxBufferedTogether bounds the buffered bytes of all responses. A response that gets no more
 	// buffer is written as it arrives.
 	maxBufferedTogether = 24 << 20
@@ -79,11 +82,14 @@
 
 // buffer reads a response until it ends, or exceeds maxBufferedResponse, or no more memory is left. It
 // returns what it has read, and whether the response has ended. release frees the memory.
-func (b *responseBuffers) buffer(r io.Reader) (buffered []byte, isWhole bool, release func(), err error) {
+func (b *responseBuffers) buffer(conn *connguard.Conn, r io.Reader) (buffered []byte, isWhole bool, release func(), err error) {
 	taken := int64(0)
-	release = func() { b.used.Add(-taken) }
+	release = func() {
+		b.used.Add(-taken)
+		conn.Shrink(bufferGrowth * taken)
+	}
 	var out bytes.Buffer
-	for out.Len() < maxBufferedResponse && b.take() {
+	for out.Len() < maxBufferedResponse && b.take(conn) {
 		taken += bufferStep
 		_, err := io.CopyN(&out, r, bufferStep)
 		if errors.Is(err, io.EOF) {
@@ -97,10 +103,10 @@
 }
 
 // take takes the memory of one step, if there is any.
-func (b *responseBuffers) take() bool {
-	if b.used.Add(bufferStep) > maxBufferedTogether {
-		b.used.Add(-bufferStep)
-		return false
+func (b *responseBuffers) take(conn *connguard.Conn) bool {
+	if b.used.Add(bufferStep) <= maxBufferedTogether && conn.Grow(bufferGrowth*bufferStep) {
+		return true
 	}
-	return true
+	b.used.Add(-bufferStep)
+	return false
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -109,7 +109,7 @@
 // yet, so that another response is still possible.
 func (g *Gateway) writeResponse(w http.ResponseWriter, j *job, resp *upstream.Response) error {
 	body := &boundedAnswer{Reader: resp, left: g.maxAnswerBytes(j)}
-	buffered, isWhole, release, err := g.buffers.buffer(body)
+	buffered, isWhole, release, err := g.buffers.buffer(j.conn, body)
 	defer release()
 	if err != nil {
 		return err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/discovery"
+	"github.com/balsamlb/balsamlb/internal/connguard"
 	"github.com/balsamlb/balsamlb/internal/listen"
 	"github.com/balsamlb/balsamlb/layers"
 	"github.com/balsamlb/balsamlb/linkcheck"
@@ -88,9 +89,9 @@
 	// MaxAnswerBytes is the largest size of an answer that is forwarded; 0 means
 	// DefaultMaxAnswerBytes. A longer one is broken off.
 	MaxAnswerBytes int64
-	// MaxBodiesBytes bounds the bodies of all requests that are held at a time; 0 means no bound.
-	MaxBodiesBytes int64
-	Seed           uint64
+	// Guard bounds the connections of callers; nil means no bound.
+	Guard *connguard.Guard
+	Seed  uint64
 	// Registry is where the gateway registers its metrics.
 	Registry prometheus.Registerer
 	Log      logr.Logger
@@ -117,7 +118,6 @@
 	pauses       *pauseDetector
 	inFlight     atomic.Int64
 	buffers      responseBuffers
-	bodies       requestBodies
 	leaving      atomic.Bool
 	// waiters counts the new drafts that wait for capacity.
 	waiters  atomic.Int64
@@ -153,7 +153,6 @@
 		stallReports: newStallReports(o.Orders.StallingServers),
 		probes:       &probes{probedAt: make(map[string]time.Time)},
 		pauses:       &pauseDetector{},
-		bodies:       requestBodies{limit: o.MaxBodiesBytes},
 		metrics:      metrics.NewGateway(o.Registry),
 		rng:          rand.New(rand.NewPCG(o.Seed, 1)),
 		health:       retry.NewHealth(),
@@ -192,8 +191,14 @@
 	if err != nil {
 		return eris.Wrapf(err, "gateway: listen on %s", g.options.ListenAddress)
 	}
+	var callers net.Listener = listener
+	if g.options.Guard != nil {
+		callers = g.options.Guard.Listener(listener)
+	}
 	server := &http.Server{
 		Handler:           g,
+		ConnContext:       connguard.ConnContext,
+		ConnState:         connguard.ConnState,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -207,7 +212,7 @@
 	eg.Go(func() error { return g.watchIdleDrafts(workersCtx) })
 	eg.Go(func() error { return g.runAdmission(workersCtx) })
 	eg.Go(func() error {
-		err := server.Serve(listener)
+		err := server.Serve(callers)
 		if !errors.Is(err, http.ErrServerClosed) && !(g.leaving.Load() && errors.Is(err, net.ErrClosed)) {
 			return eris.Wrap(err, "gateway: serve callers")
 		}
@@ -230,6 +235,7 @@
 		changed := g.options.Mesh.Changed()
 		before, next := g.view.Load(), newView(g.options.Mesh.Snapshot())
 		g.view.Store(next)
+		g.applyLimits(next)
 		g.resetRestarted(before, next)
 		g.recordEndedServers(before, next)
 		g.applyAnnouncements(next)
@@ -243,6 +249,14 @@
 	}
 }
 
+// applyLimits puts the limits of the view's routing document in force at the connections of callers.
+func (g *Gateway) applyLimits(v *view) {
+	if g.options.Guard != nil && v.table != nil {
+		l := v.table.Limits
+		g.options.Guard.SetHeadLimits(connguard.HeadLimits{Bytes: l.HeaderBytes, Time: l.HeaderTimeout, IdleTime: l.IdleTimeout})
+	}
+}
+
 // handleStateChanges checks the drafts on servers that have become unresponsive or have left, and
 // marks a server as recovered when its announcements are received again.
 func (g *Gateway) handleStateChanges(before, next *view) {
@@ -366,8 +380,11 @@
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	j, refusal := g.admit(w, r, origin)
-	defer g.bodies.release(j)
+	conn := connguard.FromContext(r.Context())
+	if conn.IsAhead() {
+		w.Header().Set("Connection", "close")
+	}
+	j, refusal := g.admit(w, r, origin, conn)
 	if refusal != nil {
 		g.refuse(w, j, refusal)
 		return
@@ -391,8 +408,14 @@
 }
 
 // admit finds the route, the workspace and the service, and reads the body.
-func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, origin *relayOrigin) (*job, *refusal) {
-	j := &job{header: g.options.HeaderCodec.ParseRequest(r.Header), request: r, origin: origin, arrived: time.Now()}
+func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, origin *relayOrigin, conn *connguard.Conn) (*job, *refusal) {
+	j := &job{header: g.options.HeaderCodec.ParseRequest(r.Header), request: r, origin: origin, conn: conn, arrived: time.Now()}
+	if isBodyExpected(r) {
+		conn.BeginBody()
+	} else if !conn.BeginWork() {
+		w.Header().Set("Connection", "close")
+		return j, &refusal{http.StatusServiceUnavailable, connguard.ErrNoMemory.Error(), bodiesRetry}
+	}
 	if origin != nil {
 		j.attempts.Store(int32(origin.Attempts))
 		j.mayHaveRun.Store(origin.Attempts > 0)
@@ -437,6 +460,11 @@
 func (g *Gateway) refuse(w http.ResponseWriter, j *job, f *refusal) {
 	h := w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
+	if j.body == nil && isBodyExpected(j.request) {
+		// The server reads the rest of the body before it goes on. A writer that supports no deadlines belongs to no
+		// connection.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTime))
+	}
 	if f.retryAfter > 0 {
 		g.admitter.recordToldToReturn(time.Now())
 		h.Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 3, 64))
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/balsamlb/balsamlb/internal/connguard"
 	"github.com/balsamlb/balsamlb/quarantine"
 	"github.com/balsamlb/balsamlb/routing"
 	"github.com/balsamlb/balsamlb/selfreport"
@@ -18,12 +19,12 @@
 	request *http.Request
 	body    []byte
 	hasBody bool
-	// bodyMemory is the memory in bytes that was taken for the body.
-	bodyMemory int64
-	route      *routing.Route
-	service    *routing.Service
-	workspace  string
-	priority   int
+	// conn is the caller's connection; nil if it isn't guarded.
+	conn      *connguard.Conn
+	route     *routing.Route
+	service   *routing.Service
+	workspace string
+	priority  int
 	// rank orders the request among those of its service; 0 is the most urgent.
 	rank int
 	// routing is the version of the routing document by which the request was admitted.
--- a/instance/server.go
+++ b/instance/server.go
@@ -9,9 +9,12 @@
 
 	"github.com/balsamlb/balsamlb/consensus"
 	"github.com/balsamlb/balsamlb/instance/wire"
+	"github.com/balsamlb/balsamlb/internal/connguard"
 	"github.com/balsamlb/balsamlb/relay"
 	"github.com/balsamlb/balsamlb/replica"
 	"github.com/rotisserie/eris"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 )
@@ -64,13 +67,26 @@
 	}
 	options := drpcserver.Options{}
 	options.Manager.Stream.MaximumBufferSize = maxKeptBuffer
-	err := drpcserver.NewWithOptions(mux, options).Serve(ctx, l)
+	err := drpcserver.NewWithOptions(keepsOpen{mux}, options).Serve(ctx, l)
 	if ctx.Err() != nil {
 		return nil
 	}
 	return eris.Wrap(err, "instance: serve RPC calls")
 }
 
+// keepsOpen keeps connections open that carry calls: their clients are instances.
+type keepsOpen struct{ drpc.Handler }
+
+// HandleRPC implements drpc.Handler.
+func (h keepsOpen) HandleRPC(stream drpc.Stream, rpc string) error {
+	if transport, ok := drpcctx.Transport(stream.Context()); ok {
+		if conn, ok := transport.(*connguard.Conn); ok {
+			conn.KeepOpen()
+		}
+	}
+	return h.Handler.HandleRPC(stream, rpc)
+}
+
 // Step passes consensus messages to the replica.
 func (s *Server) Step(_ context.Context, req *wire.StepRequest) (*wire.StepResponse, error) {
 	if s.replica == nil {
--- a/settings/member.go
+++ b/settings/member.go
@@ -34,6 +34,8 @@
 	{"limits", "grace_s", "10", "s", "Time between the signal to stop and the end of the process.", decimal(1, 3600)},
 	{"limits", "cores", "0", "", "Processors that the process uses at once, rounded up. 0: one for a controller, whose work is small and mostly in sequence; all for a gateway.", decimal(0, 1<<10)},
 	{"limits", "memory_mb", "0", "MB", "Memory that the process may use; 0: not limited.", decimal(0, 1<<20)},
+	{"limits", "callers_memory", "0.32", "", "Gateway: part of memory_mb that the connections and requests of callers may take.", fraction},
+	{"limits", "callers_connections", "0", "connections", "Gateway: most connections of callers at a time; 0: half of the files that the process may open.", wholeNumber(0, 1<<20)},
 	{"limits", "answer_mb", "64", "MB", "Gateway: largest answer of a backend server that is forwarded.", wholeNumber(1, 1<<16)},
 	{"log", "level", "info", "", "Least severe level that is logged.", oneOf("debug", "info", "error")},
 	{"log", "lines_per_second", "400", "lines/s", "Most lines that are logged in a second; how many were left out is told.", wholeNumber(1, 1<<20)},
@@ -74,6 +76,10 @@
 	Cores int
 	// MemoryMB is the memory that the process may use, in MiB; 0 means no limit.
 	MemoryMB int
+	// CallersMemory is the part of MemoryMB that the connections and requests of callers may take.
+	CallersMemory float64
+	// CallersConnections bounds the connections of callers; 0 means half of the files that the process may open.
+	CallersConnections int
 	// MaxAnswerMB is the largest answer that a gateway forwards, in MiB.
 	MaxAnswerMB int
 	LogLevel    string
@@ -150,10 +156,12 @@
 		Grace:            time.Duration(decimalValue("limits", "grace_s") * float64(time.Second)),
 		Cores:            int(math.Ceil(decimalValue("limits", "cores"))),
 		MemoryMB:         int(decimalValue("limits", "memory_mb")),
+		CallersMemory:    decimalValue("limits", "callers_memory"),
 		MaxAnswerMB:      intValue("limits", "answer_mb"),
 		LogLevel:         get("log", "level"),
 
-		LogLinesPerSecond: intValue("log", "lines_per_second"),
+		CallersConnections: intValue("limits", "callers_connections"),
+		LogLinesPerSecond:  intValue("log", "lines_per_second"),
 	}
 	if m.Advertise == "" {
 		m.Advertise = m.Instances
