control: a query doesn't run after its caller has given up

The operator's history and credits read what their queries write in the same way.

Change: the loop skips a query that was given up, and a caller waits for one that has begun.

--- a/control/host.go
+++ b/control/host.go
@@ -269,12 +269,16 @@
 	h.inputQueue.Offer(input{lost: &m})
 }
 
-// Query runs f while no command is being applied. f must not retain its arguments.
+// Query runs f while no command is being applied. f must not retain its arguments. It doesn't run after Query has
+// returned.
 func (h *Host) Query(ctx context.Context, f func(*replica.State, *consensus.Node)) error {
 	done := make(chan struct{})
+	var isTaken atomic.Bool // by the loop, or by a caller that has given up
 	in := input{query: func(s *replica.State, n *consensus.Node) {
-		f(s, n)
-		close(done)
+		if !isTaken.Swap(true) {
+			f(s, n)
+			close(done)
+		}
 	}}
 	if err := h.inputQueue.Push(ctx, in); err != nil {
 		return eris.Wrap(err, "control: queue query")
@@ -285,6 +289,10 @@
 	case <-h.stopped:
 		return ErrStopped
 	case <-ctx.Done():
+		if isTaken.Swap(true) {
+			<-done
+			return nil
+		}
 		return eris.Wrap(ctx.Err(), "control: wait for query")
 	}
 }
--- a/control/host_test.go
+++ b/control/host_test.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/balsamlb/balsamlb/consensus"
 	"github.com/balsamlb/balsamlb/replica"
@@ -113,6 +114,22 @@
 	}
 }
 
+// Guards against a data race (daemon tests, issue 56): a caller that gives up reads a status that the loop still writes.
+func TestStatusIsNotReadAfterItsCallerGaveUp(t *testing.T) {
+	is := is.New(t)
+	h := newTestHost(t, &failingStorage{}, discardSender{})
+	done := make(chan error)
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		done <- h.pass(nil)
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+	defer cancel()
+	_, err := h.Status(ctx)
+	is.True(err != nil)
+	is.NoErr(<-done)
+}
+
 // Guards against a command that is added to the log again with each attempt while its commit takes longer than one.
 func TestCommandSentAgainBeforeItsCommitIsAddedOnce(t *testing.T) {
 	is := is.New(t)
