consensus: a leader accepts proposals while answers are late

Cause: Propose needs a lease, which lasts 200 ms from the start of a round that a quorum has answered. Where answers take longer, a leader that now stays accepts nothing.

Change: a leader whose answers are late accepts proposals for as long as its followers would wait for it. A quorum that stores an entry in the leader's term commits it; that needs no lease. Orders of the planner still need one. A leader that isn't late refuses as soon as its lease has ended, as before.

--- a/consensus/message.go
+++ b/consensus/message.go
@@ -19,7 +19,7 @@
 
 // Errors of Propose.
 var (
-	// ErrNotLeader means that the node is not the leader or has no lease.
+	// ErrNotLeader means that the node is not the leader, or has no lease and none of its followers would wait for it.
 	ErrNotLeader = errors.New("consensus: not the leader")
 	// ErrBusy means that too many proposals are uncommitted. Nothing was appended.
 	ErrBusy = errors.New("consensus: too many uncommitted entries")
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -215,7 +215,8 @@
 // answers are late, the group would have no leader at all.
 func (n *Node) tickLeader() {
 	if tick := max(n.quorumAckTick(), n.lease.campaignTick); tick > n.quorumProgress {
-		n.patience.observe(n.leaderSilence, n.now, n.opts)
+		// Answers that always take as long are late, too, though regular.
+		n.patience.observe(max(n.leaderSilence, int(n.now-tick)/2), n.now, n.opts)
 		n.quorumProgress, n.leaderSilence = tick, 0
 	}
 	if n.leaderSilence >= n.stepDownTicks() {
@@ -240,7 +241,7 @@
 // then, a new leader may replace the entry. If Propose returns an error, it is ErrNotLeader or
 // ErrBusy, and nothing was appended.
 func (n *Node) Propose(data []byte) (index, term uint64, err error) {
-	if !n.HasLease() {
+	if !n.mayPropose() {
 		return 0, 0, ErrNotLeader
 	}
 	if n.uncommittedBytes+len(data) > maxUncommittedBytes || n.log.last()-n.log.commit >= maxUncommittedEntries {
@@ -251,6 +252,17 @@
 	return e.Index, e.Term, nil
 }
 
+// mayPropose reports whether the node is a leader that has a lease or would have one if answers were not late: for as
+// long as its followers wait for it. An entry needs no lease, since no quorum stores it for a leader that was replaced.
+func (n *Node) mayPropose() bool {
+	if n.role != RoleLeader || n.transferee != "" {
+		return false
+	}
+	ackTick := n.quorumAckTick()
+	isLate := ackTick != 0 && ackTick >= n.lease.validFrom && n.patience.extraAt(n.now) > 0 && n.now-ackTick < uint64(n.patienceTicks())
+	return n.HasLease() || isLate
+}
+
 func (n *Node) propose(kind EntryKind, data []byte) Entry {
 	e := Entry{Term: n.hardState.Term, Index: n.log.last() + 1, Kind: kind, Data: data}
 	n.log.append(e)
--- a/consensus/patience_test.go
+++ b/consensus/patience_test.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -56,3 +57,32 @@
 	}
 	is.True(n.replaceableVoter(n.membership()) != "")
 }
+
+// Guards against a leader that stays and accepts nothing, since answers take longer than its lease.
+func TestLeaderAcceptsProposalsWhileAnswersAreLate(t *testing.T) {
+	c := newCluster(t, 5, 0, 1)
+	c.delayed = map[uint64][]Message{}
+	leader := c.awaitLeader()
+	c.maxDelay = 12 // the lease is 8 ticks
+	c.tick(100)
+	n := c.replicas[leader].node
+	term, accepted, leases := n.Term(), 0, 0
+	for i := range 1000 {
+		if n.HasLease() {
+			leases++
+		}
+		if _, _, err := n.Propose(fmt.Append(nil, i)); err == nil {
+			accepted++
+		}
+		c.tick(1)
+	}
+	t.Logf("%d of 1000 proposals accepted, %d with a lease", accepted, leases)
+	if accepted < 900 || n.Term() != term {
+		t.Errorf("%d of 1000 proposals accepted, in the terms %d to %d", accepted, term, n.Term())
+	}
+	c.maxDelay = 0
+	c.tick(100)
+	if got := len(n.log.entries); got < accepted || n.Commit() < n.log.last() {
+		t.Errorf("%d entries, of which up to %d are committed, for %d proposals", got, n.Commit(), accepted)
+	}
+}
