--- a/control/status.go
+++ b/control/status.go
@@ -47,10 +47,7 @@
 		s.LeaderAddress = v.Address
 		s.Levels = h.levelStatus()
 	})
-	if err != nil {
-		return Status{}, err // the query may still run
-	}
-	return s, nil
+	return s, err
 }
 
 const transferPollInterval = 10 * time.Millisecond
