connguard: grant memory without a wait in line where nobody waits

Each read of a head and each request took a place in the account's line and a message on a channel. BenchmarkRequest (requests one after the other on one connection, four runs each beside load, processor time with the client's): unguarded 83 to 92 us a request, guarded 96 to 103 before, 88 to 94 now.

--- a/intake/account.go
+++ b/intake/account.go
@@ -192,6 +192,15 @@
 	}
 }
 
+// TryReserve charges bytes to a connection if nobody has to make way or waits for it.
+func (a *Account) TryReserve(c *Conn, bytes int64) bool {
+	if c.stage >= Closing || a.line.Len() > 0 || a.excess(bytes) > 0 {
+		return false
+	}
+	a.charge(c, bytes)
+	return true
+}
+
 // Reserve asks for bytes for a connection. It gets them at once, later, or not at all, as the outcomes of this and
 // of later calls say; until then it must ask for nothing more.
 func (a *Account) Reserve(now time.Time, c *Conn, bytes int64) Outcome {
--- a/intake/account_test.go
+++ b/intake/account_test.go
@@ -130,8 +130,11 @@
 					open = append(open[:i], open[i+1:]...)
 				case waiting[c]:
 				case k < 5:
-					waiting[c] = true
-					handle(a.Reserve(now, c, rng.Int64N(2000)))
+					n := rng.Int64N(2000)
+					if !a.TryReserve(c, n) {
+						waiting[c] = true
+						handle(a.Reserve(now, c, n))
+					}
 				case k == 5:
 					handle(a.Release(now, c, rng.Int64N(c.Bytes()+1)))
 				case k == 6:
--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -143,8 +143,14 @@
 
 // reserve asks for bytes, waits until the account has decided, and reports whether it has granted them.
 func (c *Conn) reserve(n int64) bool {
-	c.guard.change(func(a *intake.Account) intake.Outcome { return a.Reserve(time.Now(), c.state, n) })
-	return <-c.decided
+	isReserved := false
+	c.guard.change(func(a *intake.Account) intake.Outcome {
+		if isReserved = a.TryReserve(c.state, n); isReserved {
+			return intake.Outcome{}
+		}
+		return a.Reserve(time.Now(), c.state, n)
+	})
+	return isReserved || <-c.decided
 }
 
 // BeginBody reports that a head has arrived whole, and that a body follows.
