--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -262,7 +262,7 @@
 	c.isServed.Store(true)
 	c.guard.change(func(a *intake.Account) intake.Outcome {
 		a.Enter(time.Now(), c.state, intake.Working)
-		return a.Release(time.Now(), c.state, c.head)
+		return a.Release(time.Now(), c.state, c.state.Bytes()-connectionBytes)
 	})
 }
 
