consensus: one gap makes a replica patient for 3 s only, and candidates don't campaign in step

Cause: a single gap raised the election timeout for 28 s, and timeouts were drawn first and cut off at the greatest one afterwards, so that most candidates drew the same, split the votes and backed off to the same again. Change: a single gap counts for 3 s; another one within 10 s, not of the same halt, confirms it. The random part is drawn on top of the least timeout, which is bounded.

--- a/consensus/patience.go
+++ b/consensus/patience.go
@@ -7,6 +7,8 @@
 	maxTimeouts         = 8
 	// patienceFactor is how many times as long as the longest gap between two messages of a leader a replica waits.
 	patienceFactor = 3
+	// singleGapTicks is the time for which a single gap counts.
+	singleGapTicks = 150
 	// patienceHoldTicks is the time for which what an irregular leader has added stays. Then it falls by a tick in each
 	// patienceDecayTicks.
 	patienceHoldTicks  = 500
@@ -23,25 +25,53 @@
 // gets answers, because a process, a disk or the network is late. It changes when this replica campaigns and whether it
 // encourages others to, and never what it promises to a leader.
 type patience struct {
-	// extra is what was added to the least election timeout at the tick raisedAt.
+	// extra is what was added to the least election timeout at the tick raisedAt, after gaps in turn.
 	extra    int
 	raisedAt uint64
+	// latest is what the latest gap adds for singleGapTicks from latestAt on, and what another one confirms.
+	latest   int
+	latestAt uint64
 }
 
-// observe records that, though nothing had failed, nothing was heard for a number of ticks.
+// observe records that, though nothing had failed, nothing was heard for a number of ticks. A single gap is soon forgotten,
+// so that a leader that is lost after a halt is not missed for long.
 func (p *patience) observe(gap int, now uint64, o Options) {
 	extra := min(patienceFactor*gap, maxPatienceTimeouts*o.ElectionTicks) - o.ElectionTicks
-	if extra > 0 && extra >= p.extraAt(now) {
-		*p = patience{extra: extra, raisedAt: now}
+	if extra <= 0 {
+		return
+	}
+	age := now - p.latestAt
+	switch {
+	case p.latest == 0 || age > patienceHoldTicks:
+		p.latest, p.latestAt = extra, now
+		return
+	case age < uint64(o.ElectionTicks): // of the same halt
+		p.latest = max(p.latest, extra)
+		return
+	}
+	confirmed := min(extra, p.latest)
+	if extra >= p.latest || age > patienceHoldTicks/2 {
+		p.latest, p.latestAt = extra, now
+	}
+	if confirmed >= p.heldAt(now) {
+		p.extra, p.raisedAt = confirmed, now
 	}
 }
 
-// extraAt returns what is added to the least election timeout at a tick.
-func (p patience) extraAt(now uint64) int {
+// heldAt returns what gaps in turn have added to the least election timeout at a tick.
+func (p patience) heldAt(now uint64) int {
 	age := now - p.raisedAt
 	return max(0, p.extra-int((max(age, patienceHoldTicks)-patienceHoldTicks)/patienceDecayTicks))
 }
 
+// extraAt returns what is added to the least election timeout at a tick.
+func (p patience) extraAt(now uint64) int {
+	if now-p.latestAt < singleGapTicks {
+		return max(p.latest, p.heldAt(now))
+	}
+	return p.heldAt(now)
+}
+
 // heardLeader is the start of a replica that was last heard as a leader.
 type heardLeader struct {
 	id    string
@@ -55,8 +85,8 @@
 // drawElectionTimeout returns an election timeout.
 func (n *Node) drawElectionTimeout() int {
 	e := n.opts.ElectionTicks
-	timeout := (e + n.rng.IntN(e)) * n.patienceTicks() / e
-	return min(timeout<<min(max(n.answeredCampaigns-1, 0), maxBackoff), maxTimeouts*e)
+	least := min(n.patienceTicks()<<min(max(n.answeredCampaigns-1, 0), maxBackoff), maxPatienceTimeouts*e)
+	return least + n.rng.IntN(min(least, (maxTimeouts-maxPatienceTimeouts)*e))
 }
 
 // stepDownTicks returns the time without new answers of a quorum after which this node, a leader, steps down. One that
--- a/control/quota_test.go
+++ b/control/quota_test.go
@@ -389,3 +389,21 @@
 		}
 	}
 }
+
+// Guards against a leader that is missed for long because all replicas stood still for a moment some time before: they
+// waited for as long as for one that is always late, and campaigned in step.
+func TestLeaderLostAfterAHaltIsReplacedInTime(t *testing.T) {
+	for seed := range uint64(20) {
+		g := newQuotaGroup(t, seed, quotaLoad{quota: quotaPeriod, work: 0.05, sync: 2 * quotaStep})
+		g.awaitLeader(20 * time.Second)
+		g.run(5 * time.Second)
+		const halt = 400 * time.Millisecond
+		for _, p := range g.processes {
+			p.frozenUntil = g.now + halt
+		}
+		g.run(halt + 5*time.Second + time.Duration(g.rng.IntN(1000))*quotaStep)
+		g.awaitLeader(time.Second)
+		g.leader().down = true
+		g.awaitLeader(time.Second)
+	}
+}
