consensus: a leader that commits nothing steps down before it looks like an older build

Found in review: since leaders without answers stay longer, one that was answered once before it had committed anything in its term sent heartbeats for 24 to 48 rounds. A follower whose answers are lost takes it after 16 for one of a build that confirms nothing, and gateways that hear only that one deny by a document that nobody has confirmed. Change: the short limit holds until something is committed in the term.

--- a/consensus/node.go
+++ b/consensus/node.go
@@ -211,8 +211,8 @@
 	}
 }
 
-// tickLeader sends heartbeats, and steps down when nothing has shown for long that a quorum still answers. Without a lease it leads nobody astray until then; if it stepped down as soon as
-// answers are late, the group would have no leader at all.
+// tickLeader sends heartbeats, and steps down when nothing has shown for long that a quorum still answers. Without a lease
+// it leads nobody astray until then; if it stepped down as soon as answers are late, the group would have no leader at all.
 func (n *Node) tickLeader() {
 	if tick := max(n.quorumAckTick(), n.lease.campaignTick); tick > n.quorumProgress {
 		// Answers that always take as long are late, too, though regular.
--- a/consensus/patience.go
+++ b/consensus/patience.go
@@ -90,9 +90,9 @@
 }
 
 // stepDownTicks returns the time without new answers of a quorum after which this node, a leader, steps down. One that
-// no quorum has answered yet does so before followers take it for a leader of an older build (canConfirm).
+// has committed nothing in its term does so before followers take it for a leader of an older build (canConfirm).
 func (n *Node) stepDownTicks() int {
-	if n.quorumAckTick() == 0 {
+	if !n.hasCommittedInTerm() {
 		return (maxSilentRounds - 1) * n.opts.HeartbeatTicks
 	}
 	return min(stepDownTimeouts*n.patienceTicks(), maxTimeouts*n.opts.ElectionTicks)
--- a/consensus/patience_test.go
+++ b/consensus/patience_test.go
@@ -90,3 +90,43 @@
 		t.Errorf("%d entries, of which up to %d are committed, for %d proposals", got, n.Commit(), accepted)
 	}
 }
+
+// Guards against a leader that a quorum has answered once, before anything was committed in its term: a follower whose answers
+// are lost took it for one of a build that confirms nothing.
+func TestLeaderThatCommitsNothingStepsDownBeforeItLooksLikeAnOlderBuild(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 5, 0, 1)
+	old := c.awaitLeader()
+	c.tick(200)
+	others := c.others(old)
+	c.replicas[old].down = true
+	n, unheard := c.replicas[others[0]].node, c.replicas[others[3]].node
+	for _, id := range others[1:] {
+		c.replicas[id].node.leader = ""
+	}
+	n.becomeCandidate(true)
+	c.process(others[0])
+	for range 50 {
+		messages := c.inFlight
+		c.inFlight = nil
+		for _, m := range messages {
+			isLost := m.To == old || m.From == others[3] && m.Kind != KindVoteReply || len(m.Entries) > 0
+			if !isLost && n.quorumAckTick() == 0 {
+				c.replicas[m.To].node.Step(m)
+				c.process(m.To)
+			}
+		}
+	}
+	is.True(n.quorumAckTick() > 0 && !n.hasCommittedInTerm())
+	for n.Role() == RoleLeader {
+		n.Tick()
+		for _, m := range n.messages {
+			if m.To == others[3] {
+				unheard.Step(m)
+			}
+		}
+		n.messages, unheard.messages = nil, nil
+		unheard.Elapse(1)
+		is.True(unheard.Leader() != others[0] || unheard.canConfirm())
+	}
+}
