daemon: a leader plans and moves only with a lease

Found in review: a leader whose loop is late stays leader for up to 16 s after the last answer of a quorum (a pass each 0.4 s). The planner of the first role went by the role, with a time-out that was longer than a leader without a quorum stayed one. Two planners could send orders; engines refuse those of the older term, so nothing was carried out twice. Change: both ask for the lease, as the controllers do.

--- a/daemon/moves.go
+++ b/daemon/moves.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/balsamlb/balsamlb/consensus"
 	"github.com/balsamlb/balsamlb/drain"
 	"github.com/balsamlb/balsamlb/operator"
 	"github.com/balsamlb/balsamlb/replica"
@@ -53,7 +52,7 @@
 			return nil
 		}
 		status, err := d.host.Status(ctx)
-		if err != nil || status.Role != consensus.RoleLeader {
+		if err != nil || !status.Lease {
 			continue
 		}
 		for _, p := range d.state.moveProgress(time.Now()) {
--- a/daemon/placement.go
+++ b/daemon/placement.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/backend"
-	"github.com/balsamlb/balsamlb/consensus"
 	"github.com/balsamlb/balsamlb/control"
 	"github.com/balsamlb/balsamlb/fleet"
 	"github.com/balsamlb/balsamlb/placement"
@@ -19,8 +18,7 @@
 
 const (
 	placementInterval = 250 * time.Millisecond
-	// placementLeaseTimeout is longer than the time for which a leader without quorum may still
-	// consider itself the leader.
+	// placementLeaseTimeout is longer than a lease.
 	placementLeaseTimeout = 2 * time.Second
 	// placementOrderTimeout is how long an order may be in transit or run without a report.
 	placementOrderTimeout = 3 * time.Second
@@ -79,7 +77,7 @@
 	}
 	now := time.Now()
 	term := s.Term
-	if s.Role != consensus.RoleLeader {
+	if !s.Lease {
 		term = 0
 	}
 	l.planner.SetTerm(now, term)
