--- a/control/quota_test.go
+++ b/control/quota_test.go
@@ -312,8 +312,8 @@
 	"bursts that use up the allowance for half a second": {quota: 24 * quotaStep, work: 0.12, burst: 120 * quotaStep, sync: 5 * quotaStep},
 }
 
-// Guards against elections of control instances that are throttled though nothing has failed (icing-guild-large,
-// issue 56: terms 4 to 39 within 52 s).
+// Guards against elections among throttled control instances though nothing has failed
+// (docs/incidents/election-storm.md).
 func TestThrottledReplicasKeepTheirLeader(t *testing.T) {
 	for name, load := range quotaLoads {
 		t.Run(name, func(t *testing.T) {
