--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -17,8 +17,7 @@
 	// maxWatches bounds the control instances that are watched at the same time.
 	maxWatches = 32
 	// maxSubtractableReports is the number of own reports that are remembered to subtract them from
-	// the usage of all watchers. At usageInterval, they cover 1.6 s; a watch that is silent for as long
-	// is closed.
+	// the usage of all watchers. At usageInterval, they cover 1.6 s. A sum that includes an older one is left out.
 	maxSubtractableReports = 16
 )
 
@@ -166,7 +165,8 @@
 	last := &w.reported[w.reports%maxSubtractableReports]
 	isUrgent := m.urgentReports != w.urgentReports
 	w.urgentReports = m.urgentReports
-	return w.reports == 0 || time.Since(w.reportedAt) >= w.calmInterval() || isUrgent || w.neededNoUsage == m.acceptsUsageFrom(w.address) || w.relaying != m.relaying ||
+	return w.reports == 0 || time.Since(w.reportedAt) >= w.calmInterval() || isUrgent ||
+		w.neededNoUsage == m.acceptsUsageFrom(w.address) || w.relaying != m.relaying ||
 		!slices.Equal(own.usage, last.usage) || !slices.Equal(own.demand, last.demand)
 }
 
