mesh: a fetch goes on with the document that has come, not the one that was named

What callers saw: a gateway that starts, or is too far behind for a patch, stays without a routing document of more than 64 KiB until another control instance delivers a newer one; the control instance that it asks spends its processor time on sending the first part of that document over and over.

Cause: the control instance had a newer document by then than the one that it had named. The gateway asked for the next part of the newest document up to the named version, had none, and so asked for a first part again, without end. As its bytes came fast, no other control instance was asked.

Ruled out: a lost wake-up (the plan was looked at after version 3 was named) and starvation (the copies beside it took 1.3 to 2.5 s).

The new test names a version while a newer one is in force at the control instance.

--- a/mesh/delivery_test.go
+++ b/mesh/delivery_test.go
@@ -260,3 +260,13 @@
 	t.Logf("whole document %d bytes, change %d bytes", whole, patch)
 	is.True(patch < whole/20)
 }
+
+// Guards against a fetch that asks for the first part again and again: the control instance had a newer document by then
+// than the one that it had named, of which this instance had nothing.
+func TestDocumentThatIsReplacedBeforeItIsFetched(t *testing.T) {
+	control := newTestMesh(t, "127.0.0.1:1")
+	publish(t, control, 2, document(7, 6000))
+	r := newReceiver(t)
+	r.hear(serveDocuments(t, control), 1)
+	r.await(t, 2, applyTarget)
+}
--- a/mesh/fetch.go
+++ b/mesh/fetch.go
@@ -147,6 +147,8 @@
 			return resp.Version, nil
 		}
 		m.countReceived(resp)
+		// The control instance may have a newer document by now than it had named. Its parts follow.
+		named = max(named, resp.Version)
 		goesOn, err := m.takeAnswer(address, req, resp, base)
 		if errors.Is(err, errWrongHash) && m.takesOtherForm(resp) {
 			m.options.Log.Info("the document arrived damaged and is fetched in another form", "address", address, "version", resp.Version, "is_patch", resp.Patches)
