mesh: parts that are not kept end a fetch

A gateway keeps parts of two documents.

Now it fails, so that the control instance is asked again after a pause. The new test failed before ("not true: errors.Is ..."), and passes.

--- a/mesh/delivery_test.go
+++ b/mesh/delivery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -270,3 +271,19 @@
 	r.hear(serveDocuments(t, control), 1)
 	r.await(t, 2, applyTarget)
 }
+
+// Guards against a fetch that can't keep its parts beside those of newer documents, and begins again and again.
+func TestPartsOfTooManyDocumentsEndTheFetch(t *testing.T) {
+	is := is.New(t)
+	var d partialDocuments
+	part := func(version uint64) error {
+		_, _, err := d.add(&wire.FetchRoutingResponse{Version: version, Size: 2, Document: []byte("x")})
+		return err
+	}
+	is.NoErr(part(4))
+	is.NoErr(part(3))
+	is.True(errors.Is(part(2), errTooManyDocuments))
+	is.NoErr(part(5)) // in place of the oldest
+	is.Equal(d.upTo(4).version, uint64(4))
+	is.Equal(d.upTo(3), nil)
+}
--- a/mesh/partial.go
+++ b/mesh/partial.go
@@ -10,6 +10,7 @@
 var (
 	errDocumentTooLarge = errors.New("mesh: the document is too large")
 	errOtherEncoding    = errors.New("mesh: the document has another encoding than the parts received so far")
+	errTooManyDocuments = errors.New("mesh: parts of newer documents take the place of those of this one")
 	errWrongHash        = errors.New("mesh: the text of the document has another hash than announced")
 )
 
@@ -51,7 +52,9 @@
 			return nil, false, nil
 		}
 		p = &partialDocument{version: resp.Version, size: resp.Size, hash: resp.Hash}
-		d.insert(p)
+		if !d.insert(p) {
+			return nil, false, fmt.Errorf("%w: version %d", errTooManyDocuments, resp.Version)
+		}
 	}
 	if p.size != resp.Size || p.hash != resp.Hash {
 		return nil, false, fmt.Errorf("%w: version %d", errOtherEncoding, resp.Version)
@@ -63,8 +66,8 @@
 	return p, true, nil
 }
 
-// insert adds a document and drops the oldest one if there are too many.
-func (d *partialDocuments) insert(p *partialDocument) {
+// insert adds a document and drops the oldest one if there are too many. It reports whether the new one was kept.
+func (d *partialDocuments) insert(p *partialDocument) (isKept bool) {
 	i := len(d.list)
 	for i > 0 && d.list[i-1].version > p.version {
 		i--
@@ -72,7 +75,9 @@
 	d.list = append(d.list[:i], append([]*partialDocument{p}, d.list[i:]...)...)
 	if len(d.list) > maxPartials {
 		d.list = d.list[1:]
+		return i > 0
 	}
+	return true
 }
 
 // drop removes the parts of one version.
