mesh: gateways keep their share while restarted control instances hear from all

After all control instances had restarted, the number of gateways that a gateway kept was dropped with the first heartbeat. That instance knew only the gateways that had connected again, so each of them took the share of a few of the limits of servers, of their slots and of the reserve: three gateways of 195 would take a third each.

Ruled out: the retry reserve holds a smaller number back by itself (retry.Shares); limits (Rank) and slots (Gateways) don't.

A control instance's report now counts as complete once it has been heard for gatewaySettleTime. Until one has, the last report that was lost counts as well, and then no longer. gatewayCount decides this without a lock or a clock of its own, when a heartbeat arrives, so that a halt of this process makes no report complete. The number also stays where control instances restart one after the other faster than gateways connect again, which the earlier code left out.

TestRestartOfAllControlInstancesKeepsTheShare fails on the code before (3 gateways in place of 195) and passes now.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -138,12 +138,8 @@
 	// servers in them are doubted.
 	reportedDoubts map[string]reportedDoubts
 	doubtedSince   map[string]time.Time
-	// reportedGateways holds the number of gateways that each control instance reports.
-	reportedGateways map[string]int
-	// keptGateways is the control instance that was connected last, while none is: its report of gateways still counts.
-	keptGateways string
-	// reportedRanks holds this gateway's place among those gateways, from 0, and -1 if it is none of them.
-	reportedRanks map[string]int
+	// gatewayCount holds what control instances report about the gateways.
+	gatewayCount gatewayCount
 	// watcherNames are the sorted keys of watcherReports, or nil if they have to be sorted anew.
 	watcherNames []string
 	// withheld holds reports that servers are silent, by server, while this instance is connected to
@@ -174,8 +170,7 @@
 		reportedUsage:        make(map[string][]Usage),
 		dataCentres:          make(map[string]string),
 		reportedUnresponsive: make(map[string][]string),
-		reportedGateways:     make(map[string]int),
-		reportedRanks:        make(map[string]int),
+		gatewayCount:         gatewayCount{reports: make(map[string]gatewayReport)},
 		withheld:             make(map[string]discovery.Announcement),
 		doubts:               reachability.NewDoubts(),
 		reportedRelays:       make(map[string][]relay.Instance),
@@ -449,10 +444,7 @@
 	m.reportedRelays[address] = relaysFromWire(b.Relays)
 	m.updateReportedUsage(address, b)
 	m.updatePeerDemand(now, b)
-	m.reportedRanks[address] = int(b.Rank) - 1
-	m.dropKeptGateways(address)
-	if m.reportedGateways[address] != int(b.Gateways) {
-		m.reportedGateways[address] = int(b.Gateways)
+	if m.gatewayCount.report(now, address, int(b.Gateways), int(b.Rank)-1) {
 		changed = m.updateUnresponsive() || changed
 	}
 	if !slices.Equal(m.reportedUnresponsive[address], b.Suspects) {
@@ -498,7 +490,7 @@
 	delete(m.reportedUnresponsive, address)
 	delete(m.reportedRelays, address)
 	changed = m.updateDoubts(time.Now(), address, reportedDoubts{}) || changed
-	m.forgetGateways(address)
+	m.gatewayCount.forget(address)
 	changed = m.updateUnresponsive() || changed
 	if changed {
 		m.broadcast()
--- a/mesh/usage.go
+++ b/mesh/usage.go
@@ -45,27 +45,14 @@
 }
 
 // knownGateways is Gateways for a caller that holds the lock.
-func (m *Mesh) knownGateways() int {
-	n := 1
-	for _, g := range m.reportedGateways {
-		n = max(n, g)
-	}
-	return n
-}
+func (m *Mesh) knownGateways() int { return m.gatewayCount.gateways() }
 
 // Rank returns this gateway's place, from 0, among the gateways that the control instance reports that
 // knows most of them, and their number. The rank is -1 if it isn't known.
 func (m *Mesh) Rank() (rank, gateways int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	rank, gateways = -1, 1
-	for address, n := range m.reportedGateways {
-		r, ok := m.reportedRanks[address]
-		if ok && r >= 0 && (n > gateways || n == gateways && (rank < 0 || r < rank)) {
-			rank, gateways = r, n
-		}
-	}
-	return rank, gateways
+	return m.gatewayCount.rank()
 }
 
 // rankOf returns the place, from 1, of a watcher among those that have sent a report, or 0 if it has sent
--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -175,7 +175,7 @@
 	if w.mesh.options.ControlAddress != "" || !w.mesh.crashes.IsEmpty() {
 		return instance.WatchInterval
 	}
-	return calmInterval(w.mesh.reportedGateways[w.address])
+	return calmInterval(w.mesh.gatewayCount.reports[w.address].gateways)
 }
 
 // Interval returns the time after which Request is called again.
@@ -185,7 +185,7 @@
 	defer m.mu.Unlock()
 	interval := usageInterval
 	if m.dataCentres[w.address] != m.options.DataCentre {
-		interval = remoteInterval(m.reportedGateways[w.address])
+		interval = remoteInterval(m.gatewayCount.reports[w.address].gateways)
 	}
 	return min(interval, max(time.Millisecond, w.calmInterval()-time.Since(w.reportedAt)))
 }
