consensus: a halt before an answer doesn't shorten the promise in it

A replica reads its clock, then handles what waits. If it stood still in between, what arrived meanwhile was dated by the old reading. For its promise to a leader, two ticks of the halt then counted as passed after the answer. With the part of a tick by which the clock is late the promise ended 9 ticks after the answer at the earliest; a leader counts on 10 from the start of the round. For up to 20 ms another leader could have been elected beside a lease.

Ruled out as a cause: the input that the loop takes from the queue before it reads the clock. It is handled by a later clock, which makes promises longer and a leader's silence shorter; confirmations count from a reply's own tick, which is read before the reply leaves. Two ticks at a time as silence stay as they are, so a busy follower misses a leader no later.

Of the ticks that pass at once after the election timer was reset, one counts at most. A leader's interval of heartbeats is as before.

TestPromiseOutlastsTheLeaseAfterAHaltBeforeTheAnswer failed for all halts of two ticks or more (7 ticks, 8 are counted on there) and passes now. go test -race ./consensus ./control passes.

--- a/consensus/node.go
+++ b/consensus/node.go
@@ -164,8 +164,13 @@
 
 func (n *Node) elapse(ticks int) {
 	n.now += uint64(ticks)
-	n.elapsed += min(ticks, maxSilentTicks)
-	n.leaderSilence += min(ticks, maxSilentTicks)
+	silent := min(ticks, maxSilentTicks)
+	n.leaderSilence += silent
+	if n.elapsed == 0 && n.role != RoleLeader {
+		// Some may have passed before the promise was made, since the clock was read before the message was handled.
+		silent = min(silent, 1)
+	}
+	n.elapsed += silent
 	if late := ticks - maxSilentTicks; late > 0 {
 		for _, p := range n.peers {
 			p.lastSeen += uint64(late)
--- a/consensus/patience_test.go
+++ b/consensus/patience_test.go
@@ -130,3 +130,29 @@
 		is.True(unheard.Leader() != others[0] || unheard.canConfirm())
 	}
 }
+
+// Pattern: a follower reads its clock, stands still, and answers a heartbeat that was sent meanwhile. Guards against a promise
+// that is counted from the reading: the leader's lease outlasted it.
+func TestPromiseOutlastsTheLeaseAfterAHaltBeforeTheAnswer(t *testing.T) {
+	for halt := range 40 {
+		c := newCluster(t, 3, 0, 1)
+		leader := c.awaitLeader()
+		c.tick(20)
+		c.replicas[leader].node.heartbeat()
+		beat := lastMessage(c.replicas[leader].node, KindAppend)
+		n := c.replicas[beat.To].node
+		n.Step(beat)
+		if n.elapsed > 0 {
+			t.Fatal("the heartbeat was not heard")
+		}
+		n.Elapse(halt) // as the clock says right after the answer
+		// The clock is late by up to a tick, so the promise has ended up to a tick earlier than it says.
+		ticks := -1
+		for ; n.leaderMayHoldLease(); ticks++ {
+			n.Elapse(1)
+		}
+		if lease := n.opts.ElectionTicks - leaseMarginTicks; ticks < lease {
+			t.Errorf("after a halt of %d ticks votes are granted %d ticks after the answer; the leader counts on %d", halt, ticks, lease)
+		}
+	}
+}
