instance: a leader whose commits are slow is not avoided

A proposer gave an attempt 400 ms and told the leader to wait as long for the commit. Callers waited a second longer for a change that was committed, and throttled control instances had more work the later they were.

Ruled out: a paused leader looks the same in no case, since it doesn't answer within the attempt; it is avoided as before.

The leader is told to answer within 300 ms (commitTimeout). A proposer that hears that the commit takes longer proposes the command again, which waits for the same entry of the log.

--- a/instance/proposer.go
+++ b/instance/proposer.go
@@ -16,8 +16,10 @@
 var ErrNoQuorum = errors.New("instance: no control instance could commit the command in time")
 
 const (
-	// proposeTimeout bounds one attempt, since the leader may be paused or unreachable.
+	// proposeTimeout bounds one attempt, since the leader may be paused or unreachable. One that runs says within
+	// commitTimeout that the commit takes longer.
 	proposeTimeout    = 400 * time.Millisecond
+	commitTimeout     = 300 * time.Millisecond
 	proposeRetryDelay = 25 * time.Millisecond
 	// largeCommandBytes is the size from which on an attempt may take longer, as long as the command is on its way.
 	largeCommandBytes = 16 << 10
@@ -89,7 +91,7 @@
 	var resp *wire.ProposeResponse
 	propose := func(ctx context.Context, c wire.DRPCInstanceClient) error {
 		var err error
-		req := &wire.ProposeRequest{Command: data, TimeoutMs: uint64(proposeTimeout.Milliseconds())}
+		req := &wire.ProposeRequest{Command: data, TimeoutMs: uint64(commitTimeout.Milliseconds())}
 		resp, err = c.Propose(ctx, req)
 		return err
 	}
