instance: a TLS handshake waits for a peer that is only late

A dial gave the TLS handshake 250 ms, as the connection itself. The kernel opens the connection, but the handshake needs the peer's process: one that is late by more, as a throttled control instance to which all gateways come back, lost each handshake that it had begun, and the gateways began new ones. So it got later.

Ruled out: deployments without TLS are not concerned; calls that end earlier by their own time (proposals 400 ms, relays 300 ms) still end then; a subscription to a frozen peer learns of its failure by the peer's own time (FailureTimeout).

A handshake has handshakeTimeout, a second, like small messages of consensus to a peer whose kernel has acknowledged them.

TestHandshakeWithALatePeerIsNotGivenUp (the peer begins the handshake 500 ms late) failed with a deadline after 0.25 s and passes now, as does TestHandshakeWithAPeerThatStandsStillEnds, three times with -race.

--- a/instance/conn.go
+++ b/instance/conn.go
@@ -25,6 +25,9 @@
 	dialTimeout = 250 * time.Millisecond
 	// largeDialTimeout bounds a dial for large messages, whose earlier bytes may still fill the link.
 	largeDialTimeout = 500 * time.Millisecond
+	// handshakeTimeout bounds a TLS handshake, which needs the peer's process, not only its kernel. One that is given up
+	// because the peer is late makes it later.
+	handshakeTimeout = time.Second
 	// callTimeout bounds a call that doesn't wait for a commit.
 	callTimeout = 500 * time.Millisecond
 )
@@ -106,7 +109,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "instance: parse address %s", address)
 	}
-	ctx, cancel := context.WithTimeout(ctx, cmp.Or(d.timeout, dialTimeout))
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
 	secure := tls.Client(c, d.certs.ClientConfig(host))
 	if err := secure.HandshakeContext(ctx); err != nil {
