instance: a halt of the caller is no silence of the peer it calls

Proposals, fetches of documents and views, and relays end a call when nothing has come for a time. If this process stood still for that time, the timer ran before what had arrived was read. A proposer then closed its connections and asked others, a fetch failed, and a request that had been answered by another gateway counted as broken off.

Ruled out: calls with large commands and small messages of consensus ask the kernel what has arrived (callWhileMoving, callWhileReached), which a halt doesn't change; watches and subscriptions have the type silence.

patientTimer ends a call in two steps within the same limit: what is left of it after the first one, the grace, begins when this process has noticed that, so the answer is read first.

Relays use the same timer, without a test of their own.

--- a/instance/moving.go
+++ b/instance/moving.go
@@ -37,7 +37,7 @@
 func (c *movingConn) call(ctx context.Context, f func(context.Context, wire.DRPCInstanceClient) error) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	timer := time.AfterFunc(silenceTime, func() { cancel(errNoProgress) })
+	timer := newPatientTimer(silenceTime, silenceGrace, func() { cancel(errNoProgress) })
 	defer timer.Stop()
 	c.progress.begin(timer)
 	err := c.conn.call(ctx, f)
@@ -56,10 +56,10 @@
 	mu       sync.Mutex
 	received int // since the last progress
 	// silence ends the call when it fires.
-	silence *time.Timer
+	silence *patientTimer
 }
 
-func (p *progress) begin(silence *time.Timer) {
+func (p *progress) begin(silence *patientTimer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.silence, p.received = silence, 0
@@ -75,7 +75,7 @@
 	bytes, isProgress := p.received, isNew || p.received >= progressBytes
 	if isProgress {
 		p.received = 0
-		p.silence.Reset(silenceTime)
+		p.silence.Reset()
 	}
 	p.mu.Unlock()
 	if isProgress && p.onProgress != nil {
--- a/instance/proposer.go
+++ b/instance/proposer.go
@@ -18,8 +18,10 @@
 const (
 	// proposeTimeout bounds one attempt, since the leader may be paused or unreachable. One that runs says within
 	// commitTimeout that the commit takes longer.
-	proposeTimeout    = 400 * time.Millisecond
-	commitTimeout     = 300 * time.Millisecond
+	proposeTimeout = 400 * time.Millisecond
+	commitTimeout  = 300 * time.Millisecond
+	// proposeGrace is the last part of proposeTimeout, as in patientTimer.
+	proposeGrace      = 100 * time.Millisecond
 	proposeRetryDelay = 25 * time.Millisecond
 	// largeCommandBytes is the size from which on an attempt may take longer, as long as the command is on its way.
 	largeCommandBytes = 16 << 10
@@ -99,8 +101,9 @@
 	if len(data) >= largeCommandBytes {
 		err = pc.callWhileMoving(ctx, proposeTimeout, propose)
 	} else {
-		ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
+		defer newPatientTimer(proposeTimeout, proposeGrace, cancel).Stop()
 		err = pc.call(ctx, propose)
 	}
 	if err == nil {
--- a/instance/relay.go
+++ b/instance/relay.go
@@ -19,8 +19,9 @@
 
 const (
 	// relayAcceptTimeout bounds the time until an instance accepts a request, with the time to connect. It is
-	// several round trips between data centres.
+	// several round trips between data centres. relayAcceptGrace is its last part, as in patientTimer.
 	relayAcceptTimeout = 300 * time.Millisecond
+	relayAcceptGrace   = 100 * time.Millisecond
 	// relaySignInterval is the time between two signs of life of an instance that serves a request, and
 	// relaySilence the time without one after which the instance counts as silent.
 	relaySignInterval = 250 * time.Millisecond
@@ -241,11 +242,12 @@
 		cancel(nil)
 		return nil, eris.Wrapf(errors.Join(relay.ErrDeclined, err), "instance: offer a request to %s", address)
 	}
-	a := &relayBody{stream: stream, cancel: cancel, onAttempts: onAttempts, silence: relaySilence}
+	silence := relaySilence
 	if !req.EndsOnSilence {
-		a.silence = relayPatience
+		silence = relayPatience
 	}
-	a.timer = time.AfterFunc(a.silence, func() { cancel(ErrSilent) })
+	a := &relayBody{stream: stream, cancel: cancel, onAttempts: onAttempts}
+	a.timer = newPatientTimer(silence, silenceGrace, func() { cancel(ErrSilent) })
 	onAttempts(1) // the instance may have sent it, and not been able to say so
 	var head *wire.RelayAnswer
 	if err = sendBody(stream, req.Body); err == nil {
@@ -265,7 +267,7 @@
 
 // offer sends the head of a request and waits until it is accepted.
 func (r *Relayer) offer(ctx context.Context, cancel context.CancelCauseFunc, address string, req *relay.Request) (wire.DRPCInstance_RelayClient, error) {
-	timer := time.AfterFunc(relayAcceptTimeout, func() { cancel(context.DeadlineExceeded) })
+	timer := newPatientTimer(relayAcceptTimeout, relayAcceptGrace, func() { cancel(context.DeadlineExceeded) })
 	conn := r.pool.Get(ctx, address, r.dialer.open)
 	stream, err := wire.NewDRPCInstanceClient(conn).Relay(ctx)
 	if err != nil {
@@ -301,8 +303,7 @@
 type relayBody struct {
 	stream     wire.DRPCInstance_RelayClient
 	cancel     context.CancelCauseFunc
-	silence    time.Duration
-	timer      *time.Timer // ends the request after silence
+	timer      *patientTimer // ends the request after silence
 	onAttempts func(n int)
 	rest       []byte
 	isComplete bool
@@ -311,14 +312,14 @@
 // receive returns the next message that isn't only a sign of life.
 func (a *relayBody) receive() (*wire.RelayResponse, error) {
 	// The time until the caller takes what was received is no silence of the instance.
-	a.timer.Reset(a.silence)
+	a.timer.Reset()
 	defer a.timer.Stop()
 	for {
 		m, err := a.stream.Recv()
 		if err != nil {
 			return nil, err
 		}
-		a.timer.Reset(a.silence)
+		a.timer.Reset()
 		a.onAttempts(int(m.Attempts))
 		if m.Head != nil || len(m.Body) > 0 || m.IsComplete {
 			return m, nil
