mesh: the earlier connection of a watcher is not due for usage

When a gateway connects again before its earlier connection has ended, the usage of all gateways is sent on the new one only. The earlier one stayed due: it was sent a heartbeat without usage each tenth of a second for as long as the usage changed, up to 2 s. After a cut or a loss of packets this is one of the moments at which a control instance has the most to do.

Ruled out: control instances that watch, and watchers of builds that don't subtract their own usage; neither changes.

A feed that isn't that of its watcher's latest report sends no usage, and so isn't due for it.

TestEarlierConnectionOfAWatcherIsNotDueForUsage failed before and passes now; the tests of usage and watches of ./mesh pass with -race.

--- a/mesh/disconnect_test.go
+++ b/mesh/disconnect_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/balsamlb/balsamlb/discovery"
 	"github.com/balsamlb/balsamlb/instance/wire"
@@ -68,6 +70,39 @@
 	is.Equal(len(next(t, other).Others), 1)
 }
 
+// Pattern: many gateways connect again before their earlier connections have ended. Guards against heartbeats on those
+// connections each tenth of a second: they carry no usage, so they stayed due for as long as the usage changed.
+func TestEarlierConnectionOfAWatcherIsNotDueForUsage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := newTestMesh(t, "10.0.0.5:7")
+		report := func(number uint64, drafts uint32) *wire.WatchRequest {
+			return &wire.WatchRequest{Name: "g1", Report: number, Running: []*wire.DraftUse{{Server: "s", Drafts: drafts, TokenLayers: 9}}}
+		}
+		earlier := m.NewWatchFeed(report(1, 1)).(*feed)
+		next(t, earlier)
+		later := m.NewWatchFeed(report(1, 2)).(*feed)
+		next(t, earlier)
+		next(t, later)
+		m.NewWatchFeed(&wire.WatchRequest{Name: "g2", Report: 1, Running: report(1, 7).Running})
+		time.Sleep(usageInterval)
+		next(t, earlier) // the number of gateways has changed
+		isDue := func(f *feed) bool {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			return f.isDue(time.Now())
+		}
+		time.Sleep(usageInterval)
+		is.True(!isDue(earlier))
+		is.True(isDue(later))
+		is.Equal(len(next(t, later).Others), 1)
+		is.True(!isDue(later))
+		earlier.Close()
+		later.Close()
+		time.Sleep(usageInterval)
+	})
+}
+
 // Guards against a control instance that has lost another one and calls its servers silent: an instance
 // that is connected to the one that receives their announcements goes by that one.
 func TestOnlyTheControlInstanceOfAServerCallsItSilent(t *testing.T) {
--- a/mesh/feed.go
+++ b/mesh/feed.go
@@ -135,9 +135,7 @@
 	if err != nil {
 		return nil, err
 	}
-	// A watcher that has just connected again may be included with a report of its previous
-	// connection, which it couldn't subtract.
-	if r := m.watcherReports[f.name]; r == nil || r.feed != f || f.includedReport == 0 {
+	if f.includedReport == 0 {
 		return buf, nil
 	}
 	own.LeavesOutUsage, own.IncludesReport = false, f.includedReport
@@ -145,9 +143,15 @@
 	return withUsage, nil
 }
 
-// sendsUsage reports whether the watcher is sent the usage of its peers. The caller holds the
-// lock.
-func (f *feed) sendsUsage() bool { return f.control == "" && !f.needsNoUsage }
+// sendsUsage reports whether the watcher is sent the usage of its peers. One that has connected again is included with the
+// report of one of its connections, which it can't subtract on another one. The caller holds the lock.
+func (f *feed) sendsUsage() bool {
+	if f.control != "" || f.needsNoUsage {
+		return false
+	}
+	r := f.mesh.watcherReports[f.name]
+	return !f.subtractsOwnUsage || r != nil && r.feed == f
+}
 
 // Interval returns the longest time to the next heartbeat. It is short while the watcher acts by the age of what it
 // has heard, as in trials of contents that crash servers.
