instance: proposers ask less often while nobody leads

A proposer that found no leader asked the next control instance after 25 ms, 40 times a second for as long as nobody led or the leader was avoided. With 195 gateways that have commands to propose, that is work which keeps throttled control instances from electing a leader (the class of docs/incidents/election-storm.md).

Ruled out: a leader that is known, or named by a follower, is asked at once, and one that says that its commit takes longer is asked again after 25 ms, as before, so that the command finds its entry still waiting.

The delay doubles to 100 ms. A new leader is found at most 75 ms later.

--- a/instance/proposer.go
+++ b/instance/proposer.go
@@ -21,8 +21,11 @@
 	proposeTimeout = 400 * time.Millisecond
 	commitTimeout  = 300 * time.Millisecond
 	// proposeGrace is the last part of proposeTimeout, as in patientTimer.
-	proposeGrace      = 100 * time.Millisecond
-	proposeRetryDelay = 25 * time.Millisecond
+	proposeGrace = 100 * time.Millisecond
+	// proposeRetryDelay is the delay before another attempt. It doubles up to maxProposeRetryDelay while no leader is
+	// found, when the control instances may be busy with an election.
+	proposeRetryDelay    = 25 * time.Millisecond
+	maxProposeRetryDelay = 100 * time.Millisecond
 	// largeCommandBytes is the size from which on an attempt may take longer, as long as the command is on its way.
 	largeCommandBytes = 16 << 10
 )
@@ -63,6 +66,7 @@
 	if err != nil {
 		return replica.Result{}, eris.Wrap(err, "instance: encode command")
 	}
+	fruitless := 0
 	for attempt := 0; ctx.Err() == nil; attempt++ {
 		address := p.pickTarget(attempt)
 		if address == "" {
@@ -82,11 +86,20 @@
 		if err == nil && resp.Leader != address && p.followHint(resp.Leader) {
 			continue
 		}
-		sleep(ctx, proposeRetryDelay)
+		if err == nil && resp.Status == wire.ProposeResponse_STATUS_TIMEOUT {
+			fruitless = 0
+		}
+		sleep(ctx, retryDelay(fruitless))
+		fruitless++
 	}
 	return replica.Result{}, ErrNoQuorum
 }
 
+// retryDelay returns the delay after an attempt that has found no leader, like a number of attempts before it.
+func retryDelay(fruitless int) time.Duration {
+	return min(proposeRetryDelay<<min(fruitless, 8), maxProposeRetryDelay)
+}
+
 // proposeOnce makes one attempt. The leader adds a command to the log once, however often it is sent until then.
 func (p *Proposer) proposeOnce(ctx context.Context, address string, data []byte) (*wire.ProposeResponse, error) {
 	pc := p.takeIdle(address)
--- a/instance/proposer_test.go
+++ b/instance/proposer_test.go
@@ -71,3 +71,28 @@
 	is.NoErr(err)
 	is.True(follower.proposals.Load() <= 3) // not once in each proposeRetryDelay
 }
+
+// Pattern: the leader is lost or late for a while, and all gateways have commands to propose. Guards against proposers that ask
+// the other control instances 40 times a second each, which keeps them from electing a leader.
+func TestProposersAskSeldomWhileNobodyLeads(t *testing.T) {
+	is := is.New(t)
+	follower := &slowReplica{}
+	dialer, err := NewDialer("127.0.0.1:0", nil, &meter.Traffic{})
+	is.NoErr(err)
+	p := NewProposer(dialer, []string{follower.serve(t)})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	_, err = p.Propose(ctx, replica.Command{})
+	is.True(errors.Is(err, ErrNoQuorum))
+	is.True(follower.proposals.Load() <= 15)
+}
+
+func TestDelayOfProposalsIsBounded(t *testing.T) {
+	is := is.New(t)
+	var delays []time.Duration
+	for fruitless := range 5 {
+		delays = append(delays, retryDelay(fruitless))
+	}
+	is.Equal(delays, []time.Duration{25e6, 50e6, 100e6, 100e6, 100e6})
+	is.Equal(retryDelay(1000), maxProposeRetryDelay)
+}
