--- a/instance/patient_timer_test.go
+++ b/instance/patient_timer_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"os"
 	"os/exec"
 	"syscall"
@@ -11,6 +13,7 @@
 
 	"github.com/balsamlb/balsamlb/instance/wire"
 	"github.com/balsamlb/balsamlb/internal/meter"
+	"github.com/balsamlb/balsamlb/relay"
 	"github.com/balsamlb/balsamlb/replica"
 	"github.com/matryer/is"
 )
@@ -69,6 +72,15 @@
 		_, err := NewExchanger(d).Fetch(t.Context(), address, &wire.FetchRequest{}, nil)
 		return err
 	},
+	"relay": func(t *testing.T, d Dialer, address string) error {
+		request := &relay.Request{Method: http.MethodGet, Target: "/", EndsOnSilence: true}
+		answer, err := NewRelayer(d).Do(t.Context(), address, request, func(int) {})
+		if err != nil {
+			return err
+		}
+		_, err = io.ReadAll(answer.Body)
+		return err
+	},
 }
 
 // peerOfHalted answers all calls at once, and tells on called that a call has come.
@@ -84,6 +96,16 @@
 	return &wire.FetchResponse{Index: 1}, nil
 }
 
+func (p *peerOfHalted) AcceptRelay(*relay.Request) (release func(), declined string) {
+	return func() {}, ""
+}
+
+func (p *peerOfHalted) ServeRelay(w http.ResponseWriter, _ *http.Request, _ *relay.Request, _ relay.Progress) {
+	p.called <- struct{}{}
+	time.Sleep(proposeTimeout / 4)
+	_, _ = w.Write([]byte("answer")) // kept in the writer
+}
+
 // Pattern: this process stands still, by its allowance or its machine, while a peer answers. Guards against a caller that then
 // takes the answer for one that never came: it called again, closed its connections and avoided the peer.
 func TestHaltOfTheCallerIsNoSilenceOfThePeer(t *testing.T) {
@@ -105,7 +127,9 @@
 			peer := &peerOfHalted{called: called}
 			peer.committed = committed
 			l := listenLocal(t)
-			go func() { _ = NewServer(&callingReplica{&peer.slowReplica, called}, peer).Serve(t.Context(), l) }()
+			server := NewServer(&callingReplica{&peer.slowReplica, called}, peer)
+			server.SetRelayHandler(peer)
+			go func() { _ = server.Serve(t.Context(), l) }()
 			caller := exec.Command(os.Args[0], "-test.run=^TestHaltOfTheCallerIsNoSilenceOfThePeer$")
 			caller.Env = append(os.Environ(), haltedCallerEnv+"="+name, haltedCallerPeer+"="+l.Addr().String())
 			is.NoErr(caller.Start())
