--- a/consensus/node.go
+++ b/consensus/node.go
@@ -416,7 +416,11 @@
 
 func (n *Node) send(m Message) {
 	m.From = n.opts.ID
-	m.Group = cmp.Or(n.Group(), n.joiningGroup)
+	m.Group = n.Group()
+	if m.Kind != KindHello {
+		// A hello says that this replica has no log yet, so that also a new leader sends it a snapshot.
+		m.Group = cmp.Or(m.Group, n.joiningGroup)
+	}
 	m.Disk = n.opts.Disk
 	m.Epoch = n.opts.Epoch
 	m.Unverified = !n.verification.done
--- a/consensus/recovery_test.go
+++ b/consensus/recovery_test.go
@@ -5,6 +5,8 @@
 	"os"
 	"strconv"
 	"testing"
+
+	"github.com/matryer/is"
 )
 
 const (
@@ -259,3 +261,25 @@
 	}
 	c.propose(t, "c")
 }
+
+// Guards against a replica with a new data folder that never joins its group, because the leader changed while it received a
+// snapshot: its hello said that it had a log, so the next leader sent it entries, which it can't take.
+func TestReplicaWhoseLeaderChangesDuringASnapshotJoins(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, 0, 1)
+	c.propose(t, "a")
+	leader := c.leader()
+	lost := c.others(leader)[0]
+	c.setIsolated(lost, true)
+	c.replicas[lost].saved = c.newSavedState()
+	c.start(lost)
+	n, membership := c.replicas[lost].node, c.replicas[leader].node.membership()
+	n.Step(Message{
+		Kind: KindSnapshot, From: leader, To: lost, Group: membership.Group, Term: c.replicas[leader].node.Term() - 1, PrevIndex: 2,
+		PrevTerm: 1, Membership: &membership, Chunk: []byte("part"), Size: 9,
+	})
+	is.True(!n.hasGroup() && n.joiningGroup != 0)
+	c.setIsolated(lost, false)
+	c.tick(100)
+	is.True(n.Status().Voting)
+}
