controller: reads of the configuration that are asked for at once share one

Cause: each GET /-/config proposed an empty command of its own, received the document with its result, decompressed it and copied the text into its answer. A crowd that asks and does not read held a document for each connection: nothing charges answers, only what the kernel queues of them. The proposals of the crowd also kept a new document from being acknowledged.

Change: callers that ask while a read is running wait for one next read, which begins after all of them have asked, so the answer is as fresh as before. Answers share one text while the document stays the same.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -91,8 +91,12 @@
 	// routing is the newest document that the replica has applied.
 	routing atomic.Pointer[routing.Publication]
 	wake    chan struct{}
-	planner *planner
-	saved   savedServers
+	reads   *sharedReads
+	// lastRead and lastText are the document that was read last, and its text.
+	lastRead routing.Publication
+	lastText []byte
+	planner  *planner
+	saved    savedServers
 	// age logs when the document's age exceeds the bound.
 	age mesh.AgeMonitor
 }
@@ -104,6 +108,7 @@
 		return nil, eris.Wrap(err, "controller: compressor")
 	}
 	c := &Controller{options: o, encoder: encoder, started: time.Now(), wake: make(chan struct{}, 1)}
+	c.reads = &sharedReads{read: c.readPublished}
 	c.planner = newPlanner(o)
 	o.Mesh.SetConfirms(true)
 	c.age = mesh.AgeMonitor{Bound: o.RoutingApplyTime, Log: o.Log}
@@ -348,16 +353,31 @@
 
 // Published returns the newest published routing document, or ErrNothingPublished. It proposes an
 // empty Publish command to the replicated log and returns the document from the command's result, so
-// the document is never stale.
+// the document is never stale. Callers share the text.
 func (c *Controller) Published(ctx context.Context) ([]byte, error) {
-	r, err := c.propose(ctx, replica.Publish{})
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	return c.reads.get(ctx)
+}
+
+// readPublished reads the newest published routing document. Only reads uses it.
+func (c *Controller) readPublished() ([]byte, error) {
+	r, err := c.propose(context.Background(), replica.Publish{})
 	if err != nil {
 		return nil, err
 	}
 	if r.Version == 0 {
 		return nil, ErrNothingPublished
 	}
-	return c.options.Mesh.Decompress(routing.Publication{Version: r.Version, Bytes: r.Document})
+	if p := c.lastRead; p.Version == r.Version && bytes.Equal(p.Bytes, r.Document) {
+		return c.lastText, nil // which answers may hold that nobody has read yet
+	}
+	p := routing.Publication{Version: r.Version, Bytes: r.Document}
+	text, err := c.options.Mesh.Decompress(p)
+	if err == nil {
+		c.lastRead, c.lastText = p, text
+	}
+	return text, err
 }
 
 func (c *Controller) propose(ctx context.Context, p replica.Publish) (*replica.PublishResult, error) {
--- /dev/null
+++ b/controller/reads_test.go
@@ -0,0 +1,56 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a read for each of a crowd, and against results that are older than the question.
+func TestReadsAreSharedButNeverOlderThanTheQuestion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		reads, finish := 0, make(chan bool)
+		s := &sharedReads{read: func() ([]byte, error) {
+			reads++
+			text := strconv.Itoa(reads)
+			<-finish
+			return []byte(text), nil
+		}}
+		results := make(chan string)
+		ask := func() {
+			text, _ := s.get(t.Context())
+			results <- string(text)
+		}
+		go ask()
+		synctest.Wait()
+		for range 100 {
+			go ask()
+		}
+		synctest.Wait()
+		finish <- true
+		is.Equal(<-results, "1")
+		finish <- true
+		for range 100 {
+			is.Equal(<-results, "2")
+		}
+		is.Equal(reads, 2)
+	})
+}
+
+func TestReaderThatLeavesIsNotKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		finish := make(chan bool)
+		s := &sharedReads{read: func() ([]byte, error) { <-finish; return nil, nil }}
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, err := s.get(ctx)
+		is.True(errors.Is(err, context.Canceled))
+		finish <- true
+	})
+}
--- a/internal/lab/crowd_test.go
+++ b/internal/lab/crowd_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -110,9 +112,9 @@
 	return sendsIn(requestHead(method, path, "Transfer-Encoding: chunked")+"\r\n", []byte(strings.Repeat(one, length/chunk)), 64<<10, 0)
 }
 
-// partOfFrame begins a frame of a message between instances that lacks its last byte.
-func partOfFrame(length int) sender {
-	return sends("\x03\x01\x01" + string([]byte{byte(length)&0x7f | 0x80, byte(length>>7)&0x7f | 0x80, byte(length>>14)&0x7f | 0x80, byte(length >> 21)}) + strings.Repeat("x", length-1))
+// partOfFrame begins a frame of a message between instances, on a stream, that lacks its last byte.
+func partOfFrame(stream byte, length int) string {
+	return string([]byte{3, stream, 1, byte(length)&0x7f | 0x80, byte(length>>7)&0x7f | 0x80, byte(length>>14)&0x7f | 0x80, byte(length >> 21)}) + strings.Repeat("x", length-1)
 }
 
 // crowdDeployment is a deployment of a control instance, a gateway and a stand-in server.
@@ -121,6 +123,7 @@
 	t       *testing.T
 	soak    *soak // for its calls
 	version int
+	notes   string // a field of the document that nobody reads
 }
 
 func startCrowdDeployment(t *testing.T) *crowdDeployment {
@@ -178,7 +181,7 @@
 	route := soakNewRoute("first", soakHost, firstPrefix, soakServices[0])
 	route.TimeoutMs = 20_000
 	text, err := json.Marshal(map[string]any{
-		"Version": c.version, "Routes": []soakRoute{route}, "Tenants": []soakTenant{{"crowd", []string{versionKey}}},
+		"Version": c.version, "Notes": c.notes, "Routes": []soakRoute{route}, "Tenants": []soakTenant{{"crowd", []string{versionKey}}},
 		"Services": []map[string]any{{"Name": soakServices[0], "HealthPath": "/health", "MaxConns": 2000, "Protocol": "h1", "Tls": false}},
 		"Limits":   map[string]int{"MaxHeaderBytes": crowdHeadBytes, "MaxBodyBytes": crowdBodyBytes, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 	})
@@ -460,7 +463,7 @@
 
 // Guards against crowds at the addresses for other instances, of both roles.
 func TestPortsBetweenInstancesOutliveCrowds(t *testing.T) {
-	crowds := []crowd{{"messages that stop", 100, partOfFrame(4<<20 - 1<<10)}, shortOfAll(noRoute), {"without a byte", 4500, sends("")}}
+	crowds := []crowd{{"messages that stop", 100, sends(partOfFrame(1, 4<<20-1<<10))}, shortOfAll(noRoute), {"without a byte", 4500, sends("")}}
 	outlivesAtOnce(t, "gateway", func(c *crowdDeployment) string { return c.Gateways[0].InstanceAddress() }, crowds...)
 	outlivesAtOnce(t, "control instance", func(c *crowdDeployment) string { return c.Controls[0].InstanceAddress() }, crowds...)
 }
@@ -519,3 +522,21 @@
 		crowd{"keys", 4, put(soakConfigPath, `{"Version":1,"Tenants":[{"ApiKeys":[`, `""`)},
 	)
 }
+
+// Guards against answers that are held for clients that ask again and again and read none.
+func TestOtherDoorsOutliveUnreadAnswers(t *testing.T) {
+	unread := func(path string) crowd {
+		return crowd{"unread " + path, 600, sends(strings.Repeat(requestHead("GET", path)+"\r\n", 200))}
+	}
+	t.Run("large configuration", func(t *testing.T) {
+		c := startCrowdDeployment(t)
+		random := make([]byte, 1<<20)
+		_, _ = rand.NewChaCha8([32]byte{1}).Read(random)
+		c.notes = hex.EncodeToString(random)
+		c.waitServed()
+		c.outlives(c.Controls[0].ControlAddress(), unread(soakConfigPath))
+	})
+	outlivesAtOnce(t, "metrics of the gateway", func(c *crowdDeployment) string { return c.Gateways[0].MetricsAddress() }, unread("/metrics"))
+	outlivesAtOnce(t, "metrics of the control instance", func(c *crowdDeployment) string { return c.Controls[0].MetricsAddress() }, unread("/metrics"))
+	outlivesAtOnce(t, "readiness", func(c *crowdDeployment) string { return c.Gateways[0].ReadyAddress() }, unread("/-/readiness"))
+}
