connguard: doors that leave buffers to the kernel make them small when memory is short

Cause: no kernel buffer of a connection at the door of control instances was ever made small. An answer counts as unread after a second, and until then each connection may fill some 2.6 MB in the kernel.

Change: KeepsBuffers holds until three quarters of the bytes are in use. Connections between instances that carry calls are not touched, as they are not observed.

--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -196,7 +196,7 @@
 		return a.Observe(now, c.state, int64(received+sent)*queuedFactor)
 	})
 	if isCrowded && !c.hasSmallBuffers.Swap(true) {
-		c.guard.setBuffers(c.Conn, smallBuffer)
+		setBuffers(c.Conn, smallBuffer)
 	}
 }
 
--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -63,7 +63,7 @@
 	Name string
 	intake.Limits
 	// KeepsBuffers leaves the size of the kernel's buffers to the kernel, for clients on long links that send or read
-	// much.
+	// much, until memory is short.
 	KeepsBuffers bool
 	Log          logr.Logger
 }
@@ -240,9 +240,11 @@
 	size := socketBuffer
 	if g.account.IsCrowded() {
 		size = smallBuffer
-		c.hasSmallBuffers.Store(true)
+		c.hasSmallBuffers.Store(!g.KeepsBuffers)
+	}
+	if !g.KeepsBuffers {
+		setBuffers(nc, size)
 	}
-	g.setBuffers(nc, size)
 	state, out := g.account.Open(now, connectionBytes)
 	g.carryOut(out)
 	if state == nil {
@@ -254,11 +256,11 @@
 }
 
 // setBuffers sets the size of the kernel's buffers of a connection.
-func (g *Guard) setBuffers(c net.Conn, size int) {
+func setBuffers(c net.Conn, size int) {
 	if b, ok := c.(interface {
 		SetReadBuffer(bytes int) error
 		SetWriteBuffer(bytes int) error
-	}); ok && !g.KeepsBuffers { // both fail only on a connection that has ended
+	}); ok { // both fail only on a connection that has ended
 		_ = b.SetReadBuffer(size)
 		_ = b.SetWriteBuffer(size)
 	}
