connguard: connections between instances are charged and make way after a call, too

Cause: a connection that had carried a call, also one that no instance knows, was never charged nor closed again. A crowd that made one such call and then stopped in a message of 4 MiB held up to 5 MB for each connection; an idle one filled the number of connections for ever, and no instance could call any more.

Ruled out: charging until the first message only (a second one is as large); closing connections after large messages (in calm, instances would open one for each append).

Change: intake.Calls holds what has arrived of a message, what buffers keep after it, and the stage: idle between calls, working in a call, arriving while a large message arrives or if much is kept. Calls, and the ends of messages, are reported by the server of instances.

All crowds are followed by a call between instances now.

--- a/daemon/clients.go
+++ b/daemon/clients.go
@@ -60,6 +60,7 @@
 				Connections: connections,
 			},
 			KeepsBuffers: name == controlListener || name == instancesListener,
+			HasCalls:     name == instancesListener,
 			Log:          m.log.WithName("clients"),
 		})
 	}
--- a/instance/server.go
+++ b/instance/server.go
@@ -67,24 +67,40 @@
 	}
 	options := drpcserver.Options{}
 	options.Manager.Stream.MaximumBufferSize = maxKeptBuffer
-	err := drpcserver.NewWithOptions(keepsOpen{mux}, options).Serve(ctx, l)
+	err := drpcserver.NewWithOptions(guarded{mux}, options).Serve(ctx, l)
 	if ctx.Err() != nil {
 		return nil
 	}
 	return eris.Wrap(err, "instance: serve RPC calls")
 }
 
-// keepsOpen keeps connections open that carry calls: their clients are instances.
-type keepsOpen struct{ drpc.Handler }
+// guarded reports calls to the guards of their connections.
+type guarded struct{ drpc.Handler }
 
 // HandleRPC implements drpc.Handler.
-func (h keepsOpen) HandleRPC(stream drpc.Stream, rpc string) error {
-	if transport, ok := drpcctx.Transport(stream.Context()); ok {
-		if conn, ok := transport.(*connguard.Conn); ok {
-			conn.KeepOpen()
-		}
+func (h guarded) HandleRPC(stream drpc.Stream, rpc string) error {
+	transport, _ := drpcctx.Transport(stream.Context())
+	conn := connguard.Of(transport)
+	if !conn.BeginCall() {
+		return errNoRoom
 	}
-	return h.Handler.HandleRPC(stream, rpc)
+	defer conn.EndCall()
+	return h.Handler.HandleRPC(guardedStream{stream, conn}, rpc)
+}
+
+// errNoRoom is returned for a call on a connection that makes way for others.
+var errNoRoom = errors.New("instance: the connection is being closed for lack of room")
+
+// guardedStream reports messages that have been received.
+type guardedStream struct {
+	drpc.Stream
+	conn *connguard.Conn
+}
+
+// MsgRecv implements drpc.Stream.
+func (s guardedStream) MsgRecv(msg drpc.Message, enc drpc.Encoding) error {
+	defer s.conn.EndMessage()
+	return s.Stream.MsgRecv(msg, enc)
 }
 
 // Step passes consensus messages to the replica.
--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -44,8 +44,6 @@
 
 	// isServed is set from the end of a head to the end of the request.
 	isServed atomic.Bool
-	// isKept is set by KeepOpen.
-	isKept atomic.Bool
 	// writing is when the write in progress began, in Unix nanoseconds, or 0.
 	writing atomic.Int64
 	// hasSmallBuffers means that the kernel's buffers were made small.
@@ -68,10 +66,14 @@
 
 	workMu sync.Mutex
 	work   int64 // charged for work and body
+	calls  calls
 }
 
 // Read reads from the client. The bytes of a head are charged before they are returned.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.guard.HasCalls {
+		return c.readMessage(p)
+	}
 	if c.isServed.Load() {
 		n, err := c.Conn.Read(p)
 		if len(p) <= readAhead {
@@ -254,21 +256,9 @@
 	})
 }
 
-// KeepOpen reports that the client is known to behave, so that its connection isn't closed for others.
-func (c *Conn) KeepOpen() {
-	if c == nil || c.isKept.Swap(true) {
-		return
-	}
-	c.isServed.Store(true)
-	c.guard.change(func(a *intake.Account) intake.Outcome {
-		a.Enter(time.Now(), c.state, intake.Working)
-		return a.Release(time.Now(), c.state, c.state.Bytes()-connectionBytes)
-	})
-}
-
 // Write writes to the client, which may take writeTime to read each writePart.
 func (c *Conn) Write(p []byte) (int, error) {
-	if c.isKept.Load() {
+	if c.guard.HasCalls {
 		return c.Conn.Write(p)
 	}
 	written := 0
--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -65,7 +65,9 @@
 	// KeepsBuffers leaves the size of the kernel's buffers to the kernel, for clients on long links that send or read
 	// much, until memory is short.
 	KeepsBuffers bool
-	Log          logr.Logger
+	// HasCalls means that the connections carry calls between instances, which BeginCall, EndMessage and EndCall report.
+	HasCalls bool
+	Log      logr.Logger
 }
 
 // Guard bounds the connections of one listener. It is safe for concurrent use.
@@ -153,13 +155,17 @@
 	g.mu.Lock()
 	conns := make([]*Conn, 0, len(g.conns))
 	for c := range g.conns {
-		if s := c.state.Stage(); s != intake.Idle && s < intake.Closing && !c.isKept.Load() {
+		if s := c.state.Stage(); (s != intake.Idle || g.HasCalls) && s < intake.Closing {
 			conns = append(conns, c)
 		}
 	}
 	g.mu.Unlock()
 	for _, c := range conns {
-		c.observe(now)
+		if g.HasCalls {
+			c.observeCalls()
+		} else {
+			c.observe(now)
+		}
 	}
 }
 
--- a/internal/lab/crowd_test.go
+++ b/internal/lab/crowd_test.go
@@ -117,6 +117,9 @@
 	return string([]byte{3, stream, 1, byte(length)&0x7f | 0x80, byte(length>>7)&0x7f | 0x80, byte(length>>14)&0x7f | 0x80, byte(length >> 21)}) + strings.Repeat("x", length-1)
 }
 
+// unknownCall is a whole call between instances that none of them knows.
+const unknownCall = "\x03\x01\x01\x01x"
+
 // crowdDeployment is a deployment of a control instance, a gateway and a stand-in server.
 type crowdDeployment struct {
 	*Deployment
@@ -209,6 +212,19 @@
 	return err == nil && resp.StatusCode == http.StatusOK
 }
 
+// answersCall reports whether a call of an instance over a new connection is answered.
+func answersCall(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, 5*time.Second)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	_, _ = io.WriteString(conn, unknownCall)
+	n, _ := conn.Read(make([]byte, 1))
+	return n == 1
+}
+
 // waitServed waits until each door has answered an ordinary request.
 func (c *crowdDeployment) waitServed() {
 	c.t.Helper()
@@ -222,6 +238,8 @@
 		{"readiness", func() bool { return gets(g.ReadyAddress(), "/-/readiness") }},
 		{"metrics of the gateway", func() bool { return gets(g.MetricsAddress(), "/metrics") }},
 		{"metrics of the control instance", func() bool { return gets(control.MetricsAddress(), "/metrics") }},
+		{"an answer of the gateway to an instance", func() bool { return answersCall(g.InstanceAddress()) }},
+		{"an answer of the control instance to an instance", func() bool { return answersCall(control.InstanceAddress()) }},
 	} {
 		end := time.Now().Add(waitTimeout)
 		for !door.isServed() {
@@ -468,6 +486,20 @@
 	outlivesAtOnce(t, "control instance", func(c *crowdDeployment) string { return c.Controls[0].InstanceAddress() }, crowds...)
 }
 
+// Guards against connections that are trusted for ever once they have carried a call.
+func TestPortsBetweenInstancesOutliveCrowdsThatCall(t *testing.T) {
+	crowds := []crowd{
+		{"messages that stop", 400, pauses(unknownCall, 200*time.Millisecond, partOfFrame(2, 4<<20-1<<10))},
+		{"idle", 4500, sends(unknownCall)},
+	}
+	t.Run("gateway", func(t *testing.T) {
+		outlivesEach(t, func(c *crowdDeployment) string { return c.Gateways[0].InstanceAddress() }, crowds...)
+	})
+	t.Run("control instance", func(t *testing.T) {
+		outlivesEach(t, func(c *crowdDeployment) string { return c.Controls[0].InstanceAddress() }, crowds...)
+	})
+}
+
 // Guards against limits that a caller inside the limits of the routing document meets in calm.
 func TestExtremeRequestsAreServedInCalm(t *testing.T) {
 	c := startCrowdDeployment(t)
