daemon: clients are bounded by the memory of the machine if the settings state none

Cause: without memory_mb, whose default is 0, the accounts of all listeners had no bound of bytes.

Change: the shares are parts of the memory of the machine then. A limit of a container is not known: state memory_mb there.

--- a/daemon/clients.go
+++ b/daemon/clients.go
@@ -46,7 +46,7 @@
 // newGuards returns the guards of the listeners of this role.
 func (m *member) newGuards() map[string]*connguard.Guard {
 	guards := make(map[string]*connguard.Guard)
-	files := float64(listen.MaxFiles())
+	files, memoryMB := float64(listen.MaxFiles()), cmp.Or(m.settings.MemoryMB, listen.MachineMemoryMB())
 	for name, share := range clientShares[m.role] {
 		connections := int(share.files * files)
 		if name == callersListener {
@@ -56,7 +56,7 @@
 		guards[name] = connguard.New(connguard.Options{
 			Name: name,
 			Limits: intake.Limits{
-				Bytes:       int64(share.memory * float64(m.settings.MemoryMB) * (1 << 20)),
+				Bytes:       int64(share.memory * float64(memoryMB) * (1 << 20)),
 				Connections: connections,
 			},
 			KeepsBuffers: name == controlListener || name == instancesListener,
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -86,6 +86,15 @@
 	return int(min(limit.Cur, 2*maxConnections))
 }
 
+// MachineMemoryMB returns the memory of the machine in MiB, or 0 if it isn't known.
+func MachineMemoryMB() int {
+	var info syscall.Sysinfo_t
+	if err := syscall.Sysinfo(&info); err != nil {
+		return 0
+	}
+	return int(uint64(info.Totalram) * uint64(info.Unit) >> 20)
+}
+
 // MaxConnections returns the number of connections that a listener of this process may hold, so that
 // files and connections to others can still be opened.
 func MaxConnections() int {
--- a/settings/member.go
+++ b/settings/member.go
@@ -33,7 +33,7 @@
 	{"routing", "apply_ms", "2000", "ms", "Time within which an acknowledged routing document is in force. A gateway whose document was not confirmed within it answers 503 in place of 404 and 401, as the route or key may be new.", decimal(100, 600000)},
 	{"limits", "grace_s", "10", "s", "Time between the signal to stop and the end of the process.", decimal(1, 3600)},
 	{"limits", "cores", "0", "", "Processors that the process uses at once, rounded up. 0: one for a controller, whose work is small and mostly in sequence; all for a gateway.", decimal(0, 1<<10)},
-	{"limits", "memory_mb", "0", "MB", "Memory that the process may use; 0: not limited.", decimal(0, 1<<20)},
+	{"limits", "memory_mb", "0", "MB", "Memory that the process may use; 0: not limited, but what clients may take is a part of the memory of the machine.", decimal(0, 1<<20)},
 	{"limits", "callers_memory", "0.32", "", "Gateway: part of memory_mb that the connections and requests of callers may take.", fraction},
 	{"limits", "callers_connections", "0", "connections", "Gateway: most connections of callers at a time; 0: half of the files that the process may open.", wholeNumber(0, 1<<20)},
 	{"limits", "answer_mb", "64", "MB", "Gateway: largest answer of a backend server that is forwarded.", wholeNumber(1, 1<<16)},
