connguard: a listener at its limit accepts as fast as connections make way

Cause: Accept slept 5 ms for each connection that had to wait for another to be closed, so a listener at its limit took some 370 connections a second at most, and a caller behind a crowd of 4,500 in the queue waited for longer than 10 s.

Ruled out: no wait at all, which refuses the newcomer although the room comes a moment later.

Change: a connection that has given its memory back signals the listener.

--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -297,6 +297,10 @@
 	defer c.guard.mu.Unlock()
 	delete(c.guard.conns, c)
 	c.guard.carryOut(c.guard.account.Closed(time.Now(), c.state))
+	select {
+	case c.guard.freed <- struct{}{}:
+	default: // the listener has not seen the last signal yet
+	}
 	return err
 }
 
--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -40,9 +40,8 @@
 	// sweepInterval is the time between two looks at the kernel's queues, and logInterval between two log lines.
 	sweepInterval = 200 * time.Millisecond
 	logInterval   = time.Second
-	// acceptTries and acceptPause bound the wait for connections that are being closed in favour of a new one.
-	acceptTries = 20
-	acceptPause = 5 * time.Millisecond
+	// acceptWait bounds the wait for connections that are being closed in favour of a new one.
+	acceptWait = 100 * time.Millisecond
 	// blockedTime is how long a write must have been blocked before the answer counts as unread.
 	blockedTime = sweepInterval
 )
@@ -74,6 +73,8 @@
 type Guard struct {
 	Options
 	limits atomic.Pointer[HeadLimits]
+	// freed is signalled when a connection has given its memory back.
+	freed chan struct{}
 
 	mu      sync.Mutex
 	account *intake.Account
@@ -85,7 +86,7 @@
 
 // New returns a guard.
 func New(o Options) *Guard {
-	g := &Guard{Options: o, account: intake.New(o.Limits), conns: make(map[*Conn]bool)}
+	g := &Guard{Options: o, account: intake.New(o.Limits), conns: make(map[*Conn]bool), freed: make(chan struct{}, 1)}
 	g.limits.Store(&HeadLimits{})
 	return g
 }
@@ -215,21 +216,33 @@
 		if err != nil {
 			return nil, err
 		}
-		for range acceptTries {
-			c, mayTryAgain := l.guard.open(nc)
-			if c != nil {
-				return c, nil
-			}
-			if !mayTryAgain {
-				break
-			}
-			time.Sleep(acceptPause)
+		if c := l.guard.openInTime(nc); c != nil {
+			return c, nil
 		}
 		l.guard.refuse()
 		abort(nc)
 	}
 }
 
+// openInTime adds a connection once those that make way for it are closed. It returns nil if there is no room.
+func (g *Guard) openInTime(nc net.Conn) *Conn {
+	c, mayTryAgain := g.open(nc)
+	if c != nil || !mayTryAgain {
+		return c
+	}
+	timeout := time.NewTimer(acceptWait)
+	defer timeout.Stop()
+	for c == nil && mayTryAgain {
+		select {
+		case <-g.freed:
+			c, mayTryAgain = g.open(nc)
+		case <-timeout.C:
+			return nil
+		}
+	}
+	return c
+}
+
 func (g *Guard) refuse() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
