instance: a late leader is listened to while others are asked

Cause: a proposer gave a control instance 400 ms, then closed the connection, with the command and all idle ones, and avoided that instance for 1 s. A leader that needs longer is then asked by nobody: followers name it, the name is ignored, and they are asked every 25 ms until the 900 ms of the operator's call are over, some 35 calls for each command.

Change: an attempt goes on while other control instances are asked, for 2 s if the peer's kernel has acknowledged the command (400 ms otherwise, as before). The error says what became of the attempts. No message is new; older builds take the longer timeout_ms as it is.

Ruled out: a longer time-out alone. A leader that is frozen would cost the whole call.

--- a/instance/conn.go
+++ b/instance/conn.go
@@ -134,8 +134,9 @@
 const stallChecks = 10
 
 // callWhileMoving runs f as call does, for as long as the peer acknowledges or sends bytes on the connection. It
-// returns errStalled if none has moved for the given time.
-func (pc *peerConn) callWhileMoving(ctx context.Context, stall time.Duration, f func(context.Context, wire.DRPCInstanceClient) error) error {
+// returns errStalled if none has moved for the time stall, or, while the peer's kernel has acknowledged all, for the time
+// limit.
+func (pc *peerConn) callWhileMoving(ctx context.Context, stall, limit time.Duration, f func(context.Context, wire.DRPCInstanceClient) error) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	pc.dialer.onDialed = func(c *net.TCPConn) { pc.tcp.Store(c) }
@@ -155,7 +156,7 @@
 			if now := movedBytes(pc.tcp.Load()); now != moved {
 				moved, at = now, time.Now()
 			}
-			if time.Since(at) >= stall {
+			if idle := time.Since(at); idle >= limit || idle >= stall && !isAcknowledged(pc.tcp.Load()) {
 				cancel(errStalled)
 				return
 			}
--- a/instance/consensus.go
+++ b/instance/consensus.go
@@ -168,7 +168,7 @@
 		case <-queue.wake:
 		}
 		for batch := queue.next(); len(batch) > 0; batch = queue.next() {
-			err := pc.callWhileMoving(ctx, stall, step(batch))
+			err := pc.callWhileMoving(ctx, stall, stall, step(batch))
 			if err == nil {
 				stall = minStall
 				continue
--- a/instance/proposer.go
+++ b/instance/proposer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -15,20 +16,8 @@
 // still be committed later.
 var ErrNoQuorum = errors.New("instance: no control instance could commit the command in time")
 
-const (
-	// proposeTimeout bounds one attempt, since the leader may be paused or unreachable. One that runs says within
-	// commitTimeout that the commit takes longer.
-	proposeTimeout = 400 * time.Millisecond
-	commitTimeout  = 300 * time.Millisecond
-	// proposeGrace is the last part of proposeTimeout, as in patientTimer.
-	proposeGrace = 100 * time.Millisecond
-	// proposeRetryDelay is the delay before another attempt. It doubles up to maxProposeRetryDelay while no leader is
-	// found, when the control instances may be busy with an election.
-	proposeRetryDelay    = 25 * time.Millisecond
-	maxProposeRetryDelay = 100 * time.Millisecond
-	// largeCommandBytes is the size from which on an attempt may take longer, as long as the command is on its way.
-	largeCommandBytes = 16 << 10
-)
+// maxProposeTimeout bounds the wait for a control instance whose kernel has acknowledged all of a command.
+const maxProposeTimeout = 2 * time.Second
 
 // Proposer proposes commands to the control instances. It resends a command until the command
 // is known to be applied, so commands must be idempotent. It is safe for concurrent use.
@@ -60,44 +49,60 @@
 	}
 }
 
-// Propose returns the result of the command, or ErrNoQuorum if ctx ends first.
+// attempt is the end of one attempt.
+type attempt struct {
+	address string
+	started time.Time
+	resp    *wire.ProposeResponse
+	err     error
+}
+
+// Propose returns the result of the command, or ErrNoQuorum if ctx ends first. A control instance that is late is still
+// listened to while others are asked.
 func (p *Proposer) Propose(ctx context.Context, c replica.Command) (replica.Result, error) {
 	data, err := c.Encode()
 	if err != nil {
 		return replica.Result{}, eris.Wrap(err, "instance: encode command")
 	}
-	fruitless := 0
-	for attempt := 0; ctx.Err() == nil; attempt++ {
-		address := p.pickTarget(attempt)
-		if address == "" {
-			sleep(ctx, proposeRetryDelay)
-			continue
-		}
-		started := time.Now()
-		resp, err := p.proposeOnce(ctx, address, data)
-		if err == nil && resp.Status == wire.ProposeResponse_STATUS_APPLIED {
-			p.setLeader(address)
-			return replica.DecodeResult(resp.Result)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ended := make(chan attempt)
+	a := newAttempts()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for turn := 0; ; {
+		select {
+		case <-ctx.Done():
+			return replica.Result{}, fmt.Errorf("%w (%s)", ErrNoQuorum, a.describe(time.Now()))
+		case e := <-ended:
+			if e.err == nil && e.resp.Status == wire.ProposeResponse_STATUS_APPLIED {
+				p.setLeader(e.address)
+				return replica.DecodeResult(e.resp.Result)
+			}
+			a.end(time.Now(), e.address, p.recordEnd(e, a.isOpen))
+		case <-timer.C:
 		}
-		p.setLeader("")
-		if err != nil {
-			p.recordFailure(address, started)
+		now := time.Now()
+		for _, address := range a.takeOverdue(now) {
+			p.recordLate(address, a.open[address])
 		}
-		if err == nil && resp.Leader != address && p.followHint(resp.Leader) {
-			continue
+		if !now.Before(a.next) {
+			if address := p.pickTarget(turn, a.isOpen); address != "" {
+				a.begin(now, address)
+				turn++
+				go func() {
+					resp, err := p.proposeOnce(ctx, address, data)
+					select {
+					case ended <- attempt{address: address, started: now, resp: resp, err: err}:
+					case <-ctx.Done():
+					}
+				}()
+			} else {
+				a.postpone(now)
+			}
 		}
-		if err == nil && resp.Status == wire.ProposeResponse_STATUS_TIMEOUT {
-			fruitless = 0
-		}
-		sleep(ctx, retryDelay(fruitless))
-		fruitless++
+		timer.Reset(time.Until(a.next))
 	}
-	return replica.Result{}, ErrNoQuorum
-}
-
-// retryDelay returns the delay after an attempt that has found no leader, like a number of attempts before it.
-func retryDelay(fruitless int) time.Duration {
-	return min(proposeRetryDelay<<min(fruitless, 8), maxProposeRetryDelay)
 }
 
 // proposeOnce makes one attempt. The leader adds a command to the log once, however often it is sent until then.
@@ -106,19 +111,11 @@
 	var resp *wire.ProposeResponse
 	propose := func(ctx context.Context, c wire.DRPCInstanceClient) error {
 		var err error
-		req := &wire.ProposeRequest{Command: data, TimeoutMs: uint64(commitTimeout.Milliseconds())}
+		req := &wire.ProposeRequest{Command: data, TimeoutMs: uint64(maxProposeTimeout.Milliseconds())}
 		resp, err = c.Propose(ctx, req)
 		return err
 	}
-	var err error
-	if len(data) >= largeCommandBytes {
-		err = pc.callWhileMoving(ctx, proposeTimeout, propose)
-	} else {
-		ctx, cancel := context.WithCancel(ctx)
-		defer cancel()
-		defer newPatientTimer(proposeTimeout, proposeGrace, cancel).Stop()
-		err = pc.call(ctx, propose)
-	}
+	err := pc.callWhileMoving(ctx, proposeTimeout, maxProposeTimeout, propose)
 	if err == nil {
 		p.putIdle(pc)
 		p.recordAnswer(address)
@@ -138,6 +135,37 @@
 	delete(p.avoided, address)
 }
 
+// recordEnd records an attempt that has ended without a result. It returns the control instance to ask next, which may be
+// asked already, or "".
+func (p *Proposer) recordEnd(e attempt, isAsked func(string) bool) string {
+	p.forgetLeader(e.address)
+	if e.err != nil {
+		p.recordFailure(e.address, e.started)
+		return ""
+	}
+	leader := e.resp.Leader
+	if leader == e.address || !isAsked(leader) && !p.followHint(leader) {
+		return ""
+	}
+	return leader
+}
+
+// recordLate records that a control instance has not answered an attempt in time.
+func (p *Proposer) recordLate(address string, started time.Time) {
+	p.forgetLeader(address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.avoidSilent(address, started)
+}
+
+// avoidSilent avoids a control instance if no response has arrived since an attempt that has taken too long. The caller
+// holds the lock.
+func (p *Proposer) avoidSilent(address string, started time.Time) {
+	if time.Since(started) >= proposeTimeout && p.lastAnswered[address].Before(started) {
+		p.avoided[address] = time.Now().Add(avoidDuration)
+	}
+}
+
 // recordFailure records an attempt without a response. It closes the idle connections to the
 // control instance: if a connection broke because the process behind it ended, the idle
 // connections are broken as well, even if the process has already restarted. The control instance
@@ -149,9 +177,7 @@
 		pc.close()
 	}
 	delete(p.idle, address)
-	if time.Since(started) >= proposeTimeout && p.lastAnswered[address].Before(started) {
-		p.avoided[address] = time.Now().Add(avoidDuration)
-	}
+	p.avoidSilent(address, started)
 }
 
 // followHint records the address that a control instance has named as the leader's, unless that
@@ -177,19 +203,34 @@
 }
 
 // pickTarget returns the leader if it is known. Otherwise it returns the control instances in turn,
-// but an avoided one only if all are avoided. It returns "" if none is known.
-func (p *Proposer) pickTarget(attempt int) string {
+// but an avoided one only if all are avoided. It returns "" if there is none that isn't asked already.
+func (p *Proposer) pickTarget(turn int, isAsked func(string) bool) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.leader != "" || len(p.voters) == 0 {
+	if p.leader != "" && !isAsked(p.leader) {
 		return p.leader
 	}
+	avoided := ""
 	for i := range p.voters {
-		if address := p.voters[(attempt+i)%len(p.voters)]; !p.isAvoided(address) {
+		address := p.voters[(turn+i)%len(p.voters)]
+		switch {
+		case isAsked(address):
+		case !p.isAvoided(address):
 			return address
+		case avoided == "":
+			avoided = address
 		}
 	}
-	return p.voters[attempt%len(p.voters)]
+	return avoided
+}
+
+// forgetLeader records that a control instance is not known to lead.
+func (p *Proposer) forgetLeader(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.leader == address {
+		p.leader = ""
+	}
 }
 
 func (p *Proposer) setLeader(address string) {
