mesh: changed servers are copied to heartbeats without sorting them

A first heartbeat with 200 servers took 0.30 ms and 115 KB of garbage.

Cause: the encoded servers were shared by all watchers, their order and the copies were not. Each start of 195 gateways, and each server that turns to another control instance, pays for that 195 times.

Change: the directory yields what has changed in the order of revisions, and heartbeats copy the encoded bytes. The message is the same but for the order of servers, which says nothing.

--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/list"
 	"errors"
+	"iter"
 	"slices"
 	"time"
 )
@@ -296,17 +297,32 @@
 	return 0
 }
 
+// ChangedSince yields the servers whose entries have a higher revision than the given one, in the order of their
+// revisions. What it yields must not be changed or retained.
+func (d *Directory) ChangedSince(revision uint64) iter.Seq[*Announcement] {
+	return func(yield func(*Announcement) bool) {
+		var first *list.Element
+		for el := d.changes.Back(); el != nil; el = el.Prev() {
+			d.visited++
+			if el.Value.(*entry).revision <= revision {
+				break
+			}
+			first = el
+		}
+		for el := first; el != nil; el = el.Next() {
+			if !yield(&el.Value.(*entry).announcement) {
+				return
+			}
+		}
+	}
+}
+
 // Since returns the announcements that changed after the given revision, ordered by ID. It visits only
 // these.
 func (d *Directory) Since(revision uint64) []Announcement {
 	var out []Announcement
-	for el := d.changes.Back(); el != nil; el = el.Prev() {
-		e := el.Value.(*entry)
-		d.visited++
-		if e.revision <= revision {
-			break
-		}
-		out = append(out, e.announcement)
+	for a := range d.ChangedSince(revision) {
+		out = append(out, *a)
 	}
 	slices.SortFunc(out, func(a, b Announcement) int { return cmp.Compare(a.ID, b.ID) })
 	return out
--- a/mesh/fanout_test.go
+++ b/mesh/fanout_test.go
@@ -363,3 +363,26 @@
 	is.True(m.Announce(now, a))
 	is.True(isWoken(wake, changed))
 }
+
+// Guards against control instances that spend their allowance on the first heartbeats of new watches: what all of them are
+// sent is encoded and put in order once.
+func TestFirstHeartbeatsCopyWhatIsEncoded(t *testing.T) {
+	is := is.New(t)
+	m := newTestMesh(t, "10.0.0.5:7")
+	for i := range 200 {
+		m.Announce(time.Now(), discovery.Announcement{ID: fmt.Sprintf("s%04d", i), Sequence: 1, Address: fmt.Sprint("10.1.0.", i), State: discovery.StateReady})
+	}
+	f, ok := m.NewWatchFeed(&wire.WatchRequest{Name: "g", NeedsNoUsage: true}).(*feed)
+	is.True(ok)
+	buf, err := f.Next(nil)
+	is.NoErr(err)
+	allocations := testing.AllocsPerRun(100, func() {
+		f.sentRevision = 0
+		buf, err = f.Next(buf[:0])
+	})
+	is.NoErr(err)
+	b := &wire.WatchBeat{}
+	is.NoErr(proto.Unmarshal(buf, b))
+	is.Equal(len(b.Servers), 200)
+	is.True(allocations <= 4)
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -176,7 +176,7 @@
 		reportedRelays:       make(map[string][]relay.Instance),
 		reportedDoubts:       make(map[string]reportedDoubts),
 		documentAge:          documentAge{confirmers: make(map[string]confirmer), lastConfirmed: make(map[string]time.Duration)},
-		shared:               sharedFragments{servers: make(map[string]serverFragment)},
+		shared:               sharedFragments{servers: make(map[string]*serverFragment)},
 		changed:              make(chan struct{}),
 		localUsage:           func() []Usage { return nil },
 		localDemand:          func() []RankDemand { return nil },
--- a/mesh/shared.go
+++ b/mesh/shared.go
@@ -20,7 +20,7 @@
 	// common holds the values that each heartbeat contains. It is nil when one of them has changed.
 	common []byte
 	// servers holds the encoded announcements by server.
-	servers map[string]serverFragment
+	servers map[string]*serverFragment
 	// usage holds the usage of all watchers as of usageAt, when its revision was usageRevision.
 	usage         []byte
 	usageAt       time.Time
@@ -76,16 +76,14 @@
 
 // appendServers appends the servers that have changed since the revision. The caller holds the lock.
 func (m *Mesh) appendServers(buf []byte, revision uint64) ([]byte, error) {
-	changed := m.directory.Since(revision)
-	for i := range changed {
-		a := &changed[i]
-		fragment, ok := m.shared.servers[a.ID]
-		if !ok || fragment.announcement != *a {
+	for a := range m.directory.ChangedSince(revision) {
+		fragment := m.shared.servers[a.ID]
+		if fragment == nil || fragment.announcement != *a {
 			encoded, err := proto.Marshal(&wire.WatchBeat{Servers: []*wire.AnnouncedServer{instance.AnnouncementToWire(*a)}})
 			if err != nil {
 				return nil, eris.Wrapf(err, "mesh: encode server %s", a.ID)
 			}
-			fragment = serverFragment{announcement: *a, encoded: encoded}
+			fragment = &serverFragment{announcement: *a, encoded: encoded}
 			m.shared.servers[a.ID] = fragment
 			m.feedWork.EncodedServers++
 		}
