mesh: gateways that take requests of others are listed once

Cause: relaysFor walked through the names of all watchers for each watcher, with a look-up each: in proportion to the square of the number of gateways, at a time when all of them report.

Change: the list of those that take requests is made anew only when a gateway begins or ceases to take some, or its address changes.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -142,6 +142,8 @@
 	gatewayCount gatewayCount
 	// watcherNames are the sorted keys of watcherReports, or nil if they have to be sorted anew.
 	watcherNames []string
+	// takers is what relayTakers returns, or nil if that has changed.
+	takers []*wire.RelayInstance
 	// withheld holds reports that servers are silent, by server, while this instance is connected to
 	// the control instance that receives the server's announcements.
 	withheld map[string]discovery.Announcement
--- a/mesh/relays.go
+++ b/mesh/relays.go
@@ -66,19 +66,16 @@
 	if needs == nil || !needs.relay.isNeeded {
 		return nil
 	}
-	m.rankOf(name) // sorts the names
+	takers := m.relayTakers()
 	var local, remote []*wire.RelayInstance
-	start := int(xxhash.Sum64String(name) % uint64(len(m.watcherNames)))
-	for i := range m.watcherNames {
-		other := m.watcherNames[(start+i)%len(m.watcherNames)]
-		r := m.watcherReports[other]
-		if other == name || r.relay.address == "" || r.servers.IsCutOff {
-			continue
-		}
-		taker := &wire.RelayInstance{Name: other, Address: r.relay.address, DataCentre: r.relay.dataCentre}
-		if r.relay.dataCentre == needs.relay.dataCentre {
+	start := int(xxhash.Sum64String(name) % uint64(max(1, len(takers))))
+	for i := range takers {
+		taker := takers[(start+i)%len(takers)]
+		switch {
+		case taker.Name == name:
+		case taker.DataCentre == needs.relay.dataCentre:
 			local = append(local, taker)
-		} else {
+		default:
 			remote = append(remote, taker)
 		}
 	}
@@ -86,6 +83,31 @@
 	return append(local, remote[:min(len(remote), maxRelays-len(local))]...)
 }
 
+// relayTakers returns the watchers that take requests of others, by name. The caller holds the lock.
+func (m *Mesh) relayTakers() []*wire.RelayInstance {
+	if m.takers != nil {
+		return m.takers
+	}
+	m.takers = make([]*wire.RelayInstance, 0, len(m.watcherReports))
+	for _, name := range slices.Sorted(maps.Keys(m.watcherReports)) {
+		if r := m.watcherReports[name]; r.takesRequests() {
+			m.takers = append(m.takers, &wire.RelayInstance{Name: name, Address: r.relay.address, DataCentre: r.relay.dataCentre})
+		}
+	}
+	return m.takers
+}
+
+// takesRequests reports whether the watcher takes requests of others.
+func (r *watcherReport) takesRequests() bool {
+	return r != nil && r.relay.address != "" && !r.servers.IsCutOff
+}
+
+// isSameTaker reports whether relayTakers has the same entry for two reports of a watcher, either of which may be nil.
+func isSameTaker(a, b *watcherReport) bool {
+	return a.takesRequests() == b.takesRequests() &&
+		(!a.takesRequests() || a.relay.address == b.relay.address && a.relay.dataCentre == b.relay.dataCentre)
+}
+
 func relaysFromWire(ws []*wire.RelayInstance) []relay.Instance {
 	out := make([]relay.Instance, 0, len(ws))
 	for _, w := range ws {
--- a/mesh/usage.go
+++ b/mesh/usage.go
@@ -113,6 +113,9 @@
 	if old == nil || u == nil || !old.hasSameUsage(u) {
 		m.usageRevision++
 	}
+	if !isSameTaker(old, u) {
+		m.takers = nil
+	}
 	if old != nil {
 		m.addToTotals(old.usage, -1)
 	}
