control, controller: operators read the document without an entry in the log

After 200 ms it also goes through the log, as before, and the first answer counts; so does a read under a leader of an older build, which confirms nothing.

Ruled out: reads under the leader's lease alone, which only the leader could answer.

--- a/control/host.go
+++ b/control/host.go
@@ -60,12 +60,13 @@
 	maxBeatsWhileSaving = 20
 )
 
-// input is a message, lost message, proposal or query for the host. Exactly one of these fields is set.
+// input is a message, lost message, proposal, query or read for the host. Exactly one of these fields is set.
 type input struct {
 	message  *consensus.Message
 	lost     *consensus.Message
 	proposal *proposal
 	query    func(*replica.State, *consensus.Node)
+	read     *read
 	// queuedAt is when a message was received, as bootclock.Now counts.
 	queuedAt time.Duration
 }
@@ -79,6 +80,7 @@
 	state      *replica.State
 	inputQueue *ring.Ring[input]
 	waiters    map[uint64]*waiter
+	reads      []*read
 	clock      clock
 	// now returns the time, as bootclock.Now counts.
 	now func() time.Duration
@@ -255,7 +257,11 @@
 	if err := h.raiseLevel(); err != nil {
 		h.log.Error(err, "the level of entries was not raised")
 	}
-	return h.process()
+	if err := h.process(); err != nil {
+		return err
+	}
+	h.answerReads()
+	return nil
 }
 
 // Receive queues a message from another replica. The message is dropped if the queue is full.
@@ -327,6 +333,8 @@
 		h.node.ReportLost(*in.lost)
 	case in.query != nil:
 		in.query(h.state, h.node)
+	case in.read != nil:
+		h.reads = append(h.reads, in.read)
 	case in.proposal != nil:
 		h.propose(in.proposal)
 	}
--- /dev/null
+++ b/control/reads_test.go
@@ -0,0 +1,108 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/balsamlb/balsamlb/replica"
+	"github.com/balsamlb/balsamlb/routing"
+)
+
+// publish proposes a document until it is acknowledged.
+func (g *quotaGroup) publish(version uint64) {
+	data, err := replica.Command{Publish: &replica.Publish{Version: version, Document: []byte{byte(version)}}}.Encode()
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	for began := g.now; ; {
+		g.awaitLeader(20 * time.Second)
+		p := &proposal{data: data, result: make(chan proposalResult, 1)}
+		leader := g.leader()
+		leader.inputQueue.Offer(input{proposal: p})
+		leader.wake()
+		for len(p.result) == 0 {
+			if g.run(quotaStep); g.now-began > 20*time.Second {
+				g.t.Fatalf("document %d is not acknowledged", version)
+			}
+		}
+		if r := <-p.result; r.err == nil {
+			return
+		}
+	}
+}
+
+// read begins a read at a process.
+func (p *quotaProcess) read() *read {
+	r := &read{ctx: p.g.t.Context(), began: p.g.now, result: make(chan routing.Publication, 1)}
+	p.queue(agreementCost, func() {
+		p.inputQueue.Offer(input{read: r})
+		p.wake()
+	})
+	return r
+}
+
+// Guards against reads that each add an entry to the log, which all control instances have to save, and that fail while a
+// throttled leader's commits are late.
+func TestReadsAddNothingToTheLog(t *testing.T) {
+	for name, load := range quotaLoads {
+		t.Run(name, func(t *testing.T) {
+			g := newQuotaGroup(t, 1, load)
+			g.awaitLeader(20 * time.Second)
+			var took []time.Duration
+			for version := uint64(1); version <= 30; version++ {
+				g.publish(version)
+				began, before := g.now, len(g.processes[0].stored.Entries)
+				var reads []*read
+				for _, p := range g.processes {
+					reads = append(reads, p.read())
+				}
+				for i, r := range reads {
+					for len(r.result) == 0 {
+						if g.run(quotaStep); g.now-began > 10*time.Second {
+							t.Fatalf("%s has not answered a read", g.processes[i].name)
+						}
+					}
+					if got := <-r.result; got.Version != version {
+						t.Fatalf("%s reads version %d after %d was acknowledged", g.processes[i].name, got.Version, version)
+					}
+				}
+				took = append(took, g.now-began)
+				if after := len(g.processes[0].stored.Entries); after > before+1 { // it may have lacked the document itself
+					t.Errorf("%d entries were added by reads", after-before)
+				}
+			}
+			slices.Sort(took)
+			t.Logf("the slowest of five reads: median %v, p90 %v", took[len(took)/2], took[len(took)*9/10])
+		})
+	}
+}
+
+// Guards against an instance that reads back an older document than was acknowledged, as others have replaced its leader.
+func TestReplicaThatIsCutOffAnswersNoRead(t *testing.T) {
+	g := newQuotaGroup(t, 1, quotaLoad{quota: quotaPeriod, sync: quotaStep})
+	g.awaitLeader(20 * time.Second)
+	g.publish(1)
+	old := g.leader()
+	g.run(time.Second)
+	old.frozenUntil = g.now + 3*time.Second
+	g.run(2 * time.Second)
+	g.publish(2)
+	r := old.read()
+	for _, p := range g.processes {
+		p.down = p != old // nobody tells it
+	}
+	g.run(5 * time.Second)
+	if len(r.result) > 0 {
+		t.Errorf("an instance without contact has read version %d", (<-r.result).Version)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	given := &read{ctx: ctx, began: g.now, result: make(chan routing.Publication, 1)}
+	old.reads = append(old.reads, given)
+	cancel()
+	old.answerReads()
+	if slices.Contains(old.reads, given) {
+		t.Error("a read that was given up is kept")
+	}
+}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,9 @@
 	statusInterval = 100 * time.Millisecond
 	// publishTimeout bounds a publication or a read; the operator tries another instance after 1 s.
 	publishTimeout = 900 * time.Millisecond
+	// confirmTime is how long a read waits for the replica's state to be confirmed before it goes through the log as well.
+	// In calm the leader's heartbeats confirm the state within it.
+	confirmTime = 200 * time.Millisecond
 	// pauseThreshold is the time between two checks above which the process counts as paused. The
 	// process must then receive announcements for a while before it marks servers as silent.
 	pauseThreshold = time.Second
@@ -92,11 +96,14 @@
 	routing atomic.Pointer[routing.Publication]
 	wake    chan struct{}
 	reads   *sharedReads
-	// lastRead and lastText are the document that was read last, and its text.
-	lastRead routing.Publication
-	lastText []byte
-	planner  *planner
-	saved    savedServers
+	// lastRead is the document that was read last, and its text.
+	lastRead struct {
+		sync.Mutex
+		publication routing.Publication
+		text        []byte
+	}
+	planner *planner
+	saved   savedServers
 	// age logs when the document's age exceeds the bound.
 	age mesh.AgeMonitor
 }
@@ -351,9 +358,8 @@
 	return routing.VerdictAccepted, nil
 }
 
-// Published returns the newest published routing document, or ErrNothingPublished. It proposes an
-// empty Publish command to the replicated log and returns the document from the command's result, so
-// the document is never stale. Callers share the text.
+// Published returns the newest published routing document, or ErrNothingPublished. The document is never stale. Callers
+// share the text.
 func (c *Controller) Published(ctx context.Context) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
@@ -362,24 +368,59 @@
 
 // readPublished reads the newest published routing document. Only reads uses it.
 func (c *Controller) readPublished() ([]byte, error) {
-	r, err := c.propose(context.Background(), replica.Publish{})
+	p, err := c.readNewest(context.Background())
 	if err != nil {
 		return nil, err
 	}
-	if r.Version == 0 {
+	if p.Version == 0 {
 		return nil, ErrNothingPublished
 	}
-	if p := c.lastRead; p.Version == r.Version && bytes.Equal(p.Bytes, r.Document) {
-		return c.lastText, nil // which answers may hold that nobody has read yet
+	c.lastRead.Lock()
+	defer c.lastRead.Unlock()
+	if last := c.lastRead.publication; last.Version == p.Version && bytes.Equal(last.Bytes, p.Bytes) {
+		return c.lastRead.text, nil // which answers may hold that nobody has read yet
 	}
-	p := routing.Publication{Version: r.Version, Bytes: r.Document}
 	text, err := c.options.Mesh.Decompress(p)
 	if err == nil {
-		c.lastRead, c.lastText = p, text
+		c.lastRead.publication, c.lastRead.text = p, text
 	}
 	return text, err
 }
 
+// readNewest reads the routing document from this instance's replica once its state is confirmed. If that takes longer than
+// confirmTime, it also proposes an empty Publish command, whose result holds the document.
+func (c *Controller) readNewest(ctx context.Context) (routing.Publication, error) {
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	confirmed := make(chan routing.Publication, 1)
+	go func() {
+		if p, err := c.options.Host.ReadRouting(ctx); err == nil {
+			confirmed <- p
+		}
+	}()
+	select {
+	case p := <-confirmed:
+		return p, nil
+	case <-time.After(confirmTime):
+	}
+	proposed := make(chan error, 1)
+	var r *replica.PublishResult
+	go func() {
+		var err error
+		r, err = c.propose(ctx, replica.Publish{})
+		proposed <- err
+	}()
+	select {
+	case p := <-confirmed:
+		return p, nil
+	case err := <-proposed:
+		if err != nil {
+			return routing.Publication{}, err
+		}
+		return routing.Publication{Version: r.Version, Bytes: r.Document}, nil
+	}
+}
+
 func (c *Controller) propose(ctx context.Context, p replica.Publish) (*replica.PublishResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
--- a/controller/reads_test.go
+++ b/controller/reads_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -54,3 +55,25 @@
 		finish <- true
 	})
 }
+
+// Guards against reads that wait for one that takes long, as under a late leader.
+func TestReadDoesNotWaitForASlowOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		slow := true
+		s := &sharedReads{read: func() ([]byte, error) {
+			if slow {
+				slow = false
+				time.Sleep(publishTimeout)
+			}
+			return nil, nil
+		}}
+		go func() { _, _ = s.get(t.Context()) }()
+		synctest.Wait()
+		asked := time.Now()
+		_, err := s.get(t.Context())
+		is.NoErr(err)
+		is.True(time.Since(asked) <= readInterval)
+		time.Sleep(publishTimeout)
+	})
+}
