--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,6 +70,8 @@
 	Orders Orders
 	// Dial opens connections to backend servers; nil means TCP.
 	Dial upstream.DialFunc
+	// Listen opens the listener for callers; nil means TCP.
+	Listen func(address string) (net.Listener, error)
 	// RelayAddress is where this gateway takes requests of others (IP:port); empty means that it takes none.
 	// Relayer passes requests on to others; nil means that none is passed on.
 	RelayAddress string
@@ -187,11 +189,11 @@
 // Run serves callers until ctx ends, and then completes the requests in flight within the grace
 // period.
 func (g *Gateway) Run(ctx context.Context) error {
-	listener, err := listen.TCP(g.options.ListenAddress)
+	listener, err := g.listen()
 	if err != nil {
 		return eris.Wrapf(err, "gateway: listen on %s", g.options.ListenAddress)
 	}
-	var callers net.Listener = listener
+	callers := listener
 	if g.options.Guard != nil {
 		callers = g.options.Guard.Listener(listener)
 	}
@@ -229,6 +231,13 @@
 	return eg.Wait()
 }
 
+func (g *Gateway) listen() (net.Listener, error) {
+	if g.options.Listen != nil {
+		return g.options.Listen(g.options.ListenAddress)
+	}
+	return listen.TCP(g.options.ListenAddress)
+}
+
 // followMesh replaces the view whenever the mesh changes.
 func (g *Gateway) followMesh(ctx context.Context) error {
 	for {
--- a/instance/conn.go
+++ b/instance/conn.go
@@ -48,6 +48,8 @@
 	onDialed func(*net.TCPConn)
 	// timeout is dialTimeout unless it is set.
 	timeout time.Duration
+	// openConn, unless it is nil, opens connections in place of TCP.
+	openConn func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // NewDialer returns a dialer for an instance that listens on the address (IP:port). certs is
@@ -60,9 +62,26 @@
 	return Dialer{local: ap.Addr().AsSlice(), certs: certs, traffic: traffic}, nil
 }
 
+// Over returns a dialer whose connections open opens in place of TCP.
+func (d Dialer) Over(open func(ctx context.Context, address string) (net.Conn, error)) Dialer {
+	d.openConn = open
+	return d
+}
+
+// dialConn opens a connection within the time for it.
+func (d Dialer) dialConn(ctx context.Context, address string) (net.Conn, error) {
+	timeout := cmp.Or(d.timeout, dialTimeout)
+	if d.openConn != nil {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		return d.openConn(ctx, address)
+	}
+	nd := net.Dialer{Timeout: timeout, LocalAddr: &net.TCPAddr{IP: d.local}}
+	return nd.DialContext(ctx, "tcp", address)
+}
+
 func (d Dialer) dial(ctx context.Context, address string) (net.Conn, error) {
-	nd := net.Dialer{Timeout: cmp.Or(d.timeout, dialTimeout), LocalAddr: &net.TCPAddr{IP: d.local}}
-	c, err := nd.DialContext(ctx, "tcp", address)
+	c, err := d.dialConn(ctx, address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "instance: dial %s", address)
 	}
--- a/internal/emulate/links.go
+++ b/internal/emulate/links.go
@@ -36,6 +36,8 @@
 // Links are the ways from one instance to backend servers, which can be broken by address. It is safe for
 // concurrent use.
 type Links struct {
+	dial func(ctx context.Context, address string) (net.Conn, error)
+
 	mu     sync.Mutex
 	faults map[string]LinkFault // by address, "" for all others
 	conns  map[*linkConn]struct{}
@@ -43,9 +45,17 @@
 	changed chan struct{}
 }
 
-// NewLinks returns links without faults.
+// NewLinks returns links without faults, over TCP.
 func NewLinks() *Links {
-	return &Links{faults: make(map[string]LinkFault), conns: make(map[*linkConn]struct{}), changed: make(chan struct{})}
+	return NewLinksOver(func(ctx context.Context, address string) (net.Conn, error) {
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", address)
+	})
+}
+
+// NewLinksOver returns links without faults whose connections dial opens.
+func NewLinksOver(dial func(ctx context.Context, address string) (net.Conn, error)) *Links {
+	return &Links{dial: dial, faults: make(map[string]LinkFault), conns: make(map[*linkConn]struct{}), changed: make(chan struct{})}
 }
 
 // Break sets the fault of the ways to some addresses, or, without addresses, of all.
@@ -116,8 +126,7 @@
 	if err := l.Reach(ctx, address); err != nil {
 		return nil, err
 	}
-	var d net.Dialer
-	nc, err := d.DialContext(ctx, "tcp", address)
+	nc, err := l.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -125,6 +134,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[c] = struct{}{}
+	if tcp, ok := nc.(*net.TCPConn); ok {
+		return &socketLinkConn{linkConn: c, tcp: tcp}, nil
+	}
 	return c, nil
 }
 
@@ -151,8 +163,20 @@
 	})
 }
 
+// socketLinkConn is a linkConn over a socket.
+type socketLinkConn struct {
+	*linkConn
+	tcp *net.TCPConn
+}
+
 // SyscallConn gives access to the socket, as for other TCP connections.
-func (c *linkConn) SyscallConn() (syscall.RawConn, error) { return c.Conn.(*net.TCPConn).SyscallConn() }
+func (c *socketLinkConn) SyscallConn() (syscall.RawConn, error) { return c.tcp.SyscallConn() }
+
+// IsQuiet reports whether a connection of a Network is open and nothing that was received is unread.
+func (c *linkConn) IsQuiet() bool {
+	q, ok := c.Conn.(interface{ IsQuiet() bool })
+	return ok && q.IsQuiet()
+}
 
 // Close closes the connection.
 func (c *linkConn) Close() error {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -93,6 +93,10 @@
 	return err
 }
 
+// quietConn is a connection without a socket, as that of a network in memory, which knows itself whether it is open
+// and has no unread bytes.
+type quietConn interface{ IsQuiet() bool }
+
 // isIdle reports whether an idle connection is still open and has no unread bytes. Unread bytes on
 // an idle connection belong to no request.
 func (c *conn) isIdle() bool {
@@ -101,7 +105,8 @@
 	}
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		q, ok := c.Conn.(quietConn)
+		return !ok || q.IsQuiet()
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bufio"
 	"net"
 	"testing"
 	"time"
@@ -27,6 +28,29 @@
 	is.True(isClosedByPeer(latePeer)) // became idle after the client was closed
 }
 
+// Guards against requests that are written to a connection without a socket that has ended while it was idle.
+func TestConnectionWithoutSocketThatHasEndedIsNotReused(t *testing.T) {
+	is := is.New(t)
+	p := pool{idle: make(map[string][]*conn)}
+	start := time.Unix(100, 0)
+	for _, hasEnded := range []bool{true, false} {
+		near, far := net.Pipe()
+		defer far.Close()
+		c := &conn{Conn: quietness{near, !hasEnded}, server: "s", reader: bufio.NewReader(near), usableUntil: start.Add(time.Second)}
+		p.put(start, c)
+		is.Equal(p.take(start, "s") == c, !hasEnded)
+		is.Equal(isClosedByPeer(far), hasEnded)
+	}
+}
+
+// quietness is a connection that says whether it is quiet.
+type quietness struct {
+	net.Conn
+	isQuiet bool
+}
+
+func (c quietness) IsQuiet() bool { return c.isQuiet }
+
 func idleConn(server string, usableUntil time.Time) (c *conn, peer net.Conn) {
 	near, far := net.Pipe()
 	return &conn{Conn: near, server: server, usableUntil: usableUntil}, far
