gateway: gateways that are cut off are played in virtual time

Cause: the test. Seven gateways, a control instance and twelve servers ran in real time, and the limits of the product (relayWait, orderTimeout, the links' samples) are in real time, too. A process that gets no processor time for as long takes its peers for silent.

Ruled out: a fault of the product. Also ruled out: fewer cases at a time, which failed beside 16 busy loops.

Now each case runs in a synctest bubble over emulate.Network. Checks, bounds and cases are as they were; the bound of three cases at a time is gone, as virtual time needs none. The other tests of the cluster stay at the loopback interface.

Not covered by virtual time: the age of documents, which mesh reads from bootclock; the control instance of these tests confirms none. The network has no latency.

--- a/gateway/cluster_test.go
+++ b/gateway/cluster_test.go
@@ -122,7 +122,11 @@
 
 func newClusterMesh(t *testing.T, name, control string, seeds ...string) *mesh.Mesh {
 	t.Helper()
-	dialer := newDialer(t)
+	return newMeshOver(t, newDialer(t), name, control, seeds...)
+}
+
+func newMeshOver(t *testing.T, dialer instance.Dialer, name, control string, seeds ...string) *mesh.Mesh {
+	t.Helper()
 	m, err := mesh.New(mesh.Options{
 		Name: name, DataCentre: "a", ControlAddress: control, Seeds: seeds, Dialer: dialer, Decode: platform.DecodeDocument, Log: logr.Discard(),
 	})
--- a/gateway/cut_off_test.go
+++ b/gateway/cut_off_test.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/balsamlb/balsamlb/internal/emulate"
@@ -76,7 +76,8 @@
 }
 
 func (l *cutLoad) sendTo(g *silentGateway) {
-	transport := &http.Transport{MaxIdleConnsPerHost: 32}
+	transport := l.network.newTransport()
+	transport.MaxIdleConnsPerHost = 32
 	defer transport.CloseIdleConnections()
 	paths := []string{"/advice/1", "/advice/2", "/check/1", "/advice/3", "/hold/1"}
 	var requests sync.WaitGroup
@@ -148,7 +149,7 @@
 // playCut cuts some of seven gateways off from all servers and returns the load that was sent from
 // contactTime after that.
 func playCut(t *testing.T, fault emulate.LinkFault, cut int) (l *cutLoad, shares map[string]float64) {
-	c := newSilentCluster(t, 7, ampleRetries)
+	c := newVirtualCluster(t, 7, ampleRetries)
 	c.fleet.closesConns = fault == emulate.LinkRefusesNew // so that new connections are needed
 	c.fleet.addCopies(3)
 	for range 3 {
@@ -166,23 +167,20 @@
 	return l, l.end()
 }
 
-// cutsAtATime bounds the cases that are played at the same time. Each runs seven gateways, whose limits are in real time.
-const cutsAtATime = 3
-
 // Guards against the incident RECOVER: gateways that are cut off from all servers report these, so that the others'
-// callers are refused, and refuse their own callers.
+// callers are refused, and refuse their own callers. It is played in virtual time, since a gateway that gets no
+// processor time for as long as its limits takes itself or the servers for cut off.
 func TestCallersAreServedThoughGatewaysAreCutOff(t *testing.T) {
-	turns := make(chan struct{}, cutsAtATime)
 	for _, fault := range linkFaults {
 		for _, cut := range []int{2, 3, 5} {
 			t.Run(fmt.Sprint(fault, ", ", cut, " of 7"), func(t *testing.T) {
 				t.Parallel()
-				turns <- struct{}{}
-				t.Cleanup(func() { <-turns })
-				l, shares := playCut(t, fault, cut)
-				l.check(shares, l.gateways[cut:], "not cut off")
-				l.check(shares, l.gateways[:cut], "cut off")
-				l.checkNoQuarantine()
+				synctest.Test(t, func(t *testing.T) {
+					l, shares := playCut(t, fault, cut)
+					l.check(shares, l.gateways[cut:], "not cut off")
+					l.check(shares, l.gateways[:cut], "cut off")
+					l.checkNoQuarantine()
+				})
 			})
 		}
 	}
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -252,7 +252,7 @@
 
 // reset aborts a connection with a TCP reset, without a response.
 func reset(c net.Conn, _ *http.Request) {
-	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.(interface{ SetLinger(seconds int) error }).SetLinger(0)
 	_ = c.Close()
 }
 
--- a/gateway/silence_cluster_test.go
+++ b/gateway/silence_cluster_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -66,6 +65,7 @@
 // callers at their own listeners.
 type silentCluster struct {
 	t        *testing.T
+	network  network
 	fleet    *silenceFleet
 	limits   retryLimits
 	address  string // of the control instance
@@ -110,13 +110,29 @@
 
 func newSilentCluster(t *testing.T, gateways int, limits retryLimits) *silentCluster {
 	t.Helper()
-	c := &silentCluster{t: t, fleet: newSilenceFleet(t), limits: limits, version: 6, sent: make(map[string][]time.Time)}
-	l, err := net.Listen("tcp", c.fleet.ip+":0")
+	return newSilentClusterIn(t, network{}, gateways, limits)
+}
+
+// newVirtualCluster returns a cluster in a network in memory, for a test that runs in a synctest bubble. Its control
+// instance says nothing about the age of documents, which goes by the machine's clock (bootclock).
+func newVirtualCluster(t *testing.T, gateways int, limits retryLimits) *silentCluster {
+	t.Helper()
+	t.Cleanup(func() { time.Sleep(connsExpire) }) // no goroutine may outlast the bubble
+	return newSilentClusterIn(t, network{emulate.NewNetwork()}, gateways, limits)
+}
+
+// connsExpire is longer than idle connections between gateways are kept.
+const connsExpire = 10 * time.Second
+
+func newSilentClusterIn(t *testing.T, n network, gateways int, limits retryLimits) *silentCluster {
+	t.Helper()
+	c := &silentCluster{t: t, network: n, fleet: newSilenceFleet(t, n), limits: limits, version: 6, sent: make(map[string][]time.Time)}
+	l, err := n.listen(c.fleet.ip + ":0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	c.address = l.Addr().String()
-	c.control = newClusterMesh(t, "control", c.address)
+	c.control = newMeshOver(t, n.dialer(t), "control", c.address)
 	c.publish(usualRouting)
 	server := instance.NewServer(nil, nil)
 	server.SetWatchSource(c.control)
@@ -142,7 +158,7 @@
 	c.fleet.mu.Unlock()
 	ip := newLoopback() // nothing else takes its ports, so that gateways can be restarted
 	for i := range gateways {
-		g := &silentGateway{cluster: c, name: fmt.Sprint("g", i), address: fmt.Sprintf("%s:%d", ip, 8080+i), relayAddress: fmt.Sprintf("%s:%d", ip, 9080+i), links: emulate.NewLinks()}
+		g := &silentGateway{cluster: c, name: fmt.Sprint("g", i), address: fmt.Sprintf("%s:%d", ip, 8080+i), relayAddress: fmt.Sprintf("%s:%d", ip, 9080+i), links: n.links()}
 		c.gateways = append(c.gateways, g)
 		g.start()
 		t.Cleanup(g.stop)
@@ -166,11 +182,11 @@
 func (g *silentGateway) start() {
 	c := g.cluster
 	g.log.add("", startMark)
-	g.mesh = newClusterMesh(c.t, g.name, "", c.address)
+	g.mesh = newMeshOver(c.t, c.network.dialer(c.t), g.name, "", c.address)
 	g.gateway = gateway.New(gateway.Options{
 		Name: g.name, DataCentre: "a", ListenAddress: g.address, GracePeriod: shutdownGrace, Mesh: g.mesh,
 		ShutdownDelay: 100 * time.Millisecond, HeaderCodec: platform.HeaderCodec{}, Orders: linkedOrders{c.fleet, g.links}, Identify: linkedOrders{c.fleet, g.links}.identify, Registry: prometheus.NewRegistry(),
-		Dial: g.links.Dial, RelayAddress: g.relayAddress, Relayer: instance.NewRelayer(newDialer(c.t)), RetryRatio: c.limits.ratio, RetryReserve: c.limits.reserve, RetryWindow: retryWindow, Log: funcr.New(g.log.add, funcr.Options{LogTimestamp: true, TimestampFormat: clockFormat}),
+		Dial: g.links.Dial, Listen: c.network.listenForCallers(), RelayAddress: g.relayAddress, Relayer: instance.NewRelayer(c.network.dialer(c.t)), RetryRatio: c.limits.ratio, RetryReserve: c.limits.reserve, RetryWindow: retryWindow, Log: funcr.New(g.log.add, funcr.Options{LogTimestamp: true, TimestampFormat: clockFormat}),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -187,7 +203,7 @@
 
 // startRelays makes the gateway take requests of others.
 func (g *silentGateway) startRelays() {
-	l, err := net.Listen("tcp", g.relayAddress)
+	l, err := g.cluster.network.listen(g.relayAddress)
 	if err != nil {
 		g.cluster.t.Errorf("%s: %v", g.name, err)
 		return
@@ -240,7 +256,7 @@
 					return false
 				}
 			}
-			conn, err := net.Dial("tcp", g.address)
+			conn, err := c.network.dial(c.t.Context(), g.address)
 			if err == nil {
 				_ = conn.Close()
 			}
@@ -301,7 +317,7 @@
 
 // send sends one request on a connection of its own. deadline bounds the caller's wait.
 func (g *silentGateway) send(path string, deadline time.Duration, header ...string) silentReply {
-	transport := &http.Transport{}
+	transport := g.cluster.network.newTransport()
 	defer transport.CloseIdleConnections()
 	return g.sendOver(transport, path, fmt.Sprint("body ", g.cluster.requests.Load()), deadline, header...)
 }
--- a/gateway/silence_fleet_test.go
+++ b/gateway/silence_fleet_test.go
@@ -47,6 +47,7 @@
 // running. It also implements gateway.Orders. It is safe for concurrent use.
 type silenceFleet struct {
 	t        *testing.T
+	network  network
 	ip       string
 	announce func(discovery.Announcement)
 	ctx      context.Context
@@ -83,7 +84,7 @@
 	silence     silence
 	until       time.Time
 	spokeAt     time.Time
-	listener    *net.TCPListener
+	listener    net.Listener
 	// spoke is closed when the silence or the incarnation ends.
 	spoke chan struct{}
 	conns map[net.Conn]struct{}
@@ -119,10 +120,10 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, n/250, 1+n%250)
 }
 
-func newSilenceFleet(t *testing.T) *silenceFleet {
+func newSilenceFleet(t *testing.T, n network) *silenceFleet {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &silenceFleet{
-		t: t, ip: newLoopback(), ctx: ctx, crashed: make(map[string]bool),
+		t: t, network: n, ip: newLoopback(), ctx: ctx, crashed: make(map[string]bool),
 		announce: func(discovery.Announcement) {}, onProgress: func(*silentRun) {},
 	}
 	var group sync.WaitGroup
@@ -164,7 +165,7 @@
 // add starts a server. For a plain service, to is 0.
 func (f *silenceFleet) add(service string, from, to int) *silentlyServer {
 	f.t.Helper()
-	l, err := net.Listen("tcp", f.ip+":0")
+	l, err := f.network.listen(f.ip + ":0")
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -172,7 +173,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.servers = append(f.servers, s)
-	s.start(l.(*net.TCPListener))
+	s.start(l)
 	return s
 }
 
@@ -185,7 +186,7 @@
 }
 
 // start begins a new incarnation. The caller holds the fleet's lock.
-func (s *silentlyServer) start(l *net.TCPListener) {
+func (s *silentlyServer) start(l net.Listener) {
 	s.fleet.starts++
 	s.id, s.born, s.sequence = fmt.Sprintf("s%d", s.fleet.starts), s.fleet.starts, 0
 	s.isUp, s.silence, s.listener = true, speaking, l
@@ -193,7 +194,7 @@
 	go s.accept(l)
 }
 
-func (s *silentlyServer) accept(l *net.TCPListener) {
+func (s *silentlyServer) accept(l net.Listener) {
 	for {
 		c, err := l.Accept()
 		var timeout net.Error
@@ -253,12 +254,12 @@
 	if f.ctx.Err() != nil {
 		return
 	}
-	l, err := net.Listen("tcp", s.address)
+	l, err := f.network.listen(s.address)
 	if err != nil {
 		f.t.Errorf("restart %s: %v", s.address, err)
 		return
 	}
-	s.start(l.(*net.TCPListener))
+	s.start(l)
 }
 
 // fallSilent makes the server silent for a time. A server that is already silent goes on when the
@@ -289,7 +290,7 @@
 // stopAccepting fills the listener's queue, so that the kernel drops further connections.
 func (s *silentlyServer) stopAccepting() {
 	s.isStopped = true
-	_ = s.listener.SetDeadline(time.Unix(1, 0))
+	_ = s.socket().SetDeadline(time.Unix(1, 0))
 	s.setBacklog(0)
 	for range 4 {
 		c, err := net.DialTimeout("tcp", s.address, 5*time.Millisecond)
@@ -300,8 +301,11 @@
 	}
 }
 
+// socket returns the listener of a server on the machine's loopback interface; only there can a link be silent.
+func (s *silentlyServer) socket() *net.TCPListener { return s.listener.(*net.TCPListener) }
+
 func (s *silentlyServer) setBacklog(n int) {
-	raw, err := s.listener.SyscallConn()
+	raw, err := s.socket().SyscallConn()
 	if err == nil {
 		err = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), n) })
 	}
@@ -317,7 +321,7 @@
 	}
 	if s.isStopped && s.isUp {
 		s.setBacklog(128)
-		_ = s.listener.SetDeadline(time.Time{})
+		_ = s.socket().SetDeadline(time.Time{})
 	}
 	s.fill, s.isStopped = nil, false
 	s.silence, s.spokeAt = speaking, time.Now()
