control: a read by proposal takes no result of an earlier entry

Cause: a proposal with the same bytes as an entry that waits for its commit takes the result of that entry. Reads have equal bytes. A leader that stood still, or whose answers are late, may hold the entry of an earlier read that its successor has committed already, with newer documents after it. A read that began after these were acknowledged then showed the older document, once the entry was applied there.

Ruled out: joining only while this replica leads, since a commit by late answers of its own term has the same effect; joining under a lease, which would rest on clocks that the pass has read before.

Hosts that are called directly had the fault.

Now a read (an empty Publish, or a Begin that only looks) always gets an entry of its own. Other commands join as before.

Evidence: TestReadDoesNotTakeTheResultOfAnEarlierOne failed before with "a read that began after document 2 was acknowledged shows document 1", and passes now. go test -race of it, TestCommandSentAgainBeforeItsCommitIsAddedOnce and TestReadsAreRecognized passes.

--- a/control/propose.go
+++ b/control/propose.go
@@ -71,10 +71,14 @@
 }
 
 // uncommitted returns the entry with the same command that waits for its commit, or nil. A proposer that sends a
-// command again waits for that entry, instead of adding another one to a log that is slow already.
+// command again waits for that entry, instead of adding another one to a log that is slow already. There is none for a
+// read: a newer leader may have committed the entry already, and after it what the read must show.
 func (h *Host) uncommitted(data []byte) *waiter {
 	for _, w := range h.waiters {
 		if len(w.proposals) < maxProposals && bytes.Equal(w.data, data) {
+			if replica.IsRead(data) {
+				return nil
+			}
 			return w
 		}
 	}
--- a/control/reads_test.go
+++ b/control/reads_test.go
@@ -1,11 +1,13 @@
 package control
 
 import (
+	"bytes"
 	"context"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/balsamlb/balsamlb/consensus"
 	"github.com/balsamlb/balsamlb/replica"
 	"github.com/balsamlb/balsamlb/routing"
 )
@@ -106,3 +108,50 @@
 		t.Error("a read that was given up is kept")
 	}
 }
+
+// propose proposes a command at the process.
+func (p *quotaProcess) propose(c replica.Command) *proposal {
+	data, err := c.Encode()
+	if err != nil {
+		p.g.t.Fatal(err)
+	}
+	proposed := &proposal{data: data, result: make(chan proposalResult, 1)}
+	p.inputQueue.Offer(input{proposal: proposed})
+	p.wake()
+	return proposed
+}
+
+// Pattern: a leader freezes after it has sent the entry of a read to others, which then replace it. Guards against a later
+// read there that takes the result of that entry: it may have been committed before what the later read must show.
+func TestReadDoesNotTakeTheResultOfAnEarlierOne(t *testing.T) {
+	g := newQuotaGroup(t, 1, quotaLoad{quota: quotaPeriod, sync: quotaStep})
+	g.awaitLeader(20 * time.Second)
+	g.publish(1)
+	old := g.leader()
+	read := replica.Command{Publish: &replica.Publish{}}
+	earlier := old.propose(read)
+	isSent := func() bool {
+		return slices.ContainsFunc(g.processes, func(p *quotaProcess) bool {
+			return p != old && slices.ContainsFunc(p.stored.Entries, func(e consensus.Entry) bool { return bytes.Equal(e.Data, earlier.data) })
+		})
+	}
+	for began := g.now; !isSent(); g.run(quotaStep) {
+		if g.now-began > time.Second {
+			t.Fatal("the entry of the earlier read was not sent")
+		}
+	}
+	old.frozenUntil = g.now + 3*time.Second
+	g.run(2 * time.Second)
+	if len(earlier.result) > 0 {
+		t.Fatal("the earlier read was answered before the leader froze")
+	}
+	g.publish(2)
+	later := old.propose(read)
+	g.run(3 * time.Second)
+	if len(later.result) == 0 {
+		t.Fatal("the later read is neither answered nor refused")
+	}
+	if r := <-later.result; r.err == nil && r.result.Publish.Version < 2 {
+		t.Errorf("a read that began after document 2 was acknowledged shows document %d", r.result.Publish.Version)
+	}
+}
--- a/replica/command.go
+++ b/replica/command.go
@@ -67,6 +67,12 @@
 	return c, nil
 }
 
+// IsRead reports whether the encoded command changes nothing, and is proposed for its result only.
+func IsRead(data []byte) bool {
+	c, err := Decode(data)
+	return err == nil && (c.Publish != nil && c.Publish.Version == 0 || c.Begin != nil && c.Begin.LookupOnly)
+}
+
 // AddTimestamp returns the encoded command with the timestamp added. The leader calls it for each
 // command before it appends the command to the log.
 func AddTimestamp(data []byte, t Timestamp) ([]byte, error) {
--- a/replica/command_test.go
+++ b/replica/command_test.go
@@ -32,3 +32,23 @@
 	_, err = AddTimestamp([]byte{0xff}, stamp)
 	is.True(err != nil)
 }
+
+func TestReadsAreRecognized(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		command Command
+		isRead  bool
+	}{
+		{Command{Publish: &Publish{}}, true},
+		{Command{Begin: &ledger.Begin{LookupOnly: true}}, true},
+		{Command{Publish: &Publish{Version: 1}}, false},
+		{Command{Begin: &ledger.Begin{}}, false},
+		{Command{Drain: &Drain{Server: "s"}}, false},
+		{Command{}, false},
+	} {
+		data, err := c.command.Encode()
+		is.NoErr(err)
+		is.Equal(IsRead(data), c.isRead)
+	}
+	is.True(!IsRead([]byte{0xff}))
+}
