control, daemon: a command that is sent again is recognized though its timestamp differs

Cause: a command that is sent again waits for the entry with the same bytes. But the daemon adds its time to each command, and to a change of the configuration also when it came, before the host compares. So no two attempts were ever equal, and each one was an entry of its own: what was to end, and what the comment of Proposer.proposeOnce says doesn't happen. The test there proposes to the host itself.

Ruled out: repetitions with an effect, since ledger, credits, documents and changes recognize them. Drains don't (a repetition that is added after the drain was ended begins it anew), and this change makes that rarer only for attempts at the same leader.

Now the host is told the command as it was sent, and compares that. The entry keeps the time of the first attempt.

--- a/control/propose.go
+++ b/control/propose.go
@@ -11,10 +11,20 @@
 
 // proposal is a command whose proposer waits for the result.
 type proposal struct {
-	data   []byte
+	data []byte
+	// sent is the command as its proposer has sent it, or nil if that is data.
+	sent   []byte
 	result chan proposalResult
 }
 
+// identity returns what is equal if the command is sent again.
+func (p *proposal) identity() []byte {
+	if p.sent != nil {
+		return p.sent
+	}
+	return p.data
+}
+
 type proposalResult struct {
 	result replica.Result
 	err    error
@@ -24,7 +34,7 @@
 // bounds the number of waiters.
 type waiter struct {
 	term      uint64
-	data      []byte
+	identity  []byte
 	proposals []*proposal
 }
 
@@ -38,7 +48,13 @@
 // but consensus.ErrBusy the command may still be applied, even after consensus.ErrNotLeader, which
 // pending proposals also receive when this replica loses the leadership.
 func (h *Host) Propose(ctx context.Context, data []byte) (replica.Result, error) {
-	p := &proposal{data: data, result: make(chan proposalResult, 1)}
+	return h.ProposePrepared(ctx, nil, data)
+}
+
+// ProposePrepared is Propose for a command to which this instance has added something, such as a timestamp. sent is the
+// command as it came, by which it is recognized if it is sent again.
+func (h *Host) ProposePrepared(ctx context.Context, sent, data []byte) (replica.Result, error) {
+	p := &proposal{data: data, sent: sent, result: make(chan proposalResult, 1)}
 	if err := h.inputQueue.Push(ctx, input{proposal: p}); err != nil {
 		return replica.Result{}, eris.Wrap(err, "control: queue proposal")
 	}
@@ -58,7 +74,7 @@
 		p.result <- proposalResult{err: err}
 		return
 	}
-	if w := h.uncommitted(p.data); w != nil {
+	if w := h.uncommitted(p.identity()); w != nil {
 		w.proposals = append(w.proposals, p)
 		return
 	}
@@ -67,16 +83,16 @@
 		p.result <- proposalResult{err: err}
 		return
 	}
-	h.waiters[index] = &waiter{term: term, data: p.data, proposals: []*proposal{p}}
+	h.waiters[index] = &waiter{term: term, identity: p.identity(), proposals: []*proposal{p}}
 }
 
 // uncommitted returns the entry with the same command that waits for its commit, or nil. A proposer that sends a
 // command again waits for that entry, instead of adding another one to a log that is slow already. There is none for a
 // read: a newer leader may have committed the entry already, and after it what the read must show.
-func (h *Host) uncommitted(data []byte) *waiter {
+func (h *Host) uncommitted(identity []byte) *waiter {
 	for _, w := range h.waiters {
-		if len(w.proposals) < maxProposals && bytes.Equal(w.data, data) {
-			if replica.IsRead(data) {
+		if len(w.proposals) < maxProposals && bytes.Equal(w.identity, identity) {
+			if replica.IsRead(identity) {
 				return nil
 			}
 			return w
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -301,14 +301,14 @@
 
 // Propose checks the command, adds a timestamp and proposes it.
 func (r *hostReplica) Propose(ctx context.Context, data []byte) (replica.Result, error) {
-	data, refusal, err := r.timestamps.prepare(data)
+	prepared, refusal, err := r.timestamps.prepare(data)
 	if err != nil {
 		return replica.Result{}, err
 	}
 	if refusal != nil {
 		return r.refuse(ctx, refusal)
 	}
-	return r.Host.Propose(ctx, data)
+	return r.Host.ProposePrepared(ctx, data, prepared)
 }
 
 // refuse returns the refusal of a configuration that this instance can't read. If this instance is
