control: reads of both kinds are played while processes halt, end and hang

The tests of confirmed reads had one history with a halt, and none with restarts and disks that hang. The new one asks random instances, by confirmation and by proposal, and compares with what was acknowledged when the read began.

--- a/control/reads_test.go
+++ b/control/reads_test.go
@@ -155,3 +155,80 @@
 		t.Errorf("a read that began after document 2 was acknowledged shows document %d", r.result.Publish.Version)
 	}
 }
+
+// Pattern: processes halt, end and start again, and disks hang, in turn. Guards against reads, of either kind and at any
+// instance, that show an older document than was acknowledged when they began.
+func TestReadsAreNeverStale(t *testing.T) {
+	names := []string{"c-0", "c-1", "c-2", "c-3", "c-4"}
+	empty := replica.Command{Publish: &replica.Publish{}}
+	type pending struct {
+		atLeast    uint64
+		began      time.Duration
+		confirmed  *read
+		proposed   *proposal
+		isProposal bool
+	}
+	answered := map[bool]int{}
+	for seed := range uint64(8) {
+		g := newQuotaGroup(t, seed, quotaLoad{quota: quotaPeriod, sync: 5 * quotaStep})
+		g.awaitLeader(20 * time.Second)
+		var acked, version uint64
+		var publishing *proposal
+		var publishedAt time.Duration
+		var reads []pending
+		for end := g.now + 30*time.Second; g.now < end; g.run(quotaStep) {
+			p := g.processes[g.rng.IntN(len(g.processes))]
+			switch g.rng.IntN(400) {
+			case 0:
+				p.frozenUntil = g.now + time.Duration(g.rng.IntN(1000))*time.Millisecond
+			case 1:
+				p.syncUntil = g.now + time.Duration(g.rng.IntN(600))*time.Millisecond
+			case 2:
+				if !slices.ContainsFunc(g.processes, func(p *quotaProcess) bool { return p.down }) {
+					p.down, p.jobs = true, nil
+					g.at(g.now+time.Duration(g.rng.IntN(1000))*time.Millisecond, func() { p.start(names) })
+				}
+			}
+			switch {
+			case publishing == nil:
+				version++
+				fallthrough
+			case g.now-publishedAt > 500*time.Millisecond:
+				if !p.down {
+					publishing, publishedAt = p.propose(replica.Command{Publish: &replica.Publish{Version: version, Document: []byte{1}}}), g.now
+				}
+			case len(publishing.result) > 0:
+				if r := <-publishing.result; r.err == nil {
+					acked, publishing = version, nil
+				} else {
+					publishedAt = 0
+				}
+			}
+			if p = g.processes[g.rng.IntN(len(g.processes))]; !p.down && g.rng.IntN(10) == 0 {
+				reads = append(reads, pending{atLeast: acked, began: g.now, confirmed: p.read()}, pending{atLeast: acked, began: g.now, proposed: p.propose(empty), isProposal: true})
+			}
+			reads = slices.DeleteFunc(reads, func(r pending) bool {
+				var got uint64
+				switch {
+				case r.confirmed != nil && len(r.confirmed.result) > 0:
+					got = (<-r.confirmed.result).Version
+				case r.proposed != nil && len(r.proposed.result) > 0:
+					result := <-r.proposed.result
+					if result.err != nil {
+						return true
+					}
+					got = result.result.Publish.Version
+				default:
+					return g.now-r.began > 5*time.Second
+				}
+				answered[r.isProposal]++
+				if got < r.atLeast {
+					t.Errorf("seed %d: a read that began when %d was acknowledged shows %d (by proposal: %v)", seed, r.atLeast, got, r.isProposal)
+				}
+				return true
+			})
+		}
+		t.Logf("seed %d: %d documents acknowledged", seed, acked)
+	}
+	t.Logf("answered by confirmation %d, by proposal %d", answered[false], answered[true])
+}
