mesh: parts of documents that nobody completes make way for one that is in reach

Cause: parts of two documents are kept, and the newest stay. If the control instances that have these are lost while they are fetched, and one that lags has a document between them and the one in force, each fetch from it ended with errTooManyDocuments, until there was a newer version. The gateway kept a document older than what it could reach. Before such a fetch asked for its first part without end.

Ruled out: keeping parts of more documents (maxPartials), which only needs more losses; dropping parts by age, since a slow link is no loss.

Now the oldest parts make way if no other fetch makes progress (delivery.Plan.IsOtherMoving). While one does, the fetch ends as before.

Evidence: TestPartsThatNobodyCompletesMakeWay failed before with "parts of newer documents take the place of those of this one: version 3", and passes now. go test -race of TestParts*, TestDocument* and TestChangeOf* in mesh, and of delivery, passes.

--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -77,6 +77,16 @@
 	return s.isInFlight() && s.fetch.lastProgress.Add(NoProgressTime).After(now)
 }
 
+// IsOtherMoving reports whether a fetch from another peer than that one is in flight and makes progress.
+func (p *Plan) IsOtherMoving(now time.Time, address string) bool {
+	for _, s := range p.peers {
+		if s.address != address && s.isMoving(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Step is what to do now. A peer in Ask or Cancel counts as asked until Ended is called for it.
 type Step struct {
 	// Ask is the peer to ask, or "".
--- a/mesh/delivery_test.go
+++ b/mesh/delivery_test.go
@@ -287,3 +287,30 @@
 	is.Equal(d.upTo(4).version, uint64(4))
 	is.Equal(d.upTo(3), nil)
 }
+
+// Pattern: control instances that have newer documents are lost while these are fetched, and one that lags remains. Guards
+// against its document being refused for the parts of the newer ones, which nobody completes.
+func TestPartsThatNobodyCompletesMakeWay(t *testing.T) {
+	is := is.New(t)
+	m := newTestMesh(t, "")
+	part := func(address string, version, offset uint64) ([]byte, error) {
+		encoded, _, err := m.addPart(address, &wire.FetchRoutingResponse{Version: version, Size: 2, Offset: offset, Document: []byte("x")})
+		return encoded, err
+	}
+	_, err := part("a", 5, 0)
+	is.NoErr(err)
+	_, err = part("b", 4, 0)
+	is.NoErr(err)
+	_, err = part("c", 3, 0)
+	is.NoErr(err)
+	encoded, err := part("c", 3, 1)
+	is.NoErr(err)
+	is.Equal(string(encoded), "xx")
+
+	_, err = part("b", 4, 0) // in place of the oldest
+	is.NoErr(err)
+	m.fetches.plan.Heard(time.Now(), "a", 5)
+	is.Equal(m.fetches.plan.Next(time.Now()).Ask, "a")
+	_, err = part("c", 3, 0)
+	is.True(errors.Is(err, errTooManyDocuments)) // a newer one is on its way
+}
--- a/mesh/fetch.go
+++ b/mesh/fetch.go
@@ -235,6 +235,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p, isNew, err := m.fetches.partials.add(resp)
+	if errors.Is(err, errTooManyDocuments) && !m.fetches.plan.IsOtherMoving(time.Now(), address) {
+		m.fetches.partials.dropOldest() // nobody completes it, as its control instance may be gone
+		p, isNew, err = m.fetches.partials.add(resp)
+	}
 	if errors.Is(err, errOtherEncoding) {
 		err = fmt.Errorf("%w: %w", errWrongHash, err)
 	}
--- a/mesh/partial.go
+++ b/mesh/partial.go
@@ -80,6 +80,9 @@
 	return true
 }
 
+// dropOldest removes the parts of the oldest document.
+func (d *partialDocuments) dropOldest() { d.list = d.list[1:] }
+
 // drop removes the parts of one version.
 func (d *partialDocuments) drop(version uint64) {
 	for i, p := range d.list {
