control: a drain that is sent again gets an entry of its own

By reading: a leader that froze may hold the entry of a drain that its successor has committed, and after it the end of that drain. A drain that is asked for once more then took the result of the first entry, and was not in force.

Only commands that name what they do, by an ID, an attempt, a sequence or a version, take the result of an earlier entry now (replica.IsRepeatable, in place of IsRead). Ruled out: comparing the terms of both proposals, which are the same here.

TestCommandSentAgainBeforeItsCommitIsAddedOnce used a drain; it uses a document now, and asserts that each drain has its entry.

--- a/control/host_test.go
+++ b/control/host_test.go
@@ -141,15 +141,21 @@
 	is.NoErr(commit(t, h))
 	stop()
 	is.NoErr(<-runErr)
-	data, err := replica.Command{Drain: &replica.Drain{Server: "advice-2", On: true}}.Encode()
-	is.NoErr(err)
 	var sent []*proposal
-	for range 3 {
-		p := &proposal{data: data, result: make(chan proposalResult, 1)}
-		h.propose(p)
-		sent = append(sent, p)
+	propose := func(c replica.Command) {
+		data, err := c.Encode()
+		is.NoErr(err)
+		for range 3 {
+			p := &proposal{data: data, result: make(chan proposalResult, 1)}
+			h.propose(p)
+			sent = append(sent, p)
+		}
 	}
+	propose(replica.Command{Publish: &replica.Publish{Version: 1, Document: []byte("d")}})
 	is.Equal(len(h.waiters), 1)
+	// Another drain may have ended this one, so a repetition must be committed.
+	propose(replica.Command{Drain: &replica.Drain{Server: "advice-2", On: true}})
+	is.Equal(len(h.waiters), 1+3)
 	is.NoErr(h.process())
 	for _, p := range sent {
 		is.NoErr((<-p.result).err) // each attempt learns the result
--- a/control/propose.go
+++ b/control/propose.go
@@ -87,15 +87,15 @@
 }
 
 // uncommitted returns the entry with the same command that waits for its commit, or nil. A proposer that sends a
-// command again waits for that entry, instead of adding another one to a log that is slow already. There is none for a
-// read: a newer leader may have committed the entry already, and after it what the read must show.
+// command again waits for that entry, instead of adding another one to a log that is slow already. A newer leader may have
+// committed that entry already, and others after it, so there is none for a command that isn't repeatable.
 func (h *Host) uncommitted(identity []byte) *waiter {
 	for _, w := range h.waiters {
 		if len(w.proposals) < maxProposals && bytes.Equal(w.identity, identity) {
-			if replica.IsRead(identity) {
-				return nil
+			if replica.IsRepeatable(identity) {
+				return w
 			}
-			return w
+			return nil
 		}
 	}
 	return nil
--- a/replica/command.go
+++ b/replica/command.go
@@ -67,10 +67,16 @@
 	return c, nil
 }
 
-// IsRead reports whether the encoded command changes nothing, and is proposed for its result only.
-func IsRead(data []byte) bool {
+// IsRepeatable reports whether the encoded command names what it does, as by an ID or a version, so that a repetition may
+// take the result of its first entry, also if other entries follow that one. A read may not, as it must show what was
+// acknowledged before it, nor a drain, which another one may have ended.
+func IsRepeatable(data []byte) bool {
 	c, err := Decode(data)
-	return err == nil && (c.Publish != nil && c.Publish.Version == 0 || c.Begin != nil && c.Begin.LookupOnly)
+	if err != nil {
+		return false
+	}
+	return c.Finish != nil || c.Abandon != nil || c.Change != nil || c.Credits != nil ||
+		c.Publish != nil && c.Publish.Version > 0 || c.Begin != nil && !c.Begin.LookupOnly
 }
 
 // AddTimestamp returns the encoded command with the timestamp added. The leader calls it for each
--- a/replica/command_test.go
+++ b/replica/command_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"github.com/balsamlb/balsamlb/config"
 	"testing"
 	"time"
 
@@ -33,22 +34,24 @@
 	is.True(err != nil)
 }
 
-func TestReadsAreRecognized(t *testing.T) {
+// Guards against a read, or a drain, that takes the result of an earlier entry: another command may have followed that one.
+func TestCommandsThatNameWhatTheyDoAreRepeatable(t *testing.T) {
 	is := is.New(t)
 	for _, c := range []struct {
-		command Command
-		isRead  bool
+		command      Command
+		isRepeatable bool
 	}{
-		{Command{Publish: &Publish{}}, true},
-		{Command{Begin: &ledger.Begin{LookupOnly: true}}, true},
-		{Command{Publish: &Publish{Version: 1}}, false},
-		{Command{Begin: &ledger.Begin{}}, false},
+		{Command{Publish: &Publish{}}, false},
+		{Command{Begin: &ledger.Begin{LookupOnly: true}}, false},
+		{Command{Publish: &Publish{Version: 1}}, true},
+		{Command{Begin: &ledger.Begin{}}, true},
+		{Command{Change: &config.Change{ID: "c"}}, true},
 		{Command{Drain: &Drain{Server: "s"}}, false},
 		{Command{}, false},
 	} {
 		data, err := c.command.Encode()
 		is.NoErr(err)
-		is.Equal(IsRead(data), c.isRead)
+		is.Equal(IsRepeatable(data), c.isRepeatable)
 	}
-	is.True(!IsRead([]byte{0xff}))
+	is.True(!IsRepeatable([]byte{0xff}))
 }
