daemon, lab: crowds at the listeners of the first role

So that a test can state the memory of the machine, the first role takes [limits] memory_mb as the others do. It sets the memory limit of the Go runtime; the default, 0, changes nothing.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -68,6 +68,7 @@
 
 // New builds the instance. On a control instance it also opens the data folder.
 func New(p settings.Process, base logr.Logger) (*Daemon, error) {
+	limitHeap(noRole, p.MemoryMB)
 	lines := trace.NewRecorder(maxTraceLines, time.Now)
 	log := lines.Logger(base)
 	secrets, err := loadSecrets(p)
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -45,7 +45,17 @@
 
 // heapShares are the shares of a process's memory that are set as the memory limit of the Go runtime. At a gateway,
 // the kernel's queues for callers need a part of the rest.
-var heapShares = map[settings.Role]float64{settings.RoleGateway: 0.6, settings.RoleController: 0.7}
+var heapShares = map[settings.Role]float64{noRole: 0.6, settings.RoleGateway: 0.6, settings.RoleController: 0.7}
+
+// noRole stands for a Daemon, which does the work of all roles.
+const noRole settings.Role = ""
+
+// limitHeap sets the memory limit of the Go runtime for a process that may use some memory; 0 means no limit.
+func limitHeap(role settings.Role, memoryMB int) {
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(heapShares[role] * float64(memoryMB) * (1 << 20)))
+	}
+}
 
 // member holds the parts that gateways and controllers have in common.
 type member struct {
@@ -61,9 +71,7 @@
 }
 
 func newMember(path string, role settings.Role, s settings.Member, controlAddress string, log logr.Logger) (*member, error) {
-	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(heapShares[role] * float64(s.MemoryMB) * (1 << 20)))
-	}
+	limitHeap(role, s.MemoryMB)
 	m := &member{path: path, role: role, settings: s, log: log, registry: prometheus.NewRegistry()}
 	m.guards = m.newGuards()
 	m.registry.MustRegister(collectors.NewGoCollector())
--- a/internal/lab/crowd_test.go
+++ b/internal/lab/crowd_test.go
@@ -129,12 +129,18 @@
 	notes   string // a field of the document that nobody reads
 }
 
+// writeLimitedBinary writes a script that starts balsamd with crowdFiles descriptors.
+func writeLimitedBinary(t *testing.T, path string) {
+	t.Helper()
+	script := fmt.Sprintf("#!/bin/sh\nulimit -n %d\nexec %s \"$@\"\n", crowdFiles, filepath.Join(binFolder, "balsamd"))
+	requireNoError(t, os.WriteFile(path, []byte(script), 0o755))
+}
+
 func startCrowdDeployment(t *testing.T) *crowdDeployment {
 	t.Helper()
 	folder := t.TempDir()
 	binary := filepath.Join(folder, "balsamd")
-	script := fmt.Sprintf("#!/bin/sh\nulimit -n %d\nexec %s \"$@\"\n", crowdFiles, filepath.Join(binFolder, "balsamd"))
-	requireNoError(t, os.WriteFile(binary, []byte(script), 0o755))
+	writeLimitedBinary(t, binary)
 	d, err := StartDeployment(t.Context(), DeploymentLayout{
 		Folder: folder, Binary: binary, Controls: 1, Gateways: 1, AnnounceInterval: announceEvery,
 		ControlMemoryMB: crowdControlMB, GatewayMemoryMB: crowdGatewayMB, HasMetrics: true, Env: []string{"GOMAXPROCS=2"},
@@ -287,36 +293,28 @@
 	return sum
 }
 
-func (u *usage) sample(m *Member) {
-	queued := queuedBytes(m.IP)
+func (u *usage) sample(pid int, ip string) {
+	queued := queuedBytes(ip)
 	u.queued = max(u.queued, queued)
-	u.memory = max(u.memory, statusBytes(m.PID(), "VmHWM"), statusBytes(m.PID(), "VmRSS")+queued)
-	files, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", m.PID()))
+	u.memory = max(u.memory, statusBytes(pid, "VmHWM"), statusBytes(pid, "VmRSS")+queued)
+	files, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
 	u.files = max(u.files, len(files))
 }
 
-// outlives lets crowds come to an address of a member, and checks that both processes live, stay within the memory
-// of their machines and leave descriptors free, and that each door serves an ordinary request beside the crowds and
-// after them.
-func (c *crowdDeployment) outlives(address string, crowds ...crowd) {
-	t := c.t
-	t.Helper()
-	ctx, cancel := context.WithCancel(t.Context())
-	members, peaks := c.Members(), make([]usage, 2)
-	var watcher, sending, staying sync.WaitGroup
-	watcher.Go(func() {
-		for ctx.Err() == nil {
-			for i, m := range members {
-				peaks[i].sample(m)
-			}
-			time.Sleep(50 * time.Millisecond)
-		}
-	})
+// dialer opens a connection of a crowd.
+type dialer func(address string) (net.Conn, error)
+
+func dialTCP(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, crowdStay) }
+
+// sendCrowds lets crowds come to an address. The first group ends once all have sent what they send, the second once
+// they have left, after ctx has ended.
+func sendCrowds(ctx context.Context, dial dialer, address string, crowds []crowd) (sending, staying *sync.WaitGroup) {
+	sending, staying = new(sync.WaitGroup), new(sync.WaitGroup)
 	for _, crowd := range crowds {
 		for range crowd.connections {
 			sending.Add(1)
 			staying.Go(func() {
-				conn, err := net.DialTimeout("tcp", address, crowdStay)
+				conn, err := dial(address)
 				if err != nil {
 					sending.Done()
 					return
@@ -329,6 +327,27 @@
 			})
 		}
 	}
+	return sending, staying
+}
+
+// outlives lets crowds come to an address of a member, and checks that both processes live, stay within the memory
+// of their machines and leave descriptors free, and that each door serves an ordinary request beside the crowds and
+// after them.
+func (c *crowdDeployment) outlives(address string, crowds ...crowd) {
+	t := c.t
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	members, peaks := c.Members(), make([]usage, 2)
+	var watcher sync.WaitGroup
+	watcher.Go(func() {
+		for ctx.Err() == nil {
+			for i, m := range members {
+				peaks[i].sample(m.PID(), m.IP)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+	sending, staying := sendCrowds(ctx, dialTCP, address, crowds)
 	sending.Wait()
 	time.Sleep(crowdStay)
 	c.waitServed()
--- a/settings/process.go
+++ b/settings/process.go
@@ -31,6 +31,7 @@
 	{"tls", "certificate", "", "path", "PEM file of the instance's certificate, which names its IP number. Read again when it changes.", anyText},
 	{"tls", "private_key", "", "path", "PEM file of the certificate's key.", anyText},
 	{"tls", "authority", "", "path", "PEM file of the certificates that sign those of instances.", anyText},
+	{"limits", "memory_mb", "0", "MB", "Memory that the process may use; 0: not limited, but what clients may take is a part of the memory of the machine.", wholeNumber(0, 1<<20)},
 	{"bench", "naive", "false", "", "For benchmarks only. true: round robin, no admission control, no retry budgets.", oneOf("true", "false")},
 	{"log", "level", "info", "", "Least severe level that is logged.", oneOf("debug", "info", "error")},
 }
@@ -66,9 +67,11 @@
 	Advertise  string
 	DataFolder string
 	// Standby means that the instance keeps a replica but is not one of the initial voters.
-	Standby  bool
-	Voters   []Voter
-	Seeds    []string
+	Standby bool
+	Voters  []Voter
+	Seeds   []string
+	// MemoryMB is the memory that the process may use, in MiB; 0 means no limit.
+	MemoryMB int
 	LogLevel string
 	// Naive is for benchmarks: round robin, no admission control, no retry budgets.
 	Naive bool
@@ -107,6 +110,7 @@
 		}
 	}
 	seed, _ := strconv.ParseUint(get("instance", "seed"), 10, 64)
+	memoryMB, _ := strconv.Atoi(get("limits", "memory_mb"))
 	p := Process{
 		Name:       get("instance", "name"),
 		DataCentre: get("instance", "data_centre"),
@@ -122,6 +126,7 @@
 		Standby:    get("control", "standby") == "true",
 		Voters:     parseVoters(get("control", "voters")),
 		Seeds:      splitList(get("join", "seeds")),
+		MemoryMB:   memoryMB,
 		LogLevel:   get("log", "level"),
 		Naive:      get("bench", "naive") == "true",
 
