daemon: the listeners of the first role bound what clients hold

Cause: the guards of connguard were only at the listeners of gateways and controllers. At those of the first role a body, head or connection had a limit, but nothing bounded the sum of them.

Ruled out: guards above TLS. They couldn't set the socket's buffers or discard what waits in it, and closing a TLS connection writes to it, under the guard's lock.

Now each of its five listeners has a guard with a share of memory and of descriptors (daemon/clients.go), and metrics. Beneath TLS or the counter of traffic connguard.Of finds the guarded connection; as lines can't be counted in what is encrypted, heads are charged as if they consisted of the shortest ones. The callers' server writes refusals itself: for lack of memory 429 overloaded with Retry-After, not_run, or unknown for a key that may have been sent before to a service that isn't idempotent. Callers' requests are charged six times their body (copies decoded and encoded for servers), and not by the elements of a JSON text that isn't decoded into any.

The tests of processes weren't run yet.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -16,6 +16,8 @@
 	"github.com/balsamlb/balsamlb/admission"
 	"github.com/balsamlb/balsamlb/backend"
 	"github.com/balsamlb/balsamlb/dispatch"
+	"github.com/balsamlb/balsamlb/intake"
+	"github.com/balsamlb/balsamlb/internal/connguard"
 	"github.com/balsamlb/balsamlb/internal/ring"
 	"github.com/balsamlb/balsamlb/metrics"
 	"github.com/balsamlb/balsamlb/outcome"
@@ -263,3 +265,51 @@
 	is.True(strings.Contains(send(post(PathServices+"stock", "{}", HeaderWorkspace+": new")), "503 not_run"))
 	is.True(!strings.Contains(send(post(PathServices+"stock", "{}", kandy)), "503")) // it allows what it knows
 }
+
+// Refusals for lack of memory are in the protocol's form. With a key they don't promise more than is known.
+func TestRefusalsForLackOfMemoryNameTheirOutcome(t *testing.T) {
+	cfg, err := settings.ParseSharedConfig(settings.File{Name: "base.ini", Text: strings.Replace(testConfig, "2048", "65536", 1)}, settings.File{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(t.Context(), Options{
+		Dispatcher: &fakeDispatcher{}, Admitter: admitAll{}, Config: func() settings.SharedConfig { return cfg }, NewID: func() string { return "r-1" },
+		Metrics: metrics.New(prometheus.NewRegistry(), func() metrics.State { return metrics.State{} }), Log: logr.Discard(),
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	connguard.GuardFastHTTP(s, Cost)
+	guard := connguard.New(connguard.Options{Limits: intake.Limits{Bytes: 300 << 10}, ReadBuffer: MaxHeaderBytes})
+	go func() { _ = s.Serve(guard.Listener(l)) }()
+	t.Cleanup(func() { _ = l.Close() })
+	send := serveOn(t, func() net.Conn {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	})
+	for _, c := range []struct {
+		service, fields string
+		length          int
+		expected        string
+	}{
+		{"stock", "", 1000, "200 answered"},
+		{"stock", "", 60_000, "429 not_run retry-after 1"},
+		{"stock", "Idempotency-Key: k\r\n", 60_000, "429 not_run retry-after 1"}, // idempotent
+		{"booking", "Idempotency-Key: k\r\n", 60_000, "429 unknown retry-after 1"},
+		{"booking", "Idempotency-Key: k\r\nIdempotency-First-Send: true\r\n", 60_000, "429 not_run retry-after 1"},
+	} {
+		answer := send(fmt.Sprintf("POST /v1/services/%s HTTP/1.1\r\nHost: h\r\nX-Workspace: kandy\r\n%sContent-Length: %d\r\n\r\n%s",
+			c.service, c.fields, c.length, strings.Repeat("x", c.length)))
+		got, body, _ := strings.Cut(answer, "\n")
+		if got != c.expected {
+			t.Errorf("%s, %q, %d bytes: %s, not %s", c.service, c.fields, c.length, got, c.expected)
+		}
+		if strings.HasPrefix(c.expected, "429") && !strings.Contains(body, `"code":"overloaded"`) {
+			t.Errorf("%s: %s", c.service, body)
+		}
+	}
+}
--- a/caller/server.go
+++ b/caller/server.go
@@ -3,15 +3,19 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"strconv"
+	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/balsamlb/balsamlb/admission"
 	"github.com/balsamlb/balsamlb/backend"
 	"github.com/balsamlb/balsamlb/dispatch"
+	"github.com/balsamlb/balsamlb/internal/connguard"
 	"github.com/balsamlb/balsamlb/internal/ring"
 	"github.com/balsamlb/balsamlb/metrics"
 	"github.com/balsamlb/balsamlb/outcome"
@@ -40,10 +44,12 @@
 	HeaderOutcome = "X-Outcome"
 )
 
+// MaxHeaderBytes bounds the head of a request.
+const MaxHeaderBytes = 16 << 10
+
 const (
-	maxHeaderBytes = 16 << 10
-	maxKeyLength   = 256
-	maxDeadline    = time.Hour
+	maxKeyLength = 256
+	maxDeadline  = time.Hour
 	// absoluteMaxBodyBytes bounds a body while it is read, before the configured limit is applied.
 	absoluteMaxBodyBytes = 16 << 20
 )
@@ -90,9 +96,9 @@
 	h := &handler{Options: o, ctx: ctx}
 	return &fasthttp.Server{
 		Handler:            h.handle,
-		ReadBufferSize:     maxHeaderBytes,
+		ReadBufferSize:     MaxHeaderBytes,
 		MaxRequestBodySize: absoluteMaxBodyBytes,
-		ErrorHandler:       writeProtocolError,
+		ErrorHandler:       h.writeProtocolError,
 		CloseOnShutdown:    true,
 		Name:               "balsamlb",
 	}
@@ -248,17 +254,48 @@
 	h.Metrics.Requests.WithLabelValues(r.Service.Name, string(outcome.Answered), "").Inc()
 }
 
-// writeProtocolError responds to input that can't be parsed as an HTTP request.
-func writeProtocolError(ctx *fasthttp.RequestCtx, err error) {
+// writeProtocolError responds to a request that can't be read or for which there is no memory. It was not passed on.
+func (h *handler) writeProtocolError(ctx *fasthttp.RequestCtx, err error) {
+	service, _ := strings.CutPrefix(string(ctx.Path()), PathServices)
+	writeError(ctx, "", adjustKeyedRefusal(ctx, h.Config(), service, protocolError(err)))
+}
+
+func protocolError(err error) *outcome.Error {
 	var tooLong *fasthttp.ErrSmallBuffer
 	switch {
+	case errors.Is(err, connguard.ErrNoMemory):
+		return &outcome.Error{Outcome: outcome.NotRun, Code: outcome.CodeOverloaded, Message: "no memory is left for the request", RetryAfter: time.Second}
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		writeError(ctx, "", outcome.BadField("body", "is longer than "+strconv.Itoa(absoluteMaxBodyBytes)+" bytes"))
+		return outcome.BadField("body", "is longer than "+strconv.Itoa(absoluteMaxBodyBytes)+" bytes")
 	case errors.As(err, &tooLong):
-		writeError(ctx, "", outcome.BadField("header", "is longer than "+strconv.Itoa(maxHeaderBytes)+" bytes"))
+		return outcome.BadField("header", "is longer than "+strconv.Itoa(MaxHeaderBytes)+" bytes")
 	default:
-		writeError(ctx, "", outcome.BadField("http", "the request can't be read: "+err.Error()))
+		return outcome.BadField("http", "the request can't be read: "+err.Error())
+	}
+}
+
+const (
+	// handledFactor is the memory that a request takes for each byte of its body: copies of it are decoded, and encoded for
+	// backend servers.
+	handledFactor = 6
+	// escapedBytes is what a byte of a prompt may take besides that becomes several in JSON.
+	escapedBytes = 20
+)
+
+// Cost returns how much memory it may take to handle a request, besides its head and body.
+func Cost(ctx *fasthttp.RequestCtx) int64 {
+	body := ctx.Request.Body()
+	cost := handledFactor * int64(len(body))
+	if string(ctx.Path()) != PathCompletions {
+		return cost
+	}
+	for _, escaped := range []string{"<", ">", "&"} {
+		cost += escapedBytes * int64(bytes.Count(body, []byte(escaped)))
+	}
+	if !utf8.Valid(body) {
+		cost += escapedBytes * int64(len(body))
 	}
+	return cost
 }
 
 // errorBody is the JSON form of an outcome.Error.
--- a/daemon/clients.go
+++ b/daemon/clients.go
@@ -9,14 +9,18 @@
 	"github.com/balsamlb/balsamlb/internal/listen"
 	"github.com/balsamlb/balsamlb/metrics"
 	"github.com/balsamlb/balsamlb/settings"
+	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 )
 
-// The listeners of a gateway or a controller.
+// The listeners of all roles.
 const (
 	callersListener   = "callers"
+	backendsListener  = "backends"
+	operatorsListener = "operators"
+	platformListener  = "platform"
 	readyListener     = "ready"
 	controlListener   = "control"
 	metricsListener   = "metrics"
@@ -30,6 +34,13 @@
 // clientShares are the shares of the listeners of each role. The rest of the memory is for what a process knows and
 // for garbage, the rest of the descriptors for connections to others.
 var clientShares = map[settings.Role]map[string]clientShare{
+	noRole: {
+		callersListener:   {0.32, 3. / 8},
+		backendsListener:  {0.04, 1. / 4},
+		operatorsListener: {0.16, 1. / 16},
+		platformListener:  {0.03, 1. / 32},
+		instancesListener: {0.08, 1. / 8},
+	},
 	settings.RoleGateway: {
 		callersListener:   {0, 1. / 2}, // the memory is a setting
 		readyListener:     {0.03, 1. / 32},
@@ -45,32 +56,48 @@
 
 // newGuards returns the guards of the listeners of this role.
 func (m *member) newGuards() map[string]*connguard.Guard {
-	guards := make(map[string]*connguard.Guard)
-	files, memoryMB := float64(listen.MaxFiles()), cmp.Or(m.settings.MemoryMB, listen.MachineMemoryMB())
-	for name, share := range clientShares[m.role] {
-		connections := int(share.files * files)
-		if name == callersListener {
-			share.memory = m.settings.CallersMemory
-			connections = cmp.Or(m.settings.CallersConnections, connections)
-		}
-		guards[name] = connguard.New(connguard.Options{
-			Name: name,
+	guards := newGuards(m.role, m.settings.MemoryMB, m.log)
+	if callers := guards[callersListener]; callers != nil {
+		guards[callersListener] = connguard.New(connguard.Options{
+			Name: callersListener,
 			Limits: intake.Limits{
-				Bytes:       int64(share.memory * float64(memoryMB) * (1 << 20)),
-				Connections: connections,
+				Bytes:       partOfMemory(m.settings.CallersMemory, m.settings.MemoryMB),
+				Connections: cmp.Or(m.settings.CallersConnections, callers.Limits.Connections),
 			},
-			KeepsBuffers: name == controlListener || name == instancesListener,
+			Log: callers.Log,
+		})
+	}
+	return guards
+}
+
+// newGuards returns the guards of the listeners of a role. memoryMB is the memory of the process; 0 means that of the
+// machine.
+func newGuards(role settings.Role, memoryMB int, log logr.Logger) map[string]*connguard.Guard {
+	guards := make(map[string]*connguard.Guard)
+	files := float64(listen.MaxFiles())
+	for name, share := range clientShares[role] {
+		guards[name] = connguard.New(connguard.Options{
+			Name:         name,
+			Limits:       intake.Limits{Bytes: partOfMemory(share.memory, memoryMB), Connections: int(share.files * files)},
+			KeepsBuffers: name == controlListener || name == operatorsListener || name == instancesListener,
 			HasCalls:     name == instancesListener,
-			Log:          m.log.WithName("clients"),
+			Log:          log.WithName("clients"),
 		})
 	}
 	return guards
 }
 
+// partOfMemory returns a part in bytes of a memory, or of that of the machine if it is 0.
+func partOfMemory(part float64, memoryMB int) int64 {
+	return int64(part * float64(cmp.Or(memoryMB, listen.MachineMemoryMB())) * (1 << 20))
+}
+
 // clients returns the state of the clients' connections for their metrics.
-func (m *member) clients() []metrics.Clients {
+func (m *member) clients() []metrics.Clients { return clientsOf(m.guards) }
+
+func clientsOf(guards map[string]*connguard.Guard) []metrics.Clients {
 	var out []metrics.Clients
-	for _, g := range m.guards {
+	for _, g := range guards {
 		s := g.Status()
 		out = append(out, metrics.Clients{Listener: g.Name, Connections: s.Connections, Bytes: s.Bytes, Closed: s.Closed})
 	}
@@ -79,7 +106,7 @@
 
 // serveHTTP listens on the address and serves until ctx ends.
 func serveHTTP(ctx context.Context, g *errgroup.Group, guard *connguard.Guard, address string, server *fasthttp.Server) {
-	connguard.GuardFastHTTP(server)
+	connguard.GuardFastHTTP(server, connguard.DecodedBody)
 	g.Go(func() error {
 		listener, err := listen.TCP(address)
 		if err != nil {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,7 +6,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"net"
 	"time"
 
 	"github.com/balsamlb/balsamlb/backend"
@@ -17,6 +16,7 @@
 	"github.com/balsamlb/balsamlb/control"
 	"github.com/balsamlb/balsamlb/dispatch"
 	"github.com/balsamlb/balsamlb/instance"
+	"github.com/balsamlb/balsamlb/internal/connguard"
 	"github.com/balsamlb/balsamlb/internal/listen"
 	"github.com/balsamlb/balsamlb/metrics"
 	"github.com/balsamlb/balsamlb/operator"
@@ -64,6 +64,8 @@
 	credits    *creditRecorder
 	admitter   *admitter
 	dispatcher *dispatch.Dispatcher
+	// guards bound the clients of each listener.
+	guards map[string]*connguard.Guard
 }
 
 // New builds the instance. On a control instance it also opens the data folder.
@@ -81,6 +83,10 @@
 		return nil, err
 	}
 	d := &Daemon{process: p, log: log, lines: lines, secrets: secrets, dialer: dialer, traffic: traffic}
+	d.guards = newGuards(noRole, p.MemoryMB, log)
+	d.guards[callersListener].ReadBuffer = caller.MaxHeaderBytes
+	d.guards[operatorsListener].HasTLS = p.TLS.Operators
+	d.guards[instancesListener].HasTLS = p.TLS.Instances
 	d.state = newInstanceState(p, uint64(time.Now().UnixNano()), log)
 	d.proposer = instance.NewProposer(dialer, voterAddresses(p))
 	d.credits = newCreditRecorder(p.Name, d.state.incarnation, d.proposer, log.WithName("credit"))
@@ -160,6 +166,9 @@
 		_ = g.Wait()
 		return err
 	}
+	for _, guard := range d.guards {
+		g.Go(func() error { return guard.Run(taskCtx) })
+	}
 	peers := newPeerSync(d.state, d.host, d.dialer)
 	g.Go(func() error { return peers.run(taskCtx) })
 	g.Go(func() error { return d.credits.run(taskCtx) })
@@ -228,6 +237,7 @@
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	requestMetrics := metrics.New(registry, d.metricsState)
+	metrics.RegisterClients(registry, func() []metrics.Clients { return clientsOf(d.guards) })
 	callerOptions := caller.Options{
 		Metrics:     requestMetrics,
 		Dispatcher:  d.dispatcher,
@@ -249,13 +259,15 @@
 		lines:      d.lines,
 	}, d.secrets.operatorKeys())
 	plans := []struct {
+		name    string
 		address string
 		server  *fasthttp.Server
+		cost    connguard.Cost
 	}{
-		{d.process.Callers, callers},
-		{d.process.Backends, backend.NewServer(d.state)},
-		{d.process.Operators, operators},
-		{d.process.Platform, balancer.NewServer(d.state.notReady, registry)},
+		{callersListener, d.process.Callers, callers, caller.Cost},
+		{backendsListener, d.process.Backends, backend.NewServer(d.state), connguard.DecodedBody},
+		{operatorsListener, d.process.Operators, operators, connguard.DecodedBody},
+		{platformListener, d.process.Platform, balancer.NewServer(d.state.notReady, registry), connguard.DecodedBody},
 	}
 	var listeners []*httpListener
 	for _, p := range plans {
@@ -263,13 +275,15 @@
 		if err != nil {
 			return listeners, eris.Wrapf(err, "daemon: listen on %s", p.address)
 		}
-		var l net.Listener = tcp
-		if p.address == d.process.Backends {
+		// The guard is beneath TLS, as it acts on the socket.
+		l := d.guards[p.name].Listener(tcp)
+		switch p.name {
+		case backendsListener:
 			l = d.traffic.backends.Listener(l)
-		}
-		if p.server == operators {
+		case operatorsListener:
 			l = d.secrets.operatorListener(l)
 		}
+		connguard.GuardFastHTTP(p.server, p.cost)
 		h := newHTTPListener(p.server, l)
 		g.Go(h.serve)
 		listeners = append(listeners, h)
@@ -278,7 +292,7 @@
 	if err != nil {
 		return listeners, eris.Wrapf(err, "daemon: listen on %s", d.process.Instances)
 	}
-	l := d.secrets.instanceListener(d.traffic.instances.Listener(tcp))
+	l := d.secrets.instanceListener(d.traffic.instances.Listener(d.guards[instancesListener].Listener(tcp)))
 	peers := instance.NewServer(d.replica(), d.state)
 	peers.SetRelayHandler(caller.NewRelayHandler(ctx, callerOptions))
 	g.Go(func() error { return peers.Serve(ctx, l) })
--- a/internal/connguard/call.go
+++ b/internal/connguard/call.go
@@ -116,7 +116,7 @@
 		switch t := c.(type) {
 		case *Conn:
 			return t
-		case interface{ NetConn() net.Conn }: // TLS
+		case interface{ NetConn() net.Conn }: // TLS, or a counter of bytes
 			c = t.NetConn()
 		default:
 			return nil
--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -18,7 +18,8 @@
 const (
 	// transitMargin is added to the times that clients are promised, since they measure them at their end.
 	transitMargin = time.Second
-	// readAhead is the size of a server's read buffer: a head may be followed by as much of what comes after it.
+	// readAhead is the size of a server's read buffer, unless the options state it: a head may be followed by as much of
+	// what comes after it.
 	readAhead = 4 << 10
 	// maxHeadRead bounds a read of a head.
 	maxHeadRead = 16 << 10
@@ -76,7 +77,7 @@
 	}
 	if c.isServed.Load() {
 		n, err := c.Conn.Read(p)
-		if len(p) <= readAhead {
+		if c.guard.HasTLS || len(p) <= c.guard.readAhead() {
 			c.recordRead(p, n)
 		}
 		return n, err
@@ -96,7 +97,7 @@
 		})
 	}
 	c.headBytes += n
-	if limits.Bytes > 0 && c.headBytes > limits.Bytes+readAhead {
+	if limits.Bytes > 0 && c.headBytes > limits.Bytes+c.guard.readAhead() {
 		_, _ = io.WriteString(c.Conn, headTooLarge)
 		return 0, io.EOF
 	}
@@ -111,11 +112,14 @@
 
 // recordRead records a read into the server's read buffer, and returns what the bytes are worth as a part of a head.
 func (c *Conn) recordRead(p []byte, n int) int64 {
-	cost := int64(2*n + lineBytes*bytes.Count(p[:n], []byte{'\n'}))
-	if len(p) >= readAhead { // the buffer was empty
+	lines := bytes.Count(p[:n], []byte{'\n'})
+	if c.guard.HasTLS {
+		lines = n / shortestLine
+	} else if len(p) >= c.guard.readAhead() { // the buffer was empty
 		c.buffered = 0
 	}
-	c.buffered = min(maxReadAhead, c.buffered+cost)
+	cost := int64(2*n + lineBytes*lines)
+	c.buffered = min(c.guard.maxReadAhead(), c.buffered+cost)
 	return cost
 }
 
--- a/internal/connguard/fasthttp.go
+++ b/internal/connguard/fasthttp.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 
@@ -9,26 +10,37 @@
 	"github.com/valyala/fasthttp"
 )
 
+// Cost returns how much memory it may take to handle a request that has arrived whole, besides its head and body.
+type Cost func(ctx *fasthttp.RequestCtx) int64
+
+// DecodedBody is the cost of decoding a body as JSON.
+func DecodedBody(ctx *fasthttp.RequestCtx) int64 { return intake.DecodedBytes(ctx.Request.Body()) }
+
 // GuardFastHTTP makes a server report to the guards of its connections what they do, and refuse bodies over its
-// MaxRequestBodySize before they are read.
-func GuardFastHTTP(s *fasthttp.Server) {
+// MaxRequestBodySize before they are read. Its ErrorHandler, if it has one, writes the refusals: the error is ErrNoMemory,
+// fasthttp.ErrBodyTooLarge, or why the body could not be read.
+func GuardFastHTTP(s *fasthttp.Server, cost Cost) {
 	s.ConnState = func(c net.Conn, state fasthttp.ConnState) {
-		if guarded, ok := c.(*Conn); ok && state == fasthttp.StateIdle {
+		if guarded := Of(c); guarded != nil && state == fasthttp.StateIdle {
 			guarded.endRequest()
 		}
 	}
-	limit, handle := s.MaxRequestBodySize, s.Handler
+	limit, handle, refuse := s.MaxRequestBodySize, s.Handler, s.ErrorHandler
 	if limit <= 0 {
 		limit = fasthttp.DefaultMaxRequestBodySize
 	}
+	if refuse == nil {
+		refuse = writeRefusal
+	}
 	s.StreamRequestBody = true
 	s.Logger = discardLogger{} // it has a line for each connection that ends early
 	s.Handler = func(ctx *fasthttp.RequestCtx) {
-		if readBody(ctx, limit) {
-			handle(ctx)
-		} else {
+		if err := readBody(ctx, limit, cost); err != nil {
+			refuse(ctx, err)
 			ctx.SetConnectionClose()
+			return
 		}
+		handle(ctx)
 	}
 }
 
@@ -36,35 +48,40 @@
 
 func (discardLogger) Printf(string, ...any) {}
 
-// readBody reads the body of a request whole. If it can't, it writes an error response and returns false.
-func readBody(ctx *fasthttp.RequestCtx, limit int) bool {
-	conn, _ := ctx.Conn().(*Conn)
-	var body []byte
+// writeRefusal writes the response to a request whose body isn't handled.
+func writeRefusal(ctx *fasthttp.RequestCtx, err error) {
+	switch {
+	case errors.Is(err, ErrNoMemory):
+		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		ctx.Error("the body is larger than the limit", fasthttp.StatusRequestEntityTooLarge)
+	default:
+		ctx.Error("the body could not be read", fasthttp.StatusRequestTimeout)
+	}
+}
+
+// readBody reads the body of a request whole, and charges the request. After an error the request must not be handled.
+func readBody(ctx *fasthttp.RequestCtx, limit int, cost Cost) error {
+	conn := Of(ctx.Conn())
 	if ctx.Request.IsBodyStream() {
 		conn.BeginBody()
 		length := ctx.Request.Header.ContentLength()
 		if length > limit {
-			ctx.Error("the body is larger than the limit", fasthttp.StatusRequestEntityTooLarge)
-			return false
+			return fasthttp.ErrBodyTooLarge
 		}
-		var err error
-		body, err = ReadWhole(conn, io.LimitReader(ctx.RequestBodyStream(), int64(limit)+1), int64(length))
+		body, err := ReadWhole(conn, io.LimitReader(ctx.RequestBodyStream(), int64(limit)+1), int64(length))
 		switch {
 		case errors.Is(err, ErrNoMemory):
-			ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
-			return false
+			return err
 		case err != nil:
-			ctx.Error("the body could not be read", fasthttp.StatusRequestTimeout)
-			return false
+			return fmt.Errorf("the body could not be read: %w", err)
 		case len(body) > limit:
-			ctx.Error("the body is larger than the limit", fasthttp.StatusRequestEntityTooLarge)
-			return false
+			return fasthttp.ErrBodyTooLarge
 		}
 		ctx.Request.SetBodyRaw(body)
 	}
-	if !conn.BeginWork() || !conn.Grow(intake.DecodedBytes(body)) {
-		ctx.Error(ErrNoMemory.Error(), fasthttp.StatusServiceUnavailable)
-		return false
+	if !conn.BeginWork() || !conn.Grow(cost(ctx)) {
+		return ErrNoMemory
 	}
-	return true
+	return nil
 }
--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -32,8 +32,11 @@
 	smallBuffer  = 16 << 10
 	// queuedFactor is the memory of the kernel for each byte in a queue.
 	queuedFactor = 2
-	// maxReadAhead bounds what the part of a read buffer is charged that follows a request: lines of three bytes.
-	maxReadAhead = 2*readAhead + readAhead/3*lineBytes
+	// shortestLine is the size in bytes of the shortest line of a head.
+	shortestLine = 3
+	// tlsBytes is the memory of a TLS connection besides: a record in each direction, once more while it is decrypted,
+	// and the state of the handshake.
+	tlsBytes = 64 << 10
 	// maxAheadBytes is the size of requests sent ahead from which a connection is closed after its answer if memory
 	// is short.
 	maxAheadBytes = 8 << 10
@@ -64,11 +67,32 @@
 	// KeepsBuffers leaves the size of the kernel's buffers to the kernel, for clients on long links that send or read
 	// much, until memory is short.
 	KeepsBuffers bool
+	// ReadBuffer is the size in bytes of the server's read buffer; 0 means 4 KiB.
+	ReadBuffer int
+	// HasTLS means that the connections carry TLS, which the server speaks. Their heads are charged as if they consisted
+	// of the shortest lines.
+	HasTLS bool
 	// HasCalls means that the connections carry calls between instances, which BeginCall, EndMessage and EndCall report.
 	HasCalls bool
 	Log      logr.Logger
 }
 
+func (o *Options) readAhead() int { return max(readAhead, o.ReadBuffer) }
+
+// maxReadAhead bounds what the part of a read buffer is charged that follows a request.
+func (o *Options) maxReadAhead() int64 {
+	return int64(2*o.readAhead() + o.readAhead()/shortestLine*lineBytes)
+}
+
+// connectionBytes returns the memory of a connection.
+func (o *Options) connectionBytes() int64 {
+	bytes := int64(connectionBytes + o.readAhead() - readAhead)
+	if o.HasTLS {
+		bytes += tlsBytes
+	}
+	return bytes
+}
+
 // Guard bounds the connections of one listener. It is safe for concurrent use.
 type Guard struct {
 	Options
@@ -264,7 +288,7 @@
 	if !g.KeepsBuffers {
 		setBuffers(nc, size)
 	}
-	state, out := g.account.Open(now, connectionBytes)
+	state, out := g.account.Open(now, g.connectionBytes())
 	g.carryOut(out)
 	if state == nil {
 		return nil, g.account.IsClosing()
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -39,6 +39,9 @@
 	traffic *Traffic
 }
 
+// NetConn returns the connection beneath.
+func (c *countingConn) NetConn() net.Conn { return c.Conn }
+
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.traffic.received.Add(uint64(n))
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -154,7 +154,7 @@
 	for _, d := range slices.Concat(documentDescriptions, deliveryDescriptions) {
 		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", d.name, d.kind, strings.Join(d.labels, ", "), d.help)
 	}
-	b.WriteString("\nGateways and controllers serve these of the connections of their clients as well:\n\n")
+	b.WriteString("\nAll roles serve these of the connections of their clients as well:\n\n")
 	b.WriteString("| metric | kind | labels | meaning |\n|---|---|---|---|\n")
 	for _, d := range clientDescriptions {
 		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", d.name, d.kind, strings.Join(d.labels, ", "), d.help)
