caller: words of a prompt are counted without a list of them

Cause: strings.Fields made a list to count the words, 16 bytes for each; a prompt of 16 MiB may have 8 million. Now strings.FieldsSeq yields them one after the other; the count is the same.

--- a/caller/completions.go
+++ b/caller/completions.go
@@ -168,11 +168,20 @@
 		return r, body, refusal
 	}
 	r.Prompt = body.Prompt
-	r.PromptTokens = len(strings.Fields(body.Prompt))
+	r.PromptTokens = countWords(body.Prompt)
 	r.MaxTokens = body.MaxTokens
 	return r, body, nil
 }
 
+// countWords returns the number of words of a text, without a list of them: a prompt may consist of very short ones.
+func countWords(text string) int {
+	n := 0
+	for range strings.FieldsSeq(text) {
+		n++
+	}
+	return n
+}
+
 // jsonError converts a decoding error. If a field has the wrong type, the result names the field.
 func jsonError(err error) *outcome.Error {
 	var wrong *json.UnmarshalTypeError
