operator: refusals for lack of memory say in JSON that the call was not run

Cause: the guard refused in plain text, of which balsamctl, which reads JSON, showed the status alone; an operator couldn't tell whether a change had been made. Now the operators' server writes its refusals itself, also of calls that can't be read.

TestCallsAreRefusedForLackOfMemoryInJSON fails without the handler and passes now; go test -race ./operator passes.

--- a/operator/server.go
+++ b/operator/server.go
@@ -4,10 +4,13 @@
 	"context"
 	"encoding/base64"
 	"encoding/json"
+	"errors"
+	"net"
 	"strings"
 	"time"
 
 	"github.com/balsamlb/balsamlb/config"
+	"github.com/balsamlb/balsamlb/internal/connguard"
 	"github.com/balsamlb/balsamlb/replica"
 	"github.com/balsamlb/balsamlb/trace"
 	"github.com/valyala/fasthttp"
@@ -41,7 +44,25 @@
 // NewServer returns the HTTP server of the operator API. With nil Keys, calls need no key.
 func NewServer(b Backend, k Keys) *fasthttp.Server {
 	h := &handler{backend: b, keys: k}
-	return &fasthttp.Server{Handler: h.handle, MaxRequestBodySize: maxConfigBytes, Name: "balsamlb"}
+	return &fasthttp.Server{Handler: h.handle, ErrorHandler: writeRefusal, MaxRequestBodySize: maxConfigBytes, Name: "balsamlb"}
+}
+
+// writeRefusal responds to a call that can't be read or for which there is no memory. It was not run.
+func writeRefusal(ctx *fasthttp.RequestCtx, err error) {
+	var tooLong *fasthttp.ErrSmallBuffer
+	var timeout net.Error
+	status := fasthttp.StatusBadRequest
+	switch {
+	case errors.Is(err, connguard.ErrNoMemory):
+		status = fasthttp.StatusServiceUnavailable
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		status = fasthttp.StatusRequestEntityTooLarge
+	case errors.As(err, &tooLong):
+		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+	case errors.As(err, &timeout) && timeout.Timeout():
+		status = fasthttp.StatusRequestTimeout
+	}
+	writeError(ctx, status, "the call was not run: "+err.Error())
 }
 
 type handler struct {
