daemon: a test that the first role answers the largest call in calm

The guards of the first role leave room for a call of 16 MiB if memory_mb is 384, as design 618 states.

--- a/daemon/first_role_clients_test.go
+++ b/daemon/first_role_clients_test.go
@@ -7,13 +7,17 @@
 	"math"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/balsamlb/balsamlb/backend"
 	"github.com/balsamlb/balsamlb/caller"
+	"github.com/balsamlb/balsamlb/config"
 	"github.com/balsamlb/balsamlb/operator"
 	"github.com/balsamlb/balsamlb/settings"
 	"github.com/go-logr/logr"
@@ -23,12 +27,12 @@
 const firstRoleMB = 128
 
 // startFirstRole starts a Daemon that is its own control instance, and returns its settings.
-func startFirstRole(t *testing.T) settings.Process {
+func startFirstRole(t *testing.T, memoryMB int) settings.Process {
 	t.Helper()
 	address := func(i int) string { return fmt.Sprintf("127.0.34.%d:%d", i, freePort(t)) }
 	p := settings.Process{
 		Name: "kandy-1", DataCentre: "kandy", Callers: address(1), Backends: address(2), Operators: address(3), Platform: address(4),
-		Instances: address(5), DataFolder: t.TempDir(), MemoryMB: firstRoleMB,
+		Instances: address(5), DataFolder: t.TempDir(), MemoryMB: memoryMB,
 	}
 	p.Advertise = p.Instances
 	p.Voters = []settings.Voter{{Name: p.Name, Address: p.Advertise}}
@@ -70,7 +74,7 @@
 
 // Guards against clients that fill the memory of a process without a role with bodies that never end.
 func TestDaemonOutlivesBodiesThatStop(t *testing.T) {
-	p := startFirstRole(t)
+	p := startFirstRole(t, firstRoleMB)
 	isServed := func() {
 		t.Helper()
 		eventuallyAnswers(t, p.Callers, "/nowhere", http.StatusNotFound)
@@ -112,3 +116,48 @@
 	}
 	isServed()
 }
+
+// Guards against an account in which the largest call inside the limits has no place in calm.
+func TestLargestCallIsAnsweredInCalm(t *testing.T) {
+	const largest = 16 << 20
+	p := startFirstRole(t, 384) // what docs/design/0618-connections-of-clients.md states
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		_, _ = fmt.Fprint(w, n)
+	}))
+	defer server.Close()
+	eventuallyAnswers(t, p.Operators, operator.PathStatus, http.StatusOK)
+	post := func(address, path, body string) (status int, answer string) {
+		r, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Header.Set(caller.HeaderWorkspace, "kandy")
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			return 0, err.Error()
+		}
+		defer resp.Body.Close()
+		data, _ := io.ReadAll(resp.Body)
+		return resp.StatusCode, string(data)
+	}
+	change := config.Change{ID: "first", Base: fmt.Sprintf("[limits]\nmax_body = %d\n[service stock]\n[workspace kandy]\n", largest)}
+	announce := func(sequence int) {
+		post(p.Backends, backend.PathAnnounce, fmt.Sprintf(`{"name":"stock-0","incarnation":1,"sequence":%d,"address":"%s","data_centre":"kandy","services":["stock"],"slots":4}`,
+			sequence, server.Listener.Addr()))
+	}
+	status, answer := 0, ""
+	for sequence, end := 1, time.Now().Add(hangTimeout); status != http.StatusOK && time.Now().Before(end); sequence++ {
+		_, _ = operator.NewClient(p.Operators).Change(change) // accepted once
+		announce(sequence)
+		status, answer = post(p.Callers, caller.PathServices+"stock", "ordinary")
+	}
+	if status != http.StatusOK {
+		t.Fatalf("an ordinary call: status %d: %s", status, answer)
+	}
+	announce(1 << 20)
+	status, answer = post(p.Callers, caller.PathServices+"stock", strings.Repeat("x", largest))
+	if status != http.StatusOK || answer != fmt.Sprint(largest) {
+		t.Errorf("the largest call: status %d: %s", status, answer)
+	}
+}
