instance: one decision of silence for watches and for calls

patientTimer held a second form of what silence decides: a peer is suspected after a limit, and silent after a grace that begins when this process has noticed that. Found in the read-through.

The timer now asks silence, and takes the place of cancelIfSilent. Its test of the decision plays the same times at the shared form. go test -race ./instance passes.

--- a/instance/patient_timer.go
+++ b/instance/patient_timer.go
@@ -5,28 +5,27 @@
 	"time"
 )
 
-// patientTimer calls a function once a peer has been silent for a time. The last part of that time, the grace, begins only
-// when this process has noticed that the rest has passed, so that what arrived while it was halted is handled first. It is
-// safe for concurrent use.
+// patientTimer calls a function once a peer counts as silent. It is safe for concurrent use.
 type patientTimer struct {
-	mu     sync.Mutex
-	timer  *time.Timer
-	limit  time.Duration
-	grace  time.Duration
-	silent func()
-	// due is when the peer will be suspected or, if isSuspected is set, counts as silent. It is zero while the timer is
-	// stopped.
-	due         time.Time
-	isSuspected bool
+	silence *silence
+	limit   time.Duration // of silence, without its grace
+	call    func()
+
+	mu        sync.Mutex
+	timer     *time.Timer
+	isRunning bool
+}
+
+// newPatientTimer returns a running timer with a limit, whose last part is the grace of silence.
+func newPatientTimer(limit, grace time.Duration, call func()) *patientTimer {
+	return startPatientTimer(&silence{limit: limit - grace, grace: grace, heard: time.Now()}, call)
 }
 
-// newPatientTimer returns a running timer.
-func newPatientTimer(limit, grace time.Duration, silent func()) *patientTimer {
-	t := &patientTimer{limit: limit, grace: grace, silent: silent}
+func startPatientTimer(s *silence, call func()) *patientTimer {
+	t := &patientTimer{silence: s, limit: s.limit, call: call, isRunning: true}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.due = time.Now().Add(limit - grace)
-	t.timer = time.AfterFunc(limit-grace, t.check)
+	t.timer = time.AfterFunc(t.limit, t.check)
 	return t
 }
 
@@ -34,46 +33,39 @@
 func (t *patientTimer) Reset() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.due, t.isSuspected = time.Now().Add(t.limit-t.grace), false
-	t.timer.Reset(t.limit - t.grace)
+	t.silence.hear(time.Now(), t.limit)
+	t.isRunning = true
+	t.timer.Reset(t.limit)
 }
 
 // Stop stops the timer and reports whether the peer had not been found silent before.
 func (t *patientTimer) Stop() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	wasRunning := !t.due.IsZero()
-	t.due = time.Time{}
+	wasRunning := t.isRunning
+	t.isRunning = false
 	t.timer.Stop()
 	return wasRunning
 }
 
 // check handles the end of the timer.
 func (t *patientTimer) check() {
-	t.mu.Lock()
-	wait, isSilent := t.next(time.Now())
-	if wait > 0 {
-		t.timer.Reset(wait)
-	}
-	if isSilent {
-		t.due = time.Time{}
-	}
-	t.mu.Unlock()
-	if isSilent {
-		t.silent()
+	if t.isSilent() {
+		t.call()
 	}
 }
 
-// next returns the time until the next check, or whether the peer counts as silent.
-func (t *patientTimer) next(now time.Time) (wait time.Duration, isSilent bool) {
-	switch left := t.due.Sub(now); {
-	case t.due.IsZero():
-		return 0, false
-	case left > 0: // restarted meanwhile
-		return left, false
-	case t.isSuspected:
-		return 0, true
+// isSilent ends the timer if the peer counts as silent, and otherwise sets it to the time of the next check.
+func (t *patientTimer) isSilent() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.isRunning {
+		return false
+	}
+	isSilent, next := t.silence.check(time.Now())
+	t.isRunning = !isSilent
+	if !isSilent {
+		t.timer.Reset(next)
 	}
-	t.due, t.isSuspected = now.Add(t.grace), true
-	return t.grace, false
+	return isSilent
 }
--- a/instance/patient_timer_test.go
+++ b/instance/patient_timer_test.go
@@ -21,16 +21,17 @@
 func TestPatientTimerSuspectsBeforeItEnds(t *testing.T) {
 	is := is.New(t)
 	const limit, grace = time.Second, 250 * time.Millisecond
-	start := time.Unix(1000, 0)
+	timer := newPatientTimer(limit, grace, func() {})
+	defer timer.Stop()
+	start := timer.silence.heard
 	at := func(d time.Duration) time.Time { return start.Add(d) }
-	timer := &patientTimer{limit: limit, grace: grace, due: at(limit - grace)}
-	wait, isSilent := timer.next(at(limit - grace - 1))
-	is.Equal(wait, time.Duration(1))
+	isSilent, next := timer.silence.check(at(limit - grace - 1))
+	is.Equal(next, time.Duration(1))
 	is.True(!isSilent)
-	wait, isSilent = timer.next(at(10 * time.Second)) // the first check after a halt
-	is.Equal(wait, grace)
+	isSilent, next = timer.silence.check(at(10 * time.Second)) // the first check after a halt
+	is.Equal(next, grace)
 	is.True(!isSilent)
-	_, isSilent = timer.next(at(10*time.Second + grace))
+	isSilent, _ = timer.silence.check(at(10*time.Second + grace))
 	is.True(isSilent)
 }
 
--- a/instance/silence.go
+++ b/instance/silence.go
@@ -12,15 +12,15 @@
 // silence decides when a peer that is expected to send messages counts as silent. It is safe for concurrent use.
 type silence struct {
 	mu sync.Mutex
-	// limit is the time without a message after which the peer is suspected.
-	limit time.Duration
-	heard time.Time
+	// limit is the time without a message after which the peer is suspected, and grace how long it then is.
+	limit, grace time.Duration
+	heard        time.Time
 	// suspected is when check found the limit exceeded, or zero.
 	suspected time.Time
 }
 
 func newSilence(now time.Time, limit time.Duration) *silence {
-	return &silence{limit: limit, heard: now}
+	return &silence{limit: limit, grace: silenceGrace, heard: now}
 }
 
 // hear records a message, and the limit from then on.
@@ -42,23 +42,6 @@
 	if s.suspected.IsZero() {
 		s.suspected = now
 	}
-	left := silenceGrace - now.Sub(s.suspected)
+	left := s.grace - now.Sub(s.suspected)
 	return left <= 0, left
 }
-
-// cancelIfSilent calls cancel once the peer counts as silent, unless stop is called before.
-func (s *silence) cancelIfSilent(cancel func()) (stop func() bool) {
-	var timer *time.Timer
-	ready := make(chan struct{})
-	timer = time.AfterFunc(s.limit, func() {
-		<-ready
-		isSilent, next := s.check(time.Now())
-		if isSilent {
-			cancel()
-			return
-		}
-		timer.Reset(next)
-	})
-	close(ready)
-	return timer.Stop
-}
--- a/instance/silence_test.go
+++ b/instance/silence_test.go
@@ -38,7 +38,7 @@
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		s := newSilence(time.Now(), time.Second)
-		defer s.cancelIfSilent(cancel)()
+		defer startPatientTimer(s, cancel).Stop()
 		time.Sleep(900 * time.Millisecond)
 		s.hear(time.Now(), time.Second)
 		time.Sleep(time.Second + silenceGrace - time.Millisecond)
--- a/instance/subscribe.go
+++ b/instance/subscribe.go
@@ -44,7 +44,7 @@
 		return eris.Wrapf(err, "instance: subscribe to %s", address)
 	}
 	silence := newSilence(time.Now(), membership.FirstHeartbeatTimeout())
-	defer silence.cancelIfSilent(func() { cancel(ErrSilent) })()
+	defer startPatientTimer(silence, func() { cancel(ErrSilent) }).Stop()
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return sendClocks(ctx, stream, r) })
 	g.Go(func() error { return receiveHeartbeats(stream, r, silence) })
--- a/instance/watch.go
+++ b/instance/watch.go
@@ -184,7 +184,7 @@
 		return eris.Wrapf(err, "instance: watch %s", address)
 	}
 	silence := newSilence(time.Now(), watchTimeout)
-	defer silence.cancelIfSilent(func() { cancel(ErrSilent) })()
+	defer startPatientTimer(silence, func() { cancel(ErrSilent) }).Stop()
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return sendWatchRequests(ctx, stream, w, wake) })
 	g.Go(func() error {
