loglimit: one limit of log lines for elections and for reported states

Lines and figures in them are as before; in mesh the bound is set where the mesh is made. go test -race of the tests of both passes.

--- a/control/elections.go
+++ b/control/elections.go
@@ -72,45 +72,24 @@
 	d.passBegan = now
 }
 
+// In electionLogInterval at most maxElectionLogs lines about elections are logged.
 const (
-	// electionLogInterval is the time in which at most maxElectionLogs lines about elections are logged.
 	electionLogInterval = 10 * time.Second
 	maxElectionLogs     = 20
 )
 
-// electionLog bounds the lines about elections.
-type electionLog struct {
-	began      time.Duration
-	lines      int
-	suppressed uint64
-}
-
-// allow reports whether another line may be logged, and how many were not since the last one.
-func (l *electionLog) allow(now time.Duration) (suppressed uint64, ok bool) {
-	if now-l.began >= electionLogInterval {
-		l.began, l.lines = now, 0
-	}
-	if l.lines >= maxElectionLogs {
-		l.suppressed++
-		return 0, false
-	}
-	l.lines++
-	suppressed, l.suppressed = l.suppressed, 0
-	return suppressed, true
-}
-
 // logElections logs why this replica campaigns or has stopped leading, and publishes the counts.
 func (h *Host) logElections() {
 	now := h.clock.last
 	for _, e := range h.node.ElectionEvents() {
-		suppressed, ok := h.electionLog.allow(now)
-		if !ok {
+		leftOut := h.electionLog.Begin(now)
+		if !h.electionLog.Allows() {
 			continue
 		}
 		values := []any{
 			"term", e.Term, "silent_ms", (time.Duration(e.SilentTicks) * tickInterval).Milliseconds(),
 			"loop_delay_ms", h.delays.loop.get(now).Milliseconds(), "sync_ms", h.delays.sync.get(now).Milliseconds(),
-			"input_wait_ms", h.delays.inputWait.get(now).Milliseconds(), "not_logged", suppressed,
+			"input_wait_ms", h.delays.inputWait.get(now).Milliseconds(), "not_logged", leftOut,
 		}
 		if e.StepDown == 0 {
 			h.log.Info("campaigns", values...)
--- a/control/host.go
+++ b/control/host.go
@@ -13,6 +13,7 @@
 	"github.com/balsamlb/balsamlb/consensus"
 	"github.com/balsamlb/balsamlb/formlevel"
 	"github.com/balsamlb/balsamlb/internal/bootclock"
+	"github.com/balsamlb/balsamlb/internal/loglimit"
 	"github.com/balsamlb/balsamlb/internal/ring"
 	"github.com/balsamlb/balsamlb/replica"
 	"github.com/balsamlb/balsamlb/routing"
@@ -109,7 +110,7 @@
 	delays     delays
 	// elections is replaced by the loop, and nil before it runs.
 	elections   atomic.Pointer[Elections]
-	electionLog electionLog
+	electionLog loglimit.Limit
 }
 
 // Options configure a host.
@@ -143,18 +144,19 @@
 // NewHost returns a host with the stored state.
 func NewHost(o Options, stored storage.Stored) (*Host, error) {
 	h := &Host{
-		options:    o,
-		storage:    o.Storage,
-		sender:     o.Sender,
-		inputQueue: ring.New[input](inputQueueSize),
-		waiters:    make(map[uint64]*waiter),
-		stopped:    make(chan struct{}),
-		encoded:    make(chan encodedState, 1),
-		log:        o.Log,
-		levels:     levels{own: cmp.Or(o.Level, formlevel.Supported)},
-		delays:     delays{observers: o.Observers},
-		now:        bootclock.Now,
-		runSave:    runSave,
+		options:     o,
+		storage:     o.Storage,
+		sender:      o.Sender,
+		inputQueue:  ring.New[input](inputQueueSize),
+		waiters:     make(map[uint64]*waiter),
+		stopped:     make(chan struct{}),
+		encoded:     make(chan encodedState, 1),
+		log:         o.Log,
+		levels:      levels{own: cmp.Or(o.Level, formlevel.Supported)},
+		delays:      delays{observers: o.Observers},
+		electionLog: loglimit.Limit{Lines: maxElectionLogs, Interval: electionLogInterval},
+		now:         bootclock.Now,
+		runSave:     runSave,
 	}
 	return h, h.initialize(stored)
 }
--- a/mesh/log_limit_test.go
+++ b/mesh/log_lines_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -52,6 +53,6 @@
 		}
 		m.mergeServers(now.Add(time.Duration(round)*second/2), "10.0.0.5:7", list)
 	}
-	is.Equal(m.reportedStateLog.leftOut, 2*servers-maxLinesPerSecond)
+	is.Equal(m.reportedStateLog.Begin(math.MaxInt64), 2*servers-maxLinesPerSecond)
 	is.True(lines <= 5*(maxLinesPerSecond+1))
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -13,6 +13,7 @@
 	"github.com/balsamlb/balsamlb/discovery"
 	"github.com/balsamlb/balsamlb/instance"
 	"github.com/balsamlb/balsamlb/instance/wire"
+	"github.com/balsamlb/balsamlb/internal/loglimit"
 	"github.com/balsamlb/balsamlb/reachability"
 	"github.com/balsamlb/balsamlb/relay"
 	"github.com/balsamlb/balsamlb/routing"
@@ -114,7 +115,7 @@
 	doubtsHere       reportedDoubts
 	loggedCutOff     cutOffShare
 	// reportedStateLog bounds the lines about servers whose state control instances report.
-	reportedStateLog logLimit
+	reportedStateLog loglimit.Limit
 	shared           sharedFragments
 	feedWork         FeedWork
 	wakeups          wakeSchedule
@@ -172,6 +173,7 @@
 		reportedUsage:        make(map[string][]Usage),
 		dataCentres:          make(map[string]string),
 		reportedUnresponsive: make(map[string][]string),
+		reportedStateLog:     loglimit.Limit{Lines: maxLinesPerSecond, Interval: time.Second},
 		gatewayCount:         gatewayCount{reports: make(map[string]gatewayReport)},
 		withheld:             make(map[string]discovery.Announcement),
 		doubts:               reachability.NewDoubts(),
--- a/mesh/silent.go
+++ b/mesh/silent.go
@@ -8,6 +8,9 @@
 	"github.com/balsamlb/balsamlb/instance/wire"
 )
 
+// maxLinesPerSecond bounds the lines about reported states, as the states of many servers may change at once.
+const maxLinesPerSecond = 8
+
 // mergeServers merges the servers in a heartbeat of the control instance at the address, and reports
 // whether there is a change. The caller holds the lock.
 //
@@ -16,7 +19,7 @@
 // merges only the announcement.
 func (m *Mesh) mergeServers(now time.Time, address string, servers []*wire.AnnouncedServer) bool {
 	changed := false
-	if leftOut := m.reportedStateLog.begin(now); leftOut > 0 {
+	if leftOut := m.reportedStateLog.Begin(time.Duration(now.UnixNano())); leftOut > 0 {
 		m.options.Log.Info("control instances reported other states of more backend servers", "left_out", leftOut)
 	}
 	for _, s := range servers {
@@ -33,7 +36,7 @@
 		}
 		delete(m.withheld, a.ID)
 		changed = m.directory.Merge(now, a) && !(isKnown && m.isQuiet(&before)) || changed
-		if isKnown && a.State != before.State && m.reportedStateLog.allows() {
+		if isKnown && a.State != before.State && m.reportedStateLog.Allows() {
 			m.logReportedState(address, &a, &before)
 		}
 	}
