daemon: the guard of callers is made once

A gateway made the guard of its callers from the shares and then once more from its settings. Limits are worked out first now, and one function makes the guards of all roles. Found in the read-through; no limit has changed. go test -race of the tests of clients in daemon passes.

--- a/daemon/clients.go
+++ b/daemon/clients.go
@@ -56,29 +56,34 @@
 
 // newGuards returns the guards of the listeners of this role.
 func (m *member) newGuards() map[string]*connguard.Guard {
-	guards := newGuards(m.role, m.settings.MemoryMB, m.log)
-	if callers := guards[callersListener]; callers != nil {
-		guards[callersListener] = connguard.New(connguard.Options{
-			Name: callersListener,
-			Limits: intake.Limits{
-				Bytes:       partOfMemory(m.settings.CallersMemory, m.settings.MemoryMB),
-				Connections: cmp.Or(m.settings.CallersConnections, callers.Limits.Connections),
-			},
-			Log: callers.Log,
-		})
+	limits := clientLimits(m.role, m.settings.MemoryMB)
+	if callers, ok := limits[callersListener]; ok {
+		limits[callersListener] = intake.Limits{
+			Bytes:       partOfMemory(m.settings.CallersMemory, m.settings.MemoryMB),
+			Connections: cmp.Or(m.settings.CallersConnections, callers.Connections),
+		}
 	}
-	return guards
+	return newGuards(limits, m.log)
 }
 
-// newGuards returns the guards of the listeners of a role. memoryMB is the memory of the process; 0 means that of the
+// clientLimits returns the limits of the listeners of a role. memoryMB is the memory of the process; 0 means that of the
 // machine.
-func newGuards(role settings.Role, memoryMB int, log logr.Logger) map[string]*connguard.Guard {
-	guards := make(map[string]*connguard.Guard)
+func clientLimits(role settings.Role, memoryMB int) map[string]intake.Limits {
+	limits := make(map[string]intake.Limits)
 	files := float64(listen.MaxFiles())
 	for name, share := range clientShares[role] {
+		limits[name] = intake.Limits{Bytes: partOfMemory(share.memory, memoryMB), Connections: int(share.files * files)}
+	}
+	return limits
+}
+
+// newGuards returns a guard for each listener.
+func newGuards(limits map[string]intake.Limits, log logr.Logger) map[string]*connguard.Guard {
+	guards := make(map[string]*connguard.Guard)
+	for name, l := range limits {
 		guards[name] = connguard.New(connguard.Options{
 			Name:         name,
-			Limits:       intake.Limits{Bytes: partOfMemory(share.memory, memoryMB), Connections: int(share.files * files)},
+			Limits:       l,
 			KeepsBuffers: name == controlListener || name == operatorsListener || name == instancesListener,
 			HasCalls:     name == instancesListener,
 			Log:          log.WithName("clients"),
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -83,7 +83,7 @@
 		return nil, err
 	}
 	d := &Daemon{process: p, log: log, lines: lines, secrets: secrets, dialer: dialer, traffic: traffic}
-	d.guards = newGuards(noRole, p.MemoryMB, log)
+	d.guards = newGuards(clientLimits(noRole, p.MemoryMB), log)
 	d.guards[callersListener].ReadBuffer = caller.MaxHeaderBytes
 	d.guards[operatorsListener].HasTLS = p.TLS.Operators
 	d.guards[instancesListener].HasTLS = p.TLS.Instances
