connguard: requests and messages ask the account for bytes in one place

reserveForCall repeated what reserve does and added a bound of the wait. Found in the read-through. go test -race ./internal/connguard ./intake passes.

--- a/internal/connguard/call.go
+++ b/internal/connguard/call.go
@@ -60,20 +60,13 @@
 // reserveForCall asks for bytes and waits until the account has decided. The server of a connection that makes way may
 // notice it late, since it reads nothing while a message waits for its handler.
 func (c *Conn) reserveForCall(n int64) bool {
-	isReserved := false
-	c.guard.change(func(a *intake.Account) intake.Outcome {
-		if isReserved = a.TryReserve(c.state, n); isReserved {
-			return intake.Outcome{}
-		}
-		return a.Reserve(time.Now(), c.state, n)
-	})
-	if isReserved {
+	if c.tryReserve(n) {
 		return true
 	}
 	timeout := time.NewTimer(maxCallWait)
 	defer timeout.Stop()
 	select {
-	case isReserved = <-c.decided:
+	case isReserved := <-c.decided:
 		return isReserved
 	case <-timeout.C:
 		_ = c.Close() // takes it out of the line
--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -148,7 +148,11 @@
 }
 
 // reserve asks for bytes, waits until the account has decided, and reports whether it has granted them.
-func (c *Conn) reserve(n int64) bool {
+func (c *Conn) reserve(n int64) bool { return c.tryReserve(n) || <-c.decided }
+
+// tryReserve asks for bytes and reports whether they were granted at once. Otherwise decided tells once the account has
+// decided.
+func (c *Conn) tryReserve(n int64) bool {
 	isReserved := false
 	c.guard.change(func(a *intake.Account) intake.Outcome {
 		if isReserved = a.TryReserve(c.state, n); isReserved {
@@ -156,7 +160,7 @@
 		}
 		return a.Reserve(time.Now(), c.state, n)
 	})
-	return isReserved || <-c.decided
+	return isReserved
 }
 
 // BeginBody reports that a head has arrived whole, and that a body follows.
