--- a/control/clock.go
+++ b/control/clock.go
@@ -8,7 +8,7 @@
 )
 
 // pauseTicks is the minimum number of ticks between two calls of advance that counts as a pause
-// of the process. In a shorter time a loop may only have been late: for its disk, or for an allowance of processor time.
+// of the process. In a shorter time a loop may only have been late: for its disk, or for a CPU quota.
 const pauseTicks = 8 * electionTicks
 
 // clock converts elapsed time to ticks of the node. It includes the time during which the process
--- a/control/quota_test.go
+++ b/control/quota_test.go
@@ -22,7 +22,7 @@
 	standstill = 6 * electionTicks * tickInterval
 )
 
-// quotaLoad describes processes with an allowance, which stand still once they have used it up in a period.
+// quotaLoad describes processes with a CPU quota, which stand still once they have used it up in a period.
 type quotaLoad struct {
 	quota time.Duration // of each period
 	work  float64       // cores that other work takes
@@ -36,14 +36,14 @@
 	run  func()
 }
 
-// quotaProcess is a host in a process with an allowance.
+// quotaProcess is a host in a process with a CPU quota.
 type quotaProcess struct {
 	*Host
 	memStorage
 	g           *quotaGroup
 	name        string
 	phase       time.Duration
-	allowance   time.Duration
+	quotaLeft   time.Duration
 	jobs        []quotaJob
 	now         time.Duration // of the loop, which waits for the disk
 	nextTick    time.Duration
@@ -179,7 +179,7 @@
 		return
 	}
 	if (g.now-p.phase)%quotaPeriod == 0 {
-		p.allowance = g.load.quota
+		p.quotaLeft = g.load.quota
 	}
 	p.work(time.Duration(g.load.work * float64(quotaStep)))
 	if g.load.burst > 0 && g.rng.IntN(2000) == 0 {
@@ -189,10 +189,10 @@
 		p.nextTick = g.now + tickInterval
 		p.wake()
 	}
-	for budget := min(quotaStep, p.allowance); budget > 0 && len(p.jobs) > 0; {
+	for budget := min(quotaStep, p.quotaLeft); budget > 0 && len(p.jobs) > 0; {
 		j := &p.jobs[0]
 		used := min(budget, j.left)
-		budget, p.allowance, j.left = budget-used, p.allowance-used, j.left-used
+		budget, p.quotaLeft, j.left = budget-used, p.quotaLeft-used, j.left-used
 		if j.left > 0 {
 			continue
 		}
@@ -304,12 +304,12 @@
 }
 
 var quotaLoads = map[string]quotaLoad{
-	"half of the allowance is used elsewhere": {quota: 24 * quotaStep, work: 0.12, sync: 5 * quotaStep},
+	"half of the quota is used elsewhere": {quota: 24 * quotaStep, work: 0.12, sync: 5 * quotaStep},
 	"slow disk":                      {quota: 24 * quotaStep, work: 0.12, sync: 125 * quotaStep},
 	"bursts of work":                 {quota: 24 * quotaStep, work: 0.15, burst: 60 * quotaStep, sync: 5 * quotaStep},
 	"bursts of work and a slow disk": {quota: 24 * quotaStep, work: 0.15, burst: 60 * quotaStep, sync: 125 * quotaStep},
-	"nearly all of the allowance is used elsewhere":      {quota: 24 * quotaStep, work: 0.19, sync: 5 * quotaStep},
-	"bursts that use up the allowance for half a second": {quota: 24 * quotaStep, work: 0.12, burst: 120 * quotaStep, sync: 5 * quotaStep},
+	"nearly all of the quota is used elsewhere":      {quota: 24 * quotaStep, work: 0.19, sync: 5 * quotaStep},
+	"bursts that use up the quota for half a second": {quota: 24 * quotaStep, work: 0.12, burst: 120 * quotaStep, sync: 5 * quotaStep},
 }
 
 // Guards against elections among throttled control instances though nothing has failed
--- a/instance/patient_timer_test.go
+++ b/instance/patient_timer_test.go
@@ -107,7 +107,7 @@
 	_, _ = w.Write([]byte("answer")) // kept in the writer
 }
 
-// Pattern: this process stands still, by its allowance or its machine, while a peer answers. Guards against a caller that then
+// Pattern: this process stands still, by its quota or its machine, while a peer answers. Guards against a caller that then
 // takes the answer for one that never came: it called again, closed its connections and avoided the peer.
 func TestHaltOfTheCallerIsNoSilenceOfThePeer(t *testing.T) {
 	if name := os.Getenv(haltedCallerEnv); name != "" {
@@ -126,7 +126,7 @@
 			called := make(chan struct{}, 100)
 			committed := make(chan struct{})
 			peer := &peerOfHalted{called: called}
-			peer.committed = committed
+			peer.leads, peer.committed = true, committed
 			l := listenLocal(t)
 			server := NewServer(&callingReplica{&peer.slowReplica, called}, peer)
 			server.SetRelayHandler(peer)
--- a/instance/proposer_test.go
+++ b/instance/proposer_test.go
@@ -24,36 +24,45 @@
 	is.True(errors.Is(err, ErrNoQuorum))
 }
 
-// lateReplica leads if it names itself as the leader, and has a result after a time.
-type lateReplica struct {
-	Replica
-	address, leader string
-	takes           time.Duration
+// slowReplica is a follower of leader or, if leads is set, has the result of a proposal after a time.
+type slowReplica struct {
+	leads     bool
+	leader    string
+	takes     time.Duration
+	committed <-chan struct{} // what a proposal waits for as well, unless it is nil
+	proposals atomic.Int64
 }
 
-func (r *lateReplica) Propose(ctx context.Context, _ []byte) (replica.Result, error) {
-	if r.address != r.leader {
+func (r *slowReplica) Receive(consensus.Message) {}
+
+func (r *slowReplica) Propose(ctx context.Context, _ []byte) (replica.Result, error) {
+	r.proposals.Add(1)
+	if !r.leads {
 		return replica.Result{}, consensus.ErrNotLeader
 	}
-	select {
-	case <-time.After(r.takes):
-		return replica.Result{Publish: &replica.PublishResult{Version: 7}}, nil
-	case <-ctx.Done():
-		return replica.Result{}, ctx.Err()
+	time.Sleep(r.takes)
+	if r.committed != nil {
+		<-r.committed
 	}
+	return replica.Result{Publish: &replica.PublishResult{Version: 7}}, ctx.Err()
 }
 
-func (r *lateReplica) Leader(context.Context) string { return r.leader }
+func (r *slowReplica) Leader(context.Context) string { return r.leader }
+
+// serve returns the address at which the replica is served.
+func (r *slowReplica) serve(t *testing.T) string {
+	l := listenLocal(t)
+	go func() { _ = NewServer(r, nil).Serve(t.Context(), l) }()
+	return l.Addr().String()
+}
 
 // Guards against calls of operators that fail though there is a leader, since it needs longer than 400 ms.
 func TestLateLeaderAnswersProposals(t *testing.T) {
 	is := is.New(t)
-	var addresses []string
-	for range 3 {
-		l := listenLocal(t)
-		addresses = append(addresses, l.Addr().String())
-		r := &lateReplica{address: l.Addr().String(), leader: addresses[0], takes: 600 * time.Millisecond}
-		go func() { _ = NewServer(r, nil).Serve(t.Context(), l) }()
+	leader := &slowReplica{leads: true, takes: 600 * time.Millisecond}
+	addresses := []string{leader.serve(t)}
+	for range 2 {
+		addresses = append(addresses, (&slowReplica{leader: addresses[0]}).serve(t))
 	}
 	dialer, err := NewDialer("127.0.0.1:0", nil, &meter.Traffic{})
 	is.NoErr(err)
@@ -70,58 +79,24 @@
 // Guards against an instance that waits for a leader which doesn't answer while another one leads.
 func TestProposerFindsTheNextLeaderBesideOneThatHangs(t *testing.T) {
 	is := is.New(t)
-	hanging, leader := listenLocal(t), listenLocal(t) // nobody accepts at the first
-	r := &lateReplica{address: leader.Addr().String(), leader: leader.Addr().String()}
-	go func() { _ = NewServer(r, nil).Serve(t.Context(), leader) }()
+	hanging := listenLocal(t) // nobody accepts
+	leader := &slowReplica{leads: true}
 	dialer, err := NewDialer("127.0.0.1:0", nil, &meter.Traffic{})
 	is.NoErr(err)
-	p := NewProposer(dialer, []string{hanging.Addr().String(), leader.Addr().String()})
+	p := NewProposer(dialer, []string{hanging.Addr().String(), leader.serve(t)})
 	ctx, cancel := context.WithTimeout(t.Context(), 900*time.Millisecond)
 	defer cancel()
 	_, err = p.Propose(ctx, replica.Command{})
 	is.NoErr(err)
 }
 
-// slowReplica commits what is proposed to it when committed is closed. Without that channel it is a follower of the leader.
-type slowReplica struct {
-	committed <-chan struct{}
-	leader    string
-	proposals atomic.Int64
-}
-
-func (r *slowReplica) Receive(consensus.Message) {}
-
-func (r *slowReplica) Propose(ctx context.Context, _ []byte) (replica.Result, error) {
-	r.proposals.Add(1)
-	if r.committed == nil {
-		return replica.Result{}, consensus.ErrNotLeader
-	}
-	select {
-	case <-r.committed:
-		return replica.Result{}, nil
-	case <-ctx.Done():
-		return replica.Result{}, ctx.Err()
-	}
-}
-
-func (r *slowReplica) Leader(context.Context) string { return r.leader }
-
-// serve returns the address at which the replica is served.
-func (r *slowReplica) serve(t *testing.T) string {
-	l := listenLocal(t)
-	go func() { _ = NewServer(r, nil).Serve(t.Context(), l) }()
-	return l.Addr().String()
-}
-
 // Pattern: commits take longer than an attempt to propose, as with slow disks and throttled processes. Guards against
 // proposers that take the leader for lost, avoid it and ask its followers again and again who leads.
 func TestLeaderWhoseCommitsAreSlowIsNotAvoided(t *testing.T) {
 	is := is.New(t)
-	committed := make(chan struct{})
-	time.AfterFunc(proposeTimeout+proposeTimeout/2, func() { close(committed) })
-	leader, follower := &slowReplica{committed: committed}, &slowReplica{}
+	leader := &slowReplica{leads: true, takes: proposeTimeout + proposeTimeout/2}
 	address := leader.serve(t)
-	follower.leader = address
+	follower := &slowReplica{leader: address}
 	dialer, err := NewDialer("127.0.0.1:0", nil, &meter.Traffic{})
 	is.NoErr(err)
 	p := NewProposer(dialer, []string{address, follower.serve(t)})
--- a/mesh/fanout_test.go
+++ b/mesh/fanout_test.go
@@ -364,7 +364,7 @@
 	is.True(isWoken(wake, changed))
 }
 
-// Guards against control instances that spend their allowance on the first heartbeats of new watches: what all of them are
+// Guards against control instances that spend their quota on the first heartbeats of new watches: what all of them are
 // sent is encoded and put in order once.
 func TestFirstHeartbeatsCopyWhatIsEncoded(t *testing.T) {
 	is := is.New(t)
