--- a/control/quota_test.go
+++ b/control/quota_test.go
@@ -304,10 +304,10 @@
 }
 
 var quotaLoads = map[string]quotaLoad{
-	"half of the quota is used elsewhere": {quota: 24 * quotaStep, work: 0.12, sync: 5 * quotaStep},
-	"slow disk":                      {quota: 24 * quotaStep, work: 0.12, sync: 125 * quotaStep},
-	"bursts of work":                 {quota: 24 * quotaStep, work: 0.15, burst: 60 * quotaStep, sync: 5 * quotaStep},
-	"bursts of work and a slow disk": {quota: 24 * quotaStep, work: 0.15, burst: 60 * quotaStep, sync: 125 * quotaStep},
+	"half of the quota is used elsewhere":            {quota: 24 * quotaStep, work: 0.12, sync: 5 * quotaStep},
+	"slow disk":                                      {quota: 24 * quotaStep, work: 0.12, sync: 125 * quotaStep},
+	"bursts of work":                                 {quota: 24 * quotaStep, work: 0.15, burst: 60 * quotaStep, sync: 5 * quotaStep},
+	"bursts of work and a slow disk":                 {quota: 24 * quotaStep, work: 0.15, burst: 60 * quotaStep, sync: 125 * quotaStep},
 	"nearly all of the quota is used elsewhere":      {quota: 24 * quotaStep, work: 0.19, sync: 5 * quotaStep},
 	"bursts that use up the quota for half a second": {quota: 24 * quotaStep, work: 0.12, burst: 120 * quotaStep, sync: 5 * quotaStep},
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,7 +20,6 @@
 
 	"github.com/balsamlb/balsamlb/discovery"
 	"github.com/balsamlb/balsamlb/internal/connguard"
-	"github.com/balsamlb/balsamlb/internal/listen"
 	"github.com/balsamlb/balsamlb/layers"
 	"github.com/balsamlb/balsamlb/linkcheck"
 	"github.com/balsamlb/balsamlb/mesh"
@@ -231,13 +230,6 @@
 	return eg.Wait()
 }
 
-func (g *Gateway) listen() (net.Listener, error) {
-	if g.options.Listen != nil {
-		return g.options.Listen(g.options.ListenAddress)
-	}
-	return listen.TCP(g.options.ListenAddress)
-}
-
 // followMesh replaces the view whenever the mesh changes.
 func (g *Gateway) followMesh(ctx context.Context) error {
 	for {
@@ -258,14 +250,6 @@
 	}
 }
 
-// applyLimits puts the limits of the view's routing document in force at the connections of callers.
-func (g *Gateway) applyLimits(v *view) {
-	if g.options.Guard != nil && v.table != nil {
-		l := v.table.Limits
-		g.options.Guard.SetHeadLimits(connguard.HeadLimits{Bytes: l.HeaderBytes, Time: l.HeaderTimeout, IdleTime: l.IdleTimeout})
-	}
-}
-
 // handleStateChanges checks the drafts on servers that have become unresponsive or have left, and
 // marks a server as recovered when its announcements are received again.
 func (g *Gateway) handleStateChanges(before, next *view) {
