upstream: a reset that the upload was told of makes the answer incomplete

Callers saw: a backend server answers a long upload at once, without a length, sends a part and resets the connection while the upload is written; they get the part as a whole answer, with the server's stamp.

Cause: the kernel reports an error of a connection to one system call only. A body of 16 KiB or more is written by a goroutine of its own while the answer is read. If the write is told of the reset (ECONNRESET), the read meets the end of a connection that has no error left: 0 bytes, which is how an answer without a length ends. Traced on the code as it was, three runs each: reset, and close with the upload unread: read nil, write ECONNRESET, poll POLLHUP; half-closed: read nil, the write goes on, no POLLHUP; half-closed and then reset: read nil, write EPIPE, POLLHUP.

Ruled out: that the part was lost in the gateway's buffers or on the way to the caller (upstream's tests see it without a gateway); that the write's error alone tells (a read may meet the end before the writing goroutine has returned); to count every answer as incomplete whose upload isn't written (a server may answer early, half-close and go on reading).

Now, at the end of an answer that ends with its connection: if nothing more can be received or sent (POLLHUP), the write is awaited, which ends at once then. Its error makes the answer incomplete, unless it is EPIPE, for which the server's end must have come before. So errors other than a reset count as well: data that the server never takes (ETIMEDOUT).

Answers that end early and in order were delivered before and are.

--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -116,6 +116,12 @@
 
 // publish publishes the routing document and waits until the gateway uses it.
 func (f *fleet) publish() {
+	f.t.Helper()
+	f.publishDocument(document)
+}
+
+// publishDocument is publish with another document.
+func (f *fleet) publishDocument(document string) {
 	f.t.Helper()
 	encoder, err := zstd.NewWriter(nil)
 	if err != nil {
--- a/internal/emulate/network.go
+++ b/internal/emulate/network.go
@@ -264,6 +264,13 @@
 	return !c.isClosed && len(c.received) == 0 && !c.hasEnded && !c.isBroken
 }
 
+// IsDown reports whether nothing more can be received or sent.
+func (c *networkConn) IsDown() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isClosed || c.hasEnded && c.isBroken
+}
+
 func (c *networkConn) LocalAddr() net.Addr  { return c.local }
 func (c *networkConn) RemoteAddr() net.Addr { return c.remote }
 
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -9,6 +9,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -97,6 +98,9 @@
 // and has no unread bytes.
 type quietConn interface{ IsQuiet() bool }
 
+// downConn is one that knows itself whether nothing more can be received or sent.
+type downConn interface{ IsDown() bool }
+
 // isIdle reports whether an idle connection is still open and has no unread bytes. Unread bytes on
 // an idle connection belong to no request.
 func (c *conn) isIdle() bool {
@@ -121,3 +125,43 @@
 	})
 	return err == nil && quiet
 }
+
+// checkEnd returns nil if the server has ended the connection, and the error that broke it otherwise. It is called when a
+// read has met the end of the connection while w may go on. The kernel reports an error of a connection to one call only:
+// if that was a write, reads meet the end of a connection that has none.
+func (c *conn) checkEnd(w *writing) error {
+	isDown, err := c.isDown()
+	if err != nil {
+		return err
+	}
+	if isDown {
+		<-w.ended // soon, since nothing can be written any more
+	}
+	if !w.hasEnded() || errors.Is(w.err, syscall.EPIPE) { // EPIPE: the server's end had arrived before
+		return nil
+	}
+	return w.err
+}
+
+// isDown reports whether nothing more can be received or sent on the connection.
+func (c *conn) isDown() (isDown bool, err error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		d, ok := c.Conn.(downConn)
+		return ok && d.IsDown(), nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false, err
+	}
+	controlErr := raw.Control(func(fd uintptr) {
+		state := []unix.PollFd{{Fd: int32(fd)}} // POLLHUP is always reported
+		for {
+			if _, err = unix.Poll(state, 0); err != unix.EINTR {
+				break
+			}
+		}
+		isDown = err == nil && state[0].Revents&unix.POLLHUP != 0
+	})
+	return isDown, errors.Join(controlErr, err)
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -70,7 +70,7 @@
 	conn       *conn
 	client     *Client
 	stop       func() bool // prevents the end of the request's context from closing the connection
-	written    chan error  // receives the result of writing the request
+	writing    *writing
 	mayReuse   bool
 	isComplete bool
 
@@ -170,19 +170,19 @@
 }
 
 func (c *Client) exchange(cn *conn, req *Request) (*Response, error) {
-	written := make(chan error, 1)
+	w := &writing{ended: make(chan struct{})}
 	head := encodeRequestHead(req)
 	if len(req.Body) < concurrentWriteSize {
 		n, err := cn.Write(append(head, req.Body...))
 		if err != nil && n == 0 {
 			return nil, errors.Join(ErrNotSent, err)
 		}
-		written <- err
+		w.end(err)
 	} else {
 		if err := cn.setLongBody(true); err != nil {
 			return nil, errors.Join(ErrNotSent, err)
 		}
-		go func() { written <- writeAll(cn, head, req.Body) }()
+		go func() { w.end(writeAll(cn, head, req.Body)) }()
 	}
 	resp, err := readAnswer(cn, req)
 	if err != nil {
@@ -197,11 +197,31 @@
 		body:               resp.Body,
 		conn:               cn,
 		client:             c,
-		written:            written,
+		writing:            w,
 		mayReuse:           !resp.Close,
 	}, nil
 }
 
+// writing is the writing of a request, which may go on while its answer is read.
+type writing struct {
+	ended chan struct{} // closed once err is set
+	err   error
+}
+
+func (w *writing) end(err error) {
+	w.err = err
+	close(w.ended)
+}
+
+func (w *writing) hasEnded() bool {
+	select {
+	case <-w.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 func writeAll(w io.Writer, parts ...[]byte) error {
 	for _, p := range parts {
 		if _, err := w.Write(p); err != nil {
@@ -286,6 +306,11 @@
 // whether the server sent bytes that are no part of a body.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
+	if err == io.EOF && r.endsWithConnection {
+		if broken := r.conn.checkEnd(r.writing); broken != nil {
+			err = broken
+		}
+	}
 	switch {
 	case err == io.EOF:
 		r.isComplete = true
@@ -304,7 +329,8 @@
 	}
 	stopped := r.stop()
 	cn := r.conn
-	if !r.isComplete || !r.mayReuse || !stopped || !r.isWritten() || cn.reader.Buffered() > 0 {
+	isWritten := r.writing.hasEnded() && r.writing.err == nil
+	if !r.isComplete || !r.mayReuse || !stopped || !isWritten || cn.reader.Buffered() > 0 {
 		_ = cn.Close()
 		return
 	}
@@ -317,16 +343,6 @@
 	r.client.pool.put(now, cn)
 }
 
-// isWritten reports whether the complete request was sent.
-func (r *Response) isWritten() bool {
-	select {
-	case err := <-r.written:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // idleTime returns how long an idle connection may be reused, by the server's Keep-Alive header.
 func idleTime(h http.Header) time.Duration {
 	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
