backend: a connection that ends without an answer acknowledges nothing

What users saw: nothing that is known of; a draft whose first stage has not been started waits until it counts as stalled.

Cause: the requests that start and cancel a stage took the end of the connection (io.EOF) for an answer. fasthttp returns it for no answer and for a head that is cut, and reads as status 200 what it has not read.

Ruled out: that the emulator or a server of the protocol answers these requests by closing (they answer 200).

Any error is one now.

--- a/backend/stage.go
+++ b/backend/stage.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -113,7 +112,7 @@
 	if err := c.post(ref.Address, path, body); err != nil {
 		return err
 	}
-	if err := c.resp.ReadLimitBody(c.reader, maxControlBytes); err != nil && !errors.Is(err, io.EOF) {
+	if err := c.resp.ReadLimitBody(c.reader, maxControlBytes); err != nil {
 		return eris.Wrapf(err, "backend: read response from %s", ref.Server)
 	}
 	return c.checkStatus(path)
