backend: a stage that is not answered says nothing about its server

What callers saw: nothing that is known of; a server that had named the requests a second that it takes could get more (LIMIT).

Cause: what a server says of itself was taken from a request to open a stage also if no answer had come. It then counted as heard without a limit, which ends the limit that it had named before.

Now only an answer is heard. The cases "nothing" and "cut head" of backend.TestBrokenAnswersAreNoAnswers failed before ("the server is heard in no answer") and pass now; backend and dispatch pass.

--- a/backend/broken_answers_test.go
+++ b/backend/broken_answers_test.go
@@ -55,13 +55,16 @@
 			if !errors.As(err, &failed) || !failed.Sent {
 				t.Errorf("a call is answered: %+v, %v", result, err)
 			}
-			c, _, err := backend.OpenStage(t.Context(), backend.OpenStageRequest{Chain: []backend.StageRef{ref}})
+			c, said, err := backend.OpenStage(t.Context(), backend.OpenStageRequest{Chain: []backend.StageRef{ref}})
 			if err == nil {
 				if frame, err := c.Next(); err == nil {
 					t.Errorf("a stage is opened: %+v", frame)
 				}
 				c.Close()
 			}
+			if err != nil && said.IsHeard {
+				t.Errorf("the server is heard in no answer: %+v", said)
+			}
 			if errors.Is(err, backend.ErrRefused) {
 				t.Error("the stage is reported as refused")
 			}
--- a/backend/stage.go
+++ b/backend/stage.go
@@ -36,8 +36,7 @@
 	}
 	stop := context.AfterFunc(ctx, c.Close)
 	defer stop()
-	err = c.openStage(ref, open)
-	said = parseSelfReport(&c.resp)
+	said, err = c.openStage(ref, open)
 	if err != nil {
 		c.Close()
 		return nil, said, err
@@ -47,19 +46,20 @@
 	return c, said, nil
 }
 
-func (c *Conn) openStage(ref StageRef, open OpenStageRequest) error {
+func (c *Conn) openStage(ref StageRef, open OpenStageRequest) (said SelfReport, err error) {
 	if err := c.post(ref.Address, PathStage, open); err != nil {
-		return err
+		return said, err
 	}
 	c.resp.StreamBody = true
 	if err := c.resp.Read(c.reader); err != nil {
-		return eris.Wrapf(err, "backend: read response from %s", c.server)
+		return said, eris.Wrapf(err, "backend: read response from %s", c.server)
 	}
+	said = parseSelfReport(&c.resp)
 	if err := c.checkStatus("open stage"); err != nil {
-		return err
+		return said, err
 	}
 	c.frames = bufio.NewReaderSize(c.resp.BodyStream(), maxFrameBytes)
-	return nil
+	return said, nil
 }
 
 // checkStatus returns an error unless the status is 200. The error wraps ErrRefused if the
