answers: one reader of the answers of backend servers for both roles

No fault is mended here: the first role read answers by fasthttp, which repairs more than net/http does (status 000 is read as 200, a blank before a colon is dropped), so that a check in upstream would have been a protection of one role.

A package of its own, since the tests of upstream use internal/emulate, which uses backend.

--- a/backend/client.go
+++ b/backend/client.go
@@ -4,10 +4,13 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"io"
 	"net"
+	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/balsamlb/balsamlb/internal/answers"
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 )
@@ -22,11 +25,11 @@
 // connection that has gone silent is never reused for another request, and no request is
 // ever resent automatically. Only Close may be called concurrently with another method.
 type Conn struct {
-	server string
-	conn   net.Conn
-	reader *bufio.Reader
-	resp   fasthttp.Response
-	frames *bufio.Reader
+	server  string
+	conn    net.Conn
+	answers *answers.Reader
+	resp    *http.Response // nil before its head has arrived
+	frames  *bufio.Reader
 }
 
 // dial opens a connection whose read and write deadline is that of ctx.
@@ -40,7 +43,7 @@
 		// SetDeadline fails only on a closed connection, which the next write reports.
 		_ = c.SetDeadline(deadline)
 	}
-	return &Conn{server: server, conn: c, reader: bufio.NewReaderSize(c, readBufferSize)}, nil
+	return &Conn{server: server, conn: c, answers: answers.NewReader(c, readBufferSize)}, nil
 }
 
 // Close closes the connection and so ends the request.
@@ -58,6 +61,27 @@
 	return nil
 }
 
+// readHead reads the head of the response.
+func (c *Conn) readHead() (err error) {
+	c.resp, err = c.answers.Read(http.MethodPost, nil)
+	return eris.Wrapf(err, "backend: read response from %s", c.server)
+}
+
+// readResponse reads the response and returns its body, of at most limit bytes.
+func (c *Conn) readResponse(limit int64) ([]byte, error) {
+	if err := c.readHead(); err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(c.resp.Body, limit+1))
+	if err != nil {
+		return nil, eris.Wrapf(err, "backend: read response from %s", c.server)
+	}
+	if int64(len(body)) > limit {
+		return nil, eris.Errorf("backend: the response of %s is longer than %d bytes", c.server, limit)
+	}
+	return body, nil
+}
+
 func (c *Conn) post(address, path string, body any) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
@@ -121,21 +145,22 @@
 	if err := c.sendCall(cr); err != nil {
 		return CallAnswer{}, &CallError{Err: err, Sent: true}
 	}
-	if err := c.resp.ReadLimitBody(c.reader, maxCallBytes); err != nil {
-		return CallAnswer{}, &CallError{Err: eris.Wrapf(err, "backend: read response from %s", cr.Server), Sent: true}
+	body, err := c.readResponse(maxCallBytes)
+	if err != nil {
+		return CallAnswer{}, &CallError{Err: err, Sent: true}
 	}
 	return CallAnswer{
-		Status:      c.resp.StatusCode(),
-		ContentType: string(c.resp.Header.ContentType()),
-		Body:        append([]byte(nil), c.resp.Body()...),
-		NotRun:      isRefusal(&c.resp),
-		Said:        parseSelfReport(&c.resp),
+		Status:      c.resp.StatusCode,
+		ContentType: c.resp.Header.Get("Content-Type"),
+		Body:        body,
+		NotRun:      isRefusal(c.resp),
+		Said:        parseSelfReport(c.resp),
 	}, nil
 }
 
 // isRefusal reports whether the response states that the server did not run the request.
-func isRefusal(resp *fasthttp.Response) bool {
-	return resp.StatusCode() >= fasthttp.StatusBadRequest && string(resp.Header.Peek(HeaderOutcome)) == OutcomeNotRun
+func isRefusal(resp *http.Response) bool {
+	return resp.StatusCode >= http.StatusBadRequest && resp.Header.Get(HeaderOutcome) == OutcomeNotRun
 }
 
 func (c *Conn) sendCall(cr CallRequest) error {
--- a/backend/order.go
+++ b/backend/order.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/balsamlb/balsamlb/fleet"
 	"github.com/balsamlb/balsamlb/placement"
 	"github.com/rotisserie/eris"
-	"github.com/valyala/fasthttp"
 )
 
 // orderTimeout bounds the request that delivers an order; the server executes the order later.
@@ -33,14 +33,14 @@
 	if err := c.post(o.Address, PathOrder, OrderRequest{Fence: o.Fence, Incarnation: o.Incarnation, Engine: o.Engine}); err != nil {
 		return placement.AnswerLost, err
 	}
-	if err := c.resp.ReadLimitBody(c.reader, maxControlBytes); err != nil {
-		return placement.AnswerLost, eris.Wrapf(err, "backend: read response from %s", o.Server)
+	if _, err := c.readResponse(maxControlBytes); err != nil {
+		return placement.AnswerLost, err
 	}
 	switch {
-	case c.resp.StatusCode() == fasthttp.StatusOK:
+	case c.resp.StatusCode == http.StatusOK:
 		return placement.AnswerAccepted, nil
-	case isRefusal(&c.resp):
+	case isRefusal(c.resp):
 		return placement.AnswerRefused, eris.Wrapf(ErrRefused, "backend: order to %s", o.Server)
 	}
-	return placement.AnswerLost, eris.Errorf("backend: order to %s: status %d", o.Server, c.resp.StatusCode())
+	return placement.AnswerLost, eris.Errorf("backend: order to %s: status %d", o.Server, c.resp.StatusCode)
 }
--- a/backend/resolve.go
+++ b/backend/resolve.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 
 	"github.com/rotisserie/eris"
-	"github.com/valyala/fasthttp"
 )
 
 // PathResolve is the path at which a backend server reports the state of a request. Servers that
@@ -68,13 +68,14 @@
 	if err := c.post(address, PathResolve, rr); err != nil {
 		return res, err
 	}
-	if err := c.resp.ReadLimitBody(c.reader, 2*maxCallBytes); err != nil {
-		return res, eris.Wrapf(err, "backend: read response from %s", server)
+	body, err := c.readResponse(2 * maxCallBytes)
+	if err != nil {
+		return res, err
 	}
-	if code := c.resp.StatusCode(); code != fasthttp.StatusOK {
+	if code := c.resp.StatusCode; code != http.StatusOK {
 		return res, eris.Errorf("backend: ask %s for the state of a request: status %d", server, code)
 	}
-	if err := json.Unmarshal(c.resp.Body(), &res); err != nil {
+	if err := json.Unmarshal(body, &res); err != nil {
 		return res, eris.Wrapf(err, "backend: decode response from %s", server)
 	}
 	if res.Incarnation != rr.Incarnation {
--- a/backend/self_report.go
+++ b/backend/self_report.go
@@ -1,8 +1,9 @@
 package backend
 
 import (
+	"net/http"
+
 	"github.com/balsamlb/balsamlb/selfreport"
-	"github.com/valyala/fasthttp"
 )
 
 // SelfReport is what a backend server says about itself in a response.
@@ -19,11 +20,11 @@
 	Pause    selfreport.PauseRequest
 }
 
-func parseSelfReport(resp *fasthttp.Response) SelfReport {
-	s := SelfReport{IsHeard: true, IsLeaving: string(resp.Header.Peek(HeaderLeaving)) == "1"}
-	s.Limit, s.HasLimit = selfreport.ParseLimit(string(resp.Header.Peek(HeaderLimit)))
-	if pause := resp.Header.Peek(HeaderRetryAfter); resp.StatusCode() == fasthttp.StatusServiceUnavailable && len(pause) > 0 {
-		s.HasPause, s.Pause = true, selfreport.ParsePause(string(pause))
+func parseSelfReport(resp *http.Response) SelfReport {
+	s := SelfReport{IsHeard: true, IsLeaving: resp.Header.Get(HeaderLeaving) == "1"}
+	s.Limit, s.HasLimit = selfreport.ParseLimit(resp.Header.Get(HeaderLimit))
+	if pause := resp.Header.Get(HeaderRetryAfter); resp.StatusCode == http.StatusServiceUnavailable && pause != "" {
+		s.HasPause, s.Pause = true, selfreport.ParsePause(pause)
 	}
 	return s
 }
--- a/backend/stage.go
+++ b/backend/stage.go
@@ -4,10 +4,10 @@
 	"bufio"
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/valyala/fasthttp"
 )
 
 const (
@@ -50,26 +50,25 @@
 	if err := c.post(ref.Address, PathStage, open); err != nil {
 		return said, err
 	}
-	c.resp.StreamBody = true
-	if err := c.resp.Read(c.reader); err != nil {
-		return said, eris.Wrapf(err, "backend: read response from %s", c.server)
+	if err := c.readHead(); err != nil {
+		return said, err
 	}
-	said = parseSelfReport(&c.resp)
+	said = parseSelfReport(c.resp)
 	if err := c.checkStatus("open stage"); err != nil {
 		return said, err
 	}
-	c.frames = bufio.NewReaderSize(c.resp.BodyStream(), maxFrameBytes)
+	c.frames = bufio.NewReaderSize(c.resp.Body, maxFrameBytes)
 	return said, nil
 }
 
 // checkStatus returns an error unless the status is 200. The error wraps ErrRefused if the
 // server refused the request before running it.
 func (c *Conn) checkStatus(step string) error {
-	code := c.resp.StatusCode()
-	if code == fasthttp.StatusOK {
+	code := c.resp.StatusCode
+	if code == http.StatusOK {
 		return nil
 	}
-	if string(c.resp.Header.Peek(HeaderOutcome)) == OutcomeNotRun {
+	if c.resp.Header.Get(HeaderOutcome) == OutcomeNotRun {
 		return eris.Wrapf(ErrRefused, "backend: %s on %s", step, c.server)
 	}
 	return eris.Errorf("backend: %s on %s: status %d", step, c.server, code)
@@ -112,8 +111,8 @@
 	if err := c.post(ref.Address, path, body); err != nil {
 		return err
 	}
-	if err := c.resp.ReadLimitBody(c.reader, maxControlBytes); err != nil {
-		return eris.Wrapf(err, "backend: read response from %s", ref.Server)
+	if _, err := c.readResponse(maxControlBytes); err != nil {
+		return err
 	}
 	return c.checkStatus(path)
 }
--- a/dispatch/draft_run.go
+++ b/dispatch/draft_run.go
@@ -250,7 +250,7 @@
 
 // isTimeout reports whether a server did not answer in time. It may only be silent for a while.
 func isTimeout(err error) bool {
-	var timeout interface{ Timeout() bool } // fasthttp.ErrTimeout is no net.Error
+	var timeout interface{ Timeout() bool }
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
--- a/gateway/answer_limits.go
+++ b/gateway/answer_limits.go
@@ -7,8 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/balsamlb/balsamlb/internal/answers"
 	"github.com/balsamlb/balsamlb/internal/connguard"
-	"github.com/balsamlb/balsamlb/upstream"
 )
 
 const (
@@ -36,7 +36,7 @@
 
 // isMalformed reports whether a server sent bytes that are no answer, or too many of them.
 func isMalformed(err error) bool {
-	return upstream.IsMalformed(err) || errors.Is(err, errAnswerTooLong) || errors.Is(err, errEventTooLong)
+	return answers.IsMalformed(err) || errors.Is(err, errAnswerTooLong) || errors.Is(err, errEventTooLong)
 }
 
 // markMalformed keeps new drafts from a server for a time if it sent bytes that are no answer.
--- a/upstream/limits.go
+++ b/internal/answers/limits.go
@@ -1,26 +1,25 @@
-package upstream
+package answers
 
 import (
 	"bufio"
 	"bytes"
 	"errors"
 	"io"
-	"net"
 	"slices"
 )
 
 var (
 	// ErrHeadTooLong means that the heads that a server sent for one request, with those of interim
 	// and skipped answers, exceed maxHeadBytes.
-	ErrHeadTooLong = errors.New("upstream: the heads of the answers are too long")
+	ErrHeadTooLong = errors.New("answers: the heads of the answers are too long")
 	// ErrNotHTTP means that a server sent bytes that are no HTTP answer.
-	ErrNotHTTP = errors.New("upstream: the server sent bytes that are no HTTP answer")
+	ErrNotHTTP = errors.New("answers: the server sent bytes that are no HTTP answer")
 	// ErrSkippedTooLong means that the bodies of answers to other requests exceed maxSkippedBytes.
-	ErrSkippedTooLong = errors.New("upstream: the bodies of answers to other requests are too long")
+	ErrSkippedTooLong = errors.New("answers: the bodies of answers to other requests are too long")
 	// ErrOnlyInterim means that a server sent more than maxInterimAnswers interim answers.
-	ErrOnlyInterim = errors.New("upstream: the server sent only interim answers")
+	ErrOnlyInterim = errors.New("answers: the server sent only interim answers")
 	// ErrOnlyOthers means that a server sent maxAnswers answers to other requests.
-	ErrOnlyOthers = errors.New("upstream: the server sent only answers to other requests")
+	ErrOnlyOthers = errors.New("answers: the server sent only answers to other requests")
 )
 
 // malformed are the errors for which IsMalformed is true.
@@ -43,7 +42,7 @@
 // boundedReader reads from a connection. While heads are read, it fails with ErrHeadTooLong once more
 // than the allowed bytes were read, so that a head without end takes no more memory than that.
 type boundedReader struct {
-	conn net.Conn
+	conn io.Reader
 	// left is the number of bytes that may still be read; it has no meaning unless isBounded is set.
 	left      int
 	isBounded bool
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -7,13 +7,13 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
 	"syscall"
 	"time"
 
+	"github.com/balsamlb/balsamlb/internal/answers"
 	"golang.org/x/sys/unix"
 )
 
@@ -38,8 +38,7 @@
 	net.Conn
 	address string
 	server  string
-	reader  *bufio.Reader
-	bounds  *boundedReader // that reader reads from
+	answers *answers.Reader
 	// usableUntil is the time from which the idle connection is not reused, since the server may
 	// close it.
 	usableUntil time.Time
@@ -60,8 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	bounds := &boundedReader{conn: nc}
-	return &conn{Conn: nc, address: address, reader: bufio.NewReaderSize(bounds, readBufferSize), bounds: bounds}, nil
+	return &conn{Conn: nc, address: address, answers: answers.NewReader(nc, readBufferSize)}, nil
 }
 
 // setLongBody sets the time after which unacknowledged data closes the connection.
@@ -104,7 +102,7 @@
 // isIdle reports whether an idle connection is still open and has no unread bytes. Unread bytes on
 // an idle connection belong to no request.
 func (c *conn) isIdle() bool {
-	if c.reader.Buffered() > 0 {
+	if c.answers.Buffered() > 0 {
 		return false
 	}
 	sc, ok := c.Conn.(syscall.Conn)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/balsamlb/balsamlb/internal/answers"
 	"github.com/rotisserie/eris"
 )
 
@@ -21,17 +22,10 @@
 	ErrInterrupted = errors.New("upstream: the server sent no complete answer")
 )
 
-const (
-	// maxAnswers bounds the answers read for one request, including skipped ones, but without interim
-	// answers.
-	maxAnswers = 4
-	// maxInterimAnswers bounds the interim answers (status 1xx) read for one request.
-	maxInterimAnswers = 64
-	// concurrentWriteSize is the smallest size of a body that is written while the client already
-	// waits for the answer. So the client can read an answer that the server sends before it has
-	// read the whole body.
-	concurrentWriteSize = 16 << 10
-)
+// concurrentWriteSize is the smallest size of a body that is written while the client already
+// waits for the answer. So the client can read an answer that the server sends before it has
+// read the whole body.
+const concurrentWriteSize = 16 << 10
 
 // Request is one message to a backend server.
 type Request struct {
@@ -184,7 +178,7 @@
 		}
 		go func() { w.end(writeAll(cn, head, req.Body)) }()
 	}
-	resp, err := readAnswer(cn, req)
+	resp, err := cn.answers.Read(req.Method, req.IsAnswer)
 	if err != nil {
 		return nil, errors.Join(ErrInterrupted, err)
 	}
@@ -231,58 +225,6 @@
 	return nil
 }
 
-// readAnswer returns the answer to the request. It skips interim answers and answers to other
-// requests. What it reads beside the body of the answer is bounded.
-func readAnswer(cn *conn, req *Request) (*http.Response, error) {
-	cn.bounds.boundHeads()
-	defer cn.bounds.unbound()
-	interim := 0
-	maySkip := int64(maxSkippedBytes)
-	for range maxAnswers {
-		resp, err := readHead(cn, req)
-		for ; err == nil && isInterim(resp); interim++ {
-			if interim == maxInterimAnswers {
-				return nil, ErrOnlyInterim
-			}
-			resp, err = readHead(cn, req)
-		}
-		if err != nil {
-			return nil, err
-		}
-		if req.IsAnswer == nil || req.IsAnswer(resp.StatusCode, resp.Header) {
-			return resp, nil
-		}
-		cn.bounds.unbound()
-		n, err := skipBody(resp.Body, maySkip)
-		if err != nil {
-			return nil, err
-		}
-		maySkip -= n
-		cn.bounds.rebound()
-	}
-	return nil, ErrOnlyOthers
-}
-
-// readHead reads the head of one answer.
-func readHead(cn *conn, req *Request) (*http.Response, error) {
-	if err := checkPrefix(cn.reader); err != nil {
-		return nil, err
-	}
-	resp, err := http.ReadResponse(cn.reader, &http.Request{Method: req.Method})
-	if err != nil && !errors.Is(err, ErrHeadTooLong) && !isEndOfConnection(err) {
-		return nil, errors.Join(ErrNotHTTP, err)
-	}
-	return resp, err
-}
-
-// isEndOfConnection reports whether a read failed since the connection has ended or timed out.
-func isEndOfConnection(err error) bool {
-	var ne net.Error
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &ne)
-}
-
-func isInterim(resp *http.Response) bool { return resp.StatusCode >= 100 && resp.StatusCode < 200 }
-
 func encodeRequestHead(req *Request) []byte {
 	var b bytes.Buffer
 	b.WriteString(req.Method + " " + req.Target + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
@@ -302,7 +244,7 @@
 // from the end of its server.
 func (r *Response) EndsWithConnection() bool { return r.endsWithConnection }
 
-// Read reads the body. Any error except io.EOF means that the answer is incomplete; IsMalformed tells
+// Read reads the body. Any error except io.EOF means that the answer is incomplete; answers.IsMalformed tells
 // whether the server sent bytes that are no part of a body.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
@@ -314,8 +256,8 @@
 	switch {
 	case err == io.EOF:
 		r.isComplete = true
-	case err != nil && r.conn != nil && !isEndOfConnection(err):
-		err = errors.Join(ErrNotHTTP, err)
+	case err != nil && r.conn != nil && !answers.IsEndOfConnection(err):
+		err = errors.Join(answers.ErrNotHTTP, err)
 	}
 	return n, err
 }
@@ -330,7 +272,7 @@
 	stopped := r.stop()
 	cn := r.conn
 	isWritten := r.writing.hasEnded() && r.writing.err == nil
-	if !r.isComplete || !r.mayReuse || !stopped || !isWritten || cn.reader.Buffered() > 0 {
+	if !r.isComplete || !r.mayReuse || !stopped || !isWritten || cn.answers.Buffered() > 0 {
 		_ = cn.Close()
 		return
 	}
--- a/upstream/exchange_test.go
+++ b/upstream/exchange_test.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"testing"
 
+	"github.com/balsamlb/balsamlb/internal/answers"
 	"github.com/matryer/is"
 )
 
@@ -270,7 +271,7 @@
 func TestInterimAnswersAreSkipped(t *testing.T) {
 	is := is.New(t)
 	s := newFakeServer(t, func(_ int64, c net.Conn, r *http.Request) {
-		for range 2 * maxAnswers {
+		for range 2 * answers.MaxAnswers {
 			_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n")
 		}
 		answer(c, r.Header.Get("X-Id"), "yours")
--- a/upstream/limits_test.go
+++ b/upstream/limits_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/balsamlb/balsamlb/internal/answers"
 	"github.com/balsamlb/balsamlb/internal/emulate"
 	"github.com/matryer/is"
 )
@@ -23,8 +24,8 @@
 	const head = "HTTP/1.1 200 OK\r\nX-Id: a\r\n"
 	wholeBodies := map[string]bool{"body": true, "body, slowly": true} // answers, which the caller bounds
 	wantErr := map[string]error{
-		"no HTTP": ErrNotHTTP, "one header line": ErrHeadTooLong, "header lines": ErrHeadTooLong, "interim answers": ErrOnlyInterim,
-		"body of another request": ErrSkippedTooLong, "body of another request, chunked": ErrSkippedTooLong,
+		"no HTTP": answers.ErrNotHTTP, "one header line": answers.ErrHeadTooLong, "header lines": answers.ErrHeadTooLong, "interim answers": answers.ErrOnlyInterim,
+		"body of another request": answers.ErrSkippedTooLong, "body of another request, chunked": answers.ErrSkippedTooLong,
 	}
 	for _, kind := range emulate.EndlessAnswers(head) {
 		if wholeBodies[kind.Name] {
@@ -43,7 +44,7 @@
 			is.True(err != nil)
 			if want := wantErr[kind.Name]; want != nil {
 				is.True(errors.Is(err, want))
-				is.True(IsMalformed(err))
+				is.True(answers.IsMalformed(err))
 				is.True(errors.Is(err, ErrInterrupted)) // the request may have run
 			}
 			for server.Open() > 0 {
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -1,11 +1,11 @@
 package upstream
 
 import (
-	"bufio"
 	"net"
 	"testing"
 	"time"
 
+	"github.com/balsamlb/balsamlb/internal/answers"
 	"github.com/matryer/is"
 )
 
@@ -36,7 +36,7 @@
 	for _, hasEnded := range []bool{true, false} {
 		near, far := net.Pipe()
 		defer far.Close()
-		c := &conn{Conn: quietness{near, !hasEnded}, server: "s", reader: bufio.NewReader(near), usableUntil: start.Add(time.Second)}
+		c := &conn{Conn: quietness{near, !hasEnded}, server: "s", answers: answers.NewReader(near, readBufferSize), usableUntil: start.Add(time.Second)}
 		p.put(start, c)
 		is.Equal(p.take(start, "s") == c, !hasEnded)
 		is.Equal(isClosedByPeer(far), hasEnded)
