answers: a field whose name holds a blank makes no answer

What callers saw: of an answer with "X Y: z" or "X-Y : z" in its head, the answer; of one with "Content-Length : 4" or "Transfer-Encoding : chunked", a 200 with the server's stamp whose body is the chunks as they stood on the connection, with their lengths. The first role counted calls as answered and orders, starts and cancellations as acknowledged.

Cause: net/textproto accepts a blank in a name and keeps the field under that name, so the length isn't seen and the body lasts until the connection ends. (fasthttp drops a blank before the colon.) It rejects all other bytes that a name may not have.

Ruled out: dropping such lines, since the body would go on being another one; rejecting only names that resemble a length, since a head with such a line isn't HTTP (RFC 9112, 5.1).

Now such a head is none for both roles, in interim and skipped answers too, and a body in chunks isn't complete if its trailer has such a name; control bytes there were rejected before.

--- a/internal/answers/head.go
+++ b/internal/answers/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 )
@@ -14,8 +15,35 @@
 	if strings.ContainsFunc(resp.Status, isControl) {
 		return fmt.Errorf("status line with a control byte: %q", resp.Status)
 	}
+	return checkNames(resp.Header)
+}
+
+// checkNames returns an error for a name with a blank. Such a field may be one on which the length of the body depends.
+// net/textproto rejects all other bytes that a name may not have.
+func checkNames(h http.Header) error {
+	for name := range h {
+		if strings.Contains(name, " ") {
+			return fmt.Errorf("field name with a blank: %q", name)
+		}
+	}
 	return nil
 }
 
 // isControl reports whether a byte may stand neither in the reason of a status line nor in a value.
 func isControl(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f }
+
+// trailedBody is the body of an answer, which ends only with a sound trailer.
+type trailedBody struct {
+	io.ReadCloser
+	answer *http.Response
+}
+
+func (b *trailedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		if broken := checkNames(b.answer.Trailer); broken != nil {
+			err = broken
+		}
+	}
+	return n, err
+}
--- a/internal/answers/reader.go
+++ b/internal/answers/reader.go
@@ -53,6 +53,7 @@
 			return nil, err
 		}
 		if isAnswer == nil || isAnswer(resp.StatusCode, resp.Header) {
+			resp.Body = &trailedBody{resp.Body, resp}
 			return resp, nil
 		}
 		r.bounds.unbound()
--- a/internal/answers/reader_test.go
+++ b/internal/answers/reader_test.go
@@ -56,3 +56,27 @@
 		})
 	}
 }
+
+// Guards against fields after the last chunk that HTTP doesn't allow: the body isn't taken for complete.
+func TestBrokenTrailersMakeAnswersIncomplete(t *testing.T) {
+	for name, c := range map[string]struct {
+		trailer  string
+		isBroken bool
+	}{
+		"none":                       {"", false},
+		"field":                      {"X-Y: z\r\n", false},
+		"blank in a name":            {"X Y: z\r\n", true},
+		"blank at the end of a name": {"X-Y : z\r\n", true},
+		"control byte in a name":     {"X\x01Y: z\r\n", true},
+		"no colon":                   {"X-Y\r\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			resp, err := read("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"+c.trailer+"\r\n", nil)
+			is.NoErr(err)
+			body, err := io.ReadAll(resp.Body)
+			is.Equal(string(body), "body")
+			is.Equal(err != nil, c.isBroken)
+		})
+	}
+}
