answers: chunks in an HTTP/1.0 answer make no answer

What callers saw of an HTTP/1.0 answer with "Transfer-Encoding: chunked": a 200 with the server's stamp whose body is the chunks as they stood on the connection.

Ruled out: a check of the parsed header, from which the field is gone; rejecting all HTTP/1.0 answers without a length, which are sound.

Now the head of an HTTP/1.0 answer is kept while it is read, within the bound for heads, and one with an encoding is none.

--- a/internal/answers/head.go
+++ b/internal/answers/head.go
@@ -1,6 +1,7 @@
 package answers
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -29,6 +30,24 @@
 	return nil
 }
 
+// oldVersion is the version whose answers have no chunks.
+const oldVersion = "HTTP/1.0"
+
+// checkOldHead returns an error if a head of oldVersion, which sent begins with, names an encoding of the body: it isn't known
+// then how the body ends. http.ReadResponse drops such a field.
+func checkOldHead(sent []byte) error {
+	for line := range bytes.Lines(sent) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
+			break
+		}
+		if name, _, _ := bytes.Cut(line, []byte(":")); strings.EqualFold(string(name), "Transfer-Encoding") {
+			return fmt.Errorf("an encoding of the body in %s: %q", oldVersion, line)
+		}
+	}
+	return nil
+}
+
 // isControl reports whether a byte may stand neither in the reason of a status line nor in a value.
 func isControl(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f }
 
--- a/internal/answers/limits.go
+++ b/internal/answers/limits.go
@@ -46,6 +46,9 @@
 	// left is the number of bytes that may still be read; it has no meaning unless isBounded is set.
 	left      int
 	isBounded bool
+	// isRecording means that the bytes of heads are also kept in recorded.
+	isRecording bool
+	recorded    []byte
 }
 
 func (r *boundedReader) Read(p []byte) (int, error) {
@@ -57,9 +60,24 @@
 	}
 	n, err := r.conn.Read(p[:min(len(p), r.left)])
 	r.left -= n
+	if r.isRecording {
+		r.recorded = append(r.recorded, p[:n]...)
+	}
 	return n, err
 }
 
+// record keeps the bytes that have arrived and those that are read from now on.
+func (r *boundedReader) record(arrived []byte) {
+	r.isRecording, r.recorded = true, bytes.Clone(arrived)
+}
+
+// stopRecording returns what was kept.
+func (r *boundedReader) stopRecording() []byte {
+	recorded := r.recorded
+	r.isRecording, r.recorded = false, nil
+	return recorded
+}
+
 // boundHeads starts the reading of the heads for one request.
 func (r *boundedReader) boundHeads() { r.isBounded, r.left = true, maxHeadBytes }
 
--- a/internal/answers/reader.go
+++ b/internal/answers/reader.go
@@ -72,10 +72,24 @@
 	if err := checkPrefix(r.reader); err != nil {
 		return nil, err
 	}
+	version, err := r.reader.Peek(len(oldVersion))
+	if err != nil {
+		return nil, err
+	}
+	isOld := string(version) == oldVersion
+	if isOld {
+		arrived, _ := r.reader.Peek(r.reader.Buffered()) // that many can't fail
+		r.bounds.record(arrived)
+	}
 	resp, err := http.ReadResponse(r.reader, &http.Request{Method: method})
 	if err == nil {
 		err = checkHead(resp)
 	}
+	if isOld {
+		if head := r.bounds.stopRecording(); err == nil {
+			err = checkOldHead(head)
+		}
+	}
 	if err != nil && !errors.Is(err, ErrHeadTooLong) && !IsEndOfConnection(err) {
 		return nil, errors.Join(ErrNotHTTP, err)
 	}
--- a/internal/answers/reader_test.go
+++ b/internal/answers/reader_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	"github.com/balsamlb/balsamlb/internal/answers"
 	"github.com/balsamlb/balsamlb/internal/emulate"
@@ -80,3 +81,23 @@
 		})
 	}
 }
+
+// An encoding is one only in the head, which may come in parts of any size.
+func TestAnswersOfOldServersInParts(t *testing.T) {
+	for name, c := range map[string]struct {
+		sent     string
+		isBroken bool
+	}{
+		"encoding in the body":             {"HTTP/1.0 200 OK\r\nContent-Length: 30\r\n\r\nTransfer-Encoding: chunked\r\n\r\n", false},
+		"encoding after a long line":       {"HTTP/1.0 200 OK\r\nX-Y: " + strings.Repeat("z", 9000) + "\r\nTransfer-Encoding: chunked\r\n\r\n", true},
+		"encoding after an interim answer": {"HTTP/1.1 103 Early\r\n\r\nHTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", true},
+		"interim answer with an encoding":  {"HTTP/1.0 103 Early\r\nTransfer-Encoding: chunked\r\n\r\nHTTP/1.0 200 OK\r\n\r\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, reader := range []io.Reader{strings.NewReader(c.sent), iotest.OneByteReader(strings.NewReader(c.sent))} {
+				_, err := answers.NewReader(reader, 4<<10).Read(http.MethodGet, nil)
+				is.New(t).Equal(answers.IsMalformed(err), c.isBroken)
+			}
+		})
+	}
+}
--- a/internal/emulate/broken.go
+++ b/internal/emulate/broken.go
@@ -35,6 +35,7 @@
 		{"zero byte in a value", statusOK + chunks + "X-Y: z\x00\r\n"},
 		{"two lengths", statusOK + lines + "Content-Length: 4\r\nContent-Length: 2\r\n"},
 		{"signed length", statusOK + lines + "Content-Length: +4\r\n"},
+		{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\n" + chunks},
 		{"unknown encoding", statusOK + lines + "Transfer-Encoding: gzip, chunked\r\n"},
 	}
 }
