instance: heads that earlier builds relay are checked as those of servers

What callers saw, at an instance that is cut off from the backend servers while the one that takes its requests runs an earlier build: of an answer with status 000 or 099, a closed connection (a gateway's handler panicked) or a 200 (first role).

Cause: the head of a relayed answer was used as it came, and earlier builds pass on what they take for an answer.

Ruled out: a check where relayed answers are written, which both roles would need.

Now the caller's instance rejects a status under 200 or over 999 and a name with a blank: the answer has broken off, and the request may have run. Mixed builds were not played with processes for it.

--- a/instance/relay.go
+++ b/instance/relay.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/balsamlb/balsamlb/instance/wire"
+	"github.com/balsamlb/balsamlb/internal/answers"
 	"github.com/balsamlb/balsamlb/relay"
 	"github.com/rotisserie/eris"
 	"storj.io/drpc/drpcconn"
@@ -335,6 +336,10 @@
 	if m.Head == nil {
 		return nil, eris.New("instance: the answer begins without a head")
 	}
+	// Earlier builds pass on what is no answer.
+	if err := answers.CheckFinal(int(m.Head.Status), headersFromWire(m.Head.Headers)); err != nil {
+		return nil, err
+	}
 	return m.Head, nil
 }
 
--- a/internal/answers/head.go
+++ b/internal/answers/head.go
@@ -19,6 +19,18 @@
 	return checkNames(resp.Header)
 }
 
+// CheckFinal returns an error for what isn't the status and the header of a final answer. Readers of this package have checked
+// them; it is for those that arrive by another way than HTTP.
+func CheckFinal(status int, h http.Header) error {
+	if status < http.StatusOK || status > maxStatus {
+		return fmt.Errorf("status %d is no final one", status)
+	}
+	return checkNames(h)
+}
+
+// maxStatus is the largest status that can be written, though HTTP defines those up to 599 only.
+const maxStatus = 999
+
 // checkNames returns an error for a name with a blank. Such a field may be one on which the length of the body depends.
 // net/textproto rejects all other bytes that a name may not have.
 func checkNames(h http.Header) error {
