gateway: an answer that breaks off resets the connection of an HTTP/1.0 caller

What callers of HTTP/1.0 saw: a part of an answer or of a stream as a whole one, if the server broke off after the first part was under way. Callers of HTTP/1.1 miss the last chunk, or bytes of the stated length.

Cause: the handler ends with http.ErrAbortHandler, upon which the connection is closed in order; to HTTP/1.0 that is the end of a body without a length.

Ruled out: chunks, which HTTP/1.0 doesn't know; to buffer whole answers for such callers, for which there is no memory; callers of other versions need nothing.

Now the connection of such a caller is reset, guarded or not.

--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -226,7 +226,7 @@
 		g.options.Log.Info("breaking off a stream", "request", d.header.ID, "reason", f.reason, "silent_ms", d.idleTime().Milliseconds(),
 			"left_ms", time.Until(d.deadline).Milliseconds(), "may_repeat", d.route.MayRepeat(), "attempts", d.attempts.Load(), "max_attempts", d.route.MaxAttempts)
 		g.recordEnd(d.job, 0, "broke off the stream: "+f.reason)
-		panic(http.ErrAbortHandler)
+		breakOff(w, d.request)
 	}
 	r := g.finalRefusal(ctx, d.job, f)
 	switch {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/balsamlb/balsamlb/internal/connguard"
 	"github.com/balsamlb/balsamlb/layers"
 	"github.com/balsamlb/balsamlb/selfreport"
 	"github.com/balsamlb/balsamlb/upstream"
@@ -135,13 +136,23 @@
 	if !isWhole {
 		if _, err := io.Copy(w, body); err != nil {
 			g.options.Log.Info("broke off an answer", "request", j.header.ID, "reason", err.Error())
-			// Abort the connection so that the caller can't take a truncated body for a complete one.
-			panic(http.ErrAbortHandler)
+			breakOff(w, j.request)
 		}
 	}
 	return nil
 }
 
+// breakOff ends the caller's connection within an answer, so that the caller can't take a truncated body for a complete one.
+// It panics with http.ErrAbortHandler.
+func breakOff(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) { // a body without a length ends with its connection, and only a reset tells a caller more
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			connguard.Reset(conn)
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func bodyAllowed(status int) bool {
 	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
 }
--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -317,6 +317,14 @@
 	_ = c.Close()
 }
 
+// Reset closes a connection, guarded or not, so that its client can't take what it has received for all that was to come.
+func Reset(c net.Conn) {
+	if guarded, ok := c.(*Conn); ok {
+		abort(guarded.Conn)
+	}
+	abort(c)
+}
+
 type contextKey struct{}
 
 // ConnContext is the ConnContext of an http.Server.
