gateway: a server whose answer breaks off under way counts as failed

What callers saw: the long answers of a server that breaks them off go on reaching them, each with the end of the connection, though a sound server could serve them.

Cause: an answer of more than 256 KiB is written while it is read. If the server breaks it off, the handler ended at once: the server's health, the lost run and the end of the request were recorded only for answers that broke off within the buffer.

Ruled out: that the retry could mend it: what has been written can't be taken back.

--- a/gateway/answer_limits.go
+++ b/gateway/answer_limits.go
@@ -64,9 +64,19 @@
 type boundedAnswer struct {
 	io.Reader
 	left int64
+	// err is the error of the last Read, unless that was io.EOF.
+	err error
 }
 
 func (r *boundedAnswer) Read(p []byte) (int, error) {
+	n, err := r.read(p)
+	if r.err = err; err == io.EOF {
+		r.err = nil
+	}
+	return n, err
+}
+
+func (r *boundedAnswer) read(p []byte) (int, error) {
 	if r.left < 0 {
 		return 0, errAnswerTooLong
 	}
--- a/gateway/broken_off_test.go
+++ b/gateway/broken_off_test.go
@@ -71,3 +71,28 @@
 	t.Cleanup(front.Close)
 	return front
 }
+
+// Guards against a server that goes on getting requests though its long answers break off: only those that broke off before
+// anything was written to the caller counted against it.
+func TestServerWhoseLongAnswersBreakOffIsAvoided(t *testing.T) {
+	const requests = 40
+	f := newFleet(t)
+	f.serve("broken", "desk", 0, 0, func(c net.Conn, r *http.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nBalsamlb-Request-Id: req-1\r\nBalsamlb-Response-Stamp: s1\r\nTransfer-Encoding: chunked\r\n\r\n")
+		chunk(c, strings.Repeat("a part", 100<<10)) // more than is buffered
+		time.Sleep(50 * time.Millisecond)
+		reset(c, r)
+	})
+	f.serve("sound", "desk", 0, 0, func(c net.Conn, _ *http.Request) { reply(c, http.StatusOK, "sound") })
+	f.publish()
+	brokenOff := 0
+	for range requests {
+		if r := f.send(http.MethodPost, "/check/1", nil, strings.NewReader("x")); r.err != nil {
+			brokenOff++
+		}
+	}
+	t.Logf("%d of %d answers broke off", brokenOff, requests)
+	if brokenOff > requests/4 {
+		t.Errorf("%d of %d answers broke off", brokenOff, requests)
+	}
+}
--- a/gateway/draft.go
+++ b/gateway/draft.go
@@ -319,12 +319,14 @@
 	if d.isStarted.Load() || !d.race.claim(a, resp.Status < http.StatusInternalServerError) {
 		return &failure{reason: "the stream did not go on: status " + strconv.Itoa(resp.Status), ran: true}
 	}
-	if err := g.writeResponse(d.writer, d.job, resp); err != nil {
+	onLost := func(err error) {
 		if a.relay == nil {
 			head := a.currentPath()[0].ID
 			g.markMalformed(head, err)
 			d.avoidHead(head)
 		}
+	}
+	if err := g.writeResponse(d.writer, d.job, resp, onLost); err != nil {
 		return &failure{reason: "the answer broke off", ran: true, err: err}
 	}
 	d.isComplete.Store(true)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -109,12 +109,14 @@
 }
 
 // writeResponse forwards a response to the caller. It returns an error only if nothing was written
-// yet, so that another response is still possible.
-func (g *Gateway) writeResponse(w http.ResponseWriter, j *job, resp *upstream.Response) error {
+// yet, so that another response is still possible. onLost is called with the error if the response breaks off on its way from
+// the server.
+func (g *Gateway) writeResponse(w http.ResponseWriter, j *job, resp *upstream.Response, onLost func(error)) error {
 	body := &boundedAnswer{Reader: resp, left: g.maxAnswerBytes(j)}
 	buffered, isWhole, release, err := g.buffers.buffer(j.conn, body)
 	defer release()
 	if err != nil {
+		onLost(err)
 		return err
 	}
 	h := w.Header()
@@ -138,6 +140,10 @@
 	if !isWhole {
 		if _, err := io.Copy(w, body); err != nil {
 			g.options.Log.Info("broke off an answer", "request", j.header.ID, "reason", err.Error())
+			if body.err != nil { // otherwise the caller takes no more
+				onLost(body.err)
+			}
+			g.recordEnd(j, 0, "broke off the answer: "+err.Error())
 			breakOff(w, j.request)
 		}
 	}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -132,11 +132,13 @@
 	if f := g.checkResponse(j, server.ID, resp, rh); f != nil {
 		return f
 	}
-	if err := g.writeResponse(w, j, resp); err != nil {
+	onLost := func(err error) {
 		if ctx.Err() == nil {
 			g.recordHealth(server.ID, false)
 		}
 		g.recordLostCall(ctx, j, server, err)
+	}
+	if err := g.writeResponse(w, j, resp, onLost); err != nil {
 		return &failure{reason: "the answer of " + server.ID + " broke off", ran: true, err: err}
 	}
 	g.recordHealth(server.ID, resp.Status < http.StatusInternalServerError)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -184,7 +184,7 @@
 		return f
 	}
 	defer resp.Close()
-	if err := g.writeResponse(w, j, resp); err != nil {
+	if err := g.writeResponse(w, j, resp, func(error) {}); err != nil {
 		j.mayHaveRun.Store(true)
 		return &failure{reason: "the answer by way of " + taker.Name + " broke off", ran: true, err: err}
 	}
