--- a/internal/emulate/broken.go
+++ b/internal/emulate/broken.go
@@ -1,5 +1,10 @@
 package emulate
 
+import (
+	"io"
+	"net"
+)
+
 // BrokenHead is the head of an answer that HTTP doesn't allow: its status line and headers, each with its line end, without the
 // empty line.
 type BrokenHead struct{ Name, Head string }
@@ -39,3 +44,10 @@
 		{"unknown encoding", statusOK + lines + "Transfer-Encoding: gzip, chunked\r\n"},
 	}
 }
+
+// sendBrokenHead is the hijack handler for FaultBrokenHead.
+func (e *engine) sendBrokenHead(c net.Conn) {
+	heads := BrokenHeads("")
+	n := e.brokenHeads.Add(1)
+	_, _ = io.WriteString(c, heads[n%uint64(len(heads))].Head+"\r\n2\r\n{}\r\n0\r\n\r\n")
+}
--- a/internal/emulate/engine.go
+++ b/internal/emulate/engine.go
@@ -14,6 +14,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/balsamlb/balsamlb/backend"
@@ -50,6 +51,8 @@
 	requests   *requestLog
 	callFaults callFaults
 	orders     orderLog
+	// brokenHeads counts the answers sent under FaultBrokenHead.
+	brokenHeads atomic.Uint64
 
 	mu       sync.Mutex
 	sessions map[string][]*session // by request; a server may run several stages of a request
--- a/internal/emulate/fault.go
+++ b/internal/emulate/fault.go
@@ -34,6 +34,9 @@
 	// FaultLeavingInAnswers makes the server say that it leaves in its responses, but not in its
 	// announcements.
 	FaultLeavingInAnswers FaultKind = "leaving_in_answers"
+	// FaultBrokenHead answers what instances ask, but for orders, with heads that HTTP doesn't allow, each kind in turn, and runs
+	// nothing.
+	FaultBrokenHead FaultKind = "broken_head"
 	// FaultLate delays every frame by Millis.
 	FaultLate FaultKind = "late"
 	// FaultReorder sends token frames out of order, FaultDuplicate sends each token frame twice,
--- a/internal/emulate/fleet.go
+++ b/internal/emulate/fleet.go
@@ -105,6 +105,9 @@
 	defer e.sayLeaving(ctx)
 	path := string(ctx.Path())
 	switch {
+	case e.faults.has(FaultBrokenHead) && (path == backend.PathStage || path == backend.PathStart || path == backend.PathCancel || strings.HasPrefix(path, backend.PathCall)):
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(e.sendBrokenHead)
 	case path == backend.PathStage:
 		e.handleStage(ctx)
 	case path == backend.PathStart:
--- a/internal/lab/drafts_test.go
+++ b/internal/lab/drafts_test.go
@@ -237,6 +237,20 @@
 	}
 }
 
+// Guards against drafts that wait for a stage whose server answers with heads that HTTP doesn't allow.
+func TestDraftsAreAnsweredBesideServersWithBrokenHeads(t *testing.T) {
+	is := is.New(t)
+	l := startDraftLab(t, false)
+	for _, s := range []string{"a-0", "b-0", "c-0"} {
+		is.NoErr(emulate.SetFault(draftAddress(l, s), emulate.Fault{Kind: emulate.FaultBrokenHead}))
+	}
+	r := runDrafts(t, l, 4, func() {})
+	t.Log(r)
+	is.Equal(r.Violations, nil)
+	is.Equal(r.Answered, 4)
+	checkExactlyOnce(t, l, 4, draftTokens)
+}
+
 func TestWrongLayerReportFailsStream(t *testing.T) {
 	is := is.New(t)
 	l := startDraftLab(t, false)
