--- a/internal/answers/head.go
+++ b/internal/answers/head.go
@@ -8,7 +8,7 @@
 	"strings"
 )
 
-// checkHead returns an error for what http.ReadResponse accepts, though it is no head of an HTTP answer.
+// checkHead rejects heads that http.ReadResponse accepts though HTTP doesn't allow them.
 func checkHead(resp *http.Response) error {
 	if resp.StatusCode < http.StatusContinue {
 		return fmt.Errorf("status %q is below %d", resp.Status, http.StatusContinue)
@@ -19,8 +19,8 @@
 	return checkNames(resp.Header)
 }
 
-// CheckFinal returns an error for what isn't the status and the header of a final answer. Readers of this package have checked
-// them; it is for those that arrive by another way than HTTP.
+// CheckFinal returns an error unless the status and the header can be those of a final answer. It is for heads that didn't
+// arrive over HTTP; a Reader has checked its own.
 func CheckFinal(status int, h http.Header) error {
 	if status < http.StatusOK || status > maxStatus {
 		return fmt.Errorf("status %d is no final one", status)
@@ -28,11 +28,11 @@
 	return checkNames(h)
 }
 
-// maxStatus is the largest status that can be written, though HTTP defines those up to 599 only.
+// maxStatus is the largest status of three digits. HTTP defines those up to 599; larger ones count as failures.
 const maxStatus = 999
 
-// checkNames returns an error for a name with a blank. Such a field may be one on which the length of the body depends.
-// net/textproto rejects all other bytes that a name may not have.
+// checkNames returns an error for a field name with a blank, the only invalid byte that net/textproto lets pass. The field may
+// be one that frames the body, such as "Content-Length ".
 func checkNames(h http.Header) error {
 	for name := range h {
 		if strings.Contains(name, " ") {
@@ -42,19 +42,19 @@
 	return nil
 }
 
-// oldVersion is the version whose answers have no chunks.
-const oldVersion = "HTTP/1.0"
+// http10 is the version that has no chunked bodies.
+const http10 = "HTTP/1.0"
 
-// checkOldHead returns an error if a head of oldVersion, which sent begins with, names an encoding of the body: it isn't known
-// then how the body ends. http.ReadResponse drops such a field.
-func checkOldHead(sent []byte) error {
+// checkHTTP10Head returns an error if the HTTP/1.0 head at the start of sent names a transfer encoding: how its body ends isn't
+// known then (RFC 9112, 6.1). http.ReadResponse drops the field.
+func checkHTTP10Head(sent []byte) error {
 	for line := range bytes.Lines(sent) {
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
 			break
 		}
 		if name, _, _ := bytes.Cut(line, []byte(":")); strings.EqualFold(string(name), "Transfer-Encoding") {
-			return fmt.Errorf("an encoding of the body in %s: %q", oldVersion, line)
+			return fmt.Errorf("a transfer encoding in %s: %q", http10, line)
 		}
 	}
 	return nil
@@ -63,7 +63,7 @@
 // isControl reports whether a byte may stand neither in the reason of a status line nor in a value.
 func isControl(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f }
 
-// trailedBody is the body of an answer, which ends only with a sound trailer.
+// trailedBody is the body of an answer. It returns io.EOF only if the trailer is valid.
 type trailedBody struct {
 	io.ReadCloser
 	answer *http.Response
--- a/internal/answers/reader.go
+++ b/internal/answers/reader.go
@@ -72,12 +72,12 @@
 	if err := checkPrefix(r.reader); err != nil {
 		return nil, err
 	}
-	version, err := r.reader.Peek(len(oldVersion))
+	version, err := r.reader.Peek(len(http10))
 	if err != nil {
 		return nil, err
 	}
-	isOld := string(version) == oldVersion
-	if isOld {
+	isHTTP10 := string(version) == http10
+	if isHTTP10 {
 		arrived, _ := r.reader.Peek(r.reader.Buffered()) // that many can't fail
 		r.bounds.record(arrived)
 	}
@@ -85,9 +85,9 @@
 	if err == nil {
 		err = checkHead(resp)
 	}
-	if isOld {
+	if isHTTP10 {
 		if head := r.bounds.stopRecording(); err == nil {
-			err = checkOldHead(head)
+			err = checkHTTP10Head(head)
 		}
 	}
 	if err != nil && !errors.Is(err, ErrHeadTooLong) && !IsEndOfConnection(err) {
--- a/internal/answers/reader_test.go
+++ b/internal/answers/reader_test.go
@@ -82,8 +82,8 @@
 	}
 }
 
-// An encoding is one only in the head, which may come in parts of any size.
-func TestAnswersOfOldServersInParts(t *testing.T) {
+// The head of an HTTP/1.0 answer is checked apart from its body, in whatever parts it arrives.
+func TestTransferEncodingInHTTP10HeadIsFound(t *testing.T) {
 	for name, c := range map[string]struct {
 		sent     string
 		isBroken bool
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -124,18 +124,18 @@
 	return err == nil && quiet
 }
 
-// checkEnd returns nil if the server has ended the connection, and the error that broke it otherwise. It is called when a
-// read has met the end of the connection while w may go on. The kernel reports an error of a connection to one call only:
-// if that was a write, reads meet the end of a connection that has none.
+// checkEnd is called when a read has returned io.EOF. It returns nil if the server has ended the connection in order, and
+// the error that broke it otherwise. The kernel reports an error of a connection to one call only: if that was a write of w,
+// a read returns io.EOF as after an end in order.
 func (c *conn) checkEnd(w *writing) error {
 	isDown, err := c.isDown()
 	if err != nil {
 		return err
 	}
 	if isDown {
-		<-w.ended // soon, since nothing can be written any more
+		<-w.ended // at once, since nothing can be written any more
 	}
-	if !w.hasEnded() || errors.Is(w.err, syscall.EPIPE) { // EPIPE: the server's end had arrived before
+	if !w.hasEnded() || errors.Is(w.err, syscall.EPIPE) { // EPIPE: the server had ended its direction before the break
 		return nil
 	}
 	return w.err
