control: a change is acknowledged once a quorum has stored that it is committed

Cause: a leader acknowledges a change when its entry is committed, and its followers learn that up to 40 ms later. If the leader is lost in between, the change is in force nowhere until another leader is elected, and after a restart of all, the replicas publish the document before.

Ruled out: a lost entry (a quorum has stored it; after an election it is in force in all runs), gateways that aren't told while a control instance knows (they have it within 0.1 s).

Change: after a change of what instances follow (routing document, configuration, drain) the leader adds an empty entry, and gives the change its result when that is committed. A replica stores a commit in the frame of the entry after it, so a quorum has stored and applied the change by then.

--- a/control/host.go
+++ b/control/host.go
@@ -81,8 +81,12 @@
 	state      *replica.State
 	inputQueue *ring.Ring[input]
 	waiters    map[uint64]*waiter
-	reads      []*read
-	clock      clock
+	// spreading are the waiters whose entry is applied and whose commit is about to be spread.
+	spreading []*waiter
+	// followedChange is the index of the latest entry that changed the view or the routing document.
+	followedChange uint64
+	reads          []*read
+	clock          clock
 	// now returns the time, as bootclock.Now counts.
 	now func() time.Duration
 	// runSave calls the first function and, from time to time until that returns, the second one.
@@ -386,6 +390,7 @@
 			return err
 		}
 		h.node.Advance(r)
+		h.spreadCommits()
 	}
 	if h.node.Role() != consensus.RoleLeader {
 		h.failWaiters()
--- a/control/propose.go
+++ b/control/propose.go
@@ -36,6 +36,10 @@
 	term      uint64
 	identity  []byte
 	proposals []*proposal
+	// commit is what was known to be committed when the entry was added.
+	commit uint64
+	// result is that of an earlier entry, if this one only spreads its commit, else nil.
+	result *replica.Result
 }
 
 func (w *waiter) resolve(r proposalResult) {
@@ -78,12 +82,13 @@
 		w.proposals = append(w.proposals, p)
 		return
 	}
+	commit := h.node.Commit()
 	index, term, err := h.node.Propose(p.data)
 	if err != nil {
 		p.result <- proposalResult{err: err}
 		return
 	}
-	h.waiters[index] = &waiter{term: term, identity: p.identity(), proposals: []*proposal{p}}
+	h.waiters[index] = &waiter{term: term, identity: p.identity(), proposals: []*proposal{p}, commit: commit}
 }
 
 // uncommitted returns the entry with the same command that waits for its commit, or nil. A proposer that sends a
@@ -112,7 +117,7 @@
 		if err != nil {
 			return err
 		}
-		h.state = state
+		h.state, h.followedChange = state, 0
 		h.snapshotPolicy = snapshotPolicy{lastSnapshotBytes: len(r.Snapshot.Data)}
 	}
 	for _, e := range r.Committed {
@@ -123,12 +128,14 @@
 
 func (h *Host) apply(e consensus.Entry) {
 	var result replica.Result
+	isFollowed := false
 	if e.Kind == consensus.EntryCommand && len(e.Data) > 0 {
 		c, err := replica.Decode(e.Data)
 		if err != nil {
 			h.log.Error(err, "cannot decode command", "index", e.Index)
 		} else {
-			result = h.state.Apply(e.Index, c)
+			result = h.applyCommand(e.Index, c)
+			isFollowed = c.IsFollowed()
 		}
 	}
 	h.snapshotPolicy.recordApplied(e)
@@ -141,7 +148,15 @@
 		w.resolve(proposalResult{err: ErrOverwritten})
 		return
 	}
-	w.resolve(proposalResult{result: result})
+	switch {
+	case w.result != nil:
+		w.resolve(proposalResult{result: *w.result})
+	case isFollowed && h.followedChange > w.commit:
+		w.result = &result
+		h.spreading = append(h.spreading, w)
+	default:
+		w.resolve(proposalResult{result: result})
+	}
 }
 
 // failWaiters fails all pending proposals when this replica is no longer the leader and can't
--- a/replica/command.go
+++ b/replica/command.go
@@ -79,6 +79,12 @@
 		c.Publish != nil && c.Publish.Version > 0 || c.Begin != nil && !c.Begin.LookupOnly
 }
 
+// IsFollowed reports whether the command changes what all instances follow: the configuration, the drained servers or the
+// routing document.
+func (c Command) IsFollowed() bool {
+	return c.Change != nil || c.Drain != nil || c.Publish != nil && c.Publish.Version > 0
+}
+
 // AddTimestamp returns the encoded command with the timestamp added. The leader calls it for each
 // command before it appends the command to the log.
 func AddTimestamp(data []byte, t Timestamp) ([]byte, error) {
