--- a/control/host.go
+++ b/control/host.go
@@ -171,7 +171,7 @@
 	if err != nil {
 		return err
 	}
-	h.state = state
+	h.state, h.followedChange = state, 0
 	h.snapshotPolicy = snapshotPolicy{lastSnapshotBytes: len(stored.Snapshot.Data)}
 	h.minPublishCommit = stored.Snapshot.Index
 	if n := len(stored.Entries); n > 0 {
--- a/control/propose.go
+++ b/control/propose.go
@@ -36,9 +36,9 @@
 	term      uint64
 	identity  []byte
 	proposals []*proposal
-	// commit is what was known to be committed when the entry was added.
+	// commit is the index up to which the log was known to be committed when the command was added.
 	commit uint64
-	// result is that of an earlier entry, if this one only spreads its commit, else nil.
+	// result is that of the command while the waiter waits for the entry that spreads its commit, else nil.
 	result *replica.Result
 }
 
--- a/internal/lab/soak_operator_test.go
+++ b/internal/lab/soak_operator_test.go
@@ -54,7 +54,9 @@
 	keys      map[string]string
 	nextRoute int
 	filler    []soakRoute // routes that never change
-	fillTo    []soakTenant
+	// asked is the control instance that was called last.
+	asked  *Member
+	fillTo []soakTenant
 }
 
 func newSoakOperator(s *soak, seed uint64) *soakOperator {
@@ -180,6 +182,9 @@
 	for o.s.isWorking() {
 		switch status := o.put(text, o.rng.Float64() < 0.1); {
 		case status == 200:
+			if f := o.s.onAck.Swap(nil); f != nil {
+				(*f)(o.asked)
+			}
 			o.s.judge.acked(d)
 			return true
 		case status >= 400 && status < 500 && status != 408 && status != 429:
@@ -209,8 +214,8 @@
 // is wanted.
 func (o *soakOperator) put(text []byte, losesAnswer bool) int {
 	controls := o.s.controls()
-	control := controls[o.rng.IntN(len(controls))]
-	to := control.ControlAddress()
+	o.asked = controls[o.rng.IntN(len(controls))]
+	to := o.asked.ControlAddress()
 	if losesAnswer {
 		c, err := net.DialTimeout("tcp", to, time.Second)
 		if err == nil {
@@ -221,11 +226,6 @@
 		return 0
 	}
 	status, _ := o.s.call(fasthttp.MethodPut, to, soakConfigPath, text)
-	if status == fasthttp.StatusOK {
-		if f := o.s.onAck.Swap(nil); f != nil {
-			(*f)(control)
-		}
-	}
 	return status
 }
 
--- a/internal/lab/soak_test.go
+++ b/internal/lab/soak_test.go
@@ -71,10 +71,11 @@
 	s.ctx, s.cancel = context.WithCancel(t.Context())
 	s.work, s.endWork = context.WithCancel(s.ctx)
 	const megabit = 1_000_000 / 8
+	environment := cmp.Or(os.Getenv("BALSAMLB_SOAK_ENV"), "GOMAXPROCS=1") // of each process
 	d, err := StartDeployment(s.ctx, DeploymentLayout{
 		Folder: soakFolder(t, o), Binary: binary, Controls: o.controls, Gateways: o.gateways, Tolerate: (o.controls - 1) / 2,
 		ControlBytesPerSecond: o.controlMbps * megabit, GatewayBytesPerSecond: o.gatewayMbps * megabit, AnnounceInterval: announceEvery,
-		ControlMemoryMB: 280, GatewayMemoryMB: 184, Env: []string{cmp.Or(os.Getenv("BALSAMLB_SOAK_ENV"), "GOMAXPROCS=1")},
+		ControlMemoryMB: 280, GatewayMemoryMB: 184, Env: []string{environment},
 	})
 	if err != nil {
 		t.Fatal(err)
