control: an applied change is not answered as one that was not added

The entry that spreads the commit of a change could be refused with ErrBusy, which says that nothing was added, though the change is applied and stays so. A proposer may tell its caller that the command has no effect.

Change: the change waits until the log takes the entry, or until this replica loses the leadership, which says that the outcome isn't known.

Test: TestAppliedChangeWaitsForRoomInTheLog failed before (the proposal had its error at once).

--- a/control/propose.go
+++ b/control/propose.go
@@ -91,7 +91,7 @@
 	h.waiters[index] = &waiter{term: term, identity: p.identity(), proposals: []*proposal{p}, commit: commit}
 }
 
-// uncommitted returns the entry with the same command that waits for its commit, or nil. A proposer that sends a
+// uncommitted returns the entry with the same command that waits for its commit, or for that to be spread, or nil. A proposer that sends a
 // command again waits for that entry, instead of adding another one to a log that is slow already. A newer leader may have
 // committed that entry already, and others after it, so there is none for a command that isn't repeatable.
 func (h *Host) uncommitted(identity []byte) *waiter {
@@ -166,4 +166,8 @@
 		delete(h.waiters, index)
 		w.resolve(proposalResult{err: consensus.ErrNotLeader})
 	}
+	for _, w := range h.spreading {
+		w.resolve(proposalResult{err: consensus.ErrNotLeader})
+	}
+	h.spreading = nil
 }
--- a/control/spread.go
+++ b/control/spread.go
@@ -1,6 +1,11 @@
 package control
 
-import "github.com/balsamlb/balsamlb/replica"
+import (
+	"errors"
+
+	"github.com/balsamlb/balsamlb/consensus"
+	"github.com/balsamlb/balsamlb/replica"
+)
 
 // applyCommand applies a command and records whether it changed what all instances follow.
 func (h *Host) applyCommand(index uint64, c replica.Command) replica.Result {
@@ -17,10 +22,16 @@
 // change is committed. If the leader alone knew, the change would be in force nowhere once the leader is lost, until
 // another one is elected.
 //
-// It must not be called between Ready and Advance.
+// A change waits while the log takes no more entries: ErrBusy would mean that it was not applied. spreadCommits must not be
+// called between Ready and Advance.
 func (h *Host) spreadCommits() {
-	for _, w := range h.spreading {
+	for len(h.spreading) > 0 {
+		w := h.spreading[0]
 		index, term, err := h.node.Propose(nil)
+		if errors.Is(err, consensus.ErrBusy) {
+			return
+		}
+		h.spreading = h.spreading[1:]
 		if err != nil {
 			w.resolve(proposalResult{err: err})
 			continue
@@ -28,5 +39,4 @@
 		w.term = term
 		h.waiters[index] = w
 	}
-	h.spreading = nil
 }
--- a/control/spread_test.go
+++ b/control/spread_test.go
@@ -1,13 +1,17 @@
 package control
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/balsamlb/balsamlb/config"
+	"github.com/balsamlb/balsamlb/consensus"
 	"github.com/balsamlb/balsamlb/replica"
+	"github.com/matryer/is"
 )
 
 // Guards against a change that is acknowledged while its leader alone knows that it is committed: once that one is lost, the
@@ -73,3 +77,28 @@
 	}
 	return h
 }
+
+// Guards against a change that is applied and gets ErrBusy, which says that it is not, because the log is full when its commit
+// is about to be spread.
+func TestAppliedChangeWaitsForRoomInTheLog(t *testing.T) {
+	is := is.New(t)
+	d := &failingStorage{}
+	h := newTestHost(t, d, &peerRecorder{disk: d})
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- h.Run(ctx) }()
+	is.NoErr(commit(t, h))
+	stop()
+	is.NoErr(<-ended)
+	var err error
+	for err == nil {
+		_, _, err = h.node.Propose(nil)
+	}
+	is.True(errors.Is(err, consensus.ErrBusy))
+	p := &proposal{result: make(chan proposalResult, 1)}
+	h.spreading = []*waiter{{proposals: []*proposal{p}, result: &replica.Result{}}}
+	h.spreadCommits()
+	is.Equal(len(p.result), 0)
+	is.NoErr(h.process())
+	is.NoErr((<-p.result).err)
+}
