--- a/internal/lab/soak_operator_test.go
+++ b/internal/lab/soak_operator_test.go
@@ -204,6 +204,28 @@
 	return false
 }
 
+// ackWait is how long a test waits for an acknowledgement at most, also while control instances have trouble.
+const ackWait = time.Minute
+
+// atNextAck calls f with the control instance that acknowledges the next new document, before the operator goes on. It reports
+// whether one was acknowledged.
+func (s *soak) atNextAck(f func(acknowledging *Member)) bool {
+	done := make(chan struct{})
+	call := func(m *Member) {
+		defer close(done)
+		f(m)
+	}
+	s.onAck.Store(&call)
+	select {
+	case <-done:
+		return true
+	case <-s.ctx.Done():
+	case <-time.After(ackWait):
+		s.judge.report("NO-ACK", "no document is acknowledged in %s", ackWait)
+	}
+	return false
+}
+
 func (o *soakOperator) repeat(text []byte) {
 	if status := o.put(text, false); status >= 400 && status < 500 && status != 408 && status != 429 {
 		o.s.judge.report("REFUSED-AGAIN", "a document that was acknowledged is answered %d: %.60s", status, text)
