--- a/review/standin2/deployment_test.go
+++ b/review/standin2/deployment_test.go
@@ -44,6 +44,8 @@
 	record *record
 	folder string // temporary
 	net    string // the first two numbers of all addresses
+	// reserved listens at an address that no machine has, to keep the network from other deployments.
+	reserved net.Listener
 	// Ports are the same on all machines.
 	frontPort, readyPort, controlPort, instancesPort int
 	controllers, gateways                            []*machine
@@ -80,6 +82,10 @@
 func (d *deployment) chooseAddresses() error {
 	for range 20 {
 		d.net = fmt.Sprintf("127.%d", 10+rand.IntN(200))
+		reserved, err := net.Listen("tcp", d.net+".250.1:9109")
+		if err != nil {
+			continue
+		}
 		var ports []int
 		for range 4 {
 			l, err := net.Listen("tcp", d.net+".1.1:0")
@@ -93,8 +99,10 @@
 		l, err := net.Listen("tcp", d.net+".1.1:9109") // the port of metrics in the templates
 		if err == nil {
 			_ = l.Close()
+			d.reserved = reserved
 			return nil
 		}
+		_ = reserved.Close()
 	}
 	return errors.New("no free addresses")
 }
@@ -184,6 +192,7 @@
 
 // stopAll ends all processes that were started, and removes the temporary folder. KEEP keeps the folder.
 func (d *deployment) stopAll() {
+	_ = d.reserved.Close()
 	for _, m := range d.all() {
 		if m.command != nil {
 			_ = m.command.Process.Signal(syscall.SIGCONT)
